--- /dev/null
+++ b/Makefile
@@ -0,0 +1,138 @@
+# Builds librosemary.a, the daemons and the tools into build/.
+#
+#   make            everything, optimised
+#   make check      all tests, with ASan and UBSan
+#   make demo       the whole path on loopback
+#   make format     rewrite sources in house format
+#   make lint       clang-tidy and cppcheck
+
+PACKAGES = libapr1-dev libaprutil1-dev libprotobuf-c-dev \
+	protobuf-c-compiler libmicrohttpd-dev liblog4c-dev \
+	libcriterion-dev librapidcheck-dev libjansson-dev libxxhash-dev \
+	libgsl-dev libcurl4-openssl-dev pkg-config clang-format clang-tidy \
+	cppcheck g++ gcc make
+
+B ?= build
+CC = gcc
+CXX = g++
+OPT ?= -O2 -g
+SAN ?=
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wvla
+PKG = apr-1 libprotobuf-c libxxhash
+DAEMON_PKG = apr-1 libmicrohttpd libcurl jansson log4c
+CLI_PKG = apr-1 libcurl jansson
+# Evaluated when a recipe runs, so that `make check` may install first.
+CFLAGS_ALL = -std=gnu11 $(OPT) $(SAN) $(WARN) -I. -MMD -MP -pthread \
+	$(shell pkg-config --cflags apr-1 libprotobuf-c)
+
+# The kernel: everything an embedding program links.
+KERNEL = $(filter-out $(wildcard *-pb-c.c),$(wildcard kernel-*.c sub-*.c \
+	dispatch-*.c queue-*.c admit-*.c route-*.c limit-*.c health-*.c \
+	retry-*.c member-*.c table-*.c claim-*.c relay-*.c drain-*.c \
+	trace-*.c)) $(wildcard *.pb-c.c)
+DAEMON = $(wildcard rosemaryd.c daemon-*.c http-*.c setting-*.c log-*.c)
+CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
+FAKES = $(wildcard fake-*.c)
+LOAD = $(wildcard load*.c)
+
+obj = $(patsubst %.c,$(B)/%.o,$(1))
+have = $(if $(strip $(1)),$(2))
+
+PROGRAMS = $(call have,$(wildcard rosemaryd.c),$(B)/rosemaryd) \
+	$(call have,$(wildcard rosemary.c),$(B)/rosemary) \
+	$(patsubst %.c,$(B)/%,$(wildcard rosemary-fake-*.c)) \
+	$(call have,$(wildcard load.c),$(B)/rosemary-load) \
+	$(patsubst %.c,$(B)/%,$(wildcard bench-*.c example-*.c))
+
+TESTS_C = $(patsubst %.c,$(B)/%,$(wildcard regress/*.c))
+TESTS_CXX = $(patsubst %.cc,$(B)/%,$(wildcard regress/*.cc))
+
+all: $(B)/librosemary.a $(PROGRAMS)
+
+tests: $(TESTS_C) $(TESTS_CXX)
+
+$(B)/%.pb-c.o: %.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -c -o $@ $<
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -c -o $@ $<
+
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) -std=c++17 $(OPT) $(SAN) -Wall -Wextra -Werror -I. -MMD -MP \
+		-c -o $@ $<
+
+# One relocatable object, so that no self-registering plug-in is left out
+# by the linker.
+$(B)/librosemary.a: $(call obj,$(KERNEL))
+	ld -r -o $(B)/librosemary.o $^
+	rm -f $@
+	ar rcs $@ $(B)/librosemary.o
+
+KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
+LINK = $(CC) $(OPT) $(SAN) -o $@ $^
+
+$(B)/rosemaryd: $(call obj,$(DAEMON)) $(B)/librosemary.a
+	$(LINK) $(KERNEL_LIBS) -lmicrohttpd -lcurl -ljansson -llog4c
+
+$(B)/rosemary: $(call obj,$(CLI))
+	$(LINK) -lapr-1 -lcurl -ljansson -pthread
+
+$(B)/rosemary-fake-%: $(B)/rosemary-fake-%.o $(call obj,$(FAKES))
+	$(LINK) -lapr-1 -lmicrohttpd -ljansson -lgsl -lgslcblas -lm -pthread
+
+$(B)/rosemary-load: $(call obj,$(LOAD))
+	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
+
+$(B)/bench-%: $(B)/bench-%.o $(B)/librosemary.a
+	$(LINK) $(KERNEL_LIBS) -lgsl -lgslcblas
+
+$(B)/example-%: $(B)/example-%.o $(B)/librosemary.a
+	$(LINK) $(KERNEL_LIBS)
+
+$(TESTS_C): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
+	$(LINK) $(KERNEL_LIBS) -lcriterion
+
+$(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
+	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
+
+# Every source but the generated ones.
+SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
+	$(wildcard *.c *.h regress/*.c regress/*.h))
+
+format:
+	clang-format -i $(SOURCES)
+
+check-format:
+	clang-format --dry-run --Werror $(SOURCES)
+
+TIDY = $(filter-out regress/%,$(filter %.c,$(SOURCES)))
+
+TIDY_FLAGS = $(shell pkg-config --cflags apr-1 libprotobuf-c)
+
+lint:
+	printf '%s\n' $(TIDY) | xargs -P 8 -n 3 sh -c 'clang-tidy --quiet \
+		"$$@" -- -std=gnu11 -I. $(TIDY_FLAGS) 2>&1' tidy
+	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
+		--enable=warning,performance,portability \
+		--suppress=missingIncludeSystem --suppress=unknownMacro \
+		-I. $(TIDY)
+
+check:
+	./regress/run.sh
+
+demo:
+	./regress/demo.sh
+
+proto:
+	protoc-c --c_out=. peer.proto
+
+clean:
+	rm -rf build
+
+-include $(wildcard $(B)/*.d $(B)/regress/*.d)
+
+.PHONY: all tests format check-format lint check demo proto clean
+.SECONDARY:
--- /dev/null
+++ b/regress/run.sh
@@ -0,0 +1,65 @@
+#!/bin/sh
+# Runs all tests and prints "N passed, N failed". Tests listed in
+# KNOWN-RED.txt are run and printed, but do not fail the run.
+set -u
+cd "$(dirname "$0")/.."
+./regress/packages.sh || exit 1
+jobs=$(nproc)
+san="-fsanitize=address,undefined -fno-sanitize-recover=undefined"
+make -s -j"$jobs" B=build/san OPT="-O1 -g" SAN="$san" all tests || exit 1
+make -s -j"$jobs" all || exit 1
+
+passed=0
+failed=0
+known=0
+
+# verdict NAME STATUS: counts one test file or script that has no count of
+# its own.
+verdict () {
+	if test "$2" = 0
+	then
+		passed=$((passed + 1))
+	elif grep -q "^test: $1\$" KNOWN-RED.txt 2>/dev/null
+	then
+		known=$((known + 1))
+		echo "known red: $1"
+	else
+		failed=$((failed + 1))
+		echo "FAILED: $1"
+		cat "build/out/$1.log"
+	fi
+}
+
+mkdir -p build/out
+for t in regress/*.c
+do
+	name=$(basename "$t" .c)
+	build/san/regress/"$name" -j4 >build/out/"$name".log 2>&1
+	status=$?
+	line=$(grep 'Synthesis: Tested:' build/out/"$name".log)
+	ok=$(echo "$line" | sed 's/.*Passing: \([0-9]*\).*/\1/')
+	if test $status = 0 && test -n "$ok" && test "$ok" -gt 0
+	then
+		passed=$((passed + ok))
+	else
+		verdict "$name" 1
+	fi
+done
+for t in regress/*.cc
+do
+	test -f "$t" || continue
+	name=$(basename "$t" .cc)
+	RC_PARAMS="seed=7" build/san/regress/"$name" \
+		>build/out/"$name".log 2>&1
+	verdict "$name" $?
+done
+for t in regress/t-*.sh
+do
+	test -f "$t" || continue
+	name=$(basename "$t" .sh)
+	sh "$t" >build/out/"$name".log 2>&1
+	verdict "$name" $?
+done
+test $known = 0 || echo "$known known red, see KNOWN-RED.txt"
+echo "$passed passed, $failed failed"
+test $failed = 0
