--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 KERNEL = $(filter-out $(wildcard *-pb-c.c),$(wildcard kernel-*.c sub-*.c \
 	dispatch-*.c queue-*.c admit-*.c route-*.c limit-*.c health-*.c \
 	retry-*.c member-*.c table-*.c claim-*.c relay-*.c drain-*.c \
-	trace-*.c)) $(wildcard *.pb-c.c)
+	trace-*.c peer-*.c)) $(wildcard *.pb-c.c)
 DAEMON = $(wildcard rosemaryd.c daemon-*.c http-*.c setting-*.c log-*.c)
 CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
 FAKES = $(wildcard fake-*.c)
--- /dev/null
+++ b/dispatch-service.c
@@ -0,0 +1,272 @@
+/* Services, targets and teams of a dispatch shard. */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Weight of the newest sample in a learned run time. */
+#define LEARNED_ALPHA 0.1
+
+void learned_add(struct rp_learned *l, rp_ms took)
+{
+	double x = (double)took;
+	double alpha;
+
+	l->count++;
+	/* The first samples count evenly. */
+	alpha = 1.0 / (double)l->count;
+	if (alpha < LEARNED_ALPHA)
+		alpha = LEARNED_ALPHA;
+	l->dev += alpha * ((x > l->mean ? x - l->mean : l->mean - x) - l->dev);
+	l->mean += alpha * (x - l->mean);
+}
+
+void dispatch_init(struct rp_kernel *k, unsigned index)
+{
+	struct rp_dispatch *d = &k->dispatch[index];
+
+	d->k = k;
+	d->index = index;
+	d->lock = kernel_lock_new(k);
+	apr_pool_create(&d->pool, k->pool);
+	d->services = hash_new(d->pool);
+	d->teams = hash_new(d->pool);
+	d->jobs = hash_new(d->pool);
+	d->free_start = RP_START_NONE;
+	d->random = k->opt.seed + index;
+	heap_init(&d->deadlines);
+	heap_init(&d->timers);
+}
+
+static void target_free(struct rp_target *t)
+{
+	struct rp_service *svc = t->svc;
+	struct rp_target *last;
+
+	svc->route->ops->removed(svc->route, t);
+	svc->limit->ops->removed(svc->limit, t);
+	svc->health->ops->removed(svc->health, t);
+	apr_hash_set(svc->by_name, t->name, APR_HASH_KEY_STRING, NULL);
+	last = svc->targets[--svc->ntargets];
+	svc->targets[t->index] = last;
+	last->index = t->index;
+	free(t);
+}
+
+static void service_free(struct rp_service *svc)
+{
+	while (svc->ntargets)
+		target_free(svc->targets[svc->ntargets - 1]);
+	svc->route->ops->destroy(svc->route);
+	svc->queue->ops->destroy(svc->queue);
+	svc->admit->ops->destroy(svc->admit);
+	svc->limit->ops->destroy(svc->limit);
+	svc->health->ops->destroy(svc->health);
+	svc->retry->ops->destroy(svc->retry);
+	free(svc->targets);
+	free(svc);
+}
+
+void dispatch_finish(struct rp_dispatch *d)
+{
+	apr_hash_index_t *i;
+	size_t n;
+
+	for (n = 0; n < d->nstarts; n++)
+		if (d->starts[n].in_use)
+			start_forget(&d->starts[n]);
+	for (i = apr_hash_first(NULL, d->jobs); i; i = apr_hash_next(i))
+		job_unref(apr_hash_this_val(i));
+	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i))
+		service_free(apr_hash_this_val(i));
+	for (i = apr_hash_first(NULL, d->teams); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	free(d->starts);
+	heap_finish(&d->deadlines);
+	heap_finish(&d->timers);
+	view_unref(d->view);
+	kernel_lock_free(d->k, d->lock);
+}
+
+struct rp_dispatch *dispatch_of(struct rp_kernel *k, struct rp_str service)
+{
+	return &k->dispatch[str_hash(service) % RP_DISPATCH_SHARDS];
+}
+
+struct rp_service *service_find(struct rp_dispatch *d, struct rp_str name)
+{
+	return apr_hash_get(d->services, name.ptr, (apr_ssize_t)name.len);
+}
+
+/* Makes the service with the policies that the options name. */
+static struct rp_service *service_new(struct rp_dispatch *d, const char *name)
+{
+	const struct rp_options *opt = &d->k->opt;
+	struct rp_service *svc = kernel_alloc(sizeof(*svc));
+
+	str_copy(svc->name, sizeof(svc->name), str_of(name));
+	svc->shard = d;
+	svc->by_name = hash_new(d->pool);
+	svc->route = ((struct rp_route_ops *)plugin_find(RP_PLUGIN_ROUTE,
+							 opt->route))
+			     ->create(svc);
+	svc->queue = ((struct rp_queue_ops *)plugin_find(RP_PLUGIN_QUEUE,
+							 opt->queue))
+			     ->create(svc);
+	svc->admit = ((struct rp_admit_ops *)plugin_find(RP_PLUGIN_ADMIT,
+							 opt->admit))
+			     ->create(svc);
+	svc->limit = ((struct rp_limit_ops *)plugin_find(RP_PLUGIN_LIMIT,
+							 opt->limit))
+			     ->create(svc);
+	svc->health = ((struct rp_health_ops *)plugin_find(RP_PLUGIN_HEALTH,
+							   opt->health))
+			      ->create(svc);
+	svc->retry = ((struct rp_retry_ops *)plugin_find(RP_PLUGIN_RETRY,
+							 opt->retry))
+			     ->create(svc);
+	apr_hash_set(d->services, svc->name, APR_HASH_KEY_STRING, svc);
+	return svc;
+}
+
+static struct rp_service *service_get(struct rp_dispatch *d, const char *name)
+{
+	struct rp_service *svc = service_find(d, str_of(name));
+
+	return svc ? svc : service_new(d, name);
+}
+
+struct rp_team *team_get(struct rp_dispatch *d, struct rp_str name)
+{
+	struct rp_team *team =
+		apr_hash_get(d->teams, name.ptr, (apr_ssize_t)name.len);
+
+	if (team)
+		return team;
+	team = kernel_alloc(sizeof(*team));
+	str_copy(team->name, sizeof(team->name), name);
+	team->weight = RP_WEIGHT_DEFAULT;
+	team->quota = RP_CELL_UNSET;
+	apr_hash_set(d->teams, team->name, APR_HASH_KEY_STRING, team);
+	return team;
+}
+
+/* Makes a target that nothing is known of yet. */
+static struct rp_target *target_new(struct rp_service *svc, const char *name)
+{
+	struct rp_target *t = kernel_alloc(sizeof(*t));
+
+	t->svc = svc;
+	str_copy(t->name, sizeof(t->name), str_of(name));
+	t->weight = RP_WEIGHT_DEFAULT;
+	t->limit = RP_CELL_UNSET;
+	heap_node_init(&t->route_node);
+	if (svc->ntargets == svc->cap_targets) {
+		svc->cap_targets = svc->cap_targets ? 2 * svc->cap_targets : 16;
+		svc->targets = kernel_realloc(
+			svc->targets, svc->cap_targets * sizeof(*svc->targets));
+	}
+	t->index = svc->ntargets;
+	svc->targets[svc->ntargets++] = t;
+	apr_hash_set(svc->by_name, t->name, APR_HASH_KEY_STRING, t);
+	return t;
+}
+
+/* Takes over what the platform's list says of a target. */
+static void target_listed(struct rp_target *t, const struct rp_vm *vm,
+			  rp_ms now)
+{
+	str_copy(t->address, sizeof(t->address), str_of(vm->address));
+	str_copy(t->failure_domain, sizeof(t->failure_domain),
+		 str_of(vm->failure_domain));
+	t->slots = vm->slots;
+	t->connections = vm->connections;
+	t->can_lookup = vm->can_lookup;
+	t->can_void = vm->can_void;
+	t->listed = 1;
+	if (vm->leaving && !t->leaving) {
+		t->leaving = 1;
+		t->leaving_since = now;
+	}
+}
+
+/* Drops the service's targets that the list has no more. */
+static void service_sweep(struct rp_service *svc)
+{
+	size_t i;
+
+	/* Downwards: the target that fills a gap was looked at already. */
+	for (i = svc->ntargets; i-- > 0;) {
+		struct rp_target *t = svc->targets[i];
+
+		if (!t->listed && !t->in_flight)
+			target_free(t);
+	}
+}
+
+/* Tells the policies that targets or members changed, and starts tasks. */
+static void service_changed(struct rp_service *svc, rp_ms now,
+			    struct rp_actions *acts)
+{
+	size_t i;
+
+	svc->limit->ops->changed(svc->limit, now, acts);
+	for (i = 0; i < svc->ntargets; i++)
+		svc->route->ops->changed(svc->route, svc->targets[i], now);
+	dispatch_pump(svc, now, acts);
+}
+
+void dispatch_list(struct rp_dispatch *d, rp_ms now, uint64_t seq,
+		   const struct rp_vm *vms, size_t nvms,
+		   struct rp_actions *acts)
+{
+	apr_hash_index_t *i;
+	size_t n;
+
+	kernel_lock(d->k, d->lock);
+	if (seq <= d->list_seq) {
+		kernel_unlock(d->k, d->lock);
+		return;
+	}
+	d->list_seq = seq;
+	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i)) {
+		struct rp_service *svc = apr_hash_this_val(i);
+
+		for (n = 0; n < svc->ntargets; n++)
+			svc->targets[n]->listed = 0;
+	}
+	for (n = 0; n < nvms; n++) {
+		struct rp_service *svc;
+		struct rp_target *t;
+
+		if (vms[n].kind != RP_VM_TARGET ||
+		    dispatch_of(d->k, str_of(vms[n].service)) != d)
+			continue;
+		svc = service_get(d, vms[n].service);
+		t = apr_hash_get(svc->by_name, vms[n].name,
+				 APR_HASH_KEY_STRING);
+		target_listed(t ? t : target_new(svc, vms[n].name), &vms[n],
+			      now);
+	}
+	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i)) {
+		service_sweep(apr_hash_this_val(i));
+		service_changed(apr_hash_this_val(i), now, acts);
+	}
+	kernel_unlock(d->k, d->lock);
+}
+
+int target_open(const struct rp_target *t)
+{
+	struct rp_service *svc = t->svc;
+
+	if (!t->listed || t->leaving || !t->weight)
+		return 0;
+	return svc->limit->ops->room(svc->limit, t) &&
+	       svc->health->ops->allows(svc->health, t);
+}
+
+int target_limit(const struct rp_target *t)
+{
+	return t->limit == RP_CELL_UNSET ? t->slots : t->limit;
+}
--- /dev/null
+++ b/kernel-platform.c
@@ -0,0 +1,117 @@
+/* Calls to the platform that wait for their answer. */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Span after which a call to the platform is given up, ms. */
+#define PLATFORM_TIMEOUT_MS 2000
+/* Further span for the answer to come through the daemon, ms. */
+#define PLATFORM_GRACE_MS 1000
+
+/* Copies rows into an action, with all strings in one blob. */
+static void copy_rows(struct rp_action *a, const struct rp_row *rows,
+		      size_t nrows)
+{
+	size_t len = 0, i;
+	char *at;
+
+	for (i = 0; i < nrows; i++)
+		len += rows[i].name.len + rows[i].value.len;
+	a->platform.data = rp_blob_new(NULL, len);
+	if (!a->platform.data)
+		abort();
+	a->platform.rows = kernel_alloc((nrows + 1) * sizeof(*rows));
+	a->platform.nrows = nrows;
+	at = a->platform.data->data;
+	for (i = 0; i < nrows; i++) {
+		struct rp_row *row = &a->platform.rows[i];
+
+		*row = rows[i];
+		memcpy(at, rows[i].name.ptr, rows[i].name.len);
+		row->name.ptr = at;
+		at += rows[i].name.len;
+		/* A NULL value stays NULL: it deletes the row. */
+		if (!rows[i].value.ptr)
+			continue;
+		memcpy(at, rows[i].value.ptr, rows[i].value.len);
+		row->value.ptr = at;
+		at += rows[i].value.len;
+	}
+}
+
+void platform_ask(struct rp_kernel *k, rp_ms now, enum rp_platform_op op,
+		  const struct rp_row *rows, size_t nrows,
+		  rp_platform_done done, void *ctx, struct rp_actions *acts)
+{
+	struct rp_ask *ask = kernel_alloc(sizeof(*ask));
+	struct rp_node *n = &k->node;
+	struct rp_action *a;
+
+	ask->done = done;
+	ask->ctx = ctx;
+	ask->give_up_at = now + PLATFORM_TIMEOUT_MS + PLATFORM_GRACE_MS;
+	kernel_lock(k, n->lock);
+	ask->id = ++n->next_ask;
+	apr_hash_set(n->asks, &ask->id, sizeof(ask->id), ask);
+	if (op == RP_PLATFORM_COMMIT)
+		n->platform_writes += nrows;
+	else
+		n->platform_reads += nrows ? nrows : 1;
+	kernel_unlock(k, n->lock);
+	a = action_add(acts, RP_ACTION_PLATFORM);
+	a->platform.ask_id = ask->id;
+	a->platform.op = op;
+	a->platform.timeout = PLATFORM_TIMEOUT_MS;
+	copy_rows(a, rows, nrows);
+}
+
+void platform_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		    struct rp_actions *acts)
+{
+	uint64_t id = ev->platform.ask_id;
+	struct rp_node *n = &k->node;
+	struct rp_ask *ask;
+
+	kernel_lock(k, n->lock);
+	ask = apr_hash_get(n->asks, &id, sizeof(id));
+	if (ask)
+		apr_hash_set(n->asks, &id, sizeof(id), NULL);
+	kernel_unlock(k, n->lock);
+	if (!ask)
+		return; /* given up before, or repeated */
+	ask->done(k, now, ask->ctx, ev, acts);
+	free(ask);
+}
+
+/* Finds one call that has waited too long. */
+static uint64_t overdue_ask(struct rp_kernel *k, rp_ms now)
+{
+	struct rp_node *n = &k->node;
+	apr_hash_index_t *i;
+	uint64_t id = 0;
+
+	kernel_lock(k, n->lock);
+	for (i = apr_hash_first(NULL, n->asks); i; i = apr_hash_next(i)) {
+		struct rp_ask *ask = apr_hash_this_val(i);
+
+		if (ask->give_up_at > now)
+			continue;
+		id = ask->id;
+		break;
+	}
+	kernel_unlock(k, n->lock);
+	return id;
+}
+
+void platform_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_event ev = {
+		.type = RP_EVENT_PLATFORM_REPLY,
+		.platform.outcome = RP_PLATFORM_LOST,
+	};
+
+	while ((ev.platform.ask_id = overdue_ask(k, now)))
+		platform_reply(k, now, &ev, acts);
+}
--- /dev/null
+++ b/member-list.c
@@ -0,0 +1,99 @@
+/*
+ * The platform's lagging list of VMs: polled with jitter, and passed on to
+ * the dispatch shards. Until the first answer, the VMs of the settings hold.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct rp_view *view_ref(struct rp_view *v)
+{
+	atomic_fetch_add(&v->refs, 1);
+	return v;
+}
+
+void view_unref(struct rp_view *v)
+{
+	if (v && atomic_fetch_sub(&v->refs, 1) == 1)
+		free(v);
+}
+
+static void apply_list(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
+		       size_t nvms, struct rp_actions *acts)
+{
+	uint64_t seq;
+	unsigned i;
+
+	kernel_lock(k, k->node.lock);
+	seq = ++k->node.list_seq;
+	kernel_unlock(k, k->node.lock);
+	for (i = 0; i < RP_DISPATCH_SHARDS; i++)
+		dispatch_list(&k->dispatch[i], now, seq, vms, nvms, acts);
+}
+
+void member_init(struct rp_kernel *k, rp_ms now)
+{
+	struct rp_node *n = &k->node;
+	struct rp_actions acts;
+
+	n->lock = kernel_lock_new(k);
+	apr_pool_create(&n->pool, k->pool);
+	n->asks = hash_new(n->pool);
+	n->random = k->opt.seed ^ k->opt.incarnation;
+	n->list_due = now;
+	if (!k->opt.nseeds)
+		return;
+	/* Nothing waits yet, so no action can follow. */
+	rp_actions_init(&acts);
+	apply_list(k, now, k->opt.seeds, k->opt.nseeds, &acts);
+	rp_actions_finish(&acts);
+}
+
+void member_finish(struct rp_kernel *k)
+{
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, k->node.asks); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	kernel_lock_free(k, k->node.lock);
+}
+
+static void list_done(struct rp_kernel *k, rp_ms now, void *ctx,
+		      const struct rp_event *ev, struct rp_actions *acts)
+{
+	(void)ctx;
+	kernel_lock(k, k->node.lock);
+	k->node.list_asked = 0;
+	k->node.list_due =
+		now + random_jitter(&k->node.random, k->opt.list_poll);
+	kernel_unlock(k, k->node.lock);
+	if (ev->platform.outcome == RP_PLATFORM_DONE)
+		apply_list(k, now, ev->platform.vms, ev->platform.nvms, acts);
+}
+
+void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	int ask;
+
+	if (!k->opt.list_poll)
+		return;
+	kernel_lock(k, k->node.lock);
+	ask = !k->node.list_asked && k->node.list_due <= now;
+	if (ask)
+		k->node.list_asked = 1;
+	kernel_unlock(k, k->node.lock);
+	if (ask)
+		platform_ask(k, now, RP_PLATFORM_LIST, NULL, 0, list_done, NULL,
+			     acts);
+}
+
+void member_down(struct rp_kernel *k, rp_ms now, const char *name,
+		 struct rp_actions *acts)
+{
+	(void)k;
+	(void)now;
+	(void)name;
+	(void)acts;
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -1,8 +1,701 @@
 #ifndef ROSEMARY_INT_H
 #define ROSEMARY_INT_H
 
-/* Structs and functions shared by the parts of the kernel. */
+/*
+ * Structs and functions shared by the parts of the kernel.
+ *
+ * State lies in submission shards (by key), dispatch shards (by service) and
+ * the node (members, table). Each has its own lock; they are taken in the
+ * order submission, dispatch, node, and what has to go the other way is
+ * deferred until all locks are released.
+ */
 
 #include "rosemary.h"
 
+#include <apr_hash.h>
+#include <apr_pools.h>
+
+#include "peer.pb-c.h"
+
+#define RP_SUB_SHARDS 8
+#define RP_DISPATCH_SHARDS 4
+
+struct rp_job;
+struct rp_target;
+struct rp_service;
+struct rp_team;
+
+/* --- kernel-heap.c: a binary heap of embedded nodes ----------------- */
+
+#define RP_HEAP_OUT ((size_t)-1)
+
+struct rp_heap_node {
+	double key;   /* least first */
+	size_t index; /* place in the heap, or RP_HEAP_OUT */
+};
+
+struct rp_heap {
+	struct rp_heap_node **nodes;
+	size_t len, cap;
+};
+
+void heap_init(struct rp_heap *h);
+void heap_finish(struct rp_heap *h);
+void heap_node_init(struct rp_heap_node *n);
+/* Inserts the node, or moves it when it is in the heap already. */
+void heap_set(struct rp_heap *h, struct rp_heap_node *n, double key);
+void heap_remove(struct rp_heap *h, struct rp_heap_node *n);
+/* The node with the least key, or NULL. */
+struct rp_heap_node *heap_first(const struct rp_heap *h);
+
+#define RP_CONTAINER(ptr, type, member)                                        \
+	((type *)(void *)((char *)(ptr)-offsetof(type, member)))
+
+/* --- kernel-str.c --------------------------------------------------- */
+
+struct rp_str str_of(const char *s);
+int str_eq(struct rp_str a, struct rp_str b);
+/* Copies into a buffer of size bytes with a NUL, cut to fit. */
+void str_copy(char *to, size_t size, struct rp_str s);
+uint64_t str_hash(struct rp_str s);
+/* Makes a hash table keyed by bytes, with a fast hash function. */
+apr_hash_t *hash_new(apr_pool_t *pool);
+/* Next number of a splitmix64 sequence. */
+uint64_t random_next(uint64_t *state);
+/* A span within +-quarter of mean, so that periodic work spreads. */
+rp_ms random_jitter(uint64_t *state, rp_ms mean);
+
+/* --- kernel-plugin.c: policies that register themselves ------------- */
+
+enum rp_plugin_kind {
+	RP_PLUGIN_ROUTE,
+	RP_PLUGIN_QUEUE,
+	RP_PLUGIN_ADMIT,
+	RP_PLUGIN_LIMIT,
+	RP_PLUGIN_HEALTH,
+	RP_PLUGIN_RETRY,
+	RP_PLUGIN_KINDS,
+};
+
+/* First member of every table of policy functions. */
+struct rp_plugin {
+	const char *name;
+	struct rp_plugin *next;
+};
+
+void plugin_register(enum rp_plugin_kind kind, struct rp_plugin *p);
+struct rp_plugin *plugin_find(enum rp_plugin_kind kind, const char *name);
+
+#define RP_REGISTER(kind, ops)                                                 \
+	static void __attribute__((constructor)) register_##ops(void)          \
+	{                                                                      \
+		plugin_register(kind, &(ops).plugin);                          \
+	}                                                                      \
+	struct rp_plugin_dummy_##ops
+
+/*
+ * Chooses the target of the next task. Each policy's instance has its ops as
+ * first member and is made and freed by create() and destroy().
+ */
+struct rp_route {
+	const struct rp_route_ops *ops;
+};
+
+struct rp_route_ops {
+	struct rp_plugin plugin;
+	struct rp_route *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_route *r);
+	/*
+	 * A target that target_open() allows, or NULL to let the task wait.
+	 */
+	struct rp_target *(*pick)(struct rp_route *r, struct rp_job *job,
+				  rp_ms now);
+	/* The target's room, speed, weight, limit or health changed. */
+	void (*changed)(struct rp_route *r, struct rp_target *t, rp_ms now);
+	void (*removed)(struct rp_route *r, struct rp_target *t);
+};
+
+/* Orders the jobs that have tasks to start. */
+struct rp_queue {
+	const struct rp_queue_ops *ops;
+};
+
+struct rp_queue_ops {
+	struct rp_plugin plugin;
+	struct rp_queue *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_queue *q);
+	void (*add)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+	void (*remove)(struct rp_queue *q, struct rp_job *job);
+	/* The job whose task goes next, or NULL; leaves it queued. */
+	struct rp_job *(*next)(struct rp_queue *q, rp_ms now);
+	/* One task of the job was started, or came back to the queue. */
+	void (*changed)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+};
+
+/* Accepts or refuses a job before anything of it starts. */
+struct rp_admit {
+	const struct rp_admit_ops *ops;
+};
+
+struct rp_admit_ops {
+	struct rp_plugin plugin;
+	struct rp_admit *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_admit *a);
+	/* RP_OK, or fills st and *retry_after (ms). */
+	enum rp_code (*check)(struct rp_admit *a,
+			      const struct rp_submission *sub, rp_ms now,
+			      struct rp_status *st, rp_ms *retry_after);
+	/* A task ended after so many ms on a target. */
+	void (*ended)(struct rp_admit *a, rp_ms took, rp_ms now);
+};
+
+/* Holds a target's limit over all entry VMs. */
+struct rp_limit {
+	const struct rp_limit_ops *ops;
+};
+
+struct rp_limit_ops {
+	struct rp_plugin plugin;
+	struct rp_limit *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_limit *l);
+	/* Whether this entry VM may start one more task on the target. */
+	int (*room)(struct rp_limit *l, const struct rp_target *t);
+	void (*started)(struct rp_limit *l, struct rp_target *t, rp_ms now);
+	void (*ended)(struct rp_limit *l, struct rp_target *t,
+		      enum rp_start_outcome outcome, rp_ms now);
+	/* Tasks wait that no target has room for. */
+	void (*demand)(struct rp_limit *l, size_t waiting, rp_ms now,
+		       struct rp_actions *acts);
+	/* A target came, went, or changed its limit; or members changed. */
+	void (*changed)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
+	void (*removed)(struct rp_limit *l, struct rp_target *t);
+	void (*tick)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
+};
+
+/* Judges targets by what becomes of the tasks started on them. */
+struct rp_health {
+	const struct rp_health_ops *ops;
+};
+
+struct rp_health_ops {
+	struct rp_plugin plugin;
+	struct rp_health *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_health *h);
+	/* Whether one more task may be started on the target. */
+	int (*allows)(struct rp_health *h, const struct rp_target *t);
+	void (*started)(struct rp_health *h, struct rp_target *t, rp_ms now);
+	void (*ended)(struct rp_health *h, struct rp_target *t,
+		      enum rp_start_outcome outcome, rp_ms took, rp_ms now);
+	void (*removed)(struct rp_health *h, struct rp_target *t);
+	void (*tick)(struct rp_health *h, rp_ms now);
+};
+
+/* Whether and when an idempotent request is sent again. */
+struct rp_retry {
+	const struct rp_retry_ops *ops;
+};
+
+struct rp_retry_ops {
+	struct rp_plugin plugin;
+	struct rp_retry *(*create)(struct rp_service *svc);
+	void (*destroy)(struct rp_retry *r);
+	/* A first send was made: the budget grows. */
+	void (*first_send)(struct rp_retry *r);
+	/* Takes one send from the budget; 0 when there is none. */
+	int (*take)(struct rp_retry *r);
+	/* Span after which a second send may run beside the first; 0: never */
+	rp_ms (*hedge_after)(struct rp_retry *r, const struct rp_target *t);
+};
+
+/* --- targets, services, jobs, tasks: the dispatch shards ------------- */
+
+/* Learned run time of tasks, an exponentially weighted mean. */
+struct rp_learned {
+	double mean; /* ms */
+	double dev;  /* mean absolute deviation, ms */
+	uint64_t count;
+};
+
+void learned_add(struct rp_learned *l, rp_ms took);
+
+struct rp_target {
+	struct rp_service *svc;
+	char name[RP_NAME_MAX];
+	char address[RP_ADDRESS_MAX];
+	char failure_domain[RP_NAME_MAX];
+	int slots;	 /* as the platform's list says */
+	int connections; /* likewise; 0: unknown */
+	int can_lookup;
+	int can_void;
+	int listed;	     /* in the latest list */
+	int leaving;	     /* by list, own reply or peer: gets no work */
+	rp_ms leaving_since; /* when the earliest sign came */
+	int32_t weight;	     /* in force from the table */
+	int32_t limit;	     /* in force: table's limit, else slots */
+	int in_flight;	     /* starts of this entry VM not yet ended */
+	struct rp_learned learned;
+	uint64_t starts;
+	uint64_t done;
+	uint64_t failed;
+	uint64_t busy;
+	struct rp_heap_node route_node; /* for the route policy */
+	size_t index;			/* place in svc->targets */
+	void *limit_data;		/* for the limit policy */
+	void *health_data;		/* for the health policy */
+};
+
+struct rp_team {
+	char name[RP_NAME_MAX];
+	int32_t weight; /* share in force */
+	int32_t quota;	/* tasks in flight; RP_CELL_UNSET: no quota */
+	int in_flight;
+	size_t njobs;	  /* queued jobs */
+	void *queue_data; /* for the queue policy */
+};
+
+enum rp_task_state {
+	RP_TASK_QUEUED,
+	RP_TASK_SENT,
+	RP_TASK_DONE,
+};
+
+struct rp_task {
+	uint8_t state;	  /* enum rp_task_state */
+	uint8_t sends;	  /* sends in the air */
+	uint8_t attempts; /* sends made */
+	struct rp_blob *result;
+};
+
+struct rp_job {
+	uint64_t id; /* unique within this incarnation */
+	struct rp_service *svc;
+	struct rp_team *team;
+	struct rp_submission *sub; /* one reference */
+	rp_ms accepted_at;
+	rp_ms deadline;
+	int refs;	  /* the shard's, and one for each send in the air */
+	int closed;	  /* the answer has left; replies change nothing */
+	int may_have_run; /* tasks that ran or may have run */
+	struct rp_task *tasks;
+	size_t next_task; /* tasks from here on were never sent */
+	uint32_t *again;  /* tasks that surely did not run, to be resent */
+	size_t nagain;
+	size_t ndone;
+	size_t in_flight; /* sends in the air */
+	struct rp_heap_node deadline_node;
+	struct rp_heap_node queue_node;		/* for the queue policy */
+	struct rp_job *queue_next, *queue_prev; /* likewise */
+	int queued;				/* the queue policy holds it */
+	uint8_t sub_shard;
+};
+
+/* One send of a task to a target. */
+struct rp_start {
+	uint32_t generation; /* tells a reused slot's ids apart */
+	int in_use;
+	struct rp_job *job;
+	uint32_t task;
+	struct rp_target *target;
+	rp_ms sent_at;
+	rp_ms give_up_at; /* the target was told to stop by then */
+	int looked_up;	  /* the outcome was asked for */
+	struct rp_heap_node timer_node;
+	uint32_t next_free;
+};
+
+#define RP_START_NONE UINT32_MAX /* end of the list of free slots */
+
+struct rp_service {
+	char name[RP_NAME_MAX];
+	struct rp_dispatch *shard;
+	struct rp_target **targets;
+	size_t ntargets, cap_targets;
+	apr_hash_t *by_name;
+	struct rp_route *route;
+	struct rp_queue *queue;
+	struct rp_admit *admit;
+	struct rp_limit *limit;
+	struct rp_health *health;
+	struct rp_retry *retry;
+	size_t nqueued; /* tasks waiting to be started */
+	size_t in_flight;
+	struct rp_learned learned; /* over all targets */
+};
+
+struct rp_dispatch_counters {
+	uint64_t jobs, complete, failed, refused;
+	uint64_t starts, resends, hedges, lookups, voids, stops;
+	uint64_t late_replies, violations;
+};
+
+struct rp_dispatch {
+	void *lock;
+	struct rp_kernel *k;
+	unsigned index;
+	apr_pool_t *pool;
+	apr_hash_t *services; /* name -> struct rp_service */
+	apr_hash_t *teams;    /* name -> struct rp_team */
+	apr_hash_t *jobs;     /* id -> struct rp_job */
+	struct rp_start *starts;
+	size_t nstarts;
+	uint32_t free_start;
+	struct rp_heap deadlines;
+	struct rp_heap timers; /* of starts */
+	uint64_t next_job;
+	uint64_t random;
+	uint64_t list_seq;     /* newest VM list applied */
+	int64_t table_version; /* newest table applied */
+	struct rp_view *view;  /* newest members applied, referenced */
+	struct rp_dispatch_counters counters;
+};
+
+/* --- submissions ----------------------------------------------------- */
+
+enum rp_record_phase {
+	RP_RECORD_CLAIMING, /* the caller's own key is being claimed */
+	RP_RECORD_RUNNING,
+	RP_RECORD_FINAL,
+};
+
+/* Somebody who waits for an answer: a caller here, or a relaying peer. */
+struct rp_waiter {
+	rp_token token;
+	char peer[RP_NAME_MAX]; /* "" for a caller of this entry VM */
+	uint64_t relay_id;
+	struct rp_waiter *next;
+};
+
+struct rp_record {
+	char key[RP_KEY_MAX];
+	size_t key_len;
+	uint64_t digest;
+	enum rp_record_phase phase;
+	uint64_t job_id;
+	char service[RP_NAME_MAX];
+	struct rp_submission *sub; /* until it is handed to a job */
+	struct rp_answer *answer;  /* NULL: running, or dropped */
+	enum rp_state final_state; /* also after the answer was dropped */
+	struct rp_waiter *waiters;
+	rp_ms received_at;
+	rp_ms deadline;
+	rp_ms expires;		       /* may be forgotten after this */
+	int retained;		       /* in the list of retained answers */
+	struct rp_record *next, *prev; /* by age */
+	struct rp_record *keep_next, *keep_prev; /* retained, by age */
+};
+
+struct rp_record_list {
+	struct rp_record *first, *last;
+};
+
+struct rp_sub_counters {
+	uint64_t submitted, joined, conflicts, refused, relayed;
+	uint64_t dropped_answers;
+};
+
+struct rp_sub_shard {
+	void *lock;
+	struct rp_kernel *k;
+	unsigned index;
+	apr_pool_t *pool;
+	apr_hash_t *records; /* key -> struct rp_record */
+	struct rp_record_list by_age;
+	struct rp_record_list retained;
+	size_t nrecords;
+	size_t retained_bytes;
+	struct rp_sub_counters counters;
+};
+
+/* An issued key, taken apart. */
+struct rp_key {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	rp_ms expires; /* on the issuer's clock */
+	uint64_t counter;
+};
+
+/* --- members --------------------------------------------------------- */
+
+enum rp_member_state {
+	RP_MEMBER_LIVE,
+	RP_MEMBER_SUSPECT, /* silent: routed around, not given up */
+	RP_MEMBER_LEAVING,
+	RP_MEMBER_GONE, /* by the list or by a newer incarnation */
+};
+
+struct rp_member {
+	char name[RP_NAME_MAX];
+	char address[RP_ADDRESS_MAX];
+	char failure_domain[RP_NAME_MAX];
+	uint64_t incarnation; /* 0: not heard yet */
+	enum rp_member_state state;
+};
+
+/* The members as one state, published by the node; immutable. */
+struct rp_view {
+	atomic_int refs;
+	uint64_t seq;
+	size_t nmembers; /* without this entry VM */
+	struct rp_member members[];
+};
+
+struct rp_view *view_ref(struct rp_view *v);
+void view_unref(struct rp_view *v);
+
+/* --- the time line ---------------------------------------------------- */
+
+enum rp_trace_type {
+	RP_TRACE_SUBMITTED,
+	RP_TRACE_STARTED,
+	RP_TRACE_ENDED,
+	RP_TRACE_ANSWERED,
+	RP_TRACE_RETRIED,
+	RP_TRACE_EJECTED,
+	RP_TRACE_READMITTED,
+	RP_TRACE_CREDIT,
+	RP_TRACE_MEMBER,
+	RP_TRACE_TABLE,
+	RP_TRACE_DRAIN,
+	RP_TRACE_CLAIM,
+	RP_TRACE_RELAY,
+};
+
+struct rp_trace_event {
+	uint64_t seq; /* position within this ring, from 1 */
+	uint64_t hlc; /* hybrid logical clock: ms << 16 | counter */
+	enum rp_trace_type type;
+	char key[RP_KEY_MAX];
+	char target[RP_NAME_MAX]; /* or entry VM */
+	char team[RP_NAME_MAX];
+	int32_t task; /* -1: none */
+	char detail[RP_NAME_MAX];
+};
+
+struct rp_trace {
+	void *lock;
+	struct rp_trace_event *ring;
+	size_t size;
+	uint64_t next; /* seq of the next event */
+	uint64_t hlc;
+};
+
+/* What an event is about; fields may be left empty. */
+struct rp_trace_about {
+	struct rp_str key, team;
+	const char *target;
+	int32_t task;
+};
+
+void trace_init(struct rp_kernel *k);
+void trace_finish(struct rp_kernel *k);
+void trace_event(struct rp_kernel *k, rp_ms now, enum rp_trace_type type,
+		 const struct rp_trace_about *about, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+/* Stamp for an outgoing message. */
+uint64_t trace_stamp(struct rp_kernel *k, rp_ms now);
+/* Takes in the stamp of a message received. */
+void trace_witness(struct rp_kernel *k, rp_ms now, uint64_t hlc);
+
+/* --- the kernel -------------------------------------------------------- */
+
+/* An answer of the platform, with what was kept when it was asked. */
+typedef void (*rp_platform_done)(struct rp_kernel *k, rp_ms now, void *ctx,
+				 const struct rp_event *ev,
+				 struct rp_actions *acts);
+
+struct rp_ask {
+	uint64_t id;
+	rp_ms give_up_at;
+	rp_platform_done done;
+	void *ctx;
+};
+
+struct rp_node {
+	void *lock;
+	apr_pool_t *pool;
+	apr_hash_t *asks; /* id -> struct rp_ask */
+	uint64_t next_ask;
+	uint64_t random;
+	uint64_t list_seq;
+	rp_ms list_due;
+	int list_asked;
+	int drained; /* the end of the planned stop was told */
+	uint64_t platform_reads, platform_writes;
+};
+
+struct rp_kernel {
+	struct rp_options opt;
+	apr_pool_t *pool;
+	struct rp_sub_shard subs[RP_SUB_SHARDS];
+	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
+	struct rp_node node;
+	struct rp_trace trace;
+	atomic_ullong next_key;
+	atomic_int draining;
+};
+
+/* Work that is done once all locks are released. */
+struct rp_deferred {
+	/* Does the work and frees d. */
+	void (*run)(struct rp_kernel *k, rp_ms now, struct rp_deferred *d,
+		    struct rp_actions *acts);
+	struct rp_deferred *next;
+};
+
+void kernel_defer(struct rp_actions *acts, struct rp_deferred *d);
+void *kernel_lock_new(struct rp_kernel *k);
+void kernel_lock_free(struct rp_kernel *k, void *lock);
+void kernel_lock(struct rp_kernel *k, void *lock);
+void kernel_unlock(struct rp_kernel *k, void *lock);
+/* Memory that must be there: the process stops when it is out. */
+void *kernel_alloc(size_t size);
+void *kernel_realloc(void *ptr, size_t size);
+/* Appends an empty action of the type. */
+struct rp_action *action_add(struct rp_actions *acts, enum rp_action_type type);
+
+/* kernel-writer.c: writes before, then s as a JSON string. */
+void writer_json(struct rp_writer *w, const char *before, struct rp_str s);
+
+/* kernel-platform.c; the node's lock must not be held. */
+void platform_ask(struct rp_kernel *k, rp_ms now, enum rp_platform_op op,
+		  const struct rp_row *rows, size_t nrows,
+		  rp_platform_done done, void *ctx, struct rp_actions *acts);
+void platform_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		    struct rp_actions *acts);
+void platform_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+
+/* sub-key.c */
+void key_format(const struct rp_kernel *k, const struct rp_key *key,
+		char out[RP_KEY_MAX]);
+/* 0 when the text is not an issued key. */
+int key_parse(struct rp_str text, struct rp_key *key);
+/* Whether this incarnation issued the key of this text. */
+int key_is_ours(const struct rp_kernel *k, struct rp_str text,
+		const struct rp_key *key);
+void key_issue(struct rp_kernel *k, rp_ms now, rp_token token, int count,
+	       struct rp_actions *acts);
+
+/* sub-record.c; the shard's lock is held. */
+void sub_init(struct rp_kernel *k, unsigned index);
+void sub_finish(struct rp_sub_shard *s);
+struct rp_sub_shard *sub_shard_of(struct rp_kernel *k, struct rp_str key);
+struct rp_record *record_find(struct rp_sub_shard *s, struct rp_str key);
+/* NULL when the shard is full. */
+struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
+			     rp_ms now);
+void record_wait(struct rp_record *r, const struct rp_waiter *w);
+/* Makes the record final, answers all who wait; takes the answer over. */
+void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		   struct rp_answer *a, struct rp_actions *acts);
+void record_expire(struct rp_sub_shard *s, rp_ms now);
+
+/* The following takes the shard's lock. */
+void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
+
+/* sub-submit.c; no lock is held. */
+void sub_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		int wait, const struct rp_waiter *w, struct rp_actions *acts);
+void sub_query(struct rp_kernel *k, rp_ms now, struct rp_str key, int wait,
+	       const struct rp_waiter *w, struct rp_actions *acts);
+void sub_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		const struct rp_waiter *w, struct rp_actions *acts);
+/* Starts a record whose key is settled; the shard's lock is held. */
+void submit_start(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		  struct rp_submission *sub, struct rp_actions *acts);
+/* Defers the end of the submission of a->sub; takes the answer over. */
+void sub_job_ended(struct rp_answer *a, struct rp_actions *acts);
+/* Gives an answer to one waiter; takes the answer over. */
+void sub_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
+		struct rp_answer *a, struct rp_actions *acts);
+/* An answer that carries only a status. */
+struct rp_answer *answer_status(enum rp_state state, const struct rp_status *st,
+				rp_ms retry_after);
+
+/* claim-submit.c: the caller's own keys; the shard's lock is held. */
+void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		  struct rp_submission *sub, struct rp_actions *acts);
+void claim_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
+
+/* relay-call.c: calls for keys that another incarnation owns. */
+void relay_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		  const struct rp_key *key, int wait, const struct rp_waiter *w,
+		  struct rp_actions *acts);
+void relay_query(struct rp_kernel *k, rp_ms now, struct rp_str key, int wait,
+		 const struct rp_waiter *w, struct rp_actions *acts);
+void relay_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		  const struct rp_waiter *w, struct rp_actions *acts);
+/* Sends an answer back to the peer that relayed; takes the answer over. */
+void relay_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
+		  struct rp_answer *a, struct rp_actions *acts);
+
+/* dispatch-service.c */
+void dispatch_init(struct rp_kernel *k, unsigned index);
+void dispatch_finish(struct rp_dispatch *d);
+struct rp_dispatch *dispatch_of(struct rp_kernel *k, struct rp_str service);
+struct rp_service *service_find(struct rp_dispatch *d, struct rp_str name);
+struct rp_team *team_get(struct rp_dispatch *d, struct rp_str name);
+/* Applies a VM list that is newer than the one the shard has. */
+void dispatch_list(struct rp_dispatch *d, rp_ms now, uint64_t seq,
+		   const struct rp_vm *vms, size_t nvms,
+		   struct rp_actions *acts);
+/* Whether one more task may be started on the target now. */
+int target_open(const struct rp_target *t);
+/* Tasks that may be in flight on the target over all entry VMs. */
+int target_limit(const struct rp_target *t);
+
+/* dispatch-job.c; the shard's lock is taken inside. */
+enum rp_code dispatch_submit(struct rp_dispatch *d, rp_ms now,
+			     struct rp_submission *sub, rp_ms deadline,
+			     uint64_t *job_id, struct rp_status *st,
+			     rp_ms *retry_after, struct rp_actions *acts);
+void dispatch_cancel(struct rp_dispatch *d, rp_ms now, uint64_t job_id,
+		     struct rp_actions *acts);
+void dispatch_tick(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+/* The following need the lock. */
+void job_close(struct rp_job *job, rp_ms now, enum rp_state state,
+	       const struct rp_status *st, struct rp_actions *acts);
+/* Closes the job as failed, or as not run when nothing may have run. */
+void job_fail(struct rp_job *job, rp_ms now, const struct rp_status *st,
+	      struct rp_actions *acts);
+void job_unref(struct rp_job *job);
+void job_free(struct rp_job *job);
+void job_task_done(struct rp_job *job, size_t task, struct rp_blob *body,
+		   rp_ms now, struct rp_actions *acts);
+/* The task surely did not run: it goes back into the queue. */
+void job_task_again(struct rp_job *job, size_t task, rp_ms now);
+size_t job_waiting(const struct rp_job *job);
+
+/* dispatch-start.c; needs the lock but for the two events. */
+void dispatch_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		    struct rp_actions *acts);
+void dispatch_lookup(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		     struct rp_actions *acts);
+/* Starts what can be started now. */
+void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts);
+/* Asks the targets to stop what is in the air of a closed job. */
+void start_stop_all(struct rp_job *job, struct rp_actions *acts);
+/* Drops a send at the kernel's end. */
+void start_forget(struct rp_start *s);
+void dispatch_timers(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+
+/* member-list.c */
+void member_init(struct rp_kernel *k, rp_ms now);
+void member_finish(struct rp_kernel *k);
+void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+
+void member_down(struct rp_kernel *k, rp_ms now, const char *name,
+		 struct rp_actions *acts);
+
+/* peer-message.c */
+void peer_message(struct rp_kernel *k, rp_ms now, const void *data, size_t len,
+		  struct rp_actions *acts);
+
+/* table-edit.c */
+void table_edit(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		struct rp_actions *acts);
+
+/* drain-stop.c */
+void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+
 #endif
--- a/rosemary.h
+++ b/rosemary.h
@@ -242,7 +242,10 @@
 
 /* --- events --------------------------------------------------------- */
 
-/* Names the caller's waiting request within the embedding program. */
+/*
+ * Names the caller's waiting request within the embedding program. When the
+ * caller has left, the program drops the answer; the submission goes on.
+ */
 typedef uint64_t rp_token;
 
 enum rp_event_type {
@@ -251,7 +254,6 @@
 	RP_EVENT_SUBMIT,
 	RP_EVENT_QUERY,
 	RP_EVENT_CANCEL,
-	RP_EVENT_CALLER_GONE,
 	RP_EVENT_TARGET_REPLY,
 	RP_EVENT_LOOKUP_REPLY,
 	RP_EVENT_PEER_MESSAGE,
@@ -283,7 +285,7 @@
 
 struct rp_event {
 	enum rp_event_type type;
-	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, CALLER_GONE, EDIT */
+	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT */
 	union {
 		struct {
 			int count;
@@ -424,6 +426,7 @@
 	char failure_domain[RP_NAME_MAX];
 	uint64_t incarnation; /* greater at every process start */
 	uint64_t seed;
+	rp_ms wall_offset;	 /* wall time at monotonic time 0, ms */
 	char route[RP_NAME_MAX]; /* names of the policy plug-ins */
 	char queue[RP_NAME_MAX];
 	char admit[RP_NAME_MAX];
--- /dev/null
+++ b/sub-record.c
@@ -0,0 +1,182 @@
+/*
+ * Records of submissions: one for each key that this incarnation was given,
+ * kept until the key has expired, so that nothing starts twice. Finished
+ * answers are retained within a bound on bytes, the oldest dropped first.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+
+void sub_init(struct rp_kernel *k, unsigned index)
+{
+	struct rp_sub_shard *s = &k->subs[index];
+
+	s->k = k;
+	s->index = index;
+	s->lock = kernel_lock_new(k);
+	apr_pool_create(&s->pool, k->pool);
+	s->records = hash_new(s->pool);
+}
+
+/* Takes a record out of the list by age. */
+static void age_unlink(struct rp_sub_shard *s, struct rp_record *r)
+{
+	if (s->by_age.first == r)
+		s->by_age.first = r->next;
+	else
+		r->prev->next = r->next;
+	if (s->by_age.last == r)
+		s->by_age.last = r->prev;
+	else
+		r->next->prev = r->prev;
+}
+
+static void keep_unlink(struct rp_sub_shard *s, struct rp_record *r)
+{
+	if (s->retained.first == r)
+		s->retained.first = r->keep_next;
+	else
+		r->keep_prev->keep_next = r->keep_next;
+	if (s->retained.last == r)
+		s->retained.last = r->keep_prev;
+	else
+		r->keep_next->keep_prev = r->keep_prev;
+	r->retained = 0;
+	s->retained_bytes -= r->answer->bytes;
+}
+
+static void waiters_free(struct rp_record *r)
+{
+	while (r->waiters) {
+		struct rp_waiter *w = r->waiters;
+
+		r->waiters = w->next;
+		free(w);
+	}
+}
+
+static void record_free(struct rp_sub_shard *s, struct rp_record *r)
+{
+	apr_hash_set(s->records, r->key, (apr_ssize_t)r->key_len, NULL);
+	age_unlink(s, r);
+	if (r->retained)
+		keep_unlink(s, r);
+	waiters_free(r);
+	rp_answer_unref(r->answer);
+	rp_submission_unref(r->sub);
+	free(r);
+	s->nrecords--;
+}
+
+void sub_finish(struct rp_sub_shard *s)
+{
+	while (s->by_age.first)
+		record_free(s, s->by_age.first);
+	kernel_lock_free(s->k, s->lock);
+}
+
+struct rp_sub_shard *sub_shard_of(struct rp_kernel *k, struct rp_str key)
+{
+	return &k->subs[(str_hash(key) >> 32) % RP_SUB_SHARDS];
+}
+
+struct rp_record *record_find(struct rp_sub_shard *s, struct rp_str key)
+{
+	return apr_hash_get(s->records, key.ptr, (apr_ssize_t)key.len);
+}
+
+struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
+			     rp_ms now)
+{
+	const struct rp_options *opt = &s->k->opt;
+	struct rp_record *r;
+
+	record_expire(s, now);
+	if (s->nrecords >= opt->max_records / RP_SUB_SHARDS)
+		return NULL;
+	r = kernel_alloc(sizeof(*r));
+	str_copy(r->key, sizeof(r->key), sub->key);
+	r->key_len = sub->key.len;
+	r->digest = sub->digest;
+	r->phase = RP_RECORD_RUNNING;
+	str_copy(r->service, sizeof(r->service), sub->service);
+	r->received_at = now;
+	r->deadline = now + sub->timeout;
+	r->expires = now + opt->key_lifetime + opt->max_timeout;
+	r->prev = s->by_age.last;
+	if (r->prev)
+		r->prev->next = r;
+	else
+		s->by_age.first = r;
+	s->by_age.last = r;
+	apr_hash_set(s->records, r->key, (apr_ssize_t)r->key_len, r);
+	s->nrecords++;
+	return r;
+}
+
+void record_wait(struct rp_record *r, const struct rp_waiter *w)
+{
+	struct rp_waiter *copy = kernel_alloc(sizeof(*copy));
+
+	*copy = *w;
+	copy->next = r->waiters;
+	r->waiters = copy;
+}
+
+/* Retains a finished answer, dropping the oldest above the bound. */
+static void record_retain(struct rp_sub_shard *s, struct rp_record *r)
+{
+	size_t bound = s->k->opt.max_retained / RP_SUB_SHARDS;
+
+	r->retained = 1;
+	r->keep_prev = s->retained.last;
+	if (r->keep_prev)
+		r->keep_prev->keep_next = r;
+	else
+		s->retained.first = r;
+	s->retained.last = r;
+	s->retained_bytes += r->answer->bytes;
+	while (s->retained_bytes > bound) {
+		struct rp_record *old = s->retained.first;
+
+		keep_unlink(s, old);
+		rp_answer_unref(old->answer);
+		old->answer = NULL;
+		s->counters.dropped_answers++;
+	}
+}
+
+void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		   struct rp_answer *a, struct rp_actions *acts)
+{
+	struct rp_trace_about about = { .key = { r->key, r->key_len },
+					.task = -1 };
+
+	r->phase = RP_RECORD_FINAL;
+	r->final_state = a->state;
+	r->answer = a;
+	rp_submission_unref(r->sub);
+	r->sub = NULL;
+	while (r->waiters) {
+		struct rp_waiter *w = r->waiters;
+
+		r->waiters = w->next;
+		sub_answer(s->k, now, w, rp_answer_ref(a), acts);
+		free(w);
+	}
+	trace_event(s->k, now, RP_TRACE_ANSWERED, &about, "%s %s",
+		    rp_state_name(a->state), rp_code_name(a->status.code));
+	/* Only results are worth the bound; a bare status stays. */
+	if (a->bytes)
+		record_retain(s, r);
+}
+
+void record_expire(struct rp_sub_shard *s, rp_ms now)
+{
+	struct rp_record *r;
+
+	while ((r = s->by_age.first) && r->expires <= now &&
+	       r->phase == RP_RECORD_FINAL)
+		record_free(s, r);
+}
--- /dev/null
+++ b/sub-submit.c
@@ -0,0 +1,291 @@
+/*
+ * Submissions, queries and cancellations by key: who may start, who joins,
+ * and who is sent to the owner of the key.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* When a caller should come back after a refusal for want of room, ms. */
+#define RETRY_AFTER_FULL_MS 1000
+
+struct rp_answer *answer_status(enum rp_state state, const struct rp_status *st,
+				rp_ms retry_after)
+{
+	struct rp_answer *a = rp_answer_new(state);
+
+	if (!a)
+		abort();
+	a->status = *st;
+	a->retry_after = retry_after;
+	return a;
+}
+
+void sub_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
+		struct rp_answer *a, struct rp_actions *acts)
+{
+	struct rp_action *act;
+
+	if (w->peer[0]) {
+		relay_answer(k, now, w, a, acts);
+		return;
+	}
+	act = action_add(acts, RP_ACTION_ANSWER);
+	act->token = w->token;
+	act->answer.answer = a;
+}
+
+static void answer_refused(struct rp_kernel *k, rp_ms now,
+			   const struct rp_waiter *w,
+			   const struct rp_status *st, rp_ms retry_after,
+			   struct rp_actions *acts)
+{
+	sub_answer(k, now, w, answer_status(RP_REFUSED, st, retry_after), acts);
+}
+
+/* The state of a record as an answer: final, running, or dropped. */
+static struct rp_answer *record_answer(const struct rp_record *r)
+{
+	struct rp_status st = { 0 };
+
+	if (r->phase != RP_RECORD_FINAL)
+		return answer_status(RP_RUNNING, &st, 0);
+	if (r->answer)
+		return rp_answer_ref(r->answer);
+	rp_status_set(&st, RP_E_DROPPED, RP_STEP_NONE, "",
+		      "finished as %s; the answer is no longer retained",
+		      rp_state_name(r->final_state));
+	return answer_status(RP_REFUSED, &st, 0);
+}
+
+/* Answers from a record now, or lets the waiter wait for its end. */
+static void record_join(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+			int wait, const struct rp_waiter *w,
+			struct rp_actions *acts)
+{
+	if (wait && r->phase != RP_RECORD_FINAL)
+		record_wait(r, w);
+	else
+		sub_answer(s->k, now, w, record_answer(r), acts);
+}
+
+/* A key that an earlier submission used: join it, or tell of a conflict. */
+static void submit_again(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+			 const struct rp_submission *sub, int wait,
+			 const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_status st;
+
+	if (r->digest != sub->digest) {
+		s->counters.conflicts++;
+		rp_status_set(&st, RP_E_CONFLICT, RP_STEP_ADMIT, "",
+			      "key: was used with a different body");
+		answer_refused(s->k, now, w, &st, 0, acts);
+		return;
+	}
+	s->counters.joined++;
+	record_join(s, r, now, wait, w, acts);
+}
+
+void submit_start(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		  struct rp_submission *sub, struct rp_actions *acts)
+{
+	struct rp_dispatch *d = dispatch_of(s->k, sub->service);
+	rp_ms retry_after = 0;
+	struct rp_status st;
+
+	if (dispatch_submit(d, now, sub, r->deadline, &r->job_id, &st,
+			    &retry_after, acts) == RP_OK)
+		return;
+	s->counters.refused++;
+	record_finish(s, r, now, answer_status(RP_NOT_RUN, &st, retry_after),
+		      acts);
+}
+
+/* A key that this incarnation may start, seen for the first time. */
+static void submit_first(struct rp_sub_shard *s, rp_ms now,
+			 struct rp_submission *sub, int wait,
+			 const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_status st = { 0 };
+	struct rp_record *r = record_add(s, sub, now);
+
+	if (!r) {
+		rp_status_set(&st, RP_E_FULL, RP_STEP_ADMIT, "",
+			      "too many submissions are remembered");
+		answer_refused(s->k, now, w, &st, RETRY_AFTER_FULL_MS, acts);
+		return;
+	}
+	s->counters.submitted++;
+	if (wait)
+		record_wait(r, w);
+	else
+		sub_answer(s->k, now, w, answer_status(RP_RUNNING, &st, 0),
+			   acts);
+	if (sub->key_is_callers)
+		claim_submit(s, r, now, sub, acts);
+	else
+		submit_start(s, r, now, sub, acts);
+}
+
+static enum rp_code check_name(struct rp_str s, const char *field,
+			       struct rp_status *st)
+{
+	if (s.len && s.len < RP_NAME_MAX && !memchr(s.ptr, '\0', s.len))
+		return RP_OK;
+	return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
+			     "%s: must have 1 to %d bytes", field,
+			     RP_NAME_MAX - 1);
+}
+
+/* Checks what holds for every submission, whoever owns the key. */
+static enum rp_code check_submission(const struct rp_kernel *k,
+				     const struct rp_submission *sub,
+				     struct rp_status *st)
+{
+	if (!sub->key.len || sub->key.len >= RP_KEY_MAX)
+		return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
+				     "key: must have 1 to %d bytes",
+				     RP_KEY_MAX - 1);
+	if (check_name(sub->service, "service", st) != RP_OK ||
+	    check_name(sub->team, "team", st) != RP_OK)
+		return st->code;
+	if (sub->timeout < 1 || sub->timeout > k->opt.max_timeout)
+		return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
+				     "timeout_ms: must be 1 to %lld",
+				     (long long)k->opt.max_timeout);
+	if (!sub->ntasks || sub->ntasks > RP_TASKS_MAX)
+		return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
+				     "tasks: must be 1 to %d", RP_TASKS_MAX);
+	return RP_OK;
+}
+
+/* Handles a submission whose key this entry VM owns or may claim. */
+static void submit_here(struct rp_kernel *k, rp_ms now,
+			struct rp_submission *sub, const struct rp_key *key,
+			int wait, const struct rp_waiter *w,
+			struct rp_actions *acts)
+{
+	struct rp_sub_shard *s = sub_shard_of(k, sub->key);
+	struct rp_record *r;
+	struct rp_status st;
+
+	kernel_lock(k, s->lock);
+	r = record_find(s, sub->key);
+	if (r) {
+		submit_again(s, r, now, sub, wait, w, acts);
+	} else if (key && key->expires <= now) {
+		rp_status_set(&st, RP_E_EXPIRED, RP_STEP_ADMIT, "",
+			      "key: has expired");
+		answer_refused(k, now, w, &st, 0, acts);
+	} else {
+		submit_first(s, now, sub, wait, w, acts);
+	}
+	kernel_unlock(k, s->lock);
+}
+
+void sub_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		int wait, const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_status st;
+	struct rp_key key;
+
+	if (check_submission(k, sub, &st) != RP_OK) {
+		answer_refused(k, now, w, &st, 0, acts);
+		return;
+	}
+	if (sub->key_is_callers) {
+		submit_here(k, now, sub, NULL, wait, w, acts);
+		return;
+	}
+	if (!key_parse(sub->key, &key)) {
+		rp_status_set(&st, RP_E_INPUT, RP_STEP_PARSE, "",
+			      "key: is not an issued key");
+		answer_refused(k, now, w, &st, 0, acts);
+		return;
+	}
+	if (key_is_ours(k, sub->key, &key))
+		submit_here(k, now, sub, &key, wait, w, acts);
+	else
+		relay_submit(k, now, sub, &key, wait, w, acts);
+}
+
+void sub_query(struct rp_kernel *k, rp_ms now, struct rp_str key, int wait,
+	       const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_sub_shard *s = sub_shard_of(k, key);
+	struct rp_record *r;
+
+	kernel_lock(k, s->lock);
+	r = record_find(s, key);
+	if (r)
+		record_join(s, r, now, wait, w, acts);
+	kernel_unlock(k, s->lock);
+	if (!r)
+		relay_query(k, now, key, wait, w, acts);
+}
+
+void sub_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_sub_shard *s = sub_shard_of(k, key);
+	struct rp_record *r;
+
+	kernel_lock(k, s->lock);
+	r = record_find(s, key);
+	if (r && r->phase == RP_RECORD_RUNNING) {
+		record_wait(r, w);
+		dispatch_cancel(dispatch_of(k, str_of(r->service)), now,
+				r->job_id, acts);
+	} else if (r) {
+		/* A key being claimed cannot be cancelled before it is. */
+		sub_answer(k, now, w, record_answer(r), acts);
+	}
+	kernel_unlock(k, s->lock);
+	if (!r)
+		relay_cancel(k, now, key, w, acts);
+}
+
+/* A job has ended: its record becomes final. */
+struct job_ended {
+	struct rp_deferred deferred; /* first */
+	struct rp_str key;	     /* in answer->sub */
+	struct rp_answer *answer;
+};
+
+static void run_job_ended(struct rp_kernel *k, rp_ms now, struct rp_deferred *d,
+			  struct rp_actions *acts)
+{
+	struct job_ended *e = (struct job_ended *)d;
+	struct rp_sub_shard *s = sub_shard_of(k, e->key);
+	struct rp_record *r;
+
+	kernel_lock(k, s->lock);
+	r = record_find(s, e->key);
+	if (r && r->phase == RP_RECORD_RUNNING)
+		record_finish(s, r, now, e->answer, acts);
+	else
+		rp_answer_unref(e->answer);
+	kernel_unlock(k, s->lock);
+	free(e);
+}
+
+void sub_job_ended(struct rp_answer *a, struct rp_actions *acts)
+{
+	struct job_ended *e = kernel_alloc(sizeof(*e));
+
+	e->deferred.run = run_job_ended;
+	e->key = a->sub->key;
+	e->answer = a;
+	kernel_defer(acts, &e->deferred);
+}
+
+void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts)
+{
+	kernel_lock(s->k, s->lock);
+	record_expire(s, now);
+	claim_tick(s, now, acts);
+	kernel_unlock(s->k, s->lock);
+}
