rosemaryd: the daemon shell around the kernel

The kernel does no I/O, so it needs a program that does. It compiles; it is not linked or run yet because the kernel's event function is missing.

--- /dev/null
+++ b/daemon-exec.c
@@ -0,0 +1,69 @@
+/* Delivery of events to the kernel, and the actions that follow. */
+
+#include "daemon.h"
+
+#include <time.h>
+
+rp_ms daemon_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (rp_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void execute(struct daemon *d, struct rp_action *act)
+{
+	switch (act->type) {
+	case RP_ACTION_KEYS:
+	case RP_ACTION_ANSWER:
+	case RP_ACTION_EDITED:
+		http_execute(d, act);
+		break;
+	case RP_ACTION_START:
+	case RP_ACTION_LOOKUP:
+	case RP_ACTION_VOID:
+	case RP_ACTION_STOP:
+		target_execute(d, act);
+		break;
+	case RP_ACTION_PEER:
+	case RP_ACTION_PEER_RESET:
+		peer_execute(d, act);
+		break;
+	case RP_ACTION_PLATFORM:
+		platform_execute(d, act);
+		break;
+	case RP_ACTION_DRAINED:
+		atomic_store(&d->drained, 1);
+		break;
+	}
+}
+
+void daemon_execute(struct daemon *d, struct rp_actions *acts)
+{
+	size_t i;
+
+	for (i = 0; i < acts->len; i++)
+		execute(d, &acts->list[i]);
+	rp_actions_clear(acts);
+}
+
+void daemon_event(struct daemon *d, const struct rp_event *ev)
+{
+	struct rp_actions acts;
+
+	rp_actions_init(&acts);
+	rp_kernel_event(d->kernel, daemon_now(), ev, &acts);
+	daemon_execute(d, &acts);
+	rp_actions_finish(&acts);
+}
+
+void daemon_drain(struct daemon *d)
+{
+	struct rp_event ev = { .type = RP_EVENT_DRAIN };
+
+	if (atomic_exchange(&d->draining, 1))
+		return;
+	log_info("stop", "", "planned stop begins");
+	daemon_event(d, &ev);
+}
--- /dev/null
+++ b/daemon-loop.c
@@ -0,0 +1,264 @@
+/* Threads that run many HTTP exchanges at once with curl's multi interface. */
+
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define POLL_MS 1000
+
+/* Collects the reply's body up to its bound; cuts the reply off beyond. */
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct loop_call *c = arg;
+	size_t add = size * n;
+
+	if (add > c->max_body - c->len) {
+		c->too_long = 1;
+		return 0;
+	}
+	if (c->len + add > c->cap) {
+		size_t cap = (c->len + add) * 2;
+		char *body = realloc(c->body, cap);
+
+		if (!body)
+			return 0;
+		c->body = body;
+		c->cap = cap;
+	}
+	memcpy(c->body + c->len, data, add);
+	c->len += add;
+	return add;
+}
+
+/*
+ * Called by curl whenever the request is about to be written. curl sends a
+ * request again by itself when a reused connection turns out to be dead; a
+ * request that may have run must not be written twice.
+ */
+static int on_request(void *arg, char *peer_ip, char *local_ip, int peer_port,
+		      int local_port)
+{
+	struct loop_call *c = arg;
+
+	(void)peer_ip;
+	(void)local_ip;
+	(void)peer_port;
+	(void)local_port;
+	if (c->attempts++ && !c->resend_ok) {
+		count_add(COUNT_TARGET_RESENDS_PREVENTED, 1);
+		return CURL_PREREQFUNC_ABORT;
+	}
+	return CURL_PREREQFUNC_OK;
+}
+
+/* Whether surely no byte of the request has reached a socket. */
+static int surely_unsent(struct loop_call *c, CURLcode rc)
+{
+	long written = 0;
+
+	if (rc == CURLE_OK)
+		return 0;
+	if (!c->attempts)
+		return 1;
+	curl_easy_getinfo(c->easy, CURLINFO_REQUEST_SIZE, &written);
+	return written == 0 && c->len == 0;
+}
+
+static CURL *take_easy(struct loop *l)
+{
+	if (l->nspare)
+		return l->spare[--l->nspare];
+	return curl_easy_init();
+}
+
+static void keep_easy(struct loop *l, CURL *easy)
+{
+	if (l->nspare == l->max_spare) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	l->spare[l->nspare++] = easy;
+}
+
+/* Reports the end of a call; finish() frees the call itself. */
+static void end_call(struct loop_call *c, CURLcode rc)
+{
+	struct loop *l = c->loop;
+	CURL *easy = c->easy;
+	long status = 0;
+
+	if (easy) {
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+		c->unsent = surely_unsent(c, rc);
+	} else {
+		c->unsent = 1;
+	}
+	c->ops->finish(c, rc, status);
+	if (easy)
+		keep_easy(l, easy);
+}
+
+/* Sets the options that all exchanges share. */
+static void set_common(struct loop_call *c)
+{
+	CURL *e = c->easy;
+
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)c->loop->d->set->connect_timeout);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_request);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+}
+
+static void begin_call(struct loop *l, struct loop_call *c)
+{
+	c->loop = l;
+	c->easy = take_easy(l);
+	if (!c->easy) {
+		end_call(c, CURLE_OUT_OF_MEMORY);
+		return;
+	}
+	set_common(c);
+	c->ops->prepare(c);
+	if (curl_multi_add_handle(l->multi, c->easy) != CURLM_OK)
+		end_call(c, CURLE_FAILED_INIT);
+}
+
+void loop_abort(struct loop_call *c)
+{
+	curl_multi_remove_handle(c->loop->multi, c->easy);
+	end_call(c, CURLE_ABORTED_BY_CALLBACK);
+}
+
+static struct loop_call *take_queue(struct loop *l)
+{
+	struct loop_call *c;
+
+	apr_thread_mutex_lock(l->lock);
+	c = l->head;
+	l->head = NULL;
+	l->tail = &l->head;
+	apr_thread_mutex_unlock(l->lock);
+	return c;
+}
+
+static void begin_queued(struct loop *l)
+{
+	struct loop_call *c = take_queue(l);
+
+	while (c) {
+		struct loop_call *next = c->next;
+
+		begin_call(l, c);
+		c = next;
+	}
+}
+
+/* Reports all exchanges that curl has finished. */
+static void end_finished(struct loop *l)
+{
+	struct CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(l->multi, &left))) {
+		struct loop_call *c;
+		CURLcode rc = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
+		curl_multi_remove_handle(l->multi, msg->easy_handle);
+		end_call(c, rc);
+	}
+}
+
+static int queue_is_empty(struct loop *l)
+{
+	int empty;
+
+	apr_thread_mutex_lock(l->lock);
+	empty = !l->head;
+	apr_thread_mutex_unlock(l->lock);
+	return empty;
+}
+
+/* Sleeps until a socket is ready or a call is queued. */
+static void wait_for_work(struct loop *l)
+{
+	atomic_store(&l->sleeping, 1);
+	if (queue_is_empty(l) && !atomic_load(&l->stopping))
+		curl_multi_poll(l->multi, NULL, 0, POLL_MS, NULL);
+	atomic_store(&l->sleeping, 0);
+}
+
+static void *APR_THREAD_FUNC run_loop(apr_thread_t *thread, void *arg)
+{
+	struct loop *l = arg;
+	int running;
+
+	(void)thread;
+	daemon_name_thread("curl-loop");
+	while (!atomic_load(&l->stopping)) {
+		begin_queued(l);
+		curl_multi_perform(l->multi, &running);
+		end_finished(l);
+		wait_for_work(l);
+	}
+	return NULL;
+}
+
+int loop_init(struct loop *l, struct daemon *d, void *user, int max_idle)
+{
+	memset(l, 0, sizeof(*l));
+	l->d = d;
+	l->user = user;
+	l->tail = &l->head;
+	l->max_spare = (size_t)max_idle;
+	l->spare = apr_palloc(d->pool, l->max_spare * sizeof(CURL *));
+	l->multi = curl_multi_init();
+	if (!l->multi ||
+	    apr_thread_mutex_create(&l->lock, APR_THREAD_MUTEX_DEFAULT,
+				    d->pool) != APR_SUCCESS)
+		return -1;
+	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
+	curl_multi_setopt(l->multi, CURLMOPT_PIPELINING,
+			  (long)CURLPIPE_NOTHING);
+	l->thread = daemon_thread(d, run_loop, l);
+	return l->thread ? 0 : -1;
+}
+
+void loop_submit(struct loop *l, struct loop_call *c)
+{
+	c->next = NULL;
+	apr_thread_mutex_lock(l->lock);
+	*l->tail = c;
+	l->tail = &c->next;
+	apr_thread_mutex_unlock(l->lock);
+	if (atomic_load(&l->sleeping))
+		curl_multi_wakeup(l->multi);
+}
+
+void loop_finish(struct loop *l)
+{
+	apr_status_t rc;
+	size_t i;
+
+	if (!l->thread)
+		return;
+	atomic_store(&l->stopping, 1);
+	curl_multi_wakeup(l->multi);
+	apr_thread_join(&rc, l->thread);
+	for (i = 0; i < l->nspare; i++)
+		curl_easy_cleanup(l->spare[i]);
+	curl_multi_cleanup(l->multi);
+}
--- /dev/null
+++ b/daemon-run.c
@@ -0,0 +1,153 @@
+/* Starting and stopping of the parts, and the tick thread. */
+
+#include "daemon.h"
+
+#include <apr_general.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define SWEEP_MS 100 /* span between looks for disconnected callers */
+
+void daemon_name_thread(const char *name)
+{
+	pthread_setname_np(pthread_self(), name);
+}
+
+apr_thread_t *daemon_thread(struct daemon *d, apr_thread_start_t body,
+			    void *arg)
+{
+	apr_thread_t *t;
+
+	if (apr_thread_create(&t, NULL, body, arg, d->pool) != APR_SUCCESS) {
+		log_error("start", "", "cannot create a thread");
+		return NULL;
+	}
+	return t;
+}
+
+/* --- locks of the kernel ---------------------------------------------- */
+
+static apr_pool_t *lock_pool;
+static apr_thread_mutex_t *lock_pool_lock;
+
+static void *lock_create(void)
+{
+	apr_thread_mutex_t *m = NULL;
+
+	apr_thread_mutex_lock(lock_pool_lock);
+	apr_thread_mutex_create(&m, APR_THREAD_MUTEX_DEFAULT, lock_pool);
+	apr_thread_mutex_unlock(lock_pool_lock);
+	return m;
+}
+
+static void lock_destroy(void *lock)
+{
+	apr_thread_mutex_destroy(lock);
+}
+
+static void lock_lock(void *lock)
+{
+	apr_thread_mutex_lock(lock);
+}
+
+static void lock_unlock(void *lock)
+{
+	apr_thread_mutex_unlock(lock);
+}
+
+static const struct rp_lock_ops lock_ops = {
+	.create = lock_create,
+	.destroy = lock_destroy,
+	.lock = lock_lock,
+	.unlock = lock_unlock,
+};
+
+static int start_locks(struct daemon *d)
+{
+	apr_pool_create(&lock_pool, d->pool);
+	return apr_thread_mutex_create(&lock_pool_lock,
+				       APR_THREAD_MUTEX_DEFAULT,
+				       d->pool) == APR_SUCCESS
+		       ? 0
+		       : -1;
+}
+
+/* --- the kernel and its clock ------------------------------------------ */
+
+static int start_kernel(struct daemon *d)
+{
+	struct rp_options opt = d->set->kernel;
+	struct rp_status st;
+	void *memory = NULL;
+
+	opt.incarnation = (uint64_t)(apr_time_now() / 1000);
+	opt.locks = lock_ops;
+	if (!opt.seed)
+		apr_generate_random_bytes((unsigned char *)&opt.seed,
+					  sizeof(opt.seed));
+	if (posix_memalign(&memory, 64, rp_kernel_size()))
+		return -1;
+	if (rp_kernel_init(memory, &opt, daemon_now(), &st) != RP_OK) {
+		log_error("start", "", "kernel: %s", st.message);
+		free(memory);
+		return -1;
+	}
+	d->kernel = memory;
+	return 0;
+}
+
+static void *APR_THREAD_FUNC run_ticks(apr_thread_t *thread, void *arg)
+{
+	struct rp_event ev = { .type = RP_EVENT_TICK };
+	struct daemon *d = arg;
+	rp_ms sweep = 0;
+
+	(void)thread;
+	daemon_name_thread("tick");
+	while (!atomic_load(&d->stopping)) {
+		daemon_event(d, &ev);
+		if (daemon_now() >= sweep) {
+			http_wait_sweep(d);
+			sweep = daemon_now() + SWEEP_MS;
+		}
+		apr_sleep(apr_time_from_msec(RP_TICK_MS));
+	}
+	return NULL;
+}
+
+int daemon_start(struct daemon *d, const struct settings *set)
+{
+	d->set = set;
+	if (apr_pool_create(&d->pool, NULL) != APR_SUCCESS)
+		return -1;
+	if (start_locks(d) < 0 || start_kernel(d) < 0)
+		return -1;
+	if (http_waits_init(d) < 0 || target_start(d) < 0 ||
+	    platform_start(d) < 0 || peer_start(d) < 0 || http_start(d) < 0)
+		return -1;
+	d->ticker = daemon_thread(d, run_ticks, d);
+	return d->ticker ? 0 : -1;
+}
+
+/*
+ * Ends the threads in an order in which none uses a part that is gone: the
+ * server first, whose threads deliver events to all others.
+ */
+void daemon_stop(struct daemon *d)
+{
+	apr_status_t rc;
+
+	atomic_store(&d->stopping, 1);
+	if (d->ticker)
+		apr_thread_join(&rc, d->ticker);
+	http_stop(d);
+	peer_stop(d);
+	platform_stop(d);
+	target_stop(d);
+	if (d->kernel) {
+		rp_kernel_finish(d->kernel);
+		free(d->kernel);
+	}
+	if (d->pool)
+		apr_pool_destroy(d->pool);
+}
--- /dev/null
+++ b/http-route.c
@@ -0,0 +1,106 @@
+/* The table of routes, and reading of query strings. */
+
+#include "http.h"
+
+#include <string.h>
+
+static const struct http_route routes[] = {
+	{ "POST", "/v1/jobs", 0, 1, http_handle_job },
+	{ "POST", "/v1/requests", 0, 1, http_handle_request },
+	{ "POST", "/v1/keys", 0, 0, http_handle_keys },
+	{ "GET", "/v1/jobs/", 1, 0, http_handle_query },
+	{ "DELETE", "/v1/jobs/", 1, 0, http_handle_cancel },
+	{ "GET", "/v1/table", 0, 0, http_handle_table },
+	{ "POST", "/v1/table/edits", 0, 1, http_handle_edit },
+	{ "PUT", "/v1/table/drafts/", 1, 1, http_handle_draft },
+	{ "DELETE", "/v1/table/drafts/", 1, 0, http_handle_draft },
+	{ "GET", "/v1/status", 0, 0, http_handle_status },
+	{ "GET", "/v1/events", 0, 0, http_handle_events },
+	{ "GET", "/v1/metrics", 0, 0, http_handle_metrics },
+	{ "POST", "/v1/drain", 0, 0, http_handle_drain },
+	{ "GET", "/healthz", 0, 0, http_handle_healthz },
+	{ "GET", "/readyz", 0, 0, http_handle_readyz },
+};
+
+static int hex_digit(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	if (c >= 'A' && c <= 'F')
+		return c - 'A' + 10;
+	return -1;
+}
+
+/* Decodes the rest of a path into the name. Returns -1 when it is no key. */
+static int take_name(struct http_request *r, const char *s)
+{
+	size_t n = 0;
+
+	while (*s) {
+		int c = (unsigned char)*s++;
+
+		if (c == '%') {
+			int hi = hex_digit(s[0]);
+			int lo = hi < 0 ? -1 : hex_digit(s[1]);
+
+			if (lo < 0)
+				return -1;
+			c = hi << 4 | lo;
+			s += 2;
+		}
+		if (c < 0x20 || c == 0x7f || n + 1 >= sizeof(r->name))
+			return -1;
+		r->name[n++] = (char)c;
+	}
+	r->name[n] = '\0';
+	return n ? 0 : -1;
+}
+
+static int path_matches(const struct http_route *route, const char *url)
+{
+	if (route->takes_name)
+		return !strncmp(route->path, url, strlen(route->path));
+	return !strcmp(route->path, url);
+}
+
+int http_find_route(struct http_request *r, const char *method, const char *url)
+{
+	int other_method = 0;
+	size_t i;
+
+	for (i = 0; i < sizeof(routes) / sizeof(*routes); i++) {
+		const struct http_route *route = &routes[i];
+
+		if (!path_matches(route, url))
+			continue;
+		if (strcmp(route->method, method) != 0) {
+			other_method = 1;
+			continue;
+		}
+		if (route->takes_name &&
+		    take_name(r, url + strlen(route->path)) < 0)
+			return MHD_HTTP_BAD_REQUEST;
+		r->route = route;
+		return 0;
+	}
+	return other_method ? MHD_HTTP_METHOD_NOT_ALLOWED : MHD_HTTP_NOT_FOUND;
+}
+
+int http_query_number(struct http_request *r, const char *name, int64_t def,
+		      int64_t min, int64_t max, int64_t *out)
+{
+	const char *text = MHD_lookup_connection_value(
+		r->conn, MHD_GET_ARGUMENT_KIND, name);
+
+	*out = def;
+	if (!text)
+		return 0;
+	if (!setting_number(text, min, max, out))
+		return 0;
+	http_send_error(r, MHD_HTTP_BAD_REQUEST, RP_E_INPUT, RP_STEP_PARSE,
+			"%s: want a whole number from %lld to %lld", name,
+			(long long)min, (long long)max);
+	return -1;
+}
--- /dev/null
+++ b/http-server.c
@@ -0,0 +1,257 @@
+/* The HTTP server: reading of requests and sending of replies. */
+
+#include "http.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define LISTEN_BACKLOG 1024
+#define DISCARD_FACTOR 4 /* a refused body is read up to this many limits */
+
+struct http_server {
+	struct MHD_Daemon *mhd;
+	atomic_int active;
+};
+
+static void refuse(struct http_request *r, int http)
+{
+	if (!r->refused)
+		r->refused = http;
+}
+
+/* Sends the error of a request that was refused while being read. */
+static void send_refusal(struct http_request *r)
+{
+	switch (r->refused) {
+	case MHD_HTTP_NOT_FOUND:
+		http_send_error(r, r->refused, RP_E_INPUT, RP_STEP_PARSE,
+				"path: no such resource");
+		break;
+	case MHD_HTTP_METHOD_NOT_ALLOWED:
+		http_send_error(r, r->refused, RP_E_INPUT, RP_STEP_PARSE,
+				"method: not allowed here");
+		break;
+	case MHD_HTTP_CONTENT_TOO_LARGE:
+		http_send_error(r, r->refused, RP_E_INPUT, RP_STEP_PARSE,
+				"body: longer than %zu bytes",
+				r->d->set->http_body);
+		break;
+	case MHD_HTTP_REQUEST_TIMEOUT:
+		http_send_error(r, r->refused, RP_E_INPUT, RP_STEP_PARSE,
+				"body: did not arrive within %lld ms",
+				(long long)r->d->set->http_read);
+		break;
+	default:
+		http_send_error(r, r->refused, RP_E_INPUT, RP_STEP_PARSE,
+				"path: the name is malformed or too long");
+		break;
+	}
+}
+
+/* Appends a piece of the body. Returns -1 when the caller must be cut off. */
+static int take_body(struct http_request *r, const char *data, size_t n)
+{
+	size_t max = r->d->set->http_body;
+
+	count_add(COUNT_HTTP_BYTES_IN, n);
+	if (daemon_now() - r->began > r->d->set->http_read)
+		refuse(r, MHD_HTTP_REQUEST_TIMEOUT);
+	if (r->len + n > max)
+		refuse(r, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (r->refused) {
+		r->len += n;
+		return r->len > max * DISCARD_FACTOR ? -1 : 0;
+	}
+	if (r->len + n + 1 > r->cap) {
+		size_t cap = (r->len + n) * 2 + 1;
+		char *body = realloc(r->body, cap);
+
+		if (!body)
+			return -1;
+		r->body = body;
+		r->cap = cap;
+	}
+	memcpy(r->body + r->len, data, n);
+	r->len += n;
+	return 0;
+}
+
+/* Called when the header is complete: refuses what can be refused now. */
+static enum MHD_Result begin(struct http_request *r, const char *method,
+			     const char *url)
+{
+	const char *length = MHD_lookup_connection_value(
+		r->conn, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	int http = http_find_route(r, method, url);
+
+	if (http)
+		refuse(r, http);
+	if (length && strtoull(length, NULL, 10) > r->d->set->http_body)
+		refuse(r, MHD_HTTP_CONTENT_TOO_LARGE);
+	if (r->refused && length)
+		send_refusal(r);
+	return MHD_YES;
+}
+
+/* Called when the request is complete, and again after a suspension. */
+static enum MHD_Result finish(struct http_request *r)
+{
+	if (r->refused) {
+		send_refusal(r);
+	} else if (!r->handled) {
+		r->handled = 1;
+		r->route->handle(r);
+	} else if (!r->responded && atomic_load(&r->phase) == HTTP_REPLIED) {
+		http_send_reply(r);
+	}
+	return r->reply_kind == HTTP_REPLY_GONE ? MHD_NO : MHD_YES;
+}
+
+static struct http_request *new_request(struct daemon *d,
+					struct MHD_Connection *conn)
+{
+	struct http_request *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->d = d;
+	r->conn = conn;
+	r->began = daemon_now();
+	atomic_init(&r->phase, HTTP_HANDLING);
+	atomic_fetch_add(&d->http->active, 1);
+	count_add(COUNT_HTTP_REQUESTS, 1);
+	return r;
+}
+
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **state)
+{
+	struct daemon *d = arg;
+	struct http_request *r = *state;
+
+	(void)version;
+	if (!r) {
+		r = new_request(d, conn);
+		*state = r;
+		return r ? begin(r, method, url) : MHD_NO;
+	}
+	if (*len) {
+		int rc = take_body(r, data, *len);
+
+		*len = 0;
+		return rc < 0 ? MHD_NO : MHD_YES;
+	}
+	if (r->responded)
+		return MHD_YES;
+	return finish(r);
+}
+
+static void on_completed(void *arg, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode why)
+{
+	struct daemon *d = arg;
+	struct http_request *r = *state;
+
+	(void)conn;
+	(void)why;
+	if (!r)
+		return;
+	rp_answer_unref(r->answer);
+	free(r->keys);
+	free(r->conflicts);
+	free(r->body);
+	free(r);
+	*state = NULL;
+	atomic_fetch_sub(&d->http->active, 1);
+}
+
+/*
+ * The URL is matched before it is decoded, so that an encoded slash stays
+ * within a name; query values are decoded by the server.
+ */
+static size_t keep_encoded(void *arg, struct MHD_Connection *conn, char *s)
+{
+	(void)arg;
+	(void)conn;
+	return strlen(s);
+}
+
+static void on_server_log(void *arg, const char *fmt, va_list ap)
+{
+	char text[256];
+
+	(void)arg;
+	vsnprintf(text, sizeof(text), fmt, ap);
+	text[strcspn(text, "\n")] = '\0';
+	log_debug("parse", "", "http server: %s", text);
+}
+
+static int parse_listen(const char *text, struct sockaddr_in *sa)
+{
+	char host[RP_ADDRESS_MAX];
+	char *colon;
+
+	memcpy(host, text, sizeof(host));
+	colon = strrchr(host, ':');
+	if (!colon)
+		return -1;
+	*colon = '\0';
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
+}
+
+int http_start(struct daemon *d)
+{
+	const struct settings *set = d->set;
+	struct http_server *h = apr_pcalloc(d->pool, sizeof(*h));
+	struct sockaddr_in sa;
+
+	d->http = h;
+	if (parse_listen(set->http_listen, &sa) < 0)
+		return -1;
+	h->mhd = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+			MHD_USE_ERROR_LOG,
+		0, NULL, NULL, on_request, d, MHD_OPTION_EXTERNAL_LOGGER,
+		on_server_log, NULL, MHD_OPTION_SOCK_ADDR, &sa,
+		MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)set->http_threads,
+		MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)set->http_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)((set->http_idle + 999) / 1000),
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, set->http_header,
+		MHD_OPTION_UNESCAPE_CALLBACK, keep_encoded, NULL,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, d,
+		MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_END);
+	if (h->mhd)
+		return 0;
+	log_error("start", set->http_listen, "cannot listen for callers");
+	return -1;
+}
+
+void http_quiesce(struct daemon *d)
+{
+	MHD_socket fd = MHD_quiesce_daemon(d->http->mhd);
+
+	if (fd != MHD_INVALID_SOCKET)
+		shutdown(fd, SHUT_RDWR);
+}
+
+void http_stop(struct daemon *d)
+{
+	if (d->http && d->http->mhd)
+		MHD_stop_daemon(d->http->mhd);
+}
+
+int http_active(struct daemon *d)
+{
+	return atomic_load(&d->http->active);
+}
--- /dev/null
+++ b/http-submit.c
@@ -0,0 +1,97 @@
+/* Calls of callers: keys, jobs, requests, queries and cancellations. */
+
+#include "http.h"
+
+#include <string.h>
+
+#define KEYS_MAX 1024	   /* keys in one call */
+#define RETRY_FULL_MS 1000 /* when too many callers wait */
+
+void http_deliver(struct http_request *r, struct rp_event *ev)
+{
+	struct rp_status st;
+
+	if (http_wait_add(r) < 0) {
+		rp_status_set(&st, RP_E_FULL, RP_STEP_ADMIT, "",
+			      "too many callers wait on this entry VM");
+		http_send_status(r, MHD_HTTP_TOO_MANY_REQUESTS, &st,
+				 RETRY_FULL_MS);
+		return;
+	}
+	ev->token = r->token;
+	daemon_event(r->d, ev);
+	if (!http_wait_suspend(r))
+		http_send_reply(r);
+}
+
+void http_handle_keys(struct http_request *r)
+{
+	struct rp_event ev = { .type = RP_EVENT_KEYS };
+	int64_t count;
+
+	if (http_query_number(r, "count", 1, 1, KEYS_MAX, &count) < 0)
+		return;
+	ev.keys.count = (int)count;
+	http_deliver(r, &ev);
+}
+
+static void submit(struct http_request *r, int is_request, int wait)
+{
+	struct rp_event ev = { .type = RP_EVENT_SUBMIT };
+	const char *own_key = MHD_lookup_connection_value(
+		r->conn, MHD_HEADER_KIND, "Idempotency-Key");
+	struct rp_submission *sub;
+	struct rp_status st;
+	int http;
+
+	sub = http_parse_submission(r, own_key, is_request, &st, &http);
+	if (!sub) {
+		http_send_status(r, http, &st, 0);
+		return;
+	}
+	memcpy(r->key, sub->key.ptr, sub->key.len);
+	r->key[sub->key.len] = '\0';
+	r->next_keys = !sub->key_is_callers;
+	ev.submit.sub = sub;
+	ev.submit.wait = wait;
+	http_deliver(r, &ev);
+	rp_submission_unref(sub);
+}
+
+void http_handle_job(struct http_request *r)
+{
+	int64_t wait;
+
+	if (http_query_number(r, "wait", 1, 0, 1, &wait) < 0)
+		return;
+	submit(r, 0, (int)wait);
+}
+
+void http_handle_request(struct http_request *r)
+{
+	submit(r, 1, 1);
+}
+
+void http_handle_query(struct http_request *r)
+{
+	struct rp_event ev = { .type = RP_EVENT_QUERY };
+	int64_t wait;
+
+	if (http_query_number(r, "wait", 0, 0, 1, &wait) < 0)
+		return;
+	memcpy(r->key, r->name, sizeof(r->key));
+	ev.query.key.ptr = r->key;
+	ev.query.key.len = strlen(r->key);
+	ev.query.wait = (int)wait;
+	http_deliver(r, &ev);
+}
+
+void http_handle_cancel(struct http_request *r)
+{
+	struct rp_event ev = { .type = RP_EVENT_CANCEL };
+
+	memcpy(r->key, r->name, sizeof(r->key));
+	ev.cancel.key.ptr = r->key;
+	ev.cancel.key.len = strlen(r->key);
+	http_deliver(r, &ev);
+}
--- /dev/null
+++ b/http-wait.c
@@ -0,0 +1,240 @@
+/*
+ * Requests that wait for the kernel: tokens, suspension and disconnection.
+ *
+ * A token is a slot's number and its generation, so that a late answer for
+ * a caller that has gone never reaches another caller.
+ */
+
+#include "http.h"
+
+#include <poll.h>
+#include <stdlib.h>
+
+#define SLOT_BITS 32
+
+struct slot {
+	struct http_request *r;
+	uint32_t generation;
+	int next_free;
+	int fd;
+};
+
+struct http_waits {
+	apr_thread_mutex_t *lock;
+	struct slot *slots;
+	int nslots;
+	int used;	    /* slots that have ever been used */
+	int free;	    /* head of the free list, or -1 */
+	struct pollfd *fds; /* scratch of the sweep */
+	rp_token *tokens;
+};
+
+int http_waits_init(struct daemon *d)
+{
+	struct http_waits *w = apr_pcalloc(d->pool, sizeof(*w));
+
+	w->nslots = d->set->http_waiting;
+	w->slots = apr_pcalloc(d->pool, (size_t)w->nslots * sizeof(*w->slots));
+	w->fds = apr_pcalloc(d->pool, (size_t)w->nslots * sizeof(*w->fds));
+	w->tokens =
+		apr_pcalloc(d->pool, (size_t)w->nslots * sizeof(*w->tokens));
+	w->free = -1;
+	d->waits = w;
+	return apr_thread_mutex_create(&w->lock, APR_THREAD_MUTEX_DEFAULT,
+				       d->pool) == APR_SUCCESS
+		       ? 0
+		       : -1;
+}
+
+static int fd_of(struct http_request *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
+/* Takes a slot from the free list, or one never used. -1: none. */
+static int take_slot(struct http_waits *w)
+{
+	int i = w->free;
+
+	if (i >= 0)
+		w->free = w->slots[i].next_free;
+	else if (w->used < w->nslots)
+		i = w->used++;
+	return i;
+}
+
+int http_wait_add(struct http_request *r)
+{
+	struct http_waits *w = r->d->waits;
+	int fd = fd_of(r);
+	int i;
+
+	apr_thread_mutex_lock(w->lock);
+	i = take_slot(w);
+	if (i >= 0) {
+		w->slots[i].r = r;
+		w->slots[i].fd = fd;
+		w->slots[i].generation++;
+		r->token = (rp_token)w->slots[i].generation << SLOT_BITS |
+			   (rp_token)i;
+	}
+	apr_thread_mutex_unlock(w->lock);
+	return i >= 0 ? 0 : -1;
+}
+
+struct http_request *http_wait_take(struct http_waits *w, rp_token token)
+{
+	uint32_t i = (uint32_t)token;
+	struct http_request *r = NULL;
+
+	apr_thread_mutex_lock(w->lock);
+	if (i < (uint32_t)w->used &&
+	    w->slots[i].generation == token >> SLOT_BITS) {
+		r = w->slots[i].r;
+		w->slots[i].r = NULL;
+		if (r) {
+			w->slots[i].next_free = w->free;
+			w->free = (int)i;
+		}
+	}
+	apr_thread_mutex_unlock(w->lock);
+	return r;
+}
+
+int http_wait_suspend(struct http_request *r)
+{
+	int phase = HTTP_HANDLING;
+
+	if (atomic_load(&r->phase) == HTTP_REPLIED)
+		return 0;
+	MHD_suspend_connection(r->conn);
+	if (!atomic_compare_exchange_strong(&r->phase, &phase, HTTP_SUSPENDED))
+		MHD_resume_connection(r->conn);
+	return 1;
+}
+
+void http_wait_reply(struct http_request *r)
+{
+	struct MHD_Connection *conn = r->conn;
+
+	if (atomic_exchange(&r->phase, HTTP_REPLIED) == HTTP_SUSPENDED)
+		MHD_resume_connection(conn);
+}
+
+/* Lists the sockets of all waiting requests. */
+static nfds_t list_waiting(struct http_waits *w)
+{
+	nfds_t n = 0;
+	int i;
+
+	apr_thread_mutex_lock(w->lock);
+	for (i = 0; i < w->used; i++) {
+		if (!w->slots[i].r)
+			continue;
+		w->fds[n].fd = w->slots[i].fd;
+		w->fds[n].events = 0;
+		w->tokens[n++] = (rp_token)w->slots[i].generation << SLOT_BITS |
+				 (rp_token)i;
+	}
+	apr_thread_mutex_unlock(w->lock);
+	return n;
+}
+
+/* Tells the kernel that a caller no longer waits, and ends the exchange. */
+static void caller_gone(struct daemon *d, rp_token token)
+{
+	struct rp_event ev = { .type = RP_EVENT_CALLER_GONE, .token = token };
+	struct http_request *r = http_wait_take(d->waits, token);
+
+	if (!r)
+		return;
+	count_add(COUNT_CALLERS_GONE, 1);
+	daemon_event(d, &ev);
+	r->reply_kind = HTTP_REPLY_GONE;
+	http_wait_reply(r);
+}
+
+/*
+ * The server does not watch suspended connections. A caller that has only
+ * closed its sending side still gets its answer; one that has reset the
+ * connection is reported.
+ */
+void http_wait_sweep(struct daemon *d)
+{
+	struct http_waits *w = d->waits;
+	nfds_t n = list_waiting(w);
+	nfds_t i;
+
+	if (!n || poll(w->fds, n, 0) <= 0)
+		return;
+	for (i = 0; i < n; i++)
+		if (w->fds[i].revents & (POLLERR | POLLHUP))
+			caller_gone(d, w->tokens[i]);
+}
+
+void http_answer_all(struct daemon *d)
+{
+	struct http_waits *w = d->waits;
+	int i, used;
+
+	apr_thread_mutex_lock(w->lock);
+	used = w->used;
+	apr_thread_mutex_unlock(w->lock);
+	for (i = 0; i < used; i++) {
+		struct http_request *r;
+		rp_token token;
+
+		apr_thread_mutex_lock(w->lock);
+		token = (rp_token)w->slots[i].generation << SLOT_BITS |
+			(rp_token)i;
+		apr_thread_mutex_unlock(w->lock);
+		r = http_wait_take(w, token);
+		if (!r)
+			continue;
+		r->reply_kind = HTTP_REPLY_NONE;
+		http_wait_reply(r);
+	}
+}
+
+/* Moves what the action owns into the request. */
+static void take_reply(struct http_request *r, struct rp_action *act)
+{
+	switch (act->type) {
+	case RP_ACTION_ANSWER:
+		r->reply_kind = HTTP_REPLY_ANSWER;
+		r->answer = act->answer.answer;
+		act->answer.answer = NULL;
+		break;
+	case RP_ACTION_KEYS:
+		r->reply_kind = HTTP_REPLY_KEYS;
+		r->status = act->keys.status;
+		r->nkeys = act->keys.count;
+		r->keys = act->keys.keys;
+		r->expires_in = act->keys.expires_in;
+		act->keys.keys = NULL;
+		act->keys.count = 0;
+		break;
+	default:
+		r->reply_kind = HTTP_REPLY_EDITED;
+		r->status = act->edited.status;
+		r->version = act->edited.version;
+		r->nconflicts = act->edited.nconflicts;
+		r->conflicts = act->edited.conflicts;
+		act->edited.conflicts = NULL;
+		act->edited.nconflicts = 0;
+		break;
+	}
+}
+
+void http_execute(struct daemon *d, struct rp_action *act)
+{
+	struct http_request *r = http_wait_take(d->waits, act->token);
+
+	if (!r)
+		return;
+	take_reply(r, act);
+	http_wait_reply(r);
+}
--- /dev/null
+++ b/log-json.c
@@ -0,0 +1,187 @@
+/* Log lines as JSON, by a layout and an appender of log4c. */
+
+#include "log.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LINE_MAX_BYTES 2048
+#define SEPARATOR '\x1f' /* between step, peer and message in an event */
+
+static char vm_name[64];
+static log4c_category_t *category;
+
+struct line {
+	char text[LINE_MAX_BYTES];
+	size_t len;
+};
+
+/* Appends one character, escaped; keeps room for the line's end. */
+static void put_escaped(struct line *l, unsigned char c)
+{
+	static const char hex[] = "0123456789abcdef";
+
+	if (l->len + 16 > sizeof(l->text))
+		return;
+	if (c == '"' || c == '\\') {
+		l->text[l->len++] = '\\';
+		l->text[l->len++] = (char)c;
+	} else if (c < 0x20 || c >= 0x7f) {
+		memcpy(l->text + l->len, "\\u00", 4);
+		l->text[l->len + 4] = hex[c >> 4];
+		l->text[l->len + 5] = hex[c & 15];
+		l->len += 6;
+	} else {
+		l->text[l->len++] = (char)c;
+	}
+}
+
+static void put_raw(struct line *l, const char *s)
+{
+	size_t n = strlen(s);
+
+	if (l->len + n + 8 > sizeof(l->text))
+		return;
+	memcpy(l->text + l->len, s, n);
+	l->len += n;
+}
+
+/* Appends ,"name":"value" unless the value is empty. */
+static void put_field(struct line *l, const char *name, const char *value,
+		      size_t len)
+{
+	size_t i;
+
+	if (!len)
+		return;
+	put_raw(l, ",\"");
+	put_raw(l, name);
+	put_raw(l, "\":\"");
+	for (i = 0; i < len; i++)
+		put_escaped(l, (unsigned char)value[i]);
+	put_raw(l, "\"");
+}
+
+/* Appends the next part of an event's message; returns what follows it. */
+static const char *put_part(struct line *l, const char *name, const char *at)
+{
+	const char *end = strchr(at, SEPARATOR);
+	size_t len = end ? (size_t)(end - at) : strlen(at);
+
+	put_field(l, name, at, len);
+	return end ? end + 1 : at + len;
+}
+
+/* Formats an event as one JSON line in memory of the calling thread. */
+static const char *json_format(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *ev)
+{
+	static _Thread_local struct line l;
+	const char *level = log4c_priority_to_string(ev->evt_priority);
+	const char *at = ev->evt_msg;
+
+	(void)layout;
+	l.len = (size_t)snprintf(l.text, sizeof(l.text), "{\"time_ms\":%lld",
+				 (long long)ev->evt_timestamp.tv_sec * 1000 +
+					 (long long)ev->evt_timestamp.tv_usec /
+						 1000);
+	put_field(&l, "level", level, strcspn(level, " "));
+	put_field(&l, "vm", vm_name, strlen(vm_name));
+	at = put_part(&l, "step", at);
+	at = put_part(&l, "peer", at);
+	put_part(&l, "message", at);
+	put_raw(&l, "}\n");
+	l.text[l.len] = '\0';
+	return l.text;
+}
+
+/* Writes a formatted line at once, so that threads' lines do not mix. */
+static int json_append(log4c_appender_t *appender,
+		       const log4c_logging_event_t *ev)
+{
+	const char *text = ev->evt_rendered_msg;
+
+	(void)appender;
+	return write(STDERR_FILENO, text, strlen(text)) < 0 ? -1 : 0;
+}
+
+static int json_open(log4c_appender_t *appender)
+{
+	(void)appender;
+	return 0;
+}
+
+static const log4c_layout_type_t json_layout = {
+	.name = "rosemary_json",
+	.format = json_format,
+};
+
+static const log4c_appender_type_t json_appender = {
+	.name = "rosemary_stderr",
+	.open = json_open,
+	.append = json_append,
+	.close = json_open,
+};
+
+static int priority_of(enum log_level level)
+{
+	static const int priorities[] = {
+		[LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+		[LOG_LEVEL_WARN] = LOG4C_PRIORITY_WARN,
+		[LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+		[LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+	};
+
+	return priorities[level];
+}
+
+int log_start(const char *vm, enum log_level least)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	snprintf(vm_name, sizeof(vm_name), "%s", vm);
+	log4c_layout_type_set(&json_layout);
+	log4c_appender_type_set(&json_appender);
+	if (log4c_init())
+		return -1;
+	layout = log4c_layout_get("rosemary");
+	log4c_layout_set_type(layout, &json_layout);
+	appender = log4c_appender_get("rosemary");
+	log4c_appender_set_type(appender, &json_appender);
+	log4c_appender_set_layout(appender, layout);
+	category = log4c_category_get("rosemaryd");
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_priority(category, priority_of(least));
+	return log4c_appender_open(appender);
+}
+
+void log_stop(void)
+{
+	category = NULL;
+	log4c_fini();
+}
+
+void log_line(enum log_level level, const char *step, const char *peer,
+	      const char *fmt, ...)
+{
+	char text[LINE_MAX_BYTES / 2];
+	va_list ap;
+	int at;
+
+	if (!category ||
+	    !log4c_category_is_priority_enabled(category, priority_of(level)))
+		return;
+	at = snprintf(text, sizeof(text), "%s%c%s%c", step, SEPARATOR, peer,
+		      SEPARATOR);
+	if (at < 0 || (size_t)at >= sizeof(text))
+		return;
+	va_start(ap, fmt);
+	vsnprintf(text + at, sizeof(text) - (size_t)at, fmt, ap);
+	va_end(ap);
+	log4c_category_log(category, priority_of(level), "%s", text);
+}
--- /dev/null
+++ b/setting-load.c
@@ -0,0 +1,278 @@
+/* Reading of all settings: defaults, environment, then flags. */
+
+#include "setting.h"
+
+#include <argp.h>
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PREFIX "ROSEMARY_"
+#define KEY_BASE 1000 /* argp key of the first setting */
+#define KEY_CHECK 900
+#define DOC_MAX 400
+
+/* A parse of the command line under way. */
+struct loading {
+	struct settings *s;
+	struct setting_faults faults;
+	int next; /* where the parse ended after a wrong flag */
+};
+
+/* Writes the name in the environment: upper case, _ in place of -. */
+static void env_name(const struct setting *def, char *to, size_t max)
+{
+	size_t n = (size_t)snprintf(to, max, "%s%s", PREFIX, def->name);
+	size_t i;
+
+	for (i = 0; i < n && i < max; i++)
+		to[i] = to[i] == '-' ? '_'
+				     : (char)toupper((unsigned char)to[i]);
+}
+
+static void write_number(char *to, size_t max, const struct settings *s,
+			 const struct setting *def)
+{
+	const void *field = (const char *)s + def->offset;
+	long long n = 0;
+
+	switch (def->type) {
+	case SETTING_NAME:
+		snprintf(to, max, "%s", (const char *)field);
+		return;
+	case SETTING_INT:
+		n = *(const int *)field;
+		break;
+	case SETTING_SIZE:
+		n = (long long)*(const size_t *)field;
+		break;
+	case SETTING_MS:
+		n = *(const rp_ms *)field;
+		break;
+	default:
+		break;
+	}
+	snprintf(to, max, "%lld", n);
+}
+
+/* Builds the help text of a setting from its row of the table. */
+static char *doc_of(const struct settings *s, const struct setting *def)
+{
+	char env[64], value[RP_NAME_MAX] = "", range[64] = "";
+	char *doc = malloc(DOC_MAX);
+
+	if (!doc)
+		abort();
+	env_name(def, env, sizeof(env));
+	if (def->def)
+		snprintf(value, sizeof(value), "%s", def->def);
+	else
+		write_number(value, sizeof(value), s, def);
+	if (def->max > 0)
+		snprintf(range, sizeof(range), ", %lld to %lld",
+			 (long long)def->min, (long long)def->max);
+	snprintf(doc, DOC_MAX, "%s (%s%s%s%s; %s)", def->help, def->unit, range,
+		 def->required ? ", required" : "", "", env);
+	if (value[0]) {
+		size_t n = strlen(doc);
+
+		snprintf(doc + n, DOC_MAX - n, " [%s]", value);
+	}
+	return doc;
+}
+
+static error_t parse_opt(int key, char *arg, struct argp_state *state)
+{
+	struct loading *ld = state->input;
+
+	if (key >= KEY_BASE && key < KEY_BASE + (int)setting_count) {
+		setting_set(ld->s, &setting_table[key - KEY_BASE], arg,
+			    &ld->faults);
+		return 0;
+	}
+	switch (key) {
+	case KEY_CHECK:
+		ld->s->check = 1;
+		return 0;
+	case '?':
+		argp_state_help(state, stdout, ARGP_HELP_STD_HELP);
+		exit(0);
+	case ARGP_KEY_ARG:
+		setting_fault(&ld->faults, "unexpected argument \"%s\"", arg);
+		return 0;
+	case ARGP_KEY_ERROR:
+		ld->next = state->next;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static struct argp_option *make_options(const struct settings *s)
+{
+	struct argp_option *o = calloc(setting_count + 3, sizeof(*o));
+	size_t i;
+
+	if (!o)
+		abort();
+	for (i = 0; i < setting_count; i++) {
+		o[i].name = setting_table[i].name;
+		o[i].key = KEY_BASE + (int)i;
+		o[i].arg = "VALUE";
+		o[i].doc = doc_of(s, &setting_table[i]);
+	}
+	o[i].name = "check";
+	o[i].key = KEY_CHECK;
+	o[i].doc = "validate the settings and exit";
+	o[++i].name = "help";
+	o[i].key = '?';
+	o[i].doc = "print this list and exit";
+	return o;
+}
+
+static void free_options(struct argp_option *o)
+{
+	size_t i;
+
+	for (i = 0; i < setting_count; i++)
+		free((char *)o[i].doc);
+	free(o);
+}
+
+/* Parses the flags; after a wrong one it goes on with the next. */
+static void load_flags(struct loading *ld, int argc, char **argv)
+{
+	struct argp_option *options = make_options(ld->s);
+	struct argp argp = { .options = options,
+			     .parser = parse_opt,
+			     .doc = "Dispatcher of sub-second tasks: one entry "
+				    "VM." };
+	int at = 0;
+
+	while (at < argc) {
+		ld->next = 0;
+		if (!argp_parse(&argp, argc - at, argv + at,
+				ARGP_NO_HELP | ARGP_NO_EXIT | ARGP_NO_ERRS,
+				NULL, ld))
+			break;
+		if (ld->next < 1)
+			break;
+		at += ld->next - 1;
+		setting_fault(&ld->faults,
+			      "\"%s\" is no known flag, or lacks its value",
+			      argv[at]);
+	}
+	free_options(options);
+}
+
+/* A list in the environment is separated by spaces. */
+static void load_list(struct loading *ld, const struct setting *def,
+		      const char *text)
+{
+	char *copy = strdup(text);
+	char *at = copy;
+	char *part;
+
+	if (!copy)
+		abort();
+	while ((part = strsep(&at, " ")))
+		if (*part)
+			setting_set(ld->s, def, part, &ld->faults);
+	free(copy);
+}
+
+/* Takes NAME=VALUE when the name is a setting's. */
+static void load_variable(struct loading *ld, const char *variable)
+{
+	const char *value = strchr(variable, '=');
+	char name[64];
+	size_t i;
+
+	if (!value || strncmp(variable, PREFIX, strlen(PREFIX)) != 0)
+		return;
+	for (i = 0; i < setting_count; i++) {
+		const struct setting *def = &setting_table[i];
+
+		env_name(def, name, sizeof(name));
+		if (strlen(name) != (size_t)(value - variable) ||
+		    strncmp(name, variable, strlen(name)) != 0)
+			continue;
+		if (def->type == SETTING_ENTRY_VM ||
+		    def->type == SETTING_TARGET)
+			load_list(ld, def, value + 1);
+		else
+			setting_set(ld->s, def, value + 1, &ld->faults);
+		return;
+	}
+	fprintf(stderr, "rosemaryd: warning: %.*s is no known setting\n",
+		(int)(value - variable), variable);
+}
+
+static void load_defaults(struct loading *ld)
+{
+	size_t i;
+
+	rp_options_init(&ld->s->kernel);
+	for (i = 0; i < setting_count; i++) {
+		const struct setting *def = &setting_table[i];
+
+		if (def->def && def->def[0])
+			setting_set(ld->s, def, def->def, &ld->faults);
+	}
+}
+
+/* Checks what must be given, and what must fit together. */
+static void check_together(struct loading *ld)
+{
+	struct settings *s = ld->s;
+	size_t i;
+
+	for (i = 0; i < setting_count; i++) {
+		const struct setting *def = &setting_table[i];
+
+		if (def->required && !((char *)s)[def->offset])
+			setting_fault(&ld->faults, "%s: must be given",
+				      def->name);
+	}
+	if (!s->peer_listen[0])
+		memcpy(s->peer_listen, s->kernel.address,
+		       sizeof(s->peer_listen));
+	if (s->http_listen[0] && !strcmp(s->http_listen, s->peer_listen))
+		setting_fault(&ld->faults, "http-listen: the same as "
+					   "peer-listen");
+	if (s->http_connections < s->http_threads)
+		setting_fault(&ld->faults, "http-connections: fewer than "
+					   "http-threads");
+	if (s->default_timeout > s->kernel.max_timeout)
+		setting_fault(&ld->faults, "default-timeout: longer than "
+					   "max-timeout");
+}
+
+int settings_load(struct settings *s, int argc, char **argv, char **env)
+{
+	struct loading ld = { .s = s };
+	size_t i;
+	int rc;
+
+	memset(s, 0, sizeof(*s));
+	load_defaults(&ld);
+	for (; *env; env++)
+		load_variable(&ld, *env);
+	load_flags(&ld, argc, argv);
+	check_together(&ld);
+	for (i = 0; i < ld.faults.len; i++)
+		fprintf(stderr, "rosemaryd: %s\n", ld.faults.list[i]);
+	rc = ld.faults.len ? EXIT_SETTING : 0;
+	setting_faults_finish(&ld.faults);
+	s->kernel.seeds = s->vms;
+	s->kernel.nseeds = s->nvms;
+	return rc;
+}
+
+void settings_finish(struct settings *s)
+{
+	free(s->vms);
+	s->vms = NULL;
+	s->nvms = 0;
+}
