Add stand-ins for the platform and for targets

Two programs over libmicrohttpd play the platform (rows, list of VMs, objects) and many targets per process, with knobs for faults; a task id that is started twice is counted and answered 409, never run.

--- /dev/null
+++ b/fake-table.c
@@ -0,0 +1,104 @@
+/* The rows of the platform stand-in, sorted by name in one array. */
+
+#include "fake-table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+size_t fake_table_seek(const struct fake_table *t, const char *name)
+{
+	size_t lo = 0, hi = t->len;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (strcmp(t->rows[mid]->name, name) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+const struct fake_row *fake_table_find(const struct fake_table *t,
+				       const char *name)
+{
+	size_t i = fake_table_seek(t, name);
+
+	if (i < t->len && !strcmp(t->rows[i]->name, name))
+		return t->rows[i];
+	return NULL;
+}
+
+static void row_free(struct fake_row *row)
+{
+	free(row->name);
+	free(row->value);
+	free(row);
+}
+
+static void row_insert(struct fake_table *t, size_t i, const char *name)
+{
+	struct fake_row *row = calloc(1, sizeof(*row));
+
+	if (t->len == t->cap) {
+		t->cap = t->cap ? 2 * t->cap : 256;
+		t->rows = realloc(t->rows, t->cap * sizeof(*t->rows));
+	}
+	if (!row || !t->rows)
+		abort();
+	row->name = strdup(name);
+	memmove(t->rows + i + 1, t->rows + i, (t->len - i) * sizeof(*t->rows));
+	t->rows[i] = row;
+	t->len++;
+}
+
+static void row_remove(struct fake_table *t, size_t i)
+{
+	row_free(t->rows[i]);
+	t->len--;
+	memmove(t->rows + i, t->rows + i + 1, (t->len - i) * sizeof(*t->rows));
+}
+
+static void apply(struct fake_table *t, const struct fake_write *w)
+{
+	size_t i = fake_table_seek(t, w->name);
+	int found = i < t->len && !strcmp(t->rows[i]->name, w->name);
+
+	if (!w->value) {
+		if (found)
+			row_remove(t, i);
+		return;
+	}
+	if (!found)
+		row_insert(t, i, w->name);
+	free(t->rows[i]->value);
+	t->rows[i]->value = strdup(w->value);
+	t->rows[i]->version = t->last_version;
+}
+
+const char *fake_table_commit(struct fake_table *t,
+			      const struct fake_write *writes, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const struct fake_row *row = fake_table_find(t, writes[i].name);
+
+		if ((row ? row->version : 0) != writes[i].version)
+			return writes[i].name;
+	}
+	t->last_version++;
+	for (i = 0; i < n; i++)
+		apply(t, &writes[i]);
+	return NULL;
+}
+
+void fake_table_finish(struct fake_table *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->len; i++)
+		row_free(t->rows[i]);
+	free(t->rows);
+}
--- /dev/null
+++ b/fake-task.c
@@ -0,0 +1,200 @@
+/* Tasks of a played target: start, run by timer, end, look up and void. */
+
+#include "fake-task.h"
+
+#include <apr_strings.h>
+#include <gsl/gsl_randist.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HANG_POLL_US 50000 /* how often a hanging task looks again */
+
+static const char *const state_names[] = {
+	[FAKE_TASK_RUNNING] = "running",
+	[FAKE_TASK_DONE] = "done",
+	[FAKE_TASK_FAILED] = "failed",
+	[FAKE_TASK_VOIDED] = "voided",
+};
+
+const char *fake_task_state_name(enum fake_task_state state)
+{
+	return state_names[state];
+}
+
+void fake_target_init(struct fake_target *t, struct fake_timers *timers,
+		      apr_pool_t *parent, const struct fake_target_knobs *knobs,
+		      unsigned long seed)
+{
+	memset(t, 0, sizeof(*t));
+	t->timers = timers;
+	t->knobs = *knobs;
+	apr_pool_create(&t->pool, parent);
+	apr_thread_mutex_create(&t->lock, APR_THREAD_MUTEX_DEFAULT, t->pool);
+	t->tasks = apr_hash_make(t->pool);
+	t->last_start = &t->first_start;
+	t->rng = gsl_rng_alloc(gsl_rng_taus2);
+	gsl_rng_set(t->rng, seed);
+}
+
+void fake_target_finish(struct fake_target *t)
+{
+	gsl_rng_free(t->rng);
+	apr_pool_destroy(t->pool);
+}
+
+struct fake_task *fake_task_find(struct fake_target *t, const char *id)
+{
+	return apr_hash_get(t->tasks, id, APR_HASH_KEY_STRING);
+}
+
+static struct fake_task *task_new(struct fake_target *t, const char *id,
+				  enum fake_task_state state)
+{
+	struct fake_task *task = apr_pcalloc(t->pool, sizeof(*task));
+
+	task->target = t;
+	task->id = apr_pstrdup(t->pool, id);
+	task->task = "";
+	task->state = state;
+	task->arrival_ms = fake_now_ms();
+	apr_hash_set(t->tasks, task->id, APR_HASH_KEY_STRING, task);
+	return task;
+}
+
+/* Draws from a log-normal distribution with the configured mean. */
+static double draw_service_ms(struct fake_target *t)
+{
+	double mean = t->knobs.service_ms, sigma = t->knobs.spread;
+
+	if (mean <= 0 || sigma <= 0)
+		return mean;
+	return gsl_ran_lognormal(t->rng, log(mean) - sigma * sigma / 2, sigma);
+}
+
+/* Takes {"ms":N,"task":NAME} from the payload where it is given. */
+static void read_payload(struct fake_task *task, struct fake_request *r)
+{
+	struct fake_target *t = task->target;
+	json_t *o = r->len ? json_loadb(r->body, r->len, 0, NULL) : NULL;
+	json_t *name = json_object_get(o, "task");
+
+	task->service_ms = -1;
+	fake_json_number(o, "ms", &task->service_ms);
+	if (json_is_string(name))
+		task->task = apr_pstrdup(t->pool, json_string_value(name));
+	json_decref(o);
+	if (task->service_ms < 0)
+		task->service_ms = draw_service_ms(t);
+	task->service_ms /= t->knobs.speed;
+}
+
+void fake_task_finish(struct fake_task *task, enum fake_task_end end)
+{
+	struct fake_request *r = task->waiter;
+
+	if (task->state != FAKE_TASK_RUNNING)
+		return;
+	task->state = end == FAKE_END_DONE ? FAKE_TASK_DONE : FAKE_TASK_FAILED;
+	task->end = end;
+	task->end_ms = fake_now_ms();
+	task->target->running--;
+	task->waiter = NULL;
+	/* On a silent connection the request stays suspended. */
+	if (r && r->conn->serial > task->target->silent_up_to)
+		fake_request_resume(r);
+}
+
+/* How the task ends when its time is over. */
+static enum fake_task_end natural_end(const struct fake_task *task)
+{
+	if (task->lease_ends_it)
+		return FAKE_END_LEASE_EXPIRED;
+	return task->target->knobs.fail_all ? FAKE_END_FAILED : FAKE_END_DONE;
+}
+
+static void on_timer(struct fake_timer *timer)
+{
+	struct fake_task *task =
+		(struct fake_task *)((char *)timer -
+				     offsetof(struct fake_task, timer));
+	struct fake_target *t = task->target;
+
+	apr_thread_mutex_lock(t->lock);
+	if (t->knobs.hang && task->state == FAKE_TASK_RUNNING)
+		fake_timers_add(t->timers, timer, HANG_POLL_US);
+	else
+		fake_task_finish(task, natural_end(task));
+	apr_thread_mutex_unlock(t->lock);
+}
+
+/* Ends the task at once, or suspends its request and sets the timer. */
+static void run(struct fake_task *task, struct fake_request *r)
+{
+	struct fake_target *t = task->target;
+	double ms = task->service_ms;
+
+	if (t->knobs.lease_ms > 0 && ms > (double)t->knobs.lease_ms) {
+		ms = (double)t->knobs.lease_ms;
+		task->lease_ends_it = 1;
+	}
+	if (ms <= 0 && !t->knobs.hang) {
+		fake_task_finish(task, natural_end(task));
+		return;
+	}
+	fake_request_suspend(r);
+	task->waiter = r;
+	task->timer.fire = on_timer;
+	fake_timers_add(t->timers, &task->timer, (int64_t)(ms * 1000));
+}
+
+enum fake_start fake_task_start(struct fake_target *t, const char *id,
+				struct fake_request *r, struct fake_task **out)
+{
+	struct fake_task *task = fake_task_find(t, id);
+
+	if (task && task->state == FAKE_TASK_VOIDED)
+		return FAKE_START_VOIDED;
+	if (task) {
+		t->counts.double_starts++;
+		return FAKE_START_DOUBLE;
+	}
+	if (t->knobs.leaving)
+		return FAKE_START_LEAVING;
+	if (t->running >= t->knobs.slots) {
+		t->counts.busy++;
+		return FAKE_START_BUSY;
+	}
+	task = task_new(t, id, FAKE_TASK_RUNNING);
+	*t->last_start = task;
+	t->last_start = &task->next_start;
+	t->counts.starts++;
+	if (++t->running > t->counts.max_running)
+		t->counts.max_running = t->running;
+	read_payload(task, r);
+	*out = task;
+	run(task, r);
+	return FAKE_START_OK;
+}
+
+struct fake_task *fake_task_void(struct fake_target *t, const char *id)
+{
+	struct fake_task *task = fake_task_find(t, id);
+
+	if (!task) {
+		task = task_new(t, id, FAKE_TASK_VOIDED);
+		t->counts.voids++;
+	}
+	return task;
+}
+
+char *fake_task_result(const struct fake_task *task)
+{
+	json_t *o = json_pack("{s:s, s:s, s:f}", "id", task->id, "task",
+			      task->task, "ms", task->service_ms);
+	char *text = json_dumps(o, JSON_COMPACT | JSON_REAL_PRECISION(6));
+
+	json_decref(o);
+	return text;
+}
--- /dev/null
+++ b/fake-timer.c
@@ -0,0 +1,138 @@
+/* Timers of the stand-ins: one thread and a binary heap by due time. */
+
+#include "fake.h"
+
+#include <apr_time.h>
+#include <stdlib.h>
+
+int64_t fake_now_us(void)
+{
+	return apr_time_now();
+}
+
+int64_t fake_now_ms(void)
+{
+	return apr_time_now() / 1000;
+}
+
+static void heap_swap(struct fake_timers *ts, size_t a, size_t b)
+{
+	struct fake_timer *t = ts->heap[a];
+
+	ts->heap[a] = ts->heap[b];
+	ts->heap[b] = t;
+}
+
+static void heap_up(struct fake_timers *ts, size_t i)
+{
+	while (i && ts->heap[i]->due_us < ts->heap[(i - 1) / 2]->due_us) {
+		heap_swap(ts, i, (i - 1) / 2);
+		i = (i - 1) / 2;
+	}
+}
+
+static void heap_down(struct fake_timers *ts, size_t i)
+{
+	for (;;) {
+		size_t least = i, kid = 2 * i + 1;
+
+		if (kid < ts->len &&
+		    ts->heap[kid]->due_us < ts->heap[least]->due_us)
+			least = kid;
+		kid++;
+		if (kid < ts->len &&
+		    ts->heap[kid]->due_us < ts->heap[least]->due_us)
+			least = kid;
+		if (least == i)
+			return;
+		heap_swap(ts, i, least);
+		i = least;
+	}
+}
+
+/* Removes and returns the first timer when it is due, else NULL. */
+static struct fake_timer *pop_due(struct fake_timers *ts, int64_t now)
+{
+	struct fake_timer *t;
+
+	if (!ts->len || ts->heap[0]->due_us > now)
+		return NULL;
+	t = ts->heap[0];
+	ts->heap[0] = ts->heap[--ts->len];
+	heap_down(ts, 0);
+	return t;
+}
+
+/* Sleeps until the first timer is due or a new one comes first. */
+static void wait_next(struct fake_timers *ts, int64_t now)
+{
+	if (!ts->len)
+		apr_thread_cond_wait(ts->wake, ts->lock);
+	else
+		apr_thread_cond_timedwait(ts->wake, ts->lock,
+					  ts->heap[0]->due_us - now);
+}
+
+static void *APR_THREAD_FUNC timer_thread(apr_thread_t *thread, void *arg)
+{
+	struct fake_timers *ts = arg;
+
+	(void)thread;
+	apr_thread_mutex_lock(ts->lock);
+	while (!ts->stopping) {
+		int64_t now = fake_now_us();
+		struct fake_timer *t = pop_due(ts, now);
+
+		if (!t) {
+			wait_next(ts, now);
+			continue;
+		}
+		apr_thread_mutex_unlock(ts->lock);
+		t->fire(t);
+		apr_thread_mutex_lock(ts->lock);
+	}
+	apr_thread_mutex_unlock(ts->lock);
+	return NULL;
+}
+
+void fake_timers_init(struct fake_timers *ts, apr_pool_t *pool)
+{
+	apr_thread_mutex_create(&ts->lock, APR_THREAD_MUTEX_DEFAULT, pool);
+	apr_thread_cond_create(&ts->wake, pool);
+	ts->heap = NULL;
+	ts->len = 0;
+	ts->cap = 0;
+	ts->stopping = 0;
+	apr_thread_create(&ts->thread, NULL, timer_thread, ts, pool);
+}
+
+void fake_timers_add(struct fake_timers *ts, struct fake_timer *t,
+		     int64_t delay_us)
+{
+	t->due_us = fake_now_us() + delay_us;
+	apr_thread_mutex_lock(ts->lock);
+	if (ts->len == ts->cap) {
+		ts->cap = ts->cap ? 2 * ts->cap : 64;
+		ts->heap = realloc(ts->heap, ts->cap * sizeof(*ts->heap));
+		if (!ts->heap)
+			abort();
+	}
+	ts->heap[ts->len] = t;
+	heap_up(ts, ts->len++);
+	if (ts->heap[0] == t)
+		apr_thread_cond_signal(ts->wake);
+	apr_thread_mutex_unlock(ts->lock);
+}
+
+void fake_timers_finish(struct fake_timers *ts)
+{
+	apr_status_t status;
+
+	apr_thread_mutex_lock(ts->lock);
+	ts->stopping = 1;
+	apr_thread_cond_signal(ts->wake);
+	apr_thread_mutex_unlock(ts->lock);
+	apr_thread_join(&status, ts->thread);
+	free(ts->heap);
+	ts->heap = NULL;
+}
