--- /dev/null
+++ b/cmd-cancel.c
@@ -0,0 +1,56 @@
+/* rosemary cancel: cancels the job of a key. */
+
+#include "cli.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	const char **name = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		if (*name)
+			argp_error(state, "more than one key");
+		*name = arg;
+		return 0;
+	case ARGP_KEY_END:
+		if (!*name)
+			argp_error(state, "give a key");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static int run(struct cli *cli, int argc, char **argv)
+{
+	static const struct argp argp = {
+		NULL,  parse,
+		"KEY", "Cancels a job and prints the state reached.",
+		NULL,  NULL,
+		NULL
+	};
+	const char *key = NULL;
+	char path[1024];
+	char *name;
+	struct cli_call call = { "DELETE", path, NULL, NULL, CLI_TIMEOUT_MS };
+	struct cli_reply reply;
+	int code = CLI_UNREACHABLE;
+
+	cli_parse(cli, &argp, &key, argc, argv);
+	name = cli_escape(key);
+	snprintf(path, sizeof(path), "/v1/jobs/%s", name);
+	free(name);
+	if (!cli_any_vm(cli, &call, &reply))
+		code = cli_print_answer(cli, &reply);
+	cli_reply_finish(&reply);
+	return code;
+}
+
+const struct cmd_entry cmd_cancel_entry = {
+	"cancel",
+	"cancel the job of a key",
+	run,
+};
--- a/fake-table.c
+++ b/fake-table.c
@@ -43,12 +43,13 @@
 
 	if (t->len == t->cap) {
 		t->cap = t->cap ? 2 * t->cap : 256;
-		t->rows = realloc(t->rows, t->cap * sizeof(*t->rows));
+		t->rows = realloc(t->rows, t->cap * sizeof(struct fake_row *));
 	}
 	if (!row || !t->rows)
 		abort();
 	row->name = strdup(name);
-	memmove(t->rows + i + 1, t->rows + i, (t->len - i) * sizeof(*t->rows));
+	memmove(t->rows + i + 1, t->rows + i,
+		(t->len - i) * sizeof(struct fake_row *));
 	t->rows[i] = row;
 	t->len++;
 }
@@ -57,7 +58,8 @@
 {
 	row_free(t->rows[i]);
 	t->len--;
-	memmove(t->rows + i, t->rows + i + 1, (t->len - i) * sizeof(*t->rows));
+	memmove(t->rows + i, t->rows + i + 1,
+		(t->len - i) * sizeof(struct fake_row *));
 }
 
 static void apply(struct fake_table *t, const struct fake_write *w)
--- a/fake-timer.c
+++ b/fake-timer.c
@@ -113,7 +113,8 @@
 	apr_thread_mutex_lock(ts->lock);
 	if (ts->len == ts->cap) {
 		ts->cap = ts->cap ? 2 * ts->cap : 64;
-		ts->heap = realloc(ts->heap, ts->cap * sizeof(*ts->heap));
+		ts->heap = realloc(ts->heap,
+				   ts->cap * sizeof(struct fake_timer *));
 		if (!ts->heap)
 			abort();
 	}
