--- a/rosemary.c
+++ b/rosemary.c
@@ -8,11 +8,9 @@
 #include <string.h>
 
 static const struct cmd_entry *const commands[] = {
-	&cmd_submit_entry,
-	&cmd_request_entry,
-	&cmd_wait_entry,
-	&cmd_cancel_entry,
-	NULL,
+	&cmd_submit_entry, &cmd_request_entry,	   &cmd_wait_entry,
+	&cmd_cancel_entry, &cmd_show_status_entry, &cmd_drain_entry,
+	&cmd_events_entry, &cmd_metrics_entry,	   NULL,
 };
 
 static void print_usage(FILE *out)
