Join shell, stand-ins and kernel: the thin path runs

Cause: shell and stand-ins were written against the header and had not run with the kernel; events carried stamps without wall time, and the shell still named an event that the kernel no longer has. Change: the shell forgets a caller that has left without telling the kernel, and passes the wall clock's offset.

--- a/daemon-run.c
+++ b/daemon-run.c
@@ -81,6 +81,7 @@
 	void *memory = NULL;
 
 	opt.incarnation = (uint64_t)(apr_time_now() / 1000);
+	opt.wall_offset = apr_time_now() / 1000 - daemon_now();
 	opt.locks = lock_ops;
 	if (!opt.seed)
 		apr_generate_random_bytes((unsigned char *)&opt.seed,
--- a/http-wait.c
+++ b/http-wait.c
@@ -143,16 +143,14 @@
 	return n;
 }
 
-/* Tells the kernel that a caller no longer waits, and ends the exchange. */
+/* Forgets a caller that no longer waits; its submission goes on. */
 static void caller_gone(struct daemon *d, rp_token token)
 {
-	struct rp_event ev = { .type = RP_EVENT_CALLER_GONE, .token = token };
 	struct http_request *r = http_wait_take(d->waits, token);
 
 	if (!r)
 		return;
 	count_add(COUNT_CALLERS_GONE, 1);
-	daemon_event(d, &ev);
 	r->reply_kind = HTTP_REPLY_GONE;
 	http_wait_reply(r);
 }
