--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 	ar rcs $@ $(B)/librosemary.o
 
 KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
-LINK = $(CC) $(OPT) $(SAN) -o $@ $^
+LINK = $(CC) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^)
 
 $(B)/rosemaryd: $(call obj,$(DAEMON)) $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lmicrohttpd -lcurl -ljansson -llog4c
@@ -96,11 +96,17 @@
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
-	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
+	$(CXX) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
+		-lrapidcheck $(KERNEL_LIBS)
+
+# What the tests and benches with several kernels share.
+NET = $(call obj,$(wildcard regress/net/*.c))
+$(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
+$(B)/bench-cluster: $(NET)
 
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
-	$(wildcard *.c *.h regress/*.c regress/*.h))
+	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
 
 format:
 	clang-format -i $(SOURCES)
@@ -132,7 +138,7 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(B)/*.d $(B)/regress/*.d)
+-include $(wildcard $(B)/*.d $(B)/regress/*.d $(B)/regress/*/*.d)
 
 .PHONY: all tests format check-format lint check demo proto clean
 .SECONDARY:
--- a/drain-stop.c
+++ b/drain-stop.c
@@ -31,9 +31,10 @@
 {
 	struct rp_trace_about about = { .task = -1 };
 
-	if (!atomic_load(&k->draining) || k->node.drained || has_jobs(k))
+	if (!atomic_load(&k->draining) || atomic_load(&k->draining) > 1 ||
+	    has_jobs(k))
 		return;
-	k->node.drained = 1;
+	atomic_store(&k->draining, 2);
 	trace_event(k, now, RP_TRACE_DRAIN, &about, "finished");
 	action_add(acts, RP_ACTION_DRAINED);
 }
--- a/kernel-report.c
+++ b/kernel-report.c
@@ -98,6 +98,9 @@
 	kernel_lock(k, k->node.lock);
 	write_counter(w, "platform_reads_total", k->node.platform_reads);
 	write_counter(w, "platform_writes_total", k->node.platform_writes);
+	write_counter(w, "control_messages_total", k->node.peer_messages);
+	write_counter(w, "control_bytes_total", k->node.peer_bytes);
+	write_counter(w, "relays_waiting", apr_hash_count(k->node.relays));
 	kernel_unlock(k, k->node.lock);
 }
 
@@ -138,12 +141,12 @@
 	apr_hash_index_t *h;
 	unsigned i;
 
-	(void)now;
 	writer_json(w, "{\"vm\":", str_of(k->opt.vm_name));
 	writer_json(w, ",\"failure_domain\":", str_of(k->opt.failure_domain));
 	rp_writer_printf(w, ",\"incarnation\":%llu,\"draining\":%d",
 			 (unsigned long long)k->opt.incarnation,
 			 atomic_load(&k->draining));
+	member_report(k, now, w);
 	rp_writer_printf(w, ",\"services\":[");
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++) {
 		struct rp_dispatch *d = &k->dispatch[i];
--- a/member-list.c
+++ b/member-list.c
@@ -8,18 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-struct rp_view *view_ref(struct rp_view *v)
-{
-	atomic_fetch_add(&v->refs, 1);
-	return v;
-}
-
-void view_unref(struct rp_view *v)
-{
-	if (v && atomic_fetch_sub(&v->refs, 1) == 1)
-		free(v);
-}
-
 static void apply_list(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
 		       size_t nvms, struct rp_actions *acts)
 {
@@ -35,29 +23,49 @@
 
 void member_init(struct rp_kernel *k, rp_ms now)
 {
+	uint64_t state = k->opt.incarnation;
 	struct rp_node *n = &k->node;
 	struct rp_actions acts;
 
 	n->lock = kernel_lock_new(k);
 	apr_pool_create(&n->pool, k->pool);
 	n->asks = hash_new(n->pool);
+	n->members = hash_new(n->pool);
+	n->relays = hash_new(n->pool);
 	n->random = k->opt.seed ^ k->opt.incarnation;
+	/* An answer to a former incarnation must match no call of ours. */
+	n->next_relay = random_next(&state);
+	n->started_at = now;
 	n->list_due = now;
+	n->beat_due = now;
+	n->cross_due = now;
 	if (!k->opt.nseeds)
 		return;
 	/* Nothing waits yet, so no action can follow. */
 	rp_actions_init(&acts);
+	member_listed(k, now, k->opt.seeds, k->opt.nseeds, 0);
 	apply_list(k, now, k->opt.seeds, k->opt.nseeds, &acts);
 	rp_actions_finish(&acts);
 }
 
 void member_finish(struct rp_kernel *k)
 {
+	struct rp_node *n = &k->node;
 	apr_hash_index_t *i;
 
-	for (i = apr_hash_first(NULL, k->node.asks); i; i = apr_hash_next(i))
+	for (i = apr_hash_first(NULL, n->asks); i; i = apr_hash_next(i))
+		free(apr_hash_this_val(i));
+	for (i = apr_hash_first(NULL, n->members); i; i = apr_hash_next(i))
 		free(apr_hash_this_val(i));
-	kernel_lock_free(k, k->node.lock);
+	while (n->forwards) {
+		struct rp_forward *f = n->forwards;
+
+		n->forwards = f->next;
+		free(f);
+	}
+	relay_finish(k);
+	view_unref(n->view);
+	kernel_lock_free(k, n->lock);
 }
 
 static void list_done(struct rp_kernel *k, rp_ms now, void *ctx,
@@ -69,11 +77,15 @@
 	k->node.list_due =
 		now + random_jitter(&k->node.random, k->opt.list_poll);
 	kernel_unlock(k, k->node.lock);
-	if (ev->platform.outcome == RP_PLATFORM_DONE)
-		apply_list(k, now, ev->platform.vms, ev->platform.nvms, acts);
+	if (ev->platform.outcome != RP_PLATFORM_DONE)
+		return;
+	member_listed(k, now, ev->platform.vms, ev->platform.nvms, 1);
+	apply_list(k, now, ev->platform.vms, ev->platform.nvms, acts);
+	member_judge(k, now, acts);
 }
 
-void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+/* Asks the platform for the list when it is due. */
+static void list_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
 {
 	int ask;
 
@@ -89,11 +101,10 @@
 			     acts);
 }
 
-void member_down(struct rp_kernel *k, rp_ms now, const char *name,
-		 struct rp_actions *acts)
+void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
 {
-	(void)k;
-	(void)now;
-	(void)name;
-	(void)acts;
+	list_tick(k, now, acts);
+	beat_tick(k, now, acts);
+	leave_tick(k, now, acts);
+	relay_tick(k, now, acts);
 }
--- /dev/null
+++ b/member-table.c
@@ -0,0 +1,349 @@
+/*
+ * The members: what is known of each entry VM, the judgement of who is live,
+ * and the immutable views of it that the dispatch shards get.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Heartbeat spans of silence after which a member is suspect. */
+#define SUSPECT_BEATS_NEAR 4
+#define SUSPECT_BEATS_FAR 8
+/* Spans of silence after which a member that the list lacks is gone. */
+#define GONE_BEATS 8
+/* After a member's end, the span in which its forward may still arrive, ms. */
+#define FORWARD_GRACE_MS 3000
+/* Lag of the list: an unknown VM is gone when no list had it so long, ms. */
+#define UNKNOWN_GRACE_MS 30000
+/* Forwards followed from one incarnation to the one that serves it. */
+#define FORWARD_HOPS 16
+
+struct rp_view *view_ref(struct rp_view *v)
+{
+	atomic_fetch_add(&v->refs, 1);
+	return v;
+}
+
+void view_unref(struct rp_view *v)
+{
+	if (v && atomic_fetch_sub(&v->refs, 1) == 1)
+		free(v);
+}
+
+const struct rp_member *view_find(const struct rp_view *v, const char *name)
+{
+	size_t i;
+
+	for (i = 0; v && i < v->nmembers; i++)
+		if (!strcmp(v->members[i].name, name))
+			return &v->members[i];
+	return NULL;
+}
+
+struct rp_member_entry *member_find(struct rp_node *n, const char *name)
+{
+	return apr_hash_get(n->members, name, (apr_ssize_t)strlen(name));
+}
+
+struct rp_member_entry *member_get(struct rp_node *n, const char *name,
+				   rp_ms now)
+{
+	struct rp_member_entry *e = member_find(n, name);
+
+	if (e)
+		return e;
+	e = kernel_alloc(sizeof(*e));
+	str_copy(e->m.name, RP_NAME_MAX, str_of(name));
+	e->heard_at = now;
+	apr_hash_set(n->members, e->m.name, (apr_ssize_t)strlen(name), e);
+	return e;
+}
+
+int member_is_near(const struct rp_kernel *k, const struct rp_member_entry *e)
+{
+	return !strcmp(e->m.failure_domain, k->opt.failure_domain);
+}
+
+int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
+		rp_ms now)
+{
+	if (incarnation < e->m.incarnation)
+		return 0;
+	if (incarnation > e->m.incarnation) {
+		if (e->m.incarnation)
+			e->replaced_at = now;
+		e->m.incarnation = incarnation;
+		e->leaving = 0;
+		e->announced_at = 0;
+		e->gone = 0;
+		e->heard_at = heard_at;
+	}
+	if (heard_at > e->heard_at) {
+		e->heard_at = heard_at;
+		e->gone = 0;
+	}
+	return 1;
+}
+
+/* Takes over what the list, or the settings, say of an entry VM. */
+static void entry_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vm)
+{
+	struct rp_member_entry *e = member_get(&k->node, vm->name, now);
+
+	e->listed = 1;
+	if (vm->leaving)
+		e->leaving = 1;
+	str_copy(e->m.address, RP_ADDRESS_MAX, str_of(vm->address));
+	str_copy(e->m.failure_domain, RP_NAME_MAX, str_of(vm->failure_domain));
+}
+
+/* Ends a member that was in an earlier list and is silent. */
+static void entry_unlisted(struct rp_kernel *k, rp_ms now,
+			   struct rp_member_entry *e, int was_listed)
+{
+	rp_ms silent = GONE_BEATS * k->opt.heartbeat;
+
+	if (e->gone || e->heard_at + silent > now)
+		return;
+	/* Heard of only by peers: the list may lag behind its start. */
+	if (!was_listed && !e->leaving && e->heard_at + UNKNOWN_GRACE_MS > now)
+		return;
+	e->gone = 1;
+	e->replaced_at = now;
+}
+
+void member_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
+		   size_t nvms, int fetched)
+{
+	struct rp_node *n = &k->node;
+	apr_hash_index_t *h;
+	size_t i;
+
+	kernel_lock(k, n->lock);
+	if (fetched && !n->first_list_at)
+		n->first_list_at = now;
+	for (h = apr_hash_first(NULL, n->members); h; h = apr_hash_next(h)) {
+		struct rp_member_entry *e = apr_hash_this_val(h);
+
+		/* 2: was listed before; stays so while it is not gone. */
+		e->listed = e->listed ? 2 : 0;
+	}
+	for (i = 0; i < nvms; i++)
+		if (vms[i].kind == RP_VM_ENTRY &&
+		    strcmp(vms[i].name, k->opt.vm_name) != 0)
+			entry_listed(k, now, &vms[i]);
+	for (h = apr_hash_first(NULL, n->members); h; h = apr_hash_next(h)) {
+		struct rp_member_entry *e = apr_hash_this_val(h);
+
+		if (fetched && e->listed != 1)
+			entry_unlisted(k, now, e, e->listed == 2);
+	}
+	kernel_unlock(k, n->lock);
+}
+
+static enum rp_member_state judge(const struct rp_kernel *k,
+				  const struct rp_member_entry *e, rp_ms now)
+{
+	int beats = member_is_near(k, e) ? SUSPECT_BEATS_NEAR
+					 : SUSPECT_BEATS_FAR;
+
+	if (e->gone)
+		return RP_MEMBER_GONE;
+	if (e->heard_at + beats * k->opt.heartbeat <= now)
+		return RP_MEMBER_SUSPECT;
+	return e->leaving ? RP_MEMBER_LEAVING : RP_MEMBER_LIVE;
+}
+
+static const char *state_name(enum rp_member_state state)
+{
+	static const char *const names[] = { "live", "suspect", "leaving",
+					     "gone" };
+
+	return names[state];
+}
+
+/* Judges one member; 1 when the others have to know. */
+static int judge_entry(struct rp_kernel *k, struct rp_member_entry *e,
+		       rp_ms now)
+{
+	struct rp_trace_about about = { .target = e->m.name, .task = -1 };
+	enum rp_member_state state = judge(k, e, now);
+	const struct rp_member *was = view_find(k->node.view, e->m.name);
+
+	if (was && was->state == state &&
+	    was->incarnation == e->m.incarnation &&
+	    !strcmp(was->failure_domain, e->m.failure_domain))
+		return 0;
+	if (!was || was->state != state)
+		trace_event(k, now, RP_TRACE_MEMBER, &about, "%s",
+			    state_name(state));
+	e->m.state = state;
+	return 1;
+}
+
+/* A view of all members; needs the node's lock. */
+static struct rp_view *view_new(struct rp_node *n)
+{
+	size_t count = apr_hash_count(n->members);
+	struct rp_view *v =
+		kernel_alloc(sizeof(*v) + count * sizeof(v->members[0]));
+	apr_hash_index_t *h;
+
+	atomic_init(&v->refs, 1);
+	v->seq = ++n->view_seq;
+	for (h = apr_hash_first(NULL, n->members); h; h = apr_hash_next(h)) {
+		const struct rp_member_entry *e = apr_hash_this_val(h);
+
+		v->members[v->nmembers++] = e->m;
+	}
+	return v;
+}
+
+/* Hands the view to a dispatch shard, which lets its policies know. */
+static void view_apply(struct rp_dispatch *d, struct rp_view *v, rp_ms now,
+		       struct rp_actions *acts)
+{
+	apr_hash_index_t *h;
+
+	kernel_lock(d->k, d->lock);
+	if (!d->view || d->view->seq < v->seq) {
+		view_unref(d->view);
+		d->view = view_ref(v);
+		for (h = apr_hash_first(NULL, d->services); h;
+		     h = apr_hash_next(h)) {
+			struct rp_service *svc = apr_hash_this_val(h);
+
+			svc->limit->ops->changed(svc->limit, now, acts);
+			dispatch_pump(svc, now, acts);
+		}
+	}
+	kernel_unlock(d->k, d->lock);
+}
+
+struct rp_view *member_view(struct rp_kernel *k)
+{
+	struct rp_view *v;
+
+	kernel_lock(k, k->node.lock);
+	v = k->node.view ? view_ref(k->node.view) : NULL;
+	kernel_unlock(k, k->node.lock);
+	return v;
+}
+
+void member_judge(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_node *n = &k->node;
+	struct rp_view *v = NULL;
+	apr_hash_index_t *h;
+	int changed = 0;
+	unsigned i;
+
+	kernel_lock(k, n->lock);
+	for (h = apr_hash_first(NULL, n->members); h; h = apr_hash_next(h))
+		changed |= judge_entry(k, apr_hash_this_val(h), now);
+	if (changed) {
+		view_unref(n->view);
+		n->view = view_new(n);
+		v = view_ref(n->view);
+	}
+	kernel_unlock(k, n->lock);
+	for (i = 0; v && i < RP_DISPATCH_SHARDS; i++)
+		view_apply(&k->dispatch[i], v, now, acts);
+	view_unref(v);
+}
+
+static const struct rp_forward *
+forward_find(const struct rp_node *n, const char *vm, uint64_t incarnation)
+{
+	const struct rp_forward *f;
+
+	for (f = n->forwards; f; f = f->next)
+		if (f->incarnation == incarnation && !strcmp(f->vm, vm))
+			return f;
+	return NULL;
+}
+
+void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
+		    uint64_t incarnation, const char *to,
+		    uint64_t to_incarnation)
+{
+	struct rp_forward *f;
+
+	if (forward_find(&k->node, vm, incarnation))
+		return;
+	f = kernel_alloc(sizeof(*f));
+	str_copy(f->vm, RP_NAME_MAX, str_of(vm));
+	f->incarnation = incarnation;
+	str_copy(f->to, RP_NAME_MAX, str_of(to));
+	f->to_incarnation = to_incarnation;
+	f->until = now + k->opt.key_lifetime + k->opt.max_timeout;
+	f->next = k->node.forwards;
+	k->node.forwards = f;
+}
+
+/* The end of a member is told once its forward had time to arrive. */
+static enum rp_owner ended_owner(const struct rp_member_entry *e, rp_ms now)
+{
+	return e->replaced_at + FORWARD_GRACE_MS > now ? RP_OWNER_UNREACHABLE
+						       : RP_OWNER_GONE;
+}
+
+static enum rp_owner peer_owner(struct rp_kernel *k, rp_ms now, const char *vm,
+				uint64_t incarnation)
+{
+	const struct rp_member_entry *e = member_find(&k->node, vm);
+	rp_ms first = k->node.first_list_at;
+
+	if (!e)
+		return first && first + UNKNOWN_GRACE_MS <= now
+			       ? RP_OWNER_GONE
+			       : RP_OWNER_UNREACHABLE;
+	if (e->m.incarnation > incarnation || e->gone)
+		return ended_owner(e, now);
+	if (e->link_down || judge(k, e, now) == RP_MEMBER_SUSPECT)
+		return RP_OWNER_UNREACHABLE;
+	return RP_OWNER_PEER;
+}
+
+enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
+			   uint64_t incarnation, char to[RP_NAME_MAX])
+{
+	const struct rp_forward *f;
+	int hops = 0;
+
+	while (hops++ < FORWARD_HOPS &&
+	       (f = forward_find(&k->node, vm, incarnation))) {
+		vm = f->to;
+		incarnation = f->to_incarnation;
+	}
+	str_copy(to, RP_NAME_MAX, str_of(vm));
+	if (strcmp(vm, k->opt.vm_name) != 0)
+		return peer_owner(k, now, vm, incarnation);
+	if (incarnation == k->opt.incarnation)
+		return RP_OWNER_HERE;
+	/* A later incarnation of this name: we are old. */
+	if (incarnation > k->opt.incarnation ||
+	    k->node.started_at + FORWARD_GRACE_MS > now)
+		return RP_OWNER_UNREACHABLE;
+	return RP_OWNER_GONE;
+}
+
+void member_unanswered(struct rp_kernel *k, const char *name)
+{
+	struct rp_member_entry *e;
+
+	kernel_lock(k, k->node.lock);
+	e = member_find(&k->node, name);
+	if (e)
+		e->link_down = 1;
+	kernel_unlock(k, k->node.lock);
+}
+
+void member_down(struct rp_kernel *k, rp_ms now, const char *name,
+		 struct rp_actions *acts)
+{
+	member_unanswered(k, name);
+	beat_probe(k, now, name, acts);
+}
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -7,659 +7,2175 @@
 #endif
 
 #include "peer.pb-c.h"
-void rp_task__init(RpTask *message)
+void   rp_task__init
+                     (RpTask         *message)
 {
-	static const RpTask init_value = RP_TASK__INIT;
-	*message = init_value;
+  static const RpTask init_value = RP_TASK__INIT;
+  *message = init_value;
 }
-size_t rp_task__get_packed_size(const RpTask *message)
+size_t rp_task__get_packed_size
+                     (const RpTask *message)
 {
-	assert(message->base.descriptor == &rp_task__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_task__pack(const RpTask *message, uint8_t *out)
+size_t rp_task__pack
+                     (const RpTask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_task__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_task__pack_to_buffer(const RpTask *message, ProtobufCBuffer *buffer)
+size_t rp_task__pack_to_buffer
+                     (const RpTask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_task__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpTask *rp_task__unpack(ProtobufCAllocator *allocator, size_t len,
-			const uint8_t *data)
+RpTask *
+       rp_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpTask *)protobuf_c_message_unpack(&rp_task__descriptor,
-						   allocator, len, data);
+  return (RpTask *)
+     protobuf_c_message_unpack (&rp_task__descriptor,
+                                allocator, len, data);
 }
-void rp_task__free_unpacked(RpTask *message, ProtobufCAllocator *allocator)
+void   rp_task__free_unpacked
+                     (RpTask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_task__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void rp_relay__init(RpRelay *message)
+void   rp_relay__init
+                     (RpRelay         *message)
 {
-	static const RpRelay init_value = RP_RELAY__INIT;
-	*message = init_value;
+  static const RpRelay init_value = RP_RELAY__INIT;
+  *message = init_value;
 }
-size_t rp_relay__get_packed_size(const RpRelay *message)
+size_t rp_relay__get_packed_size
+                     (const RpRelay *message)
 {
-	assert(message->base.descriptor == &rp_relay__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_relay__pack(const RpRelay *message, uint8_t *out)
+size_t rp_relay__pack
+                     (const RpRelay *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_relay__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_relay__pack_to_buffer(const RpRelay *message, ProtobufCBuffer *buffer)
+size_t rp_relay__pack_to_buffer
+                     (const RpRelay *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_relay__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpRelay *rp_relay__unpack(ProtobufCAllocator *allocator, size_t len,
-			  const uint8_t *data)
+RpRelay *
+       rp_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpRelay *)protobuf_c_message_unpack(&rp_relay__descriptor,
-						    allocator, len, data);
+  return (RpRelay *)
+     protobuf_c_message_unpack (&rp_relay__descriptor,
+                                allocator, len, data);
 }
-void rp_relay__free_unpacked(RpRelay *message, ProtobufCAllocator *allocator)
+void   rp_relay__free_unpacked
+                     (RpRelay *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_relay__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void rp_result__init(RpResult *message)
+void   rp_result__init
+                     (RpResult         *message)
 {
-	static const RpResult init_value = RP_RESULT__INIT;
-	*message = init_value;
+  static const RpResult init_value = RP_RESULT__INIT;
+  *message = init_value;
 }
-size_t rp_result__get_packed_size(const RpResult *message)
+size_t rp_result__get_packed_size
+                     (const RpResult *message)
 {
-	assert(message->base.descriptor == &rp_result__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_result__pack(const RpResult *message, uint8_t *out)
+size_t rp_result__pack
+                     (const RpResult *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_result__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_result__pack_to_buffer(const RpResult *message,
-				 ProtobufCBuffer *buffer)
+size_t rp_result__pack_to_buffer
+                     (const RpResult *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_result__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpResult *rp_result__unpack(ProtobufCAllocator *allocator, size_t len,
-			    const uint8_t *data)
+RpResult *
+       rp_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpResult *)protobuf_c_message_unpack(&rp_result__descriptor,
-						     allocator, len, data);
+  return (RpResult *)
+     protobuf_c_message_unpack (&rp_result__descriptor,
+                                allocator, len, data);
 }
-void rp_result__free_unpacked(RpResult *message, ProtobufCAllocator *allocator)
+void   rp_result__free_unpacked
+                     (RpResult *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_result__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void rp_relay_answer__init(RpRelayAnswer *message)
+void   rp_relay_answer__init
+                     (RpRelayAnswer         *message)
 {
-	static const RpRelayAnswer init_value = RP_RELAY_ANSWER__INIT;
-	*message = init_value;
+  static const RpRelayAnswer init_value = RP_RELAY_ANSWER__INIT;
+  *message = init_value;
 }
-size_t rp_relay_answer__get_packed_size(const RpRelayAnswer *message)
+size_t rp_relay_answer__get_packed_size
+                     (const RpRelayAnswer *message)
 {
-	assert(message->base.descriptor == &rp_relay_answer__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_relay_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_relay_answer__pack(const RpRelayAnswer *message, uint8_t *out)
+size_t rp_relay_answer__pack
+                     (const RpRelayAnswer *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_relay_answer__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_relay_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_relay_answer__pack_to_buffer(const RpRelayAnswer *message,
-				       ProtobufCBuffer *buffer)
+size_t rp_relay_answer__pack_to_buffer
+                     (const RpRelayAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_relay_answer__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_relay_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpRelayAnswer *rp_relay_answer__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+RpRelayAnswer *
+       rp_relay_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpRelayAnswer *)protobuf_c_message_unpack(
-		&rp_relay_answer__descriptor, allocator, len, data);
+  return (RpRelayAnswer *)
+     protobuf_c_message_unpack (&rp_relay_answer__descriptor,
+                                allocator, len, data);
 }
-void rp_relay_answer__free_unpacked(RpRelayAnswer *message,
-				    ProtobufCAllocator *allocator)
+void   rp_relay_answer__free_unpacked
+                     (RpRelayAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_relay_answer__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_relay_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void rp_heartbeat__init(RpHeartbeat *message)
+void   rp_seen__init
+                     (RpSeen         *message)
 {
-	static const RpHeartbeat init_value = RP_HEARTBEAT__INIT;
-	*message = init_value;
+  static const RpSeen init_value = RP_SEEN__INIT;
+  *message = init_value;
 }
-size_t rp_heartbeat__get_packed_size(const RpHeartbeat *message)
+size_t rp_seen__get_packed_size
+                     (const RpSeen *message)
 {
-	assert(message->base.descriptor == &rp_heartbeat__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_seen__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_heartbeat__pack(const RpHeartbeat *message, uint8_t *out)
+size_t rp_seen__pack
+                     (const RpSeen *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_heartbeat__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_seen__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_heartbeat__pack_to_buffer(const RpHeartbeat *message,
-				    ProtobufCBuffer *buffer)
+size_t rp_seen__pack_to_buffer
+                     (const RpSeen *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_heartbeat__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_seen__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpHeartbeat *rp_heartbeat__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+RpSeen *
+       rp_seen__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpHeartbeat *)protobuf_c_message_unpack(
-		&rp_heartbeat__descriptor, allocator, len, data);
+  return (RpSeen *)
+     protobuf_c_message_unpack (&rp_seen__descriptor,
+                                allocator, len, data);
 }
-void rp_heartbeat__free_unpacked(RpHeartbeat *message,
-				 ProtobufCAllocator *allocator)
+void   rp_seen__free_unpacked
+                     (RpSeen *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_heartbeat__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_seen__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void rp_envelope__init(RpEnvelope *message)
+void   rp_forward__init
+                     (RpForward         *message)
 {
-	static const RpEnvelope init_value = RP_ENVELOPE__INIT;
-	*message = init_value;
+  static const RpForward init_value = RP_FORWARD__INIT;
+  *message = init_value;
 }
-size_t rp_envelope__get_packed_size(const RpEnvelope *message)
+size_t rp_forward__get_packed_size
+                     (const RpForward *message)
 {
-	assert(message->base.descriptor == &rp_envelope__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t rp_envelope__pack(const RpEnvelope *message, uint8_t *out)
+size_t rp_forward__pack
+                     (const RpForward *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &rp_envelope__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t rp_envelope__pack_to_buffer(const RpEnvelope *message,
-				   ProtobufCBuffer *buffer)
+size_t rp_forward__pack_to_buffer
+                     (const RpForward *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &rp_envelope__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-RpEnvelope *rp_envelope__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+RpForward *
+       rp_forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (RpEnvelope *)protobuf_c_message_unpack(&rp_envelope__descriptor,
-						       allocator, len, data);
+  return (RpForward *)
+     protobuf_c_message_unpack (&rp_forward__descriptor,
+                                allocator, len, data);
 }
-void rp_envelope__free_unpacked(RpEnvelope *message,
-				ProtobufCAllocator *allocator)
+void   rp_forward__free_unpacked
+                     (RpForward *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &rp_envelope__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor rp_task__field_descriptors[2] = {
-	{
-		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset
-									   */
-		offsetof(RpTask, id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"payload", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(RpTask, payload), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+void   rp_leaving__init
+                     (RpLeaving         *message)
+{
+  static const RpLeaving init_value = RP_LEAVING__INIT;
+  *message = init_value;
+}
+size_t rp_leaving__get_packed_size
+                     (const RpLeaving *message)
+{
+  assert(message->base.descriptor == &rp_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_leaving__pack
+                     (const RpLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_leaving__pack_to_buffer
+                     (const RpLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpLeaving *
+       rp_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpLeaving *)
+     protobuf_c_message_unpack (&rp_leaving__descriptor,
+                                allocator, len, data);
+}
+void   rp_leaving__free_unpacked
+                     (RpLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_heartbeat__init
+                     (RpHeartbeat         *message)
+{
+  static const RpHeartbeat init_value = RP_HEARTBEAT__INIT;
+  *message = init_value;
+}
+size_t rp_heartbeat__get_packed_size
+                     (const RpHeartbeat *message)
+{
+  assert(message->base.descriptor == &rp_heartbeat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_heartbeat__pack
+                     (const RpHeartbeat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_heartbeat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_heartbeat__pack_to_buffer
+                     (const RpHeartbeat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_heartbeat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpHeartbeat *
+       rp_heartbeat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpHeartbeat *)
+     protobuf_c_message_unpack (&rp_heartbeat__descriptor,
+                                allocator, len, data);
+}
+void   rp_heartbeat__free_unpacked
+                     (RpHeartbeat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_heartbeat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_credit_line__init
+                     (RpCreditLine         *message)
+{
+  static const RpCreditLine init_value = RP_CREDIT_LINE__INIT;
+  *message = init_value;
+}
+size_t rp_credit_line__get_packed_size
+                     (const RpCreditLine *message)
+{
+  assert(message->base.descriptor == &rp_credit_line__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_credit_line__pack
+                     (const RpCreditLine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_credit_line__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_credit_line__pack_to_buffer
+                     (const RpCreditLine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_credit_line__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpCreditLine *
+       rp_credit_line__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpCreditLine *)
+     protobuf_c_message_unpack (&rp_credit_line__descriptor,
+                                allocator, len, data);
+}
+void   rp_credit_line__free_unpacked
+                     (RpCreditLine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_credit_line__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_credit_report__init
+                     (RpCreditReport         *message)
+{
+  static const RpCreditReport init_value = RP_CREDIT_REPORT__INIT;
+  *message = init_value;
+}
+size_t rp_credit_report__get_packed_size
+                     (const RpCreditReport *message)
+{
+  assert(message->base.descriptor == &rp_credit_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_credit_report__pack
+                     (const RpCreditReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_credit_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_credit_report__pack_to_buffer
+                     (const RpCreditReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_credit_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpCreditReport *
+       rp_credit_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpCreditReport *)
+     protobuf_c_message_unpack (&rp_credit_report__descriptor,
+                                allocator, len, data);
+}
+void   rp_credit_report__free_unpacked
+                     (RpCreditReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_credit_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_credit_grant__init
+                     (RpCreditGrant         *message)
+{
+  static const RpCreditGrant init_value = RP_CREDIT_GRANT__INIT;
+  *message = init_value;
+}
+size_t rp_credit_grant__get_packed_size
+                     (const RpCreditGrant *message)
+{
+  assert(message->base.descriptor == &rp_credit_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_credit_grant__pack
+                     (const RpCreditGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_credit_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_credit_grant__pack_to_buffer
+                     (const RpCreditGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_credit_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpCreditGrant *
+       rp_credit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpCreditGrant *)
+     protobuf_c_message_unpack (&rp_credit_grant__descriptor,
+                                allocator, len, data);
+}
+void   rp_credit_grant__free_unpacked
+                     (RpCreditGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_credit_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_handover_record__init
+                     (RpHandoverRecord         *message)
+{
+  static const RpHandoverRecord init_value = RP_HANDOVER_RECORD__INIT;
+  *message = init_value;
+}
+size_t rp_handover_record__get_packed_size
+                     (const RpHandoverRecord *message)
+{
+  assert(message->base.descriptor == &rp_handover_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_handover_record__pack
+                     (const RpHandoverRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_handover_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_handover_record__pack_to_buffer
+                     (const RpHandoverRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_handover_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpHandoverRecord *
+       rp_handover_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpHandoverRecord *)
+     protobuf_c_message_unpack (&rp_handover_record__descriptor,
+                                allocator, len, data);
+}
+void   rp_handover_record__free_unpacked
+                     (RpHandoverRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_handover_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_handover__init
+                     (RpHandover         *message)
+{
+  static const RpHandover init_value = RP_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t rp_handover__get_packed_size
+                     (const RpHandover *message)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_handover__pack
+                     (const RpHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_handover__pack_to_buffer
+                     (const RpHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpHandover *
+       rp_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpHandover *)
+     protobuf_c_message_unpack (&rp_handover__descriptor,
+                                allocator, len, data);
+}
+void   rp_handover__free_unpacked
+                     (RpHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_handover_ack__init
+                     (RpHandoverAck         *message)
+{
+  static const RpHandoverAck init_value = RP_HANDOVER_ACK__INIT;
+  *message = init_value;
+}
+size_t rp_handover_ack__get_packed_size
+                     (const RpHandoverAck *message)
+{
+  assert(message->base.descriptor == &rp_handover_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_handover_ack__pack
+                     (const RpHandoverAck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_handover_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_handover_ack__pack_to_buffer
+                     (const RpHandoverAck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_handover_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpHandoverAck *
+       rp_handover_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpHandoverAck *)
+     protobuf_c_message_unpack (&rp_handover_ack__descriptor,
+                                allocator, len, data);
+}
+void   rp_handover_ack__free_unpacked
+                     (RpHandoverAck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_handover_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_envelope__init
+                     (RpEnvelope         *message)
+{
+  static const RpEnvelope init_value = RP_ENVELOPE__INIT;
+  *message = init_value;
+}
+size_t rp_envelope__get_packed_size
+                     (const RpEnvelope *message)
+{
+  assert(message->base.descriptor == &rp_envelope__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_envelope__pack
+                     (const RpEnvelope *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_envelope__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_envelope__pack_to_buffer
+                     (const RpEnvelope *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_envelope__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpEnvelope *
+       rp_envelope__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpEnvelope *)
+     protobuf_c_message_unpack (&rp_envelope__descriptor,
+                                allocator, len, data);
+}
+void   rp_envelope__free_unpacked
+                     (RpEnvelope *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_envelope__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor rp_task__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpTask, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpTask, payload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_task__field_indices_by_name[] = {
-	0, /* field[0] = id */
-	1, /* field[1] = payload */
-};
-static const ProtobufCIntRange rp_task__number_ranges[1 + 1] = { { 1, 0 },
-								 { 0, 2 } };
-const ProtobufCMessageDescriptor rp_task__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpTask",
-	"RpTask",
-	"RpTask",
-	"",
-	sizeof(RpTask),
-	2,
-	rp_task__field_descriptors,
-	rp_task__field_indices_by_name,
-	1,
-	rp_task__number_ranges,
-	(ProtobufCMessageInit)rp_task__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue rp_relay__op__enum_values_by_number[3] = {
-	{ "SUBMIT", "RP_RELAY__OP__SUBMIT", 0 },
-	{ "QUERY", "RP_RELAY__OP__QUERY", 1 },
-	{ "CANCEL", "RP_RELAY__OP__CANCEL", 2 },
-};
-static const ProtobufCIntRange rp_relay__op__value_ranges[] = { { 0, 0 },
-								{ 0, 3 } };
-static const ProtobufCEnumValueIndex rp_relay__op__enum_values_by_name[3] = {
-	{ "CANCEL", 2 },
-	{ "QUERY", 1 },
-	{ "SUBMIT", 0 },
-};
-const ProtobufCEnumDescriptor rp_relay__op__descriptor = {
-	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-	"RpRelay.Op",
-	"Op",
-	"RpRelay__Op",
-	"",
-	3,
-	rp_relay__op__enum_values_by_number,
-	3,
-	rp_relay__op__enum_values_by_name,
-	1,
-	rp_relay__op__value_ranges,
-	NULL,
-	NULL,
-	NULL,
-	NULL /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor rp_relay__field_descriptors[11] = {
-	{
-		"relay_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(RpRelay, relay_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"op", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM, 0, /* quantifier_offset
-									  */
-		offsetof(RpRelay, op), &rp_relay__op__descriptor, NULL, 0, /* flags
-									    */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"key", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset
-									    */
-		offsetof(RpRelay, key), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"key_is_callers", 4, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(RpRelay, key_is_callers), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"wait", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset
-									    */
-		offsetof(RpRelay, wait), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0, /* quantifier_offset */
-		offsetof(RpRelay, service), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"team", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,					/* quantifier_offset */
-		offsetof(RpRelay, team), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"timeout_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(RpRelay, timeout_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"is_request", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(RpRelay, is_request), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"idempotent", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(RpRelay, idempotent), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"tasks", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(RpRelay, n_tasks), offsetof(RpRelay, tasks),
-		&rp_task__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL		       /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = id */
+  1,   /* field[1] = payload */
+};
+static const ProtobufCIntRange rp_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpTask",
+  "RpTask",
+  "RpTask",
+  "",
+  sizeof(RpTask),
+  2,
+  rp_task__field_descriptors,
+  rp_task__field_indices_by_name,
+  1,  rp_task__number_ranges,
+  (ProtobufCMessageInit) rp_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue rp_relay__op__enum_values_by_number[3] =
+{
+  { "SUBMIT", "RP_RELAY__OP__SUBMIT", 0 },
+  { "QUERY", "RP_RELAY__OP__QUERY", 1 },
+  { "CANCEL", "RP_RELAY__OP__CANCEL", 2 },
+};
+static const ProtobufCIntRange rp_relay__op__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex rp_relay__op__enum_values_by_name[3] =
+{
+  { "CANCEL", 2 },
+  { "QUERY", 1 },
+  { "SUBMIT", 0 },
+};
+const ProtobufCEnumDescriptor rp_relay__op__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "RpRelay.Op",
+  "Op",
+  "RpRelay__Op",
+  "",
+  3,
+  rp_relay__op__enum_values_by_number,
+  3,
+  rp_relay__op__enum_values_by_name,
+  1,
+  rp_relay__op__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor rp_relay__field_descriptors[14] =
+{
+  {
+    "relay_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, relay_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "op",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, op),
+    &rp_relay__op__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_is_callers",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, key_is_callers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, wait),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_request",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, is_request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpRelay, n_tasks),
+    offsetof(RpRelay, tasks),
+    &rp_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, owner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_incarnation",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpRelay, owner_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_relay__field_indices_by_name[] = {
-	9,  /* field[9] = idempotent */
-	8,  /* field[8] = is_request */
-	2,  /* field[2] = key */
-	3,  /* field[3] = key_is_callers */
-	1,  /* field[1] = op */
-	0,  /* field[0] = relay_id */
-	5,  /* field[5] = service */
-	10, /* field[10] = tasks */
-	6,  /* field[6] = team */
-	7,  /* field[7] = timeout_ms */
-	4,  /* field[4] = wait */
-};
-static const ProtobufCIntRange rp_relay__number_ranges[1 + 1] = { { 1, 0 },
-								  { 0, 11 } };
-const ProtobufCMessageDescriptor rp_relay__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpRelay",
-	"RpRelay",
-	"RpRelay",
-	"",
-	sizeof(RpRelay),
-	11,
-	rp_relay__field_descriptors,
-	rp_relay__field_indices_by_name,
-	1,
-	rp_relay__number_ranges,
-	(ProtobufCMessageInit)rp_relay__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp_result__field_descriptors[2] = {
-	{
-		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset
-									   */
-		offsetof(RpResult, id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"body", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
-		0,					 /* quantifier_offset */
-		offsetof(RpResult, body), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  11,   /* field[11] = attempt */
+  9,   /* field[9] = idempotent */
+  8,   /* field[8] = is_request */
+  2,   /* field[2] = key */
+  3,   /* field[3] = key_is_callers */
+  1,   /* field[1] = op */
+  12,   /* field[12] = owner */
+  13,   /* field[13] = owner_incarnation */
+  0,   /* field[0] = relay_id */
+  5,   /* field[5] = service */
+  10,   /* field[10] = tasks */
+  6,   /* field[6] = team */
+  7,   /* field[7] = timeout_ms */
+  4,   /* field[4] = wait */
+};
+static const ProtobufCIntRange rp_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 14 }
+};
+const ProtobufCMessageDescriptor rp_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpRelay",
+  "RpRelay",
+  "RpRelay",
+  "",
+  sizeof(RpRelay),
+  14,
+  rp_relay__field_descriptors,
+  rp_relay__field_indices_by_name,
+  1,  rp_relay__number_ranges,
+  (ProtobufCMessageInit) rp_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_result__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpResult, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpResult, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_result__field_indices_by_name[] = {
-	1, /* field[1] = body */
-	0, /* field[0] = id */
-};
-static const ProtobufCIntRange rp_result__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 2 } };
-const ProtobufCMessageDescriptor rp_result__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpResult",
-	"RpResult",
-	"RpResult",
-	"",
-	sizeof(RpResult),
-	2,
-	rp_result__field_descriptors,
-	rp_result__field_indices_by_name,
-	1,
-	rp_result__number_ranges,
-	(ProtobufCMessageInit)rp_result__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp_relay_answer__field_descriptors[9] = {
-	{
-		"relay_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, relay_id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, state), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"code", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, code), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT32,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, step), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"peer", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, peer), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"message", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, message), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"may_have_run", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, may_have_run), NULL, NULL, 0, /* flags
-								       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"retry_after_ms", 8, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(RpRelayAnswer, retry_after_ms), NULL, NULL, 0, /* flags
-									 */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"results", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(RpRelayAnswer, n_results),
-		offsetof(RpRelayAnswer, results), &rp_result__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = body */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange rp_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpResult",
+  "RpResult",
+  "RpResult",
+  "",
+  sizeof(RpResult),
+  2,
+  rp_result__field_descriptors,
+  rp_result__field_indices_by_name,
+  1,  rp_result__number_ranges,
+  (ProtobufCMessageInit) rp_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_relay_answer__field_descriptors[10] =
+{
+  {
+    "relay_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, relay_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, peer),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "message",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, message),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "may_have_run",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, may_have_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpRelayAnswer, n_results),
+    offsetof(RpRelayAnswer, results),
+    &rp_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpRelayAnswer, ack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_relay_answer__field_indices_by_name[] = {
-	2, /* field[2] = code */
-	6, /* field[6] = may_have_run */
-	5, /* field[5] = message */
-	4, /* field[4] = peer */
-	0, /* field[0] = relay_id */
-	8, /* field[8] = results */
-	7, /* field[7] = retry_after_ms */
-	1, /* field[1] = state */
-	3, /* field[3] = step */
-};
-static const ProtobufCIntRange rp_relay_answer__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 9 }
-};
-const ProtobufCMessageDescriptor rp_relay_answer__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpRelayAnswer",
-	"RpRelayAnswer",
-	"RpRelayAnswer",
-	"",
-	sizeof(RpRelayAnswer),
-	9,
-	rp_relay_answer__field_descriptors,
-	rp_relay_answer__field_indices_by_name,
-	1,
-	rp_relay_answer__number_ranges,
-	(ProtobufCMessageInit)rp_relay_answer__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp_heartbeat__field_descriptors[5] = {
-	{
-		"failure_domain", 1, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(RpHeartbeat, failure_domain), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(RpHeartbeat, address), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"draining", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(RpHeartbeat, draining), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"table_version", 4, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(RpHeartbeat, table_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"load", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-		0, /* quantifier_offset */
-		offsetof(RpHeartbeat, load), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  9,   /* field[9] = ack */
+  2,   /* field[2] = code */
+  6,   /* field[6] = may_have_run */
+  5,   /* field[5] = message */
+  4,   /* field[4] = peer */
+  0,   /* field[0] = relay_id */
+  8,   /* field[8] = results */
+  7,   /* field[7] = retry_after_ms */
+  1,   /* field[1] = state */
+  3,   /* field[3] = step */
+};
+static const ProtobufCIntRange rp_relay_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor rp_relay_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpRelayAnswer",
+  "RpRelayAnswer",
+  "RpRelayAnswer",
+  "",
+  sizeof(RpRelayAnswer),
+  10,
+  rp_relay_answer__field_descriptors,
+  rp_relay_answer__field_indices_by_name,
+  1,  rp_relay_answer__number_ranges,
+  (ProtobufCMessageInit) rp_relay_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_seen__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpSeen, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpSeen, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpSeen, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpSeen, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_seen__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = draining */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange rp_seen__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_seen__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpSeen",
+  "RpSeen",
+  "RpSeen",
+  "",
+  sizeof(RpSeen),
+  4,
+  rp_seen__field_descriptors,
+  rp_seen__field_indices_by_name,
+  1,  rp_seen__number_ranges,
+  (ProtobufCMessageInit) rp_seen__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_forward__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, to_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_forward__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  2,   /* field[2] = to */
+  3,   /* field[3] = to_incarnation */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange rp_forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpForward",
+  "RpForward",
+  "RpForward",
+  "",
+  sizeof(RpForward),
+  4,
+  rp_forward__field_descriptors,
+  rp_forward__field_indices_by_name,
+  1,  rp_forward__number_ranges,
+  (ProtobufCMessageInit) rp_forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_leaving__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpLeaving, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpLeaving, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_leaving__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange rp_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpLeaving",
+  "RpLeaving",
+  "RpLeaving",
+  "",
+  sizeof(RpLeaving),
+  2,
+  rp_leaving__field_descriptors,
+  rp_leaving__field_indices_by_name,
+  1,  rp_leaving__number_ranges,
+  (ProtobufCMessageInit) rp_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_heartbeat__field_descriptors[9] =
+{
+  {
+    "failure_domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, heard_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpHeartbeat, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpHeartbeat, n_seen),
+    offsetof(RpHeartbeat, seen),
+    &rp_seen__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forwards",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpHeartbeat, n_forwards),
+    offsetof(RpHeartbeat, forwards),
+    &rp_forward__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_heartbeat__field_indices_by_name[] = {
-	1, /* field[1] = address */
-	2, /* field[2] = draining */
-	0, /* field[0] = failure_domain */
-	4, /* field[4] = load */
-	3, /* field[3] = table_version */
-};
-static const ProtobufCIntRange rp_heartbeat__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
-};
-const ProtobufCMessageDescriptor rp_heartbeat__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpHeartbeat",
-	"RpHeartbeat",
-	"RpHeartbeat",
-	"",
-	sizeof(RpHeartbeat),
-	5,
-	rp_heartbeat__field_descriptors,
-	rp_heartbeat__field_indices_by_name,
-	1,
-	rp_heartbeat__number_ranges,
-	(ProtobufCMessageInit)rp_heartbeat__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[7] = {
-	{
-		"from", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(RpEnvelope, from), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 2, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(RpEnvelope, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"hlc", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(RpEnvelope, hlc), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"to", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset
-									    */
-		offsetof(RpEnvelope, to), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"heartbeat", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(RpEnvelope, heartbeat), &rp_heartbeat__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"relays", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(RpEnvelope, n_relays), offsetof(RpEnvelope, relays),
-		&rp_relay__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL			/* reserved1,reserved2, etc */
-	},
-	{
-		"relay_answers", 7, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(RpEnvelope, n_relay_answers),
-		offsetof(RpEnvelope, relay_answers),
-		&rp_relay_answer__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = address */
+  2,   /* field[2] = draining */
+  0,   /* field[0] = failure_domain */
+  8,   /* field[8] = forwards */
+  5,   /* field[5] = heard_ms */
+  4,   /* field[4] = load */
+  6,   /* field[6] = probe */
+  7,   /* field[7] = seen */
+  3,   /* field[3] = table_version */
+};
+static const ProtobufCIntRange rp_heartbeat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rp_heartbeat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpHeartbeat",
+  "RpHeartbeat",
+  "RpHeartbeat",
+  "",
+  sizeof(RpHeartbeat),
+  9,
+  rp_heartbeat__field_descriptors,
+  rp_heartbeat__field_indices_by_name,
+  1,  rp_heartbeat__number_ranges,
+  (ProtobufCMessageInit) rp_heartbeat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_credit_line__field_descriptors[5] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditLine, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditLine, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditLine, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditLine, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cap",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditLine, cap),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_credit_line__field_indices_by_name[] = {
+  4,   /* field[4] = cap */
+  2,   /* field[2] = granted */
+  3,   /* field[3] = released */
+  0,   /* field[0] = target */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange rp_credit_line__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rp_credit_line__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpCreditLine",
+  "RpCreditLine",
+  "RpCreditLine",
+  "",
+  sizeof(RpCreditLine),
+  5,
+  rp_credit_line__field_descriptors,
+  rp_credit_line__field_indices_by_name,
+  1,  rp_credit_line__number_ranges,
+  (ProtobufCMessageInit) rp_credit_line__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_credit_report__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, stamp_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, want),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpCreditReport, n_lines),
+    offsetof(RpCreditReport, lines),
+    &rp_credit_line__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_credit_report__field_indices_by_name[] = {
+  3,   /* field[3] = lines */
+  0,   /* field[0] = service */
+  1,   /* field[1] = stamp_ms */
+  2,   /* field[2] = want */
+};
+static const ProtobufCIntRange rp_credit_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_credit_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpCreditReport",
+  "RpCreditReport",
+  "RpCreditReport",
+  "",
+  sizeof(RpCreditReport),
+  4,
+  rp_credit_report__field_descriptors,
+  rp_credit_report__field_indices_by_name,
+  1,  rp_credit_report__number_ranges,
+  (ProtobufCMessageInit) rp_credit_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_credit_grant__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, stamp_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, call),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpCreditGrant, n_lines),
+    offsetof(RpCreditGrant, lines),
+    &rp_credit_line__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_credit_grant__field_indices_by_name[] = {
+  2,   /* field[2] = call */
+  3,   /* field[3] = lines */
+  0,   /* field[0] = service */
+  1,   /* field[1] = stamp_ms */
+};
+static const ProtobufCIntRange rp_credit_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_credit_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpCreditGrant",
+  "RpCreditGrant",
+  "RpCreditGrant",
+  "",
+  sizeof(RpCreditGrant),
+  4,
+  rp_credit_grant__field_descriptors,
+  rp_credit_grant__field_indices_by_name,
+  1,  rp_credit_grant__number_ranges,
+  (ProtobufCMessageInit) rp_credit_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_handover_record__field_descriptors[6] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_answer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, has_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "final_state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, final_state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, answer),
+    &rp_relay_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expires_in_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverRecord, expires_in_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_handover_record__field_indices_by_name[] = {
+  4,   /* field[4] = answer */
+  1,   /* field[1] = digest */
+  5,   /* field[5] = expires_in_ms */
+  3,   /* field[3] = final_state */
+  2,   /* field[2] = has_answer */
+  0,   /* field[0] = key */
+};
+static const ProtobufCIntRange rp_handover_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rp_handover_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpHandoverRecord",
+  "RpHandoverRecord",
+  "RpHandoverRecord",
+  "",
+  sizeof(RpHandoverRecord),
+  6,
+  rp_handover_record__field_descriptors,
+  rp_handover_record__field_indices_by_name,
+  1,  rp_handover_record__number_ranges,
+  (ProtobufCMessageInit) rp_handover_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_handover__field_descriptors[4] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpHandover, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpHandover, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpHandover, n_records),
+    offsetof(RpHandover, records),
+    &rp_handover_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnations",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpHandover, n_incarnations),
+    offsetof(RpHandover, incarnations),
+    &rp_forward__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_handover__field_indices_by_name[] = {
+  3,   /* field[3] = incarnations */
+  1,   /* field[1] = last */
+  0,   /* field[0] = part */
+  2,   /* field[2] = records */
+};
+static const ProtobufCIntRange rp_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpHandover",
+  "RpHandover",
+  "RpHandover",
+  "",
+  sizeof(RpHandover),
+  4,
+  rp_handover__field_descriptors,
+  rp_handover__field_indices_by_name,
+  1,  rp_handover__number_ranges,
+  (ProtobufCMessageInit) rp_handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_handover_ack__field_descriptors[2] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverAck, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpHandoverAck, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_handover_ack__field_indices_by_name[] = {
+  0,   /* field[0] = part */
+  1,   /* field[1] = refused */
+};
+static const ProtobufCIntRange rp_handover_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_handover_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpHandoverAck",
+  "RpHandoverAck",
+  "RpHandoverAck",
+  "",
+  sizeof(RpHandoverAck),
+  2,
+  rp_handover_ack__field_descriptors,
+  rp_handover_ack__field_indices_by_name,
+  1,  rp_handover_ack__number_ranges,
+  (ProtobufCMessageInit) rp_handover_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[12] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hlc",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, hlc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, to),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, heartbeat),
+    &rp_heartbeat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relays",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpEnvelope, n_relays),
+    offsetof(RpEnvelope, relays),
+    &rp_relay__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_answers",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpEnvelope, n_relay_answers),
+    offsetof(RpEnvelope, relay_answers),
+    &rp_relay_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reports",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpEnvelope, n_reports),
+    offsetof(RpEnvelope, reports),
+    &rp_credit_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpEnvelope, n_grants),
+    offsetof(RpEnvelope, grants),
+    &rp_credit_grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpEnvelope, n_leaving),
+    offsetof(RpEnvelope, leaving),
+    &rp_leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handover",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, handover),
+    &rp_handover__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "handover_ack",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, handover_ack),
+    &rp_handover_ack__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_envelope__field_indices_by_name[] = {
-	0, /* field[0] = from */
-	4, /* field[4] = heartbeat */
-	2, /* field[2] = hlc */
-	1, /* field[1] = incarnation */
-	6, /* field[6] = relay_answers */
-	5, /* field[5] = relays */
-	3, /* field[3] = to */
-};
-static const ProtobufCIntRange rp_envelope__number_ranges[1 + 1] = { { 1, 0 },
-								     { 0, 7 } };
-const ProtobufCMessageDescriptor rp_envelope__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"RpEnvelope",
-	"RpEnvelope",
-	"RpEnvelope",
-	"",
-	sizeof(RpEnvelope),
-	7,
-	rp_envelope__field_descriptors,
-	rp_envelope__field_indices_by_name,
-	1,
-	rp_envelope__number_ranges,
-	(ProtobufCMessageInit)rp_envelope__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  0,   /* field[0] = from */
+  8,   /* field[8] = grants */
+  10,   /* field[10] = handover */
+  11,   /* field[11] = handover_ack */
+  4,   /* field[4] = heartbeat */
+  2,   /* field[2] = hlc */
+  1,   /* field[1] = incarnation */
+  9,   /* field[9] = leaving */
+  6,   /* field[6] = relay_answers */
+  5,   /* field[5] = relays */
+  7,   /* field[7] = reports */
+  3,   /* field[3] = to */
+};
+static const ProtobufCIntRange rp_envelope__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor rp_envelope__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpEnvelope",
+  "RpEnvelope",
+  "RpEnvelope",
+  "",
+  sizeof(RpEnvelope),
+  12,
+  rp_envelope__field_descriptors,
+  rp_envelope__field_indices_by_name,
+  1,  rp_envelope__number_ranges,
+  (ProtobufCMessageInit) rp_envelope__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- /dev/null
+++ b/regress/net/net.h
@@ -0,0 +1,112 @@
+#ifndef NET_H
+#define NET_H
+
+/*
+ * Several kernels in one process, joined by a fake network with seeded
+ * delays, lost messages, silent links, pauses and cuts, with fake targets
+ * that answer busy beyond their slots. It asserts that no task is started
+ * twice and counts the tasks beyond a target's limit.
+ */
+
+#include "rosemary-int.h"
+
+#define NET_VMS_MAX 40
+#define NET_DOMAINS_MAX 4
+#define NET_TARGETS_MAX 520
+#define NET_CALLS_MAX 200000
+
+struct net_options {
+	uint64_t seed;
+	int nvms, ndomains, ntargets, slots;
+	const char *limit;   /* policy */
+	int64_t task_us;     /* mean run time of a task */
+	int64_t far_us;	     /* one-way delay between domains */
+	int64_t near_us;     /* one-way delay within one */
+	int64_t list_lag_us; /* of the platform's list */
+	rp_ms credit_lease;  /* 0: the default */
+};
+
+/* What became of one call of a caller. */
+struct net_call {
+	int64_t sent_us, done_us; /* done_us 0: not answered */
+	int answers;
+	enum rp_state state;
+	enum rp_code code;
+	int may_have_run;
+	rp_ms retry_after;
+	size_t nresults;
+	uint64_t digest; /* of state and results */
+};
+
+struct net_vm {
+	struct rp_kernel *k; /* NULL: not running */
+	struct rp_options opt;
+	int domain;
+	int paused, draining, drained;
+	int64_t up_us, down_us; /* of its process, for the list */
+	int64_t tick_us;
+	uint64_t messages, bytes;
+};
+
+struct net_target {
+	char name[RP_NAME_MAX];
+	int domain, slots, running, leaving, removed;
+	int64_t task_us;
+	uint64_t runs, busy, leaving_starts;
+	int running_max, in_flight_max;
+};
+
+struct net {
+	struct net_options opt;
+	int64_t now_us;
+	uint64_t random, next_seq, incarnation;
+	struct net_vm vms[NET_VMS_MAX];
+	struct net_target targets[NET_TARGETS_MAX];
+	int cut[NET_DOMAINS_MAX][NET_DOMAINS_MAX]; /* from, to */
+	int platform_cut[NET_DOMAINS_MAX];
+	int silent[NET_VMS_MAX][NET_VMS_MAX]; /* until the link is reset */
+	int loss_percent;		      /* of peer messages */
+	struct net_event *heap;
+	size_t len, cap;
+	apr_pool_t *pool;
+	apr_hash_t *started; /* ids of all tasks that targets started */
+	uint64_t twice;	     /* tasks started twice */
+	uint64_t overruns;   /* starts on a target beyond its limit */
+	struct net_call *calls;
+	size_t ncalls;
+	char (*keys)[RP_KEY_MAX];
+	size_t nkeys;
+	struct rp_vm *list; /* scratch for the platform's list */
+};
+
+void net_options_init(struct net_options *opt);
+struct net *net_new(const struct net_options *opt);
+void net_free(struct net *net);
+void net_run(struct net *net, rp_ms span);
+/* Gives an event to an entry VM's kernel and carries out what follows. */
+void net_deliver(struct net *net, int vm, const struct rp_event *ev);
+
+/* Asks the entry VM for a key. */
+void net_key(struct net *net, int vm, char key[RP_KEY_MAX]);
+/* Each returns the index of the call in net->calls. */
+size_t net_submit(struct net *net, int vm, const char *key, int ntasks,
+		  rp_ms timeout);
+size_t net_submit_body(struct net *net, int vm, const char *key, int ntasks,
+		       rp_ms timeout, const char *payload, int callers_key);
+size_t net_query(struct net *net, int vm, const char *key, int wait);
+
+/* The process ends at once; restart makes a new incarnation. */
+void net_kill(struct net *net, int vm);
+void net_restart(struct net *net, int vm);
+void net_pause(struct net *net, int vm, int paused);
+void net_drain(struct net *net, int vm);
+/* Cuts or heals all links from one domain to another, one way. */
+void net_cut(struct net *net, int from, int to, int cut);
+/* Cuts or heals a domain from all others, both ways. */
+void net_isolate(struct net *net, int domain, int cut);
+/* How the member looks to the entry VM. */
+enum rp_member_state net_state(struct net *net, int vm, int member);
+/* Tasks in flight on the target by the count of all kernels. */
+int net_in_flight(struct net *net, int target);
+
+#endif
--- a/relay-call.c
+++ b/relay-call.c
@@ -1,39 +1,159 @@
-/* Calls for keys that another incarnation owns. */
+/*
+ * Calls for keys that another incarnation owns. They are passed on to the
+ * owner named in the key, or in the claim; nothing of them starts here.
+ */
 
 #include "rosemary-int.h"
 
-#define RETRY_AFTER_UNREACHABLE_MS 1000
+#include <stdlib.h>
+#include <string.h>
 
-static void unreachable(struct rp_kernel *k, rp_ms now, const char *owner,
+/* Span in which the owner must answer a call that does not wait, ms. */
+#define RELAY_TIMEOUT_MS 3000
+/* Further span for a waiting call beyond its deadline, ms. */
+#define RELAY_GRACE_MS 5000
+/* First span until a call is sent again, ms. */
+#define RELAY_ASK_MS 500
+
+void relay_free(struct rp_relay *r)
+{
+	rp_submission_unref(r->sub);
+	free(r);
+}
+
+void relay_finish(struct rp_kernel *k)
+{
+	apr_hash_index_t *h;
+
+	for (h = apr_hash_first(NULL, k->node.relays); h; h = apr_hash_next(h))
+		relay_free(apr_hash_this_val(h));
+}
+
+/* How long the call may wait for its answer. */
+static rp_ms relay_span(const struct rp_kernel *k, const struct rp_relay *r)
+{
+	if (r->op == RP_RELAY__OP__CANCEL || !r->wait)
+		return RELAY_TIMEOUT_MS;
+	return (r->sub ? r->sub->timeout : k->opt.max_timeout) + RELAY_GRACE_MS;
+}
+
+/* Puts the call into the table; the node's lock is held. */
+static void relay_add(struct rp_kernel *k, rp_ms now, struct rp_relay *r)
+{
+	struct rp_node *n = &k->node;
+
+	r->id = ++n->next_relay;
+	r->heard_at = now;
+	r->next_ask = now + RELAY_ASK_MS;
+	r->give_up_at = now + relay_span(k, r);
+	apr_hash_set(n->relays, &r->id, sizeof(r->id), r);
+}
+
+/* Sends the call to whoever answers for its owner; takes r over. */
+static void relay_start(struct rp_kernel *k, rp_ms now, struct rp_relay *r,
+			struct rp_actions *acts)
+{
+	struct rp_str key = { r->key, r->key_len };
+	struct rp_relay sent;
+	enum rp_owner owner;
+
+	kernel_lock(k, k->node.lock);
+	owner = member_owner(k, now, r->owner, r->owner_incarnation, r->to);
+	if (owner == RP_OWNER_PEER)
+		relay_add(k, now, r);
+	sent = *r;
+	kernel_unlock(k, k->node.lock);
+	if (owner == RP_OWNER_PEER) {
+		relay_send(k, now, &sent, acts);
+		return;
+	}
+	if (owner == RP_OWNER_HERE) {
+		relay_adopted(k, now, r->sub, key, r->wait, &r->waiter, acts);
+	} else {
+		if (owner == RP_OWNER_UNREACHABLE)
+			beat_probe(k, now, r->to, acts);
+		relay_no_owner(k, now, owner, r->owner, &r->waiter, acts);
+	}
+	relay_free(r);
+}
+
+static void relay_begin(struct rp_kernel *k, rp_ms now, int op,
+			struct rp_submission *sub, struct rp_str key,
+			const char *owner, uint64_t incarnation, int wait,
 			const struct rp_waiter *w, struct rp_actions *acts)
 {
-	struct rp_status st;
+	struct rp_relay *r;
+
+	if (w->peer[0]) {
+		/* A call is passed on once only; the caller's VM asks anew. */
+		relay_no_owner(k, now, RP_OWNER_UNREACHABLE, owner, w, acts);
+		return;
+	}
+	r = kernel_alloc(sizeof(*r));
+	r->op = op;
+	r->waiter = *w;
+	r->waiter.next = NULL;
+	r->sub = sub ? rp_submission_ref(sub) : NULL;
+	r->key_len = key.len;
+	str_copy(r->key, sizeof(r->key), key);
+	str_copy(r->owner, sizeof(r->owner), str_of(owner));
+	r->owner_incarnation = incarnation;
+	r->wait = wait;
+	relay_start(k, now, r, acts);
+}
+
+void relay_submit_to(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		     const char *owner_vm, uint64_t owner_incarnation, int wait,
+		     const struct rp_waiter *w, struct rp_actions *acts)
+{
+	relay_begin(k, now, RP_RELAY__OP__SUBMIT, sub, sub->key, owner_vm,
+		    owner_incarnation, wait, w, acts);
+}
+
+void relay_query_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		    const char *owner_vm, uint64_t owner_incarnation, int wait,
+		    const struct rp_waiter *w, struct rp_actions *acts)
+{
+	relay_begin(k, now, RP_RELAY__OP__QUERY, NULL, key, owner_vm,
+		    owner_incarnation, wait, w, acts);
+}
 
-	rp_status_set(&st, RP_E_UNREACHABLE, RP_STEP_RELAY, owner,
-		      "the owner of the key cannot be reached");
-	sub_answer(k, now, w,
-		   answer_status(RP_REFUSED, &st, RETRY_AFTER_UNREACHABLE_MS),
-		   acts);
+void relay_cancel_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		     const char *owner_vm, uint64_t owner_incarnation,
+		     const struct rp_waiter *w, struct rp_actions *acts)
+{
+	relay_begin(k, now, RP_RELAY__OP__CANCEL, NULL, key, owner_vm,
+		    owner_incarnation, 1, w, acts);
 }
 
 void relay_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
 		  const struct rp_key *key, int wait, const struct rp_waiter *w,
 		  struct rp_actions *acts)
 {
-	(void)sub;
-	(void)wait;
-	unreachable(k, now, key->vm, w, acts);
+	struct rp_status st;
+
+	if (key->incarnation == k->opt.incarnation &&
+	    !strcmp(key->vm, k->opt.vm_name)) {
+		rp_status_set(&st, RP_E_INPUT, RP_STEP_PARSE, "",
+			      "key: was not issued");
+		sub_answer(k, now, w, answer_status(RP_REFUSED, &st, 0), acts);
+		return;
+	}
+	relay_submit_to(k, now, sub, key->vm, key->incarnation, wait, w, acts);
 }
 
 /* A query or cancellation of a key that no record here knows. */
-static void relay_key(struct rp_kernel *k, rp_ms now, struct rp_str text,
-		      const struct rp_waiter *w, struct rp_actions *acts)
+static void relay_key(struct rp_kernel *k, rp_ms now, int op,
+		      struct rp_str text, int wait, const struct rp_waiter *w,
+		      struct rp_actions *acts)
 {
 	struct rp_status st;
 	struct rp_key key;
 
-	if (key_parse(text, &key) && !key_is_ours(k, text, &key)) {
-		unreachable(k, now, key.vm, w, acts);
+	if (key_parse(text, &key) && (key.incarnation != k->opt.incarnation ||
+				      strcmp(key.vm, k->opt.vm_name) != 0)) {
+		relay_begin(k, now, op, NULL, text, key.vm, key.incarnation,
+			    wait, w, acts);
 		return;
 	}
 	rp_status_set(&st, RP_E_UNKNOWN_KEY, RP_STEP_RELAY, "",
@@ -44,22 +164,50 @@
 void relay_query(struct rp_kernel *k, rp_ms now, struct rp_str key, int wait,
 		 const struct rp_waiter *w, struct rp_actions *acts)
 {
-	(void)wait;
-	relay_key(k, now, key, w, acts);
+	relay_key(k, now, RP_RELAY__OP__QUERY, key, wait, w, acts);
 }
 
 void relay_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		  const struct rp_waiter *w, struct rp_actions *acts)
 {
-	relay_key(k, now, key, w, acts);
+	relay_key(k, now, RP_RELAY__OP__CANCEL, key, 1, w, acts);
+}
+
+void relay_answered(struct rp_kernel *k, rp_ms now, const RpRelayAnswer *msg,
+		    struct rp_actions *acts)
+{
+	struct rp_node *n = &k->node;
+	uint64_t id = msg->relay_id;
+	struct rp_relay *r;
+
+	kernel_lock(k, n->lock);
+	r = apr_hash_get(n->relays, &id, sizeof(id));
+	if (r && msg->ack) {
+		r->acked = 1;
+		r->attempts = 0;
+		r->heard_at = now;
+		r = NULL;
+	}
+	if (r)
+		apr_hash_set(n->relays, &id, sizeof(id), NULL);
+	kernel_unlock(k, n->lock);
+	if (!r)
+		return; /* late, repeated, or only an acknowledgement */
+	sub_answer(k, now, &r->waiter, relay_unpack_answer(msg), acts);
+	relay_free(r);
 }
 
 void relay_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
 		  struct rp_answer *a, struct rp_actions *acts)
 {
-	(void)k;
-	(void)now;
-	(void)w;
-	(void)acts;
+	RpEnvelope env = RP_ENVELOPE__INIT;
+	RpRelayAnswer msg, *list = &msg;
+
+	relay_pack_answer(a, &msg);
+	msg.relay_id = w->relay_id;
+	env.n_relay_answers = 1;
+	env.relay_answers = &list;
+	peer_send(k, now, w->peer, &env, acts);
+	relay_pack_free(&msg);
 	rp_answer_unref(a);
 }
--- /dev/null
+++ b/relay-wait.c
@@ -0,0 +1,214 @@
+/* Relayed calls that wait: sent again, answered when their owner is lost. */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Span between looks at the waiting calls, ms. */
+#define RELAY_SCAN_MS 100
+/* Longest span until a call is sent again, ms. */
+#define RELAY_ASK_MAX_MS 4000
+#define RELAY_ASK_MS 500
+/* Sends without anything back after which the link counts as silent. */
+#define RELAY_SILENT_SENDS 2
+/* Span without anything back after which the owner is unreachable, ms. */
+#define RELAY_LOST_MS 3000
+/* The same for a call that the owner acknowledged, ms. */
+#define RELAY_ACKED_LOST_MS 15000
+#define RETRY_AFTER_UNREACHABLE_MS 1000
+
+void relay_no_owner(struct rp_kernel *k, rp_ms now, enum rp_owner why,
+		    const char *owner, const struct rp_waiter *w,
+		    struct rp_actions *acts)
+{
+	struct rp_answer *a;
+	struct rp_status st;
+
+	if (why == RP_OWNER_GONE) {
+		rp_status_set(&st, RP_E_GONE, RP_STEP_RELAY, owner,
+			      "the owner of the key is gone; whether the "
+			      "submission ran is unknown");
+		a = answer_status(RP_FAILED, &st, 0);
+		a->may_have_run = 1;
+	} else {
+		rp_status_set(&st, RP_E_UNREACHABLE, RP_STEP_RELAY, owner,
+			      "the owner of the key cannot be reached");
+		a = answer_status(RP_REFUSED, &st, RETRY_AFTER_UNREACHABLE_MS);
+	}
+	sub_answer(k, now, w, a, acts);
+}
+
+static ProtobufCBinaryData bytes_of(struct rp_str s)
+{
+	ProtobufCBinaryData b = { s.len, (uint8_t *)s.ptr };
+
+	return b;
+}
+
+/* Fills in the submission; the tasks are allocated. */
+static void pack_submission(const struct rp_submission *sub, RpRelay *msg)
+{
+	RpTask *tasks = kernel_alloc(sub->ntasks * sizeof(*tasks));
+	size_t i;
+
+	msg->key_is_callers = sub->key_is_callers != 0;
+	msg->service = bytes_of(sub->service);
+	msg->team = bytes_of(sub->team);
+	msg->timeout_ms = sub->timeout;
+	msg->is_request = sub->is_request != 0;
+	msg->idempotent = sub->idempotent != 0;
+	msg->n_tasks = sub->ntasks;
+	msg->tasks = kernel_alloc(sub->ntasks * sizeof(RpTask *));
+	for (i = 0; i < sub->ntasks; i++) {
+		rp_task__init(&tasks[i]);
+		tasks[i].id = bytes_of(sub->tasks[i].id);
+		tasks[i].payload = bytes_of(sub->tasks[i].payload);
+		msg->tasks[i] = &tasks[i];
+	}
+}
+
+void relay_send(struct rp_kernel *k, rp_ms now, const struct rp_relay *r,
+		struct rp_actions *acts)
+{
+	RpEnvelope env = RP_ENVELOPE__INIT;
+	RpRelay msg = RP_RELAY__INIT, *list = &msg;
+	struct rp_str key = { r->key, r->key_len };
+
+	msg.relay_id = r->id;
+	msg.op = (RpRelay__Op)r->op;
+	msg.key = bytes_of(key);
+	msg.wait = r->wait != 0;
+	msg.attempt = r->attempts;
+	msg.owner = (char *)r->owner;
+	msg.owner_incarnation = r->owner_incarnation;
+	/* The owner has the body of what it acknowledged. */
+	if (r->sub && r->acked)
+		msg.op = RP_RELAY__OP__QUERY;
+	else if (r->sub)
+		pack_submission(r->sub, &msg);
+	env.n_relays = 1;
+	env.relays = &list;
+	peer_send(k, now, r->to, &env, acts);
+	if (msg.n_tasks)
+		free(msg.tasks[0]);
+	free(msg.tasks);
+}
+
+/* What a look at a waiting call leads to. */
+enum relay_step { RELAY_KEEP, RELAY_SEND, RELAY_END };
+
+/* A second send without anything back: the link may have gone silent. */
+static void relay_renew_link(struct rp_kernel *k, rp_ms now,
+			     const struct rp_relay *r, struct rp_actions *acts)
+{
+	struct rp_member_entry *e = member_find(&k->node, r->to);
+
+	if (e && r->attempts % RELAY_SILENT_SENDS == 0)
+		peer_reset(e, now, acts);
+}
+
+static enum relay_step relay_look(struct rp_kernel *k, rp_ms now,
+				  struct rp_relay *r, enum rp_owner *owner,
+				  struct rp_actions *acts)
+{
+	rp_ms lost = r->acked ? RELAY_ACKED_LOST_MS : RELAY_LOST_MS;
+	char to[RP_NAME_MAX];
+	rp_ms span;
+
+	*owner = member_owner(k, now, r->owner, r->owner_incarnation, to);
+	if (*owner == RP_OWNER_GONE || *owner == RP_OWNER_HERE)
+		return RELAY_END;
+	if (now >= r->give_up_at || r->heard_at + lost <= now) {
+		*owner = RP_OWNER_UNREACHABLE;
+		return RELAY_END;
+	}
+	if (strcmp(to, r->to) != 0) {
+		/* The owner stopped, and another member serves its keys. */
+		memcpy(r->to, to, sizeof(r->to));
+		r->next_ask = now;
+	}
+	if (r->next_ask > now)
+		return RELAY_KEEP;
+	r->attempts++;
+	relay_renew_link(k, now, r, acts);
+	span = RELAY_ASK_MS << (r->attempts < 4 ? r->attempts : 4);
+	if (r->acked || span > RELAY_ASK_MAX_MS)
+		span = RELAY_ASK_MAX_MS;
+	r->next_ask = now + span;
+	return RELAY_SEND;
+}
+
+/* Ends a call whose owner cannot answer it. */
+static void relay_end(struct rp_kernel *k, rp_ms now, struct rp_relay *r,
+		      enum rp_owner owner, struct rp_actions *acts)
+{
+	struct rp_str key = { r->key, r->key_len };
+
+	if (owner == RP_OWNER_HERE) {
+		relay_adopted(k, now, r->sub, key, r->wait, &r->waiter, acts);
+	} else {
+		if (owner == RP_OWNER_UNREACHABLE)
+			member_unanswered(k, r->to);
+		relay_no_owner(k, now, owner, r->owner, &r->waiter, acts);
+	}
+	relay_free(r);
+}
+
+/* A call that a look found to be sent again, or ended. */
+struct relay_due {
+	struct rp_relay copy; /* of one to be sent */
+	struct rp_relay *end;
+	enum rp_owner owner;
+};
+
+static size_t collect_due(struct rp_kernel *k, rp_ms now, struct relay_due *due,
+			  struct rp_actions *acts)
+{
+	struct rp_node *n = &k->node;
+	apr_hash_index_t *h;
+	size_t len = 0;
+
+	for (h = apr_hash_first(NULL, n->relays); h; h = apr_hash_next(h)) {
+		struct rp_relay *r = apr_hash_this_val(h);
+		struct relay_due *d = &due[len];
+		enum relay_step step = relay_look(k, now, r, &d->owner, acts);
+
+		if (step == RELAY_KEEP)
+			continue;
+		d->end = step == RELAY_END ? r : NULL;
+		d->copy = *r;
+		if (r->sub && !d->end)
+			rp_submission_ref(r->sub);
+		len++;
+		if (d->end)
+			apr_hash_set(n->relays, &r->id, sizeof(r->id), NULL);
+	}
+	return len;
+}
+
+void relay_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_node *n = &k->node;
+	struct relay_due *due;
+	size_t len, i;
+
+	kernel_lock(k, n->lock);
+	if (n->relay_due > now || !apr_hash_count(n->relays)) {
+		kernel_unlock(k, n->lock);
+		return;
+	}
+	n->relay_due = now + RELAY_SCAN_MS;
+	due = kernel_alloc(apr_hash_count(n->relays) * sizeof(*due));
+	len = collect_due(k, now, due, acts);
+	kernel_unlock(k, n->lock);
+	for (i = 0; i < len; i++) {
+		if (due[i].end) {
+			relay_end(k, now, due[i].end, due[i].owner, acts);
+			continue;
+		}
+		relay_send(k, now, &due[i].copy, acts);
+		rp_submission_unref(due[i].copy.sub);
+	}
+	free(due);
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -230,6 +230,7 @@
 	int listed;	     /* in the latest list */
 	int leaving;	     /* by list, own reply or peer: gets no work */
 	rp_ms leaving_since; /* when the earliest sign came */
+	int leaving_told;    /* the members were told, or told us */
 	int32_t weight;	     /* in force from the table */
 	int32_t limit;	     /* in force: table's limit, else slots */
 	int in_flight;	     /* starts of this entry VM not yet ended */
@@ -429,6 +430,59 @@
 	char failure_domain[RP_NAME_MAX];
 	uint64_t incarnation; /* 0: not heard yet */
 	enum rp_member_state state;
+	int64_t table_version; /* in force there, as last heard */
+	double load;	       /* tasks queued and running, as last heard */
+};
+
+/* What the node knows of a member beyond what a view shows. */
+struct rp_member_entry {
+	struct rp_member m;
+	int listed;	    /* in the latest list */
+	int leaving;	    /* by the list or its own heartbeat */
+	int gone;	    /* until it is heard again */
+	rp_ms announced_at; /* of our first heartbeat to it; 0: none yet */
+	int link_down;	    /* calls are refused until it is heard directly */
+	rp_ms heard_at;	    /* latest sign of life, direct or told by others */
+	rp_ms direct_at;    /* latest message from it; 0: none */
+	rp_ms replaced_at;  /* when it became gone or a newer incarnation */
+	rp_ms probed_at, reset_at;
+};
+
+/* The records of an incarnation that stopped are served by a member. */
+struct rp_forward {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	char to[RP_NAME_MAX];
+	uint64_t to_incarnation;
+	rp_ms until; /* its keys have expired after this */
+	struct rp_forward *next;
+};
+
+/* Who can answer for an incarnation now. */
+enum rp_owner {
+	RP_OWNER_HERE, /* this entry VM, for itself or by a forward */
+	RP_OWNER_PEER,
+	RP_OWNER_UNREACHABLE,
+	RP_OWNER_GONE,
+};
+
+/* A call passed on to the owner of its key that waits for the answer. */
+struct rp_relay {
+	uint64_t id;
+	struct rp_waiter waiter;
+	int op;			   /* RpRelay__Op */
+	struct rp_submission *sub; /* SUBMIT: one reference */
+	char key[RP_KEY_MAX];
+	size_t key_len;
+	char owner[RP_NAME_MAX];
+	uint64_t owner_incarnation;
+	char to[RP_NAME_MAX]; /* member that was asked */
+	int wait;
+	int acked;
+	uint32_t attempts; /* sends since something came back */
+	rp_ms heard_at;	   /* when something came back, or the start */
+	rp_ms next_ask;
+	rp_ms give_up_at;
 };
 
 /* The members as one state, published by the node; immutable. */
@@ -439,6 +493,8 @@
 	struct rp_member members[];
 };
 
+struct rp_drain;
+
 struct rp_view *view_ref(struct rp_view *v);
 void view_unref(struct rp_view *v);
 
@@ -519,8 +575,22 @@
 	uint64_t list_seq;
 	rp_ms list_due;
 	int list_asked;
-	int drained; /* the end of the planned stop was told */
 	uint64_t platform_reads, platform_writes;
+	apr_hash_t *members; /* name -> struct rp_member_entry */
+	struct rp_view *view;
+	uint64_t view_seq;
+	rp_ms started_at;
+	rp_ms first_list_at; /* 0: no list was fetched yet */
+	rp_ms beat_due;	     /* next heartbeats within the failure domain */
+	rp_ms cross_due;     /* next heartbeats to other failure domains */
+	unsigned round;	     /* counts the latter */
+	struct rp_forward *forwards;
+	apr_hash_t *relays; /* id -> struct rp_relay */
+	uint64_t next_relay;
+	rp_ms relay_due; /* next look at the relays */
+	rp_ms leave_due; /* next look for targets that leave */
+	struct rp_drain *drain;
+	uint64_t peer_messages, peer_bytes;
 };
 
 struct rp_kernel {
@@ -589,7 +659,7 @@
 		   struct rp_answer *a, struct rp_actions *acts);
 void record_expire(struct rp_sub_shard *s, rp_ms now);
 
-/* The following takes the shard's lock. */
+/* The following take the shard's lock. */
 void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
 
 /* sub-submit.c; no lock is held. */
@@ -599,6 +669,9 @@
 	       const struct rp_waiter *w, struct rp_actions *acts);
 void sub_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		const struct rp_waiter *w, struct rp_actions *acts);
+/* Joins a known key; 0 when no record has it. */
+int sub_join(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+	     int wait, const struct rp_waiter *w, struct rp_actions *acts);
 /* Starts a record whose key is settled; the shard's lock is held. */
 void submit_start(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
 		  struct rp_submission *sub, struct rp_actions *acts);
@@ -624,9 +697,46 @@
 		 const struct rp_waiter *w, struct rp_actions *acts);
 void relay_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		  const struct rp_waiter *w, struct rp_actions *acts);
+/* For the caller's own keys: the owner is the one named in the claim. */
+void relay_submit_to(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		     const char *owner_vm, uint64_t owner_incarnation, int wait,
+		     const struct rp_waiter *w, struct rp_actions *acts);
+void relay_query_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		    const char *owner_vm, uint64_t owner_incarnation, int wait,
+		    const struct rp_waiter *w, struct rp_actions *acts);
+void relay_cancel_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		     const char *owner_vm, uint64_t owner_incarnation,
+		     const struct rp_waiter *w, struct rp_actions *acts);
 /* Sends an answer back to the peer that relayed; takes the answer over. */
 void relay_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
 		  struct rp_answer *a, struct rp_actions *acts);
+void relay_answered(struct rp_kernel *k, rp_ms now, const RpRelayAnswer *msg,
+		    struct rp_actions *acts);
+void relay_finish(struct rp_kernel *k);
+
+/* relay-wait.c */
+void relay_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Sends a waiting call to r->to; the node's lock must not be held. */
+void relay_send(struct rp_kernel *k, rp_ms now, const struct rp_relay *r,
+		struct rp_actions *acts);
+/* Answers for an owner that is unreachable or gone for good. */
+void relay_no_owner(struct rp_kernel *k, rp_ms now, enum rp_owner why,
+		    const char *owner, const struct rp_waiter *w,
+		    struct rp_actions *acts);
+void relay_free(struct rp_relay *r);
+
+/* relay-serve.c: calls that a peer relayed to this entry VM. */
+void relay_received(struct rp_kernel *k, rp_ms now, const char *from,
+		    const RpRelay *msg, struct rp_actions *acts);
+/* Answers from the records of an incarnation that was taken over. */
+void relay_adopted(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		   struct rp_str key, int wait, const struct rp_waiter *w,
+		   struct rp_actions *acts);
+
+/* relay-pack.c: answers as messages. */
+void relay_pack_answer(const struct rp_answer *a, RpRelayAnswer *msg);
+void relay_pack_free(RpRelayAnswer *msg);
+struct rp_answer *relay_unpack_answer(const RpRelayAnswer *msg);
 
 /* dispatch-service.c */
 void dispatch_init(struct rp_kernel *k, unsigned index);
@@ -683,13 +793,66 @@
 void member_finish(struct rp_kernel *k);
 void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 
+/* member-table.c; those of the first group need the node's lock. */
+struct rp_member_entry *member_find(struct rp_node *n, const char *name);
+struct rp_member_entry *member_get(struct rp_node *n, const char *name,
+				   rp_ms now);
+int member_is_near(const struct rp_kernel *k, const struct rp_member_entry *e);
+/* A sign of life of an incarnation; 0: it is an old one. */
+int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
+		rp_ms now);
+/* Who answers for the incarnation; fills the name of the member to ask. */
+enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
+			   uint64_t incarnation, char to[RP_NAME_MAX]);
+void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
+		    uint64_t incarnation, const char *to,
+		    uint64_t to_incarnation);
+
+/* The following take the lock. */
+void member_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
+		   size_t nvms, int fetched);
+/* Judges all members; publishes a view when one of them changed. */
+void member_judge(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* The current view with a reference for the caller, or NULL. */
+struct rp_view *member_view(struct rp_kernel *k);
+const struct rp_member *view_find(const struct rp_view *v, const char *name);
+/* A call to the member was not answered. */
+void member_unanswered(struct rp_kernel *k, const char *name);
 void member_down(struct rp_kernel *k, rp_ms now, const char *name,
 		 struct rp_actions *acts);
 
+/* member-beat.c */
+void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* A heartbeat to every member now. */
+void beat_all(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void beat_received(struct rp_kernel *k, rp_ms now, const char *from,
+		   const RpHeartbeat *hb, struct rp_actions *acts);
+/* Asks a member that is held to be unreachable for a sign of life. */
+void beat_probe(struct rp_kernel *k, rp_ms now, const char *name,
+		struct rp_actions *acts);
+
+/* member-leave.c: targets that leave. */
+void leave_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void leave_received(struct rp_kernel *k, rp_ms now, const RpLeaving *msg);
+
+/* member-report.c: the members in the status. */
+void member_report(struct rp_kernel *k, rp_ms now, struct rp_writer *w);
+
 /* peer-message.c */
 void peer_message(struct rp_kernel *k, rp_ms now, const void *data, size_t len,
 		  struct rp_actions *acts);
 
+/* peer-send.c */
+/* Stamps and sends the message; the node's lock must not be held. */
+void peer_send(struct rp_kernel *k, rp_ms now, const char *name,
+	       RpEnvelope *env, struct rp_actions *acts);
+/* The same with the address known; needs the node's lock. */
+void peer_send_to(struct rp_kernel *k, rp_ms now,
+		  const struct rp_member_entry *e, RpEnvelope *env,
+		  struct rp_actions *acts);
+/* Closes the link to the member; needs the node's lock. */
+void peer_reset(struct rp_member_entry *e, rp_ms now, struct rp_actions *acts);
+
 /* table-edit.c */
 void table_edit(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		struct rp_actions *acts);
--- a/sub-record.c
+++ b/sub-record.c
@@ -7,6 +7,7 @@
 #include "rosemary-int.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 void sub_init(struct rp_kernel *k, unsigned index)
 {
@@ -117,8 +118,14 @@
 
 void record_wait(struct rp_record *r, const struct rp_waiter *w)
 {
-	struct rp_waiter *copy = kernel_alloc(sizeof(*copy));
-
+	struct rp_waiter *copy;
+
+	/* A relayed call that is sent again waits once. */
+	for (copy = r->waiters; w->peer[0] && copy; copy = copy->next)
+		if (copy->relay_id == w->relay_id &&
+		    !strcmp(copy->peer, w->peer))
+			return;
+	copy = kernel_alloc(sizeof(*copy));
 	*copy = *w;
 	copy->next = r->waiters;
 	r->waiters = copy;
--- a/sub-submit.c
+++ b/sub-submit.c
@@ -96,6 +96,14 @@
 	rp_ms retry_after = 0;
 	struct rp_status st;
 
+	if (atomic_load(&s->k->draining)) {
+		rp_status_set(&st, RP_E_DRAINING, RP_STEP_STOP,
+			      s->k->opt.vm_name, "this entry VM is stopping");
+		s->counters.refused++;
+		record_finish(s, r, now, answer_status(RP_NOT_RUN, &st, 0),
+			      acts);
+		return;
+	}
 	if (dispatch_submit(d, now, sub, r->deadline, &r->job_id, &st,
 			    &retry_after, acts) == RP_OK)
 		return;
@@ -162,6 +170,20 @@
 	return RP_OK;
 }
 
+int sub_join(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+	     int wait, const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_sub_shard *s = sub_shard_of(k, sub->key);
+	struct rp_record *r;
+
+	kernel_lock(k, s->lock);
+	r = record_find(s, sub->key);
+	if (r)
+		submit_again(s, r, now, sub, wait, w, acts);
+	kernel_unlock(k, s->lock);
+	return r != NULL;
+}
+
 /* Handles a submission whose key this entry VM owns or may claim. */
 static void submit_here(struct rp_kernel *k, rp_ms now,
 			struct rp_submission *sub, const struct rp_key *key,
