Hold limits over all entry VMs by slot credits or by shares

Two policies are added: static shares, and credits from a keeper per target, counted since a term began and leased through the messages between two members.

--- a/dispatch-start.c
+++ b/dispatch-start.c
@@ -188,6 +188,7 @@
 {
 	struct rp_job *job;
 
+	svc->now = now;
 	while ((job = svc->queue->ops->next(svc->queue, now))) {
 		struct rp_target *t =
 			svc->route->ops->pick(svc->route, job, now);
--- /dev/null
+++ b/limit-message.c
@@ -0,0 +1,42 @@
+/* Messages of the limit policies, brought to their service. */
+
+#include "rosemary-int.h"
+
+/* The limit of the service, with the shard locked; NULL: unlocked again. */
+static struct rp_limit *lock_limit(struct rp_kernel *k, const char *service,
+				   struct rp_dispatch **d)
+{
+	struct rp_service *svc;
+
+	*d = dispatch_of(k, str_of(service));
+	kernel_lock(k, (*d)->lock);
+	svc = service_find(*d, str_of(service));
+	if (svc && svc->limit->ops->report)
+		return svc->limit;
+	kernel_unlock(k, (*d)->lock);
+	return NULL;
+}
+
+void limit_report(struct rp_kernel *k, rp_ms now, const char *from,
+		  const RpCreditReport *msg, struct rp_actions *acts)
+{
+	struct rp_dispatch *d;
+	struct rp_limit *l = lock_limit(k, msg->service, &d);
+
+	if (!l)
+		return;
+	l->ops->report(l, from, msg, now, acts);
+	kernel_unlock(k, d->lock);
+}
+
+void limit_grant(struct rp_kernel *k, rp_ms now, const char *from,
+		 const RpCreditGrant *msg, struct rp_actions *acts)
+{
+	struct rp_dispatch *d;
+	struct rp_limit *l = lock_limit(k, msg->service, &d);
+
+	if (!l)
+		return;
+	l->ops->grant(l, from, msg, now, acts);
+	kernel_unlock(k, d->lock);
+}
--- /dev/null
+++ b/limit-share.c
@@ -0,0 +1,140 @@
+/*
+ * Static shares: each entry VM has an even part of a target's limit. A part
+ * shrinks at once when a member comes and grows late when one is gone.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Span for which the members must be fewer before a share grows, ms. */
+#define GROW_DELAY_MS 5000
+
+struct share_limit {
+	struct rp_limit limit; /* first */
+	struct rp_service *svc;
+	size_t members; /* that the shares are made for, with this one */
+	size_t fewer;	/* members there are by now */
+	rp_ms grow_at;
+};
+
+static struct rp_limit *share_create(struct rp_service *svc);
+
+static void share_destroy(struct rp_limit *limit)
+{
+	free(limit);
+}
+
+/* Entry VMs that come before this one in the order of the target. */
+static size_t share_rank(const struct share_limit *l, const struct rp_target *t)
+{
+	const struct rp_view *v = l->svc->shard->view;
+	const char *self = l->svc->shard->k->opt.vm_name;
+	uint64_t salt = str_hash(str_of(t->name));
+	uint64_t own = str_hash(str_of(self)) ^ salt;
+	size_t i, rank = 0;
+
+	for (i = 0; v && i < v->nmembers; i++)
+		if (v->members[i].state != RP_MEMBER_GONE)
+			rank += (str_hash(str_of(v->members[i].name)) ^ salt) <
+				own;
+	return rank;
+}
+
+static int share_room(struct rp_limit *limit, const struct rp_target *t)
+{
+	const struct share_limit *l = (struct share_limit *)limit;
+	int n = (int)l->members, max = target_limit(t);
+	int part = max / n;
+
+	if (t->in_flight < part)
+		return 1;
+	/* The rest goes to those that come first. */
+	return t->in_flight == part && share_rank(l, t) < (size_t)(max % n);
+}
+
+static void share_started(struct rp_limit *limit, struct rp_target *t,
+			  rp_ms now)
+{
+	(void)limit;
+	(void)t;
+	(void)now;
+}
+
+static void share_ended(struct rp_limit *limit, struct rp_target *t,
+			enum rp_start_outcome outcome, rp_ms now)
+{
+	(void)limit;
+	(void)t;
+	(void)outcome;
+	(void)now;
+}
+
+static void share_demand(struct rp_limit *limit, size_t waiting, rp_ms now,
+			 struct rp_actions *acts)
+{
+	(void)limit;
+	(void)waiting;
+	(void)now;
+	(void)acts;
+}
+
+static void share_changed(struct rp_limit *limit, rp_ms now,
+			  struct rp_actions *acts)
+{
+	struct share_limit *l = (struct share_limit *)limit;
+	const struct rp_view *v = l->svc->shard->view;
+	size_t i, n = 1;
+
+	(void)acts;
+	for (i = 0; v && i < v->nmembers; i++)
+		n += v->members[i].state != RP_MEMBER_GONE;
+	if (n >= l->members)
+		l->members = n;
+	else if (l->fewer != n)
+		l->grow_at = now + GROW_DELAY_MS;
+	l->fewer = n;
+}
+
+static void share_removed(struct rp_limit *limit, struct rp_target *t)
+{
+	(void)limit;
+	(void)t;
+}
+
+static void share_tick(struct rp_limit *limit, rp_ms now,
+		       struct rp_actions *acts)
+{
+	struct share_limit *l = (struct share_limit *)limit;
+
+	(void)acts;
+	if (l->fewer < l->members && l->grow_at <= now)
+		l->members = l->fewer;
+}
+
+static struct rp_limit_ops share_ops = {
+	.plugin = { .name = "share" },
+	.create = share_create,
+	.destroy = share_destroy,
+	.room = share_room,
+	.started = share_started,
+	.ended = share_ended,
+	.demand = share_demand,
+	.changed = share_changed,
+	.removed = share_removed,
+	.tick = share_tick,
+};
+
+static struct rp_limit *share_create(struct rp_service *svc)
+{
+	struct share_limit *l = kernel_alloc(sizeof(*l));
+
+	l->limit.ops = &share_ops;
+	l->svc = svc;
+	l->members = 1;
+	l->fewer = 1;
+	return &l->limit;
+}
+
+RP_REGISTER(RP_PLUGIN_LIMIT, share_ops);
--- a/member-beat.c
+++ b/member-beat.c
@@ -212,7 +212,6 @@
 	unsigned size, turn = own_rank(k, &size) + k->node.round++;
 	size_t n = far_members(k, list);
 
-	beat_digest(k, now, b);
 	for (first = 0; first < n; first = end) {
 		const char *domain = list[first]->m.failure_domain;
 
@@ -225,7 +224,7 @@
 }
 
 static void beat_near(struct rp_kernel *k, rp_ms now, struct beat *b,
-		      struct rp_actions *acts)
+		      struct beat *greeting, struct rp_actions *acts)
 {
 	apr_hash_index_t *h;
 
@@ -233,8 +232,12 @@
 	     h = apr_hash_next(h)) {
 		struct rp_member_entry *e = apr_hash_this_val(h);
 
-		/* A new member of another domain is greeted once, too. */
-		if (!e->gone && (member_is_near(k, e) || !e->announced_at))
+		if (e->gone)
+			continue;
+		/* A new member learns of the others from its greeting. */
+		if (!e->announced_at)
+			beat_send(k, now, e, greeting, acts);
+		else if (member_is_near(k, e) || e->partner_until > now)
 			beat_send(k, now, e, b, acts);
 	}
 }
@@ -261,7 +264,7 @@
 {
 	struct rp_node *n = &k->node;
 	rp_ms load = 0;
-	struct beat b;
+	struct beat b, digest;
 	int near, cross;
 
 	kernel_lock(k, n->lock);
@@ -279,10 +282,12 @@
 	load = beat_load(k);
 	kernel_lock(k, n->lock);
 	beat_init(k, now, &b, load);
+	beat_init(k, now, &digest, load);
+	beat_digest(k, now, &digest);
 	if (near)
-		beat_near(k, now, &b, acts);
+		beat_near(k, now, &b, &digest, acts);
 	if (cross)
-		beat_cross(k, now, &b, acts);
+		beat_cross(k, now, &digest, acts);
 	kernel_unlock(k, n->lock);
 	member_judge(k, now, acts);
 }
@@ -335,13 +340,10 @@
 			struct rp_actions *acts)
 {
 	rp_ms limit = SILENT_BEATS * k->opt.heartbeat, unheard;
-	unsigned size;
 
-	if (!member_is_near(k, e)) {
-		own_rank(k, &size);
+	if (!member_is_near(k, e))
 		limit = (rp_ms)apr_hash_count(k->node.members) * CROSS_BEATS *
 			SILENT_TURNS * k->opt.heartbeat;
-	}
 	if (!e->announced_at)
 		return;
 	unheard = heard_ms ? (rp_ms)heard_ms : now - e->announced_at;
--- a/member-table.c
+++ b/member-table.c
@@ -13,12 +13,14 @@
 #define SUSPECT_BEATS_FAR 8
 /* Spans of silence after which a member that the list lacks is gone. */
 #define GONE_BEATS 8
-/* After a member's end, the span in which its forward may still arrive, ms. */
-#define FORWARD_GRACE_MS 3000
+/* Heartbeat spans after the start until the members are known. */
+#define SETTLE_BEATS 3
+/* The same while the platform gives no list, ms. */
+#define SETTLE_MAX_MS 5000
+/* Span for which a member that shares credits gets all heartbeats, ms. */
+#define PARTNER_SPAN_MS 5000
 /* Lag of the list: an unknown VM is gone when no list had it so long, ms. */
 #define UNKNOWN_GRACE_MS 30000
-/* Forwards followed from one incarnation to the one that serves it. */
-#define FORWARD_HOPS 16
 
 struct rp_view *view_ref(struct rp_view *v)
 {
@@ -77,6 +79,9 @@
 		e->m.incarnation = incarnation;
 		e->leaving = 0;
 		e->announced_at = 0;
+		e->direct_at = 0;
+		e->echo = 0;
+		e->lease_from = 0;
 		e->gone = 0;
 		e->heard_at = heard_at;
 	}
@@ -143,7 +148,7 @@
 	kernel_unlock(k, n->lock);
 }
 
-static enum rp_member_state judge(const struct rp_kernel *k,
+enum rp_member_state member_state(const struct rp_kernel *k,
 				  const struct rp_member_entry *e, rp_ms now)
 {
 	int beats = member_is_near(k, e) ? SUSPECT_BEATS_NEAR
@@ -169,7 +174,7 @@
 		       rp_ms now)
 {
 	struct rp_trace_about about = { .target = e->m.name, .task = -1 };
-	enum rp_member_state state = judge(k, e, now);
+	enum rp_member_state state = member_state(k, e, now);
 	const struct rp_member *was = view_find(k->node.view, e->m.name);
 
 	if (was && was->state == state &&
@@ -254,96 +259,47 @@
 	view_unref(v);
 }
 
-static const struct rp_forward *
-forward_find(const struct rp_node *n, const char *vm, uint64_t incarnation)
+int member_lease(struct rp_kernel *k, const char *name,
+		 struct rp_member_lease *lease)
 {
-	const struct rp_forward *f;
+	const struct rp_member_entry *e;
 
-	for (f = n->forwards; f; f = f->next)
-		if (f->incarnation == incarnation && !strcmp(f->vm, vm))
-			return f;
-	return NULL;
-}
-
-void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
-		    uint64_t incarnation, const char *to,
-		    uint64_t to_incarnation)
-{
-	struct rp_forward *f;
-
-	if (forward_find(&k->node, vm, incarnation))
-		return;
-	f = kernel_alloc(sizeof(*f));
-	str_copy(f->vm, RP_NAME_MAX, str_of(vm));
-	f->incarnation = incarnation;
-	str_copy(f->to, RP_NAME_MAX, str_of(to));
-	f->to_incarnation = to_incarnation;
-	f->until = now + k->opt.key_lifetime + k->opt.max_timeout;
-	f->next = k->node.forwards;
-	k->node.forwards = f;
-}
-
-/* The end of a member is told once its forward had time to arrive. */
-static enum rp_owner ended_owner(const struct rp_member_entry *e, rp_ms now)
-{
-	return e->replaced_at + FORWARD_GRACE_MS > now ? RP_OWNER_UNREACHABLE
-						       : RP_OWNER_GONE;
-}
-
-static enum rp_owner peer_owner(struct rp_kernel *k, rp_ms now, const char *vm,
-				uint64_t incarnation)
-{
-	const struct rp_member_entry *e = member_find(&k->node, vm);
-	rp_ms first = k->node.first_list_at;
-
-	if (!e)
-		return first && first + UNKNOWN_GRACE_MS <= now
-			       ? RP_OWNER_GONE
-			       : RP_OWNER_UNREACHABLE;
-	if (e->m.incarnation > incarnation || e->gone)
-		return ended_owner(e, now);
-	if (e->link_down || judge(k, e, now) == RP_MEMBER_SUSPECT)
-		return RP_OWNER_UNREACHABLE;
-	return RP_OWNER_PEER;
-}
-
-enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
-			   uint64_t incarnation, char to[RP_NAME_MAX])
-{
-	const struct rp_forward *f;
-	int hops = 0;
-
-	while (hops++ < FORWARD_HOPS &&
-	       (f = forward_find(&k->node, vm, incarnation))) {
-		vm = f->to;
-		incarnation = f->to_incarnation;
+	kernel_lock(k, k->node.lock);
+	e = member_find(&k->node, name);
+	if (e) {
+		lease->state = e->m.state;
+		lease->incarnation = e->m.incarnation;
+		lease->ours_from = e->lease_from;
+		lease->its_from = e->direct_at;
 	}
-	str_copy(to, RP_NAME_MAX, str_of(vm));
-	if (strcmp(vm, k->opt.vm_name) != 0)
-		return peer_owner(k, now, vm, incarnation);
-	if (incarnation == k->opt.incarnation)
-		return RP_OWNER_HERE;
-	/* A later incarnation of this name: we are old. */
-	if (incarnation > k->opt.incarnation ||
-	    k->node.started_at + FORWARD_GRACE_MS > now)
-		return RP_OWNER_UNREACHABLE;
-	return RP_OWNER_GONE;
+	kernel_unlock(k, k->node.lock);
+	return e != NULL;
 }
 
-void member_unanswered(struct rp_kernel *k, const char *name)
+void member_partner(struct rp_kernel *k, rp_ms now, const char *name)
 {
 	struct rp_member_entry *e;
 
 	kernel_lock(k, k->node.lock);
 	e = member_find(&k->node, name);
 	if (e)
-		e->link_down = 1;
+		e->partner_until = now + PARTNER_SPAN_MS;
 	kernel_unlock(k, k->node.lock);
 }
 
-void member_down(struct rp_kernel *k, rp_ms now, const char *name,
-		 struct rp_actions *acts)
+int member_settled(struct rp_kernel *k, rp_ms now)
 {
-	member_unanswered(k, name);
-	beat_probe(k, now, name, acts);
+	const struct rp_node *n = &k->node;
+	int settled;
+
+	kernel_lock(k, n->lock);
+	if (!k->opt.list_poll && !apr_hash_count(n->members))
+		settled = 1;
+	else if (n->first_list_at)
+		settled = n->started_at + SETTLE_BEATS * k->opt.heartbeat <=
+			  now;
+	else
+		settled = n->started_at + SETTLE_MAX_MS <= now;
+	kernel_unlock(k, n->lock);
+	return settled;
 }
--- a/peer-message.c
+++ b/peer-message.c
@@ -5,10 +5,12 @@
 #include <string.h>
 
 /* Takes the message as a sign of life; 0 when it is to be ignored. */
-static int witness(struct rp_kernel *k, rp_ms now, const RpEnvelope *env)
+static int witness(struct rp_kernel *k, rp_ms now, const RpEnvelope *env,
+		   struct rp_actions *acts)
 {
 	struct rp_member_entry *e;
-	int ok;
+	uint64_t before;
+	int ok, fresh;
 
 	if (!env->from[0] || strlen(env->from) >= RP_NAME_MAX ||
 	    !strcmp(env->from, k->opt.vm_name) ||
@@ -16,12 +18,22 @@
 		return 0;
 	kernel_lock(k, k->node.lock);
 	e = member_get(&k->node, env->from, now);
+	before = e->m.incarnation;
 	ok = member_sign(e, env->incarnation, now, now);
 	if (ok) {
 		e->direct_at = now;
 		e->link_down = 0;
+		if (env->sent_ms > e->echo)
+			e->echo = env->sent_ms;
+		if (env->echo_ms > e->lease_from && env->echo_ms <= now &&
+		    env->echo_ms >= k->node.started_at)
+			e->lease_from = env->echo_ms;
 	}
+	fresh = e->m.incarnation != before;
 	kernel_unlock(k, k->node.lock);
+	/* The shards must know the sender before they get its messages. */
+	if (fresh)
+		member_judge(k, now, acts);
 	return ok;
 }
 
@@ -32,6 +44,10 @@
 
 	if (env->heartbeat)
 		beat_received(k, now, env->from, env->heartbeat, acts);
+	for (i = 0; i < env->n_reports; i++)
+		limit_report(k, now, env->from, env->reports[i], acts);
+	for (i = 0; i < env->n_grants; i++)
+		limit_grant(k, now, env->from, env->grants[i], acts);
 	for (i = 0; i < env->n_leaving; i++)
 		leave_received(k, now, env->leaving[i]);
 	for (i = 0; i < env->n_relays; i++)
@@ -48,7 +64,7 @@
 	if (!env)
 		return;
 	trace_witness(k, now, env->hlc);
-	if (witness(k, now, env))
+	if (witness(k, now, env, acts))
 		take_apart(k, now, env, acts);
 	rp_envelope__free_unpacked(env, NULL);
 }
--- a/peer-send.c
+++ b/peer-send.c
@@ -15,6 +15,8 @@
 	env->incarnation = k->opt.incarnation;
 	env->hlc = trace_stamp(k, now);
 	env->to = (char *)e->m.name;
+	env->sent_ms = now;
+	env->echo_ms = e->echo;
 	str_copy(a->peer.name, RP_NAME_MAX, str_of(e->m.name));
 	str_copy(a->peer.address, RP_ADDRESS_MAX, str_of(e->m.address));
 	len = rp_envelope__get_packed_size(env);
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -1613,7 +1613,7 @@
   (ProtobufCMessageInit) rp_credit_line__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_credit_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_credit_report__field_descriptors[6] =
 {
   {
     "service",
@@ -1628,12 +1628,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stamp_ms",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(RpCreditReport, stamp_ms),
+    offsetof(RpCreditReport, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -1652,8 +1652,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lines",
+    "answer",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_me",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, call_me),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(RpCreditReport, n_lines),
@@ -1665,15 +1689,17 @@
   },
 };
 static const unsigned rp_credit_report__field_indices_by_name[] = {
-  3,   /* field[3] = lines */
+  3,   /* field[3] = answer */
+  4,   /* field[4] = call_me */
+  5,   /* field[5] = lines */
+  1,   /* field[1] = seq */
   0,   /* field[0] = service */
-  1,   /* field[1] = stamp_ms */
   2,   /* field[2] = want */
 };
 static const ProtobufCIntRange rp_credit_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rp_credit_report__descriptor =
 {
@@ -1683,14 +1709,14 @@
   "RpCreditReport",
   "",
   sizeof(RpCreditReport),
-  4,
+  6,
   rp_credit_report__field_descriptors,
   rp_credit_report__field_indices_by_name,
   1,  rp_credit_report__number_ranges,
   (ProtobufCMessageInit) rp_credit_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_credit_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_credit_grant__field_descriptors[6] =
 {
   {
     "service",
@@ -1705,12 +1731,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stamp_ms",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(RpCreditGrant, stamp_ms),
+    offsetof(RpCreditGrant, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -1729,8 +1755,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lines",
+    "pending",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recall",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, recall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(RpCreditGrant, n_lines),
@@ -1743,14 +1793,16 @@
 };
 static const unsigned rp_credit_grant__field_indices_by_name[] = {
   2,   /* field[2] = call */
-  3,   /* field[3] = lines */
+  5,   /* field[5] = lines */
+  3,   /* field[3] = pending */
+  4,   /* field[4] = recall */
+  1,   /* field[1] = seq */
   0,   /* field[0] = service */
-  1,   /* field[1] = stamp_ms */
 };
 static const ProtobufCIntRange rp_credit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rp_credit_grant__descriptor =
 {
@@ -1760,7 +1812,7 @@
   "RpCreditGrant",
   "",
   sizeof(RpCreditGrant),
-  4,
+  6,
   rp_credit_grant__field_descriptors,
   rp_credit_grant__field_indices_by_name,
   1,  rp_credit_grant__number_ranges,
@@ -1998,7 +2050,7 @@
   (ProtobufCMessageInit) rp_handover_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[12] =
+static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[14] =
 {
   {
     "from",
@@ -2144,8 +2196,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_envelope__field_indices_by_name[] = {
+  13,   /* field[13] = echo_ms */
   0,   /* field[0] = from */
   8,   /* field[8] = grants */
   10,   /* field[10] = handover */
@@ -2157,12 +2234,13 @@
   6,   /* field[6] = relay_answers */
   5,   /* field[5] = relays */
   7,   /* field[7] = reports */
+  12,   /* field[12] = sent_ms */
   3,   /* field[3] = to */
 };
 static const ProtobufCIntRange rp_envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor rp_envelope__descriptor =
 {
@@ -2172,7 +2250,7 @@
   "RpEnvelope",
   "",
   sizeof(RpEnvelope),
-  12,
+  14,
   rp_envelope__field_descriptors,
   rp_envelope__field_indices_by_name,
   1,  rp_envelope__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -219,20 +219,21 @@
 
 
 /*
- * Credits that a holder has from a keeper, as counts since the term began.
+ * Credits of one target between its keeper and a holder, as counts since
+ * the term began.
  */
 struct  RpCreditLine
 {
   ProtobufCMessage base;
   char *target;
   /*
-   * names the keeper's time of office
+   * begins with the keeper's call
    */
   uint64_t term;
   uint64_t granted;
   uint64_t released;
   /*
-   * keeper: hold no more than cap - 1; 0: no cap
+   * keeper: return what is above cap - 1; 0: no cap
    */
   uint32_t cap;
 };
@@ -242,46 +243,62 @@
 
 
 /*
- * From a holder: reports what it has, gives back, and asks for more.
+ * From a holder to a keeper.
  */
 struct  RpCreditReport
 {
   ProtobufCMessage base;
   char *service;
   /*
-   * holder's clock, returned in the grant
+   * of reports of this service on this link
    */
-  int64_t stamp_ms;
+  uint64_t seq;
   /*
-   * credits wanted on any target
+   * credits wanted on any of the keeper's targets
    */
   uint32_t want;
+  /*
+   * to a call: what is held at its start
+   */
+  protobuf_c_boolean answer;
+  /*
+   * the holder lost count
+   */
+  protobuf_c_boolean call_me;
   size_t n_lines;
   RpCreditLine **lines;
 };
 #define RP_CREDIT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_credit_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
 
 
 /*
- * From a keeper: what the holder may hold, or a call to report.
+ * From a keeper to a holder.
  */
 struct  RpCreditGrant
 {
   ProtobufCMessage base;
   char *service;
-  int64_t stamp_ms;
+  uint64_t seq;
   /*
-   * a new term: report what is held under it
+   * a new term begins: report what is held
    */
   protobuf_c_boolean call;
+  /*
+   * of the want, not granted yet
+   */
+  uint32_t pending;
+  /*
+   * others wait: return what is idle
+   */
+  protobuf_c_boolean recall;
   size_t n_lines;
   RpCreditLine **lines;
 };
 #define RP_CREDIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_credit_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -363,10 +380,16 @@
   RpLeaving **leaving;
   RpHandover *handover;
   RpHandoverAck *handover_ack;
+  /*
+   * Leases between two members: the sender's clock, and the newest value
+   * of the receiver's clock that the sender has seen.
+   */
+  int64_t sent_ms;
+  int64_t echo_ms;
 };
 #define RP_ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
 
 
 /* RpTask methods */
--- a/regress/net/net.c
+++ b/regress/net/net.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <apr_general.h>
 #include <apr_strings.h>
@@ -102,13 +103,25 @@
 }
 
 /* Carries out what the kernel wants done after one event. */
+static uint64_t cpu_now(const struct net *net)
+{
+	struct timespec ts;
+
+	if (!net->opt.measure_cpu)
+		return 0;
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * 1000000000 + (uint64_t)ts.tv_nsec;
+}
+
 void net_deliver(struct net *net, int vm, const struct rp_event *ev)
 {
+	uint64_t before = cpu_now(net);
 	struct rp_actions acts;
 	size_t i;
 
 	rp_actions_init(&acts);
 	rp_kernel_event(net->vms[vm].k, net->now_us / 1000, ev, &acts);
+	net->vms[vm].cpu_ns += cpu_now(net) - before;
 	for (i = 0; i < acts.len; i++)
 		net_action(net, vm, &acts.list[i]);
 	rp_actions_finish(&acts);
@@ -141,6 +154,10 @@
 	    random_next(&net->random) % 100 < (uint64_t)net->loss_percent)
 		return;
 	ev.at = net->now_us + delay(net, v->domain, net->vms[ev.vm].domain);
+	/* A link keeps the order of its messages. */
+	if (ev.at < net->last_at[vm][ev.vm])
+		ev.at = net->last_at[vm][ev.vm];
+	net->last_at[vm][ev.vm] = ev.at;
 	ev.data = rp_blob_ref(a->peer.data);
 	push(net, &ev);
 }
--- a/regress/net/net.h
+++ b/regress/net/net.h
@@ -23,7 +23,8 @@
 	int64_t far_us;	     /* one-way delay between domains */
 	int64_t near_us;     /* one-way delay within one */
 	int64_t list_lag_us; /* of the platform's list */
-	rp_ms credit_lease;  /* 0: the default */
+	int measure_cpu;
+	rp_ms credit_lease; /* 0: the default */
 };
 
 /* What became of one call of a caller. */
@@ -46,6 +47,7 @@
 	int64_t up_us, down_us; /* of its process, for the list */
 	int64_t tick_us;
 	uint64_t messages, bytes;
+	uint64_t cpu_ns; /* spent in its kernel, when it is measured */
 };
 
 struct net_target {
@@ -65,7 +67,8 @@
 	int cut[NET_DOMAINS_MAX][NET_DOMAINS_MAX]; /* from, to */
 	int platform_cut[NET_DOMAINS_MAX];
 	int silent[NET_VMS_MAX][NET_VMS_MAX]; /* until the link is reset */
-	int loss_percent;		      /* of peer messages */
+	int64_t last_at[NET_VMS_MAX][NET_VMS_MAX];
+	int loss_percent; /* of peer messages */
 	struct net_event *heap;
 	size_t len, cap;
 	apr_pool_t *pool;
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -170,6 +170,13 @@
 	void (*changed)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
 	void (*removed)(struct rp_limit *l, struct rp_target *t);
 	void (*tick)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
+	/* Messages of this policy on another entry VM; may be NULL. */
+	void (*report)(struct rp_limit *l, const char *from,
+		       const RpCreditReport *msg, rp_ms now,
+		       struct rp_actions *acts);
+	void (*grant)(struct rp_limit *l, const char *from,
+		      const RpCreditGrant *msg, rp_ms now,
+		      struct rp_actions *acts);
 };
 
 /* Judges targets by what becomes of the tasks started on them. */
@@ -318,6 +325,7 @@
 	struct rp_limit *limit;
 	struct rp_health *health;
 	struct rp_retry *retry;
+	rp_ms now;	/* of the latest pump */
 	size_t nqueued; /* tasks waiting to be started */
 	size_t in_flight;
 	struct rp_learned learned; /* over all targets */
@@ -446,6 +454,9 @@
 	rp_ms direct_at;    /* latest message from it; 0: none */
 	rp_ms replaced_at;  /* when it became gone or a newer incarnation */
 	rp_ms probed_at, reset_at;
+	rp_ms echo;	     /* newest clock value seen from it */
+	rp_ms lease_from;    /* our newest clock value that it has seen */
+	rp_ms partner_until; /* gets heartbeats like a near member */
 };
 
 /* The records of an incarnation that stopped are served by a member. */
@@ -801,7 +812,10 @@
 /* A sign of life of an incarnation; 0: it is an old one. */
 int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
 		rp_ms now);
-/* Who answers for the incarnation; fills the name of the member to ask. */
+enum rp_member_state member_state(const struct rp_kernel *k,
+				  const struct rp_member_entry *e, rp_ms now);
+/* member-owner.c: who answers for the incarnation; fills the name of the member
+ * to ask. */
 enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
 			   uint64_t incarnation, char to[RP_NAME_MAX]);
 void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
@@ -821,6 +835,22 @@
 void member_down(struct rp_kernel *k, rp_ms now, const char *name,
 		 struct rp_actions *acts);
 
+/* How a lease between this entry VM and a member stands. */
+struct rp_member_lease {
+	enum rp_member_state state;
+	uint64_t incarnation;
+	rp_ms ours_from; /* our lease on what it gives began then */
+	rp_ms its_from;	 /* its lease on what we give began then */
+};
+
+/* 0 when the member is unknown. */
+int member_lease(struct rp_kernel *k, const char *name,
+		 struct rp_member_lease *lease);
+/* Exchanges heartbeats with the member for a while, wherever it is. */
+void member_partner(struct rp_kernel *k, rp_ms now, const char *name);
+/* Whether this entry VM has had the time to learn of the members. */
+int member_settled(struct rp_kernel *k, rp_ms now);
+
 /* member-beat.c */
 void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 /* A heartbeat to every member now. */
@@ -831,6 +861,12 @@
 void beat_probe(struct rp_kernel *k, rp_ms now, const char *name,
 		struct rp_actions *acts);
 
+/* limit-message.c */
+void limit_report(struct rp_kernel *k, rp_ms now, const char *from,
+		  const RpCreditReport *msg, struct rp_actions *acts);
+void limit_grant(struct rp_kernel *k, rp_ms now, const char *from,
+		 const RpCreditGrant *msg, struct rp_actions *acts);
+
 /* member-leave.c: targets that leave. */
 void leave_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void leave_received(struct rp_kernel *k, rp_ms now, const RpLeaving *msg);
