Calls to targets: truthful outcomes, tested against failing servers

curl writes a request again by itself when a reused connection turns out to be dead, so a task could start twice.

--- a/Makefile
+++ b/Makefile
@@ -74,8 +74,15 @@
 KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
 LINK = $(CC) $(OPT) $(SAN) -o $@ $^
 
-$(B)/rosemaryd: $(call obj,$(DAEMON)) $(B)/librosemary.a
-	$(LINK) $(KERNEL_LIBS) -lmicrohttpd -lcurl -ljansson -llog4c
+DAEMON_LIBS = -lmicrohttpd -lcurl -ljansson -llog4c
+
+# The daemon without its main program, for tests of its parts.
+$(B)/librosemaryd.a: $(call obj,$(filter-out rosemaryd.c,$(DAEMON)))
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/rosemaryd: $(B)/rosemaryd.o $(B)/librosemaryd.a $(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS)
 
 $(B)/rosemary: $(call obj,$(CLI))
 	$(LINK) -lapr-1 -lcurl -ljansson -pthread
@@ -92,9 +99,17 @@
 $(B)/example-%: $(B)/example-%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS)
 
-$(TESTS_C): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
+DAEMON_TESTS = $(filter $(B)/regress/http-% $(B)/regress/setting%,\
+	$(TESTS_C))
+
+$(filter-out $(DAEMON_TESTS),$(TESTS_C)): $(B)/regress/%: \
+		$(B)/regress/%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
+$(DAEMON_TESTS): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemaryd.a \
+		$(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
+
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
 	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
 
--- a/daemon-count.c
+++ b/daemon-count.c
@@ -55,6 +55,6 @@
 		uint64_t n = atomic_load_explicit(&counters[i].value,
 						  memory_order_relaxed);
 
-		rp_writer_printf(w, "%s %" PRIu64 "\n", names[i], n);
+		rp_writer_printf(w, "rosemaryd_%s %" PRIu64 "\n", names[i], n);
 	}
 }
--- a/daemon-exec.c
+++ b/daemon-exec.c
@@ -2,16 +2,6 @@
 
 #include "daemon.h"
 
-#include <time.h>
-
-rp_ms daemon_now(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	return (rp_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
 static void execute(struct daemon *d, struct rp_action *act)
 {
 	switch (act->type) {
--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -112,6 +112,8 @@
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN,
+			 (long)(c->loop->d->set->target_idle_age / 1000));
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)c->loop->d->set->connect_timeout);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
--- a/daemon-run.c
+++ b/daemon-run.c
@@ -8,23 +8,6 @@
 
 #define SWEEP_MS 100 /* span between looks for disconnected callers */
 
-void daemon_name_thread(const char *name)
-{
-	pthread_setname_np(pthread_self(), name);
-}
-
-apr_thread_t *daemon_thread(struct daemon *d, apr_thread_start_t body,
-			    void *arg)
-{
-	apr_thread_t *t;
-
-	if (apr_thread_create(&t, NULL, body, arg, d->pool) != APR_SUCCESS) {
-		log_error("start", "", "cannot create a thread");
-		return NULL;
-	}
-	return t;
-}
-
 /* --- locks of the kernel ---------------------------------------------- */
 
 static apr_pool_t *lock_pool;
@@ -77,10 +60,12 @@
 static int start_kernel(struct daemon *d)
 {
 	struct rp_options opt = d->set->kernel;
+	rp_ms wall = apr_time_as_msec(apr_time_now());
 	struct rp_status st;
 	void *memory = NULL;
 
-	opt.incarnation = (uint64_t)(apr_time_now() / 1000);
+	opt.incarnation = (uint64_t)wall;
+	opt.wall_offset = wall - daemon_now();
 	opt.locks = lock_ops;
 	if (!opt.seed)
 		apr_generate_random_bytes((unsigned char *)&opt.seed,
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -29,6 +29,7 @@
 	char task_id[RP_KEY_MAX + 32];
 	rp_ms timeout;
 	int close_connection;
+	int replaced; /* a lookup tells the outcome in place of this start */
 	struct rp_submission *sub;
 	struct rp_str payload;
 	char timeout_header[48];
@@ -78,7 +79,10 @@
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), t);
 }
 
-/* Ends the start that this lookup is about, with its connection. */
+/*
+ * Ends the start that this lookup is about, with its connection. From now
+ * on the lookup tells the outcome.
+ */
 static void drop_start(struct target_call *t)
 {
 	struct target_loop *tl = t->call.loop->user;
@@ -88,6 +92,7 @@
 	if (!start)
 		return;
 	count_add(COUNT_TARGET_DROPPED, 1);
+	start->replaced = 1;
 	loop_abort(&start->call);
 }
 
@@ -186,6 +191,8 @@
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), NULL);
 	ev.reply.start_id = t->start_id;
 	ev.reply.outcome = start_outcome(&t->call, rc, status);
+	if (t->replaced && ev.reply.outcome == RP_START_UNKNOWN)
+		return;
 	if (ev.reply.outcome == RP_START_UNSENT)
 		count_add(COUNT_TARGET_UNSENT, 1);
 	if (ev.reply.outcome == RP_START_UNKNOWN)
--- a/http-parse.c
+++ b/http-parse.c
@@ -134,9 +134,9 @@
 	if (!is_plain(s->service, RP_NAME_MAX - 1))
 		return bad(rd, "service",
 			   "want a name of 1 to 63 bytes without spaces");
-	if (s->team.len && !is_plain(s->team, RP_NAME_MAX - 1))
+	if (!is_plain(s->team, RP_NAME_MAX - 1))
 		return bad(rd, "team",
-			   "want a name of up to 63 bytes without spaces");
+			   "want a name of 1 to 63 bytes without spaces");
 	return 0;
 }
 
--- a/http-wait.c
+++ b/http-wait.c
@@ -143,16 +143,14 @@
 	return n;
 }
 
-/* Tells the kernel that a caller no longer waits, and ends the exchange. */
+/* Ends the exchange with a caller that has left; its submission goes on. */
 static void caller_gone(struct daemon *d, rp_token token)
 {
-	struct rp_event ev = { .type = RP_EVENT_CALLER_GONE, .token = token };
 	struct http_request *r = http_wait_take(d->waits, token);
 
 	if (!r)
 		return;
 	count_add(COUNT_CALLERS_GONE, 1);
-	daemon_event(d, &ev);
 	r->reply_kind = HTTP_REPLY_GONE;
 	http_wait_reply(r);
 }
@@ -160,7 +158,7 @@
 /*
  * The server does not watch suspended connections. A caller that has only
  * closed its sending side still gets its answer; one that has reset the
- * connection is reported.
+ * connection gets none.
  */
 void http_wait_sweep(struct daemon *d)
 {
--- a/log-json.c
+++ b/log-json.c
@@ -75,12 +75,20 @@
 	return end ? end + 1 : at + len;
 }
 
+static const char *level_name(int priority)
+{
+	if (priority <= LOG4C_PRIORITY_ERROR)
+		return "error";
+	if (priority <= LOG4C_PRIORITY_WARN)
+		return "warn";
+	return priority <= LOG4C_PRIORITY_INFO ? "info" : "debug";
+}
+
 /* Formats an event as one JSON line in memory of the calling thread. */
 static const char *json_format(const log4c_layout_t *layout,
 			       const log4c_logging_event_t *ev)
 {
 	static _Thread_local struct line l;
-	const char *level = log4c_priority_to_string(ev->evt_priority);
 	const char *at = ev->evt_msg;
 
 	(void)layout;
@@ -88,7 +96,8 @@
 				 (long long)ev->evt_timestamp.tv_sec * 1000 +
 					 (long long)ev->evt_timestamp.tv_usec /
 						 1000);
-	put_field(&l, "level", level, strcspn(level, " "));
+	put_field(&l, "level", level_name(ev->evt_priority),
+		  strlen(level_name(ev->evt_priority)));
 	put_field(&l, "vm", vm_name, strlen(vm_name));
 	at = put_part(&l, "step", at);
 	at = put_part(&l, "peer", at);
--- /dev/null
+++ b/regress/daemon-test.h
@@ -0,0 +1,241 @@
+#ifndef DAEMON_TEST_H
+#define DAEMON_TEST_H
+
+/*
+ * For tests of the daemon's parts: a daemon without a kernel, whose events
+ * are kept in a list, and a tiny server that misbehaves as it is told.
+ * Included by one source file per program.
+ */
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "daemon.h"
+
+#define TEST_EVENTS_MAX 4096
+#define TEST_WAIT_MS 5000
+#define TEST_PORT_FIRST 20500
+#define TEST_PORT_LAST 20899
+
+/* A copy of an event, with what it borrowed. */
+struct test_event {
+	struct rp_event ev;
+	struct rp_blob *body; /* of replies and peer messages */
+};
+
+static struct test_event test_events[TEST_EVENTS_MAX];
+static atomic_int test_nevents;
+static pthread_mutex_t test_lock = PTHREAD_MUTEX_INITIALIZER;
+static struct settings test_settings;
+static struct daemon test_daemon;
+
+/* Stands for the kernel: keeps the event. */
+void daemon_event(struct daemon *d, const struct rp_event *ev)
+{
+	struct test_event *t;
+
+	(void)d;
+	pthread_mutex_lock(&test_lock);
+	t = &test_events[atomic_load(&test_nevents)];
+	t->ev = *ev;
+	if (ev->type == RP_EVENT_TARGET_REPLY && ev->reply.body)
+		t->body = rp_blob_ref(ev->reply.body);
+	if (ev->type == RP_EVENT_LOOKUP_REPLY && ev->lookup.body)
+		t->body = rp_blob_ref(ev->lookup.body);
+	if (ev->type == RP_EVENT_PEER_MESSAGE)
+		t->body = rp_blob_new(ev->peer.data, ev->peer.len);
+	atomic_fetch_add(&test_nevents, 1);
+	pthread_mutex_unlock(&test_lock);
+}
+
+/* Waits until so many events have come; returns the latest of them. */
+static const struct test_event *test_wait(int n)
+{
+	rp_ms end = daemon_now() + TEST_WAIT_MS;
+
+	while (atomic_load(&test_nevents) < n && daemon_now() < end)
+		apr_sleep(apr_time_from_msec(1));
+	cr_assert_geq(atomic_load(&test_nevents), n,
+		      "only %d events came, not %d", atomic_load(&test_nevents),
+		      n);
+	return &test_events[n - 1];
+}
+
+/* Starts libraries, fills in settings that suit tests. */
+static struct daemon *test_daemon_start(void)
+{
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	test_settings.target_threads = 2;
+	test_settings.target_idle = 64;
+	test_settings.target_idle_age = 60000;
+	test_settings.connect_timeout = 500;
+	test_settings.max_result = 1000;
+	test_settings.peer_message = 100000;
+	test_settings.peer_queue = 1 << 20;
+	test_settings.peer_connections = 8;
+	test_daemon.set = &test_settings;
+	apr_pool_create(&test_daemon.pool, NULL);
+	return &test_daemon;
+}
+
+static void test_daemon_stop(void)
+{
+	int i;
+
+	for (i = 0; i < atomic_load(&test_nevents); i++)
+		rp_blob_unref(test_events[i].body);
+	apr_pool_destroy(test_daemon.pool);
+	curl_global_cleanup();
+	apr_terminate();
+}
+
+/* Listens on a free port of the range; writes "ip:port". */
+static int test_listen(char *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int port, one = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	for (port = TEST_PORT_FIRST + getpid() % 300; port < TEST_PORT_LAST;
+	     port++) {
+		struct sockaddr_in sa = { .sin_family = AF_INET,
+					  .sin_port = htons((uint16_t)port) };
+
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
+		    listen(fd, 64))
+			continue;
+		snprintf(address, RP_ADDRESS_MAX, "127.0.0.1:%d", port);
+		return fd;
+	}
+	cr_assert_fail("no free port");
+	return -1;
+}
+
+/*
+ * A server that reads requests and answers each connection's n-th request
+ * with replies[n]: CLOSE closes the connection without an answer, SILENT
+ * leaves it open. The last reply, before NULL, serves all further requests.
+ */
+#define CLOSE "close"
+#define SILENT ""
+
+struct test_server {
+	char address[RP_ADDRESS_MAX];
+	const char *const *replies;
+	int fd;
+	atomic_int connections;
+	atomic_int requests;
+	atomic_int stopping;
+	atomic_int live; /* threads of connections */
+	char last[4096]; /* head and body of the latest request */
+	pthread_t thread;
+};
+
+struct test_conn {
+	struct test_server *s;
+	int fd;
+};
+
+/* Reads one request with its body. Returns 0 at the connection's end. */
+static int test_read_request(struct test_server *s, int fd, char *buf,
+			     size_t max)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	size_t len = 0, want = 0;
+	char *end, *length;
+
+	for (;;) {
+		ssize_t n;
+
+		buf[len] = '\0';
+		end = strstr(buf, "\r\n\r\n");
+		if (end) {
+			length = strstr(buf, "Content-Length: ");
+			want = (size_t)(end + 4 - buf) +
+			       (length ? strtoul(length + 16, NULL, 10) : 0);
+			if (len >= want)
+				return 1;
+		}
+		while (poll(&p, 1, 10) == 0)
+			if (atomic_load(&s->stopping))
+				return 0;
+		n = read(fd, buf + len, max - len - 1);
+		if (n <= 0)
+			return 0;
+		len += (size_t)n;
+	}
+}
+
+static void *test_serve_conn(void *arg)
+{
+	struct test_conn c = *(struct test_conn *)arg;
+	const char *const *reply = c.s->replies;
+	char buf[4096];
+
+	free(arg);
+	while (test_read_request(c.s, c.fd, buf, sizeof(buf))) {
+		memcpy(c.s->last, buf, sizeof(buf));
+		atomic_fetch_add(&c.s->requests, 1);
+		if (!strcmp(*reply, CLOSE))
+			break;
+		if (**reply && write(c.fd, *reply, strlen(*reply)) < 0)
+			break;
+		if (reply[1])
+			reply++;
+	}
+	close(c.fd);
+	atomic_fetch_sub(&c.s->live, 1);
+	return NULL;
+}
+
+static void *test_serve(void *arg)
+{
+	struct test_server *s = arg;
+
+	while (!atomic_load(&s->stopping)) {
+		struct pollfd p = { .fd = s->fd, .events = POLLIN };
+		struct test_conn *c;
+		pthread_t thread;
+
+		if (poll(&p, 1, 10) <= 0)
+			continue;
+		c = malloc(sizeof(*c));
+		c->s = s;
+		c->fd = accept(s->fd, NULL, NULL);
+		atomic_fetch_add(&s->connections, 1);
+		atomic_fetch_add(&s->live, 1);
+		pthread_create(&thread, NULL, test_serve_conn, c);
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+static void test_server_start(struct test_server *s, const char *const *replies)
+{
+	memset(s, 0, sizeof(*s));
+	s->replies = replies;
+	s->fd = test_listen(s->address);
+	pthread_create(&s->thread, NULL, test_serve, s);
+}
+
+static void test_server_stop(struct test_server *s)
+{
+	atomic_store(&s->stopping, 1);
+	pthread_join(s->thread, NULL);
+	while (atomic_load(&s->live))
+		apr_sleep(1000);
+	close(s->fd);
+}
+
+#endif
--- a/setting-table.c
+++ b/setting-table.c
@@ -60,6 +60,8 @@
 	  AT(connect_timeout), "a connection must be made within" },
 	{ "target-idle", SETTING_INT, 0, "1024", 1, 65536, "connections",
 	  AT(target_idle), "connections to targets kept, per thread" },
+	{ "target-idle-age", SETTING_MS, 0, "15000", SECOND, HOUR, "ms",
+	  AT(target_idle_age), "an idle connection is not used after" },
 	{ "peer-connections", SETTING_INT, 0, "256", 1, 65536, "connections",
 	  AT(peer_connections), "inbound connections of entry VMs" },
 	{ "peer-message", SETTING_SIZE, 0, "16777216", 64 * KIB, GIB, "bytes",
--- a/setting.h
+++ b/setting.h
@@ -28,11 +28,12 @@
 	rp_ms default_timeout;
 	size_t max_result; /* bytes of one task's result */
 	rp_ms connect_timeout;
-	int target_idle;      /* idle connections kept, per thread */
-	int peer_connections; /* inbound peer connections */
-	size_t peer_message;  /* bytes of one peer message */
-	size_t peer_queue;    /* bytes waiting, per peer */
-	rp_ms drain_limit;    /* the planned stop gives up after */
+	int target_idle;       /* idle connections kept, per thread */
+	rp_ms target_idle_age; /* an older idle connection is not used */
+	int peer_connections;  /* inbound peer connections */
+	size_t peer_message;   /* bytes of one peer message */
+	size_t peer_queue;     /* bytes waiting, per peer */
+	rp_ms drain_limit;     /* the planned stop gives up after */
 	enum log_level log_level;
 	struct rp_vm *vms; /* kernel.seeds, owned */
 	size_t nvms;
