Add rosemary-load, an open-loop load generator with a check

The users measure response time against the ideal and wasted messages, and want no promise broken unnoticed. The generator plans jobs from a seed, sends them at their planned times whatever comes back, reports percentiles, overhead and messages, and checks every answer against the targets' records.

--- a/fake-record.c
+++ b/fake-record.c
@@ -33,8 +33,8 @@
 {
 	json_t *o = json_pack("{s:s, s:s, s:I, s:I, s:s}", "id", task->id,
 			      "task", task->task, "arrival_ms",
-			      (json_int_t)task->arrival_ms, "end_ms",
-			      (json_int_t)task->end_ms, "outcome",
+			      (json_int_t)(task->arrival_us / 1000), "end_ms",
+			      (json_int_t)(task->end_us / 1000), "outcome",
 			      end_names[task->end]);
 
 	json_dumpf(o, out, JSON_COMPACT);
--- a/fake-task.c
+++ b/fake-task.c
@@ -58,7 +58,7 @@
 	task->id = apr_pstrdup(t->pool, id);
 	task->task = "";
 	task->state = state;
-	task->arrival_ms = fake_now_ms();
+	task->arrival_us = fake_now_us();
 	apr_hash_set(t->tasks, task->id, APR_HASH_KEY_STRING, task);
 	return task;
 }
@@ -98,7 +98,7 @@
 		return;
 	task->state = end == FAKE_END_DONE ? FAKE_TASK_DONE : FAKE_TASK_FAILED;
 	task->end = end;
-	task->end_ms = fake_now_ms();
+	task->end_us = fake_now_us();
 	task->target->running--;
 	task->waiter = NULL;
 	/* On a silent connection the request stays suspended. */
@@ -191,9 +191,11 @@
 
 char *fake_task_result(const struct fake_task *task)
 {
-	json_t *o = json_pack("{s:s, s:s, s:f}", "id", task->id, "task",
-			      task->task, "ms", task->service_ms);
-	char *text = json_dumps(o, JSON_COMPACT | JSON_REAL_PRECISION(6));
+	double took_ms = (double)(task->end_us - task->arrival_us) / 1000;
+	json_t *o = json_pack("{s:s, s:s, s:f, s:f}", "id", task->id, "task",
+			      task->task, "ms", task->service_ms, "took_ms",
+			      took_ms);
+	char *text = json_dumps(o, JSON_COMPACT | JSON_REAL_PRECISION(9));
 
 	json_decref(o);
 	return text;
--- a/fake-task.h
+++ b/fake-task.h
@@ -33,8 +33,8 @@
 	const char *task; /* the payload's own "task", or "" */
 	enum fake_task_state state;
 	enum fake_task_end end;
-	int64_t arrival_ms;
-	int64_t end_ms;
+	int64_t arrival_us;
+	int64_t end_us;
 	double service_ms;
 	int lease_ends_it; /* the timer is the lease, not the service */
 	struct fake_timer timer;
--- /dev/null
+++ b/load-answer.c
@@ -0,0 +1,111 @@
+/* Reading of answers, and the check that each is whole and its caller's. */
+
+#include "load.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FNV_START 14695981039346656037ULL
+#define FNV_PRIME 1099511628211ULL
+
+static const char *const state_names[] = {
+	[LOAD_NONE] = "none",	    [LOAD_COMPLETE] = "complete",
+	[LOAD_FAILED] = "failed",   [LOAD_NOT_RUN] = "not_run",
+	[LOAD_REFUSED] = "refused", [LOAD_RUNNING] = "running",
+	[LOAD_LOST] = "lost",
+};
+
+const char *load_state_name(enum load_state state)
+{
+	return state_names[state];
+}
+
+static enum load_state parse_state(const char *name)
+{
+	int s;
+
+	for (s = LOAD_COMPLETE; name && s <= LOAD_RUNNING; s++)
+		if (!strcmp(name, state_names[s]))
+			return s;
+	return LOAD_LOST;
+}
+
+static uint64_t digest(uint64_t h, const char *text)
+{
+	for (; *text; text++)
+		h = (h ^ (unsigned char)*text) * FNV_PRIME;
+	return h;
+}
+
+/* Whether a result is that of the job's task i, as its target tells. */
+static int result_matches(const struct load_settings *set, size_t number,
+			  size_t i, json_t *result, struct load_outcome *out)
+{
+	const char *text = json_string_value(json_object_get(result, "result"));
+	json_t *o = text ? json_loads(text, 0, NULL) : NULL;
+	const char *task = json_string_value(json_object_get(o, "task"));
+	double took = json_number_value(json_object_get(o, "took_ms"));
+	char want[2 * LOAD_NAME_LEN];
+	int ok;
+
+	snprintf(want, sizeof(want), "%s/%zu/%zu", set->run, number, i);
+	ok = task && !strcmp(task, want);
+	if (took > out->told_ms)
+		out->told_ms = took;
+	if (text)
+		out->digest = digest(out->digest, text);
+	json_decref(o);
+	return ok;
+}
+
+/* A complete answer has the result of every task, in order. */
+static int results_match(const struct load_settings *set,
+			 const struct load_job *job, size_t number,
+			 json_t *results, struct load_outcome *out)
+{
+	size_t i;
+
+	if (json_array_size(results) != job->ntasks)
+		return 0;
+	out->digest = FNV_START;
+	for (i = 0; i < job->ntasks; i++) {
+		json_t *r = json_array_get(results, i);
+		const char *id = json_string_value(json_object_get(r, "id"));
+		char want[32];
+
+		snprintf(want, sizeof(want), "%zu", i);
+		if (!job->is_request && (!id || strcmp(id, want) != 0))
+			return 0;
+		if (!result_matches(set, number, i, r, out))
+			return 0;
+	}
+	return 1;
+}
+
+void load_answer_read(const struct load_settings *set, struct load_job *job,
+		      size_t number, const struct load_call *call,
+		      struct load_outcome *out)
+{
+	json_t *o = call->status ? json_loadb(call->reply, call->len, 0, NULL)
+				 : NULL;
+	const char *error = json_string_value(json_object_get(o, "error"));
+
+	memset(out, 0, sizeof(*out));
+	out->state = parse_state(json_string_value(json_object_get(o, "stat"
+								      "e")));
+	if (out->state == LOAD_LOST && call->status >= 400)
+		out->state = LOAD_REFUSED;
+	out->may_have_run = json_is_true(json_object_get(o, "may_have_run"));
+	out->retry_after_ms = json_integer_value(json_object_get(o, "retry_"
+								    "after_"
+								    "ms"));
+	if (!error && out->state != LOAD_COMPLETE)
+		error = call->status ? "unnamed" : "no_answer";
+	snprintf(out->error, sizeof(out->error), "%s", error ? error : "");
+	if (out->state == LOAD_COMPLETE &&
+	    !results_match(set, job, number, json_object_get(o, "results"),
+			   out))
+		job->wrong = 1;
+	json_decref(o);
+}
--- /dev/null
+++ b/load-report.c
@@ -0,0 +1,306 @@
+/* The report of a run, as text or JSON. */
+
+#include "load.h"
+
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics_double.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A sample of one measure over the complete jobs. */
+struct sample {
+	double *list;
+	size_t len;
+};
+
+enum measure {
+	MEASURE_RESPONSE, /* ms, from the planned time */
+	MEASURE_IDEAL,	  /* ms */
+	MEASURE_RATIO,	  /* response to ideal */
+	MEASURE_OVERHEAD, /* us, beyond the longest task as told */
+	MEASURE_LATE,	  /* us, that the generator itself was late */
+	MEASURES,
+};
+
+static const char *const measure_names[] = {
+	[MEASURE_RESPONSE] = "response_ms",
+	[MEASURE_IDEAL] = "ideal_ms",
+	[MEASURE_RATIO] = "ratio",
+	[MEASURE_OVERHEAD] = "overhead_us",
+	[MEASURE_LATE] = "generator_late_us",
+};
+
+static double measure(enum measure m, const struct load_job *job,
+		      const struct load_settings *set)
+{
+	double response = (double)(job->done_us - job->at_us) / 1000;
+	double ideal = load_job_ideal_ms(job, set);
+
+	switch (m) {
+	case MEASURE_RESPONSE:
+		return response;
+	case MEASURE_IDEAL:
+		return ideal;
+	case MEASURE_RATIO:
+		return ideal > 0 ? response / ideal : 1;
+	case MEASURE_OVERHEAD:
+		return (double)(job->done_us - job->sent_us) -
+		       job->told_ms * 1000;
+	case MEASURE_LATE:
+	case MEASURES:
+		break;
+	}
+	return (double)(job->sent_us - job->at_us);
+}
+
+static void sample_init(struct sample *s, enum measure m,
+			const struct load_settings *set,
+			const struct load_plan *plan)
+{
+	size_t i;
+
+	s->len = 0;
+	s->list = calloc(plan->njobs + 1, sizeof(*s->list));
+	if (!s->list)
+		abort();
+	for (i = 0; i < plan->njobs; i++)
+		if (plan->jobs[i].state == LOAD_COMPLETE)
+			s->list[s->len++] = measure(m, &plan->jobs[i], set);
+	gsl_sort(s->list, 1, s->len);
+}
+
+static json_t *sample_json(const struct sample *s)
+{
+	static const struct {
+		const char *name;
+		double at;
+	} points[] = {
+		{ "p50", 0.5 }, { "p90", 0.9 }, { "p99", 0.99 }, { "max", 1 }
+	};
+	json_t *o = json_object();
+	size_t i;
+
+	for (i = 0; s->len && i < sizeof(points) / sizeof(*points); i++)
+		json_object_set_new(
+			o, points[i].name,
+			json_real(gsl_stats_quantile_from_sorted_data(
+				s->list, 1, s->len, points[i].at)));
+	return o;
+}
+
+static void count(json_t *o, const char *name)
+{
+	json_t *v = json_object_get(o, name);
+
+	json_object_set_new(o, name, json_integer(json_integer_value(v) + 1));
+}
+
+/* Jobs by state, and those without a result by error. */
+static void add_states(json_t *report, const struct load_plan *plan)
+{
+	json_t *states = json_object(), *errors = json_object();
+	size_t i;
+
+	for (i = 0; i < plan->njobs; i++) {
+		const struct load_job *job = &plan->jobs[i];
+
+		count(states, load_state_name(job->state));
+		if (job->state != LOAD_COMPLETE && *job->error)
+			count(errors, job->error);
+	}
+	json_object_set_new(report, "states", states);
+	json_object_set_new(report, "errors", errors);
+}
+
+/* Tasks of complete jobs per second, from first to last answer. */
+static void add_rates(json_t *report, const struct load_plan *plan)
+{
+	size_t i, done = 0, calls = 0;
+	int64_t last = 0;
+
+	for (i = 0; i < plan->njobs; i++) {
+		const struct load_job *job = &plan->jobs[i];
+
+		calls += job->ncalls;
+		if (job->state != LOAD_COMPLETE)
+			continue;
+		done += job->ntasks;
+		if (job->done_us > last)
+			last = job->done_us;
+	}
+	json_object_set_new(report, "jobs",
+			    json_integer((json_int_t)plan->njobs));
+	json_object_set_new(report, "tasks",
+			    json_integer((json_int_t)plan->ntasks));
+	json_object_set_new(report, "tasks_done",
+			    json_integer((json_int_t)done));
+	json_object_set_new(report, "starts_per_s",
+			    json_real(last ? (double)done * 1e6 / (double)last
+					   : 0));
+	json_object_set_new(report, "caller_calls",
+			    json_integer((json_int_t)calls));
+}
+
+/* Calls to targets against the fewest: one per start. */
+static void add_messages(json_t *report, const struct load_verdict *v)
+{
+	size_t sent =
+		v->starts + v->busy + v->double_starts + v->lookups + v->voids;
+
+	json_object_set_new(report, "target_calls",
+			    json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "sent",
+				      (json_int_t)sent, "fewest",
+				      (json_int_t)v->starts, "busy",
+				      (json_int_t)v->busy, "double_starts",
+				      (json_int_t)v->double_starts, "lookups",
+				      (json_int_t)v->lookups, "voids",
+				      (json_int_t)v->voids));
+}
+
+static void add_faults(json_t *report, const struct load_verdict *v)
+{
+	json_t *o = json_object();
+
+	const struct {
+		const char *name;
+		size_t n;
+	} list[] = {
+		{ "double_starts", v->double_starts },
+		{ "started_twice", v->started_twice },
+		{ "complete_without_start", v->complete_without_start },
+		{ "not_run_but_started", v->not_run_but_started },
+		{ "wrong_answers", v->wrong_answers },
+		{ "answers_differ", v->answers_differ },
+		{ "targets_unread", v->targets_unread },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(list) / sizeof(*list); i++)
+		json_object_set_new(o, list[i].name,
+				    json_integer((json_int_t)list[i].n));
+	json_object_set_new(report, "targets_read",
+			    json_integer((json_int_t)v->targets_read));
+	json_object_set_new(report, "idempotent_repeats",
+			    json_integer((json_int_t)v->repeated_idempotent));
+	json_object_set_new(report, "faults", o);
+}
+
+/* --- counters --------------------------------------------------------- */
+
+/* Adds an entry VM's "name value" lines to the sums over all of them. */
+static void add_metrics(json_t *sums, char *text)
+{
+	char *save, *line;
+
+	for (line = strtok_r(text, "\n", &save); line;
+	     line = strtok_r(NULL, "\n", &save)) {
+		char *space = strrchr(line, ' ');
+		double sum;
+
+		if (*line == '#' || !space)
+			continue;
+		*space = '\0';
+		sum = json_number_value(json_object_get(sums, line)) +
+		      strtod(space + 1, NULL);
+		json_object_set_new(sums, line, json_real(sum));
+	}
+}
+
+void load_counters_read(const struct load_settings *set,
+			struct load_counters *c)
+{
+	size_t i;
+
+	c->vms = json_object();
+	for (i = 0; i < set->nvms; i++) {
+		char *text = load_get_text(set->vms[i], "/v1/metrics");
+
+		if (text)
+			add_metrics(c->vms, text);
+		free(text);
+	}
+	c->platform = set->platform ? load_get_json(set->platform, "/v1/"
+								   "control/"
+								   "counts")
+				    : NULL;
+}
+
+void load_counters_finish(struct load_counters *c)
+{
+	json_decref(c->vms);
+	json_decref(c->platform);
+}
+
+/* What has grown between two readings. */
+static json_t *grown(json_t *before, json_t *after)
+{
+	json_t *o = json_object();
+	const char *name;
+	json_t *v;
+
+	json_object_foreach(after, name, v)
+	{
+		double d = json_number_value(v) -
+			   json_number_value(json_object_get(before, name));
+
+		if (d != 0)
+			json_object_set_new(o, name, json_real(d));
+	}
+	return o;
+}
+
+/* --- printing --------------------------------------------------------- */
+
+static void print_object(json_t *o, int depth)
+{
+	const char *name;
+	json_t *v;
+
+	json_object_foreach(o, name, v)
+	{
+		printf("%*s%-*s", 2 * depth, "", 26 - 2 * depth, name);
+		if (json_is_object(v)) {
+			printf("\n");
+			print_object(v, depth + 1);
+		} else if (json_is_real(v)) {
+			printf(" %.3f\n", json_real_value(v));
+		} else {
+			printf(" %lld\n", (long long)json_integer_value(v));
+		}
+	}
+}
+
+void load_report(const struct load_settings *set, const struct load_plan *plan,
+		 const struct load_verdict *v,
+		 const struct load_counters *before,
+		 const struct load_counters *after)
+{
+	json_t *report = json_object();
+	int m;
+
+	add_rates(report, plan);
+	for (m = 0; m < MEASURES; m++) {
+		struct sample s;
+
+		sample_init(&s, m, set, plan);
+		json_object_set_new(report, measure_names[m], sample_json(&s));
+		free(s.list);
+	}
+	add_states(report, plan);
+	if (set->ntargets)
+		add_messages(report, v);
+	add_faults(report, v);
+	json_object_set_new(report, "entry_vm_counters",
+			    grown(before->vms, after->vms));
+	json_object_set_new(report, "platform_counts",
+			    grown(before->platform, after->platform));
+	if (set->json) {
+		json_dumpf(report, stdout,
+			   JSON_INDENT(2) | JSON_REAL_PRECISION(6));
+		printf("\n");
+	} else {
+		print_object(report, 0);
+	}
+	json_decref(report);
+}
--- /dev/null
+++ b/load.c
@@ -0,0 +1,284 @@
+/*
+ * rosemary-load: an open-loop load on one or several entry VMs, with a report
+ * of response times and a check against the targets' records.
+ */
+
+#include "load.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define EXIT_FAULTS 1
+#define EXIT_USAGE 2
+
+enum long_flag {
+	FLAG_OWN_KEYS = 256,
+	FLAG_RESUBMIT,
+	FLAG_RESUBMIT_AFTER,
+	FLAG_REQUESTS,
+	FLAG_IDEMPOTENT,
+	FLAG_RETRY_FOR,
+	FLAG_SETTLE,
+	FLAG_VERIFY,
+	FLAG_PLATFORM,
+	FLAG_FASTEST,
+	FLAG_RUN,
+	FLAG_TASK_MS,
+	FLAG_SEED,
+};
+
+static const struct argp_option options[] = {
+	{ "entry-vm", 'e', "IP:PORT", 0, "an entry VM; repeatable", 0 },
+	{ "rate", 'r', "N", 0, "jobs per second (100)", 0 },
+	{ "seconds", 'S', "N", 0, "length of the run (5)", 0 },
+	{ "tasks", 'n', "DIST", 0, "tasks per job (10)", 0 },
+	{ "task-ms", FLAG_TASK_MS, "DIST", 0,
+	  "service time of a task in ms (50)", 0 },
+	{ "service", 's', "NAME[:WEIGHT]", 0, "repeatable", 0 },
+	{ "team", 't', "NAME[:WEIGHT]", 0, "repeatable (default)", 0 },
+	{ "timeout", 'T', "MS", 0, "of every job (30000)", 0 },
+	{ "own-keys", FLAG_OWN_KEYS, "SHARE", 0,
+	  "share of jobs under the caller's own key (0)", 0 },
+	{ "resubmit", FLAG_RESUBMIT, "SHARE", 0,
+	  "share of jobs sent again to another entry VM (0)", 0 },
+	{ "resubmit-after", FLAG_RESUBMIT_AFTER, "DIST", 0,
+	  "when, in ms after the first (0-100)", 0 },
+	{ "requests", FLAG_REQUESTS, "SHARE", 0, "share of single requests (0)",
+	  0 },
+	{ "idempotent", FLAG_IDEMPOTENT, "SHARE", 0,
+	  "share of the requests that may be repeated (0)", 0 },
+	{ "retry-for", FLAG_RETRY_FOR, "MS", 0,
+	  "come back after refusals and lost answers for so long (0)", 0 },
+	{ "threads", 'j', "N", 0, "threads that send (1)", 0 },
+	{ "seed", FLAG_SEED, "N", 0, "seed of the plan (1)", 0 },
+	{ "run", FLAG_RUN, "NAME", 0, "mark of this run in the records", 0 },
+	{ "verify", FLAG_VERIFY, "IP:PORT[xN]", 0,
+	  "read the records of N target stand-ins from this port on and "
+	  "check them; repeatable",
+	  0 },
+	{ "settle", FLAG_SETTLE, "MS", 0, "pause before that (500)", 0 },
+	{ "platform", FLAG_PLATFORM, "IP:PORT", 0,
+	  "report the counts of this platform stand-in", 0 },
+	{ "fastest", FLAG_FASTEST, "F", 0,
+	  "speed factor of the fastest target (1)", 0 },
+	{ "json", 'J', NULL, 0, "print JSON", 0 },
+	{ NULL, 0, NULL, 0, NULL, 0 },
+};
+
+static double number(struct argp_state *state, const char *arg, double low,
+		     double high)
+{
+	char *end;
+	double x = strtod(arg, &end);
+
+	if (*end || end == arg || x < low || x > high)
+		argp_error(state, "'%s' must be %g..%g", arg, low, high);
+	return x;
+}
+
+static void dist(struct argp_state *state, struct load_dist *d, const char *arg)
+{
+	if (load_dist_parse(d, arg))
+		argp_error(state,
+			   "'%s' must be N, A-B, exp:MEAN or "
+			   "lognorm:MEAN:SIGMA",
+			   arg);
+}
+
+static void mix(struct argp_state *state, struct load_mix *m, const char *arg)
+{
+	if (load_mix_add(m, arg))
+		argp_error(state, "'%s' must be NAME or NAME:WEIGHT", arg);
+}
+
+/* Adds "IP:PORT" or "IP:PORTxN" to the targets to verify. */
+static void add_targets(struct argp_state *state, struct load_settings *set,
+			const char *arg)
+{
+	const char *colon = strrchr(arg, ':');
+	long port = 0, n = 1, i;
+	char *end = NULL;
+
+	if (colon)
+		port = strtol(colon + 1, &end, 10);
+	if (end && *end == 'x')
+		n = strtol(end + 1, &end, 10);
+	if (!end || *end || port < 1 || n < 1 || port + n > 65536)
+		argp_error(state, "'%s' must be IP:PORT or IP:PORTxN", arg);
+	for (i = 0; i < n; i++) {
+		if (set->ntargets == LOAD_TARGETS_MAX)
+			argp_error(state, "too many targets");
+		snprintf(set->targets[set->ntargets++], LOAD_NAME_LEN,
+			 "%.*s:%ld", (int)(colon - arg), arg, port + i);
+	}
+}
+
+/* Flags that say what the jobs are like. */
+static error_t parse_job_flag(int key, char *arg, struct argp_state *state)
+{
+	struct load_settings *set = state->input;
+
+	switch (key) {
+	case 'r':
+		set->jobs_per_second = number(state, arg, 0.001, 1e6);
+		return 0;
+	case 'S':
+		set->seconds = number(state, arg, 0.001, 1e6);
+		return 0;
+	case 'n':
+		dist(state, &set->tasks, arg);
+		return 0;
+	case FLAG_TASK_MS:
+		dist(state, &set->task_ms, arg);
+		return 0;
+	case 's':
+		mix(state, &set->services, arg);
+		return 0;
+	case 't':
+		mix(state, &set->teams, arg);
+		return 0;
+	case 'T':
+		set->timeout_ms = (int64_t)number(state, arg, 1, 86400000);
+		return 0;
+	case FLAG_OWN_KEYS:
+		set->own_keys = number(state, arg, 0, 1);
+		return 0;
+	case FLAG_RESUBMIT:
+		set->resubmit = number(state, arg, 0, 1);
+		return 0;
+	case FLAG_RESUBMIT_AFTER:
+		dist(state, &set->resubmit_after_ms, arg);
+		return 0;
+	case FLAG_REQUESTS:
+		set->requests = number(state, arg, 0, 1);
+		return 0;
+	case FLAG_IDEMPOTENT:
+		set->idempotent = number(state, arg, 0, 1);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Flags that say whom to call and what to report. */
+static error_t parse_flag(int key, char *arg, struct argp_state *state)
+{
+	struct load_settings *set = state->input;
+
+	switch (key) {
+	case 'e':
+		if (set->nvms == LOAD_VMS_MAX)
+			argp_error(state, "too many entry VMs");
+		set->vms[set->nvms++] = arg;
+		return 0;
+	case FLAG_RETRY_FOR:
+		set->retry_for_ms = (int64_t)number(state, arg, 0, 86400000);
+		return 0;
+	case 'j':
+		set->threads = (size_t)number(state, arg, 1, LOAD_THREADS_MAX);
+		return 0;
+	case FLAG_SEED:
+		set->seed = (unsigned long)number(state, arg, 0, 1e9);
+		return 0;
+	case FLAG_RUN:
+		snprintf(set->run, sizeof(set->run), "%s", arg);
+		return 0;
+	case FLAG_VERIFY:
+		add_targets(state, set, arg);
+		return 0;
+	case FLAG_SETTLE:
+		set->settle_ms = (int64_t)number(state, arg, 0, 86400000);
+		return 0;
+	case FLAG_PLATFORM:
+		set->platform = arg;
+		return 0;
+	case FLAG_FASTEST:
+		set->fastest = number(state, arg, 0.001, 1000);
+		return 0;
+	case 'J':
+		set->json = 1;
+		return 0;
+	case ARGP_KEY_END:
+		if (!set->nvms || !set->services.len)
+			argp_error(state, "give --entry-vm and --service");
+		return 0;
+	default:
+		return parse_job_flag(key, arg, state);
+	}
+}
+
+static void set_defaults(struct load_settings *set)
+{
+	memset(set, 0, sizeof(*set));
+	set->jobs_per_second = 100;
+	set->seconds = 5;
+	set->tasks.a = 10;
+	set->task_ms.a = 50;
+	set->fastest = 1;
+	set->timeout_ms = 30000;
+	load_dist_parse(&set->resubmit_after_ms, "0-100");
+	set->settle_ms = 500;
+	set->threads = 1;
+	set->seed = 1;
+}
+
+/* Completes what the flags left open. */
+static void complete_settings(struct load_settings *set)
+{
+	if (!set->teams.len)
+		load_mix_add(&set->teams, "default");
+	if (!*set->run)
+		snprintf(set->run, sizeof(set->run), "run%lu-%lld", set->seed,
+			 (long long)time(NULL));
+}
+
+/* Waits for stray starts, then reads the records. */
+static void verify(const struct load_settings *set, struct load_plan *plan,
+		   struct load_verdict *v)
+{
+	struct timespec pause = { set->settle_ms / 1000,
+				  set->settle_ms % 1000 * 1000000 };
+
+	if (set->ntargets)
+		nanosleep(&pause, NULL);
+	load_verify(set, plan, v);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = { options,
+					  parse_flag,
+					  NULL,
+					  "Sends an open-loop load and reports "
+					  "response times against "
+					  "the ideal: the longest task of each "
+					  "job. Exits with 1 when "
+					  "a promise was broken.",
+					  NULL,
+					  NULL,
+					  NULL };
+	static struct load_settings set;
+	struct load_counters before, after;
+	struct load_verdict verdict;
+	struct load_plan plan;
+
+	argp_err_exit_status = EXIT_USAGE;
+	set_defaults(&set);
+	argp_parse(&argp, argc, argv, 0, NULL, &set);
+	complete_settings(&set);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	load_plan_init(&plan, &set);
+	load_counters_read(&set, &before);
+	load_run(&set, &plan);
+	load_counters_read(&set, &after);
+	verify(&set, &plan, &verdict);
+	load_report(&set, &plan, &verdict, &before, &after);
+	load_counters_finish(&before);
+	load_counters_finish(&after);
+	load_plan_finish(&plan);
+	curl_global_cleanup();
+	return load_verdict_faults(&verdict) ? EXIT_FAULTS : 0;
+}
