Serve curl loops from an APR poll set; let nobody wait once stopping

curl_multi_perform() looks at every running exchange on each wake-up, so the cost grew with the tasks in flight. A caller can no longer begin to wait while the server is taken down, which libmicrohttpd would answer by aborting.

--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_MS 1000
-
 /* Collects the reply's body up to its bound; cuts the reply off beyond. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
@@ -198,23 +196,20 @@
 static void wait_for_work(struct loop *l)
 {
 	atomic_store(&l->sleeping, 1);
-	if (queue_is_empty(l) && !atomic_load(&l->stopping))
-		curl_multi_poll(l->multi, NULL, 0, POLL_MS, NULL);
+	loop_poll(l, queue_is_empty(l) && !atomic_load(&l->stopping));
 	atomic_store(&l->sleeping, 0);
 }
 
 static void *APR_THREAD_FUNC run_loop(apr_thread_t *thread, void *arg)
 {
 	struct loop *l = arg;
-	int running;
 
 	(void)thread;
 	daemon_name_thread("curl-loop");
 	while (!atomic_load(&l->stopping)) {
 		begin_queued(l);
-		curl_multi_perform(l->multi, &running);
-		end_finished(l);
 		wait_for_work(l);
+		end_finished(l);
 	}
 	return NULL;
 }
@@ -228,7 +223,7 @@
 	l->max_spare = (size_t)max_idle;
 	l->spare = apr_palloc(d->pool, l->max_spare * sizeof(CURL *));
 	l->multi = curl_multi_init();
-	if (!l->multi ||
+	if (!l->multi || loop_poll_init(l) < 0 ||
 	    apr_thread_mutex_create(&l->lock, APR_THREAD_MUTEX_DEFAULT,
 				    d->pool) != APR_SUCCESS)
 		return -1;
@@ -246,8 +241,8 @@
 	*l->tail = c;
 	l->tail = &c->next;
 	apr_thread_mutex_unlock(l->lock);
-	if (atomic_load(&l->sleeping))
-		curl_multi_wakeup(l->multi);
+	if (atomic_exchange(&l->sleeping, 0))
+		loop_poll_wake(l);
 }
 
 void loop_finish(struct loop *l)
@@ -258,7 +253,7 @@
 	if (!l->thread)
 		return;
 	atomic_store(&l->stopping, 1);
-	curl_multi_wakeup(l->multi);
+	loop_poll_wake(l);
 	apr_thread_join(&rc, l->thread);
 	for (i = 0; i < l->nspare; i++)
 		curl_easy_cleanup(l->spare[i]);
--- /dev/null
+++ b/daemon-poll.c
@@ -0,0 +1,143 @@
+/* The sockets and the timer of a curl loop, in an APR poll set. */
+
+#include "daemon.h"
+
+#include <apr_portable.h>
+#include <apr_time.h>
+
+#define POLL_EVENTS 1024 /* events taken at once */
+#define POLL_SPAN apr_time_from_sec(1)
+
+/* A socket of curl's that is watched; kept for reuse afterwards. */
+struct loop_socket {
+	apr_pollfd_t pfd;
+	apr_socket_t *socket;
+	struct loop_socket *next; /* in the list of unused ones */
+};
+
+static struct loop_socket *take_socket(struct loop *l)
+{
+	struct loop_socket *s = l->unused;
+
+	if (!s)
+		return apr_pcalloc(l->pool, sizeof(*s));
+	l->unused = s->next;
+	return s;
+}
+
+static apr_int16_t events_of(int what)
+{
+	if (what == CURL_POLL_IN)
+		return APR_POLLIN;
+	return what == CURL_POLL_OUT ? APR_POLLOUT : APR_POLLIN | APR_POLLOUT;
+}
+
+/* curl asks to watch a socket, to watch it for something else, or to stop. */
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
+		     void *socket)
+{
+	struct loop *l = arg;
+	struct loop_socket *s = socket;
+
+	(void)easy;
+	if (s)
+		apr_pollset_remove(l->pollset, &s->pfd);
+	if (what == CURL_POLL_REMOVE) {
+		if (s) {
+			s->next = l->unused;
+			l->unused = s;
+		}
+		return 0;
+	}
+	if (!s) {
+		s = take_socket(l);
+		apr_os_sock_put(&s->socket, &fd, l->pool);
+		curl_multi_assign(l->multi, fd, s);
+	}
+	s->pfd.desc_type = APR_POLL_SOCKET;
+	s->pfd.desc.s = s->socket;
+	s->pfd.reqevents = events_of(what);
+	s->pfd.client_data = (void *)(intptr_t)fd;
+	return apr_pollset_add(l->pollset, &s->pfd) == APR_SUCCESS ? 0 : -1;
+}
+
+static int on_timer(CURLM *multi, long timeout, void *arg)
+{
+	struct loop *l = arg;
+
+	(void)multi;
+	l->timer = timeout < 0 ? 0
+			       : apr_time_now() + apr_time_from_msec(timeout);
+	return 0;
+}
+
+int loop_poll_init(struct loop *l)
+{
+	if (apr_pool_create(&l->pool, l->d->pool) != APR_SUCCESS ||
+	    apr_pollset_create(&l->pollset, POLL_EVENTS, l->pool,
+			       APR_POLLSET_WAKEABLE | APR_POLLSET_NOCOPY) !=
+		    APR_SUCCESS)
+		return -1;
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(l->multi, CURLMOPT_SOCKETDATA, l);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(l->multi, CURLMOPT_TIMERDATA, l);
+	return 0;
+}
+
+/* The span until curl's timer; 0 when it has passed. */
+static apr_interval_time_t span_left(const struct loop *l)
+{
+	apr_interval_time_t left = POLL_SPAN;
+
+	if (l->timer)
+		left = l->timer - apr_time_now();
+	if (left < 0)
+		return 0;
+	return left < POLL_SPAN ? left : POLL_SPAN;
+}
+
+static int mask_of(apr_int16_t events)
+{
+	int mask = 0;
+
+	if (events & (APR_POLLIN | APR_POLLHUP))
+		mask |= CURL_CSELECT_IN;
+	if (events & APR_POLLOUT)
+		mask |= CURL_CSELECT_OUT;
+	if (events & APR_POLLERR)
+		mask |= CURL_CSELECT_ERR;
+	return mask;
+}
+
+/* Lets curl run its timers, if one has passed. */
+static void run_timer(struct loop *l)
+{
+	int running;
+
+	if (!l->timer || l->timer > apr_time_now())
+		return;
+	l->timer = 0;
+	curl_multi_socket_action(l->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+void loop_poll(struct loop *l, int may_sleep)
+{
+	const apr_pollfd_t *ready;
+	apr_int32_t n = 0, i;
+	int running;
+
+	if (apr_pollset_poll(l->pollset, may_sleep ? span_left(l) : 0, &n,
+			     &ready) != APR_SUCCESS)
+		n = 0;
+	for (i = 0; i < n; i++)
+		curl_multi_socket_action(
+			l->multi, (curl_socket_t)(intptr_t)ready[i].client_data,
+			mask_of(ready[i].rtnevents), &running);
+	run_timer(l);
+}
+
+void loop_poll_wake(struct loop *l)
+{
+	apr_pollset_wakeup(l->pollset);
+}
--- a/daemon.h
+++ b/daemon.h
@@ -10,6 +10,7 @@
  * daemon-peer.c. No part delivers an event from within an action.
  */
 
+#include <apr_poll.h>
 #include <apr_pools.h>
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
@@ -138,8 +139,19 @@
 	atomic_int stopping;
 	CURL **spare; /* easy handles for reuse */
 	size_t nspare, max_spare;
+
+	/* Of daemon-poll.c; only the loop's thread. */
+	apr_pool_t *pool;
+	apr_pollset_t *pollset;
+	apr_time_t timer; /* when curl wants to be called; 0: not */
+	struct loop_socket *unused;
 };
 
+int loop_poll_init(struct loop *l);
+/* Serves sockets and timers; sleeps until there is work if it may. */
+void loop_poll(struct loop *l, int may_sleep);
+void loop_poll_wake(struct loop *l);
+
 int loop_init(struct loop *l, struct daemon *d, void *user, int max_idle);
 void loop_finish(struct loop *l);
 /* Queues a call from any thread. */
--- a/http-json.c
+++ b/http-json.c
@@ -128,6 +128,12 @@
 	}
 }
 
+void http_send_refusal(struct http_request *r, const struct rp_status *st,
+		       rp_ms retry_after)
+{
+	http_send_status(r, http_of_code(st->code), st, retry_after);
+}
+
 static int http_of_answer(const struct rp_answer *a)
 {
 	switch (a->state) {
@@ -222,8 +228,7 @@
 	int i;
 
 	if (r->status.code != RP_OK) {
-		http_send_status(r, http_of_code(r->status.code), &r->status,
-				 0);
+		http_send_refusal(r, &r->status, 0);
 		return;
 	}
 	list = json_array();
--- a/http-submit.c
+++ b/http-submit.c
@@ -7,15 +7,24 @@
 #define KEYS_MAX 1024	   /* keys in one call */
 #define RETRY_FULL_MS 1000 /* when too many callers wait */
 
-void http_deliver(struct http_request *r, struct rp_event *ev)
+/* Refuses a call that nobody may wait for now; nothing was started. */
+static void send_no_room(struct http_request *r)
 {
 	struct rp_status st;
 
-	if (http_wait_add(r) < 0) {
+	if (atomic_load(&r->d->draining))
+		rp_status_set(&st, RP_E_DRAINING, RP_STEP_STOP, "",
+			      "this entry VM is stopping");
+	else
 		rp_status_set(&st, RP_E_FULL, RP_STEP_ADMIT, "",
 			      "too many callers wait on this entry VM");
-		http_send_status(r, MHD_HTTP_TOO_MANY_REQUESTS, &st,
-				 RETRY_FULL_MS);
+	http_send_refusal(r, &st, RETRY_FULL_MS);
+}
+
+void http_deliver(struct http_request *r, struct rp_event *ev)
+{
+	if (http_wait_add(r) < 0) {
+		send_no_room(r);
 		return;
 	}
 	ev->token = r->token;
--- a/http-wait.c
+++ b/http-wait.c
@@ -25,6 +25,7 @@
 	int nslots;
 	int used;	    /* slots that have ever been used */
 	int free;	    /* head of the free list, or -1 */
+	int closed;	    /* the process stops: nobody may wait */
 	struct pollfd *fds; /* scratch of the sweep */
 	rp_token *tokens;
 };
@@ -59,6 +60,8 @@
 {
 	int i = w->free;
 
+	if (w->closed)
+		return -1;
 	if (i >= 0)
 		w->free = w->slots[i].next_free;
 	else if (w->used < w->nslots)
@@ -179,6 +182,7 @@
 	int i, used;
 
 	apr_thread_mutex_lock(w->lock);
+	w->closed = 1;
 	used = w->used;
 	apr_thread_mutex_unlock(w->lock);
 	for (i = 0; i < used; i++) {
--- a/http.h
+++ b/http.h
@@ -69,7 +69,7 @@
 
 /* --- http-wait.c: requests that wait for the kernel ------------------- */
 
-/* Gives the request a token. Returns -1 when too many wait. */
+/* Gives the request a token. Returns -1 when too many wait, or at a stop. */
 int http_wait_add(struct http_request *r);
 /* Takes the request out; NULL when the token is no longer known. */
 struct http_request *http_wait_take(struct http_waits *w, rp_token token);
@@ -108,6 +108,9 @@
 		    const char *text, size_t len);
 void http_send_status(struct http_request *r, int http,
 		      const struct rp_status *st, rp_ms retry_after);
+/* Sends a refusal with the HTTP status that goes with its code. */
+void http_send_refusal(struct http_request *r, const struct rp_status *st,
+		       rp_ms retry_after);
 /* Sends an error that arose in the shell itself. */
 void http_send_error(struct http_request *r, int http, enum rp_code code,
 		     enum rp_step step, const char *fmt, ...)
