Tests of the daemon against bad callers, peers and platform replies

Bad input, slow, cut and half-closed callers, resets, full queues and lost replies were untested. Mended on the way: calls still running at exit were leaked, and a query argument without a value or of an unknown name was ignored instead of refused.

--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -80,7 +80,23 @@
 	l->spare[l->nspare++] = easy;
 }
 
-/* Reports the end of a call; finish() frees the call itself. */
+static void add_running(struct loop *l, struct loop_call *c)
+{
+	c->next = l->running;
+	c->prev = &l->running;
+	if (c->next)
+		c->next->prev = &c->next;
+	l->running = c;
+}
+
+static void remove_running(struct loop_call *c)
+{
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
+/* Reports the end of a call and frees it. */
 static void end_call(struct loop_call *c, CURLcode rc)
 {
 	struct loop *l = c->loop;
@@ -93,7 +109,9 @@
 	} else {
 		c->unsent = 1;
 	}
+	remove_running(c);
 	c->ops->finish(c, rc, status);
+	c->ops->free(c);
 	if (easy)
 		keep_easy(l, easy);
 }
@@ -123,6 +141,7 @@
 static void begin_call(struct loop *l, struct loop_call *c)
 {
 	c->loop = l;
+	add_running(l, c);
 	c->easy = take_easy(l);
 	if (!c->easy) {
 		end_call(c, CURLE_OUT_OF_MEMORY);
@@ -245,6 +264,26 @@
 		loop_poll_wake(l);
 }
 
+/* Frees the calls that have not ended, without a report. */
+static void free_calls(struct loop *l)
+{
+	struct loop_call *c;
+
+	while ((c = l->running)) {
+		remove_running(c);
+		curl_multi_remove_handle(l->multi, c->easy);
+		curl_easy_cleanup(c->easy);
+		c->ops->free(c);
+	}
+	c = take_queue(l);
+	while (c) {
+		struct loop_call *next = c->next;
+
+		c->ops->free(c);
+		c = next;
+	}
+}
+
 void loop_finish(struct loop *l)
 {
 	apr_status_t rc;
@@ -255,6 +294,7 @@
 	atomic_store(&l->stopping, 1);
 	loop_poll_wake(l);
 	apr_thread_join(&rc, l->thread);
+	free_calls(l);
 	for (i = 0; i < l->nspare; i++)
 		curl_easy_cleanup(l->spare[i]);
 	curl_multi_cleanup(l->multi);
--- a/daemon-platform.c
+++ b/daemon-platform.c
@@ -288,6 +288,12 @@
 	json_decref(r.root);
 	free(r.rows);
 	free(r.vms);
+}
+
+static void free_platform(struct loop_call *c)
+{
+	struct platform_call *p = (struct platform_call *)c;
+
 	free(p->request);
 	free(c->body);
 	free(p);
@@ -296,6 +302,7 @@
 static const struct loop_call_ops platform_ops = {
 	.prepare = prepare_platform,
 	.finish = finish_platform,
+	.free = free_platform,
 };
 
 void platform_execute(struct daemon *d, struct rp_action *act)
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -176,10 +176,12 @@
 	return RP_LOOKUP_NONE;
 }
 
-static void free_target(struct target_call *t)
+static void free_target(struct loop_call *c)
 {
+	struct target_call *t = (struct target_call *)c;
+
 	rp_submission_unref(t->sub);
-	free(t->call.body);
+	free(c->body);
 	free(t);
 }
 
@@ -242,12 +244,12 @@
 		report_start(t, rc, status);
 	else if (t->type != RP_ACTION_STOP)
 		report_lookup(t, rc, status);
-	free_target(t);
 }
 
 static const struct loop_call_ops target_ops = {
 	.prepare = prepare_target,
 	.finish = finish_target,
+	.free = free_target,
 };
 
 /* All calls to one target run in one loop, which has its connections. */
--- a/daemon.h
+++ b/daemon.h
@@ -110,12 +110,14 @@
 struct loop_call_ops {
 	void (*prepare)(struct loop_call *c);
 	void (*finish)(struct loop_call *c, CURLcode rc, long status);
+	void (*free)(struct loop_call *c);
 };
 
 /* One HTTP exchange in a loop. Embedded as first member of a larger call. */
 struct loop_call {
 	const struct loop_call_ops *ops;
-	struct loop_call *next;
+	struct loop_call *next;	 /* in the queue, or among the running */
+	struct loop_call **prev; /* among the running */
 	struct loop *loop;
 	CURL *easy;
 	int resend_ok; /* may be sent again when a connection died */
@@ -137,7 +139,8 @@
 	struct loop_call *head, **tail; /* under lock: calls to be begun */
 	atomic_int sleeping;
 	atomic_int stopping;
-	CURL **spare; /* easy handles for reuse */
+	struct loop_call *running; /* only the loop's thread */
+	CURL **spare;		   /* easy handles for reuse */
 	size_t nspare, max_spare;
 
 	/* Of daemon-poll.c; only the loop's thread. */
--- a/http-operate.c
+++ b/http-operate.c
@@ -92,7 +92,7 @@
 	int64_t since;
 	uint64_t end;
 
-	if (http_query_number(r, "since", 0, 0, INT64_MAX, &since) < 0)
+	if (http_query_number(r, 0, 0, INT64_MAX, &since) < 0)
 		return;
 	text_init(&t);
 	end = rp_kernel_trace(r->d->kernel, (uint64_t)since, &t.w);
--- a/http-route.c
+++ b/http-route.c
@@ -5,21 +5,21 @@
 #include <string.h>
 
 static const struct http_route routes[] = {
-	{ "POST", "/v1/jobs", 0, 1, http_handle_job },
-	{ "POST", "/v1/requests", 0, 1, http_handle_request },
-	{ "POST", "/v1/keys", 0, 0, http_handle_keys },
-	{ "GET", "/v1/jobs/", 1, 0, http_handle_query },
-	{ "DELETE", "/v1/jobs/", 1, 0, http_handle_cancel },
-	{ "GET", "/v1/table", 0, 0, http_handle_table },
-	{ "POST", "/v1/table/edits", 0, 1, http_handle_edit },
-	{ "PUT", "/v1/table/drafts/", 1, 1, http_handle_draft },
-	{ "DELETE", "/v1/table/drafts/", 1, 0, http_handle_draft },
-	{ "GET", "/v1/status", 0, 0, http_handle_status },
-	{ "GET", "/v1/events", 0, 0, http_handle_events },
-	{ "GET", "/v1/metrics", 0, 0, http_handle_metrics },
-	{ "POST", "/v1/drain", 0, 0, http_handle_drain },
-	{ "GET", "/healthz", 0, 0, http_handle_healthz },
-	{ "GET", "/readyz", 0, 0, http_handle_readyz },
+	{ "POST", "/v1/jobs", 0, "wait", http_handle_job },
+	{ "POST", "/v1/requests", 0, NULL, http_handle_request },
+	{ "POST", "/v1/keys", 0, "count", http_handle_keys },
+	{ "GET", "/v1/jobs/", 1, "wait", http_handle_query },
+	{ "DELETE", "/v1/jobs/", 1, NULL, http_handle_cancel },
+	{ "GET", "/v1/table", 0, NULL, http_handle_table },
+	{ "POST", "/v1/table/edits", 0, NULL, http_handle_edit },
+	{ "PUT", "/v1/table/drafts/", 1, NULL, http_handle_draft },
+	{ "DELETE", "/v1/table/drafts/", 1, NULL, http_handle_draft },
+	{ "GET", "/v1/status", 0, NULL, http_handle_status },
+	{ "GET", "/v1/events", 0, "since", http_handle_events },
+	{ "GET", "/v1/metrics", 0, NULL, http_handle_metrics },
+	{ "POST", "/v1/drain", 0, NULL, http_handle_drain },
+	{ "GET", "/healthz", 0, NULL, http_handle_healthz },
+	{ "GET", "/readyz", 0, NULL, http_handle_readyz },
 };
 
 static int hex_digit(char c)
@@ -88,19 +88,46 @@
 	return other_method ? MHD_HTTP_METHOD_NOT_ALLOWED : MHD_HTTP_NOT_FOUND;
 }
 
-int http_query_number(struct http_request *r, const char *name, int64_t def,
-		      int64_t min, int64_t max, int64_t *out)
+int http_query_number(struct http_request *r, int64_t def, int64_t min,
+		      int64_t max, int64_t *out)
 {
-	const char *text = MHD_lookup_connection_value(
-		r->conn, MHD_GET_ARGUMENT_KIND, name);
+	const char *name = r->route->argument;
+	const char *value = NULL;
 
 	*out = def;
-	if (!text)
+	if (MHD_lookup_connection_value_n(r->conn, MHD_GET_ARGUMENT_KIND, name,
+					  strlen(name), &value,
+					  NULL) != MHD_YES)
 		return 0;
-	if (!setting_number(text, min, max, out))
+	if (value && !setting_number(value, min, max, out))
 		return 0;
 	http_send_error(r, MHD_HTTP_BAD_REQUEST, RP_E_INPUT, RP_STEP_PARSE,
 			"%s: want a whole number from %lld to %lld", name,
 			(long long)min, (long long)max);
 	return -1;
 }
+
+/* Looks at one argument; the first strange one is kept. */
+static enum MHD_Result look_at_argument(void *arg, enum MHD_ValueKind kind,
+					const char *name, const char *value)
+{
+	struct http_request *r = arg;
+
+	(void)kind;
+	(void)value;
+	if (!name || !r->route->argument ||
+	    strcmp(name, r->route->argument) != 0)
+		r->strange_argument = name ? name : "";
+	return MHD_YES;
+}
+
+int http_check_arguments(struct http_request *r)
+{
+	MHD_get_connection_values(r->conn, MHD_GET_ARGUMENT_KIND,
+				  look_at_argument, r);
+	if (!r->strange_argument)
+		return 0;
+	http_send_error(r, MHD_HTTP_BAD_REQUEST, RP_E_INPUT, RP_STEP_PARSE,
+			"%.64s: unknown query argument", r->strange_argument);
+	return -1;
+}
--- a/http-server.c
+++ b/http-server.c
@@ -103,7 +103,8 @@
 		send_refusal(r);
 	} else if (!r->handled) {
 		r->handled = 1;
-		r->route->handle(r);
+		if (!http_check_arguments(r))
+			r->route->handle(r);
 	} else if (!r->responded && atomic_load(&r->phase) == HTTP_REPLIED) {
 		http_send_reply(r);
 	}
--- a/http-submit.c
+++ b/http-submit.c
@@ -38,7 +38,7 @@
 	struct rp_event ev = { .type = RP_EVENT_KEYS };
 	int64_t count;
 
-	if (http_query_number(r, "count", 1, 1, KEYS_MAX, &count) < 0)
+	if (http_query_number(r, 1, 1, KEYS_MAX, &count) < 0)
 		return;
 	ev.keys.count = (int)count;
 	http_deliver(r, &ev);
@@ -71,7 +71,7 @@
 {
 	int64_t wait;
 
-	if (http_query_number(r, "wait", 1, 0, 1, &wait) < 0)
+	if (http_query_number(r, 1, 0, 1, &wait) < 0)
 		return;
 	submit(r, 0, (int)wait);
 }
@@ -86,7 +86,7 @@
 	struct rp_event ev = { .type = RP_EVENT_QUERY };
 	int64_t wait;
 
-	if (http_query_number(r, "wait", 0, 0, 1, &wait) < 0)
+	if (http_query_number(r, 0, 0, 1, &wait) < 0)
 		return;
 	memcpy(r->key, r->name, sizeof(r->key));
 	ev.query.key.ptr = r->key;
--- a/http.h
+++ b/http.h
@@ -16,9 +16,9 @@
 /* One row of the route table. */
 struct http_route {
 	const char *method;
-	const char *path; /* a prefix when takes_name */
-	int takes_name;	  /* the rest of the path is a name */
-	int has_body;
+	const char *path;     /* a prefix when takes_name */
+	int takes_name;	      /* the rest of the path is a name */
+	const char *argument; /* the one query argument, or NULL */
 	void (*handle)(struct http_request *r);
 };
 
@@ -46,6 +46,7 @@
 	char *body;
 	size_t len, cap;
 	rp_ms began;
+	const char *strange_argument;
 	const char *x_next; /* header X-Next of the response */
 	int refused;	    /* HTTP status when refused while being read */
 	int handled;
@@ -126,9 +127,14 @@
 /* Finds the route; fills r->name. Returns 0, or an HTTP status. */
 int http_find_route(struct http_request *r, const char *method,
 		    const char *url);
-/* Reads a whole number from the query string; def when it is absent. */
-int http_query_number(struct http_request *r, const char *name, int64_t def,
-		      int64_t min, int64_t max, int64_t *out);
+/*
+ * Reads the route's argument, a whole number; def when it is absent.
+ * Returns -1 after sending an error.
+ */
+int http_query_number(struct http_request *r, int64_t def, int64_t min,
+		      int64_t max, int64_t *out);
+/* Refuses arguments that the route does not take. Returns 0 or -1. */
+int http_check_arguments(struct http_request *r);
 /* Delivers an event for a request that has a token, and waits. */
 void http_deliver(struct http_request *r, struct rp_event *ev);
 
--- a/regress/daemon-test.h
+++ b/regress/daemon-test.h
@@ -4,7 +4,8 @@
 /*
  * For tests of the daemon's parts: a daemon without a kernel, whose events
  * are kept in a list, and a tiny server that misbehaves as it is told.
- * Included by one source file per program.
+ * Included by one source file per program. With TEST_WITH_KERNEL the daemon
+ * runs whole.
  */
 
 #include <apr_general.h>
@@ -33,10 +34,12 @@
 
 static struct test_event test_events[TEST_EVENTS_MAX];
 static atomic_int test_nevents;
-static pthread_mutex_t test_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct settings test_settings;
 static struct daemon test_daemon;
 
+#ifndef TEST_WITH_KERNEL
+static pthread_mutex_t test_lock = PTHREAD_MUTEX_INITIALIZER;
+
 /* Stands for the kernel: keeps the event. */
 void daemon_event(struct daemon *d, const struct rp_event *ev)
 {
@@ -55,9 +58,10 @@
 	atomic_fetch_add(&test_nevents, 1);
 	pthread_mutex_unlock(&test_lock);
 }
+#endif
 
 /* Waits until so many events have come; returns the latest of them. */
-static const struct test_event *test_wait(int n)
+static inline const struct test_event *test_wait(int n)
 {
 	rp_ms end = daemon_now() + TEST_WAIT_MS;
 
@@ -70,7 +74,7 @@
 }
 
 /* Starts libraries, fills in settings that suit tests. */
-static struct daemon *test_daemon_start(void)
+static inline struct daemon *test_daemon_start(void)
 {
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -88,7 +92,7 @@
 	return &test_daemon;
 }
 
-static void test_daemon_stop(void)
+static inline void test_daemon_stop(void)
 {
 	int i;
 
@@ -100,7 +104,7 @@
 }
 
 /* Listens on a free port of the range; writes "ip:port". */
-static int test_listen(char *address)
+static inline int test_listen(char *address)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	int port, one = 1;
@@ -137,6 +141,7 @@
 	atomic_int connections;
 	atomic_int requests;
 	atomic_int stopping;
+	atomic_int hold; /* requests are answered when this is cleared */
 	atomic_int live; /* threads of connections */
 	char last[4096]; /* head and body of the latest request */
 	pthread_t thread;
@@ -148,8 +153,8 @@
 };
 
 /* Reads one request with its body. Returns 0 at the connection's end. */
-static int test_read_request(struct test_server *s, int fd, char *buf,
-			     size_t max)
+static inline int test_read_request(struct test_server *s, int fd, char *buf,
+				    size_t max)
 {
 	struct pollfd p = { .fd = fd, .events = POLLIN };
 	size_t len = 0, want = 0;
@@ -177,7 +182,7 @@
 	}
 }
 
-static void *test_serve_conn(void *arg)
+static inline void *test_serve_conn(void *arg)
 {
 	struct test_conn c = *(struct test_conn *)arg;
 	const char *const *reply = c.s->replies;
@@ -187,6 +192,8 @@
 	while (test_read_request(c.s, c.fd, buf, sizeof(buf))) {
 		memcpy(c.s->last, buf, sizeof(buf));
 		atomic_fetch_add(&c.s->requests, 1);
+		while (atomic_load(&c.s->hold) && !atomic_load(&c.s->stopping))
+			apr_sleep(1000);
 		if (!strcmp(*reply, CLOSE))
 			break;
 		if (**reply && write(c.fd, *reply, strlen(*reply)) < 0)
@@ -199,7 +206,7 @@
 	return NULL;
 }
 
-static void *test_serve(void *arg)
+static inline void *test_serve(void *arg)
 {
 	struct test_server *s = arg;
 
@@ -221,7 +228,8 @@
 	return NULL;
 }
 
-static void test_server_start(struct test_server *s, const char *const *replies)
+static inline void test_server_start(struct test_server *s,
+				     const char *const *replies)
 {
 	memset(s, 0, sizeof(*s));
 	s->replies = replies;
@@ -229,7 +237,7 @@
 	pthread_create(&s->thread, NULL, test_serve, s);
 }
 
-static void test_server_stop(struct test_server *s)
+static inline void test_server_stop(struct test_server *s)
 {
 	atomic_store(&s->stopping, 1);
 	pthread_join(s->thread, NULL);
--- a/setting-load.c
+++ b/setting-load.c
@@ -217,7 +217,9 @@
 	for (i = 0; i < setting_count; i++) {
 		const struct setting *def = &setting_table[i];
 
-		if (def->def && def->def[0])
+		if (def->required)
+			((char *)ld->s)[def->offset] = '\0';
+		else if (def->def && def->def[0])
 			setting_set(ld->s, def, def->def, &ld->faults);
 	}
 }
