--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,8 @@
 	$(LINK) -lapr-1 -lcurl -ljansson -pthread
 
 $(B)/rosemary-fake-%: $(B)/rosemary-fake-%.o $(call obj,$(FAKES))
-	$(LINK) -lapr-1 -lmicrohttpd -ljansson -lgsl -lgslcblas -lm -pthread
+	$(LINK) -lapr-1 -lmicrohttpd -lcurl -ljansson -lgsl -lgslcblas \
+		-lm -pthread
 
 $(B)/rosemary-load: $(call obj,$(LOAD))
 	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
