Print status lists as tables; count messages of the run alone

show-status printed one line per field, 200 lines for 16 targets; a list of plain objects is now a table. The load report summed the targets' counts from before the run too, so its message figures were too high when targets were used twice; it now subtracts a first reading.

--- a/cli.h
+++ b/cli.h
@@ -119,11 +119,14 @@
 /* Names an entry VM that gave no answer; returns CLI_UNREACHABLE. */
 int cli_print_unreachable(struct cli *cli, const char *vm,
 			  const struct cli_reply *reply);
-/* Prints a JSON value as indented "name: value" lines. */
-void cli_print_tree(json_t *value, int depth);
 /* The exit code of an answer. */
 int cli_exit_code(const struct cli_reply *reply);
 
+/* --- cli-tree.c ------------------------------------------------------- */
+
+/* Prints JSON as indented "name: value" lines, lists of objects as tables. */
+void cli_print_tree(json_t *value, int depth);
+
 extern const struct cmd_entry cmd_submit_entry;
 extern const struct cmd_entry cmd_request_entry;
 extern const struct cmd_entry cmd_wait_entry;
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -152,6 +152,8 @@
 		json_object_set_new(job, "service", json_string(s->service));
 	if (s->team)
 		json_object_set_new(job, "team", json_string(s->team));
+	if (s->key)
+		json_object_del(job, "key");
 	if (s->resubmit)
 		json_object_set_new(job, "key", json_string(s->resubmit));
 	if (!json_object_get(job, "service"))
--- a/load-report.c
+++ b/load-report.c
@@ -143,19 +143,25 @@
 }
 
 /* Calls to targets against the fewest: one per start. */
-static void add_messages(json_t *report, const struct load_verdict *v)
+static void add_messages(json_t *report, json_t *grown)
 {
-	size_t sent =
-		v->starts + v->busy + v->double_starts + v->lookups + v->voids;
+	static const char *const names[] = { "starts", "busy", "double_starts",
+					     "lookups", "voids" };
+	json_t *o = json_object();
+	json_int_t sent = 0;
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(*names); i++) {
+		json_int_t n = (json_int_t)json_number_value(
+			json_object_get(grown, names[i]));
 
-	json_object_set_new(report, "target_calls",
-			    json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "sent",
-				      (json_int_t)sent, "fewest",
-				      (json_int_t)v->starts, "busy",
-				      (json_int_t)v->busy, "double_starts",
-				      (json_int_t)v->double_starts, "lookups",
-				      (json_int_t)v->lookups, "voids",
-				      (json_int_t)v->voids));
+		sent += n;
+		json_object_set_new(o, i ? names[i] : "fewest",
+				    json_integer(n));
+	}
+	json_object_set_new(o, "sent", json_integer(sent));
+	json_object_set_new(report, "target_calls", o);
+	json_decref(grown);
 }
 
 static void add_faults(json_t *report, const struct load_verdict *v)
@@ -186,70 +192,6 @@
 	json_object_set_new(report, "faults", o);
 }
 
-/* --- counters --------------------------------------------------------- */
-
-/* Adds an entry VM's "name value" lines to the sums over all of them. */
-static void add_metrics(json_t *sums, char *text)
-{
-	char *save, *line;
-
-	for (line = strtok_r(text, "\n", &save); line;
-	     line = strtok_r(NULL, "\n", &save)) {
-		char *space = strrchr(line, ' ');
-		double sum;
-
-		if (*line == '#' || !space)
-			continue;
-		*space = '\0';
-		sum = json_number_value(json_object_get(sums, line)) +
-		      strtod(space + 1, NULL);
-		json_object_set_new(sums, line, json_real(sum));
-	}
-}
-
-void load_counters_read(const struct load_settings *set,
-			struct load_counters *c)
-{
-	size_t i;
-
-	c->vms = json_object();
-	for (i = 0; i < set->nvms; i++) {
-		char *text = load_get_text(set->vms[i], "/v1/metrics");
-
-		if (text)
-			add_metrics(c->vms, text);
-		free(text);
-	}
-	c->platform = set->platform ? load_get_json(set->platform, "/v1/"
-								   "control/"
-								   "counts")
-				    : NULL;
-}
-
-void load_counters_finish(struct load_counters *c)
-{
-	json_decref(c->vms);
-	json_decref(c->platform);
-}
-
-/* What has grown between two readings. */
-static json_t *grown(json_t *before, json_t *after)
-{
-	json_t *o = json_object();
-	const char *name;
-	json_t *v;
-
-	json_object_foreach(after, name, v)
-	{
-		double d = json_number_value(v) -
-			   json_number_value(json_object_get(before, name));
-
-		if (d != 0)
-			json_object_set_new(o, name, json_real(d));
-	}
-	return o;
-}
-
 /* --- printing --------------------------------------------------------- */
 
 static void print_object(json_t *o, int depth)
@@ -264,7 +206,7 @@
 			printf("\n");
 			print_object(v, depth + 1);
 		} else if (json_is_real(v)) {
-			printf(" %.3f\n", json_real_value(v));
+			printf(" %.1f\n", json_real_value(v));
 		} else {
 			printf(" %lld\n", (long long)json_integer_value(v));
 		}
@@ -289,12 +231,14 @@
 	}
 	add_states(report, plan);
 	if (set->ntargets)
-		add_messages(report, v);
+		add_messages(report, load_counters_grown(before->targets,
+							 after->targets));
 	add_faults(report, v);
 	json_object_set_new(report, "entry_vm_counters",
-			    grown(before->vms, after->vms));
+			    load_counters_grown(before->vms, after->vms));
 	json_object_set_new(report, "platform_counts",
-			    grown(before->platform, after->platform));
+			    load_counters_grown(before->platform,
+						after->platform));
 	if (set->json) {
 		json_dumpf(report, stdout,
 			   JSON_INDENT(2) | JSON_REAL_PRECISION(6));
--- a/load-verify.c
+++ b/load-verify.c
@@ -24,20 +24,6 @@
 	return 0;
 }
 
-static size_t count_of(json_t *counts, const char *name)
-{
-	return (size_t)json_integer_value(json_object_get(counts, name));
-}
-
-static void add_counts(struct load_verdict *v, json_t *counts)
-{
-	v->starts += count_of(counts, "starts");
-	v->busy += count_of(counts, "busy");
-	v->double_starts += count_of(counts, "double_starts");
-	v->lookups += count_of(counts, "lookups");
-	v->voids += count_of(counts, "voids");
-}
-
 /* Counts the starts of this run's tasks in one target's record. */
 static void read_record(const struct load_settings *set, struct load_plan *plan,
 			const char *target, struct load_verdict *v)
@@ -52,7 +38,6 @@
 		return;
 	}
 	v->targets_read++;
-	add_counts(v, json_object_get(o, "counts"));
 	json_array_foreach(json_object_get(o, "starts"), i, start)
 	{
 		const char *name =
--- a/load.c
+++ b/load.c
@@ -247,6 +247,17 @@
 	load_verify(set, plan, v);
 }
 
+/* How often an id was started again at the target that had run it. */
+static size_t double_starts(const struct load_counters *before,
+			    const struct load_counters *after)
+{
+	json_t *grown = load_counters_grown(before->targets, after->targets);
+	double n = json_number_value(json_object_get(grown, "double_starts"));
+
+	json_decref(grown);
+	return (size_t)n;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = { options,
@@ -273,8 +284,9 @@
 	load_plan_init(&plan, &set);
 	load_counters_read(&set, &before);
 	load_run(&set, &plan);
-	load_counters_read(&set, &after);
 	verify(&set, &plan, &verdict);
+	load_counters_read(&set, &after);
+	verdict.double_starts = double_starts(&before, &after);
 	load_report(&set, &plan, &verdict, &before, &after);
 	load_counters_finish(&before);
 	load_counters_finish(&after);
--- a/load.h
+++ b/load.h
@@ -215,33 +215,39 @@
 /* What the records of the targets say. */
 struct load_verdict {
 	size_t targets_read, targets_unread;
-	size_t starts, busy, double_starts, lookups, voids;
 	size_t own_starts;	    /* of this run's tasks */
 	size_t started_twice;	    /* tasks that must not be */
 	size_t repeated_idempotent; /* allowed repeats */
 	size_t complete_without_start;
 	size_t not_run_but_started;
 	size_t wrong_answers;
+	size_t double_starts; /* of one id at one target */
 	size_t answers_differ;
 };
 
-/* Reads the records; counts from before the run may be subtracted. */
+/* Reads the records and checks every answer against them. */
 void load_verify(const struct load_settings *set, struct load_plan *plan,
 		 struct load_verdict *v);
 /* The number of promises that were broken. */
 size_t load_verdict_faults(const struct load_verdict *v);
 
-/* --- load-report.c ---------------------------------------------------- */
+/* --- load-counters.c -------------------------------------------------- */
 
-/* Entry VM and platform counters before and after the run. */
+/* Sums of the counters of all parts, at one point in time. */
 struct load_counters {
 	json_t *vms;
-	json_t *platform;
+	json_t *targets;
+	json_t *platform; /* NULL: none was named */
 };
 
 void load_counters_read(const struct load_settings *set,
 			struct load_counters *c);
 void load_counters_finish(struct load_counters *c);
+/* What has grown between two readings, as a new object. */
+json_t *load_counters_grown(json_t *before, json_t *after);
+
+/* --- load-report.c ---------------------------------------------------- */
+
 void load_report(const struct load_settings *set, const struct load_plan *plan,
 		 const struct load_verdict *v,
 		 const struct load_counters *before,
