--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libapr1-dev libaprutil1-dev libprotobuf-c-dev \
 	protobuf-c-compiler libmicrohttpd-dev liblog4c-dev \
 	libcriterion-dev librapidcheck-dev libjansson-dev libxxhash-dev \
-	libgsl-dev libcurl4-openssl-dev pkg-config clang-format clang-tidy \
+	libgsl-dev libcurl4-openssl-dev curl pkg-config clang-format clang-tidy \
 	cppcheck g++ gcc make
 
 B ?= build
--- /dev/null
+++ b/regress/deploy.sh
@@ -0,0 +1,111 @@
+# Shell functions for scripted runs with real processes on loopback: a
+# platform stand-in, target stand-ins, and entry VMs in four failure domains.
+# The script that sources this sets $port (first of 200 free ports) and $dir.
+
+bin=${BIN:-build/san}
+domains="sando penal couva point"
+pids=
+
+# domain_of N: the failure domain of the Nth entry VM or target.
+domain_of () {
+	set -- $(($1 % 4 + 1)) $domains
+	shift "$1"
+	echo "$1"
+}
+
+# write_vms ENTRY_VMS TARGETS SLOTS [LEAVING_VM]: the platform's list.
+write_vms () {
+	printf '{"vms":['
+	i=0
+	while test $i -lt "$1"
+	do
+		test "vm$i" = "${4:-}" && leaving=true || leaving=false
+		printf '{"name":"vm%d","kind":"entry_vm",' $i
+		printf '"address":"127.0.0.1:%d",' $((port + 1 + i))
+		printf '"failure_domain":"%s","leaving":%s},' \
+			"$(domain_of $i)" $leaving
+		i=$((i + 1))
+	done
+	i=0
+	while test $i -lt "$2"
+	do
+		test $i = 0 || printf ','
+		printf '{"name":"t%d","kind":"target",' $i
+		printf '"address":"127.0.0.1:%d",' $((port + 100 + i))
+		printf '"failure_domain":"%s",' "$(domain_of $i)"
+		printf '"service":"deadline-desk","leaving":false,'
+		printf '"slots":%d,"connections":64,' "$3"
+		printf '"can_lookup":true,"can_void":true}'
+		i=$((i + 1))
+	done
+	printf ']}'
+}
+
+# start_platform: serves $dir/vms.json at $port.
+start_platform () {
+	"$bin"/rosemary-fake-platform --listen=127.0.0.1:$port \
+		--vms="$dir"/vms.json >"$dir"/platform.log 2>&1 &
+	platform_pid=$!
+	pids="$pids $!"
+}
+
+# start_targets COUNT SLOTS [ARGS]
+start_targets () {
+	count=$1 slots=$2
+	shift 2
+	"$bin"/rosemary-fake-target --listen=127.0.0.1:$((port + 100)) \
+		--count="$count" --slots="$slots" "$@" \
+		>"$dir"/targets.log 2>&1 &
+	pids="$pids $!"
+}
+
+# start_vm N [ARGS]: starts entry VM N; its pid goes to vm_N.
+start_vm () {
+	n=$1
+	shift
+	"$bin"/rosemaryd --vm-name=vm$n \
+		--address=127.0.0.1:$((port + 1 + n)) \
+		--failure-domain="$(domain_of $n)" \
+		--http-listen=127.0.0.1:$((port + 50 + n)) \
+		--platform=127.0.0.1:$port "$@" >>"$dir"/vm$n.log 2>&1 &
+	eval "vm_$n=\$!"
+	pids="$pids $!"
+}
+
+pid_of () {
+	eval "echo \$vm_$1"
+}
+
+http_of () {
+	echo "127.0.0.1:$((port + 50 + $1))"
+}
+
+# await_ready N: waits until entry VM N takes callers, 20 s at most.
+await_ready () {
+	tries=0
+	until curl -sf -o /dev/null "http://$(http_of "$1")/readyz"
+	do
+		tries=$((tries + 1))
+		test $tries -lt 200 || return 1
+		sleep 0.1
+	done
+}
+
+# control JSON: turns a knob of the platform stand-in.
+control () {
+	curl -sf -o /dev/null -X POST -d "$1" \
+		"http://127.0.0.1:$port/v1/control"
+}
+
+# stop_all: ends what this script started.
+stop_all () {
+	for p in $pids
+	do
+		kill -CONT "$p" 2>/dev/null
+		kill "$p" 2>/dev/null
+	done
+	for p in $pids
+	do
+		wait "$p" 2>/dev/null
+	done
+}
