--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libapr1-dev libaprutil1-dev libprotobuf-c-dev \
 	protobuf-c-compiler libmicrohttpd-dev liblog4c-dev \
 	libcriterion-dev librapidcheck-dev libjansson-dev libxxhash-dev \
-	libgsl-dev libcurl4-openssl-dev pkg-config clang-format clang-tidy \
+	libgsl-dev libcurl4-openssl-dev curl pkg-config clang-format clang-tidy \
 	cppcheck g++ gcc make
 
 B ?= build
@@ -88,7 +88,8 @@
 	$(LINK) -lapr-1 -lcurl -ljansson -pthread
 
 $(B)/rosemary-fake-%: $(B)/rosemary-fake-%.o $(call obj,$(FAKES))
-	$(LINK) -lapr-1 -lmicrohttpd -ljansson -lgsl -lgslcblas -lm -pthread
+	$(LINK) -lapr-1 -lmicrohttpd -lcurl -ljansson -lgsl -lgslcblas \
+		-lm -pthread
 
 $(B)/rosemary-load: $(call obj,$(LOAD))
 	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
