Read the reply's kind only once the reply is here

ThreadSanitizer saw the server thread read reply_kind while a target thread stored it, right after a suspension.

--- a/http-server.c
+++ b/http-server.c
@@ -105,10 +105,12 @@
 		r->handled = 1;
 		if (!http_check_arguments(r))
 			r->route->handle(r);
-	} else if (!r->responded && atomic_load(&r->phase) == HTTP_REPLIED) {
+	} else if (atomic_load(&r->phase) == HTTP_REPLIED) {
+		if (r->reply_kind == HTTP_REPLY_GONE)
+			return MHD_NO;
 		http_send_reply(r);
 	}
-	return r->reply_kind == HTTP_REPLY_GONE ? MHD_NO : MHD_YES;
+	return MHD_YES;
 }
 
 static struct http_request *new_request(struct daemon *d,
