Distrust connections beside a silent one; test the daemon's exit codes

An open connection can go silent for good while new ones work, and the others to the same target are then likely dead too, yet curl would pick them for the next starts.

--- a/daemon-count.c
+++ b/daemon-count.c
@@ -20,6 +20,7 @@
 	[COUNT_TARGET_RESENDS_PREVENTED] = "target_resends_prevented_total",
 	[COUNT_TARGET_DROPPED] = "target_connections_dropped_total",
 	[COUNT_TARGET_CONNECTS] = "target_connects_total",
+	[COUNT_CONNECTIONS_SUSPECT] = "connections_suspect_total",
 	[COUNT_TARGET_BYTES_OUT] = "target_bytes_out_total",
 	[COUNT_TARGET_BYTES_IN] = "target_bytes_in_total",
 	[COUNT_PLATFORM_READS] = "platform_reads_total",
--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -96,6 +96,21 @@
 		c->next->prev = c->prev;
 }
 
+/*
+ * Whether a reused connection was silent: the request went out on it, and
+ * no byte of an answer came until the call was given up.
+ */
+static int was_silent(struct loop_call *c, CURLcode rc)
+{
+	long connects = 0, header = 0;
+
+	if (!c->attempts || (rc != CURLE_OPERATION_TIMEDOUT && !c->aborted))
+		return 0;
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(c->easy, CURLINFO_HEADER_SIZE, &header);
+	return connects == 0 && header == 0;
+}
+
 /* Reports the end of a call and frees it. */
 static void end_call(struct loop_call *c, CURLcode rc)
 {
@@ -106,6 +121,8 @@
 	if (easy) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		c->unsent = surely_unsent(c, rc);
+		if (was_silent(c, rc))
+			loop_host_suspect(l, c->host);
 	} else {
 		c->unsent = 1;
 	}
@@ -148,6 +165,8 @@
 		return;
 	}
 	set_common(c);
+	if (loop_host_is_suspect(l, c->host))
+		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
 	c->ops->prepare(c);
 	if (curl_multi_add_handle(l->multi, c->easy) != CURLM_OK)
 		end_call(c, CURLE_FAILED_INIT);
@@ -155,6 +174,7 @@
 
 void loop_abort(struct loop_call *c)
 {
+	c->aborted = 1;
 	curl_multi_remove_handle(c->loop->multi, c->easy);
 	end_call(c, CURLE_ABORTED_BY_CALLBACK);
 }
@@ -298,4 +318,5 @@
 	for (i = 0; i < l->nspare; i++)
 		curl_easy_cleanup(l->spare[i]);
 	curl_multi_cleanup(l->multi);
+	loop_hosts_finish(l);
 }
--- a/daemon-platform.c
+++ b/daemon-platform.c
@@ -274,7 +274,8 @@
 	case 200:
 		return RP_PLATFORM_DONE;
 	case 304:
-		return RP_PLATFORM_UNCHANGED;
+		return p->op == RP_PLATFORM_LIST ? RP_PLATFORM_UNCHANGED
+						 : RP_PLATFORM_LOST;
 	case 409:
 		return RP_PLATFORM_CONFLICT;
 	case 503:
@@ -348,6 +349,7 @@
 	if (!p)
 		abort();
 	p->call.ops = &platform_ops;
+	p->call.host = d->set->platform;
 	p->call.max_body = REPLY_MAX;
 	p->call.resend_ok = act->platform.op != RP_PLATFORM_COMMIT;
 	p->ask_id = act->platform.ask_id;
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -76,6 +76,8 @@
 	curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)t->payload.len);
 	curl_easy_setopt(e, CURLOPT_POSTFIELDS, t->payload.ptr);
+	if (t->close_connection)
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), t);
 }
 
@@ -288,6 +290,7 @@
 	if (!t)
 		abort();
 	t->call.ops = &target_ops;
+	t->call.host = t->address;
 	t->call.max_body = d->set->max_result;
 	t->type = act->type;
 	t->start_id = act->start.start_id;
--- a/daemon.h
+++ b/daemon.h
@@ -39,6 +39,7 @@
 	COUNT_TARGET_RESENDS_PREVENTED,
 	COUNT_TARGET_DROPPED,
 	COUNT_TARGET_CONNECTS,
+	COUNT_CONNECTIONS_SUSPECT,
 	COUNT_TARGET_BYTES_OUT,
 	COUNT_TARGET_BYTES_IN,
 	COUNT_PLATFORM_READS,
@@ -120,10 +121,12 @@
 	struct loop_call **prev; /* among the running */
 	struct loop *loop;
 	CURL *easy;
-	int resend_ok; /* may be sent again when a connection died */
-	int attempts;  /* times that the request was about to be sent */
-	int unsent;    /* set before finish: surely no byte was written */
-	int too_long;  /* the reply exceeded max_body */
+	const char *host; /* ip:port; owned by the larger call */
+	int resend_ok;	  /* may be sent again when a connection died */
+	int attempts;	  /* times that the request was about to be sent */
+	int aborted;	  /* ended by loop_abort() */
+	int unsent;	  /* set before finish: surely no byte was written */
+	int too_long;	  /* the reply exceeded max_body */
 	size_t max_body;
 	char *body;
 	size_t len, cap;
@@ -148,6 +151,7 @@
 	apr_pollset_t *pollset;
 	apr_time_t timer; /* when curl wants to be called; 0: not */
 	struct loop_socket *unused;
+	struct loop_host *suspects; /* of daemon-host.c */
 };
 
 int loop_poll_init(struct loop *l);
@@ -162,6 +166,11 @@
 /* Ends a running call and its connection. Only from the loop's thread. */
 void loop_abort(struct loop_call *c);
 
+/* Whether calls to the host should not use its open connections. */
+int loop_host_is_suspect(struct loop *l, const char *address);
+void loop_host_suspect(struct loop *l, const char *address);
+void loop_hosts_finish(struct loop *l);
+
 /* --- targets, platform, peers ---------------------------------------- */
 
 int target_start(struct daemon *d);
--- a/regress/http-target.c
+++ b/regress/http-target.c
@@ -316,3 +316,44 @@
 	cr_assert_eq(atomic_load(&test_nevents), 0);
 	test_server_stop(&s);
 }
+
+/*
+ * Two connections are open; one turns out to be silent. The other is not
+ * used either, since what silenced the first may have silenced it too.
+ */
+Test(target, connections_beside_a_silent_one_are_not_used)
+{
+	static const char *const replies[] = { OK_REPLY, SILENT, NULL };
+	struct test_server s;
+
+	test_server_start(&s, replies);
+	atomic_store(&s.hold, 1);
+	send_action(RP_ACTION_START, s.address, 1, "x", 0);
+	send_action(RP_ACTION_START, s.address, 2, "x", 0);
+	while (atomic_load(&s.requests) < 2)
+		apr_sleep(1000);
+	atomic_store(&s.hold, 0);
+	test_wait(2);
+	send_action(RP_ACTION_START, s.address, 3, "x", 0);
+	check_start(3, 3, RP_START_UNKNOWN);
+	cr_assert_eq(s.connections, 2);
+	send_action(RP_ACTION_START, s.address, 4, "x", 0);
+	check_start(4, 4, RP_START_DONE);
+	cr_assert_eq(s.connections, 3);
+	test_server_stop(&s);
+}
+
+/* A start that is to close its connection leaves none behind. */
+Test(target, close_connection_of_a_start)
+{
+	static const char *const replies[] = { OK_REPLY, NULL };
+	struct test_server s;
+
+	test_server_start(&s, replies);
+	send_action(RP_ACTION_START, s.address, 1, "x", 1);
+	check_start(1, 1, RP_START_DONE);
+	send_action(RP_ACTION_START, s.address, 2, "x", 0);
+	check_start(2, 2, RP_START_DONE);
+	cr_assert_eq(s.connections, 2);
+	test_server_stop(&s);
+}
--- a/regress/setting.c
+++ b/regress/setting.c
@@ -178,6 +178,16 @@
 	cr_assert_not_null(strstr(text, "default-timeout: longer"));
 }
 
+Test(setting, unknown_policy, .init = cr_redirect_stderr)
+{
+	char *argv[] = { "rosemaryd", NEEDED, "--route=none-such", NULL };
+	char text[1024];
+
+	cr_assert_eq(load(argv, NULL), EXIT_SETTING);
+	cr_assert_not_null(strstr(read_stderr(text, sizeof(text)), "none-"
+								   "such"));
+}
+
 Test(setting, flag_without_value, .init = cr_redirect_stderr)
 {
 	char *argv[] = { "rosemaryd", NEEDED, "--http-body", NULL };
--- /dev/null
+++ b/regress/t-daemon.sh
@@ -0,0 +1,108 @@
+#!/bin/sh
+# The daemon as a process: settings, exit codes and the planned stop.
+set -u
+bin=build/san
+dir=build/out/daemon
+port=20900
+mkdir -p $dir
+daemon=
+target=
+trap 'for p in $daemon $target; do kill "$p" 2>/dev/null; done' EXIT
+
+fail () {
+	echo "FAILED: $*"
+	cat $dir/*.log
+	exit 1
+}
+
+needed="--vm-name=e1 --address=127.0.0.1:$((port + 1)) --failure-domain=a
+	--http-listen=127.0.0.1:$port --platform=127.0.0.1:$((port + 2))"
+
+# expect STATUS ARGS...: runs the daemon until it exits by itself.
+expect () {
+	want=$1
+	shift
+	"$bin"/rosemaryd "$@" >$dir/out.log 2>&1
+	got=$?
+	test $got = "$want" || fail "exit $got, not $want, of rosemaryd $*"
+}
+
+# start ARGS...: runs the daemon and waits until it serves.
+start () {
+	: >$dir/d.log
+	"$bin"/rosemaryd $needed "$@" 2>$dir/d.log &
+	daemon=$!
+	n=0
+	until grep -q '"serving callers' $dir/d.log
+	do
+		sleep 0.1
+		n=$((n + 1))
+		test $n -lt 100 || fail "the daemon did not start"
+	done
+}
+
+# stopped STATUS: waits for the daemon's end.
+stopped () {
+	wait $daemon
+	got=$?
+	daemon=
+	test $got = "$1" || fail "exit $got, not $1"
+	grep -E 'ERROR: (Address|Leak)Sanitizer|runtime error' $dir/d.log &&
+		fail "sanitizer report"
+}
+
+echo "settings"
+expect 2
+test "$(grep -c 'must be given' $dir/out.log)" = 5 || fail "not all faults"
+expect 0 $needed --check
+expect 2 $needed --check --queue=none-such
+expect 2 $needed --check --http-threads=many
+ROSEMARY_HTTP_THREADS=0 expect 2 $needed --check
+ROSEMARY_HTTP_THREDS=1 expect 0 $needed --check
+grep -q 'ROSEMARY_HTTP_THREDS is no known setting' $dir/out.log ||
+	fail "no warning of an unknown variable"
+expect 0 --help
+tr -d '\n ' <$dir/out.log >$dir/help.log
+grep -q ROSEMARY_PEER_QUEUE $dir/help.log || fail "help lacks a variable"
+
+echo "an address in use"
+start
+expect 3 $needed
+kill -TERM $daemon
+stopped 0
+
+echo "a planned stop without work"
+start
+kill -INT $daemon
+stopped 0
+
+echo "a planned stop lets work finish"
+"$bin"/rosemary-fake-target --listen=127.0.0.1:$((port + 10)) --count=1 \
+	--service-ms=1500 --spread=0 2>$dir/target.log &
+target=$!
+start --target=t1=127.0.0.1:$((port + 10)),a,desk,slots=4
+"$bin"/rosemary request --entry-vm=127.0.0.1:$port --service=desk \
+	--team=board --timeout=8000 x >$dir/answer.log 2>&1 &
+caller=$!
+sleep 0.7
+kill -TERM $daemon
+wait $caller || fail "the caller got no result"
+stopped 0
+cat $dir/answer.log
+
+echo "a second signal ends sooner, with a truthful answer"
+start --target=t1=127.0.0.1:$((port + 10)),a,desk,slots=4
+"$bin"/rosemary request --entry-vm=127.0.0.1:$port --service=desk \
+	--team=board --timeout=8000 x >$dir/answer.log 2>&1 &
+caller=$!
+sleep 0.7
+kill -TERM $daemon
+sleep 0.2
+kill -TERM $daemon
+wait $caller
+stopped 4
+grep -q 'may.have.run' $dir/answer.log || fail "no word of may_have_run"
+echo "log lines are JSON"
+grep -v '^{"time_ms":[0-9]*,"level":"[a-z]*","vm":"e1",.*}$' $dir/d.log &&
+	fail "a line is not JSON"
+exit 0
--- a/setting-load.c
+++ b/setting-load.c
@@ -12,6 +12,7 @@
 #define KEY_BASE 1000 /* argp key of the first setting */
 #define KEY_CHECK 900
 #define DOC_MAX 400
+#define KERNEL_ALIGNMENT 64 /* bytes */
 
 /* A parse of the command line under way. */
 struct loading {
@@ -96,7 +97,10 @@
 		ld->s->check = 1;
 		return 0;
 	case '?':
-		argp_state_help(state, stdout, ARGP_HELP_STD_HELP);
+		argp_help(state->root_argp, stdout,
+			  ARGP_HELP_SHORT_USAGE | ARGP_HELP_LONG |
+				  ARGP_HELP_DOC,
+			  "rosemaryd");
 		exit(0);
 	case ARGP_KEY_ARG:
 		setting_fault(&ld->faults, "unexpected argument \"%s\"", arg);
@@ -251,6 +255,23 @@
 					   "max-timeout");
 }
 
+/* Lets the kernel check its options, such as the names of policies. */
+static void check_kernel(struct loading *ld)
+{
+	struct rp_kernel *k;
+	struct rp_status st;
+	void *memory;
+
+	if (posix_memalign(&memory, KERNEL_ALIGNMENT, rp_kernel_size()))
+		abort();
+	k = memory;
+	if (rp_kernel_init(k, &ld->s->kernel, 0, &st) == RP_OK)
+		rp_kernel_finish(k);
+	else
+		setting_fault(&ld->faults, "%s", st.message);
+	free(memory);
+}
+
 int settings_load(struct settings *s, int argc, char **argv, char **env)
 {
 	struct loading ld = { .s = s };
@@ -263,12 +284,14 @@
 		load_variable(&ld, *env);
 	load_flags(&ld, argc, argv);
 	check_together(&ld);
+	s->kernel.seeds = s->vms;
+	s->kernel.nseeds = s->nvms;
+	if (!ld.faults.len)
+		check_kernel(&ld);
 	for (i = 0; i < ld.faults.len; i++)
 		fprintf(stderr, "rosemaryd: %s\n", ld.faults.list[i]);
 	rc = ld.faults.len ? EXIT_SETTING : 0;
 	setting_faults_finish(&ld.faults);
-	s->kernel.seeds = s->vms;
-	s->kernel.nseeds = s->nvms;
 	return rc;
 }
 
