--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -44,7 +44,7 @@
 	(void)peer_port;
 	(void)local_port;
 	if (c->attempts++ && !c->resend_ok) {
-		count_add(COUNT_TARGET_RESENDS_PREVENTED, 1);
+		count_add(COUNT_RESENDS_PREVENTED, 1);
 		return CURL_PREREQFUNC_ABORT;
 	}
 	return CURL_PREREQFUNC_OK;
