--- a/regress/deploy.sh
+++ b/regress/deploy.sh
@@ -83,7 +83,8 @@
 # await_ready N: waits until entry VM N takes callers, 20 s at most.
 await_ready () {
 	tries=0
-	until curl -sf -o /dev/null "http://$(http_of "$1")/readyz"
+	until "$bin"/rosemary-fake-call GET "$(http_of "$1")" /readyz \
+		>/dev/null 2>&1
 	do
 		tries=$((tries + 1))
 		test $tries -lt 200 || return 1
@@ -93,8 +94,8 @@
 
 # control JSON: turns a knob of the platform stand-in.
 control () {
-	curl -sf -o /dev/null -X POST -d "$1" \
-		"http://127.0.0.1:$port/v1/control"
+	"$bin"/rosemary-fake-call POST 127.0.0.1:$port /v1/control "$1" \
+		>/dev/null
 }
 
 # stop_all: ends what this script started.
