--- a/http-wait.c
+++ b/http-wait.c
@@ -25,6 +25,7 @@
 	int nslots;
 	int used;	    /* slots that have ever been used */
 	int free;	    /* head of the free list, or -1 */
+	int closed;	    /* the process stops: nobody may wait */
 	struct pollfd *fds; /* scratch of the sweep */
 	rp_token *tokens;
 };
@@ -59,6 +60,8 @@
 {
 	int i = w->free;
 
+	if (w->closed)
+		return -1;
 	if (i >= 0)
 		w->free = w->slots[i].next_free;
 	else if (w->used < w->nslots)
@@ -143,7 +146,7 @@
 	return n;
 }
 
-/* Forgets a caller that no longer waits; its submission goes on. */
+/* Ends the exchange with a caller that has left; its submission goes on. */
 static void caller_gone(struct daemon *d, rp_token token)
 {
 	struct http_request *r = http_wait_take(d->waits, token);
@@ -158,7 +161,7 @@
 /*
  * The server does not watch suspended connections. A caller that has only
  * closed its sending side still gets its answer; one that has reset the
- * connection is reported.
+ * connection gets none.
  */
 void http_wait_sweep(struct daemon *d)
 {
@@ -179,6 +182,7 @@
 	int i, used;
 
 	apr_thread_mutex_lock(w->lock);
+	w->closed = 1;
 	used = w->used;
 	apr_thread_mutex_unlock(w->lock);
 	for (i = 0; i < used; i++) {
