--- a/rosemary-fake-platform.c
+++ b/rosemary-fake-platform.c
@@ -420,6 +420,7 @@
 	apr_initialize();
 	apr_pool_create(&p.srv.pool, NULL);
 	apr_thread_mutex_create(&p.lock, APR_THREAD_MUTEX_DEFAULT, p.srv.pool);
+	p.lists_made = fake_now_ms(); /* no ETag recurs after a restart */
 	set_vms(&p, load_vms(f.vms));
 	p.srv.ops = &ops;
 	p.srv.owner = &p;
