--- a/cli-answer.c
+++ b/cli-answer.c
@@ -31,6 +31,7 @@
 	return CLI_REFUSED;
 }
 
+/* Prints one line per result: id, tab, result. */
 static void print_results(json_t *results)
 {
 	json_t *r;
@@ -69,6 +70,7 @@
 		       (long long)json_integer_value(retry));
 }
 
+/* Prints an answer field by field, or the raw body of another reply. */
 static void print_human(const struct cli_reply *reply)
 {
 	json_t *o = reply->json;
--- a/cli-events.c
+++ b/cli-events.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <time.h>
 
+/* Whether a text field has the wanted value; NULL wants any. */
 static int matches(json_t *o, const char *name, const char *want)
 {
 	const char *have = json_string_value(json_object_get(o, name));
@@ -14,6 +15,7 @@
 	return !want || (have && !strcmp(have, want));
 }
 
+/* Whether the event passes every filter. */
 static int wanted(const struct cli_event *ev, const struct cli_filter *f)
 {
 	int64_t ms = (int64_t)(ev->hlc >> CLI_HLC_COUNTER_BITS);
@@ -27,6 +29,7 @@
 	       matches(ev->fields, "team", f->team);
 }
 
+/* Adds the event; the timeline takes over its fields. */
 static void append(struct cli_timeline *t, const struct cli_event *ev)
 {
 	if (t->len == t->cap) {
@@ -75,6 +78,7 @@
 	return bad;
 }
 
+/* Orders events by (hlc, vm, seq), for qsort(). */
 static int compare(const void *a, const void *b)
 {
 	const struct cli_event *x = a, *y = b;
--- a/cli-flags.c
+++ b/cli-flags.c
@@ -33,6 +33,7 @@
 	return n;
 }
 
+/* Adds an entry VM; exits when it is no address or one too many. */
 static void add_vm(struct cli *cli, const char *vm)
 {
 	if (!strchr(vm, ':'))
@@ -56,6 +57,7 @@
 		add_vm(cli, tok);
 }
 
+/* Parses the common flags; the command itself is the argp child. */
 static error_t parse_common(int key, char *arg, struct argp_state *state)
 {
 	struct cli *cli = state->input;
--- a/cli-http.c
+++ b/cli-http.c
@@ -40,6 +40,7 @@
 	return out;
 }
 
+/* Collects the body, always followed by a NUL. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct cli_reply *reply = arg;
@@ -54,6 +55,7 @@
 	return size * n;
 }
 
+/* Picks the next position of the event ring from the headers. */
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	static const char name[] = "X-Next:";
@@ -86,6 +88,7 @@
 	return 0;
 }
 
+/* Clears the line of progress, if one was shown. */
 static void end_progress(struct cli *cli)
 {
 	if (cli->progress_shown)
@@ -93,6 +96,7 @@
 	cli->progress_shown = 0;
 }
 
+/* The headers of a call; "Expect:" saves a round trip. */
 static struct curl_slist *make_headers(const struct cli_call *call)
 {
 	struct curl_slist *list = curl_slist_append(NULL, "Content-Type: "
@@ -108,6 +112,7 @@
 	return list;
 }
 
+/* Sets up the handle from scratch, keeping its connections. */
 static void set_options(struct cli *cli, const struct cli_call *call,
 			const char *url, const char *body,
 			struct curl_slist *headers, struct cli_reply *reply)
@@ -158,6 +163,7 @@
 	curl_slist_free_all(headers);
 	free(body);
 	if (code != CURLE_OK) {
+		reply->timed_out = code == CURLE_OPERATION_TIMEDOUT;
 		if (!*reply->error)
 			snprintf(reply->error, sizeof(reply->error), "%s",
 				 curl_easy_strerror(code));
--- a/cli-job.c
+++ b/cli-job.c
@@ -45,6 +45,8 @@
 			cli_sleep_ms(ROUND_PAUSE_MS);
 		if (!call_round(cli, call, reply, round == 0))
 			return 0;
+		if (reply->timed_out)
+			break;
 	}
 	return -1;
 }
@@ -109,6 +111,24 @@
 	}
 }
 
+/*
+ * Asks once, at one entry VM after the other. A call that lasts too long may
+ * be on a connection gone silent: it is made again on another.
+ */
+static int ask_state(struct cli *cli, const struct cli_call *call,
+		     struct cli_reply *reply)
+{
+	while (cli_http(cli, cli->vms[cli->first % cli->nvms], call, reply)) {
+		int timed_out = reply->timed_out;
+
+		cli->first++;
+		cli_reply_finish(reply);
+		if (!timed_out)
+			return cli_any_vm(cli, call, reply);
+	}
+	return 0;
+}
+
 int cli_wait(struct cli *cli, const char *key, int wait)
 {
 	char *name = cli_escape(key);
@@ -122,7 +142,7 @@
 	free(name);
 	cli->progress = key;
 	for (;;) {
-		if (cli_any_vm(cli, &call, &reply)) {
+		if (ask_state(cli, &call, &reply)) {
 			code = CLI_UNREACHABLE;
 			break;
 		}
--- a/cli-tree.c
+++ b/cli-tree.c
@@ -9,6 +9,7 @@
 #define WIDTH_MAX 40 /* of a column */
 #define COLUMNS_MAX 32
 
+/* Whether the value has no parts. */
 static int is_leaf(json_t *value)
 {
 	return !json_is_object(value) && !json_is_array(value);
@@ -54,6 +55,7 @@
 	int width;
 };
 
+/* The width that fits the name and every value, up to a bound. */
 static int column_width(json_t *list, const char *name)
 {
 	size_t i, width = strlen(name);
@@ -108,6 +110,7 @@
 	}
 }
 
+/* Prints a value behind its name, or below it when it has parts. */
 static void print_value(json_t *value, int depth)
 {
 	char *text;
--- a/cli.h
+++ b/cli.h
@@ -73,8 +73,9 @@
 	long status; /* HTTP status; 0: no answer */
 	char *body;  /* NUL-terminated */
 	size_t len;
-	json_t *json; /* the body when it is JSON, else NULL */
-	int64_t next; /* X-Next, or -1 */
+	json_t *json;  /* the body when it is JSON, else NULL */
+	int64_t next;  /* X-Next, or -1 */
+	int timed_out; /* connected, but no answer in time */
 	char error[CLI_ERROR_MAX];
 };
 
--- a/cmd-cancel.c
+++ b/cmd-cancel.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Takes the key. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	const char **name = state->input;
@@ -24,6 +25,7 @@
 	}
 }
 
+/* Cancels the job at the first entry VM that answers. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = {
--- a/cmd-drain.c
+++ b/cmd-drain.c
@@ -19,6 +19,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the flags of the wait. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct drain *d = state->input;
@@ -61,6 +62,7 @@
 	return CLI_RUNNING;
 }
 
+/* Sends the order to exactly one entry VM, so that none stops by mistake. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = {
--- a/cmd-events.c
+++ b/cmd-events.c
@@ -32,6 +32,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Reads a point in time, absolute or back from now. */
 static int64_t parse_time(struct argp_state *state, const char *what,
 			  const char *arg)
 {
@@ -41,6 +42,7 @@
 	return t <= 0 ? cli_now_ms() + t * 1000 : t;
 }
 
+/* Takes the filters. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct events *e = state->input;
@@ -116,6 +118,7 @@
 	return code;
 }
 
+/* Reads all entry VMs and sorts; returns the last bad exit code. */
 static int read_all(struct cli *cli, struct events *e)
 {
 	int code = CLI_COMPLETE;
@@ -146,6 +149,7 @@
 	}
 }
 
+/* Prints what the rings hold now, and goes on when following. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = { options,
--- a/cmd-metrics.c
+++ b/cmd-metrics.c
@@ -28,6 +28,7 @@
 	return o;
 }
 
+/* Prints one entry VM's counters as one line. */
 static void print_json(const char *vm, char *text)
 {
 	json_t *o = json_pack("{s:s, s:o}", "vm", vm, "metrics",
@@ -38,6 +39,7 @@
 	json_decref(o);
 }
 
+/* Prints one entry VM's counters; returns the exit code. */
 static int show(struct cli *cli, const char *vm)
 {
 	struct cli_reply reply;
@@ -55,6 +57,7 @@
 	return code;
 }
 
+/* Shows every entry VM; a bad exit code of one is the command's. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = {
--- a/cmd-request.c
+++ b/cmd-request.c
@@ -22,6 +22,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the flags and the payload. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct request *r = state->input;
@@ -56,6 +57,7 @@
 	}
 }
 
+/* Builds the request and submits it like a job. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = { options,
--- a/cmd-show-status.c
+++ b/cmd-show-status.c
@@ -28,6 +28,7 @@
 	return code;
 }
 
+/* Shows every entry VM; a bad exit code of one is the command's. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = {
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -43,6 +43,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the flags and the file. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct submit *s = state->input;
@@ -129,6 +130,7 @@
 	return job;
 }
 
+/* Makes a job of n tasks with ids from 1 and equal payloads. */
 static json_t *make_job(int64_t n, const char *payload)
 {
 	json_t *tasks = json_array();
@@ -166,6 +168,7 @@
 					: 60000;
 }
 
+/* Builds the job from a file or from flags and submits it. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = { options,
--- a/cmd-wait.c
+++ b/cmd-wait.c
@@ -12,6 +12,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the key. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct wait *w = state->input;
@@ -34,6 +35,7 @@
 	}
 }
 
+/* Waits at the first entry VM that answers. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = {
--- a/example-embed.c
+++ b/example-embed.c
@@ -35,6 +35,7 @@
 
 static void deliver(struct program *p, const struct rp_event *ev);
 
+/* A counted string over literal text. */
 static struct rp_str str(const char *s)
 {
 	struct rp_str r = { s, strlen(s) };
@@ -59,6 +60,7 @@
 		 (int)task->payload.len, task->payload.ptr);
 }
 
+/* Prints the answer that a waiting call gets. */
 static void print_answer(struct program *p, const struct rp_action *a)
 {
 	const struct rp_answer *ans = a->answer.answer;
@@ -83,6 +85,7 @@
 	deliver(p, &ev);
 }
 
+/* Carries out one action. */
 static void carry_out(struct program *p, const struct rp_action *a)
 {
 	switch (a->type) {
@@ -119,6 +122,7 @@
 
 /* --- events ----------------------------------------------------------- */
 
+/* Asks for an issued key; it is there when this returns. */
 static void get_key(struct program *p)
 {
 	struct rp_event ev = { .type = RP_EVENT_KEYS, .token = TOKEN_KEYS };
@@ -127,6 +131,7 @@
 	deliver(p, &ev);
 }
 
+/* Submits the job under the key; its answer comes by the token. */
 static void submit(struct program *p, rp_token token)
 {
 	static const char *const ids[NTASKS] = { "a", "b", "c", "d", "e", "f" };
@@ -154,6 +159,7 @@
 	rp_submission_unref(ev.submit.sub);
 }
 
+/* Tells the kernel a task's result. */
 static void reply(struct program *p, const struct running *r)
 {
 	struct rp_event ev = { .type = RP_EVENT_TARGET_REPLY };
@@ -182,6 +188,7 @@
 	}
 }
 
+/* Lets time pass until so many answers have been printed. */
 static void run_until_answered(struct program *p, int answers)
 {
 	struct rp_event tick = { .type = RP_EVENT_TICK };
@@ -195,6 +202,7 @@
 
 /* --- start ------------------------------------------------------------ */
 
+/* Describes a target with two slots, as a setting would. */
 static void describe_target(struct rp_vm *vm, const char *name)
 {
 	memset(vm, 0, sizeof(*vm));
@@ -206,6 +214,7 @@
 	vm->slots = 2;
 }
 
+/* Runs the job, then submits the same key once more. */
 int main(void)
 {
 	struct rp_vm targets[NTARGETS];
--- a/fake-record.c
+++ b/fake-record.c
@@ -29,6 +29,7 @@
 			 (json_int_t)c->max_running);
 }
 
+/* Writes one start as a JSON object. */
 static void write_start(FILE *out, const struct fake_task *task)
 {
 	json_t *o = json_pack("{s:s, s:s, s:I, s:I, s:s}", "id", task->id,
--- a/fake-server.c
+++ b/fake-server.c
@@ -76,6 +76,7 @@
 
 /* --- requests --------------------------------------------------------- */
 
+/* Queues the reply; libmicrohttpd frees its body. */
 static enum MHD_Result send_reply(struct fake_request *r)
 {
 	struct fake_reply *rep = &r->reply;
@@ -95,6 +96,7 @@
 	return ret;
 }
 
+/* Makes the state of a request when its headers are in. */
 static struct fake_request *request_new(struct MHD_Connection *mhd,
 					const char *url, const char *method)
 {
@@ -129,6 +131,7 @@
 	return 0;
 }
 
+/* Called with the headers, each part of the body, and at the end. */
 static enum MHD_Result on_request(void *cls, struct MHD_Connection *mhd,
 				  const char *url, const char *method,
 				  const char *version, const char *data,
@@ -161,6 +164,7 @@
 	return MHD_NO;
 }
 
+/* Frees a request, answered or not. */
 static void on_completed(void *cls, struct MHD_Connection *mhd, void **req_cls,
 			 enum MHD_RequestTerminationCode why)
 {
@@ -179,6 +183,7 @@
 
 /* --- connections ------------------------------------------------------ */
 
+/* The socket of a connection. */
 static int connection_fd(struct MHD_Connection *mhd)
 {
 	const union MHD_ConnectionInfo *info =
@@ -198,6 +203,7 @@
 	return ntohs(addr.sin_port) - srv->first_port;
 }
 
+/* Counts a new connection in, or a closed one out. */
 static void on_connection(void *cls, struct MHD_Connection *mhd, void **ctx,
 			  enum MHD_ConnectionNotificationCode code)
 {
@@ -245,6 +251,7 @@
 	}
 }
 
+/* Accepts on all ports until the stop pipe is written to. */
 static void *APR_THREAD_FUNC accept_thread(apr_thread_t *thread, void *arg)
 {
 	struct fake_server *srv = arg;
@@ -284,6 +291,7 @@
 	return inet_pton(AF_INET, ip, &addr->sin_addr) == 1 ? 0 : -1;
 }
 
+/* Adds a descriptor to what the accepting thread waits for. */
 static int watch(struct fake_server *srv, int fd)
 {
 	struct epoll_event ev = { .events = EPOLLIN, .data.fd = fd };
@@ -291,6 +299,7 @@
 	return epoll_ctl(srv->epoll, EPOLL_CTL_ADD, fd, &ev);
 }
 
+/* Listens on the i-th port. */
 static int listen_on(struct fake_server *srv, struct sockaddr_in *addr,
 		     size_t i)
 {
@@ -318,6 +327,7 @@
 	setrlimit(RLIMIT_NOFILE, &lim);
 }
 
+/* Starts an HTTP thread that gets its connections handed in. */
 static struct MHD_Daemon *start_daemon(struct fake_server *srv)
 {
 	unsigned int flags = MHD_USE_EPOLL | MHD_USE_INTERNAL_POLLING_THREAD |
@@ -331,6 +341,7 @@
 				CONNECTIONS_MAX, MHD_OPTION_END);
 }
 
+/* Listens on all ports, or says which one failed. */
 static int start_listeners(struct fake_server *srv, struct sockaddr_in *addr)
 {
 	size_t i;
--- a/fake-table.c
+++ b/fake-table.c
@@ -30,6 +30,7 @@
 	return NULL;
 }
 
+/* Frees a row and its text. */
 static void row_free(struct fake_row *row)
 {
 	free(row->name);
@@ -37,6 +38,7 @@
 	free(row);
 }
 
+/* Makes an empty row at position i. */
 static void row_insert(struct fake_table *t, size_t i, const char *name)
 {
 	struct fake_row *row = calloc(1, sizeof(*row));
@@ -54,6 +56,7 @@
 	t->len++;
 }
 
+/* Deletes the row at position i. */
 static void row_remove(struct fake_table *t, size_t i)
 {
 	row_free(t->rows[i]);
@@ -62,6 +65,7 @@
 		(t->len - i) * sizeof(struct fake_row *));
 }
 
+/* Carries out one write whose version has been checked. */
 static void apply(struct fake_table *t, const struct fake_write *w)
 {
 	size_t i = fake_table_seek(t, w->name);
--- a/fake-task.c
+++ b/fake-task.c
@@ -49,6 +49,7 @@
 	return apr_hash_get(t->tasks, id, APR_HASH_KEY_STRING);
 }
 
+/* Remembers a new id, for as long as the target lives. */
 static struct fake_task *task_new(struct fake_target *t, const char *id,
 				  enum fake_task_state state)
 {
@@ -114,6 +115,7 @@
 	return task->target->knobs.fail_all ? FAKE_END_FAILED : FAKE_END_DONE;
 }
 
+/* Ends a task whose time is over, unless the target hangs. */
 static void on_timer(struct fake_timer *timer)
 {
 	struct fake_task *task =
--- a/fake-timer.c
+++ b/fake-timer.c
@@ -15,6 +15,7 @@
 	return apr_time_now() / 1000;
 }
 
+/* Swaps two timers. */
 static void heap_swap(struct fake_timers *ts, size_t a, size_t b)
 {
 	struct fake_timer *t = ts->heap[a];
@@ -23,6 +24,7 @@
 	ts->heap[b] = t;
 }
 
+/* Moves a timer up until the one above is due earlier. */
 static void heap_up(struct fake_timers *ts, size_t i)
 {
 	while (i && ts->heap[i]->due_us < ts->heap[(i - 1) / 2]->due_us) {
@@ -31,6 +33,7 @@
 	}
 }
 
+/* Moves a timer down until those below are due later. */
 static void heap_down(struct fake_timers *ts, size_t i)
 {
 	for (;;) {
@@ -73,6 +76,7 @@
 					  ts->heap[0]->due_us - now);
 }
 
+/* Fires timers as they come due, outside the lock. */
 static void *APR_THREAD_FUNC timer_thread(apr_thread_t *thread, void *arg)
 {
 	struct fake_timers *ts = arg;
--- a/load-answer.c
+++ b/load-answer.c
@@ -21,6 +21,7 @@
 	return state_names[state];
 }
 
+/* The state of that name; anything else counts as lost. */
 static enum load_state parse_state(const char *name)
 {
 	int s;
@@ -31,6 +32,7 @@
 	return LOAD_LOST;
 }
 
+/* Adds text to an FNV-1a hash. */
 static uint64_t digest(uint64_t h, const char *text)
 {
 	for (; *text; text++)
--- a/load-caller.c
+++ b/load-caller.c
@@ -38,6 +38,7 @@
 static void send_job(struct caller *c, struct load_job *job, size_t number,
 		     size_t vm);
 
+/* Appends an item to a growing array. */
 static void push(void *list, size_t *len, size_t *cap, const void *item,
 		 size_t size)
 {
@@ -55,6 +56,7 @@
 
 /* --- keys ------------------------------------------------------------- */
 
+/* Adds the keys of a reply to the stock. */
 static void take_keys(struct key_stock *s, const struct load_call *call)
 {
 	json_t *o = call->status == 200
@@ -104,6 +106,7 @@
 	s->nwaiting = 0;
 }
 
+/* Goes on with the jobs that waited, here or elsewhere. */
 static void on_keys(struct load_call *call)
 {
 	struct caller *c = call->loop->owner;
@@ -117,6 +120,7 @@
 		move_waiting(c, s, call->number);
 }
 
+/* Asks an entry VM for a batch of keys. */
 static void ask_keys(struct caller *c, size_t vm)
 {
 	struct load_call *call = calloc(1, sizeof(*call));
@@ -159,6 +163,7 @@
 
 /* --- jobs ------------------------------------------------------------- */
 
+/* Whether nothing can change the state any more. */
 static int is_final(enum load_state state)
 {
 	return state == LOAD_COMPLETE || state == LOAD_FAILED ||
@@ -197,6 +202,7 @@
 		load_loop_at(&c->loop, &t);
 }
 
+/* Checks and notes an answer. */
 static void on_answer(struct load_call *call)
 {
 	struct caller *c = call->loop->owner;
@@ -207,6 +213,7 @@
 	maybe_retry(c, call, &out);
 }
 
+/* Sends a job, or lets it wait for a key. */
 static void send_job(struct caller *c, struct load_job *job, size_t number,
 		     size_t vm)
 {
@@ -260,6 +267,7 @@
 	c->next += c->set->threads;
 }
 
+/* Sends what is due; the first sending of a job plans the next. */
 static void on_due(struct load_loop *loop, const struct load_timed *t)
 {
 	struct caller *c = loop->owner;
@@ -269,6 +277,7 @@
 	send_job(c, t->job, t->number, t->vm);
 }
 
+/* Carries out one thread's share of the plan. */
 static void *caller_thread(void *arg)
 {
 	struct caller *c = arg;
--- a/load-counters.c
+++ b/load-counters.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Adds to the sum of that name. */
 static void add(json_t *sums, const char *name, double n)
 {
 	double sum = json_number_value(json_object_get(sums, name)) + n;
@@ -28,6 +29,7 @@
 	}
 }
 
+/* Adds a target stand-in's counts to the sums. */
 static void add_target(json_t *sums, const char *address)
 {
 	json_t *counts = load_get_json(address, "/v1/control/counts");
--- a/load-http.c
+++ b/load-http.c
@@ -25,6 +25,7 @@
 
 /* --- timed work: a binary heap ---------------------------------------- */
 
+/* Swaps two pieces of timed work. */
 static void heap_swap(struct load_loop *loop, size_t a, size_t b)
 {
 	struct load_timed t = loop->heap[a];
@@ -51,6 +52,7 @@
 	}
 }
 
+/* Removes and returns what is due first. */
 static struct load_timed heap_pop(struct load_loop *loop)
 {
 	struct load_timed first = loop->heap[0];
@@ -73,6 +75,7 @@
 
 /* --- curl on epoll ---------------------------------------------------- */
 
+/* Called by curl: what to wait for on a socket. */
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
 		     void *known)
 {
@@ -95,6 +98,7 @@
 	return 0;
 }
 
+/* Called by curl: when it wants to be called. */
 static int on_timeout(CURLM *multi, long ms, void *arg)
 {
 	struct load_loop *loop = arg;
@@ -134,6 +138,7 @@
 	free(loop->heap);
 }
 
+/* Collects a reply, always followed by a NUL. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct load_call *call = arg;
@@ -148,6 +153,7 @@
 	return size * n;
 }
 
+/* Sets up the handle of a call. */
 static void set_options(struct load_call *call, const char *url,
 			long timeout_ms)
 {
@@ -183,6 +189,7 @@
 	curl_multi_add_handle(loop->multi, call->easy);
 }
 
+/* Frees a call and all it owns. */
 static void call_free(struct load_call *call)
 {
 	curl_easy_cleanup(call->easy);
@@ -235,6 +242,7 @@
 	timerfd_settime(loop->timer, TFD_TIMER_ABSTIME, &when, NULL);
 }
 
+/* Does the timed work that is due, and calls curl when it asked to. */
 static void run_due(struct load_loop *loop)
 {
 	int64_t now = load_now_us();
@@ -252,6 +260,7 @@
 	}
 }
 
+/* Tells curl of a socket's event, or empties the timer. */
 static void handle_event(struct load_loop *loop, const struct epoll_event *ev)
 {
 	int flags = 0, running;
--- a/load-plan.c
+++ b/load-plan.c
@@ -10,11 +10,13 @@
 
 #define TASKS_MAX 1024 /* in one job */
 
+/* True in the given share of draws. */
 static int chance(gsl_rng *rng, double share)
 {
 	return gsl_rng_uniform(rng) < share;
 }
 
+/* Draws the number of tasks, within the bounds of a job. */
 static size_t draw_tasks(const struct load_settings *set, gsl_rng *rng)
 {
 	long n = lround(load_dist_draw(&set->tasks, rng));
@@ -32,6 +34,7 @@
 	return (vm + 1 + gsl_rng_uniform_int(rng, set->nvms - 1)) % set->nvms;
 }
 
+/* Draws everything about one job. */
 static void draw_job(const struct load_settings *set, struct load_job *job,
 		     gsl_rng *rng, int64_t at_us)
 {
--- a/load-report.c
+++ b/load-report.c
@@ -31,6 +31,7 @@
 	[MEASURE_LATE] = "generator_late_us",
 };
 
+/* One measure of a complete job. */
 static double measure(enum measure m, const struct load_job *job,
 		      const struct load_settings *set)
 {
@@ -54,6 +55,7 @@
 	return (double)(job->sent_us - job->at_us);
 }
 
+/* Collects and sorts a measure over all complete jobs. */
 static void sample_init(struct sample *s, enum measure m,
 			const struct load_settings *set,
 			const struct load_plan *plan)
@@ -70,6 +72,7 @@
 	gsl_sort(s->list, 1, s->len);
 }
 
+/* Percentiles of a sample; an empty object when it is empty. */
 static json_t *sample_json(const struct sample *s)
 {
 	static const struct {
@@ -89,6 +92,7 @@
 	return o;
 }
 
+/* Adds one to the count of that name. */
 static void count(json_t *o, const char *name)
 {
 	json_t *v = json_object_get(o, name);
@@ -164,6 +168,7 @@
 	json_decref(grown);
 }
 
+/* Promises that were broken, by kind. */
 static void add_faults(json_t *report, const struct load_verdict *v)
 {
 	json_t *o = json_object();
@@ -194,6 +199,7 @@
 
 /* --- printing --------------------------------------------------------- */
 
+/* Prints names and values, indented by depth. */
 static void print_object(json_t *o, int depth)
 {
 	const char *name;
--- a/load-verify.c
+++ b/load-verify.c
@@ -52,6 +52,7 @@
 	json_decref(o);
 }
 
+/* Names the job whose promise was broken. */
 static void blame(const struct load_settings *set, size_t number,
 		  const struct load_job *job, const char *what)
 {
@@ -78,6 +79,7 @@
 	return refused && job->noutcomes == job->ncalls;
 }
 
+/* Whether nothing can change the outcome any more. */
 static int is_final(const struct load_outcome *out)
 {
 	return out->state == LOAD_COMPLETE || out->state == LOAD_FAILED ||
@@ -103,6 +105,7 @@
 	return 0;
 }
 
+/* Checks a job's answer against the starts of its tasks. */
 static void check_starts(const struct load_settings *set, size_t number,
 			 const struct load_job *job, struct load_verdict *v)
 {
--- a/load.c
+++ b/load.c
@@ -68,6 +68,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Reads a number within bounds, or exits. */
 static double number(struct argp_state *state, const char *arg, double low,
 		     double high)
 {
@@ -79,6 +80,7 @@
 	return x;
 }
 
+/* Reads a distribution, or exits. */
 static void dist(struct argp_state *state, struct load_dist *d, const char *arg)
 {
 	if (load_dist_parse(d, arg))
@@ -88,6 +90,7 @@
 			   arg);
 }
 
+/* Adds a weighted name, or exits. */
 static void mix(struct argp_state *state, struct load_mix *m, const char *arg)
 {
 	if (load_mix_add(m, arg))
@@ -210,6 +213,7 @@
 	}
 }
 
+/* Sets what the help text says. */
 static void set_defaults(struct load_settings *set)
 {
 	memset(set, 0, sizeof(*set));
--- a/rosemary-fake-call.c
+++ b/rosemary-fake-call.c
@@ -42,6 +42,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the flags, and method, address, path and body. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct call *c = state->input;
@@ -79,6 +80,7 @@
 	}
 }
 
+/* Collects the body, always followed by a NUL. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
@@ -93,6 +95,7 @@
 	return size * n;
 }
 
+/* Picks the value of the header asked for. */
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *c = arg;
@@ -104,6 +107,7 @@
 	return size * n;
 }
 
+/* Makes the call once. */
 static CURLcode call_once(struct call *c, CURL *curl)
 {
 	char url[1024];
@@ -157,6 +161,7 @@
 	return o;
 }
 
+/* Prints one part of the JSON, or the number of its elements. */
 static void print_part(const struct call *c, json_t *root)
 {
 	json_t *o = c->field ? follow(root, c->field) : root;
@@ -172,6 +177,7 @@
 	}
 }
 
+/* Prints what was asked for of the answer. */
 static void print_answer(const struct call *c)
 {
 	json_t *root;
@@ -191,6 +197,7 @@
 	}
 }
 
+/* Takes standard input as the body of a 200 answer. */
 static void read_stdin(struct call *c)
 {
 	char part[4096];
--- a/rosemary-fake-platform.c
+++ b/rosemary-fake-platform.c
@@ -47,6 +47,7 @@
 	struct knobs knobs;
 };
 
+/* The platform that serves a request. */
 static struct platform *platform_of(struct fake_request *r)
 {
 	return r->conn->srv->owner;
@@ -54,6 +55,7 @@
 
 /* --- table ------------------------------------------------------------ */
 
+/* A row as the interface gives it; row is NULL when absent. */
 static json_t *row_json(const char *name, const struct fake_row *row)
 {
 	return json_pack("{s:s, s:s?, s:I}", "name", name, "value",
@@ -61,6 +63,7 @@
 			 (json_int_t)(row ? row->version : 0));
 }
 
+/* Reads the named rows. */
 static enum fake_verdict handle_read(struct platform *p, struct fake_request *r,
 				     json_t *body)
 {
@@ -80,6 +83,7 @@
 	return fake_reply_json(r, 200, json_pack("{s:o}", "rows", rows));
 }
 
+/* Reads all rows with a prefix, in the order of names. */
 static enum fake_verdict handle_scan(struct platform *p, struct fake_request *r,
 				     json_t *body)
 {
@@ -125,6 +129,7 @@
 	return writes;
 }
 
+/* Writes all rows or none, and may lose the answer afterwards. */
 static enum fake_verdict handle_commit(struct platform *p,
 				       struct fake_request *r, json_t *body)
 {
@@ -189,6 +194,7 @@
 
 /* --- objects ---------------------------------------------------------- */
 
+/* Keeps an object, or gives it back. */
 static enum fake_verdict handle_object(struct platform *p,
 				       struct fake_request *r)
 {
@@ -209,6 +215,7 @@
 
 /* --- control ---------------------------------------------------------- */
 
+/* Sets the faults that are given and tells all of them. */
 static enum fake_verdict handle_control(struct platform *p,
 					struct fake_request *r, json_t *body)
 {
@@ -238,6 +245,7 @@
 	return fake_reply_text(r, 200, "{}");
 }
 
+/* Tells what was served so far. */
 static enum fake_verdict handle_counts(struct platform *p,
 				       struct fake_request *r)
 {
@@ -258,11 +266,13 @@
 
 /* --- routing ---------------------------------------------------------- */
 
+/* Whether the request is a POST to that path. */
 static int is_post(struct fake_request *r, const char *path)
 {
 	return !strcmp(r->method, "POST") && !strcmp(r->path, path);
 }
 
+/* Whether the request is a GET of that path. */
 static int is_get(struct fake_request *r, const char *path)
 {
 	return !strcmp(r->method, "GET") && !strcmp(r->path, path);
@@ -274,6 +284,7 @@
 	return !strncmp(r->path, "/v1/control", strlen("/v1/control"));
 }
 
+/* Finds the handler; the lock is held. */
 static enum fake_verdict route(struct platform *p, struct fake_request *r,
 			       json_t *body)
 {
@@ -296,6 +307,7 @@
 	return fake_reply_error(r, 404, "no such call");
 }
 
+/* Goes on with a request that was held back. */
 static void delay_over(struct fake_timer *t)
 {
 	fake_request_resume(
@@ -303,6 +315,7 @@
 					offsetof(struct fake_request, timer)));
 }
 
+/* Holds a request back before it takes effect; 0: no need to. */
 static int delay_request(struct platform *p, struct fake_request *r)
 {
 	int64_t delay = p->knobs.delay_ms;
@@ -315,6 +328,7 @@
 	return 1;
 }
 
+/* Serves a request, unless there is an outage. */
 static enum fake_verdict handle(struct fake_request *r)
 {
 	struct platform *p = platform_of(r);
@@ -351,6 +365,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes one flag. */
 static error_t parse_flag(int key, char *arg, struct argp_state *state)
 {
 	struct flags *f = state->input;
@@ -393,6 +408,7 @@
 	return vms;
 }
 
+/* Frees lists, rows and objects. */
 static void finish(struct platform *p)
 {
 	while (p->vms) {
--- a/rosemary-fake-target.c
+++ b/rosemary-fake-target.c
@@ -27,6 +27,7 @@
 	struct fake_target_knobs knobs;
 };
 
+/* The target that a connection came in for. */
 static struct fake_target *target_of(struct fake_conn *c)
 {
 	struct fake_target *targets = c->srv->owner;
@@ -36,6 +37,7 @@
 
 /* --- tasks ------------------------------------------------------------ */
 
+/* Answers a start with the result, or with its failure. */
 static enum fake_verdict reply_result(struct fake_request *r,
 				      const struct fake_task *task)
 {
@@ -47,6 +49,7 @@
 	return fake_reply_error(r, 500, "the task failed");
 }
 
+/* Starts a task; called again once it has ended. */
 static enum fake_verdict handle_start(struct fake_target *t,
 				      struct fake_request *r, const char *id)
 {
@@ -72,6 +75,7 @@
 	return reply_result(r, task);
 }
 
+/* Answers with the state, and the result when there is one. */
 static enum fake_verdict reply_state(struct fake_request *r,
 				     const struct fake_task *task)
 {
@@ -85,6 +89,7 @@
 	return fake_reply_body(r, 200, text, strlen(text));
 }
 
+/* Tells what became of an id. */
 static enum fake_verdict handle_lookup(struct fake_target *t,
 				       struct fake_request *r, const char *id)
 {
@@ -98,6 +103,7 @@
 	return reply_state(r, task);
 }
 
+/* Voids an id, or stops a running task. */
 static enum fake_verdict handle_delete(struct fake_target *t,
 				       struct fake_request *r, const char *id)
 {
@@ -116,6 +122,7 @@
 	return reply_state(r, fake_task_void(t, id));
 }
 
+/* Serves a call on a task id. */
 static enum fake_verdict handle_task(struct fake_target *t,
 				     struct fake_request *r)
 {
@@ -132,6 +139,7 @@
 
 /* --- control ---------------------------------------------------------- */
 
+/* Makes all connections that are open now silent, or none. */
 static void set_silent(struct fake_target *t, json_t *body)
 {
 	int silent = -1;
@@ -141,6 +149,7 @@
 		t->silent_up_to = silent ? t->last_serial : 0;
 }
 
+/* Sets the knobs that are given. */
 static void set_knobs(struct fake_target *t, json_t *body)
 {
 	struct fake_target_knobs *k = &t->knobs;
@@ -160,6 +169,7 @@
 	set_silent(t, body);
 }
 
+/* Serves a call of a test script. */
 static enum fake_verdict handle_control(struct fake_target *t,
 					struct fake_request *r)
 {
@@ -179,6 +189,7 @@
 
 /* --- requests and connections ----------------------------------------- */
 
+/* Serves a call as the faults allow; the lock is held. */
 static enum fake_verdict route(struct fake_target *t, struct fake_request *r)
 {
 	if (!strncmp(r->path, CONTROL_PATH, strlen(CONTROL_PATH)))
@@ -194,6 +205,7 @@
 	return fake_reply_error(r, 404, "no such call");
 }
 
+/* Serves a request under the lock of its target. */
 static enum fake_verdict handle(struct fake_request *r)
 {
 	struct fake_target *t = target_of(r->conn);
@@ -205,6 +217,7 @@
 	return v;
 }
 
+/* Counts a connection; 0 when it is one too many. */
 static int conn_opened(struct fake_conn *c)
 {
 	struct fake_target *t = target_of(c);
@@ -218,6 +231,7 @@
 	return welcome;
 }
 
+/* Counts a connection out. */
 static void conn_closed(struct fake_conn *c)
 {
 	struct fake_target *t = target_of(c);
@@ -258,6 +272,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Reads a whole number within bounds, or exits. */
 static long whole(struct argp_state *state, const char *arg, long low,
 		  long high)
 {
@@ -269,6 +284,7 @@
 	return n;
 }
 
+/* Reads a number of 0 or more, or exits. */
 static double number(struct argp_state *state, const char *arg)
 {
 	char *end;
@@ -279,6 +295,7 @@
 	return x;
 }
 
+/* Reads the list of speed factors. */
 static void parse_speeds(struct argp_state *state, struct flags *f, char *arg)
 {
 	char *save, *tok = strtok_r(arg, ",", &save);
@@ -291,6 +308,7 @@
 	}
 }
 
+/* Takes one flag. */
 static error_t parse_flag(int key, char *arg, struct argp_state *state)
 {
 	struct flags *f = state->input;
@@ -334,6 +352,7 @@
 	}
 }
 
+/* Makes all targets, with speeds dealt out in turn. */
 static struct fake_target *make_targets(struct fake_server *srv,
 					struct flags *f)
 {
--- a/rosemary.c
+++ b/rosemary.c
@@ -13,6 +13,7 @@
 	&cmd_events_entry, &cmd_metrics_entry,	   NULL,
 };
 
+/* Prints the commands and the exit codes. */
 static void print_usage(FILE *out)
 {
 	const struct cmd_entry *const *c;
@@ -26,6 +27,7 @@
 		     "5 an entry VM gave no answer, 6 still running.\n");
 }
 
+/* The command of that name, or NULL. */
 static const struct cmd_entry *find_command(const char *name)
 {
 	const struct cmd_entry *const *c;
