Task life: settle unknown outcomes by lookup or void, retry within budget

A send whose connection broke or went silent used to fail its job at once or at the deadline. Now its outcome is asked for on a fresh connection: a result is taken, RUNNING is asked again with doubling spans, an unknown id is voided where the target can, and a voided task waits again under a new task id. Without any means the job fails at once when the connection broke, or waits for the reply when it is only silent; the slot stays charged until the target was told to give up.

Sends lie in pages that never move and are linked by job and by target, so a cancellation costs its own sends. Unsent and busy targets are paused for doubling spans. Jobs that cannot end in time by the least learned time are not run, but for one probe each 500 ms, so that a wrong time heals.

rosemary.h: new option abort_on_violation for tests; invariants that do not hold are counted, traced and refuse the step.

--- a/dispatch-job.c
+++ b/dispatch-job.c
@@ -104,6 +104,11 @@
 {
 	struct rp_service *svc = job->svc;
 
+	if (job->parked) {
+		svc->nqueued -= job_waiting(job);
+		pump_forget(job);
+		return;
+	}
 	if (!job->queued)
 		return;
 	svc->nqueued -= job_waiting(job);
@@ -148,8 +153,8 @@
 		answer_results(job, a);
 	} else {
 		d->counters.failed++;
-		start_stop_all(job, acts);
 	}
+	start_stop_all(job, acts);
 	sub_job_ended(a, acts);
 	job_unref(job);
 }
@@ -182,12 +187,16 @@
 
 	if (job->closed)
 		return;
-	if (!job->again)
-		job->again =
-			kernel_alloc(job->sub->ntasks * sizeof(*job->again));
+	if (job->nagain == job->cap_again) {
+		job->cap_again = job->cap_again ? 2 * job->cap_again : 4;
+		job->again = kernel_realloc(
+			job->again, job->cap_again * sizeof(*job->again));
+	}
 	job->tasks[task].state = RP_TASK_QUEUED;
 	job->again[job->nagain++] = (uint32_t)task;
 	svc->nqueued++;
+	if (job->parked)
+		return;
 	if (job->queued) {
 		svc->queue->ops->changed(svc->queue, job, now);
 		return;
@@ -238,11 +247,13 @@
 	kernel_lock(d->k, d->lock);
 	dispatch_timers(d, now, acts);
 	close_overdue(d, now, acts);
+	target_wake(d, now);
 	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i)) {
 		struct rp_service *svc = apr_hash_this_val(i);
 
 		svc->health->ops->tick(svc->health, now);
 		svc->limit->ops->tick(svc->limit, now, acts);
+		pump_unpark(svc, now);
 		dispatch_pump(svc, now, acts);
 	}
 	kernel_unlock(d->k, d->lock);
--- /dev/null
+++ b/dispatch-outcome.c
@@ -0,0 +1,169 @@
+/* What the outcome of a send means for its task and its job. */
+
+#include "rosemary-int.h"
+
+/* Sends of one idempotent request, the first and hedges included. */
+#define ATTEMPTS_MAX 4
+
+/* Longest pauses of a target that takes no work, ms. */
+#define PAUSE_BUSY_MOST_MS 80
+#define PAUSE_UNSENT_MOST_MS 2000
+
+/* Whether a failed or silent send of the job may be followed by another. */
+static int may_retry(const struct rp_job *job, uint32_t task, rp_ms now)
+{
+	const struct rp_submission *sub = job->sub;
+
+	return sub->is_request && sub->idempotent && !job->closed &&
+	       job->tasks[task].attempts < ATTEMPTS_MAX &&
+	       now < job->deadline && job->svc->speeds.len > 1;
+}
+
+int outcome_retry(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  rp_ms now)
+{
+	struct rp_retry *r = job->svc->retry;
+
+	if (!may_retry(job, task, now) || !r->ops->take(r))
+		return 0;
+	job->avoid = t;
+	job->tasks[task].suffix++;
+	job_task_again(job, task, now);
+	return 1;
+}
+
+void outcome_lost(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  enum rp_code code, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_task *tk = &job->tasks[task];
+	struct rp_status st;
+
+	if (job->closed || tk->state == RP_TASK_DONE)
+		return;
+	/* Another send of the request is in the air or waits. */
+	if (tk->sends || tk->state == RP_TASK_QUEUED)
+		return;
+	if (outcome_retry(job, task, t, now))
+		return;
+	rp_status_set(&st, code, RP_STEP_RUN, t->name,
+		      code == RP_E_TARGET ? "the target failed the task"
+					  : "the target gave no answer");
+	job_fail(job, now, &st, acts);
+}
+
+/* The target said that the task did not run: it waits again. */
+static void task_not_run(struct rp_job *job, uint32_t task, rp_ms now)
+{
+	struct rp_task *tk = &job->tasks[task];
+
+	job->may_have_run--;
+	tk->may_run--;
+	if (tk->state == RP_TASK_SENT && !tk->sends)
+		job_task_again(job, task, now);
+}
+
+static void target_leaves(struct rp_target *t, rp_ms now)
+{
+	if (t->leaving)
+		return;
+	t->leaving = 1;
+	t->leaving_since = now;
+	target_speed(t);
+}
+
+/* Notes what the outcome tells of the target. */
+static void note_target(struct rp_target *t, enum rp_start_outcome outcome,
+			rp_ms now)
+{
+	switch (outcome) {
+	case RP_START_DONE:
+		t->pause = 0;
+		break;
+	case RP_START_FAILED:
+		t->pause = 0;
+		t->failed++;
+		break;
+	case RP_START_LEAVING:
+		target_leaves(t, now);
+		break;
+	case RP_START_BUSY:
+		t->busy++;
+		target_pause(t, now, PAUSE_BUSY_MOST_MS);
+		break;
+	case RP_START_UNSENT:
+		target_pause(t, now, PAUSE_UNSENT_MOST_MS);
+		break;
+	case RP_START_UNKNOWN:
+		break;
+	}
+}
+
+void outcome_take(struct rp_start *s, enum rp_start_outcome outcome,
+		  struct rp_blob *body, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_target *t = s->target;
+	struct rp_job *job = s->job;
+	uint32_t task = s->task;
+
+	job->refs++;
+	note_target(t, outcome, now);
+	start_end(s, now, outcome);
+	switch (outcome) {
+	case RP_START_DONE:
+		job_task_done(job, task, body, now, acts);
+		break;
+	case RP_START_FAILED:
+		outcome_lost(job, task, t, RP_E_TARGET, now, acts);
+		break;
+	case RP_START_UNKNOWN:
+		outcome_lost(job, task, t, RP_E_SILENT, now, acts);
+		break;
+	case RP_START_LEAVING:
+	case RP_START_BUSY:
+	case RP_START_UNSENT:
+		task_not_run(job, task, now);
+		break;
+	}
+	job_unref(job);
+}
+
+/* Whether the reply tells more than is known; a broken connection may not. */
+static int reply_counts(const struct rp_start *s, enum rp_start_outcome outcome)
+{
+	return outcome != RP_START_UNKNOWN || s->phase == RP_START_SENT;
+}
+
+/* Takes the reply to a start; its id may have been voided meanwhile. */
+static void take_reply(struct rp_start *s, const struct rp_event *ev, rp_ms now,
+		       struct rp_actions *acts)
+{
+	if (ev->reply.outcome == RP_START_UNKNOWN) {
+		lookup_start(s, 1, now, acts);
+		return;
+	}
+	if (s->asks)
+		s->job->tasks[s->task].suffix++;
+	outcome_take(s, ev->reply.outcome, ev->reply.body, now, acts);
+}
+
+void dispatch_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
+		    struct rp_actions *acts)
+{
+	struct rp_dispatch *d = start_shard(k, ev->reply.start_id);
+	struct rp_service *svc;
+	struct rp_start *s;
+
+	if (!d)
+		return;
+	kernel_lock(k, d->lock);
+	s = start_find(d, ev->reply.start_id);
+	if (!s || !reply_counts(s, ev->reply.outcome)) {
+		d->counters.late_replies++;
+		kernel_unlock(k, d->lock);
+		return;
+	}
+	svc = s->target->svc;
+	take_reply(s, ev, now, acts);
+	dispatch_pump(svc, now, acts);
+	kernel_unlock(k, d->lock);
+}
--- /dev/null
+++ b/dispatch-pump.c
@@ -0,0 +1,198 @@
+/* Binds waiting tasks to targets that have room, late and in queue order. */
+
+#include "rosemary-int.h"
+
+#define PAUSE_FIRST_MS 10
+
+/* Samples before a learned run time of the whole service is relied on. */
+#define TIME_SAMPLES 20
+/* Samples of a target that weigh as much as the service's mean. */
+#define PRIOR_SAMPLES 2.0
+/* A job is hopeless when even the mean and this many deviations are late. */
+#define TAIL_DEVIATIONS 1.0
+/* One job beyond the learned time still starts per span, to learn anew. */
+#define PROBE_INTERVAL_MS 500
+
+void target_pause(struct rp_target *t, rp_ms now, rp_ms most)
+{
+	if (t->paused)
+		return;
+	t->pause = t->pause ? 2 * t->pause : PAUSE_FIRST_MS;
+	if (t->pause > most)
+		t->pause = most;
+	t->paused = 1;
+	heap_set(&t->svc->shard->wakes, &t->wake_node,
+		 (double)(now + t->pause));
+}
+
+void target_wake(struct rp_dispatch *d, rp_ms now)
+{
+	struct rp_heap_node *n;
+
+	while ((n = heap_first(&d->wakes)) && n->key <= (double)now) {
+		struct rp_target *t =
+			RP_CONTAINER(n, struct rp_target, wake_node);
+
+		heap_remove(&d->wakes, n);
+		t->paused = 0;
+		t->svc->route->ops->changed(t->svc->route, t, now);
+	}
+}
+
+double target_time(const struct rp_target *t)
+{
+	double n = (double)t->learned.count;
+	double prior = t->svc->learned.mean;
+
+	return (n * t->learned.mean + PRIOR_SAMPLES * prior) /
+	       (n + PRIOR_SAMPLES);
+}
+
+void target_speed(struct rp_target *t)
+{
+	struct rp_heap *h = &t->svc->speeds;
+
+	if (t->listed && !t->leaving && t->weight)
+		heap_set(h, &t->speed_node, target_time(t));
+	else
+		heap_remove(h, &t->speed_node);
+}
+
+double service_least_time(const struct rp_service *svc)
+{
+	const struct rp_heap_node *n = heap_first(&svc->speeds);
+	const struct rp_target *t;
+
+	if (!n || svc->learned.count < TIME_SAMPLES)
+		return 0;
+	t = RP_CONTAINER(n, struct rp_target, speed_node);
+	return target_time(t) + TAIL_DEVIATIONS * t->learned.dev;
+}
+
+/* Whether the job's next task could not end in time on any target. */
+static int is_hopeless(struct rp_job *job, rp_ms now)
+{
+	struct rp_service *svc = job->svc;
+	rp_ms left = job->deadline - now;
+
+	if (left <= 0)
+		return 1;
+	if ((double)left >= service_least_time(svc))
+		return 0;
+	if (now < svc->probe_at)
+		return 1;
+	svc->probe_at = now + PROBE_INTERVAL_MS;
+	return 0;
+}
+
+static void fail_hopeless(struct rp_job *job, rp_ms now,
+			  struct rp_actions *acts)
+{
+	struct rp_status st;
+
+	rp_status_set(&st, RP_E_DEADLINE, RP_STEP_QUEUE, "",
+		      "cannot end in time: %lld ms left, a task takes %.0f ms",
+		      (long long)(job->deadline - now),
+		      service_least_time(job->svc));
+	job_fail(job, now, &st, acts);
+}
+
+/* Takes the job's next waiting task out of the queue. */
+static uint32_t job_take(struct rp_job *job, rp_ms now)
+{
+	struct rp_service *svc = job->svc;
+	uint32_t task = job->nagain ? job->again[--job->nagain]
+				    : (uint32_t)job->next_task++;
+
+	svc->nqueued--;
+	if (job_waiting(job)) {
+		svc->queue->ops->changed(svc->queue, job, now);
+	} else {
+		svc->queue->ops->remove(svc->queue, job);
+		job->queued = 0;
+	}
+	return task;
+}
+
+/* Takes a job out of the queue until a target other than avoid is there. */
+static void park(struct rp_job *job)
+{
+	struct rp_service *svc = job->svc;
+
+	svc->queue->ops->remove(svc->queue, job);
+	job->queued = 0;
+	job->parked = 1;
+	job->queue_prev = NULL;
+	job->queue_next = svc->parked;
+	if (job->queue_next)
+		job->queue_next->queue_prev = job;
+	svc->parked = job;
+}
+
+void pump_forget(struct rp_job *job)
+{
+	if (job->queue_prev)
+		job->queue_prev->queue_next = job->queue_next;
+	else
+		job->svc->parked = job->queue_next;
+	if (job->queue_next)
+		job->queue_next->queue_prev = job->queue_prev;
+	job->parked = 0;
+}
+
+void pump_unpark(struct rp_service *svc, rp_ms now)
+{
+	struct rp_job *job;
+
+	while ((job = svc->parked)) {
+		pump_forget(job);
+		svc->queue->ops->add(svc->queue, job, now);
+		job->queued = 1;
+	}
+}
+
+static void start_next(struct rp_job *job, struct rp_target *t, rp_ms now,
+		       struct rp_actions *acts)
+{
+	struct rp_status st;
+
+	if (start_send(job, job_take(job, now), t, now, acts))
+		return;
+	rp_status_set(&st, RP_E_INTERNAL, RP_STEP_START, t->name,
+		      "a start was refused: see the invariant's count");
+	job_fail(job, now, &st, acts);
+}
+
+static struct rp_target *pick_target(struct rp_job *job, rp_ms now)
+{
+	struct rp_service *svc = job->svc;
+	struct rp_target *t;
+
+	svc->avoid = job->avoid;
+	t = svc->route->ops->pick(svc->route, job, now);
+	svc->avoid = NULL;
+	return t;
+}
+
+void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_target *t;
+	struct rp_job *job;
+
+	while ((job = svc->queue->ops->next(svc->queue, now))) {
+		if (is_hopeless(job, now)) {
+			fail_hopeless(job, now, acts);
+			continue;
+		}
+		t = pick_target(job, now);
+		if (t) {
+			start_next(job, t, now, acts);
+		} else if (job->avoid) {
+			park(job);
+		} else {
+			svc->limit->ops->demand(svc->limit, svc->nqueued, now,
+						acts);
+			return;
+		}
+	}
+}
--- a/dispatch-service.c
+++ b/dispatch-service.c
@@ -37,6 +37,7 @@
 	d->random = k->opt.seed + index;
 	heap_init(&d->deadlines);
 	heap_init(&d->timers);
+	heap_init(&d->wakes);
 }
 
 static void target_free(struct rp_target *t)
@@ -44,6 +45,8 @@
 	struct rp_service *svc = t->svc;
 	struct rp_target *last;
 
+	heap_remove(&svc->speeds, &t->speed_node);
+	heap_remove(&svc->shard->wakes, &t->wake_node);
 	svc->route->ops->removed(svc->route, t);
 	svc->limit->ops->removed(svc->limit, t);
 	svc->health->ops->removed(svc->health, t);
@@ -64,6 +67,7 @@
 	svc->limit->ops->destroy(svc->limit);
 	svc->health->ops->destroy(svc->health);
 	svc->retry->ops->destroy(svc->retry);
+	heap_finish(&svc->speeds);
 	free(svc->targets);
 	free(svc);
 }
@@ -74,17 +78,20 @@
 	size_t n;
 
 	for (n = 0; n < d->nstarts; n++)
-		if (d->starts[n].in_use)
-			start_forget(&d->starts[n]);
+		if (start_at(d, n)->in_use)
+			start_forget(start_at(d, n));
 	for (i = apr_hash_first(NULL, d->jobs); i; i = apr_hash_next(i))
 		job_unref(apr_hash_this_val(i));
 	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i))
 		service_free(apr_hash_this_val(i));
 	for (i = apr_hash_first(NULL, d->teams); i; i = apr_hash_next(i))
 		free(apr_hash_this_val(i));
-	free(d->starts);
+	for (n = 0; n < d->nstarts; n += RP_START_PAGE)
+		free(start_at(d, n));
+	free(d->start_pages);
 	heap_finish(&d->deadlines);
 	heap_finish(&d->timers);
+	heap_finish(&d->wakes);
 	view_unref(d->view);
 	kernel_lock_free(d->k, d->lock);
 }
@@ -107,6 +114,7 @@
 
 	str_copy(svc->name, sizeof(svc->name), str_of(name));
 	svc->shard = d;
+	heap_init(&svc->speeds);
 	svc->by_name = hash_new(d->pool);
 	svc->route = ((struct rp_route_ops *)plugin_find(RP_PLUGIN_ROUTE,
 							 opt->route))
@@ -162,6 +170,8 @@
 	t->weight = RP_WEIGHT_DEFAULT;
 	t->limit = RP_CELL_UNSET;
 	heap_node_init(&t->route_node);
+	heap_node_init(&t->speed_node);
+	heap_node_init(&t->wake_node);
 	if (svc->ntargets == svc->cap_targets) {
 		svc->cap_targets = svc->cap_targets ? 2 * svc->cap_targets : 16;
 		svc->targets = kernel_realloc(
@@ -191,8 +201,9 @@
 	}
 }
 
-/* Drops the service's targets that the list has no more. */
-static void service_sweep(struct rp_service *svc)
+/* Drops the targets that the list has no more, and settles their sends. */
+static void service_sweep(struct rp_service *svc, rp_ms now,
+			  struct rp_actions *acts)
 {
 	size_t i;
 
@@ -200,7 +211,11 @@
 	for (i = svc->ntargets; i-- > 0;) {
 		struct rp_target *t = svc->targets[i];
 
-		if (!t->listed && !t->in_flight)
+		target_speed(t);
+		if (t->listed)
+			continue;
+		lookup_target(t, now, acts);
+		if (!t->in_flight)
 			target_free(t);
 	}
 }
@@ -250,7 +265,7 @@
 			      now);
 	}
 	for (i = apr_hash_first(NULL, d->services); i; i = apr_hash_next(i)) {
-		service_sweep(apr_hash_this_val(i));
+		service_sweep(apr_hash_this_val(i), now, acts);
 		service_changed(apr_hash_this_val(i), now, acts);
 	}
 	kernel_unlock(d->k, d->lock);
@@ -260,7 +275,8 @@
 {
 	struct rp_service *svc = t->svc;
 
-	if (!t->listed || t->leaving || !t->weight)
+	if (!t->listed || t->leaving || !t->weight || t->paused ||
+	    t == svc->avoid)
 		return 0;
 	return svc->limit->ops->room(svc->limit, t) &&
 	       svc->health->ops->allows(svc->health, t);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -239,9 +239,15 @@
 	uint64_t failed;
 	uint64_t busy;
 	struct rp_heap_node route_node; /* for the route policy */
+	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
+	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
+	int paused;			/* connects fail: gets no work now */
+	rp_ms pause;			/* last span of the pause, ms */
+	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
 	void *limit_data;		/* for the limit policy */
 	void *health_data;		/* for the health policy */
+	void *route_data;		/* for the route policy */
 };
 
 struct rp_team {
@@ -263,6 +269,8 @@
 	uint8_t state;	  /* enum rp_task_state */
 	uint8_t sends;	  /* sends in the air */
 	uint8_t attempts; /* sends made */
+	uint8_t may_run;  /* a send may have run, or be running */
+	uint8_t suffix;	  /* of the task id of the next send; 0: none */
 	struct rp_blob *result;
 };
 
@@ -279,31 +287,53 @@
 	struct rp_task *tasks;
 	size_t next_task; /* tasks from here on were never sent */
 	uint32_t *again;  /* tasks that surely did not run, to be resent */
-	size_t nagain;
+	size_t nagain, cap_again;
 	size_t ndone;
-	size_t in_flight; /* sends in the air */
+	size_t in_flight;	/* sends in the air */
+	struct rp_start *sends; /* these */
+	/* Where the request failed; compared only, it may be freed. */
+	const struct rp_target *avoid;
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
 	int queued;				/* the queue policy holds it */
+	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
 };
 
 /* One send of a task to a target. */
 struct rp_start {
+	uint32_t slot;	     /* place in the table of sends */
 	uint32_t generation; /* tells a reused slot's ids apart */
-	int in_use;
+	uint8_t in_use;
+	uint8_t phase;	 /* enum rp_start_phase */
+	uint8_t suffix;	 /* of the task id; 0: none */
+	uint8_t asks;	 /* lookups and voids made */
+	uint8_t unknown; /* answers that the id is not known */
+	uint8_t judged;	 /* the health policy was told of it */
+	uint8_t stopped; /* the target was asked to stop it */
+	uint8_t hedged;	 /* the time for a hedge is over */
 	struct rp_job *job;
 	uint32_t task;
 	struct rp_target *target;
 	rp_ms sent_at;
 	rp_ms give_up_at; /* the target was told to stop by then */
-	int looked_up;	  /* the outcome was asked for */
+	rp_ms silent_at;  /* the outcome is asked for from here on */
 	struct rp_heap_node timer_node;
+	struct rp_start *job_next, *job_prev;
+	struct rp_start *target_next, *target_prev;
 	uint32_t next_free;
 };
 
+enum rp_start_phase {
+	RP_START_SENT,	  /* the reply is awaited */
+	RP_START_ASKING,  /* a lookup or void is on its way */
+	RP_START_PAUSING, /* a lookup follows when the timer fires */
+	RP_START_LEFT,	  /* nothing more can be learned: slot is charged */
+};
+
 #define RP_START_NONE UINT32_MAX /* end of the list of free slots */
+#define RP_START_PAGE 256	 /* sends allocated at once */
 
 struct rp_service {
 	char name[RP_NAME_MAX];
@@ -320,6 +350,10 @@
 	size_t nqueued; /* tasks waiting to be started */
 	size_t in_flight;
 	struct rp_learned learned; /* over all targets */
+	struct rp_heap speeds;	   /* targets in use, least run time first */
+	struct rp_job *parked;	   /* wait for a target other than avoid */
+	const struct rp_target *avoid; /* closed for the job being bound */
+	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
 struct rp_dispatch_counters {
@@ -333,14 +367,15 @@
 	struct rp_kernel *k;
 	unsigned index;
 	apr_pool_t *pool;
-	apr_hash_t *services; /* name -> struct rp_service */
-	apr_hash_t *teams;    /* name -> struct rp_team */
-	apr_hash_t *jobs;     /* id -> struct rp_job */
-	struct rp_start *starts;
+	apr_hash_t *services;	       /* name -> struct rp_service */
+	apr_hash_t *teams;	       /* name -> struct rp_team */
+	apr_hash_t *jobs;	       /* id -> struct rp_job */
+	struct rp_start **start_pages; /* RP_START_PAGE sends each */
 	size_t nstarts;
 	uint32_t free_start;
 	struct rp_heap deadlines;
 	struct rp_heap timers; /* of starts */
+	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
@@ -458,6 +493,7 @@
 	RP_TRACE_DRAIN,
 	RP_TRACE_CLAIM,
 	RP_TRACE_RELAY,
+	RP_TRACE_VIOLATION,
 };
 
 struct rp_trace_event {
@@ -665,18 +701,76 @@
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
 
-/* dispatch-start.c; needs the lock but for the two events. */
+/* dispatch-start.c: the table of sends; needs the lock. */
+/* The send that the id names, or NULL when it has ended. */
+struct rp_start *start_find(struct rp_dispatch *d, uint64_t id);
+struct rp_dispatch *start_shard(struct rp_kernel *k, uint64_t id);
+/* Sends one task of the job; 0 when an invariant forbids it. */
+int start_send(struct rp_job *job, uint32_t task, struct rp_target *t,
+	       rp_ms now, struct rp_actions *acts);
+/* Frees the slot of a send that has ended and tells the policies. */
+void start_end(struct rp_start *s, rp_ms now, enum rp_start_outcome outcome);
+/* Tells the health policy of the send, once. */
+void start_judge(struct rp_start *s, rp_ms now, enum rp_start_outcome outcome);
+/* Fills the part that all actions about a send have in common. */
+struct rp_action *start_action(const struct rp_start *s,
+			       enum rp_action_type type,
+			       struct rp_actions *acts);
+void start_timer(struct rp_start *s, rp_ms at);
+/* Asks the targets to stop what is in the air of a closed job. */
+void start_stop_all(struct rp_job *job, struct rp_actions *acts);
+/* Drops a send at the kernel's end. */
+void start_forget(struct rp_start *s);
+/* The send in that place of the table. */
+struct rp_start *start_at(struct rp_dispatch *d, size_t slot);
+
+/* dispatch-outcome.c: what becomes of sends; takes the lock. */
 void dispatch_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		    struct rp_actions *acts);
+/* Ends a send whose outcome is known; needs the lock. */
+void outcome_take(struct rp_start *s, enum rp_start_outcome outcome,
+		  struct rp_blob *body, rp_ms now, struct rp_actions *acts);
+/* Queues one more send of a request elsewhere; 0 without a budget. */
+int outcome_retry(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  rp_ms now);
+/* The task of a send failed, or may have run; needs the lock. */
+void outcome_lost(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  enum rp_code code, rp_ms now, struct rp_actions *acts);
+
+/* dispatch-lookup.c: sends without a reply. */
 void dispatch_lookup(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		     struct rp_actions *acts);
+/* The following need the lock. */
+void dispatch_timers(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+/* Asks the target what became of the send, or waits when it cannot. */
+void lookup_start(struct rp_start *s, int broken, rp_ms now,
+		  struct rp_actions *acts);
+/* Asks for all sends to a target that left the list. */
+void lookup_target(struct rp_target *t, rp_ms now, struct rp_actions *acts);
+
+/* dispatch-pump.c; needs the lock. */
 /* Starts what can be started now. */
 void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts);
-/* Asks the targets to stop what is in the air of a closed job. */
-void start_stop_all(struct rp_job *job, struct rp_actions *acts);
-/* Drops a send at the kernel's end. */
-void start_forget(struct rp_start *s);
-void dispatch_timers(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+/* Puts jobs back in the queue that waited for another target. */
+void pump_unpark(struct rp_service *svc, rp_ms now);
+/* Takes a parked job out of the list. */
+void pump_forget(struct rp_job *job);
+/* Gives a target no work for a span that doubles up to most. */
+void target_pause(struct rp_target *t, rp_ms now, rp_ms most);
+/* Ends the pauses that are over. */
+void target_wake(struct rp_dispatch *d, rp_ms now);
+/* Notes the target's run time, or that it takes no work. */
+void target_speed(struct rp_target *t);
+/* Least run time to expect of the service's targets, ms; 0: unknown. */
+double service_least_time(const struct rp_service *svc);
+/* Mean run time to expect of the target, also when little is known. */
+double target_time(const struct rp_target *t);
+
+/*
+ * Counts a broken invariant and returns 0, or stops the process when the
+ * options ask for it; returns 1 when ok holds.
+ */
+int dispatch_check(struct rp_dispatch *d, rp_ms now, int ok, const char *what);
 
 /* member-list.c */
 void member_init(struct rp_kernel *k, rp_ms now);
--- a/rosemary.h
+++ b/rosemary.h
@@ -449,6 +449,7 @@
 	size_t trace_events;	   /* length of the event ring */
 	size_t nseeds;		   /* entry VMs known from the settings */
 	const struct rp_vm *seeds; /* entry VMs and targets; borrowed */
+	int abort_on_violation;	   /* for tests: stop at a broken invariant */
 	struct rp_lock_ops locks;
 };
 
--- a/trace-ring.c
+++ b/trace-ring.c
@@ -14,13 +14,20 @@
 #define HLC_COUNTER_BITS 16
 
 static const char *const trace_names[] = {
-	[RP_TRACE_SUBMITTED] = "submitted",   [RP_TRACE_STARTED] = "started",
-	[RP_TRACE_ENDED] = "ended",	      [RP_TRACE_ANSWERED] = "answered",
-	[RP_TRACE_RETRIED] = "retried",	      [RP_TRACE_EJECTED] = "ejected",
-	[RP_TRACE_READMITTED] = "readmitted", [RP_TRACE_CREDIT] = "credit",
-	[RP_TRACE_MEMBER] = "member",	      [RP_TRACE_TABLE] = "table",
-	[RP_TRACE_DRAIN] = "drain",	      [RP_TRACE_CLAIM] = "claim",
+	[RP_TRACE_SUBMITTED] = "submitted",
+	[RP_TRACE_STARTED] = "started",
+	[RP_TRACE_ENDED] = "ended",
+	[RP_TRACE_ANSWERED] = "answered",
+	[RP_TRACE_RETRIED] = "retried",
+	[RP_TRACE_EJECTED] = "ejected",
+	[RP_TRACE_READMITTED] = "readmitted",
+	[RP_TRACE_CREDIT] = "credit",
+	[RP_TRACE_MEMBER] = "member",
+	[RP_TRACE_TABLE] = "table",
+	[RP_TRACE_DRAIN] = "drain",
+	[RP_TRACE_CLAIM] = "claim",
 	[RP_TRACE_RELAY] = "relay",
+	[RP_TRACE_VIOLATION] = "violation",
 };
 
 void trace_init(struct rp_kernel *k)
