--- a/dispatch-job.c
+++ b/dispatch-job.c
@@ -192,6 +192,9 @@
 		job->again = kernel_realloc(
 			job->again, job->cap_again * sizeof(*job->again));
 	}
+	/* An earlier send of a request may still run under its own id. */
+	if (job->sub->is_request && job->sub->idempotent)
+		job->tasks[task].suffix++;
 	job->tasks[task].state = RP_TASK_QUEUED;
 	job->again[job->nagain++] = (uint32_t)task;
 	svc->nqueued++;
--- a/dispatch-lookup.c
+++ b/dispatch-lookup.c
@@ -174,6 +174,23 @@
 	}
 }
 
+/* An outcome counts also late; of the rest, only what was asked. */
+static int lookup_counts(const struct rp_start *s,
+			 enum rp_lookup_outcome outcome)
+{
+	switch (outcome) {
+	case RP_LOOKUP_DONE:
+	case RP_LOOKUP_FAILED:
+	case RP_LOOKUP_VOIDED:
+		return s->phase != RP_START_SENT;
+	case RP_LOOKUP_RUNNING:
+	case RP_LOOKUP_UNKNOWN:
+	case RP_LOOKUP_NONE:
+		break;
+	}
+	return s->phase == RP_START_ASKING;
+}
+
 void dispatch_lookup(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		     struct rp_actions *acts)
 {
@@ -185,11 +202,7 @@
 		return;
 	kernel_lock(k, d->lock);
 	s = start_find(d, ev->lookup.start_id);
-	/* An outcome counts also late; of the rest, only what was asked. */
-	if (!s || s->phase == RP_START_SENT ||
-	    (s->phase != RP_START_ASKING &&
-	     ev->lookup.outcome != RP_LOOKUP_DONE &&
-	     ev->lookup.outcome != RP_LOOKUP_FAILED)) {
+	if (!s || !lookup_counts(s, ev->lookup.outcome)) {
 		d->counters.late_replies++;
 		kernel_unlock(k, d->lock);
 		return;
--- a/dispatch-outcome.c
+++ b/dispatch-outcome.c
@@ -27,7 +27,6 @@
 	if (!may_retry(job, task, now) || !r->ops->take(r))
 		return 0;
 	job->avoid = t;
-	job->tasks[task].suffix++;
 	job_task_again(job, task, now);
 	return 1;
 }
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -270,7 +270,7 @@
 	uint8_t sends;	  /* sends in the air */
 	uint8_t attempts; /* sends made */
 	uint8_t may_run;  /* a send may have run, or be running */
-	uint8_t suffix;	  /* of the task id of the next send; 0: none */
+	uint16_t suffix;  /* of the task id of the next send; 0: none */
 	struct rp_blob *result;
 };
 
@@ -307,7 +307,7 @@
 	uint32_t generation; /* tells a reused slot's ids apart */
 	uint8_t in_use;
 	uint8_t phase;	 /* enum rp_start_phase */
-	uint8_t suffix;	 /* of the task id; 0: none */
+	uint16_t suffix; /* of the task id; 0: none */
 	uint8_t asks;	 /* lookups and voids made */
 	uint8_t unknown; /* answers that the id is not known */
 	uint8_t judged;	 /* the health policy was told of it */
--- a/rosemary.h
+++ b/rosemary.h
@@ -11,10 +11,17 @@
  * at once when lock operations are given.
  */
 
-#include <stdatomic.h>
 #include <stddef.h>
 #include <stdint.h>
 
+#ifdef __cplusplus
+#include <atomic>
+using std::atomic_int;
+extern "C" {
+#else
+#include <stdatomic.h>
+#endif
+
 /* A point in time or a span of time, in milliseconds. */
 typedef int64_t rp_ms;
 
@@ -501,4 +508,8 @@
 /* Whether this entry VM should get new callers (readiness). */
 int rp_kernel_ready(struct rp_kernel *k);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
