The operator's table in the platform: edits, drafts, polls, deltas

Cause: edits were refused outright and weights and limits never reached the dispatch shards. Change: an edit is one transaction guarded by table/version with a row under its own id; a lost answer is settled by that row, or by the guard having moved on; every entry VM polls one row and fetches deltas, and cells only move forward in version. Drafts lie in rows of their own. With a fake platform for tests (outage, delay, lost and late answers).

--- a/dispatch-service.c
+++ b/dispatch-service.c
@@ -33,6 +33,7 @@
 	d->services = hash_new(d->pool);
 	d->teams = hash_new(d->pool);
 	d->jobs = hash_new(d->pool);
+	d->cells = hash_new(d->pool);
 	d->free_start = RP_START_NONE;
 	d->random = k->opt.seed + index;
 	heap_init(&d->deadlines);
@@ -146,8 +147,7 @@
 		return team;
 	team = kernel_alloc(sizeof(*team));
 	str_copy(team->name, sizeof(team->name), name);
-	team->weight = RP_WEIGHT_DEFAULT;
-	team->quota = RP_CELL_UNSET;
+	table_team(d, team);
 	apr_hash_set(d->teams, team->name, APR_HASH_KEY_STRING, team);
 	return team;
 }
@@ -159,8 +159,7 @@
 
 	t->svc = svc;
 	str_copy(t->name, sizeof(t->name), str_of(name));
-	t->weight = RP_WEIGHT_DEFAULT;
-	t->limit = RP_CELL_UNSET;
+	table_target(svc->shard, t);
 	heap_node_init(&t->route_node);
 	if (svc->ntargets == svc->cap_targets) {
 		svc->cap_targets = svc->cap_targets ? 2 * svc->cap_targets : 16;
@@ -205,9 +204,7 @@
 	}
 }
 
-/* Tells the policies that targets or members changed, and starts tasks. */
-static void service_changed(struct rp_service *svc, rp_ms now,
-			    struct rp_actions *acts)
+void service_changed(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
 {
 	size_t i;
 
--- a/kernel-core.c
+++ b/kernel-core.c
@@ -127,6 +127,7 @@
 	apr_initialize();
 	apr_pool_create(&k->pool, NULL);
 	trace_init(k);
+	table_init(k, now);
 	for (i = 0; i < RP_SUB_SHARDS; i++)
 		sub_init(k, i);
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++)
@@ -144,6 +145,7 @@
 	for (i = 0; i < RP_SUB_SHARDS; i++)
 		sub_finish(&k->subs[i]);
 	member_finish(k);
+	table_finish(k);
 	trace_finish(k);
 	apr_pool_destroy(k->pool);
 	apr_terminate();
@@ -158,6 +160,7 @@
 	for (i = 0; i < RP_SUB_SHARDS; i++)
 		sub_tick(&k->subs[i], now, acts);
 	member_tick(k, now, acts);
+	table_tick(k, now, acts);
 	platform_tick(k, now, acts);
 	drain_tick(k, now, acts);
 }
@@ -201,6 +204,9 @@
 	case RP_EVENT_EDIT:
 		table_edit(k, now, ev, acts);
 		break;
+	case RP_EVENT_DRAFT:
+		table_draft(k, now, ev, acts);
+		break;
 	case RP_EVENT_DRAIN:
 		drain_start(k, now, acts);
 		break;
--- a/kernel-report.c
+++ b/kernel-report.c
@@ -1,8 +1,8 @@
-/* What the kernel tells of itself: counters, status and table. */
+/* What the kernel tells of itself: counters and status. */
 
 #include "rosemary-int.h"
 
-static void write_counter(struct rp_writer *w, const char *name, uint64_t value)
+void write_counter(struct rp_writer *w, const char *name, uint64_t value)
 {
 	rp_writer_printf(w, "rosemary_%s %llu\n", name,
 			 (unsigned long long)value);
@@ -99,6 +99,7 @@
 	write_counter(w, "platform_reads_total", k->node.platform_reads);
 	write_counter(w, "platform_writes_total", k->node.platform_writes);
 	kernel_unlock(k, k->node.lock);
+	table_metrics(k, w);
 }
 
 static void write_target(struct rp_writer *w, const struct rp_target *t)
@@ -159,10 +160,3 @@
 	}
 	rp_writer_printf(w, "]}\n");
 }
-
-void rp_kernel_table(struct rp_kernel *k, rp_ms now, struct rp_writer *w)
-{
-	(void)k;
-	(void)now;
-	rp_writer_printf(w, "{\"version\":0,\"cells\":[],\"drafts\":[]}\n");
-}
--- /dev/null
+++ b/regress/fake-table.h
@@ -0,0 +1,328 @@
+#ifndef REGRESS_FAKE_TABLE_H
+#define REGRESS_FAKE_TABLE_H
+
+/*
+ * The platform's table in one process, in logical time: for kernels that
+ * share it. Faults: outage, delay, and lost answers whose change took effect
+ * before, or takes effect only after the caller has given up.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "rosemary-int.h"
+
+struct fake_cell {
+	char *name;
+	char *value;
+	int64_t version;
+};
+
+struct fake_call {
+	int node;		/* who asked */
+	struct rp_action asked; /* owned */
+	rp_ms effect_at;	/* < 0: has no effect, or had it */
+	rp_ms answer_at;
+	enum rp_platform_outcome outcome;
+	int lost;
+	struct rp_row *rows; /* of the answer */
+	size_t nrows;
+	struct fake_call *next;
+};
+
+struct fake_platform {
+	struct fake_cell *cells; /* sorted by name */
+	size_t ncells, cap;
+	int64_t last_version;
+	struct fake_call *calls; /* in the order of asking */
+	uint64_t random;
+	/* faults */
+	int outage;	  /* calls are refused without effect */
+	int silent;	  /* calls have no effect and get no answer */
+	rp_ms delay;	  /* one way, ms */
+	rp_ms spread;	  /* added to the delay, up to */
+	int lost_percent; /* answers lost after the effect */
+	int late_percent; /* answers lost, effect after giving up */
+	/* counters */
+	uint64_t reads, writes, commits, calls_total;
+	/* the list of VMs for RP_PLATFORM_LIST */
+	const struct rp_vm *vms;
+	size_t nvms;
+};
+
+typedef void (*fake_deliver)(void *ctx, int node, const struct rp_event *ev);
+
+static inline int fake_below(const char *name, struct rp_str s)
+{
+	size_t len = strlen(name);
+	int d = memcmp(name, s.ptr, len < s.len ? len : s.len);
+
+	return d < 0 || (!d && len < s.len);
+}
+
+/* The first row whose name is not below the given one. */
+static inline size_t fake_seek(const struct fake_platform *p, struct rp_str s)
+{
+	size_t lo = 0, hi = p->ncells;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (fake_below(p->cells[mid].name, s))
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+static inline struct fake_cell *fake_find(struct fake_platform *p,
+					  struct rp_str s)
+{
+	size_t i = fake_seek(p, s);
+
+	if (i < p->ncells && str_eq(str_of(p->cells[i].name), s))
+		return &p->cells[i];
+	return NULL;
+}
+
+static inline char *fake_text(struct rp_str s)
+{
+	char *text = calloc(1, s.len + 1);
+
+	if (s.len)
+		memcpy(text, s.ptr, s.len);
+	return text;
+}
+
+static inline void fake_remove(struct fake_platform *p, struct rp_str name)
+{
+	struct fake_cell *c = fake_find(p, name);
+	size_t i;
+
+	if (!c)
+		return;
+	i = (size_t)(c - p->cells);
+	free(c->name);
+	free(c->value);
+	memmove(c, c + 1, (--p->ncells - i) * sizeof(*c));
+}
+
+static inline void fake_put(struct fake_platform *p, struct rp_str name,
+			    struct rp_str value)
+{
+	struct fake_cell *c = fake_find(p, name);
+	size_t i;
+
+	if (!c) {
+		i = fake_seek(p, name);
+		if (p->ncells == p->cap) {
+			p->cap = p->cap ? 2 * p->cap : 64;
+			p->cells = realloc(p->cells, p->cap * sizeof(*c));
+		}
+		c = &p->cells[i];
+		memmove(c + 1, c, (p->ncells++ - i) * sizeof(*c));
+		c->name = fake_text(name);
+		c->value = NULL;
+	}
+	free(c->value);
+	c->value = fake_text(value);
+	c->version = p->last_version;
+}
+
+static inline enum rp_platform_outcome fake_commit(struct fake_platform *p,
+						   const struct rp_action *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->platform.nrows; i++) {
+		const struct rp_row *r = &a->platform.rows[i];
+		struct fake_cell *c = fake_find(p, r->name);
+
+		if ((c ? c->version : 0) != r->version)
+			return RP_PLATFORM_CONFLICT;
+	}
+	p->last_version++;
+	p->commits++;
+	for (i = 0; i < a->platform.nrows; i++) {
+		const struct rp_row *r = &a->platform.rows[i];
+
+		p->writes++;
+		if (r->value.ptr)
+			fake_put(p, r->name, r->value);
+		else
+			fake_remove(p, r->name);
+	}
+	return RP_PLATFORM_DONE;
+}
+
+/* Copies one row, or the absence of it, into the call's answer. */
+static inline void fake_answer_row(struct fake_call *c, struct rp_str name,
+				   const struct fake_cell *cell)
+{
+	struct rp_row *r;
+
+	c->rows = realloc(c->rows, (c->nrows + 1) * sizeof(*c->rows));
+	r = &c->rows[c->nrows++];
+	memset(r, 0, sizeof(*r));
+	r->name = (struct rp_str){ fake_text(name), name.len };
+	if (!cell)
+		return;
+	r->value = str_of(fake_text(str_of(cell->value)));
+	r->version = cell->version;
+}
+
+static inline void fake_effect(struct fake_platform *p, struct fake_call *c)
+{
+	const struct rp_action *a = &c->asked;
+	struct rp_str name;
+	size_t i;
+
+	c->outcome = RP_PLATFORM_DONE;
+	switch (a->platform.op) {
+	case RP_PLATFORM_LIST:
+		break;
+	case RP_PLATFORM_COMMIT:
+		c->outcome = fake_commit(p, a);
+		break;
+	case RP_PLATFORM_READ:
+		for (i = 0; i < a->platform.nrows; i++) {
+			name = a->platform.rows[i].name;
+			fake_answer_row(c, name, fake_find(p, name));
+			p->reads++;
+		}
+		break;
+	case RP_PLATFORM_SCAN:
+		name = a->platform.rows[0].name;
+		for (i = fake_seek(p, name); i < p->ncells; i++) {
+			struct rp_str s = str_of(p->cells[i].name);
+
+			if (s.len < name.len ||
+			    memcmp(s.ptr, name.ptr, name.len))
+				break;
+			fake_answer_row(c, s, &p->cells[i]);
+			p->reads++;
+		}
+		p->reads += !c->nrows;
+		break;
+	}
+}
+
+static inline int fake_chance(struct fake_platform *p, int percent)
+{
+	return (int)(random_next(&p->random) % 100) < percent;
+}
+
+static inline rp_ms fake_delay(struct fake_platform *p)
+{
+	return p->delay + (p->spread ? (rp_ms)(random_next(&p->random) %
+					       (uint64_t)(p->spread + 1))
+				     : 0);
+}
+
+/* Takes a call of a node's kernel over out of its action. */
+static inline void fake_ask(struct fake_platform *p, rp_ms now, int node,
+			    struct rp_action *a)
+{
+	struct fake_call *c = calloc(1, sizeof(*c)), **at = &p->calls;
+
+	p->calls_total++;
+	c->node = node;
+	c->asked = *a;
+	a->platform.rows = NULL;
+	a->platform.data = NULL;
+	c->effect_at = now + fake_delay(p);
+	c->answer_at = c->effect_at + fake_delay(p);
+	if (p->outage) {
+		c->outcome = RP_PLATFORM_NO_EFFECT;
+		c->effect_at = -1;
+	} else if (p->silent) {
+		c->lost = 1;
+		c->effect_at = -1;
+	} else if (fake_chance(p, p->lost_percent)) {
+		c->lost = 1;
+	} else if (fake_chance(p, p->late_percent)) {
+		c->lost = 1;
+		c->effect_at = now + a->platform.timeout + 1 +
+			       (rp_ms)(random_next(&p->random) % 3000);
+	}
+	if (c->lost || c->answer_at > now + a->platform.timeout) {
+		c->lost = 1;
+		c->answer_at = now + a->platform.timeout;
+	}
+	while (*at)
+		at = &(*at)->next;
+	*at = c;
+}
+
+static inline void fake_call_free(struct fake_call *c)
+{
+	size_t i;
+
+	for (i = 0; i < c->nrows; i++) {
+		free((void *)c->rows[i].name.ptr);
+		free((void *)c->rows[i].value.ptr);
+	}
+	free(c->rows);
+	free(c->asked.platform.rows);
+	rp_blob_unref(c->asked.platform.data);
+	free(c);
+}
+
+static inline void fake_answer(struct fake_platform *p, struct fake_call *c,
+			       fake_deliver deliver, void *ctx)
+{
+	struct rp_event ev = { .type = RP_EVENT_PLATFORM_REPLY };
+
+	ev.platform.ask_id = c->asked.platform.ask_id;
+	ev.platform.outcome = c->lost ? RP_PLATFORM_LOST : c->outcome;
+	if (ev.platform.outcome == RP_PLATFORM_DONE) {
+		ev.platform.rows = c->rows;
+		ev.platform.nrows = c->nrows;
+		ev.platform.vms = p->vms;
+		ev.platform.nvms = p->nvms;
+	}
+	deliver(ctx, c->node, &ev);
+}
+
+/* Does what is due: first all effects, then the answers, in order. */
+static inline void fake_run(struct fake_platform *p, rp_ms now,
+			    fake_deliver deliver, void *ctx)
+{
+	struct fake_call *c, **at;
+
+	for (c = p->calls; c; c = c->next) {
+		if (c->effect_at < 0 || c->effect_at > now)
+			continue;
+		fake_effect(p, c);
+		c->effect_at = -1;
+	}
+	for (at = &p->calls; (c = *at);) {
+		if (c->answer_at >= 0 && c->answer_at <= now) {
+			/* The answer may lead to new calls at the end. */
+			c->answer_at = -1;
+			fake_answer(p, c, deliver, ctx);
+		}
+		if (c->answer_at < 0 && c->effect_at < 0) {
+			*at = c->next;
+			fake_call_free(c);
+		} else {
+			at = &c->next;
+		}
+	}
+}
+
+static inline void fake_finish(struct fake_platform *p)
+{
+	struct fake_call *c;
+
+	while ((c = p->calls)) {
+		p->calls = c->next;
+		fake_call_free(c);
+	}
+	while (p->ncells)
+		fake_remove(p, str_of(p->cells[0].name));
+	free(p->cells);
+}
+
+#endif
--- /dev/null
+++ b/regress/many.h
@@ -0,0 +1,263 @@
+#ifndef REGRESS_MANY_H
+#define REGRESS_MANY_H
+
+/* Several kernels that share one fake platform, in logical time. */
+
+#include "fake-table.h"
+#include "kernel.h"
+
+#define MANY_MAX 40
+
+/* What a test keeps of an answered call. */
+struct many_reply {
+	rp_token token;
+	int node;
+	int is_edit;
+	rp_ms at;
+	struct rp_status status;
+	enum rp_state state; /* of an answer */
+	int may_have_run;
+	int64_t version; /* of an edit */
+	size_t nconflicts;
+	struct rp_cell conflict; /* the first */
+};
+
+struct many_start {
+	int node;
+	uint64_t start_id;
+	char task_id[RP_KEY_MAX + 32];
+	char key[RP_KEY_MAX];
+};
+
+struct many {
+	int n;
+	struct rp_kernel *k[MANY_MAX];
+	struct rp_options opt[MANY_MAX];
+	struct rp_vm vms[16];
+	struct fake_platform p;
+	rp_ms now;
+	struct many_reply *replies;
+	size_t nreplies, cap_replies;
+	struct many_start *starts;
+	size_t nstarts, cap_starts;
+};
+
+static inline void many_event(struct many *m, int node,
+			      const struct rp_event *ev);
+
+static inline void many_deliver(void *ctx, int node, const struct rp_event *ev)
+{
+	many_event(ctx, node, ev);
+}
+
+static inline struct many_reply *many_reply_add(struct many *m, int node,
+						const struct rp_action *a)
+{
+	struct many_reply *r;
+
+	if (m->nreplies == m->cap_replies) {
+		m->cap_replies = m->cap_replies ? 2 * m->cap_replies : 64;
+		m->replies = realloc(m->replies, m->cap_replies * sizeof(*r));
+	}
+	r = &m->replies[m->nreplies++];
+	memset(r, 0, sizeof(*r));
+	r->token = a->token;
+	r->node = node;
+	r->at = m->now;
+	return r;
+}
+
+static inline void many_started(struct many *m, int node,
+				const struct rp_action *a)
+{
+	struct many_start *s;
+
+	if (m->nstarts == m->cap_starts) {
+		m->cap_starts = m->cap_starts ? 2 * m->cap_starts : 64;
+		m->starts = realloc(m->starts, m->cap_starts * sizeof(*s));
+	}
+	s = &m->starts[m->nstarts++];
+	memset(s, 0, sizeof(*s));
+	s->node = node;
+	s->start_id = a->start.start_id;
+	memcpy(s->task_id, a->start.task_id, sizeof(s->task_id));
+	str_copy(s->key, sizeof(s->key), a->start.sub->key);
+}
+
+/* Carries the actions of a node's kernel out. */
+static inline void many_carry(struct many *m, int node, struct rp_actions *acts)
+{
+	struct many_reply *r;
+	size_t i;
+
+	for (i = 0; i < acts->len; i++) {
+		struct rp_action *a = &acts->list[i];
+
+		switch (a->type) {
+		case RP_ACTION_PLATFORM:
+			fake_ask(&m->p, m->now, node, a);
+			break;
+		case RP_ACTION_EDITED:
+			r = many_reply_add(m, node, a);
+			r->is_edit = 1;
+			r->status = a->edited.status;
+			r->version = a->edited.version;
+			r->nconflicts = a->edited.nconflicts;
+			if (r->nconflicts)
+				r->conflict = a->edited.conflicts[0];
+			break;
+		case RP_ACTION_ANSWER:
+			r = many_reply_add(m, node, a);
+			r->status = a->answer.answer->status;
+			r->state = a->answer.answer->state;
+			r->may_have_run = a->answer.answer->may_have_run;
+			break;
+		case RP_ACTION_START:
+			many_started(m, node, a);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+static inline void many_event(struct many *m, int node,
+			      const struct rp_event *ev)
+{
+	struct rp_actions acts;
+
+	if (!m->k[node])
+		return;
+	rp_actions_init(&acts);
+	rp_kernel_event(m->k[node], m->now, ev, &acts);
+	many_carry(m, node, &acts);
+	rp_actions_finish(&acts);
+}
+
+static inline void many_boot(struct many *m, int node, uint64_t incarnation)
+{
+	struct rp_options *opt = &m->opt[node];
+	struct rp_status st;
+
+	opt->incarnation = incarnation;
+	m->k[node] = calloc(1, rp_kernel_size());
+	if (rp_kernel_init(m->k[node], opt, m->now, &st) != RP_OK)
+		abort();
+}
+
+static inline void many_kill(struct many *m, int node)
+{
+	rp_kernel_finish(m->k[node]);
+	free(m->k[node]);
+	m->k[node] = NULL;
+}
+
+/* Kernels entry-0 and on, and one target of a service "desk". */
+static inline void many_init(struct many *m, int n, uint64_t seed)
+{
+	struct rp_vm *vm = &m->vms[0];
+	int i;
+
+	memset(m, 0, sizeof(*m));
+	m->n = n;
+	m->p.random = seed;
+	m->p.delay = 2;
+	vm->kind = RP_VM_TARGET;
+	strcpy(vm->name, "target-0");
+	strcpy(vm->address, "127.0.0.1:9000");
+	strcpy(vm->service, "desk");
+	vm->slots = 1000;
+	for (i = 0; i < n; i++) {
+		struct rp_options *opt = &m->opt[i];
+
+		rp_options_init(opt);
+		snprintf(opt->vm_name, RP_NAME_MAX, "entry-%d", i);
+		opt->seed = seed + 1000 + (uint64_t)i;
+		opt->list_poll = 0;
+		opt->trace_events = 64;
+		opt->nseeds = 1;
+		opt->seeds = m->vms;
+		opt->wall_offset = 1000000;
+		many_boot(m, i, 1);
+	}
+}
+
+static inline void many_finish(struct many *m)
+{
+	int i;
+
+	for (i = 0; i < m->n; i++)
+		if (m->k[i])
+			many_kill(m, i);
+	fake_finish(&m->p);
+	free(m->replies);
+	free(m->starts);
+}
+
+/* Lets the time go on by the span, with a tick every RP_TICK_MS. */
+static inline void many_run(struct many *m, rp_ms span)
+{
+	struct rp_event tick = { .type = RP_EVENT_TICK };
+	rp_ms end = m->now + span;
+	int i;
+
+	while (m->now < end) {
+		m->now++;
+		fake_run(&m->p, m->now, many_deliver, m);
+		if (m->now % RP_TICK_MS)
+			continue;
+		for (i = 0; i < m->n; i++)
+			many_event(m, i, &tick);
+	}
+}
+
+/* The reply to a token, or NULL; the test fails to find a second one. */
+static inline struct many_reply *many_find(struct many *m, rp_token token)
+{
+	struct many_reply *found = NULL;
+	size_t i;
+
+	for (i = 0; i < m->nreplies; i++) {
+		if (m->replies[i].token != token)
+			continue;
+		if (found)
+			abort(); /* answered twice */
+		found = &m->replies[i];
+	}
+	return found;
+}
+
+static inline void many_edit(struct many *m, int node, rp_token token,
+			     const char *id, int64_t base,
+			     const struct rp_cell *cells, size_t n)
+{
+	struct rp_event ev = { .type = RP_EVENT_EDIT, .token = token };
+
+	ev.edit.edit_id = id;
+	ev.edit.base_version = base;
+	ev.edit.cells = cells;
+	ev.edit.ncells = n;
+	many_event(m, node, &ev);
+}
+
+/* A cell of a target of the service "desk". */
+static inline struct rp_cell many_cell(const char *col, int weight, int limit)
+{
+	struct rp_cell c = { .kind = RP_CELL_TARGET };
+
+	strcpy(c.row, "desk");
+	str_copy(c.col, sizeof(c.col), str_of(col));
+	c.weight = weight;
+	c.limit = limit;
+	return c;
+}
+
+/* The target as a node has it in force. */
+static inline struct rp_target *many_target(struct many *m, int node)
+{
+	struct rp_dispatch *d = dispatch_of(m->k[node], str_of("desk"));
+
+	return service_find(d, str_of("desk"))->targets[0];
+}
+
+#endif
--- /dev/null
+++ b/regress/table-edit.c
@@ -0,0 +1,294 @@
+/* Edits of the table: commits, merges, conflicts and lost answers. */
+
+#include <criterion/criterion.h>
+
+#include "many.h"
+
+/* Sends an edit of one cell and waits for what becomes of it. */
+static struct many_reply *edit_one(struct many *m, int node, rp_token token,
+				   const char *id, int64_t base,
+				   struct rp_cell cell)
+{
+	int i;
+
+	many_edit(m, node, token, id, base, &cell, 1);
+	for (i = 0; i < 2000 && !many_find(m, token); i++)
+		many_run(m, 10);
+	return many_find(m, token);
+}
+
+Test(edit, is_in_force_where_it_was_made_and_then_everywhere)
+{
+	struct many_reply *r;
+	struct many m;
+	int i;
+
+	many_init(&m, 3, 1);
+	r = edit_one(&m, 0, 1, "e1", 0, many_cell("target-0", 50, 4));
+	cr_assert_eq(r->status.code, RP_OK);
+	cr_assert_eq(r->version, 1);
+	cr_assert_eq(many_target(&m, 0)->weight, 50);
+	many_run(&m, 3000);
+	for (i = 0; i < 3; i++) {
+		cr_assert_eq(table_version(m.k[i]), 1);
+		cr_assert_eq(many_target(&m, i)->weight, 50);
+		cr_assert_eq(many_target(&m, i)->limit, 4);
+	}
+	many_finish(&m);
+}
+
+Test(edit, star_column_is_the_default_of_a_service)
+{
+	struct many m;
+
+	many_init(&m, 1, 1);
+	edit_one(&m, 0, 1, "e1", 0, many_cell("*", 7, 9));
+	cr_assert_eq(many_target(&m, 0)->weight, 7);
+	edit_one(&m, 0, 2, "e2", 1, many_cell("target-0", RP_CELL_UNSET, 3));
+	cr_assert_eq(many_target(&m, 0)->weight, 7);
+	cr_assert_eq(many_target(&m, 0)->limit, 3);
+	edit_one(&m, 0, 3, "e3", 2,
+		 many_cell("target-0", RP_CELL_UNSET, RP_CELL_UNSET));
+	cr_assert_eq(many_target(&m, 0)->limit, 9);
+	many_finish(&m);
+}
+
+Test(edit, team_cells_are_shares_and_quotas)
+{
+	struct rp_cell c = { .kind = RP_CELL_TEAM, .weight = 30, .limit = 5 };
+	struct rp_dispatch *d;
+	struct many m;
+
+	many_init(&m, 1, 1);
+	strcpy(c.col, "field");
+	d = dispatch_of(m.k[0], str_of("desk"));
+	cr_assert_eq(team_get(d, str_of("field"))->weight, RP_WEIGHT_DEFAULT);
+	edit_one(&m, 0, 1, "e1", 0, c);
+	cr_assert_eq(team_get(d, str_of("field"))->weight, 30);
+	cr_assert_eq(team_get(d, str_of("field"))->quota, 5);
+	many_finish(&m);
+}
+
+Test(edit, racing_edits_of_different_cells_merge)
+{
+	struct rp_cell a = many_cell("target-0", 1, 1);
+	struct rp_cell b = many_cell("target-1", 2, 2);
+	struct many m;
+	int i;
+
+	many_init(&m, 2, 2);
+	many_run(&m, 100);
+	many_edit(&m, 0, 1, "a", 0, &a, 1);
+	many_edit(&m, 1, 2, "b", 0, &b, 1);
+	many_run(&m, 4000);
+	cr_assert_eq(many_find(&m, 1)->status.code, RP_OK);
+	cr_assert_eq(many_find(&m, 2)->status.code, RP_OK);
+	for (i = 0; i < 2; i++)
+		cr_assert_eq(table_version(m.k[i]), 2);
+	many_finish(&m);
+}
+
+Test(edit, racing_edits_of_the_same_cell_conflict_and_show_it)
+{
+	struct rp_cell a = many_cell("target-0", 1, 1);
+	struct rp_cell b = many_cell("target-0", 2, 2);
+	struct many_reply *won, *lost;
+	struct many m;
+
+	many_init(&m, 2, 3);
+	many_run(&m, 100);
+	many_edit(&m, 0, 1, "a", 0, &a, 1);
+	many_edit(&m, 1, 2, "b", 0, &b, 1);
+	many_run(&m, 4000);
+	won = many_find(&m, 1);
+	lost = many_find(&m, 2);
+	if (won->status.code != RP_OK) {
+		won = many_find(&m, 2);
+		lost = many_find(&m, 1);
+	}
+	cr_assert_eq(won->status.code, RP_OK);
+	cr_assert_eq(lost->status.code, RP_E_CONFLICT);
+	cr_assert_eq(lost->nconflicts, 1);
+	cr_assert_eq(lost->conflict.weight, won->token == 1 ? 1 : 2);
+	many_finish(&m);
+}
+
+Test(edit, old_base_version_merges_when_its_cells_are_untouched)
+{
+	struct many m;
+
+	many_init(&m, 1, 4);
+	edit_one(&m, 0, 1, "e1", 0, many_cell("target-0", 1, 1));
+	edit_one(&m, 0, 2, "e2", 1, many_cell("target-1", 1, 1));
+	cr_assert_eq(edit_one(&m, 0, 3, "e3", 1, many_cell("target-0", 5, 5))
+			     ->status.code,
+		     RP_OK);
+	cr_assert_eq(edit_one(&m, 0, 4, "e4", 1, many_cell("target-0", 6, 6))
+			     ->status.code,
+		     RP_E_CONFLICT);
+	many_finish(&m);
+}
+
+Test(edit, sent_again_with_its_id_is_applied_once)
+{
+	struct many m;
+
+	many_init(&m, 2, 5);
+	edit_one(&m, 0, 1, "e1", 0, many_cell("target-0", 1, 1));
+	edit_one(&m, 0, 2, "e2", 1, many_cell("target-0", 9, 9));
+	cr_assert_eq(edit_one(&m, 1, 3, "e1", 0, many_cell("target-0", 1, 1))
+			     ->version,
+		     1);
+	many_run(&m, 3000);
+	cr_assert_eq(many_target(&m, 1)->weight, 9);
+	cr_assert_eq(table_version(m.k[1]), 2);
+	many_finish(&m);
+}
+
+Test(edit, lost_answer_is_settled_by_the_edits_own_id)
+{
+	struct rp_cell c = many_cell("target-0", 50, 4);
+	struct many_reply *r;
+	struct many m;
+
+	many_init(&m, 2, 6);
+	many_edit(&m, 0, 1, "e1", 0, &c, 1);
+	many_run(&m, 4); /* the read has been answered, the commit is out */
+	m.p.calls->lost = 1;
+	m.p.lost_percent = 0;
+	while (m.p.calls && m.p.calls->asked.platform.op != RP_PLATFORM_COMMIT)
+		many_run(&m, 1);
+	m.p.calls->lost = 1;
+	m.p.calls->answer_at = m.now + 2000;
+	many_run(&m, 8000);
+	r = many_find(&m, 1);
+	cr_assert_eq(r->status.code, RP_OK);
+	cr_assert_eq(r->version, 1);
+	cr_assert_eq(table_version(m.k[1]), 1);
+	cr_assert_eq(m.p.last_version, 1);
+	many_finish(&m);
+}
+
+Test(edit, refused_truthfully_while_the_platform_is_out)
+{
+	struct many_reply *r;
+	struct many m;
+
+	many_init(&m, 1, 7);
+	m.p.outage = 1;
+	r = edit_one(&m, 0, 1, "e1", 0, many_cell("target-0", 1, 1));
+	cr_assert_eq(r->status.code, RP_E_PLATFORM);
+	cr_assert_not_null(strstr(r->status.message, "changed nothing"));
+	m.p.outage = 0;
+	many_run(&m, 10000);
+	cr_assert_eq(table_version(m.k[0]), 0);
+	many_finish(&m);
+}
+
+Test(edit, that_cannot_be_settled_is_called_unsettled)
+{
+	struct rp_cell c = many_cell("target-0", 50, 4);
+	struct many_reply *r;
+	struct many m;
+
+	many_init(&m, 1, 8);
+	many_edit(&m, 0, 1, "e1", 0, &c, 1);
+	while (!m.p.calls || m.p.calls->asked.platform.op != RP_PLATFORM_COMMIT)
+		many_run(&m, 1);
+	m.p.calls->lost = 1;
+	m.p.calls->effect_at = m.now + 30000; /* late by far */
+	m.p.calls->answer_at = m.now + 2000;
+	many_run(&m, 1);
+	m.p.silent = 1;
+	many_run(&m, 14000);
+	r = many_find(&m, 1);
+	cr_assert_eq(r->status.code, RP_E_PLATFORM);
+	cr_assert_eq(strncmp(r->status.message, "unsettled", 9), 0);
+	m.p.silent = 0;
+	many_run(&m, 30000); /* the late commit takes effect */
+	cr_assert_eq(table_version(m.k[0]), 1);
+	r = edit_one(&m, 0, 2, "e1", 0, c);
+	cr_assert_eq(r->status.code, RP_OK);
+	cr_assert_eq(r->version, 1);
+	many_finish(&m);
+}
+
+Test(edit, bad_cells_are_refused_by_name)
+{
+	struct rp_cell twice[] = { many_cell("a", 1, 1), many_cell("a", 2, 2) };
+	struct many m;
+
+	many_init(&m, 1, 9);
+	cr_assert_eq(edit_one(&m, 0, 1, "e1", 0,
+			      many_cell("target-0", RP_WEIGHT_MAX + 1, 1))
+			     ->status.code,
+		     RP_E_INPUT);
+	cr_assert_eq(
+		edit_one(&m, 0, 2, "e 1", 0, many_cell("a", 1, 1))->status.code,
+		RP_E_INPUT);
+	cr_assert_eq(
+		edit_one(&m, 0, 3, "e1", 0, many_cell("a/b", 1, 1))->status.code,
+		RP_E_INPUT);
+	many_edit(&m, 0, 4, "e1", 0, twice, 2);
+	cr_assert_eq(many_find(&m, 4)->status.code, RP_E_INPUT);
+	cr_assert_eq(
+		edit_one(&m, 0, 5, "e1", 3, many_cell("a", 1, 1))->status.code,
+		RP_E_INPUT);
+	many_finish(&m);
+}
+
+/* Text of rp_kernel_table(). */
+struct table_text {
+	struct rp_writer w; /* first */
+	char data[8192];
+	size_t len;
+};
+
+static void table_append(struct rp_writer *w, const char *data, size_t len)
+{
+	struct table_text *t = (struct table_text *)w;
+
+	cr_assert_lt(t->len + len, sizeof(t->data));
+	memcpy(t->data + t->len, data, len);
+	t->len += len;
+}
+
+static int table_shows(struct many *m, int node, const char *text)
+{
+	struct table_text t = { .w.write = table_append };
+
+	rp_kernel_table(m->k[node], m->now, &t.w);
+	return strstr(t.data, text) != NULL;
+}
+
+static void keep_draft(struct many *m, int node, rp_token token, int drop)
+{
+	struct rp_cell c = many_cell("target-0", 11, 2);
+	struct rp_event ev = { .type = RP_EVENT_DRAFT, .token = token };
+
+	ev.draft.name = "monday";
+	ev.draft.drop = drop;
+	ev.draft.edit_id = "monday-1";
+	ev.draft.cells = &c;
+	ev.draft.ncells = 1;
+	many_event(m, node, &ev);
+}
+
+Test(draft, is_kept_apart_and_found_at_another_entry_vm)
+{
+	struct many m;
+
+	many_init(&m, 2, 10);
+	keep_draft(&m, 0, 1, 0);
+	many_run(&m, 4000);
+	cr_assert_eq(many_find(&m, 1)->status.code, RP_OK);
+	cr_assert(table_shows(&m, 1, "\"name\":\"monday\""));
+	cr_assert(table_shows(&m, 1, "\"edit_id\":\"monday-1\""));
+	cr_assert(table_shows(&m, 1, "\"cells\":[],\"drafts\""));
+	cr_assert_eq(many_target(&m, 0)->weight, RP_WEIGHT_DEFAULT);
+	keep_draft(&m, 1, 2, 1);
+	many_run(&m, 4000);
+	cr_assert_eq(many_find(&m, 2)->status.code, RP_OK);
+	cr_assert(table_shows(&m, 0, "\"drafts\":[]"));
+	many_finish(&m);
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -346,6 +346,7 @@
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
 	struct rp_view *view;  /* newest members applied, referenced */
+	apr_hash_t *cells;     /* of the table, for this shard's services */
 	struct rp_dispatch_counters counters;
 };
 
@@ -523,12 +524,15 @@
 	uint64_t platform_reads, platform_writes;
 };
 
+#include "table.h"
+
 struct rp_kernel {
 	struct rp_options opt;
 	apr_pool_t *pool;
 	struct rp_sub_shard subs[RP_SUB_SHARDS];
 	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
 	struct rp_node node;
+	struct rp_table table;
 	struct rp_trace trace;
 	atomic_ullong next_key;
 	atomic_int draining;
@@ -556,6 +560,9 @@
 /* kernel-writer.c: writes before, then s as a JSON string. */
 void writer_json(struct rp_writer *w, const char *before, struct rp_str s);
 
+/* kernel-report.c: one counter as a line of text. */
+void write_counter(struct rp_writer *w, const char *name, uint64_t value);
+
 /* kernel-platform.c; the node's lock must not be held. */
 void platform_ask(struct rp_kernel *k, rp_ms now, enum rp_platform_op op,
 		  const struct rp_row *rows, size_t nrows,
@@ -638,6 +645,9 @@
 void dispatch_list(struct rp_dispatch *d, rp_ms now, uint64_t seq,
 		   const struct rp_vm *vms, size_t nvms,
 		   struct rp_actions *acts);
+/* Tells the policies that targets or members changed, and starts tasks. */
+void service_changed(struct rp_service *svc, rp_ms now,
+		     struct rp_actions *acts);
 /* Whether one more task may be started on the target now. */
 int target_open(const struct rp_target *t);
 /* Tasks that may be in flight on the target over all entry VMs. */
@@ -690,10 +700,6 @@
 void peer_message(struct rp_kernel *k, rp_ms now, const void *data, size_t len,
 		  struct rp_actions *acts);
 
-/* table-edit.c */
-void table_edit(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
-		struct rp_actions *acts);
-
 /* drain-stop.c */
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
--- a/rosemary.h
+++ b/rosemary.h
@@ -200,6 +200,8 @@
 #define RP_WEIGHT_DEFAULT 100
 #define RP_WEIGHT_MAX 10000
 #define RP_LIMIT_MAX 1000000
+#define RP_EDIT_CELLS_MAX 512 /* cells in one edit or draft */
+#define RP_DRAFTS_MAX 64
 
 /* --- the platform --------------------------------------------------- */
 
@@ -260,6 +262,7 @@
 	RP_EVENT_PEER_DOWN,
 	RP_EVENT_PLATFORM_REPLY,
 	RP_EVENT_EDIT,
+	RP_EVENT_DRAFT,
 	RP_EVENT_DRAIN,
 };
 
@@ -285,7 +288,7 @@
 
 struct rp_event {
 	enum rp_event_type type;
-	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT */
+	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT, DRAFT */
 	union {
 		struct {
 			int count;
@@ -332,6 +335,14 @@
 			size_t ncells;
 			const struct rp_cell *cells;
 		} edit;
+		struct {
+			const char *name;
+			int drop; /* the draft is dropped, not kept */
+			const char *edit_id; /* that it is committed under */
+			int64_t base_version;
+			size_t ncells;
+			const struct rp_cell *cells;
+		} draft;
 	};
 };
 
@@ -347,7 +358,7 @@
 	RP_ACTION_PEER,	      /* send a packed message to an entry VM */
 	RP_ACTION_PEER_RESET, /* close a silent link; reopen when used */
 	RP_ACTION_PLATFORM,   /* call the platform */
-	RP_ACTION_EDITED,     /* tell the operator what became of an edit */
+	RP_ACTION_EDITED,     /* tell what became of an edit or a draft */
 	RP_ACTION_DRAINED,    /* all is finished: the process may exit */
 };
 
--- /dev/null
+++ b/table-peer.c
@@ -0,0 +1,83 @@
+/*
+ * Passing the table from one entry VM to another: it then spreads, and a
+ * new entry VM starts with it, also while the platform is out.
+ *
+ * Message: a line with the version it starts from and the head that it leads
+ * to, then one line for each cell.
+ */
+
+#include "rosemary-int.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+struct rp_blob *table_pack_delta(struct rp_kernel *k, int64_t since)
+{
+	struct rp_table *t = &k->table;
+	struct rp_text text = { 0 };
+	struct rp_table_head head = { 0 };
+	struct rp_blob *blob;
+	apr_hash_index_t *i;
+
+	kernel_lock(k, t->lock);
+	head.version = t->version;
+	str_copy(head.edit_id, sizeof(head.edit_id), str_of(t->edit_id));
+	text_printf(&text, "%" PRId64 "\t", since);
+	head_format(&text, &head);
+	text_printf(&text, "\n");
+	for (i = apr_hash_first(NULL, t->cells); i; i = apr_hash_next(i)) {
+		const struct rp_cell *c = apr_hash_this_val(i);
+
+		if (c->version > since)
+			text_cells(&text, c, 1);
+	}
+	kernel_unlock(k, t->lock);
+	blob = rp_blob_new(text.data, text.len);
+	text_finish(&text);
+	if (!blob)
+		abort();
+	return blob;
+}
+
+int table_take_delta(struct rp_kernel *k, rp_ms now, const void *data,
+		     size_t len, struct rp_actions *acts)
+{
+	struct rp_str text = { data, len };
+	struct rp_str line = text_line(&text);
+	struct rp_cells cells = { 0 };
+	struct rp_table_head head;
+	int64_t since;
+	int taken = 0;
+
+	if (text_number(text_field(&line), &since) && head_parse(line, &head) &&
+	    cells_parse(&cells, text))
+		taken = table_take(k, now, since, &head, cells.list, cells.len,
+				   acts);
+	free(cells.list);
+	kernel_lock(k, k->table.lock);
+	if (taken)
+		k->table.counters.from_peers++;
+	else
+		k->table.counters.gaps++;
+	kernel_unlock(k, k->table.lock);
+	return taken;
+}
+
+void table_peer_version(struct rp_kernel *k, rp_ms now, const char *vm,
+			int64_t version)
+{
+	struct rp_table *t = &k->table;
+	struct rp_table_peer *p;
+
+	kernel_lock(k, t->lock);
+	p = apr_hash_get(t->peers, vm, APR_HASH_KEY_STRING);
+	if (!p) {
+		p = apr_pcalloc(t->pool, sizeof(*p));
+		str_copy(p->name, sizeof(p->name), str_of(vm));
+		apr_hash_set(t->peers, p->name, APR_HASH_KEY_STRING, p);
+	}
+	/* A restarted entry VM may tell a lower one: what it has counts. */
+	p->version = version;
+	p->heard_at = now;
+	kernel_unlock(k, t->lock);
+}
--- /dev/null
+++ b/table-poll.c
@@ -0,0 +1,341 @@
+/*
+ * Reading the table from the platform: one row per poll while nothing has
+ * changed, then the rows of the edits that are missing here, or all cells
+ * when these rows are no longer kept.
+ */
+
+#include "rosemary-int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EDITS_AT_ONCE 64 /* rows of edits in one read; more: scan the cells */
+
+/* Span until the next poll when the platform gave no answer, ms. */
+#define POLL_AGAIN_MS 500
+
+/* What a read of edits or cells is to lead to. */
+struct table_fetch {
+	int64_t since;
+	struct rp_table_head head;
+};
+
+void table_drafts_free(struct rp_draft *draft)
+{
+	while (draft) {
+		struct rp_draft *next = draft->next;
+
+		free(draft->cells);
+		free(draft);
+		draft = next;
+	}
+}
+
+/* Ends a poll; the next comes after about the span. */
+static void poll_end(struct rp_kernel *k, rp_ms now, rp_ms span)
+{
+	struct rp_table *t = &k->table;
+
+	kernel_lock(k, t->lock);
+	t->polling = 0;
+	t->poll_due = now + random_jitter(&t->random, span);
+	kernel_unlock(k, t->lock);
+}
+
+/* The platform gave no usable answer. */
+static void poll_failed(struct rp_kernel *k, rp_ms now,
+			const struct rp_event *ev)
+{
+	/* A lost answer has already taken long. */
+	rp_ms span = ev->platform.outcome == RP_PLATFORM_LOST
+			     ? POLL_AGAIN_MS
+			     : k->opt.table_poll;
+
+	kernel_lock(k, k->table.lock);
+	k->table.counters.poll_failures++;
+	kernel_unlock(k, k->table.lock);
+	poll_end(k, now, span);
+}
+
+/* --- drafts ----------------------------------------------------------- */
+
+/* Reads one row table/draft/NAME; NULL when it is malformed. */
+static struct rp_draft *draft_parse(const struct rp_row *row)
+{
+	struct rp_cells cells = { 0 };
+	struct rp_str name = row->name, text = row->value;
+	struct rp_str line = text_line(&text);
+	struct rp_draft *d = kernel_alloc(sizeof(*d));
+
+	name.ptr += strlen(TABLE_DRAFT_PREFIX);
+	name.len -= strlen(TABLE_DRAFT_PREFIX);
+	str_copy(d->name, sizeof(d->name), name);
+	str_copy(d->edit_id, sizeof(d->edit_id), text_field(&line));
+	if (!text_number(text_field(&line), &d->base_version) ||
+	    !cells_parse(&cells, text)) {
+		free(cells.list);
+		free(d);
+		return NULL;
+	}
+	d->cells = cells.list;
+	d->ncells = cells.len;
+	return d;
+}
+
+static struct rp_draft *drafts_parse(const struct rp_event *ev)
+{
+	struct rp_draft *list = NULL;
+	size_t i;
+
+	for (i = ev->platform.nrows; i-- > 0;) {
+		struct rp_draft *d = draft_parse(&ev->platform.rows[i]);
+
+		if (!d)
+			continue;
+		d->next = list;
+		list = d;
+	}
+	return list;
+}
+
+static void drafts_done(struct rp_kernel *k, rp_ms now, void *ctx,
+			const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct rp_table *t = &k->table;
+	struct table_fetch *f = ctx;
+	struct rp_draft *list;
+
+	(void)acts;
+	if (ev->platform.outcome == RP_PLATFORM_DONE) {
+		list = drafts_parse(ev);
+		kernel_lock(k, t->lock);
+		table_drafts_free(t->drafts);
+		t->drafts = list;
+		t->draft_seq = f->head.draft_seq;
+		kernel_unlock(k, t->lock);
+		poll_end(k, now, k->opt.table_poll);
+	} else {
+		poll_failed(k, now, ev);
+	}
+	free(f);
+}
+
+/* Goes on with the drafts when they have changed; takes f over. */
+static void poll_drafts(struct rp_kernel *k, rp_ms now, struct table_fetch *f,
+			struct rp_actions *acts)
+{
+	struct rp_row row = { .name = str_of(TABLE_DRAFT_PREFIX) };
+	int changed;
+
+	kernel_lock(k, k->table.lock);
+	changed = f->head.draft_seq != k->table.draft_seq;
+	kernel_unlock(k, k->table.lock);
+	if (changed) {
+		platform_ask(k, now, RP_PLATFORM_SCAN, &row, 1, drafts_done, f,
+			     acts);
+		return;
+	}
+	poll_end(k, now, k->opt.table_poll);
+	free(f);
+}
+
+/* --- cells ------------------------------------------------------------ */
+
+/* Collects the cells of all rows; 0 when a row is absent or malformed. */
+static int rows_cells(const struct rp_event *ev, int skip_line,
+		      struct rp_cells *cells)
+{
+	size_t i;
+
+	for (i = 0; i < ev->platform.nrows; i++) {
+		struct rp_str text = ev->platform.rows[i].value;
+
+		if (!ev->platform.rows[i].version)
+			return 0;
+		if (skip_line)
+			text_line(&text);
+		if (!cells_parse(cells, text))
+			return 0;
+	}
+	return 1;
+}
+
+static int64_t newest_cell(const struct rp_cells *cells)
+{
+	int64_t newest = 0;
+	size_t i;
+
+	for (i = 0; i < cells->len; i++)
+		if (cells->list[i].version > newest)
+			newest = cells->list[i].version;
+	return newest;
+}
+
+static void scan_done(struct rp_kernel *k, rp_ms now, void *ctx,
+		      const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct table_fetch *f = ctx;
+	struct rp_cells cells = { 0 };
+
+	if (ev->platform.outcome != RP_PLATFORM_DONE ||
+	    !rows_cells(ev, 0, &cells)) {
+		poll_failed(k, now, ev);
+		free(f);
+	} else if (newest_cell(&cells) > f->head.version) {
+		/* An edit came between the two reads: an edit takes effect
+		 * as a whole, so begin again. */
+		poll_end(k, now, 0);
+		free(f);
+	} else {
+		table_take(k, now, 0, &f->head, cells.list, cells.len, acts);
+		poll_drafts(k, now, f, acts);
+	}
+	free(cells.list);
+}
+
+static void scan_cells(struct rp_kernel *k, rp_ms now, struct table_fetch *f,
+		       struct rp_actions *acts)
+{
+	struct rp_row row = { .name = str_of(TABLE_CELL_PREFIX) };
+
+	kernel_lock(k, k->table.lock);
+	k->table.counters.scans++;
+	kernel_unlock(k, k->table.lock);
+	platform_ask(k, now, RP_PLATFORM_SCAN, &row, 1, scan_done, f, acts);
+}
+
+static void edits_done(struct rp_kernel *k, rp_ms now, void *ctx,
+		       const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct table_fetch *f = ctx;
+	struct rp_cells cells = { 0 };
+
+	if (ev->platform.outcome != RP_PLATFORM_DONE) {
+		poll_failed(k, now, ev);
+		free(f);
+	} else if (!rows_cells(ev, 1, &cells)) {
+		scan_cells(k, now, f, acts);
+	} else {
+		table_take(k, now, f->since, &f->head, cells.list, cells.len,
+			   acts);
+		poll_drafts(k, now, f, acts);
+	}
+	free(cells.list);
+}
+
+/* Reads the rows of the edits after f->since; takes f over. */
+static void read_edits(struct rp_kernel *k, rp_ms now, struct table_fetch *f,
+		       struct rp_actions *acts)
+{
+	char names[EDITS_AT_ONCE][TABLE_EDIT_NAME_MAX];
+	struct rp_row rows[EDITS_AT_ONCE] = { 0 };
+	size_t n = (size_t)(f->head.version - f->since), i;
+
+	for (i = 0; i < n; i++) {
+		table_edit_name(f->since + 1 + (int64_t)i, names[i]);
+		rows[i].name = str_of(names[i]);
+	}
+	kernel_lock(k, k->table.lock);
+	k->table.counters.deltas++;
+	kernel_unlock(k, k->table.lock);
+	platform_ask(k, now, RP_PLATFORM_READ, rows, n, edits_done, f, acts);
+}
+
+/* --- the version -------------------------------------------------------- */
+
+/*
+ * Notes what the platform holds. Returns whether it is behind or differs
+ * from what is in force, which only a platform restored from an older copy
+ * explains; it is told once for each such version.
+ */
+static int head_refused(struct rp_kernel *k, rp_ms now,
+			const struct rp_table_head *head)
+{
+	const struct rp_trace_about about = { .task = -1,
+					      .target = "platform" };
+	struct rp_table *t = &k->table;
+	int behind, differs, told;
+
+	kernel_lock(k, t->lock);
+	behind = head->version < t->poll_version;
+	differs = head->version == t->version &&
+		  strcmp(head->edit_id, t->edit_id) != 0;
+	told = !strcmp(t->read.edit_id, head->edit_id) &&
+	       t->read.version == head->version;
+	t->counters.backward += behind;
+	t->counters.diverged += differs;
+	t->read = *head;
+	t->contacted = 1;
+	t->contact_at = now;
+	kernel_unlock(k, t->lock);
+	if ((behind || differs) && !told)
+		trace_event(k, now, RP_TRACE_TABLE, &about,
+			    "platform has older version %lld, refused",
+			    (long long)head->version);
+	return behind || differs;
+}
+
+/* Fetches what the platform has more than this entry VM. */
+static void poll_fetch(struct rp_kernel *k, rp_ms now,
+		       const struct rp_table_head *head,
+		       struct rp_actions *acts)
+{
+	struct table_fetch *f = kernel_alloc(sizeof(*f));
+
+	f->head = *head;
+	f->since = table_version(k);
+	if (head->version <= f->since)
+		poll_drafts(k, now, f, acts);
+	else if (head->version - f->since <= EDITS_AT_ONCE)
+		read_edits(k, now, f, acts);
+	else
+		scan_cells(k, now, f, acts);
+}
+
+static void version_done(struct rp_kernel *k, rp_ms now, void *ctx,
+			 const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct rp_table_head head;
+
+	(void)ctx;
+	if (ev->platform.outcome != RP_PLATFORM_DONE ||
+	    ev->platform.nrows != 1 ||
+	    !head_parse(ev->platform.rows[0].value, &head)) {
+		poll_failed(k, now, ev);
+		return;
+	}
+	if (head_refused(k, now, &head))
+		poll_end(k, now, k->opt.table_poll);
+	else
+		poll_fetch(k, now, &head, acts);
+}
+
+void table_poll_soon(struct rp_kernel *k, rp_ms now)
+{
+	kernel_lock(k, k->table.lock);
+	k->table.poll_due = now;
+	kernel_unlock(k, k->table.lock);
+}
+
+void table_poll(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_row row = { .name = str_of(TABLE_VERSION_ROW) };
+	struct rp_table *t = &k->table;
+	int ask;
+
+	if (!k->opt.table_poll)
+		return;
+	kernel_lock(k, t->lock);
+	ask = !t->polling && t->poll_due <= now;
+	if (ask) {
+		t->polling = 1;
+		t->poll_version = t->version;
+		t->counters.polls++;
+	}
+	kernel_unlock(k, t->lock);
+	if (ask)
+		platform_ask(k, now, RP_PLATFORM_READ, &row, 1, version_done,
+			     NULL, acts);
+}
