Pass the table between entry VMs by heartbeat; keep drafts over HTTP

Cause: the table spread by polls alone, so a new entry VM had none while the platform was out, and drafts were answered 501. Change: a member that hears a higher version in a heartbeat asks its sender for the cells changed since its own; PUT and DELETE of drafts reach the kernel.

--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 	ar rcs $@ $(B)/librosemary.o
 
 KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
-LINK = $(CC) $(OPT) $(SAN) -o $@ $^
+LINK = $(CC) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^)
 
 DAEMON_LIBS = -lmicrohttpd -lcurl -ljansson -llog4c
 
@@ -112,11 +112,17 @@
 	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
 
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
-	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
+	$(CXX) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
+		-lrapidcheck $(KERNEL_LIBS)
+
+# What the tests and benches with several kernels share.
+NET = $(call obj,$(wildcard regress/net/*.c))
+$(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
+$(B)/bench-cluster: $(NET)
 
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
-	$(wildcard *.c *.h regress/*.c regress/*.h))
+	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
 
 format:
 	clang-format -i $(SOURCES)
@@ -148,7 +154,7 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(B)/*.d $(B)/regress/*.d)
+-include $(wildcard $(B)/*.d $(B)/regress/*.d $(B)/regress/*/*.d)
 
 .PHONY: all tests format check-format lint check demo proto clean
 .SECONDARY:
--- a/http-operate.c
+++ b/http-operate.c
@@ -70,10 +70,25 @@
 	free(edit.cells);
 }
 
+/* Keeps a draft (PUT, the same body as an edit) or drops it (DELETE). */
 void http_handle_draft(struct http_request *r)
 {
-	http_send_error(r, MHD_HTTP_NOT_IMPLEMENTED, RP_E_INPUT, RP_STEP_TABLE,
-			"drafts are not kept by this version");
+	struct rp_event ev = { .type = RP_EVENT_DRAFT };
+	struct http_edit edit = { .cells = NULL };
+	struct rp_status st;
+
+	ev.draft.name = r->name;
+	ev.draft.drop = !strcmp(r->route->method, "DELETE");
+	if (!ev.draft.drop && http_parse_edit(r, &edit, &st) < 0) {
+		http_send_status(r, MHD_HTTP_BAD_REQUEST, &st, 0);
+	} else {
+		ev.draft.edit_id = edit.edit_id;
+		ev.draft.base_version = edit.base_version;
+		ev.draft.ncells = edit.ncells;
+		ev.draft.cells = edit.cells;
+		http_deliver(r, &ev);
+	}
+	free(edit.cells);
 }
 
 void http_handle_status(struct http_request *r)
--- a/regress/many.h
+++ b/regress/many.h
@@ -29,11 +29,21 @@
 	char key[RP_KEY_MAX];
 };
 
+/* A message on its way between two nodes. */
+struct many_message {
+	int from, to;
+	rp_ms due;
+	struct rp_blob *data;
+	struct many_message *next;
+};
+
 struct many {
 	int n;
+	int cut; /* no messages between nodes */
+	struct many_message *messages;
 	struct rp_kernel *k[MANY_MAX];
 	struct rp_options opt[MANY_MAX];
-	struct rp_vm vms[16];
+	struct rp_vm vms[MANY_MAX + 1];
 	struct fake_platform p;
 	rp_ms now;
 	struct many_reply *replies;
@@ -84,6 +94,39 @@
 	str_copy(s->key, sizeof(s->key), a->start.sub->key);
 }
 
+/* Puts a message between nodes on its way. */
+static inline void many_send(struct many *m, int node, struct rp_action *a)
+{
+	struct many_message *msg, **at = &m->messages;
+
+	if (m->cut)
+		return;
+	msg = calloc(1, sizeof(*msg));
+	msg->from = node;
+	msg->to = atoi(a->peer.name + strlen("entry-"));
+	msg->due = m->now + 1;
+	msg->data = rp_blob_ref(a->peer.data);
+	while (*at)
+		at = &(*at)->next;
+	*at = msg;
+}
+
+static inline void many_receive(struct many *m)
+{
+	struct rp_event ev = { .type = RP_EVENT_PEER_MESSAGE };
+	struct many_message *msg;
+
+	while ((msg = m->messages) && msg->due <= m->now) {
+		m->messages = msg->next;
+		ev.peer.data = msg->data->data;
+		ev.peer.len = msg->data->len;
+		if (!m->cut)
+			many_event(m, msg->to, &ev);
+		rp_blob_unref(msg->data);
+		free(msg);
+	}
+}
+
 /* Carries the actions of a node's kernel out. */
 static inline void many_carry(struct many *m, int node, struct rp_actions *acts)
 {
@@ -112,6 +155,9 @@
 			r->state = a->answer.answer->state;
 			r->may_have_run = a->answer.answer->may_have_run;
 			break;
+		case RP_ACTION_PEER:
+			many_send(m, node, a);
+			break;
 		case RP_ACTION_START:
 			many_started(m, node, a);
 			break;
@@ -167,6 +213,13 @@
 	strcpy(vm->address, "127.0.0.1:9000");
 	strcpy(vm->service, "desk");
 	vm->slots = 1000;
+	for (i = 0; i < n; i++) {
+		vm = &m->vms[1 + i];
+		vm->kind = RP_VM_ENTRY;
+		snprintf(vm->name, RP_NAME_MAX, "entry-%d", i);
+		snprintf(vm->address, RP_ADDRESS_MAX, "127.0.1.%d:9000", i);
+		snprintf(vm->failure_domain, RP_NAME_MAX, "domain-%d", i % 4);
+	}
 	for (i = 0; i < n; i++) {
 		struct rp_options *opt = &m->opt[i];
 
@@ -175,7 +228,11 @@
 		opt->seed = seed + 1000 + (uint64_t)i;
 		opt->list_poll = 0;
 		opt->trace_events = 64;
-		opt->nseeds = 1;
+		str_copy(opt->address, RP_ADDRESS_MAX,
+			 str_of(m->vms[1 + i].address));
+		str_copy(opt->failure_domain, RP_NAME_MAX,
+			 str_of(m->vms[1 + i].failure_domain));
+		opt->nseeds = 1 + (size_t)n;
 		opt->seeds = m->vms;
 		opt->wall_offset = 1000000;
 		many_boot(m, i, 1);
@@ -186,6 +243,13 @@
 {
 	int i;
 
+	while (m->messages) {
+		struct many_message *msg = m->messages;
+
+		m->messages = msg->next;
+		rp_blob_unref(msg->data);
+		free(msg);
+	}
 	for (i = 0; i < m->n; i++)
 		if (m->k[i])
 			many_kill(m, i);
@@ -204,6 +268,7 @@
 	while (m->now < end) {
 		m->now++;
 		fake_run(&m->p, m->now, many_deliver, m);
+		many_receive(m);
 		if (m->now % RP_TICK_MS)
 			continue;
 		for (i = 0; i < m->n; i++)
--- a/regress/table-spread.c
+++ b/regress/table-spread.c
@@ -46,6 +46,7 @@
 	int i;
 
 	many_init(&m, 40, 11);
+	m.cut = 1;
 	many_run(&m, 5000);
 	begin = m.now;
 	reads = m.p.reads;
@@ -65,12 +66,50 @@
 	many_finish(&m);
 }
 
+/* The same with heartbeats between the entry VMs. */
+Test(spread, heartbeats_carry_it_faster_than_polls)
+{
+	rp_ms span, sum = 0;
+	struct many m;
+	int i;
+
+	many_init(&m, 9, 17);
+	many_run(&m, 5000);
+	for (i = 1; i <= 20; i++) {
+		span = edit_and_spread(&m, i % 9, i);
+		sum += span;
+		many_run(&m, 1000);
+	}
+	cr_log_info("mean %lld ms", (long long)sum / 20);
+	cr_assert_lt(sum / 20, 2000);
+	cr_assert_gt(m.k[0]->table.counters.from_peers, 0);
+	many_finish(&m);
+}
+
+/* A new entry VM gets the table from a member while the platform is out. */
+Test(spread, new_entry_vm_starts_from_a_member)
+{
+	struct many m;
+
+	many_init(&m, 3, 18);
+	many_kill(&m, 2);
+	edit_and_spread(&m, 0, 1);
+	edit_and_spread(&m, 1, 2);
+	m.p.outage = 1;
+	many_boot(&m, 2, 2);
+	many_run(&m, 4000);
+	cr_assert_eq(table_version(m.k[2]), 2);
+	cr_assert_eq(many_target(&m, 2)->limit, 2);
+	many_finish(&m);
+}
+
 Test(spread, node_far_behind_scans_the_cells)
 {
 	struct many m;
 	int i;
 
 	many_init(&m, 2, 12);
+	m.cut = 1;
 	many_kill(&m, 1);
 	for (i = 1; i <= 400; i++)
 		edit_and_spread(&m, 0, i);
@@ -84,13 +123,14 @@
 	many_finish(&m);
 }
 
-Test(spread, peers_pass_it_on_while_the_platform_is_out)
+Test(spread, delta_brings_a_new_entry_vm_up_to_date)
 {
 	struct rp_actions acts;
 	struct rp_blob *delta;
 	struct many m;
 
 	many_init(&m, 2, 13);
+	m.cut = 1;
 	many_kill(&m, 1);
 	edit_and_spread(&m, 0, 1);
 	edit_and_spread(&m, 0, 2);
@@ -117,6 +157,7 @@
 	struct many m;
 
 	many_init(&m, 2, 14);
+	m.cut = 1;
 	many_kill(&m, 1);
 	edit_and_spread(&m, 0, 1);
 	old = table_pack_delta(m.k[0], 0);
--- a/table-edit.c
+++ b/table-edit.c
@@ -138,9 +138,10 @@
 
 	str_copy(op->draft, sizeof(op->draft), str_of(ev->draft.name));
 	op->drop = ev->draft.drop;
-	if (!table_name_ok(op->draft))
+	if (!table_name_ok(op->draft) || strcmp(op->draft, ev->draft.name) != 0)
 		rp_status_set(&st, RP_E_INPUT, RP_STEP_TABLE, "",
-			      "the draft needs a name without spaces");
+			      "name: must have 1 to %d bytes without spaces",
+			      RP_NAME_MAX - 1);
 	else if (!op->drop && drafts_full(k, op->draft))
 		rp_status_set(&st, RP_E_FULL, RP_STEP_TABLE, "",
 			      "%d drafts are kept already", RP_DRAFTS_MAX);
--- a/table-peer.c
+++ b/table-peer.c
@@ -11,6 +11,9 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
+/* Span until the table is asked of a member again, ms. */
+#define ASK_AGAIN_MS 500
+
 struct rp_blob *table_pack_delta(struct rp_kernel *k, int64_t since)
 {
 	struct rp_table *t = &k->table;
@@ -63,13 +66,12 @@
 	return taken;
 }
 
-void table_peer_version(struct rp_kernel *k, rp_ms now, const char *vm,
-			int64_t version)
+/* Notes what a member has in force; the lock is held. */
+static void peer_note(struct rp_table *t, rp_ms now, const char *vm,
+		      int64_t version)
 {
-	struct rp_table *t = &k->table;
 	struct rp_table_peer *p;
 
-	kernel_lock(k, t->lock);
 	p = apr_hash_get(t->peers, vm, APR_HASH_KEY_STRING);
 	if (!p) {
 		p = apr_pcalloc(t->pool, sizeof(*p));
@@ -79,5 +81,35 @@
 	/* A restarted entry VM may tell a lower one: what it has counts. */
 	p->version = version;
 	p->heard_at = now;
+}
+
+void table_peer_heard(struct rp_kernel *k, rp_ms now, const char *vm,
+		      int64_t version, struct rp_actions *acts)
+{
+	RpEnvelope env = RP_ENVELOPE__INIT;
+	struct rp_table *t = &k->table;
+	int ask;
+
+	kernel_lock(k, t->lock);
+	peer_note(t, now, vm, version);
+	ask = version > t->version && t->ask_due <= now;
+	if (ask)
+		t->ask_due = now + ASK_AGAIN_MS;
+	env.table_since = t->version;
 	kernel_unlock(k, t->lock);
+	env.table_ask = 1;
+	if (ask)
+		peer_send(k, now, vm, &env, acts);
+}
+
+void table_peer_asked(struct rp_kernel *k, rp_ms now, const char *vm,
+		      int64_t since, struct rp_actions *acts)
+{
+	struct rp_blob *delta = table_pack_delta(k, since);
+	RpEnvelope env = RP_ENVELOPE__INIT;
+
+	env.table_delta.data = (uint8_t *)delta->data;
+	env.table_delta.len = delta->len;
+	peer_send(k, now, vm, &env, acts);
+	rp_blob_unref(delta);
 }
--- a/table.h
+++ b/table.h
@@ -94,6 +94,7 @@
 	uint64_t random;
 	int64_t draft_seq; /* of the drafts below */
 	struct rp_draft *drafts;
+	rp_ms ask_due;	   /* when a member may be asked for the table */
 	apr_hash_t *peers; /* name -> struct rp_table_peer */
 	struct rp_table_op *ops;
 	struct rp_table_counters counters;
@@ -158,9 +159,12 @@
 /* Returns 0 when the message is malformed or leaves a gap. */
 int table_take_delta(struct rp_kernel *k, rp_ms now, const void *data,
 		     size_t len, struct rp_actions *acts);
-/* Another entry VM told which version it has in force. */
-void table_peer_version(struct rp_kernel *k, rp_ms now, const char *vm,
-			int64_t version);
+/* A member told which version it has in force: asks it for a newer one. */
+void table_peer_heard(struct rp_kernel *k, rp_ms now, const char *vm,
+		      int64_t version, struct rp_actions *acts);
+/* A member asks for what changed after the version since. */
+void table_peer_asked(struct rp_kernel *k, rp_ms now, const char *vm,
+		      int64_t since, struct rp_actions *acts);
 
 /* table-poll.c */
 void table_poll(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
