--- a/kernel-report.c
+++ b/kernel-report.c
@@ -1,8 +1,8 @@
-/* What the kernel tells of itself: counters, status and table. */
+/* What the kernel tells of itself: counters and status. */
 
 #include "rosemary-int.h"
 
-static void write_counter(struct rp_writer *w, const char *name, uint64_t value)
+void write_counter(struct rp_writer *w, const char *name, uint64_t value)
 {
 	rp_writer_printf(w, "rosemary_%s %llu\n", name,
 			 (unsigned long long)value);
@@ -98,7 +98,11 @@
 	kernel_lock(k, k->node.lock);
 	write_counter(w, "platform_reads_total", k->node.platform_reads);
 	write_counter(w, "platform_writes_total", k->node.platform_writes);
+	write_counter(w, "control_messages_total", k->node.peer_messages);
+	write_counter(w, "control_bytes_total", k->node.peer_bytes);
+	write_counter(w, "relays_waiting", apr_hash_count(k->node.relays));
 	kernel_unlock(k, k->node.lock);
+	table_metrics(k, w);
 }
 
 static void write_target(struct rp_writer *w, const struct rp_target *t)
@@ -138,12 +142,12 @@
 	apr_hash_index_t *h;
 	unsigned i;
 
-	(void)now;
 	writer_json(w, "{\"vm\":", str_of(k->opt.vm_name));
 	writer_json(w, ",\"failure_domain\":", str_of(k->opt.failure_domain));
 	rp_writer_printf(w, ",\"incarnation\":%llu,\"draining\":%d",
 			 (unsigned long long)k->opt.incarnation,
 			 atomic_load(&k->draining));
+	member_report(k, now, w);
 	rp_writer_printf(w, ",\"services\":[");
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++) {
 		struct rp_dispatch *d = &k->dispatch[i];
@@ -159,10 +163,3 @@
 	}
 	rp_writer_printf(w, "]}\n");
 }
-
-void rp_kernel_table(struct rp_kernel *k, rp_ms now, struct rp_writer *w)
-{
-	(void)k;
-	(void)now;
-	rp_writer_printf(w, "{\"version\":0,\"cells\":[],\"drafts\":[]}\n");
-}
