--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libapr1-dev libaprutil1-dev libprotobuf-c-dev \
 	protobuf-c-compiler libmicrohttpd-dev liblog4c-dev \
 	libcriterion-dev librapidcheck-dev libjansson-dev libxxhash-dev \
-	libgsl-dev libcurl4-openssl-dev pkg-config clang-format clang-tidy \
+	libgsl-dev libcurl4-openssl-dev curl pkg-config clang-format clang-tidy \
 	cppcheck g++ gcc make
 
 B ?= build
@@ -74,14 +74,22 @@
 KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
 LINK = $(CC) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^)
 
-$(B)/rosemaryd: $(call obj,$(DAEMON)) $(B)/librosemary.a
-	$(LINK) $(KERNEL_LIBS) -lmicrohttpd -lcurl -ljansson -llog4c
+DAEMON_LIBS = -lmicrohttpd -lcurl -ljansson -llog4c
+
+# The daemon without its main program, for tests of its parts.
+$(B)/librosemaryd.a: $(call obj,$(filter-out rosemaryd.c,$(DAEMON)))
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/rosemaryd: $(B)/rosemaryd.o $(B)/librosemaryd.a $(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS)
 
 $(B)/rosemary: $(call obj,$(CLI))
 	$(LINK) -lapr-1 -lcurl -ljansson -pthread
 
 $(B)/rosemary-fake-%: $(B)/rosemary-fake-%.o $(call obj,$(FAKES))
-	$(LINK) -lapr-1 -lmicrohttpd -ljansson -lgsl -lgslcblas -lm -pthread
+	$(LINK) -lapr-1 -lmicrohttpd -lcurl -ljansson -lgsl -lgslcblas \
+		-lm -pthread
 
 $(B)/rosemary-load: $(call obj,$(LOAD))
 	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
@@ -92,9 +100,17 @@
 $(B)/example-%: $(B)/example-%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS)
 
-$(TESTS_C): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
+DAEMON_TESTS = $(filter $(B)/regress/http-% $(B)/regress/setting%,\
+	$(TESTS_C))
+
+$(filter-out $(DAEMON_TESTS),$(TESTS_C)): $(B)/regress/%: \
+		$(B)/regress/%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
+$(DAEMON_TESTS): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemaryd.a \
+		$(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
+
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
 	$(CXX) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
 		-lrapidcheck $(KERNEL_LIBS)
--- a/cli-answer.c
+++ b/cli-answer.c
@@ -31,6 +31,7 @@
 	return CLI_REFUSED;
 }
 
+/* Prints one line per result: id, tab, result. */
 static void print_results(json_t *results)
 {
 	json_t *r;
@@ -69,6 +70,7 @@
 		       (long long)json_integer_value(retry));
 }
 
+/* Prints an answer field by field, or the raw body of another reply. */
 static void print_human(const struct cli_reply *reply)
 {
 	json_t *o = reply->json;
@@ -119,47 +121,3 @@
 	json_decref(o);
 	return CLI_UNREACHABLE;
 }
-
-static void print_leaf(json_t *value)
-{
-	char *text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
-
-	if (json_is_string(value))
-		printf(" %s\n", json_string_value(value));
-	else
-		printf(" %s\n", text);
-	free(text);
-}
-
-static int is_leaf(json_t *value)
-{
-	return !json_is_object(value) && !json_is_array(value);
-}
-
-void cli_print_tree(json_t *value, int depth)
-{
-	const char *name;
-	json_t *v;
-	size_t i;
-
-	json_object_foreach(value, name, v)
-	{
-		printf("%*s%s:", 2 * depth, "", name);
-		if (is_leaf(v)) {
-			print_leaf(v);
-			continue;
-		}
-		printf("\n");
-		cli_print_tree(v, depth + 1);
-	}
-	json_array_foreach(value, i, v)
-	{
-		printf("%*s-", 2 * depth, "");
-		if (is_leaf(v)) {
-			print_leaf(v);
-			continue;
-		}
-		printf("\n");
-		cli_print_tree(v, depth + 1);
-	}
-}
--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -43,6 +43,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes the flags and the file. */
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
 	struct submit *s = state->input;
@@ -129,6 +130,7 @@
 	return job;
 }
 
+/* Makes a job of n tasks with ids from 1 and equal payloads. */
 static json_t *make_job(int64_t n, const char *payload)
 {
 	json_t *tasks = json_array();
@@ -152,6 +154,8 @@
 		json_object_set_new(job, "service", json_string(s->service));
 	if (s->team)
 		json_object_set_new(job, "team", json_string(s->team));
+	if (s->key)
+		json_object_del(job, "key");
 	if (s->resubmit)
 		json_object_set_new(job, "key", json_string(s->resubmit));
 	if (!json_object_get(job, "service"))
@@ -164,6 +168,7 @@
 					: 60000;
 }
 
+/* Builds the job from a file or from flags and submits it. */
 static int run(struct cli *cli, int argc, char **argv)
 {
 	static const struct argp argp = { options,
--- a/daemon-count.c
+++ b/daemon-count.c
@@ -17,13 +17,14 @@
 	[COUNT_TARGET_STOPS] = "target_stops_total",
 	[COUNT_TARGET_UNSENT] = "target_unsent_total",
 	[COUNT_TARGET_UNKNOWN] = "target_unknown_total",
-	[COUNT_TARGET_RESENDS_PREVENTED] = "target_resends_prevented_total",
+	[COUNT_RESENDS_PREVENTED] = "resends_prevented_total",
 	[COUNT_TARGET_DROPPED] = "target_connections_dropped_total",
 	[COUNT_TARGET_CONNECTS] = "target_connects_total",
+	[COUNT_CONNECTIONS_SUSPECT] = "connections_suspect_total",
 	[COUNT_TARGET_BYTES_OUT] = "target_bytes_out_total",
 	[COUNT_TARGET_BYTES_IN] = "target_bytes_in_total",
-	[COUNT_PLATFORM_READS] = "platform_reads_total",
-	[COUNT_PLATFORM_COMMITS] = "platform_commits_total",
+	[COUNT_PLATFORM_READS] = "platform_calls_read_total",
+	[COUNT_PLATFORM_COMMITS] = "platform_calls_commit_total",
 	[COUNT_PLATFORM_CONFLICTS] = "platform_conflicts_total",
 	[COUNT_PLATFORM_NO_EFFECT] = "platform_no_effect_total",
 	[COUNT_PLATFORM_LOST] = "platform_lost_total",
@@ -55,6 +56,6 @@
 		uint64_t n = atomic_load_explicit(&counters[i].value,
 						  memory_order_relaxed);
 
-		rp_writer_printf(w, "%s %" PRIu64 "\n", names[i], n);
+		rp_writer_printf(w, "rosemaryd_%s %" PRIu64 "\n", names[i], n);
 	}
 }
--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_MS 1000
-
 /* Collects the reply's body up to its bound; cuts the reply off beyond. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
@@ -46,7 +44,7 @@
 	(void)peer_port;
 	(void)local_port;
 	if (c->attempts++ && !c->resend_ok) {
-		count_add(COUNT_TARGET_RESENDS_PREVENTED, 1);
+		count_add(COUNT_RESENDS_PREVENTED, 1);
 		return CURL_PREREQFUNC_ABORT;
 	}
 	return CURL_PREREQFUNC_OK;
@@ -82,7 +80,38 @@
 	l->spare[l->nspare++] = easy;
 }
 
-/* Reports the end of a call; finish() frees the call itself. */
+static void add_running(struct loop *l, struct loop_call *c)
+{
+	c->next = l->running;
+	c->prev = &l->running;
+	if (c->next)
+		c->next->prev = &c->next;
+	l->running = c;
+}
+
+static void remove_running(struct loop_call *c)
+{
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
+/*
+ * Whether a reused connection was silent: the request went out on it, and
+ * no byte of an answer came until the call was given up.
+ */
+static int was_silent(struct loop_call *c, CURLcode rc)
+{
+	long connects = 0, header = 0;
+
+	if (!c->attempts || (rc != CURLE_OPERATION_TIMEDOUT && !c->aborted))
+		return 0;
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(c->easy, CURLINFO_HEADER_SIZE, &header);
+	return connects == 0 && header == 0;
+}
+
+/* Reports the end of a call and frees it. */
 static void end_call(struct loop_call *c, CURLcode rc)
 {
 	struct loop *l = c->loop;
@@ -92,10 +121,14 @@
 	if (easy) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		c->unsent = surely_unsent(c, rc);
+		if (was_silent(c, rc))
+			loop_host_suspect(l, c->host);
 	} else {
 		c->unsent = 1;
 	}
+	remove_running(c);
 	c->ops->finish(c, rc, status);
+	c->ops->free(c);
 	if (easy)
 		keep_easy(l, easy);
 }
@@ -112,6 +145,8 @@
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN,
+			 (long)(c->loop->d->set->target_idle_age / 1000));
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)c->loop->d->set->connect_timeout);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
@@ -123,12 +158,15 @@
 static void begin_call(struct loop *l, struct loop_call *c)
 {
 	c->loop = l;
+	add_running(l, c);
 	c->easy = take_easy(l);
 	if (!c->easy) {
 		end_call(c, CURLE_OUT_OF_MEMORY);
 		return;
 	}
 	set_common(c);
+	if (loop_host_is_suspect(l, c->host))
+		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
 	c->ops->prepare(c);
 	if (curl_multi_add_handle(l->multi, c->easy) != CURLM_OK)
 		end_call(c, CURLE_FAILED_INIT);
@@ -136,6 +174,7 @@
 
 void loop_abort(struct loop_call *c)
 {
+	c->aborted = 1;
 	curl_multi_remove_handle(c->loop->multi, c->easy);
 	end_call(c, CURLE_ABORTED_BY_CALLBACK);
 }
@@ -196,23 +235,20 @@
 static void wait_for_work(struct loop *l)
 {
 	atomic_store(&l->sleeping, 1);
-	if (queue_is_empty(l) && !atomic_load(&l->stopping))
-		curl_multi_poll(l->multi, NULL, 0, POLL_MS, NULL);
+	loop_poll(l, queue_is_empty(l) && !atomic_load(&l->stopping));
 	atomic_store(&l->sleeping, 0);
 }
 
 static void *APR_THREAD_FUNC run_loop(apr_thread_t *thread, void *arg)
 {
 	struct loop *l = arg;
-	int running;
 
 	(void)thread;
 	daemon_name_thread("curl-loop");
 	while (!atomic_load(&l->stopping)) {
 		begin_queued(l);
-		curl_multi_perform(l->multi, &running);
-		end_finished(l);
 		wait_for_work(l);
+		end_finished(l);
 	}
 	return NULL;
 }
@@ -226,7 +262,7 @@
 	l->max_spare = (size_t)max_idle;
 	l->spare = apr_palloc(d->pool, l->max_spare * sizeof(CURL *));
 	l->multi = curl_multi_init();
-	if (!l->multi ||
+	if (!l->multi || loop_poll_init(l) < 0 ||
 	    apr_thread_mutex_create(&l->lock, APR_THREAD_MUTEX_DEFAULT,
 				    d->pool) != APR_SUCCESS)
 		return -1;
@@ -244,8 +280,28 @@
 	*l->tail = c;
 	l->tail = &c->next;
 	apr_thread_mutex_unlock(l->lock);
-	if (atomic_load(&l->sleeping))
-		curl_multi_wakeup(l->multi);
+	if (atomic_exchange(&l->sleeping, 0))
+		loop_poll_wake(l);
+}
+
+/* Frees the calls that have not ended, without a report. */
+static void free_calls(struct loop *l)
+{
+	struct loop_call *c;
+
+	while ((c = l->running)) {
+		remove_running(c);
+		curl_multi_remove_handle(l->multi, c->easy);
+		curl_easy_cleanup(c->easy);
+		c->ops->free(c);
+	}
+	c = take_queue(l);
+	while (c) {
+		struct loop_call *next = c->next;
+
+		c->ops->free(c);
+		c = next;
+	}
 }
 
 void loop_finish(struct loop *l)
@@ -256,9 +312,11 @@
 	if (!l->thread)
 		return;
 	atomic_store(&l->stopping, 1);
-	curl_multi_wakeup(l->multi);
+	loop_poll_wake(l);
 	apr_thread_join(&rc, l->thread);
+	free_calls(l);
 	for (i = 0; i < l->nspare; i++)
 		curl_easy_cleanup(l->spare[i]);
 	curl_multi_cleanup(l->multi);
+	loop_hosts_finish(l);
 }
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -29,6 +29,7 @@
 	char task_id[RP_KEY_MAX + 32];
 	rp_ms timeout;
 	int close_connection;
+	int replaced; /* a lookup tells the outcome in place of this start */
 	struct rp_submission *sub;
 	struct rp_str payload;
 	char timeout_header[48];
@@ -75,10 +76,15 @@
 	curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)t->payload.len);
 	curl_easy_setopt(e, CURLOPT_POSTFIELDS, t->payload.ptr);
+	if (t->close_connection)
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), t);
 }
 
-/* Ends the start that this lookup is about, with its connection. */
+/*
+ * Ends the start that this lookup is about, with its connection. From now
+ * on the lookup tells the outcome.
+ */
 static void drop_start(struct target_call *t)
 {
 	struct target_loop *tl = t->call.loop->user;
@@ -88,6 +94,7 @@
 	if (!start)
 		return;
 	count_add(COUNT_TARGET_DROPPED, 1);
+	start->replaced = 1;
 	loop_abort(&start->call);
 }
 
@@ -171,10 +178,12 @@
 	return RP_LOOKUP_NONE;
 }
 
-static void free_target(struct target_call *t)
+static void free_target(struct loop_call *c)
 {
+	struct target_call *t = (struct target_call *)c;
+
 	rp_submission_unref(t->sub);
-	free(t->call.body);
+	free(c->body);
 	free(t);
 }
 
@@ -186,6 +195,8 @@
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), NULL);
 	ev.reply.start_id = t->start_id;
 	ev.reply.outcome = start_outcome(&t->call, rc, status);
+	if (t->replaced && ev.reply.outcome == RP_START_UNKNOWN)
+		return;
 	if (ev.reply.outcome == RP_START_UNSENT)
 		count_add(COUNT_TARGET_UNSENT, 1);
 	if (ev.reply.outcome == RP_START_UNKNOWN)
@@ -235,12 +246,12 @@
 		report_start(t, rc, status);
 	else if (t->type != RP_ACTION_STOP)
 		report_lookup(t, rc, status);
-	free_target(t);
 }
 
 static const struct loop_call_ops target_ops = {
 	.prepare = prepare_target,
 	.finish = finish_target,
+	.free = free_target,
 };
 
 /* All calls to one target run in one loop, which has its connections. */
@@ -279,6 +290,7 @@
 	if (!t)
 		abort();
 	t->call.ops = &target_ops;
+	t->call.host = t->address;
 	t->call.max_body = d->set->max_result;
 	t->type = act->type;
 	t->start_id = act->start.start_id;
--- a/fake-task.c
+++ b/fake-task.c
@@ -49,6 +49,7 @@
 	return apr_hash_get(t->tasks, id, APR_HASH_KEY_STRING);
 }
 
+/* Remembers a new id, for as long as the target lives. */
 static struct fake_task *task_new(struct fake_target *t, const char *id,
 				  enum fake_task_state state)
 {
@@ -58,7 +59,7 @@
 	task->id = apr_pstrdup(t->pool, id);
 	task->task = "";
 	task->state = state;
-	task->arrival_ms = fake_now_ms();
+	task->arrival_us = fake_now_us();
 	apr_hash_set(t->tasks, task->id, APR_HASH_KEY_STRING, task);
 	return task;
 }
@@ -98,7 +99,7 @@
 		return;
 	task->state = end == FAKE_END_DONE ? FAKE_TASK_DONE : FAKE_TASK_FAILED;
 	task->end = end;
-	task->end_ms = fake_now_ms();
+	task->end_us = fake_now_us();
 	task->target->running--;
 	task->waiter = NULL;
 	/* On a silent connection the request stays suspended. */
@@ -114,6 +115,7 @@
 	return task->target->knobs.fail_all ? FAKE_END_FAILED : FAKE_END_DONE;
 }
 
+/* Ends a task whose time is over, unless the target hangs. */
 static void on_timer(struct fake_timer *timer)
 {
 	struct fake_task *task =
@@ -191,9 +193,11 @@
 
 char *fake_task_result(const struct fake_task *task)
 {
-	json_t *o = json_pack("{s:s, s:s, s:f}", "id", task->id, "task",
-			      task->task, "ms", task->service_ms);
-	char *text = json_dumps(o, JSON_COMPACT | JSON_REAL_PRECISION(6));
+	double took_ms = (double)(task->end_us - task->arrival_us) / 1000;
+	json_t *o = json_pack("{s:s, s:s, s:f, s:f}", "id", task->id, "task",
+			      task->task, "ms", task->service_ms, "took_ms",
+			      took_ms);
+	char *text = json_dumps(o, JSON_COMPACT | JSON_REAL_PRECISION(9));
 
 	json_decref(o);
 	return text;
--- a/member-beat.c
+++ b/member-beat.c
@@ -86,7 +86,7 @@
 	rp_heartbeat__init(&b->hb);
 	b->hb.draining = atomic_load(&k->draining) != 0;
 	b->hb.load = (double)load;
-	b->hb.table_version = k->dispatch[0].table_version;
+	b->hb.table_version = table_version(k);
 	beat_forwards(k, now, b);
 }
 
--- a/member-list.c
+++ b/member-list.c
@@ -77,6 +77,8 @@
 	k->node.list_due =
 		now + random_jitter(&k->node.random, k->opt.list_poll);
 	kernel_unlock(k, k->node.lock);
+	if (ev->platform.outcome == RP_PLATFORM_UNCHANGED)
+		member_unlisted(k, now);
 	if (ev->platform.outcome != RP_PLATFORM_DONE)
 		return;
 	member_listed(k, now, ev->platform.vms, ev->platform.nvms, 1);
--- a/member-table.c
+++ b/member-table.c
@@ -139,13 +139,24 @@
 		if (vms[i].kind == RP_VM_ENTRY &&
 		    strcmp(vms[i].name, k->opt.vm_name) != 0)
 			entry_listed(k, now, &vms[i]);
-	for (h = apr_hash_first(NULL, n->members); h; h = apr_hash_next(h)) {
+	kernel_unlock(k, n->lock);
+	if (fetched)
+		member_unlisted(k, now);
+}
+
+void member_unlisted(struct rp_kernel *k, rp_ms now)
+{
+	apr_hash_index_t *h;
+
+	kernel_lock(k, k->node.lock);
+	for (h = apr_hash_first(NULL, k->node.members); h;
+	     h = apr_hash_next(h)) {
 		struct rp_member_entry *e = apr_hash_this_val(h);
 
-		if (fetched && e->listed != 1)
+		if (e->listed != 1)
 			entry_unlisted(k, now, e, e->listed == 2);
 	}
-	kernel_unlock(k, n->lock);
+	kernel_unlock(k, k->node.lock);
 }
 
 enum rp_member_state member_state(const struct rp_kernel *k,
--- a/peer-message.c
+++ b/peer-message.c
@@ -42,8 +42,16 @@
 {
 	size_t i;
 
-	if (env->heartbeat)
+	if (env->heartbeat) {
 		beat_received(k, now, env->from, env->heartbeat, acts);
+		table_peer_heard(k, now, env->from,
+				 env->heartbeat->table_version, acts);
+	}
+	if (env->table_ask)
+		table_peer_asked(k, now, env->from, env->table_since, acts);
+	if (env->table_delta.len)
+		table_take_delta(k, now, env->table_delta.data,
+				 env->table_delta.len, acts);
 	for (i = 0; i < env->n_reports; i++)
 		limit_report(k, now, env->from, env->reports[i], acts);
 	for (i = 0; i < env->n_grants; i++)
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -2050,7 +2050,7 @@
   (ProtobufCMessageInit) rp_handover_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[17] =
 {
   {
     "from",
@@ -2220,6 +2220,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, table_ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_since",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, table_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_delta",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, table_delta),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_envelope__field_indices_by_name[] = {
   13,   /* field[13] = echo_ms */
@@ -2235,12 +2271,16 @@
   5,   /* field[5] = relays */
   7,   /* field[7] = reports */
   12,   /* field[12] = sent_ms */
+  14,   /* field[14] = table_ask */
+  16,   /* field[16] = table_delta */
+  15,   /* field[15] = table_since */
   3,   /* field[3] = to */
 };
-static const ProtobufCIntRange rp_envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp_envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 20, 14 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor rp_envelope__descriptor =
 {
@@ -2250,10 +2290,10 @@
   "RpEnvelope",
   "",
   sizeof(RpEnvelope),
-  14,
+  17,
   rp_envelope__field_descriptors,
   rp_envelope__field_indices_by_name,
-  1,  rp_envelope__number_ranges,
+  2,  rp_envelope__number_ranges,
   (ProtobufCMessageInit) rp_envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -386,10 +386,16 @@
    */
   int64_t sent_ms;
   int64_t echo_ms;
+  /*
+   * send what changed after table_since
+   */
+  protobuf_c_boolean table_ask;
+  int64_t table_since;
+  ProtobufCBinaryData table_delta;
 };
 #define RP_ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL, 0, 0, 0, 0, {0,NULL} }
 
 
 /* RpTask methods */
--- a/rosemary.h
+++ b/rosemary.h
@@ -11,10 +11,17 @@
  * at once when lock operations are given.
  */
 
-#include <stdatomic.h>
 #include <stddef.h>
 #include <stdint.h>
 
+#ifdef __cplusplus
+#include <atomic>
+using std::atomic_int;
+extern "C" {
+#else
+#include <stdatomic.h>
+#endif
+
 /* A point in time or a span of time, in milliseconds. */
 typedef int64_t rp_ms;
 
@@ -200,6 +207,8 @@
 #define RP_WEIGHT_DEFAULT 100
 #define RP_WEIGHT_MAX 10000
 #define RP_LIMIT_MAX 1000000
+#define RP_EDIT_CELLS_MAX 512 /* cells in one edit or draft */
+#define RP_DRAFTS_MAX 64
 
 /* --- the platform --------------------------------------------------- */
 
@@ -219,6 +228,7 @@
 
 enum rp_platform_outcome {
 	RP_PLATFORM_DONE,
+	RP_PLATFORM_UNCHANGED, /* LIST: as it was at the last DONE */
 	RP_PLATFORM_CONFLICT,  /* a version did not match; nothing written */
 	RP_PLATFORM_NO_EFFECT, /* surely had no effect (refused, not sent) */
 	RP_PLATFORM_LOST,      /* no answer: it may have taken effect */
@@ -260,6 +270,7 @@
 	RP_EVENT_PEER_DOWN,
 	RP_EVENT_PLATFORM_REPLY,
 	RP_EVENT_EDIT,
+	RP_EVENT_DRAFT,
 	RP_EVENT_DRAIN,
 };
 
@@ -285,7 +296,7 @@
 
 struct rp_event {
 	enum rp_event_type type;
-	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT */
+	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT, DRAFT */
 	union {
 		struct {
 			int count;
@@ -332,6 +343,14 @@
 			size_t ncells;
 			const struct rp_cell *cells;
 		} edit;
+		struct {
+			const char *name;
+			int drop; /* the draft is dropped, not kept */
+			const char *edit_id; /* that it is committed under */
+			int64_t base_version;
+			size_t ncells;
+			const struct rp_cell *cells;
+		} draft;
 	};
 };
 
@@ -347,7 +366,7 @@
 	RP_ACTION_PEER,	      /* send a packed message to an entry VM */
 	RP_ACTION_PEER_RESET, /* close a silent link; reopen when used */
 	RP_ACTION_PLATFORM,   /* call the platform */
-	RP_ACTION_EDITED,     /* tell the operator what became of an edit */
+	RP_ACTION_EDITED,     /* tell what became of an edit or a draft */
 	RP_ACTION_DRAINED,    /* all is finished: the process may exit */
 };
 
@@ -449,6 +468,7 @@
 	size_t trace_events;	   /* length of the event ring */
 	size_t nseeds;		   /* entry VMs known from the settings */
 	const struct rp_vm *seeds; /* entry VMs and targets; borrowed */
+	int abort_on_violation;	   /* for tests: stop at a broken invariant */
 	struct rp_lock_ops locks;
 };
 
@@ -500,4 +520,8 @@
 /* Whether this entry VM should get new callers (readiness). */
 int rp_kernel_ready(struct rp_kernel *k);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
