Hand a stopping entry VM's records and keys to another one

A planned stop finished its jobs and left, and its finished answers and the truth about its keys went with it. It now finishes jobs and relays, hands all records in acknowledged parts to a live member (own failure domain first), which answers for the incarnation from then on, tells the members where to ask, and only then reports the end. Successors that stop pass everything on; one that dies before the end is replaced; an unused key is truly not run.

--- /dev/null
+++ b/drain-hand.c
@@ -0,0 +1,292 @@
+/* The records of an entry VM that stops, handed to another in parts. */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PART_RECORDS 256 /* records in one part */
+#define PART_BYTES                                                             \
+	((size_t)256 * 1024) /* bytes of answers in one part, about */
+/* Span until a part is sent again, ms. */
+#define RESEND_MS 500
+/* Sends of a part before another member is tried. */
+#define SENDS_MAX 3
+/* Span after which the stop goes on without a successor, ms. */
+#define GIVE_UP_MS 10000
+
+void hand_finish(struct rp_kernel *k)
+{
+	free(k->node.drain.packed);
+	free(k->node.drain.tried);
+}
+
+/* Puts every shard's cursor at its first record. */
+static void rewind_records(struct rp_kernel *k)
+{
+	unsigned i;
+
+	for (i = 0; i < RP_SUB_SHARDS; i++) {
+		struct rp_sub_shard *s = &k->subs[i];
+
+		kernel_lock(k, s->lock);
+		s->hand_next = s->by_age.first;
+		kernel_unlock(k, s->lock);
+	}
+}
+
+void hand_start(struct rp_kernel *k, rp_ms now)
+{
+	k->node.drain.give_up = now + GIVE_UP_MS;
+}
+
+static int was_tried(const struct rp_drain *dr, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < dr->ntried; i++)
+		if (!strcmp(dr->tried[i], name))
+			return 1;
+	return 0;
+}
+
+/* Order of the members as successors: own failure domain, then by hash. */
+static uint64_t preference(const struct rp_kernel *k, const struct rp_member *m)
+{
+	uint64_t seed = str_hash(str_of(m->name)) ^ k->opt.incarnation;
+	uint64_t order = random_next(&seed) >> 1;
+
+	if (!strcmp(m->failure_domain, k->opt.failure_domain))
+		order |= (uint64_t)1 << 63;
+	return order;
+}
+
+static const struct rp_member *choose(const struct rp_kernel *k,
+				      const struct rp_view *v)
+{
+	const struct rp_member *best = NULL;
+	size_t i;
+
+	for (i = 0; v && i < v->nmembers; i++) {
+		const struct rp_member *m = &v->members[i];
+
+		if (m->state != RP_MEMBER_LIVE || !m->incarnation ||
+		    was_tried(&k->node.drain, m->name))
+			continue;
+		if (!best || preference(k, m) > preference(k, best))
+			best = m;
+	}
+	return best;
+}
+
+/* Whether there is a live member that may take over. */
+static int choose_successor(struct rp_kernel *k)
+{
+	struct rp_drain *dr = &k->node.drain;
+	struct rp_view *v = member_view(k);
+	const struct rp_member *m = choose(k, v);
+
+	if (m) {
+		str_copy(dr->to, sizeof(dr->to), str_of(m->name));
+		dr->to_incarnation = m->incarnation;
+		dr->tried = kernel_realloc(dr->tried,
+					   (dr->ntried + 1) * RP_NAME_MAX);
+		memcpy(dr->tried[dr->ntried++], dr->to, RP_NAME_MAX);
+		dr->part = 0;
+		dr->last = 0;
+		rewind_records(k);
+	} else {
+		dr->to[0] = '\0';
+		dr->ntried = 0; /* all are tried once more */
+	}
+	view_unref(v);
+	return m != NULL;
+}
+
+/* One part as it is built; the answers are held until it is packed. */
+struct part {
+	RpHandover msg;
+	RpHandoverRecord records[PART_RECORDS];
+	RpHandoverRecord *list[PART_RECORDS];
+	RpRelayAnswer answers[PART_RECORDS];
+	struct rp_answer *held[PART_RECORDS];
+	char keys[PART_RECORDS][RP_KEY_MAX];
+	size_t bytes;
+};
+
+static void part_add(struct part *p, const struct rp_record *r, rp_ms now)
+{
+	size_t i = p->msg.n_records++;
+	RpHandoverRecord *out = &p->records[i];
+
+	rp_handover_record__init(out);
+	memcpy(p->keys[i], r->key, RP_KEY_MAX);
+	out->key.data = (uint8_t *)p->keys[i];
+	out->key.len = r->key_len;
+	out->digest = r->digest;
+	out->final_state = (int32_t)r->final_state;
+	out->expires_in_ms = r->expires - now;
+	p->list[i] = out;
+	if (!r->answer)
+		return;
+	p->held[i] = rp_answer_ref(r->answer);
+	relay_pack_answer(r->answer, &p->answers[i]);
+	out->has_answer = 1;
+	out->answer = &p->answers[i];
+	p->bytes += r->answer->bytes;
+}
+
+/* Fills the part; 1 when nothing is left behind it. */
+static int part_fill(struct rp_kernel *k, rp_ms now, struct part *p)
+{
+	unsigned i;
+
+	for (i = 0; i < RP_SUB_SHARDS; i++) {
+		struct rp_sub_shard *s = &k->subs[i];
+		int full = 0;
+
+		kernel_lock(k, s->lock);
+		while (s->hand_next && !full) {
+			part_add(p, s->hand_next, now);
+			s->hand_next = s->hand_next->next;
+			full = p->msg.n_records == PART_RECORDS ||
+			       p->bytes >= PART_BYTES;
+		}
+		kernel_unlock(k, s->lock);
+		if (full)
+			return 0;
+	}
+	return 1;
+}
+
+/* Names the incarnations whose keys are all among the records. */
+static size_t list_incarnations(struct rp_kernel *k, rp_ms now, RpForward **out)
+{
+	const struct rp_adopted *a;
+	RpForward *f;
+	size_t n = 1;
+
+	for (a = k->node.adopted; a; a = a->next)
+		n++;
+	f = kernel_alloc(n * sizeof(*f));
+	*out = f;
+	rp_forward__init(f);
+	f->vm = k->opt.vm_name;
+	f->incarnation = k->opt.incarnation;
+	f->clock_ms = now;
+	for (a = k->node.adopted; a; a = a->next) {
+		rp_forward__init(++f);
+		f->vm = (char *)a->vm;
+		f->incarnation = a->incarnation;
+		f->clock_ms = now + a->clock;
+	}
+	return n;
+}
+
+static void part_pack(struct rp_kernel *k, rp_ms now, struct part *p)
+{
+	struct rp_drain *dr = &k->node.drain;
+	RpForward *forwards, **list;
+	size_t n = list_incarnations(k, now, &forwards), i;
+
+	list = kernel_alloc(n * sizeof(RpForward *));
+	for (i = 0; i < n; i++)
+		list[i] = &forwards[i];
+	p->msg.part = dr->part;
+	p->msg.last = dr->last != 0;
+	p->msg.records = p->list;
+	p->msg.n_incarnations = dr->last ? n : 0;
+	p->msg.incarnations = list;
+	free(dr->packed);
+	dr->packed_len = rp_handover__get_packed_size(&p->msg);
+	dr->packed = kernel_alloc(dr->packed_len + 1);
+	rp_handover__pack(&p->msg, dr->packed);
+	free(list);
+	free(forwards);
+}
+
+/* Makes the next part and keeps it packed until it is acknowledged. */
+static void part_next(struct rp_kernel *k, rp_ms now)
+{
+	struct rp_drain *dr = &k->node.drain;
+	struct part *p = kernel_alloc(sizeof(*p));
+	size_t i;
+
+	rp_handover__init(&p->msg);
+	dr->part++;
+	dr->sends = 0;
+	dr->last = part_fill(k, now, p);
+	part_pack(k, now, p);
+	for (i = 0; i < p->msg.n_records; i++) {
+		if (!p->held[i])
+			continue;
+		relay_pack_free(&p->answers[i]);
+		rp_answer_unref(p->held[i]);
+	}
+	free(p);
+}
+
+static void part_send(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_drain *dr = &k->node.drain;
+	RpEnvelope env = RP_ENVELOPE__INIT;
+
+	env.handover = rp_handover__unpack(NULL, dr->packed_len, dr->packed);
+	if (!env.handover)
+		abort();
+	peer_send(k, now, dr->to, &env, acts);
+	rp_handover__free_unpacked(env.handover, NULL);
+	dr->sends++;
+	dr->due = now + RESEND_MS;
+}
+
+/* Nobody is left to take over: the outcome of its keys will be unknown. */
+static void hand_alone(struct rp_kernel *k, rp_ms now)
+{
+	int members;
+
+	kernel_lock(k, k->node.lock);
+	members = (int)apr_hash_count(k->node.members);
+	kernel_unlock(k, k->node.lock);
+	if (!members || k->node.drain.give_up <= now)
+		drain_enter(k, now, RP_DRAIN_TELL);
+}
+
+void hand_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_drain *dr = &k->node.drain;
+
+	if (!dr->to[0] || dr->sends >= SENDS_MAX) {
+		if (!choose_successor(k)) {
+			hand_alone(k, now);
+			return;
+		}
+		part_next(k, now);
+	}
+	part_send(k, now, acts);
+}
+
+void hand_acked(struct rp_kernel *k, rp_ms now, const char *from,
+		const RpHandoverAck *ack, struct rp_actions *acts)
+{
+	struct rp_drain *dr = &k->node.drain;
+
+	if (dr->phase != RP_DRAIN_HAND || strcmp(dr->to, from) != 0 ||
+	    ack->part != dr->part)
+		return;
+	if (ack->refused) {
+		dr->to[0] = '\0';
+		hand_tick(k, now, acts);
+		return;
+	}
+	if (!dr->last) {
+		part_next(k, now);
+		part_send(k, now, acts);
+		return;
+	}
+	kernel_lock(k, k->node.lock);
+	member_forward(k, now, k->opt.vm_name, k->opt.incarnation, dr->to,
+		       dr->to_incarnation);
+	kernel_unlock(k, k->node.lock);
+	drain_enter(k, now, RP_DRAIN_TELL);
+}
--- a/drain-stop.c
+++ b/drain-stop.c
@@ -1,14 +1,25 @@
-/* The planned stop: no new keys, finish what runs, then leave. */
+/*
+ * The planned stop: no new keys, finish what runs, hand the finished answers
+ * and all used keys to another entry VM, tell the members of it, leave.
+ */
 
 #include "rosemary-int.h"
 
+/* Span between looks whether all is finished, ms. */
+#define FINISH_SCAN_MS 50
+/* Span in which the members are told of the successor, ms. */
+#define TELL_MS 1000
+/* Span between tellings, ms. */
+#define TELL_STEP_MS 400
+
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
 {
 	struct rp_trace_about about = { .task = -1 };
 
-	(void)acts;
-	if (!atomic_exchange(&k->draining, 1))
-		trace_event(k, now, RP_TRACE_DRAIN, &about, "started");
+	if (atomic_exchange(&k->draining, 1))
+		return;
+	trace_event(k, now, RP_TRACE_DRAIN, &about, "started");
+	beat_all(k, now, acts);
 }
 
 /* Whether any job of this entry VM has not ended. */
@@ -27,18 +38,98 @@
 	return jobs > 0;
 }
 
-void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+static int has_relays(struct rp_kernel *k)
 {
-	struct rp_trace_about about = { .task = -1 };
+	int n;
+
+	kernel_lock(k, k->node.lock);
+	n = (int)apr_hash_count(k->node.relays);
+	kernel_unlock(k, k->node.lock);
+	return n > 0;
+}
+
+/* Whether a submission is not final yet. */
+static int has_open_records(struct rp_kernel *k)
+{
+	const struct rp_record *r = NULL;
+	unsigned i;
+
+	for (i = 0; i < RP_SUB_SHARDS && !r; i++) {
+		struct rp_sub_shard *s = &k->subs[i];
+
+		kernel_lock(k, s->lock);
+		for (r = s->by_age.first; r; r = r->next)
+			if (r->phase != RP_RECORD_FINAL)
+				break;
+		kernel_unlock(k, s->lock);
+	}
+	return r != NULL;
+}
+
+void drain_enter(struct rp_kernel *k, rp_ms now, enum rp_drain_phase phase)
+{
+	static const char *const names[] = { "finishing", "handing over",
+					     "telling members", "finished" };
+	struct rp_trace_about about = { .target = k->node.drain.to,
+					.task = -1 };
+
+	kernel_lock(k, k->node.lock);
+	k->node.drain.phase = phase;
+	k->node.drain.due = now;
+	if (phase == RP_DRAIN_TELL)
+		k->node.drain.give_up = now + TELL_MS;
+	kernel_unlock(k, k->node.lock);
+	trace_event(k, now, RP_TRACE_DRAIN, &about, "%s", names[phase]);
+}
 
-	if (!atomic_load(&k->draining) || atomic_load(&k->draining) > 1 ||
-	    has_jobs(k))
+static void finish_tick(struct rp_kernel *k, rp_ms now)
+{
+	if (has_jobs(k) || has_relays(k) || has_open_records(k))
+		return;
+	hand_start(k, now);
+	drain_enter(k, now, RP_DRAIN_HAND);
+}
+
+static void tell_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	if (k->node.drain.give_up > now) {
+		beat_all(k, now, acts);
 		return;
-	atomic_store(&k->draining, 2);
-	trace_event(k, now, RP_TRACE_DRAIN, &about, "finished");
+	}
+	drain_enter(k, now, RP_DRAIN_DONE);
 	action_add(acts, RP_ACTION_DRAINED);
 }
 
+/* Whether the next step is due; sets when the one behind it is. */
+static int drain_due(struct rp_kernel *k, rp_ms now, enum rp_drain_phase *phase)
+{
+	struct rp_drain *dr = &k->node.drain;
+	int due;
+
+	kernel_lock(k, k->node.lock);
+	*phase = dr->phase;
+	due = dr->due <= now;
+	if (due)
+		dr->due = now + (dr->phase == RP_DRAIN_TELL ? TELL_STEP_MS
+							    : FINISH_SCAN_MS);
+	kernel_unlock(k, k->node.lock);
+	return due;
+}
+
+void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	enum rp_drain_phase phase;
+
+	if (!atomic_load(&k->draining) || !drain_due(k, now, &phase))
+		return;
+	if (phase == RP_DRAIN_FINISH)
+		finish_tick(k, now);
+	else if (phase == RP_DRAIN_HAND)
+		hand_tick(k, now, acts);
+	else if (phase == RP_DRAIN_TELL)
+		tell_tick(k, now, acts);
+}
+
 int rp_kernel_ready(struct rp_kernel *k)
 {
 	return !atomic_load(&k->draining);
--- a/member-list.c
+++ b/member-list.c
@@ -64,6 +64,8 @@
 		free(f);
 	}
 	relay_finish(k);
+	hand_finish(k);
+	take_finish(k);
 	view_unref(n->view);
 	kernel_lock_free(k, n->lock);
 }
--- a/member-owner.c
+++ b/member-owner.c
@@ -40,11 +40,27 @@
 	k->node.forwards = f;
 }
 
-/* The end of a member is told once its forward had time to arrive. */
-static enum rp_owner ended_owner(const struct rp_member_entry *e, rp_ms now)
+/* Whether a member is silent that might have taken over another's records. */
+static int any_suspect(struct rp_kernel *k, rp_ms now)
 {
-	return e->replaced_at + FORWARD_GRACE_MS > now ? RP_OWNER_UNREACHABLE
-						       : RP_OWNER_GONE;
+	apr_hash_index_t *h;
+
+	for (h = apr_hash_first(NULL, k->node.members); h; h = apr_hash_next(h))
+		if (member_state(k, apr_hash_this_val(h), now) ==
+		    RP_MEMBER_SUSPECT)
+			return 1;
+	return 0;
+}
+
+/*
+ * The end of a member is told once its forward had time to arrive from all
+ * who may know of it.
+ */
+static enum rp_owner ended_owner(struct rp_kernel *k, rp_ms ended, rp_ms now)
+{
+	if (ended + FORWARD_GRACE_MS > now || any_suspect(k, now))
+		return RP_OWNER_UNREACHABLE;
+	return RP_OWNER_GONE;
 }
 
 static enum rp_owner peer_owner(struct rp_kernel *k, rp_ms now, const char *vm,
@@ -58,7 +74,7 @@
 			       ? RP_OWNER_GONE
 			       : RP_OWNER_UNREACHABLE;
 	if (e->m.incarnation > incarnation || e->gone)
-		return ended_owner(e, now);
+		return ended_owner(k, e->replaced_at, now);
 	if (e->link_down || member_state(k, e, now) == RP_MEMBER_SUSPECT)
 		return RP_OWNER_UNREACHABLE;
 	return RP_OWNER_PEER;
@@ -81,10 +97,9 @@
 	if (incarnation == k->opt.incarnation)
 		return RP_OWNER_HERE;
 	/* A later incarnation of this name: we are old. */
-	if (incarnation > k->opt.incarnation ||
-	    k->node.started_at + FORWARD_GRACE_MS > now)
+	if (incarnation > k->opt.incarnation)
 		return RP_OWNER_UNREACHABLE;
-	return RP_OWNER_GONE;
+	return ended_owner(k, k->node.started_at, now);
 }
 
 void member_unanswered(struct rp_kernel *k, const char *name)
--- a/peer-message.c
+++ b/peer-message.c
@@ -56,6 +56,11 @@
 		limit_report(k, now, env->from, env->reports[i], acts);
 	for (i = 0; i < env->n_grants; i++)
 		limit_grant(k, now, env->from, env->grants[i], acts);
+	if (env->handover)
+		take_part(k, now, env->from, env->incarnation, env->handover,
+			  acts);
+	if (env->handover_ack)
+		hand_acked(k, now, env->from, env->handover_ack, acts);
 	for (i = 0; i < env->n_leaving; i++)
 		leave_received(k, now, env->leaving[i]);
 	for (i = 0; i < env->n_relays; i++)
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -1253,7 +1253,7 @@
   (ProtobufCMessageInit) rp_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_forward__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_forward__field_descriptors[5] =
 {
   {
     "vm",
@@ -1303,8 +1303,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_forward__field_indices_by_name[] = {
+  4,   /* field[4] = clock_ms */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = to */
   3,   /* field[3] = to_incarnation */
@@ -1313,7 +1326,7 @@
 static const ProtobufCIntRange rp_forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rp_forward__descriptor =
 {
@@ -1323,7 +1336,7 @@
   "RpForward",
   "",
   sizeof(RpForward),
-  4,
+  5,
   rp_forward__field_descriptors,
   rp_forward__field_indices_by_name,
   1,  rp_forward__number_ranges,
--- a/peer.pb-c.h
+++ b/peer.pb-c.h
@@ -169,10 +169,14 @@
   uint64_t incarnation;
   char *to;
   uint64_t to_incarnation;
+  /*
+   * in a handover: the incarnation's clock now
+   */
+  int64_t clock_ms;
 };
 #define RP_FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_forward__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -312,6 +316,9 @@
   protobuf_c_boolean has_answer;
   int32_t final_state;
   RpRelayAnswer *answer;
+  /*
+   * may be forgotten after this
+   */
   int64_t expires_in_ms;
 };
 #define RP_HANDOVER_RECORD__INIT \
--- /dev/null
+++ b/regress/cluster-drain.c
@@ -0,0 +1,191 @@
+/* The planned stop of one and of several entry VMs. */
+
+#include <criterion/criterion.h>
+
+#include "net/net.h"
+
+static struct net *start(int nvms)
+{
+	struct net_options opt;
+	struct net *net;
+
+	net_options_init(&opt);
+	opt.nvms = nvms;
+	opt.limit = "credit";
+	net = net_new(&opt);
+	net_run(net, 3000);
+	return net;
+}
+
+/* Runs until the entry VM has told that it is drained, then ends it. */
+static void finish_drain(struct net *net, int vm)
+{
+	int i;
+
+	for (i = 0; i < 400 && !net->vms[vm].drained; i++)
+		net_run(net, 50);
+	cr_assert(net->vms[vm].drained);
+	net_kill(net, vm);
+}
+
+Test(drain, running_job_is_finished_and_its_answer_survives)
+{
+	struct net *net = start(4);
+	char used[RP_KEY_MAX], unused[RP_KEY_MAX];
+	size_t a, b, c, d, e;
+
+	net_key(net, 0, used);
+	net_key(net, 0, unused);
+	a = net_submit(net, 0, used, 40, 20000);
+	net_run(net, 20);
+	net_drain(net, 0);
+	cr_assert(!rp_kernel_ready(net->vms[0].k));
+	net_run(net, 20);
+	cr_assert_eq(net_state(net, 1, 0), RP_MEMBER_LEAVING);
+	finish_drain(net, 0);
+	cr_assert_eq(net->calls[a].state, RP_COMPLETE);
+	b = net_submit(net, 1, used, 40, 20000);
+	c = net_query(net, 2, used, 1);
+	d = net_submit(net, 3, unused, 1, 20000);
+	net_run(net, 500);
+	cr_assert_eq(net->calls[b].digest, net->calls[a].digest);
+	cr_assert_eq(net->calls[c].digest, net->calls[a].digest);
+	cr_assert_eq(net->calls[d].state, RP_NOT_RUN);
+	/* Still so after the list has dropped the entry VM. */
+	net_run(net, 15000);
+	e = net_submit(net, 3, used, 40, 20000);
+	net_run(net, 500);
+	cr_assert_eq(net->calls[e].digest, net->calls[a].digest);
+	cr_assert_eq(net->twice, 0);
+	net_free(net);
+}
+
+Test(drain, unused_key_during_the_stop_is_not_run)
+{
+	struct net *net = start(3);
+	char key[RP_KEY_MAX], none[RP_KEY_MAX];
+	size_t a, b;
+
+	net_key(net, 0, key);
+	net_drain(net, 0);
+	net_key(net, 0, none);
+	cr_assert_eq(none[0], '\0');
+	a = net_submit(net, 0, key, 1, 20000);
+	finish_drain(net, 0);
+	b = net_submit(net, 1, key, 1, 20000);
+	net_run(net, 500);
+	cr_assert_eq(net->calls[a].state, RP_NOT_RUN);
+	cr_assert_eq(net->calls[b].state, RP_NOT_RUN);
+	net_free(net);
+}
+
+Test(drain, successors_that_stop_in_turn_pass_everything_on)
+{
+	struct net *net = start(5);
+	char keys[4][RP_KEY_MAX];
+	uint64_t digests[4];
+	size_t calls[4];
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		net_key(net, i, keys[i]);
+		calls[i] = net_submit(net, i, keys[i], 5, 20000);
+	}
+	net_run(net, 3000);
+	for (i = 0; i < 4; i++)
+		digests[i] = net->calls[calls[i]].digest;
+	for (i = 0; i < 4; i++) {
+		net_drain(net, i);
+		finish_drain(net, i);
+		net_run(net, 500);
+	}
+	for (i = 0; i < 4; i++)
+		calls[i] = net_submit(net, 4, keys[i], 5, 20000);
+	net_run(net, 500);
+	for (i = 0; i < 4; i++)
+		cr_assert_eq(net->calls[calls[i]].digest, digests[i], "%d: %s",
+			     i, rp_code_name(net->calls[calls[i]].code));
+	cr_assert_eq(net->twice, 0);
+	net_free(net);
+}
+
+Test(drain, several_at_once)
+{
+	struct net *net = start(6);
+	char keys[3][RP_KEY_MAX];
+	size_t first[3], again[3];
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		net_key(net, i, keys[i]);
+		first[i] = net_submit(net, i, keys[i], 20, 20000);
+	}
+	net_run(net, 10);
+	for (i = 0; i < 3; i++)
+		net_drain(net, i);
+	for (i = 0; i < 3; i++)
+		finish_drain(net, i);
+	net_run(net, 500);
+	for (i = 0; i < 3; i++)
+		again[i] = net_submit(net, 3 + i, keys[i], 20, 20000);
+	net_run(net, 500);
+	for (i = 0; i < 3; i++) {
+		cr_assert_eq(net->calls[first[i]].state, RP_COMPLETE);
+		cr_assert_eq(net->calls[again[i]].digest,
+			     net->calls[first[i]].digest);
+	}
+	net_free(net);
+}
+
+Test(drain, successor_that_dies_first_is_replaced)
+{
+	struct net *net = start(4);
+	char key[RP_KEY_MAX];
+	size_t a, b;
+	int i;
+
+	net_key(net, 0, key);
+	a = net_submit(net, 0, key, 5, 20000);
+	net_run(net, 3000);
+	/* The only other one of its domain, and so its first choice. */
+	net_kill(net, 3);
+	net_drain(net, 0);
+	finish_drain(net, 0);
+	for (i = 1; i < 4 && !net->vms[i].k; i++)
+		;
+	/* Until it is known that no forward can be missing. */
+	net_run(net, 15000);
+	b = net_submit(net, i, key, 5, 20000);
+	net_run(net, 500);
+	cr_assert_eq(net->calls[b].digest, net->calls[a].digest);
+	net_free(net);
+}
+
+Test(drain, relayed_call_that_waits_gets_its_answer_from_the_successor)
+{
+	struct net *net = start(4);
+	char key[RP_KEY_MAX];
+	size_t a;
+
+	net_key(net, 0, key);
+	a = net_submit(net, 1, key, 30, 20000);
+	net_run(net, 10);
+	net_drain(net, 0);
+	net_cut(net, 0, 1, 1); /* the answer is lost */
+	net_run(net, 1000);
+	net_cut(net, 0, 1, 0);
+	finish_drain(net, 0);
+	net_run(net, 6000);
+	cr_assert_eq(net->calls[a].answers, 1);
+	cr_assert_eq(net->calls[a].state, RP_COMPLETE);
+	net_free(net);
+}
+
+Test(drain, alone_it_ends_too)
+{
+	struct net *net = start(1);
+
+	net_drain(net, 0);
+	finish_drain(net, 0);
+	net_free(net);
+}
--- a/relay-serve.c
+++ b/relay-serve.c
@@ -55,6 +55,37 @@
 	sub_answer(k, now, w, answer_status(state, &st, 0), acts);
 }
 
+/* Whether a key without a record here surely was never used. */
+static int is_unused(struct rp_kernel *k, rp_ms now, struct rp_str text,
+		     int *expired)
+{
+	struct rp_key key;
+
+	*expired = 0;
+	return key_parse(text, &key) && take_keeps(k, now, &key, expired);
+}
+
+/* A key of an incarnation that was taken over, without a record. */
+static void adopted_unknown(struct rp_kernel *k, rp_ms now, int is_submit,
+			    struct rp_str key, const struct rp_waiter *w,
+			    struct rp_actions *acts)
+{
+	int expired;
+	int unused = is_unused(k, now, key, &expired);
+
+	if (expired)
+		answer_unknown(k, now, RP_REFUSED, RP_E_EXPIRED,
+			       "key: has expired", w, acts);
+	else if (is_submit && unused)
+		answer_unknown(k, now, RP_NOT_RUN, RP_E_DRAINING,
+			       "the entry VM that issued the key has stopped; "
+			       "the key was never used",
+			       w, acts);
+	else
+		answer_unknown(k, now, RP_REFUSED, RP_E_UNKNOWN_KEY,
+			       "key: no submission is known", w, acts);
+}
+
 void relay_adopted(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
 		   struct rp_str key, int wait, const struct rp_waiter *w,
 		   struct rp_actions *acts)
@@ -64,22 +95,13 @@
 
 	if (sub && sub_join(k, now, sub, wait, w, acts))
 		return;
-	/* Its records are all here: a key without one was never used. */
-	if (sub && !sub->key_is_callers) {
-		answer_unknown(k, now, RP_NOT_RUN, RP_E_DRAINING,
-			       "the entry VM that issued the key has stopped; "
-			       "the key was never used",
-			       w, acts);
-		return;
-	}
 	kernel_lock(k, s->lock);
 	known = record_find(s, key) != NULL;
 	kernel_unlock(k, s->lock);
-	if (!sub && known)
+	if (known)
 		sub_query(k, now, key, wait, w, acts);
 	else
-		answer_unknown(k, now, RP_REFUSED, RP_E_UNKNOWN_KEY,
-			       "key: no submission is known", w, acts);
+		adopted_unknown(k, now, sub != NULL, key, w, acts);
 }
 
 /* A call for a key of this very incarnation. */
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -448,6 +448,7 @@
 	struct rp_record_list retained;
 	size_t nrecords;
 	size_t retained_bytes;
+	struct rp_record *hand_next; /* next to be handed over, or NULL */
 	struct rp_sub_counters counters;
 };
 
@@ -540,7 +541,44 @@
 	struct rp_member members[];
 };
 
-struct rp_drain;
+/* An incarnation that stopped and whose records are all kept here. */
+struct rp_adopted {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	rp_ms clock; /* its clock less ours */
+	struct rp_adopted *next;
+};
+
+/* How far a member's handover to this entry VM has come. */
+struct rp_incoming {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	uint64_t next_part;
+	struct rp_incoming *next;
+};
+
+enum rp_drain_phase {
+	RP_DRAIN_FINISH, /* finishes what runs */
+	RP_DRAIN_HAND,	 /* hands its records to a successor */
+	RP_DRAIN_TELL,	 /* tells the members of it */
+	RP_DRAIN_DONE,
+};
+
+/* The planned stop of this entry VM. */
+struct rp_drain {
+	enum rp_drain_phase phase;
+	rp_ms due;     /* next step */
+	rp_ms give_up; /* the handover ends without a successor */
+	char to[RP_NAME_MAX];
+	uint64_t to_incarnation;
+	uint64_t part;	 /* being sent, from 1 */
+	int last;	 /* it is the last one */
+	int sends;	 /* of this part */
+	uint8_t *packed; /* the part, packed */
+	size_t packed_len;
+	char (*tried)[RP_NAME_MAX];
+	size_t ntried;
+};
 
 struct rp_view *view_ref(struct rp_view *v);
 void view_unref(struct rp_view *v);
@@ -637,7 +675,9 @@
 	uint64_t next_relay;
 	rp_ms relay_due; /* next look at the relays */
 	rp_ms leave_due; /* next look for targets that leave */
-	struct rp_drain *drain;
+	struct rp_drain drain;
+	struct rp_adopted *adopted;
+	struct rp_incoming *incoming;
 	uint64_t peer_messages, peer_bytes;
 };
 
@@ -707,6 +747,9 @@
 /* NULL when the shard is full. */
 struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
 			     rp_ms now);
+/* A finished record of another incarnation; 0 when the shard is full. */
+int record_adopt(struct rp_sub_shard *s, struct rp_str key, uint64_t digest,
+		 rp_ms expires, enum rp_state state, struct rp_answer *a);
 void record_wait(struct rp_record *r, const struct rp_waiter *w);
 /* Makes the record final, answers all who wait; takes the answer over. */
 void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
@@ -998,5 +1041,23 @@
 /* drain-stop.c */
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Goes on to the next phase; the node's lock is not held. */
+void drain_enter(struct rp_kernel *k, rp_ms now, enum rp_drain_phase phase);
+
+/* drain-hand.c: the side that stops. */
+void hand_start(struct rp_kernel *k, rp_ms now);
+void hand_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void hand_acked(struct rp_kernel *k, rp_ms now, const char *from,
+		const RpHandoverAck *ack, struct rp_actions *acts);
+void hand_finish(struct rp_kernel *k);
+
+/* drain-take.c: the side that takes over. */
+void take_part(struct rp_kernel *k, rp_ms now, const char *from,
+	       uint64_t incarnation, const RpHandover *msg,
+	       struct rp_actions *acts);
+/* Whether the key's issuer is kept here; *expired tells of the key. */
+int take_keeps(struct rp_kernel *k, rp_ms now, const struct rp_key *key,
+	       int *expired);
+void take_finish(struct rp_kernel *k);
 
 #endif
--- a/sub-record.c
+++ b/sub-record.c
@@ -63,6 +63,8 @@
 	age_unlink(s, r);
 	if (r->retained)
 		keep_unlink(s, r);
+	if (s->hand_next == r)
+		s->hand_next = r->next;
 	waiters_free(r);
 	rp_answer_unref(r->answer);
 	rp_submission_unref(r->sub);
@@ -87,6 +89,27 @@
 	return apr_hash_get(s->records, key.ptr, (apr_ssize_t)key.len);
 }
 
+/* A record of the key at the end of the list by age; NULL: no room. */
+static struct rp_record *record_new(struct rp_sub_shard *s, struct rp_str key)
+{
+	struct rp_record *r;
+
+	if (s->nrecords >= s->k->opt.max_records / RP_SUB_SHARDS)
+		return NULL;
+	r = kernel_alloc(sizeof(*r));
+	str_copy(r->key, sizeof(r->key), key);
+	r->key_len = key.len;
+	r->prev = s->by_age.last;
+	if (r->prev)
+		r->prev->next = r;
+	else
+		s->by_age.first = r;
+	s->by_age.last = r;
+	apr_hash_set(s->records, r->key, (apr_ssize_t)r->key_len, r);
+	s->nrecords++;
+	return r;
+}
+
 struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
 			     rp_ms now)
 {
@@ -94,25 +117,15 @@
 	struct rp_record *r;
 
 	record_expire(s, now);
-	if (s->nrecords >= opt->max_records / RP_SUB_SHARDS)
+	r = record_new(s, sub->key);
+	if (!r)
 		return NULL;
-	r = kernel_alloc(sizeof(*r));
-	str_copy(r->key, sizeof(r->key), sub->key);
-	r->key_len = sub->key.len;
 	r->digest = sub->digest;
 	r->phase = RP_RECORD_RUNNING;
 	str_copy(r->service, sizeof(r->service), sub->service);
 	r->received_at = now;
 	r->deadline = now + sub->timeout;
 	r->expires = now + opt->key_lifetime + opt->max_timeout;
-	r->prev = s->by_age.last;
-	if (r->prev)
-		r->prev->next = r;
-	else
-		s->by_age.first = r;
-	s->by_age.last = r;
-	apr_hash_set(s->records, r->key, (apr_ssize_t)r->key_len, r);
-	s->nrecords++;
 	return r;
 }
 
@@ -179,6 +192,30 @@
 		record_retain(s, r);
 }
 
+int record_adopt(struct rp_sub_shard *s, struct rp_str key, uint64_t digest,
+		 rp_ms expires, enum rp_state state, struct rp_answer *a)
+{
+	struct rp_record *r = record_find(s, key);
+
+	if (r) {
+		rp_answer_unref(a);
+		return 1;
+	}
+	r = record_new(s, key);
+	if (!r) {
+		rp_answer_unref(a);
+		return 0;
+	}
+	r->digest = digest;
+	r->phase = RP_RECORD_FINAL;
+	r->final_state = state;
+	r->expires = expires;
+	r->answer = a;
+	if (a && a->bytes)
+		record_retain(s, r);
+	return 1;
+}
+
 void record_expire(struct rp_sub_shard *s, rp_ms now)
 {
 	struct rp_record *r;
