One scripted run at a time, each with a time limit

Cause: t-nine ran in several work trees at once on the same ports; the platform stand-in that could not listen returned while its timer thread ran, and hung at exit, so a whole check run hung. Change: run.sh takes a lock per script and ends one after 120 s; the stand-ins start timers only after listening.

--- a/fake-server.c
+++ b/fake-server.c
@@ -377,17 +377,19 @@
 	sigprocmask(SIG_BLOCK, &mask, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	srv->nports = nports;
-	fake_timers_init(&srv->timers, srv->pool);
 	srv->epoll = epoll_create1(EPOLL_CLOEXEC);
 	apr_thread_mutex_create(&srv->lock, APR_THREAD_MUTEX_DEFAULT,
 				srv->pool);
 	if (srv->epoll < 0 || pipe(srv->stop_pipe) ||
 	    watch(srv, srv->stop_pipe[0]) || start_listeners(srv, &addr))
 		return -1;
+	/* Its thread must not outlive a failure to listen. */
+	fake_timers_init(&srv->timers, srv->pool);
 	for (; srv->ndaemons < threads; srv->ndaemons++) {
 		srv->daemons[srv->ndaemons] = start_daemon(srv);
 		if (!srv->daemons[srv->ndaemons]) {
 			fprintf(stderr, "cannot start an HTTP daemon\n");
+			fake_timers_finish(&srv->timers);
 			return -1;
 		}
 	}
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -57,7 +57,9 @@
 do
 	test -f "$t" || continue
 	name=$(basename "$t" .sh)
-	sh "$t" >build/out/"$name".log 2>&1
+	# The scripts use fixed ports: one run at a time on this machine.
+	flock -w 300 /tmp/rosemary-regress.lock timeout -k 5 120 sh "$t" \
+		>build/out/"$name".log 2>&1
 	verdict "$name" $?
 done
 test $known = 0 || echo "$known known red, see KNOWN-RED.txt"
