--- a/kernel-core.c
+++ b/kernel-core.c
@@ -21,7 +21,7 @@
 	str_copy(opt->route, RP_NAME_MAX, str_of("least"));
 	str_copy(opt->queue, RP_NAME_MAX, str_of("fifo"));
 	str_copy(opt->admit, RP_NAME_MAX, str_of("bounded"));
-	str_copy(opt->limit, RP_NAME_MAX, str_of("alone"));
+	str_copy(opt->limit, RP_NAME_MAX, str_of("credit"));
 	str_copy(opt->health, RP_NAME_MAX, str_of("none"));
 	str_copy(opt->retry, RP_NAME_MAX, str_of("none"));
 	opt->key_lifetime = 600000;
--- a/limit-credit.c
+++ b/limit-credit.c
@@ -199,6 +199,7 @@
 	for (i = 0; i < l->npeers; i++)
 		if (l->peers[i]->present && (taken || !l->peers[i]->term))
 			keeper_call(l, l->peers[i], now, acts);
+	keeper_ready(l, now);
 	l->serve_due = 1;
 }
 
--- a/limit-credit.h
+++ b/limit-credit.h
@@ -122,6 +122,8 @@
 void keeper_take(struct credit_limit *l, struct rp_target *t, rp_ms now);
 /* Another entry VM became keeper. */
 void keeper_yield(struct credit_limit *l, struct rp_target *t);
+/* Finds the targets whose former credits are all known or expired. */
+void keeper_ready(struct credit_limit *l, rp_ms now);
 /* Begins a new term with the peer: it is to report what it holds. */
 void keeper_call(struct credit_limit *l, struct credit_peer *p, rp_ms now,
 		 struct rp_actions *acts);
--- a/limit-keeper.c
+++ b/limit-keeper.c
@@ -225,7 +225,7 @@
 	return 1;
 }
 
-static void ready_scan(struct credit_limit *l, rp_ms now)
+void keeper_ready(struct credit_limit *l, rp_ms now)
 {
 	size_t i;
 
@@ -246,7 +246,7 @@
 	if (msg->answer) {
 		report_answer(l, p, msg);
 		p->reports_seen = msg->seq;
-		ready_scan(l, now);
+		keeper_ready(l, now);
 	} else if (msg->call_me || msg->seq != p->reports_seen + 1) {
 		/* A call on its way is enough. */
 		if (p->answered || p->called_at + CALL_AGAIN_MS <= now)
@@ -494,5 +494,5 @@
 			member_partner(l->k, now, p->name);
 		recall_scan(l, p, now, acts);
 	}
-	ready_scan(l, now);
+	keeper_ready(l, now);
 }
--- a/member-table.c
+++ b/member-table.c
@@ -301,12 +301,14 @@
 int member_settled(struct rp_kernel *k, rp_ms now)
 {
 	const struct rp_node *n = &k->node;
-	int settled;
+	int settled, told;
 
 	kernel_lock(k, n->lock);
-	if (!k->opt.list_poll && !apr_hash_count(n->members))
-		settled = 1;
-	else if (n->first_list_at)
+	/* While the platform is out, the settings stand for its list. */
+	told = n->first_list_at || k->opt.nseeds || !k->opt.list_poll;
+	if (told && !apr_hash_count(n->members))
+		settled = 1; /* it is the only one */
+	else if (told)
 		settled = n->started_at + SETTLE_BEATS * k->opt.heartbeat <=
 			  now;
 	else
