Never reuse credits of a lapsed lease; ask near keepers first

A holder that was paused could revive its lease by a message that came before its first look, and could use the credit of a task that ended late once more although the keeper had given it away: the pause test then saw a target asked for 9 tasks of 8. A lapse is now noted where the lease is read, and carried credits end with their tasks.

--- a/limit-credit.c
+++ b/limit-credit.c
@@ -47,6 +47,14 @@
 	return best;
 }
 
+/* Weight of an entry VM for a target in rendezvous hashing. */
+static uint64_t rendezvous(const char *vm, const char *target)
+{
+	uint64_t seed = str_hash(str_of(vm)) ^ 3 * str_hash(str_of(target));
+
+	return random_next(&seed);
+}
+
 /* Makes sure that the member's incarnation is among the peers. */
 static void peer_add(struct credit_limit *l, const struct rp_member *m)
 {
@@ -63,6 +71,8 @@
 		l->peers[l->npeers++] = p;
 	}
 	p->state = m->state;
+	p->near = !strcmp(m->failure_domain, l->k->opt.failure_domain);
+	p->order = rendezvous(m->name, l->k->opt.vm_name);
 	p->present = m->state != RP_MEMBER_GONE;
 }
 
@@ -113,14 +123,6 @@
 	peers_sweep(l);
 }
 
-/* Weight of an entry VM for a target in rendezvous hashing. */
-static uint64_t rendezvous(const char *vm, const char *target)
-{
-	uint64_t seed = str_hash(str_of(vm)) ^ 3 * str_hash(str_of(target));
-
-	return random_next(&seed);
-}
-
 /*
  * Whether this entry VM is to keep the target: the greatest weight among the
  * live ones of the target's domain. Only a domain without any entry VM, dead
@@ -180,6 +182,25 @@
 	return taken;
 }
 
+/* Gives up all targets when a pause may have let others take them. */
+static void check_pause(struct credit_limit *l, rp_ms now)
+{
+	int paused = credit_paused(l, now);
+	size_t i;
+
+	l->tick_at = now;
+	if (!paused || !l->npeers)
+		return;
+	for (i = 0; i < l->svc->ntargets; i++)
+		if (credit_of(l->svc->targets[i]))
+			keeper_yield(l, l->svc->targets[i]);
+	for (i = 0; i < l->npeers; i++)
+		l->peers[i]->term = 0;
+	l->settle_at = now + SETTLE_BEATS * l->k->opt.heartbeat;
+	l->settled = 0;
+	l->unsettled_change = 1;
+}
+
 static void credit_changed(struct rp_limit *limit, rp_ms now,
 			   struct rp_actions *acts)
 {
@@ -187,6 +208,7 @@
 	size_t i;
 	int taken;
 
+	check_pause(l, now);
 	peers_update(l);
 	for (i = 0; i < l->svc->ntargets; i++)
 		target_get(l->svc->targets[i]);
@@ -256,8 +278,11 @@
 	t->limit_data = NULL;
 }
 
-/* Takes over how the leases stand. */
-static void leases_update(struct credit_limit *l)
+/*
+ * Takes over how the leases stand. A lease that had ended is not revived by
+ * a later message: the keeper may have given its credits to others.
+ */
+static void leases_update(struct credit_limit *l, rp_ms now)
 {
 	size_t i;
 
@@ -268,30 +293,13 @@
 		if (!member_lease(l->k, p->name, &lease) ||
 		    lease.incarnation != p->incarnation)
 			continue;
+		if (p->grants_seen && p->lease_from + credit_lease(l) <= now)
+			p->lapsed = 1;
 		p->lease_from = lease.ours_from;
 		p->heard_at = lease.its_from;
 	}
 }
 
-/* Gives up all targets when a pause may have let others take them. */
-static void check_pause(struct credit_limit *l, rp_ms now)
-{
-	int paused = credit_paused(l, now);
-	size_t i;
-
-	l->tick_at = now;
-	if (!paused || !l->npeers)
-		return;
-	for (i = 0; i < l->svc->ntargets; i++)
-		if (credit_of(l->svc->targets[i]))
-			keeper_yield(l, l->svc->targets[i]);
-	for (i = 0; i < l->npeers; i++)
-		l->peers[i]->term = 0;
-	l->settle_at = now + SETTLE_BEATS * l->k->opt.heartbeat;
-	l->settled = 0;
-	l->unsettled_change = 1;
-}
-
 static void credit_tick(struct rp_limit *limit, rp_ms now,
 			struct rp_actions *acts)
 {
@@ -303,7 +311,7 @@
 		if (l->unsettled_change && l->settle_at <= now &&
 		    member_settled(l->k, now))
 			credit_changed(limit, now, acts);
-		leases_update(l);
+		leases_update(l, now);
 		keeper_scan(l, now, acts);
 		holder_scan(l, now, acts);
 	}
@@ -322,7 +330,7 @@
 	if (!p)
 		return; /* not in the view yet: it will be called */
 	check_pause(l, now);
-	leases_update(l);
+	leases_update(l, now);
 	keeper_report(l, p, msg, now, acts);
 	dispatch_pump(l->svc, now, acts);
 }
@@ -337,7 +345,7 @@
 	if (!p)
 		return;
 	check_pause(l, now);
-	leases_update(l);
+	leases_update(l, now);
 	holder_grant(l, p, msg, now, acts);
 	dispatch_pump(l->svc, now, acts);
 }
--- a/limit-credit.h
+++ b/limit-credit.h
@@ -20,6 +20,8 @@
 	uint64_t incarnation;
 	int present; /* in the view and not gone */
 	enum rp_member_state state;
+	int near;	  /* in our failure domain */
+	uint64_t order;	  /* in which we ask it among the others */
 	rp_ms lease_from; /* our lease on its grants began then */
 	rp_ms heard_at;	  /* its lease on ours began then, or before */
 
--- a/limit-holder.c
+++ b/limit-holder.c
@@ -6,11 +6,11 @@
 #include <string.h>
 
 /* Span in which an idle credit must be idle all the time to go back, ms. */
-#define IDLE_SPAN_MS 500
+#define IDLE_SPAN_MS 1000
 /* Span after which a want without an answer is told again, ms. */
 #define ASK_AGAIN_MS 500
 /* Keepers asked at once. */
-#define ASK_KEEPERS 8
+#define ASK_KEEPERS 3
 
 static int held(const struct credit_target *ct)
 {
@@ -151,17 +151,18 @@
 	       p->state == RP_MEMBER_LIVE && lease_valid(l, p, now);
 }
 
-static int by_capacity(const void *x, const void *y)
+/* Near ones first, then in an order that differs from holder to holder. */
+static int by_order(const void *x, const void *y)
 {
 	const struct credit_peer *a = *(const struct credit_peer *const *)x;
 	const struct credit_peer *b = *(const struct credit_peer *const *)y;
 
-	return a->capacity < b->capacity   ? 1
-	       : a->capacity > b->capacity ? -1
-					   : 0;
+	if (a->near != b->near)
+		return b->near - a->near;
+	return a->order < b->order ? -1 : a->order > b->order;
 }
 
-/* The keepers to ask, those of the fastest targets first. */
+/* The keepers to ask; few, so that few leases have to be renewed. */
 static size_t ask_list(struct credit_limit *l, rp_ms now,
 		       struct credit_peer **list)
 {
@@ -170,7 +171,7 @@
 	for (i = 0; i < l->npeers; i++)
 		if (can_ask(l, l->peers[i], now))
 			list[n++] = l->peers[i];
-	qsort(list, n, sizeof(struct credit_peer *), by_capacity);
+	qsort(list, n, sizeof(struct credit_peer *), by_order);
 	return n < ASK_KEEPERS ? n : ASK_KEEPERS;
 }
 
@@ -223,7 +224,8 @@
 	ct->released = 0;
 	ct->term = call->term;
 	ct->keeper = p;
-	ct->cap = -1;
+	/* What a lapsed lease covered is not used again: it was given away. */
+	ct->cap = valid || !ct->granted ? -1 : 0;
 	ct->idle_min = 0;
 	ct->dirty = 0;
 	line_init(out, t);
@@ -398,12 +400,11 @@
 	/* The lease is renewed by heartbeats as long as it is needed. */
 	if (holds)
 		member_partner(l->k, now, p->name);
-	if (!valid && !p->lapsed && p->grants_seen) {
+	if (!valid && p->grants_seen)
 		p->lapsed = 1;
+	if (p->lapsed) {
 		p->pending = 0;
 		set_want(l, p, 0);
-	}
-	if (p->lapsed) {
 		if (valid && p->asked_at + ASK_AGAIN_MS <= now)
 			ask_for_call(l, p, now, acts);
 		return;
--- a/member-beat.c
+++ b/member-beat.c
@@ -20,6 +20,8 @@
 #define RESET_SPAN_MS 2000
 /* Least span between probes of one member, ms. */
 #define PROBE_SPAN_MS 500
+/* Heartbeat spans for which other messages may stand for heartbeats. */
+#define SKIP_BEATS 4
 #define FORWARDS_MAX 16 /* forwards told in one heartbeat */
 #define SEEN_MAX 64	/* members in one digest */
 
@@ -151,6 +153,7 @@
 	}
 	if (!e->announced_at)
 		e->announced_at = now;
+	e->beat_at = now;
 	env.heartbeat = &b->hb;
 	peer_send_to(k, now, e, &env, acts);
 }
@@ -223,6 +226,14 @@
 	free(list);
 }
 
+/* Whether another message went to the member just now in its place. */
+static int can_skip(const struct rp_kernel *k, const struct rp_member_entry *e,
+		    rp_ms now)
+{
+	return e->sent_at + k->opt.heartbeat / 2 > now &&
+	       e->beat_at + SKIP_BEATS * k->opt.heartbeat > now;
+}
+
 static void beat_near(struct rp_kernel *k, rp_ms now, struct beat *b,
 		      struct beat *greeting, struct rp_actions *acts)
 {
@@ -237,7 +248,8 @@
 		/* A new member learns of the others from its greeting. */
 		if (!e->announced_at)
 			beat_send(k, now, e, greeting, acts);
-		else if (member_is_near(k, e) || e->partner_until > now)
+		else if ((member_is_near(k, e) || e->partner_until > now) &&
+			 !can_skip(k, e, now))
 			beat_send(k, now, e, b, acts);
 	}
 }
--- a/member-leave.c
+++ b/member-leave.c
@@ -83,7 +83,7 @@
 	kernel_lock(k, k->node.lock);
 	for (h = apr_hash_first(NULL, k->node.members); h;
 	     h = apr_hash_next(h)) {
-		const struct rp_member_entry *e = apr_hash_this_val(h);
+		struct rp_member_entry *e = apr_hash_this_val(h);
 
 		if (!e->gone && e->m.address[0])
 			peer_send_to(k, now, e, &env, acts);
--- a/peer-send.c
+++ b/peer-send.c
@@ -4,9 +4,8 @@
 
 #include <stdlib.h>
 
-void peer_send_to(struct rp_kernel *k, rp_ms now,
-		  const struct rp_member_entry *e, RpEnvelope *env,
-		  struct rp_actions *acts)
+void peer_send_to(struct rp_kernel *k, rp_ms now, struct rp_member_entry *e,
+		  RpEnvelope *env, struct rp_actions *acts)
 {
 	struct rp_action *a = action_add(acts, RP_ACTION_PEER);
 	size_t len;
@@ -16,6 +15,7 @@
 	env->hlc = trace_stamp(k, now);
 	env->to = (char *)e->m.name;
 	env->sent_ms = now;
+	e->sent_at = now;
 	env->echo_ms = e->echo;
 	str_copy(a->peer.name, RP_NAME_MAX, str_of(e->m.name));
 	str_copy(a->peer.address, RP_ADDRESS_MAX, str_of(e->m.address));
@@ -31,7 +31,7 @@
 void peer_send(struct rp_kernel *k, rp_ms now, const char *name,
 	       RpEnvelope *env, struct rp_actions *acts)
 {
-	const struct rp_member_entry *e;
+	struct rp_member_entry *e;
 
 	kernel_lock(k, k->node.lock);
 	e = member_find(&k->node, name);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -494,6 +494,8 @@
 	rp_ms echo;	     /* newest clock value seen from it */
 	rp_ms lease_from;    /* our newest clock value that it has seen */
 	rp_ms partner_until; /* gets heartbeats like a near member */
+	rp_ms sent_at;	     /* of the latest message to it */
+	rp_ms beat_at;	     /* of the latest heartbeat to it */
 };
 
 /* The records of an incarnation that stopped are served by a member. */
@@ -1032,9 +1034,8 @@
 void peer_send(struct rp_kernel *k, rp_ms now, const char *name,
 	       RpEnvelope *env, struct rp_actions *acts);
 /* The same with the address known; needs the node's lock. */
-void peer_send_to(struct rp_kernel *k, rp_ms now,
-		  const struct rp_member_entry *e, RpEnvelope *env,
-		  struct rp_actions *acts);
+void peer_send_to(struct rp_kernel *k, rp_ms now, struct rp_member_entry *e,
+		  RpEnvelope *env, struct rp_actions *acts);
 /* Closes the link to the member; needs the node's lock. */
 void peer_reset(struct rp_member_entry *e, rp_ms now, struct rp_actions *acts);
 
