--- a/limit-credit.c
+++ b/limit-credit.c
@@ -273,6 +273,7 @@
 	if (!credit_of(t))
 		return;
 	keeper_yield(l, t);
+	holder_forget(credit_of(t));
 	free(credit_of(t)->shares);
 	free(credit_of(t));
 	t->limit_data = NULL;
@@ -293,7 +294,7 @@
 		if (!member_lease(l->k, p->name, &lease) ||
 		    lease.incarnation != p->incarnation)
 			continue;
-		if (p->grants_seen && p->lease_from + credit_lease(l) <= now)
+		if (p->holds && p->lease_from + credit_lease(l) <= now)
 			p->lapsed = 1;
 		p->lease_from = lease.ours_from;
 		p->heard_at = lease.its_from;
--- a/limit-credit.h
+++ b/limit-credit.h
@@ -30,6 +30,7 @@
 	uint32_t want;	  /* credits asked for and not granted */
 	uint32_t pending; /* of these, known to be waiting */
 	rp_ms asked_at;
+	int holds;	 /* credits held of its targets */
 	int lapsed;	 /* our lease ended: wait for its call */
 	int report_due;	 /* some line changed */
 	double capacity; /* tasks per ms of its targets that are open */
@@ -118,6 +119,9 @@
 /* Sends the reports that are due. */
 void holder_flush(struct credit_limit *l, rp_ms now, struct rp_actions *acts);
 
+/* Forgets what is held of the target, whoever keeps it. */
+void holder_forget(struct credit_target *ct);
+
 /* limit-keeper.c */
 int keeper_room(const struct credit_limit *l, const struct rp_target *t);
 /* Becomes keeper of the target; the calls follow. */
--- a/limit-holder.c
+++ b/limit-holder.c
@@ -36,12 +36,23 @@
 	return t->in_flight < max;
 }
 
+void holder_forget(struct credit_target *ct)
+{
+	if (ct->keeper)
+		ct->keeper->holds -= held(ct);
+	ct->keeper = NULL;
+	ct->granted = 0;
+	ct->released = 0;
+	ct->dirty = 0;
+}
+
 /* Gives back so many credits; the keeper is told with the next report. */
 static void release(struct credit_target *ct, int count)
 {
 	if (count <= 0)
 		return;
 	ct->released += (uint64_t)count;
+	ct->keeper->holds -= count;
 	ct->dirty = 1;
 	ct->keeper->report_due = 1;
 }
@@ -144,11 +155,10 @@
 }
 
 /* Whether the peer can be asked for more than it was. */
-static int can_ask(const struct credit_limit *l, const struct credit_peer *p,
-		   rp_ms now)
+static int can_ask(const struct credit_peer *p)
 {
 	return p->present && p->capacity > 0 && !p->pending &&
-	       p->state == RP_MEMBER_LIVE && lease_valid(l, p, now);
+	       p->state == RP_MEMBER_LIVE && !p->lapsed;
 }
 
 /* Near ones first, then in an order that differs from holder to holder. */
@@ -163,13 +173,12 @@
 }
 
 /* The keepers to ask; few, so that few leases have to be renewed. */
-static size_t ask_list(struct credit_limit *l, rp_ms now,
-		       struct credit_peer **list)
+static size_t ask_list(struct credit_limit *l, struct credit_peer **list)
 {
 	size_t n = 0, i;
 
 	for (i = 0; i < l->npeers; i++)
-		if (can_ask(l, l->peers[i], now))
+		if (can_ask(l->peers[i]))
 			list[n++] = l->peers[i];
 	qsort(list, n, sizeof(struct credit_peer *), by_order);
 	return n < ASK_KEEPERS ? n : ASK_KEEPERS;
@@ -186,7 +195,7 @@
 		return;
 	more = waiting - l->covered;
 	list = kernel_alloc(l->npeers * sizeof(struct credit_peer *));
-	n = ask_list(l, now, list);
+	n = ask_list(l, list);
 	for (i = 0; i < n; i++)
 		sum += list[i]->capacity;
 	for (i = 0; i < n && waiting > l->covered; i++) {
@@ -205,7 +214,7 @@
 {
 	struct rp_target *t = credit_target(l, call->target);
 	struct credit_target *ct = t ? credit_of(t) : NULL;
-	int valid;
+	int valid, keep;
 
 	rp_credit_line__init(out);
 	out->target = call->target;
@@ -218,16 +227,15 @@
 	valid = !ct->office && ct->keeper && lease_valid(l, ct->keeper, now);
 	keeper_yield(l, t);
 	/* A task that runs keeps its credit whatever became of the lease. */
-	ct->granted = (uint64_t)(valid && held(ct) > t->in_flight
-					 ? held(ct)
-					 : t->in_flight);
-	ct->released = 0;
+	keep = valid && held(ct) > t->in_flight ? held(ct) : t->in_flight;
+	holder_forget(ct);
+	ct->granted = (uint64_t)keep;
 	ct->term = call->term;
 	ct->keeper = p;
+	p->holds += keep;
 	/* What a lapsed lease covered is not used again: it was given away. */
 	ct->cap = valid || !ct->granted ? -1 : 0;
 	ct->idle_min = 0;
-	ct->dirty = 0;
 	line_init(out, t);
 }
 
@@ -278,6 +286,7 @@
 	if (!ct || ct->keeper != p || ct->term != line->term)
 		return;
 	if (line->granted > ct->granted) {
+		p->holds += (int)(line->granted - ct->granted);
 		ct->granted = line->granted;
 		ct->idle_min = 0;
 	}
@@ -364,32 +373,26 @@
 	}
 }
 
-/* Counts what is held of the peer's targets, and how many there are. */
-static int count_kept(const struct credit_limit *l, const struct credit_peer *p,
-		      int *holds)
+/* Whether the peer keeps any target as far as is known here. */
+static int keeps_any(const struct credit_limit *l, const struct credit_peer *p)
 {
-	int kept = 0;
 	size_t i;
 
-	*holds = 0;
 	for (i = 0; i < l->svc->ntargets; i++) {
 		const struct credit_target *ct = credit_of(l->svc->targets[i]);
 
-		if (!ct || ct->keeper != p)
-			continue;
-		kept++;
-		*holds += held(ct);
+		if (ct && ct->keeper == p)
+			return 1;
 	}
-	return kept;
+	return 0;
 }
 
 static void peer_scan(struct credit_limit *l, struct credit_peer *p, rp_ms now,
 		      struct rp_actions *acts)
 {
 	int valid = p->lease_from + credit_lease(l) > now;
-	int holds, kept = count_kept(l, p, &holds);
 
-	if (!kept) {
+	if (!keeps_any(l, p)) {
 		/* It keeps nothing now; if it does again, it calls. */
 		p->lapsed = 0;
 		p->grants_seen = 0;
@@ -398,9 +401,9 @@
 		return;
 	}
 	/* The lease is renewed by heartbeats as long as it is needed. */
-	if (holds)
+	if (p->holds)
 		member_partner(l->k, now, p->name);
-	if (!valid && p->grants_seen)
+	if (!valid && p->holds)
 		p->lapsed = 1;
 	if (p->lapsed) {
 		p->pending = 0;
--- a/limit-keeper.c
+++ b/limit-keeper.c
@@ -94,10 +94,7 @@
 	struct credit_target *ct = credit_of(t);
 
 	ct->office = trace_stamp(l->k, now);
-	ct->keeper = NULL;
-	ct->granted = 0;
-	ct->released = 0;
-	ct->dirty = 0;
+	holder_forget(ct);
 	ct->ready = 0;
 	ct->ready_at = now + lease_and_slack(l);
 	l->own += t->in_flight;
@@ -483,7 +480,8 @@
 		struct credit_peer *p = l->peers[i];
 
 		if (p->heard_at + lease_and_slack(l) <= now) {
-			if (p->answered || p->out)
+			/* Who holds nothing has nothing to lose. */
+			if (p->out || p->wanted)
 				expire_peer(l, p);
 			continue;
 		}
--- /dev/null
+++ b/regress/net/script.c
@@ -0,0 +1,252 @@
+/* Random faults in the fake network, and what must hold after them. */
+
+#include "script.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net.h"
+
+#define KEYS_MAX 256
+#define HEAL_MS 40000
+#define SCRIPT_VMS 6
+#define TIMEOUT_MS 15000
+
+struct script_key {
+	char text[RP_KEY_MAX];
+	int ntasks;
+	size_t calls[16];
+	size_t ncalls;
+};
+
+struct script {
+	struct net *net;
+	struct script_key keys[KEYS_MAX];
+	size_t nkeys;
+	int call_vm[NET_CALLS_MAX / 100];
+	uint64_t call_incarnation[NET_CALLS_MAX / 100];
+	char *why;
+	size_t size;
+};
+
+/* Whether a call can be made at the entry VM now. */
+static int is_up(const struct script *s, int vm)
+{
+	return s->net->vms[vm].k && !s->net->vms[vm].paused;
+}
+
+static void note_call(struct script *s, struct script_key *k, int vm,
+		      size_t call)
+{
+	k->calls[k->ncalls++] = call;
+	s->call_vm[call] = vm;
+	s->call_incarnation[call] = s->net->vms[vm].opt.incarnation;
+}
+
+static void do_submit(struct script *s, int vm, int arg)
+{
+	struct script_key *k = &s->keys[s->nkeys];
+
+	if (!is_up(s, vm) || s->nkeys == KEYS_MAX)
+		return;
+	net_key(s->net, vm, k->text);
+	if (!k->text[0])
+		return;
+	k->ntasks = 1 + arg % 64;
+	s->nkeys++;
+	note_call(s, k, vm,
+		  net_submit(s->net, vm, k->text, k->ntasks, TIMEOUT_MS));
+}
+
+/* The same submission again, or a query, at any entry VM. */
+static void do_again(struct script *s, int vm, int arg)
+{
+	struct script_key *k;
+
+	if (!is_up(s, vm) || !s->nkeys)
+		return;
+	k = &s->keys[(size_t)arg % s->nkeys];
+	if (k->ncalls == 16)
+		return;
+	note_call(s, k, vm,
+		  arg & 1 ? net_query(s->net, vm, k->text, 1)
+			  : net_submit(s->net, vm, k->text, k->ntasks,
+				       TIMEOUT_MS));
+}
+
+static void do_stop(struct script *s, int vm, int arg)
+{
+	struct net_vm *v = &s->net->vms[vm];
+
+	if (v->drained) {
+		net_kill(s->net, vm);
+		v->drained = 0;
+	} else if (!v->k) {
+		net_restart(s->net, vm);
+	} else if (arg % 3 == 0) {
+		net_kill(s->net, vm);
+	} else if (arg % 3 == 1 && !v->paused && !v->draining) {
+		net_drain(s->net, vm);
+	} else {
+		net_pause(s->net, vm, !v->paused);
+	}
+}
+
+static void do_cut(struct script *s, int vm, int arg)
+{
+	int n = s->net->opt.ndomains;
+	int from = vm % n, to = arg % n, cut = arg & 64;
+
+	if (arg & 128)
+		s->net->platform_cut[from] = cut;
+	else if (from == to)
+		net_isolate(s->net, from, cut);
+	else
+		net_cut(s->net, from, to, cut);
+}
+
+static void do_step(struct script *s, const struct net_step *st)
+{
+	int vm = st->vm % SCRIPT_VMS;
+
+	switch (st->op % 8) {
+	case 0:
+	case 1:
+	case 2:
+		do_submit(s, vm, st->arg);
+		break;
+	case 3:
+	case 4:
+		do_again(s, vm, st->arg);
+		break;
+	case 5:
+		do_stop(s, vm, st->arg);
+		break;
+	case 6:
+		do_cut(s, vm, st->arg);
+		break;
+	case 7:
+		s->net->silent[vm][st->arg % SCRIPT_VMS] = 1;
+		break;
+	}
+	net_run(s->net, (rp_ms)st->arg * 4);
+}
+
+static void heal(struct script *s)
+{
+	struct net *net = s->net;
+	int i;
+
+	memset(net->cut, 0, sizeof(net->cut));
+	memset(net->platform_cut, 0, sizeof(net->platform_cut));
+	for (i = 0; i < SCRIPT_VMS; i++)
+		net->vms[i].paused = 0;
+	net_run(net, HEAL_MS);
+}
+
+static int is_started(const struct script *s, const struct script_key *k)
+{
+	char id[RP_KEY_MAX + 32];
+	int i;
+
+	for (i = 0; i < k->ntasks; i++) {
+		snprintf(id, sizeof(id), "%s-%d", k->text, i);
+		if (apr_hash_get(s->net->started, id, APR_HASH_KEY_STRING))
+			return 1;
+	}
+	return 0;
+}
+
+static int fail(struct script *s, const char *what, const char *key)
+{
+	snprintf(s->why, s->size, "%s: %s", what, key);
+	return -1;
+}
+
+/* A call at a process that still runs has one answer, and a true one. */
+static int check_call(struct script *s, const struct script_key *k, size_t i)
+{
+	const struct net_call *c = &s->net->calls[i];
+	const struct net_vm *v = &s->net->vms[s->call_vm[i]];
+
+	if (c->answers > 1)
+		return fail(s, "answered twice", k->text);
+	if (!c->answers && v->k && v->opt.incarnation == s->call_incarnation[i])
+		return fail(s, "never answered", k->text);
+	if (c->answers && c->state == RP_NOT_RUN && is_started(s, k))
+		return fail(s, "not run, but it was started", k->text);
+	if (c->answers && c->state == RP_COMPLETE &&
+	    c->nresults != (size_t)k->ntasks)
+		return fail(s, "complete, but not whole", k->text);
+	return 0;
+}
+
+/* All calls for one key tell the same. */
+static int check_key(struct script *s, const struct script_key *k)
+{
+	const struct net_call *whole = NULL, *none = NULL;
+	size_t i;
+
+	for (i = 0; i < k->ncalls; i++) {
+		const struct net_call *c = &s->net->calls[k->calls[i]];
+
+		if (check_call(s, k, k->calls[i]) < 0)
+			return -1;
+		if (!c->answers)
+			continue;
+		if (c->state == RP_NOT_RUN)
+			none = c;
+		if (c->state != RP_COMPLETE)
+			continue;
+		if (whole && whole->digest != c->digest)
+			return fail(s, "two different answers", k->text);
+		whole = c;
+	}
+	if (whole && none)
+		return fail(s, "both complete and not run", k->text);
+	return 0;
+}
+
+static int check(struct script *s)
+{
+	size_t i;
+	int t;
+
+	if (s->net->twice)
+		return fail(s, "a task was started twice", "");
+	for (t = 0; t < s->net->opt.ntargets; t++)
+		if (s->net->targets[t].busy && strcmp(s->net->opt.limit, "alon"
+									 "e"))
+			return fail(s, "beyond the limit of a target",
+				    s->net->targets[t].name);
+	for (i = 0; i < s->nkeys; i++)
+		if (check_key(s, &s->keys[i]) < 0)
+			return -1;
+	return 0;
+}
+
+int net_script(uint64_t seed, const char *limit, const struct net_step *steps,
+	       size_t nsteps, char *why, size_t size)
+{
+	struct script *s = kernel_alloc(sizeof(*s));
+	struct net_options opt;
+	size_t i;
+	int rc;
+
+	net_options_init(&opt);
+	opt.seed = seed;
+	opt.limit = limit;
+	opt.nvms = SCRIPT_VMS;
+	s->why = why;
+	s->size = size;
+	s->net = net_new(&opt);
+	net_run(s->net, 3000);
+	for (i = 0; i < nsteps; i++)
+		do_step(s, &steps[i]);
+	heal(s);
+	rc = check(s);
+	net_free(s->net);
+	free(s);
+	return rc;
+}
