Give each work tree its own ports in scripted runs

Cause: work trees whose run.sh has no lock still took the ports of t-nine. Change: deploy.sh derives the first port from the path of the tree.

--- a/regress/deploy.sh
+++ b/regress/deploy.sh
@@ -1,10 +1,13 @@
 # Shell functions for scripted runs with real processes on loopback: a
 # platform stand-in, target stand-ins, and entry VMs in four failure domains.
-# The script that sources this sets $port (first of 200 free ports) and $dir.
+# The script that sources this sets $dir. $port is the first of 200 ports; each
+# work tree has its own, so that two can run side by side.
 
 bin=${BIN:-build/san}
 domains="sando penal couva point"
 pids=
+tree=$(pwd | cksum)
+port=$((24200 + ${tree%% *} % 40 * 200))
 
 # domain_of N: the failure domain of the Nth entry VM or target.
 domain_of () {
--- a/regress/t-nine.sh
+++ b/regress/t-nine.sh
@@ -4,7 +4,6 @@
 # reads the targets' own records: no task may have started twice, and every
 # answer must be whole, failed or not run, and true.
 set -u
-port=24000
 dir=build/out/nine
 mkdir -p $dir
 rm -f $dir/*.log
