--- a/dispatch-pump.c
+++ b/dispatch-pump.c
@@ -179,6 +179,7 @@
 	struct rp_target *t;
 	struct rp_job *job;
 
+	svc->now = now;
 	while ((job = svc->queue->ops->next(svc->queue, now))) {
 		if (is_hopeless(job, now)) {
 			fail_hopeless(job, now, acts);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -170,6 +170,13 @@
 	void (*changed)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
 	void (*removed)(struct rp_limit *l, struct rp_target *t);
 	void (*tick)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
+	/* Messages of this policy on another entry VM; may be NULL. */
+	void (*report)(struct rp_limit *l, const char *from,
+		       const RpCreditReport *msg, rp_ms now,
+		       struct rp_actions *acts);
+	void (*grant)(struct rp_limit *l, const char *from,
+		      const RpCreditGrant *msg, rp_ms now,
+		      struct rp_actions *acts);
 };
 
 /* Judges targets by what becomes of the tasks started on them. */
@@ -348,6 +355,7 @@
 	struct rp_limit *limit;
 	struct rp_health *health;
 	struct rp_retry *retry;
+	rp_ms now;	/* of the latest pump */
 	size_t nqueued; /* tasks waiting to be started */
 	size_t in_flight;
 	struct rp_learned learned; /* over all targets */
@@ -440,6 +448,7 @@
 	struct rp_record_list retained;
 	size_t nrecords;
 	size_t retained_bytes;
+	struct rp_record *hand_next; /* next to be handed over, or NULL */
 	struct rp_sub_counters counters;
 };
 
@@ -482,6 +491,9 @@
 	rp_ms direct_at;    /* latest message from it; 0: none */
 	rp_ms replaced_at;  /* when it became gone or a newer incarnation */
 	rp_ms probed_at, reset_at;
+	rp_ms echo;	     /* newest clock value seen from it */
+	rp_ms lease_from;    /* our newest clock value that it has seen */
+	rp_ms partner_until; /* gets heartbeats like a near member */
 };
 
 /* The records of an incarnation that stopped are served by a member. */
@@ -529,7 +541,44 @@
 	struct rp_member members[];
 };
 
-struct rp_drain;
+/* An incarnation that stopped and whose records are all kept here. */
+struct rp_adopted {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	rp_ms clock; /* its clock less ours */
+	struct rp_adopted *next;
+};
+
+/* How far a member's handover to this entry VM has come. */
+struct rp_incoming {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	uint64_t next_part;
+	struct rp_incoming *next;
+};
+
+enum rp_drain_phase {
+	RP_DRAIN_FINISH, /* finishes what runs */
+	RP_DRAIN_HAND,	 /* hands its records to a successor */
+	RP_DRAIN_TELL,	 /* tells the members of it */
+	RP_DRAIN_DONE,
+};
+
+/* The planned stop of this entry VM. */
+struct rp_drain {
+	enum rp_drain_phase phase;
+	rp_ms due;     /* next step */
+	rp_ms give_up; /* the handover ends without a successor */
+	char to[RP_NAME_MAX];
+	uint64_t to_incarnation;
+	uint64_t part;	 /* being sent, from 1 */
+	int last;	 /* it is the last one */
+	int sends;	 /* of this part */
+	uint8_t *packed; /* the part, packed */
+	size_t packed_len;
+	char (*tried)[RP_NAME_MAX];
+	size_t ntried;
+};
 
 struct rp_view *view_ref(struct rp_view *v);
 void view_unref(struct rp_view *v);
@@ -626,7 +675,9 @@
 	uint64_t next_relay;
 	rp_ms relay_due; /* next look at the relays */
 	rp_ms leave_due; /* next look for targets that leave */
-	struct rp_drain *drain;
+	struct rp_drain drain;
+	struct rp_adopted *adopted;
+	struct rp_incoming *incoming;
 	uint64_t peer_messages, peer_bytes;
 };
 
@@ -696,6 +747,9 @@
 /* NULL when the shard is full. */
 struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
 			     rp_ms now);
+/* A finished record of another incarnation; 0 when the shard is full. */
+int record_adopt(struct rp_sub_shard *s, struct rp_str key, uint64_t digest,
+		 rp_ms expires, enum rp_state state, struct rp_answer *a);
 void record_wait(struct rp_record *r, const struct rp_waiter *w);
 /* Makes the record final, answers all who wait; takes the answer over. */
 void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
@@ -905,7 +959,10 @@
 /* A sign of life of an incarnation; 0: it is an old one. */
 int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
 		rp_ms now);
-/* Who answers for the incarnation; fills the name of the member to ask. */
+enum rp_member_state member_state(const struct rp_kernel *k,
+				  const struct rp_member_entry *e, rp_ms now);
+/* member-owner.c: who answers for the incarnation; fills the name of the member
+ * to ask. */
 enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
 			   uint64_t incarnation, char to[RP_NAME_MAX]);
 void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
@@ -915,6 +972,8 @@
 /* The following take the lock. */
 void member_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
 		   size_t nvms, int fetched);
+/* The list is as it was: ends silent members that it lacks. */
+void member_unlisted(struct rp_kernel *k, rp_ms now);
 /* Judges all members; publishes a view when one of them changed. */
 void member_judge(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 /* The current view with a reference for the caller, or NULL. */
@@ -925,6 +984,22 @@
 void member_down(struct rp_kernel *k, rp_ms now, const char *name,
 		 struct rp_actions *acts);
 
+/* How a lease between this entry VM and a member stands. */
+struct rp_member_lease {
+	enum rp_member_state state;
+	uint64_t incarnation;
+	rp_ms ours_from; /* our lease on what it gives began then */
+	rp_ms its_from;	 /* its lease on what we give began then */
+};
+
+/* 0 when the member is unknown. */
+int member_lease(struct rp_kernel *k, const char *name,
+		 struct rp_member_lease *lease);
+/* Exchanges heartbeats with the member for a while, wherever it is. */
+void member_partner(struct rp_kernel *k, rp_ms now, const char *name);
+/* Whether this entry VM has had the time to learn of the members. */
+int member_settled(struct rp_kernel *k, rp_ms now);
+
 /* member-beat.c */
 void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 /* A heartbeat to every member now. */
@@ -935,6 +1010,12 @@
 void beat_probe(struct rp_kernel *k, rp_ms now, const char *name,
 		struct rp_actions *acts);
 
+/* limit-message.c */
+void limit_report(struct rp_kernel *k, rp_ms now, const char *from,
+		  const RpCreditReport *msg, struct rp_actions *acts);
+void limit_grant(struct rp_kernel *k, rp_ms now, const char *from,
+		 const RpCreditGrant *msg, struct rp_actions *acts);
+
 /* member-leave.c: targets that leave. */
 void leave_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void leave_received(struct rp_kernel *k, rp_ms now, const RpLeaving *msg);
@@ -960,5 +1041,23 @@
 /* drain-stop.c */
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Goes on to the next phase; the node's lock is not held. */
+void drain_enter(struct rp_kernel *k, rp_ms now, enum rp_drain_phase phase);
+
+/* drain-hand.c: the side that stops. */
+void hand_start(struct rp_kernel *k, rp_ms now);
+void hand_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void hand_acked(struct rp_kernel *k, rp_ms now, const char *from,
+		const RpHandoverAck *ack, struct rp_actions *acts);
+void hand_finish(struct rp_kernel *k);
+
+/* drain-take.c: the side that takes over. */
+void take_part(struct rp_kernel *k, rp_ms now, const char *from,
+	       uint64_t incarnation, const RpHandover *msg,
+	       struct rp_actions *acts);
+/* Whether the key's issuer is kept here; *expired tells of the key. */
+int take_keeps(struct rp_kernel *k, rp_ms now, const struct rp_key *key,
+	       int *expired);
+void take_finish(struct rp_kernel *k);
 
 #endif
