Claim callers' own keys in the platform's table, many in one commit

Cause: a caller's own key was refused as "not run" outright. Change: rows claim/KEY are inserted if absent, up to claim_batch in a transaction, within 200 commits/s for the deployment; a conflict or a lost answer is read back before anything starts; another's key is relayed to its owner; expired rows are swept by an index row per transaction, also those of a dead owner. "Not run" is said only when the row is ours; unsettled at the deadline is refused, and a resubmission goes on with the same claim. Outage: refused at once, probed with back-off (under 30 calls in 30 s of 100 submissions/s). Table test: a version check of the fake now names the edit's own row, since the sweeper writes rows, too; it is as strict as before.

--- a/Makefile
+++ b/Makefile
@@ -120,6 +120,10 @@
 $(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
 $(B)/bench-cluster: $(NET)
 
+# Scripts of events that the property tests run.
+$(filter $(B)/regress/claim-%,$(TESTS_CXX)): \
+	$(call obj,$(wildcard regress/script/*.c))
+
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
 	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
--- /dev/null
+++ b/claim-commit.c
@@ -0,0 +1,415 @@
+/*
+ * Transactions of claims: many keys in one commit, within a budget of
+ * commits for the whole deployment. A commit that conflicts or whose answer
+ * is lost is settled by reading its rows back, before anything starts.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define COMMITS_OUT_MAX 4	     /* commits without answer at one time */
+#define DEPLOYMENT_COMMITS_PER_S 200 /* of claims, over all entry VMs */
+#define CHECK_MS 20		     /* span between looks at the deadlines */
+#define BACKOFF_MIN_MS 100
+#define BACKOFF_MAX_MS 5000
+
+rp_ms claim_span(struct rp_kernel *k)
+{
+	rp_ms span;
+
+	kernel_lock(k, k->node.lock);
+	span = (rp_ms)(apr_hash_count(k->node.members) + 1) * 1000 /
+	       DEPLOYMENT_COMMITS_PER_S;
+	kernel_unlock(k, k->node.lock);
+	return span > k->opt.claim_interval ? span : k->opt.claim_interval;
+}
+
+/* --- batches; the lock is held ------------------------------------------ */
+
+static void queue_add(struct rp_claims *q, struct rp_claim *c)
+{
+	c->next = NULL;
+	if (q->last)
+		q->last->next = c;
+	else
+		q->first = c;
+	q->last = c;
+	q->nqueued++;
+}
+
+static struct rp_claim *queue_take(struct rp_claims *q)
+{
+	struct rp_claim *c = q->first;
+
+	q->first = c->next;
+	if (!q->first)
+		q->last = NULL;
+	q->nqueued--;
+	return c;
+}
+
+static void batch_unlink(struct rp_claims *q, struct rp_claim_batch *b)
+{
+	struct rp_claim_batch **at = &q->batches;
+
+	while (*at != b)
+		at = &(*at)->next;
+	*at = b->next;
+}
+
+/* Takes the next claims out of the queue when it is time to commit. */
+static struct rp_claim_batch *batch_take(struct rp_kernel *k, rp_ms now,
+					 rp_ms span)
+{
+	struct rp_claims *q = &k->claims;
+	struct rp_claim_batch *b;
+	size_t max = (size_t)k->opt.claim_batch;
+
+	if (!q->first || q->commits_out >= COMMITS_OUT_MAX ||
+	    q->next_commit > now || q->closed_until > now)
+		return NULL;
+	if (max > CLAIM_BATCH_MAX)
+		max = CLAIM_BATCH_MAX;
+	b = kernel_alloc(sizeof(*b));
+	while (q->first && b->n < max)
+		b->claims[b->n++] = queue_take(q);
+	b->next = q->batches;
+	q->batches = b;
+	q->commits_out++;
+	q->next_commit = now + span;
+	q->counters.commits++;
+	return b;
+}
+
+/* The platform failed: new claims are refused for a growing span. */
+static void close_queue(struct rp_claims *q, rp_ms now)
+{
+	q->backoff = q->backoff ? 2 * q->backoff : BACKOFF_MIN_MS;
+	if (q->backoff > BACKOFF_MAX_MS)
+		q->backoff = BACKOFF_MAX_MS;
+	q->closed_until = now + random_jitter(&q->random, q->backoff);
+}
+
+static void open_queue(struct rp_claims *q)
+{
+	q->backoff = 0;
+	q->closed_until = 0;
+}
+
+/* Drops the batch's claims that are settled or overdue, keeps the rest. */
+static void batch_end(struct rp_kernel *k, struct rp_claim_batch *b)
+{
+	struct rp_claims *q = &k->claims;
+	size_t i;
+
+	kernel_lock(k, q->lock);
+	batch_unlink(q, b);
+	for (i = 0; i < b->n; i++) {
+		if (b->claims[i] && !b->claims[i]->overdue)
+			queue_add(q, b->claims[i]);
+		else
+			free(b->claims[i]);
+	}
+	kernel_unlock(k, q->lock);
+	free(b);
+}
+
+/* Forgets a claim of the batch that is settled. */
+static void batch_settled(struct rp_kernel *k, struct rp_claim_batch *b,
+			  size_t i)
+{
+	struct rp_claim *c;
+
+	kernel_lock(k, k->claims.lock);
+	c = b->claims[i];
+	b->claims[i] = NULL;
+	kernel_unlock(k, k->claims.lock);
+	free(c);
+}
+
+/* --- reading back --------------------------------------------------------- */
+
+/* Settles one claim by its row; returns 0 when the row is absent. */
+static int settle_row(struct rp_kernel *k, rp_ms now, const struct rp_claim *c,
+		      const struct rp_row *row, struct rp_actions *acts)
+{
+	struct rp_claim_row owner;
+	struct rp_status st;
+
+	if (!row->version)
+		return 0;
+	if (!claim_row_parse(row->value, &owner)) {
+		rp_status_set(&st, RP_E_INTERNAL, RP_STEP_CLAIM, "platform",
+			      "the row of the claim is malformed");
+		claim_fail(k, now, c, &st, 0, acts);
+	} else if (owner.incarnation == k->opt.incarnation &&
+		   owner.id == c->id && !strcmp(owner.vm, k->opt.vm_name)) {
+		claim_ours(k, now, c, acts);
+	} else {
+		claim_others(k, now, c, &owner, acts);
+	}
+	return 1;
+}
+
+static void read_back_done(struct rp_kernel *k, rp_ms now, void *ctx,
+			   const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct rp_claim_batch *b = ctx;
+	struct rp_claims *q = &k->claims;
+	size_t i, row = 0;
+
+	if (ev->platform.outcome != RP_PLATFORM_DONE ||
+	    ev->platform.nrows != b->n) {
+		kernel_lock(k, q->lock);
+		close_queue(q, now);
+		b->retry_at = q->closed_until;
+		kernel_unlock(k, q->lock);
+		return;
+	}
+	kernel_lock(k, q->lock);
+	open_queue(q);
+	kernel_unlock(k, q->lock);
+	for (i = 0; i < b->n; i++)
+		if (settle_row(k, now, b->claims[i], &ev->platform.rows[row++],
+			       acts))
+			batch_settled(k, b, i);
+	batch_end(k, b);
+}
+
+static void read_back(struct rp_kernel *k, rp_ms now, struct rp_claim_batch *b,
+		      struct rp_actions *acts)
+{
+	struct rp_row rows[CLAIM_BATCH_MAX] = { 0 };
+	char(*names)[CLAIM_ROW_NAME_MAX] = kernel_alloc(b->n * sizeof(*names));
+	size_t i;
+
+	for (i = 0; i < b->n; i++) {
+		struct rp_str key = { b->claims[i]->key,
+				      b->claims[i]->key_len };
+
+		claim_row_name(key, names[i]);
+		rows[i].name = str_of(names[i]);
+	}
+	kernel_lock(k, k->claims.lock);
+	b->retry_at = 0;
+	k->claims.counters.read_backs++;
+	kernel_unlock(k, k->claims.lock);
+	platform_ask(k, now, RP_PLATFORM_READ, rows, b->n, read_back_done, b,
+		     acts);
+	free(names);
+}
+
+/* --- committing ------------------------------------------------------------
+ */
+
+/* The batch surely had no effect: its new claims are refused at once. */
+static void batch_refuse(struct rp_kernel *k, rp_ms now,
+			 struct rp_claim_batch *b, struct rp_actions *acts)
+{
+	rp_ms retry_after;
+	struct rp_status st;
+	size_t i;
+
+	for (i = 0; i < b->n; i++) {
+		if (b->claims[i]->lost || b->claims[i]->overdue)
+			continue;
+		retry_after = claim_out(k, &st);
+		claim_fail(k, now, b->claims[i], &st, retry_after, acts);
+		batch_settled(k, b, i);
+	}
+	batch_end(k, b);
+}
+
+/* Notes the outcome of a commit. */
+static void commit_count(struct rp_kernel *k, rp_ms now,
+			 struct rp_claim_batch *b,
+			 enum rp_platform_outcome outcome)
+{
+	struct rp_claims *q = &k->claims;
+	size_t i;
+
+	kernel_lock(k, q->lock);
+	q->commits_out--;
+	if (outcome == RP_PLATFORM_LOST || outcome == RP_PLATFORM_NO_EFFECT)
+		close_queue(q, now);
+	else
+		open_queue(q);
+	q->counters.conflicts += outcome == RP_PLATFORM_CONFLICT;
+	if (outcome == RP_PLATFORM_LOST) {
+		q->counters.lost_commits++;
+		for (i = 0; i < b->n; i++)
+			b->claims[i]->lost = 1;
+	}
+	kernel_unlock(k, q->lock);
+}
+
+static void commit_done(struct rp_kernel *k, rp_ms now, void *ctx,
+			const struct rp_event *ev, struct rp_actions *acts)
+{
+	struct rp_claim_batch *b = ctx;
+	size_t i;
+
+	commit_count(k, now, b, ev->platform.outcome);
+	switch (ev->platform.outcome) {
+	case RP_PLATFORM_DONE:
+		for (i = 0; i < b->n; i++) {
+			claim_ours(k, now, b->claims[i], acts);
+			batch_settled(k, b, i);
+		}
+		batch_end(k, b);
+		break;
+	case RP_PLATFORM_CONFLICT:
+	case RP_PLATFORM_LOST:
+		read_back(k, now, b, acts);
+		break;
+	case RP_PLATFORM_NO_EFFECT:
+		batch_refuse(k, now, b, acts);
+		break;
+	}
+}
+
+/* Sends the batch: one row for each key, and one that lists them. */
+static void batch_commit(struct rp_kernel *k, rp_ms now,
+			 struct rp_claim_batch *b, struct rp_actions *acts)
+{
+	struct rp_row rows[CLAIM_BATCH_MAX + 1] = { 0 };
+	struct rp_text *texts = kernel_alloc((b->n + 1) * sizeof(*texts));
+	char(*names)[CLAIM_ROW_NAME_MAX] =
+		kernel_alloc((b->n + 1) * sizeof(*names));
+	struct rp_text *index = &texts[b->n];
+	rp_ms expires = 0;
+	size_t i;
+
+	for (i = 0; i < b->n; i++) {
+		const struct rp_claim *c = b->claims[i];
+		struct rp_str key = { c->key, c->key_len };
+
+		claim_row_name(key, names[i]);
+		claim_row_format(k, c, &texts[i]);
+		text_printf(index, "%s\n", names[i]);
+		if (c->expires > expires)
+			expires = c->expires;
+	}
+	kernel_lock(k, k->claims.lock);
+	claim_index_name(k, expires, names[b->n], CLAIM_ROW_NAME_MAX);
+	kernel_unlock(k, k->claims.lock);
+	for (i = 0; i <= b->n; i++) {
+		rows[i].name = str_of(names[i]);
+		rows[i].value.ptr = texts[i].data;
+		rows[i].value.len = texts[i].len;
+	}
+	platform_ask(k, now, RP_PLATFORM_COMMIT, rows, b->n + 1, commit_done, b,
+		     acts);
+	for (i = 0; i <= b->n; i++)
+		text_finish(&texts[i]);
+	free(texts);
+	free(names);
+}
+
+/* --- deadlines --------------------------------------------------------------
+ */
+
+/* Takes the overdue claims out of the queue; the lock is held. */
+static struct rp_claim *queue_overdue(struct rp_claims *q, rp_ms now)
+{
+	struct rp_claim **at = &q->first, *list = NULL, *c;
+
+	q->last = NULL;
+	while ((c = *at)) {
+		if (c->deadline > now) {
+			q->last = c;
+			at = &c->next;
+			continue;
+		}
+		*at = c->next;
+		q->nqueued--;
+		c->next = list;
+		list = c;
+	}
+	return list;
+}
+
+/* Copies the overdue claims of the batches, whose rows may yet appear. */
+static struct rp_claim *batches_overdue(struct rp_claims *q, rp_ms now,
+					struct rp_claim *list)
+{
+	struct rp_claim_batch *b;
+	size_t i;
+
+	for (b = q->batches; b; b = b->next) {
+		for (i = 0; i < b->n; i++) {
+			struct rp_claim *c = b->claims[i], *copy;
+
+			if (!c || c->overdue || c->deadline > now)
+				continue;
+			c->overdue = 1;
+			copy = kernel_alloc(sizeof(*copy));
+			*copy = *c;
+			copy->lost = 1;
+			copy->next = list;
+			list = copy;
+		}
+	}
+	return list;
+}
+
+/* Refuses the callers whose deadline passed before the claim was settled. */
+static void refuse_overdue(struct rp_kernel *k, rp_ms now,
+			   struct rp_actions *acts)
+{
+	struct rp_claims *q = &k->claims;
+	struct rp_claim *list = NULL, *c;
+	struct rp_status st;
+
+	rp_status_set(&st, RP_E_DEADLINE, RP_STEP_CLAIM, "platform",
+		      "deadline passed before the claim was settled; this "
+		      "call started nothing");
+	kernel_lock(k, q->lock);
+	if (q->next_check <= now) {
+		q->next_check = now + CHECK_MS;
+		list = queue_overdue(q, now);
+		list = batches_overdue(q, now, list);
+	}
+	for (c = list; c; c = c->next)
+		q->counters.overdue++;
+	kernel_unlock(k, q->lock);
+	while ((c = list)) {
+		list = c->next;
+		claim_fail(k, now, c, &st, 0, acts);
+		free(c);
+	}
+}
+
+/* The batch whose rows are to be read again now, or NULL. */
+static struct rp_claim_batch *batch_due(struct rp_kernel *k, rp_ms now)
+{
+	struct rp_claims *q = &k->claims;
+	struct rp_claim_batch *b;
+
+	kernel_lock(k, q->lock);
+	for (b = q->batches; b; b = b->next)
+		if (b->retry_at && b->retry_at <= now)
+			break;
+	if (b)
+		b->retry_at = 0;
+	kernel_unlock(k, q->lock);
+	return b;
+}
+
+void claim_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
+{
+	rp_ms span = claim_span(k);
+	struct rp_claim_batch *b;
+
+	refuse_overdue(k, now, acts);
+	while ((b = batch_due(k, now)))
+		read_back(k, now, b, acts);
+	kernel_lock(k, k->claims.lock);
+	b = batch_take(k, now, span);
+	kernel_unlock(k, k->claims.lock);
+	if (b)
+		batch_commit(k, now, b, acts);
+	claim_sweep(k, now, acts);
+}
--- a/claim-submit.c
+++ b/claim-submit.c
@@ -1,21 +1,120 @@
-/* Claims of the callers' own keys in the platform's table. */
+/* Submissions under a caller's own key: into the queue of claims. */
 
 #include "rosemary-int.h"
 
-void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
-		  struct rp_submission *sub, struct rp_actions *acts)
+#include <stdlib.h>
+#include <string.h>
+
+#define CLAIMS_MAX 8192 /* keys waiting to be claimed */
+
+/* When to come back after a refusal for want of room, ms. */
+#define RETRY_AFTER_FULL_MS 1000
+
+/*
+ * Span by which a row outlives the owner's record, ms. It covers clocks
+ * that differ between the entry VMs.
+ */
+#define ROW_MARGIN_MS 60000
+
+/* Mean span from the start to the first sweep, ms. */
+#define SWEEP_FIRST_MS 5000
+
+void claim_init(struct rp_kernel *k, rp_ms now)
 {
-	struct rp_status st;
+	struct rp_claims *q = &k->claims;
+
+	q->lock = kernel_lock_new(k);
+	q->random = k->opt.seed * 7 + k->opt.incarnation;
+	q->sweep_due = now + random_jitter(&q->random, SWEEP_FIRST_MS);
+}
+
+void claim_finish(struct rp_kernel *k)
+{
+	struct rp_claims *q = &k->claims;
+	struct rp_claim_batch *b;
+	struct rp_claim *c;
+	size_t i;
+
+	while ((c = q->first)) {
+		q->first = c->next;
+		free(c);
+	}
+	while ((b = q->batches)) {
+		q->batches = b->next;
+		for (i = 0; i < b->n; i++)
+			free(b->claims[i]);
+		free(b);
+	}
+	claim_sweep_finish(k);
+	kernel_lock_free(k, q->lock);
+}
 
-	(void)sub;
-	rp_status_set(&st, RP_E_PLATFORM, RP_STEP_CLAIM, "platform",
-		      "the key cannot be claimed; use an issued key");
-	record_finish(s, r, now, answer_status(RP_NOT_RUN, &st, 0), acts);
+int claim_pending(struct rp_kernel *k)
+{
+	int pending;
+
+	kernel_lock(k, k->claims.lock);
+	pending = k->claims.first || k->claims.batches;
+	kernel_unlock(k, k->claims.lock);
+	return pending;
+}
+
+static struct rp_claim *claim_new(struct rp_kernel *k,
+				  const struct rp_record *r)
+{
+	struct rp_claim *c = kernel_alloc(sizeof(*c));
+
+	memcpy(c->key, r->key, sizeof(c->key));
+	c->key_len = r->key_len;
+	c->digest = r->digest;
+	c->id = r->claim_id;
+	c->deadline = r->deadline;
+	c->expires = r->expires + k->opt.wall_offset + ROW_MARGIN_MS;
+	return c;
+}
+
+/* Puts the record's key into the queue; 0 when it is full or closed. */
+static int claim_queue(struct rp_kernel *k, struct rp_record *r, rp_ms now,
+		       int *closed)
+{
+	struct rp_claims *q = &k->claims;
+	struct rp_claim *c = NULL;
+	/* An earlier claim of this record was not settled. */
+	int again = r->claim_id != 0;
+
+	kernel_lock(k, q->lock);
+	*closed = q->closed_until > now;
+	if (!*closed && q->nqueued < CLAIMS_MAX) {
+		if (!r->claim_id)
+			r->claim_id = ++q->next_id;
+		c = claim_new(k, r);
+		c->lost = again;
+		if (q->last)
+			q->last->next = c;
+		else
+			q->first = c;
+		q->last = c;
+		q->nqueued++;
+	}
+	kernel_unlock(k, q->lock);
+	return c != NULL;
 }
 
-void claim_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts)
+void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
+		  struct rp_submission *sub, struct rp_actions *acts)
 {
-	(void)s;
-	(void)now;
-	(void)acts;
+	rp_ms retry_after = RETRY_AFTER_FULL_MS;
+	int closed, keep = r->claim_id != 0;
+	struct rp_status st;
+
+	r->phase = RP_RECORD_CLAIMING;
+	r->sub = rp_submission_ref(sub);
+	if (claim_queue(s->k, r, now, &closed))
+		return;
+	if (closed)
+		retry_after = claim_out(s->k, &st);
+	else
+		rp_status_set(&st, RP_E_FULL, RP_STEP_CLAIM, "",
+			      "too many keys wait to be claimed");
+	claim_refuse(s, r, now, &st, retry_after, keep, acts);
 }
--- a/drain-stop.c
+++ b/drain-stop.c
@@ -32,7 +32,7 @@
 	struct rp_trace_about about = { .task = -1 };
 
 	if (!atomic_load(&k->draining) || atomic_load(&k->draining) > 1 ||
-	    has_jobs(k))
+	    has_jobs(k) || claim_pending(k))
 		return;
 	atomic_store(&k->draining, 2);
 	trace_event(k, now, RP_TRACE_DRAIN, &about, "finished");
--- a/kernel-core.c
+++ b/kernel-core.c
@@ -128,6 +128,7 @@
 	apr_pool_create(&k->pool, NULL);
 	trace_init(k);
 	table_init(k, now);
+	claim_init(k, now);
 	for (i = 0; i < RP_SUB_SHARDS; i++)
 		sub_init(k, i);
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++)
@@ -140,12 +141,14 @@
 {
 	unsigned i;
 
+	platform_finish(k);
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++)
 		dispatch_finish(&k->dispatch[i]);
 	for (i = 0; i < RP_SUB_SHARDS; i++)
 		sub_finish(&k->subs[i]);
 	member_finish(k);
 	table_finish(k);
+	claim_finish(k);
 	trace_finish(k);
 	apr_pool_destroy(k->pool);
 	apr_terminate();
@@ -158,9 +161,10 @@
 	for (i = 0; i < RP_DISPATCH_SHARDS; i++)
 		dispatch_tick(&k->dispatch[i], now, acts);
 	for (i = 0; i < RP_SUB_SHARDS; i++)
-		sub_tick(&k->subs[i], now, acts);
+		sub_tick(&k->subs[i], now);
 	member_tick(k, now, acts);
 	table_tick(k, now, acts);
+	claim_tick(k, now, acts);
 	platform_tick(k, now, acts);
 	drain_tick(k, now, acts);
 }
--- a/kernel-platform.c
+++ b/kernel-platform.c
@@ -115,3 +115,17 @@
 	while ((ev.platform.ask_id = overdue_ask(k, now)))
 		platform_reply(k, now, &ev, acts);
 }
+
+void platform_finish(struct rp_kernel *k)
+{
+	struct rp_event ev = {
+		.type = RP_EVENT_PLATFORM_REPLY,
+		.platform.outcome = RP_PLATFORM_LOST,
+	};
+	struct rp_actions acts;
+
+	rp_actions_init(&acts);
+	while ((ev.platform.ask_id = overdue_ask(k, INT64_MAX)))
+		rp_kernel_event(k, 0, &ev, &acts);
+	rp_actions_finish(&acts);
+}
--- a/kernel-report.c
+++ b/kernel-report.c
@@ -103,6 +103,7 @@
 	write_counter(w, "relays_waiting", apr_hash_count(k->node.relays));
 	kernel_unlock(k, k->node.lock);
 	table_metrics(k, w);
+	claim_metrics(k, w);
 }
 
 static void write_target(struct rp_writer *w, const struct rp_target *t)
--- /dev/null
+++ b/regress/claim-submit.c
@@ -0,0 +1,332 @@
+/* Claims of callers' own keys: start authority, faults and sweeping. */
+
+#include <criterion/criterion.h>
+
+#include "many.h"
+
+/* The key's claim row in the platform's table, or NULL. */
+static const struct fake_cell *claim_cell(struct many *m, const char *key)
+{
+	char name[CLAIM_ROW_NAME_MAX];
+
+	claim_row_name(str_of(key), name);
+	return fake_find(&m->p, str_of(name));
+}
+
+Test(claim, nothing_starts_before_the_row_is_ours)
+{
+	struct many m;
+
+	many_init(&m, 1, 1);
+	many_claim(&m, 0, 1, "booking 7", "x", 5000, 1);
+	cr_assert_eq(m.nstarts, 0);
+	many_run(&m, 100);
+	cr_assert_not_null(claim_cell(&m, "booking 7"));
+	cr_assert_eq(m.nstarts, 1);
+	many_done(&m, 0);
+	cr_assert_eq(many_find(&m, 1)->state, RP_COMPLETE);
+	many_finish(&m);
+}
+
+Test(claim, same_key_at_two_entry_vms_starts_once)
+{
+	struct many m;
+
+	many_init(&m, 2, 2);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_claim(&m, 1, 2, "k", "x", 5000, 1);
+	many_run(&m, 200);
+	cr_assert_eq(m.nstarts, 1);
+	many_done(&m, 0);
+	many_run(&m, 200);
+	cr_assert_eq(many_find(&m, 1)->state, RP_COMPLETE);
+	cr_assert_eq(many_find(&m, 2)->state, RP_COMPLETE);
+	many_finish(&m);
+}
+
+Test(claim, different_body_is_a_conflict_everywhere)
+{
+	struct many m;
+
+	many_init(&m, 2, 3);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_run(&m, 100);
+	many_claim(&m, 0, 2, "k", "y", 5000, 1);
+	many_claim(&m, 1, 3, "k", "y", 5000, 1);
+	many_run(&m, 200);
+	cr_assert_eq(many_find(&m, 2)->status.code, RP_E_CONFLICT);
+	cr_assert_eq(many_find(&m, 3)->status.code, RP_E_CONFLICT);
+	cr_assert_eq(m.nstarts, 1);
+	many_finish(&m);
+}
+
+Test(claim, one_taken_key_does_not_fail_the_batch)
+{
+	char key[16];
+	struct many m;
+	int i;
+
+	many_init(&m, 2, 4);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 100, "k3", "x", 5000, 1);
+	many_run(&m, 100);
+	for (i = 0; i < 8; i++) {
+		snprintf(key, sizeof(key), "k%d", i);
+		many_claim(&m, 1, (rp_token)i + 1, key, "x", 5000, 1);
+	}
+	many_run(&m, 200);
+	cr_assert_eq(m.nstarts, 8);
+	for (i = 0; i < 8; i++)
+		many_done(&m, (size_t)i);
+	many_run(&m, 200);
+	for (i = 0; i < 8; i++)
+		cr_assert_eq(many_find(&m, (rp_token)i + 1)->state,
+			     RP_COMPLETE);
+	many_finish(&m);
+}
+
+Test(claim, many_keys_go_in_few_commits)
+{
+	char key[16];
+	struct many m;
+	int i;
+
+	many_init(&m, 1, 5);
+	many_run(&m, 100);
+	m.p.commits = 0;
+	for (i = 0; i < 640; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		many_claim(&m, 0, (rp_token)i + 1, key, "x", 5000, 1);
+	}
+	many_run(&m, 400);
+	cr_assert_eq(m.nstarts, 640);
+	cr_assert_leq(m.p.commits, 11);
+	many_finish(&m);
+}
+
+Test(claim, lost_answer_is_read_back_and_starts_once)
+{
+	struct many m;
+
+	many_init(&m, 1, 6);
+	many_run(&m, 100);
+	m.p.lost_percent = 100;
+	many_claim(&m, 0, 1, "k", "x", 20000, 1);
+	many_run(&m, 50);
+	cr_assert_not_null(claim_cell(&m, "k"));
+	m.p.lost_percent = 0;
+	cr_assert_eq(m.nstarts, 0);
+	many_run(&m, 5000);
+	cr_assert_eq(m.nstarts, 1);
+	many_finish(&m);
+}
+
+Test(claim, outage_is_refused_at_once_and_opens_again)
+{
+	struct many_reply *r;
+	struct many m;
+
+	many_init(&m, 1, 7);
+	m.p.outage = 1;
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_run(&m, 100);
+	r = many_find(&m, 1);
+	cr_assert_eq(r->state, RP_REFUSED);
+	cr_assert_eq(r->status.code, RP_E_PLATFORM);
+	m.p.outage = 0;
+	many_run(&m, 10000);
+	cr_assert_eq(m.nstarts, 0);
+	many_claim(&m, 0, 2, "k", "x", 5000, 1);
+	many_run(&m, 100);
+	cr_assert_eq(m.nstarts, 1);
+	many_finish(&m);
+}
+
+/* During an outage no more than one commit per span of back-off goes out. */
+Test(claim, outage_is_probed_with_back_off)
+{
+	uint64_t calls;
+	char key[16];
+	struct many m;
+	int i;
+
+	many_init(&m, 1, 8);
+	m.opt[0].table_poll = 0;
+	many_kill(&m, 0);
+	many_boot(&m, 0, 2);
+	m.p.outage = 1;
+	many_run(&m, 100);
+	calls = m.p.calls_total;
+	for (i = 0; i < 3000; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		many_claim(&m, 0, (rp_token)i + 1, key, "x", 5000, 1);
+		many_run(&m, 10);
+	}
+	cr_assert_eq(m.nreplies, 3000);
+	cr_assert_lt(m.p.calls_total - calls, 30);
+	many_finish(&m);
+}
+
+/* Unsettled at the deadline: refused, and the key is not said "not run". */
+Test(claim, unsettled_at_the_deadline_claims_neither_way)
+{
+	struct many_reply *r;
+	struct many m;
+
+	many_init(&m, 1, 9);
+	many_run(&m, 100);
+	m.p.lost_percent = 100;
+	many_claim(&m, 0, 1, "k", "x", 3000, 1);
+	many_run(&m, 3200);
+	r = many_find(&m, 1);
+	cr_assert_eq(r->state, RP_REFUSED);
+	cr_assert_eq(r->status.code, RP_E_DEADLINE);
+	cr_assert_eq(m.nstarts, 0);
+	many_call(&m, 0, 2, RP_EVENT_QUERY, "k", 1);
+	cr_assert_eq(many_find(&m, 2)->state, RP_REFUSED);
+	m.p.lost_percent = 0;
+	many_run(&m, 10000);
+	cr_assert_eq(m.nstarts, 0);
+	many_claim(&m, 0, 3, "k", "x", 5000, 1);
+	many_run(&m, 500);
+	cr_assert_eq(m.nstarts, 1);
+	many_done(&m, 0);
+	cr_assert_eq(many_find(&m, 3)->state, RP_COMPLETE);
+	many_finish(&m);
+}
+
+/* Ours, but too late: it is not run and nobody else can run it. */
+Test(claim, settled_after_the_deadline_is_not_run)
+{
+	struct many m;
+
+	many_init(&m, 2, 10);
+	many_run(&m, 3000);
+	m.p.delay = 400;
+	many_claim(&m, 0, 1, "k", "x", 500, 1);
+	many_run(&m, 495);
+	cr_assert_null(many_find(&m, 1));
+	many_run(&m, 5000);
+	cr_assert_eq(many_find(&m, 1)->state, RP_REFUSED);
+	cr_assert_eq(m.nstarts, 0);
+	many_finish(&m);
+}
+
+Test(claim, cancelled_while_it_is_claimed_does_not_start)
+{
+	struct many m;
+
+	many_init(&m, 1, 11);
+	many_run(&m, 100);
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_call(&m, 0, 2, RP_EVENT_CANCEL, "k", 0);
+	many_run(&m, 200);
+	cr_assert_eq(m.nstarts, 0);
+	cr_assert_eq(many_find(&m, 1)->state, RP_NOT_RUN);
+	cr_assert_eq(many_find(&m, 2)->status.code, RP_E_CANCELLED);
+	many_finish(&m);
+}
+
+Test(claim, who_does_not_wait_is_told_once_it_is_claimed)
+{
+	struct many m;
+
+	many_init(&m, 1, 12);
+	many_run(&m, 100);
+	many_claim(&m, 0, 1, "k", "x", 5000, 0);
+	cr_assert_null(many_find(&m, 1));
+	many_run(&m, 100);
+	cr_assert_eq(many_find(&m, 1)->state, RP_RUNNING);
+	many_finish(&m);
+}
+
+Test(claim, query_at_another_entry_vm_finds_the_owner)
+{
+	struct many m;
+
+	many_init(&m, 2, 13);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_run(&m, 100);
+	many_done(&m, 0);
+	many_call(&m, 1, 2, RP_EVENT_QUERY, "k", 1);
+	many_call(&m, 1, 3, RP_EVENT_QUERY, "other", 1);
+	many_run(&m, 200);
+	cr_assert_eq(many_find(&m, 2)->state, RP_COMPLETE);
+	cr_assert_eq(many_find(&m, 3)->status.code, RP_E_UNKNOWN_KEY);
+	many_finish(&m);
+}
+
+/* The owner restarts: what it may have run is not run again. */
+Test(claim, owner_gone_may_have_run)
+{
+	struct many m;
+
+	many_init(&m, 2, 14);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 1, "k", "x", 5000, 1);
+	many_run(&m, 100);
+	many_kill(&m, 0);
+	many_boot(&m, 0, 2);
+	many_run(&m, 3000);
+	many_claim(&m, 0, 2, "k", "x", 5000, 1);
+	many_claim(&m, 1, 3, "k", "x", 5000, 1);
+	many_run(&m, 6000);
+	cr_assert_eq(m.nstarts, 1);
+	cr_assert_eq(many_find(&m, 2)->state, RP_FAILED);
+	cr_assert_eq(many_find(&m, 2)->status.code, RP_E_GONE);
+	cr_assert_eq(many_find(&m, 2)->may_have_run, 1);
+	cr_assert_eq(many_find(&m, 3)->state, RP_FAILED);
+	many_finish(&m);
+}
+
+Test(claim, issued_keys_form_is_refused_as_a_callers_key)
+{
+	struct test_kernel t;
+	char key[RP_KEY_MAX];
+	struct many m;
+
+	test_init(&t, 1);
+	test_key(&t, key);
+	test_finish(&t);
+	many_init(&m, 1, 15);
+	many_claim(&m, 0, 1, key, "x", 5000, 1);
+	cr_assert_eq(many_find(&m, 1)->status.code, RP_E_INPUT);
+	many_finish(&m);
+}
+
+/* Rows of claims, also of an owner that is gone, are removed in time. */
+Test(claim, expired_rows_are_swept_within_a_bound)
+{
+	uint64_t writes;
+	char key[16];
+	struct many m;
+	int i;
+
+	many_init(&m, 2, 16);
+	for (i = 0; i < 2; i++) {
+		m.opt[i].key_lifetime = 20000;
+		m.opt[i].max_timeout = 10000;
+		many_kill(&m, i);
+		many_boot(&m, i, 2);
+	}
+	many_run(&m, 20000);
+	for (i = 0; i < 500; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		many_claim(&m, 0, (rp_token)i + 1, key, "x", 5000, 1);
+		many_run(&m, 10);
+	}
+	many_run(&m, 200);
+	many_kill(&m, 0);
+	cr_assert_gt(m.p.ncells, 500);
+	writes = m.p.commits;
+	many_run(&m, 300000);
+	cr_assert_leq(m.p.ncells, 1);
+	writes = m.p.commits - writes;
+	cr_assert_lt(writes, 5 * 300);
+	cr_assert_eq(m.k[1]->claims.counters.swept, 500, "%d",
+		     (int)m.k[1]->claims.counters.swept);
+	many_finish(&m);
+}
--- a/regress/many.h
+++ b/regress/many.h
@@ -17,6 +17,7 @@
 	struct rp_status status;
 	enum rp_state state; /* of an answer */
 	int may_have_run;
+	size_t nresults;
 	int64_t version; /* of an edit */
 	size_t nconflicts;
 	struct rp_cell conflict; /* the first */
@@ -27,6 +28,8 @@
 	uint64_t start_id;
 	char task_id[RP_KEY_MAX + 32];
 	char key[RP_KEY_MAX];
+	size_t task;
+	uint64_t incarnation;
 };
 
 /* A message on its way between two nodes. */
@@ -92,6 +95,8 @@
 	s->start_id = a->start.start_id;
 	memcpy(s->task_id, a->start.task_id, sizeof(s->task_id));
 	str_copy(s->key, sizeof(s->key), a->start.sub->key);
+	s->task = a->start.task;
+	s->incarnation = m->opt[node].incarnation;
 }
 
 /* Puts a message between nodes on its way. */
@@ -154,6 +159,7 @@
 			r->status = a->answer.answer->status;
 			r->state = a->answer.answer->state;
 			r->may_have_run = a->answer.answer->may_have_run;
+			r->nresults = a->answer.answer->nresults;
 			break;
 		case RP_ACTION_PEER:
 			many_send(m, node, a);
@@ -193,6 +199,12 @@
 
 static inline void many_kill(struct many *m, int node)
 {
+	struct fake_call *c;
+
+	/* What was asked may still take effect, but nobody hears of it. */
+	for (c = m->p.calls; c; c = c->next)
+		if (c->node == node)
+			c->answer_at = -1;
 	rp_kernel_finish(m->k[node]);
 	free(m->k[node]);
 	m->k[node] = NULL;
@@ -292,6 +304,74 @@
 	return found;
 }
 
+/* Submits a job of one task under the caller's own key. */
+static inline void many_claim(struct many *m, int node, rp_token token,
+			      const char *key, const char *payload,
+			      rp_ms timeout, int wait)
+{
+	struct rp_task_spec task = { str_of("id"), str_of(payload) };
+	struct rp_submission_spec spec = {
+		.key = str_of(key),
+		.key_is_callers = 1,
+		.service = str_of("desk"),
+		.team = str_of("team"),
+		.timeout = timeout,
+		.ntasks = 1,
+		.tasks = &task,
+	};
+	struct rp_event ev = { .type = RP_EVENT_SUBMIT, .token = token };
+
+	ev.submit.sub = rp_submission_new(&spec);
+	ev.submit.wait = wait;
+	many_event(m, node, &ev);
+	rp_submission_unref(ev.submit.sub);
+}
+
+/* Queries or cancels a key. */
+static inline void many_call(struct many *m, int node, rp_token token,
+			     enum rp_event_type type, const char *key, int wait)
+{
+	struct rp_event ev = { .type = type, .token = token };
+
+	if (type == RP_EVENT_CANCEL) {
+		ev.cancel.key = str_of(key);
+	} else {
+		ev.query.key = str_of(key);
+		ev.query.wait = wait;
+	}
+	many_event(m, node, &ev);
+}
+
+/* Ends a start; a node that has restarted since hears nothing of it. */
+static inline void many_end(struct many *m, size_t start,
+			    enum rp_start_outcome outcome)
+{
+	struct rp_event ev = { .type = RP_EVENT_TARGET_REPLY };
+	int node = m->starts[start].node;
+
+	if (m->starts[start].incarnation != m->opt[node].incarnation)
+		return;
+	ev.reply.start_id = m->starts[start].start_id;
+	ev.reply.outcome = outcome;
+	ev.reply.body = rp_blob_new("r", 1);
+	many_event(m, node, &ev);
+	rp_blob_unref(ev.reply.body);
+}
+
+static inline void many_done(struct many *m, size_t start)
+{
+	many_end(m, start, RP_START_DONE);
+}
+
+static inline size_t many_starts(const struct many *m, const char *key)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < m->nstarts; i++)
+		n += !strcmp(m->starts[i].key, key);
+	return n;
+}
+
 static inline void many_edit(struct many *m, int node, rp_token token,
 			     const char *id, int64_t base,
 			     const struct rp_cell *cells, size_t n)
--- a/regress/table-edit.c
+++ b/regress/table-edit.c
@@ -17,6 +17,19 @@
 	return many_find(m, token);
 }
 
+/* Lets the time go on until the commit of an edit is out. */
+static struct fake_call *await_commit(struct many *m)
+{
+	struct fake_call *c;
+
+	for (;; many_run(m, 1))
+		for (c = m->p.calls; c; c = c->next)
+			if (c->asked.platform.op == RP_PLATFORM_COMMIT &&
+			    str_eq(c->asked.platform.rows[0].name,
+				   str_of(TABLE_VERSION_ROW)))
+				return c;
+}
+
 Test(edit, is_in_force_where_it_was_made_and_then_everywhere)
 {
 	struct many_reply *r;
@@ -148,24 +161,25 @@
 Test(edit, lost_answer_is_settled_by_the_edits_own_id)
 {
 	struct rp_cell c = many_cell("target-0", 50, 4);
+	struct fake_call *call;
 	struct many_reply *r;
 	struct many m;
 
 	many_init(&m, 2, 6);
 	many_edit(&m, 0, 1, "e1", 0, &c, 1);
-	many_run(&m, 4); /* the read has been answered, the commit is out */
-	m.p.calls->lost = 1;
-	m.p.lost_percent = 0;
-	while (m.p.calls && m.p.calls->asked.platform.op != RP_PLATFORM_COMMIT)
-		many_run(&m, 1);
-	m.p.calls->lost = 1;
-	m.p.calls->answer_at = m.now + 2000;
+	call = await_commit(&m);
+	call->lost = 1;
+	call->answer_at = m.now + 2000;
 	many_run(&m, 8000);
 	r = many_find(&m, 1);
 	cr_assert_eq(r->status.code, RP_OK);
 	cr_assert_eq(r->version, 1);
 	cr_assert_eq(table_version(m.k[1]), 1);
-	cr_assert_eq(m.p.last_version, 1);
+	cr_assert_eq(strncmp(fake_find(&m.p, str_of(TABLE_VERSION_ROW))->value,
+			     "1\te1\t", 5),
+		     0);
+	cr_assert_null(fake_find(&m.p, str_of(TABLE_EDIT_PREFIX "00000000000000"
+								"000002")));
 	many_finish(&m);
 }
 
@@ -188,16 +202,16 @@
 Test(edit, that_cannot_be_settled_is_called_unsettled)
 {
 	struct rp_cell c = many_cell("target-0", 50, 4);
+	struct fake_call *call;
 	struct many_reply *r;
 	struct many m;
 
 	many_init(&m, 1, 8);
 	many_edit(&m, 0, 1, "e1", 0, &c, 1);
-	while (!m.p.calls || m.p.calls->asked.platform.op != RP_PLATFORM_COMMIT)
-		many_run(&m, 1);
-	m.p.calls->lost = 1;
-	m.p.calls->effect_at = m.now + 30000; /* late by far */
-	m.p.calls->answer_at = m.now + 2000;
+	call = await_commit(&m);
+	call->lost = 1;
+	call->effect_at = m.now + 30000; /* late by far */
+	call->answer_at = m.now + 2000;
 	many_run(&m, 1);
 	m.p.silent = 1;
 	many_run(&m, 14000);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -354,7 +354,8 @@
 /* --- submissions ----------------------------------------------------- */
 
 enum rp_record_phase {
-	RP_RECORD_CLAIMING, /* the caller's own key is being claimed */
+	RP_RECORD_CLAIMING,  /* the caller's own key is being claimed */
+	RP_RECORD_UNCLAIMED, /* the claim is unsettled, its callers refused */
 	RP_RECORD_RUNNING,
 	RP_RECORD_FINAL,
 };
@@ -364,6 +365,8 @@
 	rp_token token;
 	char peer[RP_NAME_MAX]; /* "" for a caller of this entry VM */
 	uint64_t relay_id;
+	int until_claimed; /* does not wait for the end of a claimed key */
+	int is_cancel;
 	struct rp_waiter *next;
 };
 
@@ -372,6 +375,8 @@
 	size_t key_len;
 	uint64_t digest;
 	enum rp_record_phase phase;
+	uint64_t claim_id; /* 0: the key was never to be claimed */
+	int cancelled;	   /* while the key is being claimed */
 	uint64_t job_id;
 	char service[RP_NAME_MAX];
 	struct rp_submission *sub; /* until it is handed to a job */
@@ -595,6 +600,7 @@
 };
 
 #include "table.h"
+#include "claim.h"
 
 struct rp_kernel {
 	struct rp_options opt;
@@ -603,6 +609,7 @@
 	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
 	struct rp_node node;
 	struct rp_table table;
+	struct rp_claims claims;
 	struct rp_trace trace;
 	atomic_ullong next_key;
 	atomic_int draining;
@@ -640,6 +647,8 @@
 void platform_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		    struct rp_actions *acts);
 void platform_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Ends all calls as lost, so that what waits for them is freed. */
+void platform_finish(struct rp_kernel *k);
 
 /* sub-key.c */
 void key_format(const struct rp_kernel *k, const struct rp_key *key,
@@ -665,9 +674,11 @@
 void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
 		   struct rp_answer *a, struct rp_actions *acts);
 void record_expire(struct rp_sub_shard *s, rp_ms now);
+/* Drops a record that nothing started for and nobody waits for. */
+void record_forget(struct rp_sub_shard *s, struct rp_record *r);
 
 /* The following take the shard's lock. */
-void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
+void sub_tick(struct rp_sub_shard *s, rp_ms now);
 
 /* sub-submit.c; no lock is held. */
 void sub_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
@@ -691,11 +702,6 @@
 struct rp_answer *answer_status(enum rp_state state, const struct rp_status *st,
 				rp_ms retry_after);
 
-/* claim-submit.c: the caller's own keys; the shard's lock is held. */
-void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
-		  struct rp_submission *sub, struct rp_actions *acts);
-void claim_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
-
 /* relay-call.c: calls for keys that another incarnation owns. */
 void relay_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
 		  const struct rp_key *key, int wait, const struct rp_waiter *w,
--- a/sub-record.c
+++ b/sub-record.c
@@ -57,7 +57,7 @@
 	}
 }
 
-static void record_free(struct rp_sub_shard *s, struct rp_record *r)
+void record_forget(struct rp_sub_shard *s, struct rp_record *r)
 {
 	apr_hash_set(s->records, r->key, (apr_ssize_t)r->key_len, NULL);
 	age_unlink(s, r);
@@ -73,7 +73,7 @@
 void sub_finish(struct rp_sub_shard *s)
 {
 	while (s->by_age.first)
-		record_free(s, s->by_age.first);
+		record_forget(s, s->by_age.first);
 	kernel_lock_free(s->k, s->lock);
 }
 
@@ -184,6 +184,6 @@
 	struct rp_record *r;
 
 	while ((r = s->by_age.first) && r->expires <= now &&
-	       r->phase == RP_RECORD_FINAL)
-		record_free(s, r);
+	       (r->phase == RP_RECORD_FINAL || r->phase == RP_RECORD_UNCLAIMED))
+		record_forget(s, r);
 }
--- a/sub-submit.c
+++ b/sub-submit.c
@@ -50,6 +50,12 @@
 {
 	struct rp_status st = { 0 };
 
+	if (r->phase == RP_RECORD_UNCLAIMED) {
+		rp_status_set(&st, RP_E_PLATFORM, RP_STEP_CLAIM, "platform",
+			      "the claim of the key is not settled; nothing "
+			      "was started here");
+		return answer_status(RP_REFUSED, &st, RETRY_AFTER_FULL_MS);
+	}
 	if (r->phase != RP_RECORD_FINAL)
 		return answer_status(RP_RUNNING, &st, 0);
 	if (r->answer)
@@ -65,15 +71,41 @@
 			int wait, const struct rp_waiter *w,
 			struct rp_actions *acts)
 {
-	if (wait && r->phase != RP_RECORD_FINAL)
+	struct rp_waiter claimed = *w;
+
+	claimed.until_claimed = !wait;
+	if (r->phase == RP_RECORD_CLAIMING)
+		record_wait(r, &claimed);
+	else if (wait && r->phase == RP_RECORD_RUNNING)
 		record_wait(r, w);
 	else
 		sub_answer(s->k, now, w, record_answer(r), acts);
 }
 
+/* Goes on with a claim that was not settled, for a new deadline. */
+static void submit_unclaimed(struct rp_sub_shard *s, struct rp_record *r,
+			     rp_ms now, struct rp_submission *sub, int wait,
+			     const struct rp_waiter *w, struct rp_actions *acts)
+{
+	struct rp_waiter claimed = *w;
+	struct rp_status st;
+
+	/* The record must outlive whatever it still starts. */
+	if (r->received_at + s->k->opt.key_lifetime <= now) {
+		rp_status_set(&st, RP_E_EXPIRED, RP_STEP_CLAIM, "",
+			      "key: has expired");
+		answer_refused(s->k, now, w, &st, 0, acts);
+		return;
+	}
+	claimed.until_claimed = !wait;
+	record_wait(r, &claimed);
+	r->deadline = now + sub->timeout;
+	claim_submit(s, r, now, sub, acts);
+}
+
 /* A key that an earlier submission used: join it, or tell of a conflict. */
 static void submit_again(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
-			 const struct rp_submission *sub, int wait,
+			 struct rp_submission *sub, int wait,
 			 const struct rp_waiter *w, struct rp_actions *acts)
 {
 	struct rp_status st;
@@ -86,6 +118,10 @@
 		return;
 	}
 	s->counters.joined++;
+	if (r->phase == RP_RECORD_UNCLAIMED) {
+		submit_unclaimed(s, r, now, sub, wait, w, acts);
+		return;
+	}
 	record_join(s, r, now, wait, w, acts);
 }
 
@@ -119,6 +155,7 @@
 {
 	struct rp_status st = { 0 };
 	struct rp_record *r = record_add(s, sub, now);
+	struct rp_waiter claimed = *w;
 
 	if (!r) {
 		rp_status_set(&st, RP_E_FULL, RP_STEP_ADMIT, "",
@@ -127,15 +164,18 @@
 		return;
 	}
 	s->counters.submitted++;
+	if (sub->key_is_callers) {
+		claimed.until_claimed = !wait;
+		record_wait(r, &claimed);
+		claim_submit(s, r, now, sub, acts);
+		return;
+	}
 	if (wait)
 		record_wait(r, w);
 	else
 		sub_answer(s->k, now, w, answer_status(RP_RUNNING, &st, 0),
 			   acts);
-	if (sub->key_is_callers)
-		claim_submit(s, r, now, sub, acts);
-	else
-		submit_start(s, r, now, sub, acts);
+	submit_start(s, r, now, sub, acts);
 }
 
 static enum rp_code check_name(struct rp_str s, const char *field,
@@ -153,10 +193,15 @@
 				     const struct rp_submission *sub,
 				     struct rp_status *st)
 {
+	struct rp_key key;
+
 	if (!sub->key.len || sub->key.len >= RP_KEY_MAX)
 		return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
 				     "key: must have 1 to %d bytes",
 				     RP_KEY_MAX - 1);
+	if (sub->key_is_callers && key_parse(sub->key, &key))
+		return rp_status_set(st, RP_E_INPUT, RP_STEP_PARSE, "",
+				     "key: has the form of an issued key");
 	if (check_name(sub->service, "service", st) != RP_OK ||
 	    check_name(sub->team, "team", st) != RP_OK)
 		return st->code;
@@ -238,6 +283,7 @@
 	       const struct rp_waiter *w, struct rp_actions *acts)
 {
 	struct rp_sub_shard *s = sub_shard_of(k, key);
+	struct rp_key issued;
 	struct rp_record *r;
 
 	kernel_lock(k, s->lock);
@@ -245,15 +291,21 @@
 	if (r)
 		record_join(s, r, now, wait, w, acts);
 	kernel_unlock(k, s->lock);
-	if (!r)
+	if (r)
+		return;
+	if (key_parse(key, &issued))
 		relay_query(k, now, key, wait, w, acts);
+	else
+		claim_find(k, now, key, 0, wait, w, acts);
 }
 
 void sub_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		const struct rp_waiter *w, struct rp_actions *acts)
 {
 	struct rp_sub_shard *s = sub_shard_of(k, key);
+	struct rp_waiter claimed = *w;
 	struct rp_record *r;
+	struct rp_key issued;
 
 	kernel_lock(k, s->lock);
 	r = record_find(s, key);
@@ -261,13 +313,21 @@
 		record_wait(r, w);
 		dispatch_cancel(dispatch_of(k, str_of(r->service)), now,
 				r->job_id, acts);
+	} else if (r && r->phase == RP_RECORD_CLAIMING) {
+		/* It does not start once it is claimed. */
+		r->cancelled = 1;
+		claimed.is_cancel = 1;
+		record_wait(r, &claimed);
 	} else if (r) {
-		/* A key being claimed cannot be cancelled before it is. */
 		sub_answer(k, now, w, record_answer(r), acts);
 	}
 	kernel_unlock(k, s->lock);
-	if (!r)
+	if (r)
+		return;
+	if (key_parse(key, &issued))
 		relay_cancel(k, now, key, w, acts);
+	else
+		claim_find(k, now, key, 1, 1, w, acts);
 }
 
 /* A job has ended: its record becomes final. */
@@ -304,10 +364,9 @@
 	kernel_defer(acts, &e->deferred);
 }
 
-void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts)
+void sub_tick(struct rp_sub_shard *s, rp_ms now)
 {
 	kernel_lock(s->k, s->lock);
 	record_expire(s, now);
-	claim_tick(s, now, acts);
 	kernel_unlock(s->k, s->lock);
 }
