--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -44,7 +44,7 @@
 	(void)peer_port;
 	(void)local_port;
 	if (c->attempts++ && !c->resend_ok) {
-		count_add(COUNT_TARGET_RESENDS_PREVENTED, 1);
+		count_add(COUNT_RESENDS_PREVENTED, 1);
 		return CURL_PREREQFUNC_ABORT;
 	}
 	return CURL_PREREQFUNC_OK;
@@ -80,7 +80,38 @@
 	l->spare[l->nspare++] = easy;
 }
 
-/* Reports the end of a call; finish() frees the call itself. */
+static void add_running(struct loop *l, struct loop_call *c)
+{
+	c->next = l->running;
+	c->prev = &l->running;
+	if (c->next)
+		c->next->prev = &c->next;
+	l->running = c;
+}
+
+static void remove_running(struct loop_call *c)
+{
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+}
+
+/*
+ * Whether a reused connection was silent: the request went out on it, and
+ * no byte of an answer came until the call was given up.
+ */
+static int was_silent(struct loop_call *c, CURLcode rc)
+{
+	long connects = 0, header = 0;
+
+	if (!c->attempts || (rc != CURLE_OPERATION_TIMEDOUT && !c->aborted))
+		return 0;
+	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
+	curl_easy_getinfo(c->easy, CURLINFO_HEADER_SIZE, &header);
+	return connects == 0 && header == 0;
+}
+
+/* Reports the end of a call and frees it. */
 static void end_call(struct loop_call *c, CURLcode rc)
 {
 	struct loop *l = c->loop;
@@ -90,10 +121,14 @@
 	if (easy) {
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 		c->unsent = surely_unsent(c, rc);
+		if (was_silent(c, rc))
+			loop_host_suspect(l, c->host);
 	} else {
 		c->unsent = 1;
 	}
+	remove_running(c);
 	c->ops->finish(c, rc, status);
+	c->ops->free(c);
 	if (easy)
 		keep_easy(l, easy);
 }
@@ -123,12 +158,15 @@
 static void begin_call(struct loop *l, struct loop_call *c)
 {
 	c->loop = l;
+	add_running(l, c);
 	c->easy = take_easy(l);
 	if (!c->easy) {
 		end_call(c, CURLE_OUT_OF_MEMORY);
 		return;
 	}
 	set_common(c);
+	if (loop_host_is_suspect(l, c->host))
+		curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
 	c->ops->prepare(c);
 	if (curl_multi_add_handle(l->multi, c->easy) != CURLM_OK)
 		end_call(c, CURLE_FAILED_INIT);
@@ -136,6 +174,7 @@
 
 void loop_abort(struct loop_call *c)
 {
+	c->aborted = 1;
 	curl_multi_remove_handle(c->loop->multi, c->easy);
 	end_call(c, CURLE_ABORTED_BY_CALLBACK);
 }
@@ -245,6 +284,26 @@
 		loop_poll_wake(l);
 }
 
+/* Frees the calls that have not ended, without a report. */
+static void free_calls(struct loop *l)
+{
+	struct loop_call *c;
+
+	while ((c = l->running)) {
+		remove_running(c);
+		curl_multi_remove_handle(l->multi, c->easy);
+		curl_easy_cleanup(c->easy);
+		c->ops->free(c);
+	}
+	c = take_queue(l);
+	while (c) {
+		struct loop_call *next = c->next;
+
+		c->ops->free(c);
+		c = next;
+	}
+}
+
 void loop_finish(struct loop *l)
 {
 	apr_status_t rc;
@@ -255,7 +314,9 @@
 	atomic_store(&l->stopping, 1);
 	loop_poll_wake(l);
 	apr_thread_join(&rc, l->thread);
+	free_calls(l);
 	for (i = 0; i < l->nspare; i++)
 		curl_easy_cleanup(l->spare[i]);
 	curl_multi_cleanup(l->multi);
+	loop_hosts_finish(l);
 }
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -76,6 +76,8 @@
 	curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)t->payload.len);
 	curl_easy_setopt(e, CURLOPT_POSTFIELDS, t->payload.ptr);
+	if (t->close_connection)
+		curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	apr_hash_set(tl->starts, &t->start_id, sizeof(t->start_id), t);
 }
 
@@ -176,10 +178,12 @@
 	return RP_LOOKUP_NONE;
 }
 
-static void free_target(struct target_call *t)
+static void free_target(struct loop_call *c)
 {
+	struct target_call *t = (struct target_call *)c;
+
 	rp_submission_unref(t->sub);
-	free(t->call.body);
+	free(c->body);
 	free(t);
 }
 
@@ -242,12 +246,12 @@
 		report_start(t, rc, status);
 	else if (t->type != RP_ACTION_STOP)
 		report_lookup(t, rc, status);
-	free_target(t);
 }
 
 static const struct loop_call_ops target_ops = {
 	.prepare = prepare_target,
 	.finish = finish_target,
+	.free = free_target,
 };
 
 /* All calls to one target run in one loop, which has its connections. */
@@ -286,6 +290,7 @@
 	if (!t)
 		abort();
 	t->call.ops = &target_ops;
+	t->call.host = t->address;
 	t->call.max_body = d->set->max_result;
 	t->type = act->type;
 	t->start_id = act->start.start_id;
--- a/rosemary-fake-platform.c
+++ b/rosemary-fake-platform.c
@@ -17,6 +17,7 @@
 /* One state of the list of VMs, from the time it was set. */
 struct vm_list {
 	int64_t since_ms;
+	char etag[32]; /* names this list in conditional reads */
 	json_t *vms;
 	struct vm_list *older;
 };
@@ -41,10 +42,12 @@
 	struct fake_table table;
 	struct fake_table objects;
 	struct vm_list *vms;
+	int64_t lists_made;
 	struct counts counts;
 	struct knobs knobs;
 };
 
+/* The platform that serves a request. */
 static struct platform *platform_of(struct fake_request *r)
 {
 	return r->conn->srv->owner;
@@ -52,6 +55,7 @@
 
 /* --- table ------------------------------------------------------------ */
 
+/* A row as the interface gives it; row is NULL when absent. */
 static json_t *row_json(const char *name, const struct fake_row *row)
 {
 	return json_pack("{s:s, s:s?, s:I}", "name", name, "value",
@@ -59,6 +63,7 @@
 			 (json_int_t)(row ? row->version : 0));
 }
 
+/* Reads the named rows. */
 static enum fake_verdict handle_read(struct platform *p, struct fake_request *r,
 				     json_t *body)
 {
@@ -78,6 +83,7 @@
 	return fake_reply_json(r, 200, json_pack("{s:o}", "rows", rows));
 }
 
+/* Reads all rows with a prefix, in the order of names. */
 static enum fake_verdict handle_scan(struct platform *p, struct fake_request *r,
 				     json_t *body)
 {
@@ -123,6 +129,7 @@
 	return writes;
 }
 
+/* Writes all rows or none, and may lose the answer afterwards. */
 static enum fake_verdict handle_commit(struct platform *p,
 				       struct fake_request *r, json_t *body)
 {
@@ -161,6 +168,8 @@
 	if (!list)
 		abort();
 	list->since_ms = p->vms ? fake_now_ms() : 0;
+	snprintf(list->etag, sizeof(list->etag), "\"%lld\"",
+		 (long long)++p->lists_made);
 	list->vms = vms;
 	list->older = p->vms;
 	p->vms = list;
@@ -170,16 +179,22 @@
 static enum fake_verdict handle_vms(struct platform *p, struct fake_request *r)
 {
 	int64_t at = fake_now_ms() - p->knobs.list_lag_ms;
+	const char *known = fake_request_header(r, "If-None-Match");
 	struct vm_list *list = p->vms;
 
 	p->counts.lists++;
 	while (list->since_ms > at && list->older)
 		list = list->older;
+	r->reply.header_name = "ETag";
+	r->reply.header_value = list->etag;
+	if (known && !strcmp(known, list->etag))
+		return fake_reply_text(r, 304, "");
 	return fake_reply_json(r, 200, json_pack("{s:O}", "vms", list->vms));
 }
 
 /* --- objects ---------------------------------------------------------- */
 
+/* Keeps an object, or gives it back. */
 static enum fake_verdict handle_object(struct platform *p,
 				       struct fake_request *r)
 {
@@ -200,6 +215,7 @@
 
 /* --- control ---------------------------------------------------------- */
 
+/* Sets the faults that are given and tells all of them. */
 static enum fake_verdict handle_control(struct platform *p,
 					struct fake_request *r, json_t *body)
 {
@@ -229,6 +245,7 @@
 	return fake_reply_text(r, 200, "{}");
 }
 
+/* Tells what was served so far. */
 static enum fake_verdict handle_counts(struct platform *p,
 				       struct fake_request *r)
 {
@@ -249,11 +266,13 @@
 
 /* --- routing ---------------------------------------------------------- */
 
+/* Whether the request is a POST to that path. */
 static int is_post(struct fake_request *r, const char *path)
 {
 	return !strcmp(r->method, "POST") && !strcmp(r->path, path);
 }
 
+/* Whether the request is a GET of that path. */
 static int is_get(struct fake_request *r, const char *path)
 {
 	return !strcmp(r->method, "GET") && !strcmp(r->path, path);
@@ -265,6 +284,7 @@
 	return !strncmp(r->path, "/v1/control", strlen("/v1/control"));
 }
 
+/* Finds the handler; the lock is held. */
 static enum fake_verdict route(struct platform *p, struct fake_request *r,
 			       json_t *body)
 {
@@ -287,6 +307,7 @@
 	return fake_reply_error(r, 404, "no such call");
 }
 
+/* Goes on with a request that was held back. */
 static void delay_over(struct fake_timer *t)
 {
 	fake_request_resume(
@@ -294,6 +315,7 @@
 					offsetof(struct fake_request, timer)));
 }
 
+/* Holds a request back before it takes effect; 0: no need to. */
 static int delay_request(struct platform *p, struct fake_request *r)
 {
 	int64_t delay = p->knobs.delay_ms;
@@ -306,6 +328,7 @@
 	return 1;
 }
 
+/* Serves a request, unless there is an outage. */
 static enum fake_verdict handle(struct fake_request *r)
 {
 	struct platform *p = platform_of(r);
@@ -342,6 +365,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Takes one flag. */
 static error_t parse_flag(int key, char *arg, struct argp_state *state)
 {
 	struct flags *f = state->input;
@@ -384,6 +408,7 @@
 	return vms;
 }
 
+/* Frees lists, rows and objects. */
 static void finish(struct platform *p)
 {
 	while (p->vms) {
@@ -411,6 +436,7 @@
 	apr_initialize();
 	apr_pool_create(&p.srv.pool, NULL);
 	apr_thread_mutex_create(&p.lock, APR_THREAD_MUTEX_DEFAULT, p.srv.pool);
+	p.lists_made = fake_now_ms(); /* no ETag recurs after a restart */
 	set_vms(&p, load_vms(f.vms));
 	p.srv.ops = &ops;
 	p.srv.owner = &p;
