--- a/claim-commit.c
+++ b/claim-commit.c
@@ -260,6 +260,7 @@
 		}
 		batch_end(k, b);
 		break;
+	case RP_PLATFORM_UNCHANGED: /* no answer to a commit */
 	case RP_PLATFORM_CONFLICT:
 	case RP_PLATFORM_LOST:
 		read_back(k, now, b, acts);
--- a/table-op.c
+++ b/table-op.c
@@ -265,6 +265,7 @@
 		k->table.counters.raced++;
 		kernel_unlock(k, k->table.lock);
 		break;
+	case RP_PLATFORM_UNCHANGED: /* no answer to a commit */
 	case RP_PLATFORM_LOST:
 		op->unsettled = 1;
 		op->give_up_at = op->started_at + OP_SETTLE_MS;
