--- a/drain-stop.c
+++ b/drain-stop.c
@@ -84,7 +84,8 @@
 
 static void finish_tick(struct rp_kernel *k, rp_ms now)
 {
-	if (has_jobs(k) || has_relays(k) || has_open_records(k))
+	if (has_jobs(k) || has_relays(k) || has_open_records(k) ||
+	    claim_pending(k))
 		return;
 	hand_start(k, now);
 	drain_enter(k, now, RP_DRAIN_HAND);
