--- a/dispatch-job.c
+++ b/dispatch-job.c
@@ -9,6 +9,22 @@
 	return job->sub->ntasks - job->next_task + job->nagain;
 }
 
+void job_count_waiting(struct rp_job *job, ptrdiff_t n)
+{
+	struct rp_dispatch *d = job->svc->shard;
+	struct rp_team *team = job->team;
+
+	job->svc->nqueued += (size_t)n;
+	team->nqueued += (size_t)n;
+	if (!team->nqueued) {
+		d->active_weight -= team->active_weight;
+		team->active_weight = 0;
+	} else if (!team->active_weight) {
+		team->active_weight = team->weight;
+		d->active_weight += team->weight;
+	}
+}
+
 void job_free(struct rp_job *job)
 {
 	size_t i;
@@ -91,7 +107,7 @@
 	job = job_new(svc, now, sub, deadline);
 	*job_id = job->id;
 	d->counters.jobs++;
-	svc->nqueued += sub->ntasks;
+	job_count_waiting(job, (ptrdiff_t)sub->ntasks);
 	svc->queue->ops->add(svc->queue, job, now);
 	job->queued = 1;
 	dispatch_pump(svc, now, acts);
@@ -105,13 +121,13 @@
 	struct rp_service *svc = job->svc;
 
 	if (job->parked) {
-		svc->nqueued -= job_waiting(job);
+		job_count_waiting(job, -(ptrdiff_t)job_waiting(job));
 		pump_forget(job);
 		return;
 	}
 	if (!job->queued)
 		return;
-	svc->nqueued -= job_waiting(job);
+	job_count_waiting(job, -(ptrdiff_t)job_waiting(job));
 	svc->queue->ops->remove(svc->queue, job);
 	job->queued = 0;
 }
@@ -197,7 +213,7 @@
 		job->tasks[task].suffix++;
 	job->tasks[task].state = RP_TASK_QUEUED;
 	job->again[job->nagain++] = (uint32_t)task;
-	svc->nqueued++;
+	job_count_waiting(job, 1);
 	if (job->parked)
 		return;
 	if (job->queued) {
@@ -256,6 +272,8 @@
 
 		svc->health->ops->tick(svc->health, now);
 		svc->limit->ops->tick(svc->limit, now, acts);
+		if (svc->route->ops->tick)
+			svc->route->ops->tick(svc->route, now);
 		pump_unpark(svc, now);
 		dispatch_pump(svc, now, acts);
 	}
--- a/dispatch-pump.c
+++ b/dispatch-pump.c
@@ -12,6 +12,8 @@
 #define TAIL_DEVIATIONS 1.0
 /* One job beyond the learned time still starts per span, to learn anew. */
 #define PROBE_INTERVAL_MS 500
+/* Jobs passed over that would rather wait for a faster target. */
+#define SKIP_MAX 4
 
 void target_pause(struct rp_target *t, rp_ms now, rp_ms most)
 {
@@ -52,10 +54,17 @@
 {
 	struct rp_heap *h = &t->svc->speeds;
 
-	if (t->listed && !t->leaving && t->weight)
+	struct rp_service *svc = t->svc;
+	int slots = 0;
+
+	if (t->listed && !t->leaving && t->weight) {
 		heap_set(h, &t->speed_node, target_time(t));
-	else
+		slots = target_limit(t);
+	} else {
 		heap_remove(h, &t->speed_node);
+	}
+	svc->nslots += (size_t)(slots - t->counted_slots);
+	t->counted_slots = slots;
 }
 
 double service_least_time(const struct rp_service *svc)
@@ -104,7 +113,7 @@
 	uint32_t task = job->nagain ? job->again[--job->nagain]
 				    : (uint32_t)job->next_task++;
 
-	svc->nqueued--;
+	job_count_waiting(job, -1);
 	if (job_waiting(job)) {
 		svc->queue->ops->changed(svc->queue, job, now);
 	} else {
@@ -156,8 +165,11 @@
 {
 	struct rp_status st;
 
-	if (start_send(job, job_take(job, now), t, now, acts))
+	if (start_send(job, job_take(job, now), t, now, acts)) {
+		if (job->svc->queue->ops->started)
+			job->svc->queue->ops->started(job->svc->queue, job);
 		return;
+	}
 	rp_status_set(&st, RP_E_INTERNAL, RP_STEP_START, t->name,
 		      "a start was refused: see the invariant's count");
 	job_fail(job, now, &st, acts);
@@ -174,25 +186,64 @@
 	return t;
 }
 
-void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
+/* Jobs at the queue's head that rather wait, while later ones are looked at */
+struct skipped {
+	struct rp_job *jobs[SKIP_MAX];
+	size_t n;
+};
+
+/* Takes the job out of the queue until the pump ends. */
+static void skip(struct rp_job *job, struct skipped *sk)
+{
+	struct rp_service *svc = job->svc;
+
+	svc->queue->ops->remove(svc->queue, job);
+	svc->ahead += job_waiting(job);
+	sk->jobs[sk->n++] = job;
+}
+
+static void unskip(struct rp_service *svc, struct skipped *sk, rp_ms now)
+{
+	size_t i;
+
+	svc->ahead = 0;
+	for (i = 0; i < sk->n; i++)
+		svc->queue->ops->add(svc->queue, sk->jobs[i], now);
+}
+
+/* Binds the job's next task, or puts the job aside; 0: nothing has room. */
+static int bind_next(struct rp_job *job, struct skipped *sk, rp_ms now,
+		     struct rp_actions *acts)
 {
+	struct rp_service *svc = job->svc;
 	struct rp_target *t;
-	struct rp_job *job;
 
-	while ((job = svc->queue->ops->next(svc->queue, now))) {
-		if (is_hopeless(job, now)) {
-			fail_hopeless(job, now, acts);
-			continue;
-		}
-		t = pick_target(job, now);
-		if (t) {
-			start_next(job, t, now, acts);
-		} else if (job->avoid) {
-			park(job);
-		} else {
-			svc->limit->ops->demand(svc->limit, svc->nqueued, now,
-						acts);
-			return;
-		}
+	if (is_hopeless(job, now)) {
+		fail_hopeless(job, now, acts);
+		return 1;
 	}
+	svc->declined = 0;
+	t = pick_target(job, now);
+	if (t)
+		start_next(job, t, now, acts);
+	else if (job->avoid)
+		park(job);
+	else if (svc->declined && sk->n < SKIP_MAX)
+		skip(job, sk);
+	else
+		return 0;
+	return 1;
+}
+
+void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
+{
+	struct skipped sk = { .n = 0 };
+	struct rp_job *job;
+
+	while ((job = svc->queue->ops->next(svc->queue, now)))
+		if (!bind_next(job, &sk, now, acts))
+			break;
+	if (svc->nqueued)
+		svc->limit->ops->demand(svc->limit, svc->nqueued, now, acts);
+	unskip(svc, &sk, now);
 }
--- a/dispatch-service.c
+++ b/dispatch-service.c
@@ -156,6 +156,7 @@
 	str_copy(team->name, sizeof(team->name), name);
 	team->weight = RP_WEIGHT_DEFAULT;
 	team->quota = RP_CELL_UNSET;
+	team->shard = d;
 	apr_hash_set(d->teams, team->name, APR_HASH_KEY_STRING, team);
 	return team;
 }
--- a/dispatch-start.c
+++ b/dispatch-start.c
@@ -239,6 +239,8 @@
 	start_learn(s, now, outcome);
 	start_judge(s, now, outcome);
 	svc->limit->ops->ended(svc->limit, t, outcome, now);
+	if (svc->queue->ops->ended)
+		svc->queue->ops->ended(svc->queue, s->job->team);
 	svc->route->ops->changed(svc->route, t, now);
 	s->next_free = d->free_start;
 	d->free_start = s->slot;
--- /dev/null
+++ b/queue-fair.c
@@ -0,0 +1,246 @@
+/*
+ * Queueing by team: start-time fair queueing over the teams' weights, and a
+ * quota of tasks in flight. Inside a team the job with the least remaining
+ * work goes first; waiting makes a job's place better, so none starves.
+ */
+
+#include "rosemary-int.h"
+
+#include <stdlib.h>
+
+/* Run time to expect while nothing was learned, ms. */
+#define TIME_UNKNOWN_MS 100.0
+/* A job gives way to later ones for so many times its own remaining time. */
+#define AGEING_FACTOR 4.0
+
+struct fair_team {
+	struct rp_team *team;
+	struct rp_heap jobs;
+	struct rp_heap_node node; /* in the queue's teams, by virtual time */
+	double vtime;		  /* work started, over the weight */
+	int held;		  /* at its quota */
+	struct fair_team *next, *prev; /* of those held */
+};
+
+struct fair_queue {
+	struct rp_queue queue; /* first */
+	struct rp_service *svc;
+	apr_hash_t *by_team; /* pointer to rp_team -> fair_team */
+	struct rp_heap teams;
+	struct fair_team *held;
+	double vtime; /* of the team served last */
+	apr_pool_t *pool;
+};
+
+static struct rp_queue *fair_create(struct rp_service *svc);
+
+static void fair_destroy(struct rp_queue *queue)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	apr_hash_index_t *i;
+
+	for (i = apr_hash_first(NULL, q->by_team); i; i = apr_hash_next(i)) {
+		struct fair_team *ft = apr_hash_this_val(i);
+
+		heap_finish(&ft->jobs);
+		free(ft);
+	}
+	heap_finish(&q->teams);
+	apr_pool_destroy(q->pool);
+	free(q);
+}
+
+static struct fair_team *fair_team_get(struct fair_queue *q,
+				       struct rp_team *team)
+{
+	struct fair_team *ft =
+		apr_hash_get(q->by_team, &team, sizeof(struct rp_team *));
+
+	if (ft)
+		return ft;
+	ft = kernel_alloc(sizeof(*ft));
+	ft->team = team;
+	heap_init(&ft->jobs);
+	heap_node_init(&ft->node);
+	apr_hash_set(q->by_team, &ft->team, sizeof(struct rp_team *), ft);
+	return ft;
+}
+
+/* When the job would end if it ran alone now, counted from its coming. */
+static double job_key(const struct fair_queue *q, const struct rp_job *job)
+{
+	const struct rp_service *svc = q->svc;
+	double time = svc->learned.count ? svc->learned.mean : TIME_UNKNOWN_MS;
+	double slots = svc->nslots ? (double)svc->nslots : 1;
+	double left = (double)(job->sub->ntasks - job->ndone);
+
+	return (double)job->accepted_at + AGEING_FACTOR * left * time / slots;
+}
+
+static int at_quota(const struct rp_team *team)
+{
+	return team->quota != RP_CELL_UNSET && team->in_flight >= team->quota;
+}
+
+static void hold(struct fair_queue *q, struct fair_team *ft)
+{
+	heap_remove(&q->teams, &ft->node);
+	ft->held = 1;
+	ft->prev = NULL;
+	ft->next = q->held;
+	if (ft->next)
+		ft->next->prev = ft;
+	q->held = ft;
+}
+
+static void unhold(struct fair_queue *q, struct fair_team *ft)
+{
+	if (ft->prev)
+		ft->prev->next = ft->next;
+	else
+		q->held = ft->next;
+	if (ft->next)
+		ft->next->prev = ft->prev;
+	ft->held = 0;
+}
+
+/* Puts a team with jobs in its place; one that rested starts afresh. */
+static void enter(struct fair_queue *q, struct fair_team *ft)
+{
+	if (ft->vtime < q->vtime)
+		ft->vtime = q->vtime;
+	heap_set(&q->teams, &ft->node, ft->vtime);
+}
+
+static void fair_add(struct rp_queue *queue, struct rp_job *job, rp_ms now)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft = fair_team_get(q, job->team);
+
+	(void)now;
+	job->queue_data = ft;
+	job->team->njobs++;
+	heap_set(&ft->jobs, &job->queue_node, job_key(q, job));
+	if (!ft->held && ft->node.index == RP_HEAP_OUT)
+		enter(q, ft);
+}
+
+static void fair_remove(struct rp_queue *queue, struct rp_job *job)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft = job->queue_data;
+
+	heap_remove(&ft->jobs, &job->queue_node);
+	job->team->njobs--;
+	if (ft->jobs.len)
+		return;
+	if (ft->held)
+		unhold(q, ft);
+	heap_remove(&q->teams, &ft->node);
+}
+
+/* Holds the teams at their quota back; the first of the others, or NULL. */
+static struct fair_team *first_team(struct fair_queue *q)
+{
+	struct rp_heap_node *n;
+	struct fair_team *ft;
+
+	while ((n = heap_first(&q->teams))) {
+		ft = RP_CONTAINER(n, struct fair_team, node);
+		if (!at_quota(ft->team))
+			return ft;
+		hold(q, ft);
+	}
+	return NULL;
+}
+
+/* Lets in the held teams whose quota has grown. */
+static void check_held(struct fair_queue *q)
+{
+	struct fair_team *ft, *next;
+
+	for (ft = q->held; ft; ft = next) {
+		next = ft->next;
+		if (at_quota(ft->team))
+			continue;
+		unhold(q, ft);
+		enter(q, ft);
+	}
+}
+
+static struct rp_job *fair_next(struct rp_queue *queue, rp_ms now)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft = first_team(q);
+
+	(void)now;
+	if (!ft && q->held) {
+		check_held(q);
+		ft = first_team(q);
+	}
+	if (!ft)
+		return NULL;
+	return RP_CONTAINER(heap_first(&ft->jobs), struct rp_job, queue_node);
+}
+
+static void fair_changed(struct rp_queue *queue, struct rp_job *job, rp_ms now)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft = job->queue_data;
+
+	(void)now;
+	heap_set(&ft->jobs, &job->queue_node, job_key(q, job));
+}
+
+static void fair_started(struct rp_queue *queue, struct rp_job *job)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft = job->queue_data;
+	int32_t weight = job->team->weight > 0 ? job->team->weight : 1;
+
+	if (q->vtime < ft->vtime)
+		q->vtime = ft->vtime;
+	ft->vtime += (double)RP_WEIGHT_DEFAULT / weight;
+	if (ft->node.index != RP_HEAP_OUT)
+		heap_set(&q->teams, &ft->node, ft->vtime);
+}
+
+static void fair_ended(struct rp_queue *queue, struct rp_team *team)
+{
+	struct fair_queue *q = (struct fair_queue *)queue;
+	struct fair_team *ft;
+
+	if (!q->held)
+		return;
+	ft = fair_team_get(q, team);
+	if (!ft->held || at_quota(team))
+		return;
+	unhold(q, ft);
+	enter(q, ft);
+}
+
+static struct rp_queue_ops fair_ops = {
+	.plugin = { .name = "fair" },
+	.create = fair_create,
+	.destroy = fair_destroy,
+	.add = fair_add,
+	.remove = fair_remove,
+	.next = fair_next,
+	.changed = fair_changed,
+	.started = fair_started,
+	.ended = fair_ended,
+};
+
+static struct rp_queue *fair_create(struct rp_service *svc)
+{
+	struct fair_queue *q = kernel_alloc(sizeof(*q));
+
+	q->queue.ops = &fair_ops;
+	q->svc = svc;
+	apr_pool_create(&q->pool, svc->shard->pool);
+	q->by_team = hash_new(q->pool);
+	heap_init(&q->teams);
+	return &q->queue;
+}
+
+RP_REGISTER(RP_PLUGIN_QUEUE, fair_ops);
--- a/regress/kernel-prop.cc
+++ b/regress/kernel-prop.cc
@@ -67,12 +67,15 @@
 	const Policies plain = { "least", "fifo", "bounded", "none", "none" };
 	const Policies retry = { "random", "fifo", "bounded", "none",
 				 "budget" };
+	const Policies learned = { "earliest", "fair", "deadline", "peers",
+				   "budget" };
 	bool ok = true;
 
 	setenv("RC_PARAMS", default_params, 0);
 	for (int abilities = 0; abilities < 4; abilities++) {
 		ok &= runScripts("baselines", plain, abilities);
 		ok &= runScripts("retries", retry, abilities);
+		ok &= runScripts("learned", learned, abilities);
 	}
 	return ok ? 0 : 1;
 }
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -113,6 +113,8 @@
 	/* The target's room, speed, weight, limit or health changed. */
 	void (*changed)(struct rp_route *r, struct rp_target *t, rp_ms now);
 	void (*removed)(struct rp_route *r, struct rp_target *t);
+	/* Optional: called at every tick. */
+	void (*tick)(struct rp_route *r, rp_ms now);
 };
 
 /* Orders the jobs that have tasks to start. */
@@ -130,6 +132,9 @@
 	struct rp_job *(*next)(struct rp_queue *q, rp_ms now);
 	/* One task of the job was started, or came back to the queue. */
 	void (*changed)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+	/* Optional: a task of the job, or of the team, was sent; ended. */
+	void (*started)(struct rp_queue *q, struct rp_job *job);
+	void (*ended)(struct rp_queue *q, struct rp_team *team);
 };
 
 /* Accepts or refuses a job before anything of it starts. */
@@ -242,6 +247,7 @@
 	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
 	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
 	int paused;			/* connects fail: gets no work now */
+	int counted_slots;		/* in svc->nslots */
 	rp_ms pause;			/* last span of the pause, ms */
 	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
@@ -252,11 +258,13 @@
 
 struct rp_team {
 	char name[RP_NAME_MAX];
+	struct rp_dispatch *shard;
 	int32_t weight; /* share in force */
 	int32_t quota;	/* tasks in flight; RP_CELL_UNSET: no quota */
 	int in_flight;
-	size_t njobs;	  /* queued jobs */
-	void *queue_data; /* for the queue policy */
+	size_t njobs;	       /* queued jobs */
+	size_t nqueued;	       /* their waiting tasks */
+	int32_t active_weight; /* counted in the shard's, while it waits */
 };
 
 enum rp_task_state {
@@ -296,6 +304,7 @@
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
+	void *queue_data;			/* likewise */
 	int queued;				/* the queue policy holds it */
 	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
@@ -353,6 +362,9 @@
 	struct rp_heap speeds;	   /* targets in use, least run time first */
 	struct rp_job *parked;	   /* wait for a target other than avoid */
 	const struct rp_target *avoid; /* closed for the job being bound */
+	size_t ahead;	/* tasks that wait before the job being bound */
+	int declined;	/* the route policy rather waits for another target */
+	size_t nslots;	/* limits of the targets in use, together */
 	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
@@ -377,6 +389,7 @@
 	struct rp_heap timers; /* of starts */
 	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
+	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
@@ -700,6 +713,8 @@
 /* The task surely did not run: it goes back into the queue. */
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
+/* Counts tasks of the job that came to wait, or wait no more. */
+void job_count_waiting(struct rp_job *job, ptrdiff_t n);
 
 /* dispatch-start.c: the table of sends; needs the lock. */
 /* The send that the id names, or NULL when it has ended. */
