--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 PACKAGES = libapr1-dev libaprutil1-dev libprotobuf-c-dev \
 	protobuf-c-compiler libmicrohttpd-dev liblog4c-dev \
 	libcriterion-dev librapidcheck-dev libjansson-dev libxxhash-dev \
-	libgsl-dev libcurl4-openssl-dev pkg-config clang-format clang-tidy \
+	libgsl-dev libcurl4-openssl-dev curl pkg-config clang-format clang-tidy \
 	cppcheck g++ gcc make
 
 B ?= build
@@ -34,6 +34,7 @@
 CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
 FAKES = $(wildcard fake-*.c)
 LOAD = $(wildcard load*.c)
+BENCH_PARTS = bench-world.c
 
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 have = $(if $(strip $(1)),$(2))
@@ -42,7 +43,8 @@
 	$(call have,$(wildcard rosemary.c),$(B)/rosemary) \
 	$(patsubst %.c,$(B)/%,$(wildcard rosemary-fake-*.c)) \
 	$(call have,$(wildcard load.c),$(B)/rosemary-load) \
-	$(patsubst %.c,$(B)/%,$(wildcard bench-*.c example-*.c))
+	$(patsubst %.c,$(B)/%,$(filter-out $(BENCH_PARTS),\
+	$(wildcard bench-*.c example-*.c)))
 
 TESTS_C = $(patsubst %.c,$(B)/%,$(wildcard regress/*.c))
 TESTS_CXX = $(patsubst %.cc,$(B)/%,$(wildcard regress/*.cc))
@@ -72,35 +74,57 @@
 	ar rcs $@ $(B)/librosemary.o
 
 KERNEL_LIBS = -lprotobuf-c -lxxhash -lapr-1 -lm -pthread
-LINK = $(CC) $(OPT) $(SAN) -o $@ $^
+LINK = $(CC) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^)
 
-$(B)/rosemaryd: $(call obj,$(DAEMON)) $(B)/librosemary.a
-	$(LINK) $(KERNEL_LIBS) -lmicrohttpd -lcurl -ljansson -llog4c
+DAEMON_LIBS = -lmicrohttpd -lcurl -ljansson -llog4c
+
+# The daemon without its main program, for tests of its parts.
+$(B)/librosemaryd.a: $(call obj,$(filter-out rosemaryd.c,$(DAEMON)))
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/rosemaryd: $(B)/rosemaryd.o $(B)/librosemaryd.a $(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS)
 
 $(B)/rosemary: $(call obj,$(CLI))
 	$(LINK) -lapr-1 -lcurl -ljansson -pthread
 
 $(B)/rosemary-fake-%: $(B)/rosemary-fake-%.o $(call obj,$(FAKES))
-	$(LINK) -lapr-1 -lmicrohttpd -ljansson -lgsl -lgslcblas -lm -pthread
+	$(LINK) -lapr-1 -lmicrohttpd -lcurl -ljansson -lgsl -lgslcblas \
+		-lm -pthread
 
 $(B)/rosemary-load: $(call obj,$(LOAD))
 	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
 
-$(B)/bench-%: $(B)/bench-%.o $(B)/librosemary.a
+$(B)/bench-%: $(B)/bench-%.o $(call obj,$(BENCH_PARTS)) $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lgsl -lgslcblas
 
 $(B)/example-%: $(B)/example-%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS)
 
-$(TESTS_C): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
+DAEMON_TESTS = $(filter $(B)/regress/http-% $(B)/regress/setting%,\
+	$(TESTS_C))
+
+$(filter-out $(DAEMON_TESTS),$(TESTS_C)): $(B)/regress/%: \
+		$(B)/regress/%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
+$(DAEMON_TESTS): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemaryd.a \
+		$(B)/librosemary.a
+	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
+
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
-	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
+	$(CXX) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
+		-lrapidcheck $(KERNEL_LIBS)
+
+# What the tests and benches with several kernels share.
+NET = $(call obj,$(wildcard regress/net/*.c))
+$(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
+$(B)/bench-cluster: $(NET)
 
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
-	$(wildcard *.c *.h regress/*.c regress/*.h))
+	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
 
 format:
 	clang-format -i $(SOURCES)
@@ -132,7 +156,7 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(B)/*.d $(B)/regress/*.d)
+-include $(wildcard $(B)/*.d $(B)/regress/*.d $(B)/regress/*/*.d)
 
 .PHONY: all tests format check-format lint check demo proto clean
 .SECONDARY:
--- a/admit-deadline.c
+++ b/admit-deadline.c
@@ -7,6 +7,7 @@
 
 #include "rosemary-int.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Span over which ends are counted, ms. */
@@ -15,6 +16,9 @@
 #define RATE_ALPHA 0.3
 /* Share of the time to the deadline that the prediction may fill. */
 #define SAFETY 0.9
+/* Deviations over the mean that a task may take, more for many tasks. */
+#define TAIL_DEVIATIONS 3.0
+#define TAIL_PER_LOG 1.5
 #define RETRY_AFTER_LEAST_MS 50
 #define RETRY_AFTER_MOST_MS 30000
 
@@ -97,6 +101,14 @@
 	return own < all ? own : all;
 }
 
+/* Run time to allow for, that the longest of so many tasks ends, ms. */
+static double last_task(const struct rp_service *svc, size_t ntasks)
+{
+	double devs = TAIL_DEVIATIONS + TAIL_PER_LOG * log((double)ntasks);
+
+	return svc->learned.mean + devs * svc->learned.dev;
+}
+
 static rp_ms clamp_retry(double span)
 {
 	if (span < RETRY_AFTER_LEAST_MS)
@@ -112,7 +124,7 @@
 	const struct rp_service *svc = a->svc;
 	const struct rp_team *team = team_get(svc->shard, sub->team);
 	double wait = predicted_wait(a, team, sub->ntasks);
-	double need = wait + svc->learned.mean + svc->learned.dev;
+	double need = wait + last_task(svc, sub->ntasks);
 
 	(void)now;
 	if (svc->nqueued + sub->ntasks > svc->shard->k->opt.max_queued) {
--- /dev/null
+++ b/bench-dispatch.c
@@ -0,0 +1,292 @@
+/*
+ * Measures the decisions: response time against the ideal, messages per task
+ * against the fewest, and goodput under overload, on a fake clock.
+ *
+ *   bench-dispatch response [SEED [LENGTH_S]]
+ *   bench-dispatch faults   [SEED [LENGTH_S]]
+ *   bench-dispatch goodput  [SEED]
+ *   bench-dispatch burst    [SEED]
+ *
+ * Ideal: a clairvoyant list schedule of the same arrivals, first come first
+ * served, the longest task of a job first, each on the slot where it ends
+ * earliest. Lone: the same for the job on empty targets.
+ */
+
+#include "bench-world.h"
+
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SECOND_MS 1000.0
+#define WARMUP_MS 20000.0
+
+static const struct bench_site sites[] = {
+	{ "trust", 4, 1.5, 1, 50, 8 },
+	{ "directorate", 3, 0.5, 3, 50, 8 },
+};
+
+static const struct bench_policies policies[] = {
+	{ "random", "random", "fifo", "bounded", "none", "none" },
+	{ "round-robin", "round-robin", "fifo", "bounded", "none", "none" },
+	{ "least", "least", "fifo", "bounded", "none", "none" },
+	{ "earliest", "earliest", "fifo", "bounded", "none", "none" },
+	{ "all", "earliest", "fair", "deadline", "peers", "budget" },
+};
+
+#define BASELINE 2 /* "least" in policies */
+#define ALL 4	   /* "all" in policies */
+
+static const char *const fault_names[] = { "none",  "slow10", "fails",
+					   "hangs", "flaps",  "dead",
+					   "silent", "all-bad" };
+
+/* Percentiles of one column over the jobs. */
+struct column {
+	double *values;
+	size_t n;
+};
+
+static double percentile(struct column *c, double p)
+{
+	gsl_sort(c->values, 1, c->n);
+	return c->n ? gsl_stats_quantile_from_sorted_data(c->values, 1, c->n, p)
+		    : 0;
+}
+
+enum col { COL_SPAN, COL_IDEAL, COL_RATIO, COL_LONE, COLS };
+
+/* Collects the complete jobs after the warm-up. */
+static void collect(const struct bench_world *w, struct column cols[COLS])
+{
+	double ways = 2 * w->setup->site->caller_ms;
+	size_t i;
+
+	for (i = 0; i < COLS; i++) {
+		cols[i].values = calloc(w->njobs + 1, sizeof(double));
+		cols[i].n = 0;
+	}
+	for (i = 0; i < w->njobs; i++) {
+		const struct bench_job *j = &w->jobs[i];
+		double span = j->end - j->at + ways;
+
+		if (j->at < w->setup->warmup || j->state != RP_COMPLETE)
+			continue;
+		cols[COL_SPAN].values[cols[COL_SPAN].n++] = span;
+		cols[COL_IDEAL].values[cols[COL_IDEAL].n++] = j->ideal + ways;
+		cols[COL_RATIO].values[cols[COL_RATIO].n++] =
+			span / (j->ideal + ways);
+		cols[COL_LONE].values[cols[COL_LONE].n++] =
+			span / (j->lone + ways);
+	}
+}
+
+static double wasted_percent(const struct bench_world *w)
+{
+	const struct bench_result *r = &w->result;
+	size_t needed = 0, i;
+
+	/* The fewest: one start for each task of a job that completed. */
+	for (i = 0; i < w->njobs; i++)
+		if (w->jobs[i].state == RP_COMPLETE)
+			needed += w->jobs[i].ntasks;
+	return needed ? 100.0 *
+				((double)(r->starts + r->lookups + r->voids +
+					  r->stops) -
+				 (double)needed) /
+				(double)needed
+		      : 0;
+}
+
+static void print_header(void)
+{
+	printf("%-11s %-11s %-7s %4s %6s %6s %6s %6s %6s %6s %6s %6s %6s "
+	       "%6s %5s %5s %5s\n",
+	       "site", "policies", "fault", "load", "p50ms", "p99ms", "r.p50",
+	       "r.p99", "j.p50", "j.p99", "lone50", "lone99", "waste%", "jobs",
+	       "fail", "n.run", "lost");
+}
+
+static void print_row(struct bench_world *w)
+{
+	const struct bench_setup *s = w->setup;
+	const struct bench_result *r = &w->result;
+	struct column c[COLS];
+	double p50, p99;
+	int i;
+
+	collect(w, c);
+	p50 = percentile(&c[COL_SPAN], 0.5);
+	p99 = percentile(&c[COL_SPAN], 0.99);
+	printf("%-11s %-11s %-7s %4.2f %6.0f %6.0f %6.2f %6.2f %6.2f %6.2f "
+	       "%6.2f %6.2f %6.2f %6zu %5zu %5zu %5zu\n",
+	       s->site->name, s->policies->name, fault_names[s->fault], s->load,
+	       p50, p99, p50 / percentile(&c[COL_IDEAL], 0.5),
+	       p99 / percentile(&c[COL_IDEAL], 0.99),
+	       percentile(&c[COL_RATIO], 0.5), percentile(&c[COL_RATIO], 0.99),
+	       percentile(&c[COL_LONE], 0.5), percentile(&c[COL_LONE], 0.99),
+	       wasted_percent(w), r->jobs, r->failed, r->not_run, r->lost);
+	fflush(stdout);
+	for (i = 0; i < COLS; i++)
+		free(c[i].values);
+}
+
+static void run_row(const struct bench_setup *s)
+{
+	struct bench_world w;
+
+	bench_init(&w, s);
+	bench_ideal(&w);
+	bench_run(&w);
+	print_row(&w);
+	bench_finish(&w);
+}
+
+static struct bench_setup setup_of(uint64_t seed, double length)
+{
+	struct bench_setup s = {
+		.site = &sites[0],
+		.policies = &policies[ALL],
+		.seed = seed,
+		.load = 0.7,
+		.burst = 1,
+		.length = length,
+		.warmup = WARMUP_MS,
+		.fault_from = WARMUP_MS + (length - WARMUP_MS) / 4,
+		.fault_to = WARMUP_MS + (length - WARMUP_MS) * 3 / 4,
+		.timeout = 30000,
+		.requests = 0.1,
+	};
+
+	return s;
+}
+
+static void run_response(uint64_t seed, double length)
+{
+	static const double loads[] = { 0.5, 0.7, 0.9 };
+	struct bench_setup s = setup_of(seed, length);
+	size_t site, load, p;
+
+	print_header();
+	for (site = 0; site < 2; site++)
+		for (load = 0; load < 3; load++)
+			for (p = 0; p < 5; p++) {
+				s.site = &sites[site];
+				s.load = loads[load];
+				s.policies = &policies[p];
+				run_row(&s);
+			}
+}
+
+static void run_faults(uint64_t seed, double length)
+{
+	static const size_t compared[] = { BASELINE, ALL };
+	struct bench_setup s = setup_of(seed, length);
+	size_t site, p;
+	int fault;
+
+	print_header();
+	for (site = 0; site < 2; site++)
+		for (fault = BENCH_NONE; fault < BENCH_FAULTS; fault++)
+			for (p = 0; p < 2; p++) {
+				s.site = &sites[site];
+				s.fault = (enum bench_fault)fault;
+				s.policies = &policies[compared[p]];
+				run_row(&s);
+			}
+}
+
+/* Tasks of complete jobs that arrived in the span, per second. */
+static double goodput(const struct bench_world *w, double from, double to)
+{
+	double n = 0;
+	size_t i;
+
+	for (i = 0; i < w->njobs; i++) {
+		const struct bench_job *j = &w->jobs[i];
+
+		if (j->state == RP_COMPLETE && j->end >= from && j->end < to)
+			n += (double)j->ntasks;
+	}
+	return n / (to - from) * SECOND_MS;
+}
+
+#define GOODPUT_TIMEOUT_MS 4000
+#define GOODPUT_LENGTH_MS 50000.0
+
+static void run_goodput(uint64_t seed)
+{
+	static const double offered[] = { 0.5, 0.8, 1, 1.5, 2, 3, 5, 10 };
+	struct bench_setup s = setup_of(seed, GOODPUT_LENGTH_MS);
+	struct bench_world w;
+	size_t i, p;
+
+	s.timeout = GOODPUT_TIMEOUT_MS;
+	printf("%-11s %7s %9s %9s %6s %7s %7s %7s\n", "policies", "offered",
+	       "capacity", "goodput", "share", "failed", "not_run", "waste%");
+	for (p = BASELINE; p <= ALL; p++)
+		for (i = 0; i < sizeof(offered) / sizeof(*offered); i++) {
+			double good;
+
+			s.policies = &policies[p];
+			s.load = offered[i];
+			bench_init(&w, &s);
+			bench_run(&w);
+			good = goodput(&w, s.warmup, s.length);
+			printf("%-11s %7.1f %9.0f %9.0f %6.2f %7zu %7zu "
+			       "%7.1f\n",
+			       s.policies->name, s.load, w.capacity * SECOND_MS,
+			       good, good / (w.capacity * SECOND_MS),
+			       w.result.failed, w.result.not_run,
+			       wasted_percent(&w));
+			fflush(stdout);
+			bench_finish(&w);
+		}
+}
+
+static void run_burst(uint64_t seed)
+{
+	struct bench_setup s = setup_of(seed, GOODPUT_LENGTH_MS);
+	struct bench_world w;
+	size_t p;
+
+	s.timeout = GOODPUT_TIMEOUT_MS;
+	s.burst = 10;
+	s.burst_from = 25000;
+	s.burst_to = 35000;
+	printf("%-11s tasks in time per second: before, in, after the burst\n",
+	       "policies");
+	for (p = BASELINE; p <= ALL; p++) {
+		s.policies = &policies[p];
+		bench_init(&w, &s);
+		bench_run(&w);
+		printf("%-11s %6.0f %6.0f %6.0f of a capacity of %.0f\n",
+		       s.policies->name, goodput(&w, 15000, 25000),
+		       goodput(&w, 25000, 35000), goodput(&w, 35000, 50000),
+		       w.capacity * SECOND_MS);
+		bench_finish(&w);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const char *what = argc > 1 ? argv[1] : "response";
+	uint64_t seed = argc > 2 ? strtoull(argv[2], NULL, 10) : 7;
+	double length = argc > 3 ? strtod(argv[3], NULL) * SECOND_MS : 120000;
+
+	printf("%s, seed %llu\n", what, (unsigned long long)seed);
+	if (!strcmp(what, "response"))
+		run_response(seed, length);
+	else if (!strcmp(what, "faults"))
+		run_faults(seed, length);
+	else if (!strcmp(what, "goodput"))
+		run_goodput(seed);
+	else if (!strcmp(what, "burst"))
+		run_burst(seed);
+	else
+		return 1;
+	return 0;
+}
--- a/daemon.h
+++ b/daemon.h
@@ -10,6 +10,7 @@
  * daemon-peer.c. No part delivers an event from within an action.
  */
 
+#include <apr_poll.h>
 #include <apr_pools.h>
 #include <apr_thread_mutex.h>
 #include <apr_thread_proc.h>
@@ -35,9 +36,10 @@
 	COUNT_TARGET_STOPS,
 	COUNT_TARGET_UNSENT,
 	COUNT_TARGET_UNKNOWN,
-	COUNT_TARGET_RESENDS_PREVENTED,
+	COUNT_RESENDS_PREVENTED,
 	COUNT_TARGET_DROPPED,
 	COUNT_TARGET_CONNECTS,
+	COUNT_CONNECTIONS_SUSPECT,
 	COUNT_TARGET_BYTES_OUT,
 	COUNT_TARGET_BYTES_IN,
 	COUNT_PLATFORM_READS,
@@ -109,18 +111,22 @@
 struct loop_call_ops {
 	void (*prepare)(struct loop_call *c);
 	void (*finish)(struct loop_call *c, CURLcode rc, long status);
+	void (*free)(struct loop_call *c);
 };
 
 /* One HTTP exchange in a loop. Embedded as first member of a larger call. */
 struct loop_call {
 	const struct loop_call_ops *ops;
-	struct loop_call *next;
+	struct loop_call *next;	 /* in the queue, or among the running */
+	struct loop_call **prev; /* among the running */
 	struct loop *loop;
 	CURL *easy;
-	int resend_ok; /* may be sent again when a connection died */
-	int attempts;  /* times that the request was about to be sent */
-	int unsent;    /* set before finish: surely no byte was written */
-	int too_long;  /* the reply exceeded max_body */
+	const char *host; /* ip:port; owned by the larger call */
+	int resend_ok;	  /* may be sent again when a connection died */
+	int attempts;	  /* times that the request was about to be sent */
+	int aborted;	  /* ended by loop_abort() */
+	int unsent;	  /* set before finish: surely no byte was written */
+	int too_long;	  /* the reply exceeded max_body */
 	size_t max_body;
 	char *body;
 	size_t len, cap;
@@ -136,10 +142,23 @@
 	struct loop_call *head, **tail; /* under lock: calls to be begun */
 	atomic_int sleeping;
 	atomic_int stopping;
-	CURL **spare; /* easy handles for reuse */
+	struct loop_call *running; /* only the loop's thread */
+	CURL **spare;		   /* easy handles for reuse */
 	size_t nspare, max_spare;
+
+	/* Of daemon-poll.c; only the loop's thread. */
+	apr_pool_t *pool;
+	apr_pollset_t *pollset;
+	apr_time_t timer; /* when curl wants to be called; 0: not */
+	struct loop_socket *unused;
+	struct loop_host *suspects; /* of daemon-host.c */
 };
 
+int loop_poll_init(struct loop *l);
+/* Serves sockets and timers; sleeps until there is work if it may. */
+void loop_poll(struct loop *l, int may_sleep);
+void loop_poll_wake(struct loop *l);
+
 int loop_init(struct loop *l, struct daemon *d, void *user, int max_idle);
 void loop_finish(struct loop *l);
 /* Queues a call from any thread. */
@@ -147,6 +166,11 @@
 /* Ends a running call and its connection. Only from the loop's thread. */
 void loop_abort(struct loop_call *c);
 
+/* Whether calls to the host should not use its open connections. */
+int loop_host_is_suspect(struct loop *l, const char *address);
+void loop_host_suspect(struct loop *l, const char *address);
+void loop_hosts_finish(struct loop *l);
+
 /* --- targets, platform, peers ---------------------------------------- */
 
 int target_start(struct daemon *d);
--- a/dispatch-lookup.c
+++ b/dispatch-lookup.c
@@ -8,8 +8,14 @@
 #include "rosemary-int.h"
 
 #define LOOKUP_TIMEOUT_MS 500 /* for the answer to one lookup */
-#define LOOKUP_AGAIN_MS 50    /* before the second lookup; then doubles */
+#define LOOKUP_AGAIN_MS 50    /* least span before the next lookup */
 #define LOOKUP_AGAIN_MOST_MS 1000
+/* Part of a task's age after which it is asked for again. */
+#define LOOKUP_AGE_PART_OPEN 2 /* its reply may also come by itself */
+#define LOOKUP_AGE_PART_BROKEN 8
+/* How the span of silence adapts to what lookups find, in deviations. */
+#define SILENCE_STEP_DOWN 0.8
+#define SILENCE_STEP_UP 1.02
 #define LOOKUP_UNKNOWN_MAX 3 /* answers "unknown" before giving up */
 #define LOOKUP_GONE_MAX 2    /* lookups without answer, target not listed */
 
@@ -20,8 +26,7 @@
 	struct rp_action *a = start_action(s, type, acts);
 
 	a->start.timeout = LOOKUP_TIMEOUT_MS;
-	/* Only the first ask finds the connection of the start open. */
-	a->start.close_connection = s->asks == 0;
+	a->start.close_connection = s->broken && s->asks == 0;
 	if (s->asks < UINT8_MAX)
 		s->asks++;
 	if (type == RP_ACTION_VOID)
@@ -32,14 +37,16 @@
 	start_timer(s, now + LOOKUP_TIMEOUT_MS);
 }
 
-/* Asks again after a span that doubles. */
+/* Asks again after a span that grows with the age of the send. */
 static void ask_later(struct rp_start *s, rp_ms now)
 {
-	rp_ms span = LOOKUP_AGAIN_MS;
-	int i;
+	int part = s->broken ? LOOKUP_AGE_PART_BROKEN : LOOKUP_AGE_PART_OPEN;
+	rp_ms span = (now - s->sent_at) / part;
 
-	for (i = 1; i < s->asks && span < LOOKUP_AGAIN_MOST_MS; i++)
-		span *= 2;
+	if (span < LOOKUP_AGAIN_MS)
+		span = LOOKUP_AGAIN_MS;
+	if (span > LOOKUP_AGAIN_MOST_MS)
+		span = LOOKUP_AGAIN_MOST_MS;
 	s->phase = RP_START_PAUSING;
 	start_timer(s, now + span);
 }
@@ -91,6 +98,7 @@
 
 	if (s->phase != RP_START_SENT)
 		return;
+	s->broken = (uint8_t)broken;
 	hedge(s, now);
 	if (s->job->closed) {
 		send_left(s);
@@ -149,6 +157,27 @@
 	outcome_take(s, RP_START_UNSENT, NULL, now, acts);
 }
 
+/*
+ * Lookups that find an outcome whose reply never came show that connections
+ * go silent: later ones are made sooner, and the other way round.
+ */
+static void note_lookup(const struct rp_start *s,
+			enum rp_lookup_outcome outcome)
+{
+	struct rp_service *svc = s->target->svc;
+
+	if (s->broken || s->stopped)
+		return;
+	if (outcome == RP_LOOKUP_DONE || outcome == RP_LOOKUP_FAILED)
+		svc->silence *= SILENCE_STEP_DOWN;
+	else if (outcome == RP_LOOKUP_RUNNING)
+		svc->silence *= SILENCE_STEP_UP;
+	if (svc->silence < RP_SILENCE_LEAST)
+		svc->silence = RP_SILENCE_LEAST;
+	if (svc->silence > RP_SILENCE_MOST)
+		svc->silence = RP_SILENCE_MOST;
+}
+
 static void lookup_outcome(struct rp_start *s, const struct rp_event *ev,
 			   rp_ms now, struct rp_actions *acts)
 {
@@ -208,6 +237,7 @@
 		return;
 	}
 	svc = s->target->svc;
+	note_lookup(s, ev->lookup.outcome);
 	lookup_outcome(s, ev, now, acts);
 	dispatch_pump(svc, now, acts);
 	kernel_unlock(k, d->lock);
--- a/dispatch-pump.c
+++ b/dispatch-pump.c
@@ -12,8 +12,6 @@
 #define TAIL_DEVIATIONS 1.0
 /* One job beyond the learned time still starts per span, to learn anew. */
 #define PROBE_INTERVAL_MS 500
-/* Jobs passed over that would rather wait for a faster target. */
-#define SKIP_MAX 4
 
 void target_pause(struct rp_target *t, rp_ms now, rp_ms most)
 {
@@ -186,50 +184,20 @@
 	return t;
 }
 
-/* Jobs at the queue's head that rather wait, while later ones are looked at */
-struct skipped {
-	struct rp_job *jobs[SKIP_MAX];
-	size_t n;
-};
-
-/* Takes the job out of the queue until the pump ends. */
-static void skip(struct rp_job *job, struct skipped *sk)
-{
-	struct rp_service *svc = job->svc;
-
-	svc->queue->ops->remove(svc->queue, job);
-	svc->ahead += job_waiting(job);
-	sk->jobs[sk->n++] = job;
-}
-
-static void unskip(struct rp_service *svc, struct skipped *sk, rp_ms now)
-{
-	size_t i;
-
-	svc->ahead = 0;
-	for (i = 0; i < sk->n; i++)
-		svc->queue->ops->add(svc->queue, sk->jobs[i], now);
-}
-
-/* Binds the job's next task, or puts the job aside; 0: nothing has room. */
-static int bind_next(struct rp_job *job, struct skipped *sk, rp_ms now,
-		     struct rp_actions *acts)
+/* Binds the job's next task; 0 when it has to wait for room. */
+static int bind_next(struct rp_job *job, rp_ms now, struct rp_actions *acts)
 {
-	struct rp_service *svc = job->svc;
 	struct rp_target *t;
 
 	if (is_hopeless(job, now)) {
 		fail_hopeless(job, now, acts);
 		return 1;
 	}
-	svc->declined = 0;
 	t = pick_target(job, now);
 	if (t)
 		start_next(job, t, now, acts);
 	else if (job->avoid)
 		park(job);
-	else if (svc->declined && sk->n < SKIP_MAX)
-		skip(job, sk);
 	else
 		return 0;
 	return 1;
@@ -237,13 +205,11 @@
 
 void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
 {
-	struct skipped sk = { .n = 0 };
 	struct rp_job *job;
 
 	while ((job = svc->queue->ops->next(svc->queue, now)))
-		if (!bind_next(job, &sk, now, acts))
+		if (!bind_next(job, now, acts))
 			break;
 	if (svc->nqueued)
 		svc->limit->ops->demand(svc->limit, svc->nqueued, now, acts);
-	unskip(svc, &sk, now);
 }
--- a/load.c
+++ b/load.c
@@ -68,6 +68,7 @@
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
 
+/* Reads a number within bounds, or exits. */
 static double number(struct argp_state *state, const char *arg, double low,
 		     double high)
 {
@@ -79,6 +80,7 @@
 	return x;
 }
 
+/* Reads a distribution, or exits. */
 static void dist(struct argp_state *state, struct load_dist *d, const char *arg)
 {
 	if (load_dist_parse(d, arg))
@@ -88,6 +90,7 @@
 			   arg);
 }
 
+/* Adds a weighted name, or exits. */
 static void mix(struct argp_state *state, struct load_mix *m, const char *arg)
 {
 	if (load_mix_add(m, arg))
@@ -210,6 +213,7 @@
 	}
 }
 
+/* Sets what the help text says. */
 static void set_defaults(struct load_settings *set)
 {
 	memset(set, 0, sizeof(*set));
@@ -247,6 +251,17 @@
 	load_verify(set, plan, v);
 }
 
+/* How often an id was started again at the target that had run it. */
+static size_t double_starts(const struct load_counters *before,
+			    const struct load_counters *after)
+{
+	json_t *grown = load_counters_grown(before->targets, after->targets);
+	double n = json_number_value(json_object_get(grown, "double_starts"));
+
+	json_decref(grown);
+	return (size_t)n;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = { options,
@@ -273,8 +288,9 @@
 	load_plan_init(&plan, &set);
 	load_counters_read(&set, &before);
 	load_run(&set, &plan);
-	load_counters_read(&set, &after);
 	verify(&set, &plan, &verdict);
+	load_counters_read(&set, &after);
+	verdict.double_starts = double_starts(&before, &after);
 	load_report(&set, &plan, &verdict, &before, &after);
 	load_counters_finish(&before);
 	load_counters_finish(&after);
--- a/regress/dispatch-life.c
+++ b/regress/dispatch-life.c
@@ -97,11 +97,10 @@
 	cr_assert_not_null(a);
 	cr_assert_eq(t.now, 1000);
 	cr_assert_eq(a->start.start_id, id);
-	cr_assert_eq(a->start.close_connection, 1);
+	cr_assert_eq(a->start.close_connection, 0);
 	life_lookup(&t, id, RP_LOOKUP_RUNNING);
 	a = life_until(&t, RP_ACTION_LOOKUP, 2000);
 	cr_assert_not_null(a);
-	cr_assert_eq(a->start.close_connection, 0);
 	life_lookup(&t, id, RP_LOOKUP_DONE);
 	cr_assert_eq(life_state(&t), RP_COMPLETE);
 	test_reply(&t, id, RP_START_DONE, "late");
@@ -124,6 +123,8 @@
 	memcpy(first, a->start.task_id, sizeof(first));
 	test_reply(&t, id, RP_START_UNKNOWN, "");
 	cr_assert_eq(test_count(&t, RP_ACTION_LOOKUP), 1);
+	cr_assert_eq(test_find(&t, RP_ACTION_LOOKUP)->start.close_connection,
+		     1);
 	life_lookup(&t, id, RP_LOOKUP_UNKNOWN);
 	cr_assert_eq(test_count(&t, RP_ACTION_VOID), 1);
 	life_lookup(&t, id, RP_LOOKUP_VOIDED);
--- a/rosemary.h
+++ b/rosemary.h
@@ -207,6 +207,8 @@
 #define RP_WEIGHT_DEFAULT 100
 #define RP_WEIGHT_MAX 10000
 #define RP_LIMIT_MAX 1000000
+#define RP_EDIT_CELLS_MAX 512 /* cells in one edit or draft */
+#define RP_DRAFTS_MAX 64
 
 /* --- the platform --------------------------------------------------- */
 
@@ -226,6 +228,7 @@
 
 enum rp_platform_outcome {
 	RP_PLATFORM_DONE,
+	RP_PLATFORM_UNCHANGED, /* LIST: as it was at the last DONE */
 	RP_PLATFORM_CONFLICT,  /* a version did not match; nothing written */
 	RP_PLATFORM_NO_EFFECT, /* surely had no effect (refused, not sent) */
 	RP_PLATFORM_LOST,      /* no answer: it may have taken effect */
@@ -267,6 +270,7 @@
 	RP_EVENT_PEER_DOWN,
 	RP_EVENT_PLATFORM_REPLY,
 	RP_EVENT_EDIT,
+	RP_EVENT_DRAFT,
 	RP_EVENT_DRAIN,
 };
 
@@ -292,7 +296,7 @@
 
 struct rp_event {
 	enum rp_event_type type;
-	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT */
+	rp_token token; /* KEYS, SUBMIT, QUERY, CANCEL, EDIT, DRAFT */
 	union {
 		struct {
 			int count;
@@ -339,6 +343,14 @@
 			size_t ncells;
 			const struct rp_cell *cells;
 		} edit;
+		struct {
+			const char *name;
+			int drop; /* the draft is dropped, not kept */
+			const char *edit_id; /* that it is committed under */
+			int64_t base_version;
+			size_t ncells;
+			const struct rp_cell *cells;
+		} draft;
 	};
 };
 
@@ -354,7 +366,7 @@
 	RP_ACTION_PEER,	      /* send a packed message to an entry VM */
 	RP_ACTION_PEER_RESET, /* close a silent link; reopen when used */
 	RP_ACTION_PLATFORM,   /* call the platform */
-	RP_ACTION_EDITED,     /* tell the operator what became of an edit */
+	RP_ACTION_EDITED,     /* tell what became of an edit or a draft */
 	RP_ACTION_DRAINED,    /* all is finished: the process may exit */
 };
 
@@ -380,7 +392,9 @@
 			/* START: owned by the action, else NULL */
 			struct rp_submission *sub;
 			size_t task;	      /* index into sub->tasks */
-			int close_connection; /* LOOKUP, VOID: drop it */
+			/* LOOKUP, VOID: drop the start's connection now; else
+			 * once its outcome was reported */
+			int close_connection;
 		} start;
 		struct {
 			char name[RP_NAME_MAX];
--- a/route-earliest.c
+++ b/route-earliest.c
@@ -19,6 +19,12 @@
 /* Share of its run time that a full target is taken to be slower. */
 #define FULL_PENALTY 0.05
 
+/*
+ * Waiting has to be better by this factor, for it also delays what comes
+ * later.
+ */
+#define WAIT_MARGIN 2.5
+
 /* A target without a sample for so long is tried again, ms. */
 #define STALE_MS 20000
 /* Samples that an old run time still weighs as much as. */
@@ -225,7 +231,8 @@
 /*
  * Span until the last of so many tasks would end if they all waited for
  * slots of targets faster than the one given, ms: its slot becomes free
- * after tasks / rate, and it runs for work / rate on average.
+ * after tasks / rate, and it runs for work / rate on average. All that waits
+ * counts, for each task that waits delays those behind it.
  */
 static double time_by_waiting(const struct earliest_route *r, double than,
 			      size_t tasks)
@@ -260,9 +267,8 @@
 	if (!t)
 		return NULL;
 	time = expected_time(t);
-	if (time_by_waiting(r, time, r->svc->ahead + job_waiting(job)) >= time)
+	if (WAIT_MARGIN * time_by_waiting(r, time, r->svc->nqueued) >= time)
 		return t;
-	r->svc->declined = 1;
 	return NULL;
 }
 
