--- a/bench-dispatch.c
+++ b/bench-dispatch.c
@@ -40,8 +40,8 @@
 #define BASELINE 2 /* "least" in policies */
 #define ALL 4	   /* "all" in policies */
 
-static const char *const fault_names[] = { "none",  "slow10", "fails",
-					   "hangs", "flaps",  "dead",
+static const char *const fault_names[] = { "none",   "slow10", "fails",
+					   "hangs",  "flaps",  "dead",
 					   "silent", "all-bad" };
 
 /* Percentiles of one column over the jobs. */
--- a/bench-world.c
+++ b/bench-world.c
@@ -44,7 +44,7 @@
 	uint64_t start_id;
 	size_t job, task;
 	int target;
-	double ends;	  /* INFINITY: never */
+	double ends; /* INFINITY: never */
 	enum rp_start_outcome outcome;
 	int over;	  /* its outcome stands */
 	int voided, lost; /* the reply does not come */
@@ -64,8 +64,8 @@
 
 	if (w->nevents > w->cap_events) {
 		w->cap_events = w->cap_events ? 2 * w->cap_events : 1024;
-		w->events = realloc(w->events,
-				    w->cap_events * sizeof(*w->events));
+		w->events =
+			realloc(w->events, w->cap_events * sizeof(*w->events));
 	}
 	while (i > 0 && event_before(&ev, &w->events[(i - 1) / 2])) {
 		w->events[i] = w->events[(i - 1) / 2];
@@ -137,8 +137,8 @@
 static void target_starts(struct bench_world *w, struct bench_send *s)
 {
 	double way = latency(w, s->target);
-	double run = w->jobs[s->job].work[s->task] *
-		     w->targets[s->target].factor;
+	double run =
+		w->jobs[s->job].work[s->task] * w->targets[s->target].factor;
 
 	s->outcome = RP_START_DONE;
 	if (w->setup->fault == BENCH_DEAD && is_struck(w, s->target)) {
@@ -159,8 +159,8 @@
 		  gsl_rng_uniform(w->rng) < SILENT_SHARE;
 	s->ends = w->now + way + run;
 	if (!s->lost)
-		event_push(w, s->ends + way, EV_REPLY,
-			   (uint64_t)(s - w->sends), (int)s->outcome);
+		event_push(w, s->ends + way, EV_REPLY, (uint64_t)(s - w->sends),
+			   (int)s->outcome);
 }
 
 static void on_start(struct bench_world *w, const struct rp_action *a)
@@ -468,8 +468,8 @@
 
 static void make_job(struct bench_world *w, struct bench_job *j, double at)
 {
-	double scale = gsl_ran_lognormal(w->rng, log(WORK_MEDIAN_MS),
-					 WORK_SIGMA_JOB);
+	double scale =
+		gsl_ran_lognormal(w->rng, log(WORK_MEDIAN_MS), WORK_SIGMA_JOB);
 	size_t i;
 
 	memset(j, 0, sizeof(*j));
@@ -479,20 +479,19 @@
 	j->team = (int)gsl_rng_uniform_int(w->rng, BENCH_TEAMS);
 	j->work = calloc(j->ntasks, sizeof(*j->work));
 	for (i = 0; i < j->ntasks; i++)
-		j->work[i] = scale *
-			     gsl_ran_lognormal(w->rng, 0, WORK_SIGMA_TASK);
+		j->work[i] =
+			scale * gsl_ran_lognormal(w->rng, 0, WORK_SIGMA_TASK);
 }
 
 /* Draws all arrivals beforehand, so that every policy gets the same. */
 static void make_jobs(struct bench_world *w)
 {
-	double mean_tasks = ONE_TASK_SHARE +
-			    (1 - ONE_TASK_SHARE) * JOB_MEAN_TASKS;
+	double mean_tasks =
+		ONE_TASK_SHARE + (1 - ONE_TASK_SHARE) * JOB_MEAN_TASKS;
 	double at = 0;
 	size_t cap = 0;
 
-	mean_tasks = w->setup->requests +
-		     (1 - w->setup->requests) * mean_tasks;
+	mean_tasks = w->setup->requests + (1 - w->setup->requests) * mean_tasks;
 	for (;;) {
 		double rate = w->capacity * load_at(w->setup, at) / mean_tasks;
 
--- a/bench-world.h
+++ b/bench-world.h
@@ -46,23 +46,23 @@
 	const struct bench_policies *policies;
 	enum bench_fault fault;
 	uint64_t seed;
-	double load;	       /* offered work over capacity */
-	double burst;	       /* factor on the load during the burst */
+	double load;  /* offered work over capacity */
+	double burst; /* factor on the load during the burst */
 	double burst_from, burst_to;
-	double length;	       /* arrivals stop then, ms */
-	double warmup;	       /* jobs before that are not counted, ms */
+	double length; /* arrivals stop then, ms */
+	double warmup; /* jobs before that are not counted, ms */
 	double fault_from, fault_to;
-	rp_ms timeout;	       /* of each job */
-	double requests;       /* share of jobs that are idempotent requests */
+	rp_ms timeout;	 /* of each job */
+	double requests; /* share of jobs that are idempotent requests */
 };
 
 struct bench_job {
-	double at;     /* reaches the entry VM */
-	double end;    /* answered; 0: not yet */
-	double ideal;  /* span in the clairvoyant schedule */
-	double lone;   /* span when alone */
+	double at;    /* reaches the entry VM */
+	double end;   /* answered; 0: not yet */
+	double ideal; /* span in the clairvoyant schedule */
+	double lone;  /* span when alone */
 	size_t ntasks;
-	double *work;  /* of each task at speed 1, ms */
+	double *work; /* of each task at speed 1, ms */
 	int team;
 	int idempotent;
 	enum rp_state state;
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -368,7 +368,7 @@
 	struct rp_heap speeds;	   /* targets in use, least run time first */
 	struct rp_job *parked;	   /* wait for a target other than avoid */
 	const struct rp_target *avoid; /* closed for the job being bound */
-	size_t nslots;	/* limits of the targets in use, together */
+	size_t nslots; /* limits of the targets in use, together */
 	/* Deviations over the mean after which a send is silent. */
 	double silence;
 	rp_ms probe_at; /* a job beyond its time may start from here on */
--- a/rosemary.h
+++ b/rosemary.h
@@ -391,7 +391,7 @@
 			rp_ms timeout;		       /* give up after, ms */
 			/* START: owned by the action, else NULL */
 			struct rp_submission *sub;
-			size_t task;	      /* index into sub->tasks */
+			size_t task; /* index into sub->tasks */
 			/* LOOKUP, VOID: drop the start's connection now; else
 			 * once its outcome was reported */
 			int close_connection;
