--- a/dispatch-start.c
+++ b/dispatch-start.c
@@ -9,8 +9,6 @@
 #define START_SLOT_BITS 24
 #define START_GENERATION_BITS 32
 
-/* A send is silent after its expected time and so many deviations. */
-#define SILENCE_DEVIATIONS 10
 #define SILENCE_LEAST_MS 250
 #define SILENCE_SAMPLES 20 /* before that, the option alone holds */
 
@@ -122,7 +120,7 @@
 		l = &t->learned;
 	if (l->count < SILENCE_SAMPLES)
 		return most;
-	span = (rp_ms)(l->mean + SILENCE_DEVIATIONS * l->dev);
+	span = (rp_ms)(l->mean + t->svc->silence * l->dev);
 	if (span < SILENCE_LEAST_MS)
 		span = SILENCE_LEAST_MS;
 	return span < most ? span : most;
@@ -168,6 +166,7 @@
 	s->suffix = job->tasks[task].suffix;
 	s->asks = 0;
 	s->unknown = 0;
+	s->broken = 0;
 	s->judged = 0;
 	s->stopped = 0;
 	s->job = job;
@@ -239,6 +238,8 @@
 	start_learn(s, now, outcome);
 	start_judge(s, now, outcome);
 	svc->limit->ops->ended(svc->limit, t, outcome, now);
+	if (svc->queue->ops->ended)
+		svc->queue->ops->ended(svc->queue, s->job->team);
 	svc->route->ops->changed(svc->route, t, now);
 	s->next_free = d->free_start;
 	d->free_start = s->slot;
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -113,6 +113,8 @@
 	/* The target's room, speed, weight, limit or health changed. */
 	void (*changed)(struct rp_route *r, struct rp_target *t, rp_ms now);
 	void (*removed)(struct rp_route *r, struct rp_target *t);
+	/* Optional: called at every tick. */
+	void (*tick)(struct rp_route *r, rp_ms now);
 };
 
 /* Orders the jobs that have tasks to start. */
@@ -130,6 +132,9 @@
 	struct rp_job *(*next)(struct rp_queue *q, rp_ms now);
 	/* One task of the job was started, or came back to the queue. */
 	void (*changed)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+	/* Optional: a task of the job, or of the team, was sent; ended. */
+	void (*started)(struct rp_queue *q, struct rp_job *job);
+	void (*ended)(struct rp_queue *q, struct rp_team *team);
 };
 
 /* Accepts or refuses a job before anything of it starts. */
@@ -250,6 +255,7 @@
 	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
 	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
 	int paused;			/* connects fail: gets no work now */
+	int counted_slots;		/* in svc->nslots */
 	rp_ms pause;			/* last span of the pause, ms */
 	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
@@ -260,11 +266,13 @@
 
 struct rp_team {
 	char name[RP_NAME_MAX];
+	struct rp_dispatch *shard;
 	int32_t weight; /* share in force */
 	int32_t quota;	/* tasks in flight; RP_CELL_UNSET: no quota */
 	int in_flight;
-	size_t njobs;	  /* queued jobs */
-	void *queue_data; /* for the queue policy */
+	size_t njobs;	       /* queued jobs */
+	size_t nqueued;	       /* their waiting tasks */
+	int32_t active_weight; /* counted in the shard's, while it waits */
 };
 
 enum rp_task_state {
@@ -304,6 +312,7 @@
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
+	void *queue_data;			/* likewise */
 	int queued;				/* the queue policy holds it */
 	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
@@ -318,6 +327,7 @@
 	uint16_t suffix; /* of the task id; 0: none */
 	uint8_t asks;	 /* lookups and voids made */
 	uint8_t unknown; /* answers that the id is not known */
+	uint8_t broken;	 /* its connection is gone */
 	uint8_t judged;	 /* the health policy was told of it */
 	uint8_t stopped; /* the target was asked to stop it */
 	uint8_t hedged;	 /* the time for a hedge is over */
@@ -340,6 +350,10 @@
 	RP_START_LEFT,	  /* nothing more can be learned: slot is charged */
 };
 
+/* Bounds on rp_service.silence. */
+#define RP_SILENCE_LEAST 5.0
+#define RP_SILENCE_MOST 10.0
+
 #define RP_START_NONE UINT32_MAX /* end of the list of free slots */
 #define RP_START_PAGE 256	 /* sends allocated at once */
 
@@ -362,6 +376,9 @@
 	struct rp_heap speeds;	   /* targets in use, least run time first */
 	struct rp_job *parked;	   /* wait for a target other than avoid */
 	const struct rp_target *avoid; /* closed for the job being bound */
+	size_t nslots; /* limits of the targets in use, together */
+	/* Deviations over the mean after which a send is silent. */
+	double silence;
 	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
@@ -386,6 +403,7 @@
 	struct rp_heap timers; /* of starts */
 	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
+	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
@@ -880,6 +898,8 @@
 /* The task surely did not run: it goes back into the queue. */
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
+/* Counts tasks of the job that came to wait, or wait no more. */
+void job_count_waiting(struct rp_job *job, ptrdiff_t n);
 
 /* dispatch-start.c: the table of sends; needs the lock. */
 /* The send that the id names, or NULL when it has ended. */
