--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -159,7 +159,7 @@
 {
 	c->loop = l;
 	add_running(l, c);
-	c->easy = take_easy(l);
+	c->easy = c->refused ? NULL : take_easy(l);
 	if (!c->easy) {
 		end_call(c, CURLE_OUT_OF_MEMORY);
 		return;
--- a/daemon-peer-in.c
+++ b/daemon-peer-in.c
@@ -13,6 +13,7 @@
 	apr_pool_t *pool;
 	char address[RP_ADDRESS_MAX];
 	int closed;
+	rp_ms heard; /* when bytes last came */
 	char *buf;
 	size_t len, cap;
 };
@@ -105,6 +106,7 @@
 		return;
 	}
 	in->len += n;
+	in->heard = daemon_now();
 	count_add(COUNT_PEER_BYTES_IN, n);
 	if (take_frames(ps, in) < 0)
 		close_in(ps, in);
@@ -119,6 +121,7 @@
 	in->end.ready = on_readable;
 	in->end.socket = s;
 	in->pool = pool;
+	in->heard = daemon_now();
 	if (apr_socket_addr_get(&sa, APR_REMOTE, s) == APR_SUCCESS)
 		apr_sockaddr_ip_getbuf(in->address, sizeof(in->address), sa);
 	apr_socket_opt_set(s, APR_SO_NONBLOCK, 1);
@@ -154,13 +157,20 @@
 	add_in(ps, s, pool);
 }
 
+/*
+ * A peer whose machine is gone ends no connection; such connections must
+ * not use up the bound.
+ */
 void peer_in_reap(struct peer_side *ps)
 {
+	rp_ms oldest = daemon_now() - ps->d->set->peer_idle;
 	struct peer_in **at = &ps->ins;
 
 	while (*at) {
 		struct peer_in *in = *at;
 
+		if (in->heard < oldest)
+			close_in(ps, in);
 		if (!in->closed) {
 			at = &in->next;
 			continue;
--- a/daemon-peer.h
+++ b/daemon-peer.h
@@ -46,7 +46,7 @@
 
 void peer_in_accept(struct peer_side *ps, struct peer_end *e,
 		    apr_int16_t events);
-/* Frees connections that ended in this round. */
+/* Frees connections that have ended or were silent for too long. */
 void peer_in_reap(struct peer_side *ps);
 void peer_in_finish(struct peer_side *ps);
 
--- a/daemon-platform.c
+++ b/daemon-platform.c
@@ -359,7 +359,9 @@
 	count_add(p->op == RP_PLATFORM_COMMIT ? COUNT_PLATFORM_COMMITS
 					      : COUNT_PLATFORM_READS,
 		  1);
-	atomic_fetch_add(&d->platform->inflight, 1);
+	if (atomic_fetch_add(&d->platform->inflight, 1) >=
+	    d->set->platform_calls)
+		p->call.refused = 1;
 	loop_submit(&d->platform->loop, &p->call);
 }
 
--- a/daemon.h
+++ b/daemon.h
@@ -124,6 +124,7 @@
 	const char *host; /* ip:port; owned by the larger call */
 	int resend_ok;	  /* may be sent again when a connection died */
 	int attempts;	  /* times that the request was about to be sent */
+	int refused;	  /* set before it is queued: not to be sent */
 	int aborted;	  /* ended by loop_abort() */
 	int unsent;	  /* set before finish: surely no byte was written */
 	int too_long;	  /* the reply exceeded max_body */
--- a/regress/daemon-test.h
+++ b/regress/daemon-test.h
@@ -87,6 +87,8 @@
 	test_settings.peer_message = 100000;
 	test_settings.peer_queue = 1 << 20;
 	test_settings.peer_connections = 8;
+	test_settings.peer_idle = 60000;
+	test_settings.platform_calls = 4;
 	test_daemon.set = &test_settings;
 	apr_pool_create(&test_daemon.pool, NULL);
 	return &test_daemon;
--- a/regress/http-peer.c
+++ b/regress/http-peer.c
@@ -187,6 +187,24 @@
 		close(fds[i]);
 }
 
+Test(peer, silent_connection_is_closed)
+{
+	int silent, busy, i;
+
+	test_settings.peer_idle = 300;
+	silent = connect_to(test_settings.peer_listen);
+	busy = connect_to(test_settings.peer_listen);
+	for (i = 0; i < 10; i++) {
+		cr_assert_eq(write(busy, "\0\0\0\1x", 5), 5);
+		apr_sleep(apr_time_from_msec(100));
+	}
+	cr_assert(is_closed(silent));
+	cr_assert_eq(write(busy, "\0\0\0\1x", 5), 5);
+	test_wait(11);
+	close(silent);
+	close(busy);
+}
+
 static void check_down(int n, const char *name)
 {
 	const struct test_event *t = test_wait(n);
--- a/regress/http-platform.c
+++ b/regress/http-platform.c
@@ -188,3 +188,28 @@
 	}
 	test_server_stop(&s);
 }
+
+/* Calls beyond the bound are not sent, and surely had no effect. */
+Test(platform, calls_are_bounded)
+{
+	static const char *const replies[] = { HEAD("2") "{}", NULL };
+	int counts[RP_PLATFORM_LOST + 1] = { 0 };
+	struct test_server s;
+	int i;
+
+	start_against(&s, replies);
+	atomic_store(&s.hold, 1);
+	for (i = 0; i < 7; i++)
+		ask(RP_PLATFORM_COMMIT, "v");
+	test_wait(3);
+	while (atomic_load(&s.requests) < 4)
+		apr_sleep(1000);
+	atomic_store(&s.hold, 0);
+	test_wait(7);
+	for (i = 0; i < 7; i++)
+		counts[test_events[i].ev.platform.outcome]++;
+	cr_assert_eq(counts[RP_PLATFORM_NO_EFFECT], 3);
+	cr_assert_eq(counts[RP_PLATFORM_DONE], 4);
+	cr_assert_eq(s.requests, 4);
+	test_server_stop(&s);
+}
--- a/setting.h
+++ b/setting.h
@@ -33,6 +33,8 @@
 	int peer_connections;  /* inbound peer connections */
 	size_t peer_message;   /* bytes of one peer message */
 	size_t peer_queue;     /* bytes waiting, per peer */
+	rp_ms peer_idle;       /* a silent inbound connection is closed after */
+	int platform_calls;    /* at once; beyond it they have no effect */
 	rp_ms drain_limit;     /* the planned stop gives up after */
 	enum log_level log_level;
 	struct rp_vm *vms; /* kernel.seeds, owned */
