Take the kernel's bound on cells; a flag to abort on violations

The shell allowed 4096 cells in one edit where the kernel takes 512, so the fault named no bound of the interface. The kernel's option to abort at a broken invariant had no flag, which long runs need.

--- a/http-parse.c
+++ b/http-parse.c
@@ -364,7 +364,7 @@
 
 	if (!json_is_array(list) || json_array_size(list) == 0)
 		return bad(rd, "cells", "want an array with at least one cell");
-	if (json_array_size(list) > HTTP_CELLS_MAX)
+	if (json_array_size(list) > RP_EDIT_CELLS_MAX)
 		return bad(rd, "cells", "too many in one edit");
 	edit->cells = calloc(json_array_size(list), sizeof(*edit->cells));
 	if (!edit->cells)
--- a/http.h
+++ b/http.h
@@ -8,8 +8,7 @@
 
 #include "daemon.h"
 
-#define HTTP_CELLS_MAX 4096 /* cells in one edit */
-#define HTTP_NEXT_KEYS 1    /* keys issued with an answer */
+#define HTTP_NEXT_KEYS 1 /* keys issued with an answer */
 
 struct http_request;
 
--- a/setting-table.c
+++ b/setting-table.c
@@ -119,6 +119,9 @@
 	  AT(kernel.claim_interval), "least span between claim commits" },
 	{ "trace-events", SETTING_SIZE, 0, NULL, 16, 100000000, "events",
 	  AT(kernel.trace_events), "length of the event ring" },
+	{ "abort-on-violation", SETTING_INT, 0, NULL, 0, 1, "0 or 1",
+	  AT(kernel.abort_on_violation),
+	  "for tests: abort at a broken invariant" },
 };
 
 const size_t setting_count = sizeof(setting_table) / sizeof(*setting_table);
