Close idle connections to targets when a loop has nothing to send

A target takes a bounded number of connections over all entry VMs, but curl closes an aged connection only when it makes another call, so an entry VM without work held its connections for ever.

--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -127,6 +127,8 @@
 		c->unsent = 1;
 	}
 	remove_running(c);
+	l->used = 1;
+	l->last_end = daemon_now();
 	c->ops->finish(c, rc, status);
 	c->ops->free(c);
 	if (easy)
@@ -239,6 +241,39 @@
 	atomic_store(&l->sleeping, 0);
 }
 
+static CURLM *new_multi(struct loop *l)
+{
+	CURLM *multi = curl_multi_init();
+
+	if (!multi)
+		return NULL;
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)l->max_spare);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	loop_poll_attach(l, multi);
+	return multi;
+}
+
+/*
+ * Closes all connections once the loop has rested for their age. curl by
+ * itself closes old connections only when it makes another call, and a
+ * target takes so many connections only.
+ */
+static void close_idle(struct loop *l)
+{
+	CURLM *multi;
+
+	if (!l->used || l->running ||
+	    daemon_now() - l->last_end < l->d->set->target_idle_age)
+		return;
+	multi = new_multi(l);
+	if (!multi)
+		return;
+	curl_multi_cleanup(l->multi);
+	l->multi = multi;
+	l->timer = 0;
+	l->used = 0;
+}
+
 static void *APR_THREAD_FUNC run_loop(apr_thread_t *thread, void *arg)
 {
 	struct loop *l = arg;
@@ -249,6 +284,7 @@
 		begin_queued(l);
 		wait_for_work(l);
 		end_finished(l);
+		close_idle(l);
 	}
 	return NULL;
 }
@@ -261,14 +297,13 @@
 	l->tail = &l->head;
 	l->max_spare = (size_t)max_idle;
 	l->spare = apr_palloc(d->pool, l->max_spare * sizeof(CURL *));
-	l->multi = curl_multi_init();
-	if (!l->multi || loop_poll_init(l) < 0 ||
+	if (loop_poll_init(l) < 0 ||
 	    apr_thread_mutex_create(&l->lock, APR_THREAD_MUTEX_DEFAULT,
 				    d->pool) != APR_SUCCESS)
 		return -1;
-	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
-	curl_multi_setopt(l->multi, CURLMOPT_PIPELINING,
-			  (long)CURLPIPE_NOTHING);
+	l->multi = new_multi(l);
+	if (!l->multi)
+		return -1;
 	l->thread = daemon_thread(d, run_loop, l);
 	return l->thread ? 0 : -1;
 }
--- a/daemon-poll.c
+++ b/daemon-poll.c
@@ -78,13 +78,17 @@
 			       APR_POLLSET_WAKEABLE | APR_POLLSET_NOCOPY) !=
 		    APR_SUCCESS)
 		return -1;
-	curl_multi_setopt(l->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-	curl_multi_setopt(l->multi, CURLMOPT_SOCKETDATA, l);
-	curl_multi_setopt(l->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-	curl_multi_setopt(l->multi, CURLMOPT_TIMERDATA, l);
 	return 0;
 }
 
+void loop_poll_attach(struct loop *l, CURLM *multi)
+{
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, l);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, l);
+}
+
 /* The span until curl's timer; 0 when it has passed. */
 static apr_interval_time_t span_left(const struct loop *l)
 {
--- a/daemon.h
+++ b/daemon.h
@@ -144,6 +144,8 @@
 	atomic_int sleeping;
 	atomic_int stopping;
 	struct loop_call *running; /* only the loop's thread */
+	int used;		   /* since the connections were closed */
+	rp_ms last_end;		   /* when a call last ended */
 	CURL **spare;		   /* easy handles for reuse */
 	size_t nspare, max_spare;
 
@@ -156,6 +158,7 @@
 };
 
 int loop_poll_init(struct loop *l);
+void loop_poll_attach(struct loop *l, CURLM *multi);
 /* Serves sockets and timers; sleeps until there is work if it may. */
 void loop_poll(struct loop *l, int may_sleep);
 void loop_poll_wake(struct loop *l);
--- a/regress/http-target.c
+++ b/regress/http-target.c
@@ -357,3 +357,23 @@
 	cr_assert_eq(s.connections, 2);
 	test_server_stop(&s);
 }
+
+/* Connections do not stay open when the daemon has nothing to send. */
+Test(target, idle_connections_are_closed)
+{
+	static const char *const replies[] = { OK_REPLY, NULL };
+	rp_ms end = daemon_now() + TEST_WAIT_MS;
+	struct test_server s;
+
+	test_settings.target_idle_age = 1000;
+	test_server_start(&s, replies);
+	send_action(RP_ACTION_START, s.address, 1, "x", 0);
+	check_start(1, 1, RP_START_DONE);
+	cr_assert_eq(atomic_load(&s.live), 1);
+	while (atomic_load(&s.live) && daemon_now() < end)
+		apr_sleep(apr_time_from_msec(10));
+	cr_assert_eq(atomic_load(&s.live), 0);
+	send_action(RP_ACTION_START, s.address, 2, "x", 0);
+	check_start(2, 2, RP_START_DONE);
+	test_server_stop(&s);
+}
