--- a/Makefile
+++ b/Makefile
@@ -103,7 +103,9 @@
 DAEMON_TESTS = $(filter $(B)/regress/http-% $(B)/regress/setting%,\
 	$(TESTS_C))
 
-$(filter-out $(DAEMON_TESTS),$(TESTS_C)): $(B)/regress/%: \
+CLI_TESTS = $(filter $(B)/regress/cli-%,$(TESTS_C))
+
+$(filter-out $(DAEMON_TESTS) $(CLI_TESTS),$(TESTS_C)): $(B)/regress/%: \
 		$(B)/regress/%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
@@ -111,6 +113,10 @@
 		$(B)/librosemary.a
 	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
 
+$(CLI_TESTS): $(B)/regress/%: $(B)/regress/%.o \
+		$(call obj,$(wildcard cli-*.c))
+	$(LINK) -lapr-1 -lcurl -ljansson -pthread -lcriterion
+
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
 	$(CXX) $(OPT) $(SAN) -o $@ $^ -lrapidcheck $(KERNEL_LIBS)
 
--- a/cli-events.c
+++ b/cli-events.c
@@ -58,24 +58,28 @@
 	return 0;
 }
 
-size_t cli_timeline_add(struct cli_timeline *t, char *lines,
-			const struct cli_filter *filter)
+struct cli_batch cli_timeline_add(struct cli_timeline *t, char *lines,
+				  const struct cli_filter *filter)
 {
-	size_t bad = 0;
+	struct cli_batch batch = { 0, 0 };
 	char *save, *line;
 
 	for (line = strtok_r(lines, "\n", &save); line;
 	     line = strtok_r(NULL, "\n", &save)) {
 		struct cli_event ev;
 
-		if (parse_event(line, &ev))
-			bad++;
-		else if (wanted(&ev, filter))
+		if (parse_event(line, &ev)) {
+			batch.malformed++;
+			continue;
+		}
+		if (!batch.first_seq)
+			batch.first_seq = ev.seq;
+		if (wanted(&ev, filter))
 			append(t, &ev);
 		else
 			json_decref(ev.fields);
 	}
-	return bad;
+	return batch;
 }
 
 /* Orders events by (hlc, vm, seq), for qsort(). */
--- a/cli-events.h
+++ b/cli-events.h
@@ -33,9 +33,15 @@
 	size_t len, cap;
 };
 
-/* Adds the JSON lines of a reply; returns the number that were malformed. */
-size_t cli_timeline_add(struct cli_timeline *t, char *lines,
-			const struct cli_filter *filter);
+/* What a reply's lines held, before the filter. */
+struct cli_batch {
+	size_t malformed;
+	uint64_t first_seq; /* 0: no event */
+};
+
+/* Adds the JSON lines of one reply of one entry VM; cuts them up. */
+struct cli_batch cli_timeline_add(struct cli_timeline *t, char *lines,
+				  const struct cli_filter *filter);
 /* Orders by (hlc, vm, seq). */
 void cli_timeline_sort(struct cli_timeline *t);
 /* Prints the events up to a stamp, and removes them. */
--- a/cmd-events.c
+++ b/cmd-events.c
@@ -71,19 +71,51 @@
 	}
 }
 
-/* Says that an entry VM answered with something else than its events. */
-static void print_bad_reply(struct cli *cli, const char *vm, size_t bad,
-			    const struct cli_reply *reply)
+/* Prints a line about an entry VM that is no event of its ring. */
+static void print_note(struct cli *cli, const char *vm, const char *event,
+		       const char *message)
 {
-	struct cli_reply note = { .status = reply->status };
-
-	if (bad)
-		snprintf(note.error, sizeof(note.error),
-			 "%zu lines are no events", bad);
-	else
-		snprintf(note.error, sizeof(note.error), "HTTP %ld",
-			 reply->status);
-	cli_print_unreachable(cli, vm, &note);
+	json_t *o;
+
+	if (!cli->json) {
+		printf("# entry VM %s: %s\n", vm, message);
+		return;
+	}
+	o = json_pack("{s:s, s:s, s:s}", "event", event, "vm", vm, "message",
+		      message);
+	json_dumpf(o, stdout, JSON_COMPACT);
+	printf("\n");
+	json_decref(o);
+}
+
+/* Takes in a reply; returns CLI_UNREACHABLE when it is not what it should. */
+static int take_reply(struct cli *cli, struct events *e, size_t i,
+		      struct cli_reply *reply)
+{
+	struct cli_batch batch = { 0, 0 };
+	uint64_t expected = e->since[i] > 1 ? (uint64_t)e->since[i] : 1;
+	char text[64];
+
+	if (reply->status != 200) {
+		snprintf(text, sizeof(text), "HTTP %ld", reply->status);
+		print_note(cli, cli->vms[i], "unreadable", text);
+		return CLI_UNREACHABLE;
+	}
+	if (reply->body)
+		batch = cli_timeline_add(&e->timeline, reply->body, &e->filter);
+	if (batch.first_seq > expected) {
+		snprintf(text, sizeof(text), "%llu older events overwritten",
+			 (unsigned long long)(batch.first_seq - expected));
+		print_note(cli, cli->vms[i], "overwritten", text);
+	}
+	/* A ring that is shorter than before belongs to a new process. */
+	e->since[i] = reply->next < e->since[i] ? 0 : reply->next;
+	if (!batch.malformed)
+		return CLI_COMPLETE;
+	snprintf(text, sizeof(text), "%zu lines are no events",
+		 batch.malformed);
+	print_note(cli, cli->vms[i], "unreadable", text);
+	return CLI_UNREACHABLE;
 }
 
 /* Reads what one entry VM has added since; returns its exit code. */
@@ -92,28 +124,19 @@
 	char path[64];
 	struct cli_call call = { "GET", path, NULL, NULL, CLI_TIMEOUT_MS };
 	struct cli_reply reply;
-	size_t bad = 0;
-	int code = CLI_COMPLETE;
+	int code;
 
 	snprintf(path, sizeof(path), "/v1/events?since=%lld",
 		 (long long)e->since[i]);
-	if (cli_http(cli, cli->vms[i], &call, &reply)) {
+	if (!cli_http(cli, cli->vms[i], &call, &reply)) {
+		code = take_reply(cli, e, i, &reply);
+		e->unreachable[i] = 0;
+	} else {
 		code = CLI_UNREACHABLE;
 		if (!e->unreachable[i])
 			cli_print_unreachable(cli, cli->vms[i], &reply);
-	} else {
-		if (reply.status == 200 && reply.body)
-			bad = cli_timeline_add(&e->timeline, reply.body,
-					       &e->filter);
-		if (reply.next >= 0)
-			e->since[i] = reply.next;
-		if (reply.status != 200 || bad) {
-			code = CLI_UNREACHABLE;
-			if (!e->unreachable[i])
-				print_bad_reply(cli, cli->vms[i], bad, &reply);
-		}
+		e->unreachable[i] = 1;
 	}
-	e->unreachable[i] = code != CLI_COMPLETE;
 	cli_reply_finish(&reply);
 	return code;
 }
