--- a/daemon-platform.c
+++ b/daemon-platform.c
@@ -274,7 +274,8 @@
 	case 200:
 		return RP_PLATFORM_DONE;
 	case 304:
-		return RP_PLATFORM_UNCHANGED;
+		return p->op == RP_PLATFORM_LIST ? RP_PLATFORM_UNCHANGED
+						 : RP_PLATFORM_LOST;
 	case 409:
 		return RP_PLATFORM_CONFLICT;
 	case 503:
@@ -324,6 +325,12 @@
 	json_decref(r.root);
 	free(r.rows);
 	free(r.vms);
+}
+
+static void free_platform(struct loop_call *c)
+{
+	struct platform_call *p = (struct platform_call *)c;
+
 	free(p->request);
 	free(c->body);
 	free(p);
@@ -332,6 +339,7 @@
 static const struct loop_call_ops platform_ops = {
 	.prepare = prepare_platform,
 	.finish = finish_platform,
+	.free = free_platform,
 };
 
 void platform_execute(struct daemon *d, struct rp_action *act)
@@ -341,6 +349,7 @@
 	if (!p)
 		abort();
 	p->call.ops = &platform_ops;
+	p->call.host = d->set->platform;
 	p->call.max_body = REPLY_MAX;
 	p->call.resend_ok = act->platform.op != RP_PLATFORM_COMMIT;
 	p->ask_id = act->platform.ask_id;
--- a/http-server.c
+++ b/http-server.c
@@ -103,11 +103,14 @@
 		send_refusal(r);
 	} else if (!r->handled) {
 		r->handled = 1;
-		r->route->handle(r);
-	} else if (!r->responded && atomic_load(&r->phase) == HTTP_REPLIED) {
+		if (!http_check_arguments(r))
+			r->route->handle(r);
+	} else if (atomic_load(&r->phase) == HTTP_REPLIED) {
+		if (r->reply_kind == HTTP_REPLY_GONE)
+			return MHD_NO;
 		http_send_reply(r);
 	}
-	return r->reply_kind == HTTP_REPLY_GONE ? MHD_NO : MHD_YES;
+	return MHD_YES;
 }
 
 static struct http_request *new_request(struct daemon *d,
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -230,6 +230,7 @@
 	int listed;	     /* in the latest list */
 	int leaving;	     /* by list, own reply or peer: gets no work */
 	rp_ms leaving_since; /* when the earliest sign came */
+	int leaving_told;    /* the members were told, or told us */
 	int32_t weight;	     /* in force from the table */
 	int32_t limit;	     /* in force: table's limit, else slots */
 	int in_flight;	     /* starts of this entry VM not yet ended */
@@ -239,9 +240,15 @@
 	uint64_t failed;
 	uint64_t busy;
 	struct rp_heap_node route_node; /* for the route policy */
+	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
+	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
+	int paused;			/* connects fail: gets no work now */
+	rp_ms pause;			/* last span of the pause, ms */
+	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
 	void *limit_data;		/* for the limit policy */
 	void *health_data;		/* for the health policy */
+	void *route_data;		/* for the route policy */
 };
 
 struct rp_team {
@@ -263,6 +270,8 @@
 	uint8_t state;	  /* enum rp_task_state */
 	uint8_t sends;	  /* sends in the air */
 	uint8_t attempts; /* sends made */
+	uint8_t may_run;  /* a send may have run, or be running */
+	uint16_t suffix;  /* of the task id of the next send; 0: none */
 	struct rp_blob *result;
 };
 
@@ -279,31 +288,53 @@
 	struct rp_task *tasks;
 	size_t next_task; /* tasks from here on were never sent */
 	uint32_t *again;  /* tasks that surely did not run, to be resent */
-	size_t nagain;
+	size_t nagain, cap_again;
 	size_t ndone;
-	size_t in_flight; /* sends in the air */
+	size_t in_flight;	/* sends in the air */
+	struct rp_start *sends; /* these */
+	/* Where the request failed; compared only, it may be freed. */
+	const struct rp_target *avoid;
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
 	int queued;				/* the queue policy holds it */
+	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
 };
 
 /* One send of a task to a target. */
 struct rp_start {
+	uint32_t slot;	     /* place in the table of sends */
 	uint32_t generation; /* tells a reused slot's ids apart */
-	int in_use;
+	uint8_t in_use;
+	uint8_t phase;	 /* enum rp_start_phase */
+	uint16_t suffix; /* of the task id; 0: none */
+	uint8_t asks;	 /* lookups and voids made */
+	uint8_t unknown; /* answers that the id is not known */
+	uint8_t judged;	 /* the health policy was told of it */
+	uint8_t stopped; /* the target was asked to stop it */
+	uint8_t hedged;	 /* the time for a hedge is over */
 	struct rp_job *job;
 	uint32_t task;
 	struct rp_target *target;
 	rp_ms sent_at;
 	rp_ms give_up_at; /* the target was told to stop by then */
-	int looked_up;	  /* the outcome was asked for */
+	rp_ms silent_at;  /* the outcome is asked for from here on */
 	struct rp_heap_node timer_node;
+	struct rp_start *job_next, *job_prev;
+	struct rp_start *target_next, *target_prev;
 	uint32_t next_free;
 };
 
+enum rp_start_phase {
+	RP_START_SENT,	  /* the reply is awaited */
+	RP_START_ASKING,  /* a lookup or void is on its way */
+	RP_START_PAUSING, /* a lookup follows when the timer fires */
+	RP_START_LEFT,	  /* nothing more can be learned: slot is charged */
+};
+
 #define RP_START_NONE UINT32_MAX /* end of the list of free slots */
+#define RP_START_PAGE 256	 /* sends allocated at once */
 
 struct rp_service {
 	char name[RP_NAME_MAX];
@@ -320,6 +351,10 @@
 	size_t nqueued; /* tasks waiting to be started */
 	size_t in_flight;
 	struct rp_learned learned; /* over all targets */
+	struct rp_heap speeds;	   /* targets in use, least run time first */
+	struct rp_job *parked;	   /* wait for a target other than avoid */
+	const struct rp_target *avoid; /* closed for the job being bound */
+	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
 struct rp_dispatch_counters {
@@ -333,19 +368,21 @@
 	struct rp_kernel *k;
 	unsigned index;
 	apr_pool_t *pool;
-	apr_hash_t *services; /* name -> struct rp_service */
-	apr_hash_t *teams;    /* name -> struct rp_team */
-	apr_hash_t *jobs;     /* id -> struct rp_job */
-	struct rp_start *starts;
+	apr_hash_t *services;	       /* name -> struct rp_service */
+	apr_hash_t *teams;	       /* name -> struct rp_team */
+	apr_hash_t *jobs;	       /* id -> struct rp_job */
+	struct rp_start **start_pages; /* RP_START_PAGE sends each */
 	size_t nstarts;
 	uint32_t free_start;
 	struct rp_heap deadlines;
 	struct rp_heap timers; /* of starts */
+	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
 	struct rp_view *view;  /* newest members applied, referenced */
+	apr_hash_t *cells;     /* of the table, for this shard's services */
 	struct rp_dispatch_counters counters;
 };
 
@@ -429,6 +466,59 @@
 	char failure_domain[RP_NAME_MAX];
 	uint64_t incarnation; /* 0: not heard yet */
 	enum rp_member_state state;
+	int64_t table_version; /* in force there, as last heard */
+	double load;	       /* tasks queued and running, as last heard */
+};
+
+/* What the node knows of a member beyond what a view shows. */
+struct rp_member_entry {
+	struct rp_member m;
+	int listed;	    /* in the latest list */
+	int leaving;	    /* by the list or its own heartbeat */
+	int gone;	    /* until it is heard again */
+	rp_ms announced_at; /* of our first heartbeat to it; 0: none yet */
+	int link_down;	    /* calls are refused until it is heard directly */
+	rp_ms heard_at;	    /* latest sign of life, direct or told by others */
+	rp_ms direct_at;    /* latest message from it; 0: none */
+	rp_ms replaced_at;  /* when it became gone or a newer incarnation */
+	rp_ms probed_at, reset_at;
+};
+
+/* The records of an incarnation that stopped are served by a member. */
+struct rp_forward {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	char to[RP_NAME_MAX];
+	uint64_t to_incarnation;
+	rp_ms until; /* its keys have expired after this */
+	struct rp_forward *next;
+};
+
+/* Who can answer for an incarnation now. */
+enum rp_owner {
+	RP_OWNER_HERE, /* this entry VM, for itself or by a forward */
+	RP_OWNER_PEER,
+	RP_OWNER_UNREACHABLE,
+	RP_OWNER_GONE,
+};
+
+/* A call passed on to the owner of its key that waits for the answer. */
+struct rp_relay {
+	uint64_t id;
+	struct rp_waiter waiter;
+	int op;			   /* RpRelay__Op */
+	struct rp_submission *sub; /* SUBMIT: one reference */
+	char key[RP_KEY_MAX];
+	size_t key_len;
+	char owner[RP_NAME_MAX];
+	uint64_t owner_incarnation;
+	char to[RP_NAME_MAX]; /* member that was asked */
+	int wait;
+	int acked;
+	uint32_t attempts; /* sends since something came back */
+	rp_ms heard_at;	   /* when something came back, or the start */
+	rp_ms next_ask;
+	rp_ms give_up_at;
 };
 
 /* The members as one state, published by the node; immutable. */
@@ -439,6 +529,8 @@
 	struct rp_member members[];
 };
 
+struct rp_drain;
+
 struct rp_view *view_ref(struct rp_view *v);
 void view_unref(struct rp_view *v);
 
@@ -458,6 +550,7 @@
 	RP_TRACE_DRAIN,
 	RP_TRACE_CLAIM,
 	RP_TRACE_RELAY,
+	RP_TRACE_VIOLATION,
 };
 
 struct rp_trace_event {
@@ -519,9 +612,25 @@
 	uint64_t list_seq;
 	rp_ms list_due;
 	int list_asked;
-	int drained; /* the end of the planned stop was told */
 	uint64_t platform_reads, platform_writes;
-};
+	apr_hash_t *members; /* name -> struct rp_member_entry */
+	struct rp_view *view;
+	uint64_t view_seq;
+	rp_ms started_at;
+	rp_ms first_list_at; /* 0: no list was fetched yet */
+	rp_ms beat_due;	     /* next heartbeats within the failure domain */
+	rp_ms cross_due;     /* next heartbeats to other failure domains */
+	unsigned round;	     /* counts the latter */
+	struct rp_forward *forwards;
+	apr_hash_t *relays; /* id -> struct rp_relay */
+	uint64_t next_relay;
+	rp_ms relay_due; /* next look at the relays */
+	rp_ms leave_due; /* next look for targets that leave */
+	struct rp_drain *drain;
+	uint64_t peer_messages, peer_bytes;
+};
+
+#include "table.h"
 
 struct rp_kernel {
 	struct rp_options opt;
@@ -529,6 +638,7 @@
 	struct rp_sub_shard subs[RP_SUB_SHARDS];
 	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
 	struct rp_node node;
+	struct rp_table table;
 	struct rp_trace trace;
 	atomic_ullong next_key;
 	atomic_int draining;
@@ -556,6 +666,9 @@
 /* kernel-writer.c: writes before, then s as a JSON string. */
 void writer_json(struct rp_writer *w, const char *before, struct rp_str s);
 
+/* kernel-report.c: one counter as a line of text. */
+void write_counter(struct rp_writer *w, const char *name, uint64_t value);
+
 /* kernel-platform.c; the node's lock must not be held. */
 void platform_ask(struct rp_kernel *k, rp_ms now, enum rp_platform_op op,
 		  const struct rp_row *rows, size_t nrows,
@@ -589,7 +702,7 @@
 		   struct rp_answer *a, struct rp_actions *acts);
 void record_expire(struct rp_sub_shard *s, rp_ms now);
 
-/* The following takes the shard's lock. */
+/* The following take the shard's lock. */
 void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
 
 /* sub-submit.c; no lock is held. */
@@ -599,6 +712,9 @@
 	       const struct rp_waiter *w, struct rp_actions *acts);
 void sub_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		const struct rp_waiter *w, struct rp_actions *acts);
+/* Joins a known key; 0 when no record has it. */
+int sub_join(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+	     int wait, const struct rp_waiter *w, struct rp_actions *acts);
 /* Starts a record whose key is settled; the shard's lock is held. */
 void submit_start(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
 		  struct rp_submission *sub, struct rp_actions *acts);
@@ -624,9 +740,46 @@
 		 const struct rp_waiter *w, struct rp_actions *acts);
 void relay_cancel(struct rp_kernel *k, rp_ms now, struct rp_str key,
 		  const struct rp_waiter *w, struct rp_actions *acts);
+/* For the caller's own keys: the owner is the one named in the claim. */
+void relay_submit_to(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		     const char *owner_vm, uint64_t owner_incarnation, int wait,
+		     const struct rp_waiter *w, struct rp_actions *acts);
+void relay_query_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		    const char *owner_vm, uint64_t owner_incarnation, int wait,
+		    const struct rp_waiter *w, struct rp_actions *acts);
+void relay_cancel_to(struct rp_kernel *k, rp_ms now, struct rp_str key,
+		     const char *owner_vm, uint64_t owner_incarnation,
+		     const struct rp_waiter *w, struct rp_actions *acts);
 /* Sends an answer back to the peer that relayed; takes the answer over. */
 void relay_answer(struct rp_kernel *k, rp_ms now, const struct rp_waiter *w,
 		  struct rp_answer *a, struct rp_actions *acts);
+void relay_answered(struct rp_kernel *k, rp_ms now, const RpRelayAnswer *msg,
+		    struct rp_actions *acts);
+void relay_finish(struct rp_kernel *k);
+
+/* relay-wait.c */
+void relay_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Sends a waiting call to r->to; the node's lock must not be held. */
+void relay_send(struct rp_kernel *k, rp_ms now, const struct rp_relay *r,
+		struct rp_actions *acts);
+/* Answers for an owner that is unreachable or gone for good. */
+void relay_no_owner(struct rp_kernel *k, rp_ms now, enum rp_owner why,
+		    const char *owner, const struct rp_waiter *w,
+		    struct rp_actions *acts);
+void relay_free(struct rp_relay *r);
+
+/* relay-serve.c: calls that a peer relayed to this entry VM. */
+void relay_received(struct rp_kernel *k, rp_ms now, const char *from,
+		    const RpRelay *msg, struct rp_actions *acts);
+/* Answers from the records of an incarnation that was taken over. */
+void relay_adopted(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
+		   struct rp_str key, int wait, const struct rp_waiter *w,
+		   struct rp_actions *acts);
+
+/* relay-pack.c: answers as messages. */
+void relay_pack_answer(const struct rp_answer *a, RpRelayAnswer *msg);
+void relay_pack_free(RpRelayAnswer *msg);
+struct rp_answer *relay_unpack_answer(const RpRelayAnswer *msg);
 
 /* dispatch-service.c */
 void dispatch_init(struct rp_kernel *k, unsigned index);
@@ -638,6 +791,9 @@
 void dispatch_list(struct rp_dispatch *d, rp_ms now, uint64_t seq,
 		   const struct rp_vm *vms, size_t nvms,
 		   struct rp_actions *acts);
+/* Tells the policies that targets or members changed, and starts tasks. */
+void service_changed(struct rp_service *svc, rp_ms now,
+		     struct rp_actions *acts);
 /* Whether one more task may be started on the target now. */
 int target_open(const struct rp_target *t);
 /* Tasks that may be in flight on the target over all entry VMs. */
@@ -665,34 +821,141 @@
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
 
-/* dispatch-start.c; needs the lock but for the two events. */
+/* dispatch-start.c: the table of sends; needs the lock. */
+/* The send that the id names, or NULL when it has ended. */
+struct rp_start *start_find(struct rp_dispatch *d, uint64_t id);
+struct rp_dispatch *start_shard(struct rp_kernel *k, uint64_t id);
+/* Sends one task of the job; 0 when an invariant forbids it. */
+int start_send(struct rp_job *job, uint32_t task, struct rp_target *t,
+	       rp_ms now, struct rp_actions *acts);
+/* Frees the slot of a send that has ended and tells the policies. */
+void start_end(struct rp_start *s, rp_ms now, enum rp_start_outcome outcome);
+/* Tells the health policy of the send, once. */
+void start_judge(struct rp_start *s, rp_ms now, enum rp_start_outcome outcome);
+/* Fills the part that all actions about a send have in common. */
+struct rp_action *start_action(const struct rp_start *s,
+			       enum rp_action_type type,
+			       struct rp_actions *acts);
+void start_timer(struct rp_start *s, rp_ms at);
+/* Asks the targets to stop what is in the air of a closed job. */
+void start_stop_all(struct rp_job *job, struct rp_actions *acts);
+/* Drops a send at the kernel's end. */
+void start_forget(struct rp_start *s);
+/* The send in that place of the table. */
+struct rp_start *start_at(struct rp_dispatch *d, size_t slot);
+
+/* dispatch-outcome.c: what becomes of sends; takes the lock. */
 void dispatch_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		    struct rp_actions *acts);
+/* Ends a send whose outcome is known; needs the lock. */
+void outcome_take(struct rp_start *s, enum rp_start_outcome outcome,
+		  struct rp_blob *body, rp_ms now, struct rp_actions *acts);
+/* Queues one more send of a request elsewhere; 0 without a budget. */
+int outcome_retry(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  rp_ms now);
+/* The task of a send failed, or may have run; needs the lock. */
+void outcome_lost(struct rp_job *job, uint32_t task, struct rp_target *t,
+		  enum rp_code code, rp_ms now, struct rp_actions *acts);
+
+/* dispatch-lookup.c: sends without a reply. */
 void dispatch_lookup(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		     struct rp_actions *acts);
+/* The following need the lock. */
+void dispatch_timers(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+/* Asks the target what became of the send, or waits when it cannot. */
+void lookup_start(struct rp_start *s, int broken, rp_ms now,
+		  struct rp_actions *acts);
+/* Asks for all sends to a target that left the list. */
+void lookup_target(struct rp_target *t, rp_ms now, struct rp_actions *acts);
+
+/* dispatch-pump.c; needs the lock. */
 /* Starts what can be started now. */
 void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts);
-/* Asks the targets to stop what is in the air of a closed job. */
-void start_stop_all(struct rp_job *job, struct rp_actions *acts);
-/* Drops a send at the kernel's end. */
-void start_forget(struct rp_start *s);
-void dispatch_timers(struct rp_dispatch *d, rp_ms now, struct rp_actions *acts);
+/* Puts jobs back in the queue that waited for another target. */
+void pump_unpark(struct rp_service *svc, rp_ms now);
+/* Takes a parked job out of the list. */
+void pump_forget(struct rp_job *job);
+/* Gives a target no work for a span that doubles up to most. */
+void target_pause(struct rp_target *t, rp_ms now, rp_ms most);
+/* Ends the pauses that are over. */
+void target_wake(struct rp_dispatch *d, rp_ms now);
+/* Notes the target's run time, or that it takes no work. */
+void target_speed(struct rp_target *t);
+/* Least run time to expect of the service's targets, ms; 0: unknown. */
+double service_least_time(const struct rp_service *svc);
+/* Mean run time to expect of the target, also when little is known. */
+double target_time(const struct rp_target *t);
+
+/*
+ * Counts a broken invariant and returns 0, or stops the process when the
+ * options ask for it; returns 1 when ok holds.
+ */
+int dispatch_check(struct rp_dispatch *d, rp_ms now, int ok, const char *what);
 
 /* member-list.c */
 void member_init(struct rp_kernel *k, rp_ms now);
 void member_finish(struct rp_kernel *k);
 void member_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 
+/* member-table.c; those of the first group need the node's lock. */
+struct rp_member_entry *member_find(struct rp_node *n, const char *name);
+struct rp_member_entry *member_get(struct rp_node *n, const char *name,
+				   rp_ms now);
+int member_is_near(const struct rp_kernel *k, const struct rp_member_entry *e);
+/* A sign of life of an incarnation; 0: it is an old one. */
+int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
+		rp_ms now);
+/* Who answers for the incarnation; fills the name of the member to ask. */
+enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
+			   uint64_t incarnation, char to[RP_NAME_MAX]);
+void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
+		    uint64_t incarnation, const char *to,
+		    uint64_t to_incarnation);
+
+/* The following take the lock. */
+void member_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
+		   size_t nvms, int fetched);
+/* Judges all members; publishes a view when one of them changed. */
+void member_judge(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* The current view with a reference for the caller, or NULL. */
+struct rp_view *member_view(struct rp_kernel *k);
+const struct rp_member *view_find(const struct rp_view *v, const char *name);
+/* A call to the member was not answered. */
+void member_unanswered(struct rp_kernel *k, const char *name);
 void member_down(struct rp_kernel *k, rp_ms now, const char *name,
 		 struct rp_actions *acts);
 
+/* member-beat.c */
+void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* A heartbeat to every member now. */
+void beat_all(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void beat_received(struct rp_kernel *k, rp_ms now, const char *from,
+		   const RpHeartbeat *hb, struct rp_actions *acts);
+/* Asks a member that is held to be unreachable for a sign of life. */
+void beat_probe(struct rp_kernel *k, rp_ms now, const char *name,
+		struct rp_actions *acts);
+
+/* member-leave.c: targets that leave. */
+void leave_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void leave_received(struct rp_kernel *k, rp_ms now, const RpLeaving *msg);
+
+/* member-report.c: the members in the status. */
+void member_report(struct rp_kernel *k, rp_ms now, struct rp_writer *w);
+
 /* peer-message.c */
 void peer_message(struct rp_kernel *k, rp_ms now, const void *data, size_t len,
 		  struct rp_actions *acts);
 
-/* table-edit.c */
-void table_edit(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
-		struct rp_actions *acts);
+/* peer-send.c */
+/* Stamps and sends the message; the node's lock must not be held. */
+void peer_send(struct rp_kernel *k, rp_ms now, const char *name,
+	       RpEnvelope *env, struct rp_actions *acts);
+/* The same with the address known; needs the node's lock. */
+void peer_send_to(struct rp_kernel *k, rp_ms now,
+		  const struct rp_member_entry *e, RpEnvelope *env,
+		  struct rp_actions *acts);
+/* Closes the link to the member; needs the node's lock. */
+void peer_reset(struct rp_member_entry *e, rp_ms now, struct rp_actions *acts);
 
 /* drain-stop.c */
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
