Load report: messages of all parts against the fewest

The report counted only calls to targets. It now adds callers' calls, messages between entry VMs and calls to the platform, and takes the next keys from answers, as a caller should, so that no call goes to fetching keys.

--- a/load-answer.c
+++ b/load-answer.c
@@ -85,13 +85,12 @@
 	return 1;
 }
 
-void load_answer_read(const struct load_settings *set, struct load_job *job,
-		      size_t number, const struct load_call *call,
+void load_answer_read(const struct load_settings *set,
+		      const struct load_call *call, json_t *o,
 		      struct load_outcome *out)
 {
-	json_t *o = call->status ? json_loadb(call->reply, call->len, 0, NULL)
-				 : NULL;
 	const char *error = json_string_value(json_object_get(o, "error"));
+	struct load_job *job = call->job;
 
 	memset(out, 0, sizeof(*out));
 	out->state = parse_state(json_string_value(json_object_get(o, "stat"
@@ -106,8 +105,7 @@
 		error = call->status ? "unnamed" : "no_answer";
 	snprintf(out->error, sizeof(out->error), "%s", error ? error : "");
 	if (out->state == LOAD_COMPLETE &&
-	    !results_match(set, job, number, json_object_get(o, "results"),
-			   out))
+	    !results_match(set, job, call->number,
+			   json_object_get(o, "results"), out))
 		job->wrong = 1;
-	json_decref(o);
 }
--- a/load-caller.c
+++ b/load-caller.c
@@ -56,22 +56,25 @@
 
 /* --- keys ------------------------------------------------------------- */
 
-/* Adds the keys of a reply to the stock. */
-static void take_keys(struct key_stock *s, const struct load_call *call)
+/* The JSON of a reply, or NULL. */
+static json_t *reply_json(const struct load_call *call)
 {
-	json_t *o = call->status == 200
-			    ? json_loadb(call->reply, call->len, 0, NULL)
+	return call->status ? json_loadb(call->reply, call->len, 0, NULL)
 			    : NULL;
+}
+
+/* Adds issued keys to the stock. */
+static void take_keys(struct key_stock *s, json_t *keys)
+{
 	json_t *key;
 	size_t i;
 
-	json_array_foreach(json_object_get(o, "keys"), i, key)
+	json_array_foreach(keys, i, key)
 	{
 		char *copy = strdup(json_string_value(key));
 
 		push(&s->keys, &s->len, &s->cap, &copy, sizeof(copy));
 	}
-	json_decref(o);
 }
 
 /* Sends the jobs that waited, as far as there are keys. */
@@ -110,14 +113,16 @@
 static void on_keys(struct load_call *call)
 {
 	struct caller *c = call->loop->owner;
-	struct key_stock *s = &c->stock[call->number];
+	struct key_stock *s = &c->stock[call->vm];
+	json_t *o = reply_json(call);
 
 	s->asked = 0;
-	take_keys(s, call);
+	take_keys(s, json_object_get(o, "keys"));
+	json_decref(o);
 	if (s->len)
 		send_waiting(c, s);
 	else
-		move_waiting(c, s, call->number);
+		move_waiting(c, s, call->vm);
 }
 
 /* Asks an entry VM for a batch of keys. */
@@ -131,7 +136,7 @@
 	snprintf(url, sizeof(url), "http://%s/v1/keys?count=%d",
 		 c->set->vms[vm], KEYS_BATCH);
 	call->done = on_keys;
-	call->number = vm;
+	call->vm = vm;
 	call->body = strdup("");
 	c->stock[vm].asked = 1;
 	load_call_start(&c->loop, call, url, KEYS_TIMEOUT_MS);
@@ -207,8 +212,12 @@
 {
 	struct caller *c = call->loop->owner;
 	struct load_outcome out;
+	json_t *o = reply_json(call);
 
-	load_answer_read(c->set, call->job, call->number, call, &out);
+	load_answer_read(c->set, call, o, &out);
+	/* An answer brings the keys of the next jobs. */
+	take_keys(&c->stock[call->vm], json_object_get(o, "next_keys"));
+	json_decref(o);
 	note_outcome(c, call->job, &out);
 	maybe_retry(c, call, &out);
 }
@@ -229,6 +238,7 @@
 	call->done = on_answer;
 	call->job = job;
 	call->number = number;
+	call->vm = vm;
 	call->body = load_job_body(set, job, number);
 	call->headers = curl_slist_append(NULL, "Content-Type: "
 						"application/json");
--- a/load-report.c
+++ b/load-report.c
@@ -146,26 +146,53 @@
 			    json_integer((json_int_t)calls));
 }
 
-/* Calls to targets against the fewest: one per start. */
-static void add_messages(json_t *report, json_t *grown)
+/* The sum of the named counters. */
+static json_int_t sum_of(json_t *counters, const char *const *names)
 {
-	static const char *const names[] = { "starts", "busy", "double_starts",
-					     "lookups", "voids" };
-	json_t *o = json_object();
-	json_int_t sent = 0;
-	size_t i;
+	double sum = 0;
+
+	for (; *names; names++)
+		sum += json_number_value(json_object_get(counters, *names));
+	return (json_int_t)sum;
+}
 
-	for (i = 0; i < sizeof(names) / sizeof(*names); i++) {
-		json_int_t n = (json_int_t)json_number_value(
-			json_object_get(grown, names[i]));
+/*
+ * Calls and messages between all parts, against the fewest that this run's
+ * jobs and starts need: one call each.
+ */
+static void add_messages(json_t *report, const struct load_plan *plan,
+			 json_t *targets, json_t *vms)
+{
+	static const char *const target_names[] = { "starts",	     "busy",
+						    "double_starts", "lookups",
+						    "voids",	     NULL };
+	static const char *const caller_names[] = { "rosemaryd_http_requests_"
+						    "total",
+						    NULL };
+	static const char *const peer_names[] = { "rosemaryd_peer_messages_out_"
+						  "total",
+						  NULL };
+	static const char *const platform_names[] = { "rosemaryd_platform_"
+						      "calls_read_total",
+						      "rosemaryd_platform_"
+						      "calls_commit_total",
+						      NULL };
+	json_int_t starts =
+		(json_int_t)json_number_value(json_object_get(targets, "start"
+								       "s"));
+	json_int_t to_targets = sum_of(targets, target_names);
+	json_int_t callers = sum_of(vms, caller_names);
+	json_int_t peers = sum_of(vms, peer_names);
+	json_int_t platform = sum_of(vms, platform_names);
 
-		sent += n;
-		json_object_set_new(o, i ? names[i] : "fewest",
-				    json_integer(n));
-	}
-	json_object_set_new(o, "sent", json_integer(sent));
-	json_object_set_new(report, "target_calls", o);
-	json_decref(grown);
+	json_object_set_new(
+		report, "messages",
+		json_pack("{s:I, s:I, s:I, s:I, s:I, s:I}", "sent",
+			  to_targets + callers + peers + platform, "fewest",
+			  (json_int_t)plan->njobs + starts, "of_callers",
+			  callers, "to_targets", to_targets, "between_vms",
+			  peers, "to_platform", platform));
+	json_object_set_new(report, "targets", json_incref(targets));
 }
 
 /* Promises that were broken, by kind. */
@@ -224,6 +251,8 @@
 		 const struct load_counters *before,
 		 const struct load_counters *after)
 {
+	json_t *vms = load_counters_grown(before->vms, after->vms);
+	json_t *targets = load_counters_grown(before->targets, after->targets);
 	json_t *report = json_object();
 	int m;
 
@@ -237,14 +266,13 @@
 	}
 	add_states(report, plan);
 	if (set->ntargets)
-		add_messages(report, load_counters_grown(before->targets,
-							 after->targets));
+		add_messages(report, plan, targets, vms);
 	add_faults(report, v);
-	json_object_set_new(report, "entry_vm_counters",
-			    load_counters_grown(before->vms, after->vms));
+	json_object_set_new(report, "entry_vm_counters", vms);
 	json_object_set_new(report, "platform_counts",
 			    load_counters_grown(before->platform,
 						after->platform));
+	json_decref(targets);
 	if (set->json) {
 		json_dumpf(report, stdout,
 			   JSON_INDENT(2) | JSON_REAL_PRECISION(6));
--- a/load.h
+++ b/load.h
@@ -159,7 +159,8 @@
 	size_t len;
 	long status; /* 0: no answer */
 	struct load_job *job;
-	size_t number; /* of the job, or of the entry VM */
+	size_t number; /* of the job */
+	size_t vm;
 	int64_t sent_us;
 };
 
@@ -204,9 +205,12 @@
 
 /* --- load-answer.c ---------------------------------------------------- */
 
-/* Reads an answer and checks its results against the job. */
-void load_answer_read(const struct load_settings *set, struct load_job *job,
-		      size_t number, const struct load_call *call,
+/*
+ * Reads the answer to a call for a job and checks its results against the
+ * job; o is its JSON, or NULL.
+ */
+void load_answer_read(const struct load_settings *set,
+		      const struct load_call *call, json_t *o,
 		      struct load_outcome *out);
 const char *load_state_name(enum load_state state);
 
