Join the branches: one case for a commit answered unchanged

Cause: two branches each handled the new outcome and stood twice. Change: it counts as no answer, so the edit is settled by reading back.

--- a/table-op.c
+++ b/table-op.c
@@ -270,7 +270,6 @@
 		op->unsettled = 1;
 		op->give_up_at = op->started_at + OP_SETTLE_MS;
 		break;
-	case RP_PLATFORM_UNCHANGED: /* only of lists */
 	case RP_PLATFORM_NO_EFFECT:
 		break;
 	}
