Planned stop: take issued keys for two seconds more

Change: for 2 s after the stop begins submissions with keys of this entry VM are taken; the flag that refuses them is set one step before the records are looked at, so whoever passed it is seen. The test that expected a refusal at once now expects both: taken early, not run later.

--- a/drain-stop.c
+++ b/drain-stop.c
@@ -5,6 +5,11 @@
 
 #include "rosemary-int.h"
 
+/*
+ * Span in which submissions with keys of this entry VM are still taken: the
+ * balancer and the callers learn of the stop with a lag, ms.
+ */
+#define GRACE_MS 2000
 /* Span between looks whether all is finished, ms. */
 #define FINISH_SCAN_MS 50
 /* Span in which the members are told of the successor, ms. */
@@ -16,8 +21,14 @@
 {
 	struct rp_trace_about about = { .task = -1 };
 
-	if (atomic_exchange(&k->draining, 1))
+	int not_yet = RP_STOPPING_NOT;
+
+	if (!atomic_compare_exchange_strong(&k->draining, &not_yet,
+					    RP_STOPPING_SOON))
 		return;
+	kernel_lock(k, k->node.lock);
+	k->node.drain.refuse_at = now + GRACE_MS;
+	kernel_unlock(k, k->node.lock);
 	trace_event(k, now, RP_TRACE_DRAIN, &about, "started");
 	beat_all(k, now, acts);
 }
@@ -82,8 +93,28 @@
 	trace_event(k, now, RP_TRACE_DRAIN, &about, "%s", names[phase]);
 }
 
+/*
+ * Whether submissions are refused by now. The flag is set one step before
+ * the first look at the records, so that whoever passed it is seen there.
+ */
+static int refuses(struct rp_kernel *k, rp_ms now)
+{
+	rp_ms refuse_at;
+
+	if (atomic_load(&k->draining) == RP_STOPPING_NOW)
+		return 1;
+	kernel_lock(k, k->node.lock);
+	refuse_at = k->node.drain.refuse_at;
+	kernel_unlock(k, k->node.lock);
+	if (now >= refuse_at)
+		atomic_store(&k->draining, RP_STOPPING_NOW);
+	return 0;
+}
+
 static void finish_tick(struct rp_kernel *k, rp_ms now)
 {
+	if (!refuses(k, now))
+		return;
 	if (has_jobs(k) || has_relays(k) || has_open_records(k) ||
 	    claim_pending(k))
 		return;
--- a/regress/cluster-drain.c
+++ b/regress/cluster-drain.c
@@ -60,22 +60,33 @@
 	net_free(net);
 }
 
-Test(drain, unused_key_during_the_stop_is_not_run)
+Test(drain, keys_are_taken_for_a_while_and_then_are_not_run)
 {
 	struct net *net = start(3);
-	char key[RP_KEY_MAX], none[RP_KEY_MAX];
-	size_t a, b;
+	char early[RP_KEY_MAX], held[RP_KEY_MAX], key[RP_KEY_MAX];
+	char none[RP_KEY_MAX];
+	size_t a, b, c, d;
 
+	net_key(net, 0, early);
+	net_key(net, 0, held);
 	net_key(net, 0, key);
 	net_drain(net, 0);
 	net_key(net, 0, none);
 	cr_assert_eq(none[0], '\0');
-	a = net_submit(net, 0, key, 1, 20000);
+	net_run(net, 1000);
+	a = net_submit(net, 1, early, 1, 20000);
+	c = net_submit(net, 0, held, 1000, 20000);
+	net_run(net, 1500);
+	cr_assert_eq(net->calls[c].state, RP_RUNNING, "the stop has to wait");
+	b = net_submit(net, 0, key, 1, 20000);
 	finish_drain(net, 0);
-	b = net_submit(net, 1, key, 1, 20000);
+	d = net_submit(net, 1, key, 1, 20000);
 	net_run(net, 500);
-	cr_assert_eq(net->calls[a].state, RP_NOT_RUN);
+	cr_assert_eq(net->calls[a].state, RP_COMPLETE);
 	cr_assert_eq(net->calls[b].state, RP_NOT_RUN);
+	cr_assert_eq(net->calls[c].state, RP_COMPLETE);
+	cr_assert_eq(net->calls[d].state, RP_NOT_RUN);
+	cr_assert_eq(net->twice, 0);
 	net_free(net);
 }
 
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -588,7 +588,15 @@
 };
 
 /* The planned stop of this entry VM. */
+/* How far a planned stop has come, for all threads. */
+enum rp_stopping {
+	RP_STOPPING_NOT,
+	RP_STOPPING_SOON, /* out of the balancer; still takes its own keys */
+	RP_STOPPING_NOW,  /* submissions are answered "not run" */
+};
+
 struct rp_drain {
+	rp_ms refuse_at; /* end of RP_STOPPING_SOON */
 	enum rp_drain_phase phase;
 	rp_ms due;     /* next step */
 	rp_ms give_up; /* the handover ends without a successor */
@@ -717,7 +725,7 @@
 	struct rp_claims claims;
 	struct rp_trace trace;
 	atomic_ullong next_key;
-	atomic_int draining;
+	atomic_int draining; /* enum rp_stopping */
 };
 
 /* Work that is done once all locks are released. */
--- a/sub-submit.c
+++ b/sub-submit.c
@@ -132,7 +132,7 @@
 	rp_ms retry_after = 0;
 	struct rp_status st;
 
-	if (atomic_load(&s->k->draining)) {
+	if (atomic_load(&s->k->draining) == RP_STOPPING_NOW) {
 		rp_status_set(&st, RP_E_DRAINING, RP_STEP_STOP,
 			      s->k->opt.vm_name, "this entry VM is stopping");
 		s->counters.refused++;
