--- a/limit-credit.h
+++ b/limit-credit.h
@@ -20,6 +20,8 @@
 	uint64_t incarnation;
 	int present; /* in the view and not gone */
 	enum rp_member_state state;
+	int near;	  /* in our failure domain */
+	uint64_t order;	  /* in which we ask it among the others */
 	rp_ms lease_from; /* our lease on its grants began then */
 	rp_ms heard_at;	  /* its lease on ours began then, or before */
 
@@ -122,6 +124,8 @@
 void keeper_take(struct credit_limit *l, struct rp_target *t, rp_ms now);
 /* Another entry VM became keeper. */
 void keeper_yield(struct credit_limit *l, struct rp_target *t);
+/* Finds the targets whose former credits are all known or expired. */
+void keeper_ready(struct credit_limit *l, rp_ms now);
 /* Begins a new term with the peer: it is to report what it holds. */
 void keeper_call(struct credit_limit *l, struct credit_peer *p, rp_ms now,
 		 struct rp_actions *acts);
