Bound a reply's header and the number of log lines per second

A target could send header lines without end, which the HTTP library keeps in memory, and a mass of refused starts wrote one log line each.

--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define HEADER_MAX 65536 /* bytes of one reply's header */
+
 /* Collects the reply's body up to its bound; cuts the reply off beyond. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
@@ -29,6 +31,16 @@
 	return add;
 }
 
+/* Counts the reply's header, which curl itself does not bound. */
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct loop_call *c = arg;
+
+	(void)data;
+	c->header += size * n;
+	return c->header > HEADER_MAX ? 0 : size * n;
+}
+
 /*
  * Called by curl whenever the request is about to be written. curl sends a
  * request again by itself when a reused connection turns out to be dead; a
@@ -102,13 +114,12 @@
  */
 static int was_silent(struct loop_call *c, CURLcode rc)
 {
-	long connects = 0, header = 0;
+	long connects = 0;
 
 	if (!c->attempts || (rc != CURLE_OPERATION_TIMEDOUT && !c->aborted))
 		return 0;
 	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
-	curl_easy_getinfo(c->easy, CURLINFO_HEADER_SIZE, &header);
-	return connects == 0 && header == 0;
+	return connects == 0 && c->header == 0;
 }
 
 /* Reports the end of a call and frees it. */
@@ -153,6 +164,8 @@
 			 (long)c->loop->d->set->connect_timeout);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 }
--- a/daemon.h
+++ b/daemon.h
@@ -128,6 +128,7 @@
 	int aborted;	  /* ended by loop_abort() */
 	int unsent;	  /* set before finish: surely no byte was written */
 	int too_long;	  /* the reply exceeded max_body */
+	size_t header;	  /* bytes of the reply's header */
 	size_t max_body;
 	char *body;
 	size_t len, cap;
--- a/log-json.c
+++ b/log-json.c
@@ -4,11 +4,14 @@
 
 #include <log4c.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #define LINE_MAX_BYTES 2048
+#define LINES_PER_SECOND 200
 #define SEPARATOR '\x1f' /* between step, peer and message in an event */
 
 static char vm_name[64];
@@ -175,6 +178,29 @@
 	log4c_fini();
 }
 
+/*
+ * Lets a bounded number of lines through in each second, so that a mass of
+ * failures does not drown the log. The first line of a later second tells
+ * how many were left out.
+ */
+static int may_log(void)
+{
+	static atomic_long second, lines;
+	long now = (long)time(NULL);
+	long before = atomic_load(&second);
+	long left_out;
+
+	if (before != now &&
+	    atomic_compare_exchange_strong(&second, &before, now)) {
+		left_out = atomic_exchange(&lines, 0) - LINES_PER_SECOND;
+		if (left_out > 0)
+			log4c_category_log(category, LOG4C_PRIORITY_WARN,
+					   "%c%c%ld lines were left out",
+					   SEPARATOR, SEPARATOR, left_out);
+	}
+	return atomic_fetch_add(&lines, 1) < LINES_PER_SECOND;
+}
+
 void log_line(enum log_level level, const char *step, const char *peer,
 	      const char *fmt, ...)
 {
@@ -183,7 +209,8 @@
 	int at;
 
 	if (!category ||
-	    !log4c_category_is_priority_enabled(category, priority_of(level)))
+	    !log4c_category_is_priority_enabled(category, priority_of(level)) ||
+	    !may_log())
 		return;
 	at = snprintf(text, sizeof(text), "%s%c%s%c", step, SEPARATOR, peer,
 		      SEPARATOR);
--- a/regress/http-log.c
+++ b/regress/http-log.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "log.h"
 
@@ -74,3 +75,23 @@
 	cr_assert_not_null(line, "no JSON: %s", text);
 	json_decref(line);
 }
+
+Test(log, lines_are_bounded)
+{
+	static char text[1 << 20];
+	int n = 0, i;
+	char *at;
+
+	cr_assert_eq(log_start("e1", LOG_LEVEL_INFO), 0);
+	for (i = 0; i < 1000; i++)
+		log_info("start", "t1", "refused");
+	sleep(1);
+	log_info("start", "t1", "later");
+	log_stop();
+	read_log(text, sizeof(text));
+	for (at = text; (at = strstr(at, "refused")); at++)
+		n++;
+	cr_assert(n >= 200 && n <= 400, "%d lines", n);
+	cr_assert_not_null(strstr(text, "lines were left out"));
+	cr_assert_not_null(strstr(text, "later"));
+}
--- a/regress/http-target.c
+++ b/regress/http-target.c
@@ -377,3 +377,28 @@
 	check_start(2, 2, RP_START_DONE);
 	test_server_stop(&s);
 }
+
+/* A header without end is cut off long before the task's deadline. */
+Test(target, endless_header_is_unknown)
+{
+	char *reply = malloc(200000);
+	const char *const replies[] = { reply, NULL };
+	struct test_server s;
+	rp_ms began;
+	size_t at;
+
+	memset(reply, 'x', 199999);
+	reply[199999] = '\0';
+	memcpy(reply, "HTTP/1.1 200 OK\r\n", 17);
+	for (at = 17; at + 1000 < 199000; at += 1000) {
+		memcpy(reply + at, "X: ", 3);
+		memcpy(reply + at + 998, "\r\n", 2);
+	}
+	test_server_start(&s, replies);
+	began = daemon_now();
+	send_action(RP_ACTION_START, s.address, 1, "x", 0);
+	check_start(1, 1, RP_START_UNKNOWN);
+	cr_assert_lt(daemon_now() - began, 900);
+	test_server_stop(&s);
+	free(reply);
+}
