--- a/regress/http-parse.c
+++ b/regress/http-parse.c
@@ -345,3 +345,34 @@
 		free(text);
 	}
 }
+
+/* A body with random bytes changed is read whole, or refused with a reason. */
+Test(parse, changed_bytes)
+{
+	static const char good[] = "{" HEAD ",\"timeout_ms\":1000,\"tasks\":["
+				   "{\"id\":\"a\",\"payload\":\"\\u0001x\"},"
+				   "{\"id\":\"b\",\"payload\":\"\"}]}";
+	char body[sizeof(good)];
+	unsigned int seed = 7;
+	int accepted = 0, i, k;
+
+	for (i = 0; i < 20000; i++) {
+		struct rp_submission *sub;
+
+		memcpy(body, good, sizeof(body));
+		for (k = 0; k <= i % 4; k++)
+			body[(size_t)rand_r(&seed) % (sizeof(body) - 1)] =
+				(char)rand_r(&seed);
+		sub = parse_bytes(body, sizeof(body) - 1, NULL, 0);
+		if (sub) {
+			accepted++;
+			cr_assert_gt(sub->ntasks, 0);
+			cr_assert(sub->timeout > 0 && sub->timeout <= 600000);
+			rp_submission_unref(sub);
+			continue;
+		}
+		cr_assert_eq(http, 400);
+		cr_assert_not_null(strchr(st.message, ':'), "%s", st.message);
+	}
+	cr_assert_gt(accepted, 0);
+}
