Tell no final outcome at a stop; let the last callers wait for theirs

A call that is relayed to another entry VM, or whose job was handed over, goes on after this process exits, so failed with may_have_run was a final answer that a later one could contradict. Such callers are now told running with error draining, and after the kernel has drained the process refuses new calls and waits for the answers still open.

--- a/daemon.h
+++ b/daemon.h
@@ -206,7 +206,11 @@
 void http_execute(struct daemon *d, struct rp_action *act);
 /* Finds callers that have disconnected; called by the tick thread. */
 void http_wait_sweep(struct daemon *d);
-/* Answers all waiting callers that the process exits now. */
+/* Lets no more callers begin to wait; they are refused. */
+void http_refuse_new(struct daemon *d);
+int http_waiting(struct daemon *d);
+/* After http_refuse_new(): tells all waiting callers that the process exits
+ * now. */
 void http_answer_all(struct daemon *d);
 
 #endif
--- a/http-json.c
+++ b/http-json.c
@@ -211,7 +211,7 @@
 			    json_string(rp_state_name(a->state)));
 	if (a->state == RP_COMPLETE)
 		put_results(root, a);
-	else if (a->state != RP_RUNNING)
+	else if (a->state != RP_RUNNING || a->status.code != RP_OK)
 		put_status(root, &a->status);
 	if (a->state == RP_FAILED)
 		json_object_set_new(root, "may_have_run",
@@ -281,14 +281,18 @@
 	http_send_json(r, http, root, 0);
 }
 
-/* The process exits before the outcome is known. */
+/*
+ * The process exits before the outcome is known. The job may go on at the
+ * owner of its key, so this is no final answer.
+ */
 static void send_stopping(struct http_request *r)
 {
-	struct rp_answer a = { .state = RP_FAILED, .may_have_run = 1 };
+	struct rp_answer a = { .state = RP_RUNNING };
 
 	rp_status_set(&a.status, RP_E_DRAINING, RP_STEP_STOP,
 		      r->d->set->kernel.vm_name,
-		      "the entry VM stops before the outcome is known");
+		      "the entry VM stops before the outcome is known; "
+		      "ask another with the key");
 	if (r->key[0])
 		send_answer(r, &a);
 	else
--- a/http-wait.c
+++ b/http-wait.c
@@ -23,9 +23,10 @@
 	apr_thread_mutex_t *lock;
 	struct slot *slots;
 	int nslots;
-	int used;	    /* slots that have ever been used */
-	int free;	    /* head of the free list, or -1 */
-	int closed;	    /* the process stops: nobody may wait */
+	int used;   /* slots that have ever been used */
+	int free;   /* head of the free list, or -1 */
+	int closed; /* the process stops: nobody may wait */
+	int waiting;
 	struct pollfd *fds; /* scratch of the sweep */
 	rp_token *tokens;
 };
@@ -81,6 +82,7 @@
 		w->slots[i].r = r;
 		w->slots[i].fd = fd;
 		w->slots[i].generation++;
+		w->waiting++;
 		r->token = (rp_token)w->slots[i].generation << SLOT_BITS |
 			   (rp_token)i;
 	}
@@ -101,6 +103,7 @@
 		if (r) {
 			w->slots[i].next_free = w->free;
 			w->free = (int)i;
+			w->waiting--;
 		}
 	}
 	apr_thread_mutex_unlock(w->lock);
@@ -176,13 +179,29 @@
 			caller_gone(d, w->tokens[i]);
 }
 
+void http_refuse_new(struct daemon *d)
+{
+	apr_thread_mutex_lock(d->waits->lock);
+	d->waits->closed = 1;
+	apr_thread_mutex_unlock(d->waits->lock);
+}
+
+int http_waiting(struct daemon *d)
+{
+	int n;
+
+	apr_thread_mutex_lock(d->waits->lock);
+	n = d->waits->waiting;
+	apr_thread_mutex_unlock(d->waits->lock);
+	return n;
+}
+
 void http_answer_all(struct daemon *d)
 {
 	struct http_waits *w = d->waits;
 	int i, used;
 
 	apr_thread_mutex_lock(w->lock);
-	w->closed = 1;
 	used = w->used;
 	apr_thread_mutex_unlock(w->lock);
 	for (i = 0; i < used; i++) {
--- a/regress/http-server.c
+++ b/regress/http-server.c
@@ -50,6 +50,7 @@
 
 static void stop_daemon(void)
 {
+	http_refuse_new(&d);
 	http_answer_all(&d);
 	daemon_stop(&d);
 	settings_finish(&set);
@@ -479,11 +480,13 @@
 	send_post(fd, "/v1/jobs", "", job);
 	while (atomic_load(&target.requests) < 1)
 		apr_sleep(1000);
+	cr_assert_eq(http_waiting(&d), 1);
+	http_refuse_new(&d);
 	http_answer_all(&d);
-	cr_assert_eq(read_response(fd), 200);
-	cr_assert_not_null(strstr(text, "\"state\":\"failed\""), "%s", text);
-	cr_assert_not_null(strstr(text, "\"may_have_run\":true"), "%s", text);
+	cr_assert_eq(http_waiting(&d), 0);
+	cr_assert_eq(read_response(fd), 202);
+	cr_assert_not_null(strstr(text, "\"state\":\"running\""), "%s", text);
 	cr_assert_not_null(strstr(text, "\"error\":\"draining\""), "%s", text);
-	cr_assert_neq(post("/v1/keys", "", ""), 200);
+	cr_assert_eq(post("/v1/keys", "", ""), 429);
 	close(fd);
 }
--- a/regress/t-daemon.sh
+++ b/regress/t-daemon.sh
@@ -99,9 +99,11 @@
 kill -TERM $daemon
 sleep 0.2
 kill -TERM $daemon
-wait $caller
+wait $caller && fail "the caller was told of success"
 stopped 4
-grep -q 'may.have.run' $dir/answer.log || fail "no word of may_have_run"
+grep -q 'draining' $dir/answer.log || fail "no word of the stop"
+grep -E 'complete|failed|not_run' $dir/answer.log &&
+	fail "the outcome is not known, yet one is given"
 echo "log lines are JSON"
 grep -v '^{"time_ms":[0-9]*,"level":"[a-z]*","vm":"e1",.*}$' $dir/d.log &&
 	fail "a line is not JSON"
--- a/rosemaryd.c
+++ b/rosemaryd.c
@@ -44,6 +44,18 @@
 	return 0;
 }
 
+/* Waits until the last callers have their answers. Returns as above. */
+static int wait_answered(struct daemon *d, const sigset_t *set)
+{
+	rp_ms end = daemon_now() + d->set->drain_limit;
+
+	while (http_waiting(d)) {
+		if (stop_signal(set) || daemon_now() > end)
+			return -1;
+	}
+	return 0;
+}
+
 /* Lets responses and peer messages go out. */
 static void flush(struct daemon *d, const sigset_t *set)
 {
@@ -59,7 +71,7 @@
 static int run(const struct settings *s, const sigset_t *set)
 {
 	struct daemon d = { .set = s };
-	int rc = 0;
+	int rc;
 
 	if (daemon_start(&d, s) < 0) {
 		daemon_stop(&d);
@@ -68,11 +80,15 @@
 	log_info("start", "", "serving callers at %s, peers at %s",
 		 s->http_listen, s->peer_listen);
 	serve(&d, set);
-	if (wait_drained(&d, set) < 0) {
+	rc = wait_drained(&d, set);
+	http_quiesce(&d);
+	http_refuse_new(&d);
+	if (!rc)
+		rc = wait_answered(&d, set);
+	if (rc) {
 		log_warn("stop", "", "stops before all work is finished");
 		rc = EXIT_UNCLEAN;
 	}
-	http_quiesce(&d);
 	http_answer_all(&d);
 	flush(&d, set);
 	log_info("stop", "", "exits");
