--- a/rosemary-fake-platform.c
+++ b/rosemary-fake-platform.c
@@ -431,6 +431,7 @@
 	static const struct fake_server_ops ops = { .handle = handle };
 	struct flags f = { "127.0.0.1:21000", NULL, 2 };
 	struct platform p = { 0 };
+	int failed;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &f);
 	apr_initialize();
@@ -440,10 +441,10 @@
 	set_vms(&p, load_vms(f.vms));
 	p.srv.ops = &ops;
 	p.srv.owner = &p;
-	if (fake_server_start(&p.srv, f.listen, 1, (size_t)f.threads))
-		return 1;
-	fake_server_run(&p.srv);
+	failed = fake_server_start(&p.srv, f.listen, 1, (size_t)f.threads);
+	if (!failed)
+		fake_server_run(&p.srv);
 	finish(&p);
 	apr_terminate();
-	return 0;
+	return failed ? 1 : 0;
 }
--- a/rosemary-fake-target.c
+++ b/rosemary-fake-target.c
@@ -393,17 +393,18 @@
 	};
 	struct fake_server srv = { .ops = &ops };
 	struct fake_target *targets;
+	int failed;
 	size_t i;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &f);
 	apr_initialize();
 	apr_pool_create(&srv.pool, NULL);
 	srv.owner = targets = make_targets(&srv, &f);
-	if (fake_server_start(&srv, f.listen, f.count, f.threads))
-		return 1;
-	fake_server_run(&srv);
+	failed = fake_server_start(&srv, f.listen, f.count, f.threads);
+	if (!failed)
+		fake_server_run(&srv);
 	for (i = 0; i < f.count; i++)
 		fake_target_finish(&targets[i]);
 	apr_terminate();
-	return 0;
+	return failed ? 1 : 0;
 }
