--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
 FAKES = $(wildcard fake-*.c)
 LOAD = $(wildcard load*.c)
+BENCH_PARTS = bench-world.c
 
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 have = $(if $(strip $(1)),$(2))
@@ -42,7 +43,8 @@
 	$(call have,$(wildcard rosemary.c),$(B)/rosemary) \
 	$(patsubst %.c,$(B)/%,$(wildcard rosemary-fake-*.c)) \
 	$(call have,$(wildcard load.c),$(B)/rosemary-load) \
-	$(patsubst %.c,$(B)/%,$(wildcard bench-*.c example-*.c))
+	$(patsubst %.c,$(B)/%,$(filter-out $(BENCH_PARTS),\
+	$(wildcard bench-*.c example-*.c)))
 
 TESTS_C = $(patsubst %.c,$(B)/%,$(wildcard regress/*.c))
 TESTS_CXX = $(patsubst %.cc,$(B)/%,$(wildcard regress/*.cc))
@@ -94,7 +96,7 @@
 $(B)/rosemary-load: $(call obj,$(LOAD))
 	$(LINK) -lapr-1 -lcurl -ljansson -lgsl -lgslcblas -lm -pthread
 
-$(B)/bench-%: $(B)/bench-%.o $(B)/librosemary.a
+$(B)/bench-%: $(B)/bench-%.o $(call obj,$(BENCH_PARTS)) $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lgsl -lgslcblas
 
 $(B)/example-%: $(B)/example-%.o $(B)/librosemary.a
@@ -126,6 +128,10 @@
 $(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
 $(B)/bench-cluster: $(NET)
 
+# Scripts of events that the property tests run.
+$(filter $(B)/regress/claim-%,$(TESTS_CXX)): \
+	$(call obj,$(wildcard regress/script/*.c))
+
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
 	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
--- a/daemon.h
+++ b/daemon.h
@@ -124,6 +124,7 @@
 	const char *host; /* ip:port; owned by the larger call */
 	int resend_ok;	  /* may be sent again when a connection died */
 	int attempts;	  /* times that the request was about to be sent */
+	int refused;	  /* set before it is queued: not to be sent */
 	int aborted;	  /* ended by loop_abort() */
 	int unsent;	  /* set before finish: surely no byte was written */
 	int too_long;	  /* the reply exceeded max_body */
@@ -143,6 +144,8 @@
 	atomic_int sleeping;
 	atomic_int stopping;
 	struct loop_call *running; /* only the loop's thread */
+	int used;		   /* since the connections were closed */
+	rp_ms last_end;		   /* when a call last ended */
 	CURL **spare;		   /* easy handles for reuse */
 	size_t nspare, max_spare;
 
@@ -155,6 +158,7 @@
 };
 
 int loop_poll_init(struct loop *l);
+void loop_poll_attach(struct loop *l, CURLM *multi);
 /* Serves sockets and timers; sleeps until there is work if it may. */
 void loop_poll(struct loop *l, int may_sleep);
 void loop_poll_wake(struct loop *l);
--- a/dispatch-service.c
+++ b/dispatch-service.c
@@ -115,6 +115,7 @@
 
 	str_copy(svc->name, sizeof(svc->name), str_of(name));
 	svc->shard = d;
+	svc->silence = RP_SILENCE_MOST;
 	heap_init(&svc->speeds);
 	svc->by_name = hash_new(d->pool);
 	svc->route = ((struct rp_route_ops *)plugin_find(RP_PLUGIN_ROUTE,
@@ -155,6 +156,7 @@
 		return team;
 	team = kernel_alloc(sizeof(*team));
 	str_copy(team->name, sizeof(team->name), name);
+	team->shard = d;
 	table_team(d, team);
 	apr_hash_set(d->teams, team->name, APR_HASH_KEY_STRING, team);
 	return team;
@@ -224,8 +226,10 @@
 	size_t i;
 
 	svc->limit->ops->changed(svc->limit, now, acts);
-	for (i = 0; i < svc->ntargets; i++)
+	for (i = 0; i < svc->ntargets; i++) {
+		target_speed(svc->targets[i]);
 		svc->route->ops->changed(svc->route, svc->targets[i], now);
+	}
 	dispatch_pump(svc, now, acts);
 }
 
--- a/member-list.c
+++ b/member-list.c
@@ -64,6 +64,8 @@
 		free(f);
 	}
 	relay_finish(k);
+	hand_finish(k);
+	take_finish(k);
 	view_unref(n->view);
 	kernel_lock_free(k, n->lock);
 }
@@ -77,6 +79,8 @@
 	k->node.list_due =
 		now + random_jitter(&k->node.random, k->opt.list_poll);
 	kernel_unlock(k, k->node.lock);
+	if (ev->platform.outcome == RP_PLATFORM_UNCHANGED)
+		member_unlisted(k, now);
 	if (ev->platform.outcome != RP_PLATFORM_DONE)
 		return;
 	member_listed(k, now, ev->platform.vms, ev->platform.nvms, 1);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -113,6 +113,8 @@
 	/* The target's room, speed, weight, limit or health changed. */
 	void (*changed)(struct rp_route *r, struct rp_target *t, rp_ms now);
 	void (*removed)(struct rp_route *r, struct rp_target *t);
+	/* Optional: called at every tick. */
+	void (*tick)(struct rp_route *r, rp_ms now);
 };
 
 /* Orders the jobs that have tasks to start. */
@@ -130,6 +132,9 @@
 	struct rp_job *(*next)(struct rp_queue *q, rp_ms now);
 	/* One task of the job was started, or came back to the queue. */
 	void (*changed)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+	/* Optional: a task of the job, or of the team, was sent; ended. */
+	void (*started)(struct rp_queue *q, struct rp_job *job);
+	void (*ended)(struct rp_queue *q, struct rp_team *team);
 };
 
 /* Accepts or refuses a job before anything of it starts. */
@@ -170,6 +175,13 @@
 	void (*changed)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
 	void (*removed)(struct rp_limit *l, struct rp_target *t);
 	void (*tick)(struct rp_limit *l, rp_ms now, struct rp_actions *acts);
+	/* Messages of this policy on another entry VM; may be NULL. */
+	void (*report)(struct rp_limit *l, const char *from,
+		       const RpCreditReport *msg, rp_ms now,
+		       struct rp_actions *acts);
+	void (*grant)(struct rp_limit *l, const char *from,
+		      const RpCreditGrant *msg, rp_ms now,
+		      struct rp_actions *acts);
 };
 
 /* Judges targets by what becomes of the tasks started on them. */
@@ -243,6 +255,7 @@
 	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
 	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
 	int paused;			/* connects fail: gets no work now */
+	int counted_slots;		/* in svc->nslots */
 	rp_ms pause;			/* last span of the pause, ms */
 	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
@@ -253,11 +266,13 @@
 
 struct rp_team {
 	char name[RP_NAME_MAX];
+	struct rp_dispatch *shard;
 	int32_t weight; /* share in force */
 	int32_t quota;	/* tasks in flight; RP_CELL_UNSET: no quota */
 	int in_flight;
-	size_t njobs;	  /* queued jobs */
-	void *queue_data; /* for the queue policy */
+	size_t njobs;	       /* queued jobs */
+	size_t nqueued;	       /* their waiting tasks */
+	int32_t active_weight; /* counted in the shard's, while it waits */
 };
 
 enum rp_task_state {
@@ -297,6 +312,7 @@
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
+	void *queue_data;			/* likewise */
 	int queued;				/* the queue policy holds it */
 	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
@@ -311,6 +327,7 @@
 	uint16_t suffix; /* of the task id; 0: none */
 	uint8_t asks;	 /* lookups and voids made */
 	uint8_t unknown; /* answers that the id is not known */
+	uint8_t broken;	 /* its connection is gone */
 	uint8_t judged;	 /* the health policy was told of it */
 	uint8_t stopped; /* the target was asked to stop it */
 	uint8_t hedged;	 /* the time for a hedge is over */
@@ -333,6 +350,10 @@
 	RP_START_LEFT,	  /* nothing more can be learned: slot is charged */
 };
 
+/* Bounds on rp_service.silence. */
+#define RP_SILENCE_LEAST 5.0
+#define RP_SILENCE_MOST 10.0
+
 #define RP_START_NONE UINT32_MAX /* end of the list of free slots */
 #define RP_START_PAGE 256	 /* sends allocated at once */
 
@@ -348,12 +369,16 @@
 	struct rp_limit *limit;
 	struct rp_health *health;
 	struct rp_retry *retry;
+	rp_ms now;	/* of the latest pump */
 	size_t nqueued; /* tasks waiting to be started */
 	size_t in_flight;
 	struct rp_learned learned; /* over all targets */
 	struct rp_heap speeds;	   /* targets in use, least run time first */
 	struct rp_job *parked;	   /* wait for a target other than avoid */
 	const struct rp_target *avoid; /* closed for the job being bound */
+	size_t nslots; /* limits of the targets in use, together */
+	/* Deviations over the mean after which a send is silent. */
+	double silence;
 	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
@@ -378,6 +403,7 @@
 	struct rp_heap timers; /* of starts */
 	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
+	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
@@ -389,7 +415,8 @@
 /* --- submissions ----------------------------------------------------- */
 
 enum rp_record_phase {
-	RP_RECORD_CLAIMING, /* the caller's own key is being claimed */
+	RP_RECORD_CLAIMING,  /* the caller's own key is being claimed */
+	RP_RECORD_UNCLAIMED, /* the claim is unsettled, its callers refused */
 	RP_RECORD_RUNNING,
 	RP_RECORD_FINAL,
 };
@@ -399,6 +426,8 @@
 	rp_token token;
 	char peer[RP_NAME_MAX]; /* "" for a caller of this entry VM */
 	uint64_t relay_id;
+	int until_claimed; /* does not wait for the end of a claimed key */
+	int is_cancel;
 	struct rp_waiter *next;
 };
 
@@ -407,6 +436,8 @@
 	size_t key_len;
 	uint64_t digest;
 	enum rp_record_phase phase;
+	uint64_t claim_id; /* 0: the key was never to be claimed */
+	int cancelled;	   /* while the key is being claimed */
 	uint64_t job_id;
 	char service[RP_NAME_MAX];
 	struct rp_submission *sub; /* until it is handed to a job */
@@ -440,6 +471,7 @@
 	struct rp_record_list retained;
 	size_t nrecords;
 	size_t retained_bytes;
+	struct rp_record *hand_next; /* next to be handed over, or NULL */
 	struct rp_sub_counters counters;
 };
 
@@ -482,6 +514,9 @@
 	rp_ms direct_at;    /* latest message from it; 0: none */
 	rp_ms replaced_at;  /* when it became gone or a newer incarnation */
 	rp_ms probed_at, reset_at;
+	rp_ms echo;	     /* newest clock value seen from it */
+	rp_ms lease_from;    /* our newest clock value that it has seen */
+	rp_ms partner_until; /* gets heartbeats like a near member */
 };
 
 /* The records of an incarnation that stopped are served by a member. */
@@ -529,7 +564,44 @@
 	struct rp_member members[];
 };
 
-struct rp_drain;
+/* An incarnation that stopped and whose records are all kept here. */
+struct rp_adopted {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	rp_ms clock; /* its clock less ours */
+	struct rp_adopted *next;
+};
+
+/* How far a member's handover to this entry VM has come. */
+struct rp_incoming {
+	char vm[RP_NAME_MAX];
+	uint64_t incarnation;
+	uint64_t next_part;
+	struct rp_incoming *next;
+};
+
+enum rp_drain_phase {
+	RP_DRAIN_FINISH, /* finishes what runs */
+	RP_DRAIN_HAND,	 /* hands its records to a successor */
+	RP_DRAIN_TELL,	 /* tells the members of it */
+	RP_DRAIN_DONE,
+};
+
+/* The planned stop of this entry VM. */
+struct rp_drain {
+	enum rp_drain_phase phase;
+	rp_ms due;     /* next step */
+	rp_ms give_up; /* the handover ends without a successor */
+	char to[RP_NAME_MAX];
+	uint64_t to_incarnation;
+	uint64_t part;	 /* being sent, from 1 */
+	int last;	 /* it is the last one */
+	int sends;	 /* of this part */
+	uint8_t *packed; /* the part, packed */
+	size_t packed_len;
+	char (*tried)[RP_NAME_MAX];
+	size_t ntried;
+};
 
 struct rp_view *view_ref(struct rp_view *v);
 void view_unref(struct rp_view *v);
@@ -626,11 +698,14 @@
 	uint64_t next_relay;
 	rp_ms relay_due; /* next look at the relays */
 	rp_ms leave_due; /* next look for targets that leave */
-	struct rp_drain *drain;
+	struct rp_drain drain;
+	struct rp_adopted *adopted;
+	struct rp_incoming *incoming;
 	uint64_t peer_messages, peer_bytes;
 };
 
 #include "table.h"
+#include "claim.h"
 
 struct rp_kernel {
 	struct rp_options opt;
@@ -639,6 +714,7 @@
 	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
 	struct rp_node node;
 	struct rp_table table;
+	struct rp_claims claims;
 	struct rp_trace trace;
 	atomic_ullong next_key;
 	atomic_int draining;
@@ -676,6 +752,8 @@
 void platform_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		    struct rp_actions *acts);
 void platform_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Ends all calls as lost, so that what waits for them is freed. */
+void platform_finish(struct rp_kernel *k);
 
 /* sub-key.c */
 void key_format(const struct rp_kernel *k, const struct rp_key *key,
@@ -696,14 +774,19 @@
 /* NULL when the shard is full. */
 struct rp_record *record_add(struct rp_sub_shard *s, struct rp_submission *sub,
 			     rp_ms now);
+/* A finished record of another incarnation; 0 when the shard is full. */
+int record_adopt(struct rp_sub_shard *s, struct rp_str key, uint64_t digest,
+		 rp_ms expires, enum rp_state state, struct rp_answer *a);
 void record_wait(struct rp_record *r, const struct rp_waiter *w);
 /* Makes the record final, answers all who wait; takes the answer over. */
 void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
 		   struct rp_answer *a, struct rp_actions *acts);
 void record_expire(struct rp_sub_shard *s, rp_ms now);
+/* Drops a record that nothing started for and nobody waits for. */
+void record_forget(struct rp_sub_shard *s, struct rp_record *r);
 
 /* The following take the shard's lock. */
-void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
+void sub_tick(struct rp_sub_shard *s, rp_ms now);
 
 /* sub-submit.c; no lock is held. */
 void sub_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
@@ -727,11 +810,6 @@
 struct rp_answer *answer_status(enum rp_state state, const struct rp_status *st,
 				rp_ms retry_after);
 
-/* claim-submit.c: the caller's own keys; the shard's lock is held. */
-void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
-		  struct rp_submission *sub, struct rp_actions *acts);
-void claim_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
-
 /* relay-call.c: calls for keys that another incarnation owns. */
 void relay_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
 		  const struct rp_key *key, int wait, const struct rp_waiter *w,
@@ -820,6 +898,8 @@
 /* The task surely did not run: it goes back into the queue. */
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
+/* Counts tasks of the job that came to wait, or wait no more. */
+void job_count_waiting(struct rp_job *job, ptrdiff_t n);
 
 /* dispatch-start.c: the table of sends; needs the lock. */
 /* The send that the id names, or NULL when it has ended. */
@@ -905,7 +985,10 @@
 /* A sign of life of an incarnation; 0: it is an old one. */
 int member_sign(struct rp_member_entry *e, uint64_t incarnation, rp_ms heard_at,
 		rp_ms now);
-/* Who answers for the incarnation; fills the name of the member to ask. */
+enum rp_member_state member_state(const struct rp_kernel *k,
+				  const struct rp_member_entry *e, rp_ms now);
+/* member-owner.c: who answers for the incarnation; fills the name of the member
+ * to ask. */
 enum rp_owner member_owner(struct rp_kernel *k, rp_ms now, const char *vm,
 			   uint64_t incarnation, char to[RP_NAME_MAX]);
 void member_forward(struct rp_kernel *k, rp_ms now, const char *vm,
@@ -915,6 +998,8 @@
 /* The following take the lock. */
 void member_listed(struct rp_kernel *k, rp_ms now, const struct rp_vm *vms,
 		   size_t nvms, int fetched);
+/* The list is as it was: ends silent members that it lacks. */
+void member_unlisted(struct rp_kernel *k, rp_ms now);
 /* Judges all members; publishes a view when one of them changed. */
 void member_judge(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 /* The current view with a reference for the caller, or NULL. */
@@ -925,6 +1010,22 @@
 void member_down(struct rp_kernel *k, rp_ms now, const char *name,
 		 struct rp_actions *acts);
 
+/* How a lease between this entry VM and a member stands. */
+struct rp_member_lease {
+	enum rp_member_state state;
+	uint64_t incarnation;
+	rp_ms ours_from; /* our lease on what it gives began then */
+	rp_ms its_from;	 /* its lease on what we give began then */
+};
+
+/* 0 when the member is unknown. */
+int member_lease(struct rp_kernel *k, const char *name,
+		 struct rp_member_lease *lease);
+/* Exchanges heartbeats with the member for a while, wherever it is. */
+void member_partner(struct rp_kernel *k, rp_ms now, const char *name);
+/* Whether this entry VM has had the time to learn of the members. */
+int member_settled(struct rp_kernel *k, rp_ms now);
+
 /* member-beat.c */
 void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 /* A heartbeat to every member now. */
@@ -935,6 +1036,12 @@
 void beat_probe(struct rp_kernel *k, rp_ms now, const char *name,
 		struct rp_actions *acts);
 
+/* limit-message.c */
+void limit_report(struct rp_kernel *k, rp_ms now, const char *from,
+		  const RpCreditReport *msg, struct rp_actions *acts);
+void limit_grant(struct rp_kernel *k, rp_ms now, const char *from,
+		 const RpCreditGrant *msg, struct rp_actions *acts);
+
 /* member-leave.c: targets that leave. */
 void leave_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void leave_received(struct rp_kernel *k, rp_ms now, const RpLeaving *msg);
@@ -960,5 +1067,23 @@
 /* drain-stop.c */
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 void drain_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Goes on to the next phase; the node's lock is not held. */
+void drain_enter(struct rp_kernel *k, rp_ms now, enum rp_drain_phase phase);
+
+/* drain-hand.c: the side that stops. */
+void hand_start(struct rp_kernel *k, rp_ms now);
+void hand_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+void hand_acked(struct rp_kernel *k, rp_ms now, const char *from,
+		const RpHandoverAck *ack, struct rp_actions *acts);
+void hand_finish(struct rp_kernel *k);
+
+/* drain-take.c: the side that takes over. */
+void take_part(struct rp_kernel *k, rp_ms now, const char *from,
+	       uint64_t incarnation, const RpHandover *msg,
+	       struct rp_actions *acts);
+/* Whether the key's issuer is kept here; *expired tells of the key. */
+int take_keeps(struct rp_kernel *k, rp_ms now, const struct rp_key *key,
+	       int *expired);
+void take_finish(struct rp_kernel *k);
 
 #endif
