Platform stand-in: rates and commit times; test the connection limit

The platform serves several hundred writes and about two thousand reads a second and takes milliseconds to sync, but the stand-in answered at once, so claims and edits looked cheaper than they are. writes_per_s, reads_per_s and commit_ms hold calls back.

--- a/fake-timer.c
+++ b/fake-timer.c
@@ -141,3 +141,14 @@
 	free(ts->heap);
 	ts->heap = NULL;
 }
+
+int64_t fake_pace_take(struct fake_pace *p, int64_t n)
+{
+	int64_t now = fake_now_us();
+	int64_t start = p->next_us > now ? p->next_us : now;
+
+	if (p->per_second <= 0)
+		return 0;
+	p->next_us = start + n * 1000000 / p->per_second;
+	return start - now;
+}
--- a/fake.h
+++ b/fake.h
@@ -43,6 +43,15 @@
 /* Stops the thread; timers that are not due yet never fire. */
 void fake_timers_finish(struct fake_timers *ts);
 
+/* A rate that a service holds; what exceeds it has to wait. */
+struct fake_pace {
+	int64_t per_second; /* 0: no limit */
+	int64_t next_us;    /* when the next unit may be served */
+};
+
+/* Takes n units; returns for how long they have to wait, in us. */
+int64_t fake_pace_take(struct fake_pace *p, int64_t n);
+
 /* --- server ----------------------------------------------------------- */
 
 struct fake_server;
--- a/regress/t-fake-platform.sh
+++ b/regress/t-fake-platform.sh
@@ -63,6 +63,14 @@
 	read_rows '"d"' >/dev/null
 	test $((($(date +%s%N) - before) / 1000000)) -ge 300 && echo delayed
 	call POST "$at" /v1/control '{"delay_ms":0}' >/dev/null
+	echo '# ten rows a second: the third row has to wait for two'
+	call POST "$at" /v1/control '{"writes_per_s":10}' >/dev/null
+	before=$(date +%s%N)
+	commit '{"name":"e","value":"1","version":0},
+		{"name":"f","value":"1","version":0}' >/dev/null
+	commit '{"name":"g","value":"1","version":0}' >/dev/null
+	test $((($(date +%s%N) - before) / 1000000)) -ge 190 && echo paced
+	call POST "$at" /v1/control '{"writes_per_s":0}' >/dev/null
 	echo '# counts'
 	call GET "$at" /v1/control/counts
 }
--- a/regress/t-fake-target.sh
+++ b/regress/t-fake-target.sh
@@ -60,6 +60,17 @@
 	kill $begun
 	wait $begun 2>/dev/null || :
 	call -s POST "$at" /v1/tasks/g '{}'
+	echo '# a connection too many is closed'
+	knob '{"slots":2}'
+	begin p '{"ms":2000}'
+	first=$begun
+	begin q '{"ms":2000}'
+	knob '{"connections":2}'
+	"$bin/rosemary-fake-call" GET "$at" /v1/control/counts 2>/dev/null ||
+		echo "no answer: exit $?"
+	wait "$first" "$begun"
+	until_is 200 call -s GET "$at" /v1/control/counts
+	knob '{"connections":64}'
 	echo '# no lookup, no void'
 	knob '{"lookup":false,"void":false}'
 	call -s GET "$at" /v1/tasks/a
--- a/rosemary-fake-platform.c
+++ b/rosemary-fake-platform.c
@@ -31,7 +31,9 @@
 /* Faults set through /v1/control. */
 struct knobs {
 	int outage;
-	int64_t delay_ms;
+	int64_t delay_ms;		/* of every call */
+	int64_t commit_ms;		/* of commits, besides */
+	struct fake_pace reads, writes; /* rows per second */
 	int64_t lose_answers;
 	int64_t list_lag_ms;
 };
@@ -223,12 +225,18 @@
 
 	fake_json_bool(body, "outage", &k->outage);
 	fake_json_int(body, "delay_ms", &k->delay_ms);
+	fake_json_int(body, "commit_ms", &k->commit_ms);
+	fake_json_int(body, "reads_per_s", &k->reads.per_second);
+	fake_json_int(body, "writes_per_s", &k->writes.per_second);
 	fake_json_int(body, "lose_answers", &k->lose_answers);
 	fake_json_int(body, "list_lag_ms", &k->list_lag_ms);
 	return fake_reply_json(
 		r, 200,
-		json_pack("{s:b, s:I, s:I, s:I}", "outage", k->outage,
-			  "delay_ms", (json_int_t)k->delay_ms, "lose_answers",
+		json_pack("{s:b, s:I, s:I, s:I, s:I, s:I, s:I}", "outage",
+			  k->outage, "delay_ms", (json_int_t)k->delay_ms,
+			  "commit_ms", (json_int_t)k->commit_ms, "reads_per_s",
+			  (json_int_t)k->reads.per_second, "writes_per_s",
+			  (json_int_t)k->writes.per_second, "lose_answers",
 			  (json_int_t)k->lose_answers, "list_lag_ms",
 			  (json_int_t)k->list_lag_ms));
 }
@@ -315,16 +323,40 @@
 					offsetof(struct fake_request, timer)));
 }
 
+/* How long the call waits for its turn at the table, in us. */
+static int64_t table_delay_us(struct platform *p, struct fake_request *r,
+			      json_t *body)
+{
+	struct knobs *k = &p->knobs;
+	size_t rows = json_array_size(json_object_get(body, "rows"));
+	size_t names = json_array_size(json_object_get(body, "names"));
+
+	if (is_post(r, "/v1/table/commit"))
+		return k->commit_ms * 1000 +
+		       fake_pace_take(&k->writes, (int64_t)rows);
+	if (is_post(r, "/v1/table/read"))
+		return fake_pace_take(&k->reads, (int64_t)names);
+	if (is_post(r, "/v1/table/scan"))
+		return fake_pace_take(&k->reads, 1);
+	return 0;
+}
+
 /* Holds a request back before it takes effect; 0: no need to. */
-static int delay_request(struct platform *p, struct fake_request *r)
+static int delay_request(struct platform *p, struct fake_request *r,
+			 json_t *body)
 {
-	int64_t delay = p->knobs.delay_ms;
+	int64_t delay_us;
 
-	if (r->resumed || is_control(r) || delay <= 0)
+	if (r->resumed || is_control(r))
+		return 0;
+	apr_thread_mutex_lock(p->lock);
+	delay_us = p->knobs.delay_ms * 1000 + table_delay_us(p, r, body);
+	apr_thread_mutex_unlock(p->lock);
+	if (delay_us <= 0)
 		return 0;
 	r->timer.fire = delay_over;
 	fake_request_suspend(r);
-	fake_timers_add(&p->srv.timers, &r->timer, delay * 1000);
+	fake_timers_add(&p->srv.timers, &r->timer, delay_us);
 	return 1;
 }
 
@@ -332,20 +364,19 @@
 static enum fake_verdict handle(struct fake_request *r)
 {
 	struct platform *p = platform_of(r);
-	enum fake_verdict v;
-	json_t *body;
-
-	if (delay_request(p, r))
-		return FAKE_WAIT;
-	body = r->len ? json_loadb(r->body, r->len, 0, NULL) : NULL;
-	apr_thread_mutex_lock(p->lock);
-	if (p->knobs.outage && !is_control(r)) {
-		p->counts.refused++;
-		v = fake_reply_error(r, 503, "outage");
-	} else {
-		v = route(p, r, body);
+	json_t *body = r->len ? json_loadb(r->body, r->len, 0, NULL) : NULL;
+	enum fake_verdict v = FAKE_WAIT;
+
+	if (!delay_request(p, r, body)) {
+		apr_thread_mutex_lock(p->lock);
+		if (p->knobs.outage && !is_control(r)) {
+			p->counts.refused++;
+			v = fake_reply_error(r, 503, "outage");
+		} else {
+			v = route(p, r, body);
+		}
+		apr_thread_mutex_unlock(p->lock);
 	}
-	apr_thread_mutex_unlock(p->lock);
 	json_decref(body);
 	return v;
 }
