--- a/regress/lib.sh
+++ b/regress/lib.sh
@@ -9,8 +9,16 @@
 . ./regress/deploy.sh
 test -x "$bin/rosemary" || bin=build
 
+# A planned stop of the last entry VMs would wait for a successor.
 finish () {
-	stop_all || :
+	for p in $pids
+	do
+		kill -KILL "$p" 2>/dev/null || :
+	done
+	for p in $pids
+	do
+		wait "$p" 2>/dev/null || :
+	done
 	rm -rf "$dir"
 }
 trap finish EXIT
