show-table and edit-table on the command line, with a scripted run

Cause: operators could edit the table by raw HTTP only. Change: show-table aligns services, targets and teams, marks drafts apart and names the version of each entry VM; edit-table checks words, shows the difference, commits once under its own id, shows both values of a conflict, keeps and commits drafts, asks before a service is stopped, waits for "in force" and names who lacks it.

--- a/cli.h
+++ b/cli.h
@@ -136,5 +136,7 @@
 extern const struct cmd_entry cmd_drain_entry;
 extern const struct cmd_entry cmd_events_entry;
 extern const struct cmd_entry cmd_metrics_entry;
+extern const struct cmd_entry cmd_show_table_entry;
+extern const struct cmd_entry cmd_edit_table_entry;
 
 #endif
--- /dev/null
+++ b/regress/t-table.sh
@@ -0,0 +1,81 @@
+#!/bin/sh
+# The operator's table with real processes: edits, drafts, conflicts, racing
+# operators, a lost answer, an outage, and an entry VM that is missing.
+. regress/lib.sh
+port=$((22000 + $(pwd | cksum | cut -d' ' -f1) % 5 * 200))
+
+# Names entry VMs as vm0.. and hides what differs between runs.
+plain () {
+	sed -e "s/127.0.0.1:$((port + 50))/vm0/g" \
+		-e "s/127.0.0.1:$((port + 51))/vm1/g" \
+		-e "s/127.0.0.1:$((port + 52))/vm2/g" \
+		-e 's/\b6[12]\b/6x/g' \
+		-e 's/heard [0-9]* ms/heard N ms/' \
+		-e 's/--edit-id=.*/--edit-id=ID/' \
+		-e 's/^vm2  *- .*/vm2 - no answer/'
+}
+
+# op ARGS...: one call of an operator, with its exit code.
+op () {
+	echo "\$ $*"
+	status=0
+	"$bin"/rosemary "$@" </dev/null >"$dir/op" 2>&1 || status=$?
+	plain <"$dir/op"
+	test $status = 0 || echo "exit $status"
+}
+
+# race NAME WEIGHT: one of two operators who edit the same cell.
+race () {
+	status=0
+	"$bin"/rosemary edit-table deadline-desk/t1 weight="$2" \
+		--base-version=3 >"$dir/race.$1" 2>&1 || status=$?
+	echo "exit $status" >>"$dir/race.$1"
+}
+
+drafts_are () {
+	call GET "$(http_of 1)" /v1/table | pick drafts.0.name
+}
+
+run () {
+	echo '# accepted, and in force everywhere'
+	op edit-table deadline-desk/t0 weight=50 limit=4 \
+		team/field weight=30 quota=5
+	op show-table
+	echo '# a stale base: another cell merges, the same one conflicts'
+	op edit-table deadline-desk/t1 limit=2 --base-version=0
+	op edit-table deadline-desk/t0 weight=20 --base-version=0
+	echo '# a draft is found at any entry VM, and is not in force'
+	op edit-table --draft=monday deadline-desk/t2 weight=10
+	until_is monday drafts_are
+	op show-table
+	op edit-table --commit-draft=monday
+	op edit-table --commit-draft=none
+	echo '# two operators at once: one is accepted, one told'
+	race a 61 &
+	first=$!
+	race b 62 &
+	wait $first $!
+	cat "$dir/race.a" "$dir/race.b" | grep -c '^accepted as version 4'
+	cat "$dir/race.a" "$dir/race.b" | grep -c '^conflict: deadline-desk/t1'
+	cat "$dir/race.a" "$dir/race.b" | grep exit | sort
+	echo '# the answer is lost after the change took effect'
+	control '{"lose_answers":2}'
+	op edit-table deadline-desk/t0 limit=6
+	control '{"lose_answers":0}'
+	echo '# the platform is out'
+	control '{"outage":true}'
+	op edit-table deadline-desk/t0 limit=7
+	control '{"outage":false}'
+	echo '# values are checked, a stopped service is asked for'
+	op edit-table 'deadline-desk/*' limit=0 deadline-desk/t0 limit=0 \
+		deadline-desk/t1 limit=0
+	op edit-table deadline-desk/t0 weight=10001
+	op edit-table deadline-desk/t0
+	echo '# an entry VM that is missing is named'
+	kill -KILL "$vm_2"
+	op edit-table deadline-desk/t0 limit=8 --wait=1000
+	op show-table
+}
+
+start_all 3 4
+check run
--- a/rosemary.c
+++ b/rosemary.c
@@ -8,9 +8,17 @@
 #include <string.h>
 
 static const struct cmd_entry *const commands[] = {
-	&cmd_submit_entry, &cmd_request_entry,	   &cmd_wait_entry,
-	&cmd_cancel_entry, &cmd_show_status_entry, &cmd_drain_entry,
-	&cmd_events_entry, &cmd_metrics_entry,	   NULL,
+	&cmd_submit_entry,
+	&cmd_request_entry,
+	&cmd_wait_entry,
+	&cmd_cancel_entry,
+	&cmd_show_status_entry,
+	&cmd_drain_entry,
+	&cmd_events_entry,
+	&cmd_metrics_entry,
+	&cmd_show_table_entry,
+	&cmd_edit_table_entry,
+	NULL,
 };
 
 /* Prints the commands and the exit codes. */
--- a/table-op.c
+++ b/table-op.c
@@ -325,9 +325,12 @@
 			      "a row of the platform's table is malformed");
 	else if (conflicts.len)
 		rp_status_set(&st, RP_E_CONFLICT, RP_STEP_TABLE, "",
-			      "%zu cells were changed since version %" PRId64
-			      "; nothing was changed",
-			      conflicts.len, op->base_version);
+			      "cells changed since version %" PRId64 ": %zu; "
+			      "this "
+			      "call "
+			      "changed "
+			      "nothing",
+			      op->base_version, conflicts.len);
 	if (st.code == RP_OK)
 		edit_commit(k, now, op, ev, head, acts);
 	else
