--- a/dispatch-pump.c
+++ b/dispatch-pump.c
@@ -52,10 +52,17 @@
 {
 	struct rp_heap *h = &t->svc->speeds;
 
-	if (t->listed && !t->leaving && t->weight)
+	struct rp_service *svc = t->svc;
+	int slots = 0;
+
+	if (t->listed && !t->leaving && t->weight) {
 		heap_set(h, &t->speed_node, target_time(t));
-	else
+		slots = target_limit(t);
+	} else {
 		heap_remove(h, &t->speed_node);
+	}
+	svc->nslots += (size_t)(slots - t->counted_slots);
+	t->counted_slots = slots;
 }
 
 double service_least_time(const struct rp_service *svc)
@@ -104,7 +111,7 @@
 	uint32_t task = job->nagain ? job->again[--job->nagain]
 				    : (uint32_t)job->next_task++;
 
-	svc->nqueued--;
+	job_count_waiting(job, -1);
 	if (job_waiting(job)) {
 		svc->queue->ops->changed(svc->queue, job, now);
 	} else {
@@ -156,8 +163,11 @@
 {
 	struct rp_status st;
 
-	if (start_send(job, job_take(job, now), t, now, acts))
+	if (start_send(job, job_take(job, now), t, now, acts)) {
+		if (job->svc->queue->ops->started)
+			job->svc->queue->ops->started(job->svc->queue, job);
 		return;
+	}
 	rp_status_set(&st, RP_E_INTERNAL, RP_STEP_START, t->name,
 		      "a start was refused: see the invariant's count");
 	job_fail(job, now, &st, acts);
@@ -174,25 +184,33 @@
 	return t;
 }
 
-void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
+/* Binds the job's next task; 0 when it has to wait for room. */
+static int bind_next(struct rp_job *job, rp_ms now, struct rp_actions *acts)
 {
 	struct rp_target *t;
-	struct rp_job *job;
 
-	while ((job = svc->queue->ops->next(svc->queue, now))) {
-		if (is_hopeless(job, now)) {
-			fail_hopeless(job, now, acts);
-			continue;
-		}
-		t = pick_target(job, now);
-		if (t) {
-			start_next(job, t, now, acts);
-		} else if (job->avoid) {
-			park(job);
-		} else {
-			svc->limit->ops->demand(svc->limit, svc->nqueued, now,
-						acts);
-			return;
-		}
+	if (is_hopeless(job, now)) {
+		fail_hopeless(job, now, acts);
+		return 1;
 	}
+	t = pick_target(job, now);
+	if (t)
+		start_next(job, t, now, acts);
+	else if (job->avoid)
+		park(job);
+	else
+		return 0;
+	return 1;
+}
+
+void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
+{
+	struct rp_job *job;
+
+	svc->now = now;
+	while ((job = svc->queue->ops->next(svc->queue, now)))
+		if (!bind_next(job, now, acts))
+			break;
+	if (svc->nqueued)
+		svc->limit->ops->demand(svc->limit, svc->nqueued, now, acts);
 }
--- a/peer.pb-c.c
+++ b/peer.pb-c.c
@@ -1253,7 +1253,7 @@
   (ProtobufCMessageInit) rp_seen__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_forward__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_forward__field_descriptors[5] =
 {
   {
     "vm",
@@ -1303,8 +1303,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_forward__field_indices_by_name[] = {
+  4,   /* field[4] = clock_ms */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = to */
   3,   /* field[3] = to_incarnation */
@@ -1313,7 +1326,7 @@
 static const ProtobufCIntRange rp_forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rp_forward__descriptor =
 {
@@ -1323,7 +1336,7 @@
   "RpForward",
   "",
   sizeof(RpForward),
-  4,
+  5,
   rp_forward__field_descriptors,
   rp_forward__field_indices_by_name,
   1,  rp_forward__number_ranges,
@@ -1613,7 +1626,7 @@
   (ProtobufCMessageInit) rp_credit_line__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_credit_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_credit_report__field_descriptors[6] =
 {
   {
     "service",
@@ -1628,12 +1641,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stamp_ms",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(RpCreditReport, stamp_ms),
+    offsetof(RpCreditReport, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -1652,8 +1665,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lines",
+    "answer",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call_me",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditReport, call_me),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(RpCreditReport, n_lines),
@@ -1665,15 +1702,17 @@
   },
 };
 static const unsigned rp_credit_report__field_indices_by_name[] = {
-  3,   /* field[3] = lines */
+  3,   /* field[3] = answer */
+  4,   /* field[4] = call_me */
+  5,   /* field[5] = lines */
+  1,   /* field[1] = seq */
   0,   /* field[0] = service */
-  1,   /* field[1] = stamp_ms */
   2,   /* field[2] = want */
 };
 static const ProtobufCIntRange rp_credit_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rp_credit_report__descriptor =
 {
@@ -1683,14 +1722,14 @@
   "RpCreditReport",
   "",
   sizeof(RpCreditReport),
-  4,
+  6,
   rp_credit_report__field_descriptors,
   rp_credit_report__field_indices_by_name,
   1,  rp_credit_report__number_ranges,
   (ProtobufCMessageInit) rp_credit_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_credit_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_credit_grant__field_descriptors[6] =
 {
   {
     "service",
@@ -1705,12 +1744,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "stamp_ms",
+    "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(RpCreditGrant, stamp_ms),
+    offsetof(RpCreditGrant, seq),
     NULL,
     NULL,
     0,             /* flags */
@@ -1729,8 +1768,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "lines",
+    "pending",
     4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recall",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpCreditGrant, recall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lines",
+    6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(RpCreditGrant, n_lines),
@@ -1743,14 +1806,16 @@
 };
 static const unsigned rp_credit_grant__field_indices_by_name[] = {
   2,   /* field[2] = call */
-  3,   /* field[3] = lines */
+  5,   /* field[5] = lines */
+  3,   /* field[3] = pending */
+  4,   /* field[4] = recall */
+  1,   /* field[1] = seq */
   0,   /* field[0] = service */
-  1,   /* field[1] = stamp_ms */
 };
 static const ProtobufCIntRange rp_credit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rp_credit_grant__descriptor =
 {
@@ -1760,7 +1825,7 @@
   "RpCreditGrant",
   "",
   sizeof(RpCreditGrant),
-  4,
+  6,
   rp_credit_grant__field_descriptors,
   rp_credit_grant__field_indices_by_name,
   1,  rp_credit_grant__number_ranges,
@@ -1998,7 +2063,7 @@
   (ProtobufCMessageInit) rp_handover_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[15] =
+static const ProtobufCFieldDescriptor rp_envelope__field_descriptors[17] =
 {
   {
     "from",
@@ -2144,6 +2209,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(RpEnvelope, echo_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "table_ask",
     20,
@@ -2182,6 +2271,7 @@
   },
 };
 static const unsigned rp_envelope__field_indices_by_name[] = {
+  13,   /* field[13] = echo_ms */
   0,   /* field[0] = from */
   8,   /* field[8] = grants */
   10,   /* field[10] = handover */
@@ -2193,16 +2283,17 @@
   6,   /* field[6] = relay_answers */
   5,   /* field[5] = relays */
   7,   /* field[7] = reports */
-  12,   /* field[12] = table_ask */
-  14,   /* field[14] = table_delta */
-  13,   /* field[13] = table_since */
+  12,   /* field[12] = sent_ms */
+  14,   /* field[14] = table_ask */
+  16,   /* field[16] = table_delta */
+  15,   /* field[15] = table_since */
   3,   /* field[3] = to */
 };
 static const ProtobufCIntRange rp_envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 12 },
-  { 0, 15 }
+  { 20, 14 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor rp_envelope__descriptor =
 {
@@ -2212,7 +2303,7 @@
   "RpEnvelope",
   "",
   sizeof(RpEnvelope),
-  15,
+  17,
   rp_envelope__field_descriptors,
   rp_envelope__field_indices_by_name,
   2,  rp_envelope__number_ranges,
--- a/rosemary.h
+++ b/rosemary.h
@@ -391,8 +391,10 @@
 			rp_ms timeout;		       /* give up after, ms */
 			/* START: owned by the action, else NULL */
 			struct rp_submission *sub;
-			size_t task;	      /* index into sub->tasks */
-			int close_connection; /* LOOKUP, VOID: drop it */
+			size_t task; /* index into sub->tasks */
+			/* LOOKUP, VOID: drop the start's connection now; else
+			 * once its outcome was reported */
+			int close_connection;
 		} start;
 		struct {
 			char name[RP_NAME_MAX];
