--- /dev/null
+++ b/bench-table.c
@@ -0,0 +1,330 @@
+/*
+ * The operator's table and claims over several kernels and a fake platform,
+ * in logical time, and the cost of the event ring in real time.
+ *
+ *	bench-table spread VMS EDITS LINKS SEED
+ *	bench-table claims VMS PER_SECOND SECONDS DELAY_MS SEED
+ *	bench-table outage VMS PER_SECOND SEED
+ *	bench-table memory SEED
+ *	bench-table ring EVENTS
+ */
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "regress/many.h"
+
+#define EDIT_SPAN_MS 39272 /* between edits, at 2,200 a day */
+#define WARM_MS 5000
+#define WINDOW_MS 100 /* in which calls to the platform are counted */
+
+static int by_value(const void *x, const void *y)
+{
+	const rp_ms *a = x, *b = y;
+
+	return (*a > *b) - (*a < *b);
+}
+
+/* Prints the spread of n spans in ms. */
+static void print_spans(const char *what, rp_ms *list, size_t n)
+{
+	qsort(list, n, sizeof(*list), by_value);
+	if (n)
+		printf("%s_ms p50 %lld p99 %lld max %lld of %zu\n", what,
+		       (long long)list[n / 2], (long long)list[n * 99 / 100],
+		       (long long)list[n - 1], n);
+}
+
+static double per_second(uint64_t n, rp_ms span)
+{
+	return (double)n * 1000.0 / (double)span;
+}
+
+/* --- how the table spreads ----------------------------------------------- */
+
+static int all_have(const struct many *m, int64_t version)
+{
+	int i;
+
+	for (i = 0; i < m->n; i++)
+		if (table_version(m->k[i]) < version)
+			return 0;
+	return 1;
+}
+
+static void bench_spread(int vms, int edits, int links, uint64_t seed)
+{
+	rp_ms *spans = calloc((size_t)edits, sizeof(*spans)), begin, at;
+	uint64_t reads, writes, commits;
+	struct many m;
+	int i;
+
+	many_init(&m, vms, seed);
+	m.cut = !links;
+	many_run(&m, WARM_MS);
+	begin = m.now;
+	reads = m.p.reads;
+	writes = m.p.writes;
+	commits = m.p.commits;
+	for (i = 0; i < edits; i++) {
+		struct rp_cell c = many_cell("target-0", i % 100, i + 1);
+		char id[RP_NAME_MAX];
+
+		snprintf(id, sizeof(id), "edit-%d", i);
+		at = m.now;
+		many_edit(&m, i % vms, (rp_token)i + 1, id,
+			  table_version(m.k[i % vms]), &c, 1);
+		while (!all_have(&m, i + 1))
+			many_run(&m, 1);
+		spans[i] = m.now - at;
+		many_run(&m, EDIT_SPAN_MS - spans[i]);
+	}
+	print_spans("in_force_everywhere", spans, (size_t)edits);
+	printf("platform reads/s %.1f rows_written/s %.2f commits/s %.2f\n",
+	       per_second(m.p.reads - reads, m.now - begin),
+	       per_second(m.p.writes - writes, m.now - begin),
+	       per_second(m.p.commits - commits, m.now - begin));
+	many_finish(&m);
+	free(spans);
+}
+
+/* --- claims ----------------------------------------------------------------
+ */
+
+/* Callers that submit under keys of their own at a steady rate. */
+struct callers {
+	struct many *m;
+	double due, span; /* ms */
+	uint64_t next;	  /* token and key of the next call */
+	rp_ms *sent;	  /* when, by token */
+	size_t max, seen; /* starts looked at */
+	rp_ms *spans;	  /* from call to start */
+	size_t nspans;
+};
+
+static void callers_init(struct callers *c, struct many *m, double rate,
+			 rp_ms span)
+{
+	memset(c, 0, sizeof(*c));
+	c->m = m;
+	c->span = 1000.0 / rate;
+	c->due = (double)m->now;
+	c->max = (size_t)((double)span / c->span) + 16;
+	c->sent = calloc(c->max, sizeof(*c->sent));
+	c->spans = calloc(c->max, sizeof(*c->spans));
+}
+
+static void callers_finish(struct callers *c)
+{
+	free(c->sent);
+	free(c->spans);
+}
+
+/* One ms of calls, and the end of all tasks started in it. */
+static void callers_run(struct callers *c)
+{
+	struct many *m = c->m;
+	char key[RP_NAME_MAX];
+
+	while (c->due <= (double)m->now && c->next < c->max) {
+		snprintf(key, sizeof(key), "key-%llu",
+			 (unsigned long long)c->next);
+		c->sent[c->next] = m->now;
+		many_claim(m, (int)(c->next % (uint64_t)m->n), c->next + 1, key,
+			   "x", 30000, 1);
+		c->next++;
+		c->due += c->span;
+	}
+	many_run(m, 1);
+	for (; c->seen < m->nstarts; c->seen++) {
+		size_t i = (size_t)atoll(m->starts[c->seen].key + 4);
+
+		c->spans[c->nspans++] = m->now - c->sent[i];
+		many_done(m, c->seen);
+	}
+}
+
+static void bench_claims(int vms, double rate, rp_ms seconds, rp_ms delay,
+			 uint64_t seed)
+{
+	uint64_t reads, writes, commits;
+	struct callers c;
+	struct many m;
+	rp_ms begin;
+
+	many_init(&m, vms, seed);
+	many_run(&m, WARM_MS);
+	m.p.delay = delay;
+	m.p.spread = delay;
+	begin = m.now;
+	reads = m.p.reads;
+	writes = m.p.writes;
+	commits = m.p.commits;
+	callers_init(&c, &m, rate, seconds * 1000);
+	while (m.now < begin + seconds * 1000)
+		callers_run(&c);
+	printf("claims/s offered %.0f started %.0f commits/s %.1f "
+	       "rows_written/s %.0f reads/s %.1f\n",
+	       per_second(c.next, m.now - begin),
+	       per_second(c.nspans, m.now - begin),
+	       per_second(m.p.commits - commits, m.now - begin),
+	       per_second(m.p.writes - writes, m.now - begin),
+	       per_second(m.p.reads - reads, m.now - begin));
+	print_spans("claim_to_start", c.spans, c.nspans);
+	callers_finish(&c);
+	many_finish(&m);
+}
+
+/* --- outage and recovery -----------------------------------------------------
+ */
+
+/* Most calls to the platform in one window, while the callers go on. */
+static double worst_window(struct many *m, struct callers *c, rp_ms span,
+			   double *mean)
+{
+	uint64_t first = m->p.calls_total, calls, worst = 0;
+	rp_ms end = m->now + span, at;
+
+	while (m->now < end) {
+		calls = m->p.calls_total;
+		for (at = m->now; m->now < at + WINDOW_MS;)
+			callers_run(c);
+		calls = m->p.calls_total - calls;
+		if (calls > worst)
+			worst = calls;
+	}
+	*mean = per_second(m->p.calls_total - first, span);
+	return per_second(worst, WINDOW_MS);
+}
+
+static void bench_outage(int vms, double rate, uint64_t seed)
+{
+	static const char *const phases[] = { "before", "outage", "silent",
+					      "recovery" };
+	struct callers c;
+	struct many m;
+	double mean, worst;
+	size_t i;
+
+	many_init(&m, vms, seed);
+	many_run(&m, WARM_MS);
+	callers_init(&c, &m, rate, 85000);
+	for (i = 0; i < sizeof(phases) / sizeof(*phases); i++) {
+		m.p.outage = i == 1;
+		m.p.silent = i == 2;
+		worst = worst_window(&m, &c, 20000, &mean);
+		printf("%-8s calls/s mean %.0f worst_100ms %.0f started %zu\n",
+		       phases[i], mean, worst, c.nspans);
+		c.nspans = 0;
+	}
+	callers_finish(&c);
+	many_finish(&m);
+}
+
+/* --- memory and the ring
+ * ------------------------------------------------------ */
+
+static size_t used(void)
+{
+	return mallinfo2().uordblks + mallinfo2().hblkhd;
+}
+
+static void bench_memory(uint64_t seed)
+{
+	struct rp_cell cells[RP_EDIT_CELLS_MAX];
+	size_t before, cells_n = 512, records = 20000;
+	struct callers c;
+	struct many m;
+	size_t i;
+
+	many_init(&m, 1, seed);
+	m.cut = 1;
+	many_run(&m, WARM_MS);
+	for (i = 0; i < cells_n; i++) {
+		char name[RP_NAME_MAX];
+
+		snprintf(name, sizeof(name), "target-%zu", i);
+		cells[i] = many_cell(name, 50, 4);
+	}
+	before = used();
+	many_edit(&m, 0, 1, "e", 0, cells, cells_n);
+	many_run(&m, 1000);
+	printf("bytes_per_cell %.0f (kernel and fake platform)\n",
+	       (double)(used() - before) / (double)cells_n);
+	printf("sizeof cell %zu record %zu claim %zu event %zu\n",
+	       sizeof(struct rp_cell), sizeof(struct rp_record),
+	       sizeof(struct rp_claim), sizeof(struct rp_trace_event));
+	/* Rows of claims in the fake are taken off by their own count. */
+	callers_init(&c, &m, 2000, (rp_ms)records / 2);
+	before = used();
+	while (c.nspans < records)
+		callers_run(&c);
+	printf("bytes_per_record %.0f (with answer, and fake platform)\n",
+	       (double)(used() - before) / (double)records);
+	callers_finish(&c);
+	many_finish(&m);
+}
+
+static void bench_ring(size_t events)
+{
+	struct rp_trace_about about = { .key = str_of("i.1.2.3.4.entry-vm-1"),
+					.team = str_of("field"),
+					.target = "target-17",
+					.task = 3 };
+	struct timespec a, b;
+	struct test_kernel t;
+	size_t i;
+
+	test_init(&t, 1);
+	clock_gettime(CLOCK_MONOTONIC, &a);
+	for (i = 0; i < events; i++)
+		trace_event(t.k, (rp_ms)i / 1000, RP_TRACE_STARTED, &about,
+			    "attempt %d", 1);
+	clock_gettime(CLOCK_MONOTONIC, &b);
+	printf("ns_per_event %.0f bytes_per_event %zu ring_bytes %zu\n",
+	       ((double)(b.tv_sec - a.tv_sec) * 1e9 +
+		(double)(b.tv_nsec - a.tv_nsec)) /
+		       (double)events,
+	       sizeof(struct rp_trace_event),
+	       sizeof(struct rp_trace_event) * t.opt.trace_events);
+	test_finish(&t);
+}
+
+static void usage(void)
+{
+	fprintf(stderr, "usage: bench-table spread VMS EDITS LINKS SEED\n"
+			"       bench-table claims VMS PER_SECOND SECONDS "
+			"DELAY_MS SEED\n"
+			"       bench-table outage VMS PER_SECOND SEED\n"
+			"       bench-table memory SEED\n"
+			"       bench-table ring EVENTS\n");
+	exit(2);
+}
+
+int main(int argc, char **argv)
+{
+	long a[5] = { 0 };
+	int i;
+
+	if (argc < 3 || argc > 7)
+		usage();
+	for (i = 2; i < argc; i++)
+		a[i - 2] = atol(argv[i]);
+	if (!strcmp(argv[1], "spread") && argc == 6)
+		bench_spread((int)a[0], (int)a[1], (int)a[2], (uint64_t)a[3]);
+	else if (!strcmp(argv[1], "claims") && argc == 7)
+		bench_claims((int)a[0], (double)a[1], a[2], a[3],
+			     (uint64_t)a[4]);
+	else if (!strcmp(argv[1], "outage") && argc == 5)
+		bench_outage((int)a[0], (double)a[1], (uint64_t)a[2]);
+	else if (!strcmp(argv[1], "memory") && argc == 3)
+		bench_memory((uint64_t)a[0]);
+	else if (!strcmp(argv[1], "ring") && argc == 3)
+		bench_ring((size_t)a[0]);
+	else
+		usage();
+	return 0;
+}
