--- a/daemon-loop.c
+++ b/daemon-loop.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define HEADER_MAX 65536 /* bytes of one reply's header */
+
 /* Collects the reply's body up to its bound; cuts the reply off beyond. */
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
@@ -29,6 +31,16 @@
 	return add;
 }
 
+/* Counts the reply's header, which curl itself does not bound. */
+static size_t on_header(char *data, size_t size, size_t n, void *arg)
+{
+	struct loop_call *c = arg;
+
+	(void)data;
+	c->header += size * n;
+	return c->header > HEADER_MAX ? 0 : size * n;
+}
+
 /*
  * Called by curl whenever the request is about to be written. curl sends a
  * request again by itself when a reused connection turns out to be dead; a
@@ -102,13 +114,12 @@
  */
 static int was_silent(struct loop_call *c, CURLcode rc)
 {
-	long connects = 0, header = 0;
+	long connects = 0;
 
 	if (!c->attempts || (rc != CURLE_OPERATION_TIMEDOUT && !c->aborted))
 		return 0;
 	curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &connects);
-	curl_easy_getinfo(c->easy, CURLINFO_HEADER_SIZE, &header);
-	return connects == 0 && header == 0;
+	return connects == 0 && c->header == 0;
 }
 
 /* Reports the end of a call and frees it. */
@@ -127,6 +138,8 @@
 		c->unsent = 1;
 	}
 	remove_running(c);
+	l->used = 1;
+	l->last_end = daemon_now();
 	c->ops->finish(c, rc, status);
 	c->ops->free(c);
 	if (easy)
@@ -151,6 +164,8 @@
 			 (long)c->loop->d->set->connect_timeout);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_request);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 }
@@ -159,7 +174,7 @@
 {
 	c->loop = l;
 	add_running(l, c);
-	c->easy = take_easy(l);
+	c->easy = c->refused ? NULL : take_easy(l);
 	if (!c->easy) {
 		end_call(c, CURLE_OUT_OF_MEMORY);
 		return;
@@ -239,6 +254,39 @@
 	atomic_store(&l->sleeping, 0);
 }
 
+static CURLM *new_multi(struct loop *l)
+{
+	CURLM *multi = curl_multi_init();
+
+	if (!multi)
+		return NULL;
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)l->max_spare);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	loop_poll_attach(l, multi);
+	return multi;
+}
+
+/*
+ * Closes all connections once the loop has rested for their age. curl by
+ * itself closes old connections only when it makes another call, and a
+ * target takes so many connections only.
+ */
+static void close_idle(struct loop *l)
+{
+	CURLM *multi;
+
+	if (!l->used || l->running ||
+	    daemon_now() - l->last_end < l->d->set->target_idle_age)
+		return;
+	multi = new_multi(l);
+	if (!multi)
+		return;
+	curl_multi_cleanup(l->multi);
+	l->multi = multi;
+	l->timer = 0;
+	l->used = 0;
+}
+
 static void *APR_THREAD_FUNC run_loop(apr_thread_t *thread, void *arg)
 {
 	struct loop *l = arg;
@@ -249,6 +297,7 @@
 		begin_queued(l);
 		wait_for_work(l);
 		end_finished(l);
+		close_idle(l);
 	}
 	return NULL;
 }
@@ -261,14 +310,13 @@
 	l->tail = &l->head;
 	l->max_spare = (size_t)max_idle;
 	l->spare = apr_palloc(d->pool, l->max_spare * sizeof(CURL *));
-	l->multi = curl_multi_init();
-	if (!l->multi || loop_poll_init(l) < 0 ||
+	if (loop_poll_init(l) < 0 ||
 	    apr_thread_mutex_create(&l->lock, APR_THREAD_MUTEX_DEFAULT,
 				    d->pool) != APR_SUCCESS)
 		return -1;
-	curl_multi_setopt(l->multi, CURLMOPT_MAXCONNECTS, (long)max_idle);
-	curl_multi_setopt(l->multi, CURLMOPT_PIPELINING,
-			  (long)CURLPIPE_NOTHING);
+	l->multi = new_multi(l);
+	if (!l->multi)
+		return -1;
 	l->thread = daemon_thread(d, run_loop, l);
 	return l->thread ? 0 : -1;
 }
--- a/regress/http-target.c
+++ b/regress/http-target.c
@@ -357,3 +357,48 @@
 	cr_assert_eq(s.connections, 2);
 	test_server_stop(&s);
 }
+
+/* Connections do not stay open when the daemon has nothing to send. */
+Test(target, idle_connections_are_closed)
+{
+	static const char *const replies[] = { OK_REPLY, NULL };
+	rp_ms end = daemon_now() + TEST_WAIT_MS;
+	struct test_server s;
+
+	test_settings.target_idle_age = 1000;
+	test_server_start(&s, replies);
+	send_action(RP_ACTION_START, s.address, 1, "x", 0);
+	check_start(1, 1, RP_START_DONE);
+	cr_assert_eq(atomic_load(&s.live), 1);
+	while (atomic_load(&s.live) && daemon_now() < end)
+		apr_sleep(apr_time_from_msec(10));
+	cr_assert_eq(atomic_load(&s.live), 0);
+	send_action(RP_ACTION_START, s.address, 2, "x", 0);
+	check_start(2, 2, RP_START_DONE);
+	test_server_stop(&s);
+}
+
+/* A header without end is cut off long before the task's deadline. */
+Test(target, endless_header_is_unknown)
+{
+	char *reply = malloc(200000);
+	const char *const replies[] = { reply, NULL };
+	struct test_server s;
+	rp_ms began;
+	size_t at;
+
+	memset(reply, 'x', 199999);
+	reply[199999] = '\0';
+	memcpy(reply, "HTTP/1.1 200 OK\r\n", 17);
+	for (at = 17; at + 1000 < 199000; at += 1000) {
+		memcpy(reply + at, "X: ", 3);
+		memcpy(reply + at + 998, "\r\n", 2);
+	}
+	test_server_start(&s, replies);
+	began = daemon_now();
+	send_action(RP_ACTION_START, s.address, 1, "x", 0);
+	check_start(1, 1, RP_START_UNKNOWN);
+	cr_assert_lt(daemon_now() - began, 900);
+	test_server_stop(&s);
+	free(reply);
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -113,6 +113,8 @@
 	/* The target's room, speed, weight, limit or health changed. */
 	void (*changed)(struct rp_route *r, struct rp_target *t, rp_ms now);
 	void (*removed)(struct rp_route *r, struct rp_target *t);
+	/* Optional: called at every tick. */
+	void (*tick)(struct rp_route *r, rp_ms now);
 };
 
 /* Orders the jobs that have tasks to start. */
@@ -130,6 +132,9 @@
 	struct rp_job *(*next)(struct rp_queue *q, rp_ms now);
 	/* One task of the job was started, or came back to the queue. */
 	void (*changed)(struct rp_queue *q, struct rp_job *job, rp_ms now);
+	/* Optional: a task of the job, or of the team, was sent; ended. */
+	void (*started)(struct rp_queue *q, struct rp_job *job);
+	void (*ended)(struct rp_queue *q, struct rp_team *team);
 };
 
 /* Accepts or refuses a job before anything of it starts. */
@@ -250,6 +255,7 @@
 	struct rp_heap_node speed_node; /* in svc->speeds, by run time */
 	struct rp_heap_node wake_node;	/* in shard's wakes, while paused */
 	int paused;			/* connects fail: gets no work now */
+	int counted_slots;		/* in svc->nslots */
 	rp_ms pause;			/* last span of the pause, ms */
 	struct rp_start *sends;		/* in the air */
 	size_t index;			/* place in svc->targets */
@@ -260,11 +266,13 @@
 
 struct rp_team {
 	char name[RP_NAME_MAX];
+	struct rp_dispatch *shard;
 	int32_t weight; /* share in force */
 	int32_t quota;	/* tasks in flight; RP_CELL_UNSET: no quota */
 	int in_flight;
-	size_t njobs;	  /* queued jobs */
-	void *queue_data; /* for the queue policy */
+	size_t njobs;	       /* queued jobs */
+	size_t nqueued;	       /* their waiting tasks */
+	int32_t active_weight; /* counted in the shard's, while it waits */
 };
 
 enum rp_task_state {
@@ -304,6 +312,7 @@
 	struct rp_heap_node deadline_node;
 	struct rp_heap_node queue_node;		/* for the queue policy */
 	struct rp_job *queue_next, *queue_prev; /* likewise */
+	void *queue_data;			/* likewise */
 	int queued;				/* the queue policy holds it */
 	int parked; /* in svc->parked until a tick */
 	uint8_t sub_shard;
@@ -318,6 +327,7 @@
 	uint16_t suffix; /* of the task id; 0: none */
 	uint8_t asks;	 /* lookups and voids made */
 	uint8_t unknown; /* answers that the id is not known */
+	uint8_t broken;	 /* its connection is gone */
 	uint8_t judged;	 /* the health policy was told of it */
 	uint8_t stopped; /* the target was asked to stop it */
 	uint8_t hedged;	 /* the time for a hedge is over */
@@ -340,6 +350,10 @@
 	RP_START_LEFT,	  /* nothing more can be learned: slot is charged */
 };
 
+/* Bounds on rp_service.silence. */
+#define RP_SILENCE_LEAST 5.0
+#define RP_SILENCE_MOST 10.0
+
 #define RP_START_NONE UINT32_MAX /* end of the list of free slots */
 #define RP_START_PAGE 256	 /* sends allocated at once */
 
@@ -362,6 +376,9 @@
 	struct rp_heap speeds;	   /* targets in use, least run time first */
 	struct rp_job *parked;	   /* wait for a target other than avoid */
 	const struct rp_target *avoid; /* closed for the job being bound */
+	size_t nslots; /* limits of the targets in use, together */
+	/* Deviations over the mean after which a send is silent. */
+	double silence;
 	rp_ms probe_at; /* a job beyond its time may start from here on */
 };
 
@@ -386,6 +403,7 @@
 	struct rp_heap timers; /* of starts */
 	struct rp_heap wakes;  /* of paused targets */
 	uint64_t next_job;
+	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
@@ -397,7 +415,8 @@
 /* --- submissions ----------------------------------------------------- */
 
 enum rp_record_phase {
-	RP_RECORD_CLAIMING, /* the caller's own key is being claimed */
+	RP_RECORD_CLAIMING,  /* the caller's own key is being claimed */
+	RP_RECORD_UNCLAIMED, /* the claim is unsettled, its callers refused */
 	RP_RECORD_RUNNING,
 	RP_RECORD_FINAL,
 };
@@ -407,6 +426,8 @@
 	rp_token token;
 	char peer[RP_NAME_MAX]; /* "" for a caller of this entry VM */
 	uint64_t relay_id;
+	int until_claimed; /* does not wait for the end of a claimed key */
+	int is_cancel;
 	struct rp_waiter *next;
 };
 
@@ -415,6 +436,8 @@
 	size_t key_len;
 	uint64_t digest;
 	enum rp_record_phase phase;
+	uint64_t claim_id; /* 0: the key was never to be claimed */
+	int cancelled;	   /* while the key is being claimed */
 	uint64_t job_id;
 	char service[RP_NAME_MAX];
 	struct rp_submission *sub; /* until it is handed to a job */
@@ -567,7 +590,15 @@
 };
 
 /* The planned stop of this entry VM. */
+/* How far a planned stop has come, for all threads. */
+enum rp_stopping {
+	RP_STOPPING_NOT,
+	RP_STOPPING_SOON, /* out of the balancer; still takes its own keys */
+	RP_STOPPING_NOW,  /* submissions are answered "not run" */
+};
+
 struct rp_drain {
+	rp_ms refuse_at; /* end of RP_STOPPING_SOON */
 	enum rp_drain_phase phase;
 	rp_ms due;     /* next step */
 	rp_ms give_up; /* the handover ends without a successor */
@@ -684,6 +715,7 @@
 };
 
 #include "table.h"
+#include "claim.h"
 
 struct rp_kernel {
 	struct rp_options opt;
@@ -692,9 +724,10 @@
 	struct rp_dispatch dispatch[RP_DISPATCH_SHARDS];
 	struct rp_node node;
 	struct rp_table table;
+	struct rp_claims claims;
 	struct rp_trace trace;
 	atomic_ullong next_key;
-	atomic_int draining;
+	atomic_int draining; /* enum rp_stopping */
 };
 
 /* Work that is done once all locks are released. */
@@ -729,6 +762,8 @@
 void platform_reply(struct rp_kernel *k, rp_ms now, const struct rp_event *ev,
 		    struct rp_actions *acts);
 void platform_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
+/* Ends all calls as lost, so that what waits for them is freed. */
+void platform_finish(struct rp_kernel *k);
 
 /* sub-key.c */
 void key_format(const struct rp_kernel *k, const struct rp_key *key,
@@ -757,9 +792,11 @@
 void record_finish(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
 		   struct rp_answer *a, struct rp_actions *acts);
 void record_expire(struct rp_sub_shard *s, rp_ms now);
+/* Drops a record that nothing started for and nobody waits for. */
+void record_forget(struct rp_sub_shard *s, struct rp_record *r);
 
 /* The following take the shard's lock. */
-void sub_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
+void sub_tick(struct rp_sub_shard *s, rp_ms now);
 
 /* sub-submit.c; no lock is held. */
 void sub_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
@@ -783,11 +820,6 @@
 struct rp_answer *answer_status(enum rp_state state, const struct rp_status *st,
 				rp_ms retry_after);
 
-/* claim-submit.c: the caller's own keys; the shard's lock is held. */
-void claim_submit(struct rp_sub_shard *s, struct rp_record *r, rp_ms now,
-		  struct rp_submission *sub, struct rp_actions *acts);
-void claim_tick(struct rp_sub_shard *s, rp_ms now, struct rp_actions *acts);
-
 /* relay-call.c: calls for keys that another incarnation owns. */
 void relay_submit(struct rp_kernel *k, rp_ms now, struct rp_submission *sub,
 		  const struct rp_key *key, int wait, const struct rp_waiter *w,
@@ -876,6 +908,8 @@
 /* The task surely did not run: it goes back into the queue. */
 void job_task_again(struct rp_job *job, size_t task, rp_ms now);
 size_t job_waiting(const struct rp_job *job);
+/* Counts tasks of the job that came to wait, or wait no more. */
+void job_count_waiting(struct rp_job *job, ptrdiff_t n);
 
 /* dispatch-start.c: the table of sends; needs the lock. */
 /* The send that the id names, or NULL when it has ended. */
--- a/table-op.c
+++ b/table-op.c
@@ -265,11 +265,11 @@
 		k->table.counters.raced++;
 		kernel_unlock(k, k->table.lock);
 		break;
+	case RP_PLATFORM_UNCHANGED: /* no answer to a commit */
 	case RP_PLATFORM_LOST:
 		op->unsettled = 1;
 		op->give_up_at = op->started_at + OP_SETTLE_MS;
 		break;
-	case RP_PLATFORM_UNCHANGED: /* only of lists */
 	case RP_PLATFORM_NO_EFFECT:
 		break;
 	}
@@ -325,9 +325,12 @@
 			      "a row of the platform's table is malformed");
 	else if (conflicts.len)
 		rp_status_set(&st, RP_E_CONFLICT, RP_STEP_TABLE, "",
-			      "%zu cells were changed since version %" PRId64
-			      "; nothing was changed",
-			      conflicts.len, op->base_version);
+			      "cells changed since version %" PRId64 ": %zu; "
+			      "this "
+			      "call "
+			      "changed "
+			      "nothing",
+			      op->base_version, conflicts.len);
 	if (st.code == RP_OK)
 		edit_commit(k, now, op, ev, head, acts);
 	else
