--- a/regress/net/script.c
+++ b/regress/net/script.c
@@ -9,14 +9,18 @@
 #include "net.h"
 
 #define KEYS_MAX 256
+#define KEY_CALLS 16
 #define HEAL_MS 40000
 #define SCRIPT_VMS 6
+#define SCRIPT_TARGETS 3
+#define SCRIPT_TASK_US 400000
+#define STEP_MS 2 /* for each unit of a step's argument */
 #define TIMEOUT_MS 15000
 
 struct script_key {
 	char text[RP_KEY_MAX];
 	int ntasks;
-	size_t calls[16];
+	size_t calls[KEY_CALLS];
 	size_t ncalls;
 };
 
@@ -59,6 +63,14 @@
 		  net_submit(s->net, vm, k->text, k->ntasks, TIMEOUT_MS));
 }
 
+static void submit_again(struct script *s, struct script_key *k, int vm)
+{
+	if (k->ncalls < KEY_CALLS)
+		note_call(s, k, vm,
+			  net_submit(s->net, vm, k->text, k->ntasks,
+				     TIMEOUT_MS));
+}
+
 /* The same submission again, or a query, at any entry VM. */
 static void do_again(struct script *s, int vm, int arg)
 {
@@ -67,21 +79,18 @@
 	if (!is_up(s, vm) || !s->nkeys)
 		return;
 	k = &s->keys[(size_t)arg % s->nkeys];
-	if (k->ncalls == 16)
-		return;
-	note_call(s, k, vm,
-		  arg & 1 ? net_query(s->net, vm, k->text, 1)
-			  : net_submit(s->net, vm, k->text, k->ntasks,
-				       TIMEOUT_MS));
+	if (!(arg & 1))
+		submit_again(s, k, vm);
+	else if (k->ncalls < KEY_CALLS)
+		note_call(s, k, vm, net_query(s->net, vm, k->text, 1));
 }
 
 static void do_stop(struct script *s, int vm, int arg)
 {
 	struct net_vm *v = &s->net->vms[vm];
 
-	if (v->drained) {
+	if (v->drained && v->k) {
 		net_kill(s->net, vm);
-		v->drained = 0;
 	} else if (!v->k) {
 		net_restart(s->net, vm);
 	} else if (arg % 3 == 0) {
@@ -130,7 +139,7 @@
 		s->net->silent[vm][st->arg % SCRIPT_VMS] = 1;
 		break;
 	}
-	net_run(s->net, (rp_ms)st->arg * 4);
+	net_run(s->net, (rp_ms)st->arg * STEP_MS);
 }
 
 static void heal(struct script *s)
@@ -145,6 +154,24 @@
 	net_run(net, HEAL_MS);
 }
 
+/* Ends what is drained, and asks the others for every key once more. */
+static void ask_all(struct script *s)
+{
+	int vm, asker = -1;
+	size_t i;
+
+	for (vm = 0; vm < SCRIPT_VMS; vm++) {
+		if (s->net->vms[vm].drained)
+			net_kill(s->net, vm);
+		if (is_up(s, vm) && !s->net->vms[vm].draining)
+			asker = vm;
+	}
+	net_run(s->net, HEAL_MS);
+	for (i = 0; i < s->nkeys && asker >= 0; i++)
+		submit_again(s, &s->keys[i], asker);
+	net_run(s->net, HEAL_MS);
+}
+
 static int is_started(const struct script *s, const struct script_key *k)
 {
 	char id[RP_KEY_MAX + 32];
@@ -238,6 +265,9 @@
 	opt.seed = seed;
 	opt.limit = limit;
 	opt.nvms = SCRIPT_VMS;
+	/* Few slots and long tasks, so that the limits are reached. */
+	opt.ntargets = SCRIPT_TARGETS;
+	opt.task_us = SCRIPT_TASK_US;
 	s->why = why;
 	s->size = size;
 	s->net = net_new(&opt);
@@ -245,6 +275,7 @@
 	for (i = 0; i < nsteps; i++)
 		do_step(s, &steps[i]);
 	heal(s);
+	ask_all(s);
 	rc = check(s);
 	net_free(s->net);
 	free(s);
