Close idle connections to targets after one second

Cause: a target takes 64 connections over all entry VMs; with 40 of them and 5 s of idling, kept connections alone could fill that.

--- a/regress/t-nine.sh
+++ b/regress/t-nine.sh
@@ -17,7 +17,7 @@
 entry_vms=
 while test $i -lt 9
 do
-	start_vm $i --drain-limit=20000
+	start_vm $i --drain-limit=20000 ${VM_ARGS:-}
 	entry_vms="$entry_vms --entry-vm=$(http_of $i)"
 	i=$((i + 1))
 done
--- a/setting-table.c
+++ b/setting-table.c
@@ -60,7 +60,7 @@
 	  AT(connect_timeout), "a connection must be made within" },
 	{ "target-idle", SETTING_INT, 0, "1024", 1, 65536, "connections",
 	  AT(target_idle), "connections to targets kept, per thread" },
-	{ "target-idle-age", SETTING_MS, 0, "5000", SECOND, HOUR, "ms",
+	{ "target-idle-age", SETTING_MS, 0, "1000", SECOND, HOUR, "ms",
 	  AT(target_idle_age), "an idle connection is closed after" },
 	{ "peer-connections", SETTING_INT, 0, "256", 1, 65536, "connections",
 	  AT(peer_connections), "inbound connections of entry VMs" },
