--- a/dispatch-service.c
+++ b/dispatch-service.c
@@ -2,6 +2,7 @@
 
 #include "rosemary-int.h"
 
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -252,10 +253,13 @@
 		for (n = 0; n < svc->ntargets; n++)
 			svc->targets[n]->listed = 0;
 	}
+	d->entry_vms = 0;
 	for (n = 0; n < nvms; n++) {
 		struct rp_service *svc;
 		struct rp_target *t;
 
+		if (vms[n].kind == RP_VM_ENTRY)
+			d->entry_vms++;
 		if (vms[n].kind != RP_VM_TARGET ||
 		    dispatch_of(d->k, str_of(vms[n].service)) != d)
 			continue;
@@ -272,10 +276,23 @@
 	kernel_unlock(d->k, d->lock);
 }
 
+/* Connections that each listed entry VM may hold to the target. */
+static int connection_share(const struct rp_target *t)
+{
+	int vms = t->svc->shard->entry_vms;
+	int share = vms > 1 ? t->connections / vms : t->connections;
+
+	if (t->connections <= 0)
+		return INT_MAX;
+	return share > 0 ? share : 1;
+}
+
 int target_open(const struct rp_target *t)
 {
 	struct rp_service *svc = t->svc;
 
+	if (t->in_flight >= connection_share(t))
+		return 0;
 	if (!t->listed || t->leaving || !t->weight || t->paused ||
 	    t == svc->avoid)
 		return 0;
--- a/kernel-core.c
+++ b/kernel-core.c
@@ -18,12 +18,12 @@
 	str_copy(opt->vm_name, RP_NAME_MAX, str_of("entry-vm"));
 	opt->incarnation = 1;
 	opt->seed = 1;
-	str_copy(opt->route, RP_NAME_MAX, str_of("least"));
-	str_copy(opt->queue, RP_NAME_MAX, str_of("fifo"));
-	str_copy(opt->admit, RP_NAME_MAX, str_of("bounded"));
+	str_copy(opt->route, RP_NAME_MAX, str_of("earliest"));
+	str_copy(opt->queue, RP_NAME_MAX, str_of("fair"));
+	str_copy(opt->admit, RP_NAME_MAX, str_of("deadline"));
 	str_copy(opt->limit, RP_NAME_MAX, str_of("alone"));
-	str_copy(opt->health, RP_NAME_MAX, str_of("none"));
-	str_copy(opt->retry, RP_NAME_MAX, str_of("none"));
+	str_copy(opt->health, RP_NAME_MAX, str_of("peers"));
+	str_copy(opt->retry, RP_NAME_MAX, str_of("budget"));
 	opt->key_lifetime = 600000;
 	opt->max_timeout = 300000;
 	opt->max_queued = 200000;
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -397,6 +397,7 @@
 	uint64_t next_job;
 	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
+	int entry_vms;	       /* in that list */
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
 	struct rp_view *view;  /* newest members applied, referenced */
