--- a/Makefile
+++ b/Makefile
@@ -105,7 +105,9 @@
 DAEMON_TESTS = $(filter $(B)/regress/http-% $(B)/regress/setting%,\
 	$(TESTS_C))
 
-$(filter-out $(DAEMON_TESTS),$(TESTS_C)): $(B)/regress/%: \
+CLI_TESTS = $(filter $(B)/regress/cli-%,$(TESTS_C))
+
+$(filter-out $(DAEMON_TESTS) $(CLI_TESTS),$(TESTS_C)): $(B)/regress/%: \
 		$(B)/regress/%.o $(B)/librosemary.a
 	$(LINK) $(KERNEL_LIBS) -lcriterion
 
@@ -113,6 +115,10 @@
 		$(B)/librosemary.a
 	$(LINK) $(DAEMON_LIBS) $(KERNEL_LIBS) -lcriterion
 
+$(CLI_TESTS): $(B)/regress/%: $(B)/regress/%.o \
+		$(call obj,$(wildcard cli-*.c))
+	$(LINK) -lapr-1 -lcurl -ljansson -pthread -lcriterion
+
 $(TESTS_CXX): $(B)/regress/%: $(B)/regress/%.o $(B)/librosemary.a
 	$(CXX) $(OPT) $(SAN) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
 		-lrapidcheck $(KERNEL_LIBS)
@@ -122,6 +128,10 @@
 $(filter $(B)/regress/cluster-%,$(TESTS_C) $(TESTS_CXX)): $(NET)
 $(B)/bench-cluster: $(NET)
 
+# Scripts of events that the property tests run.
+$(filter $(B)/regress/claim-%,$(TESTS_CXX)): \
+	$(call obj,$(wildcard regress/script/*.c))
+
 # Every source but the generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
 	$(wildcard *.c *.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
