--- a/admit-deadline.c
+++ b/admit-deadline.c
@@ -11,7 +11,9 @@
 #include <stdlib.h>
 
 /* Span over which ends are counted, ms. */
-#define WINDOW_MS 250
+#define WINDOW_MS 250L
+/* A window longer than so many spans had a rest in it. */
+#define WINDOWS_MOST 4L
 /* Weight of the newest window in the rate. */
 #define RATE_ALPHA 0.3
 /* Share of the time to the deadline that the prediction may fill. */
@@ -38,11 +40,17 @@
 	free(admit);
 }
 
-/* Closes a window: a busy one sets the rate, an idle one can only raise. */
+/*
+ * Closes a window: a busy one sets the rate, an idle one can only raise it,
+ * and one much too long tells nothing, for nothing ran in a part of it.
+ */
 static void end_window(struct deadline_admit *a, rp_ms now)
 {
-	double rate = (double)a->ended / (double)(now - a->window_at);
+	rp_ms span = now - a->window_at;
+	double rate = (double)a->ended / (double)span;
 
+	if (span > WINDOWS_MOST * WINDOW_MS)
+		rate = a->rate;
 	if (a->rate == 0 || (a->idle && rate > a->rate))
 		a->rate = rate;
 	else if (!a->idle)
@@ -127,6 +135,8 @@
 	double need = wait + last_task(svc, sub->ntasks);
 
 	(void)now;
+	if (!svc->nqueued)
+		a->idle = 1;
 	if (svc->nqueued + sub->ntasks > svc->shard->k->opt.max_queued) {
 		*retry_after = clamp_retry(wait / 2);
 		return rp_status_set(st, RP_E_FULL, RP_STEP_ADMIT, "",
--- a/dispatch-job.c
+++ b/dispatch-job.c
@@ -264,6 +264,7 @@
 	apr_hash_index_t *i;
 
 	kernel_lock(d->k, d->lock);
+	d->ticked_at = now;
 	dispatch_timers(d, now, acts);
 	close_overdue(d, now, acts);
 	target_wake(d, now);
--- a/dispatch-pump.c
+++ b/dispatch-pump.c
@@ -12,6 +12,8 @@
 #define TAIL_DEVIATIONS 1.0
 /* One job beyond the learned time still starts per span, to learn anew. */
 #define PROBE_INTERVAL_MS 500
+/* A tick as late as this means that the process was paused. */
+#define PAUSED_MS 200
 
 void target_pause(struct rp_target *t, rp_ms now, rp_ms most)
 {
@@ -205,9 +207,13 @@
 
 void dispatch_pump(struct rp_service *svc, rp_ms now, struct rp_actions *acts)
 {
+	struct rp_dispatch *d = svc->shard;
 	struct rp_job *job;
 
 	svc->now = now;
+	/* The process was paused: leases may be over, the tick tells. */
+	if (d->ticked_at && now - d->ticked_at > PAUSED_MS)
+		return;
 	while ((job = svc->queue->ops->next(svc->queue, now)))
 		if (!bind_next(job, now, acts))
 			break;
--- /dev/null
+++ b/regress/dispatch-policy.c
@@ -0,0 +1,206 @@
+/* The policies: quota and weights, ejection, admission, waiting. */
+
+#include <criterion/criterion.h>
+
+#include "kernel.h"
+
+static struct rp_service *policy_init(struct test_kernel *t, int ntargets)
+{
+	struct rp_status st;
+
+	test_init(t, ntargets);
+	rp_kernel_finish(t->k);
+	t->opt.abort_on_violation = 1;
+	str_copy(t->opt.limit, RP_NAME_MAX, str_of("alone"));
+	memset(t->k, 0, rp_kernel_size());
+	if (rp_kernel_init(t->k, &t->opt, t->now, &st) != RP_OK)
+		abort();
+	return service_find(dispatch_of(t->k, str_of("desk")), str_of("desk"));
+}
+
+static void policy_submit(struct test_kernel *t, const char *team,
+			  size_t ntasks, rp_ms timeout)
+{
+	struct rp_task_spec tasks[RP_TASKS_MAX];
+	char key[RP_KEY_MAX];
+	struct rp_submission_spec spec = {
+		.service = str_of("desk"),
+		.team = str_of(team),
+		.timeout = timeout,
+		.ntasks = ntasks,
+		.tasks = tasks,
+	};
+	struct rp_event ev = { .type = RP_EVENT_SUBMIT, .submit.wait = 1 };
+	size_t i;
+
+	test_key(t, key);
+	spec.key = str_of(key);
+	for (i = 0; i < ntasks; i++)
+		tasks[i].id = tasks[i].payload = str_of("x");
+	ev.submit.sub = rp_submission_new(&spec);
+	test_event(t, &ev);
+	rp_submission_unref(ev.submit.sub);
+}
+
+static struct rp_team *policy_team(struct rp_service *svc, const char *name)
+{
+	return team_get(svc->shard, str_of(name));
+}
+
+/* Ends all that was started by the last event, n times over. */
+static void policy_serve(struct test_kernel *t, int n)
+{
+	uint64_t ids[64];
+	size_t len = 0, i;
+
+	for (i = 0; i < t->acts.len; i++)
+		if (t->acts.list[i].type == RP_ACTION_START)
+			ids[len++] = t->acts.list[i].start.start_id;
+	for (i = 0; i < len && n--; i++) {
+		test_reply(t, ids[i], RP_START_DONE, "r");
+		if (test_find(t, RP_ACTION_START))
+			ids[len++] =
+				test_find(t, RP_ACTION_START)->start.start_id;
+	}
+}
+
+Test(fair, quota_holds_a_team_and_lets_others_pass)
+{
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 4);
+
+	policy_team(svc, "held")->quota = 3;
+	policy_submit(&t, "held", 20, 10000);
+	cr_assert_eq(test_count(&t, RP_ACTION_START), 3);
+	policy_submit(&t, "free", 20, 10000);
+	cr_assert_eq(test_count(&t, RP_ACTION_START), 5);
+	cr_assert_eq(policy_team(svc, "held")->in_flight, 3);
+	test_finish(&t);
+}
+
+Test(fair, teams_share_by_weight)
+{
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 1);
+	struct rp_team *big, *small;
+
+	big = policy_team(svc, "big");
+	small = policy_team(svc, "small");
+	big->weight = 300;
+	policy_submit(&t, "fill", 2, 10000);
+	policy_submit(&t, "big", 100, 10000);
+	policy_submit(&t, "small", 100, 10000);
+	t.now = 50;
+	/* Two slots are busy; each end starts one task. */
+	rp_actions_clear(&t.acts);
+	while (svc->nqueued > 120) {
+		struct rp_start *s = svc->targets[0]->sends;
+
+		outcome_take(s, RP_START_DONE, NULL, t.now, &t.acts);
+		dispatch_pump(svc, t.now, &t.acts);
+	}
+	cr_assert_geq(big->nqueued * 10, 30 * 10 - 40);
+	cr_assert_leq(big->nqueued, 45);
+	cr_assert_geq(small->nqueued, 75);
+	test_finish(&t);
+}
+
+Test(peers, target_that_fails_alone_is_ejected_and_readmitted)
+{
+	struct rp_event tick = { .type = RP_EVENT_TICK };
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 4);
+	struct rp_target *bad = svc->targets[0];
+	int i;
+
+	for (i = 0; i < 3; i++)
+		svc->health->ops->ended(svc->health, bad, RP_START_FAILED, 5,
+					t.now);
+	cr_assert_not(svc->health->ops->allows(svc->health, bad));
+	cr_assert_not(target_open(bad));
+	t.now = 1000;
+	test_event(&t, &tick);
+	cr_assert(target_open(bad));
+	bad->in_flight++;
+	cr_assert_not(target_open(bad));
+	bad->in_flight--;
+	/* One more failure ejects it for twice as long. */
+	svc->health->ops->ended(svc->health, bad, RP_START_FAILED, 5, t.now);
+	t.now = 2900;
+	test_event(&t, &tick);
+	cr_assert_not(target_open(bad));
+	t.now = 3000;
+	test_event(&t, &tick);
+	cr_assert(target_open(bad));
+	test_finish(&t);
+}
+
+Test(peers, no_mass_ejection)
+{
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 10);
+	int i, n, open = 0;
+
+	for (i = 0; i < 50; i++)
+		for (n = 0; n < 10; n++)
+			svc->health->ops->ended(svc->health, svc->targets[n],
+						RP_START_FAILED, 5, t.now);
+	for (n = 0; n < 10; n++)
+		open += target_open(svc->targets[n]);
+	cr_assert_geq(open, 7);
+	test_finish(&t);
+}
+
+/* Found by the cluster tests: a rest made the learned rate tiny. */
+Test(deadline, rest_between_bursts_does_not_lower_the_rate)
+{
+	struct test_kernel t;
+	int i;
+
+	policy_init(&t, 1);
+	for (i = 0; i < 5; i++) {
+		t.now += 30000;
+		policy_submit(&t, "team", 6, 10000);
+		cr_assert_eq(test_count(&t, RP_ACTION_START), 2, "round %d", i);
+		t.now += 100;
+		policy_serve(&t, 6);
+		cr_assert_not_null(test_find(&t, RP_ACTION_ANSWER));
+	}
+	test_finish(&t);
+}
+
+Test(deadline, late_job_is_refused_with_a_time_to_come_back)
+{
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 1);
+	struct rp_answer *a;
+
+	svc->learned.count = 100;
+	svc->learned.mean = 1000;
+	policy_submit(&t, "team", 20, 60000);
+	policy_submit(&t, "team", 2, 3000);
+	a = test_find(&t, RP_ACTION_ANSWER)->answer.answer;
+	cr_assert_eq(a->state, RP_NOT_RUN);
+	cr_assert_eq(a->status.code, RP_E_DEADLINE);
+	cr_assert_gt(a->retry_after, 0);
+	test_finish(&t);
+}
+
+Test(earliest, last_task_waits_for_a_fast_target)
+{
+	struct test_kernel t;
+	struct rp_service *svc = policy_init(&t, 2);
+	struct rp_target *fast = svc->targets[0], *slow = svc->targets[1];
+
+	svc->learned.count = fast->learned.count = slow->learned.count = 1000;
+	svc->learned.mean = fast->learned.mean = 100;
+	slow->learned.mean = 5000;
+	service_changed(svc, t.now, &t.acts);
+	policy_submit(&t, "team", 3, 60000);
+	cr_assert_eq(fast->in_flight, 2);
+	cr_assert_eq(slow->in_flight, 0);
+	/* With much to do, the slow target is of use. */
+	policy_submit(&t, "team", 200, 60000);
+	cr_assert_eq(slow->in_flight, 2);
+	test_finish(&t);
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -405,6 +405,7 @@
 	uint64_t next_job;
 	int64_t active_weight; /* of the teams with waiting tasks */
 	uint64_t random;
+	rp_ms ticked_at;       /* latest tick; 0: none yet */
 	int entry_vms;	       /* in that list */
 	uint64_t list_seq;     /* newest VM list applied */
 	int64_t table_version; /* newest table applied */
