--- a/claim-commit.c
+++ b/claim-commit.c
@@ -15,15 +15,28 @@
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 5000
 
-rp_ms claim_span(struct rp_kernel *k)
+/* Entry VMs that share the budget, this one included. */
+static rp_ms entry_vms(struct rp_kernel *k)
 {
-	rp_ms span;
+	rp_ms n;
 
 	kernel_lock(k, k->node.lock);
-	span = (rp_ms)(apr_hash_count(k->node.members) + 1) * 1000 /
-	       DEPLOYMENT_COMMITS_PER_S;
+	n = (rp_ms)apr_hash_count(k->node.members) + 1;
 	kernel_unlock(k, k->node.lock);
-	return span > k->opt.claim_interval ? span : k->opt.claim_interval;
+	return n;
+}
+
+/* Span until the next commit after one of so many rows, ms. */
+static rp_ms commit_span(const struct rp_kernel *k, rp_ms vms, size_t rows)
+{
+	rp_ms span = vms * 1000 / DEPLOYMENT_COMMITS_PER_S, by_rows;
+
+	if (span < k->opt.claim_interval)
+		span = k->opt.claim_interval;
+	if (!k->opt.claim_rows)
+		return span;
+	by_rows = vms * (rp_ms)rows * 1000 / k->opt.claim_rows;
+	return span > by_rows ? span : by_rows;
 }
 
 /* --- batches; the lock is held ------------------------------------------ */
@@ -61,7 +74,7 @@
 
 /* Takes the next claims out of the queue when it is time to commit. */
 static struct rp_claim_batch *batch_take(struct rp_kernel *k, rp_ms now,
-					 rp_ms span)
+					 rp_ms vms)
 {
 	struct rp_claims *q = &k->claims;
 	struct rp_claim_batch *b;
@@ -78,7 +91,7 @@
 	b->next = q->batches;
 	q->batches = b;
 	q->commits_out++;
-	q->next_commit = now + span;
+	q->next_commit = now + commit_span(k, vms, b->n + 1);
 	q->counters.commits++;
 	return b;
 }
@@ -401,14 +414,14 @@
 
 void claim_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
 {
-	rp_ms span = claim_span(k);
+	rp_ms vms = entry_vms(k);
 	struct rp_claim_batch *b;
 
 	refuse_overdue(k, now, acts);
 	while ((b = batch_due(k, now)))
 		read_back(k, now, b, acts);
 	kernel_lock(k, k->claims.lock);
-	b = batch_take(k, now, span);
+	b = batch_take(k, now, vms);
 	kernel_unlock(k, k->claims.lock);
 	if (b)
 		batch_commit(k, now, b, acts);
--- a/claim.h
+++ b/claim.h
@@ -109,8 +109,6 @@
 
 /* claim-commit.c */
 void claim_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
-/* Span between two transactions of this entry VM, ms. */
-rp_ms claim_span(struct rp_kernel *k);
 
 /* claim-find.c: queries and cancellations of keys claimed elsewhere */
 void claim_find(struct rp_kernel *k, rp_ms now, struct rp_str key, int cancel,
--- a/regress/claim-submit.c
+++ b/regress/claim-submit.c
@@ -106,6 +106,33 @@
 	many_finish(&m);
 }
 
+/* Rows a second are bounded for the deployment when the platform asks it. */
+Test(claim, rows_stay_within_their_budget)
+{
+	char key[16];
+	uint64_t writes;
+	struct many m;
+	int i;
+
+	many_init(&m, 2, 17);
+	for (i = 0; i < 2; i++) {
+		m.opt[i].claim_rows = 300;
+		many_kill(&m, i);
+		many_boot(&m, i, 2);
+	}
+	many_run(&m, 10000);
+	writes = m.p.writes;
+	for (i = 0; i < 5000; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		many_claim(&m, i % 2, (rp_token)i + 1, key, "x", 60000, 1);
+		many_run(&m, 2);
+	}
+	writes = m.p.writes - writes;
+	cr_assert_lt(writes, 10 * 300 + 2 * 65);
+	cr_assert_gt(writes, 10 * 300 * 8 / 10);
+	many_finish(&m);
+}
+
 Test(claim, lost_answer_is_read_back_and_starts_once)
 {
 	struct many m;
--- a/rosemary.h
+++ b/rosemary.h
@@ -467,6 +467,7 @@
 	rp_ms credit_lease;	   /* life of a slot credit */
 	int claim_batch;	   /* claims in one transaction */
 	rp_ms claim_interval;	   /* least span between claim commits */
+	int claim_rows;		   /* rows of claims a second, all entry VMs */
 	size_t trace_events;	   /* length of the event ring */
 	size_t nseeds;		   /* entry VMs known from the settings */
 	const struct rp_vm *seeds; /* entry VMs and targets; borrowed */
