--- a/daemon.h
+++ b/daemon.h
@@ -128,6 +128,7 @@
 	int aborted;	  /* ended by loop_abort() */
 	int unsent;	  /* set before finish: surely no byte was written */
 	int too_long;	  /* the reply exceeded max_body */
+	size_t header;	  /* bytes of the reply's header */
 	size_t max_body;
 	char *body;
 	size_t len, cap;
@@ -205,7 +206,11 @@
 void http_execute(struct daemon *d, struct rp_action *act);
 /* Finds callers that have disconnected; called by the tick thread. */
 void http_wait_sweep(struct daemon *d);
-/* Answers all waiting callers that the process exits now. */
+/* Lets no more callers begin to wait; they are refused. */
+void http_refuse_new(struct daemon *d);
+int http_waiting(struct daemon *d);
+/* After http_refuse_new(): tells all waiting callers that the process exits
+ * now. */
 void http_answer_all(struct daemon *d);
 
 #endif
