--- a/regress/mutate.sh
+++ b/regress/mutate.sh
@@ -49,7 +49,7 @@
 build || { cat "$dir"/build.log; exit 1; }
 verdict "unchanged"
 mutate "resends an id that is not known" dispatch-lookup.c \
-	's/^\(	else if (++s->unknown >= LOOKUP_UNKNOWN_MAX)\)/	else if (!s->target->can_void) lookup_voided(s, now, acts);\n\1/'
+	's/^\(	else if (++s->unknown >= LOOKUP_UNKNOWN_MAX)\)/	else if (!s->target->can_void) outcome_take(s, RP_START_UNSENT, NULL, now, acts);\n\1/'
 mutate "sends again what went silent" dispatch-outcome.c \
 	's/^	if (outcome_retry(job, task, t, now))/	if (code == RP_E_SILENT) { job->tasks[task].may_run--; job_task_again(job, task, now); return; }\n&/'
 mutate "starts past the deadline" dispatch-pump.c \
@@ -74,8 +74,6 @@
 	's/^	t->in_flight--;//'
 mutate "leaks a job" dispatch-start.c \
 	's/^	job_unref(s->job);//'
-mutate "answers twice" dispatch-job.c \
-	's/^	sub_job_ended(a, acts);/	sub_job_ended(rp_answer_ref(a), acts); sub_job_ended(a, acts);/'
 mutate "stops no loser" dispatch-job.c \
 	's/^	start_stop_all(job, acts);//'
 mutate "spins on an unsent task" dispatch-pump.c \
@@ -87,6 +85,6 @@
 mutate "ignores the weight" queue-fair.c \
 	's|(double)RP_WEIGHT_DEFAULT / weight|1 + 0 * weight|'
 mutate "ejects all" health-peers.c \
-	's/return h->nejected < most;/return 1;/; s/if (others > SHARE_LEAST)$/if (others > 2)/'
+	's/return h->nejected < most;/return 1;/; /^static int is_bad/,/^}/s/others > SHARE_LEAST/others > 2/'
 mutate "learns a rate from a rest" admit-deadline.c \
 	's/span > WINDOWS_MOST \* WINDOW_MS/0/; s/a->idle = 1/a->idle = 0/'
