Measure claims under a bound on rows; say what changed

Cause: claims were bounded by transactions alone, 200/s for the deployment, and at 1,000 claims/s wrote 1,198 rows/s; a platform that counts rows allows several hundred. Change: bench-table claims takes the bound as its last argument.

--- a/bench-table.c
+++ b/bench-table.c
@@ -3,7 +3,7 @@
  * in logical time, and the cost of the event ring in real time.
  *
  *	bench-table spread VMS EDITS LINKS SEED
- *	bench-table claims VMS PER_SECOND SECONDS DELAY_MS SEED
+ *	bench-table claims VMS PER_SECOND SECONDS DELAY_MS SEED [ROWS_PER_S]
  *	bench-table outage VMS PER_SECOND SEED
  *	bench-table memory SEED
  *	bench-table ring EVENTS
@@ -148,14 +148,17 @@
 }
 
 static void bench_claims(int vms, double rate, rp_ms seconds, rp_ms delay,
-			 uint64_t seed)
+			 uint64_t seed, int rows)
 {
 	uint64_t reads, writes, commits;
 	struct callers c;
 	struct many m;
 	rp_ms begin;
+	int i;
 
 	many_init(&m, vms, seed);
+	for (i = 0; i < vms; i++)
+		m.k[i]->opt.claim_rows = rows;
 	many_run(&m, WARM_MS);
 	m.p.delay = delay;
 	m.p.spread = delay;
@@ -306,18 +309,18 @@
 
 int main(int argc, char **argv)
 {
-	long a[5] = { 0 };
+	long a[6] = { 0 };
 	int i;
 
-	if (argc < 3 || argc > 7)
+	if (argc < 3 || argc > 8)
 		usage();
 	for (i = 2; i < argc; i++)
 		a[i - 2] = atol(argv[i]);
 	if (!strcmp(argv[1], "spread") && argc == 6)
 		bench_spread((int)a[0], (int)a[1], (int)a[2], (uint64_t)a[3]);
-	else if (!strcmp(argv[1], "claims") && argc == 7)
+	else if (!strcmp(argv[1], "claims") && argc >= 7)
 		bench_claims((int)a[0], (double)a[1], a[2], a[3],
-			     (uint64_t)a[4]);
+			     (uint64_t)a[4], (int)a[5]);
 	else if (!strcmp(argv[1], "outage") && argc == 5)
 		bench_outage((int)a[0], (double)a[1], (uint64_t)a[2]);
 	else if (!strcmp(argv[1], "memory") && argc == 3)
