Be ready only when the first leases are past

Cause: /readyz said ready at once, but slot credits settle about 2 s after a start, so the first callers waited: a cold job of 390 tasks took 1.9 s, later ones 0.43 s. Change: ready when the members are known and a lease and an eighth have passed, at once when there is no other entry VM; tested in regress/path.c.

--- a/drain-stop.c
+++ b/drain-stop.c
@@ -164,5 +164,5 @@
 
 int rp_kernel_ready(struct rp_kernel *k)
 {
-	return !atomic_load(&k->draining);
+	return atomic_load(&k->warm) && !atomic_load(&k->draining);
 }
--- a/member-table.c
+++ b/member-table.c
@@ -14,6 +14,8 @@
 /* Spans of silence after which a member that the list lacks is gone. */
 #define GONE_BEATS 8
 /* Heartbeat spans after the start until the members are known. */
+/* Part of a lease that a new keeper waits on top of it. */
+#define WARM_LEASE_PART 8
 #define SETTLE_BEATS 3
 /* The same while the platform gives no list, ms. */
 #define SETTLE_MAX_MS 5000
@@ -316,3 +318,17 @@
 	kernel_unlock(k, n->lock);
 	return settled;
 }
+
+int member_warm(struct rp_kernel *k, rp_ms now)
+{
+	rp_ms lease = k->opt.credit_lease;
+	int alone;
+
+	if (!member_settled(k, now))
+		return 0;
+	kernel_lock(k, k->node.lock);
+	alone = !apr_hash_count(k->node.members);
+	kernel_unlock(k, k->node.lock);
+	return alone ||
+	       now - k->node.started_at >= lease + lease / WARM_LEASE_PART;
+}
--- a/regress/kernel.h
+++ b/regress/kernel.h
@@ -17,9 +17,19 @@
 	rp_ms now;
 };
 
-static inline void test_init(struct test_kernel *t, int ntargets)
+/* Makes the kernel with the options as they stand. */
+static inline void test_start(struct test_kernel *t)
 {
 	struct rp_status st;
+
+	t->k = calloc(1, rp_kernel_size());
+	rp_actions_init(&t->acts);
+	if (rp_kernel_init(t->k, &t->opt, t->now, &st) != RP_OK)
+		abort();
+}
+
+static inline void test_init(struct test_kernel *t, int ntargets)
+{
 	int i;
 
 	memset(t, 0, sizeof(*t));
@@ -37,10 +47,7 @@
 	}
 	t->opt.nseeds = (size_t)ntargets;
 	t->opt.seeds = t->vms;
-	t->k = calloc(1, rp_kernel_size());
-	rp_actions_init(&t->acts);
-	if (rp_kernel_init(t->k, &t->opt, t->now, &st) != RP_OK)
-		abort();
+	test_start(t);
 }
 
 static inline void test_finish(struct test_kernel *t)
--- a/regress/path.c
+++ b/regress/path.c
@@ -83,3 +83,31 @@
 	cr_assert_eq(a->answer.answer->state, RP_NOT_RUN);
 	test_finish(&t);
 }
+
+Test(path, ready_once_a_first_lease_is_past)
+{
+	struct rp_event tick = { .type = RP_EVENT_TICK };
+	struct test_kernel t;
+
+	test_init(&t, 1);
+	test_event(&t, &tick);
+	cr_assert(rp_kernel_ready(t.k), "nobody else holds credits");
+	test_finish(&t);
+
+	memset(&t, 0, sizeof(t));
+	rp_options_init(&t.opt);
+	t.opt.list_poll = 0;
+	t.vms[0].kind = RP_VM_ENTRY;
+	snprintf(t.vms[0].name, RP_NAME_MAX, "other");
+	snprintf(t.vms[0].address, RP_ADDRESS_MAX, "127.0.0.1:9900");
+	t.opt.seeds = t.vms;
+	t.opt.nseeds = 1;
+	test_start(&t);
+	t.now = t.opt.credit_lease;
+	test_event(&t, &tick);
+	cr_assert(!rp_kernel_ready(t.k));
+	t.now = 2 * t.opt.credit_lease;
+	test_event(&t, &tick);
+	cr_assert(rp_kernel_ready(t.k));
+	test_finish(&t);
+}
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -730,6 +730,7 @@
 	struct rp_trace trace;
 	atomic_ullong next_key;
 	atomic_int draining; /* enum rp_stopping */
+	atomic_int warm;     /* starts need not wait for a first lease */
 };
 
 /* Work that is done once all locks are released. */
@@ -1037,6 +1038,11 @@
 void member_partner(struct rp_kernel *k, rp_ms now, const char *name);
 /* Whether this entry VM has had the time to learn of the members. */
 int member_settled(struct rp_kernel *k, rp_ms now);
+/*
+ * Whether the credits of entry VMs before this one have lapsed or been told,
+ * so that new callers do not wait for them.
+ */
+int member_warm(struct rp_kernel *k, rp_ms now);
 
 /* member-beat.c */
 void beat_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
--- a/rosemary.h
+++ b/rosemary.h
@@ -520,7 +520,10 @@
 /* Events after position since, as JSON lines; returns the next position. */
 uint64_t rp_kernel_trace(struct rp_kernel *k, uint64_t since,
 			 struct rp_writer *w);
-/* Whether this entry VM should get new callers (readiness). */
+/*
+ * Whether this entry VM should get new callers: it has ticked until the
+ * members are known and their slot credits settled, and is not stopping.
+ */
 int rp_kernel_ready(struct rp_kernel *k);
 
 #ifdef __cplusplus
