--- a/daemon-target.c
+++ b/daemon-target.c
@@ -210,12 +210,21 @@
 	rp_blob_unref(ev.reply.body);
 }
 
+/* The task's outcome is known: its start's connection serves no more. */
+static int is_settled(enum rp_lookup_outcome outcome)
+{
+	return outcome == RP_LOOKUP_DONE || outcome == RP_LOOKUP_FAILED ||
+	       outcome == RP_LOOKUP_VOIDED;
+}
+
 static void report_lookup(struct target_call *t, CURLcode rc, long status)
 {
 	struct rp_event ev = { .type = RP_EVENT_LOOKUP_REPLY };
 
 	ev.lookup.start_id = t->start_id;
 	ev.lookup.outcome = lookup_outcome(&t->call, rc, status);
+	if (is_settled(ev.lookup.outcome))
+		drop_start(t);
 	if (rc != CURLE_OK)
 		log_info("lookup", t->target, "no answer: %s",
 			 curl_easy_strerror(rc));
