--- a/regress/http-server.c
+++ b/regress/http-server.c
@@ -10,6 +10,10 @@
 	"\"service\":\"desk\",\"team\":\"board\",\"timeout_ms\":%d,"           \
 	"\"tasks\":[{\"id\":\"a\",\"payload\":\"p\"}]}"
 
+/* Each test is a process of its own and takes two ports by its pid. */
+#define PORT_FIRST 10000
+#define PORT_PAIRS 4000
+
 static struct settings set;
 static struct daemon d;
 static struct test_server target;
@@ -18,7 +22,8 @@
 static void start_daemon(const char *const *replies, const char *flag)
 {
 	char address[RP_ADDRESS_MAX + 32], listen_at[RP_ADDRESS_MAX + 32];
-	char seed[RP_ADDRESS_MAX + 64], plain[RP_ADDRESS_MAX];
+	char seed[RP_ADDRESS_MAX + 64];
+	int port;
 	char *argv[] = { "rosemaryd",
 			 "--vm-name=e1",
 			 "--failure-domain=sando",
@@ -39,11 +44,11 @@
 	test_server_start(&target, replies);
 	snprintf(seed, sizeof(seed), "--target=t1=%s,sando,desk,slots=8",
 		 target.address);
-	close(test_listen(plain));
-	snprintf(address, sizeof(address), "--address=%s", plain);
-	/* The next port, so that both listeners differ. */
+	/* Below the ports that outgoing connections of other tests take. */
+	port = PORT_FIRST + (int)getpid() % PORT_PAIRS * 2;
+	snprintf(address, sizeof(address), "--address=127.0.0.1:%d", port);
 	snprintf(listen_at, sizeof(listen_at), "--http-listen=127.0.0.1:%d",
-		 atoi(strchr(plain, ':') + 1) + 100);
+		 port + 1);
 	cr_assert_eq(settings_load(&set, 11, argv, env), 0);
 	cr_assert_eq(daemon_start(&d, &set), 0);
 }
