--- a/regress/setting.c
+++ b/regress/setting.c
@@ -57,6 +57,8 @@
 	cr_assert_eq(s.kernel.heartbeat, opt.heartbeat);
 	cr_assert_eq(s.kernel.max_records, opt.max_records);
 	cr_assert_str_eq(s.kernel.route, opt.route);
+	cr_assert_gt(s.drain_limit, s.kernel.max_timeout,
+		     "a planned stop must not cut a job short");
 }
 
 /* Every kernel default lies within the range that the table gives. */
--- a/setting-table.c
+++ b/setting-table.c
@@ -72,8 +72,8 @@
 	  AT(peer_idle), "a silent inbound peer connection is closed after" },
 	{ "platform-calls", SETTING_INT, 0, "256", 1, 65536, "calls",
 	  AT(platform_calls), "calls to the platform at once" },
-	{ "drain-limit", SETTING_MS, 0, "60000", 0, HOUR, "ms", AT(drain_limit),
-	  "a planned stop gives up after" },
+	{ "drain-limit", SETTING_MS, 0, "360000", 0, HOUR, "ms",
+	  AT(drain_limit), "a planned stop gives up after" },
 	{ "log-level", SETTING_LEVEL, 0, "info", 0, 0, "error|warn|info|debug",
 	  AT(log_level), "least level of log lines" },
 
