--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
 FAKES = $(wildcard fake-*.c)
 LOAD = $(wildcard load*.c)
-BENCH_PARTS = bench-world.c
+BENCH_PARTS = bench-world.c bench-ideal.c
 
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 have = $(if $(strip $(1)),$(2))
--- a/bench-world.c
+++ b/bench-world.c
@@ -127,7 +127,7 @@
 	}
 }
 
-static double latency(const struct bench_world *w, int target)
+double bench_latency(const struct bench_world *w, int target)
 {
 	return w->targets[target].domain ? w->setup->site->between_ms
 					 : INSIDE_MS;
@@ -136,7 +136,7 @@
 /* Decides what becomes of a start, and when the kernel hears of it. */
 static void target_starts(struct bench_world *w, struct bench_send *s)
 {
-	double way = latency(w, s->target);
+	double way = bench_latency(w, s->target);
 	double run =
 		w->jobs[s->job].work[s->task] * w->targets[s->target].factor;
 
@@ -210,7 +210,7 @@
 {
 	struct bench_send *s = send_find(w, a->start.start_id);
 	enum rp_lookup_outcome found = lookup_finds(w, s);
-	double way = 2 * latency(w, s->target);
+	double way = 2 * bench_latency(w, s->target);
 
 	if (a->type == RP_ACTION_VOID)
 		w->result.voids++;
@@ -229,9 +229,9 @@
 	w->result.stops++;
 	if (s->ends == INFINITY || s->ends <= w->now)
 		return;
-	s->ends = w->now + latency(w, s->target);
+	s->ends = w->now + bench_latency(w, s->target);
 	s->outcome = RP_START_FAILED;
-	event_push(w, s->ends + latency(w, s->target), EV_REPLY,
+	event_push(w, s->ends + bench_latency(w, s->target), EV_REPLY,
 		   (uint64_t)(s - w->sends), RP_START_FAILED);
 }
 
@@ -382,7 +382,7 @@
 		s->ends = INFINITY;
 		s->outcome = RP_START_UNKNOWN;
 		w->result.lost++;
-		event_push(w, w->now + latency(w, 0), EV_REPLY, i,
+		event_push(w, w->now + bench_latency(w, 0), EV_REPLY, i,
 			   RP_START_UNKNOWN);
 	}
 }
@@ -593,81 +593,3 @@
 	gsl_rng_free(w->rng);
 	apr_pool_destroy(w->pool);
 }
-
-static int longer_first(const void *a, const void *b)
-{
-	double x = *(const double *)a, y = *(const double *)b;
-
-	return (x < y) - (x > y);
-}
-
-/* When each slot is free, at the targets from fastest to slowest. */
-struct schedule {
-	double *free_at;
-	int targets, slots;
-};
-
-/* Ends the task earliest over all slots; returns when the caller has it. */
-static double place(const struct bench_world *w, struct schedule *sc, double at,
-		    double work)
-{
-	double best = INFINITY, best_end = 0;
-	int t, i, slot = 0;
-
-	for (t = 0; t < sc->targets; t++) {
-		double way = latency(w, t);
-		double run = work * w->targets[t].factor;
-
-		if (at + run >= best)
-			break;
-		for (i = t * sc->slots; i < (t + 1) * sc->slots; i++) {
-			double from = fmax(at + way, sc->free_at[i]);
-
-			if (from + run + way < best) {
-				best = from + run + way;
-				best_end = from + run;
-				slot = i;
-			}
-		}
-	}
-	sc->free_at[slot] = best_end;
-	return best;
-}
-
-/*
- * Span of the job when its tasks, longest first, are placed with full
- * knowledge of work and speeds among what was placed before.
- */
-static double place_job(const struct bench_world *w, struct schedule *sc,
-			const struct bench_job *j)
-{
-	double *work = malloc(j->ntasks * sizeof(*work));
-	double end = 0;
-	size_t i;
-
-	memcpy(work, j->work, j->ntasks * sizeof(*work));
-	qsort(work, j->ntasks, sizeof(*work), longer_first);
-	for (i = 0; i < j->ntasks; i++)
-		end = fmax(end, place(w, sc, j->at, work[i]));
-	free(work);
-	return end - j->at;
-}
-
-void bench_ideal(struct bench_world *w)
-{
-	struct schedule sc = { NULL, w->setup->site->targets,
-			       w->setup->site->slots };
-	size_t n = (size_t)sc.targets * (size_t)sc.slots, i;
-	double *loaded = calloc(n, sizeof(*loaded));
-	double *lone = malloc(n * sizeof(*lone));
-
-	for (i = 0; i < w->njobs; i++) {
-		sc.free_at = loaded;
-		w->jobs[i].ideal = place_job(w, &sc, &w->jobs[i]);
-		memset(lone, 0, n * sizeof(*lone));
-		sc.free_at = lone;
-		w->jobs[i].lone = place_job(w, &sc, &w->jobs[i]);
-	}
-	free(loaded);
-	free(lone);
-}
--- a/bench-world.h
+++ b/bench-world.h
@@ -110,6 +110,8 @@
 void bench_init(struct bench_world *w, const struct bench_setup *setup);
 void bench_run(struct bench_world *w);
 void bench_finish(struct bench_world *w);
+/* One way from the entry VM to the target, ms. */
+double bench_latency(const struct bench_world *w, int target);
 /* Fills in the jobs' ideal and lone spans. */
 void bench_ideal(struct bench_world *w);
 
