Test that a lowered limit is in force everywhere within 6 s

Cause: no test lowered a target's limit under load, so the recall of granted credits was never run. Change: cluster-limit puts a limit of 2 into one entry VM's table under load, and looks after 6 s at what all nine have in flight there.

--- a/regress/cluster-limit.c
+++ b/regress/cluster-limit.c
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "net/net.h"
+#include "table.h"
 
 /* Jobs at all entry VMs for a while; each call's index is not kept. */
 static void load(struct net *net, int rounds, int ntasks)
@@ -165,3 +166,48 @@
 	cr_assert_eq(busy_sum(net), 0);
 	net_free(net);
 }
+
+/* Bound on an accepted edit's way to all entry VMs, ms. */
+#define LIMIT_IN_FORCE_MS 6000
+
+/* Puts a limit for the target in force at one entry VM; others hear of it. */
+static void set_limit(struct net *net, int vm, int target, int32_t limit)
+{
+	struct rp_table_head head = { .version = 1, .edit_id = "lower" };
+	struct rp_event tick = { .type = RP_EVENT_TICK };
+	struct rp_cell cell = { .kind = RP_CELL_TARGET,
+				.row = "desk",
+				.weight = RP_CELL_UNSET,
+				.limit = limit,
+				.version = 1 };
+	struct rp_kernel *k = net->vms[vm].k;
+	rp_ms now = net->now_us / 1000;
+	struct rp_actions acts;
+
+	str_copy(cell.col, sizeof(cell.col), str_of(net->targets[target].name));
+	rp_actions_init(&acts);
+	cr_assert(table_take(k, now, 0, &head, &cell, 1, &acts));
+	/* What it sends now is lost: lookups settle its starts. */
+	rp_kernel_event(k, now, &tick, &acts);
+	rp_actions_finish(&acts);
+}
+
+Test(limit, lowered_limit_is_in_force_within_seconds)
+{
+	struct net *net = start("credit", 9);
+	int i, most = 0;
+
+	load(net, 100, 16);
+	set_limit(net, 0, 0, 2);
+	load(net, LIMIT_IN_FORCE_MS / 20, 16);
+	for (i = 0; i < 100; i++) {
+		load(net, 1, 16);
+		if (net_in_flight(net, 0) > most)
+			most = net_in_flight(net, 0);
+	}
+	cr_assert_leq(most, 2, "%d in flight", most);
+	cr_assert_gt(most, 0);
+	net_run(net, 25000);
+	check_all(net, 1);
+	net_free(net);
+}
