--- a/regress/run.sh
+++ b/regress/run.sh
@@ -7,6 +7,7 @@
 jobs=$(nproc)
 san="-fsanitize=address,undefined -fno-sanitize-recover=undefined"
 make -s -j"$jobs" B=build/san OPT="-O1 -g" SAN="$san" all tests || exit 1
+make -s -j"$jobs" B=build/tsan OPT="-O1 -g" SAN=-fsanitize=thread all || exit 1
 make -s -j"$jobs" all || exit 1
 
 passed=0
