--- a/daemon-peer.c
+++ b/daemon-peer.c
@@ -130,11 +130,13 @@
 		return -1;
 	if (listen_for_peers(ps) < 0)
 		return -1;
-	ps->thread = daemon_thread(d, run_peers, ps);
-	if (!ps->thread)
-		return -1;
+	/* Before the thread: its first message may lead to one that is sent. */
 	d->peers = ps;
-	return 0;
+	ps->thread = daemon_thread(d, run_peers, ps);
+	if (ps->thread)
+		return 0;
+	d->peers = NULL;
+	return -1;
 }
 
 void peer_stop(struct daemon *d)
