Tidy: one way into the claims' queue, two dead fields, comments

Cause: the read-through found the queue's append written twice, fields that nothing reads (rp_job.sub_shard, rp_sub_counters.relayed), and a comment of rp_drain that stood above another type. Change: claim_enqueue() serves both places; the fields are gone; the comment stands with its struct. Behaviour and tests stay as they were.

--- a/claim-commit.c
+++ b/claim-commit.c
@@ -41,7 +41,7 @@
 
 /* --- batches; the lock is held ------------------------------------------ */
 
-static void queue_add(struct rp_claims *q, struct rp_claim *c)
+void claim_enqueue(struct rp_claims *q, struct rp_claim *c)
 {
 	c->next = NULL;
 	if (q->last)
@@ -121,7 +121,7 @@
 	batch_unlink(q, b);
 	for (i = 0; i < b->n; i++) {
 		if (b->claims[i] && !b->claims[i]->overdue)
-			queue_add(q, b->claims[i]);
+			claim_enqueue(q, b->claims[i]);
 		else
 			free(b->claims[i]);
 	}
--- a/claim-submit.c
+++ b/claim-submit.c
@@ -89,12 +89,7 @@
 			r->claim_id = ++q->next_id;
 		c = claim_new(k, r);
 		c->lost = again;
-		if (q->last)
-			q->last->next = c;
-		else
-			q->first = c;
-		q->last = c;
-		q->nqueued++;
+		claim_enqueue(q, c);
 	}
 	kernel_unlock(k, q->lock);
 	return c != NULL;
--- a/claim.h
+++ b/claim.h
@@ -108,6 +108,8 @@
 rp_ms claim_out(struct rp_kernel *k, struct rp_status *st);
 
 /* claim-commit.c */
+/* Puts a claim at the end of the queue; the lock is held. */
+void claim_enqueue(struct rp_claims *q, struct rp_claim *c);
 void claim_tick(struct rp_kernel *k, rp_ms now, struct rp_actions *acts);
 
 /* claim-find.c: queries and cancellations of keys claimed elsewhere */
--- a/drain-stop.c
+++ b/drain-stop.c
@@ -20,7 +20,6 @@
 void drain_start(struct rp_kernel *k, rp_ms now, struct rp_actions *acts)
 {
 	struct rp_trace_about about = { .task = -1 };
-
 	int not_yet = RP_STOPPING_NOT;
 
 	if (!atomic_compare_exchange_strong(&k->draining, &not_yet,
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -315,7 +315,6 @@
 	void *queue_data;			/* likewise */
 	int queued;				/* the queue policy holds it */
 	int parked; /* in svc->parked until a tick */
-	uint8_t sub_shard;
 };
 
 /* One send of a task to a target. */
@@ -462,7 +461,7 @@
 };
 
 struct rp_sub_counters {
-	uint64_t submitted, joined, conflicts, refused, relayed;
+	uint64_t submitted, joined, conflicts, refused;
 	uint64_t dropped_answers;
 };
 
@@ -594,7 +593,6 @@
 	RP_DRAIN_DONE,
 };
 
-/* The planned stop of this entry VM. */
 /* How far a planned stop has come, for all threads. */
 enum rp_stopping {
 	RP_STOPPING_NOT,
@@ -602,6 +600,7 @@
 	RP_STOPPING_NOW,  /* submissions are answered "not run" */
 };
 
+/* The planned stop of this entry VM. */
 struct rp_drain {
 	rp_ms refuse_at; /* end of RP_STOPPING_SOON */
 	enum rp_drain_phase phase;
