A target reborn under its id is known by its replies

Ruled out: a takeover near, a late start; both logs show neither.

Change: replies to hold name the incarnation; it is read, and a change of it, from a reply or from the list, no longer ends anything by itself: the first list of the new life does, as every list does. Replies to calls made before a life was known say nothing of it, so that an answer of the former address does not end runs. A hold call that does not follow a reply at once acknowledges nothing, since numbers of ends are another life's there. A list with a row that cannot be read is no list, as what is left out would look ended.

Tests, each failing first: runs_in_a_life_the_list_does_not_tell_of_go_on, ends_of_a_life_not_known_yet_are_not_acknowledged, an_answer_of_the_former_ address_ends_nothing, 30 seeds with rebirths among random faults; the world now checks that nothing acknowledged as done is started again, which its header had promised. Mutation: with ends always acknowledged two of them fail.

--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -214,7 +214,8 @@
 
 Test(reply, lists_runs_and_ends)
 {
-	const char *text = "{\"clockMs\":482113,\"running\":[[\"ab.0.1.17\",2,"
+	const char *text = "{\"clockMs\":482113,\"born\":1700000000123,"
+			   "\"running\":[[\"ab.0.1.17\",2,"
 			   "\"x\",41]],"
 			   "\"finished\":[[58,\"ab.0.1.9\",1,\"done\",\"\"],"
 			   "[59,\"ab.0.1.8\",3,\"failed\",\"\"],"
@@ -223,6 +224,7 @@
 
 	cr_assert_eq(reply(&r, 200, text), SCHED_REPLY_OK);
 	cr_assert_eq(r.look.clock, 482113);
+	cr_assert_eq(r.look.born, 1700000000123);
 	cr_assert_eq(r.look.nruns, 1);
 	cr_assert_eq(r.look.runs[0].run, 2);
 	cr_assert_eq(r.look.runs[0].percent, 41);
@@ -265,7 +267,10 @@
 	cr_assert_eq(reply(&r, 200, "{\"running\":"), SCHED_REPLY_UNKNOWN);
 	cr_assert_neq(r.why[0], '\0');
 	platform_reply_finish(&r);
-	reply(&r, 200, "{\"clockMs\":1,\"running\":[[7]],\"finished\":[]}");
+	cr_assert_eq(reply(&r, 200,
+			   "{\"clockMs\":1,\"running\":[[7]],"
+			   "\"finished\":[]}"),
+		     SCHED_REPLY_UNKNOWN);
 	cr_assert_eq(r.look.nruns, 0);
 	cr_assert_neq(r.why[0], '\0');
 	platform_reply_finish(&r);
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <apr_general.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "lead.h"
@@ -309,6 +310,74 @@
 	end();
 }
 
+/* The list tells of the new life later than the leader starts runs in it. */
+Test(sched_life, runs_in_a_life_the_list_does_not_tell_of_go_on)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin(2);
+	world_submit(&w, "q", 1, 30, 1, 3000);
+	world_run(&w, w.now + 600); /* idle, its ends acknowledged */
+	for (i = 0; i < 2; i++)
+		world_reborn(&w, &w.targets[i]);
+	job = world_submit(&w, "q", 4, 250, 1, 3000);
+	world_run(&w, w.now + 100);
+	for (i = 0; i < 2; i++)
+		sched_listed(&first, &w.targets[i].is, w.now);
+	world_run(&w, w.now + 2000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 5);
+	end();
+}
+
+/*
+ * The new life numbers its ends anew: numbers of the former one must not
+ * acknowledge them unseen.
+ */
+Test(sched_life, ends_of_a_life_not_known_yet_are_not_acknowledged)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin(2);
+	for (i = 0; i < 4; i++)
+		world_submit(&w, "q", 2, 30, 1, 3000);
+	world_run(&w, w.now + 600);
+	for (i = 0; i < 2; i++)
+		world_reborn(&w, &w.targets[i]);
+	job = world_submit(&w, "q", 4, 1, 1, 3000);
+	world_run(&w, w.now + 1000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 12);
+	end();
+}
+
+/* Another target has its old address and answers a call sent before. */
+Test(sched_life, an_answer_of_the_former_address_ends_nothing)
+{
+	struct sched_look late = { .reply = SCHED_REPLY_REBORN, .reason = "" };
+	struct world_job *job;
+	struct sched_target *t;
+
+	begin(1);
+	late.sent_at = w.now;
+	world_run(&w, w.now + 10);
+	world_reborn(&w, &w.targets[0]);
+	snprintf(w.targets[0].is.address, RP_ADDRESS_MAX, "10.0.1.1:1");
+	sched_listed(&first, &w.targets[0].is, w.now);
+	world_run(&w, w.now + 10);
+	job = world_submit(&w, "q", 1, 200, 1, 3000);
+	world_run(&w, w.now + 50);
+	t = sched_find_target(&first, "t0");
+	cr_assert_eq(t->nruns, 1);
+	sched_stop_reply(&first, t, "none", 1, &late, w.now);
+	cr_assert_eq(t->nruns, 1);
+	world_run(&w, w.now + 600);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end();
+}
+
 /* --- random faults --------------------------------------------------- */
 
 static void random_fault(struct world *x)
@@ -338,7 +407,18 @@
 	}
 }
 
-static void play_faults(uint64_t seed)
+/* Another life, which the platform's list tells of at the next step. */
+static void random_rebirth(struct world *x)
+{
+	size_t i;
+
+	for (i = 0; i < x->ntargets; i++)
+		sched_listed(x->s, &x->targets[i].is, x->now);
+	i = (size_t)(world_uniform(x) * (double)x->ntargets);
+	world_reborn(x, &x->targets[i]);
+}
+
+static void play_faults(uint64_t seed, void (*more)(struct world *x))
 {
 	static const double mixed[] = { 0.6, 1.0, 1.6 };
 	struct sched *in_office = &first;
@@ -350,6 +430,8 @@
 	for (step = 0; step < 40; step++) {
 		world_play(&w, 0.9, 200);
 		random_fault(&w);
+		if (more)
+			more(&w);
 		if (world_uniform(&w) > 0.1)
 			continue;
 		/* A new leader; calls of the old one may still arrive. */
@@ -390,5 +472,13 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= 30; seed++)
-		play_faults(seed);
+		play_faults(seed, NULL);
+}
+
+Test(sched_life, targets_reborn_among_random_faults_break_nothing)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 30; seed++)
+		play_faults(seed, random_rebirth);
 }
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -265,10 +265,12 @@
 	}
 	if (!t->nends && standin_waited(r) < wait)
 		return standin_later(r);
-	return fake_reply_json(
-		r, 200,
-		json_pack("{s:I,s:o,s:o}", "clockMs", (json_int_t)fake_now_ms(),
-			  "running", runs_json(t), "finished", ends_json(t)));
+	return fake_reply_json(r, 200,
+			       json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
+					 (json_int_t)fake_now_ms(), "born",
+					 (json_int_t)t->born, "running",
+					 runs_json(t), "finished",
+					 ends_json(t)));
 }
 
 enum fake_verdict target_handle(struct standin_target *t,
--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -33,6 +33,7 @@
 	e->number = ++t->number;
 	snprintf(e->task, sizeof(e->task), "%s", r->task);
 	e->run = r->run;
+	e->job = r->job;
 	e->how = how;
 	*past = r->run;
 	apr_hash_set(t->past, apr_pstrdup(w->pool, r->task),
@@ -99,6 +100,11 @@
 	return NULL;
 }
 
+static int task_index(const char *task)
+{
+	return atoi(strrchr(task, '.') + 1);
+}
+
 static void renew(struct world *w, struct world_target *t, int64_t until)
 {
 	rp_ms most = w->now + WORLD_LEASE_MS;
@@ -132,12 +138,15 @@
 	if (past && e->run <= *past)
 		return 409;
 	renew(w, t, e->until);
+	if (job->noted[task_index(e->task)])
+		world_violated(w, "started after it was done", e->task);
 	r = &t->runs[t->nruns++];
 	memset(r, 0, sizeof(*r));
 	snprintf(r->task, sizeof(r->task), "%s", e->task);
 	r->run = e->run;
+	r->job = job;
 	r->need = e->need;
-	r->work = job->works[atoi(strrchr(e->task, '.') + 1)];
+	r->work = job->works[task_index(e->task)];
 	r->started = w->now;
 	r->fails = world_chance(w, t->failing);
 	job->started = 1;
@@ -185,9 +194,20 @@
 		return 409;
 	t->fence = e->fence;
 	renew(w, t, e->until);
-	while (i < t->nends && t->ends[i].number <= e->seen)
-		i++;
+	for (; i < t->nends && t->ends[i].number <= e->seen; i++)
+		if (t->ends[i].how == SCHED_END_DONE)
+			t->ends[i].job->noted[task_index(t->ends[i].task)] = 1;
 	memmove(t->ends, t->ends + i, (t->nends - i) * sizeof(*t->ends));
 	t->nends -= i;
 	return 200;
 }
+
+void world_reborn(struct world *w, struct world_target *t)
+{
+	t->nruns = t->nends = 0;
+	t->number = t->fence = 0;
+	t->lease_until = 0;
+	apr_hash_clear(t->past);
+	t->is.born++;
+	world_break_calls(w, t);
+}
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -107,6 +107,8 @@
 		     : e->until	      ? SCHED_REPLY_FENCED
 				      : SCHED_REPLY_REFUSED;
 	look.sent_at = e->sent_at;
+	if (e->kind == HOLD_REPLY && !e->lost)
+		look.born = t->is.born;
 	look.clock = e->lost ? 0 : w->now - w->delay;
 	if (e->kind == HOLD_REPLY && look.reply == SCHED_REPLY_OK) {
 		for (i = 0; i < t->nruns; i++) {
@@ -137,6 +139,19 @@
 		sched_pump(e->to, w->now);
 }
 
+void world_break_calls(struct world *w, const struct world_target *t)
+{
+	struct world_event *e;
+
+	for (e = w->events; e; e = e->next) {
+		if (e->target != t)
+			continue;
+		if (e->kind < START_REPLY)
+			e->kind += START_REPLY;
+		e->lost = 1;
+	}
+}
+
 /* A waiting hold call is answered at an end, or when its time is over. */
 static int must_wait(struct world *w, struct world_event *e)
 {
@@ -362,6 +377,7 @@
 	for (i = 0; i < w->njobs; i++) {
 		pool_submit__free_unpacked(w->jobs[i]->sub, NULL);
 		free(w->jobs[i]->works);
+		free(w->jobs[i]->noted);
 		free(w->jobs[i]);
 	}
 	while (w->events) {
@@ -421,6 +437,7 @@
 	step->label = strdup("");
 	step->rack = strdup("");
 	job->works = malloc((size_t)tasks * sizeof(*job->works));
+	job->noted = calloc((size_t)tasks, 1);
 	for (i = 0; i < tasks; i++) {
 		job->works[i] = work * exp(UNEVEN * normal(w));
 		longest = fmax(longest, job->works[i]);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -14,8 +14,10 @@
 #define WORLD_ENDS 256
 
 struct world;
+struct world_job;
 
 struct world_run {
+	struct world_job *job; /* the submission that it is of */
 	char task[SCHED_TASK_NAME];
 	uint32_t run;
 	struct sched_vector need;
@@ -26,6 +28,7 @@
 };
 
 struct world_end {
+	struct world_job *job; /* NULL: the run never was there */
 	uint64_t number;
 	char task[SCHED_TASK_NAME];
 	uint32_t run;
@@ -84,8 +87,9 @@
 	double worth;
 	int answered;
 	PoolAnswer__Outcome outcome;
-	int started; /* at a target */
-	int on;	     /* answered on time */
+	int started;	/* at a target */
+	int on;		/* answered on time */
+	uint8_t *noted; /* of its tasks: an end done was acknowledged */
 };
 
 struct world {
@@ -119,6 +123,9 @@
 
 #define WORLD_LEASE_MS 1000
 
+/* Calls on their way are not answered: connections end with a process. */
+void world_break_calls(struct world *w, const struct world_target *t);
+
 /* --- target.c: each call returns its status as the platform has it ----- */
 
 /* Work goes on and leases pass for so many ms. */
@@ -130,6 +137,12 @@
 int world_do_hold(struct world *w, struct world_target *t,
 		  struct world_event *e, const char **reason);
 
+/*
+ * Another incarnation under the same id. The platform's list is left for the
+ * test to pass on.
+ */
+void world_reborn(struct world *w, struct world_target *t);
+
 /* --- world.c ----------------------------------------------------------- */
 
 /* A job of so many tasks of so many ms; returns it. */
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -23,12 +23,18 @@
  */
 #define FORMER_MS 650
 
-static void add_orphan(struct sched_target *t, struct rp_str name, uint32_t run)
+/* Returns NULL for a run of this scheduler. */
+static struct sched_orphan *add_orphan(struct sched_target *t,
+				       struct rp_str name, uint32_t run)
 {
-	struct sched_orphan *o = &t->orphans[t->norphans++];
+	struct sched_orphan *o;
 
+	if (sched_run_find(t, name, run))
+		return NULL;
+	o = &t->orphans[t->norphans++];
 	str_copy(o->name, sizeof(o->name), name);
 	o->run = run;
+	return o;
 }
 
 void sched_adopt_list(struct sched_target *t, const struct sched_look *look)
@@ -45,9 +51,13 @@
 	for (i = 0; i < look->nruns; i++)
 		add_orphan(t, look->runs[i].task, look->runs[i].run);
 	for (i = 0; i < look->nends; i++) {
-		add_orphan(t, look->ends[i].task, look->ends[i].run);
-		t->orphans[t->norphans - 1].ended = 1;
-		t->orphans[t->norphans - 1].how = look->ends[i].how;
+		struct sched_orphan *o =
+			add_orphan(t, look->ends[i].task, look->ends[i].run);
+
+		if (!o)
+			continue;
+		o->ended = 1;
+		o->how = look->ends[i].how;
 	}
 	for (job = s->jobs; job; job = next) {
 		next = job->next;
--- a/sched-core.c
+++ b/sched-core.c
@@ -284,6 +284,8 @@
 		return NULL;
 	t->s = s;
 	t->is = *l;
+	t->life = l->born;
+	t->life_at = s->now;
 	t->answered_at = s->now;
 	sched_learn_target(t);
 	if (s->ntargets == s->cap_targets) {
@@ -297,19 +299,6 @@
 	return t;
 }
 
-/* Another life under the same id: it runs and knows nothing of before. */
-static void reborn(struct sched_target *t)
-{
-	sched_target_lapsed(t, "another incarnation");
-	t->ends_seen = t->ends_acked = 0;
-	t->norphans = 0;
-	t->taken = 0;
-	t->clock = 0;
-	sched_learn_target(t);
-	t->unanswered = 0;
-	t->paused_until = 0;
-}
-
 void sched_listed(struct sched *s, const struct sched_listing *l, rp_ms now)
 {
 	struct sched_target *t = sched_find_target(s, l->id);
@@ -320,11 +309,12 @@
 		t = add_target(s, l);
 	if (!t)
 		return;
-	again = t->is.born != l->born || strcmp(t->is.address, l->address) != 0;
+	again = (t->is.born != l->born && t->life != l->born) ||
+		strcmp(t->is.address, l->address) != 0;
 	t->is = *l;
 	t->listed = 1;
 	if (again)
-		reborn(t);
+		sched_target_reborn(t, l->born);
 	sched_target_hold(t);
 }
 
--- a/sched-run.c
+++ b/sched-run.c
@@ -199,8 +199,8 @@
 	t->state = SCHED_UNHELD; /* until it shows what runs there */
 }
 
-static struct sched_task *find_run(struct sched_target *t, struct rp_str name,
-				   uint32_t run)
+struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
+				  uint32_t run)
 {
 	struct sched_task *task;
 
@@ -220,11 +220,54 @@
 	t->paused_until = s->now + t->pause;
 }
 
+/*
+ * Another life under the same id. What ran in the former one is over, but
+ * runs may have been started in this one since: its next list tells.
+ */
+void sched_target_reborn(struct sched_target *t, int64_t born)
+{
+	struct sched *s = t->s;
+
+	s->ops->note(s, "reborn", t, t->runs, "");
+	t->life = born;
+	t->life_at = s->now;
+	t->state = SCHED_UNHELD;
+	t->ends_seen = t->ends_acked = 0;
+	t->norphans = t->foreign = 0;
+	t->taken = 0;
+	t->clock = 0;
+	t->unanswered = 0;
+	t->paused_until = t->hold_retry_at = 0;
+	sched_learn_target(t);
+}
+
+/* Whether the reply is of a life that is over. */
+static int outlived(const struct sched_target *t, const struct sched_look *look)
+{
+	return look->sent_at < t->life_at &&
+	       (look->reply == SCHED_REPLY_REBORN ||
+		(look->born && look->born != t->life));
+}
+
+/*
+ * Which ends the next hold call acknowledges. Unless it follows a reply at
+ * once, another life may take the call; its numbers are other ones, and an
+ * end that is acknowledged unseen is lost.
+ */
+static uint64_t ends_to_acknowledge(const struct sched_target *t)
+{
+	return !t->nruns || t->held_at == t->s->now ? t->ends_seen : 0;
+}
+
 /* Takes what every reply says. Returns whether the call was carried out. */
 static int take_reply(struct sched_target *t, const struct sched_look *look)
 {
 	struct sched *s = t->s;
 
+	if (outlived(t, look))
+		return 0;
+	if (look->born && look->born != t->life)
+		sched_target_reborn(t, look->born);
 	if (look->clock) {
 		t->clock = look->clock;
 		t->clock_at = s->now;
@@ -267,7 +310,7 @@
 
 	s->now = now;
 	ok = take_reply(t, look);
-	task = find_run(t, str_of(name), run);
+	task = sched_run_find(t, str_of(name), run);
 	if (!task || task->state == SCHED_STOPPING)
 		return;
 	if (ok) {
@@ -293,7 +336,7 @@
 
 	s->now = now;
 	ok = take_reply(t, look);
-	task = find_run(t, str_of(name), run);
+	task = sched_run_find(t, str_of(name), run);
 	if (!task || task->state != SCHED_STOPPING)
 		return;
 	if (ok)
@@ -315,7 +358,7 @@
 			continue;
 		t->ends_seen = e->number;
 		t->s->count.ends++;
-		task = find_run(t, e->task, e->run);
+		task = sched_run_find(t, e->task, e->run);
 		if (!task)
 			continue;
 		if (e->how != SCHED_END_STOPPED)
@@ -347,7 +390,7 @@
 	for (i = 0; i < look->nruns; i++) {
 		const struct sched_run *r = &look->runs[i];
 
-		if (find_run(t, r->task, r->run))
+		if (sched_run_find(t, r->task, r->run))
 			continue;
 		t->foreign++;
 		if (t->s->now < t->adopt_until)
@@ -403,7 +446,8 @@
 		return;
 	}
 	t->hold_retry_at = 0;
-	if (t->state == SCHED_TAKING) {
+	t->held_at = now;
+	if (t->state == SCHED_TAKING || t->state == SCHED_UNHELD) {
 		t->state = SCHED_HELD;
 		if (!t->taken)
 			sched_adopt_list(t, look);
@@ -426,6 +470,7 @@
 {
 	struct sched *s = t->s;
 	int64_t until = 0;
+	uint64_t seen;
 	rp_ms wait = 0;
 
 	if (t->holding || t->state == SCHED_FENCED || s->now < t->hold_retry_at)
@@ -447,7 +492,9 @@
 	}
 	t->holding = 1;
 	t->hold_sent_at = s->now;
-	t->ends_acked = t->ends_seen;
+	seen = ends_to_acknowledge(t);
+	if (seen)
+		t->ends_acked = seen;
 	s->count.holds++;
-	s->ops->hold(s, t, until, t->ends_seen, wait);
+	s->ops->hold(s, t, until, seen, wait);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -182,7 +182,10 @@
 	int64_t clock;	/* the target's, ms */
 	rp_ms clock_at; /* when it was read */
 	uint64_t ends_seen, ends_acked;
-	int holding; /* a hold call is on its way */
+	int64_t life;  /* the incarnation that all this is known of */
+	rp_ms life_at; /* when it was heard of */
+	rp_ms held_at; /* a hold call was last carried out */
+	int holding;   /* a hold call is on its way */
 	rp_ms hold_sent_at;
 	rp_ms hold_retry_at;
 	rp_ms lease_over; /* nothing started before runs on after this */
@@ -230,6 +233,7 @@
 	enum sched_reply reply;
 	const char *reason;
 	rp_ms sent_at; /* when the call was made */
+	int64_t born;  /* the incarnation that answered; 0: not said */
 	int64_t clock;
 	const struct sched_run *runs;
 	size_t nruns;
@@ -460,6 +464,9 @@
 void sched_run_stop(struct sched_task *task);
 /* The run is over; its room is free. */
 void sched_run_over(struct sched_task *task, enum sched_end_how how);
+struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
+				  uint32_t run);
+void sched_target_reborn(struct sched_target *t, int64_t born);
 void sched_target_lapsed(struct sched_target *t, const char *why);
 void sched_target_hold(struct sched_target *t);
 
