A job says which leader may have started it

Change: a submission names the token of the leader that it was sent to before, not only that there was one. Unless that is the direct predecessor, tasks wait until its runs are surely over. A VM counts as never gone only with the same leader's token.

Test: a_domain_led_alone_goes_on_with_hidden_targets, fails without the check.

--- a/pool-relay.c
+++ b/pool-relay.c
@@ -26,21 +26,22 @@
 }
 
 /*
- * Sent again over another link: if the member has been here since before the
- * job came, and the job is not known, it never arrived.
+ * Sent to this leader again over another link: if the member has been here
+ * since before the job came, and the job is not known, it never arrived.
  */
 static int was_here(const struct pool *p, const struct pool_member *m,
 		    const PoolSubmit *sub)
 {
-	return m != &p->self && p->now - m->joined_at > (rp_ms)sub->age_ms;
+	return m != &p->self && sub->former == p->lead.row.fence &&
+	       p->now - m->joined_at > (rp_ms)sub->age_ms;
 }
 
 void pool_submit(struct pool *p, struct pool_member *m, PoolSubmit *sub)
 {
 	if (answer_again(p, m, sub->seq))
 		return;
-	if (sub->resumed && was_here(p, m, sub))
-		sub->resumed = 0;
+	if (was_here(p, m, sub))
+		sub->former = 0;
 	sched_submit(&p->sched, m, sub, p->now);
 	p->sched_dirty = 1;
 }
--- a/pool-request.c
+++ b/pool-request.c
@@ -128,8 +128,7 @@
 	if (!p->leading && !p->to_leader)
 		return; /* submitted when there is a leader */
 	/* Whoever it was sent to may have started some of it. */
-	if (r->sent_fence)
-		r->sub->resumed = 1;
+	r->sub->former = r->sent_fence;
 	r->sent_fence = fence;
 	r->sub->age_ms = (uint32_t)(p->now - r->came);
 	r->sub->left_ms =
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -746,12 +746,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "resumed",
+    "former",
     13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(PoolSubmit, resumed),
+    offsetof(PoolSubmit, former),
     NULL,
     NULL,
     0,             /* flags */
@@ -773,13 +773,13 @@
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   13,   /* field[13] = done */
+  12,   /* field[12] = former */
   9,   /* field[9] = id */
   2,   /* field[2] = left_ms */
   6,   /* field[6] = max_attempts */
   8,   /* field[8] = objective_ms */
   5,   /* field[5] = priority */
   3,   /* field[3] = queue */
-  12,   /* field[12] = resumed */
   0,   /* field[0] = seq */
   4,   /* field[4] = service */
   10,   /* field[10] = specification */
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -137,9 +137,12 @@
   size_t n_steps;
   PoolStep **steps;
   /*
-   * Another leader may have started tasks of it; these are done.
+   * The leader with this token may have started tasks of it; 0: none.
+   */
+  uint64_t former;
+  /*
+   * of these tasks
    */
-  protobuf_c_boolean resumed;
   size_t n_done;
   uint32_t *done;
 };
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -108,7 +108,7 @@
 	sched_owner_gone(&first, job, w.now);
 	job->answered = 0;
 	world_run(&w, w.now + 700);
-	job->sub->resumed = 1;
+	job->sub->former = first.fence;
 	job->sub->age_ms = 1000;
 	job->sub->left_ms = 60;
 	sched_submit(&first, job, job->sub, w.now);
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -148,6 +148,39 @@
 	end();
 }
 
+/*
+ * Found on a day of the grown deployment: a domain that was cut off led
+ * itself; the store had dropped its targets, and the leader of the rest was a
+ * new one that had taken all targets of its list.
+ */
+Test(sched_takeover, a_domain_led_alone_goes_on_with_hidden_targets)
+{
+	struct world_job *job;
+	uint64_t before;
+
+	begin(4);
+	sched_finish(&first);
+	world_lead(&w, &first, NULL, LEAD_TOKEN(1) | 7);
+	world_run(&w, w.now + 200);
+	job = world_submit(&w, "q", 1, 900, 1, 1500);
+	world_run(&w, w.now + 50);
+	before = w.starts;
+	world_lead(&w, &second, NULL, LEAD_TOKEN(2));
+	for (size_t i = 0; i < 4; i++) {
+		if (!w.targets[i].nruns)
+			continue;
+		sched_unlisted(&second, w.targets[i].is.id, w.now);
+		w.targets[i].dark = 1;
+	}
+	world_run(&w, w.now + 500);
+	world_resubmit(&w);
+	world_run(&w, w.now + 500);
+	cr_assert_eq(w.starts, before);
+	cr_assert(!job->answered);
+	sched_finish(&first);
+	end();
+}
+
 /* The old leader wakes and tries to go on: the targets refuse it. */
 Test(sched_takeover, an_old_leader_is_fenced)
 {
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -444,6 +444,7 @@
 	}
 	objective = STRETCH * longest + EXTRA;
 	job->w = w;
+	job->fence = w->s->fence;
 	job->sub = sub;
 	job->came = w->now;
 	job->worth = worth;
@@ -469,7 +470,8 @@
 
 		if (job->answered || age >= 1500)
 			continue;
-		job->sub->resumed = 1;
+		job->sub->former = job->fence;
+		job->fence = w->s->fence;
 		job->sub->age_ms = (uint32_t)age;
 		job->sub->left_ms = (uint32_t)(1500 - age);
 		sched_submit(w->s, job, job->sub, w->now);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -82,6 +82,7 @@
 	struct world *w;
 	uint64_t seq;
 	PoolSubmit *sub;
+	uint64_t fence; /* of the scheduler that it was submitted to */
 	rp_ms came, objective, late_until;
 	double *works; /* of its tasks, ms at speed 1 */
 	double worth;
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -10,6 +10,7 @@
  * cut off.
  */
 
+#include "lead.h"
 #include "scheduler.h"
 
 #include <stdlib.h>
@@ -61,7 +62,7 @@
 	}
 	for (job = s->jobs; job; job = next) {
 		next = job->next;
-		if (job->resumed)
+		if (job->former)
 			sched_adopt_job(job);
 	}
 }
@@ -147,6 +148,13 @@
 	t->norphans = 0;
 }
 
+/* Whether the next token after that scheduler's is this one's. */
+static int is_predecessor(const struct sched *s, uint64_t former)
+{
+	return !LEAD_IS_ALONE(former) &&
+	       LEAD_COUNT(former) + 1 == LEAD_COUNT(s->fence);
+}
+
 int sched_adopt_settled(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
@@ -158,8 +166,8 @@
 	 * A former leader that was cut off from the store goes on with targets
 	 * whose entries there are gone.
 	 */
-	if (s->former_hidden || job->submitted - s->since > HANDOVER_MS ||
-	    !s->listed)
+	if (s->former_hidden || !is_predecessor(s, job->former) ||
+	    job->submitted - s->since > HANDOVER_MS || !s->listed)
 		return 0;
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
--- a/sched-core.c
+++ b/sched-core.c
@@ -172,7 +172,7 @@
 	job = sched_job_new(s, owner, sub, now);
 	s->count.jobs++;
 	supersede(job);
-	if (job->resumed || job->ndone) {
+	if (job->former || job->ndone) {
 		sched_adopt_job(job);
 		return;
 	}
@@ -218,7 +218,7 @@
 
 	for (job = s->jobs; job; job = next) {
 		/* A former scheduler may have started some of it. */
-		int ran = job->first_start || job->resumed;
+		int ran = job->first_start || job->former;
 
 		next = job->next;
 		if (s->now < job->useful_until)
@@ -343,7 +343,7 @@
 		return;
 	job->again = 0;
 	/* Where its tasks run, if they do, is not known yet. */
-	if (job->resumed && !sched_adopt_settled(job))
+	if (job->former && !sched_adopt_settled(job))
 		return;
 	for (i = 0; i < job->ntasks && job->nwaiting; i++) {
 		struct sched_task *task = &job->tasks[i];
--- a/sched-job.c
+++ b/sched-job.c
@@ -185,7 +185,7 @@
 	job->max_attempts = sub->max_attempts ? sub->max_attempts : 1;
 	job->stretch = sub->stretch;
 	job->extra = sub->objective_ms;
-	job->resumed = sub->resumed;
+	job->former = sub->former;
 	job->arrived = now - sub->age_ms;
 	job->submitted = now;
 	job->deadline = now + sub->left_ms;
--- a/scheduler.h
+++ b/scheduler.h
@@ -129,7 +129,8 @@
 	int answered;
 	int queued_late; /* its turn came after its latest start */
 	int again;	 /* another submission of its id may still run */
-	int resumed;	 /* a former scheduler may have started tasks of it */
+	/* The scheduler with this token may have started tasks; 0: none. */
+	uint64_t former;
 	size_t ntasks, ndone, nplaced, nwaiting;
 	struct sched_step *steps;
 	size_t nsteps;
