Calls to targets by agents; the lead for VMs with more processor

Ruled out: the scheduler itself (small beside the calls) and the small VMs' own part (0.01 to 0.02 of a core).

Weighed: a pool a domain (4 leaders, divided room), and one schedule whose calls are made by others. The second was taken: all room stays in one view, and what an agent does not answer is an unanswered call like any other, so nothing changes in what keeps a task from running twice.

Change: VMs tell their processor, in their rows and when they link. Successors are the largest, best in other failure domains; a small leader hands over to a VM with twice its processor. With more than 400 targets a core the leader leaves calls to agents: large VMs, each near its targets. Calls after an unanswered one go direct. curl's handles are used again.

Test: t-pool-agents (handover; agent paused, killed; leader killed).

--- a/lead-core.c
+++ b/lead-core.c
@@ -77,6 +77,15 @@
 
 static void start_claim(struct lead *l, rp_ms now);
 
+/* Of a VM that the leader does not name as a successor. */
+static unsigned last_rank(const struct lead *l)
+{
+	unsigned rank =
+		LEAD_SUCCESSORS + (unsigned)(l->incarnation % LEAD_SUCCESSORS);
+
+	return l->larger ? rank + LEAD_SUCCESSORS : rank;
+}
+
 static unsigned rank_in(const struct lead *l, const struct lead_beat *b)
 {
 	size_t i;
@@ -84,7 +93,7 @@
 	for (i = 0; i < b->nsuccessors; i++)
 		if (!strcmp(b->successors[i], l->vm))
 			return (unsigned)i;
-	return LEAD_SUCCESSORS + (unsigned)(l->incarnation % LEAD_SUCCESSORS);
+	return last_rank(l);
 }
 
 /* A leader with a higher token than any known: its row is there already. */
@@ -263,7 +272,8 @@
 	if (l->step != LEAD_CALM || l->barred)
 		return;
 	if (!l->row.fence || names_my_past(l)) {
-		rp_ms turn = (rp_ms)(l->incarnation % 8) * 20;
+		rp_ms turn = (rp_ms)(l->incarnation % 8) * 20 +
+			     (l->larger ? LEAD_LARGER_MS : 0);
 
 		/* An earlier process of this VM led: nobody else is surer. */
 		if (l->row.fence || now - l->heard_at >= turn)
--- a/lead.h
+++ b/lead.h
@@ -32,6 +32,7 @@
 #define LEAD_STALE_MS 3500 /* without that it is dead for one cut off */
 #define LEAD_BACK_OFF_MS 300
 #define LEAD_SUCCESSORS 3
+#define LEAD_LARGER_MS 200 /* larger VMs claim first by */
 
 #define LEAD_TOKEN(count) ((uint64_t)(count) << 32)
 #define LEAD_COUNT(token) ((token) >> 32)
@@ -104,6 +105,7 @@
 	rp_ms not_before; /* of the next attempt */
 	unsigned rank;	  /* among the successors */
 	unsigned others;  /* entry VMs known besides this one */
+	unsigned larger;  /* of these, that are to lead rather */
 	unsigned hearing, silent; /* answers to the probe */
 	int resigning;		  /* planned: as soon as another leads */
 	int refused;		  /* the leader's VM refuses connections */
--- /dev/null
+++ b/pool-agent.c
@@ -0,0 +1,187 @@
+/*
+ * Calls to targets that other VMs make for the leader.
+ *
+ * A call costs several times the processor time of the decision behind it.
+ * With more targets than it can call itself, the leader leaves them to agents:
+ * the larger VMs, each for targets of its own failure domain. An agent only
+ * passes on; what it does not answer counts as any unanswered call, and the
+ * next one is made by the leader itself.
+ */
+
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DIRECT_A_CORE 400   /* targets that a leader calls itself */
+#define AGENT_SHARE 2	    /* of the leader's processor, at least one part */
+#define AGENT_SILENT_MS 300 /* a silent agent is not asked */
+#define AGENT_ANSWER_MS 500 /* it answers within, beyond the call's wait */
+
+static int calls_all(const struct pool *p)
+{
+	return (int64_t)p->sched.ntargets * 1000 <=
+	       DIRECT_A_CORE * pool_processor(p);
+}
+
+static int is_agent(const struct pool *p, const struct pool_member *m)
+{
+	return m->link && p->now - m->link->heard_at < AGENT_SILENT_MS &&
+	       m->processor * AGENT_SHARE >= pool_processor(p);
+}
+
+static int is_near(const struct pool_member *m, const struct sched_target *t)
+{
+	return !strcmp(m->failure_domain, t->is.failure_domain);
+}
+
+/* Targets left to the member, by its processor. */
+static double load_of(const struct pool *p, const struct pool_member *m)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < p->sched.ntargets; i++)
+		n += p->sched.targets[i]->user == m;
+	return (double)n / (double)m->processor;
+}
+
+static struct pool_member *choose(struct pool *p, const struct sched_target *t)
+{
+	struct pool_member *m, *best = NULL;
+	double least = 0;
+
+	for (m = p->members; m; m = m->next) {
+		double load;
+
+		if (!is_agent(p, m) ||
+		    (best && is_near(best, t) > is_near(m, t)))
+			continue;
+		load = load_of(p, m);
+		if (best && is_near(best, t) == is_near(m, t) && load >= least)
+			continue;
+		best = m;
+		least = load;
+	}
+	return best;
+}
+
+struct pool_member *pool_agent_of(struct pool *p, struct sched_target *t)
+{
+	if (t->unanswered || calls_all(p))
+		return NULL;
+	if (!t->user || !is_agent(p, t->user))
+		t->user = choose(p, t);
+	return t->user;
+}
+
+struct pool_call *pool_agent_call(struct pool *p, struct pool_member *m,
+				  const struct pool_call_spec *spec, rp_ms wait)
+{
+	struct pool_call *c = pool_call_new(p, spec);
+	PoolFrame frame = POOL_FRAME__INIT;
+	PoolCall call = POOL_CALL__INIT;
+
+	c->agent = m;
+	c->seq = ++p->call_seq;
+	c->fence = p->lead.row.fence;
+	c->due = p->now + wait + AGENT_ANSWER_MS;
+	apr_hash_set(p->carried, &c->seq, sizeof(c->seq), c);
+	p->count.agent_calls++;
+	call.fence = c->fence;
+	call.seq = c->seq;
+	call.address = (char *)spec->address;
+	call.path = (char *)spec->path;
+	call.header = (char *)spec->header;
+	call.request.data = (uint8_t *)c->request;
+	call.request.len = strlen(c->request);
+	call.wait_ms = (uint32_t)wait;
+	frame.body_case = POOL_FRAME__BODY_CALL;
+	frame.call = &call;
+	pool_link_send(m->link, &frame);
+	return c;
+}
+
+static void end_call(struct pool_call *c, long status, const char *body,
+		     size_t len)
+{
+	apr_hash_set(c->p->carried, &c->seq, sizeof(c->seq), NULL);
+	pool_call_end(c, status, body, len);
+}
+
+void pool_agent_answered(struct pool *p, struct pool_member *m,
+			 const PoolReply *reply)
+{
+	struct pool_call *c =
+		apr_hash_get(p->carried, &reply->seq, sizeof(reply->seq));
+
+	/* Another leader's number may be the same. */
+	if (c && c->agent == m && c->fence == reply->fence)
+		end_call(c, reply->status, (char *)reply->body.data,
+			 reply->body.len);
+}
+
+void pool_agent_lost(struct pool *p, struct pool_member *m)
+{
+	struct pool_call *c;
+	size_t i;
+
+	for (c = p->calls; c; c = c->next)
+		if (c->agent == m)
+			c->due = p->now;
+	for (i = 0; p->leading && i < p->sched.ntargets; i++)
+		if (p->sched.targets[i]->user == m)
+			p->sched.targets[i]->user = NULL;
+}
+
+void pool_agent_tick(struct pool *p, rp_ms now)
+{
+	struct pool_call *c, *next;
+
+	for (c = p->calls; c; c = next) {
+		next = c->next;
+		if (!c->agent || now < c->due)
+			continue;
+		p->count.agent_unanswered++;
+		end_call(c, 0, NULL, 0);
+	}
+}
+
+/* --- the agent's side ------------------------------------------------- */
+
+static void on_answer(struct pool_call *c, long status, const char *body,
+		      size_t len)
+{
+	struct pool *p = c->p;
+	PoolFrame frame = POOL_FRAME__INIT;
+	PoolReply reply = POOL_REPLY__INIT;
+
+	if (!p->to_leader)
+		return;
+	reply.fence = c->fence;
+	reply.seq = c->seq;
+	reply.status = (uint32_t)status;
+	reply.body.data = (uint8_t *)body;
+	reply.body.len = len;
+	frame.body_case = POOL_FRAME__BODY_REPLY;
+	frame.reply = &reply;
+	pool_link_send(p->to_leader, &frame);
+}
+
+void pool_agent_asked(struct pool *p, const PoolCall *call)
+{
+	struct pool_call_spec spec = {
+		.address = call->address,
+		.path = call->path,
+		.header = call->header,
+		.request =
+			strndup((char *)call->request.data, call->request.len),
+		.timeout = (rp_ms)call->wait_ms + pool_answer_within(p),
+		.done = on_answer,
+	};
+	struct pool_call *c;
+
+	p->count.target_calls++;
+	c = pool_call_begin(p, &spec);
+	c->fence = call->fence;
+	c->seq = call->seq;
+}
--- a/pool-call.c
+++ b/pool-call.c
@@ -103,6 +103,7 @@
 		return -1;
 	p->curl_due = -1;
 	p->call_token = 1;
+	p->carried = hash_new(p->pool);
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETDATA, p);
 	curl_multi_setopt(p->curl, CURLMOPT_TIMERFUNCTION, on_timer);
@@ -112,28 +113,31 @@
 	return 0;
 }
 
-static void set_options(struct pool_call *c, const struct pool_call_spec *spec)
+/* Options that all calls share. */
+static CURL *new_easy(void)
 {
-	char url[512];
-	CURL *e = c->easy;
+	CURL *e = curl_easy_init();
 
-	snprintf(url, sizeof(url), "http://%s%s", spec->address, spec->path);
-	curl_easy_setopt(e, CURLOPT_URL, url);
-	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
-	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)spec->timeout);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_S);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
-	if (spec->fresh)
-		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-	if (!c->request)
+	return e;
+}
+
+static void set_request(struct pool_call *c, const struct pool_call_spec *spec)
+{
+	CURL *e = c->easy;
+
+	if (!c->request) {
+		curl_easy_setopt(e, CURLOPT_HTTPGET, 1L);
+		curl_easy_setopt(e, CURLOPT_HTTPHEADER, NULL);
 		return;
+	}
 	curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, (long)strlen(c->request));
 	curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->request);
 	c->headers = curl_slist_append(NULL, "Expect:");
@@ -144,8 +148,23 @@
 	curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
 }
 
-struct pool_call *pool_call_begin(struct pool *p,
-				  const struct pool_call_spec *spec)
+/* All that one call sets is set by each, as handles are used again. */
+static void set_options(struct pool_call *c, const struct pool_call_spec *spec)
+{
+	char url[512];
+	CURL *e = c->easy;
+
+	snprintf(url, sizeof(url), "http://%s%s", spec->address, spec->path);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)spec->timeout);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, (long)spec->fresh);
+	set_request(c, spec);
+}
+
+struct pool_call *pool_call_new(struct pool *p,
+				const struct pool_call_spec *spec)
 {
 	struct pool_call *c = calloc(1, sizeof(*c));
 
@@ -153,24 +172,44 @@
 	c->request = spec->request;
 	c->done = spec->done;
 	c->sent_at = p->now;
-	c->easy = curl_easy_init();
-	set_options(c, spec);
 	c->next = p->calls;
 	c->prev = &p->calls;
 	if (c->next)
 		c->next->prev = &c->next;
 	p->calls = c;
+	return c;
+}
+
+struct pool_call *pool_call_begin(struct pool *p,
+				  const struct pool_call_spec *spec)
+{
+	struct pool_call *c = pool_call_new(p, spec);
+
+	c->easy = p->nidle ? p->idle[--p->nidle] : new_easy();
+	set_options(c, spec);
 	curl_multi_add_handle(p->curl, c->easy);
 	return c;
 }
 
-static void free_call(struct pool_call *c)
+static void keep_easy(struct pool *p, CURL *easy)
+{
+	curl_multi_remove_handle(p->curl, easy);
+	if (p->nidle < POOL_EASIES)
+		p->idle[p->nidle++] = easy;
+	else
+		curl_easy_cleanup(easy);
+}
+
+void pool_call_end(struct pool_call *c, long status, const char *body,
+		   size_t len)
 {
+	if (c->done)
+		c->done(c, status, body, len);
 	*c->prev = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
-	curl_multi_remove_handle(c->p->curl, c->easy);
-	curl_easy_cleanup(c->easy);
+	if (c->easy)
+		keep_easy(c->p, c->easy);
 	curl_slist_free_all(c->headers);
 	free(c->request);
 	free(c->body);
@@ -192,9 +231,7 @@
 		if (msg->data.result == CURLE_OK)
 			curl_easy_getinfo(msg->easy_handle,
 					  CURLINFO_RESPONSE_CODE, &status);
-		if (c->done)
-			c->done(c, status, c->body, c->len);
-		free_call(c);
+		pool_call_end(c, status, c->body, c->len);
 	}
 }
 
--- a/pool-count.c
+++ b/pool-count.c
@@ -78,6 +78,8 @@
 	put_count(t, "watch_restarts_total", c->feed_restarts);
 	put_count(t, "target_calls_total", c->target_calls);
 	put_count(t, "target_calls_unanswered_total", c->target_unanswered);
+	put_count(t, "agent_calls_total", c->agent_calls);
+	put_count(t, "agent_calls_unanswered_total", c->agent_unanswered);
 	put_count(t, "links_total", c->links);
 	put_count(t, "pauses_total", c->pauses);
 	put_count(t, "takeovers_total", c->takeovers);
--- a/pool-link.c
+++ b/pool-link.c
@@ -170,6 +170,8 @@
 	hello.vm = p->set.vm_name;
 	hello.address = p->set.link;
 	hello.incarnation = p->incarnation;
+	hello.processor = (uint32_t)pool_processor(p);
+	hello.failure_domain = p->set.failure_domain;
 	hello.probe = probe;
 	frame.body_case = POOL_FRAME__BODY_HELLO;
 	frame.hello = &hello;
@@ -228,10 +230,12 @@
 
 int pool_links_init(struct pool *p)
 {
+	const char *address = p->set.link_listen[0] ? p->set.link_listen
+						    : p->set.link;
 	struct sockaddr_in sa;
 	int on = 1, fd;
 
-	if (pool_parse_address(p->set.link, &sa) < 0)
+	if (pool_parse_address(address, &sa) < 0)
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
@@ -241,7 +245,7 @@
 	p->listener.ready = on_accept;
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
 	    listen(fd, BACKLOG) < 0) {
-		log_error("start", p->set.link, "cannot listen: %s",
+		log_error("start", address, "cannot listen: %s",
 			  strerror(errno));
 		return -1;
 	}
--- a/pool-member.c
+++ b/pool-member.c
@@ -6,9 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BROKEN_MS 250 /* a member may come back within */
-#define SILENT_MS 500 /* a member is gone after */
-#define DIAL_MS 100   /* between attempts to reach the leader */
+#define BROKEN_MS 250	  /* a member may come back within */
+#define SILENT_MS 500	  /* a member is gone after */
+#define DIAL_MS 100	  /* between attempts to reach the leader */
+#define HAND_OVER_MS 1000 /* in office, before it is left to a larger VM */
+/* A VM with so many times the processor of this one is to lead. */
+#define LARGER 2
 
 static int is_me(const struct pool *p, const char *vm)
 {
@@ -17,14 +20,48 @@
 
 /* --- heartbeats ------------------------------------------------------ */
 
+int64_t pool_processor(const struct pool *p)
+{
+	return p->set.processor * p->set.speed / 1000;
+}
+
+/* The more processor the better, and best in another failure domain. */
+static int succeeds_before(const struct pool *p, const struct pool_member *a,
+			   const struct pool_member *b)
+{
+	if (a->processor != b->processor)
+		return a->processor > b->processor;
+	return strcmp(a->failure_domain, p->set.failure_domain) != 0 &&
+	       !strcmp(b->failure_domain, p->set.failure_domain);
+}
+
+static int is_among(char *const *names, size_t n, const char *vm)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (names[i] == vm)
+			return 1;
+	return 0;
+}
+
 static size_t list_successors(struct pool *p, char **names, size_t max)
 {
-	struct pool_member *m;
-	size_t n = 0;
+	size_t n;
 
-	for (m = p->members; m && n < max; m = m->next)
-		if (m->link)
-			names[n++] = m->vm;
+	for (n = 0; n < max; n++) {
+		struct pool_member *m, *best = NULL;
+
+		for (m = p->members; m; m = m->next) {
+			if (!m->link || is_among(names, n, m->vm))
+				continue;
+			if (!best || succeeds_before(p, m, best))
+				best = m;
+		}
+		if (!best)
+			break;
+		names[n] = best->vm;
+	}
 	return n;
 }
 
@@ -133,6 +170,7 @@
 		  LOG_TEXT("why", why));
 	sched_owner_gone(&p->sched, m, p->now);
 	p->sched_dirty = 1;
+	pool_agent_lost(p, m);
 	while (*at != m)
 		at = &(*at)->next;
 	*at = m->next;
@@ -157,6 +195,9 @@
 
 	str_copy(m->vm, sizeof(m->vm), str_of(hello->vm));
 	str_copy(m->address, sizeof(m->address), str_of(hello->address));
+	str_copy(m->failure_domain, sizeof(m->failure_domain),
+		 str_of(hello->failure_domain));
+	m->processor = hello->processor;
 	m->incarnation = hello->incarnation;
 	m->joined_at = p->now;
 	m->next = p->members;
@@ -319,6 +360,14 @@
 		if (l == p->to_leader)
 			pool_request_progress(p, frame->progress);
 		break;
+	case POOL_FRAME__BODY_CALL:
+		if (l == p->to_leader)
+			pool_agent_asked(p, frame->call);
+		break;
+	case POOL_FRAME__BODY_REPLY:
+		if (p->leading && l->member)
+			pool_agent_answered(p, l->member, frame->reply);
+		break;
 	default:
 		log_warn("link", l->peer, "frame of an unknown kind");
 	}
@@ -337,12 +386,31 @@
 			lead_refused(&p->lead, p->now);
 	}
 	if (l->member) {
+		pool_agent_lost(p, l->member);
 		l->member->link = NULL;
 		l->member->broken_at = p->now;
 		l->member = NULL;
 	}
 }
 
+/*
+ * A small VM that came into office when there was no other lets a larger one
+ * lead.
+ */
+static void hand_over(struct pool *p)
+{
+	char *first;
+
+	if (p->lead.resigning || lead_alone(&p->lead) ||
+	    p->now - p->sched.since < HAND_OVER_MS ||
+	    !list_successors(p, &first, 1) ||
+	    find_member(p, first)->processor < LARGER * pool_processor(p))
+		return;
+	LOG_EVENT(LOG_LEVEL_INFO, "hands_over", LOG_TEXT("successor", first),
+		  LOG_NUMBER("processor", pool_processor(p)));
+	lead_resign(&p->lead);
+}
+
 /* --- start and tick --------------------------------------------------- */
 
 int pool_members_init(struct pool *p)
@@ -357,8 +425,11 @@
 	check_leader_link(p);
 	dial_leader(p);
 	send_beats(p);
-	if (p->leading)
+	pool_agent_tick(p, now);
+	if (p->leading) {
 		tend_members(p);
+		hand_over(p);
+	}
 	pool_lead_tick(p, now);
 }
 
@@ -375,10 +446,13 @@
 {
 	struct pool_vm *vm;
 
-	p->lead.others = 0;
-	for (vm = p->vms; vm; vm = vm->next)
-		if (!is_me(p, vm->vm))
-			p->lead.others++;
+	p->lead.others = p->lead.larger = 0;
+	for (vm = p->vms; vm; vm = vm->next) {
+		if (is_me(p, vm->vm))
+			continue;
+		p->lead.others++;
+		p->lead.larger += vm->processor >= LARGER * pool_processor(p);
+	}
 }
 
 void pool_vm_listed(struct pool *p, const PoolHello *from)
@@ -395,6 +469,7 @@
 	}
 	str_copy(vm->vm, sizeof(vm->vm), str_of(from->vm));
 	str_copy(vm->address, sizeof(vm->address), str_of(from->address));
+	vm->processor = from->processor;
 	count_others(p);
 }
 
--- a/pool-setting.c
+++ b/pool-setting.c
@@ -15,7 +15,7 @@
 #define EXIT_SETTING 2
 #define OFFSET(member) offsetof(struct pool_settings, member)
 
-enum kind { NAME, ADDRESS, MS, LEVEL, ORDER, ADMIT, PLACE, MOVE };
+enum kind { NAME, ADDRESS, MS, CORES, LEVEL, ORDER, ADMIT, PLACE, MOVE };
 
 struct setting {
 	const char *name;
@@ -37,7 +37,13 @@
 	  "where metrics are served; none by default" },
 	{ "link", ADDRESS, 1, "", OFFSET(link),
 	  "where other entry VMs reach this one" },
+	{ "link-listen", ADDRESS, 0, "", OFFSET(link_listen),
+	  "where it listens for them; where they reach it by default" },
 	{ "store", ADDRESS, 1, "", OFFSET(store), "the platform's store" },
+	{ "processor", CORES, 0, "1", OFFSET(processor),
+	  "share of a processor that this VM has, cores" },
+	{ "processor-speed", CORES, 0, "1", OFFSET(speed),
+	  "how many times as fast as usual that processor is" },
 	{ "lease", MS, 0, "1000", OFFSET(hold_most),
 	  "longest lease that targets grant, ms" },
 	{ "grace", MS, 0, "5500", OFFSET(grace),
@@ -90,6 +96,17 @@
 	return 0;
 }
 
+static int set_cores(int64_t *thousandths, const char *text)
+{
+	char *end;
+	double n = strtod(text, &end);
+
+	if (!*text || *end || !(n >= 0.001 && n <= 1024))
+		return -1;
+	*thousandths = (int64_t)(n * 1000 + 0.5);
+	return 0;
+}
+
 /* Returns 0, or -1 when the value is not one. */
 static int set_value(struct pool_settings *set, const struct setting *def,
 		     const char *text)
@@ -100,6 +117,8 @@
 	switch (def->kind) {
 	case MS:
 		return set_ms((rp_ms *)(void *)field, text);
+	case CORES:
+		return set_cores((int64_t *)(void *)field, text);
 	case LEVEL:
 		return set_level((enum log_level *)(void *)field, text);
 	case ADDRESS:
--- a/pool-store.c
+++ b/pool-store.c
@@ -202,6 +202,8 @@
 	vm.vm = p->set.vm_name;
 	vm.address = p->set.link;
 	vm.incarnation = p->incarnation;
+	vm.processor = (uint32_t)pool_processor(p);
+	vm.failure_domain = p->set.failure_domain;
 	value.len = pool_hello__pack(&vm, packed);
 	snprintf(key, sizeof(key), "%s%s", VM_KEY, p->set.vm_name);
 	write_row(p,
--- a/pool-target.c
+++ b/pool-target.c
@@ -21,7 +21,7 @@
  * Targets answer within a few ms, so a lost call is soon known; a leader that
  * is slow itself must not take its own delay for that.
  */
-static rp_ms answer_within(const struct pool *p)
+rp_ms pool_answer_within(const struct pool *p)
 {
 	rp_ms ms = ANSWER_LEAST_MS + (rp_ms)(ANSWER_LAGS * p->lag);
 
@@ -39,16 +39,19 @@
 		.path = path,
 		.header = header,
 		.request = request,
-		.timeout = wait + answer_within(p),
+		.timeout = wait + pool_answer_within(p),
 		.fresh = t->unanswered > 0,
 		.done = done,
 	};
+	struct pool_member *agent;
 	struct pool_call *c;
 
 	snprintf(header, sizeof(header), "%s%s", PLATFORM_INCARNATION_HEADER,
 		 t->is.id);
 	p->count.target_calls++;
-	c = pool_call_begin(p, &spec);
+	agent = pool_agent_of(p, t);
+	c = agent ? pool_agent_call(p, agent, &spec, wait)
+		  : pool_call_begin(p, &spec);
 	c->user = t;
 	c->token = p->call_token;
 	return c;
--- a/pool.h
+++ b/pool.h
@@ -25,13 +25,16 @@
 struct pool_settings {
 	char vm_name[RP_NAME_MAX];
 	char failure_domain[RP_NAME_MAX];
-	char listen[RP_ADDRESS_MAX];  /* callers */
-	char ready[RP_ADDRESS_MAX];   /* readiness checks */
-	char metrics[RP_ADDRESS_MAX]; /* "": none */
-	char link[RP_ADDRESS_MAX];    /* other entry VMs */
-	char store[RP_ADDRESS_MAX];   /* the platform's store */
-	rp_ms hold_most;	      /* longest lease that targets grant */
-	rp_ms grace;		      /* from SIGTERM to the last answer */
+	char listen[RP_ADDRESS_MAX];	  /* callers */
+	char ready[RP_ADDRESS_MAX];	  /* readiness checks */
+	char metrics[RP_ADDRESS_MAX];	  /* "": none */
+	char link[RP_ADDRESS_MAX];	  /* other entry VMs */
+	char link_listen[RP_ADDRESS_MAX]; /* "": the same */
+	char store[RP_ADDRESS_MAX];	  /* the platform's store */
+	int64_t processor;		  /* thousandths of a core */
+	int64_t speed;			  /* of that core, thousandths */
+	rp_ms hold_most;		  /* longest lease that targets grant */
+	rp_ms grace;			  /* from SIGTERM to the last answer */
 	rp_ms rotation;		 /* until the balancer has seen it unready */
 	char order[RP_NAME_MAX]; /* policies of the scheduler */
 	char admit[RP_NAME_MAX];
@@ -81,6 +84,10 @@
 	char *request; /* body, owned; NULL: a GET */
 	char *body;
 	size_t len, cap;
+	/* Made by another VM; then there is no easy. */
+	struct pool_member *agent;
+	uint64_t seq;
+	rp_ms due; /* without a reply it is given up */
 	pool_call_done *done;
 	void *user;	/* of the caller */
 	uint64_t token; /* for pool_calls_cancel() */
@@ -91,6 +98,8 @@
 	struct pool_call *next, **prev;
 };
 
+#define POOL_EASIES 256 /* handles of curl kept for further calls */
+
 struct pool_call_spec {
 	const char *address;
 	const char *path;
@@ -102,6 +111,12 @@
 };
 
 int pool_calls_init(struct pool *p);
+/* A call that curl does not make. */
+struct pool_call *pool_call_new(struct pool *p,
+				const struct pool_call_spec *spec);
+/* Reports the answer and frees the call. */
+void pool_call_end(struct pool_call *c, long status, const char *body,
+		   size_t len);
 /* Returns the call, so that its user fields can be set. */
 struct pool_call *pool_call_begin(struct pool *p,
 				  const struct pool_call_spec *spec);
@@ -152,6 +167,8 @@
 	struct pool_member *next;
 	char vm[RP_NAME_MAX];
 	char address[RP_ADDRESS_MAX];
+	char failure_domain[RP_NAME_MAX];
+	int64_t processor; /* thousandths of a core */
 	uint64_t incarnation;
 	struct pool_link *link; /* NULL: broken */
 	rp_ms joined_at, broken_at;
@@ -164,8 +181,11 @@
 	struct pool_vm *next;
 	char vm[RP_NAME_MAX];
 	char address[RP_ADDRESS_MAX];
+	int64_t processor; /* thousandths of a core */
 };
 
+/* This VM's processor, thousandths of a usual core. */
+int64_t pool_processor(const struct pool *p);
 int pool_members_init(struct pool *p);
 void pool_members_tick(struct pool *p, rp_ms now);
 void pool_members_paused(struct pool *p, rp_ms now);
@@ -222,6 +242,25 @@
 /* Passes a target's entry to the scheduler, if the target is its to use. */
 void pool_sched_listed(struct pool *p, const struct sched_listing *l);
 
+/* A call to a target that is answered usually is within, ms. */
+rp_ms pool_answer_within(const struct pool *p);
+
+/* --- pool-agent.c: calls that other VMs make for the leader ----------- */
+
+/* Who is to call the target; NULL: this VM. */
+struct pool_member *pool_agent_of(struct pool *p, struct sched_target *t);
+/* As pool_call_begin(), by that VM; wait: the answer may take longer. */
+struct pool_call *pool_agent_call(struct pool *p, struct pool_member *m,
+				  const struct pool_call_spec *spec,
+				  rp_ms wait);
+/* Calls that the member was to make have no answer. */
+void pool_agent_lost(struct pool *p, struct pool_member *m);
+void pool_agent_tick(struct pool *p, rp_ms now);
+/* Frames: to this VM as an agent, and to the leader. */
+void pool_agent_asked(struct pool *p, const PoolCall *call);
+void pool_agent_answered(struct pool *p, struct pool_member *m,
+			 const PoolReply *reply);
+
 /* --- pool-request.c: callers' jobs ----------------------------------- */
 
 struct pool_request;
@@ -273,6 +312,7 @@
 struct pool_counters {
 	uint64_t requests, bad, not_found, rejected, answered, gone;
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
+	uint64_t agent_calls, agent_unanswered;
 	uint64_t links, pauses, takeovers, feed_restarts;
 	struct pool_histogram latency; /* of answers, ms */
 	struct pool_histogram lag;     /* of turns of the loop, ms */
@@ -314,6 +354,10 @@
 	CURLM *curl;
 	rp_ms curl_due; /* -1: none */
 	struct pool_call *calls;
+	CURL *idle[POOL_EASIES]; /* to be used again */
+	size_t nidle;
+	apr_hash_t *carried; /* seq -> call that an agent makes */
+	uint64_t call_seq;
 	uint64_t call_token;
 	struct pool_daemon servers[POOL_SERVERS];
 	struct pool_fd listener;
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &pool_leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_call__init
+                     (PoolCall         *message)
+{
+  static const PoolCall init_value = POOL_CALL__INIT;
+  *message = init_value;
+}
+size_t pool_call__get_packed_size
+                     (const PoolCall *message)
+{
+  assert(message->base.descriptor == &pool_call__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_call__pack
+                     (const PoolCall *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_call__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_call__pack_to_buffer
+                     (const PoolCall *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_call__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolCall *
+       pool_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolCall *)
+     protobuf_c_message_unpack (&pool_call__descriptor,
+                                allocator, len, data);
+}
+void   pool_call__free_unpacked
+                     (PoolCall *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_call__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_reply__init
+                     (PoolReply         *message)
+{
+  static const PoolReply init_value = POOL_REPLY__INIT;
+  *message = init_value;
+}
+size_t pool_reply__get_packed_size
+                     (const PoolReply *message)
+{
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_reply__pack
+                     (const PoolReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_reply__pack_to_buffer
+                     (const PoolReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolReply *
+       pool_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolReply *)
+     protobuf_c_message_unpack (&pool_reply__descriptor,
+                                allocator, len, data);
+}
+void   pool_reply__free_unpacked
+                     (PoolReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_frame__init
                      (PoolFrame         *message)
 {
@@ -1004,7 +1094,7 @@
   (ProtobufCMessageInit) pool_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[6] =
 {
   {
     "vm",
@@ -1054,17 +1144,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "processor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, processor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  5,   /* field[5] = failure_domain */
   2,   /* field[2] = incarnation */
   3,   /* field[3] = probe */
+  4,   /* field[4] = processor */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pool_hello__descriptor =
 {
@@ -1074,7 +1190,7 @@
   "PoolHello",
   "",
   sizeof(PoolHello),
-  4,
+  6,
   pool_hello__field_descriptors,
   pool_hello__field_indices_by_name,
   1,  pool_hello__number_ranges,
@@ -1351,7 +1467,200 @@
   (ProtobufCMessageInit) pool_leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pool_call__field_descriptors[7] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, header),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolCall, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_call__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  0,   /* field[0] = fence */
+  4,   /* field[4] = header */
+  3,   /* field[3] = path */
+  5,   /* field[5] = request */
+  1,   /* field[1] = seq */
+  6,   /* field[6] = wait_ms */
+};
+static const ProtobufCIntRange pool_call__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_call__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolCall",
+  "PoolCall",
+  "PoolCall",
+  "",
+  sizeof(PoolCall),
+  7,
+  pool_call__field_descriptors,
+  pool_call__field_indices_by_name,
+  1,  pool_call__number_ranges,
+  (ProtobufCMessageInit) pool_call__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_reply__field_descriptors[4] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_reply__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  0,   /* field[0] = fence */
+  1,   /* field[1] = seq */
+  2,   /* field[2] = status */
+};
+static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pool_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolReply",
+  "PoolReply",
+  "PoolReply",
+  "",
+  sizeof(PoolReply),
+  4,
+  pool_reply__field_descriptors,
+  pool_reply__field_indices_by_name,
+  1,  pool_reply__number_ranges,
+  (ProtobufCMessageInit) pool_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_frame__field_descriptors[8] =
 {
   {
     "hello",
@@ -1425,19 +1734,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "call",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, call),
+    &pool_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, reply),
+    &pool_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
   1,   /* field[1] = beat */
+  6,   /* field[6] = call */
   3,   /* field[3] = cancel */
   0,   /* field[0] = hello */
   5,   /* field[5] = progress */
+  7,   /* field[7] = reply */
   2,   /* field[2] = submit */
 };
 static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pool_frame__descriptor =
 {
@@ -1447,7 +1782,7 @@
   "PoolFrame",
   "",
   sizeof(PoolFrame),
-  6,
+  8,
   pool_frame__field_descriptors,
   pool_frame__field_indices_by_name,
   1,  pool_frame__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct PoolWaiting PoolWaiting;
 typedef struct PoolBeat PoolBeat;
 typedef struct PoolLeader PoolLeader;
+typedef struct PoolCall PoolCall;
+typedef struct PoolReply PoolReply;
 typedef struct PoolFrame PoolFrame;
 
 
@@ -205,10 +207,15 @@
    * only asks whether the receiver hears the leader
    */
   protobuf_c_boolean probe;
+  /*
+   * thousandths of a core
+   */
+  uint32_t processor;
+  char *failure_domain;
 };
 #define POOL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  PoolWaiting
@@ -276,6 +283,47 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An HTTP call that the leader has another VM make.
+ */
+struct  PoolCall
+{
+  ProtobufCMessage base;
+  /*
+   * the leader's
+   */
+  uint64_t fence;
+  uint64_t seq;
+  char *address;
+  char *path;
+  char *header;
+  ProtobufCBinaryData request;
+  /*
+   * the answer may take so much longer than usual
+   */
+  uint32_t wait_ms;
+};
+#define POOL_CALL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_call__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+struct  PoolReply
+{
+  ProtobufCMessage base;
+  uint64_t fence;
+  uint64_t seq;
+  /*
+   * 0: no answer came
+   */
+  uint32_t status;
+  ProtobufCBinaryData body;
+};
+#define POOL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_reply__descriptor) \
+    , 0, 0, 0, {0,NULL} }
+
+
 typedef enum {
   POOL_FRAME__BODY__NOT_SET = 0,
   POOL_FRAME__BODY_HELLO = 1,
@@ -283,7 +331,9 @@
   POOL_FRAME__BODY_SUBMIT = 3,
   POOL_FRAME__BODY_CANCEL = 4,
   POOL_FRAME__BODY_ANSWER = 5,
-  POOL_FRAME__BODY_PROGRESS = 6
+  POOL_FRAME__BODY_PROGRESS = 6,
+  POOL_FRAME__BODY_CALL = 7,
+  POOL_FRAME__BODY_REPLY = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
@@ -298,6 +348,8 @@
     PoolCancel *cancel;
     PoolAnswer *answer;
     PoolProgress *progress;
+    PoolCall *call;
+    PoolReply *reply;
   };
 };
 #define POOL_FRAME__INIT \
@@ -476,6 +528,44 @@
 void   pool_leader__free_unpacked
                      (PoolLeader *message,
                       ProtobufCAllocator *allocator);
+/* PoolCall methods */
+void   pool_call__init
+                     (PoolCall         *message);
+size_t pool_call__get_packed_size
+                     (const PoolCall   *message);
+size_t pool_call__pack
+                     (const PoolCall   *message,
+                      uint8_t             *out);
+size_t pool_call__pack_to_buffer
+                     (const PoolCall   *message,
+                      ProtobufCBuffer     *buffer);
+PoolCall *
+       pool_call__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_call__free_unpacked
+                     (PoolCall *message,
+                      ProtobufCAllocator *allocator);
+/* PoolReply methods */
+void   pool_reply__init
+                     (PoolReply         *message);
+size_t pool_reply__get_packed_size
+                     (const PoolReply   *message);
+size_t pool_reply__pack
+                     (const PoolReply   *message,
+                      uint8_t             *out);
+size_t pool_reply__pack_to_buffer
+                     (const PoolReply   *message,
+                      ProtobufCBuffer     *buffer);
+PoolReply *
+       pool_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_reply__free_unpacked
+                     (PoolReply *message,
+                      ProtobufCAllocator *allocator);
 /* PoolFrame methods */
 void   pool_frame__init
                      (PoolFrame         *message);
@@ -524,6 +614,12 @@
 typedef void (*PoolLeader_Closure)
                  (const PoolLeader *message,
                   void *closure_data);
+typedef void (*PoolCall_Closure)
+                 (const PoolCall *message,
+                  void *closure_data);
+typedef void (*PoolReply_Closure)
+                 (const PoolReply *message,
+                  void *closure_data);
 typedef void (*PoolFrame_Closure)
                  (const PoolFrame *message,
                   void *closure_data);
@@ -543,6 +639,8 @@
 extern const ProtobufCMessageDescriptor pool_waiting__descriptor;
 extern const ProtobufCMessageDescriptor pool_beat__descriptor;
 extern const ProtobufCMessageDescriptor pool_leader__descriptor;
+extern const ProtobufCMessageDescriptor pool_call__descriptor;
+extern const ProtobufCMessageDescriptor pool_reply__descriptor;
 extern const ProtobufCMessageDescriptor pool_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/scheduler.h
+++ b/scheduler.h
@@ -173,6 +173,7 @@
 
 struct sched_target {
 	struct sched *s;
+	void *user; /* the owner's */
 	struct sched_listing is;
 	enum sched_target_state state;
 	size_t index; /* in s->targets */
