--- a/pool-member.c
+++ b/pool-member.c
@@ -265,6 +265,7 @@
 	    is_me(p, p->lead.row.vm) || p->now < p->dial_at)
 		return;
 	p->dial_at = p->now + DIAL_MS;
+	p->mark = p->mark_told = 0; /* of a former link */
 	p->to_leader =
 		pool_link_dial(p, p->lead.row.vm, p->lead.row.address, 0);
 	if (p->to_leader)
@@ -353,12 +354,21 @@
 		p->sched_dirty = 1;
 		break;
 	case POOL_FRAME__BODY_ANSWER:
-		if (l == p->to_leader)
-			pool_request_answer(p, frame->answer);
+		if (l != p->to_leader)
+			break;
+		p->mark = frame->answer->mark;
+		pool_request_answer(p, frame->answer);
 		break;
 	case POOL_FRAME__BODY_PROGRESS:
-		if (l == p->to_leader)
-			pool_request_progress(p, frame->progress);
+		if (l != p->to_leader)
+			break;
+		p->mark = frame->progress->mark;
+		pool_request_progress(p, frame->progress);
+		break;
+	case POOL_FRAME__BODY_HEARD:
+		if (p->leading && l->member)
+			sched_heard(&p->sched, l->member, frame->heard->mark,
+				    p->now);
 		break;
 	case POOL_FRAME__BODY_CALL:
 		if (l == p->to_leader)
--- a/pool-relay.c
+++ b/pool-relay.c
@@ -89,35 +89,52 @@
 	str_copy(k->reason, sizeof(k->reason), str_of(answer->reason));
 }
 
-void pool_send_answer(struct pool *p, struct pool_member *m,
-		      const PoolAnswer *answer)
+uint64_t pool_send_answer(struct pool *p, struct pool_member *m,
+			  PoolAnswer *answer)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
 
 	if (m == &p->self) {
 		pool_request_answer(p, answer);
-		return;
+		return 0;
 	}
 	keep_answer(m, answer);
+	answer->mark = ++m->told;
 	if (!m->link)
-		return;
+		return m->told;
 	frame.body_case = POOL_FRAME__BODY_ANSWER;
-	frame.answer = (PoolAnswer *)answer;
+	frame.answer = answer;
 	pool_link_send(m->link, &frame);
+	return m->told;
 }
 
-void pool_send_progress(struct pool *p, struct pool_member *m,
-			const PoolProgress *progress)
+uint64_t pool_send_progress(struct pool *p, struct pool_member *m,
+			    PoolProgress *progress)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
 
 	if (m == &p->self) {
 		pool_request_progress(p, progress);
-		return;
+		return 0;
 	}
+	progress->mark = ++m->told;
 	if (!m->link)
-		return;
+		return m->told;
 	frame.body_case = POOL_FRAME__BODY_PROGRESS;
-	frame.progress = (PoolProgress *)progress;
+	frame.progress = progress;
 	pool_link_send(m->link, &frame);
+	return m->told;
+}
+
+void pool_send_heard(struct pool *p)
+{
+	PoolFrame frame = POOL_FRAME__INIT;
+	PoolHeard heard = POOL_HEARD__INIT;
+
+	if (!p->to_leader || p->mark == p->mark_told)
+		return;
+	heard.mark = p->mark_told = p->mark;
+	frame.body_case = POOL_FRAME__BODY_HEARD;
+	frame.heard = &heard;
+	pool_link_send(p->to_leader, &frame);
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -138,11 +138,12 @@
 	     platform_hold_body(until, s->fence, seen, wait), wait, on_held);
 }
 
-static void do_answer(struct sched *s, struct sched_job *job,
-		      const PoolAnswer *answer)
+static uint64_t do_answer(struct sched *s, struct sched_job *job,
+			  const PoolAnswer *answer)
 {
 	struct pool *p = pool_of(s);
 	struct pool_member *m = job->owner;
+	PoolAnswer told = *answer;
 	rp_ms waited =
 		(job->first_start ? job->first_start : s->now) - job->arrived;
 
@@ -166,22 +167,23 @@
 		  LOG_NUMBER("last_predicted_ms",
 			     (long long)job->last_expected),
 		  LOG_NUMBER("queued_jobs", (long long)s->njobs));
-	if (m)
-		pool_send_answer(p, m, answer);
+	if (!m)
+		return 0;
+	return pool_send_answer(p, m, &told);
 }
 
-static void do_progress(struct sched *s, struct sched_job *job,
-			const struct sched_task *task)
+static uint64_t do_progress(struct sched *s, struct sched_job *job,
+			    const struct sched_task *task)
 {
 	PoolProgress progress = POOL_PROGRESS__INIT;
 	uint32_t index = (uint32_t)(task - job->tasks);
 
 	if (!job->owner || job->ndone + 1 == job->ntasks)
-		return; /* the answer says it */
+		return 0; /* the answer says it */
 	progress.seq = job->seq;
 	progress.n_done = 1;
 	progress.done = &index;
-	pool_send_progress(pool_of(s), job->owner, &progress);
+	return pool_send_progress(pool_of(s), job->owner, &progress);
 }
 
 /* Settled at the end of the turn: the scheduler is still at work. */
--- a/pool.h
+++ b/pool.h
@@ -172,6 +172,7 @@
 	uint64_t incarnation;
 	struct pool_link *link; /* NULL: broken */
 	rp_ms joined_at, broken_at;
+	uint64_t told; /* mark of the latest message to it */
 	struct pool_kept kept[POOL_ANSWERS];
 	size_t nkept;
 };
@@ -202,10 +203,13 @@
 void pool_send_submit(struct pool *p, PoolSubmit *sub);
 void pool_send_cancel(struct pool *p, uint64_t seq);
 /* From this leader to the owner of a job. */
-void pool_send_answer(struct pool *p, struct pool_member *m,
-		      const PoolAnswer *answer);
-void pool_send_progress(struct pool *p, struct pool_member *m,
-			const PoolProgress *progress);
+/* Return the mark of the message, or 0 where it is there at once. */
+uint64_t pool_send_answer(struct pool *p, struct pool_member *m,
+			  PoolAnswer *answer);
+uint64_t pool_send_progress(struct pool *p, struct pool_member *m,
+			    PoolProgress *progress);
+/* Tells the leader what was heard from it; once a turn. */
+void pool_send_heard(struct pool *p);
 void pool_send_beat(struct pool *p, struct pool_link *l);
 /* Dials all other entry VMs that the store names, to ask or to tell. */
 void pool_dial_all(struct pool *p, int tell);
@@ -289,6 +293,8 @@
 void pool_request_progress(struct pool *p, const PoolProgress *progress);
 /* Hands all open jobs to another leader. */
 void pool_requests_resubmit(struct pool *p);
+/* Gives up all open requests: this VM is about to end. */
+void pool_requests_end(struct pool *p);
 void pool_requests_tick(struct pool *p, rp_ms now);
 
 /* --- pool-serve.c: HTTP servers -------------------------------------- */
@@ -372,6 +378,8 @@
 	struct pool_member *members;
 	struct pool_member self;
 	PoolBeat *heard; /* the leader's latest */
+	uint64_t mark;	 /* of its latest message */
+	uint64_t mark_told;
 	struct lead lead;
 	struct sched sched;
 	int leading;	      /* sched is in use */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &pool_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_heard__init
+                     (PoolHeard         *message)
+{
+  static const PoolHeard init_value = POOL_HEARD__INIT;
+  *message = init_value;
+}
+size_t pool_heard__get_packed_size
+                     (const PoolHeard *message)
+{
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_heard__pack
+                     (const PoolHeard *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_heard__pack_to_buffer
+                     (const PoolHeard *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolHeard *
+       pool_heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolHeard *)
+     protobuf_c_message_unpack (&pool_heard__descriptor,
+                                allocator, len, data);
+}
+void   pool_heard__free_unpacked
+                     (PoolHeard *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_cancel__init
                      (PoolCancel         *message)
 {
@@ -896,7 +941,7 @@
   (ProtobufCMessageInit) pool_submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_progress__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pool_progress__field_descriptors[3] =
 {
   {
     "seq",
@@ -922,15 +967,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mark",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_progress__field_indices_by_name[] = {
   1,   /* field[1] = done */
+  2,   /* field[2] = mark */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor pool_progress__descriptor =
 {
@@ -940,13 +998,51 @@
   "PoolProgress",
   "",
   sizeof(PoolProgress),
-  2,
+  3,
   pool_progress__field_descriptors,
   pool_progress__field_indices_by_name,
   1,  pool_progress__number_ranges,
   (ProtobufCMessageInit) pool_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pool_heard__field_descriptors[1] =
+{
+  {
+    "mark",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHeard, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_heard__field_indices_by_name[] = {
+  0,   /* field[0] = mark */
+};
+static const ProtobufCIntRange pool_heard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pool_heard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolHeard",
+  "PoolHeard",
+  "PoolHeard",
+  "",
+  sizeof(PoolHeard),
+  1,
+  pool_heard__field_descriptors,
+  pool_heard__field_indices_by_name,
+  1,  pool_heard__number_ranges,
+  (ProtobufCMessageInit) pool_heard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pool_cancel__field_descriptors[1] =
 {
   {
@@ -1017,7 +1113,7 @@
   pool_answer__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor pool_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pool_answer__field_descriptors[5] =
 {
   {
     "seq",
@@ -1067,8 +1163,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mark",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_answer__field_indices_by_name[] = {
+  4,   /* field[4] = mark */
   1,   /* field[1] = outcome */
   3,   /* field[3] = reason */
   2,   /* field[2] = retry_after_ms */
@@ -1077,7 +1186,7 @@
 static const ProtobufCIntRange pool_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pool_answer__descriptor =
 {
@@ -1087,7 +1196,7 @@
   "PoolAnswer",
   "",
   sizeof(PoolAnswer),
-  4,
+  5,
   pool_answer__field_descriptors,
   pool_answer__field_indices_by_name,
   1,  pool_answer__number_ranges,
@@ -1660,7 +1769,7 @@
   (ProtobufCMessageInit) pool_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pool_frame__field_descriptors[9] =
 {
   {
     "hello",
@@ -1758,12 +1867,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, heard),
+    &pool_heard__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
   1,   /* field[1] = beat */
   6,   /* field[6] = call */
   3,   /* field[3] = cancel */
+  8,   /* field[8] = heard */
   0,   /* field[0] = hello */
   5,   /* field[5] = progress */
   7,   /* field[7] = reply */
@@ -1772,7 +1894,7 @@
 static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool_frame__descriptor =
 {
@@ -1782,7 +1904,7 @@
   "PoolFrame",
   "",
   sizeof(PoolFrame),
-  8,
+  9,
   pool_frame__field_descriptors,
   pool_frame__field_indices_by_name,
   1,  pool_frame__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct PoolStep PoolStep;
 typedef struct PoolSubmit PoolSubmit;
 typedef struct PoolProgress PoolProgress;
+typedef struct PoolHeard PoolHeard;
 typedef struct PoolCancel PoolCancel;
 typedef struct PoolAnswer PoolAnswer;
 typedef struct PoolHello PoolHello;
@@ -162,10 +163,24 @@
   uint64_t seq;
   size_t n_done;
   uint32_t *done;
+  uint64_t mark;
 };
 #define POOL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_progress__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
+
+
+/*
+ * The sender has what the leader told it up to the mark.
+ */
+struct  PoolHeard
+{
+  ProtobufCMessage base;
+  uint64_t mark;
+};
+#define POOL_HEARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_heard__descriptor) \
+    , 0 }
 
 
 struct  PoolCancel
@@ -188,10 +203,14 @@
    */
   uint32_t retry_after_ms;
   char *reason;
+  /*
+   * of this message, for PoolHeard; 0: none
+   */
+  uint64_t mark;
 };
 #define POOL_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_answer__descriptor) \
-    , 0, POOL_ANSWER__OUTCOME__COMPLETED, 0, (char *)protobuf_c_empty_string }
+    , 0, POOL_ANSWER__OUTCOME__COMPLETED, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -333,7 +352,8 @@
   POOL_FRAME__BODY_ANSWER = 5,
   POOL_FRAME__BODY_PROGRESS = 6,
   POOL_FRAME__BODY_CALL = 7,
-  POOL_FRAME__BODY_REPLY = 8
+  POOL_FRAME__BODY_REPLY = 8,
+  POOL_FRAME__BODY_HEARD = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
@@ -350,6 +370,7 @@
     PoolProgress *progress;
     PoolCall *call;
     PoolReply *reply;
+    PoolHeard *heard;
   };
 };
 #define POOL_FRAME__INIT \
@@ -414,6 +435,25 @@
 void   pool_progress__free_unpacked
                      (PoolProgress *message,
                       ProtobufCAllocator *allocator);
+/* PoolHeard methods */
+void   pool_heard__init
+                     (PoolHeard         *message);
+size_t pool_heard__get_packed_size
+                     (const PoolHeard   *message);
+size_t pool_heard__pack
+                     (const PoolHeard   *message,
+                      uint8_t             *out);
+size_t pool_heard__pack_to_buffer
+                     (const PoolHeard   *message,
+                      ProtobufCBuffer     *buffer);
+PoolHeard *
+       pool_heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_heard__free_unpacked
+                     (PoolHeard *message,
+                      ProtobufCAllocator *allocator);
 /* PoolCancel methods */
 void   pool_cancel__init
                      (PoolCancel         *message);
@@ -596,6 +636,9 @@
 typedef void (*PoolProgress_Closure)
                  (const PoolProgress *message,
                   void *closure_data);
+typedef void (*PoolHeard_Closure)
+                 (const PoolHeard *message,
+                  void *closure_data);
 typedef void (*PoolCancel_Closure)
                  (const PoolCancel *message,
                   void *closure_data);
@@ -632,6 +675,7 @@
 extern const ProtobufCMessageDescriptor pool_step__descriptor;
 extern const ProtobufCMessageDescriptor pool_submit__descriptor;
 extern const ProtobufCMessageDescriptor pool_progress__descriptor;
+extern const ProtobufCMessageDescriptor pool_heard__descriptor;
 extern const ProtobufCMessageDescriptor pool_cancel__descriptor;
 extern const ProtobufCMessageDescriptor pool_answer__descriptor;
 extern const ProtobufCEnumDescriptor    pool_answer__outcome__descriptor;
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -321,6 +321,7 @@
 	world_run(&w, w.now + 600); /* idle, its ends acknowledged */
 	for (i = 0; i < 2; i++)
 		world_reborn(&w, &w.targets[i]);
+	world_run(&w, w.now + 60);
 	job = world_submit(&w, "q", 4, 250, 1, 3000);
 	world_run(&w, w.now + 100);
 	for (i = 0; i < 2; i++)
@@ -346,6 +347,7 @@
 	world_run(&w, w.now + 600);
 	for (i = 0; i < 2; i++)
 		world_reborn(&w, &w.targets[i]);
+	world_run(&w, w.now + 60);
 	job = world_submit(&w, "q", 4, 1, 1, 3000);
 	world_run(&w, w.now + 1000);
 	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
@@ -366,7 +368,7 @@
 	world_reborn(&w, &w.targets[0]);
 	snprintf(w.targets[0].is.address, RP_ADDRESS_MAX, "10.0.1.1:1");
 	sched_listed(&first, &w.targets[0].is, w.now);
-	world_run(&w, w.now + 10);
+	world_run(&w, w.now + 300);
 	job = world_submit(&w, "q", 1, 200, 1, 3000);
 	world_run(&w, w.now + 50);
 	t = sched_find_target(&first, "t0");
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -181,6 +181,69 @@
 	end();
 }
 
+/*
+ * Found by the soak: a leader acknowledged an end, and what it told the job's
+ * owner was lost with it. The next leader started the task again.
+ */
+Test(sched_takeover, ends_that_owners_have_not_heard_of_stay_listed)
+{
+	struct world_job *job;
+
+	begin(4);
+	job = world_submit(&w, "q", 4, 100, 1, 1500);
+	world_submit(&w, "q", 4, 400, 1, 1500);
+	w.deaf = 1;
+	world_run(&w, w.now + 250);
+	cr_assert(!job->answered);
+	take_over(LEAD_TOKEN(2));
+	w.deaf = 0;
+	world_run(&w, w.now + 1300);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 8);
+	end();
+}
+
+/* The same where only the owner's connection was lost, and then the leader. */
+Test(sched_takeover, owners_are_told_again_over_another_connection)
+{
+	struct world_job *job;
+
+	begin(4);
+	job = world_submit(&w, "q", 2, 100, 1, 1500);
+	world_submit(&w, "q", 4, 400, 1, 1500);
+	w.targets[0].stuck = 1; /* one task stays */
+	w.deaf = 1;
+	world_run(&w, w.now + 250);
+	w.deaf = 0;
+	cr_assert_eq(job->sub->n_done, 0);
+	sched_submit(&first, job, job->sub, w.now);
+	cr_assert_eq(job->sub->n_done, 1);
+	end();
+}
+
+/* Owners that have heard, or are gone, hold nothing back. */
+Test(sched_takeover, ends_are_acknowledged_once_owners_have_heard)
+{
+	struct world_job *job, *gone;
+	size_t i, left = 0;
+
+	begin(4);
+	job = world_submit(&w, "q", 2, 100, 1, 1500);
+	gone = world_submit(&w, "q", 2, 100, 1, 1500);
+	w.deaf = 1;
+	world_run(&w, w.now + 300);
+	for (i = 0; i < 4; i++)
+		left += w.targets[i].nends;
+	cr_assert_eq(left, 4);
+	sched_heard(&first, job, w.mark, w.now);
+	sched_owner_gone(&first, gone, w.now);
+	world_run(&w, w.now + 600);
+	for (i = 0; i < 4; i++)
+		cr_assert_eq(w.targets[i].nends, 0);
+	end();
+}
+
 /* The old leader wakes and tries to go on: the targets refuse it. */
 Test(sched_takeover, an_old_leader_is_fenced)
 {
--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define RESTART_MS 50 /* until another incarnation answers */
+
 static struct world_run *find_run(struct world_target *t, const char *task,
 				  uint32_t run)
 {
@@ -209,5 +211,6 @@
 	t->lease_until = 0;
 	apr_hash_clear(t->past);
 	t->is.born++;
+	t->back_at = w->now + RESTART_MS;
 	world_break_calls(w, t);
 }
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -167,7 +167,7 @@
 	const char *reason = "";
 	int status;
 
-	if (t->dark) {
+	if (t->dark || w->now < t->back_at) {
 		answer(w, e, 0, "");
 		return;
 	}
@@ -274,19 +274,22 @@
 	}
 }
 
-static void on_answer(struct sched *s, struct sched_job *job,
-		      const PoolAnswer *a)
+static uint64_t on_answer(struct sched *s, struct sched_job *job,
+			  const PoolAnswer *a)
 {
 	struct world *w = s->user;
 	struct world_job *j = job->owner;
 
 	if (!j || s != w->s)
-		return;
+		return 0;
+	if (w->deaf)
+		return ++w->mark;
 	if (j->answered)
 		world_violated(w, "answered twice", j->sub->id);
 	j->answered = 1;
 	j->outcome = a->outcome;
 	count_answer(w, j);
+	return 0;
 }
 
 static void on_fenced(struct sched *s, struct sched_target *t)
@@ -303,17 +306,19 @@
 	(void)t;
 }
 
-static void on_progress(struct sched *s, struct sched_job *job,
-			const struct sched_task *task)
+static uint64_t on_progress(struct sched *s, struct sched_job *job,
+			    const struct sched_task *task)
 {
 	struct world_job *j = job->owner;
 	PoolSubmit *sub = j ? j->sub : NULL;
 
-	(void)s;
 	if (!sub)
-		return;
+		return 0;
+	if (((struct world *)s->user)->deaf)
+		return ++((struct world *)s->user)->mark;
 	sub->done = realloc(sub->done, (sub->n_done + 1) * sizeof(*sub->done));
 	sub->done[sub->n_done++] = (uint32_t)(task - job->tasks);
+	return 0;
 }
 
 static void on_note(struct sched *s, const char *what,
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -40,6 +40,7 @@
 	double speed;
 	double slowed; /* work takes so many times as long; 1: as usual */
 	int dark;      /* answers nothing, runs on */
+	rp_ms back_at; /* answers nothing until then */
 	int failing;   /* share of runs that fail, percent */
 	int stuck;     /* runs make no progress */
 	int lose;      /* share of calls done without an answer, percent */
@@ -105,6 +106,8 @@
 	size_t njobs;
 	struct world_outcomes out;
 	rp_ms delay; /* one way to a target */
+	int deaf;    /* owners hear nothing of what they are told */
+	uint64_t mark;
 	int violations;
 	char first[256]; /* the first violation */
 	int fenced;
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -8,9 +8,6 @@
 
 #include "scheduler.h"
 
-#include <math.h>
-#include <string.h>
-
 #define FILL_MOST 0.9
 #define FILL_LEAST 0.3
 #define FILL_UP 0.002
@@ -35,21 +32,28 @@
 	s->fill -= FILL_DOWN * (s->fill - FILL_LEAST);
 }
 
-/* Work done in a ms by the targets of the service, thousandths of a core. */
+/* Work done in a ms by the targets that suit, thousandths of a core. */
 static double rate_of(struct sched *s, const struct sched_job *job, int *suits)
 {
+	const struct sched_step *step = &job->steps[0];
+	const struct sched_service *all = sched_sums(s, job->service);
 	double rate = 0;
 	size_t i;
 
+	if (!step->label[0]) {
+		*suits = all->any && step->need.cpu <= all->most.cpu &&
+			 step->need.memory <= all->most.memory &&
+			 step->need.accelerators <= all->most.accelerators;
+		return s->fill * all->rate;
+	}
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
 
 		if (!sched_target_open(t, s->now) ||
-		    !sched_target_suits(t, job, &job->steps[0]))
+		    !sched_target_suits(t, job, step))
 			continue;
 		*suits = 1;
-		rate += s->fill * (double)t->is.capacity.cpu *
-			exp(-t->log_slow);
+		rate += s->fill * (double)t->is.capacity.cpu / t->slow;
 	}
 	return rate;
 }
@@ -97,14 +101,14 @@
 	}
 	if (job->useful_until - s->now <
 	    (rp_ms)(sched_job_chain(job) *
-		    exp(sched_fastest(s, job->service)))) {
+		    sched_sums(s, job->service)->fastest)) {
 		*reason = "it cannot end before its deadline";
 		return 0;
 	}
 	for (j = s->jobs; j; j = j->next) {
 		double work;
 
-		if (strcmp(j->service, job->service) != 0)
+		if (j->service != job->service)
 			continue;
 		if (j == job) {
 			behind = 1;
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -14,6 +14,7 @@
 #include "scheduler.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define ADOPT_MS 300	 /* entry VMs hand over within */
 #define HANDOVER_MS 1000 /* a job that comes later had another leader since */
@@ -38,35 +39,6 @@
 	return o;
 }
 
-void sched_adopt_list(struct sched_target *t, const struct sched_look *look)
-{
-	struct sched *s = t->s;
-	struct sched_job *job, *next;
-	size_t i;
-
-	t->taken = 1;
-	t->adopt_until = s->now + ADOPT_MS;
-	free(t->orphans);
-	t->norphans = 0;
-	t->orphans = calloc(look->nruns + look->nends + 1, sizeof(*t->orphans));
-	for (i = 0; i < look->nruns; i++)
-		add_orphan(t, look->runs[i].task, look->runs[i].run);
-	for (i = 0; i < look->nends; i++) {
-		struct sched_orphan *o =
-			add_orphan(t, look->ends[i].task, look->ends[i].run);
-
-		if (!o)
-			continue;
-		o->ended = 1;
-		o->how = look->ends[i].how;
-	}
-	for (job = s->jobs; job; job = next) {
-		next = job->next;
-		if (job->former)
-			sched_adopt_job(job);
-	}
-}
-
 static void drop_orphan(struct sched_target *t, size_t i)
 {
 	t->orphans[i] = t->orphans[--t->norphans];
@@ -77,6 +49,7 @@
 		       const struct sched_orphan *o)
 {
 	struct sched_job *job = task->job;
+	void *owner = job->owner;
 	int last;
 
 	if (job->run <= o->run)
@@ -85,15 +58,18 @@
 		job->first_start = job->s->now;
 		job->queue->waiting--;
 	}
-	if (!o->ended) {
+	if (!o->number) {
 		sched_run_adopt(task, t, o->run);
 		return 0;
 	}
-	if (o->how != SCHED_END_DONE)
+	if (o->how != SCHED_END_DONE) {
+		sched_told_set(t, o->number, job->owner, 0);
 		return 0;
+	}
 	job->nwaiting--;
 	last = job->ndone + 1 == job->ntasks;
-	sched_task_done(task); /* the last one's answer may free the job */
+	/* The last one's answer may free the job. */
+	sched_told_set(t, o->number, owner, sched_task_done(task));
 	return last;
 }
 
@@ -107,6 +83,59 @@
 	return NULL;
 }
 
+/* The id is what comes before the first dot of a task's name. */
+static struct rp_str id_of(const struct sched_orphan *o)
+{
+	struct rp_str id = { o->name, strcspn(o->name, ".") };
+
+	return id;
+}
+
+/* Finds the jobs of what the target has, where they are here already. */
+static void adopt_target(struct sched_target *t)
+{
+	size_t j;
+
+	for (j = t->norphans; j-- > 0;) {
+		struct sched_orphan o = t->orphans[j];
+		struct sched_job *job = sched_open_job(t->s, id_of(&o));
+		struct sched_task *task;
+
+		if (!job || !job->former)
+			continue;
+		task = task_named(job, o.name);
+		drop_orphan(t, j);
+		if (task && task->state == SCHED_WAITING)
+			take_orphan(task, t, &o);
+		else
+			sched_told_set(t, o.number, NULL, 0);
+	}
+}
+
+void sched_adopt_list(struct sched_target *t, const struct sched_look *look)
+{
+	size_t i;
+
+	t->taken = 1;
+	t->adopt_until = t->s->now + ADOPT_MS;
+	free(t->orphans);
+	t->norphans = 0;
+	t->orphans = calloc(look->nruns + look->nends + 1, sizeof(*t->orphans));
+	for (i = 0; i < look->nruns; i++)
+		add_orphan(t, look->runs[i].task, look->runs[i].run);
+	for (i = 0; i < look->nends; i++) {
+		struct sched_orphan *o =
+			add_orphan(t, look->ends[i].task, look->ends[i].run);
+
+		if (!o)
+			continue;
+		o->number = look->ends[i].number;
+		o->how = look->ends[i].how;
+		sched_told_keep(t, o->number);
+	}
+	adopt_target(t);
+}
+
 void sched_adopt_job(struct sched_job *job)
 {
 	struct sched *s = job->s;
@@ -121,13 +150,15 @@
 
 		for (j = t->norphans; j-- > 0;) {
 			struct sched_orphan o = t->orphans[j];
-			struct sched_task *task = task_named(job, o.name);
+			struct sched_task *task;
 
-			if (!task)
+			if (!str_eq(id_of(&o), str_of(job->id)))
 				continue;
+			task = task_named(job, o.name);
 			drop_orphan(t, j);
-			if (task->state == SCHED_WAITING &&
-			    take_orphan(task, t, &o))
+			if (!task || task->state != SCHED_WAITING)
+				sched_told_set(t, o.number, NULL, 0);
+			else if (take_orphan(task, t, &o))
 				return;
 		}
 	}
@@ -140,8 +171,10 @@
 	for (i = 0; i < t->norphans; i++) {
 		const struct sched_orphan *o = &t->orphans[i];
 
-		if (o->ended)
+		if (o->number) {
+			sched_told_set(t, o->number, NULL, 0);
 			continue;
+		}
 		t->s->count.orphans++;
 		t->s->ops->stop(t->s, t, str_of(o->name), o->run);
 	}
@@ -172,8 +205,7 @@
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
 
-		if (!t->taken &&
-		    str_eq(str_of(t->is.service), str_of(job->service)))
+		if (!t->taken && t->service == job->service)
 			return 0;
 	}
 	return 1;
--- a/sched-core.c
+++ b/sched-core.c
@@ -60,6 +60,8 @@
 	s->queues = hash_new(s->pool);
 	s->by_id = hash_new(s->pool);
 	s->past = hash_new(s->pool);
+	s->services = hash_new(s->pool);
+	s->open = hash_new(s->pool);
 	s->past_last = &s->past_first;
 	return find_policies(s, policies);
 }
@@ -94,6 +96,7 @@
 static void free_target(struct sched_target *t)
 {
 	free(t->orphans);
+	free(t->told);
 	free(t);
 }
 
@@ -143,35 +146,43 @@
  * earlier submission ends, and the new one starts nothing until its runs are
  * over.
  */
-static void supersede(struct sched_job *job)
+static void supersede(struct sched_job *job, struct sched_job *other)
 {
-	struct sched_job *other, *next;
-
-	for (other = job->s->jobs; other; other = next) {
-		next = other->next;
-		if (other != job && !strcmp(other->id, job->id))
-			sched_job_answer(other,
-					 POOL_ANSWER__OUTCOME__INCOMPLETE,
-					 "submitted again", 0);
-	}
+	if (other)
+		sched_job_answer(other, POOL_ANSWER__OUTCOME__INCOMPLETE,
+				 "submitted again", 0);
 	job->again = earlier_runs(job);
 	sched_job_recall(job);
 }
 
+/*
+ * The owner's connection broke, and messages may be lost with it; what comes
+ * after these tells that it has all of them.
+ */
+static void tell_again(struct sched_job *job)
+{
+	size_t i;
+
+	for (i = 0; i < job->ntasks; i++)
+		if (job->tasks[i].state == SCHED_DONE)
+			job->s->ops->progress(job->s, job, &job->tasks[i]);
+}
+
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now)
 {
-	struct sched_job *job;
+	struct sched_job *other = sched_open_job(s, str_of(sub->id)), *job;
 	const char *reason;
 	rp_ms retry_after;
 
 	s->now = now;
-	/* Sent again after a connection broke: it is being worked on. */
-	if (find_job(s, owner, sub->seq))
+	if (other && other->owner == owner && other->seq == sub->seq) {
+		tell_again(other);
 		return;
+	}
 	job = sched_job_new(s, owner, sub, now);
 	s->count.jobs++;
-	supersede(job);
+	supersede(job, other);
 	if (job->former || job->ndone) {
 		sched_adopt_job(job);
 		return;
@@ -209,6 +220,7 @@
 		if (job->owner == owner)
 			drop(job);
 	}
+	sched_told_drop(s, owner);
 }
 
 /* Ends jobs whose time is over. */
@@ -284,6 +296,7 @@
 		return NULL;
 	t->s = s;
 	t->is = *l;
+	t->service = sched_service_of(s, l->service);
 	t->life = l->born;
 	t->life_at = s->now;
 	t->answered_at = s->now;
@@ -312,6 +325,7 @@
 	again = (t->is.born != l->born && t->life != l->born) ||
 		strcmp(t->is.address, l->address) != 0;
 	t->is = *l;
+	t->service = sched_service_of(s, l->service);
 	t->listed = 1;
 	if (again)
 		sched_target_reborn(t, l->born);
@@ -369,6 +383,7 @@
 	if (s->pumping)
 		return;
 	s->pumping = 1;
+	s->turn++;
 	for (behind = 0; behind <= 1; behind++)
 		for (job = s->jobs; job; job = next) {
 			next = job->next;
--- a/sched-job.c
+++ b/sched-job.c
@@ -169,6 +169,28 @@
 	job->specification.len = sub->specification.len;
 }
 
+struct sched_job *sched_open_job(struct sched *s, struct rp_str id)
+{
+	return apr_hash_get(s->open, id.ptr, (apr_ssize_t)id.len);
+}
+
+static void close_job(const struct sched_job *job)
+{
+	struct rp_str id = str_of(job->id);
+
+	if (sched_open_job(job->s, id) == job)
+		apr_hash_set(job->s->open, id.ptr, (apr_ssize_t)id.len, NULL);
+}
+
+static void open_job(struct sched_job *job)
+{
+	struct rp_str id = str_of(job->id);
+
+	/* The table keeps the key that it was first given: the other job's. */
+	apr_hash_set(job->s->open, id.ptr, (apr_ssize_t)id.len, NULL);
+	apr_hash_set(job->s->open, id.ptr, (apr_ssize_t)id.len, job);
+}
+
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now)
 {
@@ -179,7 +201,7 @@
 	job->owner = owner;
 	job->seq = sub->seq;
 	snprintf(job->id, sizeof(job->id), "%s", sub->id);
-	snprintf(job->service, sizeof(job->service), "%s", sub->service);
+	job->service = sched_service_of(s, sub->service);
 	copy_specification(job, sub);
 	job->priority = sub->priority;
 	job->max_attempts = sub->max_attempts ? sub->max_attempts : 1;
@@ -201,6 +223,7 @@
 	job->queue->waiting++;
 	sched_learn_job(job);
 	queue_insert(job);
+	open_job(job);
 	s->njobs++;
 	sched_job_place(job);
 	return job;
@@ -236,11 +259,12 @@
 	}
 }
 
-void sched_job_answer(struct sched_job *job, PoolAnswer__Outcome outcome,
-		      const char *reason, rp_ms retry_after)
+uint64_t sched_job_answer(struct sched_job *job, PoolAnswer__Outcome outcome,
+			  const char *reason, rp_ms retry_after)
 {
 	struct sched *s = job->s;
 	PoolAnswer answer = POOL_ANSWER__INIT;
+	uint64_t mark;
 	size_t i;
 
 	answer.seq = job->seq;
@@ -252,16 +276,18 @@
 		job->queue->waiting--;
 	sched_past_keep(job);
 	queue_unlink(job);
+	close_job(job);
 	job->answered = 1;
 	job->next = s->closed;
 	if (job->next)
 		job->next->prev = job;
 	s->closed = job;
 	s->njobs--;
-	s->ops->answer(s, job, &answer);
+	mark = s->ops->answer(s, job, &answer);
 	job->owner = NULL;
 	for (i = 0; i < job->ntasks; i++)
 		if (job->tasks[i].target)
 			sched_run_stop(&job->tasks[i]);
 	sched_job_reap(job);
+	return mark;
 }
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -96,6 +96,14 @@
 	q->log_bias += gain * (work - job->log_guess - q->log_bias);
 }
 
+static void set_slow(struct sched_target *t, double log_slow)
+{
+	if (fabs(log_slow) > MOST_LOG)
+		log_slow = copysign(MOST_LOG, log_slow);
+	t->log_slow = log_slow;
+	t->slow = exp(log_slow);
+}
+
 /* What the whole run would take, seen once for each run. */
 static void observe(struct sched_task *task, double whole)
 {
@@ -114,12 +122,10 @@
 		t->log_base = t->log_slow;
 	}
 	gain = t->slow_var / var;
-	t->log_slow += gain * error;
+	set_slow(t, t->log_slow + gain * error);
 	t->slow_var *= 1 - gain;
 	if (t->slow_var < TARGET_LEAST)
 		t->slow_var = TARGET_LEAST;
-	if (fabs(t->log_slow) > MOST_LOG)
-		t->log_slow = copysign(MOST_LOG, t->log_slow);
 	t->slow_at = t->s->now;
 	gain = job->work_var / var;
 	scale_work(job, gain * error);
@@ -180,7 +186,7 @@
 	mean /= (double)s->ntargets;
 	for (i = 0; i < s->ntargets; i++) {
 		s->targets[i]->log_base -= mean;
-		s->targets[i]->log_slow -= mean;
+		set_slow(s->targets[i], s->targets[i]->log_slow - mean);
 	}
 	for (h = apr_hash_first(NULL, s->queues); h; h = apr_hash_next(h)) {
 		struct sched_queue *q;
@@ -194,6 +200,7 @@
 
 void sched_learn_target(struct sched_target *t)
 {
+	set_slow(t, t->log_slow);
 	t->slow_var = TARGET_VAR;
 	t->slow_at = t->s->now;
 }
@@ -207,7 +214,8 @@
 		struct sched_target *t = s->targets[i];
 
 		if (s->now - t->slow_at > UNSEEN_MS)
-			t->log_slow += DECAY * (t->log_base - t->log_slow);
+			set_slow(t, t->log_slow + DECAY * (t->log_base -
+							   t->log_slow));
 		if (!t->nruns)
 			t->failing *= 1 - FAIL_DECAY;
 	}
--- a/sched-move.c
+++ b/sched-move.c
@@ -78,7 +78,7 @@
 /* Whether the job cannot be of use any more, wherever its tasks run. */
 static int is_hopeless(const struct sched_job *job)
 {
-	double fast = exp(sched_fastest(job->s, job->service));
+	double fast = sched_sums(job->s, job->service)->fastest;
 	double left = (double)(job->useful_until - job->s->now);
 	size_t i;
 
--- a/sched-place.c
+++ b/sched-place.c
@@ -19,18 +19,29 @@
 #define PROBE_RUNS 1	  /* on such a target at a time */
 #define REMOTE_FACTOR 2.0 /* run time away from the data's rack */
 
-double sched_run_time(const struct sched_target *t,
-		      const struct sched_step *step)
+static int has_label(const struct sched_target *t, const char *label)
 {
-	double work = step->work * exp(t->log_slow);
 	size_t i;
 
-	if (!step->rack[0])
-		return work;
 	for (i = 0; i < t->is.nlabels; i++)
-		if (!strcmp(t->is.labels[i], step->rack))
-			return work;
-	return work * REMOTE_FACTOR;
+		if (!strcmp(t->is.labels[i], label))
+			return 1;
+	return 0;
+}
+
+/* Whether the step's data is on another rack. */
+static int is_remote(const struct sched_target *t,
+		     const struct sched_step *step)
+{
+	return step->rack[0] && !has_label(t, step->rack);
+}
+
+double sched_run_time(const struct sched_target *t,
+		      const struct sched_step *step)
+{
+	double work = step->work * t->slow;
+
+	return is_remote(t, step) ? work * REMOTE_FACTOR : work;
 }
 
 int sched_target_open(const struct sched_target *t, rp_ms now)
@@ -51,23 +62,13 @@
 	       t->used.accelerators + need->accelerators <= all->accelerators;
 }
 
-static int has_label(const struct sched_target *t, const char *label)
-{
-	size_t i;
-
-	for (i = 0; i < t->is.nlabels; i++)
-		if (!strcmp(t->is.labels[i], label))
-			return 1;
-	return 0;
-}
-
 int sched_target_suits(const struct sched_target *t,
 		       const struct sched_job *job,
 		       const struct sched_step *step)
 {
 	const struct sched_vector *all = &t->is.capacity;
 
-	if (strcmp(t->is.service, job->service) != 0)
+	if (t->service != job->service)
 		return 0;
 	if (step->label[0] && !has_label(t, step->label))
 		return 0;
@@ -90,47 +91,11 @@
 	return n >= step->spread;
 }
 
-double sched_fastest(const struct sched *s, const char *service)
-{
-	double least = 0;
-	int found = 0;
-	size_t i;
-
-	for (i = 0; i < s->ntargets; i++) {
-		const struct sched_target *t = s->targets[i];
-
-		if (!sched_target_open(t, s->now) ||
-		    strcmp(t->is.service, service) != 0)
-			continue;
-		if (!found || t->log_slow < least)
-			least = t->log_slow;
-		found = 1;
-	}
-	return least;
-}
-
-/* Share of the room for the job's service that is free. */
-static double idle_share(const struct sched *s, const struct sched_job *job)
-{
-	double used = 0, all = 1;
-	size_t i;
-
-	for (i = 0; i < s->ntargets; i++) {
-		const struct sched_target *t = s->targets[i];
-
-		if (!sched_target_open(t, s->now) ||
-		    strcmp(t->is.service, job->service) != 0)
-			continue;
-		used += (double)t->used.cpu;
-		all += (double)t->is.capacity.cpu;
-	}
-	return 1 - used / all;
-}
-
 /* A candidate, and how it compares. */
 struct choice {
 	struct sched_target *target;
-	double run;  /* predicted, ms */
+	double run; /* predicted, ms */
+	double log_run;
 	double left; /* room, thousandths of a core */
 	int fits;    /* likely on time */
 };
@@ -143,63 +108,113 @@
 {
 	if (a->fits != b->fits)
 		return a->fits;
-	if (fabs(log(a->run / b->run)) < SAME_LOG)
+	if (fabs(a->log_run - b->log_run) < SAME_LOG)
 		return a->left < b->left;
 	return a->fits ? a->run > b->run : a->run < b->run;
 }
 
+/* What is the same for all targets that are compared for a task. */
+struct wish {
+	double log_work;
+	double log_objective, log_deadline; /* of the time until then */
+	double sure;			    /* deviations of margin */
+	double work_var;
+};
+
 /*
- * Whether a task of so long a run time is likely on time. The objective grows
- * with the work, so an error in the work moves both alike; the deadline does
- * not.
+ * Whether a task is likely on time. The objective grows with the work, so an
+ * error in the work moves both alike; the deadline does not.
  */
-static int likely(const struct sched_target *t, const struct sched_job *job,
-		  double run, double sure)
+static int likely(const struct sched_target *t, const struct wish *w,
+		  double log_run)
 {
 	double own = t->slow_var + SCHED_TASK_VAR;
-	rp_ms now = job->s->now;
 
-	return run * exp(sure * sqrt(own)) <= (double)(job->objective - now) &&
-	       run * exp(sure * sqrt(own + job->work_var)) <=
-		       (double)(job->deadline - now);
+	return log_run + w->sure * sqrt(own) <= w->log_objective &&
+	       log_run + w->sure * sqrt(own + w->work_var) <= w->log_deadline;
+}
+
+static double log_until(const struct sched *s, rp_ms at)
+{
+	return at > s->now ? log((double)(at - s->now)) : -HUGE_VAL;
+}
+
+static struct wish wish_of(struct sched *s, const struct sched_job *job,
+			   const struct sched_step *step)
+{
+	const struct sched_service *all = sched_sums(s, job->service);
+	double idle = all->room > 0 ? 1 - all->used / all->room : 1;
+
+	return (struct wish){
+		.log_work = log(step->work),
+		.log_objective = log_until(s, job->objective),
+		.log_deadline = log_until(s, job->deadline),
+		.sure = SURE + SURE_IDLE * idle,
+		.work_var = job->work_var,
+	};
 }
 
 /* Whether a target on which it is likely on time may be free soon enough. */
-static int may_wait(const struct sched *s, const struct sched_job *job,
+static int may_wait(struct sched *s, const struct sched_job *job,
 		    const struct sched_step *step, const struct choice *best)
 {
-	double fast = step->work * exp(sched_fastest(s, job->service));
+	double fast = step->work * sched_sums(s, job->service)->fastest;
 
 	return best->run > (double)(job->on_time - s->now) &&
 	       (double)(job->on_time - s->now) > fast + WAIT_MS;
 }
 
+/* Whether it is known in this turn that no target has room for it. */
+static int is_full(const struct sched *s, const struct sched_job *job,
+		   const struct sched_vector *need)
+{
+	const struct sched_service *all = job->service;
+
+	return all->full_turn == s->turn && need->cpu >= all->full_for.cpu &&
+	       need->memory >= all->full_for.memory &&
+	       need->accelerators >= all->full_for.accelerators;
+}
+
 static struct choice choose_but(struct sched *s, const struct sched_job *job,
 				const struct sched_step *step,
 				const struct sched_target *avoid)
 {
 	struct choice best = { .target = NULL };
-	double sure = SURE + SURE_IDLE * idle_share(s, job);
+	struct wish w;
+	int roomy = 0;
 	size_t i;
 
+	if (is_full(s, job, &step->need))
+		return best;
+	w = wish_of(s, job, step);
 	for (i = 0; i < s->ntargets; i++) {
 		struct sched_target *t = s->targets[i];
 		struct choice c = { .target = t };
 
-		if (t == avoid || !sched_target_open(t, s->now) ||
+		if (t->service != job->service ||
 		    !sched_target_has_room(t, &step->need) ||
-		    !sched_target_suits(t, job, step) ||
+		    !sched_target_open(t, s->now))
+			continue;
+		roomy = 1;
+		if (t == avoid || !sched_target_suits(t, job, step) ||
 		    sched_target_crowded(t, job, step))
 			continue;
 		c.run = sched_run_time(t, step);
 		if (c.run > (double)(job->useful_until - s->now))
 			continue;
-		c.fits = likely(t, job, c.run, sure);
+		c.log_run = w.log_work + t->log_slow;
+		if (is_remote(t, step))
+			c.log_run += log(REMOTE_FACTOR);
+		c.fits = likely(t, &w, c.log_run);
 		c.left = (double)(t->is.capacity.cpu - t->used.cpu -
 				  step->need.cpu);
 		if (!best.target || better(&c, &best))
 			best = c;
 	}
+	if (!roomy && s->pumping) {
+		job->service->full_turn = s->turn;
+		job->service->full_for = step->need;
+	}
 	return best;
 }
 
--- a/sched-run.c
+++ b/sched-run.c
@@ -9,6 +9,8 @@
 #define LEASE_SLACK_MS 30 /* error of the reading of a target's clock */
 #define HOLD_WAIT_MS 150  /* a hold call waits this long for an end */
 #define ACK_AFTER_MS 250  /* ends of an idle target are acknowledged after */
+#define TELL_MS 20	  /* an owner is told of an end within */
+#define SAME_LIFE_MS 30	  /* no target comes back so soon after a reply */
 #define RETRY_MS 60	  /* between hold calls that are not answered */
 #define RETRY_MOST_MS 1000
 #define ENDS_A_REPLY 500 /* a list of ends this long may be cut off */
@@ -146,23 +148,26 @@
 	job->s->count.retries++;
 }
 
-void sched_task_done(struct sched_task *task)
+uint64_t sched_task_done(struct sched_task *task)
 {
 	struct sched_job *job = task->job;
+	uint64_t mark;
 
 	task->state = SCHED_DONE;
 	job->steps[task->step].left--;
-	job->s->ops->progress(job->s, job, task);
+	mark = job->s->ops->progress(job->s, job, task);
 	if (++job->ndone == job->ntasks)
-		sched_job_answer(job, POOL_ANSWER__OUTCOME__COMPLETED, "", 0);
+		mark = sched_job_answer(job, POOL_ANSWER__OUTCOME__COMPLETED,
+					"", 0);
+	return mark;
 }
 
-void sched_run_over(struct sched_task *task, enum sched_end_how how)
+uint64_t sched_run_over(struct sched_task *task, enum sched_end_how how)
 {
 	struct sched_job *job = task->job;
 
 	if (!task->target)
-		return;
+		return 0;
 	if (how != SCHED_END_DONE)
 		task->avoid = task->target;
 	str_copy(job->last_target, sizeof(job->last_target),
@@ -173,18 +178,17 @@
 	if (job->answered) {
 		task->state = SCHED_DONE;
 		sched_job_reap(job);
-		return;
+		return 0;
 	}
 	if (how == SCHED_END_DONE) {
-		sched_task_done(task);
-		return;
+		return sched_task_done(task);
 	}
 	if (how == SCHED_END_FAILED && ++task->failures >= job->max_attempts) {
-		sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
-				 "a task failed too often", 0);
-		return;
+		return sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
+					"a task failed too often", 0);
 	}
 	requeue(task);
+	return 0;
 }
 
 void sched_target_lapsed(struct sched_target *t, const char *why)
@@ -233,6 +237,7 @@
 	t->life_at = s->now;
 	t->state = SCHED_UNHELD;
 	t->ends_seen = t->ends_acked = 0;
+	t->ntold = 0;
 	t->norphans = t->foreign = 0;
 	t->taken = 0;
 	t->clock = 0;
@@ -250,13 +255,15 @@
 }
 
 /*
- * Which ends the next hold call acknowledges. Unless it follows a reply at
- * once, another life may take the call; its numbers are other ones, and an
+ * Which ends the next hold call acknowledges. Unless it follows a reply
+ * soon, another life may take the call; its numbers are other ones, and an
  * end that is acknowledged unseen is lost.
  */
 static uint64_t ends_to_acknowledge(const struct sched_target *t)
 {
-	return !t->nruns || t->held_at == t->s->now ? t->ends_seen : 0;
+	if (t->nruns && t->s->now - t->held_at > SAME_LIFE_MS)
+		return 0;
+	return sched_told_until(t);
 }
 
 /* Takes what every reply says. Returns whether the call was carried out. */
@@ -346,27 +353,29 @@
 	sched_target_hold(t);
 }
 
+static void take_end(struct sched_target *t, const struct sched_end *e)
+{
+	struct sched_task *task = sched_run_find(t, e->task, e->run);
+	void *owner;
+
+	t->ends_seen = e->number;
+	t->s->count.ends++;
+	if (!task)
+		return;
+	owner = task->job->owner;
+	if (e->how != SCHED_END_STOPPED)
+		sched_learn_end(task, (double)(t->s->now - task->sent_at),
+				e->how == SCHED_END_FAILED);
+	sched_told_add(t, e->number, owner, sched_run_over(task, e->how));
+}
+
 static void take_ends(struct sched_target *t, const struct sched_look *look)
 {
 	size_t i;
 
-	for (i = 0; i < look->nends; i++) {
-		const struct sched_end *e = &look->ends[i];
-		struct sched_task *task;
-
-		if (e->number <= t->ends_seen)
-			continue;
-		t->ends_seen = e->number;
-		t->s->count.ends++;
-		task = sched_run_find(t, e->task, e->run);
-		if (!task)
-			continue;
-		if (e->how != SCHED_END_STOPPED)
-			sched_learn_end(task,
-					(double)(t->s->now - task->sent_at),
-					e->how == SCHED_END_FAILED);
-		sched_run_over(task, e->how);
-	}
+	for (i = 0; i < look->nends; i++)
+		if (look->ends[i].number > t->ends_seen)
+			take_end(t, &look->ends[i]);
 }
 
 static const struct sched_run *listed_run(const struct sched_look *look,
@@ -475,6 +484,11 @@
 
 	if (t->holding || t->state == SCHED_FENCED || s->now < t->hold_retry_at)
 		return;
+	/* Its reply would repeat the ends at once. */
+	if (t->ntold && t->state == SCHED_HELD &&
+	    s->now - t->held_at <
+		    (sched_told_unclaimed(t) ? RETRY_MS : TELL_MS))
+		return;
 	if (t->state == SCHED_UNHELD) {
 		t->state = SCHED_TAKING;
 	} else if (t->nruns && t->unanswered) {
@@ -486,7 +500,7 @@
 	} else if (t->nruns) {
 		until = new_lease(t);
 		wait = HOLD_WAIT_MS;
-	} else if (!t->foreign && (t->ends_acked == t->ends_seen ||
+	} else if (!t->foreign && (t->ends_acked == sched_told_until(t) ||
 				   s->now - t->answered_at < ACK_AFTER_MS)) {
 		return;
 	}
--- a/scheduler.h
+++ b/scheduler.h
@@ -85,6 +85,21 @@
 	uint32_t waiting; /* jobs with no task started */
 };
 
+/* The targets of one service together. */
+struct sched_service {
+	char name[RP_NAME_MAX];
+	/* Over those that are open, as of then. */
+	rp_ms summed_at;
+	int any;
+	double fastest;		  /* least run time against speed 1 */
+	double rate;		  /* work in a ms, thousandths of a core */
+	double used, room;	  /* thousandths of a core */
+	struct sched_vector most; /* of each, that any has */
+	/* In this turn of sched_pump() no target has room for so much. */
+	uint64_t full_turn;
+	struct sched_vector full_for;
+};
+
 /* What is remembered of a job's id for a while after the job. */
 struct sched_past {
 	struct sched_past *next; /* the one that came after */
@@ -103,7 +118,7 @@
 	uint64_t seq;
 	char id[SCHED_ID_MAX];
 	struct sched_queue *queue;
-	char service[RP_NAME_MAX];
+	struct sched_service *service;
 	struct rp_str specification;
 	uint32_t priority, max_attempts;
 	uint32_t run; /* of the next start of any of its tasks */
@@ -163,17 +178,25 @@
 	SCHED_END_STOPPED, /* and all other ways in which it did not end */
 };
 
+/* An end of which its job's owner may not have been told. */
+struct sched_told {
+	uint64_t number;
+	void *owner;   /* NULL: the job is not known yet */
+	uint64_t mark; /* of the message that tells it */
+};
+
 /* What a former scheduler left on a target. */
 struct sched_orphan {
 	char name[SCHED_TASK_NAME];
 	uint32_t run;
-	int ended; /* its end is listed */
+	uint64_t number; /* of its end; 0: it runs */
 	enum sched_end_how how;
 };
 
 struct sched_target {
 	struct sched *s;
 	void *user; /* the owner's */
+	struct sched_service *service;
 	struct sched_listing is;
 	enum sched_target_state state;
 	size_t index; /* in s->targets */
@@ -187,13 +210,16 @@
 	int64_t life;  /* the incarnation that all this is known of */
 	rp_ms life_at; /* when it was heard of */
 	rp_ms held_at; /* a hold call was last carried out */
-	int holding;   /* a hold call is on its way */
+	struct sched_told *told;
+	size_t ntold, cap_told;
+	int holding; /* a hold call is on its way */
 	rp_ms hold_sent_at;
 	rp_ms hold_retry_at;
 	rp_ms lease_over; /* nothing started before runs on after this */
 	rp_ms answered_at;
 	unsigned unanswered; /* calls in a row */
-	double log_slow;     /* log of run time against speed 1 */
+	double slow;	     /* run time against speed 1 */
+	double log_slow;     /* its log */
 	double slow_var;     /* variance of it */
 	double log_base;     /* what it was before it changed suddenly */
 	rp_ms slow_at;	     /* it was last observed */
@@ -252,14 +278,18 @@
 	/* until 0: does not touch the lease. */
 	void (*hold)(struct sched *s, struct sched_target *t, int64_t until,
 		     uint64_t seen, rp_ms wait);
-	void (*answer)(struct sched *s, struct sched_job *job,
-		       const PoolAnswer *answer);
+	/*
+	 * Both return the mark of the message, for sched_heard(), or 0 where
+	 * the owner has it at once.
+	 */
+	uint64_t (*answer)(struct sched *s, struct sched_job *job,
+			   const PoolAnswer *answer);
 	/* A target is held by another: this scheduler must give up. */
 	void (*fenced)(struct sched *s, struct sched_target *t);
 	void (*forget)(struct sched *s, struct sched_target *t);
 	/* Tasks of the job ended well; at most one call for each reply. */
-	void (*progress)(struct sched *s, struct sched_job *job,
-			 const struct sched_task *task);
+	uint64_t (*progress)(struct sched *s, struct sched_job *job,
+			     const struct sched_task *task);
 	/* A decision or a change of belief, for the log. task may be NULL. */
 	void (*note)(struct sched *s, const char *what,
 		     const struct sched_target *t,
@@ -326,8 +356,11 @@
 	/* The former scheduler may hold targets that the list leaves out. */
 	int former_hidden;
 	apr_pool_t *pool;
-	apr_hash_t *queues; /* name -> struct sched_queue */
-	apr_hash_t *by_id;  /* id -> struct sched_target */
+	apr_hash_t *queues;   /* name -> struct sched_queue */
+	apr_hash_t *by_id;    /* id -> struct sched_target */
+	apr_hash_t *services; /* name -> struct sched_service */
+	apr_hash_t *open;     /* job id -> struct sched_job, not answered */
+	uint64_t turn;	      /* of sched_pump() */
 	struct sched_target **targets;
 	size_t ntargets, cap_targets;
 	apr_hash_t *past; /* job id -> its latest struct sched_past */
@@ -359,6 +392,8 @@
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
+/* The owner has all messages up to the mark. */
+void sched_heard(struct sched *s, void *owner, uint64_t mark, rp_ms now);
 /* The owner is gone: all that was started for it is stopped. */
 void sched_owner_gone(struct sched *s, void *owner, rp_ms now);
 /* The platform's list has this entry now, or has it no more (ready 0). */
@@ -390,12 +425,14 @@
 void sched_job_free(struct sched_job *job);
 /* Task i of the job was done before it came here. */
 void sched_job_mark_done(struct sched_job *job, size_t i);
-void sched_job_answer(struct sched_job *job, PoolAnswer__Outcome outcome,
-		      const char *reason, rp_ms retry_after);
+uint64_t sched_job_answer(struct sched_job *job, PoolAnswer__Outcome outcome,
+			  const char *reason, rp_ms retry_after);
 /* Frees an answered job of which no target runs anything. */
 void sched_job_reap(struct sched_job *job);
 /* Predicts the job anew and moves it to its place in the queue. */
 void sched_job_place(struct sched_job *job);
+/* The job of the id that is not answered, or NULL. */
+struct sched_job *sched_open_job(struct sched *s, struct rp_str id);
 int sched_step_ready(const struct sched_job *job, size_t step);
 /* Predicted run time at speed 1 of the work that is left, ms. */
 double sched_job_chain(const struct sched_job *job);
@@ -418,8 +455,10 @@
 /* The best target that has room, be the task late there or not. */
 struct sched_target *sched_best(struct sched *s, const struct sched_job *job,
 				const struct sched_step *step);
-/* Least slowness (log) among the targets that serve the service. */
-double sched_fastest(const struct sched *s, const char *service);
+struct sched_service *sched_service_of(struct sched *s, const char *name);
+/* Brings its sums up to date. */
+const struct sched_service *sched_sums(struct sched *s,
+				       struct sched_service *service);
 
 /* sched-past.c */
 /*
@@ -458,14 +497,30 @@
 /* Whether no former scheduler's run of the job can be unknown any more. */
 int sched_adopt_settled(const struct sched_job *job);
 
+/* sched-told.c */
+/* The end is not to be acknowledged before the owner has the mark. */
+void sched_told_add(struct sched_target *t, uint64_t number, void *owner,
+		    uint64_t mark);
+/* Nor an end of a job that is not known yet. */
+void sched_told_keep(struct sched_target *t, uint64_t number);
+int sched_told_unclaimed(const struct sched_target *t);
+/* What became of such an end; mark 0: it may be acknowledged. */
+void sched_told_set(struct sched_target *t, uint64_t number, void *owner,
+		    uint64_t mark);
+/* Up to where ends may be acknowledged. */
+uint64_t sched_told_until(const struct sched_target *t);
+/* Whatever the owner has not heard, it will not. */
+void sched_told_drop(struct sched *s, const void *owner);
+
 /* sched-run.c */
 void sched_run_adopt(struct sched_task *task, struct sched_target *t,
 		     uint32_t run);
-void sched_task_done(struct sched_task *task);
+/* Returns the mark of the message to the owner. */
+uint64_t sched_task_done(struct sched_task *task);
 void sched_run_start(struct sched_task *task, struct sched_target *t);
 void sched_run_stop(struct sched_task *task);
 /* The run is over; its room is free. */
-void sched_run_over(struct sched_task *task, enum sched_end_how how);
+uint64_t sched_run_over(struct sched_task *task, enum sched_end_how how);
 struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
 				  uint32_t run);
 void sched_target_reborn(struct sched_target *t, int64_t born);
