A soak of random faults; a stop answers what is open

The soak runs the real programs, the stand-in platform, callers and a proxy between them as processes, spoils them by a seed, and checks what callers and targets see: nothing beside itself, nothing again after it was done, nothing that was told not to have run, whole answers, table edits, drained targets, and that all is served when all is well again.

Now what is open is answered 100 ms before the end.

Test: t-pool-serve stops a VM beside a long job; failed by an abort before.

--- a/pool-loop.c
+++ b/pool-loop.c
@@ -12,11 +12,12 @@
 #include <time.h>
 #include <unistd.h>
 
-#define EVENTS 128	/* taken at once */
-#define FLUSH_LOG_MS 50 /* between writes of the log */
-#define LAG_GAIN 0.2	/* weight of one tick in the mean lag */
-#define LAG_MS 60	/* a tick this late shows a VM that is too slow */
-#define LAG_SPAN_MS 400 /* for so long: the leader resigns */
+#define EVENTS 128	    /* taken at once */
+#define FLUSH_LOG_MS 50	    /* between writes of the log */
+#define LAST_ANSWERS_MS 100 /* before the end, for answers to go out */
+#define LAG_GAIN 0.2	    /* weight of one tick in the mean lag */
+#define LAG_MS 60	    /* a tick this late shows a VM that is too slow */
+#define LAG_SPAN_MS 400	    /* for so long: the leader resigns */
 
 rp_ms pool_clock(void)
 {
@@ -139,6 +140,7 @@
 	if (p->leading && p->sched_dirty)
 		sched_pump(&p->sched, p->now);
 	p->sched_dirty = 0;
+	pool_send_heard(p);
 	pool_links_flush(p);
 }
 
@@ -150,6 +152,8 @@
 		return;
 	if (since >= p->set.rotation && !p->open && !p->leading)
 		p->done = 1;
+	if (since >= p->set.grace - LAST_ANSWERS_MS)
+		pool_requests_end(p);
 	if (since >= p->set.grace)
 		p->done = 1;
 }
--- a/pool-request.c
+++ b/pool-request.c
@@ -355,20 +355,35 @@
 	free(all);
 }
 
-static void expire(struct pool_request *r)
+static void give_up(struct pool_request *r, const char *why)
 {
 	int sent = r->sent_fence != 0;
 	PoolAnswer__Outcome outcome = sent ? POOL_ANSWER__OUTCOME__INCOMPLETE
 					   : POOL_ANSWER__OUTCOME__REJECTED;
 
 	pool_send_cancel(r->p, r->seq);
-	log_answer(r, pool_outcome_name(outcome),
-		   sent ? "no answer from the leader" : "no leader");
+	log_answer(r, pool_outcome_name(outcome), why);
 	r->p->count.rejected += !sent;
 	end_job(r, platform_outcome_status(outcome),
 		platform_outcome_body(outcome), sent ? 0 : RETRY_AFTER_S);
 }
 
+static void expire(struct pool_request *r)
+{
+	give_up(r, r->sent_fence ? "no answer from the leader" : "no leader");
+}
+
+void pool_requests_end(struct pool *p)
+{
+	size_t n, i;
+	struct pool_request **all = snapshot(p, &n);
+
+	for (i = 0; i < n; i++)
+		if (all[i]->seq)
+			give_up(all[i], "this VM stops");
+	free(all);
+}
+
 void pool_requests_tick(struct pool *p, rp_ms now)
 {
 	struct pool_request **all;
--- /dev/null
+++ b/regress/soak/soak-process.c
@@ -0,0 +1,256 @@
+/* The processes of a soak, and calls to them. */
+
+#include "soak.h"
+
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define READY_PORTS 120 /* from the first port */
+#define HTTP_PORTS 100
+#define METRICS_PORTS 140
+#define LINK_PORTS 160 /* of the proxy */
+#define LISTEN_PORTS 180
+#define STORE_PORTS 200	 /* of the proxy */
+#define TARGET_PORTS 230 /* of the proxy */
+#define STOP_MS 8000	 /* a planned stop takes 5500 at most */
+/* A target may be used for 2000 after it drains; 3000 more near faults. */
+#define DRAIN_MS 5000
+#define TEXT 128
+
+int soak_http_port(const struct soak *s, int vm)
+{
+	return s->port + HTTP_PORTS + vm;
+}
+
+pid_t soak_spawn(struct soak *s, const char *log, char *const argv[])
+{
+	char path[512];
+	pid_t pid;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/%s", s->dir, log);
+	pid = fork();
+	if (pid)
+		return pid;
+	fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+	dup2(fd, 1);
+	dup2(fd, 2);
+	execv(argv[0], argv);
+	perror(argv[0]);
+	_exit(127);
+}
+
+static char *text(const char *format, const char *prefix, int n)
+{
+	char *t = malloc(TEXT);
+
+	snprintf(t, TEXT, format, prefix, n);
+	return t;
+}
+
+static void free_all(char **argv)
+{
+	for (; *argv; argv++)
+		free(*argv);
+}
+
+void soak_start_vm(struct soak *s, int vm)
+{
+	struct soak_vm *v = &s->vms[vm];
+	char *log = text("%s%d.log", "vm", vm);
+	char *argv[] = {
+		text("%s/rosemary-poold", s->bin, 0),
+		text("%s%d", "--vm-name=vm", vm),
+		text("%s", "--failure-domain=z", 0),
+		text("%s:%d", "--listen=127.0.0.1", soak_http_port(s, vm)),
+		text("%s:%d", "--ready-listen=127.0.0.1",
+		     s->port + READY_PORTS + vm),
+		text("%s:%d", "--metrics-listen=127.0.0.1",
+		     s->port + METRICS_PORTS + vm),
+		text("%s:%d", "--link=127.0.0.1", s->port + LINK_PORTS + vm),
+		text("%s:%d", "--link-listen=127.0.0.1",
+		     s->port + LISTEN_PORTS + vm),
+		text("%s:%d", "--store=127.0.0.1", s->port + STORE_PORTS + vm),
+		/* Small enough that the leader uses agents. */
+		text("%s%d", "--processor=0.0", vm % 2 ? 1 : 2),
+		NULL,
+	};
+
+	v->pid = soak_spawn(s, log, argv);
+	v->state = SOAK_RUNS;
+	free_all(argv);
+	free(log);
+}
+
+static void start_proxy(struct soak *s)
+{
+	char *argv[2 + 2 * SOAK_VMS + SOAK_TARGETS] = { NULL };
+	int fds[2], i, n = 0;
+
+	argv[n++] = text("%s/regress/soak/proxy", s->bin, 0);
+	for (i = 0; i < s->nvms; i++) {
+		argv[n] = malloc(TEXT);
+		snprintf(argv[n++], TEXT, "%d:%d", s->port + LINK_PORTS + i,
+			 s->port + LISTEN_PORTS + i);
+	}
+	for (i = 0; i < s->nvms; i++) {
+		argv[n] = malloc(TEXT);
+		snprintf(argv[n++], TEXT, "%d:%d", s->port + STORE_PORTS + i,
+			 s->port);
+	}
+	for (i = 0; i < s->ntargets; i++) {
+		argv[n] = malloc(TEXT);
+		snprintf(argv[n++], TEXT, "%d:%d", s->port + TARGET_PORTS + i,
+			 s->port + 1 + i);
+	}
+	if (pipe(fds) < 0)
+		abort();
+	fcntl(fds[1], F_SETFD, FD_CLOEXEC);
+	s->proxy = fork();
+	if (!s->proxy) {
+		dup2(fds[0], 0);
+		execv(argv[0], argv);
+		_exit(127);
+	}
+	close(fds[0]);
+	s->to_proxy = fds[1];
+	free_all(argv);
+}
+
+void soak_start(struct soak *s)
+{
+	char *argv[] = {
+		text("%s/regress/standin/platform", s->bin, 0),
+		text("%s:%d", "--listen=127.0.0.1", s->port),
+		text("%s%d", "--targets=", s->ntargets),
+		text("%s%d", "--advertise=", s->port + TARGET_PORTS),
+		text("%s%d", "--drain-ms=", DRAIN_MS),
+		NULL,
+	};
+	int i;
+
+	s->platform = soak_spawn(s, "platform.log", argv);
+	free_all(argv);
+	start_proxy(s);
+	for (i = 0; i < s->nvms; i++)
+		soak_start_vm(s, i);
+}
+
+static void vm_ended(struct soak *s, int vm, int status)
+{
+	struct soak_vm *v = &s->vms[vm];
+	char name[TEXT];
+
+	snprintf(name, sizeof(name), "vm%d, status %x", vm, status);
+	if (v->state != SOAK_STOPPING)
+		soak_wrong(s, "ended by itself", name);
+	else if (!WIFEXITED(status) || WEXITSTATUS(status))
+		soak_wrong(s, "a planned stop failed", name);
+	soak_start_vm(s, vm);
+}
+
+void soak_reap(struct soak *s)
+{
+	int i, status;
+
+	for (i = 0; i < s->nvms; i++) {
+		struct soak_vm *v = &s->vms[i];
+
+		if (v->state == SOAK_DEAD)
+			continue;
+		if (waitpid(v->pid, &status, WNOHANG) == v->pid)
+			vm_ended(s, i, status);
+		else if (v->state == SOAK_STOPPING &&
+			 soak_now() - v->term_at > STOP_MS) {
+			soak_wrong(s, "a planned stop takes too long", "");
+			kill(v->pid, SIGKILL);
+		}
+	}
+	if (waitpid(s->platform, &status, WNOHANG) == s->platform ||
+	    waitpid(s->proxy, &status, WNOHANG) == s->proxy) {
+		fprintf(stderr, "soak: stand-in or proxy is gone\n");
+		soak_stop(s);
+		exit(2);
+	}
+}
+
+static void end_process(pid_t pid)
+{
+	if (pid <= 0)
+		return;
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+}
+
+void soak_stop(struct soak *s)
+{
+	int i;
+
+	for (i = 0; i < s->nvms; i++)
+		if (s->vms[i].state != SOAK_DEAD)
+			end_process(s->vms[i].pid);
+	end_process(s->callers);
+	end_process(s->proxy);
+	end_process(s->platform);
+}
+
+/* --- calls ------------------------------------------------------------- */
+
+struct reply {
+	char data[65536];
+	size_t len;
+};
+
+static size_t on_body(char *data, size_t size, size_t n, void *arg)
+{
+	struct reply *r = arg;
+	size_t add = size * n;
+
+	if (add > sizeof(r->data) - r->len)
+		return 0;
+	memcpy(r->data + r->len, data, add);
+	r->len += add;
+	return add;
+}
+
+static long call(int port, const char *path, const char *body, struct reply *r)
+{
+	CURL *e = curl_easy_init();
+	char url[256];
+	long status = 0;
+
+	r->len = 0;
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", port, path);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, 3000L);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_WRITEDATA, r);
+	if (body)
+		curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
+	if (curl_easy_perform(e) == CURLE_OK)
+		curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(e);
+	return status;
+}
+
+json_t *soak_control(struct soak *s, const char *path, const char *body)
+{
+	static struct reply r;
+
+	if (call(s->port, path, body, &r) != 200)
+		return NULL;
+	return json_loadb(r.data, r.len, 0, NULL);
+}
+
+long soak_get(int port, const char *path)
+{
+	static struct reply r;
+
+	return call(port, path, NULL, &r);
+}
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -60,9 +60,11 @@
 	struct standin *st;
 	size_t index;
 	char id[STANDIN_NAME];
-	int64_t born, sequence;
+	int64_t born, sequence, drains_since;
 	int draining, dark, stuck, failing;
-	double slow; /* work takes so many times as long */
+	double clock; /* its clock is this far ahead, ms */
+	int drag;     /* its clock is this much slow, percent */
+	double slow;  /* work takes so many times as long */
 	int64_t fence, lease_until, advanced;
 	struct standin_run runs[STANDIN_RUNS];
 	size_t nruns;
@@ -89,10 +91,14 @@
 	struct standin_target targets[STANDIN_TARGETS];
 	size_t ntargets;
 	int first_port;
+	int advertise; /* port before those that the entries name */
+	int drain_ms;  /* a start is wrong so long after a target drains */
 	unsigned seed;
 	int violations;
 	char first[256];
 	uint64_t starts, ends;
+	json_t *ran;   /* ids of jobs of which a task was started */
+	json_t *ended; /* tasks of which a run ended well */
 	json_t *done; /* task -> specification, once its end was acknowledged */
 };
 
--- a/regress/t-pool-serve.sh
+++ b/regress/t-pool-serve.sh
@@ -47,6 +47,19 @@
 	at_least completed 39 "$out"
 	expect_kept
 
+	# A stop gives up what does not end in time, and exits as it should.
+	start_vm 3 --grace=700 --rotation=100
+	await_ready 3
+	call --status POST "$(http_of 3)" /q/0000000000000020 \
+		'{"specification":"3000","bestEffort":true,"steps":[{"count":1,
+		"cpu":6000,"estimatedMs":3000}]}' >"$dir"/late &
+	late=$!
+	sleep 0.3
+	kill -TERM "$(pid_of 3)"
+	wait "$(pid_of 3)" && echo "stop beside a long job: exit 0"
+	wait $late
+	echo "the long job: $(cat "$dir"/late)"
+
 	# A version of the table is in force everywhere, and stays.
 	control row '{"table":"op","key":"config","text":"{\"version\":5,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/new/\",\"timeoutMs\":5000,\"service\":\"desk\"}]}"}'
 	sleep 1
