--- a/lead.h
+++ b/lead.h
@@ -28,7 +28,7 @@
 #define LEAD_RANK_MS 120   /* each successor waits this much longer */
 #define LEAD_PROBE_MS 100  /* others answer within */
 #define LEAD_CLAIM_MS 1000 /* a claim is settled within, or made again */
-#define LEAD_RENEW_MS 1000 /* the leader shows in the store that it lives */
+#define LEAD_RENEW_MS 500  /* the leader shows in the store that it lives */
 #define LEAD_STALE_MS 3500 /* without that it is dead for one cut off */
 #define LEAD_BACK_OFF_MS 300
 #define LEAD_SUCCESSORS 3
--- /dev/null
+++ b/pool-job.c
@@ -0,0 +1,463 @@
+/*
+ * Jobs that the store keeps, as callers see them on any entry VM.
+ *
+ * A job is accepted once its row is in the store, where the leader finds it;
+ * its state is read from there, and a cancellation is written there. Rows of
+ * one part that come while a transaction is under way go with the next one.
+ */
+
+#include "pool-request.h"
+#include "pool-store.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BATCH 50	/* rows in a transaction; the store takes 100 */
+#define WRITTEN_MS 1500 /* a transaction may wait for others */
+#define READ_MS 1500
+#define TRIES 5 /* of a cancellation beside other writes */
+
+/* What waits for the store on behalf of a request. */
+struct pool_job_call {
+	struct pool_job_call *next;	   /* in its part's queue */
+	struct pool_job_call *after, **at; /* among all */
+	struct pool *p;
+	struct pool_request *r; /* NULL: the caller is gone */
+	char id[SCHED_ID_MAX];
+	uint8_t *row; /* of a job to be accepted */
+	size_t len;
+	int tries;
+};
+
+struct part {
+	struct pool_job_call *first, **last; /* to be written */
+	struct pool_job_call *sent;
+	int calling;
+};
+
+struct pool_accepts {
+	struct part parts[JOBS_PARTS];
+	struct pool_job_call *all;
+};
+
+int pool_jobs_init(struct pool *p)
+{
+	int i;
+
+	p->accepts = apr_pcalloc(p->pool, sizeof(*p->accepts));
+	for (i = 0; i < JOBS_PARTS; i++)
+		p->accepts->parts[i].last = &p->accepts->parts[i].first;
+	return 0;
+}
+
+static unsigned part_of(const char *id)
+{
+	return (unsigned)(str_hash(str_of(id)) % JOBS_PARTS);
+}
+
+const char *pool_job_part(const char *id)
+{
+	static const char *const names[JOBS_PARTS] = { "0", "1", "2", "3",
+						       "4", "5", "6", "7" };
+
+	return names[part_of(id)];
+}
+
+static rp_ms store_now(const struct pool *p)
+{
+	return p->now + p->store_ahead;
+}
+
+/* Suspends the request until answer(). */
+static struct pool_job_call *begin(struct pool_request *r, const char *id)
+{
+	struct pool_job_call *j = calloc(1, sizeof(*j));
+	struct pool_accepts *a = r->p->accepts;
+
+	j->p = r->p;
+	j->r = r;
+	snprintf(j->id, sizeof(j->id), "%s", id);
+	j->after = a->all;
+	j->at = &a->all;
+	if (j->after)
+		j->after->at = &j->after;
+	a->all = j;
+	r->job_call = j;
+	r->waiting = 1;
+	r->p->open++;
+	MHD_suspend_connection(r->conn);
+	return j;
+}
+
+static void detach(struct pool_job_call *j)
+{
+	j->r->waiting = 0;
+	j->r->job_call = NULL;
+	j->r = NULL;
+	j->p->open--;
+}
+
+/* Answers the request, if its caller is still there. */
+static void answer(struct pool_job_call *j, unsigned status, const char *body,
+		   unsigned retry_after, const char *what)
+{
+	struct pool_request *r = j->r;
+
+	if (!r)
+		return;
+	LOG_EVENT(LOG_LEVEL_INFO, what, LOG_TEXT("id", j->id),
+		  LOG_NUMBER("status", status),
+		  LOG_NUMBER("age_ms", j->p->now - r->came));
+	j->p->count.rejected += status == 503;
+	j->p->count.answered++;
+	pool_histogram_add(&j->p->count.latency, j->p->now - r->came);
+	pool_request_respond(r, status, body, retry_after);
+	detach(j);
+	pool_serve_resume(j->p, r->conn);
+}
+
+static void end(struct pool_job_call *j)
+{
+	*j->at = j->after;
+	if (j->after)
+		j->after->at = j->at;
+	free(j->row);
+	free(j);
+}
+
+void pool_job_gone(struct pool_request *r)
+{
+	if (r->job_call)
+		detach(r->job_call);
+}
+
+void pool_jobs_end(struct pool *p)
+{
+	struct pool_job_call *j;
+
+	for (j = p->accepts->all; j; j = j->after)
+		answer(j, 504, "{\"error\":\"this VM stops\"}", 0,
+		       "job_unanswered");
+}
+
+/* What the store said of a call that did not work, for the caller. */
+static void answer_failed(struct pool_job_call *j, long status)
+{
+	if (status == 429 || status == 503)
+		answer(j, 503, "{\"error\":\"the store is busy\"}",
+		       RETRY_AFTER_S, "job_refused");
+	else /* it may have been done */
+		answer(j, 504, "{\"error\":\"no answer from the store\"}", 0,
+		       "job_unanswered");
+}
+
+/* --- accepting -------------------------------------------------------- */
+
+static void queue_last(struct part *part, struct pool_job_call *j)
+{
+	j->next = NULL;
+	*part->last = j;
+	part->last = &j->next;
+}
+
+void pool_job_accept(struct pool_request *r)
+{
+	struct pool_job_call *j = begin(r, r->sub->id);
+	PoolJob job = POOL_JOB__INIT;
+
+	job.submit = r->sub;
+	job.accepted_ms = (uint64_t)store_now(r->p);
+	j->len = pool_job__get_packed_size(&job);
+	j->row = malloc(j->len);
+	pool_job__pack(&job, j->row);
+	queue_last(&r->p->accepts->parts[part_of(j->id)], j);
+}
+
+static int is_listed(const struct platform_rows *rows, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < rows->n; i++)
+		if (!strcmp(rows->rows[i].key, id))
+			return 1;
+	return 0;
+}
+
+/* Some were there already: these are accepted, the others are written again. */
+static void take_known(struct part *part, struct pool_job_call *j,
+		       const char *body, size_t len)
+{
+	struct platform_rows rows;
+	char why[PLATFORM_WHY];
+	struct pool_job_call *next;
+
+	platform_read_rows(&rows, body, len, why);
+	for (; j; j = next) {
+		next = j->next;
+		if (is_listed(&rows, j->id)) {
+			answer(j, 200, "{}", 0, "job_known");
+			end(j);
+		} else if (++j->tries < TRIES) {
+			queue_last(part, j);
+		} else {
+			answer_failed(j, 503);
+			end(j);
+		}
+	}
+	platform_rows_finish(&rows);
+}
+
+static void on_accepted(struct pool_call *c, long status, const char *body,
+			size_t len)
+{
+	struct part *part = &c->p->accepts->parts[c->run];
+	struct pool_job_call *j = part->sent, *next;
+
+	part->sent = NULL;
+	part->calling = 0;
+	if (status == 412) {
+		take_known(part, j, body, len);
+		return;
+	}
+	for (; j; j = next) {
+		next = j->next;
+		if (status == 200)
+			answer(j, 200, "{}", 0, "job_accepted");
+		else
+			answer_failed(j, status);
+		end(j);
+	}
+}
+
+static int is_in(const struct pool_job_call *j, const char *id)
+{
+	for (; j; j = j->next)
+		if (!strcmp(j->id, id))
+			return 1;
+	return 0;
+}
+
+/* Moves the next rows to be written to the part's sent ones. */
+static size_t take_batch(struct part *part, struct platform_write *writes)
+{
+	struct pool_job_call **at = &part->first, *j;
+	size_t n = 0;
+
+	while ((j = *at) && n < BATCH) {
+		/* A second submission of an id waits for the first. */
+		if (is_in(part->sent, j->id)) {
+			at = &j->next;
+			continue;
+		}
+		*at = j->next;
+		j->next = part->sent;
+		part->sent = j;
+		writes[n++] = (struct platform_write){
+			.key = j->id,
+			.value = { (char *)j->row, j->len },
+		};
+	}
+	for (part->last = &part->first; *part->last;)
+		part->last = &(*part->last)->next;
+	return n;
+}
+
+static void write_part(struct pool *p, unsigned i)
+{
+	struct part *part = &p->accepts->parts[i];
+	struct platform_write writes[BATCH];
+	size_t n = take_batch(part, writes);
+	char name[16];
+	struct pool_call_spec spec = {
+		.address = p->set.store,
+		.path = PLATFORM_WRITE_PATH,
+		.timeout = WRITTEN_MS,
+		.done = on_accepted,
+	};
+
+	snprintf(name, sizeof(name), "%u", i);
+	spec.request = platform_writes_body(JOBS_TABLE, name, writes, n);
+	part->calling = 1;
+	p->count.store_calls++;
+	pool_call_begin(p, &spec)->run = i;
+}
+
+void pool_jobs_flush(struct pool *p)
+{
+	unsigned i;
+
+	for (i = 0; i < JOBS_PARTS; i++)
+		if (p->accepts->parts[i].first && !p->accepts->parts[i].calling)
+			write_part(p, i);
+}
+
+/* --- states and cancellations ------------------------------------------ */
+
+static const char *state_name(struct pool *p, const char *id,
+			      const PoolJob *job)
+{
+	switch (job->state) {
+	case POOL_JOB__STATE__COMPLETED:
+		return "completed";
+	case POOL_JOB__STATE__FAILED:
+		return "failed";
+	case POOL_JOB__STATE__CANCELLED:
+		return "cancelled";
+	default:
+		return job->n_done || job->n_failed || pool_keep_started(p, id)
+			       ? "running"
+			       : "queued";
+	}
+}
+
+static void answer_state(struct pool_job_call *j, const PoolJob *job)
+{
+	char body[64];
+
+	snprintf(body, sizeof(body), PLATFORM_STATE_BODY,
+		 state_name(j->p, j->id, job));
+	if (j->r)
+		snprintf(j->r->response.text, sizeof(j->r->response.text), "%s",
+			 body);
+	answer(j, 200, j->r ? j->r->response.text : "", 0, "job_state");
+}
+
+/* Returns the job of the row that was read; NULL: there is none. */
+static PoolJob *read_job(const struct pool_job_call *j, const char *body,
+			 size_t len, int64_t *version)
+{
+	struct platform_rows rows;
+	char why[PLATFORM_WHY];
+	PoolJob *job = NULL;
+
+	if (platform_read_rows(&rows, body, len, why) == 0 && rows.n &&
+	    !strcmp(rows.rows[0].key, j->id) && rows.rows[0].value) {
+		*version = rows.rows[0].version;
+		job = pool_job__unpack(NULL, rows.rows[0].len,
+				       (uint8_t *)rows.rows[0].value);
+	}
+	platform_rows_finish(&rows);
+	return job;
+}
+
+static void read_row(struct pool_job_call *j, pool_call_done *done)
+{
+	struct pool *p = j->p;
+	char *path = platform_row_path(JOBS_TABLE, pool_job_part(j->id), j->id);
+	struct pool_call_spec spec = {
+		.address = p->set.store,
+		.path = path,
+		.timeout = READ_MS,
+		.done = done,
+	};
+
+	p->count.store_calls++;
+	pool_call_begin(p, &spec)->user = j;
+	free(path);
+}
+
+static void on_state(struct pool_call *c, long status, const char *body,
+		     size_t len)
+{
+	struct pool_job_call *j = c->user;
+	int64_t version;
+	PoolJob *job;
+
+	if (status != 200) {
+		answer_failed(j, status);
+		end(j);
+		return;
+	}
+	job = read_job(j, body, len, &version);
+	if (job)
+		answer_state(j, job);
+	else
+		answer(j, 410, "", 0, "job_state");
+	pool_job__free_unpacked(job, NULL);
+	end(j);
+}
+
+void pool_job_state(struct pool_request *r, const char *id)
+{
+	read_row(begin(r, id), on_state);
+}
+
+static void on_cancel_read(struct pool_call *c, long status, const char *body,
+			   size_t len);
+
+static void on_cancelled(struct pool_call *c, long status, const char *body,
+			 size_t len)
+{
+	struct pool_job_call *j = c->user;
+
+	(void)body;
+	(void)len;
+	if (status == 412 && ++j->tries < TRIES) {
+		read_row(j, on_cancel_read);
+		return;
+	}
+	if (status == 200)
+		answer(j, 200, "{\"state\":\"cancelled\"}", 0, "job_cancelled");
+	else
+		answer_failed(j, status == 412 ? 503 : status);
+	end(j);
+}
+
+static void write_cancelled(struct pool_job_call *j, PoolJob *job,
+			    int64_t version)
+{
+	struct pool *p = j->p;
+	size_t len;
+	uint8_t *row;
+	struct platform_write write = { .key = j->id, .expected = version };
+	struct pool_call_spec spec = {
+		.address = p->set.store,
+		.path = PLATFORM_WRITE_PATH,
+		.timeout = WRITTEN_MS,
+		.done = on_cancelled,
+	};
+
+	job->writer = 0;
+	job->state = POOL_JOB__STATE__CANCELLED;
+	job->ended_ms = (uint64_t)store_now(p);
+	len = pool_job__get_packed_size(job);
+	row = malloc(len);
+	pool_job__pack(job, row);
+	write.value = (struct rp_str){ (char *)row, len };
+	spec.request = platform_writes_body(JOBS_TABLE, pool_job_part(j->id),
+					    &write, 1);
+	p->count.store_calls++;
+	pool_call_begin(p, &spec)->user = j;
+	free(row);
+}
+
+static void on_cancel_read(struct pool_call *c, long status, const char *body,
+			   size_t len)
+{
+	struct pool_job_call *j = c->user;
+	int64_t version;
+	PoolJob *job;
+
+	if (status != 200) {
+		answer_failed(j, status);
+		end(j);
+		return;
+	}
+	job = read_job(j, body, len, &version);
+	if (job && job->state == POOL_JOB__STATE__OPEN) {
+		write_cancelled(j, job, version);
+	} else {
+		if (job)
+			answer_state(j, job);
+		else
+			answer(j, 410, "", 0, "job_cancelled");
+		end(j);
+	}
+	pool_job__free_unpacked(job, NULL);
+}
+
+void pool_job_cancel(struct pool_request *r, const char *id)
+{
+	read_row(begin(r, id), on_cancel_read);
+}
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -125,8 +125,10 @@
 {
 	pool_store_tick(p, p->now);
 	pool_members_tick(p, p->now);
-	if (p->leading)
+	if (p->leading) {
+		pool_keep_tick(p, p->now);
 		sched_tick(&p->sched, p->now);
+	}
 	pool_requests_tick(p, p->now);
 }
 
@@ -141,6 +143,7 @@
 		sched_pump(&p->sched, p->now);
 	p->sched_dirty = 0;
 	pool_send_heard(p);
+	pool_jobs_flush(p);
 	pool_links_flush(p);
 }
 
@@ -152,8 +155,10 @@
 		return;
 	if (since >= p->set.rotation && !p->open && !p->leading)
 		p->done = 1;
-	if (since >= p->set.grace - LAST_ANSWERS_MS)
+	if (since >= p->set.grace - LAST_ANSWERS_MS) {
 		pool_requests_end(p);
+		pool_jobs_end(p);
+	}
 	if (since >= p->set.grace)
 		p->done = 1;
 }
--- a/pool-member.c
+++ b/pool-member.c
@@ -53,7 +53,8 @@
 		struct pool_member *m, *best = NULL;
 
 		for (m = p->members; m; m = m->next) {
-			if (!m->link || is_among(names, n, m->vm))
+			if (!m->link || is_among(names, n, m->vm) ||
+			    (p->lead.store_lost && !m->store))
 				continue;
 			if (!best || succeeds_before(p, m, best))
 				best = m;
@@ -107,6 +108,7 @@
 	beat->leading = p->leading;
 	beat->hears = p->leading || lead_in_touch(&p->lead, p->now);
 	beat->resigns = p->lead.resigning;
+	beat->store = !p->lead.store_lost;
 	if (!p->leading)
 		return;
 	beat->successors = parts->successors;
@@ -114,6 +116,7 @@
 		list_successors(p, parts->successors, LEAD_SUCCESSORS);
 	beat->n_waiting = list_waiting(p, parts->waiting, WAITING_MAX);
 	beat->waiting = parts->list;
+	beat->waits = p->sched.jobs_read;
 	for (i = 0; i < beat->n_waiting; i++)
 		parts->list[i] = &parts->waiting[i];
 }
@@ -189,6 +192,21 @@
 	return NULL;
 }
 
+int pool_all_linked(struct pool *p)
+{
+	struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		const struct pool_member *m = find_member(p, vm->vm);
+
+		if (!is_me(p, vm->vm) &&
+		    (!m || !m->link ||
+		     p->now - m->link->heard_at > LEAD_SILENT_MS))
+			return 0;
+	}
+	return 1;
+}
+
 static struct pool_member *member_new(struct pool *p, const PoolHello *hello)
 {
 	struct pool_member *m = calloc(1, sizeof(*m));
@@ -306,6 +324,8 @@
 			lead_refused(&p->lead, p->now);
 		return;
 	}
+	if (l->member)
+		l->member->store = b->store;
 	lead_beat(&p->lead, &beat, p->now);
 	if (l == p->to_leader && b->leading) {
 		pool_beat__free_unpacked(p->heard, NULL);
@@ -317,19 +337,23 @@
 		pool_link_close(l, "");
 }
 
-unsigned pool_waiting(struct pool *p, const char *queue)
+int pool_waiting(struct pool *p, const char *queue, unsigned *jobs)
 {
 	struct sched_queue *q;
 	size_t i;
 
+	*jobs = 0;
 	if (p->leading) {
 		q = apr_hash_get(p->sched.queues, queue, APR_HASH_KEY_STRING);
-		return q ? q->waiting : 0;
+		*jobs = q ? q->waiting : 0;
+		return p->sched.jobs_read;
 	}
-	for (i = 0; p->heard && i < p->heard->n_waiting; i++)
+	if (!p->heard || !p->heard->waits || !lead_in_touch(&p->lead, p->now))
+		return 0;
+	for (i = 0; i < p->heard->n_waiting; i++)
 		if (!strcmp(p->heard->waiting[i]->queue, queue))
-			return p->heard->waiting[i]->jobs;
-	return 0;
+			*jobs = p->heard->waiting[i]->jobs;
+	return 1;
 }
 
 void pool_frame(struct pool_link *l, PoolFrame *frame)
@@ -405,18 +429,23 @@
 
 /*
  * A small VM that came into office when there was no other lets a larger one
- * lead.
+ * lead, and one that has lost the store lets one lead that has not: it would
+ * not hear of new jobs, and of targets that come and go.
  */
 static void hand_over(struct pool *p)
 {
+	const struct pool_member *m;
 	char *first;
 
 	if (p->lead.resigning || lead_alone(&p->lead) ||
 	    p->now - p->sched.since < HAND_OVER_MS ||
-	    !list_successors(p, &first, 1) ||
-	    find_member(p, first)->processor < LARGER * pool_processor(p))
+	    !list_successors(p, &first, 1))
+		return;
+	m = find_member(p, first);
+	if (!p->lead.store_lost && m->processor < LARGER * pool_processor(p))
 		return;
 	LOG_EVENT(LOG_LEVEL_INFO, "hands_over", LOG_TEXT("successor", first),
+		  LOG_NUMBER("store_lost", p->lead.store_lost),
 		  LOG_NUMBER("processor", pool_processor(p)));
 	lead_resign(&p->lead);
 }
--- a/pool-request.c
+++ b/pool-request.c
@@ -6,7 +6,7 @@
  * the leader changes; the sequence number tells a repetition.
  */
 
-#include "pool.h"
+#include "pool-request.h"
 #include "platform/platform.h"
 
 #include <stdio.h>
@@ -14,29 +14,9 @@
 #include <string.h>
 #include <sys/epoll.h>
 
-#define RETRY_AFTER_S 1	    /* where the leader did not say */
 #define UNSUPPORTED_S 3600  /* kinds of job that are not served */
 #define ANSWER_MARGIN_MS 20 /* the leader's answer may be on its way */
 
-struct pool_request {
-	struct pool_fd fd; /* must be first: the caller's connection */
-	struct pool *p;
-	struct MHD_Connection *conn;
-	char method[8];
-	char path[512];
-	char *body;
-	size_t len, cap;
-	size_t max_body;
-	uint64_t seq; /* 0: not a job */
-	PoolSubmit *sub;
-	rp_ms came, deadline;
-	uint64_t sent_fence; /* of the leader it was last sent to; 0: none */
-	uint32_t *done;	     /* tasks known to be done */
-	size_t ndone, cap_done;
-	int waiting; /* the connection is suspended */
-	struct pool_response response;
-};
-
 struct pool_request *pool_request_new(struct pool *p, const char *method,
 				      const char *path)
 {
@@ -97,16 +77,15 @@
 	return &r->response;
 }
 
-static void respond(struct pool_request *r, unsigned status, const char *body,
-		    unsigned retry_after)
+void pool_request_respond(struct pool_request *r, unsigned status,
+			  const char *body, unsigned retry_after)
 {
 	r->response.status = status;
 	r->response.body = body;
 	r->response.retry_after = retry_after;
 }
 
-/* Logs a request that did not become a job of the pool. */
-static void log_turned_away(const struct pool_request *r, const char *why)
+void pool_request_log(const struct pool_request *r, const char *why)
 {
 	LOG_EVENT(LOG_LEVEL_INFO, "request_rejected", LOG_TEXT("path", r->path),
 		  LOG_TEXT("id", r->sub ? r->sub->id : ""),
@@ -163,8 +142,8 @@
 	pool_watch(r->p, &r->fd, EPOLLRDHUP | EPOLLHUP | EPOLLERR);
 }
 
-static void fill_submit(struct pool_request *r, const struct pool_route *route,
-			const char *id)
+void pool_request_fill(struct pool_request *r, const struct pool_route *route,
+		       const char *id)
 {
 	PoolSubmit *sub = r->sub;
 
@@ -188,7 +167,7 @@
 		limit = route->timeout;
 	r->deadline = r->came + limit;
 	r->seq = ++p->next_seq;
-	fill_submit(r, route, id);
+	pool_request_fill(r, route, id);
 	apr_hash_set(p->requests, &r->seq, sizeof(r->seq), r);
 	p->open++;
 	r->waiting = 1;
@@ -206,21 +185,29 @@
 	r->sub = platform_read_job(r->body, r->len, &supported, why);
 	if (!r->sub || strlen(id) >= SCHED_ID_MAX) {
 		r->p->count.bad++;
-		respond(r, 400, "{\"error\":\"malformed job\"}", 0);
-		log_turned_away(r, r->sub ? "id too long" : why);
+		pool_request_respond(r, 400, "{\"error\":\"malformed job\"}",
+				     0);
+		pool_request_log(r, r->sub ? "id too long" : why);
 		return;
 	}
-	if (!supported) {
+	if (!supported || route->advised) {
 		r->p->count.rejected++;
-		respond(r, 503, "{\"error\":\"kind of job not served\"}",
-			UNSUPPORTED_S);
-		log_turned_away(r, "kind of job not served");
+		pool_request_respond(r, 503,
+				     "{\"error\":\"kind of job not served\"}",
+				     UNSUPPORTED_S);
+		pool_request_log(r, "kind of job not served");
+		return;
+	}
+	if (r->sub->stored) {
+		pool_request_fill(r, route, id);
+		pool_job_accept(r);
 		return;
 	}
 	if (!pool_has_leader(r->p)) {
 		r->p->count.rejected++;
-		respond(r, 503, "{\"error\":\"no leader\"}", RETRY_AFTER_S);
-		log_turned_away(r, "no leader");
+		pool_request_respond(r, 503, "{\"error\":\"no leader\"}",
+				     RETRY_AFTER_S);
+		pool_request_log(r, "no leader");
 		return;
 	}
 	open_job(r, route, id, deadline);
@@ -249,7 +236,7 @@
 
 	pool_histogram_add(&p->count.latency, p->now - r->came);
 	p->count.answered++;
-	respond(r, status, body, retry_after);
+	pool_request_respond(r, status, body, retry_after);
 	pool_unwatch(p, &r->fd);
 	close_job(r);
 	if (r->waiting) {
@@ -320,6 +307,7 @@
 
 void pool_request_gone(struct pool_request *r)
 {
+	pool_job_gone(r);
 	if (!r->seq)
 		return;
 	r->p->count.gone++;
@@ -408,23 +396,31 @@
 
 static void give_waiting(struct pool_request *r, const struct pool_route *route)
 {
+	unsigned jobs;
+
+	if (!pool_waiting(r->p, route->name, &jobs)) {
+		pool_request_respond(r, 503, "{\"error\":\"not known yet\"}",
+				     RETRY_AFTER_S);
+		pool_request_log(r, "waiting jobs are not known");
+		return;
+	}
 	snprintf(r->response.text, sizeof(r->response.text),
-		 PLATFORM_WAITING_BODY, pool_waiting(r->p, route->name));
-	respond(r, 200, r->response.text, 0);
+		 PLATFORM_WAITING_BODY, jobs);
+	pool_request_respond(r, 200, r->response.text, 0);
 }
 
-/* Jobs are kept only while their caller waits for the answer. */
+/* Jobs that are not stored are there while their caller waits. */
 static void give_state(struct pool_request *r, const char *id)
 {
 	const struct pool_request *job = find_id(r->p, id);
 
 	if (!job) {
-		respond(r, 410, "", 0);
+		pool_job_state(r, id);
 		return;
 	}
 	snprintf(r->response.text, sizeof(r->response.text),
 		 PLATFORM_STATE_BODY, job->ndone ? "running" : "queued");
-	respond(r, 200, r->response.text, 0);
+	pool_request_respond(r, 200, r->response.text, 0);
 }
 
 static void cancel(struct pool_request *r, const char *id)
@@ -432,13 +428,13 @@
 	struct pool_request *job = find_id(r->p, id);
 
 	if (!job) {
-		respond(r, 410, "", 0);
+		pool_job_cancel(r, id);
 		return;
 	}
 	pool_send_cancel(r->p, job->seq);
 	log_answer(job, "cancelled", "by the caller");
 	end_job(job, 200, "{\"state\":\"cancelled\"}", 0);
-	respond(r, 200, "{\"state\":\"cancelled\"}", 0);
+	pool_request_respond(r, 200, "{\"state\":\"cancelled\"}", 0);
 }
 
 void pool_request_begin(struct pool_request *r, const char *host,
@@ -450,15 +446,17 @@
 
 	r->conn = conn;
 	if (!p->routes) {
-		respond(r, 503, "{\"error\":\"no routes yet\"}", RETRY_AFTER_S);
-		log_turned_away(r, "no routes yet");
+		pool_request_respond(r, 503, "{\"error\":\"no routes yet\"}",
+				     RETRY_AFTER_S);
+		pool_request_log(r, "no routes yet");
 		return;
 	}
 	route = pool_routes_find(p->routes, host, r->path);
 	if (!route) {
 		p->count.not_found++;
-		respond(r, 404, "{\"error\":\"no such queue\"}", 0);
-		log_turned_away(r, "no such queue");
+		pool_request_respond(r, 404, "{\"error\":\"no such queue\"}",
+				     0);
+		pool_request_log(r, "no such queue");
 		return;
 	}
 	id = r->path + strlen(route->prefix);
@@ -471,5 +469,5 @@
 	else if (!strcmp(r->method, "DELETE") && *id)
 		cancel(r, id);
 	else
-		respond(r, 405, "", 0);
+		pool_request_respond(r, 405, "", 0);
 }
--- a/pool-route.h
+++ b/pool-route.h
@@ -14,6 +14,7 @@
 	unsigned max_attempts;	      /* failures of a task, at most */
 	double stretch;		      /* objective: stretch x run time */
 	rp_ms objective;	      /*   + this */
+	int advised; /* another service says which targets may run it */
 	rp_ms timeout;
 };
 
--- a/pool-setting.c
+++ b/pool-setting.c
@@ -44,6 +44,8 @@
 	  "share of a processor that this VM has, cores" },
 	{ "processor-speed", CORES, 0, "1", OFFSET(speed),
 	  "how many times as fast as usual that processor is" },
+	{ "status", MS, 0, "120000", OFFSET(status),
+	  "a stored job that is over is known for, ms" },
 	{ "lease", MS, 0, "1000", OFFSET(hold_most),
 	  "longest lease that targets grant, ms" },
 	{ "grace", MS, 0, "5500", OFFSET(grace),
--- a/pool-store.c
+++ b/pool-store.c
@@ -211,20 +211,36 @@
 		  on_registered);
 }
 
+/* Says as well that this VM was still in office when it was sent. */
 static void on_renewed(struct pool_call *c, long status, const char *body,
 		       size_t len)
 {
-	(void)body;
-	(void)len;
-	store_of(c->p)->renewing = 0;
+	struct pool *p = c->p;
+	struct platform_rows rows;
+	char why[PLATFORM_WHY];
+	size_t i;
+
+	store_of(p)->renewing = 0;
+	if (status == 200 && c->fence == p->lead.row.fence)
+		p->office_at = c->sent_at;
 	if (status != 200)
-		c->p->count.store_failed++;
+		p->count.store_failed++;
+	if (status != 412 || platform_read_rows(&rows, body, len, why) < 0)
+		return;
+	for (i = 0; i < rows.n; i++)
+		if (!strcmp(rows.rows[i].key, LEADER_KEY) && rows.rows[i].value)
+			on_leader_row(p, &rows.rows[i]);
+	platform_rows_finish(&rows);
 }
 
 /* Shows those that hear nothing of the leader that it lives. */
 static void renew(struct pool *p)
 {
 	struct store *s = store_of(p);
+	struct platform_write writes[2] = {
+		{ .key = RENEWED_KEY, .expected = PLATFORM_ANY_VERSION },
+		{ .key = LEADER_KEY, .only_check = 1 },
+	};
 	char fence[24];
 
 	if (!p->leading || s->renewing || p->now < s->renew_at)
@@ -233,10 +249,14 @@
 	s->renew_at = p->now + LEAD_RENEW_MS;
 	snprintf(fence, sizeof(fence), "%llu",
 		 (unsigned long long)p->lead.row.fence);
+	writes[0].value = str_of(fence);
+	writes[1].expected = p->lead.row.version;
+	/* Of a VM that leads alone there is no row. */
 	write_row(p,
-		  platform_write_body(TABLE, RENEWED_KEY, str_of(fence),
-				      PLATFORM_ANY_VERSION),
-		  on_renewed);
+		  platform_writes_body(TABLE, "", writes,
+				       lead_alone(&p->lead) ? 1 : 2),
+		  on_renewed)
+		->fence = p->lead.row.fence;
 }
 
 void pool_store_leave(struct pool *p)
@@ -254,6 +274,7 @@
 	struct pool_watch *w = &s->watches[WATCH_TARGETS];
 
 	w->every = leads ? TARGETS_MS : STANDBY_MS;
+	s->watches[WATCH_JOBS].off = 1;
 	if (!leads)
 		return;
 	pool_watch_restart(w);
@@ -261,6 +282,7 @@
 	w->answered_at = p->now;
 	pool_listing_forget(p);
 	s->renew_at = p->now;
+	p->office_at = p->now;
 }
 
 static void watch_init(struct pool *p, enum watch_kind kind, const char *table,
@@ -291,12 +313,28 @@
 	watch_init(p, WATCH_POOL, TABLE, WAIT_MS, 0, on_pool_row);
 	watch_init(p, WATCH_TARGETS, PLATFORM_TARGETS, 0, STANDBY_MS,
 		   pool_listing_row);
+	watch_init(p, WATCH_JOBS, JOBS_TABLE, WAIT_MS, 0, pool_keep_row);
+	s->watches[WATCH_JOBS].parts = JOBS_PARTS;
+	s->watches[WATCH_JOBS].off = 1;
+	s->watches[WATCH_JOBS].read = pool_keep_read;
 	s->watches[WATCH_POOL].read = on_pool_read;
 	s->watches[WATCH_TARGETS].read = pool_listing_read;
 	s->watches[WATCH_TARGETS].regained = pool_listing_regained;
 	return 0;
 }
 
+/* A call that hangs, while others are answered, is not a lost store. */
+static rp_ms heard_at(const struct store *s)
+{
+	rp_ms latest = 0;
+	int i;
+
+	for (i = 0; i < WATCHES; i++)
+		if (s->watches[i].answered_at > latest)
+			latest = s->watches[i].answered_at;
+	return latest;
+}
+
 void pool_store_tick(struct pool *p, rp_ms now)
 {
 	struct store *s = store_of(p);
@@ -304,7 +342,7 @@
 
 	for (i = 0; i < WATCHES; i++)
 		pool_watch_tick(&s->watches[i], now);
-	p->lead.store_lost = now - s->watches[WATCH_POOL].answered_at > LOST_MS;
+	p->lead.store_lost = now - heard_at(s) > LOST_MS;
 	if (!p->stopping)
 		register_vm(p);
 	renew(p);
--- a/pool-store.h
+++ b/pool-store.h
@@ -14,12 +14,16 @@
 struct pool_watch {
 	struct pool *p;
 	const char *table;
-	rp_ms wait;  /* for a change, in the store */
-	rp_ms every; /* between reads */
-	int whole;   /* all rows have been read; changes follow */
+	unsigned parts; /* named by numbers; 0: one with no name */
+	unsigned part;	/* which is being read */
+	int off;	/* not followed now */
+	rp_ms wait;	/* for a change, in the store */
+	rp_ms every;	/* between reads */
+	int whole;	/* all rows have been read; changes follow */
 	int calling;
 	int lost;		    /* the store does not answer */
 	int64_t version;	    /* of the last read */
+	int64_t first;		    /* when the first page was read */
 	char from[RP_NAME_MAX * 2]; /* where the next page begins */
 	uint32_t round;		    /* of reading all rows */
 	rp_ms due, back_off;
@@ -34,6 +38,7 @@
 	WATCH_OPERATOR,
 	WATCH_POOL,
 	WATCH_TARGETS,
+	WATCH_JOBS,
 	WATCHES,
 };
 
@@ -58,6 +63,13 @@
 /* Reads all rows again. */
 void pool_watch_restart(struct pool_watch *w);
 
+/* pool-keep.c: jobs that the store keeps */
+#define JOBS_TABLE "rosemary-jobs"
+#define JOBS_PARTS 8 /* transactions of a part wait for one another */
+const char *pool_job_part(const char *id);
+void pool_keep_row(struct pool_watch *w, const struct platform_row *row);
+void pool_keep_read(struct pool_watch *w);
+
 /* pool-listing.c: targets' rows */
 void pool_listing_row(struct pool_watch *w, const struct platform_row *row);
 void pool_listing_read(struct pool_watch *w);
--- a/pool-target.c
+++ b/pool-target.c
@@ -142,7 +142,7 @@
 			  const PoolAnswer *answer)
 {
 	struct pool *p = pool_of(s);
-	struct pool_member *m = job->owner;
+	struct pool_member *m = job->stored ? NULL : job->owner;
 	PoolAnswer told = *answer;
 	rp_ms waited =
 		(job->first_start ? job->first_start : s->now) - job->arrived;
@@ -167,6 +167,8 @@
 		  LOG_NUMBER("last_predicted_ms",
 			     (long long)job->last_expected),
 		  LOG_NUMBER("queued_jobs", (long long)s->njobs));
+	if (job->stored && job->owner)
+		return pool_keep_answer(p, job, answer->outcome);
 	if (!m)
 		return 0;
 	return pool_send_answer(p, m, &told);
@@ -178,6 +180,8 @@
 	PoolProgress progress = POOL_PROGRESS__INIT;
 	uint32_t index = (uint32_t)(task - job->tasks);
 
+	if (job->stored && job->owner)
+		return pool_keep_progress(pool_of(s), job, task);
 	if (!job->owner || job->ndone + 1 == job->ntasks)
 		return 0; /* the answer says it */
 	progress.seq = job->seq;
@@ -325,6 +329,7 @@
 	/* The names were checked when the settings were read. */
 	sched_init(&p->sched, &sched_ops, p, &names, fence, p->set.hold_most,
 		   p->now);
+	pool_keep_begin(p);
 	if (lead_alone(&p->lead))
 		list_known(p);
 }
@@ -336,4 +341,5 @@
 		  LOG_NUMBER("fence", (long long)p->sched.fence));
 	pool_calls_cancel(p, p->call_token++);
 	sched_finish(&p->sched);
+	pool_keep_end(p);
 }
--- a/pool-watch.c
+++ b/pool-watch.c
@@ -2,6 +2,7 @@
 
 #include "pool-store.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #define BACK_OFF_LEAST_MS 100 /* after a failed call; doubles */
@@ -37,11 +38,13 @@
 }
 
 /* Rows were read from the first page to the last. */
-static void all_read(struct pool_watch *w, int64_t version)
+static void all_read(struct pool_watch *w)
 {
 	w->whole = 1;
-	w->version = version;
+	/* What has changed since the first page comes again. */
+	w->version = w->first;
 	w->from[0] = '\0';
+	w->part = 0;
 	if (w->read)
 		w->read(w);
 }
@@ -50,6 +53,8 @@
 {
 	w->p->count.feed_restarts++;
 	w->whole = 0;
+	w->first = 0;
+	w->part = 0;
 	w->from[0] = '\0';
 	w->round++;
 	w->due = w->p->now;
@@ -58,6 +63,23 @@
 		  LOG_NUMBER("version", w->version));
 }
 
+/* One of the pages of a whole reading, which goes on with the next. */
+static void page_read(struct pool_watch *w, const struct platform_rows *rows)
+{
+	if (!w->first)
+		w->first = rows->version;
+	w->due = w->p->now;
+	if (rows->more && rows->n) {
+		str_copy(w->from, sizeof(w->from),
+			 str_of(rows->rows[rows->n - 1].key));
+		return;
+	}
+	w->from[0] = '\0';
+	if (++w->part < w->parts)
+		return;
+	all_read(w);
+}
+
 static void take_rows(struct pool_watch *w, const char *body, size_t len)
 {
 	struct platform_rows rows;
@@ -71,18 +93,16 @@
 		return;
 	}
 	watch_answered(w);
+	if (rows.now)
+		w->p->store_ahead = rows.now - w->p->now;
 	for (i = 0; i < rows.n; i++)
 		w->row(w, &rows.rows[i]);
 	if (w->whole) {
 		w->version = rows.version;
 		if (rows.version < before)
 			pool_watch_restart(w);
-	} else if (rows.more && rows.n) {
-		str_copy(w->from, sizeof(w->from),
-			 str_of(rows.rows[rows.n - 1].key));
-		w->due = w->p->now;
 	} else {
-		all_read(w, rows.version);
+		page_read(w, &rows);
 	}
 	platform_rows_finish(&rows);
 }
@@ -106,18 +126,21 @@
 static void read_more(struct pool_watch *w)
 {
 	struct pool *p = w->p;
-	char *path =
-		w->whole ? platform_changes_path(w->table, w->version, w->wait)
-			 : platform_rows_path(w->table, w->from);
+	char part[16] = "";
+	char *path;
+	struct pool_call *c;
 	struct pool_call_spec spec = {
 		.address = p->set.store,
-		.path = path,
 		.timeout = STORE_ANSWER_MS + (w->whole ? w->wait : 0),
 		.fresh = w->lost,
 		.done = on_rows,
 	};
-	struct pool_call *c;
 
+	if (w->parts)
+		snprintf(part, sizeof(part), "%u", w->part);
+	path = w->whole ? platform_changes_path(w->table, w->version, w->wait)
+			: platform_rows_path(w->table, part, w->from);
+	spec.path = path;
 	w->calling = 1;
 	p->count.store_calls++;
 	c = pool_call_begin(p, &spec);
@@ -128,6 +151,6 @@
 
 void pool_watch_tick(struct pool_watch *w, rp_ms now)
 {
-	if (!w->calling && now >= w->due)
+	if (!w->off && !w->calling && now >= w->due)
 		read_more(w);
 }
--- a/pool.h
+++ b/pool.h
@@ -33,8 +33,9 @@
 	char store[RP_ADDRESS_MAX];	  /* the platform's store */
 	int64_t processor;		  /* thousandths of a core */
 	int64_t speed;			  /* of that core, thousandths */
-	rp_ms hold_most;		  /* longest lease that targets grant */
-	rp_ms grace;			  /* from SIGTERM to the last answer */
+	rp_ms status;		 /* a stored job that is over is known for */
+	rp_ms hold_most;	 /* longest lease that targets grant */
+	rp_ms grace;		 /* from SIGTERM to the last answer */
 	rp_ms rotation;		 /* until the balancer has seen it unready */
 	char order[RP_NAME_MAX]; /* policies of the scheduler */
 	char admit[RP_NAME_MAX];
@@ -169,6 +170,7 @@
 	char address[RP_ADDRESS_MAX];
 	char failure_domain[RP_NAME_MAX];
 	int64_t processor; /* thousandths of a core */
+	int store;	   /* answers it */
 	uint64_t incarnation;
 	struct pool_link *link; /* NULL: broken */
 	rp_ms joined_at, broken_at;
@@ -211,6 +213,8 @@
 /* Tells the leader what was heard from it; once a turn. */
 void pool_send_heard(struct pool *p);
 void pool_send_beat(struct pool *p, struct pool_link *l);
+/* Whether all entry VMs known are linked to this leader, and hear it. */
+int pool_all_linked(struct pool *p);
 /* Dials all other entry VMs that the store names, to ask or to tell. */
 void pool_dial_all(struct pool *p, int tell);
 void pool_members_clear(struct pool *p);
@@ -222,8 +226,8 @@
 
 /* --- pool-relay.c: jobs to the leader, answers from it --------------- */
 
-/* Jobs of a queue that wait, over the pool, as last heard. */
-unsigned pool_waiting(struct pool *p, const char *queue);
+/* Jobs of a queue that wait, over the pool. Returns whether it is known. */
+int pool_waiting(struct pool *p, const char *queue, unsigned *jobs);
 
 /* --- pool-store.c: what this VM reads and writes in the store -------- */
 
@@ -249,6 +253,27 @@
 /* A call to a target that is answered usually is within, ms. */
 rp_ms pool_answer_within(const struct pool *p);
 
+/* --- pool-keep.c: jobs that the store keeps, on the leader ------------ */
+
+/* Return the mark of the write, as struct sched_ops has it. */
+uint64_t pool_keep_progress(struct pool *p, struct sched_job *job,
+			    const struct sched_task *task);
+uint64_t pool_keep_answer(struct pool *p, struct sched_job *job,
+			  PoolAnswer__Outcome outcome);
+void pool_keep_begin(struct pool *p);
+void pool_keep_tick(struct pool *p, rp_ms now);
+void pool_keep_end(struct pool *p);
+/* Whether a task of the job has been started here. */
+int pool_keep_started(struct pool *p, const char *id);
+
+/* --- pool-job.c: jobs that the store keeps, on any VM ----------------- */
+
+int pool_jobs_init(struct pool *p);
+/* Writes what was accepted in this turn. */
+void pool_jobs_flush(struct pool *p);
+/* Answers all that wait for the store: this VM is about to end. */
+void pool_jobs_end(struct pool *p);
+
 /* --- pool-agent.c: calls that other VMs make for the leader ----------- */
 
 /* Who is to call the target; NULL: this VM. */
@@ -393,7 +418,11 @@
 	double lag; /* of late, ms */
 	struct pool_routes *routes;
 	struct pool_watch *watches;
-	apr_hash_t *requests; /* seq -> struct pool_request */
+	rp_ms store_ahead;	/* its clock, before this VM's */
+	struct pool_keep *keep; /* while this VM leads */
+	rp_ms office_at;	/* the store last confirmed that it does */
+	struct pool_accepts *accepts; /* jobs on their way to the store */
+	apr_hash_t *requests;	      /* seq -> struct pool_request */
 	uint64_t next_seq;
 	unsigned open; /* requests not yet answered */
 	struct pool_counters count;
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &pool_leader__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_job__init
+                     (PoolJob         *message)
+{
+  static const PoolJob init_value = POOL_JOB__INIT;
+  *message = init_value;
+}
+size_t pool_job__get_packed_size
+                     (const PoolJob *message)
+{
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_job__pack
+                     (const PoolJob *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_job__pack_to_buffer
+                     (const PoolJob *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolJob *
+       pool_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolJob *)
+     protobuf_c_message_unpack (&pool_job__descriptor,
+                                allocator, len, data);
+}
+void   pool_job__free_unpacked
+                     (PoolJob *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_call__init
                      (PoolCall         *message)
 {
@@ -734,7 +779,7 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[16] =
 {
   {
     "seq",
@@ -904,10 +949,35 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stored",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolSubmit, n_failed),
+    offsetof(PoolSubmit, failed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   13,   /* field[13] = done */
+  15,   /* field[15] = failed */
   12,   /* field[12] = former */
   9,   /* field[9] = id */
   2,   /* field[2] = left_ms */
@@ -919,12 +989,13 @@
   4,   /* field[4] = service */
   10,   /* field[10] = specification */
   11,   /* field[11] = steps */
+  14,   /* field[14] = stored */
   7,   /* field[7] = stretch */
 };
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -934,7 +1005,7 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  14,
+  16,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
@@ -1357,7 +1428,7 @@
   (ProtobufCMessageInit) pool_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[11] =
 {
   {
     "fence",
@@ -1467,6 +1538,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, waits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   0,   /* field[0] = fence */
@@ -1475,14 +1570,16 @@
   2,   /* field[2] = leader_address */
   3,   /* field[3] = leading */
   7,   /* field[7] = resigns */
+  9,   /* field[9] = store */
   5,   /* field[5] = successors */
   8,   /* field[8] = vm */
   6,   /* field[6] = waiting */
+  10,   /* field[10] = waits */
 };
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -1492,7 +1589,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  9,
+  11,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
@@ -1576,6 +1673,154 @@
   (ProtobufCMessageInit) pool_leader__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue pool_job__state__enum_values_by_number[4] =
+{
+  { "OPEN", "POOL_JOB__STATE__OPEN", 0 },
+  { "COMPLETED", "POOL_JOB__STATE__COMPLETED", 1 },
+  { "FAILED", "POOL_JOB__STATE__FAILED", 2 },
+  { "CANCELLED", "POOL_JOB__STATE__CANCELLED", 3 },
+};
+static const ProtobufCIntRange pool_job__state__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex pool_job__state__enum_values_by_name[4] =
+{
+  { "CANCELLED", 3 },
+  { "COMPLETED", 1 },
+  { "FAILED", 2 },
+  { "OPEN", 0 },
+};
+const ProtobufCEnumDescriptor pool_job__state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "PoolJob.State",
+  "State",
+  "PoolJob__State",
+  "",
+  4,
+  pool_job__state__enum_values_by_number,
+  4,
+  pool_job__state__enum_values_by_name,
+  1,
+  pool_job__state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor pool_job__field_descriptors[7] =
+{
+  {
+    "submit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, submit),
+    &pool_submit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, state),
+    &pool_job__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, accepted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_done),
+    offsetof(PoolJob, done),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_failed),
+    offsetof(PoolJob, failed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, writer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_job__field_indices_by_name[] = {
+  2,   /* field[2] = accepted_ms */
+  4,   /* field[4] = done */
+  3,   /* field[3] = ended_ms */
+  5,   /* field[5] = failed */
+  1,   /* field[1] = state */
+  0,   /* field[0] = submit */
+  6,   /* field[6] = writer */
+};
+static const ProtobufCIntRange pool_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolJob",
+  "PoolJob",
+  "PoolJob",
+  "",
+  sizeof(PoolJob),
+  7,
+  pool_job__field_descriptors,
+  pool_job__field_indices_by_name,
+  1,  pool_job__number_ranges,
+  (ProtobufCMessageInit) pool_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pool_call__field_descriptors[7] =
 {
   {
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct PoolWaiting PoolWaiting;
 typedef struct PoolBeat PoolBeat;
 typedef struct PoolLeader PoolLeader;
+typedef struct PoolJob PoolJob;
 typedef struct PoolCall PoolCall;
 typedef struct PoolReply PoolReply;
 typedef struct PoolFrame PoolFrame;
@@ -48,6 +49,13 @@
   POOL_ANSWER__OUTCOME__INCOMPLETE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_ANSWER__OUTCOME)
 } PoolAnswer__Outcome;
+typedef enum _PoolJob__State {
+  POOL_JOB__STATE__OPEN = 0,
+  POOL_JOB__STATE__COMPLETED = 1,
+  POOL_JOB__STATE__FAILED = 2,
+  POOL_JOB__STATE__CANCELLED = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_JOB__STATE)
+} PoolJob__State;
 
 /* --- messages --- */
 
@@ -148,10 +156,19 @@
    */
   size_t n_done;
   uint32_t *done;
+  /*
+   * The store keeps the job: it has no deadline, and is not rejected.
+   */
+  protobuf_c_boolean stored;
+  /*
+   * tasks, each as often as it has failed
+   */
+  size_t n_failed;
+  uint32_t *failed;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -280,10 +297,18 @@
    * the sender
    */
   char *vm;
+  /*
+   * the store answers the sender
+   */
+  protobuf_c_boolean store;
+  /*
+   * waiting is known
+   */
+  protobuf_c_boolean waits;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -302,6 +327,39 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Row of the store with a job that is kept there.
+ */
+struct  PoolJob
+{
+  ProtobufCMessage base;
+  /*
+   * without seq, ages, former, done and failed
+   */
+  PoolSubmit *submit;
+  PoolJob__State state;
+  /*
+   * of the store's clock
+   */
+  uint64_t accepted_ms;
+  /*
+   * likewise; 0: open
+   */
+  uint64_t ended_ms;
+  size_t n_done;
+  uint32_t *done;
+  size_t n_failed;
+  uint32_t *failed;
+  /*
+   * token of the leader that wrote it; 0: an entry VM
+   */
+  uint64_t writer;
+};
+#define POOL_JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_job__descriptor) \
+    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0 }
+
+
 /*
  * An HTTP call that the leader has another VM make.
  */
@@ -568,6 +626,25 @@
 void   pool_leader__free_unpacked
                      (PoolLeader *message,
                       ProtobufCAllocator *allocator);
+/* PoolJob methods */
+void   pool_job__init
+                     (PoolJob         *message);
+size_t pool_job__get_packed_size
+                     (const PoolJob   *message);
+size_t pool_job__pack
+                     (const PoolJob   *message,
+                      uint8_t             *out);
+size_t pool_job__pack_to_buffer
+                     (const PoolJob   *message,
+                      ProtobufCBuffer     *buffer);
+PoolJob *
+       pool_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_job__free_unpacked
+                     (PoolJob *message,
+                      ProtobufCAllocator *allocator);
 /* PoolCall methods */
 void   pool_call__init
                      (PoolCall         *message);
@@ -657,6 +734,9 @@
 typedef void (*PoolLeader_Closure)
                  (const PoolLeader *message,
                   void *closure_data);
+typedef void (*PoolJob_Closure)
+                 (const PoolJob *message,
+                  void *closure_data);
 typedef void (*PoolCall_Closure)
                  (const PoolCall *message,
                   void *closure_data);
@@ -683,6 +763,8 @@
 extern const ProtobufCMessageDescriptor pool_waiting__descriptor;
 extern const ProtobufCMessageDescriptor pool_beat__descriptor;
 extern const ProtobufCMessageDescriptor pool_leader__descriptor;
+extern const ProtobufCMessageDescriptor pool_job__descriptor;
+extern const ProtobufCEnumDescriptor    pool_job__state__descriptor;
 extern const ProtobufCMessageDescriptor pool_call__descriptor;
 extern const ProtobufCMessageDescriptor pool_reply__descriptor;
 extern const ProtobufCMessageDescriptor pool_frame__descriptor;
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -312,9 +312,10 @@
 Test(job, of_a_kind_that_is_not_served_is_told)
 {
 	static const char *const kinds[] = {
-		"{\"steps\":[{\"count\":1}]}",
+		"{\"longRunning\":true,\"steps\":[{\"count\":1}]}",
 		"{\"bestEffort\":true,\"longRunning\":true,"
 		"\"steps\":[{\"count\":1}]}",
+		"{\"maxRuns\":2,\"steps\":[{\"count\":1}]}",
 		"{\"bestEffort\":true,\"maxRuns\":2,\"steps\":[{\"count\":1}]}",
 		"{\"bestEffort\":true,\"steps\":[{\"count\":1,\"gang\":true}]}",
 		"{\"bestEffort\":true,"
@@ -332,6 +333,20 @@
 	}
 }
 
+Test(job, that_need_not_be_stored_says_so)
+{
+	int supported;
+	PoolSubmit *s = job("{\"steps\":[{\"count\":1}]}", &supported);
+
+	cr_assert(supported);
+	cr_assert(s->stored);
+	pool_submit__free_unpacked(s, NULL);
+	s = job("{\"bestEffort\":true,\"steps\":[{\"count\":1}]}", &supported);
+	cr_assert(supported);
+	cr_assert_not(s->stored);
+	pool_submit__free_unpacked(s, NULL);
+}
+
 Test(job, that_is_malformed_is_refused)
 {
 	static const char *const bad[] = {
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -380,6 +380,31 @@
 	end();
 }
 
+/*
+ * Found on a day of stored jobs: a leader that was cut off started a task
+ * again that its successor had seen done.
+ */
+Test(sched_life, stored_jobs_that_are_held_neither_run_nor_start)
+{
+	struct world_job *job;
+	size_t i, runs = 0;
+
+	begin(2);
+	job = world_submit(&w, "q", 2, 200, 1, 3000);
+	sched_open_job(&first, str_of(job->sub->id))->stored = 1;
+	world_run(&w, w.now + 50);
+	sched_hold_stored(&first, 1, w.now);
+	world_run(&w, w.now + 300);
+	for (i = 0; i < 2; i++)
+		runs += w.targets[i].nruns;
+	cr_assert_eq(runs, 0);
+	cr_assert(!job->answered);
+	sched_hold_stored(&first, 0, w.now);
+	world_run(&w, w.now + 2000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end();
+}
+
 /* --- random faults --------------------------------------------------- */
 
 static void random_fault(struct world *x)
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -222,6 +222,33 @@
 	end();
 }
 
+/*
+ * Found on a day of stored jobs: a run ended between the first list and the
+ * handover of its job, was adopted as running, and started again.
+ */
+Test(sched_takeover, a_run_that_ends_before_the_handover_is_done)
+{
+	struct world_job *job;
+
+	begin(4);
+	job = world_submit(&w, "q", 4, 150, 1, 1500);
+	world_run(&w, w.now + 100);
+	sched_finish(&first);
+	while (w.events) {
+		struct world_event *e = w.events;
+
+		w.events = e->next;
+		free(e);
+	}
+	world_lead(&w, &second, NULL, LEAD_TOKEN(2));
+	world_run(&w, w.now + 200);
+	world_resubmit(&w);
+	world_run(&w, w.now + 800);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 4);
+	end();
+}
+
 /* Owners that have heard, or are gone, hold nothing back. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_have_heard)
 {
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -195,10 +195,23 @@
 	json_decref(saw);
 }
 
+static struct soak *playing;
+
+static void on_signal(int signo)
+{
+	(void)signo;
+	soak_stop(playing);
+	_exit(2);
+}
+
 static void play(struct soak *s, unsigned seed, int seconds)
 {
 	json_t *saw;
 
+	playing = s;
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+
 	soak_start(s);
 	await_ready(s);
 	start_callers(s, "callers.log", seconds, RATE, seed);
--- a/regress/standin/callers.c
+++ b/regress/standin/callers.c
@@ -19,6 +19,8 @@
 #define RESEND_MS 1300
 #define BODY_MAX 256
 #define GIVE_UP_MS 6000
+#define STORED_MS 30000 /* a stored job is over within */
+#define POLL_MS 200	/* between questions for a state */
 
 struct job {
 	unsigned long long id;
@@ -30,6 +32,7 @@
 	size_t len;
 	int retry_after;
 	int rejected, completed; /* how it was answered */
+	int accepted;		 /* stored; its state is asked for */
 };
 
 struct flags {
@@ -38,6 +41,7 @@
 	double rate, seconds;
 	int tasks, ms;
 	unsigned seed;
+	int stored;	    /* jobs that the store keeps */
 	const char *verify; /* the stand-in that is asked for the truth */
 };
 
@@ -89,16 +93,18 @@
 	snprintf(url, sizeof(url), "http://%s/q/%016llx",
 		 f.addresses[rand_r(&f.seed) % f.naddresses], j->id);
 	snprintf(j->request, sizeof(j->request),
-		 "{\"specification\":\"%d #%d\",\"bestEffort\":true,\"steps\":"
+		 "{\"specification\":\"%d #%d\",\"bestEffort\":%s,\"steps\":"
 		 "[{\"count\":%d,\"cpu\":6000,\"taskMemoryMb\":64,"
 		 "\"estimatedMs\":%d}]}",
-		 f.ms, ++j->sends, j->tasks, f.ms);
+		 f.ms, f.stored ? 1 : ++j->sends, f.stored ? "false" : "true",
+		 j->tasks, f.ms);
 	j->len = 0;
 	j->due = 0;
 	j->easy = curl_easy_init();
 	curl_easy_setopt(j->easy, CURLOPT_URL, url);
 	curl_easy_setopt(j->easy, CURLOPT_PRIVATE, j);
-	curl_easy_setopt(j->easy, CURLOPT_POSTFIELDS, j->request);
+	if (!j->accepted)
+		curl_easy_setopt(j->easy, CURLOPT_POSTFIELDS, j->request);
 	curl_easy_setopt(j->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(j->easy, CURLOPT_WRITEDATA, j);
 	curl_easy_setopt(j->easy, CURLOPT_HEADERFUNCTION, on_header);
@@ -111,7 +117,7 @@
 /* No answer: the job is sent again, or given up. */
 static void unanswered(struct job *j)
 {
-	if (now_ms() - j->first > GIVE_UP_MS) {
+	if (now_ms() - j->first > (f.stored ? STORED_MS : GIVE_UP_MS)) {
 		count.unanswered++;
 		open_jobs--;
 		return;
@@ -120,8 +126,29 @@
 	j->due = now_ms() + RESEND_MS;
 }
 
+/* A stored job that was accepted: its state, once it is over. */
+static int goes_on(struct job *j, long status)
+{
+	if (!f.stored || (!j->accepted && status != 200))
+		return 0;
+	if (j->accepted && status == 200 && !strstr(j->body, "\"queued\"") &&
+	    !strstr(j->body, "\"running\""))
+		return 0;
+	if (j->accepted && status != 200 && status != 503 && status != 504)
+		return 0;
+	j->accepted = 1;
+	j->due = now_ms() + POLL_MS;
+	return 1;
+}
+
 static void answered(struct job *j, long status)
 {
+	if (goes_on(j, status))
+		return;
+	if (f.stored && status == 504) {
+		unanswered(j);
+		return;
+	}
 	open_jobs--;
 	if (status == 503 || status == 429) {
 		count.rejected++;
@@ -264,6 +291,9 @@
 	case 'x':
 		f.seed = (unsigned)atoi(arg);
 		return 0;
+	case 'k':
+		f.stored = 1;
+		return 0;
 	case 'v':
 		f.verify = arg;
 		return 0;
@@ -285,6 +315,9 @@
 		{ .name = "tasks", .key = 't', .arg = "COUNT" },
 		{ .name = "ms", .key = 'm', .arg = "MS" },
 		{ .name = "seed", .key = 'x', .arg = "N" },
+		{ .name = "stored",
+		  .key = 'k',
+		  .doc = "jobs that the store keeps" },
 		{ .name = "verify",
 		  .key = 'v',
 		  .arg = "IP:PORT",
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -18,7 +18,7 @@
 /* --- store.c ---------------------------------------------------------- */
 
 struct standin_row {
-	char table[STANDIN_NAME], key[STANDIN_NAME * 2];
+	char table[STANDIN_NAME], part[STANDIN_NAME], key[STANDIN_NAME * 2];
 	char *value; /* base64; NULL: removed */
 	int64_t version;
 };
@@ -61,6 +61,7 @@
 	size_t index;
 	char id[STANDIN_NAME];
 	int64_t born, sequence, drains_since;
+	int64_t reborn_at; /* 0: never */
 	int draining, dark, stuck, failing;
 	double clock; /* its clock is this far ahead, ms */
 	int drag;     /* its clock is this much slow, percent */
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -8,21 +8,22 @@
 #include <string.h>
 
 static struct standin_row *find(struct standin_store *s, const char *table,
-				const char *key)
+				const char *part, const char *key)
 {
 	size_t i;
 
 	for (i = 0; i < s->n; i++)
 		if (!strcmp(s->rows[i].table, table) &&
+		    !strcmp(s->rows[i].part, part) &&
 		    !strcmp(s->rows[i].key, key))
 			return &s->rows[i];
 	return NULL;
 }
 
 static void put_encoded(struct standin_store *s, const char *table,
-			const char *key, const char *value)
+			const char *part, const char *key, const char *value)
 {
-	struct standin_row *row = find(s, table, key);
+	struct standin_row *row = find(s, table, part, key);
 
 	if (!row) {
 		if (s->n == s->cap) {
@@ -32,6 +33,7 @@
 		row = &s->rows[s->n++];
 		memset(row, 0, sizeof(*row));
 		snprintf(row->table, sizeof(row->table), "%s", table);
+		snprintf(row->part, sizeof(row->part), "%s", part);
 		snprintf(row->key, sizeof(row->key), "%s", key);
 	}
 	free(row->value);
@@ -51,14 +53,14 @@
 		value = malloc((size_t)apr_base64_encode_len(len) + 1);
 		apr_base64_encode(value, text, len);
 	}
-	put_encoded(s, table, key, value);
+	put_encoded(s, table, "", key, value);
 	free(value);
 }
 
 static json_t *row_json(const struct standin_row *row)
 {
 	json_t *o = json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part",
-			      "", "key", row->key, "recordVersion",
+			      row->part, "key", row->key, "recordVersion",
 			      (json_int_t)row->version);
 
 	if (row->value)
@@ -79,18 +81,39 @@
 					 (json_int_t)fake_now_ms()));
 }
 
+static int by_key(const void *a, const void *b)
+{
+	const struct standin_row *x = *(const struct standin_row *const *)a;
+	const struct standin_row *y = *(const struct standin_row *const *)b;
+
+	return strcmp(x->key, y->key);
+}
+
+static const char *arg(struct fake_request *r, const char *name)
+{
+	const char *text = fake_request_arg(r, name);
+
+	return text ? text : "";
+}
+
 static enum fake_verdict get_rows(struct standin_store *s,
 				  struct fake_request *r)
 {
-	const char *table = fake_request_arg(r, "table");
+	const struct standin_row **found = calloc(s->n + 1, sizeof(*found));
+	size_t i, n = 0, most = (size_t)atoi(arg(r, "limit"));
 	json_t *rows = json_array();
-	size_t i;
 
 	s->reads++;
 	for (i = 0; i < s->n; i++)
-		if (table && s->rows[i].value &&
-		    !strcmp(s->rows[i].table, table))
-			json_array_append_new(rows, row_json(&s->rows[i]));
+		if (s->rows[i].value &&
+		    !strcmp(s->rows[i].table, arg(r, "table")) &&
+		    !strcmp(s->rows[i].part, arg(r, "part")) &&
+		    strcmp(s->rows[i].key, arg(r, "from")) >= 0)
+			found[n++] = &s->rows[i];
+	qsort(found, n, sizeof(*found), by_key);
+	for (i = 0; i < n && (!most || i < most); i++)
+		json_array_append_new(rows, row_json(found[i]));
+	free(found);
 	return reply_rows(s, r, 200, rows);
 }
 
@@ -134,6 +157,13 @@
 	return reply_rows(s, r, 200, rows);
 }
 
+static const char *name_of(json_t *o, const char *name)
+{
+	const char *text = json_string_value(json_object_get(o, name));
+
+	return text ? text : "";
+}
+
 /* Whether all rows have the versions that are expected. */
 static int conditions_hold(struct standin_store *s, json_t *list, json_t *now)
 {
@@ -142,9 +172,9 @@
 
 	for (i = 0; i < json_array_size(list); i++) {
 		json_t *o = json_array_get(list, i);
-		struct standin_row *row =
-			find(s, json_string_value(json_object_get(o, "table")),
-			     json_string_value(json_object_get(o, "key")));
+		struct standin_row *row = find(s, name_of(o, "table"),
+					       name_of(o, "part"),
+					       name_of(o, "key"));
 		int64_t is = row && row->value ? row->version : 0;
 
 		if (is != json_integer_value(json_object_get(o, "recordVersio"
@@ -176,15 +206,14 @@
 	for (i = 0; i < json_array_size(writes); i++) {
 		json_t *o = json_array_get(writes, i);
 
-		put_encoded(s, json_string_value(json_object_get(o, "table")),
-			    json_string_value(json_object_get(o, "key")),
-			    json_string_value(json_object_get(o, "value")));
+		put_encoded(s, name_of(o, "table"), name_of(o, "part"),
+			    name_of(o, "key"), name_of(o, "value"));
 	}
 	for (i = 0; i < json_array_size(removes); i++) {
 		json_t *o = json_array_get(removes, i);
 
-		put_encoded(s, json_string_value(json_object_get(o, "table")),
-			    json_string_value(json_object_get(o, "key")), NULL);
+		put_encoded(s, name_of(o, "table"), name_of(o, "part"),
+			    name_of(o, "key"), NULL);
 	}
 	json_decref(root);
 	if (s->lose && rand_r(&st->seed) % 100 < s->lose)
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -8,6 +8,7 @@
 
 #define LEASE_MS 1000
 #define CPU 16000.0
+#define RESTART_MS 80 /* until another incarnation answers */
 
 void target_init(struct standin *st, size_t index)
 {
@@ -45,6 +46,7 @@
 	t->number = t->fence = t->lease_until = 0;
 	json_object_clear(t->past);
 	t->born++;
+	t->reborn_at = fake_now_ms();
 	target_report(t);
 }
 
@@ -302,6 +304,10 @@
 	int64_t fence = 0;
 	json_t *body;
 
+	/* Connections end with a process, and the next one takes a while. */
+	if (t->reborn_at &&
+	    fake_now_ms() - standin_waited(r) - RESTART_MS < t->reborn_at)
+		return FAKE_DROP;
 	if (t->dark)
 		return standin_later(r);
 	target_advance(t);
--- a/regress/t-pool-serve.sh
+++ b/regress/t-pool-serve.sh
@@ -60,6 +60,13 @@
 	wait $late
 	echo "the long job: $(cat "$dir"/late)"
 
+	# A VM that cannot listen says so.
+	"$bin"/rosemary-poold --vm-name=vm9 --failure-domain=z \
+		--listen="$(http_of 0)" --ready-listen=127.0.0.1:$((port + 129)) \
+		--link=127.0.0.1:$((port + 169)) --store=127.0.0.1:$port \
+		>"$dir"/vm9.log || echo "address in use: exit $?," \
+		"$(grep -c 'cannot listen' "$dir"/vm9.log) line"
+
 	# A version of the table is in force everywhere, and stays.
 	control row '{"table":"op","key":"config","text":"{\"version\":5,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/new/\",\"timeoutMs\":5000,\"service\":\"desk\"}]}"}'
 	sleep 1
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -404,6 +404,7 @@
 	for (i = 0; i < w->ntargets; i++)
 		sched_listed(s, &w->targets[i].is, w->now);
 	sched_list_read(s);
+	sched_jobs_read(s);
 }
 
 struct world_job *world_submit(struct world *w, const char *queue, int tasks,
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -67,7 +67,7 @@
 	if (pool_loop_init(p) < 0 || watch_signals(p) < 0 ||
 	    pool_calls_init(p) < 0 || pool_store_init(p) < 0 ||
 	    pool_members_init(p) < 0 || pool_links_init(p) < 0 ||
-	    pool_serve_init(p) < 0)
+	    pool_jobs_init(p) < 0 || pool_serve_init(p) < 0)
 		return -1;
 	LOG_EVENT(LOG_LEVEL_INFO, "start",
 		  LOG_TEXT("failure_domain", p->set.failure_domain),
@@ -100,8 +100,10 @@
 	p->started_at = p->now;
 	apr_pool_create(&p->pool, NULL);
 	p->requests = hash_new(p->pool);
-	if (start(p) < 0)
+	if (start(p) < 0) {
+		log_flush();
 		return EXIT_START;
+	}
 	pool_loop_run(p);
 	LOG_EVENT(LOG_LEVEL_INFO, "stop", LOG_NUMBER("open", p->open),
 		  LOG_NUMBER("after_ms", p->now - p->stop_at));
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -164,6 +164,22 @@
 	}
 }
 
+void sched_adopt_end(struct sched_target *t, const struct sched_end *end)
+{
+	size_t i;
+
+	for (i = 0; i < t->norphans; i++) {
+		struct sched_orphan *o = &t->orphans[i];
+
+		if (o->number || o->run != end->run ||
+		    !str_eq(str_of(o->name), end->task))
+			continue;
+		o->number = end->number;
+		o->how = end->how;
+		sched_told_keep(t, o->number);
+	}
+}
+
 static void stop_left(struct sched_target *t)
 {
 	size_t i;
@@ -211,8 +227,13 @@
 	return 1;
 }
 
+int sched_adopting(const struct sched_target *t)
+{
+	return t->s->now < t->adopt_until || !t->s->jobs_read;
+}
+
 void sched_adopt_tick(struct sched_target *t)
 {
-	if (t->norphans && t->s->now >= t->adopt_until)
+	if (t->norphans && !sched_adopting(t))
 		stop_left(t);
 }
--- a/sched-core.c
+++ b/sched-core.c
@@ -187,7 +187,7 @@
 		sched_adopt_job(job);
 		return;
 	}
-	if (s->admit->admit(s, job, &reason, &retry_after))
+	if (job->stored || s->admit->admit(s, job, &reason, &retry_after))
 		return;
 	sched_job_answer(job, POOL_ANSWER__OUTCOME__REJECTED, reason,
 			 retry_after);
@@ -210,6 +210,15 @@
 		drop(job);
 }
 
+void sched_cancel_stored(struct sched *s, const char *id, rp_ms now)
+{
+	struct sched_job *job = sched_open_job(s, str_of(id));
+
+	s->now = now;
+	if (job && job->stored)
+		drop(job);
+}
+
 void sched_owner_gone(struct sched *s, void *owner, rp_ms now)
 {
 	struct sched_job *job, *next;
@@ -337,6 +346,24 @@
 	s->listed = 1;
 }
 
+void sched_hold_stored(struct sched *s, int held, rp_ms now)
+{
+	struct sched_job *job;
+	size_t i;
+
+	s->now = now;
+	s->stored_held = held;
+	for (job = s->jobs; held && job; job = job->next)
+		for (i = 0; job->stored && i < job->ntasks; i++)
+			if (job->tasks[i].target)
+				sched_run_stop(&job->tasks[i]);
+}
+
+void sched_jobs_read(struct sched *s)
+{
+	s->jobs_read = 1;
+}
+
 void sched_unlisted(struct sched *s, const char *id, rp_ms now)
 {
 	struct sched_target *t = sched_find_target(s, id);
@@ -353,6 +380,8 @@
 {
 	size_t i;
 
+	if (job->stored && job->s->stored_held)
+		return;
 	if (job->again && earlier_runs(job))
 		return;
 	job->again = 0;
--- a/sched-job.c
+++ b/sched-job.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define LATE_FACTOR 3 /* an answer after this many objectives is useless */
+#define NO_DEADLINE (1000LL * 86400 * 365) /* ms */
 #define OVERHEAD_MS 6 /* calls, ends' listing and the answer of one step */
 
 static void queue_unlink(struct sched_job *job)
@@ -96,7 +97,8 @@
 	job->on_time = job->objective;
 	if (job->on_time > job->deadline)
 		job->on_time = job->deadline;
-	job->useful_until = late < job->deadline ? late : job->deadline;
+	job->useful_until =
+		late < job->deadline && !job->stored ? late : job->deadline;
 	job->latest_start = job->on_time - (rp_ms)sched_job_chain(job);
 	job->key = job->s->order->key(job);
 	if (job->answered)
@@ -169,6 +171,15 @@
 	job->specification.len = sub->specification.len;
 }
 
+static void mark_failed(struct sched_job *job, const PoolSubmit *sub)
+{
+	size_t i;
+
+	for (i = 0; i < sub->n_failed; i++)
+		if (sub->failed[i] < job->ntasks)
+			job->tasks[sub->failed[i]].failures++;
+}
+
 struct sched_job *sched_open_job(struct sched *s, struct rp_str id)
 {
 	return apr_hash_get(s->open, id.ptr, (apr_ssize_t)id.len);
@@ -208,9 +219,10 @@
 	job->stretch = sub->stretch;
 	job->extra = sub->objective_ms;
 	job->former = sub->former;
+	job->stored = sub->stored;
 	job->arrived = now - sub->age_ms;
 	job->submitted = now;
-	job->deadline = now + sub->left_ms;
+	job->deadline = now + (sub->stored ? NO_DEADLINE : sub->left_ms);
 	job->nsteps = sub->n_steps;
 	job->steps = calloc(job->nsteps, sizeof(*job->steps));
 	for (i = 0; i < job->nsteps; i++)
@@ -219,6 +231,7 @@
 	job->tasks = calloc(job->ntasks, sizeof(*job->tasks));
 	name_tasks(job);
 	mark_done(job, sub);
+	mark_failed(job, sub);
 	job->queue = sched_queue_of(s, sub->queue, job->steps[0].work);
 	job->queue->waiting++;
 	sched_learn_job(job);
--- a/sched-run.c
+++ b/sched-run.c
@@ -162,6 +162,17 @@
 	return mark;
 }
 
+static uint64_t run_failed(struct sched_task *task)
+{
+	struct sched_job *job = task->job;
+
+	if (++task->failures >= job->max_attempts)
+		return sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
+					"a task failed too often", 0);
+	requeue(task);
+	return job->stored ? job->s->ops->progress(job->s, job, task) : 0;
+}
+
 uint64_t sched_run_over(struct sched_task *task, enum sched_end_how how)
 {
 	struct sched_job *job = task->job;
@@ -183,10 +194,8 @@
 	if (how == SCHED_END_DONE) {
 		return sched_task_done(task);
 	}
-	if (how == SCHED_END_FAILED && ++task->failures >= job->max_attempts) {
-		return sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
-					"a task failed too often", 0);
-	}
+	if (how == SCHED_END_FAILED)
+		return run_failed(task);
 	requeue(task);
 	return 0;
 }
@@ -360,8 +369,10 @@
 
 	t->ends_seen = e->number;
 	t->s->count.ends++;
-	if (!task)
+	if (!task) {
+		sched_adopt_end(t, e);
 		return;
+	}
 	owner = task->job->owner;
 	if (e->how != SCHED_END_STOPPED)
 		sched_learn_end(task, (double)(t->s->now - task->sent_at),
@@ -402,7 +413,7 @@
 		if (sched_run_find(t, r->task, r->run))
 			continue;
 		t->foreign++;
-		if (t->s->now < t->adopt_until)
+		if (sched_adopting(t))
 			continue;
 		t->s->count.orphans++;
 		t->s->ops->note(t->s, "stop_orphan", t, NULL, "");
--- a/scheduler.h
+++ b/scheduler.h
@@ -141,6 +141,7 @@
 	double last_expected;
 	uint32_t retries;
 	const struct sched_target *avoid; /* of the task being placed */
+	int stored; /* kept in the store: no deadline, not rejected */
 	int answered;
 	int queued_late; /* its turn came after its latest start */
 	int again;	 /* another submission of its id may still run */
@@ -287,7 +288,7 @@
 	/* A target is held by another: this scheduler must give up. */
 	void (*fenced)(struct sched *s, struct sched_target *t);
 	void (*forget)(struct sched *s, struct sched_target *t);
-	/* Tasks of the job ended well; at most one call for each reply. */
+	/* The task ended well, or failed and its job is stored. */
 	uint64_t (*progress)(struct sched *s, struct sched_job *job,
 			     const struct sched_task *task);
 	/* A decision or a change of belief, for the log. task may be NULL. */
@@ -351,8 +352,10 @@
 	uint32_t first_run; /* least run number of this scheduler */
 	rp_ms hold_most;    /* longest lease that targets grant */
 	rp_ms now;
-	rp_ms since; /* it came into office */
-	int listed;  /* the whole list of targets was read */
+	rp_ms since;	 /* it came into office */
+	int listed;	 /* the whole list of targets was read */
+	int jobs_read;	 /* all stored jobs were passed in */
+	int stored_held; /* nothing of stored jobs runs or starts */
 	/* The former scheduler may hold targets that the list leaves out. */
 	int former_hidden;
 	apr_pool_t *pool;
@@ -392,6 +395,8 @@
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
+/* The same by the id of a stored job. */
+void sched_cancel_stored(struct sched *s, const char *id, rp_ms now);
 /* The owner has all messages up to the mark. */
 void sched_heard(struct sched *s, void *owner, uint64_t mark, rp_ms now);
 /* The owner is gone: all that was started for it is stopped. */
@@ -400,6 +405,13 @@
 void sched_listed(struct sched *s, const struct sched_listing *l, rp_ms now);
 /* All of the platform's list has been passed in. */
 void sched_list_read(struct sched *s);
+/*
+ * Another scheduler may have taken over what the store keeps: of stored jobs
+ * nothing goes on or starts until this is called again with 0.
+ */
+void sched_hold_stored(struct sched *s, int held, rp_ms now);
+/* All jobs that the store keeps have been passed in. */
+void sched_jobs_read(struct sched *s);
 void sched_unlisted(struct sched *s, const char *id, rp_ms now);
 void sched_start_reply(struct sched *s, struct sched_target *t,
 		       const char *task, uint32_t run,
@@ -494,6 +506,10 @@
 void sched_adopt_job(struct sched_job *job);
 /* Stops what is left when the time of adoption is over. */
 void sched_adopt_tick(struct sched_target *t);
+/* What a former scheduler left has ended before its job was handed over. */
+void sched_adopt_end(struct sched_target *t, const struct sched_end *end);
+/* Whether the jobs of what runs there may still be handed over. */
+int sched_adopting(const struct sched_target *t);
 /* Whether no former scheduler's run of the job can be unknown any more. */
 int sched_adopt_settled(const struct sched_job *job);
 
