--- a/pool-serve.c
+++ b/pool-serve.c
@@ -167,7 +167,6 @@
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
 		MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_S,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, d, MHD_OPTION_END);
 	if (!d->mhd) {
 		log_error("start", address, "cannot listen");
--- a/regress/soak/run.sh
+++ b/regress/soak/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Plays seeds of the soak, some at a time: run.sh seeds, or run.sh FROM TO.
+# Plays seeds of the soak, some at a time: run.sh seeds, or run.sh FROM TO;
+# with STORED=1 of jobs that the store keeps.
 # Prints a line for each that was broken, and the count at the end; the logs
 # of these stay in build/out/soak/SEED.
 set -u
@@ -30,6 +31,7 @@
 		mkdir -p "$dir"
 		if "$bin"/regress/soak/soak --seed="$seed" --bin="$bin" \
 			--seconds="$seconds" --dir="$dir" --port=$port \
+			${STORED:+--stored} \
 			>"$dir"/out 2>&1
 		then
 			rm -rf "$dir"
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -62,7 +62,7 @@
 			  int rate, unsigned seed)
 {
 	char program[512], numbers[5][64], at[SOAK_VMS][64];
-	char *argv[8 + SOAK_VMS] = { program,	 numbers[0], numbers[1],
+	char *argv[9 + SOAK_VMS] = { program,	 numbers[0], numbers[1],
 				     numbers[2], numbers[3], numbers[4],
 				     "--tasks=3" };
 	int i, n = 7;
@@ -78,6 +78,8 @@
 		snprintf(at[i], 64, "127.0.0.1:%d", soak_http_port(s, i));
 		argv[n++] = at[i];
 	}
+	if (s->stored)
+		argv[n++] = "--stored";
 	argv[n] = NULL;
 	s->callers = soak_spawn(s, log, argv);
 }
@@ -258,6 +260,9 @@
 	case 'd':
 		f->s->dir = arg;
 		return 0;
+	case 'k':
+		f->s->stored = 1;
+		return 0;
 	case 'p':
 		f->s->port = atoi(arg);
 		return 0;
@@ -279,6 +284,9 @@
 		  .arg = "DIR",
 		  .doc = "where the programs are" },
 		{ .name = "dir", .key = 'd', .arg = "DIR", .doc = "logs" },
+		{ .name = "stored",
+		  .key = 'k',
+		  .doc = "jobs that the store keeps" },
 		{ .name = "port",
 		  .key = 'p',
 		  .arg = "PORT",
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -57,6 +57,7 @@
 	struct soak_fault active[SOAK_ACTIVE];
 	int nactive;
 	int64_t version; /* of the operator's table */
+	int stored;	 /* callers submit jobs that the store keeps */
 	int wrong;
 };
 
--- a/regress/t-pool-serve.sh
+++ b/regress/t-pool-serve.sh
@@ -16,8 +16,8 @@
 	# What is refused, and with which status.
 	echo "no such queue: $(call --status POST "$(http_of 0)" /none/00 '{}')"
 	echo "malformed job: $(call --status POST "$(http_of 1)" /q/00 '{}')"
-	echo "stored job: $(call --status POST "$(http_of 2)" /q/01 \
-		'{"specification":"1","steps":[{"count":1,"cpu":1}]}')"
+	echo "lasting job: $(call --status POST "$(http_of 2)" /q/01 \
+		'{"longRunning":true,"steps":[{"count":1,"cpu":1}]}')"
 	echo "too large for any target: $(call --status POST "$(http_of 0)" /q/02 \
 		'{"specification":"1","bestEffort":true,"steps":[{"count":1,
 		"cpu":99000,"estimatedMs":10}]}')"
