--- /dev/null
+++ b/pool-beat.c
@@ -0,0 +1,151 @@
+/* Heartbeats between entry VMs, and what they tell. */
+
+#include "pool.h"
+
+#include <string.h>
+
+int64_t pool_processor(const struct pool *p)
+{
+	return p->set.processor * p->set.speed / 1000;
+}
+
+/* The more processor the better, and best in another failure domain. */
+static int succeeds_before(const struct pool *p, const struct pool_member *a,
+			   const struct pool_member *b)
+{
+	if (a->processor != b->processor)
+		return a->processor > b->processor;
+	return strcmp(a->failure_domain, p->set.failure_domain) != 0 &&
+	       !strcmp(b->failure_domain, p->set.failure_domain);
+}
+
+static int is_among(char *const *names, size_t n, const char *vm)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (names[i] == vm)
+			return 1;
+	return 0;
+}
+
+size_t pool_successors(struct pool *p, char **names, size_t max)
+{
+	size_t n;
+
+	for (n = 0; n < max; n++) {
+		struct pool_member *m, *best = NULL;
+
+		for (m = p->members; m; m = m->next) {
+			if (!m->link || is_among(names, n, m->vm) ||
+			    (p->lead.store_lost && !m->store))
+				continue;
+			if (!best || succeeds_before(p, m, best))
+				best = m;
+		}
+		if (!best)
+			break;
+		names[n] = best->vm;
+	}
+	return n;
+}
+
+/* Queues with jobs that wait; those that none waits in any more, once. */
+static size_t list_waiting(struct pool *p, PoolWaiting *list, size_t max)
+{
+	apr_hash_index_t *i;
+	size_t n = 0;
+
+	for (i = apr_hash_first(p->sched.pool, p->sched.queues); i && n < max;
+	     i = apr_hash_next(i)) {
+		struct sched_queue *q;
+		void *value;
+
+		apr_hash_this(i, NULL, NULL, &value);
+		q = value;
+		if (!q->waiting)
+			continue;
+		pool_waiting__init(&list[n]);
+		list[n].queue = q->name;
+		list[n++].jobs = q->waiting;
+	}
+	return n;
+}
+
+#define WAITING_MAX 64
+
+struct beat_parts {
+	char *successors[LEAD_SUCCESSORS];
+	PoolWaiting waiting[WAITING_MAX];
+	PoolWaiting *list[WAITING_MAX];
+};
+
+static void fill_beat(struct pool *p, PoolBeat *beat, struct beat_parts *parts)
+{
+	size_t i;
+
+	pool_beat__init(beat);
+	beat->vm = p->set.vm_name;
+	beat->fence = p->lead.row.fence;
+	beat->leader = p->lead.row.vm;
+	beat->leader_address = p->lead.row.address;
+	beat->leading = p->leading;
+	beat->hears = p->leading || lead_in_touch(&p->lead, p->now);
+	beat->resigns = p->lead.resigning;
+	beat->store = !p->lead.store_lost;
+	if (!p->leading)
+		return;
+	beat->successors = parts->successors;
+	beat->n_successors =
+		pool_successors(p, parts->successors, LEAD_SUCCESSORS);
+	beat->n_waiting = list_waiting(p, parts->waiting, WAITING_MAX);
+	beat->waiting = parts->list;
+	beat->waits = p->sched.jobs_read;
+	for (i = 0; i < beat->n_waiting; i++)
+		parts->list[i] = &parts->waiting[i];
+}
+
+void pool_send_beat(struct pool *p, struct pool_link *l)
+{
+	PoolFrame frame = POOL_FRAME__INIT;
+	struct beat_parts parts;
+	PoolBeat beat;
+
+	fill_beat(p, &beat, &parts);
+	frame.body_case = POOL_FRAME__BODY_BEAT;
+	frame.beat = &beat;
+	pool_link_send(l, &frame);
+}
+
+void pool_send_beats(struct pool *p)
+{
+	struct pool_member *m;
+
+	if (p->now - p->beat_at < LEAD_BEAT_MS)
+		return;
+	p->beat_at = p->now;
+	if (p->to_leader)
+		pool_send_beat(p, p->to_leader);
+	for (m = p->members; p->leading && m; m = m->next)
+		if (m->link)
+			pool_send_beat(p, m->link);
+}
+
+int pool_waiting(struct pool *p, const char *queue, unsigned *jobs)
+{
+	struct sched_queue *q;
+	size_t i;
+
+	*jobs = 0;
+	if (p->leading) {
+		q = apr_hash_get(p->sched.queues, queue, APR_HASH_KEY_STRING);
+		*jobs = q ? q->waiting : 0;
+		return p->sched.jobs_read;
+	}
+	if (!p->heard || !p->heard->waits || !lead_in_touch(&p->lead, p->now))
+		return 0;
+	for (i = 0; i < p->heard->n_waiting; i++)
+		if (!strcmp(p->heard->waiting[i]->queue, queue))
+			*jobs = p->heard->waiting[i]->jobs;
+	return 1;
+}
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+/* In office, before it is left to another VM. */
+#define HAND_OVER_MS 1000
 #define TELL_MS 100	     /* between messages to the former leader */
 #define REJECT_AFTER_MS 1500 /* without a leader, jobs are rejected */
 /* Entries of targets last for three of their heartbeats, at least this long. */
@@ -135,3 +137,27 @@
 	tell_former(p);
 	tell_touch(p);
 }
+
+/*
+ * A small VM that came into office when there was no other lets a larger one
+ * lead, and one that has lost the store lets one lead that has not: it would
+ * not hear of new jobs, and of targets that come and go.
+ */
+void pool_hand_over(struct pool *p)
+{
+	const struct pool_member *m;
+	char *first;
+
+	if (p->lead.resigning || lead_alone(&p->lead) ||
+	    p->now - p->sched.since < HAND_OVER_MS ||
+	    !pool_successors(p, &first, 1))
+		return;
+	m = pool_find_member(p, first);
+	if (!p->lead.store_lost &&
+	    m->processor < POOL_LARGER * pool_processor(p))
+		return;
+	LOG_EVENT(LOG_LEVEL_INFO, "hands_over", LOG_TEXT("successor", first),
+		  LOG_NUMBER("store_lost", p->lead.store_lost),
+		  LOG_NUMBER("processor", pool_processor(p)));
+	lead_resign(&p->lead);
+}
--- a/pool-member.c
+++ b/pool-member.c
@@ -6,147 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BROKEN_MS 250	  /* a member may come back within */
-#define SILENT_MS 500	  /* a member is gone after */
-#define DIAL_MS 100	  /* between attempts to reach the leader */
-#define HAND_OVER_MS 1000 /* in office, before it is left to a larger VM */
-/* A VM with so many times the processor of this one is to lead. */
-#define LARGER 2
+#define BROKEN_MS 250 /* a member may come back within */
+#define SILENT_MS 500 /* a member is gone after */
+#define DIAL_MS 100   /* between attempts to reach the leader */
 
 static int is_me(const struct pool *p, const char *vm)
 {
 	return !strcmp(vm, p->set.vm_name);
 }
 
-/* --- heartbeats ------------------------------------------------------ */
-
-int64_t pool_processor(const struct pool *p)
-{
-	return p->set.processor * p->set.speed / 1000;
-}
-
-/* The more processor the better, and best in another failure domain. */
-static int succeeds_before(const struct pool *p, const struct pool_member *a,
-			   const struct pool_member *b)
-{
-	if (a->processor != b->processor)
-		return a->processor > b->processor;
-	return strcmp(a->failure_domain, p->set.failure_domain) != 0 &&
-	       !strcmp(b->failure_domain, p->set.failure_domain);
-}
-
-static int is_among(char *const *names, size_t n, const char *vm)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		if (names[i] == vm)
-			return 1;
-	return 0;
-}
-
-static size_t list_successors(struct pool *p, char **names, size_t max)
-{
-	size_t n;
-
-	for (n = 0; n < max; n++) {
-		struct pool_member *m, *best = NULL;
-
-		for (m = p->members; m; m = m->next) {
-			if (!m->link || is_among(names, n, m->vm) ||
-			    (p->lead.store_lost && !m->store))
-				continue;
-			if (!best || succeeds_before(p, m, best))
-				best = m;
-		}
-		if (!best)
-			break;
-		names[n] = best->vm;
-	}
-	return n;
-}
-
-/* Queues with jobs that wait; those that none waits in any more, once. */
-static size_t list_waiting(struct pool *p, PoolWaiting *list, size_t max)
-{
-	apr_hash_index_t *i;
-	size_t n = 0;
-
-	for (i = apr_hash_first(p->sched.pool, p->sched.queues); i && n < max;
-	     i = apr_hash_next(i)) {
-		struct sched_queue *q;
-		void *value;
-
-		apr_hash_this(i, NULL, NULL, &value);
-		q = value;
-		if (!q->waiting)
-			continue;
-		pool_waiting__init(&list[n]);
-		list[n].queue = q->name;
-		list[n++].jobs = q->waiting;
-	}
-	return n;
-}
-
-#define WAITING_MAX 64
-
-struct beat_parts {
-	char *successors[LEAD_SUCCESSORS];
-	PoolWaiting waiting[WAITING_MAX];
-	PoolWaiting *list[WAITING_MAX];
-};
-
-static void fill_beat(struct pool *p, PoolBeat *beat, struct beat_parts *parts)
-{
-	size_t i;
-
-	pool_beat__init(beat);
-	beat->vm = p->set.vm_name;
-	beat->fence = p->lead.row.fence;
-	beat->leader = p->lead.row.vm;
-	beat->leader_address = p->lead.row.address;
-	beat->leading = p->leading;
-	beat->hears = p->leading || lead_in_touch(&p->lead, p->now);
-	beat->resigns = p->lead.resigning;
-	beat->store = !p->lead.store_lost;
-	if (!p->leading)
-		return;
-	beat->successors = parts->successors;
-	beat->n_successors =
-		list_successors(p, parts->successors, LEAD_SUCCESSORS);
-	beat->n_waiting = list_waiting(p, parts->waiting, WAITING_MAX);
-	beat->waiting = parts->list;
-	beat->waits = p->sched.jobs_read;
-	for (i = 0; i < beat->n_waiting; i++)
-		parts->list[i] = &parts->waiting[i];
-}
-
-void pool_send_beat(struct pool *p, struct pool_link *l)
-{
-	PoolFrame frame = POOL_FRAME__INIT;
-	struct beat_parts parts;
-	PoolBeat beat;
-
-	fill_beat(p, &beat, &parts);
-	frame.body_case = POOL_FRAME__BODY_BEAT;
-	frame.beat = &beat;
-	pool_link_send(l, &frame);
-}
-
-static void send_beats(struct pool *p)
-{
-	struct pool_member *m;
-
-	if (p->now - p->beat_at < LEAD_BEAT_MS)
-		return;
-	p->beat_at = p->now;
-	if (p->to_leader)
-		pool_send_beat(p, p->to_leader);
-	for (m = p->members; p->leading && m; m = m->next)
-		if (m->link)
-			pool_send_beat(p, m->link);
-}
-
 /* Dials all other entry VMs that the store names, to ask or to tell. */
 void pool_dial_all(struct pool *p, int tell)
 {
@@ -182,7 +50,7 @@
 	pool_free_later(p, m);
 }
 
-static struct pool_member *find_member(struct pool *p, const char *vm)
+struct pool_member *pool_find_member(struct pool *p, const char *vm)
 {
 	struct pool_member *m;
 
@@ -197,7 +65,7 @@
 	struct pool_vm *vm;
 
 	for (vm = p->vms; vm; vm = vm->next) {
-		const struct pool_member *m = find_member(p, vm->vm);
+		const struct pool_member *m = pool_find_member(p, vm->vm);
 
 		if (!is_me(p, vm->vm) &&
 		    (!m || !m->link ||
@@ -233,7 +101,7 @@
 	str_copy(l->peer, sizeof(l->peer), str_of(hello->vm));
 	l->probe = hello->probe;
 	if (p->leading && !l->probe) {
-		m = find_member(p, hello->vm);
+		m = pool_find_member(p, hello->vm);
 		if (m && m->incarnation != hello->incarnation) {
 			member_gone(p, m, "another incarnation");
 			m = NULL;
@@ -337,25 +205,6 @@
 		pool_link_close(l, "");
 }
 
-int pool_waiting(struct pool *p, const char *queue, unsigned *jobs)
-{
-	struct sched_queue *q;
-	size_t i;
-
-	*jobs = 0;
-	if (p->leading) {
-		q = apr_hash_get(p->sched.queues, queue, APR_HASH_KEY_STRING);
-		*jobs = q ? q->waiting : 0;
-		return p->sched.jobs_read;
-	}
-	if (!p->heard || !p->heard->waits || !lead_in_touch(&p->lead, p->now))
-		return 0;
-	for (i = 0; i < p->heard->n_waiting; i++)
-		if (!strcmp(p->heard->waiting[i]->queue, queue))
-			*jobs = p->heard->waiting[i]->jobs;
-	return 1;
-}
-
 void pool_frame(struct pool_link *l, PoolFrame *frame)
 {
 	struct pool *p = l->p;
@@ -427,29 +276,6 @@
 	}
 }
 
-/*
- * A small VM that came into office when there was no other lets a larger one
- * lead, and one that has lost the store lets one lead that has not: it would
- * not hear of new jobs, and of targets that come and go.
- */
-static void hand_over(struct pool *p)
-{
-	const struct pool_member *m;
-	char *first;
-
-	if (p->lead.resigning || lead_alone(&p->lead) ||
-	    p->now - p->sched.since < HAND_OVER_MS ||
-	    !list_successors(p, &first, 1))
-		return;
-	m = find_member(p, first);
-	if (!p->lead.store_lost && m->processor < LARGER * pool_processor(p))
-		return;
-	LOG_EVENT(LOG_LEVEL_INFO, "hands_over", LOG_TEXT("successor", first),
-		  LOG_NUMBER("store_lost", p->lead.store_lost),
-		  LOG_NUMBER("processor", pool_processor(p)));
-	lead_resign(&p->lead);
-}
-
 /* --- start and tick --------------------------------------------------- */
 
 int pool_members_init(struct pool *p)
@@ -463,11 +289,11 @@
 {
 	check_leader_link(p);
 	dial_leader(p);
-	send_beats(p);
+	pool_send_beats(p);
 	pool_agent_tick(p, now);
 	if (p->leading) {
 		tend_members(p);
-		hand_over(p);
+		pool_hand_over(p);
 	}
 	pool_lead_tick(p, now);
 }
@@ -490,7 +316,8 @@
 		if (is_me(p, vm->vm))
 			continue;
 		p->lead.others++;
-		p->lead.larger += vm->processor >= LARGER * pool_processor(p);
+		p->lead.larger += vm->processor >=
+				  POOL_LARGER * pool_processor(p);
 	}
 }
 
--- a/pool.h
+++ b/pool.h
@@ -187,8 +187,6 @@
 	int64_t processor; /* thousandths of a core */
 };
 
-/* This VM's processor, thousandths of a usual core. */
-int64_t pool_processor(const struct pool *p);
 int pool_members_init(struct pool *p);
 void pool_members_tick(struct pool *p, rp_ms now);
 void pool_members_paused(struct pool *p, rp_ms now);
@@ -212,23 +210,36 @@
 			    PoolProgress *progress);
 /* Tells the leader what was heard from it; once a turn. */
 void pool_send_heard(struct pool *p);
-void pool_send_beat(struct pool *p, struct pool_link *l);
+struct pool_member *pool_find_member(struct pool *p, const char *vm);
 /* Whether all entry VMs known are linked to this leader, and hear it. */
 int pool_all_linked(struct pool *p);
 /* Dials all other entry VMs that the store names, to ask or to tell. */
 void pool_dial_all(struct pool *p, int tell);
 void pool_members_clear(struct pool *p);
 
+/* --- pool-beat.c: heartbeats ------------------------------------------ */
+
+/* A VM with so many times the processor of another is to lead rather. */
+#define POOL_LARGER 2
+
+/* This VM's processor, thousandths of a usual core. */
+int64_t pool_processor(const struct pool *p);
+/* Names of the members that are to lead next, best first. */
+size_t pool_successors(struct pool *p, char **names, size_t max);
+void pool_send_beat(struct pool *p, struct pool_link *l);
+void pool_send_beats(struct pool *p);
+/* Jobs of a queue that wait, over the pool. Returns whether it is known. */
+int pool_waiting(struct pool *p, const char *queue, unsigned *jobs);
+
 /* --- pool-lead.c: this VM and the leadership ------------------------- */
 
 void pool_lead_init(struct pool *p);
 void pool_lead_tick(struct pool *p, rp_ms now);
+/* Resigns for a VM that is to lead rather. */
+void pool_hand_over(struct pool *p);
 
 /* --- pool-relay.c: jobs to the leader, answers from it --------------- */
 
-/* Jobs of a queue that wait, over the pool. Returns whether it is known. */
-int pool_waiting(struct pool *p, const char *queue, unsigned *jobs);
-
 /* --- pool-store.c: what this VM reads and writes in the store -------- */
 
 int pool_store_init(struct pool *p);
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -405,6 +405,24 @@
 	end();
 }
 
+/* Found by the soak: a task was started after its end had been listed. */
+Test(sched_life, an_end_that_is_listed_after_the_lease_counts)
+{
+	struct world_job *job;
+
+	begin(1);
+	job = world_submit(&w, "q", 1, 900, 1, 6000);
+	world_run(&w, w.now + 30);
+	w.targets[0].dark = 1;
+	world_run(&w, w.now + 1400); /* its lease is over */
+	cr_assert_eq(first.count.lapses, 1);
+	w.targets[0].dark = 0;
+	world_run(&w, w.now + 2000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 1);
+	end();
+}
+
 /* --- random faults --------------------------------------------------- */
 
 static void random_fault(struct world *x)
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -249,6 +249,36 @@
 	end();
 }
 
+/*
+ * Found by the soak: a domain led itself and ended a task; the leader that
+ * had held its target all along, by its own account, was next in office.
+ */
+Test(sched_takeover, an_end_of_another_scheduler_is_kept_for_its_job)
+{
+	const struct rp_str foreign_id = str_of("0000000000000001");
+	struct sched_end foreign = { .number = 1, .run = 70 };
+	struct sched_look look = { .reply = SCHED_REPLY_OK, .reason = "" };
+	struct world_job *job;
+	struct sched_target *t;
+
+	begin(1);
+	t = sched_find_target(&first, "t0");
+	foreign.task = str_of("0000000000000001.0.0.0");
+	look.ends = &foreign;
+	look.nends = 1;
+	look.clock = look.sent_at = w.now;
+	sched_hold_reply(&first, t, &look, w.now);
+	cr_assert_eq(sched_told_until(t), 0);
+	world_run(&w, w.now + 100);
+	job = world_submit(&w, "q", 2, 100, 1, 3000);
+	sched_cancel(&first, job, job->seq, w.now);
+	world_run(&w, w.now + 100);
+	job->sub->former = LEAD_TOKEN(1) | 7;
+	sched_submit(&first, job, job->sub, w.now);
+	cr_assert_eq(sched_open_job(&first, foreign_id)->ndone, 1);
+	end();
+}
+
 /* Owners that have heard, or are gone, hold nothing back. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_have_heard)
 {
--- a/regress/soak/soak-fault.c
+++ b/regress/soak/soak-fault.c
@@ -10,6 +10,7 @@
 
 static const char *const link_modes[] = { "delay 40", "silent", "cut-to",
 					  "cut-from", "reset" };
+#define START_MS 500 /* a sanitized program is well under way after */
 #define LINK_MODES (int)(sizeof(link_modes) / sizeof(*link_modes))
 
 /* A VM that runs and that no fault has stopped. Returns -1 for none. */
@@ -81,7 +82,8 @@
 static int stop_vm(struct soak *s, int *n)
 {
 	*n = some_vm(s);
-	if (*n < 0)
+	/* A signal ends a process that is not past its first instructions. */
+	if (*n < 0 || soak_now() - s->vms[*n].started_at < START_MS)
 		return 0;
 	kill(s->vms[*n].pid, SIGTERM);
 	s->vms[*n].state = SOAK_STOPPING;
--- a/regress/soak/soak-process.c
+++ b/regress/soak/soak-process.c
@@ -84,6 +84,7 @@
 
 	v->pid = soak_spawn(s, log, argv);
 	v->state = SOAK_RUNS;
+	v->started_at = soak_now();
 	free_all(argv);
 	free(log);
 }
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -25,7 +25,7 @@
 struct soak_vm {
 	pid_t pid;
 	enum soak_state state;
-	int64_t term_at;
+	int64_t started_at, term_at;
 };
 
 struct soak;
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -44,16 +44,22 @@
 		begin_stop(p);
 }
 
+/* First of all: one that comes during the start waits for the loop. */
+static int block_signals(sigset_t *set)
+{
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
+	return sigprocmask(SIG_BLOCK, set, NULL);
+}
+
 static int watch_signals(struct pool *p)
 {
 	sigset_t set;
 
-	signal(SIGPIPE, SIG_IGN);
-	sigemptyset(&set);
-	sigaddset(&set, SIGTERM);
-	sigaddset(&set, SIGINT);
-	sigaddset(&set, SIGHUP);
-	if (sigprocmask(SIG_BLOCK, &set, NULL) < 0)
+	if (block_signals(&set) < 0)
 		return -1;
 	p->signals.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 	p->signals.ready = on_signal;
@@ -115,8 +121,11 @@
 int main(int argc, char **argv)
 {
 	struct pool_settings set;
-	int rc = pool_settings_load(&set, argc, argv);
+	sigset_t signals;
+	int rc;
 
+	block_signals(&signals);
+	rc = pool_settings_load(&set, argc, argv);
 	if (rc || set.check)
 		return rc;
 	log_buffer(LOG_LINES);
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -33,12 +33,29 @@
 
 	if (sched_run_find(t, name, run))
 		return NULL;
+	if (t->norphans == t->cap_orphans) {
+		t->cap_orphans = t->cap_orphans * 2 + 8;
+		t->orphans = realloc(t->orphans,
+				     t->cap_orphans * sizeof(*t->orphans));
+	}
 	o = &t->orphans[t->norphans++];
+	memset(o, 0, sizeof(*o));
 	str_copy(o->name, sizeof(o->name), name);
 	o->run = run;
 	return o;
 }
 
+static void add_end(struct sched_target *t, const struct sched_end *end)
+{
+	struct sched_orphan *o = add_orphan(t, end->task, end->run);
+
+	if (!o)
+		return;
+	o->number = end->number;
+	o->how = end->how;
+	sched_told_keep(t, o->number);
+}
+
 static void drop_orphan(struct sched_target *t, size_t i)
 {
 	t->orphans[i] = t->orphans[--t->norphans];
@@ -73,20 +90,22 @@
 	return last;
 }
 
-static struct sched_task *task_named(struct sched_job *job, const char *name)
+static struct sched_task *task_named(struct sched_job *job, struct rp_str name)
 {
 	size_t i;
 
 	for (i = 0; i < job->ntasks; i++)
-		if (str_eq(str_of(job->tasks[i].name), str_of(name)))
+		if (str_eq(str_of(job->tasks[i].name), name))
 			return &job->tasks[i];
 	return NULL;
 }
 
 /* The id is what comes before the first dot of a task's name. */
-static struct rp_str id_of(const struct sched_orphan *o)
+static struct rp_str id_of(struct rp_str task)
 {
-	struct rp_str id = { o->name, strcspn(o->name, ".") };
+	const char *dot = memchr(task.ptr, '.', task.len);
+	struct rp_str id = { task.ptr,
+			     dot ? (size_t)(dot - task.ptr) : task.len };
 
 	return id;
 }
@@ -98,12 +117,13 @@
 
 	for (j = t->norphans; j-- > 0;) {
 		struct sched_orphan o = t->orphans[j];
-		struct sched_job *job = sched_open_job(t->s, id_of(&o));
+		struct sched_job *job =
+			sched_open_job(t->s, id_of(str_of(o.name)));
 		struct sched_task *task;
 
 		if (!job || !job->former)
 			continue;
-		task = task_named(job, o.name);
+		task = task_named(job, str_of(o.name));
 		drop_orphan(t, j);
 		if (task && task->state == SCHED_WAITING)
 			take_orphan(task, t, &o);
@@ -118,21 +138,11 @@
 
 	t->taken = 1;
 	t->adopt_until = t->s->now + ADOPT_MS;
-	free(t->orphans);
 	t->norphans = 0;
-	t->orphans = calloc(look->nruns + look->nends + 1, sizeof(*t->orphans));
 	for (i = 0; i < look->nruns; i++)
 		add_orphan(t, look->runs[i].task, look->runs[i].run);
-	for (i = 0; i < look->nends; i++) {
-		struct sched_orphan *o =
-			add_orphan(t, look->ends[i].task, look->ends[i].run);
-
-		if (!o)
-			continue;
-		o->number = look->ends[i].number;
-		o->how = look->ends[i].how;
-		sched_told_keep(t, o->number);
-	}
+	for (i = 0; i < look->nends; i++)
+		add_end(t, &look->ends[i]);
 	adopt_target(t);
 }
 
@@ -152,9 +162,9 @@
 			struct sched_orphan o = t->orphans[j];
 			struct sched_task *task;
 
-			if (!str_eq(id_of(&o), str_of(job->id)))
+			if (!str_eq(id_of(str_of(o.name)), str_of(job->id)))
 				continue;
-			task = task_named(job, o.name);
+			task = task_named(job, str_of(o.name));
 			drop_orphan(t, j);
 			if (!task || task->state != SCHED_WAITING)
 				sched_told_set(t, o.number, NULL, 0);
@@ -164,6 +174,32 @@
 	}
 }
 
+/* Run numbers tell which scheduler started a run. */
+static int is_own(const struct sched *s, uint32_t run)
+{
+	return run >= s->first_run && run < s->first_run + SCHED_RUNS_PER_TOKEN;
+}
+
+/*
+ * A run that was taken for over, as its target went dark past its lease, had
+ * ended well: the task need not run again, if it does not yet.
+ */
+static void take_late_end(struct sched_target *t, const struct sched_end *end)
+{
+	struct sched_job *job = sched_open_job(t->s, id_of(end->task));
+	struct sched_task *task = NULL;
+	void *owner;
+
+	if (job && end->how == SCHED_END_DONE && end->run >= job->run_least)
+		task = task_named(job, end->task);
+	if (!task || task->state != SCHED_WAITING)
+		return;
+	owner = job->owner;
+	job->nwaiting--;
+	t->s->ops->note(t->s, "late_end", t, task, "it had ended well");
+	sched_told_add(t, end->number, owner, sched_task_done(task));
+}
+
 void sched_adopt_end(struct sched_target *t, const struct sched_end *end)
 {
 	size_t i;
@@ -171,13 +207,22 @@
 	for (i = 0; i < t->norphans; i++) {
 		struct sched_orphan *o = &t->orphans[i];
 
-		if (o->number || o->run != end->run ||
-		    !str_eq(str_of(o->name), end->task))
+		if (o->run != end->run || !str_eq(str_of(o->name), end->task))
 			continue;
+		if (!o->number)
+			sched_told_keep(t, end->number);
 		o->number = end->number;
 		o->how = end->how;
-		sched_told_keep(t, o->number);
+		return;
+	}
+	if (is_own(t->s, end->run)) {
+		take_late_end(t, end);
+		return;
 	}
+	/* Another scheduler's, which held the target for a while. */
+	add_end(t, end);
+	t->adopt_until = t->s->now + ADOPT_MS;
+	adopt_target(t);
 }
 
 static void stop_left(struct sched_target *t)
--- a/sched-past.c
+++ b/sched-past.c
@@ -45,7 +45,7 @@
 		apr_hash_get(s->past, job->id, APR_HASH_KEY_STRING);
 	size_t i;
 
-	job->run = p ? p->run : s->first_run;
+	job->run = job->run_least = p ? p->run : s->first_run;
 	if (!p || p->ntasks != job->ntasks ||
 	    p->digest != str_hash(job->specification))
 		return;
--- a/scheduler.h
+++ b/scheduler.h
@@ -121,7 +121,8 @@
 	struct sched_service *service;
 	struct rp_str specification;
 	uint32_t priority, max_attempts;
-	uint32_t run; /* of the next start of any of its tasks */
+	uint32_t run;	    /* of the next start of any of its tasks */
+	uint32_t run_least; /* lower ones are of earlier submissions */
 	double stretch;
 	rp_ms extra;
 	rp_ms arrived;	    /* at the entry VM */
@@ -233,7 +234,7 @@
 		    */
 	rp_ms adopt_until; /* orphans are kept for jobs that are handed over */
 	struct sched_orphan *orphans;
-	size_t norphans;
+	size_t norphans, cap_orphans;
 };
 
 struct sched_run {
@@ -537,10 +538,15 @@
 void sched_run_stop(struct sched_task *task);
 /* The run is over; its room is free. */
 uint64_t sched_run_over(struct sched_task *task, enum sched_end_how how);
+/* A lease from now on, on the target's clock. */
+int64_t sched_new_lease(struct sched_target *t);
+void sched_run_send_stop(struct sched_task *task);
 struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
 				  uint32_t run);
-void sched_target_reborn(struct sched_target *t, int64_t born);
 void sched_target_lapsed(struct sched_target *t, const char *why);
+
+/* sched-hold.c */
+void sched_target_reborn(struct sched_target *t, int64_t born);
 void sched_target_hold(struct sched_target *t);
 
 #endif
