Nothing waits for a table without jobs; agents are balanced

Where the store refuses it, ends that nobody claims make each hold call return at once, so they are made every 60 ms, and short jobs come late.

Change: leaders tell whether the store keeps any jobs, once they know; where it does not, nothing waits. Agents: VMs join one after the other, and the first had all targets; they are divided again each second where that is uneven, and targets go to an agent in their own failure domain once there is one. Failed writes of job rows and of renewals are logged, not only counted.

Test: what_is_found_waits_for_the_table_of_jobs (both ways).

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -15,6 +15,9 @@
 
 #define DIRECT_A_CORE 400   /* targets that a leader calls itself */
 #define AGENT_SHARE 2	    /* of the leader's processor, at least one part */
+#define BALANCE_MS 1000	    /* between looks at how targets are divided */
+#define UNEVEN 1.5	    /* times the least load, and more by */
+#define LEAST_LOAD 0.01	    /* targets for a thousandth of a core */
 #define AGENT_SILENT_MS 300 /* a silent agent is not asked */
 #define AGENT_ANSWER_MS 500 /* it answers within, beyond the call's wait */
 
@@ -36,13 +39,9 @@
 }
 
 /* Targets left to the member, by its processor. */
-static double load_of(const struct pool *p, const struct pool_member *m)
+static double load_of(const struct pool_member *m)
 {
-	size_t i, n = 0;
-
-	for (i = 0; i < p->sched.ntargets; i++)
-		n += p->sched.targets[i]->user == m;
-	return (double)n / (double)m->processor;
+	return (double)m->carried / (double)m->processor;
 }
 
 static struct pool_member *choose(struct pool *p, const struct sched_target *t)
@@ -56,7 +55,7 @@
 		if (!is_agent(p, m) ||
 		    (best && is_near(best, t) > is_near(m, t)))
 			continue;
-		load = load_of(p, m);
+		load = load_of(m);
 		if (best && is_near(best, t) == is_near(m, t) && load >= least)
 			continue;
 		best = m;
@@ -65,15 +64,57 @@
 	return best;
 }
 
+static void assign(struct sched_target *t, struct pool_member *m)
+{
+	t->user = m;
+	if (m)
+		m->carried++;
+}
+
 struct pool_member *pool_agent_of(struct pool *p, struct sched_target *t)
 {
 	if (t->unanswered || calls_all(p))
 		return NULL;
 	if (!t->user || !is_agent(p, t->user))
-		t->user = choose(p, t);
+		assign(t, choose(p, t));
 	return t->user;
 }
 
+static void count_carried(struct pool *p)
+{
+	struct pool_member *m;
+	size_t i;
+
+	for (m = p->members; m; m = m->next)
+		m->carried = 0;
+	for (i = 0; i < p->sched.ntargets; i++)
+		if ((m = p->sched.targets[i]->user))
+			m->carried++;
+}
+
+/*
+ * VMs join one after the other: who came first has all targets then. Each
+ * target that moves costs a new connection.
+ */
+static void balance(struct pool *p)
+{
+	size_t i;
+
+	count_carried(p);
+	for (i = 0; i < p->sched.ntargets; i++) {
+		struct sched_target *t = p->sched.targets[i];
+		struct pool_member *m = t->user, *best;
+
+		best = m ? choose(p, t) : NULL;
+		if (!best || best == m ||
+		    (is_near(best, t) == is_near(m, t) &&
+		     load_of(m) < UNEVEN * load_of(best) + LEAST_LOAD))
+			continue;
+		m->carried--;
+		assign(t, best);
+	}
+}
+
 struct pool_call *pool_agent_call(struct pool *p, struct pool_member *m,
 				  const struct pool_call_spec *spec, rp_ms wait)
 {
@@ -137,6 +178,10 @@
 {
 	struct pool_call *c, *next;
 
+	if (p->leading && now - p->balanced_at >= BALANCE_MS) {
+		p->balanced_at = now;
+		balance(p);
+	}
 	for (c = p->calls; c; c = next) {
 		next = c->next;
 		if (!c->agent || now < c->due)
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -93,6 +93,7 @@
 	beat->hears = p->leading || lead_in_touch(&p->lead, p->now);
 	beat->resigns = p->lead.resigning;
 	beat->store = !p->lead.store_lost;
+	beat->stored = p->stored_known == 1;
 	if (!p->leading)
 		return;
 	beat->successors = parts->successors;
--- a/pool-job.c
+++ b/pool-job.c
@@ -166,6 +166,7 @@
 	struct pool_job_call *j = begin(r, r->sub->id);
 	PoolJob job = POOL_JOB__INIT;
 
+	r->p->stored_known = r->p->stored_accepted = 1;
 	job.submit = r->sub;
 	job.accepted_ms = (uint64_t)store_now(r->p);
 	j->len = pool_job__get_packed_size(&job);
--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -52,6 +52,15 @@
 		p->fenced = 1;
 }
 
+/* The rows are written again later. */
+static void log_failed(struct pool *p, const char *what, unsigned part,
+		       long status)
+{
+	p->count.store_failed++;
+	LOG_EVENT(LOG_LEVEL_WARN, "jobs_write_failed", LOG_TEXT("what", what),
+		  LOG_NUMBER("part", part), LOG_NUMBER("status", status));
+}
+
 static void on_written(struct pool_call *c, long status, const char *body,
 		       size_t len)
 {
@@ -65,8 +74,8 @@
 	part->due = p->now + (status == 200 ? EVERY_MS : BACK_OFF_MS);
 	if (status == 200 || status == 412)
 		platform_read_rows(&rows, body, len, why);
-	else
-		p->count.store_failed++;
+	if (status != 200)
+		log_failed(p, "changes", c->run, status);
 	for (i = 0; i < part->nsent; i++)
 		part->sent[i]->writing = 0;
 	for (i = 0; status == 412 && i < rows.n; i++)
@@ -185,7 +194,7 @@
 	part->calling = 0;
 	part->due = p->now + (status == 200 ? 0 : BACK_OFF_MS);
 	if (status != 200) {
-		p->count.store_failed++;
+		log_failed(p, "marker", c->run, status);
 		return;
 	}
 	if (!platform_read_rows(&rows, body, len, why))
@@ -218,6 +227,8 @@
 	(void)body;
 	(void)len;
 	keep->sweeping = 0;
+	if (status != 200)
+		log_failed(c->p, "removal", c->run, status);
 	for (i = 0; status == 200 && i < keep->nswept; i++)
 		keep_forget(c->p, keep->swept[i]);
 }
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -29,6 +29,9 @@
 	for (i = 0; i < JOBS_PARTS; i++)
 		keep->parts[i].last = &keep->parts[i].first;
 	p->keep = keep;
+	/* Nothing that is found on targets waits for the table then. */
+	if (!p->stored_known)
+		sched_jobs_read(&p->sched);
 }
 
 static void free_kept(struct kept *k)
@@ -233,6 +236,7 @@
 	k->part = (unsigned)atoi(pool_job_part(k->id));
 	k->version = row->version;
 	apr_hash_set(p->keep->jobs, k->id, APR_HASH_KEY_STRING, k);
+	p->stored_known = 1;
 	if (job->state == POOL_JOB__STATE__OPEN && job->submit) {
 		k->job = job;
 		schedule(p, k);
@@ -267,6 +271,7 @@
 {
 	if (!w->p->keep)
 		return;
+	w->p->stored_known = apr_hash_count(w->p->keep->jobs) > 0;
 	sched_jobs_read(&w->p->sched);
 	LOG_EVENT(LOG_LEVEL_INFO, "jobs_read",
 		  LOG_NUMBER("jobs",
--- a/pool-member.c
+++ b/pool-member.c
@@ -196,6 +196,8 @@
 		l->member->store = b->store;
 	lead_beat(&p->lead, &beat, p->now);
 	if (l == p->to_leader && b->leading) {
+		if (b->waits)
+			p->stored_known = b->stored || p->stored_accepted;
 		pool_beat__free_unpacked(p->heard, NULL);
 		p->heard = b;
 		frame->beat = NULL;
--- a/pool-store.c
+++ b/pool-store.c
@@ -223,8 +223,10 @@
 	store_of(p)->renewing = 0;
 	if (status == 200 && c->fence == p->lead.row.fence)
 		p->office_at = c->sent_at;
-	if (status != 200)
+	if (status != 200) {
 		p->count.store_failed++;
+		log_warn("renew", "store", "status %ld", status);
+	}
 	if (status != 412 || platform_read_rows(&rows, body, len, why) < 0)
 		return;
 	for (i = 0; i < rows.n; i++)
--- a/pool.h
+++ b/pool.h
@@ -174,7 +174,8 @@
 	uint64_t incarnation;
 	struct pool_link *link; /* NULL: broken */
 	rp_ms joined_at, broken_at;
-	uint64_t told; /* mark of the latest message to it */
+	uint64_t told;	/* mark of the latest message to it */
+	size_t carried; /* targets that it calls for this leader */
 	struct pool_kept kept[POOL_ANSWERS];
 	size_t nkept;
 };
@@ -400,6 +401,7 @@
 	size_t nidle;
 	apr_hash_t *carried; /* seq -> call that an agent makes */
 	uint64_t call_seq;
+	rp_ms balanced_at;
 	uint64_t call_token;
 	struct pool_daemon servers[POOL_SERVERS];
 	struct pool_fd listener;
@@ -431,7 +433,10 @@
 	struct pool_watch *watches;
 	rp_ms store_ahead;	/* its clock, before this VM's */
 	struct pool_keep *keep; /* while this VM leads */
-	rp_ms office_at;	/* the store last confirmed that it does */
+	/* The store keeps jobs: 1, or 0; -1: not known. */
+	int stored_known;
+	int stored_accepted; /* by this VM */
+	rp_ms office_at;     /* the store last confirmed that it does */
 	struct pool_accepts *accepts; /* jobs on their way to the store */
 	apr_hash_t *requests;	      /* seq -> struct pool_request */
 	uint64_t next_seq;
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1428,7 +1428,7 @@
   (ProtobufCMessageInit) pool_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[12] =
 {
   {
     "fence",
@@ -1562,6 +1562,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stored",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   0,   /* field[0] = fence */
@@ -1571,6 +1583,7 @@
   3,   /* field[3] = leading */
   7,   /* field[7] = resigns */
   9,   /* field[9] = store */
+  11,   /* field[11] = stored */
   5,   /* field[5] = successors */
   8,   /* field[8] = vm */
   6,   /* field[6] = waiting */
@@ -1579,7 +1592,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -1589,7 +1602,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  11,
+  12,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -305,10 +305,14 @@
    * waiting is known
    */
   protobuf_c_boolean waits;
+  /*
+   * the store keeps jobs; known where waiting is
+   */
+  protobuf_c_boolean stored;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -279,6 +279,33 @@
 	end();
 }
 
+/*
+ * What is found on targets waits for the table of stored jobs, and for no
+ * longer: holding it back costs a call every 60 ms and ends that come late.
+ */
+Test(sched_takeover, what_is_found_waits_for_the_table_of_jobs)
+{
+	struct world_job *job;
+	size_t i, left = 0;
+
+	begin(4);
+	job = world_submit(&w, "q", 4, 100, 1, 1500);
+	w.deaf = 1;
+	world_run(&w, w.now + 150);
+	job->answered = 1; /* its entry VM is gone */
+	take_over(LEAD_TOKEN(2));
+	second.jobs_read = 0;
+	world_run(&w, w.now + 600);
+	for (i = 0; i < 4; i++)
+		left += w.targets[i].nends;
+	cr_assert_eq(left, 4);
+	sched_jobs_read(&second);
+	world_run(&w, w.now + 600);
+	for (i = 0; i < 4; i++)
+		cr_assert_eq(w.targets[i].nends, 0);
+	end();
+}
+
 /* Owners that have heard, or are gone, hold nothing back. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_have_heard)
 {
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -106,6 +106,7 @@
 	p->started_at = p->now;
 	apr_pool_create(&p->pool, NULL);
 	p->requests = hash_new(p->pool);
+	p->stored_known = -1;
 	if (start(p) < 0) {
 		log_flush();
 		return EXIT_START;
