Logs and metrics tell the hypotheses of the incident apart

Two incidents are open, and the logs could not tell their hypotheses apart: no line had a target's capacity or which incarnation it is of, no line said how many tasks of a given-up job were running, and no metric showed what was served by size of job.

Metrics by queue count answered and completed jobs by size.

--- a/pool-count.c
+++ b/pool-count.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TEXT_MAX 16384	  /* bytes of all metrics, with the NUL */
+#define TEXT_MAX 65536	  /* bytes of all metrics, with the NUL */
 #define FIRST_BOUND_MS 16 /* upper bound of the first bucket */
 
 struct text {
@@ -110,6 +110,36 @@
 	put_count(t, "orphans_total", c->orphans);
 	put_count(t, "adopted_total", c->adopted);
 	put_count(t, "holds_total", c->holds);
+	put_count(t, "targets_over_capacity_total", c->over_capacity);
+}
+
+/* Answered and completed jobs of each queue, by size. */
+static void put_sizes(struct text *t, struct sched *s)
+{
+	apr_hash_index_t *h;
+	void *value;
+	size_t i;
+
+	for (h = apr_hash_first(NULL, s->queues); h; h = apr_hash_next(h)) {
+		const struct sched_queue *q;
+
+		apr_hash_this(h, NULL, NULL, &value);
+		q = value;
+		for (i = 0; i < SCHED_SIZE_BUCKETS; i++) {
+			char label[RP_NAME_MAX + 48], bound[16] = "+Inf";
+
+			if (i < SCHED_SIZE_BUCKETS - 1)
+				snprintf(bound, sizeof(bound), "%.2f",
+					 sched_size_bounds[i] / 4.0);
+			snprintf(label, sizeof(label),
+				 "{queue=\"%s\",times_mean_size=\"%s\"}",
+				 q->name, bound);
+			put(t, "rosemary_pool_jobs_answered%s %llu\n", label,
+			    (unsigned long long)q->answered[i]);
+			put(t, "rosemary_pool_jobs_completed%s %llu\n", label,
+			    (unsigned long long)q->completed[i]);
+		}
+	}
 }
 
 char *pool_metrics(struct pool *p)
@@ -122,5 +152,7 @@
 		put_scheduler(&t, &p->sched);
 	put_histogram(&t, "rosemary_pool_answer_ms", &p->count.latency);
 	put_histogram(&t, "rosemary_pool_loop_lag_ms", &p->count.lag);
+	if (p->leading)
+		put_sizes(&t, &p->sched);
 	return t.s;
 }
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -74,6 +74,9 @@
 	LOG_EVENT(LOG_LEVEL_INFO, "target_listed", LOG_TEXT("target", l->id),
 		  LOG_NUMBER("ready", l->ready),
 		  LOG_NUMBER("born", l->incarnation),
+		  LOG_NUMBER("cpu", l->capacity.cpu),
+		  LOG_NUMBER("known_born", t ? t->incarnation : 0),
+		  LOG_NUMBER("used_cpu", t ? t->used.cpu : 0),
 		  LOG_NUMBER("version", version),
 		  LOG_NUMBER("known", t != NULL));
 }
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -53,6 +53,19 @@
 	sched_reset_slowdown(t);
 }
 
+/* Logs when runs of this scheduler begin to exceed the target's capacity. */
+static void check_capacity(struct sched_target *t)
+{
+	static const struct sched_resources nothing;
+	int over = !sched_target_has_room(t, &nothing);
+
+	if (over && !t->over_capacity) {
+		t->s->count.over_capacity++;
+		t->s->ops->log(t->s, "over_capacity", t, t->runs, "");
+	}
+	t->over_capacity = over;
+}
+
 /* Whether the reply is of an incarnation that was replaced since the call. */
 static int is_outdated(const struct sched_target *t,
 		       const struct sched_target_reply *reply)
@@ -283,6 +296,7 @@
 	stop_foreign_runs(t, reply);
 	if (reply->nends < ENDS_PER_REPLY)
 		reconcile_runs(t, reply);
+	check_capacity(t);
 	if (t->nforeign && !t->nruns)
 		t->hold_retry_at = now + RETRY_MS;
 	sched_target_hold(t);
--- a/sched-job.c
+++ b/sched-job.c
@@ -11,6 +11,8 @@
 #define LATE_FACTOR 3
 /* Deadline of stored jobs, ms from now. */
 #define NO_DEADLINE (1000LL * 86400 * 365)
+/* Weight of one job in the mean size of its queue. */
+#define MEAN_SIZE_GAIN 0.02
 /* Overhead of one step: calls, the delay of lists, and the answer. */
 #define OVERHEAD_MS 6
 
@@ -168,6 +170,27 @@
 		sched_job_mark_done(job, sub->done[i]);
 }
 
+const unsigned sched_size_bounds[SCHED_SIZE_BUCKETS - 1] = { 2, 4, 6, 8 };
+
+/* Sets the job's size bucket by its predicted work. */
+static void set_size_bucket(struct sched_job *job)
+{
+	struct sched_queue *q = job->queue;
+	double size = 0;
+	size_t i;
+
+	for (i = 0; i < job->nsteps; i++)
+		size += (double)job->steps[i].ntasks *
+			(double)job->steps[i].need.cpu * job->steps[i].work;
+	if (q->mean_size > 0)
+		q->mean_size += MEAN_SIZE_GAIN * (size - q->mean_size);
+	else
+		q->mean_size = size;
+	while (job->size_bucket < SCHED_SIZE_BUCKETS - 1 &&
+	       4 * size > sched_size_bounds[job->size_bucket] * q->mean_size)
+		job->size_bucket++;
+}
+
 static void copy_specification(struct sched_job *job, const PoolSubmit *sub)
 {
 	char *copy = malloc(sub->specification.len + 1);
@@ -246,6 +269,7 @@
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
 	job->queue->nwaiting++;
 	sched_predict_job(job);
+	set_size_bucket(job);
 	insert_job(job);
 	add_open_job(job);
 	s->njobs++;
@@ -277,11 +301,15 @@
 	sched_job_free(job);
 }
 
-static void count_outcome(struct sched *s, PoolAnswer__Outcome outcome)
+static void count_outcome(struct sched_job *job, PoolAnswer__Outcome outcome)
 {
+	struct sched *s = job->s;
+
+	job->queue->answered[job->size_bucket]++;
 	switch (outcome) {
 	case POOL_ANSWER__OUTCOME__COMPLETED:
 		s->count.completed++;
+		job->queue->completed[job->size_bucket]++;
 		break;
 	case POOL_ANSWER__OUTCOME__REJECTED:
 		s->count.rejected++;
@@ -303,7 +331,7 @@
 	answer.outcome = outcome;
 	answer.reason = (char *)reason;
 	answer.retry_after_ms = (uint32_t)retry_after;
-	count_outcome(s, outcome);
+	count_outcome(job, outcome);
 	if (!job->first_started_at)
 		job->queue->nwaiting--;
 	sched_history_add(job);
--- a/sched-move.c
+++ b/sched-move.c
@@ -84,8 +84,8 @@
 	sched_run_stop(task);
 }
 
-/* Whether some task will end after the job expires, here or elsewhere. */
-static int is_hopeless(const struct sched_job *job)
+/* Returns a task that will end after the job expires, here or elsewhere. */
+static const struct sched_task *hopeless_task(const struct sched_job *job)
 {
 	double slowdown =
 		sched_service_totals(job->s, job->service)->min_slowdown;
@@ -102,14 +102,15 @@
 		if (rerun_ms > HOPELESS_FACTOR * left &&
 		    predicted_end(task) - (double)job->s->now >
 			    HOPELESS_FACTOR * left)
-			return 1;
+			return task;
 	}
-	return 0;
+	return NULL;
 }
 
 static void move_late_runs(struct sched *s)
 {
 	struct sched_job *job, *next;
+	const struct sched_task *late;
 	size_t i;
 
 	if (s->now - s->moved_at < CHECK_INTERVAL_MS)
@@ -119,7 +120,11 @@
 		next = job->next;
 		if (!job->nplaced)
 			continue;
-		if (is_hopeless(job)) {
+		late = hopeless_task(job);
+		if (late) {
+			s->ops->log(s, "hopeless", late->target, late,
+				    "the run cannot end before its job "
+				    "expires");
 			sched_job_answer(job, POOL_ANSWER__OUTCOME__INCOMPLETE,
 					 "the job cannot end before it expires",
 					 0);
--- a/scheduler.h
+++ b/scheduler.h
@@ -85,6 +85,13 @@
 	double work;		     /* predicted run time at speed 1, ms */
 };
 
+/*
+ * Buckets of the size of a job, CPU x work, against the mean of its queue. The
+ * upper bounds are in sched_size_bounds, in quarters; the last has none.
+ */
+#define SCHED_SIZE_BUCKETS 5
+extern const unsigned sched_size_bounds[SCHED_SIZE_BUCKETS - 1];
+
 /* Run times learned from the jobs of one queue. */
 struct sched_queue {
 	char name[RP_NAME_MAX];
@@ -92,6 +99,9 @@
 	double log_bias;   /* mean log of run time over the estimate */
 	uint64_t nlearned; /* jobs that the means were learned from */
 	uint32_t nwaiting; /* jobs with no task started */
+	double mean_size;  /* of its jobs, thousandths of a core x ms */
+	/* Jobs answered, and those of them that completed, by size. */
+	uint64_t answered[SCHED_SIZE_BUCKETS], completed[SCHED_SIZE_BUCKETS];
 };
 
 /* The targets of one service, with totals over them. */
@@ -164,6 +174,7 @@
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	size_t ntasks;
+	int size_bucket; /* of struct sched_queue */
 	size_t ndone;	 /* succeeded */
 	size_t nplaced;	 /* may be running on a target */
 	size_t nwaiting; /* to be started */
@@ -250,7 +261,8 @@
 	double failure_rate;	  /* moving average of failed ends, 0 to 1 */
 	rp_ms backoff_until;	  /* no start before then */
 	rp_ms backoff;		  /* ms; 0: the last reply was in order */
-	size_t nforeign; /* runs in its last list, not of this scheduler */
+	size_t nforeign;   /* runs in its last list, not of this scheduler */
+	int over_capacity; /* runs need more than the entry says it has */
 	/* Its first list was read; other schedulers start nothing since. */
 	int adopted;
 	rp_ms adopt_until; /* orphans wait for their jobs until then */
@@ -331,12 +343,13 @@
 struct sched_counters {
 	uint64_t jobs, completed, failed, rejected, cancelled;
 	uint64_t starts, ends;
-	uint64_t retries; /* runs that were requeued */
-	uint64_t moves;	  /* runs moved to another target */
-	uint64_t lapses;  /* runs lost with a lease or an incarnation */
-	uint64_t orphans; /* runs stopped that no job claimed */
-	uint64_t adopted; /* runs taken over from an earlier scheduler */
-	uint64_t holds;	  /* hold calls */
+	uint64_t retries;	/* runs that were requeued */
+	uint64_t moves;		/* runs moved to another target */
+	uint64_t lapses;	/* runs lost with a lease or an incarnation */
+	uint64_t orphans;	/* runs stopped that no job claimed */
+	uint64_t adopted;	/* runs taken over from an earlier scheduler */
+	uint64_t holds;		/* hold calls */
+	uint64_t over_capacity; /* targets found with more runs than room */
 };
 
 /* --- policies, each selected by name ----------------------------------- */
