--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -340,6 +340,30 @@
 	end_world();
 }
 
+/*
+ * A target restarts with a smaller capacity. Until the platform's list shows
+ * the new incarnation, the capacity in the list is the previous one's.
+ */
+Test(sched_life, a_smaller_incarnation_is_not_given_too_much)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(9);
+	for (i = 0; i < 9; i++) {
+		world_target_restart(&w, &w.targets[i]);
+		w.targets[i].listing.capacity.cpu = 10000;
+	}
+	world_run_until(&w, w.now + 60);
+	job = world_submit(&w, "q", 9, 250, 1, 3000);
+	world_run_until(&w, w.now + 300);
+	for (i = 0; i < 9; i++)
+		sched_target_listed(&first, &w.targets[i].listing, w.now);
+	world_run_until(&w, w.now + 1000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 /*
  * A new incarnation numbers its ends from 1. Numbers of the previous one must
  * not acknowledge them unseen.
@@ -433,6 +457,38 @@
 	end_world();
 }
 
+/*
+ * A target's clock runs slow. A start that arrives after the scheduler gave
+ * the run up must find its lease over, however long the target was idle.
+ */
+Test(sched_life, a_start_that_arrives_late_has_no_lease)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(2);
+	for (i = 0; i < 2; i++)
+		w.targets[i].clock_rate = 0.98;
+	world_submit(&w, "q", 2, 20, 1, 3000);
+	world_run_until(&w, w.now + 20000);
+	for (i = 0; i < 2; i++)
+		w.targets[i].start_delay = 1200;
+	job = world_submit(&w, "long", 1, 900, 1, 5000);
+	for (i = 0; i < 2; i++) {
+		w.targets[i].start_delay = 0;
+		w.targets[i].unresponsive =
+			sched_find_target(&first, w.targets[i].listing.id)
+				->nruns > 0;
+	}
+	world_run_until(&w, w.now + 1100);
+	for (i = 0; i < 2; i++)
+		w.targets[i].unresponsive = 0;
+	world_run_until(&w, w.now + 3000);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 /* --- random faults --------------------------------------------------- */
 
 static void random_fault(struct world *x)
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -317,6 +317,29 @@
 	end_world();
 }
 
+/*
+ * A provisional leader ran tasks on targets that the regular one still holds
+ * but did not call meanwhile. With its next token that one must list them
+ * before it starts anything there.
+ */
+Test(sched_takeover, a_raised_token_lists_runs_of_a_provisional_leader)
+{
+	begin_world(2);
+	world_run_until(&w, w.now + 500);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 7);
+	world_run_until(&w, w.now + 50);
+	world_submit(&w, "q", 4, 400, 1, 1500);
+	world_run_until(&w, w.now + 50);
+	w.sched = &first;
+	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
+	world_submit(&w, "q", 4, 400, 1, 1500);
+	world_run_until(&w, w.now + 1200);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&first);
+	sched_finish(&second);
+	world_finish(&w);
+}
+
 /* The old leader resumes after a pause, and targets reject its calls. */
 Test(sched_takeover, an_old_leader_is_fenced)
 {
--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -74,6 +74,11 @@
 		world_violated(w, "task runs twice", task);
 }
 
+rp_ms world_target_clock(const struct world *w, const struct world_target *t)
+{
+	return (rp_ms)((double)w->now * t->clock_rate);
+}
+
 void world_target_advance(struct world *w, struct world_target *t, rp_ms span)
 {
 	size_t i;
@@ -81,7 +86,7 @@
 	for (i = t->nruns; i-- > 0;) {
 		struct world_run *r = &t->runs[i];
 
-		if (w->now >= t->lease_until) {
+		if (world_target_clock(w, t) >= t->lease_until) {
 			end_run(w, t, r, SCHED_END_STOPPED);
 			continue;
 		}
@@ -110,7 +115,7 @@
 
 static void renew_lease(struct world *w, struct world_target *t, int64_t until)
 {
-	rp_ms lease = w->now + WORLD_LEASE_MS;
+	rp_ms lease = world_target_clock(w, t) + WORLD_LEASE_MS;
 
 	if (!until)
 		return;
@@ -133,7 +138,7 @@
 		return 409;
 	t->fence = e->fence;
 	*reason = "late";
-	if (e->until <= w->now)
+	if (e->until <= world_target_clock(w, t))
 		return 409;
 	if (find_run(t, e->task, e->run))
 		return 200;
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -120,7 +120,7 @@
 	reply.sent_at = e->sent_at;
 	if (e->kind == HOLD_REPLY && !e->lost)
 		reply.incarnation = t->listing.incarnation;
-	reply.clock = e->lost ? 0 : w->now - w->delay;
+	reply.clock = e->lost ? 0 : world_target_clock(w, t) - w->delay;
 	if (e->kind == HOLD_REPLY && reply.status == SCHED_REPLY_OK) {
 		for (i = 0; i < t->nruns; i++) {
 			struct world_run *r = &t->runs[i];
@@ -224,6 +224,7 @@
 	snprintf(e->task, sizeof(e->task), "%s", task->name);
 	e->run = task->run;
 	e->fence = s->fence;
+	e->at += e->target->start_delay;
 	e->until = until;
 	e->need = task->job->steps[task->step].need;
 	add_event(w, e);
@@ -383,6 +384,7 @@
 		t->listing.incarnation = 1;
 		t->speed = speeds[i % nspeeds];
 		t->slowdown = 1;
+		t->clock_rate = 1;
 		t->last_runs = hash_new(w->pool);
 	}
 }
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -43,10 +43,12 @@
 	int unresponsive; /* gives no replies; its runs go on */
 	/* It gives no replies until then, as it restarts. */
 	rp_ms unresponsive_until;
-	int fail_percent; /* share of runs that fail */
-	int stalled;	  /* runs make no progress */
-	int lose_percent; /* share of replies that are lost */
-	uint64_t fence;	  /* highest fencing token seen */
+	int fail_percent;  /* share of runs that fail */
+	int stalled;	   /* runs make no progress */
+	int lose_percent;  /* share of replies that are lost */
+	double clock_rate; /* of its clock; 1: exact */
+	rp_ms start_delay; /* additional delay of start calls */
+	uint64_t fence;	   /* highest fencing token seen */
 	rp_ms lease_until;
 	struct world_run runs[WORLD_RUNS];
 	size_t nruns;
@@ -146,6 +148,8 @@
 
 /* --- target.c: calls return the HTTP status of the reply --------------- */
 
+/* Returns the target's clock, ms. Its leases are in this time. */
+rp_ms world_target_clock(const struct world *w, const struct world_target *t);
 /* Advances runs and leases by span ms. */
 void world_target_advance(struct world *w, struct world_target *t, rp_ms span);
 int world_target_start(struct world *w, struct world_target *t,
