A target restarted under its id is not used before its entry shows it

A target that crashes may come back under its id as another kind, with another capacity. The next reply shows the new incarnation at once, but its entry in the platform's list up to a second later. sched_target_new_incarnation() kept the previous entry, ready and with the previous capacity, and the target was given tasks by it as soon as its first list was read.

A target is available only if its entry is of the incarnation that replies.

Before, sched_life a_smaller_incarnation_is_not_given_too_much failed with "capacity exceeded: t8"; the test as first committed restarted idle targets, which no reply had shown yet when the start was sent. That case remains: a start that is the first call to the new incarnation goes by the old entry. The test now restarts targets with runs.

--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -350,16 +350,16 @@
 	size_t i;
 
 	begin_world(9);
+	job = world_submit(&w, "q", 18, 300, 1, 6000);
+	world_run_until(&w, w.now + 100);
 	for (i = 0; i < 9; i++) {
 		world_target_restart(&w, &w.targets[i]);
 		w.targets[i].listing.capacity.cpu = 10000;
 	}
-	world_run_until(&w, w.now + 60);
-	job = world_submit(&w, "q", 9, 250, 1, 3000);
-	world_run_until(&w, w.now + 300);
+	world_run_until(&w, w.now + 400);
 	for (i = 0; i < 9; i++)
 		sched_target_listed(&first, &w.targets[i].listing, w.now);
-	world_run_until(&w, w.now + 1000);
+	world_run_until(&w, w.now + 1500);
 	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
 	end_world();
 }
--- a/sched-place.c
+++ b/sched-place.c
@@ -52,10 +52,21 @@
 	return is_remote(t, step) ? work * REMOTE_FACTOR : work;
 }
 
+/*
+ * Whether the platform's entry is of the incarnation that replies. If not, its
+ * capacity and state may be another incarnation's. 0: not given.
+ */
+static int entry_is_current(const struct sched_target *t)
+{
+	return !t->listing.incarnation || !t->incarnation ||
+	       t->listing.incarnation == t->incarnation;
+}
+
 int sched_target_available(const struct sched_target *t, rp_ms now)
 {
 	if (t->state != SCHED_HELD || !t->listed || !t->listing.ready ||
-	    t->nforeign || t->unanswered || now < t->backoff_until)
+	    !entry_is_current(t) || t->nforeign || t->unanswered ||
+	    now < t->backoff_until)
 		return 0;
 	return t->failure_rate < FAILURE_RATE_MAX || t->nruns < PROBE_RUNS;
 }
