A leader that raises its token lists all targets first

While a failure domain is cut off, its provisional leader starts runs on the domain's targets. When the regular leader hears of it, it claims the next term, and sched_raise_fence() went on with every target that it held and that had replied to its last call. A target that it had no reason to call during the cut looks so, too. It was given tasks beside the runs of the provisional leader until the next list. More targets are idle, and left uncalled, the larger a deployment is.

All targets are acquired again after the token is raised: a list has to come first, requested under the new token. So a hold call in flight with the lower token acquires nothing, and a reply that such a call was fenced is not taken for the loss of the target. Ends that were seen in an earlier list are not recorded a second time when a target is acquired again: the second record resolved the first, which still waited for the job's owner.

Before, sched_takeover a_raised_token_lists_runs_of_a_provisional_leader failed with "capacity exceeded: t0".

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -148,11 +148,15 @@
 
 	t->adopted = 1;
 	t->adopt_until = t->s->now + ADOPT_MS;
-	t->norphans = 0;
+	/* Ends that were seen before wait for their jobs or owners already. */
+	for (i = t->norphans; i-- > 0;)
+		if (!t->orphans[i].number)
+			remove_orphan(t, i);
 	for (i = 0; i < reply->nruns; i++)
 		add_orphan(t, reply->runs[i].task, reply->runs[i].run);
 	for (i = 0; i < reply->nends; i++)
-		add_ended_orphan(t, &reply->ends[i]);
+		if (reply->ends[i].number > t->ends_seen)
+			add_ended_orphan(t, &reply->ends[i]);
 	claim_orphans(t);
 }
 
--- a/sched-core.c
+++ b/sched-core.c
@@ -73,14 +73,13 @@
 {
 	size_t i;
 
-	s->now = now;
+	s->now = s->fence_raised_at = now;
 	s->fence = fence;
 	for (i = 0; i < s->ntargets; i++) {
 		struct sched_target *t = s->targets[i];
 
-		if (t->state == SCHED_HELD && !t->unanswered)
-			continue;
 		t->state = SCHED_UNHELD;
+		t->hold_acquires = 0; /* its token is too low */
 		t->adopted = 0;
 		t->hold_retry_at = now;
 	}
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -101,6 +101,13 @@
 		t->clock = reply->clock;
 		t->clock_at = s->now;
 	}
+	if (reply->status == SCHED_REPLY_FENCED &&
+	    reply->sent_at <= s->fence_raised_at) {
+		/* The call had the lower token; it had no effect. */
+		t->unanswered = 0;
+		t->replied_at = s->now;
+		return 0;
+	}
 	if (reply->status == SCHED_REPLY_FENCED) {
 		t->state = SCHED_FENCED;
 		s->ops->fenced(s, t);
@@ -283,11 +290,16 @@
 	if (!ok) {
 		if (t->state == SCHED_ACQUIRING)
 			t->state = SCHED_UNHELD;
+		if (reply->status == SCHED_REPLY_FENCED &&
+		    t->state == SCHED_UNHELD) {
+			t->hold_retry_at = 0;
+			sched_target_hold(t);
+		}
 		return;
 	}
 	t->hold_retry_at = 0;
 	t->hold_replied_at = now;
-	if (t->state == SCHED_ACQUIRING || t->state == SCHED_UNHELD) {
+	if (t->hold_acquires) {
 		t->state = SCHED_HELD;
 		if (!t->adopted)
 			sched_adopt_list(t, reply);
@@ -338,6 +350,7 @@
 		return;
 	}
 	t->hold_in_flight = 1;
+	t->hold_acquires = t->state == SCHED_ACQUIRING;
 	t->hold_sent_at = s->now;
 	acked_end = ends_to_acknowledge(t);
 	if (acked_end)
--- a/scheduler.h
+++ b/scheduler.h
@@ -248,6 +248,7 @@
 	struct sched_unacked_end *unacked;
 	size_t nunacked, cap_unacked;
 	int hold_in_flight; /* a hold call awaits its reply */
+	int hold_acquires;  /* that call is the first of the target's holder */
 	rp_ms hold_sent_at;
 	rp_ms hold_retry_at;	  /* no hold call before then */
 	rp_ms lease_until;	  /* runs started so far have ended by then */
@@ -401,9 +402,10 @@
 	const struct sched_place_ops *place;
 	const struct sched_move_ops *move;
 	void *user;
-	uint64_t fence;	    /* fencing token, see lead.h */
-	uint32_t first_run; /* least run number of this scheduler */
-	rp_ms max_lease;    /* longest lease that targets grant, ms */
+	uint64_t fence;	       /* fencing token, see lead.h */
+	rp_ms fence_raised_at; /* last sched_raise_fence(); 0: none */
+	uint32_t first_run;    /* least run number of this scheduler */
+	rp_ms max_lease;       /* longest lease that targets grant, ms */
 	rp_ms now;
 	rp_ms started_at;	/* when this scheduler began */
 	int targets_loaded;	/* the platform's whole list was passed in */
@@ -440,8 +442,9 @@
 	       const struct sched_policies *policies, uint64_t fence,
 	       rp_ms max_lease, rp_ms now);
 /*
- * Continues under a higher fencing token. Targets that are not held, or that
- * did not reply, are acquired again, as another scheduler may have held them.
+ * Continues under a higher fencing token. All targets are acquired again, as
+ * another scheduler may have held them meanwhile, also those that this one had
+ * no reason to call.
  */
 void sched_raise_fence(struct sched *s, uint64_t fence, rp_ms now);
 /* Frees all state. Nothing is sent, nobody is answered. */
