A lease is reckoned by the least that a target's clock may show

A start that is carried out after the scheduler has given its run up runs beside what was started since: the task runs twice, and the target may be over its capacity. Such a start is refused as late only if its lease has ended by then on the target's clock, which may be 2 % slow. The lease was reckoned from the last reading of that clock as if it were exact. A target without runs is not called, so the reading may be tens of seconds old and the lease end hundreds of ms after lease_until.

The lease is now reckoned from the least time that the clock may show, and the clock of an idle target is read every 10 s, so that a lease is at most 200 ms shorter for it.

A platform that counts the lease of a late call from its arrival defeats this; only an acknowledged stop helps there, which a target may not give in time.

--- a/sched-hold.c
+++ b/sched-hold.c
@@ -15,6 +15,11 @@
 #define OWNER_ACK_MS 20
 /* A target needs longer than this to restart in another incarnation. */
 #define RESTART_MIN_MS 30
+/*
+ * Age from which an idle target's clock is read again. A lease granted by it is
+ * shorter by up to CLOCK_DRIFT of the age.
+ */
+#define CLOCK_AGE_MAX_MS 10000
 /* Delay before a retry; doubled up to the maximum while calls fail. */
 #define RETRY_MS 60
 #define RETRY_MAX_MS 1000
@@ -314,6 +319,17 @@
 	sched_target_hold(t);
 }
 
+/* Whether a target without runs has to be called. */
+static int is_idle_call_due(const struct sched_target *t)
+{
+	rp_ms now = t->s->now;
+
+	if (now - t->clock_at >= CLOCK_AGE_MAX_MS)
+		return 1;
+	return t->ends_acked != sched_ackable_end(t) &&
+	       now - t->replied_at >= ACK_IDLE_MS;
+}
+
 /*
  * There is one hold call at a time. It renews the lease, and the target replies
  * when the next run ends, or after the wait. The first call to a target does
@@ -345,8 +361,7 @@
 	} else if (t->nruns) {
 		until = sched_new_lease(t);
 		wait = HOLD_WAIT_MS;
-	} else if (!t->nforeign && (t->ends_acked == sched_ackable_end(t) ||
-				    s->now - t->replied_at < ACK_IDLE_MS)) {
+	} else if (!t->nforeign && !is_idle_call_due(t)) {
 		return;
 	}
 	t->hold_in_flight = 1;
--- a/sched-run.c
+++ b/sched-run.c
@@ -47,10 +47,14 @@
 	task->job->nplaced--;
 }
 
-/* Estimates the target's clock at this moment. */
+/*
+ * The least that the target's clock may show now. With a later time, a call
+ * that is carried out late would be granted a lease beyond lease_until.
+ */
 static int64_t clock_now(const struct sched_target *t)
 {
-	return t->clock + (t->s->now - t->clock_at);
+	return t->clock +
+	       (int64_t)((double)(t->s->now - t->clock_at) * (1 - CLOCK_DRIFT));
 }
 
 /* Sets the time at which all leases granted up to now have certainly ended. */
