--- a/regress/sched-load.c
+++ b/regress/sched-load.c
@@ -7,6 +7,7 @@
 
 #include <apr_general.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lead.h"
@@ -16,6 +17,8 @@
 #define GAIN_MIN 0.01
 
 static const double speeds[] = { 0.6, 1.0, 1.6 };
+/* Speeds as measured in the incident dgas-recall-short. */
+static const double two_thirds_fast[] = { 1 / 0.7, 1 / 0.7, 1 / 1.7 };
 static struct world w;
 static struct sched s;
 
@@ -143,6 +146,142 @@
 	world_finish(&w);
 }
 
+struct size {
+	double cpu_ms;
+	int completed;
+};
+
+static int compare_sizes(const void *a, const void *b)
+{
+	const struct size *x = a, *y = b;
+
+	return (x->cpu_ms < y->cpu_ms) - (x->cpu_ms > y->cpu_ms);
+}
+
+/*
+ * Returns how often the largest tenth of the long jobs completed, relative to
+ * all long jobs, under overload and with a fifth of the targets slow for 6 s.
+ */
+static double share_of_largest(uint64_t seed)
+{
+	static struct size sizes[65536];
+	size_t i, j, n = 0, completed = 0, largest = 0;
+
+	world_init(&w, seed, 48, two_thirds_fast, 3);
+	world_start_sched(&w, &s, NULL, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 100);
+	world_generate_load(&w, 1.8, 6000);
+	for (i = 0; i < 9; i++)
+		w.targets[i * 5].slowdown = 7.5;
+	world_generate_load(&w, 1.8, 6000);
+	for (i = 0; i < 9; i++)
+		w.targets[i * 5].slowdown = 1;
+	world_generate_load(&w, 1.8, 6000);
+	world_run_until(&w, w.now + 2000);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	for (i = 0; i < w.njobs; i++) {
+		const struct world_job *job = w.jobs[i];
+		const PoolStep *step = job->sub->steps[0];
+
+		if (job->sub->queue[0] != 'd')
+			continue;
+		sizes[n].cpu_ms = 0;
+		for (j = 0; j < step->tasks; j++)
+			sizes[n].cpu_ms += step->cpu * job->task_work[j];
+		sizes[n].completed = job->answered &&
+				     job->outcome ==
+					     POOL_ANSWER__OUTCOME__COMPLETED;
+		completed += (size_t)sizes[n++].completed;
+	}
+	qsort(sizes, n, sizeof(*sizes), compare_sizes);
+	for (i = 0; i < n / 10; i++)
+		largest += (size_t)sizes[i].completed;
+	sched_finish(&s);
+	world_finish(&w);
+	return (double)largest / (double)(n / 10) /
+	       ((double)completed / (double)n);
+}
+
+/* The target is the users': at least half as often as the whole queue. */
+Test(sched_load, the_largest_jobs_are_served_half_as_often_at_least)
+{
+	double share = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 12; seed++)
+		share += share_of_largest(seed) / 12;
+	cr_assert_geq(share, 0.5, "%.3f", share);
+}
+
+/*
+ * A job that can end on time on the fast targets only is not late on arrival,
+ * and is not rejected because short jobs wait.
+ */
+Test(sched_load, a_job_that_needs_fast_targets_is_not_late_on_arrival)
+{
+	struct world_job *job;
+	int i;
+
+	world_init(&w, 3, 48, two_thirds_fast, 3);
+	world_start_sched(&w, &s, NULL, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 100);
+	world_generate_load(&w, 0.8, 8000);
+	for (i = 0; i < 16; i++)
+		world_submit(&w, "remind", 8, 60, 0.03, 1500);
+	job = world_submit(&w, "long", 3, 2600, 1, 1500);
+	for (i = 0; i < 3; i++)
+		job->task_work[i] = 1400;
+	cr_assert(!job->answered);
+	cr_assert_geq(
+		sched_find_open_job(&s, str_of(job->sub->id))->latest_start,
+		w.now);
+	world_run_until(&w, w.now + 2000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	sched_finish(&s);
+	world_finish(&w);
+}
+
+/* Share of the work that is done of a job's only run. */
+static double progress_of(const struct world_job *job)
+{
+	size_t i, j;
+
+	for (i = 0; i < w.ntargets; i++)
+		for (j = 0; j < w.targets[i].nruns; j++) {
+			const struct world_run *r = &w.targets[i].runs[j];
+
+			if (r->job == job)
+				return r->done / r->work;
+		}
+	return 0;
+}
+
+/* A job far longer than its estimate is noticed in the first fifth of it. */
+Test(sched_load, an_underestimate_is_noticed_early)
+{
+	const struct sched_policies no_moves = { .move = "none" };
+	struct sched_job *job;
+	struct world_job *wj;
+	double predicted;
+
+	world_init(&w, 1, 6, speeds, 3);
+	world_start_sched(&w, &s, &no_moves, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 100);
+	world_generate_load(&w, 0.6, 10000);
+	world_run_until(&w, w.now + 2000);
+	wj = world_submit(&w, "digest", 1, 600, 1, 3000);
+	job = sched_find_open_job(&s, str_of(wj->sub->id));
+	predicted = job->steps[0].work;
+	wj->task_work[0] = 3 * predicted;
+	while (progress_of(wj) < 0.19)
+		world_run_until(&w, w.now + 1);
+	cr_assert_gt(job->steps[0].work, 1.5 * predicted, "%.0f of %.0f",
+		     job->steps[0].work, predicted);
+	sched_cancel(&s, wj, wj->seq, w.now);
+	sched_finish(&s);
+	world_finish(&w);
+}
+
 static double log_error(const struct world_target *t)
 {
 	return sched_find_target(&s, t->listing.id)->log_slowdown +
