Admission counts what a job can take until others must start

The admission added the whole work of a new job to the work that must be done before another job's latest start. A job whose tasks run for a second was thus taken to fill capacity for a second at once, although until the other has to start, a few ms from now, its tasks can take no more than their CPU for these few ms.

The work of the new job now counts up to the time in question.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -88,6 +88,24 @@
 	return sum;
 }
 
+/*
+ * The most capacity that the job's tasks can take within ms from now,
+ * thousandths of a core x ms.
+ */
+static double work_within(const struct sched_job *job, rp_ms ms)
+{
+	double span = ms > 0 ? (double)ms : 0, sum = 0;
+	size_t i;
+
+	for (i = 0; i < job->nsteps; i++) {
+		const struct sched_step *step = &job->steps[i];
+
+		sum += (double)step->nleft * (double)step->need.cpu *
+		       fmin(step->work, span);
+	}
+	return sum;
+}
+
 static rp_ms retry_after(double backlog, double rate)
 {
 	double ms = rate > 0 ? backlog / rate : RETRY_AFTER_MAX_MS;
@@ -112,8 +130,8 @@
 	double work_ahead = 0, backlog = 0;
 	int eligible = 0, passed = 0;
 	double rate = usable_rate(s, job, &eligible);
-	double need = waiting_work(job);
 	const struct sched_job *j;
+	rp_ms slack;
 
 	*retry = RETRY_AFTER_MIN_MS;
 	/* A new leader has not read the list and acquired the targets yet. */
@@ -128,6 +146,7 @@
 		return 0;
 	}
 	for (j = s->jobs; j; j = j->next) {
+		rp_ms left = j->latest_start - s->now + LATE_SLACK_MS;
 		double work;
 
 		if (j->service != job->service)
@@ -142,17 +161,17 @@
 		backlog += work;
 		if (!passed)
 			work_ahead += work;
-		else if (work > 0 && (backlog + need) / rate >
-					     (double)(j->latest_start - s->now +
-						      LATE_SLACK_MS)) {
+		else if (work > 0 && backlog + work_within(job, left) >
+					     rate * (double)left) {
 			*reason = "the job would make accepted jobs late";
 			*retry = retry_after(backlog, rate);
 			return 0;
 		}
 	}
 	/* Without a backlog, capacity is free or soon will be. */
+	slack = job->latest_start - s->now;
 	if (backlog > 0 &&
-	    (work_ahead + need) / rate > (double)(job->latest_start - s->now)) {
+	    work_ahead + work_within(job, slack) > rate * (double)slack) {
 		*reason = "the job cannot end on time";
 		*retry = retry_after(backlog, rate);
 		return 0;
