Progress from 8 percent on corrects the prediction of a job

Targets report whole percents, so a fifth was not needed: at 8 percent the report is off by a sixteenth, while the estimate is off by a third.

Progress counts from 8 percent on, with the variance of a whole percent added to that of the run.

Before, sched_load an_underestimate_is_noticed_early failed with "701 of 701".

--- a/sched-learn.c
+++ b/sched-learn.c
@@ -35,7 +35,7 @@
 #define FAILURE_DECAY 0.1
 /* Run time and progress below which progress predicts no run time. */
 #define PROGRESS_MIN_MS 30
-#define PROGRESS_MIN_PERCENT 20
+#define PROGRESS_MIN_PERCENT 8
 /*
  * Multiple of the predicted run time from which progress below
  * PROGRESS_MIN_PERCENT is used as well.
@@ -121,15 +121,18 @@
 
 /*
  * Corrects the target's slowdown and the job's work by a run that takes
- * total_ms as a whole. Called at most once for each run.
+ * total_ms as a whole, known up to measurement_var in the log. Called at most
+ * once for each run.
  */
-static void observe(struct sched_task *task, double total_ms)
+static void observe(struct sched_task *task, double total_ms,
+		    double measurement_var)
 {
 	struct sched_target *t = task->target;
 	struct sched_job *job = task->job;
 	struct sched_step *step = &job->steps[task->step];
 	double error = log(total_ms / sched_run_time(t, step));
-	double var = job->work_var + t->slowdown_var + SCHED_TASK_VAR;
+	double var = job->work_var + t->slowdown_var + SCHED_TASK_VAR +
+		     measurement_var;
 	double gain;
 
 	task->observed = 1;
@@ -161,11 +164,19 @@
 	if (failed || run_ms < 1)
 		return;
 	if (!task->observed)
-		observe(task, run_ms);
+		observe(task, run_ms, 0);
 	if (task->job->ndone + 1 == task->job->ntasks)
 		learn_queue(task->job);
 }
 
+/* Variance of log(percent), as targets report whole percents. */
+static double percent_var(int percent)
+{
+	double p = percent > 1 ? percent : 1;
+
+	return 1 / (p * p);
+}
+
 void sched_learn_progress(struct sched_task *task, int percent)
 {
 	struct sched_target *t = task->target;
@@ -179,13 +190,13 @@
 	if (percent < PROGRESS_MIN_PERCENT &&
 	    run_ms < OVERRUN_FACTOR * task->predicted)
 		return;
-	observe(task, total_ms);
+	observe(task, total_ms, percent_var(percent));
 }
 
 void sched_learn_overrun(struct sched_task *task, double total_ms)
 {
 	if (!task->observed)
-		observe(task, total_ms);
+		observe(task, total_ms, percent_var(task->percent));
 }
 
 /*
