Ends of a removed member stay listed while its jobs may be submitted

The leader's links were cut one way; it removed a member that it had not heard for 250 ms, and acknowledged to the targets the ends that this member had not acknowledged. The member was alive and submitted its job to the next leader, which found no end on the targets.

When a member is removed, its ends stay unacknowledged until the callers of its jobs have stopped waiting, as until then it may submit the job elsewhere. That holds as well for tasks of its jobs that succeed after the removal.

The test ends_are_acknowledged_once_owners_acknowledge expected the ends of a lost owner to be acknowledged within 600 ms, which is this fault. It now expects them to be within 150 ms of the deadline of the owner's job.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -295,7 +295,28 @@
 	end_world();
 }
 
-/* An owner that acknowledged, or is lost, delays no acknowledgement. */
+/*
+ * The leader removed a member that it had not heard for a while. The member was
+ * alive, had not received the message about an end, and submitted its job to
+ * the next leader, which must still find that end.
+ */
+Test(sched_takeover, ends_of_a_lost_member_stay_listed_while_its_jobs_live)
+{
+	struct world_job *job;
+
+	begin_world(4);
+	job = world_submit(&w, "q", 4, 250, 1, 1500);
+	w.lose_messages = 1;
+	world_run_until(&w, w.now + 240);
+	sched_owner_lost(&first, job, w.now);
+	world_run_until(&w, w.now + 350);
+	take_over(LEAD_TOKEN(2));
+	w.lose_messages = 0;
+	world_run_until(&w, w.now + 1000);
+	end_world();
+}
+
+/* An owner that acknowledged, or whose jobs have expired, delays nothing. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_acknowledge)
 {
 	struct world_job *job, *lost;
@@ -311,7 +332,7 @@
 	cr_assert_eq(left, 4);
 	sched_owner_acked(&first, job, w.mark, w.now);
 	sched_owner_lost(&first, lost, w.now);
-	world_run_until(&w, w.now + 600);
+	world_run_until(&w, lost->arrived_at + 1500 + 150);
 	for (i = 0; i < 4; i++)
 		cr_assert_eq(w.targets[i].nends, 0);
 	end_world();
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -74,6 +74,7 @@
 {
 	struct sched_job *job = task->job;
 	void *owner = job->owner;
+	rp_ms deadline = job->deadline;
 	int last;
 
 	if (job->next_run <= o->run)
@@ -84,13 +85,14 @@
 		return 0;
 	}
 	if (o->how != SCHED_END_DONE) {
-		sched_unacked_resolve(t, o->number, job->owner, 0);
+		sched_unacked_resolve(t, o->number, NULL, 0, 0);
 		return 0;
 	}
 	job->nwaiting--;
 	last = job->ndone + 1 == job->ntasks;
 	/* The last task's answer may free the job. */
-	sched_unacked_resolve(t, o->number, owner, sched_task_done(task));
+	sched_unacked_resolve(t, o->number, owner, sched_task_done(task),
+			      deadline);
 	return last;
 }
 
@@ -123,7 +125,7 @@
 	remove_orphan(t, i);
 	if (task && task->state == SCHED_WAITING)
 		return adopt_orphan(task, t, &o);
-	sched_unacked_resolve(t, o.number, NULL, 0);
+	sched_unacked_resolve(t, o.number, NULL, 0, 0);
 	return 0;
 }
 
@@ -195,6 +197,7 @@
 {
 	struct sched_job *job = sched_find_open_job(t->s, job_id_of(end->task));
 	struct sched_task *task = NULL;
+	rp_ms deadline;
 	void *owner;
 
 	if (job && end->how == SCHED_END_DONE && end->run >= job->min_run)
@@ -202,9 +205,11 @@
 	if (!task || task->state != SCHED_WAITING)
 		return;
 	owner = job->owner;
+	deadline = job->deadline;
 	job->nwaiting--;
 	t->s->ops->log(t->s, "late_end", t, task, "the run had succeeded");
-	sched_unacked_add(t, end->number, owner, sched_task_done(task));
+	sched_unacked_add(t, end->number, owner, sched_task_done(task),
+			  deadline);
 }
 
 void sched_adopt_end(struct sched_target *t, const struct sched_end *end)
@@ -240,7 +245,7 @@
 		const struct sched_orphan *o = &t->orphans[i];
 
 		if (o->number) {
-			sched_unacked_resolve(t, o->number, NULL, 0);
+			sched_unacked_resolve(t, o->number, NULL, 0, 0);
 			continue;
 		}
 		t->s->count.orphans++;
--- a/sched-core.c
+++ b/sched-core.c
@@ -230,10 +230,12 @@
 	s->now = now;
 	for (job = s->jobs; job; job = next) {
 		next = job->next;
-		if (job->owner == owner)
-			cancel_job(job);
+		if (job->owner != owner)
+			continue;
+		job->owner_lost = 1;
+		cancel_job(job);
 	}
-	sched_owner_acked(s, owner, SCHED_ALL_MARKS, now);
+	sched_unacked_owner_lost(s, owner);
 }
 
 /* Answers jobs that have expired. */
@@ -282,6 +284,7 @@
 			remove_target(t);
 			continue;
 		}
+		sched_unacked_expire(t);
 		sched_adopt_tick(t);
 		sched_target_hold(t);
 	}
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -193,6 +193,9 @@
 static void apply_end(struct sched_target *t, const struct sched_end *e)
 {
 	struct sched_task *task = sched_run_find(t, e->task, e->run);
+	rp_ms deadline;
+	uint64_t mark;
+	int owner_lost;
 	void *owner;
 
 	t->ends_seen = e->number;
@@ -201,11 +204,17 @@
 		sched_adopt_end(t, e);
 		return;
 	}
+	/* The last end of a job may free it. */
 	owner = task->job->owner;
+	owner_lost = task->job->owner_lost;
+	deadline = task->job->deadline;
 	if (e->how != SCHED_END_STOPPED)
 		sched_learn_end(task, (double)(t->s->now - task->sent_at),
 				e->how == SCHED_END_FAILED);
-	sched_unacked_add(t, e->number, owner, sched_run_ended(task, e->how));
+	mark = sched_run_ended(task, e->how);
+	if (owner_lost && e->how == SCHED_END_DONE)
+		mark = SCHED_ALL_MARKS;
+	sched_unacked_add(t, e->number, owner, mark, deadline);
 }
 
 static void apply_ends(struct sched_target *t,
--- a/sched-told.c
+++ b/sched-told.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
-		       uint64_t mark)
+		       uint64_t mark, rp_ms needed_until)
 {
 	if (!mark)
 		return;
@@ -23,12 +23,12 @@
 				     t->cap_unacked * sizeof(*t->unacked));
 	}
 	t->unacked[t->nunacked++] =
-		(struct sched_unacked_end){ number, owner, mark };
+		(struct sched_unacked_end){ number, owner, mark, needed_until };
 }
 
 void sched_unacked_add_unclaimed(struct sched_target *t, uint64_t number)
 {
-	sched_unacked_add(t, number, NULL, SCHED_ALL_MARKS);
+	sched_unacked_add(t, number, NULL, SCHED_ALL_MARKS, 0);
 }
 
 int sched_unacked_has_unclaimed(const struct sched_target *t)
@@ -48,7 +48,7 @@
 }
 
 void sched_unacked_resolve(struct sched_target *t, uint64_t number, void *owner,
-			   uint64_t mark)
+			   uint64_t mark, rp_ms needed_until)
 {
 	size_t i;
 
@@ -57,6 +57,7 @@
 			continue;
 		t->unacked[i].owner = owner;
 		t->unacked[i].mark = mark;
+		t->unacked[i].needed_until = needed_until;
 		if (!mark)
 			remove_at(t, i);
 		return;
@@ -96,3 +97,26 @@
 		if (s->targets[i]->nunacked)
 			remove_acked(s->targets[i], owner, mark);
 }
+
+void sched_unacked_owner_lost(struct sched *s, const void *owner)
+{
+	size_t i, j;
+
+	for (i = 0; i < s->ntargets; i++)
+		for (j = 0; j < s->targets[i]->nunacked; j++)
+			if (s->targets[i]->unacked[j].owner == owner)
+				s->targets[i]->unacked[j].owner = NULL;
+}
+
+void sched_unacked_expire(struct sched_target *t)
+{
+	size_t i;
+
+	for (i = t->nunacked; i-- > 0;) {
+		const struct sched_unacked_end *e = &t->unacked[i];
+
+		if (!e->owner && e->needed_until &&
+		    t->s->now >= e->needed_until)
+			remove_at(t, i);
+	}
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -176,6 +176,7 @@
 	const struct sched_target *avoid; /* of the task being placed */
 	int stored; /* kept in the store: has no deadline, is not rejected */
 	int answered;
+	int owner_lost;	  /* it may submit the job to another scheduler */
 	int missed_start; /* considered only after its latest start */
 	/* Runs of an earlier submission of the id may not be over. */
 	int awaits_earlier_runs;
@@ -223,8 +224,10 @@
  */
 struct sched_unacked_end {
 	uint64_t number;
-	void *owner;   /* NULL: the job has not been submitted yet */
+	void *owner;   /* NULL: lost, or the job has not been submitted yet */
 	uint64_t mark; /* of the message to the owner */
+	/* The job cannot be submitted any more from then on; 0: not known. */
+	rp_ms needed_until;
 };
 
 /* A run of an earlier scheduler, or its end, found on a target. */
@@ -476,7 +479,11 @@
  * cannot be reached any more, so no acknowledgement is awaited.
  */
 void sched_owner_acked(struct sched *s, void *owner, uint64_t mark, rp_ms now);
-/* The owner is lost: its jobs are cancelled. */
+/*
+ * The owner is lost: its jobs are cancelled. It may be alive and submit them to
+ * another scheduler, so ends that it may not know of stay on the targets as
+ * long as the jobs' callers wait.
+ */
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now);
 /* An entry of the platform's list is new or has changed. */
 void sched_target_listed(struct sched *s, const struct sched_listing *l,
@@ -620,19 +627,26 @@
 int sched_adopt_all_known(const struct sched_job *job);
 
 /* sched-told.c */
-/* Delays the end's acknowledgement until the owner acknowledges the mark. */
+/*
+ * Delays the end's acknowledgement until the owner acknowledges the mark, or
+ * the owner is lost and needed_until has passed. mark 0: adds nothing.
+ */
 void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
-		       uint64_t mark);
+		       uint64_t mark, rp_ms needed_until);
 /* Delays the end's acknowledgement until its job is submitted. */
 void sched_unacked_add_unclaimed(struct sched_target *t, uint64_t number);
 /* Whether an end is not acknowledged because its job is not known. */
 int sched_unacked_has_unclaimed(const struct sched_target *t);
 /*
- * Sets the owner and mark that an end's acknowledgement waits for; mark 0: it
- * may be acknowledged.
+ * Sets what an end's acknowledgement waits for, as sched_unacked_add() does;
+ * mark 0: it may be acknowledged.
  */
 void sched_unacked_resolve(struct sched_target *t, uint64_t number, void *owner,
-			   uint64_t mark);
+			   uint64_t mark, rp_ms needed_until);
+/* The owner's ends wait until its jobs cannot be submitted any more. */
+void sched_unacked_owner_lost(struct sched *s, const void *owner);
+/* Releases the ends of lost owners that are not needed any more. */
+void sched_unacked_expire(struct sched_target *t);
 /* Returns the number up to which ends may be acknowledged. */
 uint64_t sched_ackable_end(const struct sched_target *t);
 
