A leader remembers ends that it released before a late submission

A task ran again after it was done, where a member found a new leader only after the 300 ms in which jobs are usually submitted again. The new leader had found the end in its first list, no job had claimed it, and it was acknowledged to the target and forgotten.

The leader keeps the successes that it acknowledges without a job for 10 s, as it does for the jobs that it has answered, and marks these tasks done when their job is submitted.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -316,6 +316,26 @@
 	end_world();
 }
 
+/*
+ * A member finds the new leader only after the time in which jobs are usually
+ * submitted again. Ends that were acknowledged meanwhile still count.
+ */
+Test(sched_takeover, ends_released_before_a_late_resubmission_count)
+{
+	begin_world(4);
+	world_submit(&w, "q", 4, 200, 1, 1500);
+	w.lose_messages = 1;
+	world_run_until(&w, w.now + 200);
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	w.lose_messages = 0;
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	world_run_until(&w, w.now + 450);
+	world_resubmit(&w);
+	world_run_until(&w, w.now + 1000);
+	end_world();
+}
+
 /* An owner that acknowledged, or whose jobs have expired, delays nothing. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_acknowledge)
 {
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -167,6 +167,7 @@
 	struct sched *s = job->s;
 	size_t i, j;
 
+	sched_released_restore(job);
 	if (job->ndone == job->ntasks) {
 		sched_job_answer(job, POOL_ANSWER__OUTCOME__COMPLETED, "", 0);
 		return;
@@ -245,6 +246,8 @@
 		const struct sched_orphan *o = &t->orphans[i];
 
 		if (o->number) {
+			if (o->how == SCHED_END_DONE)
+				sched_released_add(t->s, o->name);
 			sched_unacked_resolve(t, o->number, NULL, 0, 0);
 			continue;
 		}
--- a/sched-core.c
+++ b/sched-core.c
@@ -66,6 +66,7 @@
 	s->services = hash_new(s->pool);
 	s->open_jobs = hash_new(s->pool);
 	s->history_tail = &s->history_head;
+	s->released_tail = &s->released_head;
 	return find_policies(s, policies);
 }
 
--- a/sched-past.c
+++ b/sched-past.c
@@ -1,9 +1,10 @@
 /*
- * Records of answered jobs.
+ * Records of answered jobs, and of successes that no job has claimed.
  *
  * A job may be submitted again: by its caller, which got no answer, or by its
- * entry VM, which this leader considered lost. The tasks that succeeded are not
- * started again, and the others get higher run numbers than before.
+ * entry VM, which this leader considered lost, or which finds it late. The
+ * tasks that succeeded are not started again, and the others get higher run
+ * numbers than before.
  */
 
 #include "scheduler.h"
@@ -70,8 +71,44 @@
 	free(rec);
 }
 
+void sched_released_add(struct sched *s, const char *task)
+{
+	struct sched_released_end *e = calloc(1, sizeof(*e));
+
+	if (!e)
+		return;
+	e->released_at = s->now;
+	str_copy(e->task, sizeof(e->task), str_of(task));
+	*s->released_tail = e;
+	s->released_tail = &e->next;
+}
+
+void sched_released_restore(struct sched_job *job)
+{
+	const struct sched_released_end *e;
+	size_t i;
+
+	for (e = job->s->released_head; e; e = e->next)
+		for (i = 0; i < job->ntasks; i++)
+			if (!strcmp(e->task, job->tasks[i].name))
+				sched_job_mark_done(job, i);
+}
+
+static void remove_oldest_released(struct sched *s)
+{
+	struct sched_released_end *e = s->released_head;
+
+	s->released_head = e->next;
+	if (!s->released_head)
+		s->released_tail = &s->released_head;
+	free(e);
+}
+
 void sched_history_expire(struct sched *s)
 {
+	while (s->released_head &&
+	       s->now - s->released_head->released_at > HISTORY_MS)
+		remove_oldest_released(s);
 	while (s->history_head &&
 	       s->now - s->history_head->closed_at > HISTORY_MS)
 		remove_oldest(s);
@@ -81,4 +118,6 @@
 {
 	while (s->history_head)
 		remove_oldest(s);
+	while (s->released_head)
+		remove_oldest_released(s);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -140,6 +140,14 @@
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
 
+/* A task whose success was acknowledged to its target with no job claiming it.
+ */
+struct sched_released_end {
+	struct sched_released_end *next; /* the one released next */
+	rp_ms released_at;
+	char task[SCHED_TASK_NAME_MAX];
+};
+
 struct sched_job {
 	struct sched *s;
 	struct sched_job *next, *prev; /* in s->jobs or s->closed */
@@ -434,6 +442,7 @@
 	size_t ntargets, cap_targets;
 	apr_hash_t *history; /* job id -> its latest struct sched_history */
 	struct sched_history *history_head, **history_tail; /* oldest first */
+	struct sched_released_end *released_head, **released_tail;
 	struct sched_job *jobs;	  /* not answered, by sort key */
 	struct sched_job *closed; /* answered; runs are being stopped */
 	size_t njobs;		  /* in jobs */
@@ -583,6 +592,10 @@
 void sched_history_restore(struct sched_job *job);
 /* Records a job that is about to be answered, if a task was started. */
 void sched_history_add(const struct sched_job *job);
+/* Records the success of a task whose job may still be submitted. */
+void sched_released_add(struct sched *s, const char *task);
+/* Marks the job's tasks done whose success was recorded. */
+void sched_released_restore(struct sched_job *job);
 void sched_history_expire(struct sched *s);
 void sched_history_finish(struct sched *s);
 
