Ends of a first list are recorded once

When a job was submitted to the new leader before a target's first list arrived, as most are, sched_adopt_list() recorded the ends in that list and the job claimed them. apply_ends() then met the same ends again, took them for new ones and recorded them a second time. The claim of the second record resolved the first, which waited for the owner, and nothing ever resolved the second.

The first list's runs are adopted as before; its ends are recorded by apply_ends() alone. An end in this scheduler's range of run numbers that belongs to no open job is kept like one of another scheduler, as two provisional leaders of a term share a range.

Before, sched_takeover ends_claimed_from_the_first_list_wait_for_their_owner failed, with two ends still listed after the owner had acknowledged them.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -336,6 +336,34 @@
 	end_world();
 }
 
+/*
+ * A job is submitted to the new leader before the first lists arrive. The ends
+ * in them wait for the job's owner, no less and no longer.
+ */
+Test(sched_takeover, ends_claimed_from_the_first_list_wait_for_their_owner)
+{
+	struct world_target *t = &w.targets[0];
+	struct sched_job *open;
+	struct world_job *job;
+
+	begin_world(1);
+	job = world_submit(&w, "q", 4, 400, 1, 3000);
+	w.lose_messages = 1;
+	while (t->nends < 2)
+		world_run_until(&w, w.now + 1);
+	world_run_until(&w, w.now + 50);
+	take_over(LEAD_TOKEN(2));
+	world_run_until(&w, w.now + 100);
+	open = sched_find_open_job(&second, str_of(job->sub->id));
+	cr_assert_not_null(open);
+	cr_assert_eq(open->ndone, 2);
+	cr_assert_eq(t->nends, 2);
+	sched_owner_acked(&second, job, w.mark, w.now);
+	world_run_until(&w, w.now + 80);
+	cr_assert_eq(t->nends, 0);
+	end_world();
+}
+
 /* An owner that acknowledged, or whose jobs have expired, delays nothing. */
 Test(sched_takeover, ends_are_acknowledged_once_owners_acknowledge)
 {
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -156,9 +156,6 @@
 			remove_orphan(t, i);
 	for (i = 0; i < reply->nruns; i++)
 		add_orphan(t, reply->runs[i].task, reply->runs[i].run);
-	for (i = 0; i < reply->nends; i++)
-		if (reply->ends[i].number > t->ends_seen)
-			add_ended_orphan(t, &reply->ends[i]);
 	claim_orphans(t);
 }
 
@@ -228,11 +225,12 @@
 		o->how = end->how;
 		return;
 	}
-	if (is_own_run(t->s, end->run)) {
+	if (is_own_run(t->s, end->run) &&
+	    sched_find_open_job(t->s, job_id_of(end->task))) {
 		accept_late_end(t, end);
 		return;
 	}
-	/* Another scheduler held the target meanwhile and started the run. */
+	/* Another scheduler started the run, before this one or meanwhile. */
 	add_ended_orphan(t, end);
 	t->adopt_until = t->s->now + ADOPT_MS;
 	claim_orphans(t);
