What is learned of long jobs' work does not drift from the estimates

Only the product of a job's work and its target's slowdown is observed. Long jobs run on the targets that look fastest, and a choice of the least of many uncertain figures looks faster than it is. The error went mostly to the work and from there to the queue's means, which made the next prediction right and left the target as it was.

The mean work of a queue is now the mean of its callers' estimates, and the error of these is learned for each queue but drawn to that of all queues. It counts all jobs, and not only those that completed.

--- a/regress/sched-load.c
+++ b/regress/sched-load.c
@@ -282,6 +282,27 @@
 	world_finish(&w);
 }
 
+/*
+ * Long jobs run on fast targets only. Neither what is learned of their work nor
+ * of the speed of these targets may run away, with the product staying right.
+ */
+Test(sched_load, predicted_work_of_long_jobs_does_not_drift)
+{
+	const struct sched_queue *q;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 4; seed++) {
+		world_init(&w, seed, 48, two_thirds_fast, 3);
+		world_start_sched(&w, &s, NULL, LEAD_TOKEN(1));
+		world_run_until(&w, w.now + 100);
+		world_generate_load(&w, 0.6, 60000);
+		q = sched_get_queue(&s, "digest", 1);
+		cr_assert_leq(fabs(q->log_bias), 0.25, "%.2f", q->log_bias);
+		sched_finish(&s);
+		world_finish(&w);
+	}
+}
+
 static double log_error(const struct world_target *t)
 {
 	return sched_find_target(&s, t->listing.id)->log_slowdown +
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -23,8 +23,10 @@
 /* Squared error over variance from which a target's speed has changed. */
 #define OUTLIER_RATIO 16.0
 
-/* Least weight of one job in the means of its queue. */
-#define QUEUE_GAIN_MIN 0.03
+/* Least weight of one job in a mean. */
+#define MEAN_GAIN_MIN 0.03
+/* Part of the way to the bias of all queues, for each job of a queue. */
+#define BIAS_SHRINK 0.1
 /* Part of the way back to the base in each step of the decay. */
 #define SLOWDOWN_DECAY 0.15
 /* Age from which the estimate of a target decays. */
@@ -54,7 +56,7 @@
 		return q;
 	q = apr_pcalloc(s->pool, sizeof(*q));
 	snprintf(q->name, sizeof(q->name), "%s", name);
-	q->log_work = log(estimate);
+	q->log_estimate = log(estimate);
 	apr_hash_set(s->queues, q->name, APR_HASH_KEY_STRING, q);
 	return q;
 }
@@ -78,37 +80,46 @@
 		job->steps[i].work *= exp(log_factor);
 }
 
+/* Moves the mean of n values, of which this is the last, towards it. */
+static void add_to_mean(double *mean, double value, uint64_t n)
+{
+	*mean += fmax(1.0 / (double)n, MEAN_GAIN_MIN) * (value - *mean);
+}
+
 /*
- * Averages the caller's estimate, corrected by the queue's mean error, and the
- * queue's mean work. Their errors are independent, so the average is better
- * than either.
+ * Averages the caller's estimate and the mean of its queue, and corrects both
+ * by the mean error of estimates. The errors of the two are independent, so the
+ * average is better than either.
  */
 void sched_predict_job(struct sched_job *job)
 {
-	const struct sched_queue *q = job->queue;
+	struct sched_queue *q = job->queue;
 
 	job->log_estimate = mean_log_work(job);
 	job->work_var = ESTIMATE_VAR;
+	add_to_mean(&q->log_estimate, job->log_estimate, ++q->njobs);
 	if (!q->nlearned)
 		return;
-	scale_work(job, (job->log_estimate + q->log_bias + q->log_work) / 2 -
-				job->log_estimate);
+	scale_work(job,
+		   (q->log_estimate - job->log_estimate) / 2 + q->log_bias);
 	job->work_var = ESTIMATE_VAR / 2;
 }
 
-/* Updates the queue's means when the last task of a job has succeeded. */
+/*
+ * Updates the means when the last task of a job has succeeded. A queue's error
+ * is kept near that of all queues: long jobs run on fast targets only, so that
+ * their work and the speed of these targets are observed as a product, and
+ * nothing else keeps the two from drifting apart.
+ */
 static void learn_queue(struct sched_job *job)
 {
 	struct sched_queue *q = job->queue;
-	double work = mean_log_work(job);
-	double gain;
+	struct sched *s = job->s;
+	double error = mean_log_work(job) - job->log_estimate;
 
-	q->nlearned++;
-	gain = 1.0 / (double)q->nlearned;
-	if (gain < QUEUE_GAIN_MIN)
-		gain = QUEUE_GAIN_MIN;
-	q->log_work += gain * (work - q->log_work);
-	q->log_bias += gain * (work - job->log_estimate - q->log_bias);
+	add_to_mean(&s->log_bias, error, ++s->nlearned);
+	add_to_mean(&q->log_bias, error, ++q->nlearned);
+	q->log_bias += BIAS_SHRINK * (s->log_bias - q->log_bias);
 }
 
 static void set_slowdown(struct sched_target *t, double log_slowdown)
@@ -136,14 +147,16 @@
 	double gain;
 
 	task->observed = 1;
-	if (error * error > OUTLIER_RATIO * var) {
+	int sudden = error * error > OUTLIER_RATIO * var;
+
+	if (sudden) {
 		t->slowdown_var += error * error;
 		var += error * error;
-	} else {
-		t->log_slowdown_base = t->log_slowdown;
 	}
 	gain = t->slowdown_var / var;
 	set_slowdown(t, t->log_slowdown + gain * error);
+	if (!sudden)
+		t->log_slowdown_base = t->log_slowdown;
 	t->slowdown_var *= 1 - gain;
 	if (t->slowdown_var < TARGET_VAR_MIN)
 		t->slowdown_var = TARGET_VAR_MIN;
@@ -220,12 +233,12 @@
 		s->targets[i]->log_slowdown_base -= mean;
 		set_slowdown(s->targets[i], s->targets[i]->log_slowdown - mean);
 	}
+	s->log_bias += mean;
 	for (h = apr_hash_first(NULL, s->queues); h; h = apr_hash_next(h)) {
 		struct sched_queue *q;
 
 		apr_hash_this(h, NULL, NULL, &value);
 		q = value;
-		q->log_work += mean;
 		q->log_bias += mean;
 	}
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -95,11 +95,12 @@
 /* Run times learned from the jobs of one queue. */
 struct sched_queue {
 	char name[RP_NAME_MAX];
-	double log_work;   /* mean log of run time at speed 1 */
-	double log_bias;   /* mean log of run time over the estimate */
-	uint64_t nlearned; /* jobs that the means were learned from */
-	uint32_t nwaiting; /* jobs with no task started */
-	double mean_size;  /* of its jobs, thousandths of a core x ms */
+	double log_estimate; /* mean log of the callers' estimates */
+	double log_bias;     /* mean log of run time over the estimate */
+	uint64_t njobs;	     /* jobs that log_estimate is the mean of */
+	uint64_t nlearned;   /* jobs that log_bias was learned from */
+	uint32_t nwaiting;   /* jobs with no task started */
+	double mean_size;    /* of its jobs, thousandths of a core x ms */
 	/* Jobs answered, and those of them that completed, by size. */
 	uint64_t answered[SCHED_SIZE_BUCKETS], completed[SCHED_SIZE_BUCKETS];
 };
@@ -447,8 +448,11 @@
 	struct sched_job *closed; /* answered; runs are being stopped */
 	size_t njobs;		  /* in jobs */
 	struct sched_counters count;
-	rp_ms decayed_at; /* last sched_learn_decay() */
-	rp_ms moved_at;	  /* last check for runs that will end late */
+	/* Mean log of run time over the estimate, over all queues. */
+	double log_bias;
+	uint64_t nlearned; /* jobs that it was learned from */
+	rp_ms decayed_at;  /* last sched_learn_decay() */
+	rp_ms moved_at;	   /* last check for runs that will end late */
 	/* Share of the targets' capacity that admission counts on. */
 	double usable_share;
 	int dispatching; /* inside sched_dispatch() */
