--- a/sched-service.c
+++ b/sched-service.c
@@ -65,7 +65,9 @@
 {
 	const struct sched_resources *capacity = &t->listing.capacity;
 
-	cpu_by_slowdown[bucket_of(t->log_slowdown)] += (double)capacity->cpu;
+	/* A target that is not known well may be fast. */
+	cpu_by_slowdown[bucket_of(t->log_slowdown - sqrt(t->slowdown_var))] +=
+		(double)capacity->cpu;
 	totals->has_available = 1;
 	totals->cpu_rate += (double)capacity->cpu / t->slowdown;
 	totals->used_cpu += (double)t->used.cpu;
