--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -24,8 +24,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define PAIRS_MAX 128
-#define CONNS_MAX 1024
+#define PAIRS_MAX 256
+#define CONNS_MAX 8192
 #define PIECE_MAX 16384		/* bytes of one piece of data */
 #define BUFFER_MAX (256 * 1024) /* bytes buffered per direction, at most */
 #define POLL_MS 3		/* interval of checks for data that is due */
--- a/regress/soak/run.sh
+++ b/regress/soak/run.sh
@@ -5,7 +5,8 @@
 #   run.sh FROM TO   the seeds from FROM to TO
 #
 # Environment: BIN, directory of the programs; SECONDS_OF_FAULTS, duration of
-# the faults of one run; JOBS, runs at the same time; STORED=1, stored jobs.
+# the faults of one run; JOBS, runs at the same time; STORED=1, stored jobs;
+# VMS and TARGETS, their numbers, which the seed chooses if they are not set.
 # Prints a line for each seed that failed, and the counts at the end. The logs
 # of failed seeds stay in build/out/soak/SEED.
 set -u
@@ -27,7 +28,7 @@
 
 # run_seeds LANE SEED...: runs the seeds in turn, on ports of this lane alone.
 run_seeds () {
-	port=$((11000 + $1 * 500))
+	port=$((11000 + $1 * 700))
 	shift
 	for seed in "$@"
 	do
@@ -36,7 +37,8 @@
 		mkdir -p "$dir"
 		if "$bin"/regress/soak/soak --seed="$seed" --bin="$bin" \
 			--seconds="$seconds" --dir="$dir" --port=$port \
-			${STORED:+--stored} \
+			${STORED:+--stored} ${VMS:+--vms="$VMS"} \
+			${TARGETS:+--targets="$TARGETS"} \
 			>"$dir"/out 2>&1
 		then
 			rm -rf "$dir"
--- a/regress/soak/soak-process.c
+++ b/regress/soak/soak-process.c
@@ -15,14 +15,15 @@
  * Offsets of ports from the first one, on which the stand-in listens; its
  * targets follow. VM or target n uses offset + n.
  */
-#define READY_PORTS 120
 #define HTTP_PORTS 100
-#define METRICS_PORTS 140
-#define LINK_PORTS 160	 /* of the proxy, which connects to LISTEN_PORTS */
-#define LISTEN_PORTS 180 /* on which VMs accept links */
-#define STORE_PORTS 200	 /* of the proxy */
-#define TARGET_PORTS 230 /* of the proxy */
-#define STOP_MS 8000	 /* a planned stop takes 5500 ms at most */
+#define READY_PORTS (HTTP_PORTS + SOAK_VMS)
+#define METRICS_PORTS (READY_PORTS + SOAK_VMS)
+/* Of the proxy, which connects to LISTEN_PORTS, where VMs accept links. */
+#define LINK_PORTS (METRICS_PORTS + SOAK_VMS)
+#define LISTEN_PORTS (LINK_PORTS + SOAK_VMS)
+#define STORE_PORTS (LISTEN_PORTS + SOAK_VMS) /* of the proxy */
+#define TARGET_PORTS (STORE_PORTS + SOAK_VMS) /* of the proxy */
+#define STOP_MS 8000 /* a planned stop takes 5500 ms at most */
 /*
  * A pool may start tasks on a target for 2000 ms after it begins to drain;
  * 3000 ms are added because faults may keep a pool from reading its entry.
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -8,6 +8,7 @@
 
 #include <argp.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -275,6 +276,14 @@
 	case 'p':
 		f->s->port = atoi(arg);
 		return 0;
+	case 'v':
+		f->s->nvms = atoi(arg);
+		return f->s->nvms < 3 || f->s->nvms > SOAK_VMS ? EINVAL : 0;
+	case 't':
+		f->s->ntargets = atoi(arg);
+		return f->s->ntargets < 1 || f->s->ntargets > SOAK_TARGETS
+			       ? EINVAL
+			       : 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -300,21 +309,35 @@
 		{ .name = "port",
 		  .key = 'p',
 		  .arg = "PORT",
-		  .doc = "first of 400 ports" },
+		  .doc = "first of 700 ports" },
+		{ .name = "vms",
+		  .key = 'v',
+		  .arg = "N",
+		  .doc = "entry VMs, up to 80; by the seed if not given" },
+		{ .name = "targets",
+		  .key = 't',
+		  .arg = "N",
+		  .doc = "targets, up to 64; by the seed if not given" },
 		{ 0 },
 	};
 	static const struct argp argp = { options, parse, NULL, NULL,
 					  NULL,	   NULL,  NULL };
 	static struct soak s = { .bin = "build", .dir = ".", .port = 10200 };
 	struct flags f = { 1, 10, &s };
+	int nvms, ntargets;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &f);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	s.random = f.seed * 0x9e3779b97f4a7c15u + 1;
 	s.routes_version = 1;
-	s.nvms = 3 + soak_random(&s, SOAK_VMS - 2);
-	s.ntargets = 8 + soak_random(&s, SOAK_TARGETS - 7);
+	/* Drawn in any case, so that a size does not change the faults. */
+	nvms = 3 + soak_random(&s, 4);
+	ntargets = 8 + soak_random(&s, 9);
+	if (!s.nvms)
+		s.nvms = nvms;
+	if (!s.ntargets)
+		s.ntargets = ntargets;
 	printf("seed %u: %d vms, %d targets\n", f.seed, s.nvms, s.ntargets);
 	run(&s, f.seed, f.seconds);
 	printf("seed %u: %s\n", f.seed, s.violations ? "failed" : "passed");
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -12,9 +12,10 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define SOAK_VMS 6
-#define SOAK_TARGETS 16
-#define SOAK_ACTIVE 4 /* faults at the same time at most */
+#define SOAK_VMS 80	/* entry VMs at most */
+#define SOAK_TARGETS 64 /* targets at most */
+#define SOAK_PORTS 700	/* ports that a run uses */
+#define SOAK_ACTIVE 4	/* faults at the same time at most */
 
 enum soak_state {
 	SOAK_RUNNING,
@@ -54,7 +55,7 @@
 	uint64_t random; /* state of the generator */
 	const char *bin; /* directory of the programs */
 	const char *dir; /* directory of the logs */
-	int port;	 /* first of 400 that are used */
+	int port;	 /* first of SOAK_PORTS that are used */
 	int nvms, ntargets;
 	struct soak_vm vms[SOAK_VMS];
 	pid_t platform, proxy, callers;
--- a/regress/standin/callers.c
+++ b/regress/standin/callers.c
@@ -13,7 +13,7 @@
 #include <string.h>
 #include <time.h>
 
-#define ADDRESSES_MAX 16
+#define ADDRESSES_MAX 96
 #define JOBS_MAX 200000
 #define RESEND_MS 1300		/* delay after a submission without an answer */
 #define BODY_MAX 256		/* bytes, with the NUL */
