A leader refuses links that were opened for an earlier term

The first message of a link names the term that it is for, and a leader takes no member from a link of another one. The VM learns of the present term by the heartbeat that answers.

Before, pool_member a_late_hello_of_an_earlier_term_is_refused failed.

--- a/pool-link.c
+++ b/pool-link.c
@@ -174,6 +174,7 @@
 	hello.processor = (uint32_t)pool_processor(p);
 	hello.failure_domain = p->set.failure_domain;
 	hello.probe = probe;
+	hello.fence = p->lead.row.fence;
 	frame.body_case = POOL_FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	pool_link_send(l, &frame);
--- a/pool-member.c
+++ b/pool-member.c
@@ -93,6 +93,23 @@
 	return m;
 }
 
+/*
+ * Whether the link is for this VM's present term. A link of an earlier term may
+ * deliver its messages late, when their jobs are with another leader already.
+ */
+static int is_for_this_term(const struct pool_link *l, const PoolHello *hello)
+{
+	const struct pool *p = l->p;
+
+	if (hello->fence == p->lead.row.fence)
+		return 1;
+	LOG_EVENT(LOG_LEVEL_INFO, "member_refused",
+		  LOG_TEXT("member", hello->vm),
+		  LOG_NUMBER("hello_fence", (long long)hello->fence),
+		  LOG_NUMBER("fence", (long long)p->lead.row.fence));
+	return 0;
+}
+
 static void on_hello(struct pool_link *l, const PoolHello *hello)
 {
 	struct pool *p = l->p;
@@ -100,7 +117,7 @@
 
 	str_copy(l->peer, sizeof(l->peer), str_of(hello->vm));
 	l->probe = hello->probe;
-	if (p->leading && !l->probe) {
+	if (p->leading && !l->probe && is_for_this_term(l, hello)) {
 		m = pool_find_member(p, hello->vm);
 		if (m && m->incarnation != hello->incarnation) {
 			remove_member(p, m, "another incarnation");
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1274,7 +1274,7 @@
   (ProtobufCMessageInit) pool_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[7] =
 {
   {
     "vm",
@@ -1348,10 +1348,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
   5,   /* field[5] = failure_domain */
+  6,   /* field[6] = fence */
   2,   /* field[2] = incarnation */
   3,   /* field[3] = probe */
   4,   /* field[4] = processor */
@@ -1360,7 +1373,7 @@
 static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pool_hello__descriptor =
 {
@@ -1370,7 +1383,7 @@
   "PoolHello",
   "",
   sizeof(PoolHello),
-  6,
+  7,
   pool_hello__field_descriptors,
   pool_hello__field_indices_by_name,
   1,  pool_hello__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -36,7 +36,7 @@
 typedef enum _PoolAnswer__Outcome {
   POOL_ANSWER__OUTCOME__COMPLETED = 0,
   /*
-   * a task failed as often as it may
+   * a task reached max_attempts
    */
   POOL_ANSWER__OUTCOME__FAILED = 1,
   /*
@@ -44,7 +44,7 @@
    */
   POOL_ANSWER__OUTCOME__REJECTED = 2,
   /*
-   * given up; tasks may have run
+   * ended early; tasks may have run
    */
   POOL_ANSWER__OUTCOME__INCOMPLETE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_ANSWER__OUTCOME)
@@ -60,42 +60,42 @@
 /* --- messages --- */
 
 /*
- * Tasks of one step, alike but for their number.
+ * One step of a job. Its tasks are alike except for their number.
  */
 struct  PoolStep
 {
   ProtobufCMessage base;
   uint32_t tasks;
   /*
-   * thousandths of a core, each
+   * of each task, thousandths of a core
    */
   uint32_t cpu;
   /*
-   * MB, each
+   * of each task, MB
    */
   uint32_t memory;
   /*
-   * each
+   * of each task
    */
   uint32_t accelerators;
   /*
-   * the caller's guess of a task's run time
+   * the caller's estimate of a task's run time
    */
   uint32_t estimate_ms;
   /*
-   * bit i: step i must be done first
+   * bit i: step i must complete first
    */
   uint64_t after;
   /*
-   * the target must have it; "": any
+   * required of the target; "": none
    */
   char *label;
   /*
-   * where the data is; "": anywhere
+   * rack of the data; "": no preference
    */
   char *rack;
   /*
-   * tasks on one target at most; 0: any number
+   * most tasks on one target; 0: no limit
    */
   uint32_t spread;
 };
@@ -108,29 +108,32 @@
 {
   ProtobufCMessage base;
   /*
-   * chosen by the sender, in its incarnation
+   * unique within the sender's incarnation
    */
   uint64_t seq;
   /*
-   * since the request came
+   * since the request was received
    */
   uint32_t age_ms;
   /*
-   * until the caller stops waiting
+   * until the caller's deadline
    */
   uint32_t left_ms;
   char *queue;
+  /*
+   * its targets run the tasks
+   */
   char *service;
   /*
-   * least first
+   * the lowest is served first
    */
   uint32_t priority;
   /*
-   * failures of a task that fail the job
+   * a task failing this often fails the job
    */
   uint32_t max_attempts;
   /*
-   * objective: stretch x run time
+   * objective: stretch * run time
    */
   double stretch;
   /*
@@ -138,30 +141,32 @@
    */
   uint32_t objective_ms;
   /*
-   * the caller's
+   * chosen by the caller
    */
   char *id;
   /*
-   * passed to the targets as it is
+   * opaque, passed to the targets
    */
   ProtobufCBinaryData specification;
   size_t n_steps;
   PoolStep **steps;
   /*
-   * The leader with this token may have started tasks of it; 0: none.
+   * Fencing token of a previous leader that may have started tasks of
+   * the job; 0: none has.
    */
   uint64_t former;
   /*
-   * of these tasks
+   * numbers of tasks that are done
    */
   size_t n_done;
   uint32_t *done;
   /*
-   * The store keeps the job: it has no deadline, and is not rejected.
+   * The job is a row of the store: it has no deadline and is never
+   * rejected.
    */
   protobuf_c_boolean stored;
   /*
-   * tasks, each as often as it has failed
+   * Numbers of tasks that failed, one entry for each failure.
    */
   size_t n_failed;
   uint32_t *failed;
@@ -172,7 +177,7 @@
 
 
 /*
- * Tasks of a job that ended well; numbered over all its steps.
+ * Tasks of a job that completed, numbered over all its steps.
  */
 struct  PoolProgress
 {
@@ -180,6 +185,9 @@
   uint64_t seq;
   size_t n_done;
   uint32_t *done;
+  /*
+   * number of this message, for PoolHeard
+   */
   uint64_t mark;
 };
 #define POOL_PROGRESS__INIT \
@@ -188,7 +196,7 @@
 
 
 /*
- * The sender has what the leader told it up to the mark.
+ * Acknowledges the leader's messages up to the mark.
  */
 struct  PoolHeard
 {
@@ -216,12 +224,12 @@
   uint64_t seq;
   PoolAnswer__Outcome outcome;
   /*
-   * for REJECTED; 0: no use
+   * for REJECTED; 0: don't retry
    */
   uint32_t retry_after_ms;
   char *reason;
   /*
-   * of this message, for PoolHeard; 0: none
+   * number of this message, for PoolHeard; 0: none
    */
   uint64_t mark;
 };
@@ -231,7 +239,8 @@
 
 
 /*
- * First frame of each connection, from the side that opened it.
+ * First frame of each connection, from the side that opened it. Also the row
+ * of an entry VM in the store.
  */
 struct  PoolHello
 {
@@ -240,18 +249,22 @@
   char *address;
   uint64_t incarnation;
   /*
-   * only asks whether the receiver hears the leader
+   * only asks for a heartbeat, to learn of the leader
    */
   protobuf_c_boolean probe;
   /*
-   * thousandths of a core
+   * thousandths of a core of nominal speed
    */
   uint32_t processor;
   char *failure_domain;
+  /*
+   * of the leader that the link is for
+   */
+  uint64_t fence;
 };
 #define POOL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  PoolWaiting
@@ -259,7 +272,7 @@
   ProtobufCMessage base;
   char *queue;
   /*
-   * with no task started
+   * with no task started yet
    */
   uint32_t jobs;
 };
@@ -268,11 +281,14 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Heartbeat.
+ */
 struct  PoolBeat
 {
   ProtobufCMessage base;
   /*
-   * fencing token of the leader that the sender knows
+   * fencing token of the leader, as the sender knows it
    */
   uint64_t fence;
   char *leader;
@@ -282,11 +298,17 @@
    */
   protobuf_c_boolean leading;
   /*
-   * the sender has heard that leader of late
+   * the sender gets heartbeats of that leader
    */
   protobuf_c_boolean hears;
+  /*
+   * from the leader, best first
+   */
   size_t n_successors;
   char **successors;
+  /*
+   * from the leader
+   */
   size_t n_waiting;
   PoolWaiting **waiting;
   /*
@@ -298,15 +320,15 @@
    */
   char *vm;
   /*
-   * the store answers the sender
+   * the store replies to the sender
    */
   protobuf_c_boolean store;
   /*
-   * waiting is known
+   * waiting and stored are valid
    */
   protobuf_c_boolean waits;
   /*
-   * the store keeps jobs; known where waiting is
+   * the store has jobs
    */
   protobuf_c_boolean stored;
 };
@@ -332,30 +354,37 @@
 
 
 /*
- * Row of the store with a job that is kept there.
+ * Row of a stored job.
  */
 struct  PoolJob
 {
   ProtobufCMessage base;
   /*
-   * without seq, ages, former, done and failed
+   * Without seq, age_ms, left_ms, former, done and failed. The leader
+   * leaves it out once the job has ended.
    */
   PoolSubmit *submit;
   PoolJob__State state;
   /*
-   * of the store's clock
+   * by the store's clock
    */
   uint64_t accepted_ms;
   /*
-   * likewise; 0: open
+   * by the store's clock; 0: open
    */
   uint64_t ended_ms;
+  /*
+   * as in PoolSubmit
+   */
   size_t n_done;
   uint32_t *done;
+  /*
+   * as in PoolSubmit
+   */
   size_t n_failed;
   uint32_t *failed;
   /*
-   * token of the leader that wrote it; 0: an entry VM
+   * Fencing token of the leader that wrote the row; 0: an entry VM did.
    */
   uint64_t writer;
 };
@@ -365,22 +394,31 @@
 
 
 /*
- * An HTTP call that the leader has another VM make.
+ * An HTTP call to a target that an agent makes for the leader.
  */
 struct  PoolCall
 {
   ProtobufCMessage base;
   /*
-   * the leader's
+   * the leader's fencing token
    */
   uint64_t fence;
+  /*
+   * number of the call
+   */
   uint64_t seq;
   char *address;
   char *path;
+  /*
+   * one more request header
+   */
   char *header;
+  /*
+   * body
+   */
   ProtobufCBinaryData request;
   /*
-   * the answer may take so much longer than usual
+   * time for which the target may hold the call open
    */
   uint32_t wait_ms;
 };
@@ -389,13 +427,16 @@
     , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
+/*
+ * The reply to a PoolCall.
+ */
 struct  PoolReply
 {
   ProtobufCMessage base;
   uint64_t fence;
   uint64_t seq;
   /*
-   * 0: no answer came
+   * of HTTP; 0: the target did not reply
    */
   uint32_t status;
   ProtobufCBinaryData body;
@@ -419,6 +460,9 @@
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
+/*
+ * One message on a link, preceded by its length as four bytes, big-endian.
+ */
 struct  PoolFrame
 {
   ProtobufCMessage base;
