Soak: the port of readiness has a function of its own

Since the numbers of processes can be set, the ready ports do not follow the HTTP ports by 20 any more, and every run failed with "a VM is not ready".

--- a/regress/soak/soak-process.c
+++ b/regress/soak/soak-process.c
@@ -36,6 +36,11 @@
 	return s->port + HTTP_PORTS + vm;
 }
 
+int soak_ready_port(const struct soak *s, int vm)
+{
+	return s->port + READY_PORTS + vm;
+}
+
 pid_t soak_spawn(struct soak *s, const char *log, char *const argv[])
 {
 	char path[512];
@@ -80,7 +85,7 @@
 		format_arg("%s:%d", "--listen=127.0.0.1",
 			   soak_http_port(s, vm)),
 		format_arg("%s:%d", "--ready-listen=127.0.0.1",
-			   s->port + READY_PORTS + vm),
+			   soak_ready_port(s, vm)),
 		format_arg("%s:%d", "--metrics-listen=127.0.0.1",
 			   s->port + METRICS_PORTS + vm),
 		format_arg("%s:%d", "--link=127.0.0.1",
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -146,8 +146,7 @@
 	int i = 0;
 
 	while (i < s->nvms) {
-		if (soak_get(soak_http_port(s, i) + 20, "/api/readiness") ==
-		    200) {
+		if (soak_get(soak_ready_port(s, i), "/api/readiness") == 200) {
 			i++;
 			continue;
 		}
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -77,6 +77,7 @@
 /* --- soak-process.c ---------------------------------------------------- */
 
 int soak_http_port(const struct soak *s, int vm);
+int soak_ready_port(const struct soak *s, int vm);
 /* Starts a program with its output appended to a log in s->dir. */
 pid_t soak_spawn(struct soak *s, const char *log, char *const argv[]);
 void soak_start_vm(struct soak *s, int vm);
