Soak: no SIGHUP before the program has set its handler

The VM was restarted at 3310.54 s and got SIGHUP at 3310.57 s, which ended it, as it ends every process that has not set a handler.

--- a/regress/soak/soak-fault.c
+++ b/regress/soak/soak-fault.c
@@ -79,12 +79,17 @@
 	s->vms[n].state = SOAK_RUNNING;
 }
 
+/* A signal kills a process that has not set its handler yet. */
+static int handles_signals(const struct soak_vm *vm)
+{
+	return soak_now() - vm->started_at >= START_MS;
+}
+
 /* soak_reap() starts the VM again as soon as it has ended. */
 static int stop_vm(struct soak *s, int *n)
 {
 	*n = random_vm(s);
-	/* SIGTERM kills a process that has not set its handler yet. */
-	if (*n < 0 || soak_now() - s->vms[*n].started_at < START_MS)
+	if (*n < 0 || !handles_signals(&s->vms[*n]))
 		return 0;
 	kill(s->vms[*n].pid, SIGTERM);
 	s->vms[*n].state = SOAK_STOPPING;
@@ -95,9 +100,10 @@
 static int reload_vm(struct soak *s, int *n)
 {
 	*n = random_vm(s);
-	if (*n >= 0)
-		kill(s->vms[*n].pid, SIGHUP);
-	return *n >= 0;
+	if (*n < 0 || !handles_signals(&s->vms[*n]))
+		return 0;
+	kill(s->vms[*n].pid, SIGHUP);
+	return 1;
 }
 
 /* Does nothing: the fault ends by itself. */
