Scheduler: comments after a second reading

Read as by a newcomer: two comments did not fit a line and were split oddly, and the new size buckets and the second try after a lower token were not explained. Comments only; the compiled code is the same.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -115,8 +115,7 @@
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (rp_ms)ms;
 }
 
-/* Time on fast targets if the work is a standard deviation less than predicted.
- */
+/* Time on fast targets, with a standard deviation less work than predicted. */
 static rp_ms shortest_time(struct sched *s, const struct sched_job *job)
 {
 	return (rp_ms)(sched_job_critical_path(job) *
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -304,6 +304,7 @@
 	if (!ok) {
 		if (t->state == SCHED_ACQUIRING)
 			t->state = SCHED_UNHELD;
+		/* Only a call with the lower token leaves the target unheld. */
 		if (reply->status == SCHED_REPLY_FENCED &&
 		    t->state == SCHED_UNHELD) {
 			t->hold_retry_at = 0;
--- a/sched-job.c
+++ b/sched-job.c
@@ -176,6 +176,7 @@
 		sched_job_mark_done(job, sub->done[i]);
 }
 
+/* Upper bounds of the size buckets, in quarters of the mean size. */
 const unsigned sched_size_bounds[SCHED_SIZE_BUCKETS - 1] = { 2, 4, 6, 8 };
 
 /* Sets the job's size bucket by its predicted work. */
--- a/scheduler.h
+++ b/scheduler.h
@@ -141,8 +141,7 @@
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
 
-/* A task whose success was acknowledged to its target with no job claiming it.
- */
+/* A task whose success was acknowledged to its target, claimed by no job. */
 struct sched_released_end {
 	struct sched_released_end *next; /* the one released next */
 	rp_ms released_at;
