--- a/lead-core.c
+++ b/lead-core.c
@@ -78,13 +78,15 @@
 
 static void start_claim(struct lead *l, rp_ms now);
 
-/* Rank of a VM that the leader does not name as a successor. */
+/*
+ * Rank of a VM that the leader does not name as a successor. In a failure
+ * domain that is cut off no VM may be named, and one VM is to come first.
+ */
 static unsigned default_rank(const struct lead *l)
 {
-	unsigned rank =
-		LEAD_SUCCESSORS + (unsigned)(l->incarnation % LEAD_SUCCESSORS);
-
-	return l->nlarger ? rank + LEAD_SUCCESSORS : rank;
+	return LEAD_SUCCESSORS + (l->domain_rank < LEAD_DOMAIN_RANK_MAX
+					  ? l->domain_rank
+					  : LEAD_DOMAIN_RANK_MAX);
 }
 
 /* Rank of this VM by the successors that a heartbeat names. */
@@ -211,6 +213,18 @@
 	l->ops->probe(l);
 }
 
+/*
+ * Whether the leader may be alive, though no other VM answers: it has renewed
+ * its row not long ago. Where nothing listens at its address, fewer missing
+ * renewals show that it has ended.
+ */
+static int may_be_renewing(const struct lead *l, rp_ms now)
+{
+	return now - l->renewed_at < (l->connection_refused
+					      ? LEAD_REFUSED_RENEWAL_TIMEOUT_MS
+					      : LEAD_RENEWAL_TIMEOUT_MS);
+}
+
 /* Decides by the answers to the probe whether to claim. */
 static void finish_probe(struct lead *l, rp_ms now)
 {
@@ -224,7 +238,7 @@
 		return;
 	}
 	if (l->nhearing || l->store_lost ||
-	    (isolated && now - l->renewed_at < LEAD_RENEWAL_TIMEOUT_MS)) {
+	    (isolated && may_be_renewing(l, now))) {
 		l->phase = LEAD_IDLE;
 		l->retry_at = now + LEAD_BACKOFF_MS;
 		return;
--- a/lead.h
+++ b/lead.h
@@ -44,8 +44,12 @@
 #define LEAD_RENEW_INTERVAL_MS 500
 /* Time without renewal after which a VM that reaches no other one claims. */
 #define LEAD_RENEWAL_TIMEOUT_MS 3500
+/* The same for a VM whose connection the leader's address refused. */
+#define LEAD_REFUSED_RENEWAL_TIMEOUT_MS 1500
 /* Delay before the next probe or claim after an unsuccessful one. */
 #define LEAD_BACKOFF_MS 300
+/* Highest rank within a failure domain that is told apart. */
+#define LEAD_DOMAIN_RANK_MAX 5
 /* Number of successors that the leader names in its heartbeats. */
 #define LEAD_SUCCESSORS 3
 /* Delay of a first claim while larger VMs exist, which are preferred. */
@@ -128,6 +132,8 @@
 	unsigned rank;	  /* among the successors, from 0 */
 	unsigned nothers; /* known entry VMs besides this one */
 	unsigned nlarger; /* of these, larger ones, preferred as leader */
+	/* VMs of this failure domain that are to lead before this one. */
+	unsigned domain_rank;
 	/* VMs that answered the probe, by whether they hear the leader. */
 	unsigned nhearing;
 	unsigned nnot_hearing;
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -503,3 +503,57 @@
 	run_for(LEAD_RENEWAL_TIMEOUT_MS + 3000);
 	cr_assert_eq(find_leader(), VMS - 1);
 }
+
+/*
+ * All other VMs are lost, and nothing listens at the leader's address: its
+ * process has ended, and fewer missing renewals are enough.
+ */
+Test(lead, the_last_vm_leads_sooner_when_the_leader_refuses_connections)
+{
+	int i;
+
+	for (i = 0; i < VMS - 1; i++)
+		vms[i].up = 0;
+	for (i = 0; i < 2500; i += 10) {
+		lead_connection_refused(&vms[VMS - 1].lead, now);
+		run_for(10);
+	}
+	cr_assert_eq(find_leader(), VMS - 1);
+}
+
+/*
+ * A cut failure domain has no VM that the leader names as a successor. Its VMs
+ * must not all become provisional leaders at the same time.
+ */
+Test(lead, vms_of_a_domain_take_over_one_after_the_other)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+	rp_ms probes[2] = { 0, 0 };
+	struct lead leads[2];
+	int i;
+
+	snprintf(leader.vm, sizeof(leader.vm), "leader");
+	for (i = 0; i < 2; i++) {
+		lead_init(&leads[i], &ops, NULL, "vm", "10.0.0.1:1",
+			  (uint64_t)(7 + i * LEAD_SUCCESSORS));
+		leads[i].domain_rank = (unsigned)i;
+		lead_row_read(&leads[i], &leader, 1000);
+		lead_heartbeat(&leads[i],
+			       &(struct lead_heartbeat){ .fence = LEAD_TOKEN(1),
+							 .vm = "leader",
+							 .leader = "leader",
+							 .address = "10.0.0.2:"
+								    "1",
+							 .leading = 1 },
+			       1000);
+	}
+	for (now = 1000; now < 4000; now += 10)
+		for (i = 0; i < 2; i++) {
+			if (probes[i])
+				continue;
+			lead_tick(&leads[i], now);
+			if (leads[i].phase == LEAD_PROBING)
+				probes[i] = now;
+		}
+	cr_assert_geq(probes[1] - probes[0], LEAD_RANK_DELAY_MS);
+}
