Scheduler: one start at a time to a target that may have restarted

Ruled out: to call each idle target before its first start; it costs a call and a round trip for every start on an idle target. Change: while a start is in flight to a target that has not replied for longer than a restart takes, it gets no other.

--- a/sched-hold.c
+++ b/sched-hold.c
@@ -13,8 +13,6 @@
 #define ACK_IDLE_MS 250
 /* Time in which an owner usually acknowledges the message about an end. */
 #define OWNER_ACK_MS 20
-/* A target needs longer than this to restart in another incarnation. */
-#define RESTART_MIN_MS 30
 /*
  * Age from which an idle target's clock is read again. A lease granted by it is
  * shorter by up to CLOCK_DRIFT of the age.
@@ -82,12 +80,12 @@
 
 /*
  * Number up to which the next hold call acknowledges ends; 0: none. Later than
- * RESTART_MIN_MS after a reply, another incarnation may receive the call. It
- * numbers its ends anew, and an end that is acknowledged unseen is lost.
+ * SCHED_RESTART_MIN_MS after a reply, another incarnation may receive the call.
+ * It numbers its ends anew, and an end that is acknowledged unseen is lost.
  */
 static uint64_t ends_to_acknowledge(const struct sched_target *t)
 {
-	if (t->nruns && t->s->now - t->hold_replied_at > RESTART_MIN_MS)
+	if (t->nruns && t->s->now - t->hold_replied_at > SCHED_RESTART_MIN_MS)
 		return 0;
 	return sched_ackable_end(t);
 }
--- a/sched-place.c
+++ b/sched-place.c
@@ -71,6 +71,28 @@
 	return t->failure_rate < FAILURE_RATE_MAX || t->nruns < PROBE_RUNS;
 }
 
+/*
+ * Whether a start is in flight to a target that may have restarted, with less
+ * capacity, since its last reply. The reply to the start will show it.
+ */
+static int may_have_restarted(const struct sched_target *t, rp_ms now)
+{
+	const struct sched_task *task;
+
+	if (now - t->replied_at <= SCHED_RESTART_MIN_MS)
+		return 0;
+	for (task = t->runs; task; task = task->next)
+		if (task->state == SCHED_STARTING)
+			return 1;
+	return 0;
+}
+
+/* Whether the target may be given another task now. */
+static int accepts_starts(const struct sched_target *t, rp_ms now)
+{
+	return sched_target_available(t, now) && !may_have_restarted(t, now);
+}
+
 int sched_target_has_room(const struct sched_target *t,
 			  const struct sched_resources *need)
 {
@@ -230,7 +252,7 @@
 
 		if (t->service != job->service ||
 		    !sched_target_has_room(t, &step->need) ||
-		    !sched_target_available(t, s->now))
+		    !accepts_starts(t, s->now))
 			continue;
 		has_room = 1;
 		if (t == avoid || !sched_target_eligible(t, job, step) ||
@@ -302,8 +324,7 @@
 		struct sched_target *t = s->targets[i];
 		int64_t cpu_left = t->listing.capacity.cpu - t->used.cpu;
 
-		if (cpu_left <= best_left ||
-		    !sched_target_available(t, s->now) ||
+		if (cpu_left <= best_left || !accepts_starts(t, s->now) ||
 		    !sched_target_has_room(t, &step->need) ||
 		    !sched_target_eligible(t, job, step) ||
 		    sched_target_at_spread_limit(t, job, step))
--- a/scheduler.h
+++ b/scheduler.h
@@ -26,6 +26,9 @@
 /* Variance of log(run time in ms) among the tasks of one job. */
 #define SCHED_TASK_VAR 0.03
 
+/* A target needs longer than this to restart in another incarnation, ms. */
+#define SCHED_RESTART_MIN_MS 30
+
 /* Run numbers reserved for each scheduler; later schedulers use higher ones. */
 #define SCHED_RUNS_PER_TOKEN 64
 
