--- a/pool-agent.c
+++ b/pool-agent.c
@@ -1,248 +1,249 @@
 /*
- * Calls to targets that other VMs, the agents, make for the leader.
+ * Calls that this VM makes for the leader, as the agent of a target, or as the
+ * owner of a job of a target that has no agent.
  *
- * A call costs several times the processor time of the decision to make it.
- * A leader with more targets than it can call itself assigns them to agents:
- * members with enough processor, preferably in the target's failure domain.
- * An agent makes the call and returns the reply. A call that it does not
- * answer counts as unanswered by the target, and the leader makes the next
- * call to that target itself.
+ * A reply refers to the list that was sent before, so that a list that has not
+ * changed costs no bytes.
  */
 
 #include "pool.h"
+#include "platform/platform.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Targets that a leader calls itself, without agents. */
-#define DIRECT_TARGETS_PER_CORE 400
-/* An agent has at least the leader's processor divided by this. */
-#define AGENT_PROCESSOR_DIVISOR 2
-#define REBALANCE_INTERVAL_MS 1000
-/*
- * A target moves to another agent in the same failure domain when the load of
- * its own agent is at least MOVE_RATIO times the other's plus MOVE_MARGIN. Load
- * is in targets per thousandth of a core.
- */
-#define MOVE_RATIO 1.5
-#define MOVE_MARGIN 0.01
-/* Silence after which a member is no longer used as an agent. */
-#define AGENT_SILENCE_MS 300
-/* Time for the agent's reply, in addition to the wait of the call. */
-#define AGENT_REPLY_TIMEOUT_MS 500
-
-/* Whether the leader has the processor to call all targets itself. */
-static int needs_no_agents(const struct pool *p)
-{
-	return (int64_t)p->sched.ntargets * 1000 <=
-	       DIRECT_TARGETS_PER_CORE * pool_processor(p);
-}
+/* A target that this VM calls for its leader. */
+struct agent_target {
+	uint32_t number; /* the leader's number for it */
+	char id[RP_NAME_MAX];
+	char address[RP_ADDRESS_MAX];
+	struct pool_list list; /* that was sent last */
+};
 
-static int is_agent(const struct pool *p, const struct pool_member *m)
+void pool_agent_init(struct pool *p)
 {
-	return m->link && p->now - m->link->received_at < AGENT_SILENCE_MS &&
-	       m->processor * AGENT_PROCESSOR_DIVISOR >= pool_processor(p);
+	p->agent_targets = hash_new(p->pool);
 }
 
-static int same_domain(const struct pool_member *m,
-		       const struct sched_target *t)
+void pool_agent_reset(struct pool *p)
 {
-	return !strcmp(m->failure_domain, t->listing.failure_domain);
-}
+	apr_hash_index_t *i;
+	void *value;
 
-/* Assigned targets per thousandth of a core. */
-static double load_of(const struct pool_member *m)
-{
-	return (double)m->assigned_targets / (double)m->processor;
-}
+	for (i = apr_hash_first(NULL, p->agent_targets); i;
+	     i = apr_hash_next(i)) {
+		struct agent_target *t;
 
-/* The agent in the target's failure domain, or else any, with least load. */
-static struct pool_member *choose_agent(struct pool *p,
-					const struct sched_target *t)
-{
-	struct pool_member *m, *best = NULL;
-	double least = 0;
-
-	for (m = p->members; m; m = m->next) {
-		double load;
-
-		if (!is_agent(p, m) ||
-		    (best && same_domain(best, t) > same_domain(m, t)))
-			continue;
-		load = load_of(m);
-		if (best && same_domain(best, t) == same_domain(m, t) &&
-		    load >= least)
-			continue;
-		best = m;
-		least = load;
+		apr_hash_this(i, NULL, NULL, &value);
+		t = value;
+		apr_hash_set(p->agent_targets, &t->number, sizeof(t->number),
+			     NULL);
+		pool_list_finish(&t->list);
+		free(t);
 	}
-	return best;
+	p->order_fence = p->start_fence = 0;
 }
 
-static void assign_agent(struct sched_target *t, struct pool_member *m)
+static struct agent_target *find_target(struct pool *p, uint32_t number)
 {
-	t->user = m;
-	if (m)
-		m->assigned_targets++;
+	return apr_hash_get(p->agent_targets, &number, sizeof(number));
 }
 
-struct pool_member *pool_agent_for(struct pool *p, struct sched_target *t)
+static struct agent_target *add_target(struct pool *p, const PoolOrder *order)
 {
-	if (t->unanswered || needs_no_agents(p))
-		return NULL;
-	if (!t->user || !is_agent(p, t->user))
-		assign_agent(t, choose_agent(p, t));
-	return t->user;
+	struct agent_target *t = find_target(p, order->target);
+
+	if (!t) {
+		t = calloc(1, sizeof(*t));
+		t->number = order->target;
+		apr_hash_set(p->agent_targets, &t->number, sizeof(t->number),
+			     t);
+	}
+	str_copy(t->id, sizeof(t->id), str_of(order->id));
+	pool_address_unpack(order->address, t->address);
+	return t;
 }
 
-static void count_assigned(struct pool *p)
+/* --- replies to the leader ---------------------------------------------- */
+
+static void send_reply(struct pool *p, PoolReply *msg)
 {
-	struct pool_member *m;
-	size_t i;
+	PoolFrame frame = POOL_FRAME__INIT;
 
-	for (m = p->members; m; m = m->next)
-		m->assigned_targets = 0;
-	for (i = 0; i < p->sched.ntargets; i++)
-		if ((m = p->sched.targets[i]->user))
-			m->assigned_targets++;
+	frame.body_case = POOL_FRAME__BODY_REPLY;
+	frame.reply = msg;
+	pool_link_send(p->leader_link, &frame);
 }
 
-/*
- * Moves targets to agents of their own failure domain and to less loaded ones.
- * Without it the first agent to join would keep all targets. Targets of agents
- * with similar loads stay, as each move costs a new connection.
- */
-static void rebalance(struct pool *p)
+void pool_agent_send_status(struct pool *p, uint32_t seq,
+			    enum sched_reply_status status, const char *reason)
 {
-	size_t i;
+	PoolReply msg = POOL_REPLY__INIT;
 
-	count_assigned(p);
-	for (i = 0; i < p->sched.ntargets; i++) {
-		struct sched_target *t = p->sched.targets[i];
-		struct pool_member *m = t->user, *best;
-
-		best = m ? choose_agent(p, t) : NULL;
-		if (!best || best == m ||
-		    (same_domain(best, t) == same_domain(m, t) &&
-		     load_of(m) < MOVE_RATIO * load_of(best) + MOVE_MARGIN))
-			continue;
-		m->assigned_targets--;
-		assign_agent(t, best);
-	}
+	if (!p->leader_link)
+		return;
+	msg.seq = seq;
+	msg.status = status;
+	msg.reason = (char *)reason;
+	send_reply(p, &msg);
 }
 
-struct pool_call *pool_agent_call(struct pool *p, struct pool_member *m,
-				  const struct pool_call_spec *spec, rp_ms wait)
+static void log_reply_error(const struct pool_call *c, long status,
+			    const struct platform_reply *r)
 {
-	struct pool_call *c = pool_call_new(p, spec);
-	PoolFrame frame = POOL_FRAME__INIT;
-	PoolCall call = POOL_CALL__INIT;
-
-	c->agent = m;
-	c->seq = ++p->agent_call_seq;
-	c->fence = p->lead.row.fence;
-	c->expires_at = p->now + wait + AGENT_REPLY_TIMEOUT_MS;
-	apr_hash_set(p->agent_calls, &c->seq, sizeof(c->seq), c);
-	p->count.agent_calls++;
-	call.fence = c->fence;
-	call.seq = c->seq;
-	call.address = (char *)spec->address;
-	call.path = (char *)spec->path;
-	call.header = (char *)spec->header;
-	call.request.data = (uint8_t *)c->request;
-	call.request.len = strlen(c->request);
-	call.wait_ms = (uint32_t)wait;
-	frame.body_case = POOL_FRAME__BODY_CALL;
-	frame.call = &call;
-	pool_link_send(m->link, &frame);
-	return c;
+	if (status && !r->error[0])
+		return;
+	LOG_EVENT(LOG_LEVEL_WARN, "agent_call_failed",
+		  LOG_TEXT("task", c->task), LOG_NUMBER("target", c->tag),
+		  LOG_NUMBER("status", status),
+		  LOG_NUMBER("after_ms", c->p->now - c->sent_at),
+		  LOG_TEXT("why", r->error));
 }
 
-static void end_agent_call(struct pool_call *c, long status, const char *body,
-			   size_t len)
+static void on_target_reply(struct pool_call *c, long status, const char *body,
+			    size_t len)
 {
-	apr_hash_set(c->p->agent_calls, &c->seq, sizeof(c->seq), NULL);
-	pool_call_end(c, status, body, len);
+	struct pool *p = c->p;
+	struct agent_target *t = c->tag ? find_target(p, c->tag) : NULL;
+	PoolReply msg = POOL_REPLY__INIT;
+	struct pool_list_message lists;
+	struct platform_reply r;
+
+	/* Its order came over another link: the leader has given the call up.
+	 */
+	if (!p->leader_link || p->leader_link->number != c->link_number)
+		return;
+	platform_parse_reply(&r, status, body, len);
+	log_reply_error(c, status, &r);
+	msg.seq = (uint32_t)c->seq;
+	msg.status = r.reply.status;
+	msg.reason = (char *)r.reply.reason;
+	msg.clock = (uint64_t)r.reply.clock;
+	msg.incarnation = (uint64_t)r.reply.incarnation;
+	pool_list_message_init(&lists, &r.reply);
+	if (t && r.reply.status == SCHED_REPLY_OK) {
+		msg.target = t->number;
+		pool_list_encode(&lists, &t->list, &r.reply, &msg);
+	} else if (r.reply.status == SCHED_REPLY_OK) {
+		msg.clock = 0;
+	}
+	send_reply(p, &msg);
+	pool_list_message_finish(&lists);
+	platform_reply_finish(&r);
 }
 
-void pool_agent_reply_received(struct pool *p, struct pool_member *m,
-			       const PoolReply *reply)
+/* --- calls -------------------------------------------------------------- */
+
+static struct pool_call *call_target(struct pool *p, const char *id,
+				     const char *address, const char *path,
+				     char *request, rp_ms wait)
 {
-	struct pool_call *c =
-		apr_hash_get(p->agent_calls, &reply->seq, sizeof(reply->seq));
+	char header[RP_NAME_MAX + 64];
+	struct pool_call_spec spec = {
+		.address = address,
+		.path = path,
+		.header = header,
+		.request = request,
+		.timeout = wait + pool_reply_timeout(p),
+		.on_done = on_target_reply,
+	};
+	struct pool_call *c;
 
-	/* A call of another leader may have the same number. */
-	if (c && c->agent == m && c->fence == reply->fence)
-		end_agent_call(c, reply->status, (char *)reply->body.data,
-			       reply->body.len);
+	snprintf(header, sizeof(header), "%s%s", PLATFORM_INCARNATION_HEADER,
+		 id);
+	p->count.target_calls++;
+	c = pool_call_begin(p, &spec);
+	c->link_number = p->leader_link->number;
+	return c;
 }
 
-void pool_agent_unavailable(struct pool *p, struct pool_member *m)
+static struct rp_str specification_of(ProtobufCBinaryData data)
 {
-	struct pool_call *c;
-	size_t i;
+	struct rp_str s = { (char *)data.data, data.len };
 
-	for (c = p->calls; c; c = c->next)
-		if (c->agent == m)
-			c->expires_at = p->now;
-	for (i = 0; p->leading && i < p->sched.ntargets; i++)
-		if (p->sched.targets[i]->user == m)
-			p->sched.targets[i]->user = NULL;
+	return s;
 }
 
-void pool_agent_tick(struct pool *p, rp_ms now)
+void pool_order_received(struct pool *p, const PoolOrder *order)
 {
-	struct pool_call *c, *next;
+	struct agent_target *t = order->id[0] ? add_target(p, order)
+					      : find_target(p, order->target);
+	struct pool_call *c;
 
-	if (p->leading && now - p->balanced_at >= REBALANCE_INTERVAL_MS) {
-		p->balanced_at = now;
-		rebalance(p);
+	if (order->fence)
+		p->order_fence = order->fence;
+	if (!t || !p->order_fence) {
+		log_warn("order", p->leader_link->peer,
+			 "target %u was not introduced", order->target);
+		pool_agent_send_status(p, order->seq, SCHED_REPLY_NOT_SENT,
+				       "target not introduced");
+		return;
 	}
-	for (c = p->calls; c; c = next) {
-		next = c->next;
-		if (!c->agent || now < c->expires_at)
-			continue;
-		p->count.agent_unanswered++;
-		end_agent_call(c, 0, NULL, 0);
+	if (order->kind == POOL_ORDER__KIND__HOLD) {
+		c = call_target(p, t->id, t->address, PLATFORM_HOLD_PATH,
+				platform_hold_body((int64_t)order->lease_until,
+						   p->order_fence,
+						   order->acked_end,
+						   (rp_ms)order->wait_ms),
+				(rp_ms)order->wait_ms);
+		c->tag = t->number;
+	} else if (order->kind == POOL_ORDER__KIND__STOP) {
+		c = call_target(p, t->id, t->address, PLATFORM_STOP_PATH,
+				platform_stop_body(str_of(order->task),
+						   order->run, p->order_fence),
+				0);
+	} else {
+		c = call_target(p, t->id, t->address, PLATFORM_START_PATH,
+				platform_start_body(
+					str_of(order->task), order->run,
+					specification_of(order->specification),
+					(int64_t)order->lease_until,
+					p->order_fence),
+				0);
 	}
+	c->seq = order->seq;
+	str_copy(c->task, sizeof(c->task), str_of(order->task));
 }
 
-/* --- on the agent ----------------------------------------------------- */
-
-static void on_target_reply(struct pool_call *c, long status, const char *body,
-			    size_t len)
+void pool_agent_run(struct pool *p, const PoolRun *run)
 {
-	struct pool *p = c->p;
-	PoolFrame frame = POOL_FRAME__INIT;
-	PoolReply reply = POOL_REPLY__INIT;
+	struct rp_str specification = specification_of(run->specification);
+	size_t i;
 
-	if (!p->leader_link)
-		return;
-	reply.fence = c->fence;
-	reply.seq = c->seq;
-	reply.status = (uint32_t)status;
-	reply.body.data = (uint8_t *)body;
-	reply.body.len = len;
-	frame.body_case = POOL_FRAME__BODY_REPLY;
-	frame.reply = &reply;
-	pool_link_send(p->leader_link, &frame);
+	for (i = 0; i < run->n_tasks; i++) {
+		const PoolRunTask *task = run->tasks[i];
+		char address[RP_ADDRESS_MAX], name[SCHED_TASK_NAME_MAX];
+		struct pool_call *c;
+
+		sched_task_name(name, run->id, task->step, task->index);
+		pool_address_unpack(task->target_address, address);
+		c = call_target(p, task->target, address, PLATFORM_START_PATH,
+				platform_start_body(
+					str_of(name), task->run, specification,
+					(int64_t)task->lease_until, run->fence),
+				0);
+		c->seq = task->seq;
+		str_copy(c->task, sizeof(c->task), str_of(name));
+	}
 }
 
-void pool_agent_call_received(struct pool *p, const PoolCall *call)
+/* The leader's token as its latest order says it, or its heartbeats. */
+static uint64_t leader_fence(const struct pool *p)
 {
-	struct pool_call_spec spec = {
-		.address = call->address,
-		.path = call->path,
-		.header = call->header,
-		.request =
-			strndup((char *)call->request.data, call->request.len),
-		.timeout = (rp_ms)call->wait_ms + pool_reply_timeout(p),
-		.on_done = on_target_reply,
-	};
-	struct pool_call *c;
+	return p->order_fence ? p->order_fence : p->lead.row.fence;
+}
 
-	p->count.target_calls++;
-	c = pool_call_begin(p, &spec);
-	c->fence = call->fence;
-	c->seq = call->seq;
+void pool_run_received(struct pool *p, struct pool_link *l, const PoolRun *run)
+{
+	l->runs_received++;
+	if (p->leader_link && run->fence == leader_fence(p)) {
+		pool_agent_run(p, run);
+		return;
+	}
+	LOG_EVENT(LOG_LEVEL_WARN, "start_not_made", LOG_TEXT("id", run->id),
+		  LOG_TEXT("owner", l->peer),
+		  LOG_TEXT("why", "the owner has another leader"),
+		  LOG_NUMBER("fence", (long long)run->fence),
+		  LOG_NUMBER("own_fence", (long long)leader_fence(p)));
 }
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -2,8 +2,15 @@
 
 #include "pool.h"
 
+#include <stdlib.h>
 #include <string.h>
 
+/*
+ * Interval of heartbeats that are not brief. Brief ones leave out the leader,
+ * its successors and the queues, which seldom change.
+ */
+#define FULL_INTERVAL_MS 1000
+
 int64_t pool_processor(const struct pool *p)
 {
 	return p->set.processor * p->set.processor_speed / 1000;
@@ -100,6 +107,7 @@
 	hb->stored = p->has_stored_jobs == 1;
 	if (!p->leading)
 		return;
+	hb->agents = pool_needs_agents(p);
 	hb->successors = lists->successors;
 	hb->n_successors =
 		pool_successors(p, lists->successors, LEAD_SUCCESSORS);
@@ -110,30 +118,89 @@
 		lists->waiting_ptrs[i] = &lists->waiting[i];
 }
 
-void pool_send_heartbeat(struct pool *p, struct pool_link *l)
+/* Of the fields that a brief heartbeat leaves out, but for the queues. */
+static uint64_t heartbeat_hash(const PoolBeat *hb)
+{
+	uint64_t hash = hb->fence * 4 + (uint64_t)hb->leading * 2 +
+			(uint64_t)hb->resigns;
+	size_t i;
+
+	hash = hash * 31 + str_hash(str_of(hb->leader));
+	for (i = 0; i < hb->n_successors; i++)
+		hash = hash * 31 + str_hash(str_of(hb->successors[i]));
+	return hash;
+}
+
+static void send_beat(struct pool_link *l, PoolBeat *hb)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
+
+	frame.body_case = POOL_FRAME__BODY_BEAT;
+	frame.beat = hb;
+	pool_link_send(l, &frame);
+}
+
+static void send_full(struct pool_link *l, PoolBeat *hb, uint64_t hash)
+{
+	l->sent_heartbeat_hash = hash;
+	l->sent_heartbeat_at = l->p->now;
+	send_beat(l, hb);
+}
+
+static void send_full_or_brief(struct pool_link *l, PoolBeat *hb, uint64_t hash)
+{
+	PoolBeat brief = POOL_BEAT__INIT;
+
+	if (hash != l->sent_heartbeat_hash ||
+	    l->p->now - l->sent_heartbeat_at >= FULL_INTERVAL_MS) {
+		send_full(l, hb, hash);
+		return;
+	}
+	brief.brief = 1;
+	brief.hears = hb->hears;
+	brief.store = hb->store;
+	brief.waits = hb->waits;
+	brief.stored = hb->stored;
+	brief.agents = hb->agents;
+	send_beat(l, &brief);
+}
+
+void pool_send_heartbeat(struct pool *p, struct pool_link *l)
+{
 	struct heartbeat_lists lists;
 	PoolBeat hb;
 
 	fill_heartbeat(p, &hb, &lists);
-	frame.body_case = POOL_FRAME__BODY_BEAT;
-	frame.beat = &hb;
-	pool_link_send(l, &frame);
+	send_full(l, &hb, heartbeat_hash(&hb));
 }
 
 void pool_send_heartbeats(struct pool *p)
 {
+	struct heartbeat_lists lists;
 	struct pool_member *m;
+	PoolBeat hb;
+	uint64_t hash;
 
 	if (p->now - p->heartbeat_sent_at < LEAD_HEARTBEAT_MS)
 		return;
 	p->heartbeat_sent_at = p->now;
+	fill_heartbeat(p, &hb, &lists);
+	hash = heartbeat_hash(&hb);
 	if (p->leader_link)
-		pool_send_heartbeat(p, p->leader_link);
+		send_full_or_brief(p->leader_link, &hb, hash);
 	for (m = p->members; p->leading && m; m = m->next)
 		if (m->link)
-			pool_send_heartbeat(p, m->link);
+			send_full_or_brief(m->link, &hb, hash);
+}
+
+PoolBeat *pool_heartbeat_copy(const PoolBeat *hb)
+{
+	uint8_t *packed = malloc(pool_beat__get_packed_size(hb));
+	size_t n = pool_beat__pack(hb, packed);
+	PoolBeat *copy = pool_beat__unpack(NULL, n, packed);
+
+	free(packed);
+	return copy;
 }
 
 int pool_waiting_jobs(struct pool *p, const char *queue, unsigned *jobs)
--- a/pool-call.c
+++ b/pool-call.c
@@ -105,6 +105,7 @@
 	p->curl_timer_due = -1;
 	p->call_group = 1;
 	p->agent_calls = hash_new(p->pool);
+	p->targets_by_number = hash_new(p->pool);
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETDATA, p);
 	curl_multi_setopt(p->curl, CURLMOPT_TIMERFUNCTION, on_timer);
--- a/pool-count.c
+++ b/pool-count.c
@@ -7,8 +7,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TEXT_MAX 65536	  /* bytes of all metrics, with the NUL */
-#define FIRST_BOUND_MS 16 /* upper bound of the first bucket */
+#define TEXT_MAX 65536		 /* bytes of all metrics, with the NUL */
+#define FIRST_BOUND_MS 16	 /* upper bound of the first bucket */
+#define TRAFFIC_INTERVAL_MS 5000 /* between log lines about links */
 
 struct text {
 	char *s;
@@ -91,6 +92,67 @@
 		  p->routes ? (uint64_t)p->routes->version : 0);
 }
 
+/* Names of the kinds of frames, by POOL_FRAME__BODY_*. */
+static const char *const frame_kinds[POOL_FRAME_KINDS] = {
+	"none",	  "hello",    "heartbeat", "submit", "cancel",
+	"answer", "progress", "order",	   "reply",  "ack",
+	"start",  "run",      "listings",
+};
+
+static void put_links(struct text *t, const struct pool_counters *c)
+{
+	size_t i;
+
+	for (i = 1; i < POOL_FRAME_KINDS; i++) {
+		put(t, "rosemary_pool_link_sent_bytes{kind=\"%s\"} %llu\n",
+		    frame_kinds[i], (unsigned long long)c->sent_bytes[i]);
+		put(t, "rosemary_pool_link_received_bytes{kind=\"%s\"} %llu\n",
+		    frame_kinds[i], (unsigned long long)c->received_bytes[i]);
+	}
+}
+
+static long long sum(const uint64_t *values)
+{
+	long long total = 0;
+	size_t i;
+
+	for (i = 0; i < POOL_FRAME_KINDS; i++)
+		total += (long long)values[i];
+	return total;
+}
+
+void pool_log_traffic(struct pool *p)
+{
+	const uint64_t *sent = p->count.sent_bytes;
+	const uint64_t *received = p->count.received_bytes;
+
+	if (!p->leading || p->now - p->traffic_logged_at < TRAFFIC_INTERVAL_MS)
+		return;
+	p->traffic_logged_at = p->now;
+	LOG_EVENT(LOG_LEVEL_INFO, "link_traffic",
+		  LOG_NUMBER("starts", (long long)p->sched.count.starts),
+		  LOG_NUMBER("jobs", (long long)p->sched.count.jobs),
+		  LOG_NUMBER("sent", sum(sent)),
+		  LOG_NUMBER("received", sum(received)),
+		  LOG_NUMBER("heartbeats_sent",
+			     (long long)sent[POOL_FRAME__BODY_BEAT]),
+		  LOG_NUMBER("heartbeats_received",
+			     (long long)received[POOL_FRAME__BODY_BEAT]),
+		  LOG_NUMBER("submits",
+			     (long long)received[POOL_FRAME__BODY_SUBMIT]),
+		  LOG_NUMBER("orders", (long long)sent[POOL_FRAME__BODY_ORDER]),
+		  LOG_NUMBER("start_orders",
+			     (long long)sent[POOL_FRAME__BODY_START]),
+		  LOG_NUMBER("replies",
+			     (long long)received[POOL_FRAME__BODY_REPLY]),
+		  LOG_NUMBER("answers",
+			     (long long)sent[POOL_FRAME__BODY_ANSWER]),
+		  LOG_NUMBER("progress",
+			     (long long)sent[POOL_FRAME__BODY_PROGRESS]),
+		  LOG_NUMBER("listings",
+			     (long long)sent[POOL_FRAME__BODY_LISTINGS]));
+}
+
 static void put_scheduler(struct text *t, const struct sched *s)
 {
 	const struct sched_counters *c = &s->count;
@@ -148,6 +210,7 @@
 
 	t.s[0] = '\0';
 	put_daemon(&t, p);
+	put_links(&t, &p->count);
 	if (p->leading)
 		put_scheduler(&t, &p->sched);
 	put_histogram(&t, "rosemary_pool_answer_ms", &p->count.latency);
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -85,7 +85,7 @@
 	p->prev_leader_notified_at = p->now;
 	if (!prev->address[0] || !strcmp(prev->vm, p->set.vm_name))
 		return;
-	l = pool_link_dial(p, prev->vm, prev->address, 1);
+	l = pool_link_dial(p, prev->vm, prev->address, POOL_LINK_PROBE);
 	if (l)
 		pool_send_heartbeat(p, l);
 }
--- a/pool-link.c
+++ b/pool-link.c
@@ -11,12 +11,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HEADER_BYTES 4	     /* length of the frame, big-endian */
+#define HEADER_MAX 3	     /* bytes of a frame's length, a varint */
 #define FRAME_MAX (1u << 20) /* bytes */
 #define READ_BYTES 16384     /* least space in the buffer for a recv() */
 #define OUT_MAX (8u << 20)   /* bytes; a link with more to write is closed */
 #define LISTEN_BACKLOG 256
-#define IDLE_TIMEOUT_MS 2000 /* without data, after which a link is closed */
+/*
+ * Frames are written at most this often, but for WRITE_BYTES of them. Under
+ * load one packet carries several, which are smaller than its headers.
+ */
+#define WRITE_INTERVAL_MS 5
+#define WRITE_BYTES 1400
 
 static struct pool_link *link_new(struct pool *p, int fd)
 {
@@ -29,16 +34,53 @@
 	l->opened_at = l->received_at = p->now;
 	l->next = p->links;
 	p->links = l;
+	l->number = ++p->last_link_number;
 	p->count.links++;
 	return l;
 }
 
-static uint32_t frame_length(const char *at)
+/*
+ * Decodes the length of the frame that begins at data. Returns the bytes that
+ * the length takes, 0 if some of them are missing, or -1 if it is malformed.
+ */
+static int frame_length(const char *data, size_t n, size_t *length)
 {
-	const unsigned char *u = (const unsigned char *)at;
+	const unsigned char *u = (const unsigned char *)data;
+	int i;
 
-	return (uint32_t)u[0] << 24 | (uint32_t)u[1] << 16 |
-	       (uint32_t)u[2] << 8 | u[3];
+	*length = 0;
+	for (i = 0; i < HEADER_MAX; i++) {
+		if ((size_t)i >= n)
+			return 0;
+		*length |= (size_t)(u[i] & 127) << (7 * i);
+		if (!(u[i] & 128))
+			return *length > FRAME_MAX ? -1 : i + 1;
+	}
+	return -1;
+}
+
+static size_t write_length(char *to, size_t length)
+{
+	size_t i = 0;
+
+	for (; length >= 128; length >>= 7)
+		to[i++] = (char)(length | 128);
+	to[i++] = (char)length;
+	return i;
+}
+
+/* Returns -1 if the frame is malformed. */
+static int handle_frame(struct pool_link *l, const char *data, size_t n)
+{
+	PoolFrame *frame = pool_frame__unpack(NULL, n, (const uint8_t *)data);
+
+	if (!frame)
+		return -1;
+	if (frame->body_case < POOL_FRAME_KINDS)
+		l->p->count.received_bytes[frame->body_case] += n;
+	pool_frame_received(l, frame);
+	pool_frame__free_unpacked(frame, NULL);
+	return 0;
 }
 
 /* Handles the complete frames in the input buffer. */
@@ -46,25 +88,22 @@
 {
 	size_t at = 0;
 
-	while (!l->closed && l->in_len - at >= HEADER_BYTES) {
-		size_t n = frame_length(l->in + at);
-		PoolFrame *frame;
+	while (!l->closed && at < l->in_len) {
+		size_t n;
+		int header = frame_length(l->in + at, l->in_len - at, &n);
 
-		if (n > FRAME_MAX) {
+		if (header < 0) {
 			pool_link_close(l, "frame too long");
 			return;
 		}
-		if (l->in_len - at - HEADER_BYTES < n)
+		if (!header || l->in_len - at - (size_t)header < n)
 			break;
-		frame = pool_frame__unpack(
-			NULL, n, (uint8_t *)l->in + at + HEADER_BYTES);
-		at += HEADER_BYTES + n;
-		if (!frame) {
+		at += (size_t)header;
+		if (handle_frame(l, l->in + at, n) < 0) {
 			pool_link_close(l, "malformed frame");
 			return;
 		}
-		pool_frame_received(l, frame);
-		pool_frame__free_unpacked(frame, NULL);
+		at += n;
 	}
 	if (!at)
 		return;
@@ -91,23 +130,108 @@
 	return 0;
 }
 
-static void write_link(struct pool_link *l)
+/* Writes up to n bytes. Returns how many were written, or -1. */
+static ssize_t write_some(struct pool_link *l, struct pool_out *out, size_t n)
 {
-	ssize_t n;
+	ssize_t done = send(l->fd.fd, out->data, n, MSG_NOSIGNAL);
 
-	if (l->closed || l->connecting || !l->out_len)
-		return;
-	n = send(l->fd.fd, l->out, l->out_len, MSG_NOSIGNAL);
-	if (n < 0 && errno != EAGAIN && errno != EINTR) {
+	if (done < 0 && (errno == EAGAIN || errno == EINTR))
+		return 0;
+	if (done < 0) {
 		pool_link_close(l, strerror(errno));
-		return;
+		return -1;
 	}
-	if (n > 0) {
-		l->out_len -= (size_t)n;
-		memmove(l->out, l->out + n, l->out_len);
+	return done;
+}
+
+static void remove_written(struct pool_out *out, size_t n)
+{
+	out->len -= n;
+	memmove(out->data, out->data + n, out->len);
+}
+
+/* Writes frames of bulk; the first byte of the buffer begins a frame. */
+static int write_bulk(struct pool_link *l)
+{
+	ssize_t done = write_some(l, &l->bulk, l->bulk.len);
+	size_t end = 0, n;
+
+	if (done < 0)
+		return -1;
+	while (end < (size_t)done) {
+		end += (size_t)frame_length(l->bulk.data + end,
+					    l->bulk.len - end, &n);
+		end += n;
 	}
+	l->bulk_rest = end - (size_t)done;
+	remove_written(&l->bulk, (size_t)done);
+	return 0;
+}
+
+static int write_urgent(struct pool_link *l)
+{
+	ssize_t done = write_some(l, &l->urgent, l->urgent.len);
+
+	if (done < 0)
+		return -1;
+	remove_written(&l->urgent, (size_t)done);
+	return 0;
+}
+
+/* Completes a frame of bulk that was written in part. */
+static int write_rest(struct pool_link *l)
+{
+	ssize_t done = write_some(l, &l->bulk, l->bulk_rest);
+
+	if (done < 0)
+		return -1;
+	l->bulk_rest -= (size_t)done;
+	remove_written(&l->bulk, (size_t)done);
+	return 0;
+}
+
+/*
+ * Writes the urgent frames first, so that heartbeats are not delayed by what
+ * waits on a slow link. A frame that was written in part is completed before.
+ */
+static int write_queued(struct pool_link *l)
+{
+	if (l->bulk_rest && write_rest(l) < 0)
+		return -1;
+	if (!l->bulk_rest && l->urgent.len && write_urgent(l) < 0)
+		return -1;
+	if (l->bulk_rest || l->urgent.len || !l->bulk.len)
+		return 0;
+	return write_bulk(l);
+}
+
+/* Time until the link's frames are to be written, ms; -1: it has none. */
+static rp_ms time_to_write(const struct pool_link *l)
+{
+	rp_ms wait = l->written_at + WRITE_INTERVAL_MS - l->p->now;
+
+	if (l->closed || l->connecting || !(l->urgent.len + l->bulk.len))
+		return -1;
+	return wait < 0 || l->bulk.len >= WRITE_BYTES ? 0 : wait;
+}
+
+static void write_now(struct pool_link *l)
+{
+	if (l->closed || l->connecting)
+		return;
+	l->written_at = l->p->now;
+	if (write_queued(l) < 0)
+		return;
 	pool_fd_watch(l->p, &l->fd,
-		      l->out_len ? EPOLLIN | EPOLLOUT : (uint32_t)EPOLLIN);
+		      l->urgent.len + l->bulk.len ? EPOLLIN | EPOLLOUT
+						  : (uint32_t)EPOLLIN);
+}
+
+/* Writes what is due, unless the socket is full: EPOLLOUT tells when not. */
+static void write_link(struct pool_link *l)
+{
+	if (!(l->fd.events & EPOLLOUT) && !time_to_write(l))
+		write_now(l);
 }
 
 static void on_connected(struct pool_link *l)
@@ -131,8 +255,10 @@
 
 	if (l->closed)
 		return;
-	if (l->connecting)
+	if (l->connecting) {
 		on_connected(l);
+		events |= EPOLLOUT;
+	}
 	if (!l->closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) &&
 	    read_link(l) < 0) {
 		pool_link_close(l, "closed by the peer");
@@ -140,11 +266,15 @@
 	}
 	if (!l->closed)
 		parse_frames(l);
-	write_link(l);
+	if (events & EPOLLOUT)
+		write_now(l);
+	else
+		write_link(l);
 }
 
 struct pool_link *pool_link_dial(struct pool *p, const char *vm,
-				 const char *address, int probe)
+				 const char *address,
+				 enum pool_link_purpose purpose)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
 	PoolHello hello = POOL_HELLO__INIT;
@@ -164,7 +294,8 @@
 	}
 	l = link_new(p, fd);
 	l->connecting = 1;
-	l->probe = probe;
+	l->probe = purpose == POOL_LINK_PROBE;
+	l->starts = purpose == POOL_LINK_STARTS;
 	l->fd.on_event = on_link_event;
 	str_copy(l->peer, sizeof(l->peer), str_of(vm));
 	pool_fd_watch(p, &l->fd, EPOLLIN | EPOLLOUT);
@@ -173,36 +304,42 @@
 	hello.incarnation = p->incarnation;
 	hello.processor = (uint32_t)pool_processor(p);
 	hello.failure_domain = p->set.failure_domain;
-	hello.probe = probe;
+	hello.probe = l->probe;
+	hello.starts = l->starts;
 	hello.fence = p->lead.row.fence;
+	hello.listing_version = p->listing_version;
 	frame.body_case = POOL_FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	pool_link_send(l, &frame);
 	return l;
 }
 
+/* Whether frames of other kinds must not delay the frame. */
+static int is_urgent(const PoolFrame *frame)
+{
+	return frame->body_case == POOL_FRAME__BODY_HELLO ||
+	       frame->body_case == POOL_FRAME__BODY_BEAT;
+}
+
 void pool_link_send(struct pool_link *l, const PoolFrame *frame)
 {
 	size_t n = pool_frame__get_packed_size(frame);
-	unsigned char *at;
+	struct pool_out *out = is_urgent(frame) ? &l->urgent : &l->bulk;
 
 	if (l->closed)
 		return;
-	if (l->out_len + n > OUT_MAX) {
+	if (out->len + n > OUT_MAX) {
 		pool_link_close(l, "output buffer full");
 		return;
 	}
-	if (l->out_cap - l->out_len < HEADER_BYTES + n) {
-		l->out_cap = (l->out_len + HEADER_BYTES + n) * 2;
-		l->out = realloc(l->out, l->out_cap);
+	if (out->cap - out->len < HEADER_MAX + n) {
+		out->cap = (out->len + HEADER_MAX + n) * 2;
+		out->data = realloc(out->data, out->cap);
 	}
-	at = (unsigned char *)l->out + l->out_len;
-	at[0] = (unsigned char)(n >> 24);
-	at[1] = (unsigned char)(n >> 16);
-	at[2] = (unsigned char)(n >> 8);
-	at[3] = (unsigned char)n;
-	pool_frame__pack(frame, at + HEADER_BYTES);
-	l->out_len += HEADER_BYTES + n;
+	out->len += write_length(out->data + out->len, n);
+	pool_frame__pack(frame, (uint8_t *)out->data + out->len);
+	out->len += n;
+	l->p->count.sent_bytes[frame->body_case] += n;
 }
 
 void pool_link_close(struct pool_link *l, const char *reason)
@@ -259,17 +396,35 @@
 	pool_fd_unwatch(l->p, &l->fd);
 	close(l->fd.fd);
 	free(l->in);
-	free(l->out);
+	free(l->urgent.data);
+	free(l->bulk.data);
+	pool_beat__free_unpacked(l->heartbeat, NULL);
 	pool_defer_free(l->p, l);
 }
 
+rp_ms pool_links_timeout(const struct pool *p)
+{
+	const struct pool_link *l;
+	rp_ms least = -1;
+
+	for (l = p->links; l; l = l->next) {
+		rp_ms wait = l->fd.events & EPOLLOUT ? -1 : time_to_write(l);
+
+		if (wait >= 0 && (least < 0 || wait < least))
+			least = wait;
+	}
+	return least;
+}
+
 void pool_links_flush(struct pool *p)
 {
 	struct pool_link *l, **at = &p->links;
 
 	for (l = p->links; l; l = l->next) {
 		write_link(l);
-		if (!l->closed && p->now - l->received_at > IDLE_TIMEOUT_MS)
+		if (!l->closed &&
+		    p->now - l->received_at > (l->starts ? POOL_STARTS_IDLE_MS
+							 : POOL_LINK_IDLE_MS))
 			pool_link_close(l, "idle timeout");
 	}
 	while ((l = *at)) {
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -81,21 +81,6 @@
 		  LOG_NUMBER("known", t != NULL));
 }
 
-/* Caches a listing on every VM, for when the store cannot be read. */
-static void cache_listing(struct pool *p, const struct sched_listing *l)
-{
-	struct sched_listing *cached =
-		apr_hash_get(p->listings, l->id, APR_HASH_KEY_STRING);
-
-	if (!cached) {
-		cached = apr_palloc(p->pool, sizeof(*cached));
-		memcpy(cached->id, l->id, sizeof(cached->id));
-		apr_hash_set(p->listings, cached->id, APR_HASH_KEY_STRING,
-			     cached);
-	}
-	*cached = *l;
-}
-
 /* Records that the current full read has listed the target. */
 static void set_listed_round(struct pool_watch *w, const char *id)
 {
@@ -119,7 +104,7 @@
 	char error[PLATFORM_ERROR_MAX];
 
 	if (!row->value) {
-		apr_hash_set(p->listings, row->key, APR_HASH_KEY_STRING, NULL);
+		pool_share_removed(p, row->key, row->version);
 		if (p->leading && sched_find_target(&p->sched, row->key))
 			add_missing(s, row->key, p->now);
 		return;
@@ -128,7 +113,7 @@
 		log_unreadable_row(s, p, row->key, error);
 		return;
 	}
-	cache_listing(p, &l);
+	pool_share_listed(p, &l, row->version);
 	if (!p->leading)
 		return;
 	remove_missing(s, l.id);
@@ -137,6 +122,26 @@
 	pool_sched_target_listed(p, &l);
 }
 
+/* Removes the entries that a full read has not listed. */
+static void remove_unlisted(struct pool_watch *w)
+{
+	apr_hash_index_t *i;
+	void *value;
+
+	for (i = apr_hash_first(NULL, w->p->listings); i;
+	     i = apr_hash_next(i)) {
+		const struct pool_listing *e;
+		const uint32_t *round;
+
+		apr_hash_this(i, NULL, NULL, &value);
+		e = value;
+		round = apr_hash_get(store_of(w->p)->listed_rounds, e->l.id,
+				     APR_HASH_KEY_STRING);
+		if (!round || *round != w->round)
+			pool_share_removed(w->p, e->l.id, w->first_version);
+	}
+}
+
 /* Adds the scheduler's targets that a full read has not listed as missing. */
 void pool_listing_complete(struct pool_watch *w)
 {
@@ -144,6 +149,8 @@
 	struct store *s = store_of(p);
 	size_t i;
 
+	remove_unlisted(w);
+
 	if (p->leading)
 		sched_targets_loaded(&p->sched);
 	for (i = 0; p->leading && i < p->sched.ntargets; i++) {
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -42,6 +42,24 @@
 	return inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
 }
 
+uint64_t pool_address_pack(const char *text)
+{
+	struct sockaddr_in sa;
+
+	if (pool_parse_address(text, &sa) < 0)
+		return 0;
+	return (uint64_t)ntohl(sa.sin_addr.s_addr) << 16 | ntohs(sa.sin_port);
+}
+
+void pool_address_unpack(uint64_t address, char *text)
+{
+	snprintf(text, RP_ADDRESS_MAX, "%u.%u.%u.%u:%u",
+		 (unsigned)(address >> 40) & 255,
+		 (unsigned)(address >> 32) & 255,
+		 (unsigned)(address >> 24) & 255,
+		 (unsigned)(address >> 16) & 255, (unsigned)address & 65535);
+}
+
 int pool_fd_watch(struct pool *p, struct pool_fd *f, uint32_t events)
 {
 	struct epoll_event ev = { .events = events, .data.ptr = f };
@@ -133,6 +151,7 @@
 		sched_tick(&p->sched, p->now);
 	}
 	pool_requests_tick(p, p->now);
+	pool_log_traffic(p);
 }
 
 /* Does once per iteration what its events made necessary. */
@@ -145,7 +164,10 @@
 	if (p->leading && p->dispatch_due)
 		sched_dispatch(&p->sched, p->now);
 	p->dispatch_due = 0;
+	pool_starts_flush(p);
 	pool_send_ack(p);
+	pool_send_run_acks(p);
+	pool_share_flush(p);
 	pool_jobs_flush(p);
 	pool_links_flush(p);
 }
@@ -183,6 +205,7 @@
 
 		wait = min_timeout(wait < 0 ? 0 : wait, pool_calls_timeout(p));
 		wait = min_timeout(wait, http_wait);
+		wait = min_timeout(wait, pool_links_timeout(p));
 		p->wake_at = p->now + wait;
 		n = epoll_wait(p->epoll, events, MAX_EVENTS, (int)wait);
 		p->now = pool_clock();
--- a/pool-member.c
+++ b/pool-member.c
@@ -24,7 +24,7 @@
 
 		if (is_self(p, vm->vm))
 			continue;
-		l = pool_link_dial(p, vm->vm, vm->address, 1);
+		l = pool_link_dial(p, vm->vm, vm->address, POOL_LINK_PROBE);
 		if (l && announce)
 			pool_send_heartbeat(p, l);
 	}
@@ -117,6 +117,9 @@
 
 	str_copy(l->peer, sizeof(l->peer), str_of(hello->vm));
 	l->probe = hello->probe;
+	l->starts = hello->starts;
+	if (l->starts)
+		return;
 	if (p->leading && !l->probe && is_for_this_term(l, hello)) {
 		m = pool_find_member(p, hello->vm);
 		if (m && m->incarnation != hello->incarnation) {
@@ -125,9 +128,13 @@
 		}
 		if (!m)
 			m = member_new(p, hello);
-		if (m->link)
+		if (m->link) {
 			m->link->member = NULL;
+			pool_agent_unavailable(p, m);
+		}
 		m->link = l;
+		m->listing_version = hello->listing_version;
+		m->gets_listings = 0;
 		l->member = m;
 	}
 	pool_send_heartbeat(p, l);
@@ -172,8 +179,9 @@
 	p->dial_due = p->now + DIAL_INTERVAL_MS;
 	/* The marks were received over the previous link. */
 	p->received_mark = p->acked_mark = 0;
-	p->leader_link =
-		pool_link_dial(p, p->lead.row.vm, p->lead.row.address, 0);
+	pool_agent_reset(p);
+	p->leader_link = pool_link_dial(p, p->lead.row.vm, p->lead.row.address,
+					POOL_LINK_MEMBER);
 	if (p->leader_link)
 		pool_requests_resubmit(p);
 }
@@ -189,11 +197,51 @@
 	}
 }
 
+/*
+ * Completes a brief heartbeat from the one before on the link. Returns the
+ * complete one, or NULL.
+ */
+static const PoolBeat *complete_heartbeat(struct pool_link *l, PoolFrame *frame)
+{
+	const PoolBeat *msg = frame->beat;
+
+	if (!msg->brief) {
+		pool_beat__free_unpacked(l->heartbeat, NULL);
+		l->heartbeat = frame->beat;
+		frame->beat = NULL;
+		frame->body_case = POOL_FRAME__BODY__NOT_SET;
+		return l->heartbeat;
+	}
+	if (!l->heartbeat) {
+		log_warn("link", l->peer, "brief heartbeat without one before");
+		return NULL;
+	}
+	l->heartbeat->hears = msg->hears;
+	l->heartbeat->store = msg->store;
+	l->heartbeat->waits = msg->waits;
+	l->heartbeat->stored = msg->stored;
+	l->heartbeat->agents = msg->agents;
+	return l->heartbeat;
+}
+
+/* Keeps what the leader says of its queues, also after its link is lost. */
+static void leader_heartbeat_received(struct pool *p, const PoolBeat *msg)
+{
+	if (msg->waits)
+		p->has_stored_jobs = msg->stored || p->accepted_stored_job;
+	pool_beat__free_unpacked(p->leader_heartbeat, NULL);
+	p->leader_heartbeat = pool_heartbeat_copy(msg);
+}
+
 static void on_heartbeat(struct pool_link *l, PoolFrame *frame)
 {
 	struct pool *p = l->p;
-	PoolBeat *msg = frame->beat;
-	struct lead_heartbeat hb = {
+	const PoolBeat *msg = complete_heartbeat(l, frame);
+	struct lead_heartbeat hb;
+
+	if (!msg)
+		return;
+	hb = (struct lead_heartbeat){
 		.fence = msg->fence,
 		.vm = msg->vm,
 		.leader = msg->leader,
@@ -204,7 +252,6 @@
 		.nsuccessors = msg->n_successors,
 		.successors = msg->successors,
 	};
-
 	if (l == p->leader_link && !msg->leading) {
 		/*
 		 * The VM at the leader's address doesn't lead: it was restarted
@@ -218,15 +265,8 @@
 	if (l->member)
 		l->member->store_reachable = msg->store;
 	lead_heartbeat(&p->lead, &hb, p->now);
-	if (l == p->leader_link && msg->leading) {
-		if (msg->waits)
-			p->has_stored_jobs = msg->stored ||
-					     p->accepted_stored_job;
-		pool_beat__free_unpacked(p->leader_heartbeat, NULL);
-		p->leader_heartbeat = msg;
-		frame->beat = NULL;
-		frame->body_case = POOL_FRAME__BODY__NOT_SET;
-	}
+	if (l == p->leader_link && msg->leading)
+		leader_heartbeat_received(p, msg);
 	if (l->probe && !l->inbound)
 		pool_link_close(l, "");
 }
@@ -243,8 +283,12 @@
 		on_heartbeat(l, frame);
 		break;
 	case POOL_FRAME__BODY_SUBMIT:
-		if (p->leading && l->member)
+		if (!p->leading || !l->member)
+			break;
+		if (sched_submit_is_valid(frame->submit))
 			pool_schedule_job(p, l->member, frame->submit);
+		else
+			pool_link_close(l, "malformed submission");
 		break;
 	case POOL_FRAME__BODY_CANCEL:
 		if (!p->leading || !l->member)
@@ -265,17 +309,31 @@
 		pool_request_progress_received(p, frame->progress);
 		break;
 	case POOL_FRAME__BODY_HEARD:
-		if (p->leading && l->member)
+		if (l->starts)
+			pool_runs_acked(l, frame->heard->mark);
+		else if (p->leading && l->member)
 			sched_owner_acked(&p->sched, l->member,
 					  frame->heard->mark, p->now);
 		break;
-	case POOL_FRAME__BODY_CALL:
+	case POOL_FRAME__BODY_ORDER:
+		if (l == p->leader_link)
+			pool_order_received(p, frame->order);
+		break;
+	case POOL_FRAME__BODY_START:
 		if (l == p->leader_link)
-			pool_agent_call_received(p, frame->call);
+			pool_start_received(p, frame->start);
+		break;
+	case POOL_FRAME__BODY_RUN:
+		if (l->starts && l->inbound)
+			pool_run_received(p, l, frame->run);
+		break;
+	case POOL_FRAME__BODY_LISTINGS:
+		if (l == p->leader_link)
+			pool_listings_received(p, frame->listings);
 		break;
 	case POOL_FRAME__BODY_REPLY:
 		if (p->leading && l->member)
-			pool_agent_reply_received(p, l->member, frame->reply);
+			pool_reply_received(p, l->member, frame->reply);
 		break;
 	default:
 		log_warn("link", l->peer, "unknown kind of frame");
@@ -307,6 +365,7 @@
 int pool_members_init(struct pool *p)
 {
 	pool_lead_init(p);
+	pool_agent_init(p);
 	str_copy(p->self.vm, sizeof(p->self.vm), str_of(p->set.vm_name));
 	return 0;
 }
@@ -316,7 +375,8 @@
 	check_leader_link(p);
 	dial_leader(p);
 	pool_send_heartbeats(p);
-	pool_agent_tick(p, now);
+	pool_agents_tick(p, now);
+	pool_orders_tick(p, now);
 	if (p->leading) {
 		check_members(p);
 		pool_check_handover(p);
@@ -333,6 +393,22 @@
 
 /* --- entry VMs registered in the store ------------------------------- */
 
+unsigned pool_domain_rank(const struct pool *p, const char *name,
+			  const char *failure_domain, int64_t processor)
+{
+	const struct pool_vm *vm;
+	unsigned rank = 0;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		if (strcmp(vm->failure_domain, failure_domain) != 0)
+			continue;
+		rank += vm->processor > processor ||
+			(vm->processor == processor &&
+			 strcmp(vm->vm, name) < 0);
+	}
+	return rank;
+}
+
 /* Counts the other VMs, and the much larger ones, for the election. */
 static void count_vms(struct pool *p)
 {
@@ -346,6 +422,8 @@
 		p->lead.nlarger += vm->processor >=
 				   POOL_LARGER_FACTOR * pool_processor(p);
 	}
+	p->lead.domain_rank = pool_domain_rank(
+		p, p->set.vm_name, p->set.failure_domain, pool_processor(p));
 }
 
 void pool_vm_update(struct pool *p, const PoolHello *hello)
@@ -362,6 +440,8 @@
 	}
 	str_copy(vm->vm, sizeof(vm->vm), str_of(hello->vm));
 	str_copy(vm->address, sizeof(vm->address), str_of(hello->address));
+	str_copy(vm->failure_domain, sizeof(vm->failure_domain),
+		 str_of(hello->failure_domain));
 	vm->processor = hello->processor;
 	count_vms(p);
 }
--- a/pool-request.c
+++ b/pool-request.c
@@ -99,10 +99,26 @@
 
 /* --- jobs ------------------------------------------------------------ */
 
+static uint64_t hash_of(const ProtobufCBinaryData *data)
+{
+	struct rp_str s = { (char *)data->data, data->len };
+	uint64_t hash = str_hash(s);
+
+	return hash ? hash : 1; /* 0 stands for none */
+}
+
+/* Whether the leader has the job's tasks started by this VM. */
+static int keeps_specification(const struct pool *p)
+{
+	return !p->leading && p->leader_heartbeat &&
+	       p->leader_heartbeat->agents;
+}
+
 static void submit_job(struct pool_request *r)
 {
 	struct pool *p = r->p;
 	uint64_t fence = p->lead.row.fence;
+	ProtobufCBinaryData specification = r->submit->specification;
 
 	if (!p->leading && !p->leader_link)
 		return; /* pool_requests_resubmit() submits it later */
@@ -114,8 +130,14 @@
 		r->deadline > p->now ? (uint32_t)(r->deadline - p->now) : 0;
 	r->submit->done = r->done_tasks;
 	r->submit->n_done = r->ndone_tasks;
+	r->submit->specification_hash = 0;
+	if (keeps_specification(p)) {
+		r->submit->specification_hash = hash_of(&specification);
+		r->submit->specification.len = 0;
+	}
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
+	r->submit->specification = specification;
 	r->submit->done = NULL;
 	r->submit->n_done = 0;
 }
@@ -324,6 +346,11 @@
 	answer_job(r, 503, "{\"error\":\"cancelled\"}", 0);
 }
 
+struct pool_request *pool_request_find(struct pool *p, uint64_t seq)
+{
+	return apr_hash_get(p->requests, &seq, sizeof(seq));
+}
+
 /* Copies the list of open requests, as submitting one may close it. */
 static struct pool_request **list_open_requests(struct pool *p, size_t *n)
 {
--- a/pool-store.c
+++ b/pool-store.c
@@ -7,15 +7,13 @@
 #include <string.h>
 
 #define POOL_TABLE "rosemary"
-#define LEADER_KEY "leader"   /* value: PoolLeader */
-#define RENEWED_KEY "renewed" /* value: the leader's fencing token, as text */
-#define VM_KEY_PREFIX "vm/"   /* followed by a VM's name; value: PoolHello */
-#define POLL_WAIT_MS 700      /* the store holds a poll open for a change */
-/* Between reads of the list of targets, on the leader and on followers. */
-#define TARGETS_INTERVAL_MS 300
-#define FOLLOWER_TARGETS_INTERVAL_MS 5000
-#define STORE_TIMEOUT_MS 1200 /* without a reply the store counts as lost */
-#define WRITE_TIMEOUT_MS 1500 /* includes the wait for other transactions */
+#define LEADER_KEY "leader"	/* value: PoolLeader */
+#define RENEWED_KEY "renewed"	/* value: the leader's fencing token, as text */
+#define VM_KEY_PREFIX "vm/"	/* followed by a VM's name; value: PoolHello */
+#define POLL_WAIT_MS 700	/* the store holds a poll open for a change */
+#define TARGETS_INTERVAL_MS 300 /* between reads of the list of targets */
+#define STORE_TIMEOUT_MS 1200	/* without a reply the store counts as lost */
+#define WRITE_TIMEOUT_MS 1500	/* includes the wait for other transactions */
 
 struct store *store_of(struct pool *p)
 {
@@ -297,8 +295,8 @@
 	struct store *s = store_of(p);
 	struct pool_watch *w = &s->watches[WATCH_TARGETS];
 
-	w->interval = leads ? TARGETS_INTERVAL_MS
-			    : FOLLOWER_TARGETS_INTERVAL_MS;
+	/* The others learn of targets from the leader. */
+	w->disabled = !leads;
 	s->watches[WATCH_JOBS].disabled = 1;
 	if (!leads)
 		return;
@@ -337,7 +335,8 @@
 		   on_operator_row);
 	watch_init(p, WATCH_POOL, POOL_TABLE, POLL_WAIT_MS, 0, on_pool_row);
 	watch_init(p, WATCH_TARGETS, PLATFORM_TARGETS_TABLE, 0,
-		   FOLLOWER_TARGETS_INTERVAL_MS, pool_listing_row);
+		   TARGETS_INTERVAL_MS, pool_listing_row);
+	s->watches[WATCH_TARGETS].disabled = 1;
 	watch_init(p, WATCH_JOBS, JOBS_TABLE, POLL_WAIT_MS, 0, pool_stored_row);
 	s->watches[WATCH_JOBS].nparts = JOBS_PARTS;
 	s->watches[WATCH_JOBS].disabled = 1;
@@ -373,4 +372,6 @@
 	renew_leadership(p);
 	if (p->leading)
 		pool_listing_tick(p);
+	if (p->leading && s->watches[WATCH_TARGETS].complete)
+		pool_share_read_up_to(p, s->watches[WATCH_TARGETS].version);
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -29,11 +29,26 @@
 	return ms < REPLY_TIMEOUT_MAX_MS ? ms : REPLY_TIMEOUT_MAX_MS;
 }
 
-static struct pool_call *call_target(struct sched *s, struct sched_target *t,
-				     const char *path, char *request,
-				     rp_ms wait, pool_call_cb *on_done)
+/* --- calls that this VM makes itself ----------------------------------- */
+
+static void on_http_reply(struct pool_call *c, long status, const char *body,
+			  size_t len)
+{
+	struct platform_reply r;
+
+	platform_parse_reply(&r, status, body, len);
+	r.reply.sent_at = c->sent_at;
+	if (r.error[0])
+		log_warn("target", ((struct sched_target *)c->user)->listing.id,
+			 "%s", r.error);
+	c->on_reply(c, &r.reply);
+	platform_reply_finish(&r);
+}
+
+static struct pool_call *call_directly(struct pool *p, struct sched_target *t,
+				       const char *path, char *request,
+				       rp_ms wait, pool_reply_cb *on_reply)
 {
-	struct pool *p = pool_of(s);
 	char header[RP_NAME_MAX + 64];
 	struct pool_call_spec spec = {
 		.address = t->listing.address,
@@ -42,103 +57,149 @@
 		.request = request,
 		.timeout = wait + pool_reply_timeout(p),
 		.fresh_connect = t->unanswered > 0,
-		.on_done = on_done,
+		.on_done = on_http_reply,
 	};
-	struct pool_member *agent;
 	struct pool_call *c;
 
 	snprintf(header, sizeof(header), "%s%s", PLATFORM_INCARNATION_HEADER,
 		 t->listing.id);
 	p->count.target_calls++;
-	agent = pool_agent_for(p, t);
-	c = agent ? pool_agent_call(p, agent, &spec, wait)
-		  : pool_call_begin(p, &spec);
-	c->user = t;
-	c->group = p->call_group;
+	c = pool_call_begin(p, &spec);
+	c->on_reply = on_reply;
 	return c;
 }
 
-static void parse_reply(struct pool_call *c, struct platform_reply *r,
-			long status, const char *body, size_t len)
+/* --- calls of the scheduler ---------------------------------------------- */
+
+static void log_reply(struct pool_call *c,
+		      const struct sched_target_reply *reply)
 {
 	struct sched_target *t = c->user;
 
-	platform_parse_reply(r, status, body, len);
-	r->reply.sent_at = c->sent_at;
-	if (!status)
+	if (reply->status == SCHED_REPLY_UNKNOWN)
 		c->p->count.target_unanswered++;
-	if (!status || r->error[0] || r->reply.status == SCHED_REPLY_FENCED ||
-	    r->reply.status == SCHED_REPLY_WRONG_INCARNATION)
-		LOG_EVENT(LOG_LEVEL_WARN, "target_reply",
-			  LOG_TEXT("target", t->listing.id),
-			  LOG_NUMBER("status", status),
-			  LOG_NUMBER("after_ms", c->p->now - c->sent_at),
-			  LOG_TEXT("why",
-				   r->error[0] ? r->error : r->reply.reason),
-			  LOG_TEXT("task", c->task));
-	c->p->dispatch_due = 1;
+	if (reply->status == SCHED_REPLY_OK ||
+	    reply->status == SCHED_REPLY_REFUSED)
+		return;
+	LOG_EVENT(LOG_LEVEL_WARN, "target_reply",
+		  LOG_TEXT("target", t->listing.id),
+		  LOG_NUMBER("status", reply->status),
+		  LOG_NUMBER("after_ms", c->p->now - c->sent_at),
+		  LOG_TEXT("why", reply->reason),
+		  LOG_TEXT("agent", c->agent ? c->agent->vm : ""),
+		  LOG_TEXT("task", c->task));
 }
 
-static void on_start_reply(struct pool_call *c, long status, const char *body,
-			   size_t len)
+static void on_start_reply(struct pool_call *c,
+			   const struct sched_target_reply *reply)
 {
-	struct platform_reply r;
-
-	parse_reply(c, &r, status, body, len);
-	sched_start_reply(&c->p->sched, c->user, c->task, c->tag, &r.reply,
+	log_reply(c, reply);
+	sched_start_reply(&c->p->sched, c->user, c->task, c->tag, reply,
 			  c->p->now);
-	platform_reply_finish(&r);
+	c->p->dispatch_due = 1;
 }
 
-static void on_stop_reply(struct pool_call *c, long status, const char *body,
-			  size_t len)
+static void on_stop_reply(struct pool_call *c,
+			  const struct sched_target_reply *reply)
 {
-	struct platform_reply r;
-
-	parse_reply(c, &r, status, body, len);
-	sched_stop_reply(&c->p->sched, c->user, c->task, c->tag, &r.reply,
+	log_reply(c, reply);
+	sched_stop_reply(&c->p->sched, c->user, c->task, c->tag, reply,
 			 c->p->now);
-	platform_reply_finish(&r);
+	c->p->dispatch_due = 1;
 }
 
-static void on_hold_reply(struct pool_call *c, long status, const char *body,
-			  size_t len)
+static void on_hold_reply(struct pool_call *c,
+			  const struct sched_target_reply *reply)
 {
-	struct platform_reply r;
+	log_reply(c, reply);
+	sched_hold_reply(&c->p->sched, c->user, reply, c->p->now);
+	c->p->dispatch_due = 1;
+}
 
-	parse_reply(c, &r, status, body, len);
-	sched_hold_reply(&c->p->sched, c->user, &r.reply, c->p->now);
-	platform_reply_finish(&r);
+static void set_call(struct pool_call *c, struct sched_target *t,
+		     struct rp_str task, uint32_t run)
+{
+	c->user = t;
+	c->group = c->p->call_group;
+	str_copy(c->task, sizeof(c->task), task);
+	c->tag = run;
 }
 
 static void do_start(struct sched *s, struct sched_target *t,
 		     struct sched_task *task, int64_t until)
 {
-	struct pool_call *c = call_target(
-		s, t, PLATFORM_START_PATH,
-		platform_start_body(task, until, s->fence), 0, on_start_reply);
+	struct pool *p = pool_of(s);
+	struct sched_job *job = task->job;
+	struct pool_member *agent = pool_agent_for(p, t);
+	struct rp_str name = str_of(task->name);
+	PoolOrder order = POOL_ORDER__INIT;
+	struct pool_call *c;
 
-	memcpy(c->task, task->name, sizeof(c->task));
-	c->tag = task->run;
+	if (job->owner_starts) {
+		c = pool_start_send(p, pool_agent_for_start(p, t, job), task,
+				    until, on_start_reply);
+	} else if (agent) {
+		order.kind = POOL_ORDER__KIND__START;
+		order.task = task->name;
+		order.run = task->run;
+		order.lease_until = (uint64_t)until;
+		order.specification.data = (uint8_t *)job->specification.ptr;
+		order.specification.len = job->specification.len;
+		c = pool_order_send(p, agent, t, &order, on_start_reply);
+	} else {
+		c = call_directly(p, t, PLATFORM_START_PATH,
+				  platform_start_body(name, task->run,
+						      job->specification, until,
+						      s->fence),
+				  0, on_start_reply);
+	}
+	set_call(c, t, name, task->run);
 }
 
 static void do_stop(struct sched *s, struct sched_target *t, struct rp_str task,
 		    uint32_t run)
 {
-	struct pool_call *c = call_target(
-		s, t, PLATFORM_STOP_PATH,
-		platform_stop_body(task, run, s->fence), 0, on_stop_reply);
+	struct pool *p = pool_of(s);
+	struct pool_member *agent = pool_agent_for(p, t);
+	PoolOrder order = POOL_ORDER__INIT;
+	char name[SCHED_TASK_NAME_MAX];
+	struct pool_call *c;
 
-	str_copy(c->task, sizeof(c->task), task);
-	c->tag = run;
+	if (agent) {
+		str_copy(name, sizeof(name), task);
+		order.kind = POOL_ORDER__KIND__STOP;
+		order.task = name;
+		order.run = run;
+		c = pool_order_send(p, agent, t, &order, on_stop_reply);
+	} else {
+		c = call_directly(p, t, PLATFORM_STOP_PATH,
+				  platform_stop_body(task, run, s->fence), 0,
+				  on_stop_reply);
+	}
+	set_call(c, t, task, run);
 }
 
 static void do_hold(struct sched *s, struct sched_target *t, int64_t until,
 		    uint64_t acked_end, rp_ms wait)
 {
-	call_target(s, t, PLATFORM_HOLD_PATH,
-		    platform_hold_body(until, s->fence, acked_end, wait), wait,
-		    on_hold_reply);
+	struct pool *p = pool_of(s);
+	struct pool_member *agent = pool_agent_for(p, t);
+	PoolOrder order = POOL_ORDER__INIT;
+	struct pool_call *c;
+
+	if (agent) {
+		order.kind = POOL_ORDER__KIND__HOLD;
+		order.lease_until = (uint64_t)until;
+		order.acked_end = acked_end;
+		order.wait_ms = (uint32_t)wait;
+		c = pool_order_send(p, agent, t, &order, on_hold_reply);
+	} else {
+		c = call_directly(p, t, PLATFORM_HOLD_PATH,
+				  platform_hold_body(until, s->fence, acked_end,
+						     wait),
+				  wait, on_hold_reply);
+	}
+	set_call(c, t, str_of(""), 0);
 }
 
 static uint64_t do_answer(struct sched *s, struct sched_job *job,
@@ -215,6 +276,7 @@
 	for (c = p->calls; c; c = c->next)
 		if (c->user == t)
 			c->on_done = NULL;
+	pool_assignment_free(pool_of(s), t);
 }
 
 static void do_log(struct sched *s, const char *event,
@@ -306,12 +368,13 @@
 	for (i = apr_hash_first(NULL, p->listings);
 	     i && p->reachability_calls < REACHABILITY_TARGETS;
 	     i = apr_hash_next(i)) {
-		const struct sched_listing *l;
+		const struct pool_listing *e;
 
 		apr_hash_this(i, NULL, NULL, &value);
-		l = value;
-		if (strcmp(l->failure_domain, p->set.failure_domain) != 0)
-			check_target(p, l);
+		e = value;
+		if (!e->removed &&
+		    strcmp(e->l.failure_domain, p->set.failure_domain) != 0)
+			check_target(p, &e->l);
 	}
 	if (!p->reachability_calls)
 		lead_reachability_result(&p->lead, 1, p->now);
@@ -335,8 +398,12 @@
 	void *value;
 
 	for (i = apr_hash_first(NULL, p->listings); i; i = apr_hash_next(i)) {
+		const struct pool_listing *e;
+
 		apr_hash_this(i, NULL, NULL, &value);
-		pool_sched_target_listed(p, value);
+		e = value;
+		if (!e->removed)
+			pool_sched_target_listed(p, &e->l);
 	}
 }
 
@@ -359,10 +426,14 @@
 
 void pool_sched_end(struct pool *p, const char *reason)
 {
+	size_t i;
+
 	LOG_EVENT(LOG_LEVEL_INFO, "schedule_dropped", LOG_TEXT("why", reason),
 		  LOG_NUMBER("jobs", (long long)p->sched.njobs),
 		  LOG_NUMBER("fence", (long long)p->sched.fence));
 	pool_calls_cancel(p, p->call_group++);
+	for (i = 0; i < p->sched.ntargets; i++)
+		pool_assignment_free(p, p->sched.targets[i]);
 	sched_finish(&p->sched);
 	pool_stored_end(p);
 }
--- a/pool.h
+++ b/pool.h
@@ -77,6 +77,10 @@
 /* Parses "ip:port". Returns 0, or -1. */
 struct sockaddr_in;
 int pool_parse_address(const char *text, struct sockaddr_in *sa);
+/* An address in 48 bits; 0: it is malformed. */
+uint64_t pool_address_pack(const char *text);
+/* text is a buffer of RP_ADDRESS_MAX bytes. */
+void pool_address_unpack(uint64_t address, char *text);
 
 /* --- pool-call.c: HTTP calls to the store and to targets ------------- */
 
@@ -85,18 +89,26 @@
 /* status is that of HTTP, or 0 when no reply came. */
 typedef void pool_call_cb(struct pool_call *c, long status, const char *body,
 			  size_t len);
+/* The reply to a call to a target that the scheduler asked for. */
+typedef void pool_reply_cb(struct pool_call *c,
+			   const struct sched_target_reply *reply);
 
 struct pool_call {
 	struct pool *p;
-	CURL *easy; /* NULL when an agent makes the call */
+	CURL *easy; /* NULL when another VM makes the call */
 	struct curl_slist *headers;
 	char *request; /* body, owned; NULL: a GET */
 	char *body;    /* of the reply */
 	size_t len, cap;
-	struct pool_member *agent; /* NULL: made by this VM */
-	uint64_t seq;		   /* number of a call made by an agent */
-	rp_ms expires_at;	   /* the agent has to reply until then */
-	pool_call_cb *on_done;	   /* NULL: the reply is ignored */
+	pool_call_cb *on_done; /* NULL: the reply is ignored */
+	pool_reply_cb *on_reply;
+	/* A call that the leader has ordered from others. */
+	struct pool_member *agent; /* that makes the call; NULL: none */
+	struct pool_member *owner; /* that is asked for a start; NULL: none */
+	uint32_t seq;		   /* number of the call */
+	rp_ms expires_at;	   /* reply is due by then; 0: not ordered */
+	/* On the agent: the link that the order came over. */
+	uint64_t link_number;
 	/* For the function that made the call. */
 	void *user;
 	uint64_t group; /* for pool_calls_cancel(); 0: none */
@@ -137,6 +149,18 @@
 
 /* --- pool-link.c: connections between entry VMs ---------------------- */
 
+enum pool_link_purpose {
+	POOL_LINK_MEMBER, /* of a leader, from one of its members */
+	POOL_LINK_PROBE,  /* one exchange of heartbeats */
+	POOL_LINK_STARTS, /* from an owner of jobs to an agent */
+};
+
+/* Frames that wait to be written. */
+struct pool_out {
+	char *data;
+	size_t len, cap;
+};
+
 struct pool_link {
 	struct pool_fd fd; /* must be first */
 	struct pool *p;
@@ -145,23 +169,45 @@
 	struct pool_member *member;
 	/* Name of the VM at the other end; "": inbound, no hello has come. */
 	char peer[RP_NAME_MAX];
-	int inbound; /* the peer opened the connection */
-	int probe;   /* carries one exchange of heartbeats only */
+	uint64_t number; /* unique in this process */
+	int inbound;	 /* the peer opened the connection */
+	int probe;	 /* POOL_LINK_PROBE */
+	int starts;	 /* POOL_LINK_STARTS */
 	int connecting, closed;
 	rp_ms opened_at;
 	rp_ms received_at; /* when data last came */
+	rp_ms written_at;  /* when frames were last written */
 	char *in;
 	size_t in_len, in_cap;
-	char *out;
-	size_t out_len, out_cap;
+	/* Frames of urgent are written before those of bulk. */
+	struct pool_out urgent, bulk;
+	size_t bulk_rest; /* bytes left of a frame written in part */
+	/* The latest heartbeat that was not brief, in each direction. */
+	PoolBeat *heartbeat;	      /* received; NULL: none */
+	uint64_t sent_heartbeat_hash; /* of what brief ones leave out */
+	rp_ms sent_heartbeat_at;
+	/* Of a link for starts. */
+	uint64_t agent_address;
+	uint64_t runs_sent, runs_received, runs_acked;
+	rp_ms unacked_since; /* 0: all that were sent are acknowledged */
 };
 
+/* Kinds of frames, for the counters. */
+#define POOL_FRAME_KINDS (POOL_FRAME__BODY_LISTINGS + 1)
+#define POOL_LINK_IDLE_MS                                                      \
+	2000 /* without data, after which a link is closed                     \
+	      */
+#define POOL_STARTS_IDLE_MS 10000 /* the same for a link for starts */
+
 int pool_links_init(struct pool *p);
 /* Starts to connect and queues a hello. Returns NULL on failure. */
 struct pool_link *pool_link_dial(struct pool *p, const char *vm,
-				 const char *address, int probe);
+				 const char *address,
+				 enum pool_link_purpose purpose);
 void pool_link_send(struct pool_link *l, const PoolFrame *frame);
 void pool_link_close(struct pool_link *l, const char *reason);
+/* Time until queued frames are due, ms; -1: there are none. */
+rp_ms pool_links_timeout(const struct pool *p);
 /* Writes queued frames and frees closed links; once per loop iteration. */
 void pool_links_flush(struct pool *p);
 
@@ -195,6 +241,10 @@
 	rp_ms joined_at, disconnected_at;
 	uint64_t sent_mark;	 /* of the latest message sent to it */
 	size_t assigned_targets; /* targets that it calls as an agent */
+	int gets_listings;	 /* it is sent changes of the list of targets */
+	int64_t listing_version; /* it knows the list as of this version */
+	/* Tokens in the latest order and start; 0: none over this link. */
+	uint64_t sent_order_fence, sent_start_fence;
 	/* A ring buffer; nanswers counts all answers so far. */
 	struct pool_recent_answer answers[POOL_RECENT_ANSWERS];
 	size_t nanswers;
@@ -205,9 +255,13 @@
 	struct pool_vm *next;
 	char vm[RP_NAME_MAX];
 	char address[RP_ADDRESS_MAX];
+	char failure_domain[RP_NAME_MAX];
 	int64_t processor; /* thousandths of a core of nominal speed */
 };
 
+/* Number of VMs in the VM's failure domain that are to lead it before. */
+unsigned pool_domain_rank(const struct pool *p, const char *vm,
+			  const char *failure_domain, int64_t processor);
 int pool_members_init(struct pool *p);
 void pool_members_tick(struct pool *p, rp_ms now);
 /* Reconnects after this process was suspended. */
@@ -256,6 +310,8 @@
 /* Fills names with the members to lead next, best first. Returns how many. */
 size_t pool_successors(struct pool *p, char **names, size_t max);
 void pool_send_heartbeat(struct pool *p, struct pool_link *l);
+/* To be freed with pool_beat__free_unpacked(). */
+PoolBeat *pool_heartbeat_copy(const PoolBeat *hb);
 void pool_send_heartbeats(struct pool *p);
 /* Counts a queue's waiting jobs in the pool. Returns 0 if it is not known. */
 int pool_waiting_jobs(struct pool *p, const char *queue, unsigned *jobs);
@@ -274,11 +330,31 @@
 /* Claims the leadership by a compare-and-set of the leader's row. */
 void pool_store_claim(struct pool *p, const struct lead_row *row,
 		      int64_t expected);
-/* Followers poll the list of targets less often and don't read jobs. */
+/* The leader alone reads the list of targets and stored jobs. */
 void pool_store_set_leading(struct pool *p, int leads);
 /* Removes this VM's row from the store, as the VM is stopping. */
 void pool_store_unregister(struct pool *p);
 
+/* --- pool-share.c: the list of targets on VMs that don't read it ------- */
+
+/* An entry of the list, kept also after it was removed. */
+struct pool_listing {
+	struct sched_listing l;
+	int removed;
+	int64_t version; /* of the store at the latest change */
+	int to_send;	 /* changed since the last pool_share_flush() */
+};
+
+/* Records an entry as read from the store, or its removal. */
+void pool_share_listed(struct pool *p, const struct sched_listing *l,
+		       int64_t version);
+void pool_share_removed(struct pool *p, const char *id, int64_t version);
+/* The leader knows all changes up to the version. */
+void pool_share_read_up_to(struct pool *p, int64_t version);
+/* Sends changes to members that may have to lead without the store. */
+void pool_share_flush(struct pool *p);
+void pool_listings_received(struct pool *p, const PoolListings *msg);
+
 /* --- pool-target.c: the scheduler and its calls ---------------------- */
 
 /* Starts the scheduler with the fencing token of this leader. */
@@ -315,22 +391,140 @@
 /* Answers all requests that wait for the store: this VM is about to exit. */
 void pool_jobs_abort(struct pool *p);
 
-/* --- pool-agent.c: calls that other VMs make for the leader ----------- */
+/* --- pool-list.c: lists of runs between an agent and the leader --------- */
+
+struct pool_run {
+	char task[SCHED_TASK_NAME_MAX];
+	uint32_t run;
+};
+
+/* The list that was sent last. */
+struct pool_list {
+	struct pool_run *runs;
+	size_t n;
+	int64_t incarnation; /* of the target */
+};
+
+/* Memory that an encoded reply points to. */
+struct pool_list_message {
+	PoolListedRun *runs; /* of the list, then of the ends */
+	PoolListedRun **run_ptrs;
+	uint32_t *percents;
+	PoolListedEnd *ends;
+	PoolListedEnd **end_ptrs;
+	char (*names)[SCHED_TASK_NAME_MAX]; /* of the runs */
+};
 
-/* The member that calls the target; NULL: this VM does. */
+/* A decoded reply, whose names point to it, the message or the list before. */
+struct pool_list_reply {
+	struct sched_target_reply reply;
+	struct sched_run *runs;
+	struct sched_end *ends;
+	char (*names)[SCHED_TASK_NAME_MAX];
+};
+
+void pool_list_set(struct pool_list *l, const struct sched_target_reply *r);
+void pool_list_clear(struct pool_list *l);
+void pool_list_finish(struct pool_list *l);
+void pool_list_message_init(struct pool_list_message *m,
+			    const struct sched_target_reply *r);
+void pool_list_message_finish(struct pool_list_message *m);
+/* Fills in the lists of the message, and sets the list before to them. */
+void pool_list_encode(struct pool_list_message *m, struct pool_list *before,
+		      const struct sched_target_reply *r, PoolReply *msg);
+/* Returns -1 if the message does not fit the list before. */
+int pool_list_decode(struct pool_list_reply *r, const struct pool_list *before,
+		     const PoolReply *msg);
+void pool_list_reply_finish(struct pool_list_reply *r);
+
+/* --- pool-assign.c: which VM calls a target for the leader ------------- */
+
+/* Whether the leader has too many targets to call them itself. */
+int pool_needs_agents(const struct pool *p);
+/* The member that calls the target; NULL: none does. */
 struct pool_member *pool_agent_for(struct pool *p, struct sched_target *t);
-/* Has the member make a call that the target may hold open for wait ms. */
-struct pool_call *pool_agent_call(struct pool *p, struct pool_member *m,
-				  const struct pool_call_spec *spec,
-				  rp_ms wait);
-/* Fails the member's calls and reassigns its targets. */
+/*
+ * The member that starts a task of the job on the target; NULL: none does. All
+ * tasks of a job in a failure domain have the same one, as it is sent the
+ * specification.
+ */
+struct pool_member *pool_agent_for_start(struct pool *p, struct sched_target *t,
+					 const struct sched_job *job);
+/* Gives up the member's calls and reassigns its targets. */
 void pool_agent_unavailable(struct pool *p, struct pool_member *m);
-void pool_agent_tick(struct pool *p, rp_ms now);
-/* On the agent: makes the call and returns the reply to the leader. */
-void pool_agent_call_received(struct pool *p, const PoolCall *call);
-/* On the leader: ends the call with the reply that the agent returned. */
-void pool_agent_reply_received(struct pool *p, struct pool_member *m,
-			       const PoolReply *reply);
+void pool_agents_tick(struct pool *p, rp_ms now);
+
+/* --- pool-order.c: calls that the leader orders from other VMs --------- */
+
+/* The agent of a target, and what it was told. Kept in sched_target.user. */
+struct pool_assignment {
+	struct pool_member *agent; /* NULL: none */
+	uint32_t number; /* of the target in orders; 0: not introduced */
+	char address[RP_ADDRESS_MAX]; /* as introduced */
+	int64_t incarnation;	      /* as introduced */
+	struct pool_list list;	      /* that the agent sent last */
+};
+
+struct pool_assignment *pool_assignment_of(struct sched_target *t);
+void pool_assignment_reset(struct pool *p, struct pool_assignment *a);
+void pool_assignment_free(struct pool *p, struct sched_target *t);
+/* Sends a hold, stop or start. The rest of the order is filled in. */
+struct pool_call *pool_order_send(struct pool *p, struct pool_member *agent,
+				  struct sched_target *t, PoolOrder *order,
+				  pool_reply_cb *on_reply);
+void pool_reply_received(struct pool *p, struct pool_member *m,
+			 const PoolReply *msg);
+/* The member's calls count as unanswered. */
+void pool_orders_unanswered(struct pool *p, const struct pool_member *m);
+void pool_orders_tick(struct pool *p, rp_ms now);
+
+struct pool_call *pool_ordered_call_new(struct pool *p,
+					struct pool_member *agent, rp_ms wait,
+					pool_reply_cb *on_reply);
+/* The leader's token, or 0 if the receiver was sent it before. */
+uint64_t pool_token_to_send(const struct pool *p, uint64_t *sent);
+
+/* --- pool-order-start.c: starts that the leader asks owners for -------- */
+
+#define POOL_STARTS_MAX 32 /* tasks in one message */
+
+/* Starts of one job that are not sent yet. */
+struct pool_starts {
+	struct pool_member *owner; /* NULL: it has left */
+	uint64_t job;		   /* the owner's number for it */
+	size_t n;
+	PoolStartTask tasks[POOL_STARTS_MAX];
+	PoolStartTask *ptrs[POOL_STARTS_MAX];
+	char targets[POOL_STARTS_MAX][RP_NAME_MAX];
+};
+
+/* Asks the owner of the task's job to start it through the agent. */
+struct pool_call *pool_start_send(struct pool *p, struct pool_member *agent,
+				  struct sched_task *task, int64_t lease_until,
+				  pool_reply_cb *on_reply);
+/* Sends the starts; once per loop iteration. */
+void pool_starts_flush(struct pool *p);
+void pool_starts_forget(struct pool *p, const struct pool_member *owner);
+
+/* --- pool-agent.c: calls that this VM makes for the leader ------------- */
+
+void pool_agent_init(struct pool *p);
+/* Forgets what the leader said over the previous link. */
+void pool_agent_reset(struct pool *p);
+void pool_order_received(struct pool *p, const PoolOrder *order);
+/* Makes the calls of starts and replies to the leader. */
+void pool_agent_run(struct pool *p, const PoolRun *run);
+void pool_run_received(struct pool *p, struct pool_link *l, const PoolRun *run);
+void pool_agent_send_status(struct pool *p, uint32_t seq,
+			    enum sched_reply_status status, const char *reason);
+
+/* --- pool-owner.c: starts on the VM that owns the job ------------------ */
+
+void pool_start_received(struct pool *p, const PoolStart *start);
+/* The agent has received that many starts over the link. */
+void pool_runs_acked(struct pool_link *l, uint64_t received);
+/* Acknowledges starts, and closes links that are not acknowledged. */
+void pool_send_run_acks(struct pool *p);
 
 /* --- pool-request.c: callers' requests ------------------------------- */
 
@@ -355,6 +549,8 @@
 /* The caller has closed the connection: its job is cancelled. */
 void pool_request_caller_closed(struct pool_request *r);
 const char *pool_outcome_name(PoolAnswer__Outcome outcome);
+/* The open job of this VM with the number, or NULL. */
+struct pool_request *pool_request_find(struct pool *p, uint64_t seq);
 /* Messages from the leader. */
 void pool_request_answer_received(struct pool *p, const PoolAnswer *answer);
 void pool_request_progress_received(struct pool *p,
@@ -389,11 +585,16 @@
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
 	uint64_t agent_calls, agent_unanswered;
 	uint64_t links, pauses, takeovers, watch_restarts;
+	/* Bytes over links by kind of frame, POOL_FRAME__BODY_*. */
+	uint64_t sent_bytes[POOL_FRAME_KINDS];
+	uint64_t received_bytes[POOL_FRAME_KINDS];
 	struct pool_histogram latency; /* from a request to its answer, ms */
 	struct pool_histogram lag;     /* delay of the loop's ticks, ms */
 };
 
 void pool_histogram_add(struct pool_histogram *h, rp_ms ms);
+/* Logs at intervals what passes over the leader's links. */
+void pool_log_traffic(struct pool *p);
 /* Returns the metrics as text, to be freed. */
 char *pool_metrics(struct pool *p);
 
@@ -433,9 +634,16 @@
 	struct pool_call *calls;
 	CURL *idle_handles[POOL_IDLE_HANDLES];
 	size_t nidle_handles;
-	apr_hash_t *agent_calls; /* seq -> struct pool_call by an agent */
-	uint64_t agent_call_seq;
-	rp_ms balanced_at;   /* when targets last moved between agents */
+	apr_hash_t *agent_calls; /* seq -> struct pool_call, ordered */
+	uint32_t agent_call_seq;
+	apr_hash_t *targets_by_number; /* struct sched_target, introduced */
+	uint32_t last_target_number;
+	struct pool_starts starts;
+	rp_ms balanced_at; /* when targets last moved between agents */
+	/* On an agent or owner: what the leader said over the present link. */
+	apr_hash_t *agent_targets;	   /* number -> struct agent_target */
+	uint64_t order_fence, start_fence; /* 0: none came yet */
+	uint64_t last_link_number;
 	uint64_t call_group; /* of the current scheduler's calls */
 	struct pool_http servers[POOL_SERVERS];
 	struct pool_fd listener;
@@ -443,6 +651,7 @@
 	struct pool_link *leader_link; /* NULL: none, or this VM leads */
 	rp_ms dial_due;
 	rp_ms heartbeat_sent_at;
+	rp_ms traffic_logged_at;
 	int logged_leader_alive; /* as last logged; -1: not yet */
 	rp_ms started_at;
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
@@ -454,8 +663,11 @@
 	uint64_t acked_mark;	     /* last acknowledged to the leader */
 	struct lead lead;
 	struct sched sched;
-	int leading;	      /* this VM leads, and sched is in use */
-	apr_hash_t *listings; /* target id -> struct sched_listing, latest */
+	int leading;		 /* this VM leads, and sched is in use */
+	apr_hash_t *listings;	 /* target id -> struct pool_listing */
+	int64_t listing_version; /* all changes up to it are in listings */
+	int listings_changed;	 /* some are to be sent */
+	rp_ms listings_sent_at;
 	unsigned reachability_calls; /* in flight */
 	int outside_reachable;	     /* one of them got a reply */
 	rp_ms prev_leader_notified_at;
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -502,49 +502,319 @@
   assert(message->base.descriptor == &pool_job__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   pool_call__init
-                     (PoolCall         *message)
+void   pool_order__init
+                     (PoolOrder         *message)
 {
-  static const PoolCall init_value = POOL_CALL__INIT;
+  static const PoolOrder init_value = POOL_ORDER__INIT;
   *message = init_value;
 }
-size_t pool_call__get_packed_size
-                     (const PoolCall *message)
+size_t pool_order__get_packed_size
+                     (const PoolOrder *message)
 {
-  assert(message->base.descriptor == &pool_call__descriptor);
+  assert(message->base.descriptor == &pool_order__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_call__pack
-                     (const PoolCall *message,
+size_t pool_order__pack
+                     (const PoolOrder *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &pool_call__descriptor);
+  assert(message->base.descriptor == &pool_order__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_call__pack_to_buffer
-                     (const PoolCall *message,
+size_t pool_order__pack_to_buffer
+                     (const PoolOrder *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &pool_call__descriptor);
+  assert(message->base.descriptor == &pool_order__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolCall *
-       pool_call__unpack
+PoolOrder *
+       pool_order__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (PoolCall *)
-     protobuf_c_message_unpack (&pool_call__descriptor,
+  return (PoolOrder *)
+     protobuf_c_message_unpack (&pool_order__descriptor,
                                 allocator, len, data);
 }
-void   pool_call__free_unpacked
-                     (PoolCall *message,
+void   pool_order__free_unpacked
+                     (PoolOrder *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &pool_call__descriptor);
+  assert(message->base.descriptor == &pool_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_start_task__init
+                     (PoolStartTask         *message)
+{
+  static const PoolStartTask init_value = POOL_START_TASK__INIT;
+  *message = init_value;
+}
+size_t pool_start_task__get_packed_size
+                     (const PoolStartTask *message)
+{
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_start_task__pack
+                     (const PoolStartTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_start_task__pack_to_buffer
+                     (const PoolStartTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStartTask *
+       pool_start_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStartTask *)
+     protobuf_c_message_unpack (&pool_start_task__descriptor,
+                                allocator, len, data);
+}
+void   pool_start_task__free_unpacked
+                     (PoolStartTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_start__init
+                     (PoolStart         *message)
+{
+  static const PoolStart init_value = POOL_START__INIT;
+  *message = init_value;
+}
+size_t pool_start__get_packed_size
+                     (const PoolStart *message)
+{
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_start__pack
+                     (const PoolStart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_start__pack_to_buffer
+                     (const PoolStart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStart *
+       pool_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStart *)
+     protobuf_c_message_unpack (&pool_start__descriptor,
+                                allocator, len, data);
+}
+void   pool_start__free_unpacked
+                     (PoolStart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_run_task__init
+                     (PoolRunTask         *message)
+{
+  static const PoolRunTask init_value = POOL_RUN_TASK__INIT;
+  *message = init_value;
+}
+size_t pool_run_task__get_packed_size
+                     (const PoolRunTask *message)
+{
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_run_task__pack
+                     (const PoolRunTask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_run_task__pack_to_buffer
+                     (const PoolRunTask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolRunTask *
+       pool_run_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolRunTask *)
+     protobuf_c_message_unpack (&pool_run_task__descriptor,
+                                allocator, len, data);
+}
+void   pool_run_task__free_unpacked
+                     (PoolRunTask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_run__init
+                     (PoolRun         *message)
+{
+  static const PoolRun init_value = POOL_RUN__INIT;
+  *message = init_value;
+}
+size_t pool_run__get_packed_size
+                     (const PoolRun *message)
+{
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_run__pack
+                     (const PoolRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_run__pack_to_buffer
+                     (const PoolRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolRun *
+       pool_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolRun *)
+     protobuf_c_message_unpack (&pool_run__descriptor,
+                                allocator, len, data);
+}
+void   pool_run__free_unpacked
+                     (PoolRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_listed_run__init
+                     (PoolListedRun         *message)
+{
+  static const PoolListedRun init_value = POOL_LISTED_RUN__INIT;
+  *message = init_value;
+}
+size_t pool_listed_run__get_packed_size
+                     (const PoolListedRun *message)
+{
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_listed_run__pack
+                     (const PoolListedRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_listed_run__pack_to_buffer
+                     (const PoolListedRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolListedRun *
+       pool_listed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolListedRun *)
+     protobuf_c_message_unpack (&pool_listed_run__descriptor,
+                                allocator, len, data);
+}
+void   pool_listed_run__free_unpacked
+                     (PoolListedRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_listed_end__init
+                     (PoolListedEnd         *message)
+{
+  static const PoolListedEnd init_value = POOL_LISTED_END__INIT;
+  *message = init_value;
+}
+size_t pool_listed_end__get_packed_size
+                     (const PoolListedEnd *message)
+{
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_listed_end__pack
+                     (const PoolListedEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_listed_end__pack_to_buffer
+                     (const PoolListedEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolListedEnd *
+       pool_listed_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolListedEnd *)
+     protobuf_c_message_unpack (&pool_listed_end__descriptor,
+                                allocator, len, data);
+}
+void   pool_listed_end__free_unpacked
+                     (PoolListedEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   pool_reply__init
@@ -592,6 +862,96 @@
   assert(message->base.descriptor == &pool_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_listing__init
+                     (PoolListing         *message)
+{
+  static const PoolListing init_value = POOL_LISTING__INIT;
+  *message = init_value;
+}
+size_t pool_listing__get_packed_size
+                     (const PoolListing *message)
+{
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_listing__pack
+                     (const PoolListing *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_listing__pack_to_buffer
+                     (const PoolListing *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolListing *
+       pool_listing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolListing *)
+     protobuf_c_message_unpack (&pool_listing__descriptor,
+                                allocator, len, data);
+}
+void   pool_listing__free_unpacked
+                     (PoolListing *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_listings__init
+                     (PoolListings         *message)
+{
+  static const PoolListings init_value = POOL_LISTINGS__INIT;
+  *message = init_value;
+}
+size_t pool_listings__get_packed_size
+                     (const PoolListings *message)
+{
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_listings__pack
+                     (const PoolListings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_listings__pack_to_buffer
+                     (const PoolListings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolListings *
+       pool_listings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolListings *)
+     protobuf_c_message_unpack (&pool_listings__descriptor,
+                                allocator, len, data);
+}
+void   pool_listings__free_unpacked
+                     (PoolListings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_frame__init
                      (PoolFrame         *message)
 {
@@ -779,7 +1139,7 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[16] =
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[17] =
 {
   {
     "seq",
@@ -973,6 +1333,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "specification_hash",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, specification_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
@@ -988,6 +1360,7 @@
   0,   /* field[0] = seq */
   4,   /* field[4] = service */
   10,   /* field[10] = specification */
+  16,   /* field[16] = specification_hash */
   11,   /* field[11] = steps */
   14,   /* field[14] = stored */
   7,   /* field[7] = stretch */
@@ -995,7 +1368,7 @@
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -1005,7 +1378,7 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  16,
+  17,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
@@ -1274,7 +1647,7 @@
   (ProtobufCMessageInit) pool_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[9] =
 {
   {
     "vm",
@@ -1360,20 +1733,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listing_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, listing_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
   5,   /* field[5] = failure_domain */
   6,   /* field[6] = fence */
   2,   /* field[2] = incarnation */
+  8,   /* field[8] = listing_version */
   3,   /* field[3] = probe */
   4,   /* field[4] = processor */
+  7,   /* field[7] = starts */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool_hello__descriptor =
 {
@@ -1383,7 +1782,7 @@
   "PoolHello",
   "",
   sizeof(PoolHello),
-  7,
+  9,
   pool_hello__field_descriptors,
   pool_hello__field_indices_by_name,
   1,  pool_hello__number_ranges,
@@ -1441,7 +1840,7 @@
   (ProtobufCMessageInit) pool_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[14] =
 {
   {
     "fence",
@@ -1587,25 +1986,51 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned pool_beat__field_indices_by_name[] = {
-  0,   /* field[0] = fence */
-  4,   /* field[4] = hears */
-  1,   /* field[1] = leader */
-  2,   /* field[2] = leader_address */
-  3,   /* field[3] = leading */
-  7,   /* field[7] = resigns */
-  9,   /* field[9] = store */
-  11,   /* field[11] = stored */
-  5,   /* field[5] = successors */
-  8,   /* field[8] = vm */
-  6,   /* field[6] = waiting */
-  10,   /* field[10] = waits */
-};
-static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
-{
+  {
+    "agents",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, agents),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brief",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, brief),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_beat__field_indices_by_name[] = {
+  12,   /* field[12] = agents */
+  13,   /* field[13] = brief */
+  0,   /* field[0] = fence */
+  4,   /* field[4] = hears */
+  1,   /* field[1] = leader */
+  2,   /* field[2] = leader_address */
+  3,   /* field[3] = leading */
+  7,   /* field[7] = resigns */
+  9,   /* field[9] = store */
+  11,   /* field[11] = stored */
+  5,   /* field[5] = successors */
+  8,   /* field[8] = vm */
+  6,   /* field[6] = waiting */
+  10,   /* field[10] = waits */
+};
+static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
+{
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -1615,7 +2040,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  12,
+  14,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
@@ -1847,16 +2272,46 @@
   (ProtobufCMessageInit) pool_job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_call__field_descriptors[7] =
+static const ProtobufCEnumValue pool_order__kind__enum_values_by_number[3] =
+{
+  { "HOLD", "POOL_ORDER__KIND__HOLD", 0 },
+  { "STOP", "POOL_ORDER__KIND__STOP", 1 },
+  { "START", "POOL_ORDER__KIND__START", 2 },
+};
+static const ProtobufCIntRange pool_order__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex pool_order__kind__enum_values_by_name[3] =
+{
+  { "HOLD", 0 },
+  { "START", 2 },
+  { "STOP", 1 },
+};
+const ProtobufCEnumDescriptor pool_order__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "PoolOrder.Kind",
+  "Kind",
+  "PoolOrder__Kind",
+  "",
+  3,
+  pool_order__kind__enum_values_by_number,
+  3,
+  pool_order__kind__enum_values_by_name,
+  1,
+  pool_order__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor pool_order__field_descriptors[12] =
 {
   {
-    "fence",
+    "kind",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_ENUM,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, fence),
-    NULL,
+    offsetof(PoolOrder, kind),
+    &pool_order__kind__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1865,307 +2320,1274 @@
     "seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, seq),
+    offsetof(PoolOrder, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "target",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, address),
+    offsetof(PoolOrder, target),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "path",
+    "id",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, path),
+    offsetof(PoolOrder, id),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "header",
+    "address",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, header),
+    offsetof(PoolOrder, address),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "request",
+    "fence",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, request),
+    offsetof(PoolOrder, fence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "wait_ms",
+    "lease_until",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(PoolCall, wait_ms),
+    offsetof(PoolOrder, lease_until),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned pool_call__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  0,   /* field[0] = fence */
-  4,   /* field[4] = header */
-  3,   /* field[3] = path */
-  5,   /* field[5] = request */
-  1,   /* field[1] = seq */
-  6,   /* field[6] = wait_ms */
-};
-static const ProtobufCIntRange pool_call__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor pool_call__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "PoolCall",
-  "PoolCall",
-  "PoolCall",
-  "",
-  sizeof(PoolCall),
-  7,
-  pool_call__field_descriptors,
-  pool_call__field_indices_by_name,
-  1,  pool_call__number_ranges,
-  (ProtobufCMessageInit) pool_call__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_reply__field_descriptors[4] =
-{
   {
-    "fence",
-    1,
+    "acked_end",
+    8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(PoolReply, fence),
+    offsetof(PoolOrder, acked_end),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seq",
-    2,
+    "wait_ms",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(PoolReply, seq),
+    offsetof(PoolOrder, wait_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    3,
+    "task",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(PoolReply, status),
+    offsetof(PoolOrder, run),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    4,
+    "specification",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(PoolReply, body),
+    offsetof(PoolOrder, specification),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned pool_reply__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  0,   /* field[0] = fence */
+static const unsigned pool_order__field_indices_by_name[] = {
+  7,   /* field[7] = acked_end */
+  4,   /* field[4] = address */
+  5,   /* field[5] = fence */
+  3,   /* field[3] = id */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = lease_until */
+  10,   /* field[10] = run */
   1,   /* field[1] = seq */
-  2,   /* field[2] = status */
+  11,   /* field[11] = specification */
+  2,   /* field[2] = target */
+  9,   /* field[9] = task */
+  8,   /* field[8] = wait_ms */
 };
-static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] =
+static const ProtobufCIntRange pool_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 12 }
 };
-const ProtobufCMessageDescriptor pool_reply__descriptor =
+const ProtobufCMessageDescriptor pool_order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "PoolReply",
-  "PoolReply",
-  "PoolReply",
+  "PoolOrder",
+  "PoolOrder",
+  "PoolOrder",
   "",
-  sizeof(PoolReply),
-  4,
-  pool_reply__field_descriptors,
-  pool_reply__field_indices_by_name,
-  1,  pool_reply__number_ranges,
-  (ProtobufCMessageInit) pool_reply__init,
+  sizeof(PoolOrder),
+  12,
+  pool_order__field_descriptors,
+  pool_order__field_indices_by_name,
+  1,  pool_order__number_ranges,
+  (ProtobufCMessageInit) pool_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_frame__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pool_start_task__field_descriptors[7] =
 {
   {
-    "hello",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, hello),
-    &pool_hello__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, seq),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "beat",
+    "task",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, beat),
-    &pool_beat__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, task),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "submit",
+    "run",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, submit),
-    &pool_submit__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, run),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cancel",
+    "lease_until",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, cancel),
-    &pool_cancel__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, lease_until),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answer",
+    "target",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, answer),
-    &pool_answer__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, target),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "progress",
+    "target_address",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, progress),
-    &pool_progress__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, target_address),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "call",
+    "agent",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, call),
-    &pool_call__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, agent),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned pool_start_task__field_indices_by_name[] = {
+  6,   /* field[6] = agent */
+  3,   /* field[3] = lease_until */
+  2,   /* field[2] = run */
+  0,   /* field[0] = seq */
+  4,   /* field[4] = target */
+  5,   /* field[5] = target_address */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange pool_start_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_start_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStartTask",
+  "PoolStartTask",
+  "PoolStartTask",
+  "",
+  sizeof(PoolStartTask),
+  7,
+  pool_start_task__field_descriptors,
+  pool_start_task__field_indices_by_name,
+  1,  pool_start_task__number_ranges,
+  (ProtobufCMessageInit) pool_start_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_start__field_descriptors[3] =
+{
   {
-    "reply",
-    8,
+    "job",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, reply),
-    &pool_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStart, job),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heard",
-    9,
+    "fence",
+    2,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStart, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PoolFrame, body_case),
-    offsetof(PoolFrame, heard),
-    &pool_heard__descriptor,
+    offsetof(PoolStart, n_tasks),
+    offsetof(PoolStart, tasks),
+    &pool_start_task__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned pool_frame__field_indices_by_name[] = {
-  4,   /* field[4] = answer */
-  1,   /* field[1] = beat */
-  6,   /* field[6] = call */
-  3,   /* field[3] = cancel */
-  8,   /* field[8] = heard */
-  0,   /* field[0] = hello */
-  5,   /* field[5] = progress */
-  7,   /* field[7] = reply */
+static const unsigned pool_start__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  0,   /* field[0] = job */
+  2,   /* field[2] = tasks */
+};
+static const ProtobufCIntRange pool_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStart",
+  "PoolStart",
+  "PoolStart",
+  "",
+  sizeof(PoolStart),
+  3,
+  pool_start__field_descriptors,
+  pool_start__field_indices_by_name,
+  1,  pool_start__number_ranges,
+  (ProtobufCMessageInit) pool_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_run_task__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, lease_until),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, target_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_run_task__field_indices_by_name[] = {
+  2,   /* field[2] = index */
+  4,   /* field[4] = lease_until */
+  3,   /* field[3] = run */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = step */
+  5,   /* field[5] = target */
+  6,   /* field[6] = target_address */
+};
+static const ProtobufCIntRange pool_run_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_run_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolRunTask",
+  "PoolRunTask",
+  "PoolRunTask",
+  "",
+  sizeof(PoolRunTask),
+  7,
+  pool_run_task__field_descriptors,
+  pool_run_task__field_indices_by_name,
+  1,  pool_run_task__number_ranges,
+  (ProtobufCMessageInit) pool_run_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_run__field_descriptors[4] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specification",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, specification),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolRun, n_tasks),
+    offsetof(PoolRun, tasks),
+    &pool_run_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_run__field_indices_by_name[] = {
+  0,   /* field[0] = fence */
+  1,   /* field[1] = id */
+  2,   /* field[2] = specification */
+  3,   /* field[3] = tasks */
+};
+static const ProtobufCIntRange pool_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pool_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolRun",
+  "PoolRun",
+  "PoolRun",
+  "",
+  sizeof(PoolRun),
+  4,
+  pool_run__field_descriptors,
+  pool_run__field_indices_by_name,
+  1,  pool_run__number_ranges,
+  (ProtobufCMessageInit) pool_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listed_run__field_descriptors[6] =
+{
+  {
+    "listed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_listed_run__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  3,   /* field[3] = index */
+  0,   /* field[0] = listed */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+  5,   /* field[5] = task */
+};
+static const ProtobufCIntRange pool_listed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pool_listed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListedRun",
+  "PoolListedRun",
+  "PoolListedRun",
+  "",
+  sizeof(PoolListedRun),
+  6,
+  pool_listed_run__field_descriptors,
+  pool_listed_run__field_indices_by_name,
+  1,  pool_listed_run__number_ranges,
+  (ProtobufCMessageInit) pool_listed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listed_end__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, run),
+    &pool_listed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_listed_end__field_indices_by_name[] = {
+  1,   /* field[1] = how */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+};
+static const ProtobufCIntRange pool_listed_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_listed_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListedEnd",
+  "PoolListedEnd",
+  "PoolListedEnd",
+  "",
+  sizeof(PoolListedEnd),
+  3,
+  pool_listed_end__field_descriptors,
+  pool_listed_end__field_indices_by_name,
+  1,  pool_listed_end__number_ranges,
+  (ProtobufCMessageInit) pool_listed_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_reply__field_descriptors[11] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, clock),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "same_runs",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, same_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolReply, n_runs),
+    offsetof(PoolReply, runs),
+    &pool_listed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percents",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolReply, n_percents),
+    offsetof(PoolReply, percents),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolReply, n_ends),
+    offsetof(PoolReply, ends),
+    &pool_listed_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_incarnation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, no_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_reply__field_indices_by_name[] = {
+  3,   /* field[3] = clock */
+  9,   /* field[9] = ends */
+  4,   /* field[4] = incarnation */
+  10,   /* field[10] = no_incarnation */
+  8,   /* field[8] = percents */
+  2,   /* field[2] = reason */
+  7,   /* field[7] = runs */
+  6,   /* field[6] = same_runs */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = status */
+  5,   /* field[5] = target */
+};
+static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor pool_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolReply",
+  "PoolReply",
+  "PoolReply",
+  "",
+  sizeof(PoolReply),
+  11,
+  pool_reply__field_descriptors,
+  pool_reply__field_indices_by_name,
+  1,  pool_reply__number_ranges,
+  (ProtobufCMessageInit) pool_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listing__field_descriptors[12] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolListing, n_labels),
+    offsetof(PoolListing, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_listing__field_indices_by_name[] = {
+  10,   /* field[10] = accelerators */
+  2,   /* field[2] = address */
+  8,   /* field[8] = cpu */
+  4,   /* field[4] = failure_domain */
+  0,   /* field[0] = id */
+  6,   /* field[6] = incarnation */
+  5,   /* field[5] = labels */
+  9,   /* field[9] = memory */
+  7,   /* field[7] = ready */
+  1,   /* field[1] = removed */
+  3,   /* field[3] = service */
+  11,   /* field[11] = version */
+};
+static const ProtobufCIntRange pool_listing__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor pool_listing__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListing",
+  "PoolListing",
+  "PoolListing",
+  "",
+  sizeof(PoolListing),
+  12,
+  pool_listing__field_descriptors,
+  pool_listing__field_indices_by_name,
+  1,  pool_listing__number_ranges,
+  (ProtobufCMessageInit) pool_listing__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listings__field_descriptors[2] =
+{
+  {
+    "listings",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolListings, n_listings),
+    offsetof(PoolListings, listings),
+    &pool_listing__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListings, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_listings__field_indices_by_name[] = {
+  0,   /* field[0] = listings */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pool_listings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pool_listings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListings",
+  "PoolListings",
+  "PoolListings",
+  "",
+  sizeof(PoolListings),
+  2,
+  pool_listings__field_descriptors,
+  pool_listings__field_indices_by_name,
+  1,  pool_listings__number_ranges,
+  (ProtobufCMessageInit) pool_listings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_frame__field_descriptors[12] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, hello),
+    &pool_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, beat),
+    &pool_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, submit),
+    &pool_submit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, cancel),
+    &pool_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, answer),
+    &pool_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, progress),
+    &pool_progress__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, order),
+    &pool_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, reply),
+    &pool_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, heard),
+    &pool_heard__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, start),
+    &pool_start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, run),
+    &pool_run__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listings",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, listings),
+    &pool_listings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_frame__field_indices_by_name[] = {
+  4,   /* field[4] = answer */
+  1,   /* field[1] = beat */
+  3,   /* field[3] = cancel */
+  8,   /* field[8] = heard */
+  0,   /* field[0] = hello */
+  11,   /* field[11] = listings */
+  6,   /* field[6] = order */
+  5,   /* field[5] = progress */
+  7,   /* field[7] = reply */
+  10,   /* field[10] = run */
+  9,   /* field[9] = start */
   2,   /* field[2] = submit */
 };
 static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pool_frame__descriptor =
 {
@@ -2175,7 +3597,7 @@
   "PoolFrame",
   "",
   sizeof(PoolFrame),
-  9,
+  12,
   pool_frame__field_descriptors,
   pool_frame__field_indices_by_name,
   1,  pool_frame__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -26,8 +26,16 @@
 typedef struct PoolBeat PoolBeat;
 typedef struct PoolLeader PoolLeader;
 typedef struct PoolJob PoolJob;
-typedef struct PoolCall PoolCall;
+typedef struct PoolOrder PoolOrder;
+typedef struct PoolStartTask PoolStartTask;
+typedef struct PoolStart PoolStart;
+typedef struct PoolRunTask PoolRunTask;
+typedef struct PoolRun PoolRun;
+typedef struct PoolListedRun PoolListedRun;
+typedef struct PoolListedEnd PoolListedEnd;
 typedef struct PoolReply PoolReply;
+typedef struct PoolListing PoolListing;
+typedef struct PoolListings PoolListings;
 typedef struct PoolFrame PoolFrame;
 
 
@@ -56,6 +64,12 @@
   POOL_JOB__STATE__CANCELLED = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_JOB__STATE)
 } PoolJob__State;
+typedef enum _PoolOrder__Kind {
+  POOL_ORDER__KIND__HOLD = 0,
+  POOL_ORDER__KIND__STOP = 1,
+  POOL_ORDER__KIND__START = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_ORDER__KIND)
+} PoolOrder__Kind;
 
 /* --- messages --- */
 
@@ -170,10 +184,15 @@
    */
   size_t n_failed;
   uint32_t *failed;
+  /*
+   * Of the specification when the owner keeps it and starts the tasks
+   * that the leader asks for; 0: it is in this message.
+   */
+  uint64_t specification_hash;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -261,10 +280,18 @@
    * of the leader that the link is for
    */
   uint64_t fence;
+  /*
+   * carries starts to an agent, and nothing else
+   */
+  protobuf_c_boolean starts;
+  /*
+   * The sender knows the list of targets as of this version of the store.
+   */
+  int64_t listing_version;
 };
 #define POOL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  PoolWaiting
@@ -331,10 +358,18 @@
    * the store has jobs
    */
   protobuf_c_boolean stored;
+  /*
+   * from the leader: owners keep specifications
+   */
+  protobuf_c_boolean agents;
+  /*
+   * The fields that are not set are as in the heartbeat before.
+   */
+  protobuf_c_boolean brief;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -394,56 +429,285 @@
 
 
 /*
- * An HTTP call to a target that an agent makes for the leader.
+ * A call to a target that an agent makes for the leader.
  */
-struct  PoolCall
+struct  PoolOrder
 {
   ProtobufCMessage base;
+  PoolOrder__Kind kind;
+  /*
+   * number of the call
+   */
+  uint32_t seq;
+  /*
+   * the leader's number for it
+   */
+  uint32_t target;
+  /*
+   * Only in the first order with this number of a target.
+   */
+  char *id;
   /*
-   * the leader's fencing token
+   * as packed by pool_address_pack()
+   */
+  uint64_t address;
+  /*
+   * the leader's token; 0: that of the order before
    */
   uint64_t fence;
+  /*
+   * on the target's clock; 0: not renewed
+   */
+  uint64_t lease_until;
+  /*
+   * HOLD
+   */
+  uint64_t acked_end;
+  /*
+   * HOLD: the target may delay its reply
+   */
+  uint32_t wait_ms;
+  /*
+   * STOP, START
+   */
+  char *task;
+  /*
+   * STOP, START
+   */
+  uint32_t run;
+  /*
+   * START
+   */
+  ProtobufCBinaryData specification;
+};
+#define POOL_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_order__descriptor) \
+    , POOL_ORDER__KIND__HOLD, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+struct  PoolStartTask
+{
+  ProtobufCMessage base;
   /*
    * number of the call
    */
-  uint64_t seq;
-  char *address;
-  char *path;
+  uint32_t seq;
+  /*
+   * number over all steps of the job
+   */
+  uint32_t task;
+  uint32_t run;
+  uint64_t lease_until;
+  char *target;
+  uint64_t target_address;
+  /*
+   * address of the VM that calls; 0: the owner does
+   */
+  uint64_t agent;
+};
+#define POOL_START_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_start_task__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Asks the owner of a job, which has its specification, to start tasks.
+ */
+struct  PoolStart
+{
+  ProtobufCMessage base;
   /*
-   * one more request header
+   * the owner's number for it
    */
-  char *header;
+  uint64_t job;
   /*
-   * body
+   * the leader's token; 0: that of the message before
    */
-  ProtobufCBinaryData request;
+  uint64_t fence;
+  size_t n_tasks;
+  PoolStartTask **tasks;
+};
+#define POOL_START__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_start__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  PoolRunTask
+{
+  ProtobufCMessage base;
+  uint32_t seq;
+  uint32_t step;
   /*
-   * time for which the target may hold the call open
+   * in the step
    */
-  uint32_t wait_ms;
+  uint32_t index;
+  uint32_t run;
+  uint64_t lease_until;
+  char *target;
+  uint64_t target_address;
 };
-#define POOL_CALL__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&pool_call__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+#define POOL_RUN_TASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_run_task__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
- * The reply to a PoolCall.
+ * The owner passes starts to the agent that calls their targets.
  */
-struct  PoolReply
+struct  PoolRun
 {
   ProtobufCMessage base;
   uint64_t fence;
-  uint64_t seq;
   /*
-   * of HTTP; 0: the target did not reply
+   * of the job
+   */
+  char *id;
+  ProtobufCBinaryData specification;
+  size_t n_tasks;
+  PoolRunTask **tasks;
+};
+#define POOL_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_run__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL }
+
+
+/*
+ * A run, named by its index from 1 in the list before, or by its task. The
+ * name ID.0.STEP.INDEX of a task whose id has 16 digits is sent in parts.
+ */
+struct  PoolListedRun
+{
+  ProtobufCMessage base;
+  /*
+   * 0: the fields below name it
+   */
+  uint32_t listed;
+  uint64_t id;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  /*
+   * "": sent in parts
+   */
+  char *task;
+};
+#define POOL_LISTED_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_listed_run__descriptor) \
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  PoolListedEnd
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * enum sched_end_how
+   */
+  uint32_t how;
+  PoolListedRun *run;
+};
+#define POOL_LISTED_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_listed_end__descriptor) \
+    , 0, 0, NULL }
+
+
+/*
+ * The reply to a call that the leader ordered.
+ */
+struct  PoolReply
+{
+  ProtobufCMessage base;
+  uint32_t seq;
+  /*
+   * enum sched_reply_status
    */
   uint32_t status;
-  ProtobufCBinaryData body;
+  char *reason;
+  /*
+   * Of the target; 0: not given. Left out when a start succeeded.
+   */
+  uint64_t clock;
+  /*
+   * 0: that of the list before, or not given
+   */
+  uint64_t incarnation;
+  /*
+   * it is not given
+   */
+  protobuf_c_boolean no_incarnation;
+  /*
+   * The lists of a hold.
+   */
+  /*
+   * its number; 0: there are no lists
+   */
+  uint32_t target;
+  /*
+   * those of the list before
+   */
+  protobuf_c_boolean same_runs;
+  size_t n_runs;
+  PoolListedRun **runs;
+  /*
+   * of the runs, in their order
+   */
+  size_t n_percents;
+  uint32_t *percents;
+  size_t n_ends;
+  PoolListedEnd **ends;
 };
 #define POOL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_reply__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * An entry of the platform's list of targets.
+ */
+struct  PoolListing
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * the list has lost it; no other field is set
+   */
+  protobuf_c_boolean removed;
+  char *address;
+  char *service;
+  char *failure_domain;
+  size_t n_labels;
+  char **labels;
+  int64_t incarnation;
+  protobuf_c_boolean ready;
+  uint64_t cpu;
+  uint64_t memory;
+  uint64_t accelerators;
+  /*
+   * of the store at the change
+   */
+  int64_t version;
+};
+#define POOL_LISTING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_listing__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Changes of the list, from the leader, which alone reads it.
+ */
+struct  PoolListings
+{
+  ProtobufCMessage base;
+  size_t n_listings;
+  PoolListing **listings;
+  /*
+   * all changes up to it have been sent
+   */
+  int64_t version;
+};
+#define POOL_LISTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_listings__descriptor) \
+    , 0,NULL, 0 }
 
 
 typedef enum {
@@ -454,14 +718,18 @@
   POOL_FRAME__BODY_CANCEL = 4,
   POOL_FRAME__BODY_ANSWER = 5,
   POOL_FRAME__BODY_PROGRESS = 6,
-  POOL_FRAME__BODY_CALL = 7,
+  POOL_FRAME__BODY_ORDER = 7,
   POOL_FRAME__BODY_REPLY = 8,
-  POOL_FRAME__BODY_HEARD = 9
+  POOL_FRAME__BODY_HEARD = 9,
+  POOL_FRAME__BODY_START = 10,
+  POOL_FRAME__BODY_RUN = 11,
+  POOL_FRAME__BODY_LISTINGS = 12
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
 /*
- * One message on a link, preceded by its length as four bytes, big-endian.
+ * One message on a link, preceded by its length as a varint of at most three
+ * bytes.
  */
 struct  PoolFrame
 {
@@ -474,9 +742,12 @@
     PoolCancel *cancel;
     PoolAnswer *answer;
     PoolProgress *progress;
-    PoolCall *call;
+    PoolOrder *order;
     PoolReply *reply;
     PoolHeard *heard;
+    PoolStart *start;
+    PoolRun *run;
+    PoolListings *listings;
   };
 };
 #define POOL_FRAME__INIT \
@@ -693,24 +964,138 @@
 void   pool_job__free_unpacked
                      (PoolJob *message,
                       ProtobufCAllocator *allocator);
-/* PoolCall methods */
-void   pool_call__init
-                     (PoolCall         *message);
-size_t pool_call__get_packed_size
-                     (const PoolCall   *message);
-size_t pool_call__pack
-                     (const PoolCall   *message,
+/* PoolOrder methods */
+void   pool_order__init
+                     (PoolOrder         *message);
+size_t pool_order__get_packed_size
+                     (const PoolOrder   *message);
+size_t pool_order__pack
+                     (const PoolOrder   *message,
                       uint8_t             *out);
-size_t pool_call__pack_to_buffer
-                     (const PoolCall   *message,
+size_t pool_order__pack_to_buffer
+                     (const PoolOrder   *message,
                       ProtobufCBuffer     *buffer);
-PoolCall *
-       pool_call__unpack
+PoolOrder *
+       pool_order__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   pool_call__free_unpacked
-                     (PoolCall *message,
+void   pool_order__free_unpacked
+                     (PoolOrder *message,
+                      ProtobufCAllocator *allocator);
+/* PoolStartTask methods */
+void   pool_start_task__init
+                     (PoolStartTask         *message);
+size_t pool_start_task__get_packed_size
+                     (const PoolStartTask   *message);
+size_t pool_start_task__pack
+                     (const PoolStartTask   *message,
+                      uint8_t             *out);
+size_t pool_start_task__pack_to_buffer
+                     (const PoolStartTask   *message,
+                      ProtobufCBuffer     *buffer);
+PoolStartTask *
+       pool_start_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_start_task__free_unpacked
+                     (PoolStartTask *message,
+                      ProtobufCAllocator *allocator);
+/* PoolStart methods */
+void   pool_start__init
+                     (PoolStart         *message);
+size_t pool_start__get_packed_size
+                     (const PoolStart   *message);
+size_t pool_start__pack
+                     (const PoolStart   *message,
+                      uint8_t             *out);
+size_t pool_start__pack_to_buffer
+                     (const PoolStart   *message,
+                      ProtobufCBuffer     *buffer);
+PoolStart *
+       pool_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_start__free_unpacked
+                     (PoolStart *message,
+                      ProtobufCAllocator *allocator);
+/* PoolRunTask methods */
+void   pool_run_task__init
+                     (PoolRunTask         *message);
+size_t pool_run_task__get_packed_size
+                     (const PoolRunTask   *message);
+size_t pool_run_task__pack
+                     (const PoolRunTask   *message,
+                      uint8_t             *out);
+size_t pool_run_task__pack_to_buffer
+                     (const PoolRunTask   *message,
+                      ProtobufCBuffer     *buffer);
+PoolRunTask *
+       pool_run_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_run_task__free_unpacked
+                     (PoolRunTask *message,
+                      ProtobufCAllocator *allocator);
+/* PoolRun methods */
+void   pool_run__init
+                     (PoolRun         *message);
+size_t pool_run__get_packed_size
+                     (const PoolRun   *message);
+size_t pool_run__pack
+                     (const PoolRun   *message,
+                      uint8_t             *out);
+size_t pool_run__pack_to_buffer
+                     (const PoolRun   *message,
+                      ProtobufCBuffer     *buffer);
+PoolRun *
+       pool_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_run__free_unpacked
+                     (PoolRun *message,
+                      ProtobufCAllocator *allocator);
+/* PoolListedRun methods */
+void   pool_listed_run__init
+                     (PoolListedRun         *message);
+size_t pool_listed_run__get_packed_size
+                     (const PoolListedRun   *message);
+size_t pool_listed_run__pack
+                     (const PoolListedRun   *message,
+                      uint8_t             *out);
+size_t pool_listed_run__pack_to_buffer
+                     (const PoolListedRun   *message,
+                      ProtobufCBuffer     *buffer);
+PoolListedRun *
+       pool_listed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_listed_run__free_unpacked
+                     (PoolListedRun *message,
+                      ProtobufCAllocator *allocator);
+/* PoolListedEnd methods */
+void   pool_listed_end__init
+                     (PoolListedEnd         *message);
+size_t pool_listed_end__get_packed_size
+                     (const PoolListedEnd   *message);
+size_t pool_listed_end__pack
+                     (const PoolListedEnd   *message,
+                      uint8_t             *out);
+size_t pool_listed_end__pack_to_buffer
+                     (const PoolListedEnd   *message,
+                      ProtobufCBuffer     *buffer);
+PoolListedEnd *
+       pool_listed_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_listed_end__free_unpacked
+                     (PoolListedEnd *message,
                       ProtobufCAllocator *allocator);
 /* PoolReply methods */
 void   pool_reply__init
@@ -731,6 +1116,44 @@
 void   pool_reply__free_unpacked
                      (PoolReply *message,
                       ProtobufCAllocator *allocator);
+/* PoolListing methods */
+void   pool_listing__init
+                     (PoolListing         *message);
+size_t pool_listing__get_packed_size
+                     (const PoolListing   *message);
+size_t pool_listing__pack
+                     (const PoolListing   *message,
+                      uint8_t             *out);
+size_t pool_listing__pack_to_buffer
+                     (const PoolListing   *message,
+                      ProtobufCBuffer     *buffer);
+PoolListing *
+       pool_listing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_listing__free_unpacked
+                     (PoolListing *message,
+                      ProtobufCAllocator *allocator);
+/* PoolListings methods */
+void   pool_listings__init
+                     (PoolListings         *message);
+size_t pool_listings__get_packed_size
+                     (const PoolListings   *message);
+size_t pool_listings__pack
+                     (const PoolListings   *message,
+                      uint8_t             *out);
+size_t pool_listings__pack_to_buffer
+                     (const PoolListings   *message,
+                      ProtobufCBuffer     *buffer);
+PoolListings *
+       pool_listings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_listings__free_unpacked
+                     (PoolListings *message,
+                      ProtobufCAllocator *allocator);
 /* PoolFrame methods */
 void   pool_frame__init
                      (PoolFrame         *message);
@@ -785,12 +1208,36 @@
 typedef void (*PoolJob_Closure)
                  (const PoolJob *message,
                   void *closure_data);
-typedef void (*PoolCall_Closure)
-                 (const PoolCall *message,
+typedef void (*PoolOrder_Closure)
+                 (const PoolOrder *message,
+                  void *closure_data);
+typedef void (*PoolStartTask_Closure)
+                 (const PoolStartTask *message,
+                  void *closure_data);
+typedef void (*PoolStart_Closure)
+                 (const PoolStart *message,
+                  void *closure_data);
+typedef void (*PoolRunTask_Closure)
+                 (const PoolRunTask *message,
+                  void *closure_data);
+typedef void (*PoolRun_Closure)
+                 (const PoolRun *message,
+                  void *closure_data);
+typedef void (*PoolListedRun_Closure)
+                 (const PoolListedRun *message,
+                  void *closure_data);
+typedef void (*PoolListedEnd_Closure)
+                 (const PoolListedEnd *message,
                   void *closure_data);
 typedef void (*PoolReply_Closure)
                  (const PoolReply *message,
                   void *closure_data);
+typedef void (*PoolListing_Closure)
+                 (const PoolListing *message,
+                  void *closure_data);
+typedef void (*PoolListings_Closure)
+                 (const PoolListings *message,
+                  void *closure_data);
 typedef void (*PoolFrame_Closure)
                  (const PoolFrame *message,
                   void *closure_data);
@@ -813,8 +1260,17 @@
 extern const ProtobufCMessageDescriptor pool_leader__descriptor;
 extern const ProtobufCMessageDescriptor pool_job__descriptor;
 extern const ProtobufCEnumDescriptor    pool_job__state__descriptor;
-extern const ProtobufCMessageDescriptor pool_call__descriptor;
+extern const ProtobufCMessageDescriptor pool_order__descriptor;
+extern const ProtobufCEnumDescriptor    pool_order__kind__descriptor;
+extern const ProtobufCMessageDescriptor pool_start_task__descriptor;
+extern const ProtobufCMessageDescriptor pool_start__descriptor;
+extern const ProtobufCMessageDescriptor pool_run_task__descriptor;
+extern const ProtobufCMessageDescriptor pool_run__descriptor;
+extern const ProtobufCMessageDescriptor pool_listed_run__descriptor;
+extern const ProtobufCMessageDescriptor pool_listed_end__descriptor;
 extern const ProtobufCMessageDescriptor pool_reply__descriptor;
+extern const ProtobufCMessageDescriptor pool_listing__descriptor;
+extern const ProtobufCMessageDescriptor pool_listings__descriptor;
 extern const ProtobufCMessageDescriptor pool_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -34,7 +34,8 @@
 		free(m);
 	}
 	sched_finish(&p.sched);
-	free(l.out);
+	free(l.urgent.data);
+	free(l.bulk.data);
 }
 
 TestSuite(pool_member, .init = init_leader, .fini = finish_leader);
@@ -72,5 +73,5 @@
 	cr_assert_null(pool_find_member(&p, "vm1"));
 	cr_assert_null(l.member);
 	/* The VM learns of the present term, in case it is not late. */
-	cr_assert_gt(l.out_len, 0);
+	cr_assert_gt(l.urgent.len, 0);
 }
--- a/regress/t-pool-agents.sh
+++ b/regress/t-pool-agents.sh
@@ -14,6 +14,25 @@
 		sed -n "s/^rosemary_pool_$2 //p"
 }
 
+# link_bytes VM METRIC...: prints the sum of metrics of the VM.
+link_bytes () {
+	vm=$1
+	shift
+	total=0
+	for m in "$@"
+	do
+		total=$((total + $(metric "$vm" "link_$m")))
+	done
+	echo $total
+}
+
+# within NAME LIMIT BYTES COUNT: fails if there are more bytes each than LIMIT.
+within () {
+	test $(($3 / $4)) -le "$2" ||
+		{ echo "$1: $(($3 / $4)) bytes, above $2"; return 1; }
+	echo "$1: at most $2 bytes over the leader's links"
+}
+
 run () {
 	start_platform 8
 	vms=0
@@ -39,6 +58,24 @@
 	test "$(metric 0 target_calls_total)" -lt 50 &&
 		echo "the VM with a small share makes few"
 
+	# Only decisions pass through the leader, for jobs of the other VMs.
+	decisions='sent_bytes{kind="order"} sent_bytes{kind="start"}
+		sent_bytes{kind="progress"} received_bytes{kind="reply"}
+		received_bytes{kind="ack"}'
+	answers='received_bytes{kind="submit"} sent_bytes{kind="answer"}'
+	before=$(link_bytes "$l" $decisions)
+	before_answers=$(link_bytes "$l" $answers)
+	starts=$(metric "$l" starts_total)
+	jobs_before=$(metric "$l" jobs_total)
+	vms="0 $a"
+	load --rate=15 --seconds=5 --tasks=4 --ms=150 --seed=26
+	served "steady load" 74 $zero_counts
+	within "a task" 200 $(($(link_bytes "$l" $decisions) - before)) \
+		$(($(metric "$l" starts_total) - starts))
+	within "a job" 400 $(($(link_bytes "$l" $answers) - before_answers)) \
+		$(($(metric "$l" jobs_total) - jobs_before))
+	vms="0 1 2"
+
 	load $jobs --seed=22
 	kill -STOP "$(pid_of "$a")"
 	sleep 1.5
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -96,7 +96,7 @@
 {
 	struct sched *s = t->s;
 
-	if (is_outdated(t, reply))
+	if (reply->status == SCHED_REPLY_NOT_SENT || is_outdated(t, reply))
 		return 0;
 	if (reply->incarnation && reply->incarnation != t->incarnation)
 		sched_target_new_incarnation(t, reply->incarnation);
@@ -160,7 +160,8 @@
 		sched_learn_call_delay(s, now - task->sent_at);
 		return;
 	}
-	if (reply->status == SCHED_REPLY_REFUSED) {
+	if (reply->status == SCHED_REPLY_REFUSED ||
+	    reply->status == SCHED_REPLY_NOT_SENT) {
 		s->ops->log(s, "start_refused", t, task, reply->reason);
 		sched_run_ended(task, SCHED_END_STOPPED);
 		return;
--- a/sched-job.c
+++ b/sched-job.c
@@ -139,6 +139,27 @@
 	job->ntasks += msg->tasks;
 }
 
+void sched_task_name(char *name, const char *id, uint32_t step, uint32_t index)
+{
+	snprintf(name, SCHED_TASK_NAME_MAX, "%s.0.%u.%u", id, (unsigned)step,
+		 (unsigned)index);
+}
+
+int sched_task_position(const PoolSubmit *sub, uint32_t i, uint32_t *step,
+			uint32_t *index)
+{
+	for (*step = 0; *step < sub->n_steps; ++*step) {
+		uint32_t ntasks = sub->steps[*step]->tasks;
+
+		if (i < ntasks) {
+			*index = i;
+			return 1;
+		}
+		i -= ntasks;
+	}
+	return 0;
+}
+
 /* Sets the job, step and name of each task. */
 static void init_tasks(struct sched_job *job)
 {
@@ -151,8 +172,8 @@
 
 			task->job = job;
 			task->step = (uint32_t)i;
-			snprintf(task->name, sizeof(task->name), "%s.0.%u.%u",
-				 job->id, (unsigned)i, (unsigned)j);
+			sched_task_name(task->name, job->id, (uint32_t)i,
+					(uint32_t)j);
 		}
 }
 
@@ -204,9 +225,14 @@
 {
 	char *copy = malloc(sub->specification.len + 1);
 
-	memcpy(copy, sub->specification.data, sub->specification.len);
+	if (sub->specification.len)
+		memcpy(copy, sub->specification.data, sub->specification.len);
 	job->specification.ptr = copy;
 	job->specification.len = sub->specification.len;
+	job->owner_starts = sub->specification_hash != 0;
+	job->specification_hash = sub->specification_hash
+					  ? sub->specification_hash
+					  : str_hash(job->specification);
 }
 
 /* Counts the failures of tasks under an earlier scheduler. */
@@ -245,6 +271,24 @@
 	apr_hash_set(job->s->open_jobs, id.ptr, (apr_ssize_t)id.len, job);
 }
 
+int sched_submit_is_valid(const PoolSubmit *sub)
+{
+	uint64_t ntasks = 0;
+	size_t i;
+
+	if (!sub->id[0] || strlen(sub->id) >= SCHED_ID_MAX ||
+	    strlen(sub->queue) >= RP_NAME_MAX ||
+	    strlen(sub->service) >= RP_NAME_MAX || !isfinite(sub->stretch) ||
+	    sub->stretch < 0 || !sub->n_steps || sub->n_steps > SCHED_STEPS_MAX)
+		return 0;
+	for (i = 0; i < sub->n_steps; i++) {
+		if (!sub->steps[i]->tasks)
+			return 0;
+		ntasks += sub->steps[i]->tasks;
+	}
+	return ntasks <= SCHED_TASKS_MAX;
+}
+
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now)
 {
--- a/sched-past.c
+++ b/sched-past.c
@@ -28,7 +28,7 @@
 		return;
 	rec->closed_at = s->now;
 	memcpy(rec->id, job->id, sizeof(rec->id));
-	rec->digest = str_hash(job->specification);
+	rec->digest = job->specification_hash;
 	rec->next_run = job->next_run + 1;
 	rec->ntasks = job->ntasks;
 	for (i = 0; i < job->ntasks; i++)
@@ -52,7 +52,7 @@
 
 	job->next_run = job->min_run = rec ? rec->next_run : s->first_run;
 	if (!rec || rec->ntasks != job->ntasks ||
-	    rec->digest != str_hash(job->specification))
+	    rec->digest != job->specification_hash)
 		return;
 	for (i = 0; i < job->ntasks; i++)
 		if (rec->done[i])
--- a/scheduler.h
+++ b/scheduler.h
@@ -159,7 +159,9 @@
 	char id[SCHED_ID_MAX];
 	struct sched_queue *queue;
 	struct sched_service *service;
-	struct rp_str specification;
+	struct rp_str specification; /* empty if the owner keeps it */
+	uint64_t specification_hash;
+	int owner_starts; /* the owner keeps the specification */
 	uint32_t priority, max_attempts;
 	uint32_t next_run; /* run number of the next start of any task */
 	uint32_t min_run;  /* lower run numbers are of earlier submissions */
@@ -313,7 +315,8 @@
 	SCHED_REPLY_FENCED,  /* the target has seen a higher fencing token */
 	SCHED_REPLY_REFUSED, /* the call had no effect */
 	SCHED_REPLY_WRONG_INCARNATION, /* another incarnation replied */
-	SCHED_REPLY_UNKNOWN, /* no valid reply: the call may take effect */
+	SCHED_REPLY_UNKNOWN,  /* no valid reply: the call may take effect */
+	SCHED_REPLY_NOT_SENT, /* the target was not called */
 };
 
 /* Reply of a target to a call. */
@@ -489,6 +492,8 @@
  */
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now);
+/* Whether a submission of another VM is within the limits of a job. */
+int sched_submit_is_valid(const PoolSubmit *sub);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
 /* Cancels a stored job by its id. */
 void sched_cancel_stored(struct sched *s, const char *id, rp_ms now);
@@ -539,6 +544,14 @@
 /* --- inside sched-*.c ----------------------------------------------- */
 
 /* sched-job.c */
+/* name is a buffer of SCHED_TASK_NAME_MAX bytes; index is that in the step. */
+void sched_task_name(char *name, const char *id, uint32_t step, uint32_t index);
+/*
+ * Finds the step of task i, counted over all steps, and its index in the step.
+ * Returns 0 if there is no such task.
+ */
+int sched_task_position(const PoolSubmit *sub, uint32_t i, uint32_t *step,
+			uint32_t *index);
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now);
 void sched_job_free(struct sched_job *job);
