A paused leader asks the store before it gives up

Change: after a pause of up to a second a regular leader sends nothing to targets until a renewal sent since the pause has confirmed its row; if the store does not confirm it within 300 ms, or names another, it stops leading as before. Input that waited meanwhile does not count as a member's silence. Result: lead-election (short pause, no confirmation, replaced meanwhile) and sched-life (a suspended scheduler sends nothing).

--- a/lead-core.c
+++ b/lead-core.c
@@ -36,6 +36,7 @@
 
 	l->role = leads ? LEAD_LEADING : LEAD_FOLLOWING;
 	l->phase = LEAD_IDLE;
+	l->confirming_since = 0;
 	l->prev_renewal_age = now - l->renewed_at;
 	l->heartbeat_at = now;
 	l->renewed_at = now;
@@ -274,6 +275,18 @@
 	apply_row(l, now);
 }
 
+/* Stops leading. Probes only after a delay, so that a successor is heard. */
+static void step_down(struct lead *l, rp_ms now)
+{
+	l->role = LEAD_FOLLOWING;
+	l->phase = LEAD_IDLE;
+	l->confirming_since = 0;
+	l->heartbeat_at = now;
+	l->retry_at = now + LEAD_HEARTBEAT_TIMEOUT_MS;
+	l->resigning = 0;
+	l->ops->changed(l);
+}
+
 /* Silence of the leader after which this VM probes the others, ms. */
 static rp_ms probe_delay(const struct lead *l)
 {
@@ -285,6 +298,9 @@
 
 void lead_tick(struct lead *l, rp_ms now)
 {
+	if (l->confirming_since &&
+	    now - l->confirming_since >= LEAD_CONFIRM_TIMEOUT_MS)
+		step_down(l, now);
 	if (l->phase == LEAD_CLAIMING &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
@@ -321,26 +337,35 @@
 		start_probe(l, now);
 }
 
-/* Stops leading. Probes only after a delay, so that a successor is heard. */
-static void step_down(struct lead *l, rp_ms now)
-{
-	l->role = LEAD_FOLLOWING;
-	l->phase = LEAD_IDLE;
-	l->heartbeat_at = now;
-	l->retry_at = now + LEAD_HEARTBEAT_TIMEOUT_MS;
-	l->resigning = 0;
-	l->ops->changed(l);
-}
-
-void lead_paused(struct lead *l, rp_ms now)
+/*
+ * Others claim after LEAD_HEARTBEAT_TIMEOUT_MS of silence, which a leader does
+ * not see while it is paused. The store tells whether one of them has done so.
+ */
+void lead_paused(struct lead *l, rp_ms ms, rp_ms now)
 {
-	if (l->role == LEAD_LEADING)
+	if (l->role == LEAD_LEADING &&
+	    (lead_is_provisional(l) || l->store_lost ||
+	     ms > LEAD_PAUSE_MAX_MS)) {
 		step_down(l, now);
+	} else if (l->role == LEAD_LEADING) {
+		l->confirming_since = now;
+		l->ops->confirm(l);
+	}
 	l->heartbeat_at = now;
 	if (l->phase == LEAD_PROBING)
 		l->phase = LEAD_IDLE;
 }
 
+void lead_confirmed(struct lead *l)
+{
+	l->confirming_since = 0;
+}
+
+int lead_may_act(const struct lead *l)
+{
+	return l->role == LEAD_LEADING && !l->confirming_since;
+}
+
 void lead_resign(struct lead *l)
 {
 	if (l->role == LEAD_LEADING)
--- a/lead.h
+++ b/lead.h
@@ -55,6 +55,11 @@
 /* Delay of a first claim while larger VMs exist, which are preferred. */
 #define LEAD_LARGER_DELAY_MS 200
 
+/* Time for the store to confirm that a leader that was paused still leads. */
+#define LEAD_CONFIRM_TIMEOUT_MS 300
+/* Pause after which a leader gives up without asking: leases have ended. */
+#define LEAD_PAUSE_MAX_MS 1000
+
 #define LEAD_TOKEN(term) ((uint64_t)(term) << 32)
 #define LEAD_TERM(token) ((token) >> 32)
 #define LEAD_IS_PROVISIONAL(token) ((uint32_t)(token) != 0)
@@ -100,6 +105,8 @@
 	 * reports it through lead_reachability_result().
 	 */
 	void (*check_reachability)(struct lead *l);
+	/* Has the store confirm this VM's row, for lead_confirmed(). */
+	void (*confirm)(struct lead *l);
 	/* The role or the known leader has changed. */
 	void (*changed)(struct lead *l);
 };
@@ -137,7 +144,9 @@
 	/* VMs that answered the probe, by whether they hear the leader. */
 	unsigned nhearing;
 	unsigned nnot_hearing;
-	int resigning;		/* leads until a successor takes over */
+	int resigning; /* leads until a successor takes over */
+	/* A leader was paused then, and does nothing until confirmed. */
+	rp_ms confirming_since; /* 0: it may act */
 	int connection_refused; /* nothing listens at the leader's address */
 	int claims_disabled;	/* the process is stopping: makes no claim */
 	/*
@@ -167,10 +176,14 @@
 /* Runs timeouts, probes and claims; to be called periodically. */
 void lead_tick(struct lead *l, rp_ms now);
 /*
- * The process was paused, so another leader may have been elected: stops
- * leading.
+ * The process was paused for ms, so another leader may have been elected. A
+ * leader does nothing until the store has confirmed it, or stops leading.
  */
-void lead_paused(struct lead *l, rp_ms now);
+void lead_paused(struct lead *l, rp_ms ms, rp_ms now);
+/* The store has confirmed the leader's row after the pause. */
+void lead_confirmed(struct lead *l);
+/* Whether this VM leads and may send orders. */
+int lead_may_act(const struct lead *l);
 /* Asks the first successor to take over. */
 void lead_resign(struct lead *l);
 /* A target rejected a call because it has seen a higher fencing token. */
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -90,6 +90,11 @@
 		pool_send_heartbeat(p, l);
 }
 
+static void on_confirm(struct lead *l)
+{
+	pool_store_confirm(l->user);
+}
+
 static void on_changed(struct lead *l)
 {
 	struct pool *p = l->user;
@@ -131,6 +136,7 @@
 	.claim = on_claim,
 	.probe = on_probe,
 	.check_reachability = on_check_reachability,
+	.confirm = on_confirm,
 	.changed = on_changed,
 };
 
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -121,7 +121,7 @@
 		return;
 	p->count.pauses++;
 	LOG_EVENT(LOG_LEVEL_WARN, "paused", LOG_NUMBER("late_ms", delay));
-	pool_handle_pause(p, p->now);
+	pool_handle_pause(p, delay);
 }
 
 /* Resigns after lasting overload, so that another VM leads. */
--- a/pool-member.c
+++ b/pool-member.c
@@ -384,11 +384,18 @@
 	pool_lead_tick(p, now);
 }
 
-void pool_handle_pause(struct pool *p, rp_ms now)
+void pool_handle_pause(struct pool *p, rp_ms ms)
 {
+	struct pool_link *l;
+
 	if (p->leader_link)
 		pool_link_close(p->leader_link, "paused");
-	lead_paused(&p->lead, now);
+	/* What came meanwhile has not been read yet. */
+	for (l = p->links; l; l = l->next)
+		l->received_at = p->now;
+	lead_paused(&p->lead, ms, p->now);
+	if (p->leading)
+		sched_suspend(&p->sched, !lead_may_act(&p->lead), p->now);
 }
 
 /* --- entry VMs registered in the store ------------------------------- */
--- a/pool-store.c
+++ b/pool-store.c
@@ -229,6 +229,20 @@
 			on_register_reply);
 }
 
+/* The renewal must have been sent after the pause. */
+static void confirm_after_pause(struct pool *p, rp_ms sent_at)
+{
+	rp_ms since = p->lead.confirming_since;
+
+	if (!since || sent_at < since || !p->leading)
+		return;
+	lead_confirmed(&p->lead);
+	sched_suspend(&p->sched, 0, p->now);
+	LOG_EVENT(LOG_LEVEL_INFO, "leadership_confirmed",
+		  LOG_NUMBER("after_ms", p->now - since),
+		  LOG_NUMBER("jobs", (long long)p->sched.njobs));
+}
+
 /* A successful renewal confirms that this VM led when it sent it. */
 static void on_renew_reply(struct pool_call *c, long status, const char *body,
 			   size_t len)
@@ -239,8 +253,10 @@
 	size_t i;
 
 	store_of(p)->renewing = 0;
-	if (status == 200 && c->fence == p->lead.row.fence)
+	if (status == 200 && c->fence == p->lead.row.fence) {
 		p->leadership_confirmed_at = c->sent_at;
+		confirm_after_pause(p, c->sent_at);
+	}
 	if (status != 200) {
 		p->count.store_failed++;
 		log_warn("renew", "store", "status %ld", status);
@@ -254,7 +270,7 @@
 }
 
 /* Writes the leader's token, so that VMs without a link see it is alive. */
-static void renew_leadership(struct pool *p)
+static void send_renewal(struct pool *p)
 {
 	struct store *s = store_of(p);
 	struct platform_write writes[2] = {
@@ -264,8 +280,6 @@
 	};
 	char fence[24];
 
-	if (!p->leading || s->renewing || p->now < s->renew_due)
-		return;
 	s->renewing = 1;
 	s->renew_due = p->now + LEAD_RENEW_INTERVAL_MS;
 	snprintf(fence, sizeof(fence), "%llu",
@@ -281,6 +295,19 @@
 		->fence = p->lead.row.fence;
 }
 
+static void renew_leadership(struct pool *p)
+{
+	struct store *s = store_of(p);
+
+	if (p->leading && !s->renewing && p->now >= s->renew_due)
+		send_renewal(p);
+}
+
+void pool_store_confirm(struct pool *p)
+{
+	send_renewal(p);
+}
+
 void pool_store_unregister(struct pool *p)
 {
 	char key[RP_NAME_MAX + 8];
--- a/pool.h
+++ b/pool.h
@@ -264,8 +264,8 @@
 			  const char *failure_domain, int64_t processor);
 int pool_members_init(struct pool *p);
 void pool_members_tick(struct pool *p, rp_ms now);
-/* Reconnects after this process was suspended. */
-void pool_handle_pause(struct pool *p, rp_ms now);
+/* This process was suspended for ms. */
+void pool_handle_pause(struct pool *p, rp_ms ms);
 /* Adds, changes or removes an entry VM, as its row in the store says. */
 void pool_vm_update(struct pool *p, const PoolHello *hello);
 void pool_vm_remove(struct pool *p, const char *vm);
@@ -327,6 +327,9 @@
 
 int pool_store_init(struct pool *p);
 void pool_store_tick(struct pool *p, rp_ms now);
+/* Has the store confirm that this VM leads, without waiting for the interval.
+ */
+void pool_store_confirm(struct pool *p);
 /* Claims the leadership by a compare-and-set of the leader's row. */
 void pool_store_claim(struct pool *p, const struct lead_row *row,
 		      int64_t expected);
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -80,7 +80,19 @@
 	lead_reachability_result(l, outside_answers, now);
 }
 
+/* The store tells whether the row still names the VM. */
+static void on_confirm(struct lead *l)
+{
+	if (cut[index_of(l)][STORE])
+		return;
+	if (row.fence == l->row.fence)
+		lead_confirmed(l);
+	else
+		lead_row_read(l, &row, now);
+}
+
 static const struct lead_ops ops = {
+	.confirm = on_confirm,
 	.claim = on_claim,
 	.probe = on_probe,
 	.check_reachability = on_check_reachability,
@@ -390,12 +402,56 @@
 	vms[old].up = 0;
 	run_for(2000);
 	vms[old].up = 1;
-	lead_paused(&vms[old].lead, now);
+	lead_paused(&vms[old].lead, 2000, now);
 	cr_assert_neq(vms[old].lead.role, LEAD_LEADING);
 	run_for(1000);
 	cr_assert_eq(count_leaders(), 1);
 }
 
+/* A leader whose own work took 316 ms dropped the schedule of 300 jobs. */
+Test(lead, a_short_pause_does_not_end_leadership)
+{
+	int old = find_leader();
+
+	vms[old].up = 0;
+	run_for(320);
+	vms[old].up = 1;
+	lead_paused(&vms[old].lead, 320, now);
+	cr_assert(lead_may_act(&vms[old].lead));
+	run_for(1000);
+	cr_assert_eq(takeovers, 0);
+	cr_assert_eq(find_leader(), old);
+}
+
+Test(lead, a_paused_leader_does_not_act_before_it_is_confirmed)
+{
+	int old = find_leader();
+
+	vms[old].up = 0;
+	run_for(320);
+	vms[old].up = 1;
+	cut[old][STORE] = 1;
+	lead_paused(&vms[old].lead, 320, now);
+	cr_assert(!lead_may_act(&vms[old].lead));
+	run_for(LEAD_CONFIRM_TIMEOUT_MS + 20);
+	cr_assert_neq(vms[old].lead.role, LEAD_LEADING);
+}
+
+Test(lead, a_leader_that_was_replaced_in_a_pause_follows)
+{
+	int old = find_leader();
+
+	vms[old].up = 0;
+	run_for(900);
+	cr_assert_eq(takeovers, 1);
+	vms[old].up = 1;
+	lead_paused(&vms[old].lead, 900, now);
+	cr_assert_neq(vms[old].lead.role, LEAD_LEADING);
+	run_for(1000);
+	cr_assert_eq(count_leaders(), 1);
+	cr_assert_eq(takeovers, 1);
+}
+
 Test(lead, a_resigning_leader_is_followed_by_its_successor)
 {
 	int old = find_leader();
@@ -529,16 +585,16 @@
 {
 	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
 	rp_ms probes[2] = { 0, 0 };
-	struct lead leads[2];
+	static struct vm pair[2];
 	int i;
 
 	snprintf(leader.vm, sizeof(leader.vm), "leader");
 	for (i = 0; i < 2; i++) {
-		lead_init(&leads[i], &ops, NULL, "vm", "10.0.0.1:1",
+		lead_init(&pair[i].lead, &ops, NULL, "vm", "10.0.0.1:1",
 			  (uint64_t)(7 + i * LEAD_SUCCESSORS));
-		leads[i].domain_rank = (unsigned)i;
-		lead_row_read(&leads[i], &leader, 1000);
-		lead_heartbeat(&leads[i],
+		pair[i].lead.domain_rank = (unsigned)i;
+		lead_row_read(&pair[i].lead, &leader, 1000);
+		lead_heartbeat(&pair[i].lead,
 			       &(struct lead_heartbeat){ .fence = LEAD_TOKEN(1),
 							 .vm = "leader",
 							 .leader = "leader",
@@ -551,8 +607,8 @@
 		for (i = 0; i < 2; i++) {
 			if (probes[i])
 				continue;
-			lead_tick(&leads[i], now);
-			if (leads[i].phase == LEAD_PROBING)
+			lead_tick(&pair[i].lead, now);
+			if (pair[i].lead.phase == LEAD_PROBING)
 				probes[i] = now;
 		}
 	cr_assert_geq(probes[1] - probes[0], LEAD_RANK_DELAY_MS);
--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -576,3 +576,29 @@
 	for (seed = 1; seed <= 30; seed++)
 		run_faults(seed, random_restart);
 }
+
+/* A leader that was paused sends nothing until it is confirmed. */
+Test(sched_life, a_suspended_scheduler_sends_nothing)
+{
+	struct world_job *running, *waiting;
+	uint64_t starts, holds;
+
+	world_begin(&w, &first, 9);
+	running = world_submit(&w, "q", 3, 400, 1, 3000);
+	world_run_until(&w, w.now + 100);
+	sched_suspend(&first, 1, w.now);
+	waiting = world_submit(&w, "q", 3, 100, 1, 3000);
+	sched_cancel(&first, running, running->seq, w.now);
+	world_run_until(&w, w.now + 200); /* a hold was in flight */
+	starts = w.starts;
+	holds = first.count.holds;
+	world_run_until(&w, w.now + 100);
+	cr_assert_eq(w.starts, starts);
+	cr_assert_eq(first.count.holds, holds);
+	sched_suspend(&first, 0, w.now);
+	world_run_until(&w, w.now + 1500);
+	cr_assert_eq(waiting->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&first);
+	world_finish(&w);
+}
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -293,6 +293,6 @@
 
 void sched_adopt_tick(struct sched_target *t)
 {
-	if (t->norphans && !sched_adopt_pending(t))
+	if (t->norphans && !sched_adopt_pending(t) && !t->s->suspended)
 		stop_orphans(t);
 }
--- a/sched-core.c
+++ b/sched-core.c
@@ -301,7 +301,8 @@
 	}
 	expire_jobs(s);
 	check_targets(s);
-	s->move->move_runs(s);
+	if (!s->suspended)
+		s->move->move_runs(s);
 	sched_dispatch(s, now);
 }
 
@@ -370,6 +371,12 @@
 				sched_run_stop(&job->tasks[i]);
 }
 
+void sched_suspend(struct sched *s, int suspend, rp_ms now)
+{
+	s->now = now;
+	s->suspended = suspend;
+}
+
 void sched_stored_jobs_loaded(struct sched *s)
 {
 	s->stored_jobs_loaded = 1;
@@ -420,7 +427,7 @@
 	int deferred;
 
 	s->now = now;
-	if (s->dispatching)
+	if (s->dispatching || s->suspended)
 		return;
 	s->dispatching = 1;
 	s->dispatch_pass++;
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -253,7 +253,7 @@
 		if (sched_run_find(t, r->task, r->run))
 			continue;
 		t->nforeign++;
-		if (sched_adopt_pending(t))
+		if (sched_adopt_pending(t) || t->s->suspended)
 			continue;
 		t->s->count.orphans++;
 		t->s->ops->log(t->s, "stop_orphan", t, NULL, "");
@@ -352,7 +352,7 @@
 	uint64_t acked_end;
 	rp_ms wait = 0;
 
-	if (t->hold_in_flight || t->state == SCHED_FENCED ||
+	if (t->hold_in_flight || t->state == SCHED_FENCED || s->suspended ||
 	    s->now < t->hold_retry_at)
 		return;
 	/* The reply would come at once, with the ends not acknowledged yet. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -117,6 +117,8 @@
 {
 	struct sched_target *t = task->target;
 
+	if (t->s->suspended)
+		return; /* sent after the next list */
 	task->stop_sent = 1;
 	task->replied_at = 0;
 	t->s->ops->stop(t->s, t, str_of(task->name), task->run);
--- a/scheduler.h
+++ b/scheduler.h
@@ -436,6 +436,7 @@
 	int targets_loaded;	/* the platform's whole list was passed in */
 	int stored_jobs_loaded; /* all stored jobs were passed in */
 	int stored_suspended;	/* tasks of stored jobs neither run nor start */
+	int suspended;		/* nothing is sent to targets */
 	/* The previous scheduler may hold targets that are not listed. */
 	int prev_may_hold_unlisted;
 	apr_pool_t *pool;
@@ -520,6 +521,11 @@
  * are stopped and none starts until a call with suspend 0.
  */
 void sched_suspend_stored(struct sched *s, int suspend, rp_ms now);
+/*
+ * suspend: another scheduler may have taken over all targets, so that nothing
+ * is sent to them until a call with suspend 0.
+ */
+void sched_suspend(struct sched *s, int suspend, rp_ms now);
 /* All stored jobs have been passed in. */
 void sched_stored_jobs_loaded(struct sched *s);
 /* The platform's list has lost an entry. */
