Calls that targets leave unanswered are sent again before they time out

Load pattern: targets that leave a share of the calls unanswered and carry them out late. (The counts by log lines, a tenth of the targets, were wrong: the log leaves lines out.) A start without an answer keeps its room until a stop and a list have come through, which are lost as often; a lost hold shows only after its wait. Change: a call without a reply after the usual time (mean and four deviations, 20 ms at least) is sent again on another connection, twice at most, within a budget of half a call for each reply; the first reply counts. Runs are named by number, so a copy starts nothing twice. Under loss holds wait for 40 ms. Also: the loop's time by activity, as metrics and a log line for long turns. Ruled out: shorter timeouts, which take slow replies for losses.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -155,6 +155,7 @@
 	p->count.target_calls++;
 	c = pool_call_begin(p, &spec);
 	c->link_number = p->leader_link->number;
+	pool_resend_enable(c, &spec, wait);
 	return c;
 }
 
@@ -181,12 +182,13 @@
 		return;
 	}
 	if (order->kind == POOL_ORDER__KIND__HOLD) {
+		rp_ms wait = pool_hold_wait(p, (rp_ms)order->wait_ms);
+
 		c = call_target(p, t->id, t->address, PLATFORM_HOLD_PATH,
 				platform_hold_body((int64_t)order->lease_until,
 						   p->order_fence,
-						   order->acked_end,
-						   (rp_ms)order->wait_ms),
-				(rp_ms)order->wait_ms);
+						   order->acked_end, wait),
+				wait);
 		c->tag = t->number;
 	} else if (order->kind == POOL_ORDER__KIND__STOP) {
 		c = call_target(p, t->id, t->address, PLATFORM_STOP_PATH,
--- a/pool-call.c
+++ b/pool-call.c
@@ -104,6 +104,7 @@
 		return -1;
 	p->curl_timer_due = -1;
 	p->call_group = 1;
+	pool_resend_init(p);
 	p->agent_calls = hash_new(p->pool);
 	p->targets_by_number = hash_new(p->pool);
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -210,6 +211,7 @@
 {
 	if (c->on_done)
 		c->on_done(c, status, body, len);
+	pool_resend_ended(c, status);
 	*c->prev = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
--- a/pool-count.c
+++ b/pool-count.c
@@ -83,6 +83,7 @@
 	put_count(t, "target_calls_unanswered_total", c->target_unanswered);
 	put_count(t, "agent_calls_total", c->agent_calls);
 	put_count(t, "agent_calls_unanswered_total", c->agent_unanswered);
+	put_count(t, "target_calls_resent_total", c->calls_resent);
 	put_count(t, "links_total", c->links);
 	put_count(t, "pauses_total", c->pauses);
 	put_count(t, "takeovers_total", c->takeovers);
@@ -111,6 +112,18 @@
 	}
 }
 
+static void put_turns(struct text *t, const struct pool_turn *turn)
+{
+	enum pool_activity a;
+
+	for (a = 0; a < POOL_ACTIVITIES; a++) {
+		put(t, "rosemary_pool_turn_max_us{activity=\"%s\"} %lld\n",
+		    pool_activity_name(a), (long long)turn->max_us[a]);
+		put(t, "rosemary_pool_turn_us_total{activity=\"%s\"} %lld\n",
+		    pool_activity_name(a), (long long)turn->sum_us[a]);
+	}
+}
+
 static long long sum(const uint64_t *values)
 {
 	long long total = 0;
@@ -211,6 +224,7 @@
 	t.s[0] = '\0';
 	put_daemon(&t, p);
 	put_links(&t, &p->count);
+	put_turns(&t, &p->turn);
 	if (p->leading)
 		put_scheduler(&t, &p->sched);
 	put_histogram(&t, "rosemary_pool_answer_ms", &p->count.latency);
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -145,13 +145,17 @@
 static void tick(struct pool *p)
 {
 	pool_store_tick(p, p->now);
+	pool_turn_mark(p, POOL_ON_STORE);
 	pool_members_tick(p, p->now);
+	pool_turn_mark(p, POOL_ON_MEMBERS);
 	if (p->leading) {
 		pool_stored_tick(p, p->now);
 		sched_tick(&p->sched, p->now);
+		pool_turn_mark(p, POOL_ON_SCHEDULER);
 	}
 	pool_requests_tick(p, p->now);
 	pool_log_traffic(p);
+	pool_turn_mark(p, POOL_ON_REQUESTS);
 }
 
 /* Does once per iteration what its events made necessary. */
@@ -164,12 +168,14 @@
 	if (p->leading && p->dispatch_due)
 		sched_dispatch(&p->sched, p->now);
 	p->dispatch_due = 0;
+	pool_turn_mark(p, POOL_ON_DISPATCH);
 	pool_starts_flush(p);
 	pool_send_ack(p);
 	pool_send_run_acks(p);
 	pool_share_flush(p);
 	pool_jobs_flush(p);
 	pool_links_flush(p);
+	pool_turn_mark(p, POOL_ON_LINKS);
 }
 
 /*
@@ -206,9 +212,11 @@
 		wait = min_timeout(wait < 0 ? 0 : wait, pool_calls_timeout(p));
 		wait = min_timeout(wait, http_wait);
 		wait = min_timeout(wait, pool_links_timeout(p));
+		wait = min_timeout(wait, pool_resend_timeout(p));
 		p->wake_at = p->now + wait;
 		n = epoll_wait(p->epoll, events, MAX_EVENTS, (int)wait);
 		p->now = pool_clock();
+		pool_turn_begin(p);
 		delay = p->now - p->wake_at;
 		check_pause(p, delay);
 		for (i = 0; i < n; i++) {
@@ -221,7 +229,10 @@
 		 * After the sockets: a reply that has arrived must not count as
 		 * timed out.
 		 */
+		pool_turn_mark(p, POOL_ON_EVENTS);
 		pool_calls_tick(p);
+		pool_resend_tick(p);
+		pool_turn_mark(p, POOL_ON_CALLS);
 		if (p->now >= tick_due) {
 			pool_histogram_add(&p->count.lag, p->now - tick_due);
 			check_lag(p, p->now - tick_due);
@@ -232,11 +243,14 @@
 		}
 		finish_events(p);
 		http_wait = pool_serve_run(p);
+		pool_turn_mark(p, POOL_ON_HTTP);
 		if (p->now >= flush_due) {
 			log_flush();
 			flush_due = p->now + LOG_FLUSH_MS;
 		}
 		free_deferred(p);
+		pool_turn_mark(p, POOL_ON_LOGS);
+		pool_turn_end(p);
 		check_stop(p);
 	}
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -66,6 +66,7 @@
 	p->count.target_calls++;
 	c = pool_call_begin(p, &spec);
 	c->on_reply = on_reply;
+	pool_resend_enable(c, &spec, wait);
 	return c;
 }
 
@@ -194,6 +195,7 @@
 		order.wait_ms = (uint32_t)wait;
 		c = pool_order_send(p, agent, t, &order, on_hold_reply);
 	} else {
+		wait = pool_hold_wait(p, wait);
 		c = call_directly(p, t, PLATFORM_HOLD_PATH,
 				  platform_hold_body(until, s->fence, acked_end,
 						     wait),
--- a/pool.h
+++ b/pool.h
@@ -100,7 +100,9 @@
 	char *request; /* body, owned; NULL: a GET */
 	char *body;    /* of the reply */
 	size_t len, cap;
-	pool_call_cb *on_done; /* NULL: the reply is ignored */
+	pool_call_cb *on_done;		 /* NULL: the reply is ignored */
+	struct pool_resend_spec *resend; /* NULL: it is sent once */
+	struct pool_call *original;	 /* of which this is a copy, or NULL */
 	pool_reply_cb *on_reply;
 	/* A call that the leader has ordered from others. */
 	struct pool_member *agent; /* that makes the call; NULL: none */
@@ -147,6 +149,41 @@
 /* Lets the calls of a group finish without their callbacks. */
 void pool_calls_cancel(struct pool *p, uint64_t group);
 
+/* --- pool-resend.c: calls to targets that are sent again ---------------- */
+
+#define POOL_COPIES_MAX 2
+
+/* What a call that may be sent again needs for it. */
+struct pool_resend_spec {
+	char address[RP_ADDRESS_MAX];
+	char header[RP_NAME_MAX + 64];
+	const char *path;
+	rp_ms wait; /* for which the target may hold the call open */
+	rp_ms due_at, expires_at;
+	struct pool_call *copies[POOL_COPIES_MAX]; /* in flight */
+	unsigned ncopies;			   /* that were sent */
+};
+
+struct pool_resend {
+	double mean, deviation; /* of the time until a reply, ms */
+	double loss;		/* mean share of calls that were lost */
+	double tokens;		/* calls that may be sent again now */
+	rp_ms due;		/* -1: no call is due */
+};
+
+void pool_resend_init(struct pool *p);
+/* The time for which a hold is to wait at its target, at most wait. */
+rp_ms pool_hold_wait(const struct pool *p, rp_ms wait);
+/* Has the call sent again if there is no reply. wait is that of its target. */
+void pool_resend_enable(struct pool_call *c, const struct pool_call_spec *spec,
+			rp_ms wait);
+/* Sends the calls that are due; once per loop iteration. */
+void pool_resend_tick(struct pool *p);
+/* Time until a call is due, ms; -1: none is. */
+rp_ms pool_resend_timeout(const struct pool *p);
+/* The call is about to be freed. */
+void pool_resend_ended(struct pool_call *c, long status);
+
 /* --- pool-link.c: connections between entry VMs ---------------------- */
 
 enum pool_link_purpose {
@@ -586,7 +623,7 @@
 struct pool_counters {
 	uint64_t requests, bad, not_found, rejected, answered, callers_gone;
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
-	uint64_t agent_calls, agent_unanswered;
+	uint64_t agent_calls, agent_unanswered, calls_resent;
 	uint64_t links, pauses, takeovers, watch_restarts;
 	/* Bytes over links by kind of frame, POOL_FRAME__BODY_*. */
 	uint64_t sent_bytes[POOL_FRAME_KINDS];
@@ -618,6 +655,35 @@
 
 struct pool_watch;
 
+/* --- pool-turn.c: time that the turns of the event loop take ----------- */
+
+enum pool_activity {
+	POOL_ON_EVENTS,
+	POOL_ON_CALLS,
+	POOL_ON_STORE,
+	POOL_ON_MEMBERS,
+	POOL_ON_SCHEDULER,
+	POOL_ON_REQUESTS,
+	POOL_ON_DISPATCH,
+	POOL_ON_LINKS,
+	POOL_ON_HTTP,
+	POOL_ON_LOGS,
+	POOL_ACTIVITIES,
+};
+
+struct pool_turn {
+	int64_t begun_us, marked_us;
+	int64_t us[POOL_ACTIVITIES]; /* of the present turn */
+	int64_t max_us[POOL_ACTIVITIES], sum_us[POOL_ACTIVITIES];
+	rp_ms logged_at;
+};
+
+void pool_turn_begin(struct pool *p);
+/* Charges the time since the last mark to the activity. */
+void pool_turn_mark(struct pool *p, enum pool_activity a);
+void pool_turn_end(struct pool *p);
+const char *pool_activity_name(enum pool_activity a);
+
 /* State of the daemon. Times are those of pool_clock(). */
 struct pool {
 	struct pool_settings set;
@@ -637,6 +703,7 @@
 	struct pool_call *calls;
 	CURL *idle_handles[POOL_IDLE_HANDLES];
 	size_t nidle_handles;
+	struct pool_resend resend;
 	apr_hash_t *agent_calls; /* seq -> struct pool_call, ordered */
 	uint32_t agent_call_seq;
 	apr_hash_t *targets_by_number; /* struct sched_target, introduced */
@@ -690,6 +757,7 @@
 	apr_hash_t *requests;		  /* seq -> struct pool_request */
 	uint64_t next_seq;
 	unsigned nopen; /* requests not yet answered */
+	struct pool_turn turn;
 	struct pool_counters count;
 };
 
--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -13,6 +13,7 @@
 /* Data of a request that was suspended. */
 struct suspension {
 	int64_t since;
+	int lost; /* carried out late, see standin_is_lost() */
 };
 
 void standin_violation(struct standin *st, const char *what,
@@ -44,7 +45,7 @@
 	struct suspension *susp = r->data;
 
 	if (!susp) {
-		susp = malloc(sizeof(*susp));
+		susp = calloc(1, sizeof(*susp));
 		susp->since = fake_now_ms();
 		r->data = susp;
 	}
@@ -54,6 +55,21 @@
 	return FAKE_SUSPENDED;
 }
 
+int standin_is_lost(struct standin *st, struct fake_request *r, int percent)
+{
+	struct suspension *susp = r->data;
+
+	if (susp)
+		return susp->lost && standin_wait_ms(r) < STANDIN_LATE_MS;
+	if (!percent || rand_r(&st->seed) % 100 >= percent)
+		return 0;
+	susp = calloc(1, sizeof(*susp));
+	susp->since = fake_now_ms();
+	susp->lost = 1;
+	r->data = susp;
+	return 1;
+}
+
 /* Sets *to if the object has the member. */
 static void set_int(json_t *o, const char *name, int *to)
 {
@@ -92,6 +108,7 @@
 	set_int(o, "silent", &t->silent);
 	set_int(o, "stuck", &t->stuck);
 	set_int(o, "failing", &t->failing);
+	set_int(o, "losing", &t->losing);
 	if (!t->draining)
 		t->draining_since = fake_now_ms();
 	set_int(o, "draining", &t->draining);
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -68,6 +68,7 @@
 	int silent;	       /* fault: does not answer */
 	int stuck;	       /* fault: runs make no progress */
 	int failing;	       /* fault: percent of runs that fail */
+	int losing;	       /* fault: percent of calls that are lost */
 	double clock_offset;   /* ms that its clock is ahead of the real time */
 	int clock_lag;	       /* fault: percent by which its clock runs slow */
 	double slowdown;       /* work takes this many times as long */
@@ -117,6 +118,9 @@
 void standin_violation(struct standin *st, const char *what,
 		       const char *subject);
 /* Suspends the request; its handler is called again after a few ms. */
+#define STANDIN_LATE_MS 2000 /* after which a lost call is carried out */
+/* Whether the request is one of the percent that get no answer in time. */
+int standin_is_lost(struct standin *st, struct fake_request *r, int percent);
 enum fake_action standin_suspend(struct fake_request *r);
 /* Returns the ms since the request was first suspended, or 0. */
 int64_t standin_wait_ms(struct fake_request *r);
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -325,7 +325,7 @@
 	if (t->restarted_at &&
 	    fake_now_ms() - standin_wait_ms(r) - RESTART_MS < t->restarted_at)
 		return FAKE_DROP;
-	if (t->silent)
+	if (t->silent || standin_is_lost(t->st, r, t->losing))
 		return standin_suspend(r);
 	target_advance(t);
 	if (expected && strcmp(expected, t->id) != 0)
