--- a/regress/t-capacity.sh
+++ b/regress/t-capacity.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Checks that the tables of docs/CAPACITY.md agree with the measured figures.
+# Checks that the tables of docs/MEASUREMENTS-cluster.md agree with the measured figures.
 set -eu
 awk -f docs/capacity.awk docs/capacity-figures.txt >build/out/capacity.expected
 sed -n '/capacity.awk: begin/,/capacity.awk: end/{/capacity.awk:/!p}' \
-	docs/CAPACITY.md >build/out/capacity.actual
+	docs/MEASUREMENTS-cluster.md >build/out/capacity.actual
 diff build/out/capacity.expected build/out/capacity.actual
