Scheduler: a raised token ends a suspension

Cause: found on reading: a leader that is paused and then fenced claims the next term; the claim resets the wait for a confirmation, and no renewal would have ended the scheduler's suspension: nothing would have been sent to targets again. Change: raising the token ends the suspension. Result: sched-life, one test, which fails without the change.

--- a/regress/sched-life.c
+++ b/regress/sched-life.c
@@ -602,3 +602,21 @@
 	sched_finish(&first);
 	world_finish(&w);
 }
+
+/*
+ * A paused leader that claims a higher token is confirmed by that. It remained
+ * suspended, with no renewal left to end it.
+ */
+Test(sched_life, a_raised_token_ends_a_suspension)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 9);
+	sched_suspend(&first, 1, w.now);
+	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
+	job = world_submit(&w, "q", 3, 100, 1, 3000);
+	world_run_until(&w, w.now + 1500);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	sched_finish(&first);
+	world_finish(&w);
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -76,6 +76,7 @@
 
 	s->now = s->fence_raised_at = now;
 	s->fence = fence;
+	s->suspended = 0; /* the store has named this leader again */
 	for (i = 0; i < s->ntargets; i++) {
 		struct sched_target *t = s->targets[i];
 
