--- a/pool-share.c
+++ b/pool-share.c
@@ -37,12 +37,31 @@
 	e->to_send = p->listings_changed = 1;
 }
 
+static int listings_equal(const struct sched_listing *a,
+			  const struct sched_listing *b)
+{
+	size_t i;
+
+	if (a->nlabels != b->nlabels || a->ready != b->ready ||
+	    a->incarnation != b->incarnation ||
+	    a->capacity.cpu != b->capacity.cpu ||
+	    a->capacity.memory != b->capacity.memory ||
+	    a->capacity.accelerators != b->capacity.accelerators)
+		return 0;
+	for (i = 0; i < a->nlabels; i++)
+		if (strcmp(a->labels[i], b->labels[i]) != 0)
+			return 0;
+	return !strcmp(a->address, b->address) &&
+	       !strcmp(a->service, b->service) &&
+	       !strcmp(a->failure_domain, b->failure_domain);
+}
+
 void pool_share_listed(struct pool *p, const struct sched_listing *l,
 		       int64_t version)
 {
 	struct pool_listing *e = get_entry(p, l->id);
 
-	if (!e->removed && !memcmp(&e->l, l, sizeof(*l)))
+	if (!e->removed && listings_equal(&e->l, l))
 		return;
 	e->l = *l;
 	e->removed = 0;
--- a/pool.h
+++ b/pool.h
@@ -704,10 +704,9 @@
 	CURL *idle_handles[POOL_IDLE_HANDLES];
 	size_t nidle_handles;
 	struct pool_resend resend;
-	apr_hash_t *agent_calls; /* seq -> struct pool_call, ordered */
-	uint32_t agent_call_seq;
+	apr_hash_t *agent_calls;       /* seq -> struct pool_call, ordered */
 	apr_hash_t *targets_by_number; /* struct sched_target, introduced */
-	uint32_t last_target_number;
+	uint32_t agent_call_seq, last_target_number;
 	struct pool_starts starts;
 	rp_ms balanced_at; /* when targets last moved between agents */
 	/* On an agent or owner: what the leader said over the present link. */
@@ -734,9 +733,9 @@
 	struct lead lead;
 	struct sched sched;
 	int leading;		 /* this VM leads, and sched is in use */
+	int listings_changed;	 /* some of listings are to be sent */
 	apr_hash_t *listings;	 /* target id -> struct pool_listing */
 	int64_t listing_version; /* all changes up to it are in listings */
-	int listings_changed;	 /* some are to be sent */
 	rp_ms listings_sent_at;
 	unsigned reachability_calls; /* in flight */
 	int outside_reachable;	     /* one of them got a reply */
