--- a/pool-owner.c
+++ b/pool-owner.c
@@ -14,6 +14,20 @@
 /* Time for an agent to acknowledge that it has received a start. */
 #define AGENT_ACK_TIMEOUT_MS 300
 
+void pool_owner_keep_specification(const struct pool *p, PoolSubmit *sub)
+{
+	struct rp_str s = { (char *)sub->specification.data,
+			    sub->specification.len };
+
+	sub->specification_hash = 0;
+	if (p->leading || !p->leader_heartbeat || !p->leader_heartbeat->agents)
+		return;
+	sub->specification_hash = str_hash(s);
+	if (!sub->specification_hash)
+		sub->specification_hash = 1; /* 0 stands for none */
+	sub->specification.len = 0;
+}
+
 static struct pool_link *find_link(struct pool *p, uint64_t agent)
 {
 	struct pool_link *l;
--- a/pool-request.c
+++ b/pool-request.c
@@ -99,21 +99,6 @@
 
 /* --- jobs ------------------------------------------------------------ */
 
-static uint64_t hash_of(const ProtobufCBinaryData *data)
-{
-	struct rp_str s = { (char *)data->data, data->len };
-	uint64_t hash = str_hash(s);
-
-	return hash ? hash : 1; /* 0 stands for none */
-}
-
-/* Whether the leader has the job's tasks started by this VM. */
-static int keeps_specification(const struct pool *p)
-{
-	return !p->leading && p->leader_heartbeat &&
-	       p->leader_heartbeat->agents;
-}
-
 static void submit_job(struct pool_request *r)
 {
 	struct pool *p = r->p;
@@ -130,11 +115,7 @@
 		r->deadline > p->now ? (uint32_t)(r->deadline - p->now) : 0;
 	r->submit->done = r->done_tasks;
 	r->submit->n_done = r->ndone_tasks;
-	r->submit->specification_hash = 0;
-	if (keeps_specification(p)) {
-		r->submit->specification_hash = hash_of(&specification);
-		r->submit->specification.len = 0;
-	}
+	pool_owner_keep_specification(p, r->submit);
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
 	r->submit->specification = specification;
