Faults of this change that a second reading found

Change: copies of holds acknowledge nothing; a job that does not fit a frame gets 413 at once, and no longer frame is sent; lists go in frames of 100 entries, the last of which has the version; names of queues have one limit; a heartbeat is complete when the number of queues with waiting jobs has changed.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -110,8 +110,7 @@
 	struct pool_list_message lists;
 	struct platform_reply r;
 
-	/* Its order came over another link: the leader has given the call up.
-	 */
+	/* The leader has given up calls of a link that was replaced. */
 	if (!p->leader_link || p->leader_link->number != c->link_number)
 		return;
 	platform_parse_reply(&r, status, body, len);
@@ -137,7 +136,8 @@
 
 static struct pool_call *call_target(struct pool *p, const char *id,
 				     const char *address, const char *path,
-				     char *request, rp_ms wait)
+				     char *request, char *copy_request,
+				     rp_ms wait)
 {
 	char header[RP_NAME_MAX + 64];
 	struct pool_call_spec spec = {
@@ -155,7 +155,7 @@
 	p->count.target_calls++;
 	c = pool_call_begin(p, &spec);
 	c->link_number = p->leader_link->number;
-	pool_resend_enable(c, &spec, wait);
+	pool_resend_enable(c, &spec, wait, copy_request);
 	return c;
 }
 
@@ -166,6 +166,13 @@
 	return s;
 }
 
+static char *hold_body(const struct pool *p, const PoolOrder *order,
+		       uint64_t acked_end, rp_ms wait)
+{
+	return platform_hold_body((int64_t)order->lease_until, p->order_fence,
+				  acked_end, wait);
+}
+
 void pool_order_received(struct pool *p, const PoolOrder *order)
 {
 	struct agent_target *t = order->id[0] ? add_target(p, order)
@@ -185,16 +192,14 @@
 		rp_ms wait = pool_hold_wait(p, (rp_ms)order->wait_ms);
 
 		c = call_target(p, t->id, t->address, PLATFORM_HOLD_PATH,
-				platform_hold_body((int64_t)order->lease_until,
-						   p->order_fence,
-						   order->acked_end, wait),
-				wait);
+				hold_body(p, order, order->acked_end, wait),
+				hold_body(p, order, 0, wait), wait);
 		c->tag = t->number;
 	} else if (order->kind == POOL_ORDER__KIND__STOP) {
 		c = call_target(p, t->id, t->address, PLATFORM_STOP_PATH,
 				platform_stop_body(str_of(order->task),
 						   order->run, p->order_fence),
-				0);
+				NULL, 0);
 	} else {
 		c = call_target(p, t->id, t->address, PLATFORM_START_PATH,
 				platform_start_body(
@@ -202,7 +207,7 @@
 					specification_of(order->specification),
 					(int64_t)order->lease_until,
 					p->order_fence),
-				0);
+				NULL, 0);
 	}
 	c->seq = order->seq;
 	str_copy(c->task, sizeof(c->task), str_of(order->task));
@@ -224,7 +229,7 @@
 				platform_start_body(
 					str_of(name), task->run, specification,
 					(int64_t)task->lease_until, run->fence),
-				0);
+				NULL, 0);
 		c->seq = task->seq;
 		str_copy(c->task, sizeof(c->task), str_of(name));
 	}
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -118,13 +118,18 @@
 		lists->waiting_ptrs[i] = &lists->waiting[i];
 }
 
-/* Of the fields that a brief heartbeat leaves out, but for the queues. */
+/*
+ * Of the fields that a brief heartbeat leaves out. Of the queues it has only
+ * how many have waiting jobs, as the numbers change all the time under load.
+ */
 static uint64_t heartbeat_hash(const PoolBeat *hb)
 {
 	uint64_t hash = hb->fence * 4 + (uint64_t)hb->leading * 2 +
 			(uint64_t)hb->resigns;
 	size_t i;
 
+	hash = hash * 31 + hb->n_waiting;
+
 	hash = hash * 31 + str_hash(str_of(hb->leader));
 	for (i = 0; i < hb->n_successors; i++)
 		hash = hash * 31 + str_hash(str_of(hb->successors[i]));
--- a/pool-count.c
+++ b/pool-count.c
@@ -201,7 +201,8 @@
 		apr_hash_this(h, NULL, NULL, &value);
 		q = value;
 		for (i = 0; i < SCHED_SIZE_BUCKETS; i++) {
-			char label[RP_NAME_MAX + 48], bound[16] = "+Inf";
+			char label[SCHED_QUEUE_NAME_MAX + 48], bound[16] = "+In"
+									   "f";
 
 			if (i < SCHED_SIZE_BUCKETS - 1)
 				snprintf(bound, sizeof(bound), "%.2f",
--- a/pool-io.h
+++ b/pool-io.h
@@ -118,7 +118,8 @@
 	char address[RP_ADDRESS_MAX];
 	char header[RP_NAME_MAX + 64];
 	const char *path;
-	rp_ms wait; /* for which the target may hold the call open */
+	char *request; /* body of copies; NULL: that of the call */
+	rp_ms wait;    /* for which the target may hold the call open */
 	rp_ms due_at, expires_at;
 	struct pool_call *copies[POOL_COPIES_MAX]; /* in flight */
 	unsigned ncopies;			   /* that were sent */
@@ -134,9 +135,12 @@
 void pool_resend_init(struct pool *p);
 /* The time for which a hold is to wait at its target, at most wait. */
 rp_ms pool_hold_wait(const struct pool *p, rp_ms wait);
-/* Has the call sent again if there is no reply. wait is that of its target. */
+/*
+ * Has the call sent again if there is no reply. wait is that of its target.
+ * copy_request, whose ownership passes, is the body of copies; NULL: the same.
+ */
 void pool_resend_enable(struct pool_call *c, const struct pool_call_spec *spec,
-			rp_ms wait);
+			rp_ms wait, char *copy_request);
 /* Sends the calls that are due; once per loop iteration. */
 void pool_resend_tick(struct pool *p);
 /* Time until a call is due, ms; -1: none is. */
@@ -189,6 +193,9 @@
 	rp_ms unacked_since; /* 0: all that were sent are acknowledged */
 };
 
+#define POOL_FRAME_MAX (1u << 20) /* bytes */
+/* Of a submission; leaves room for what an owner adds when it passes it on. */
+#define POOL_SUBMIT_MAX (POOL_FRAME_MAX - (1u << 16))
 /* Kinds of frames, for the counters. */
 #define POOL_FRAME_KINDS (POOL_FRAME__BODY_LISTINGS + 1)
 #define POOL_LINK_IDLE_MS                                                      \
--- a/pool-link.c
+++ b/pool-link.c
@@ -11,10 +11,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HEADER_MAX 3	     /* bytes of a frame's length, a varint */
-#define FRAME_MAX (1u << 20) /* bytes */
-#define READ_BYTES 16384     /* least space in the buffer for a recv() */
-#define OUT_MAX (8u << 20)   /* bytes; a link with more to write is closed */
+#define HEADER_MAX 3	   /* bytes of a frame's length, a varint */
+#define READ_BYTES 16384   /* least space in the buffer for a recv() */
+#define OUT_MAX (8u << 20) /* bytes; a link with more to write is closed */
 #define LISTEN_BACKLOG 256
 /*
  * Frames are written at most this often, but for WRITE_BYTES of them. Under
@@ -54,7 +53,7 @@
 			return 0;
 		*length |= (size_t)(u[i] & 127) << (7 * i);
 		if (!(u[i] & 128))
-			return *length > FRAME_MAX ? -1 : i + 1;
+			return *length > POOL_FRAME_MAX ? -1 : i + 1;
 	}
 	return -1;
 }
@@ -328,6 +327,10 @@
 
 	if (l->closed)
 		return;
+	if (n > POOL_FRAME_MAX) {
+		pool_link_close(l, "frame to send is too long");
+		return;
+	}
 	if (out->len + n > OUT_MAX) {
 		pool_link_close(l, "output buffer full");
 		return;
--- a/pool-request.c
+++ b/pool-request.c
@@ -205,6 +205,13 @@
 		pool_request_log_rejected(r, "kind of job not served");
 		return;
 	}
+	if (pool_submit__get_packed_size(r->submit) > POOL_SUBMIT_MAX) {
+		r->p->count.bad++;
+		pool_request_respond(r, 413, "{\"error\":\"job too large\"}",
+				     0);
+		pool_request_log_rejected(r, "job too large");
+		return;
+	}
 	if (r->submit->stored) {
 		pool_request_fill_submit(r, route, id);
 		pool_job_submit(r);
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -6,7 +6,8 @@
  * later list shows it. All calls to targets may arrive twice: a run that is
  * there already is not started again, and neither is one that was stopped or
  * has ended. So the same call is sent again on another connection, and the
- * first reply counts.
+ * first reply counts. A copy of a hold acknowledges no ends: it may reach
+ * another incarnation, which numbers them anew.
  */
 
 #include "pool.h"
@@ -58,12 +59,15 @@
 }
 
 void pool_resend_enable(struct pool_call *c, const struct pool_call_spec *spec,
-			rp_ms wait)
+			rp_ms wait, char *copy_request)
 {
 	struct pool_resend_spec *r = calloc(1, sizeof(*r));
 
-	if (!r)
+	if (!r) {
+		free(copy_request);
 		return;
+	}
+	r->request = copy_request;
 	str_copy(r->address, sizeof(r->address), str_of(spec->address));
 	str_copy(r->header, sizeof(r->header), str_of(spec->header));
 	r->path = spec->path;
@@ -108,7 +112,7 @@
 		.address = r->address,
 		.path = r->path,
 		.header = r->header,
-		.request = strdup(c->request),
+		.request = strdup(r->request ? r->request : c->request),
 		.timeout = r->expires_at - c->p->now,
 		.on_done = on_copy_done,
 	};
@@ -186,6 +190,7 @@
 		learn_reply_time(p, (double)(p->now - c->sent_at));
 	if (status && p->resend.tokens < TOKENS_MAX)
 		p->resend.tokens += TOKENS_PER_REPLY;
+	free(r->request);
 	free(r);
 	c->resend = NULL;
 }
--- a/pool-share.c
+++ b/pool-share.c
@@ -15,6 +15,8 @@
 #define VMS_PER_DOMAIN 3
 /* Interval at which the members that get the list are chosen again. */
 #define CHOOSE_INTERVAL_MS 300
+/* Entries of a frame, which heartbeats have to wait for. */
+#define ENTRIES_PER_FRAME 100
 
 static struct pool_listing *get_entry(struct pool *p, const char *id)
 {
@@ -151,13 +153,24 @@
 	free(m->labels);
 }
 
-static void send_message(struct pool_member *to, struct message *m)
+/* The last frame has the version up to which the list is complete then. */
+static void send_message(struct pool_member *to, const struct message *m)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
+	PoolListings part = POOL_LISTINGS__INIT;
+	size_t sent = 0;
 
 	frame.body_case = POOL_FRAME__BODY_LISTINGS;
-	frame.listings = &m->msg;
-	pool_link_send(to->link, &frame);
+	frame.listings = &part;
+	do {
+		part.listings = m->msg.listings + sent;
+		part.n_listings = m->msg.n_listings - sent;
+		if (part.n_listings > ENTRIES_PER_FRAME)
+			part.n_listings = ENTRIES_PER_FRAME;
+		sent += part.n_listings;
+		part.version = sent == m->msg.n_listings ? m->msg.version : 0;
+		pool_link_send(to->link, &frame);
+	} while (sent < m->msg.n_listings);
 	to->listing_version = m->msg.version;
 	to->gets_listings = 1;
 }
@@ -243,5 +256,6 @@
 
 	for (i = 0; i < msg->n_listings; i++)
 		decode(p, msg->listings[i]);
-	p->listing_version = msg->version;
+	if (msg->version)
+		p->listing_version = msg->version;
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -47,7 +47,8 @@
 
 static struct pool_call *call_directly(struct pool *p, struct sched_target *t,
 				       const char *path, char *request,
-				       rp_ms wait, pool_reply_cb *on_reply)
+				       char *copy_request, rp_ms wait,
+				       pool_reply_cb *on_reply)
 {
 	char header[RP_NAME_MAX + 64];
 	struct pool_call_spec spec = {
@@ -66,7 +67,7 @@
 	p->count.target_calls++;
 	c = pool_call_begin(p, &spec);
 	c->on_reply = on_reply;
-	pool_resend_enable(c, &spec, wait);
+	pool_resend_enable(c, &spec, wait, copy_request);
 	return c;
 }
 
@@ -152,7 +153,7 @@
 				  platform_start_body(name, task->run,
 						      job->specification, until,
 						      s->fence),
-				  0, on_start_reply);
+				  NULL, 0, on_start_reply);
 	}
 	set_call(c, t, name, task->run);
 }
@@ -174,8 +175,8 @@
 		c = pool_order_send(p, agent, t, &order, on_stop_reply);
 	} else {
 		c = call_directly(p, t, PLATFORM_STOP_PATH,
-				  platform_stop_body(task, run, s->fence), 0,
-				  on_stop_reply);
+				  platform_stop_body(task, run, s->fence), NULL,
+				  0, on_stop_reply);
 	}
 	set_call(c, t, task, run);
 }
@@ -199,6 +200,7 @@
 		c = call_directly(p, t, PLATFORM_HOLD_PATH,
 				  platform_hold_body(until, s->fence, acked_end,
 						     wait),
+				  platform_hold_body(until, s->fence, 0, wait),
 				  wait, on_hold_reply);
 	}
 	set_call(c, t, str_of(""), 0);
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -701,7 +701,7 @@
   size_t n_listings;
   PoolListing **listings;
   /*
-   * all changes up to it have been sent
+   * all changes up to it have been sent; 0: more follow
    */
   int64_t version;
 };
--- a/regress/pool-link.c
+++ b/regress/pool-link.c
@@ -201,6 +201,70 @@
 	cr_assert_eq(p.sched.njobs, 0);
 }
 
+/*
+ * The operator's table allows names of this length. Such a queue must not cost
+ * a VM its link.
+ */
+Test(pool_link, a_long_queue_name_is_valid)
+{
+	char name[RP_NAME_MAX * 2];
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps[] = { &step };
+
+	memset(name, 'q', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	sub.id = "0123456789abcdef";
+	sub.queue = name;
+	sub.service = "s";
+	sub.stretch = -1;
+	step.tasks = 1;
+	sub.steps = steps;
+	sub.n_steps = 1;
+	cr_assert(sched_submit_is_valid(&sub));
+	/* And it is one queue, not a new one for each job. */
+	cr_assert_eq(sched_get_queue(&p.sched, name, 1),
+		     sched_get_queue(&p.sched, name, 1));
+}
+
+/* A frame that the other side would not take wrote beyond the buffer. */
+Test(pool_link, a_frame_that_is_too_long_is_not_sent)
+{
+	size_t n = 3u << 20;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	sub.specification.data = calloc(1, n);
+	sub.specification.len = n;
+	frame.body_case = POOL_FRAME__BODY_SUBMIT;
+	frame.submit = &sub;
+	pool_link_send(p.links, &frame);
+	cr_assert_eq(p.links->bulk.len, 0);
+	cr_assert(p.links->closed);
+	free(sub.specification.data);
+}
+
+/* A follower answers callers' questions for the number of waiting jobs. */
+Test(pool_link, a_queue_that_is_empty_again_is_told_with_the_next_heartbeat)
+{
+	struct sched_queue *q = sched_get_queue(&p.sched, "q", 1);
+	struct pool_link *l = p.links;
+	size_t full;
+
+	join();
+	q->nwaiting = 1;
+	p.now += LEAD_HEARTBEAT_MS;
+	pool_send_heartbeats(&p);
+	l->urgent.len = 0;
+	q->nwaiting = 0;
+	p.now += LEAD_HEARTBEAT_MS;
+	pool_send_heartbeats(&p);
+	full = l->urgent.len;
+	l->urgent.len = 0;
+	p.now += LEAD_HEARTBEAT_MS;
+	pool_send_heartbeats(&p);
+	cr_assert_gt(full, l->urgent.len, "the second heartbeat was brief");
+}
+
 Test(pool_link, a_frame_that_is_too_long_closes_the_link)
 {
 	receive("\xff\xff\xff\xff\xff", 5);
--- /dev/null
+++ b/regress/pool-resend.c
@@ -0,0 +1,118 @@
+/* Calls that an agent sends again, to a target that is played by the test. */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "pool.h"
+
+static struct pool p;
+static struct pool_link leader_link;
+static int target = -1;
+
+static void init_agent(void)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&p.pool, NULL);
+	p.now = pool_clock();
+	pool_loop_init(&p);
+	pool_calls_init(&p);
+	pool_agent_init(&p);
+	leader_link.p = &p;
+	p.leader_link = &leader_link;
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	target = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(bind(target, (struct sockaddr *)&sa, len), 0);
+	cr_assert_eq(listen(target, 8), 0);
+}
+
+static void finish_agent(void)
+{
+	pool_agent_reset(&p);
+	free(leader_link.bulk.data);
+	close(target);
+	curl_multi_cleanup(p.curl);
+	apr_pool_destroy(p.pool);
+}
+
+TestSuite(pool_resend, .init = init_agent, .fini = finish_agent, .timeout = 20);
+
+/* Runs the agent's events for some ms. */
+static void run_for(rp_ms ms)
+{
+	rp_ms until = pool_clock() + ms;
+	struct epoll_event events[16];
+
+	while (pool_clock() < until) {
+		int i, n = epoll_wait(p.epoll, events, 16, 2);
+
+		p.now = pool_clock();
+		for (i = 0; i < n; i++) {
+			struct pool_fd *f = events[i].data.ptr;
+
+			if (f->events)
+				f->on_event(f, events[i].events);
+		}
+		pool_calls_tick(&p);
+		pool_resend_tick(&p);
+	}
+}
+
+/* Reads the request that comes over the next connection. */
+static void read_request(char *to, size_t size)
+{
+	int fd = accept(target, NULL, NULL);
+	ssize_t n;
+
+	cr_assert_geq(fd, 0);
+	n = read(fd, to, size - 1);
+	cr_assert_gt(n, 0);
+	to[n] = '\0';
+	/* The connection stays open without an answer. */
+}
+
+/*
+ * The copy of a hold may reach another incarnation of the target, which numbers
+ * its ends anew. An end that is acknowledged unseen is lost.
+ */
+Test(pool_resend, a_copy_of_a_hold_acknowledges_no_ends)
+{
+	char first[2048], copy[2048], address[32];
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+	PoolOrder order = POOL_ORDER__INIT;
+
+	getsockname(target, (struct sockaddr *)&sa, &len);
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+		 (unsigned)ntohs(sa.sin_port));
+	order.kind = POOL_ORDER__KIND__HOLD;
+	order.seq = 1;
+	order.target = 1;
+	order.id = "i-1";
+	order.address = pool_address_pack(address);
+	order.fence = LEAD_TOKEN(1);
+	order.lease_until = 5000;
+	order.acked_end = 57;
+	order.wait_ms = 10;
+	pool_order_received(&p, &order);
+	run_for(50);
+	cr_assert_geq(p.count.calls_resent, 1);
+	read_request(first, sizeof(first));
+	read_request(copy, sizeof(copy));
+	cr_assert_not_null(strstr(first, "\"lastSeen\":57"), "%s", first);
+	cr_assert_not_null(strstr(copy, "\"lastSeen\":0"), "%s", copy);
+	/* The reply of none of them: it is told once. */
+	run_for(100);
+	cr_assert_null(p.calls);
+	cr_assert_gt(leader_link.bulk.len, 0);
+}
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -156,6 +156,35 @@
 	cr_assert_eq(other.listing_version, 9);
 }
 
+/*
+ * One frame with the whole list delayed heartbeats on a slow link, and beyond
+ * some ten thousand targets no VM would have taken it.
+ */
+Test(pool_share, a_long_list_is_sent_in_small_frames)
+{
+	PoolFrame *frame;
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < 20000; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%d", i);
+		list_target(id, 1, 5);
+	}
+	pool_share_flush(&leader);
+	cr_assert_eq(to_other.closed, 0);
+	while ((frame = next_frame(&to_other))) {
+		cr_assert_leq(pool_frame__get_packed_size(frame), 32768);
+		n += frame->listings->n_listings;
+		/* Only the last frame says that the list is complete. */
+		pool_listings_received(&other, frame->listings);
+		cr_assert_eq(other.listing_version == 5, n == 20000);
+		pool_frame__free_unpacked(frame, NULL);
+	}
+	cr_assert_eq(n, 20000);
+}
+
 /* Asks the other VM, as the owner of job 4, to start two tasks. */
 static void receive_start(uint64_t fence)
 {
--- a/scheduler.h
+++ b/scheduler.h
@@ -17,6 +17,7 @@
 #include "rosemary-int.h"
 #include "pool.pb-c.h"
 
+#define SCHED_QUEUE_NAME_MAX (RP_NAME_MAX * 2)
 #define SCHED_ID_MAX 24	       /* bytes of a job's id, with the NUL */
 #define SCHED_TASK_NAME_MAX 56 /* bytes of "ID.0.STEP.INDEX", with the NUL */
 #define SCHED_STEPS_MAX 64     /* bits in PoolStep.after */
@@ -97,7 +98,7 @@
 
 /* Run times learned from the jobs of one queue. */
 struct sched_queue {
-	char name[RP_NAME_MAX];
+	char name[SCHED_QUEUE_NAME_MAX];
 	double log_estimate; /* mean log of the callers' estimates */
 	double log_bias;     /* mean log of run time over the estimate */
 	uint64_t njobs;	     /* jobs that log_estimate is the mean of */
