Limit of queue names: a size, for the linter

Cause: clang-tidy refuses a product of ints that is compared with a size. Change: the constant is a size_t.

--- a/scheduler.h
+++ b/scheduler.h
@@ -17,7 +17,7 @@
 #include "rosemary-int.h"
 #include "pool.pb-c.h"
 
-#define SCHED_QUEUE_NAME_MAX (RP_NAME_MAX * 2)
+#define SCHED_QUEUE_NAME_MAX ((size_t)RP_NAME_MAX * 2)
 #define SCHED_ID_MAX 24	       /* bytes of a job's id, with the NUL */
 #define SCHED_TASK_NAME_MAX 56 /* bytes of "ID.0.STEP.INDEX", with the NUL */
 #define SCHED_STEPS_MAX 64     /* bits in PoolStep.after */
