Scheduler: what became of targets that were lost with runs on them

Until now a run whose target crashed, was cut off or lost its calls left the same line, "the lease is over", and nothing connected the next process of a target, which has another id, with the one before. Each task now keeps the targets that it was lost with. target_lost, target_crashed and target_alive say what is known when, and whether other runs were beside; counters on the metrics address. No decision depends on it yet.

--- a/pool-listing.c
+++ b/pool-listing.c
@@ -72,6 +72,7 @@
 	    !strcmp(t->listing.address, l->address))
 		return;
 	LOG_EVENT(LOG_LEVEL_INFO, "target_listed", LOG_TEXT("target", l->id),
+		  LOG_TEXT("address", l->address),
 		  LOG_NUMBER("ready", l->ready),
 		  LOG_NUMBER("born", l->incarnation),
 		  LOG_NUMBER("cpu", l->capacity.cpu),
--- a/pool-target.c
+++ b/pool-target.c
@@ -304,7 +304,23 @@
 		  LOG_NUMBER("listed_born", t->listing.incarnation),
 		  LOG_NUMBER("cpu", t->listing.capacity.cpu),
 		  LOG_NUMBER("used_cpu", t->used.cpu),
-		  LOG_NUMBER("foreign", (long long)t->nforeign));
+		  LOG_NUMBER("foreign", (long long)t->nforeign),
+		  LOG_NUMBER("runs", (long long)t->nruns));
+}
+
+static void do_log_loss(struct sched *s, const char *event,
+			const struct sched_task *task,
+			const struct sched_loss *loss, const char *reason)
+{
+	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", loss->target),
+		  LOG_TEXT("task", task->name), LOG_NUMBER("run", task->run),
+		  LOG_TEXT("why", reason),
+		  LOG_NUMBER("born", loss->incarnation),
+		  LOG_NUMBER("lost_ms_ago", s->now - loss->at),
+		  LOG_NUMBER("alone", loss->alone),
+		  LOG_NUMBER("task_lost", (long long)task->losses->n),
+		  LOG_NUMBER("task_crashed",
+			     (long long)sched_losses_crashed(task->losses)));
 }
 
 static const struct sched_ops sched_ops = {
@@ -316,6 +332,7 @@
 	.target_removed = do_target_removed,
 	.progress = do_progress,
 	.log = do_log,
+	.log_loss = do_log_loss,
 };
 
 /* --- a partitioned failure domain ------------------------------------- */
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -347,6 +347,17 @@
 		w->moves++;
 }
 
+static void on_log_loss(struct sched *s, const char *event,
+			const struct sched_task *task,
+			const struct sched_loss *loss, const char *reason)
+{
+	(void)s;
+	(void)event;
+	(void)task;
+	(void)loss;
+	(void)reason;
+}
+
 static const struct sched_ops ops = {
 	.start = on_start,
 	.stop = on_stop,
@@ -356,6 +367,7 @@
 	.target_removed = on_target_removed,
 	.progress = on_progress,
 	.log = on_log,
+	.log_loss = on_log_loss,
 };
 
 /* --- control by the tests -------------------------------------------- */
--- a/sched-core.c
+++ b/sched-core.c
@@ -281,7 +281,7 @@
 		struct sched_target *t = s->targets[i];
 
 		if (t->nruns && s->now >= t->lease_until)
-			sched_target_drop_runs(t, "the lease is over");
+			sched_target_drop_runs(t, 0, "the lease is over");
 		if (!t->listed && !t->nruns && !t->hold_in_flight) {
 			remove_target(t);
 			continue;
@@ -302,6 +302,7 @@
 	}
 	expire_jobs(s);
 	check_targets(s);
+	sched_loss_tick(s);
 	if (!s->suspended)
 		s->move->move_runs(s);
 	sched_dispatch(s, now);
@@ -349,6 +350,7 @@
 	t->listing = *l;
 	t->service = sched_get_service(s, l->service);
 	t->listed = 1;
+	t->draining = !l->ready;
 	if (replaced)
 		sched_target_new_incarnation(t, l->incarnation);
 	sched_target_hold(t);
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -34,6 +34,16 @@
 	t->backoff_until = s->now + t->backoff;
 }
 
+static void mark_restarted(struct sched_target *t)
+{
+	struct sched_task *task;
+
+	for (task = t->runs; task; task = task->next)
+		task->restarted = t->nruns == 1 && !t->nforeign
+					  ? SCHED_RESTARTED_ALONE
+					  : SCHED_RESTARTED;
+}
+
 /*
  * The target has another incarnation. Runs of the previous one are over, but
  * some may have been started in this one: its next list shows which.
@@ -43,6 +53,10 @@
 	struct sched *s = t->s;
 
 	s->ops->log(s, "new_incarnation", t, t->runs, "");
+	if (t->incarnation)
+		mark_restarted(t);
+	t->prev_incarnation = t->incarnation;
+	t->replaced = 0;
 	t->incarnation = incarnation;
 	t->incarnation_at = s->now;
 	t->state = SCHED_UNHELD;
@@ -117,7 +131,8 @@
 		return 0;
 	}
 	if (reply->status == SCHED_REPLY_WRONG_INCARNATION) {
-		sched_target_drop_runs(t, "another incarnation replied");
+		t->replaced = 1;
+		sched_target_drop_runs(t, 1, "another incarnation replied");
 		/* Not ready until the platform's list shows the incarnation. */
 		t->listing.ready = 0;
 		back_off(t);
@@ -275,6 +290,7 @@
 
 		next = task->next;
 		if (r) {
+			task->restarted = SCHED_NOT_RESTARTED;
 			if (task->state == SCHED_STARTING)
 				task->state = SCHED_RUNNING;
 			if (task->state == SCHED_RUNNING)
@@ -283,9 +299,11 @@
 				sched_run_send_stop(task);
 			continue;
 		}
-		if (task->replied_at && t->hold_sent_at > task->replied_at)
+		if (task->replied_at && t->hold_sent_at > task->replied_at) {
+			if (task->restarted)
+				sched_loss_of_run(task, 0, 1);
 			sched_run_ended(task, SCHED_END_STOPPED);
-		else if (task->state == SCHED_STOPPING && !task->stop_sent)
+		} else if (task->state == SCHED_STOPPING && !task->stop_sent)
 			sched_run_send_stop(task);
 	}
 }
--- a/sched-job.c
+++ b/sched-job.c
@@ -332,6 +332,7 @@
 
 void sched_job_free(struct sched_job *job)
 {
+	sched_losses_free(job);
 	free((void *)job->specification.ptr);
 	free(job->steps);
 	free(job->tasks);
--- a/scheduler.h
+++ b/scheduler.h
@@ -44,6 +44,33 @@
 	int64_t accelerators;
 };
 
+/*
+ * A target that was lost while it may have run a task: it has crashed, or it
+ * was cut off, which is not known at first.
+ */
+struct sched_loss {
+	char target[RP_NAME_MAX];
+	int64_t incarnation; /* 0: not known */
+	rp_ms at;	     /* the run was given up */
+	int alone;	     /* no other run was on the target */
+	int crashed;	     /* it is known to have crashed */
+};
+
+/* Losses kept of one task; it is not started after as many. */
+#define SCHED_LOSSES_MAX 5
+
+struct sched_losses {
+	size_t n;
+	struct sched_loss list[SCHED_LOSSES_MAX];
+};
+
+/* Whether the run's target was seen in another incarnation since its start. */
+enum sched_restarted {
+	SCHED_NOT_RESTARTED,
+	SCHED_RESTARTED,       /* it had other runs, too */
+	SCHED_RESTARTED_ALONE, /* it had no other run */
+};
+
 enum sched_task_state {
 	SCHED_WAITING,
 	SCHED_STARTING, /* the reply to the start call is awaited */
@@ -68,12 +95,14 @@
 	 * dereferenced, as the target may have been freed.
 	 */
 	const struct sched_target *avoid;
+	struct sched_losses *losses; /* NULL: none */
 	/* The fields below describe the run on the target. */
 	struct sched_task *next, **prev; /* in the target's list of runs */
 	rp_ms sent_at;	   /* the start call was sent, or the run adopted */
 	rp_ms replied_at;  /* reply to the latest start or stop; 0: none */
 	double predicted;  /* run time predicted at the start, ms */
 	int observed;	   /* learned from already, or not to be */
+	uint8_t restarted; /* enum sched_restarted */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
 };
@@ -199,10 +228,11 @@
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	size_t ntasks;
-	int size_bucket; /* of struct sched_queue */
-	size_t ndone;	 /* succeeded */
-	size_t nplaced;	 /* may be running on a target */
-	size_t nwaiting; /* to be started */
+	int size_bucket;  /* of struct sched_queue */
+	size_t ndone;	  /* succeeded */
+	size_t nplaced;	  /* may be running on a target */
+	size_t nwaiting;  /* to be started */
+	size_t nsuspects; /* tasks with losses */
 	struct sched_step *steps;
 	size_t nsteps;
 	struct sched_task *tasks;
@@ -262,16 +292,19 @@
 	enum sched_target_state state;
 	size_t index; /* in s->targets */
 	int listed;   /* in the platform's list */
+	int draining; /* its entry has last said that it takes no new work */
+	int replaced; /* another incarnation has replied at its address */
 	struct sched_resources used;
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
-	int64_t clock;	       /* the target's clock, ms; 0: not known */
-	rp_ms clock_at;	       /* when it was read */
-	uint64_t ends_seen;    /* highest number of an end in a list */
-	uint64_t ends_acked;   /* ends up to it were acknowledged */
-	int64_t incarnation;   /* that this state belongs to */
-	rp_ms incarnation_at;  /* when it was first seen */
-	rp_ms hold_replied_at; /* last successful hold call */
+	int64_t clock;		  /* the target's clock, ms; 0: not known */
+	rp_ms clock_at;		  /* when it was read */
+	uint64_t ends_seen;	  /* highest number of an end in a list */
+	uint64_t ends_acked;	  /* ends up to it were acknowledged */
+	int64_t incarnation;	  /* that this state belongs to */
+	rp_ms incarnation_at;	  /* when it was first seen */
+	int64_t prev_incarnation; /* 0: none was seen */
+	rp_ms hold_replied_at;	  /* last successful hold call */
 	struct sched_unacked_end *unacked;
 	size_t nunacked, cap_unacked;
 	int hold_in_flight; /* a hold call awaits its reply */
@@ -367,6 +400,10 @@
 	void (*log)(struct sched *s, const char *event,
 		    const struct sched_target *t, const struct sched_task *task,
 		    const char *reason);
+	/* Logs what is learned of a target that was lost with the task. */
+	void (*log_loss)(struct sched *s, const char *event,
+			 const struct sched_task *task,
+			 const struct sched_loss *loss, const char *reason);
 };
 
 struct sched_counters {
@@ -375,6 +412,9 @@
 	uint64_t retries;	/* runs that were requeued */
 	uint64_t moves;		/* runs moved to another target */
 	uint64_t lapses;	/* runs lost with a lease or an incarnation */
+	uint64_t runs_lost;	/* runs lost with their target */
+	uint64_t runs_crashed;	/* of them, with a target that has crashed */
+	uint64_t runs_cut_off;	/* of them, with a target that was cut off */
 	uint64_t orphans;	/* runs stopped that no job claimed */
 	uint64_t adopted;	/* runs taken over from an earlier scheduler */
 	uint64_t holds;		/* hold calls */
@@ -456,6 +496,7 @@
 	struct sched_job *jobs;	  /* not answered, by sort key */
 	struct sched_job *closed; /* answered; runs are being stopped */
 	size_t njobs;		  /* in jobs */
+	size_t nsuspects;	  /* tasks with losses, of all jobs */
 	struct sched_counters count;
 	/* Mean log of run time over the estimate, over all queues. */
 	double log_bias;
@@ -720,8 +761,25 @@
 void sched_run_send_stop(struct sched_task *task);
 struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
 				  uint32_t run);
-/* Treats all runs of the target as over; it has to be acquired again. */
-void sched_target_drop_runs(struct sched_target *t, const char *reason);
+/*
+ * Treats all runs of the target as over; it has to be acquired again. crashed:
+ * the target is known to have crashed.
+ */
+void sched_target_drop_runs(struct sched_target *t, int crashed,
+			    const char *reason);
+
+/* sched-loss.c */
+/*
+ * The target of the task's run is lost, and the run with it. alone: it had no
+ * other run. crashed: it is known to have crashed.
+ */
+void sched_loss_of_run(struct sched_task *task, int alone, int crashed);
+void sched_loss_add(struct sched_task *task, const struct sched_loss *loss);
+/* Returns how many of the lost targets are known to have crashed. */
+size_t sched_losses_crashed(const struct sched_losses *losses);
+void sched_losses_free(struct sched_job *job);
+/* Learns which of the lost targets have crashed. */
+void sched_loss_tick(struct sched *s);
 
 /* sched-hold.c */
 /* Resets the state of a target that was seen in another incarnation. */
