Tests: tasks that crash the targets that start them

Targets of the simulation crash some ms after they start task 0 of a deadly job, and are back after 3 s under another id; the entry of the old one is gone after 7 s.

--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -9,6 +9,8 @@
 
 /* Time until the next incarnation replies. */
 #define RESTART_MS 50
+/* Time until the list loses the entry of a target that has crashed. */
+#define UNLISTED_MS 7000
 
 static struct world_run *find_run(struct world_target *t, const char *task,
 				  uint32_t run)
@@ -98,6 +100,33 @@
 	}
 }
 
+static void list_target(struct world *w, struct world_target *t)
+{
+	t->back_at = 0;
+	snprintf(t->prev_id, sizeof(t->prev_id), "%s", t->listing.id);
+	snprintf(t->listing.id, sizeof(t->listing.id), "t%zu-%lld",
+		 (size_t)(t - w->targets), (long long)w->now);
+	sched_target_listed(w->sched, &t->listing, w->now);
+}
+
+void world_list_crashed(struct world *w)
+{
+	size_t i;
+
+	for (i = 0; i < w->ntargets; i++) {
+		struct world_target *t = &w->targets[i];
+
+		if (t->crash_at && w->now >= t->crash_at)
+			world_target_crash(w, t);
+		if (t->back_at && w->now >= t->back_at)
+			list_target(w, t);
+		if (t->unlisted_at && w->now >= t->unlisted_at) {
+			t->unlisted_at = 0;
+			sched_target_unlisted(w->sched, t->prev_id, w->now);
+		}
+	}
+}
+
 static struct world_job *job_of(struct world *w, const char *task)
 {
 	size_t i;
@@ -125,6 +154,15 @@
 		t->lease_until = lease;
 }
 
+static void start_deadly(struct world *w, struct world_target *t,
+			 struct world_job *job, const char *task)
+{
+	if (job->crashes >= 3 && ++job->starts_after >= 3)
+		world_violated(w, "started too often after three crashes",
+			       task);
+	t->crash_at = w->now + w->crash_delay;
+}
+
 int world_target_start(struct world *w, struct world_target *t,
 		       struct world_event *e, const char **reason)
 {
@@ -164,6 +202,8 @@
 		world_violated(w, "task started though its job was rejected",
 			       e->task);
 	w->starts++;
+	if (job->deadly && !task_index(e->task))
+		start_deadly(w, t, job, e->task);
 	check_capacity(w, t);
 	check_duplicates(w, e->task);
 	return 200;
@@ -214,13 +254,32 @@
 	return 200;
 }
 
-void world_target_restart(struct world *w, struct world_target *t)
+static void lose_state(struct world *w, struct world_target *t)
 {
 	t->nruns = t->nends = 0;
 	t->last_end = t->fence = 0;
 	t->lease_until = 0;
 	apr_hash_clear(t->last_runs);
 	t->listing.incarnation++;
-	t->unresponsive_until = w->now + RESTART_MS;
 	world_fail_calls(w, t);
 }
+
+void world_target_restart(struct world *w, struct world_target *t)
+{
+	lose_state(w, t);
+	t->unresponsive_until = w->now + RESTART_MS;
+}
+
+void world_target_crash(struct world *w, struct world_target *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->nruns; i++)
+		t->runs[i].job->crashes += t->runs[i].job->deadly &&
+					   !task_index(t->runs[i].task);
+	w->crashes++;
+	lose_state(w, t);
+	t->crash_at = 0;
+	t->back_at = t->unresponsive_until = w->now + w->down;
+	t->unlisted_at = w->now + UNLISTED_MS;
+}
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -61,14 +61,26 @@
 	*at = e;
 }
 
+static struct world_target *find_target(struct world *w,
+					const struct sched_target *t)
+{
+	size_t i;
+
+	for (i = 0; i < w->ntargets; i++)
+		if (!strcmp(w->targets[i].listing.address, t->listing.address))
+			return &w->targets[i];
+	return NULL;
+}
+
 static struct world_event *new_event(struct world *w, int kind, struct sched *s,
-				     struct world_target *t)
+				     const struct sched_target *called)
 {
 	struct world_event *e = calloc(1, sizeof(*e));
 
+	snprintf(e->id, sizeof(e->id), "%s", called->listing.id);
 	e->kind = kind;
 	e->sched = s;
-	e->target = t;
+	e->target = find_target(w, called);
 	e->at = w->now + w->delay;
 	e->sent_at = w->now;
 	return e;
@@ -78,7 +90,7 @@
 
 static struct sched_target *sched_target_of(const struct world_event *e)
 {
-	return sched_find_target(e->sched, e->target->listing.id);
+	return sched_find_target(e->sched, e->id);
 }
 
 /*
@@ -115,6 +127,7 @@
 		return;
 	reply.status = e->lost		     ? SCHED_REPLY_UNKNOWN
 		       : e->acked_end == 200 ? SCHED_REPLY_OK
+		       : e->acked_end == 421 ? SCHED_REPLY_WRONG_INCARNATION
 		       : e->until	     ? SCHED_REPLY_FENCED
 					     : SCHED_REPLY_REFUSED;
 	reply.sent_at = e->sent_at;
@@ -183,7 +196,9 @@
 		reply(w, e, 0, "");
 		return;
 	}
-	if (e->kind == HOLD) {
+	if (strcmp(e->id, t->listing.id) != 0) {
+		status = 421;
+	} else if (e->kind == HOLD) {
 		status = world_target_hold(w, t, e, &reason);
 		if (status == 200 && must_wait(w, e)) {
 			struct world_event *retry = calloc(1, sizeof(*retry));
@@ -204,22 +219,11 @@
 
 /* --- operations of the scheduler ------------------------------------- */
 
-static struct world_target *find_target(struct world *w,
-					const struct sched_target *t)
-{
-	size_t i;
-
-	for (i = 0; i < w->ntargets; i++)
-		if (!strcmp(w->targets[i].listing.id, t->listing.id))
-			return &w->targets[i];
-	return NULL;
-}
-
 static void on_start(struct sched *s, struct sched_target *t,
 		     struct sched_task *task, int64_t until)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, START, s, find_target(w, t));
+	struct world_event *e = new_event(w, START, s, t);
 
 	snprintf(e->task, sizeof(e->task), "%s", task->name);
 	e->run = task->run;
@@ -234,7 +238,7 @@
 		    uint32_t run)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, STOP, s, find_target(w, t));
+	struct world_event *e = new_event(w, STOP, s, t);
 
 	str_copy(e->task, sizeof(e->task), task);
 	e->run = run;
@@ -247,7 +251,7 @@
 		    uint64_t acked_end, rp_ms wait)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, HOLD, s, find_target(w, t));
+	struct world_event *e = new_event(w, HOLD, s, t);
 
 	e->fence = s->fence;
 	e->until = until;
@@ -382,6 +386,8 @@
 	w->random = seed;
 	w->ntargets = ntargets;
 	w->delay = 1;
+	w->crash_delay = 10;
+	w->down = 3000;
 	w->now = 1000;
 	for (i = 0; i < ntargets; i++) {
 		struct world_target *t = &w->targets[i];
@@ -477,6 +483,7 @@
 	sub->stretch = STRETCH;
 	sub->objective_ms = OBJECTIVE_OFFSET_MS;
 	sub->left_ms = (uint32_t)deadline;
+	sub->stored = w->stored;
 	sub->specification.data = malloc(4);
 	memcpy(sub->specification.data, "work", 4);
 	sub->specification.len = 4;
@@ -523,12 +530,13 @@
 		struct world_job *job = w->jobs[i];
 		rp_ms age = w->now - job->arrived_at;
 
-		if (job->answered || age >= 1500)
+		if (job->answered || (!job->sub->stored && age >= 1500))
 			continue;
 		job->sub->former = job->fence;
 		job->fence = w->sched->fence;
 		job->sub->age_ms = (uint32_t)age;
-		job->sub->left_ms = (uint32_t)(1500 - age);
+		if (!job->sub->stored)
+			job->sub->left_ms = (uint32_t)(1500 - age);
 		sched_submit(w->sched, job, job->sub, w->now);
 	}
 }
@@ -551,6 +559,7 @@
 				handle_call(w, e);
 			free(e);
 		}
+		world_list_crashed(w);
 		if (w->now % SCHED_TICK_MS == 0)
 			sched_tick(w->sched, w->now);
 	}
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -58,6 +58,12 @@
 	uint64_t last_end; /* number of the latest end */
 	/* Task -> number of its run that was stopped or ended here last. */
 	apr_hash_t *last_runs;
+	/* A run will crash it then; 0: none. */
+	rp_ms crash_at;
+	/* It has crashed, and is back then under a new id; 0: it is up. */
+	rp_ms back_at;
+	char prev_id[RP_NAME_MAX]; /* before the latest crash; "": none */
+	rp_ms unlisted_at;	   /* the list loses prev_id then; 0: it has */
 };
 
 /* A call in flight, or its reply. */
@@ -68,6 +74,7 @@
 	int kind;
 	struct sched *sched; /* the caller */
 	struct world_target *target;
+	char id[RP_NAME_MAX]; /* of the target that is called */
 	char task[SCHED_TASK_NAME_MAX];
 	uint32_t run;
 	uint64_t fence;
@@ -101,6 +108,9 @@
 	int started;	     /* a target started one of its tasks */
 	int on_time;	     /* answered on time */
 	uint8_t *done_acked; /* for each task: its success was acknowledged */
+	int deadly;	     /* task 0 crashes each target that starts it */
+	int crashes;	     /* targets that its task 0 has crashed */
+	int starts_after;    /* of task 0, after three crashes */
 };
 
 struct world {
@@ -121,6 +131,10 @@
 	char first_violation[256];
 	int fenced; /* calls refused as fenced */
 	uint64_t starts, moves;
+	int stored;	   /* submitted jobs are stored */
+	int crashes;	   /* of targets */
+	rp_ms crash_delay; /* from the start of a deadly task to the crash */
+	rp_ms down;	   /* time until a crashed target is back */
 	apr_pool_t *pool;
 };
 
@@ -160,6 +174,11 @@
 int world_target_hold(struct world *w, struct world_target *t,
 		      struct world_event *e, const char **reason);
 
+/* The target crashes and is back under another id after the world's time. */
+void world_target_crash(struct world *w, struct world_target *t);
+/* Lists targets that are back after a crash, and removes their old entries. */
+void world_list_crashed(struct world *w);
+
 /*
  * Restarts the target in another incarnation. The test itself passes the new
  * entry of the platform's list to the scheduler.
