Scheduler: a task that crashes its targets is isolated and given up

Cause: a run that is lost with its target was queued again and not counted.

A task that was on a lost target runs alone on the next one, which is reserved for it if none is idle, so that another crash takes no other run and shows who is at fault. After two crashes, one of them alone and without any progress, or after three, its job fails. From the second loss on, the task waits until it is known whether the targets have crashed or were cut off: a target that replies again is not held against it. A lost run of an answered job is kept in the record of the job, for a resubmission.

--- a/pool-count.c
+++ b/pool-count.c
@@ -186,6 +186,7 @@
 	put_count(t, "runs_lost_in_crashes_total", c->runs_crashed);
 	put_count(t, "runs_lost_alive_total", c->runs_cut_off);
 	put_count(t, "suspected_tasks", s->nsuspects);
+	put_count(t, "jobs_given_up_total", c->given_up);
 	put_count(t, "orphans_total", c->orphans);
 	put_count(t, "adopted_total", c->adopted);
 	put_count(t, "holds_total", c->holds);
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -128,9 +128,9 @@
 
 	begin_world(6, 1);
 	deadly = submit_deadly(1);
-	n = submit_sound(sound, 10);
+	n = submit_sound(sound, 12);
 	first = (int)w.sched->count.runs_lost;
-	n += submit_sound(sound + n, 50);
+	n += submit_sound(sound + n, 48);
 	world_run_until(&w, w.now + 8000);
 	cr_assert_eq(deadly->outcome, POOL_ANSWER__OUTCOME__FAILED);
 	for (i = 0; i < n; i++)
--- a/sched-core.c
+++ b/sched-core.c
@@ -399,9 +399,10 @@
 /* Starts the job's tasks that are ready, as long as there is room. */
 static void start_tasks(struct sched_job *job)
 {
+	struct sched *s = job->s;
 	size_t i;
 
-	if (job->stored && job->s->stored_suspended)
+	if (job->stored && s->stored_suspended)
 		return;
 	if (job->awaits_earlier_runs && has_earlier_runs(job))
 		return;
@@ -414,14 +415,21 @@
 		struct sched_target *t;
 
 		if (task->state != SCHED_WAITING ||
-		    !sched_step_ready(job, task->step))
+		    !sched_step_ready(job, task->step) ||
+		    sched_loss_must_wait(task))
 			continue;
 		job->avoid = task->avoid;
 		job->last_attempt = task->failures + 1u >= job->max_attempts;
-		t = job->s->place->place(job->s, job, &job->steps[task->step]);
-		if (!t)
+		job->isolate = task->losses && task->losses->n;
+		t = s->place->place(s, job, &job->steps[task->step]);
+		if (t) {
+			sched_run_start(task, t);
+			continue;
+		}
+		if (!job->isolate)
 			return;
-		sched_run_start(task, t);
+		s->nunplaced++;
+		sched_reserve_target(s, job, &job->steps[task->step]);
 	}
 }
 
@@ -435,6 +443,7 @@
 		return;
 	s->dispatching = 1;
 	s->dispatch_pass++;
+	s->nunplaced = 0;
 	for (deferred = 0; deferred <= 1; deferred++)
 		for (job = s->jobs; job; job = next) {
 			next = job->next;
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -14,6 +14,14 @@
 
 /* An entry that a successor does not find in the list is gone after this. */
 #define GONE_AFTER_MS 2500
+/* Crashes after which a task is given up. */
+#define CRASHES_MAX 3
+/* The same, if it was alone at one of them and had made no progress. */
+#define CRASHES_ALONE_MAX 2
+/* Losses from which the outcome of all is awaited before another start. */
+#define WAIT_LOSSES 2
+/* Time for the list to lose the entry of a target that has crashed. */
+#define OUTCOME_WAIT_MS 8000
 
 static struct sched_losses *get_losses(struct sched_task *task)
 {
@@ -45,6 +53,36 @@
 	return n;
 }
 
+/*
+ * Two crashes may be a coincidence for a task that was one of several each
+ * time. A task runs alone after the first, so that the second tells.
+ */
+static int is_at_fault(const struct sched_losses *losses)
+{
+	size_t i, crashed = sched_losses_crashed(losses);
+
+	if (crashed >= CRASHES_MAX)
+		return 1;
+	for (i = 0; crashed >= CRASHES_ALONE_MAX && i < losses->n; i++)
+		if (losses->list[i].crashed && losses->list[i].alone &&
+		    losses->list[i].no_progress)
+			return 1;
+	return 0;
+}
+
+int sched_loss_must_wait(const struct sched_task *task)
+{
+	const struct sched_losses *losses = task->losses;
+	rp_ms now = task->job->s->now;
+
+	if (!losses || losses->n < WAIT_LOSSES)
+		return 0;
+	if (is_at_fault(losses) || losses->n == SCHED_LOSSES_MAX)
+		return 1;
+	return sched_losses_crashed(losses) < losses->n &&
+	       now - losses->list[losses->n - 1].at < OUTCOME_WAIT_MS;
+}
+
 void sched_loss_add(struct sched_task *task, const struct sched_loss *loss)
 {
 	struct sched *s = task->job->s;
@@ -67,6 +105,7 @@
 		.incarnation = t->incarnation,
 		.at = t->s->now,
 		.alone = alone,
+		.no_progress = !task->percent,
 		.crashed = crashed,
 	};
 
@@ -90,7 +129,9 @@
 	loss = loss_of(task, alone, crashed);
 	s->count.runs_lost++;
 	s->count.runs_crashed += loss.crashed != 0;
-	if (!task->job->answered)
+	if (task->job->answered)
+		sched_history_add_loss(task, &loss);
+	else
 		sched_loss_add(task, &loss);
 }
 
@@ -118,12 +159,10 @@
 	return t->hold_replied_at > loss->at ? ALIVE : OPEN;
 }
 
-/* Returns whether the outcome of a loss of the task has become known. */
-static int review_task(struct sched_task *task)
+static void review_task(struct sched_task *task)
 {
 	struct sched *s = task->job->s;
 	struct sched_losses *losses = task->losses;
-	int changed = 0;
 	size_t i;
 
 	for (i = losses->n; i-- > 0;) {
@@ -134,7 +173,6 @@
 
 		if (outcome == OPEN)
 			continue;
-		changed = 1;
 		if (outcome == CRASHED) {
 			loss->crashed = 1;
 			s->count.runs_crashed++;
@@ -147,27 +185,57 @@
 		memmove(loss, loss + 1,
 			(--losses->n - i) * sizeof(losses->list[0]));
 	}
-	return changed;
 }
 
-static int review_job(struct sched_job *job)
+static void review_job(struct sched_job *job)
 {
-	int changed = 0;
 	size_t i;
 
 	for (i = 0; i < job->ntasks; i++)
 		if (job->tasks[i].losses)
-			changed |= review_task(&job->tasks[i]);
-	return changed;
+			review_task(&job->tasks[i]);
+}
+
+/* Returns a task at fault that waits, or NULL. One that runs may yet end. */
+static const struct sched_task *find_task_at_fault(const struct sched_job *job)
+{
+	size_t i;
+
+	for (i = 0; i < job->ntasks; i++) {
+		const struct sched_task *task = &job->tasks[i];
+
+		if (task->losses && task->state == SCHED_WAITING &&
+		    is_at_fault(task->losses))
+			return task;
+	}
+	return NULL;
+}
+
+static void give_up(const struct sched_task *task)
+{
+	struct sched_job *job = task->job;
+	const struct sched_losses *losses = task->losses;
+
+	job->s->count.given_up++;
+	job->s->ops->log_loss(job->s, "task_given_up", task,
+			      &losses->list[losses->n - 1],
+			      "its targets have crashed");
+	sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
+			 "the targets of one of its tasks have crashed", 0);
 }
 
 void sched_loss_tick(struct sched *s)
 {
-	struct sched_job *job;
+	struct sched_job *job, *next;
+	const struct sched_task *task;
 
-	if (!s->nsuspects)
-		return;
-	for (job = s->jobs; job; job = job->next)
-		if (job->nsuspects)
-			review_job(job);
+	for (job = s->nsuspects ? s->jobs : NULL; job; job = next) {
+		next = job->next;
+		if (!job->nsuspects)
+			continue;
+		review_job(job);
+		task = find_task_at_fault(job);
+		if (task)
+			give_up(task);
+	}
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -59,6 +59,7 @@
 		return 0;
 	job->avoid = task->target;
 	job->last_attempt = task->failures + 1u >= job->max_attempts;
+	job->isolate = task->isolated;
 	t = sched_best_target(s, job, step);
 	if (!t || t == task->target)
 		return 0;
--- a/sched-past.c
+++ b/sched-past.c
@@ -15,6 +15,59 @@
 /* Time after which a job is not submitted again. */
 #define HISTORY_MS 10000
 
+static void add_loss(struct sched_history *rec, size_t task,
+		     const struct sched_loss *loss)
+{
+	struct sched_history_loss *list =
+		realloc(rec->losses, (rec->nlosses + 1) * sizeof(*rec->losses));
+
+	if (!list)
+		return;
+	rec->losses = list;
+	list[rec->nlosses].task = task;
+	list[rec->nlosses++].loss = *loss;
+}
+
+static void add_losses(struct sched_history *rec, const struct sched_job *job)
+{
+	size_t i, j;
+
+	for (i = 0; job->nsuspects && i < job->ntasks; i++) {
+		const struct sched_losses *losses = job->tasks[i].losses;
+
+		for (j = 0; losses && j < losses->n; j++)
+			add_loss(rec, i, &losses->list[j]);
+	}
+}
+
+static struct sched_history *find_record(const struct sched_job *job)
+{
+	struct sched_history *rec =
+		apr_hash_get(job->s->history, job->id, APR_HASH_KEY_STRING);
+
+	return rec && rec->ntasks == job->ntasks &&
+			       rec->digest == job->specification_hash
+		       ? rec
+		       : NULL;
+}
+
+void sched_history_add_loss(const struct sched_task *task,
+			    const struct sched_loss *loss)
+{
+	struct sched_job *closed = task->job;
+	struct sched_job *job =
+		sched_find_open_job(closed->s, str_of(closed->id));
+	struct sched_history *rec = find_record(closed);
+	size_t i = (size_t)(task - closed->tasks);
+
+	/* The job may have been submitted again already. */
+	if (job && job->ntasks == closed->ntasks &&
+	    job->specification_hash == closed->specification_hash)
+		sched_loss_add(&job->tasks[i], loss);
+	else if (rec)
+		add_loss(rec, i, loss);
+}
+
 void sched_history_add(const struct sched_job *job)
 {
 	struct sched *s = job->s;
@@ -33,6 +86,7 @@
 	rec->ntasks = job->ntasks;
 	for (i = 0; i < job->ntasks; i++)
 		rec->done[i] = job->tasks[i].state == SCHED_DONE;
+	add_losses(rec, job);
 	*s->history_tail = rec;
 	s->history_tail = &rec->next;
 	/*
@@ -51,12 +105,15 @@
 	size_t i;
 
 	job->next_run = job->min_run = rec ? rec->next_run : s->first_run;
-	if (!rec || rec->ntasks != job->ntasks ||
-	    rec->digest != job->specification_hash)
+	rec = find_record(job);
+	if (!rec)
 		return;
 	for (i = 0; i < job->ntasks; i++)
 		if (rec->done[i])
 			sched_job_mark_done(job, i);
+	for (i = 0; i < rec->nlosses; i++)
+		sched_loss_add(&job->tasks[rec->losses[i].task],
+			       &rec->losses[i].loss);
 }
 
 static void remove_oldest(struct sched *s)
@@ -68,6 +125,7 @@
 	s->history_head = rec->next;
 	if (!s->history_head)
 		s->history_tail = &s->history_head;
+	free(rec->losses);
 	free(rec);
 }
 
--- a/sched-place.c
+++ b/sched-place.c
@@ -26,6 +26,10 @@
 #define PROBE_RUNS 1
 /* Failure rate below which a target counts as sound. */
 #define SOUND_FAILURE_RATE 0.1
+/* A reservation for a task to be isolated ends after this. */
+#define RESERVED_MS 1000
+/* Part of the targets that are reserved at most. */
+#define RESERVED_DIVISOR 8
 /* Factor on the run time away from the rack that holds the data. */
 #define REMOTE_FACTOR 2.0
 
@@ -89,10 +93,19 @@
 	return 0;
 }
 
-/* Whether the target may be given another task now. */
-static int accepts_starts(const struct sched_target *t, rp_ms now)
+/*
+ * Whether the target may be given the job's task now. A task that may have
+ * crashed a target is alone on the next one, so that it takes no others with
+ * it, and so that another crash tells that it is at fault.
+ */
+static int accepts_start(const struct sched_target *t,
+			 const struct sched_job *job, rp_ms now)
 {
-	return sched_target_available(t, now) && !may_have_restarted(t, now);
+	if (!sched_target_available(t, now) || may_have_restarted(t, now))
+		return 0;
+	if (job->isolate)
+		return !t->nruns;
+	return !t->nisolated && now >= t->reserved_until;
 }
 
 int sched_target_has_room(const struct sched_target *t,
@@ -254,7 +267,7 @@
 	int has_room = 0;
 	size_t i;
 
-	if (is_full(s, job, &step->need))
+	if (!job->isolate && is_full(s, job, &step->need))
 		return best;
 	criteria = make_criteria(s, job, step);
 	for (i = 0; i < s->ntargets; i++) {
@@ -263,7 +276,7 @@
 
 		if (t->service != job->service ||
 		    !sched_target_has_room(t, &step->need) ||
-		    !accepts_starts(t, s->now))
+		    !accepts_start(t, job, s->now))
 			continue;
 		has_room = 1;
 		if (t == avoid || !sched_target_eligible(t, job, step) ||
@@ -283,7 +296,7 @@
 		if (!best.target || is_better(&c, &best, job->last_attempt))
 			best = c;
 	}
-	if (!has_room && s->dispatching) {
+	if (!has_room && s->dispatching && !job->isolate) {
 		job->service->full_pass = s->dispatch_pass;
 		job->service->full_need = step->need;
 	}
@@ -309,6 +322,35 @@
 	return best_candidate(s, job, step).target;
 }
 
+static int may_reserve(const struct sched_target *t,
+		       const struct sched_job *job,
+		       const struct sched_step *step)
+{
+	return sched_target_available(t, t->s->now) &&
+	       sched_target_eligible(t, job, step) && !t->nisolated;
+}
+
+void sched_reserve_target(struct sched *s, const struct sched_job *job,
+			  const struct sched_step *step)
+{
+	struct sched_target *best = NULL;
+	size_t i, nreserved = 0, most = s->ntargets / RESERVED_DIVISOR + 1;
+
+	if (most > s->nunplaced)
+		most = s->nunplaced;
+	for (i = 0; i < s->ntargets; i++) {
+		struct sched_target *t = s->targets[i];
+
+		if (s->now < t->reserved_until)
+			nreserved++;
+		else if (may_reserve(t, job, step) &&
+			 (!best || t->used.cpu < best->used.cpu))
+			best = t;
+	}
+	if (best && nreserved < most)
+		best->reserved_until = s->now + RESERVED_MS;
+}
+
 static struct sched_target *place_slowest(struct sched *s,
 					  const struct sched_job *job,
 					  const struct sched_step *step)
@@ -337,7 +379,7 @@
 		struct sched_target *t = s->targets[i];
 		int64_t cpu_left = t->listing.capacity.cpu - t->used.cpu;
 
-		if (cpu_left <= best_left || !accepts_starts(t, s->now) ||
+		if (cpu_left <= best_left || !accepts_start(t, job, s->now) ||
 		    !sched_target_has_room(t, &step->need) ||
 		    !sched_target_eligible(t, job, step) ||
 		    sched_target_at_spread_limit(t, job, step))
--- a/sched-run.c
+++ b/sched-run.c
@@ -30,6 +30,8 @@
 		task->next->prev = &task->next;
 	t->runs = task;
 	t->nruns++;
+	task->isolated = task->losses && task->losses->n;
+	t->nisolated += task->isolated;
 	charge(t, need_of(task), 1);
 	task->job->nplaced++;
 }
@@ -42,6 +44,7 @@
 	if (task->next)
 		task->next->prev = task->prev;
 	t->nruns--;
+	t->nisolated -= task->isolated;
 	charge(t, need_of(task), -1);
 	task->target = NULL;
 	task->job->nplaced--;
@@ -88,6 +91,8 @@
 	task->progress_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
+	if (task->isolated)
+		t->reserved_until = 0;
 	if (!--job->nwaiting && !job->missed_start)
 		sched_admit_started_on_time(job);
 	sched_job_started(job);
--- a/scheduler.h
+++ b/scheduler.h
@@ -53,6 +53,7 @@
 	int64_t incarnation; /* 0: not known */
 	rp_ms at;	     /* the run was given up */
 	int alone;	     /* no other run was on the target */
+	int no_progress;     /* the run had not shown any */
 	int crashed;	     /* it is known to have crashed */
 };
 
@@ -103,6 +104,7 @@
 	double predicted;  /* run time predicted at the start, ms */
 	int observed;	   /* learned from already, or not to be */
 	uint8_t restarted; /* enum sched_restarted */
+	uint8_t isolated;  /* boolean; no other task starts beside it */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
 };
@@ -163,6 +165,11 @@
 	struct sched_resources full_need;
 };
 
+struct sched_history_loss {
+	size_t task; /* number over all steps */
+	struct sched_loss loss;
+};
+
 /* Record of an answered job, kept for a while in case it is resubmitted. */
 struct sched_history {
 	struct sched_history *next; /* the record added next */
@@ -170,6 +177,8 @@
 	char id[SCHED_ID_MAX];
 	uint64_t digest;   /* of the specification */
 	uint32_t next_run; /* run number that a resubmission starts with */
+	struct sched_history_loss *losses;
+	size_t nlosses;
 	size_t ntasks;
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
@@ -219,6 +228,7 @@
 	/* Of the task that is being placed. */
 	const struct sched_target *avoid;
 	int last_attempt; /* another failure fails the job */
+	int isolate;	  /* it may have crashed a target */
 	int stored; /* kept in the store: has no deadline, is not rejected */
 	int answered;
 	int owner_lost;	  /* it may submit the job to another scheduler */
@@ -297,6 +307,8 @@
 	struct sched_resources used;
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
+	size_t nisolated;	  /* of the runs */
+	rp_ms reserved_until;	  /* for a task to be isolated */
 	int64_t clock;		  /* the target's clock, ms; 0: not known */
 	rp_ms clock_at;		  /* when it was read */
 	uint64_t ends_seen;	  /* highest number of an end in a list */
@@ -409,15 +421,16 @@
 struct sched_counters {
 	uint64_t jobs, completed, failed, rejected, cancelled;
 	uint64_t starts, ends;
-	uint64_t retries;	/* runs that were requeued */
-	uint64_t moves;		/* runs moved to another target */
-	uint64_t lapses;	/* runs lost with a lease or an incarnation */
-	uint64_t runs_lost;	/* runs lost with their target */
-	uint64_t runs_crashed;	/* of them, with a target that has crashed */
-	uint64_t runs_cut_off;	/* of them, with a target that was cut off */
-	uint64_t orphans;	/* runs stopped that no job claimed */
-	uint64_t adopted;	/* runs taken over from an earlier scheduler */
-	uint64_t holds;		/* hold calls */
+	uint64_t retries;      /* runs that were requeued */
+	uint64_t moves;	       /* runs moved to another target */
+	uint64_t given_up;     /* jobs failed as targets crashed under a task */
+	uint64_t lapses;       /* runs lost with a lease or an incarnation */
+	uint64_t runs_lost;    /* runs lost with their target */
+	uint64_t runs_crashed; /* of them, with a target that has crashed */
+	uint64_t runs_cut_off; /* of them, with a target that was cut off */
+	uint64_t orphans;      /* runs stopped that no job claimed */
+	uint64_t adopted;      /* runs taken over from an earlier scheduler */
+	uint64_t holds;	       /* hold calls */
 	uint64_t over_capacity; /* targets found with more runs than room */
 };
 
@@ -497,6 +510,8 @@
 	struct sched_job *closed; /* answered; runs are being stopped */
 	size_t njobs;		  /* in jobs */
 	size_t nsuspects;	  /* tasks with losses, of all jobs */
+	/* Tasks to be isolated that this pass has found no target for. */
+	size_t nunplaced;
 	struct sched_counters count;
 	/* Mean log of run time over the estimate, over all queues. */
 	double log_bias;
@@ -652,6 +667,12 @@
 struct sched_target *sched_best_target(struct sched *s,
 				       const struct sched_job *job,
 				       const struct sched_step *step);
+/*
+ * Keeps other tasks from a target until it is idle, for a task that is to be
+ * isolated.
+ */
+void sched_reserve_target(struct sched *s, const struct sched_job *job,
+			  const struct sched_step *step);
 /* Returns the service of the name; creates it if needed. */
 struct sched_service *sched_get_service(struct sched *s, const char *name);
 /* Returns the service with totals that are a few ms old at most. */
@@ -666,6 +687,9 @@
 void sched_history_restore(struct sched_job *job);
 /* Records a job that is about to be answered, if a task was started. */
 void sched_history_add(const struct sched_job *job);
+/* Records a target that was lost with a task of an answered job. */
+void sched_history_add_loss(const struct sched_task *task,
+			    const struct sched_loss *loss);
 /* Records the success of a task whose job may still be submitted. */
 void sched_released_add(struct sched *s, const char *task);
 /* Marks the job's tasks done whose success was recorded. */
@@ -778,7 +802,12 @@
 /* Returns how many of the lost targets are known to have crashed. */
 size_t sched_losses_crashed(const struct sched_losses *losses);
 void sched_losses_free(struct sched_job *job);
-/* Learns which of the lost targets have crashed. */
+/* Whether the task may not be started, now or any more. */
+int sched_loss_must_wait(const struct sched_task *task);
+/*
+ * Learns which of the lost targets have crashed, and gives up the jobs of tasks
+ * that are at fault.
+ */
 void sched_loss_tick(struct sched *s);
 
 /* sched-hold.c */
