Lost targets of a task are told to its owner and kept in the store

What callers saw: after a change of the leader a task that had crashed its targets began anew, with another two or three of them. Cause: the losses were the leader's alone; the row of a job and the messages to owners had the tasks that are done or failed only.

PoolLoss names the lost target, so that a successor can learn the outcome itself. The leader writes the losses to the row of a stored job, or sends them to the owner, which submits them with the job to the next leader. A task with losses starts only after they are acknowledged: a leader that is gone before has not started it. At most 200 are kept of one job, under the limit of a row.

--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -103,15 +103,19 @@
 static struct rp_str pack_job(const struct pool *p, struct stored_job *j)
 {
 	PoolSubmit *submit = j->job->submit;
+	size_t nlosses = j->job->n_losses;
 	struct rp_str value;
 
-	if (j->ended_at)
+	if (j->ended_at) {
 		j->job->submit = NULL;
+		j->job->n_losses = 0;
+	}
 	j->job->writer = p->sched.fence;
 	value.len = pool_job__get_packed_size(j->job);
 	value.ptr = malloc(value.len + 1);
 	pool_job__pack(j->job, (uint8_t *)value.ptr);
 	j->job->submit = submit;
+	j->job->n_losses = nlosses;
 	return value;
 }
 
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -115,6 +115,17 @@
 	return mark_changed(p, j);
 }
 
+uint64_t pool_stored_losses(struct pool *p, struct sched_job *job)
+{
+	struct stored_job *j = job->owner;
+
+	if (!j->job)
+		return 0;
+	pool_losses_free(j->job->losses, j->job->n_losses);
+	j->job->losses = pool_losses_encode(job, &j->job->n_losses);
+	return mark_changed(p, j);
+}
+
 uint64_t pool_stored_answer(struct pool *p, struct sched_job *job,
 			    PoolAnswer__Outcome outcome)
 {
@@ -171,9 +182,12 @@
 	sub->n_done = j->job->n_done;
 	sub->failed = j->job->failed;
 	sub->n_failed = j->job->n_failed;
+	sub->losses = j->job->losses;
+	sub->n_losses = j->job->n_losses;
 	sched_submit(&p->sched, j, sub, p->now);
 	sub->done = sub->failed = NULL;
-	sub->n_done = sub->n_failed = 0;
+	sub->losses = NULL;
+	sub->n_done = sub->n_failed = sub->n_losses = 0;
 	p->dispatch_due = 1;
 }
 
--- /dev/null
+++ b/pool-loss.c
@@ -0,0 +1,52 @@
+/* Targets lost with tasks of a job, in messages and rows. */
+
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Losses that are sent of one job. With a limit, those of a wide job whose
+ * targets were all lost do not exceed the size of a row.
+ */
+#define LOSSES_SENT_MAX 200
+
+static PoolLoss *encode(uint32_t task, const struct sched_loss *loss)
+{
+	PoolLoss *msg = malloc(sizeof(*msg));
+
+	pool_loss__init(msg);
+	msg->task = task;
+	msg->target = strdup(loss->target);
+	msg->incarnation = loss->incarnation;
+	msg->alone = loss->alone;
+	msg->no_progress = loss->no_progress;
+	msg->crashed = loss->crashed;
+	return msg;
+}
+
+PoolLoss **pool_losses_encode(const struct sched_job *job, size_t *n)
+{
+	PoolLoss **list = malloc(LOSSES_SENT_MAX * sizeof(*list));
+	size_t i, j;
+
+	*n = 0;
+	for (i = 0; i < job->ntasks; i++) {
+		const struct sched_losses *losses = job->tasks[i].losses;
+
+		for (j = 0; losses && j < losses->n; j++)
+			if (*n < LOSSES_SENT_MAX)
+				list[(*n)++] =
+					encode((uint32_t)i, &losses->list[j]);
+	}
+	return list;
+}
+
+void pool_losses_free(PoolLoss **list, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		pool_loss__free_unpacked(list[i], NULL);
+	free(list);
+}
--- a/pool-request.c
+++ b/pool-request.c
@@ -51,6 +51,7 @@
 		pool_submit__free_unpacked(r->submit, NULL);
 	free(r->body);
 	free(r->done_tasks);
+	pool_progress__free_unpacked(r->lost, NULL);
 	pool_defer_free(r->p, r);
 }
 
@@ -115,12 +116,17 @@
 		r->deadline > p->now ? (uint32_t)(r->deadline - p->now) : 0;
 	r->submit->done = r->done_tasks;
 	r->submit->n_done = r->ndone_tasks;
+	if (r->lost) {
+		r->submit->losses = r->lost->losses;
+		r->submit->n_losses = r->lost->n_losses;
+	}
 	pool_owner_keep_specification(p, r->submit);
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
 	r->submit->specification = specification;
 	r->submit->done = NULL;
-	r->submit->n_done = 0;
+	r->submit->losses = NULL;
+	r->submit->n_done = r->submit->n_losses = 0;
 }
 
 /*
@@ -303,6 +309,18 @@
 			    : 0);
 }
 
+static PoolProgress *copy_progress(const PoolProgress *progress)
+{
+	size_t len = pool_progress__get_packed_size(progress);
+	uint8_t *packed = malloc(len + 1);
+	PoolProgress *copy;
+
+	pool_progress__pack(progress, packed);
+	copy = pool_progress__unpack(NULL, len, packed);
+	free(packed);
+	return copy;
+}
+
 void pool_request_progress_received(struct pool *p,
 				    const PoolProgress *progress)
 {
@@ -312,6 +330,10 @@
 
 	if (!r)
 		return;
+	if (progress->lost) {
+		pool_progress__free_unpacked(r->lost, NULL);
+		r->lost = copy_progress(progress);
+	}
 	for (i = 0; i < progress->n_done; i++) {
 		if (r->ndone_tasks == r->cap_done_tasks) {
 			r->cap_done_tasks = r->cap_done_tasks * 2 + 8;
--- a/pool-request.h
+++ b/pool-request.h
@@ -24,7 +24,8 @@
 	uint64_t sent_fence;  /* of the leader it was last sent to; 0: none */
 	uint32_t *done_tasks; /* their numbers, over all steps */
 	size_t ndone_tasks, cap_done_tasks;
-	int suspended; /* set while the connection waits for the answer */
+	PoolProgress *lost; /* the latest message on lost targets, or NULL */
+	int suspended;	    /* set while the connection waits for the answer */
 	struct pool_job_call *job_call; /* set while the store is asked */
 	struct pool_response response;
 };
--- a/pool.h
+++ b/pool.h
@@ -52,6 +52,13 @@
 /* Reads ROSEMARY_POOL_* and flags. Returns 0, or the exit status to use. */
 int pool_settings_load(struct pool_settings *set, int argc, char **argv);
 
+/* --- pool-loss.c ------------------------------------------------------ */
+
+/* Returns the losses of all tasks of the job, up to a limit, and their number.
+ */
+PoolLoss **pool_losses_encode(const struct sched_job *job, size_t *n);
+void pool_losses_free(PoolLoss **list, size_t n);
+
 /* --- pool-member.c: the pool's entry VMs and its leader -------------- */
 
 #define POOL_RECENT_ANSWERS 256
@@ -217,6 +224,7 @@
 /* --- pool-keep.c: stored jobs, on the leader -------------------------- */
 
 /* Queue a row to be written. Return the mark that its write acknowledges. */
+uint64_t pool_stored_losses(struct pool *p, struct sched_job *job);
 uint64_t pool_stored_progress(struct pool *p, struct sched_job *job,
 			      const struct sched_task *task);
 uint64_t pool_stored_answer(struct pool *p, struct sched_job *job,
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &pool_step__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_loss__init
+                     (PoolLoss         *message)
+{
+  static const PoolLoss init_value = POOL_LOSS__INIT;
+  *message = init_value;
+}
+size_t pool_loss__get_packed_size
+                     (const PoolLoss *message)
+{
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_loss__pack
+                     (const PoolLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_loss__pack_to_buffer
+                     (const PoolLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolLoss *
+       pool_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolLoss *)
+     protobuf_c_message_unpack (&pool_loss__descriptor,
+                                allocator, len, data);
+}
+void   pool_loss__free_unpacked
+                     (PoolLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_submit__init
                      (PoolSubmit         *message)
 {
@@ -1139,7 +1184,110 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pool_loss__field_descriptors[6] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_progress",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, no_progress),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, crashed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_loss__field_indices_by_name[] = {
+  3,   /* field[3] = alone */
+  5,   /* field[5] = crashed */
+  2,   /* field[2] = incarnation */
+  4,   /* field[4] = no_progress */
+  1,   /* field[1] = target */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pool_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolLoss",
+  "PoolLoss",
+  "PoolLoss",
+  "",
+  sizeof(PoolLoss),
+  6,
+  pool_loss__field_descriptors,
+  pool_loss__field_indices_by_name,
+  1,  pool_loss__number_ranges,
+  (ProtobufCMessageInit) pool_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[18] =
 {
   {
     "seq",
@@ -1345,6 +1493,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolSubmit, n_losses),
+    offsetof(PoolSubmit, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
@@ -1353,6 +1513,7 @@
   12,   /* field[12] = former */
   9,   /* field[9] = id */
   2,   /* field[2] = left_ms */
+  17,   /* field[17] = losses */
   6,   /* field[6] = max_attempts */
   8,   /* field[8] = objective_ms */
   5,   /* field[5] = priority */
@@ -1368,7 +1529,7 @@
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -1378,14 +1539,14 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  17,
+  18,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
   (ProtobufCMessageInit) pool_submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor pool_progress__field_descriptors[5] =
 {
   {
     "seq",
@@ -1423,16 +1584,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolProgress, n_losses),
+    offsetof(PoolProgress, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_progress__field_indices_by_name[] = {
   1,   /* field[1] = done */
+  4,   /* field[4] = losses */
+  3,   /* field[3] = lost */
   2,   /* field[2] = mark */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pool_progress__descriptor =
 {
@@ -1442,7 +1629,7 @@
   "PoolProgress",
   "",
   sizeof(PoolProgress),
-  3,
+  5,
   pool_progress__field_descriptors,
   pool_progress__field_indices_by_name,
   1,  pool_progress__number_ranges,
@@ -2156,7 +2343,7 @@
   pool_job__state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor pool_job__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pool_job__field_descriptors[8] =
 {
   {
     "submit",
@@ -2242,12 +2429,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolJob, n_losses),
+    offsetof(PoolJob, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_job__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
   4,   /* field[4] = done */
   3,   /* field[3] = ended_ms */
   5,   /* field[5] = failed */
+  7,   /* field[7] = losses */
   1,   /* field[1] = state */
   0,   /* field[0] = submit */
   6,   /* field[6] = writer */
@@ -2255,7 +2455,7 @@
 static const ProtobufCIntRange pool_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pool_job__descriptor =
 {
@@ -2265,7 +2465,7 @@
   "PoolJob",
   "",
   sizeof(PoolJob),
-  7,
+  8,
   pool_job__field_descriptors,
   pool_job__field_indices_by_name,
   1,  pool_job__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct PoolStep PoolStep;
+typedef struct PoolLoss PoolLoss;
 typedef struct PoolSubmit PoolSubmit;
 typedef struct PoolProgress PoolProgress;
 typedef struct PoolHeard PoolHeard;
@@ -118,6 +119,39 @@
     , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A target that was lost while it may have run a task.
+ */
+struct  PoolLoss
+{
+  ProtobufCMessage base;
+  /*
+   * number over all steps
+   */
+  uint32_t task;
+  char *target;
+  /*
+   * 0: not known
+   */
+  int64_t incarnation;
+  /*
+   * no other run was on the target
+   */
+  protobuf_c_boolean alone;
+  /*
+   * the run had not shown any
+   */
+  protobuf_c_boolean no_progress;
+  /*
+   * it is known to have crashed
+   */
+  protobuf_c_boolean crashed;
+};
+#define POOL_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_loss__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 struct  PoolSubmit
 {
   ProtobufCMessage base;
@@ -189,10 +223,12 @@
    * that the leader asks for; 0: it is in this message.
    */
   uint64_t specification_hash;
+  size_t n_losses;
+  PoolLoss **losses;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -208,10 +244,16 @@
    * number of this message, for PoolHeard
    */
   uint64_t mark;
+  /*
+   * losses is set, and replaces those sent before
+   */
+  protobuf_c_boolean lost;
+  size_t n_losses;
+  PoolLoss **losses;
 };
 #define POOL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_progress__descriptor) \
-    , 0, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
@@ -395,7 +437,7 @@
 {
   ProtobufCMessage base;
   /*
-   * Without seq, age_ms, left_ms, former, done and failed. The leader
+   * Without seq, age_ms, left_ms, former, done, failed and losses. The leader
    * leaves it out once the job has ended.
    */
   PoolSubmit *submit;
@@ -422,10 +464,15 @@
    * Fencing token of the leader that wrote the row; 0: an entry VM did.
    */
   uint64_t writer;
+  /*
+   * while the job is open
+   */
+  size_t n_losses;
+  PoolLoss **losses;
 };
 #define POOL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_job__descriptor) \
-    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0 }
+    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -774,6 +821,25 @@
 void   pool_step__free_unpacked
                      (PoolStep *message,
                       ProtobufCAllocator *allocator);
+/* PoolLoss methods */
+void   pool_loss__init
+                     (PoolLoss         *message);
+size_t pool_loss__get_packed_size
+                     (const PoolLoss   *message);
+size_t pool_loss__pack
+                     (const PoolLoss   *message,
+                      uint8_t             *out);
+size_t pool_loss__pack_to_buffer
+                     (const PoolLoss   *message,
+                      ProtobufCBuffer     *buffer);
+PoolLoss *
+       pool_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_loss__free_unpacked
+                     (PoolLoss *message,
+                      ProtobufCAllocator *allocator);
 /* PoolSubmit methods */
 void   pool_submit__init
                      (PoolSubmit         *message);
@@ -1178,6 +1244,9 @@
 typedef void (*PoolStep_Closure)
                  (const PoolStep *message,
                   void *closure_data);
+typedef void (*PoolLoss_Closure)
+                 (const PoolLoss *message,
+                  void *closure_data);
 typedef void (*PoolSubmit_Closure)
                  (const PoolSubmit *message,
                   void *closure_data);
@@ -1248,6 +1317,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor pool_step__descriptor;
+extern const ProtobufCMessageDescriptor pool_loss__descriptor;
 extern const ProtobufCMessageDescriptor pool_submit__descriptor;
 extern const ProtobufCMessageDescriptor pool_progress__descriptor;
 extern const ProtobufCMessageDescriptor pool_heard__descriptor;
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -351,6 +351,44 @@
 		w->moves++;
 }
 
+/* The owner keeps the losses for the next submission. */
+static uint64_t on_losses(struct sched *s, struct sched_job *job)
+{
+	struct world *w = s->user;
+	struct world_job *owner = job->owner;
+	PoolSubmit *sub = owner ? owner->sub : NULL;
+	size_t i, j;
+
+	if (!sub)
+		return 0;
+	if (w->lose_messages)
+		return ++w->mark;
+	for (i = 0; i < sub->n_losses; i++)
+		pool_loss__free_unpacked(sub->losses[i], NULL);
+	sub->n_losses = 0;
+	for (i = 0; i < job->ntasks; i++) {
+		const struct sched_losses *losses = job->tasks[i].losses;
+
+		for (j = 0; losses && j < losses->n; j++) {
+			const struct sched_loss *loss = &losses->list[j];
+			PoolLoss *msg = malloc(sizeof(*msg));
+
+			pool_loss__init(msg);
+			msg->task = (uint32_t)i;
+			msg->target = strdup(loss->target);
+			msg->incarnation = loss->incarnation;
+			msg->alone = loss->alone;
+			msg->no_progress = loss->no_progress;
+			msg->crashed = loss->crashed;
+			sub->losses = realloc(sub->losses,
+					      (sub->n_losses + 1) *
+						      sizeof(*sub->losses));
+			sub->losses[sub->n_losses++] = msg;
+		}
+	}
+	return 0;
+}
+
 static void on_log_loss(struct sched *s, const char *event,
 			const struct sched_task *task,
 			const struct sched_loss *loss, const char *reason)
@@ -371,6 +409,7 @@
 	.target_removed = on_target_removed,
 	.progress = on_progress,
 	.log = on_log,
+	.losses = on_losses,
 	.log_loss = on_log_loss,
 };
 
--- a/sched-core.c
+++ b/sched-core.c
@@ -171,6 +171,8 @@
 	for (i = 0; i < job->ntasks; i++)
 		if (job->tasks[i].state == SCHED_DONE)
 			job->s->ops->progress(job->s, job, &job->tasks[i]);
+	if (job->nsuspects)
+		sched_losses_changed(job);
 }
 
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
--- a/sched-job.c
+++ b/sched-job.c
@@ -319,6 +319,7 @@
 	init_tasks(job);
 	mark_done(job, sub);
 	count_failures(job, sub);
+	sched_losses_restore(job, sub->losses, sub->n_losses);
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
 	job->queue->nwaiting++;
 	sched_predict_job(job);
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -75,7 +75,11 @@
 	const struct sched_losses *losses = task->losses;
 	rp_ms now = task->job->s->now;
 
-	if (!losses || losses->n < WAIT_LOSSES)
+	if (!losses || !losses->n)
+		return 0;
+	if (task->job->losses_mark)
+		return 1;
+	if (losses->n < WAIT_LOSSES)
 		return 0;
 	if (is_at_fault(losses) || losses->n == SCHED_LOSSES_MAX)
 		return 1;
@@ -83,12 +87,32 @@
 	       now - losses->list[losses->n - 1].at < OUTCOME_WAIT_MS;
 }
 
+static struct sched_loss *find_loss(struct sched_losses *losses,
+				    const struct sched_loss *loss)
+{
+	size_t i;
+
+	for (i = 0; i < losses->n; i++)
+		if (losses->list[i].incarnation == loss->incarnation &&
+		    !strcmp(losses->list[i].target, loss->target))
+			return &losses->list[i];
+	return NULL;
+}
+
 void sched_loss_add(struct sched_task *task, const struct sched_loss *loss)
 {
 	struct sched *s = task->job->s;
 	struct sched_losses *losses = get_losses(task);
+	struct sched_loss *known;
 
-	if (!losses || losses->n == SCHED_LOSSES_MAX)
+	if (!losses)
+		return;
+	known = find_loss(losses, loss);
+	if (known) {
+		known->crashed |= loss->crashed;
+		return;
+	}
+	if (losses->n == SCHED_LOSSES_MAX)
 		return;
 	losses->list[losses->n++] = *loss;
 	s->ops->log_loss(s, "target_lost", task, loss,
@@ -129,10 +153,50 @@
 	loss = loss_of(task, alone, crashed);
 	s->count.runs_lost++;
 	s->count.runs_crashed += loss.crashed != 0;
-	if (task->job->answered)
+	if (task->job->answered) {
 		sched_history_add_loss(task, &loss);
-	else
-		sched_loss_add(task, &loss);
+		return;
+	}
+	sched_loss_add(task, &loss);
+	sched_losses_changed(task->job);
+}
+
+void sched_losses_restore(struct sched_job *job, PoolLoss *const *losses,
+			  size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct sched_loss loss = {
+			.incarnation = losses[i]->incarnation,
+			.at = job->s->now,
+			.alone = losses[i]->alone,
+			.no_progress = losses[i]->no_progress,
+			.crashed = losses[i]->crashed,
+		};
+
+		str_copy(loss.target, sizeof(loss.target),
+			 str_of(losses[i]->target));
+		if (losses[i]->task < job->ntasks)
+			sched_loss_add(&job->tasks[losses[i]->task], &loss);
+	}
+}
+
+void sched_losses_changed(struct sched_job *job)
+{
+	uint64_t mark = job->s->ops->losses(job->s, job);
+
+	if (mark)
+		job->losses_mark = mark;
+}
+
+void sched_losses_acked(struct sched *s, const void *owner, uint64_t mark)
+{
+	struct sched_job *job;
+
+	for (job = s->nsuspects ? s->jobs : NULL; job; job = job->next)
+		if (job->owner == owner && job->losses_mark <= mark)
+			job->losses_mark = 0;
 }
 
 enum outcome { OPEN, CRASHED, ALIVE };
@@ -159,10 +223,12 @@
 	return t->hold_replied_at > loss->at ? ALIVE : OPEN;
 }
 
-static void review_task(struct sched_task *task)
+/* Returns whether the outcome of a loss of the task has become known. */
+static int review_task(struct sched_task *task)
 {
 	struct sched *s = task->job->s;
 	struct sched_losses *losses = task->losses;
+	int changed = 0;
 	size_t i;
 
 	for (i = losses->n; i-- > 0;) {
@@ -173,6 +239,7 @@
 
 		if (outcome == OPEN)
 			continue;
+		changed = 1;
 		if (outcome == CRASHED) {
 			loss->crashed = 1;
 			s->count.runs_crashed++;
@@ -185,15 +252,19 @@
 		memmove(loss, loss + 1,
 			(--losses->n - i) * sizeof(losses->list[0]));
 	}
+	return changed;
 }
 
 static void review_job(struct sched_job *job)
 {
+	int changed = 0;
 	size_t i;
 
 	for (i = 0; i < job->ntasks; i++)
 		if (job->tasks[i].losses)
-			review_task(&job->tasks[i]);
+			changed |= review_task(&job->tasks[i]);
+	if (changed)
+		sched_losses_changed(job);
 }
 
 /* Returns a task at fault that waits, or NULL. One that runs may yet end. */
--- a/sched-past.c
+++ b/sched-past.c
@@ -62,10 +62,12 @@
 
 	/* The job may have been submitted again already. */
 	if (job && job->ntasks == closed->ntasks &&
-	    job->specification_hash == closed->specification_hash)
+	    job->specification_hash == closed->specification_hash) {
 		sched_loss_add(&job->tasks[i], loss);
-	else if (rec)
+		sched_losses_changed(job);
+	} else if (rec) {
 		add_loss(rec, i, loss);
+	}
 }
 
 void sched_history_add(const struct sched_job *job)
@@ -114,6 +116,8 @@
 	for (i = 0; i < rec->nlosses; i++)
 		sched_loss_add(&job->tasks[rec->losses[i].task],
 			       &rec->losses[i].loss);
+	if (rec->nlosses)
+		sched_losses_changed(job);
 }
 
 static void remove_oldest(struct sched *s)
--- a/scheduler.h
+++ b/scheduler.h
@@ -238,11 +238,12 @@
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	size_t ntasks;
-	int size_bucket;  /* of struct sched_queue */
-	size_t ndone;	  /* succeeded */
-	size_t nplaced;	  /* may be running on a target */
-	size_t nwaiting;  /* to be started */
-	size_t nsuspects; /* tasks with losses */
+	int size_bucket;      /* of struct sched_queue */
+	size_t ndone;	      /* succeeded */
+	size_t nplaced;	      /* may be running on a target */
+	size_t nwaiting;      /* to be started */
+	size_t nsuspects;     /* tasks with losses */
+	uint64_t losses_mark; /* of the message on these to be acked; 0: none */
 	struct sched_step *steps;
 	size_t nsteps;
 	struct sched_task *tasks;
@@ -412,6 +413,12 @@
 	void (*log)(struct sched *s, const char *event,
 		    const struct sched_target *t, const struct sched_task *task,
 		    const char *reason);
+	/*
+	 * The lost targets of the job's tasks, or what is known of them, have
+	 * changed. Returns the mark of the message to the owner, or 0; tasks
+	 * with losses do not start until it is acknowledged.
+	 */
+	uint64_t (*losses)(struct sched *s, struct sched_job *job);
 	/* Logs what is learned of a target that was lost with the task. */
 	void (*log_loss)(struct sched *s, const char *event,
 			 const struct sched_task *task,
@@ -798,10 +805,18 @@
  * other run. crashed: it is known to have crashed.
  */
 void sched_loss_of_run(struct sched_task *task, int alone, int crashed);
+/* Adds the loss, or merges it with what is known of the target already. */
 void sched_loss_add(struct sched_task *task, const struct sched_loss *loss);
 /* Returns how many of the lost targets are known to have crashed. */
 size_t sched_losses_crashed(const struct sched_losses *losses);
 void sched_losses_free(struct sched_job *job);
+/* Adds the losses under an earlier scheduler. */
+void sched_losses_restore(struct sched_job *job, PoolLoss *const *losses,
+			  size_t n);
+/* Tells the owner of the job's losses. */
+void sched_losses_changed(struct sched_job *job);
+/* The owner knows of all losses in messages up to the mark. */
+void sched_losses_acked(struct sched *s, const void *owner, uint64_t mark);
 /* Whether the task may not be started, now or any more. */
 int sched_loss_must_wait(const struct sched_task *task);
 /*
