Calls sent again: the refusal of one copy says nothing of the other

Cause: a start without a reply is sent again on another connection. The run of the first copy had ended when the second arrived, which the target refused as old; the refusal was taken to say that the run had not been started. The same holds for any refusal while another copy may be on its way.

Such a reply is now uncertain: the run is stopped, which also keeps a late copy from starting it, and the target's list says whether it has succeeded.

Evidence: sched_crash: a_run_that_has_ended_is_not_started_again, which failed on the code before; pool_resend: a_refused_copy_of_a_start_does_not_say_that_ none_runs, which fails without pool_resend_status().

--- a/pool-io.h
+++ b/pool-io.h
@@ -145,6 +145,12 @@
 void pool_resend_tick(struct pool *p);
 /* Time until a call is due, ms; -1: none is. */
 rp_ms pool_resend_timeout(const struct pool *p);
+/*
+ * What the reply to a call means, given that it may have been sent twice: a
+ * refusal of one copy says nothing of the other.
+ */
+enum sched_reply_status pool_resend_status(const struct pool_call *c,
+					   enum sched_reply_status status);
 /* The call is about to be freed. */
 void pool_resend_ended(struct pool_call *c, long status);
 
--- a/pool-order.c
+++ b/pool-order.c
@@ -164,7 +164,7 @@
 		apr_hash_get(p->agent_calls, &msg->seq, sizeof(msg->seq));
 	struct sched_target *t = NULL;
 
-	r.reply.status = msg->status <= SCHED_REPLY_NOT_SENT
+	r.reply.status = msg->status <= SCHED_REPLY_UNCERTAIN
 				 ? (enum sched_reply_status)msg->status
 				 : SCHED_REPLY_UNKNOWN;
 	r.reply.clock = (int64_t)msg->clock;
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -162,6 +162,14 @@
 	return p->resend.due > p->now ? p->resend.due - p->now : 0;
 }
 
+enum sched_reply_status pool_resend_status(const struct pool_call *c,
+					   enum sched_reply_status status)
+{
+	if (status == SCHED_REPLY_REFUSED && c->resend && c->resend->ncopies)
+		return SCHED_REPLY_UNCERTAIN;
+	return status;
+}
+
 static void learn_reply_time(struct pool *p, double ms)
 {
 	double error = ms - p->resend.mean;
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -252,6 +252,9 @@
 		     SCHED_REPLY_REFUSED);
 	cr_assert_str_eq(r.reply.reason, "room");
 	platform_reply_finish(&r);
+	cr_assert_eq(parse_reply(&r, 409, "{\"clockMs\":5,\"reason\":\"old\"}"),
+		     SCHED_REPLY_UNCERTAIN);
+	platform_reply_finish(&r);
 	cr_assert_eq(parse_reply(&r, 421, ""), SCHED_REPLY_WRONG_INCARNATION);
 	platform_reply_finish(&r);
 	cr_assert_eq(parse_reply(&r, 503, ""), SCHED_REPLY_REFUSED);
--- a/regress/pool-resend.c
+++ b/regress/pool-resend.c
@@ -68,8 +68,8 @@
 	}
 }
 
-/* Reads the request that comes over the next connection. */
-static void read_request(char *to, size_t size)
+/* Reads the request that comes over the next connection, and returns this. */
+static int read_request(char *to, size_t size)
 {
 	int fd = accept(target, NULL, NULL);
 	ssize_t n;
@@ -79,6 +79,22 @@
 	cr_assert_gt(n, 0);
 	to[n] = '\0';
 	/* The connection stays open without an answer. */
+	return fd;
+}
+
+static void address_order(PoolOrder *order, char *address, size_t size)
+{
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	getsockname(target, (struct sockaddr *)&sa, &len);
+	snprintf(address, size, "127.0.0.1:%u", (unsigned)ntohs(sa.sin_port));
+	order->seq = 1;
+	order->target = 1;
+	order->id = "i-1";
+	order->address = pool_address_pack(address);
+	order->fence = LEAD_TOKEN(1);
+	order->lease_until = 5000;
 }
 
 /*
@@ -88,20 +104,10 @@
 Test(pool_resend, a_copy_of_a_hold_acknowledges_no_ends)
 {
 	char first[2048], copy[2048], address[32];
-	struct sockaddr_in sa;
-	socklen_t len = sizeof(sa);
 	PoolOrder order = POOL_ORDER__INIT;
 
-	getsockname(target, (struct sockaddr *)&sa, &len);
-	snprintf(address, sizeof(address), "127.0.0.1:%u",
-		 (unsigned)ntohs(sa.sin_port));
+	address_order(&order, address, sizeof(address));
 	order.kind = POOL_ORDER__KIND__HOLD;
-	order.seq = 1;
-	order.target = 1;
-	order.id = "i-1";
-	order.address = pool_address_pack(address);
-	order.fence = LEAD_TOKEN(1);
-	order.lease_until = 5000;
 	order.acked_end = 57;
 	order.wait_ms = 10;
 	pool_order_received(&p, &order);
@@ -116,3 +122,35 @@
 	cr_assert_null(p.calls);
 	cr_assert_gt(leader_link.bulk.len, 0);
 }
+
+/* The other copy may have been carried out, or may yet be. */
+Test(pool_resend, a_refused_copy_of_a_start_does_not_say_that_none_runs)
+{
+	static const char refusal[] = "HTTP/1.1 409 Conflict\r\n"
+				      "Content-Length: 29\r\n\r\n"
+				      "{\"clockMs\":5,\"reason\":\"room\"}";
+	char request[2048], address[32];
+	PoolOrder order = POOL_ORDER__INIT;
+	PoolFrame *frame;
+	int fd;
+
+	address_order(&order, address, sizeof(address));
+	order.kind = POOL_ORDER__KIND__START;
+	order.task = "0000000000000001.0.0.0";
+	order.run = 1;
+	pool_order_received(&p, &order);
+	run_for(35);
+	cr_assert_geq(p.count.calls_resent, 1);
+	read_request(request, sizeof(request));
+	fd = read_request(request, sizeof(request));
+	cr_assert_eq(write(fd, refusal, sizeof(refusal) - 1),
+		     (ssize_t)sizeof(refusal) - 1);
+	run_for(20);
+	cr_assert_gt(leader_link.bulk.len, 0);
+	cr_assert_lt(leader_link.bulk.data[0], 128);
+	frame = pool_frame__unpack(NULL, (size_t)leader_link.bulk.data[0],
+				   (uint8_t *)leader_link.bulk.data + 1);
+	cr_assert_not_null(frame);
+	cr_assert_eq(frame->reply->status, SCHED_REPLY_UNCERTAIN);
+	pool_frame__free_unpacked(frame, NULL);
+}
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -245,7 +245,7 @@
 	snprintf(name, sizeof(name), "%s", task->name);
 	world_run_until(&w, w.now + 40);
 	cr_assert_eq(w.targets[0].nends, 1);
-	reply.status = SCHED_REPLY_REFUSED;
+	reply.status = SCHED_REPLY_UNCERTAIN;
 	reply.sent_at = w.now - 1;
 	reply.clock = w.now;
 	sched_start_reply(w.sched, t, name, 1, &reply, w.now);
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -148,7 +148,7 @@
 	}
 	t->unanswered = 0;
 	t->replied_at = s->now;
-	if (reply->status == SCHED_REPLY_REFUSED && !reply->clock) {
+	if (reply->status != SCHED_REPLY_OK && !reply->clock) {
 		/* An unhealthy target refuses without giving its clock. */
 		back_off(t);
 		return 0;
@@ -181,7 +181,7 @@
 		sched_run_ended(task, SCHED_END_STOPPED);
 		return;
 	}
-	s->ops->log(s, "start_unanswered", t, task, "");
+	s->ops->log(s, "start_unanswered", t, task, reply->reason);
 	/* Once a stop has succeeded, the start cannot take effect any more. */
 	sched_run_stop(task);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -366,6 +366,8 @@
 	SCHED_REPLY_WRONG_INCARNATION, /* another incarnation replied */
 	SCHED_REPLY_UNKNOWN,  /* no valid reply: the call may take effect */
 	SCHED_REPLY_NOT_SENT, /* the target was not called */
+	/* It refused the call, but may have carried out a copy of it. */
+	SCHED_REPLY_UNCERTAIN,
 };
 
 /* Reply of a target to a call. */
