Scheduler: a job that was started under an earlier submission is not rejected

What callers saw: a job that is not stored ends without an answer in time, is submitted again, and expires before a task of this submission has started: the answer said that no task of the job had run, which the earlier submission made untrue. Cause: only the starts of the present submission were looked at. The answer is now incomplete.

--- a/sched-job.c
+++ b/sched-job.c
@@ -382,6 +382,9 @@
 	uint64_t mark;
 	size_t i;
 
+	/* A rejection says that no task of the job has run. */
+	if (outcome == POOL_ANSWER__OUTCOME__REJECTED && job->started_earlier)
+		outcome = POOL_ANSWER__OUTCOME__INCOMPLETE;
 	answer.seq = job->seq;
 	answer.outcome = outcome;
 	answer.reason = (char *)reason;
--- a/sched-past.c
+++ b/sched-past.c
@@ -107,6 +107,7 @@
 	size_t i;
 
 	job->next_run = job->min_run = rec ? rec->next_run : s->first_run;
+	job->started_earlier = rec != NULL;
 	rec = find_record(job);
 	if (!rec)
 		return;
--- a/scheduler.h
+++ b/scheduler.h
@@ -235,6 +235,7 @@
 	int missed_start; /* considered only after its latest start */
 	/* Runs of an earlier submission of the id may not be over. */
 	int awaits_earlier_runs;
+	int started_earlier; /* a task was, under an earlier submission */
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	size_t ntasks;
