List of targets: a missing target's id was read after it was freed

What callers saw: nothing yet; with two targets missing from the list at the same time, the leader read freed memory when the first of them counted as removed, and could have crashed on it. Cause: remove_missing() went on through the list after it had freed the member whose id it was given. Ids are unique in the list, so it ends there.

--- a/pool-listing.c
+++ b/pool-listing.c
@@ -19,18 +19,17 @@
 	rp_ms since; /* when the row was found missing, or the outage ended */
 };
 
+/* id may be that of the list's member, which is freed. */
 static void remove_missing(struct store *s, const char *id)
 {
 	struct missing_target **at = &s->missing, *m;
 
-	while ((m = *at)) {
-		if (strcmp(m->id, id) != 0) {
-			at = &m->next;
-			continue;
-		}
-		*at = m->next;
-		free(m);
-	}
+	while ((m = *at) && strcmp(m->id, id) != 0)
+		at = &m->next;
+	if (!m)
+		return;
+	*at = m->next;
+	free(m);
 }
 
 static void add_missing(struct store *s, const char *id, rp_ms now)
