Transactions of stored jobs: within the limits of the store

Cause: a full batch had 50 rows, each with a condition and a write, and the condition on the marker: 101 entries. The store refuses such a transaction, and the leader sent it again for good, so that no row of the part was written any more.

49 rows at most, and no more once they have 400,000 bytes. The stand-in store has the limits now, and counts what is over them as a violation.

--- a/pool-job.c
+++ b/pool-job.c
@@ -14,7 +14,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BATCH_ROWS 50 /* in a transaction; the store's limit is 100 */
+/* Each row takes two of the 100 entries that the store allows. */
+#define BATCH_ROWS 50
+#define BATCH_BYTES 400000 /* from which no more rows are added */
 #define READ_TIMEOUT_MS 1500
 #define MAX_ATTEMPTS 5 /* of a write that conflicts with other writes */
 
@@ -244,9 +246,9 @@
 			 struct platform_write *writes)
 {
 	struct pool_job_call **at = &part->first, *j;
-	size_t n = 0;
+	size_t n = 0, bytes = 0;
 
-	while ((j = *at) && n < BATCH_ROWS) {
+	while ((j = *at) && n < BATCH_ROWS && bytes < BATCH_BYTES) {
 		/* A transaction writes a row once: a repeated id waits. */
 		if (list_contains(part->sent, j->id)) {
 			at = &j->next;
@@ -255,6 +257,7 @@
 		*at = j->next;
 		j->next = part->sent;
 		part->sent = j;
+		bytes += j->len;
 		writes[n++] = (struct platform_write){
 			.key = j->id,
 			.value = { (char *)j->packed_job, j->len },
--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -137,9 +137,10 @@
 {
 	struct stored_part *part = &p->stored_jobs->parts[i];
 	struct platform_write writes[STORED_BATCH_ROWS + 1];
-	size_t n = 0, k;
+	size_t n = 0, bytes = 0, k;
 
-	while (part->first && n < STORED_BATCH_ROWS) {
+	while (part->first && n < STORED_BATCH_ROWS &&
+	       bytes < STORED_BATCH_BYTES) {
 		struct stored_job *j = part->first;
 
 		part->first = j->next;
@@ -154,6 +155,7 @@
 			.value = pack_job(p, j),
 			.expected_version = j->version,
 		};
+		bytes += writes[n - 1].value.len;
 	}
 	if (!part->first)
 		part->last = &part->first;
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -10,7 +10,14 @@
 
 #include "pool-store.h"
 
-#define STORED_BATCH_ROWS 50 /* in a transaction; the store's limit is 100 */
+/*
+ * Rows in a transaction. Each takes two of the 100 entries that the store
+ * allows, its condition and its write, and the marker takes one.
+ */
+#define STORED_BATCH_ROWS 49
+/* Bytes of rows from which a transaction gets no more; the store allows 1 MB.
+ */
+#define STORED_BATCH_BYTES 400000
 /*
  * Key of the marker, a row in each part with the fencing token of the leader
  * that writes there. It sorts before all jobs. Each transaction checks its
--- /dev/null
+++ b/regress/pool-keep.c
@@ -0,0 +1,101 @@
+/* Rows of stored jobs that the leader writes. */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool-keep.h"
+
+static struct pool p;
+
+static void init_leader(void)
+{
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	apr_pool_create(&p.pool, NULL);
+	p.now = pool_clock();
+	p.leadership_confirmed_at = p.now;
+	str_copy(p.set.store_address, sizeof(p.set.store_address),
+		 str_of("127.0.0.1:1"));
+	pool_loop_init(&p);
+	pool_calls_init(&p);
+	pool_store_init(&p);
+	pool_stored_begin(&p);
+}
+
+static void finish_leader(void)
+{
+	pool_calls_cancel(&p, p.call_group);
+	pool_stored_end(&p);
+	curl_multi_cleanup(p.curl);
+	apr_pool_destroy(p.pool);
+}
+
+TestSuite(pool_keep, .init = init_leader, .fini = finish_leader, .timeout = 20);
+
+/* Queues the rows of n jobs in part 0, each with a specification of size. */
+static void queue_rows(size_t n, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct stored_job *j = calloc(1, sizeof(*j));
+
+		snprintf(j->id, sizeof(j->id), "%016zx", i);
+		j->version = 7;
+		j->job = malloc(sizeof(*j->job));
+		pool_job__init(j->job);
+		j->job->submit = malloc(sizeof(*j->job->submit));
+		pool_submit__init(j->job->submit);
+		j->job->submit->specification.data = calloc(1, size);
+		j->job->submit->specification.len = size;
+		apr_hash_set(p.stored_jobs->jobs, j->id, APR_HASH_KEY_STRING,
+			     j);
+		stored_job_queue(&p.stored_jobs->parts[0], j);
+	}
+}
+
+/* Returns the body of the transaction that the next tick sends for part 0. */
+static const char *next_transaction(void)
+{
+	int i;
+
+	for (i = 0; i < JOBS_PARTS; i++) {
+		p.stored_jobs->parts[i].marker_version = 5;
+		p.stored_jobs->parts[i].in_flight = i != 0;
+	}
+	pool_stored_tick(&p, p.now);
+	cr_assert_not_null(p.calls);
+	return p.calls->request;
+}
+
+static size_t count(json_t *root, const char *name)
+{
+	return json_array_size(json_object_get(root, name));
+}
+
+/*
+ * The store refuses a transaction of more than 100 entries. The leader sent it
+ * again and again, and no row of the part was written any more.
+ */
+Test(pool_keep, a_full_batch_is_within_the_limits_of_the_store)
+{
+	json_t *root;
+
+	queue_rows(120, 10);
+	root = json_loads(next_transaction(), 0, NULL);
+	cr_assert_gt(count(root, "writes"), 40);
+	cr_assert_leq(count(root, "writes") + count(root, "remove") +
+			      count(root, "expectedRevision"),
+		      100);
+	json_decref(root);
+}
+
+Test(pool_keep, a_batch_of_large_rows_is_within_the_limits_of_the_store)
+{
+	queue_rows(60, 40000);
+	cr_assert_lt(strlen(next_transaction()), 1000000);
+}
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -58,6 +58,9 @@
 	free(base64);
 }
 
+#define ENTRIES_MAX 100	 /* of a transaction */
+#define BODY_MAX 1000000 /* bytes of a transaction */
+
 static json_t *row_json(const struct standin_row *row)
 {
 	json_t *o = json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part",
@@ -198,12 +201,21 @@
 	json_t *root = json_loadb(r->body, r->len, 0, NULL);
 	json_t *writes = json_object_get(root, "writes");
 	json_t *removals = json_object_get(root, "remove");
+	json_t *conditions = json_object_get(root, "expectedRevision");
 	json_t *current = json_array();
 	size_t i;
 
 	s->writes++;
-	if (!conditions_hold(s, json_object_get(root, "expectedRevision"),
-			     current)) {
+	if (json_array_size(conditions) + json_array_size(writes) +
+			    json_array_size(removals) >
+		    ENTRIES_MAX ||
+	    r->len > BODY_MAX) {
+		json_decref(root);
+		json_decref(current);
+		standin_violation(st, "transaction too large", r->path);
+		return fake_reply_error(r, 400, "over 100 entries or 1 MB");
+	}
+	if (!conditions_hold(s, conditions, current)) {
 		json_decref(root);
 		return reply_rows(s, r, 412, current);
 	}
