Tests with processes: tasks that crash their targets, capacity that changes

The stand-in's targets count starts after three crashes and starts over a smaller capacity as violations.

--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -99,6 +99,7 @@
 {
 	struct standin_target *t;
 	int index = -1, restart = 0;
+	double cpu;
 
 	set_int(o, "target", &index);
 	if (index < 0 || (size_t)index >= st->ntargets)
@@ -114,6 +115,10 @@
 	set_int(o, "draining", &t->draining);
 	set_int(o, "restart", &restart);
 	fake_json_number(o, "slowdown", &t->slowdown);
+	cpu = t->cpu;
+	fake_json_number(o, "cpu", &cpu);
+	if (cpu != t->cpu)
+		target_set_cpu(t, cpu);
 	set_int(o, "clock_lag", &t->clock_lag);
 	if (restart)
 		target_restart(t);
@@ -141,15 +146,15 @@
 		target_advance(&st->targets[i]);
 		runs += st->targets[i].nruns;
 	}
-	return fake_reply_json(r, 200,
-			       json_pack("{s:i,s:s,s:I,s:I,s:I,s:I,s:I}",
-					 "violations", st->violations,
-					 "first_violation", st->first_violation,
-					 "starts", (json_int_t)st->starts,
-					 "ends", (json_int_t)st->ends,
-					 "running", (json_int_t)runs, "reads",
-					 (json_int_t)st->store.reads, "writes",
-					 (json_int_t)st->store.writes));
+	return fake_reply_json(
+		r, 200,
+		json_pack("{s:i,s:i,s:s,s:I,s:I,s:I,s:I,s:I}", "crashes",
+			  st->crashes, "violations", st->violations,
+			  "first_violation", st->first_violation, "starts",
+			  (json_int_t)st->starts, "ends", (json_int_t)st->ends,
+			  "running", (json_int_t)runs, "reads",
+			  (json_int_t)st->store.reads, "writes",
+			  (json_int_t)st->store.writes));
 }
 
 /* Whether a run of each of the job's tasks has ended as done. */
@@ -308,6 +313,8 @@
 				st.srv.pool);
 	st.acked_specs = json_object();
 	st.started_jobs = json_object();
+	st.crash_counts = json_object();
+	st.starts_after = json_object();
 	st.done_tasks = json_object();
 	st.seed = 1;
 	st.drain_ms = f.drain_ms;
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -65,10 +65,15 @@
 	int64_t incarnation, sequence, draining_since;
 	int64_t restarted_at; /* 0: never */
 	int draining;
-	int silent;	       /* fault: does not answer */
-	int stuck;	       /* fault: runs make no progress */
-	int failing;	       /* fault: percent of runs that fail */
-	int losing;	       /* fault: percent of calls that are lost */
+	int silent;	 /* fault: does not answer */
+	int stuck;	 /* fault: runs make no progress */
+	int failing;	 /* fault: percent of runs that fail */
+	int losing;	 /* fault: percent of calls that are lost */
+	double cpu;	 /* capacity, thousandths of a core */
+	double prev_cpu; /* before it was changed last */
+	int64_t cpu_changed_at;
+	int64_t crash_at;      /* a run crashes it then; 0: none does */
+	int64_t crashed_until; /* it is down until then; 0: it is up */
 	double clock_offset;   /* ms that its clock is ahead of the real time */
 	int clock_lag;	       /* fault: percent by which its clock runs slow */
 	double slowdown;       /* work takes this many times as long */
@@ -86,6 +91,8 @@
 void target_init(struct standin *st, size_t index);
 /* Writes the target's entry to the store. */
 void target_write_entry(struct standin_target *t);
+/* Changes the capacity, of which the scheduler learns from the entry. */
+void target_set_cpu(struct standin_target *t, double cpu);
 /* Starts another incarnation, which knows nothing of the previous one. */
 void target_restart(struct standin_target *t);
 /* Brings runs and the lease up to the present time. */
@@ -109,6 +116,9 @@
 	int violations;
 	char first_violation[256];
 	uint64_t starts, ends;
+	int crashes;	      /* of targets, by their runs */
+	json_t *crash_counts; /* task -> targets that it has crashed */
+	json_t *starts_after; /* task -> its starts after three crashes */
 	json_t *started_jobs; /* ids of jobs of which a task was started */
 	json_t *done_tasks;   /* tasks of which a run ended as done */
 	json_t *acked_specs; /* task -> specification of its acknowledged end */
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -10,6 +10,10 @@
 #define CPU 16000.0   /* capacity, thousandths of a core */
 #define TASK_CPU 6000 /* CPU of every task, thousandths of a core */
 #define RESTART_MS 80 /* time until the next incarnation answers */
+#define CRASH_MS 10   /* from the start of a run that crashes its target */
+#define DOWN_MS 2000  /* time until a crashed target is back, with a new id */
+/* Time in which the scheduler may not know of a smaller capacity. */
+#define SHRINK_MS 1000
 
 void target_init(struct standin *st, size_t index)
 {
@@ -18,6 +22,7 @@
 	t->st = st;
 	t->index = index;
 	t->slowdown = 1;
+	t->cpu = t->prev_cpu = CPU;
 	t->incarnation = 1700000000000 + (int64_t)index;
 	snprintf(t->id, sizeof(t->id), "i-%zu", index);
 	t->last_runs = json_object();
@@ -35,22 +40,72 @@
 		 "\"%s\",\"capacity\":{\"cpu\":%.0f,\"taskMemoryMb\":65536},"
 		 "\"labels\":[\"a\",\"r1-1\"],\"born\":%lld,\"sequence\":%lld}",
 		 t->st->advertised_port + (int)t->index,
-		 t->draining ? "draining" : "ready", CPU,
+		 t->draining ? "draining" : "ready", t->cpu,
 		 (long long)t->incarnation, (long long)++t->sequence);
 	store_put(&t->st->store, "servers", t->id, text);
 }
 
-void target_restart(struct standin_target *t)
+void target_set_cpu(struct standin_target *t, double cpu)
+{
+	t->prev_cpu = t->cpu;
+	t->cpu = cpu;
+	t->cpu_changed_at = fake_now_ms();
+	target_write_entry(t);
+}
+
+static void lose_state(struct standin_target *t)
 {
 	t->nruns = t->nends = 0;
 	t->clock_offset = 0;
 	t->last_end = t->fencing_token = t->lease_until = 0;
 	json_object_clear(t->last_runs);
 	t->incarnation++;
+}
+
+void target_restart(struct standin_target *t)
+{
+	lose_state(t);
 	t->restarted_at = fake_now_ms();
 	target_write_entry(t);
 }
 
+/* Adds one to the task's number. Returns it. */
+static int count_task(json_t *counts, const char *task)
+{
+	json_int_t n = json_integer_value(json_object_get(counts, task)) + 1;
+
+	json_object_set_new(counts, task, json_integer(n));
+	return (int)n;
+}
+
+static int crashes_target(const char *spec)
+{
+	return !strncmp(spec, "crash", 5);
+}
+
+/* Crashes the target, and brings it back, when it is time. */
+static void advance_crash(struct standin_target *t)
+{
+	size_t i;
+
+	if (t->crashed_until && fake_now_ms() >= t->crashed_until) {
+		t->crashed_until = 0;
+		store_put(&t->st->store, "servers", t->id, NULL);
+		snprintf(t->id, sizeof(t->id), "i-%zu-%d", t->index,
+			 t->st->crashes);
+		target_write_entry(t);
+	}
+	if (!t->crash_at || fake_now_ms() < t->crash_at)
+		return;
+	t->st->crashes++;
+	for (i = 0; i < t->nruns; i++)
+		if (crashes_target(t->runs[i].spec))
+			count_task(t->st->crash_counts, t->runs[i].task);
+	lose_state(t);
+	t->crash_at = 0;
+	t->crashed_until = fake_now_ms() + DOWN_MS;
+}
+
 /* Returns the time of the target's own clock, ms. */
 static int64_t target_clock(const struct standin_target *t)
 {
@@ -88,6 +143,7 @@
 	size_t i;
 
 	t->advanced_at = now;
+	advance_crash(t);
 	t->clock_offset -= elapsed * t->clock_lag / 100;
 	for (i = t->nruns; i-- > 0;) {
 		struct standin_run *run = &t->runs[i];
@@ -170,7 +226,7 @@
 static void check_start(struct standin *st, struct standin_target *t,
 			const char *task, const char *spec)
 {
-	double cpu = 0;
+	double cpu = 0, room;
 	size_t i, j;
 	int running = 0;
 
@@ -185,8 +241,14 @@
 		standin_violation(st, "started after it was done", task);
 	for (i = 0; i < t->nruns; i++)
 		cpu += t->runs[i].cpu;
-	if (cpu + TASK_CPU > CPU)
+	room = t->cpu;
+	if (room < t->prev_cpu && fake_now_ms() - t->cpu_changed_at < SHRINK_MS)
+		room = t->prev_cpu;
+	if (cpu + TASK_CPU > room)
 		standin_violation(st, "capacity exceeded", t->id);
+	if (json_integer_value(json_object_get(st->crash_counts, task)) >= 3 &&
+	    count_task(st->starts_after, task) >= 3)
+		standin_violation(st, "started too often after crashes", task);
 	if (t->draining && fake_now_ms() - t->draining_since >= st->drain_ms)
 		standin_violation(st, "start on a draining target", task);
 }
@@ -224,7 +286,9 @@
 	snprintf(new_run->spec, sizeof(new_run->spec), "%s", spec);
 	new_run->run = run;
 	record_started_job(st, task);
-	new_run->work_ms = atof(spec);
+	new_run->work_ms = crashes_target(spec) ? 1000 : atof(spec);
+	if (crashes_target(spec))
+		t->crash_at = fake_now_ms() + CRASH_MS;
 	new_run->cpu = TASK_CPU;
 	new_run->fails = t->failing && rand_r(&st->seed) % 100 < t->failing;
 	st->starts++;
@@ -318,6 +382,9 @@
 	int64_t fence = 0;
 	json_t *body;
 
+	target_advance(t);
+	if (t->crashed_until)
+		return FAKE_DROP;
 	/*
 	 * A restart closes the connections of the previous incarnation, and the
 	 * next one refuses connections for a while.
@@ -327,7 +394,6 @@
 		return FAKE_DROP;
 	if (t->silent || standin_is_lost(t->st, r, t->losing))
 		return standin_suspend(r);
-	target_advance(t);
 	if (expected && strcmp(expected, t->id) != 0)
 		return fake_reply_error(r, 421, "another incarnation");
 	body = json_loadb(r->body, r->len, 0, NULL);
