rosemaryd: a request that breaks connections is started twice at most

A request under which two connections broke is not started again; it fails with this reason. A silent target, a failed run and a refusal count as before. Jobs and requests that are not idempotent were never started twice.

--- a/dispatch-outcome.c
+++ b/dispatch-outcome.c
@@ -4,6 +4,11 @@
 
 /* Starts of one idempotent request, the first and hedges included. */
 #define ATTEMPTS_MAX 4
+/*
+ * Starts whose connection broke before the reply, after which a request is not
+ * started again: it may be what crashes the targets.
+ */
+#define LOST_MAX 2
 
 /* Longest pause of a target after the outcome BUSY or UNSENT, ms. */
 #define PAUSE_BUSY_MAX_MS 80
@@ -16,7 +21,8 @@
 
 	return sub->is_request && sub->idempotent && !job->closed &&
 	       job->tasks[task].attempts < ATTEMPTS_MAX &&
-	       now < job->deadline && job->svc->by_run_time.len > 1;
+	       job->tasks[task].lost < LOST_MAX && now < job->deadline &&
+	       job->svc->by_run_time.len > 1;
 }
 
 int outcome_retry(struct rp_job *job, uint32_t task, struct rp_target *t,
@@ -45,9 +51,11 @@
 		return;
 	if (outcome_retry(job, task, t, now))
 		return;
-	rp_status_set(&st, code, RP_STEP_RUN, t->name,
-		      code == RP_E_TARGET ? "the target failed the task"
-					  : "the target gave no answer");
+	rp_status_set(&st, code, RP_STEP_RUN, t->name, "%s",
+		      code == RP_E_TARGET   ? "the target failed the task"
+		      : tk->lost < LOST_MAX ? "the target gave no answer"
+					    : "the connections to two targets "
+					      "broke");
 	job_fail(job, now, &st, acts);
 }
 
@@ -163,6 +171,9 @@
 		return;
 	kernel_lock(k, d->lock);
 	s = start_find(d, ev->reply.start_id);
+	if (s && ev->reply.outcome == RP_START_UNKNOWN &&
+	    s->job->tasks[s->task].lost < LOST_MAX)
+		s->job->tasks[s->task].lost++;
 	if (!s || !reply_is_relevant(s, ev->reply.outcome)) {
 		d->counters.late_replies++;
 		kernel_unlock(k, d->lock);
--- a/regress/dispatch-life.c
+++ b/regress/dispatch-life.c
@@ -277,6 +277,33 @@
 	test_finish(&t);
 }
 
+/* It was started on four targets, and may have crashed each of them. */
+Test(life, request_that_breaks_connections_is_started_twice_at_most)
+{
+	struct test_kernel t;
+	struct rp_action *a;
+	char key[RP_KEY_MAX];
+	int i, starts = 0;
+
+	life_init(&t, 6, 0, 0, "budget");
+	t.k->opt.retry_percent = 100;
+	for (i = 0; i < 10; i++) {
+		test_key(&t, key);
+		life_request(&t, key, 1);
+		a = test_find(&t, RP_ACTION_START);
+		test_reply(&t, a->start.start_id, RP_START_DONE, "ok");
+	}
+	test_key(&t, key);
+	life_request(&t, key, 1);
+	while ((a = test_find(&t, RP_ACTION_START)) != NULL) {
+		starts++;
+		test_reply(&t, a->start.start_id, RP_START_UNKNOWN, "");
+	}
+	cr_assert_eq(starts, 2);
+	cr_assert_eq(life_state(&t), RP_FAILED);
+	test_finish(&t);
+}
+
 Test(life, request_that_is_not_idempotent_is_not_retried)
 {
 	struct test_kernel t;
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -309,6 +309,7 @@
 	uint8_t in_flight;	/* active starts */
 	uint8_t attempts;	/* starts made, at most UINT8_MAX */
 	uint8_t may_have_run;	/* starts that ran or may have run */
+	uint8_t lost;		/* starts whose connection broke */
 	uint16_t suffix;	/* of the next start's task id; 0: none */
 	struct rp_blob *result; /* NULL until the task is done */
 };
