Stored jobs: the leader replies to queries for states

Callers ask just after the last task has ended, and again 250 ms later. Trace of 766 jobs on the leader itself: their query came 25 to 1 ms before the leader knew of the end, and the row, which the entry VM reads, said so later still.

The entry VM now asks the leader first. The leader waits up to 100 ms for a job whose tasks all run or have ended, and replies with a final state once the row has it. For all others the entry VM reads the row as before, as it does without a reply within 160 ms.

--- a/pool-job.c
+++ b/pool-job.c
@@ -18,6 +18,8 @@
 #define BATCH_ROWS 50
 #define BATCH_BYTES 400000 /* from which no more rows are added */
 #define READ_TIMEOUT_MS 1500
+/* Time for the leader's reply to a query; it may wait for 100 ms. */
+#define QUERY_TIMEOUT_MS 160
 #define MAX_ATTEMPTS 5 /* of a write that conflicts with other writes */
 
 /* A request that waits for a reply of the store. */
@@ -31,6 +33,8 @@
 	size_t len;
 	int cancel; /* cancel the job after reading its row */
 	int attempts;
+	uint64_t query_seq; /* of the query to the leader; 0: none */
+	rp_ms query_until;  /* the row is read without its reply then */
 };
 
 struct submit_part {
@@ -40,6 +44,8 @@
 };
 
 struct pool_job_calls {
+	uint64_t last_query_seq;
+	size_t nqueries; /* without a reply */
 	struct submit_part parts[JOBS_PARTS];
 	struct pool_job_call *all;
 };
@@ -294,10 +300,10 @@
 
 /* --- queries and cancellations ------------------------------------------ */
 
-static const char *state_name(struct pool *p, const char *id,
-			      const PoolJob *job)
+/* Returns NULL if the state is not final. */
+static const char *final_state_name(PoolJob__State state)
 {
-	switch (job->state) {
+	switch (state) {
 	case POOL_JOB__STATE__COMPLETED:
 		return "completed";
 	case POOL_JOB__STATE__FAILED:
@@ -305,21 +311,30 @@
 	case POOL_JOB__STATE__CANCELLED:
 		return "cancelled";
 	default:
-		return job->n_done || job->n_failed ||
-				       pool_stored_started(p, id)
-			       ? "running"
-			       : "queued";
+		return NULL;
 	}
 }
 
-static void respond_state(struct pool_job_call *j, const PoolJob *job)
+static const char *state_name(struct pool *p, const char *id,
+			      const PoolJob *job)
+{
+	const char *name = final_state_name(job->state);
+
+	if (name)
+		return name;
+	return job->n_done || job->n_failed || pool_stored_started(p, id)
+		       ? "running"
+		       : "queued";
+}
+
+static void respond_state(struct pool_job_call *j, const char *name)
 {
 	struct pool_request *r = j->request;
 
 	if (!r)
 		return;
 	snprintf(r->response.buf, sizeof(r->response.buf), PLATFORM_STATE_BODY,
-		 state_name(j->p, j->id, job));
+		 name);
 	respond(j, 200, r->response.buf, 0, "job_state");
 }
 
@@ -423,7 +438,7 @@
 		write_cancelled(j, job, version);
 	} else {
 		if (job)
-			respond_state(j, job);
+			respond_state(j, state_name(j->p, j->id, job));
 		else
 			respond(j, 410, "", 0,
 				j->cancel ? "job_cancelled" : "job_state");
@@ -432,9 +447,71 @@
 	pool_job__free_unpacked(job, NULL);
 }
 
+/* Asks the leader for the job's state. Returns 0 if there is none to ask. */
+static int query_leader(struct pool_job_call *j)
+{
+	struct pool *p = j->p;
+	PoolFrame frame = POOL_FRAME__INIT;
+	PoolStateQuery query = POOL_STATE_QUERY__INIT;
+
+	if (!p->leading && !p->leader_link)
+		return 0;
+	j->query_seq = query.seq = ++p->job_calls->last_query_seq;
+	j->query_until = p->now + QUERY_TIMEOUT_MS;
+	p->job_calls->nqueries++;
+	query.id = j->id;
+	if (p->leading) {
+		pool_state_query_received(p, NULL, &query);
+		return 1;
+	}
+	frame.body_case = POOL_FRAME__BODY_STATE_QUERY;
+	frame.state_query = &query;
+	pool_link_send(p->leader_link, &frame);
+	return 1;
+}
+
 void pool_job_state(struct pool_request *r, const char *id)
 {
-	read_row(job_call_new(r, id));
+	struct pool_job_call *j = job_call_new(r, id);
+
+	if (!query_leader(j))
+		read_row(j);
+}
+
+/* The query is over: the state is final, or NULL to read the row. */
+static void end_query(struct pool_job_call *j, const char *state)
+{
+	j->query_seq = 0;
+	j->p->job_calls->nqueries--;
+	if (j->request && !state) {
+		read_row(j);
+		return;
+	}
+	respond_state(j, state);
+	job_call_free(j);
+}
+
+void pool_job_state_received(struct pool *p, const PoolStateReply *msg)
+{
+	struct pool_job_call *j;
+
+	for (j = msg->seq ? p->job_calls->all : NULL; j; j = j->all_next)
+		if (j->query_seq == msg->seq)
+			break;
+	if (j)
+		end_query(j, msg->final ? final_state_name(msg->state) : NULL);
+}
+
+void pool_job_queries_expire(struct pool *p)
+{
+	struct pool_job_call *j, *next;
+
+	for (j = p->job_calls->nqueries ? p->job_calls->all : NULL; j;
+	     j = next) {
+		next = j->all_next;
+		if (j->query_seq && p->now >= j->query_until)
+			end_query(j, NULL);
+	}
 }
 
 void pool_job_cancel(struct pool_request *r, const char *id)
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -4,7 +4,7 @@
  * The leader follows the table of jobs and writes the progress of their tasks
  * to their rows. A target keeps the end of a run until the leader acknowledges
  * it, which it does only after the store has committed the change. Changes of
- * one part that come while a transaction is in flight, or within 50 ms of one,
+ * one part that come while a transaction is in flight, or shortly after one,
  * are written together.
  */
 
@@ -60,7 +60,7 @@
 	p->stored_jobs = NULL;
 }
 
-static struct stored_job *find_job(struct pool *p, const char *id)
+struct stored_job *stored_job_find(struct pool *p, const char *id)
 {
 	return apr_hash_get(p->stored_jobs->jobs, id, APR_HASH_KEY_STRING);
 }
@@ -137,6 +137,7 @@
 	j->job->state = outcome == POOL_ANSWER__OUTCOME__COMPLETED
 				? POOL_JOB__STATE__COMPLETED
 				: POOL_JOB__STATE__FAILED;
+	j->state = j->job->state;
 	j->ended_at = pool_store_now(p);
 	j->job->ended_ms = (uint64_t)j->ended_at;
 	return mark_changed(p, j);
@@ -197,6 +198,7 @@
 		  LOG_NUMBER("state", job->state),
 		  LOG_NUMBER("version", j->version));
 	sched_cancel_stored(&p->sched, j->id, p->now);
+	j->state = job->state;
 	j->ended_at = (rp_ms)job->ended_ms;
 	pool_job__free_unpacked(j->job, NULL);
 	j->job = NULL;
@@ -271,13 +273,14 @@
 		schedule(p, j);
 		return;
 	}
+	j->state = job->state;
 	j->ended_at = (rp_ms)job->ended_ms;
 	pool_job__free_unpacked(job, NULL);
 }
 
 void stored_job_apply_row(struct pool *p, const struct platform_row *row)
 {
-	struct stored_job *j = find_job(p, row->key);
+	struct stored_job *j = stored_job_find(p, row->key);
 	PoolJob *job;
 
 	if (!row->value || (j && row->version <= j->version))
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -29,11 +29,12 @@
 	struct stored_job *next; /* in its part's write queue */
 	char id[SCHED_ID_MAX];
 	unsigned part;
-	int64_t version; /* of its row */
-	PoolJob *job;	 /* NULL: ended, and the row says so */
-	rp_ms ended_at;	 /* by the store's clock; 0: not ended */
-	int queued;	 /* in the write queue */
-	int writing;	 /* in a transaction in flight */
+	int64_t version;      /* of its row */
+	PoolJob *job;	      /* NULL: ended, and the row says so */
+	rp_ms ended_at;	      /* by the store's clock; 0: not ended */
+	PoolJob__State state; /* if ended */
+	int queued;	      /* in the write queue */
+	int writing;	      /* in a transaction in flight */
 	/*
 	 * Changes of all jobs are numbered by marks. These are the marks of the
 	 * latest change, and of the latest one that a transaction includes.
@@ -64,6 +65,7 @@
 /* pool-keep.c */
 /* Queues the row of a job to be written, unless it is queued already. */
 void stored_job_queue(struct stored_part *part, struct stored_job *j);
+struct stored_job *stored_job_find(struct pool *p, const char *id);
 /* Removes a job whose row was removed, and acknowledges its changes. */
 void stored_job_remove(struct pool *p, struct stored_job *j);
 /* Applies a row that is newer than what is known of its job. */
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -173,6 +173,8 @@
 	pool_send_ack(p);
 	pool_send_run_acks(p);
 	pool_share_flush(p);
+	pool_state_flush(p);
+	pool_job_queries_expire(p);
 	pool_jobs_flush(p);
 	pool_links_flush(p);
 	pool_turn_mark(p, POOL_ON_LINKS);
--- a/pool-member.c
+++ b/pool-member.c
@@ -331,6 +331,15 @@
 		if (l == p->leader_link)
 			pool_listings_received(p, frame->listings);
 		break;
+	case POOL_FRAME__BODY_STATE_QUERY:
+		if (p->leading && l->member)
+			pool_state_query_received(p, l->member,
+						  frame->state_query);
+		break;
+	case POOL_FRAME__BODY_STATE_REPLY:
+		if (l == p->leader_link)
+			pool_job_state_received(p, frame->state_reply);
+		break;
 	case POOL_FRAME__BODY_REPLY:
 		if (p->leading && l->member)
 			pool_reply_received(p, l->member, frame->reply);
--- a/pool.h
+++ b/pool.h
@@ -235,8 +235,20 @@
 /* Whether this VM leads and has started a task of the job. */
 int pool_stored_started(struct pool *p, const char *id);
 
+/* --- pool-state.c: queries for the state of stored jobs, on the leader - */
+
+/* m: the member that asks; NULL: this VM. */
+void pool_state_query_received(struct pool *p, const struct pool_member *m,
+			       const PoolStateQuery *msg);
+/* Replies to the queries that need not wait any more. */
+void pool_state_flush(struct pool *p);
+
 /* --- pool-job.c: requests for stored jobs, on any VM ------------------ */
 
+/* The leader's reply to a query for the state of a job. */
+void pool_job_state_received(struct pool *p, const PoolStateReply *msg);
+/* Reads the rows of jobs for which the leader has not replied in time. */
+void pool_job_queries_expire(struct pool *p);
 int pool_jobs_init(struct pool *p);
 /* Writes the jobs that were submitted in this loop iteration. */
 void pool_jobs_flush(struct pool *p);
@@ -430,7 +442,8 @@
 	/* When the store last confirmed that this VM leads. */
 	rp_ms leadership_confirmed_at;
 	struct pool_job_calls *job_calls; /* requests that wait for the store */
-	apr_hash_t *requests;		  /* seq -> struct pool_request */
+	struct pool_state_query *state_queries; /* to this leader */
+	apr_hash_t *requests;			/* seq -> struct pool_request */
 	uint64_t next_seq;
 	unsigned nopen; /* requests not yet answered */
 	struct pool_turn turn;
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &pool_listings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_state_query__init
+                     (PoolStateQuery         *message)
+{
+  static const PoolStateQuery init_value = POOL_STATE_QUERY__INIT;
+  *message = init_value;
+}
+size_t pool_state_query__get_packed_size
+                     (const PoolStateQuery *message)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_state_query__pack
+                     (const PoolStateQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_state_query__pack_to_buffer
+                     (const PoolStateQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStateQuery *
+       pool_state_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStateQuery *)
+     protobuf_c_message_unpack (&pool_state_query__descriptor,
+                                allocator, len, data);
+}
+void   pool_state_query__free_unpacked
+                     (PoolStateQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_state_reply__init
+                     (PoolStateReply         *message)
+{
+  static const PoolStateReply init_value = POOL_STATE_REPLY__INIT;
+  *message = init_value;
+}
+size_t pool_state_reply__get_packed_size
+                     (const PoolStateReply *message)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_state_reply__pack
+                     (const PoolStateReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_state_reply__pack_to_buffer
+                     (const PoolStateReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStateReply *
+       pool_state_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStateReply *)
+     protobuf_c_message_unpack (&pool_state_reply__descriptor,
+                                allocator, len, data);
+}
+void   pool_state_reply__free_unpacked
+                     (PoolStateReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_frame__init
                      (PoolFrame         *message)
 {
@@ -3623,7 +3713,122 @@
   (ProtobufCMessageInit) pool_listings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pool_state_query__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_state_query__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_state_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pool_state_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStateQuery",
+  "PoolStateQuery",
+  "PoolStateQuery",
+  "",
+  sizeof(PoolStateQuery),
+  2,
+  pool_state_query__field_descriptors,
+  pool_state_query__field_indices_by_name,
+  1,  pool_state_query__number_ranges,
+  (ProtobufCMessageInit) pool_state_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_state_reply__field_descriptors[3] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "final",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, final),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, state),
+    &pool_job__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_state_reply__field_indices_by_name[] = {
+  1,   /* field[1] = final */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = state */
+};
+static const ProtobufCIntRange pool_state_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_state_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStateReply",
+  "PoolStateReply",
+  "PoolStateReply",
+  "",
+  sizeof(PoolStateReply),
+  3,
+  pool_state_reply__field_descriptors,
+  pool_state_reply__field_indices_by_name,
+  1,  pool_state_reply__number_ranges,
+  (ProtobufCMessageInit) pool_state_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_frame__field_descriptors[14] =
 {
   {
     "hello",
@@ -3769,6 +3974,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state_query",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, state_query),
+    &pool_state_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_reply",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, state_reply),
+    &pool_state_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_frame__field_indices_by_name[] = {
   4,   /* field[4] = answer */
@@ -3782,12 +4011,14 @@
   7,   /* field[7] = reply */
   10,   /* field[10] = run */
   9,   /* field[9] = start */
+  12,   /* field[12] = state_query */
+  13,   /* field[13] = state_reply */
   2,   /* field[2] = submit */
 };
 static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pool_frame__descriptor =
 {
@@ -3797,7 +4028,7 @@
   "PoolFrame",
   "",
   sizeof(PoolFrame),
-  12,
+  14,
   pool_frame__field_descriptors,
   pool_frame__field_indices_by_name,
   1,  pool_frame__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct PoolReply PoolReply;
 typedef struct PoolListing PoolListing;
 typedef struct PoolListings PoolListings;
+typedef struct PoolStateQuery PoolStateQuery;
+typedef struct PoolStateReply PoolStateReply;
 typedef struct PoolFrame PoolFrame;
 
 
@@ -757,6 +759,38 @@
     , 0,NULL, 0 }
 
 
+/*
+ * Asks the leader for the state of a stored job.
+ */
+struct  PoolStateQuery
+{
+  ProtobufCMessage base;
+  /*
+   * unique within the sender's incarnation
+   */
+  uint64_t seq;
+  char *id;
+};
+#define POOL_STATE_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_state_query__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+struct  PoolStateReply
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * The job's row has the state, which is final. Else the row may be open.
+   */
+  protobuf_c_boolean final;
+  PoolJob__State state;
+};
+#define POOL_STATE_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_state_reply__descriptor) \
+    , 0, 0, POOL_JOB__STATE__OPEN }
+
+
 typedef enum {
   POOL_FRAME__BODY__NOT_SET = 0,
   POOL_FRAME__BODY_HELLO = 1,
@@ -770,7 +804,9 @@
   POOL_FRAME__BODY_HEARD = 9,
   POOL_FRAME__BODY_START = 10,
   POOL_FRAME__BODY_RUN = 11,
-  POOL_FRAME__BODY_LISTINGS = 12
+  POOL_FRAME__BODY_LISTINGS = 12,
+  POOL_FRAME__BODY_STATE_QUERY = 13,
+  POOL_FRAME__BODY_STATE_REPLY = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
@@ -795,6 +831,8 @@
     PoolStart *start;
     PoolRun *run;
     PoolListings *listings;
+    PoolStateQuery *state_query;
+    PoolStateReply *state_reply;
   };
 };
 #define POOL_FRAME__INIT \
@@ -1220,6 +1258,44 @@
 void   pool_listings__free_unpacked
                      (PoolListings *message,
                       ProtobufCAllocator *allocator);
+/* PoolStateQuery methods */
+void   pool_state_query__init
+                     (PoolStateQuery         *message);
+size_t pool_state_query__get_packed_size
+                     (const PoolStateQuery   *message);
+size_t pool_state_query__pack
+                     (const PoolStateQuery   *message,
+                      uint8_t             *out);
+size_t pool_state_query__pack_to_buffer
+                     (const PoolStateQuery   *message,
+                      ProtobufCBuffer     *buffer);
+PoolStateQuery *
+       pool_state_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_state_query__free_unpacked
+                     (PoolStateQuery *message,
+                      ProtobufCAllocator *allocator);
+/* PoolStateReply methods */
+void   pool_state_reply__init
+                     (PoolStateReply         *message);
+size_t pool_state_reply__get_packed_size
+                     (const PoolStateReply   *message);
+size_t pool_state_reply__pack
+                     (const PoolStateReply   *message,
+                      uint8_t             *out);
+size_t pool_state_reply__pack_to_buffer
+                     (const PoolStateReply   *message,
+                      ProtobufCBuffer     *buffer);
+PoolStateReply *
+       pool_state_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_state_reply__free_unpacked
+                     (PoolStateReply *message,
+                      ProtobufCAllocator *allocator);
 /* PoolFrame methods */
 void   pool_frame__init
                      (PoolFrame         *message);
@@ -1307,6 +1383,12 @@
 typedef void (*PoolListings_Closure)
                  (const PoolListings *message,
                   void *closure_data);
+typedef void (*PoolStateQuery_Closure)
+                 (const PoolStateQuery *message,
+                  void *closure_data);
+typedef void (*PoolStateReply_Closure)
+                 (const PoolStateReply *message,
+                  void *closure_data);
 typedef void (*PoolFrame_Closure)
                  (const PoolFrame *message,
                   void *closure_data);
@@ -1341,6 +1423,8 @@
 extern const ProtobufCMessageDescriptor pool_reply__descriptor;
 extern const ProtobufCMessageDescriptor pool_listing__descriptor;
 extern const ProtobufCMessageDescriptor pool_listings__descriptor;
+extern const ProtobufCMessageDescriptor pool_state_query__descriptor;
+extern const ProtobufCMessageDescriptor pool_state_reply__descriptor;
 extern const ProtobufCMessageDescriptor pool_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -99,3 +99,75 @@
 	queue_rows(60, 40000);
 	cr_assert_lt(strlen(next_transaction()), 1000000);
 }
+
+static struct pool_member member;
+static struct pool_link member_link;
+
+/* A member asks for the state of job 0. */
+static void query_state(void)
+{
+	PoolStateQuery query = POOL_STATE_QUERY__INIT;
+
+	str_copy(member.vm, sizeof(member.vm), str_of("vm1"));
+	member.link = &member_link;
+	member_link.p = &p;
+	member_link.member = &member;
+	p.members = &member;
+	query.seq = 9;
+	query.id = "0000000000000000";
+	pool_state_query_received(&p, &member, &query);
+	pool_state_flush(&p);
+}
+
+static PoolFrame *sent_frame(void)
+{
+	cr_assert_gt(member_link.bulk.len, 0);
+	cr_assert_lt(member_link.bulk.data[0], 128);
+	return pool_frame__unpack(NULL, (size_t)member_link.bulk.data[0],
+				  (uint8_t *)member_link.bulk.data + 1);
+}
+
+/*
+ * Callers ask when the last task has ended. The row did not say so yet, and
+ * they asked again 250 ms later.
+ */
+Test(pool_keep, a_query_waits_for_the_row_of_a_job_that_ends)
+{
+	struct stored_job *j;
+	PoolFrame *frame;
+
+	sched_init(&p.sched, NULL, &p, NULL, LEAD_TOKEN(1), 1000, p.now);
+	queue_rows(1, 10);
+	query_state();
+	cr_assert_eq(member_link.bulk.len, 0);
+	j = stored_job_find(&p, "0000000000000000");
+	pool_job__free_unpacked(j->job, NULL);
+	j->job = NULL;
+	j->state = POOL_JOB__STATE__COMPLETED;
+	pool_state_flush(&p);
+	frame = sent_frame();
+	cr_assert_eq(frame->state_reply->seq, 9);
+	cr_assert(frame->state_reply->final);
+	cr_assert_eq(frame->state_reply->state, POOL_JOB__STATE__COMPLETED);
+	pool_frame__free_unpacked(frame, NULL);
+	free(member_link.bulk.data);
+	sched_finish(&p.sched);
+}
+
+/* The row is read then; a job that goes on must not hold up its caller. */
+Test(pool_keep, a_query_is_answered_though_its_job_goes_on)
+{
+	PoolFrame *frame;
+
+	sched_init(&p.sched, NULL, &p, NULL, LEAD_TOKEN(1), 1000, p.now);
+	queue_rows(1, 10);
+	query_state();
+	p.now += 101;
+	pool_state_flush(&p);
+	frame = sent_frame();
+	cr_assert_eq(frame->state_reply->seq, 9);
+	cr_assert_not(frame->state_reply->final);
+	pool_frame__free_unpacked(frame, NULL);
+	free(member_link.bulk.data);
+	sched_finish(&p.sched);
+}
