Stored jobs: small batches of rows are written sooner

What callers saw: an end that the leader knew of was in the row up to 75 ms later, as transactions of a part were 50 ms apart. After a batch of up to 8 rows the next may follow after 15 ms; larger ones keep the 50 ms, as the store bounds the transactions of a part.

--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -9,7 +9,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WRITE_INTERVAL_MS 50	  /* between transactions of one part */
+/*
+ * Between transactions of one part, after a batch of up to SMALL_BATCH_ROWS, or
+ * a larger one: the store bounds the transactions of a part.
+ */
+#define SMALL_BATCH_ROWS 8
+#define SMALL_BATCH_INTERVAL_MS 15
+#define WRITE_INTERVAL_MS 50
 #define WRITE_BACKOFF_MS 300	  /* after a failed transaction */
 #define REMOVAL_INTERVAL_MS 2000  /* between removals of ended jobs */
 #define RETENTION_MARGIN_MS 30000 /* kept in addition to ended_retention */
@@ -65,6 +71,14 @@
 		  LOG_NUMBER("status", status));
 }
 
+static rp_ms interval_after(const struct stored_part *part, long status)
+{
+	if (status != 200)
+		return WRITE_BACKOFF_MS;
+	return part->nsent <= SMALL_BATCH_ROWS ? SMALL_BATCH_INTERVAL_MS
+					       : WRITE_INTERVAL_MS;
+}
+
 static void on_jobs_written(struct pool_call *c, long status, const char *body,
 			    size_t len)
 {
@@ -75,8 +89,7 @@
 	size_t i;
 
 	part->in_flight = 0;
-	part->write_due =
-		p->now + (status == 200 ? WRITE_INTERVAL_MS : WRITE_BACKOFF_MS);
+	part->write_due = p->now + interval_after(part, status);
 	if (status == 200 || status == 412)
 		platform_parse_rows(&rows, body, len, error);
 	if (status != 200)
