Scheduler: tasks likely at fault wait while many targets are down

What callers saw: with a deadly task in every tenth job of the busiest queue, 32 of 48 targets were down by first crashes alone, and each task at fault took a second one meanwhile. Cause: a task that may have crashed its target was started again as soon as a target was idle.

A crash soon after a start is likely due to the run that was started last on the target. Such a task waits while over 0.15 of the service's targets do not reply; the others, which only ran beside it, do not.

Evidence: sched_crash: deadly_tasks_wait_while_many_targets_are_down fails without the wait.

--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1274,7 +1274,7 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_loss__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pool_loss__field_descriptors[7] =
 {
   {
     "task",
@@ -1348,11 +1348,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "newest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, newest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_loss__field_indices_by_name[] = {
   3,   /* field[3] = alone */
   5,   /* field[5] = crashed */
   2,   /* field[2] = incarnation */
+  6,   /* field[6] = newest */
   4,   /* field[4] = no_progress */
   1,   /* field[1] = target */
   0,   /* field[0] = task */
@@ -1360,7 +1373,7 @@
 static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pool_loss__descriptor =
 {
@@ -1370,7 +1383,7 @@
   "PoolLoss",
   "",
   sizeof(PoolLoss),
-  6,
+  7,
   pool_loss__field_descriptors,
   pool_loss__field_indices_by_name,
   1,  pool_loss__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -148,10 +148,14 @@
    * it is known to have crashed
    */
   protobuf_c_boolean crashed;
+  /*
+   * no run was started there later
+   */
+  protobuf_c_boolean newest;
 };
 #define POOL_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_loss__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  PoolSubmit
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -101,6 +101,25 @@
 	end_world();
 }
 
+/* Each of them took another target while many were down. */
+Test(sched_crash, deadly_tasks_wait_while_many_targets_are_down)
+{
+	struct world_job *deadly[6];
+	size_t i;
+
+	begin_world(12, 1);
+	for (i = 0; i < 6; i++) {
+		deadly[i] = submit_deadly(1);
+		world_run_until(&w, w.now + 80);
+	}
+	world_run_until(&w, w.now + 2300);
+	cr_assert_leq(w.crashes, 6);
+	world_run_until(&w, w.now + 25000);
+	for (i = 0; i < 6; i++)
+		cr_assert_eq(deadly[i]->outcome, POOL_ANSWER__OUTCOME__FAILED);
+	end_world();
+}
+
 /* Jobs that ran beside a deadly task must end, though their runs were lost. */
 Test(sched_crash, tasks_beside_a_deadly_one_are_not_given_up)
 {
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -38,10 +38,9 @@
 {
 	struct sched_task *task;
 
+	sched_loss_mark_runs(t);
 	for (task = t->runs; task; task = task->next)
-		task->restarted = t->nruns == 1 && !t->nforeign
-					  ? SCHED_RESTARTED_ALONE
-					  : SCHED_RESTARTED;
+		task->restarted = 1;
 }
 
 /*
@@ -290,7 +289,7 @@
 
 		next = task->next;
 		if (r) {
-			task->restarted = SCHED_NOT_RESTARTED;
+			task->restarted = 0;
 			if (task->state == SCHED_STARTING)
 				task->state = SCHED_RUNNING;
 			if (task->state == SCHED_RUNNING)
@@ -301,7 +300,7 @@
 		}
 		if (task->replied_at && t->hold_sent_at > task->replied_at) {
 			if (task->restarted)
-				sched_loss_of_run(task, 0, 1);
+				sched_loss_of_run(task, 1);
 			sched_run_ended(task, SCHED_END_STOPPED);
 		} else if (task->state == SCHED_STOPPING && !task->stop_sent)
 			sched_run_send_stop(task);
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -20,6 +20,11 @@
 #define CRASHES_ALONE_MAX 2
 /* Losses from which the outcome of all is awaited before another start. */
 #define WAIT_LOSSES 2
+/*
+ * Share of silent targets from which tasks that are likely at fault wait. A
+ * crash soon after a start is likely due to the run that was started last.
+ */
+#define SILENT_SHARE_MAX 0.15
 /* Time for the list to lose the entry of a target that has crashed. */
 #define OUTCOME_WAIT_MS 8000
 
@@ -70,6 +75,26 @@
 	return 0;
 }
 
+static int is_likely_at_fault(const struct sched_losses *losses)
+{
+	size_t i;
+
+	for (i = 0; i < losses->n; i++)
+		if (losses->list[i].newest && losses->list[i].no_progress)
+			return 1;
+	return 0;
+}
+
+/* Whether another crash would cost the other jobs of the service too much. */
+static int is_short_of_targets(const struct sched_job *job)
+{
+	const struct sched_service *totals =
+		sched_service_totals(job->s, job->service);
+
+	return (double)totals->nsilent >
+	       SILENT_SHARE_MAX * (double)totals->nlisted + 1;
+}
+
 int sched_loss_must_wait(const struct sched_task *task)
 {
 	const struct sched_losses *losses = task->losses;
@@ -79,6 +104,8 @@
 		return 0;
 	if (task->job->losses_mark)
 		return 1;
+	if (is_likely_at_fault(losses) && is_short_of_targets(task->job))
+		return 1;
 	if (losses->n < WAIT_LOSSES)
 		return 0;
 	if (is_at_fault(losses) || losses->n == SCHED_LOSSES_MAX)
@@ -120,37 +147,40 @@
 				       : "no reply");
 }
 
-/* The target with which the task's run was lost is the one it is on. */
-static struct sched_loss loss_of(const struct sched_task *task, int alone,
-				 int crashed)
+void sched_loss_mark_runs(struct sched_target *t)
 {
-	const struct sched_target *t = task->target;
-	struct sched_loss loss = {
-		.incarnation = t->incarnation,
-		.at = t->s->now,
-		.alone = alone,
-		.no_progress = !task->percent,
-		.crashed = crashed,
-	};
-
-	str_copy(loss.target, sizeof(loss.target), str_of(t->listing.id));
-	if (task->restarted) {
-		loss.incarnation = t->prev_incarnation;
-		loss.alone = task->restarted == SCHED_RESTARTED_ALONE;
-		loss.crashed = 1;
+	struct sched_task *task;
+	rp_ms newest = 0;
+
+	for (task = t->runs; task; task = task->next)
+		if (task->sent_at > newest)
+			newest = task->sent_at;
+	for (task = t->runs; task; task = task->next) {
+		if (task->restarted)
+			continue; /* marked when the restart was noticed */
+		task->lost_alone = t->nruns == 1 && !t->nforeign;
+		task->lost_newest = task->sent_at == newest;
 	}
-	return loss;
 }
 
-void sched_loss_of_run(struct sched_task *task, int alone, int crashed)
+void sched_loss_of_run(struct sched_task *task, int crashed)
 {
-	struct sched *s = task->job->s;
-	struct sched_loss loss;
+	const struct sched_target *t = task->target;
+	struct sched *s = t->s;
+	struct sched_loss loss = {
+		.incarnation = task->restarted ? t->prev_incarnation
+					       : t->incarnation,
+		.at = s->now,
+		.alone = task->lost_alone,
+		.newest = task->lost_newest,
+		.no_progress = !task->percent,
+		.crashed = crashed || task->restarted,
+	};
 
 	/* A target that leaves ends its runs with no fault of theirs. */
-	if (task->target->draining)
+	if (t->draining)
 		return;
-	loss = loss_of(task, alone, crashed);
+	str_copy(loss.target, sizeof(loss.target), str_of(t->listing.id));
 	s->count.runs_lost++;
 	s->count.runs_crashed += loss.crashed != 0;
 	if (task->job->answered) {
@@ -171,6 +201,7 @@
 			.incarnation = losses[i]->incarnation,
 			.at = job->s->now,
 			.alone = losses[i]->alone,
+			.newest = losses[i]->newest,
 			.no_progress = losses[i]->no_progress,
 			.crashed = losses[i]->crashed,
 		};
--- a/sched-run.c
+++ b/sched-run.c
@@ -87,7 +87,7 @@
 	task->sent_at = s->now;
 	task->replied_at = 0;
 	task->observed = task->percent = 0;
-	task->restarted = SCHED_NOT_RESTARTED;
+	task->restarted = 0;
 	task->progress_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
@@ -109,7 +109,7 @@
 	task->sent_at = task->replied_at = t->s->now;
 	/* Its start time is unknown, so nothing can be learned from it. */
 	task->observed = 1;
-	task->restarted = SCHED_NOT_RESTARTED;
+	task->restarted = 0;
 	task->predicted = sched_run_time(t, &task->job->steps[task->step]);
 	link_run(task, t);
 	/* The previous leader's lease ends no later than one granted now. */
@@ -209,12 +209,11 @@
 void sched_target_drop_runs(struct sched_target *t, int crashed,
 			    const char *reason)
 {
-	int alone = t->nruns == 1 && !t->nforeign;
-
+	sched_loss_mark_runs(t);
 	while (t->runs) {
 		t->s->count.lapses++;
 		t->s->ops->log(t->s, "lapse", t, t->runs, reason);
-		sched_loss_of_run(t->runs, alone, crashed);
+		sched_loss_of_run(t->runs, crashed);
 		sched_run_ended(t->runs, SCHED_END_STOPPED);
 	}
 	t->lease_until = 0;
--- a/sched-service.c
+++ b/sched-service.c
@@ -92,11 +92,19 @@
 	service->updated_at = s->now;
 	service->has_available = 0;
 	service->cpu_rate = service->used_cpu = service->total_cpu = 0;
+	service->nlisted = service->nsilent = 0;
 	service->max_capacity = none;
-	for (i = 0; i < s->ntargets; i++)
-		if (s->targets[i]->service == service &&
-		    sched_target_available(s->targets[i], s->now))
-			add_to_totals(service, cpu_by_slowdown, s->targets[i]);
+	for (i = 0; i < s->ntargets; i++) {
+		const struct sched_target *t = s->targets[i];
+
+		if (t->service != service)
+			continue;
+		if (sched_target_available(t, s->now))
+			add_to_totals(service, cpu_by_slowdown, t);
+		/* One that was replaced is back as another entry. */
+		service->nlisted += t->listed && !t->replaced;
+		service->nsilent += t->listed && !t->replaced && t->unanswered;
+	}
 	service->fast_slowdown =
 		fast_slowdown(cpu_by_slowdown, service->total_cpu);
 	return service;
--- a/scheduler.h
+++ b/scheduler.h
@@ -53,6 +53,7 @@
 	int64_t incarnation; /* 0: not known */
 	rp_ms at;	     /* the run was given up */
 	int alone;	     /* no other run was on the target */
+	int newest;	     /* no run was started there later */
 	int no_progress;     /* the run had not shown any */
 	int crashed;	     /* it is known to have crashed */
 };
@@ -65,13 +66,6 @@
 	struct sched_loss list[SCHED_LOSSES_MAX];
 };
 
-/* Whether the run's target was seen in another incarnation since its start. */
-enum sched_restarted {
-	SCHED_NOT_RESTARTED,
-	SCHED_RESTARTED,       /* it had other runs, too */
-	SCHED_RESTARTED_ALONE, /* it had no other run */
-};
-
 enum sched_task_state {
 	SCHED_WAITING,
 	SCHED_STARTING, /* the reply to the start call is awaited */
@@ -103,7 +97,9 @@
 	rp_ms replied_at;  /* reply to the latest start or stop; 0: none */
 	double predicted;  /* run time predicted at the start, ms */
 	int observed;	   /* learned from already, or not to be */
-	uint8_t restarted; /* enum sched_restarted */
+	uint8_t restarted; /* boolean; the target has another incarnation */
+	/* Of the runs on the target when it was lost or restarted: booleans. */
+	uint8_t lost_alone, lost_newest;
 	uint8_t isolated;  /* boolean; no other task starts beside it */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
@@ -155,6 +151,7 @@
 	double fast_slowdown; /* SCHED_FAST_SHARE of the CPU is as fast */
 	double cpu_rate;      /* CPU over slowdown, thousandths of a core */
 	double used_cpu, total_cpu; /* thousandths of a core */
+	size_t nlisted, nsilent;    /* targets, and those that do not reply */
 	/* The largest capacity of any target, for each resource. */
 	struct sched_resources max_capacity;
 	/*
@@ -803,11 +800,13 @@
 			    const char *reason);
 
 /* sched-loss.c */
+/* Notes which of the target's runs may have to do with its loss. */
+void sched_loss_mark_runs(struct sched_target *t);
 /*
- * The target of the task's run is lost, and the run with it. alone: it had no
- * other run. crashed: it is known to have crashed.
+ * The target of the task's run is lost, and the run with it. crashed: it is
+ * known to have crashed.
  */
-void sched_loss_of_run(struct sched_task *task, int alone, int crashed);
+void sched_loss_of_run(struct sched_task *task, int crashed);
 /* Adds the loss, or merges it with what is known of the target already. */
 void sched_loss_add(struct sched_task *task, const struct sched_loss *loss);
 /* Returns how many of the lost targets are known to have crashed. */
