Scheduler: a start that was never there is not held against its task

Only runs that the target has listed, or whose start it has accepted, count towards giving up now. The others still isolate the task, and make it wait for the outcome.

Two refinements of the wait of tasks likely at fault: it holds only while over 0.35 of the other targets' CPU is in use, so that it ends with the load; and a run counts as likely at fault if the last one was started up to 60 ms later, as starts go on until a crash is noticed.

--- a/pool-target.c
+++ b/pool-target.c
@@ -337,6 +337,7 @@
 		  LOG_NUMBER("lost_ms_ago", s->now - loss->at),
 		  LOG_NUMBER("alone", loss->alone),
 		  LOG_NUMBER("newest", loss->newest),
+		  LOG_NUMBER("seen", loss->seen),
 		  LOG_NUMBER("task_lost", (long long)task->losses->n),
 		  LOG_NUMBER("task_crashed",
 			     (long long)sched_losses_crashed(task->losses)));
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1274,7 +1274,7 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_loss__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pool_loss__field_descriptors[8] =
 {
   {
     "task",
@@ -1360,6 +1360,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_loss__field_indices_by_name[] = {
   3,   /* field[3] = alone */
@@ -1367,13 +1379,14 @@
   2,   /* field[2] = incarnation */
   6,   /* field[6] = newest */
   4,   /* field[4] = no_progress */
+  7,   /* field[7] = seen */
   1,   /* field[1] = target */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pool_loss__descriptor =
 {
@@ -1383,7 +1396,7 @@
   "PoolLoss",
   "",
   sizeof(PoolLoss),
-  7,
+  8,
   pool_loss__field_descriptors,
   pool_loss__field_indices_by_name,
   1,  pool_loss__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -149,13 +149,17 @@
    */
   protobuf_c_boolean crashed;
   /*
-   * no run was started there later
+   * the run was there; else its start had no reply
+   */
+  protobuf_c_boolean seen;
+  /*
+   * no run was started there much later
    */
   protobuf_c_boolean newest;
 };
 #define POOL_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_loss__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  PoolSubmit
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -101,7 +101,7 @@
 	end_world();
 }
 
-/* Each of them took another target while many were down. */
+/* Each of them took another target while others needed those left. */
 Test(sched_crash, deadly_tasks_wait_while_many_targets_are_down)
 {
 	struct world_job *deadly[6];
@@ -110,6 +110,7 @@
 	begin_world(12, 1);
 	for (i = 0; i < 6; i++) {
 		deadly[i] = submit_deadly(1);
+		world_submit(&w, "q", 16, 600, 1, 1500);
 		world_run_until(&w, w.now + 80);
 	}
 	world_run_until(&w, w.now + 2300);
@@ -196,6 +197,28 @@
 	end_world();
 }
 
+/*
+ * The target had crashed already when the first start was sent to it. One crash
+ * during the second run is no reason to give up the job.
+ */
+Test(sched_crash, a_start_that_was_never_there_is_not_held_against_its_task)
+{
+	struct world_job *job;
+	uint64_t before;
+
+	begin_world(1, 1);
+	world_target_crash(&w, &w.targets[0]);
+	job = world_submit(&w, "q", 1, 300, 1, 1500);
+	before = w.starts;
+	while (w.starts == before)
+		world_run_until(&w, w.now + 1);
+	world_run_until(&w, w.now + 10);
+	world_target_crash(&w, &w.targets[0]);
+	world_run_until(&w, w.now + 15000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 /*
  * The answer of a job that was given up is lost, and its caller submits it
  * again: it must not take more targets.
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -170,6 +170,7 @@
 		return;
 	if (ok) {
 		task->state = SCHED_RUNNING;
+		task->seen = 1;
 		task->replied_at = now;
 		sched_learn_call_delay(s, now - task->sent_at);
 		return;
@@ -290,6 +291,7 @@
 		next = task->next;
 		if (r) {
 			task->restarted = 0;
+			task->seen = 1;
 			if (task->state == SCHED_STARTING)
 				task->state = SCHED_RUNNING;
 			if (task->state == SCHED_RUNNING)
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -20,11 +20,15 @@
 #define CRASHES_ALONE_MAX 2
 /* Losses from which the outcome of all is awaited before another start. */
 #define WAIT_LOSSES 2
+/* Time in which a crash is noticed, and tasks are still started there. */
+#define NOTICE_MS 60
 /*
  * Share of silent targets from which tasks that are likely at fault wait. A
  * crash soon after a start is likely due to the run that was started last.
  */
 #define SILENT_SHARE_MAX 0.15
+/* Share of the other targets' CPU in use from which these cannot be spared. */
+#define USED_SHARE_MIN 0.35
 /* Time for the list to lose the entry of a target that has crashed. */
 #define OUTCOME_WAIT_MS 8000
 
@@ -60,19 +64,23 @@
 
 /*
  * Two crashes may be a coincidence for a task that was one of several each
- * time. A task runs alone after the first, so that the second tells.
+ * time. A task runs alone after the first, so that the second tells. A run that
+ * was not seen may never have begun, on a target that had crashed before.
  */
 static int is_at_fault(const struct sched_losses *losses)
 {
-	size_t i, crashed = sched_losses_crashed(losses);
+	size_t i, crashes = 0, alone = 0;
 
-	if (crashed >= CRASHES_MAX)
-		return 1;
-	for (i = 0; crashed >= CRASHES_ALONE_MAX && i < losses->n; i++)
-		if (losses->list[i].crashed && losses->list[i].alone &&
-		    losses->list[i].no_progress)
-			return 1;
-	return 0;
+	for (i = 0; i < losses->n; i++) {
+		const struct sched_loss *loss = &losses->list[i];
+
+		if (!loss->crashed || !loss->seen)
+			continue;
+		crashes++;
+		alone += loss->alone && loss->no_progress;
+	}
+	return crashes >= CRASHES_MAX ||
+	       (crashes >= CRASHES_ALONE_MAX && alone);
 }
 
 static int is_likely_at_fault(const struct sched_losses *losses)
@@ -92,7 +100,8 @@
 		sched_service_totals(job->s, job->service);
 
 	return (double)totals->nsilent >
-	       SILENT_SHARE_MAX * (double)totals->nlisted + 1;
+		       SILENT_SHARE_MAX * (double)totals->nlisted + 1 &&
+	       totals->used_cpu > USED_SHARE_MIN * totals->total_cpu;
 }
 
 int sched_loss_must_wait(const struct sched_task *task)
@@ -108,9 +117,11 @@
 		return 1;
 	if (losses->n < WAIT_LOSSES)
 		return 0;
-	if (is_at_fault(losses) || losses->n == SCHED_LOSSES_MAX)
+	if (is_at_fault(losses))
 		return 1;
-	return sched_losses_crashed(losses) < losses->n &&
+	if (sched_losses_crashed(losses) == losses->n)
+		return 0;
+	return losses->n == SCHED_LOSSES_MAX ||
 	       now - losses->list[losses->n - 1].at < OUTCOME_WAIT_MS;
 }
 
@@ -126,6 +137,18 @@
 	return NULL;
 }
 
+/* Removes the first loss of a run that may never have begun. */
+static void forget_unseen(struct sched_losses *losses)
+{
+	size_t i = 0;
+
+	while (i < losses->n && losses->list[i].seen)
+		i++;
+	if (i < losses->n)
+		memmove(&losses->list[i], &losses->list[i + 1],
+			(--losses->n - i) * sizeof(losses->list[0]));
+}
+
 void sched_loss_add(struct sched_task *task, const struct sched_loss *loss)
 {
 	struct sched *s = task->job->s;
@@ -139,6 +162,8 @@
 		known->crashed |= loss->crashed;
 		return;
 	}
+	if (losses->n == SCHED_LOSSES_MAX)
+		forget_unseen(losses);
 	if (losses->n == SCHED_LOSSES_MAX)
 		return;
 	losses->list[losses->n++] = *loss;
@@ -159,7 +184,7 @@
 		if (task->restarted)
 			continue; /* marked when the restart was noticed */
 		task->lost_alone = t->nruns == 1 && !t->nforeign;
-		task->lost_newest = task->sent_at == newest;
+		task->lost_newest = newest - task->sent_at <= NOTICE_MS;
 	}
 }
 
@@ -174,6 +199,7 @@
 		.alone = task->lost_alone,
 		.newest = task->lost_newest,
 		.no_progress = !task->percent,
+		.seen = task->seen,
 		.crashed = crashed || task->restarted,
 	};
 
@@ -202,6 +228,7 @@
 			.at = job->s->now,
 			.alone = losses[i]->alone,
 			.newest = losses[i]->newest,
+			.seen = losses[i]->seen,
 			.no_progress = losses[i]->no_progress,
 			.crashed = losses[i]->crashed,
 		};
--- a/scheduler.h
+++ b/scheduler.h
@@ -53,12 +53,13 @@
 	int64_t incarnation; /* 0: not known */
 	rp_ms at;	     /* the run was given up */
 	int alone;	     /* no other run was on the target */
-	int newest;	     /* no run was started there later */
+	int newest;	     /* no run was started there much later */
 	int no_progress;     /* the run had not shown any */
-	int crashed;	     /* it is known to have crashed */
+	int seen;    /* the run was there; else its start had no reply */
+	int crashed; /* it is known to have crashed */
 };
 
-/* Losses kept of one task; it is not started after as many. */
+/* Losses kept of one task. */
 #define SCHED_LOSSES_MAX 5
 
 struct sched_losses {
@@ -97,6 +98,7 @@
 	rp_ms replied_at;  /* reply to the latest start or stop; 0: none */
 	double predicted;  /* run time predicted at the start, ms */
 	int observed;	   /* learned from already, or not to be */
+	uint8_t seen;	   /* boolean; the target has said that it was there */
 	uint8_t restarted; /* boolean; the target has another incarnation */
 	/* Of the runs on the target when it was lost or restarted: booleans. */
 	uint8_t lost_alone, lost_newest;
