Scheduler: targets that crash together are not held against their tasks

Cause: nothing told a crash that a run has caused from a failure that many targets share.

If at least four others, and 0.04 of all, have stopped to reply within 50 ms of the target, its loss neither counts towards giving up nor isolates the task.

Evidence: sched_crash: targets_that_crash_together_are_not_held_against_their_ tasks fails without the condition.

--- a/pool-loss.c
+++ b/pool-loss.c
@@ -20,6 +20,7 @@
 	msg->target = strdup(loss->target);
 	msg->incarnation = loss->incarnation;
 	msg->alone = loss->alone;
+	msg->common = loss->common;
 	msg->seen = loss->seen;
 	msg->newest = loss->newest;
 	msg->no_progress = loss->no_progress;
--- a/pool-target.c
+++ b/pool-target.c
@@ -338,6 +338,7 @@
 		  LOG_NUMBER("alone", loss->alone),
 		  LOG_NUMBER("newest", loss->newest),
 		  LOG_NUMBER("seen", loss->seen),
+		  LOG_NUMBER("common", loss->common),
 		  LOG_NUMBER("task_lost", (long long)task->losses->n),
 		  LOG_NUMBER("task_crashed",
 			     (long long)sched_losses_crashed(task->losses)));
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1274,7 +1274,7 @@
   (ProtobufCMessageInit) pool_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_loss__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pool_loss__field_descriptors[9] =
 {
   {
     "task",
@@ -1372,9 +1372,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "common",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, common),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_loss__field_indices_by_name[] = {
   3,   /* field[3] = alone */
+  8,   /* field[8] = common */
   5,   /* field[5] = crashed */
   2,   /* field[2] = incarnation */
   6,   /* field[6] = newest */
@@ -1386,7 +1399,7 @@
 static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool_loss__descriptor =
 {
@@ -1396,7 +1409,7 @@
   "PoolLoss",
   "",
   sizeof(PoolLoss),
-  8,
+  9,
   pool_loss__field_descriptors,
   pool_loss__field_indices_by_name,
   1,  pool_loss__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -148,6 +148,10 @@
    * it is known to have crashed
    */
   protobuf_c_boolean crashed;
+  /*
+   * many targets were lost at the same moment
+   */
+  protobuf_c_boolean common;
   /*
    * the run was there; else its start had no reply
    */
@@ -159,7 +163,7 @@
 };
 #define POOL_LOSS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_loss__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  PoolSubmit
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -219,6 +219,31 @@
 	end_world();
 }
 
+/* A rack fails, and comes back, and fails again. */
+Test(sched_crash, targets_that_crash_together_are_not_held_against_their_tasks)
+{
+	struct world_job *jobs[6];
+	uint64_t starts;
+	size_t i, wave;
+
+	begin_world(8, 1);
+	w.down = 1500;
+	for (i = 0; i < 6; i++)
+		jobs[i] = world_submit(&w, "q", 2, 900, 1, 1500);
+	for (wave = 0; wave < 2; wave++) {
+		starts = w.starts;
+		while (w.starts < starts + 8)
+			world_run_until(&w, w.now + 1);
+		world_run_until(&w, w.now + 10);
+		for (i = 0; i < 8; i++)
+			world_target_crash(&w, &w.targets[i]);
+	}
+	world_run_until(&w, w.now + 10000);
+	for (i = 0; i < 6; i++)
+		cr_assert_eq(jobs[i]->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 /*
  * The answer of a job that was given up is lost, and its caller submits it
  * again: it must not take more targets.
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -378,6 +378,7 @@
 			msg->target = strdup(loss->target);
 			msg->incarnation = loss->incarnation;
 			msg->alone = loss->alone;
+			msg->common = loss->common;
 			msg->seen = loss->seen;
 			msg->newest = loss->newest;
 			msg->no_progress = loss->no_progress;
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -20,6 +20,13 @@
 #define CRASHES_ALONE_MAX 2
 /* Losses from which the outcome of all is awaited before another start. */
 #define WAIT_LOSSES 2
+/*
+ * Targets lost within MOMENT_MS of each other that show a common failure: at
+ * least so many, and this share of all.
+ */
+#define MOMENT_MS 50
+#define COMMON_MIN 4
+#define COMMON_SHARE 0.04
 /* Time in which a crash is noticed, and tasks are still started there. */
 #define NOTICE_MS 60
 /*
@@ -66,6 +73,7 @@
  * Two crashes may be a coincidence for a task that was one of several each
  * time. A task runs alone after the first, so that the second tells. A run that
  * was not seen may never have begun, on a target that had crashed before.
+ * Crashes of many targets at once are no run's fault.
  */
 static int is_at_fault(const struct sched_losses *losses)
 {
@@ -74,7 +82,7 @@
 	for (i = 0; i < losses->n; i++) {
 		const struct sched_loss *loss = &losses->list[i];
 
-		if (!loss->crashed || !loss->seen)
+		if (!loss->crashed || !loss->seen || loss->common)
 			continue;
 		crashes++;
 		alone += loss->alone && loss->no_progress;
@@ -88,7 +96,8 @@
 	size_t i;
 
 	for (i = 0; i < losses->n; i++)
-		if (losses->list[i].newest && losses->list[i].no_progress)
+		if (losses->list[i].newest && losses->list[i].no_progress &&
+		    !losses->list[i].common)
 			return 1;
 	return 0;
 }
@@ -172,9 +181,29 @@
 				       : "no reply");
 }
 
+/*
+ * Whether many targets have stopped to reply when this one did: then a failure
+ * that they share is the cause, not a run.
+ */
+static int is_common(const struct sched_target *t)
+{
+	const struct sched *s = t->s;
+	size_t i, others = 0;
+
+	for (i = 0; i < s->ntargets; i++) {
+		const struct sched_target *o = s->targets[i];
+
+		others += o != t && o->unanswered &&
+			  llabs(o->replied_at - t->replied_at) <= MOMENT_MS;
+	}
+	return others >= COMMON_MIN &&
+	       (double)others >= COMMON_SHARE * (double)s->ntargets;
+}
+
 void sched_loss_mark_runs(struct sched_target *t)
 {
 	struct sched_task *task;
+	int common = is_common(t);
 	rp_ms newest = 0;
 
 	for (task = t->runs; task; task = task->next)
@@ -184,6 +213,7 @@
 		if (task->restarted)
 			continue; /* marked when the restart was noticed */
 		task->lost_alone = t->nruns == 1 && !t->nforeign;
+		task->lost_common = (uint8_t)common;
 		task->lost_newest = newest - task->sent_at <= NOTICE_MS;
 	}
 }
@@ -200,6 +230,7 @@
 		.newest = task->lost_newest,
 		.no_progress = !task->percent,
 		.seen = task->seen,
+		.common = task->lost_common,
 		.crashed = crashed || task->restarted,
 	};
 
@@ -229,6 +260,7 @@
 			.alone = losses[i]->alone,
 			.newest = losses[i]->newest,
 			.seen = losses[i]->seen,
+			.common = losses[i]->common,
 			.no_progress = losses[i]->no_progress,
 			.crashed = losses[i]->crashed,
 		};
--- a/scheduler.h
+++ b/scheduler.h
@@ -56,6 +56,7 @@
 	int newest;	     /* no run was started there much later */
 	int no_progress;     /* the run had not shown any */
 	int seen;    /* the run was there; else its start had no reply */
+	int common;  /* many targets were lost at the same moment */
 	int crashed; /* it is known to have crashed */
 };
 
@@ -101,7 +102,7 @@
 	uint8_t seen;	   /* boolean; the target has said that it was there */
 	uint8_t restarted; /* boolean; the target has another incarnation */
 	/* Of the runs on the target when it was lost or restarted: booleans. */
-	uint8_t lost_alone, lost_newest;
+	uint8_t lost_alone, lost_newest, lost_common;
 	uint8_t isolated;  /* boolean; no other task starts beside it */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
