Scheduler: suspected tasks that start together are no common failure

Cause: suspected tasks that wait for targets are released together, crash these at the same moment, and each took the others for the sign of a failure that the targets share. Targets with suspected tasks do not count for that any more, and after four crashes with the run seen a task is given up, whatever seems to have caused them.

--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -244,6 +244,23 @@
 	end_world();
 }
 
+/* Tasks that waited for targets start, and crash them, at the same moment. */
+Test(sched_crash, deadly_tasks_that_start_together_are_given_up)
+{
+	struct world_job *jobs[8];
+	size_t i;
+
+	begin_world(16, 1);
+	for (i = 0; i < 8; i++)
+		jobs[i] = submit_deadly(1);
+	world_run_until(&w, w.now + 40000);
+	for (i = 0; i < 8; i++) {
+		cr_assert_eq(jobs[i]->outcome, POOL_ANSWER__OUTCOME__FAILED);
+		cr_assert_leq(jobs[i]->crashes, 4);
+	}
+	end_world();
+}
+
 /*
  * The answer of a job that was given up is lost, and its caller submits it
  * again: it must not take more targets.
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -16,6 +16,8 @@
 #define GONE_AFTER_MS 2500
 /* Crashes after which a task is given up. */
 #define CRASHES_MAX 3
+/* The same, whatever seems to have caused them. */
+#define SEEN_MAX 4
 /* The same, if it was alone at one of them and had made no progress. */
 #define CRASHES_ALONE_MAX 2
 /* Losses from which the outcome of all is awaited before another start. */
@@ -77,17 +79,20 @@
  */
 static int is_at_fault(const struct sched_losses *losses)
 {
-	size_t i, crashes = 0, alone = 0;
+	size_t i, seen = 0, crashes = 0, alone = 0;
 
 	for (i = 0; i < losses->n; i++) {
 		const struct sched_loss *loss = &losses->list[i];
 
-		if (!loss->crashed || !loss->seen || loss->common)
+		if (!loss->crashed || !loss->seen)
+			continue;
+		seen++;
+		if (loss->common)
 			continue;
 		crashes++;
 		alone += loss->alone && loss->no_progress;
 	}
-	return crashes >= CRASHES_MAX ||
+	return seen >= SEEN_MAX || crashes >= CRASHES_MAX ||
 	       (crashes >= CRASHES_ALONE_MAX && alone);
 }
 
@@ -183,7 +188,8 @@
 
 /*
  * Whether many targets have stopped to reply when this one did: then a failure
- * that they share is the cause, not a run.
+ * that they share is the cause, not a run. Those with tasks that are suspected
+ * do not count, as such tasks often start at the same time.
  */
 static int is_common(const struct sched_target *t)
 {
@@ -193,7 +199,8 @@
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *o = s->targets[i];
 
-		others += o != t && o->unanswered &&
+		others += o != t && o->unanswered && !o->nisolated &&
+			  !o->was_isolated &&
 			  llabs(o->replied_at - t->replied_at) <= MOMENT_MS;
 	}
 	return others >= COMMON_MIN &&
--- a/sched-run.c
+++ b/sched-run.c
@@ -32,6 +32,7 @@
 	t->nruns++;
 	task->isolated = task->losses && task->losses->n;
 	t->nisolated += task->isolated;
+	t->was_isolated = 0;
 	charge(t, need_of(task), 1);
 	task->job->nplaced++;
 }
@@ -211,6 +212,7 @@
 			    const char *reason)
 {
 	sched_loss_mark_runs(t);
+	t->was_isolated = t->nisolated > 0;
 	while (t->runs) {
 		t->s->count.lapses++;
 		t->s->ops->log(t->s, "lapse", t, t->runs, reason);
--- a/scheduler.h
+++ b/scheduler.h
@@ -310,6 +310,7 @@
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
 	size_t nisolated;	  /* of the runs */
+	int was_isolated;	  /* the runs that were lost with it were */
 	rp_ms reserved_until;	  /* for a task to be isolated */
 	int64_t clock;		  /* the target's clock, ms; 0: not known */
 	rp_ms clock_at;		  /* when it was read */
