Scheduler: failed runs that a predecessor left on the targets count

What callers saw: nothing yet. Found while looking for the same cause elsewhere: what a successor knows. A leader that is gone between the end of a failed run and its acknowledgement leaves the end on the target. The successor dropped it, so that a task could be started once more, with each such change of the leader, after maxAttempts runs had failed; the same held for the failed end of a run that had been given up with its lease. The row had the numbers of tasks only, so that an end that is in the row already could not be told from one that is not.

The row and the submission now have the run number of each failure, and an end that is not among them counts.

Evidence: sched_crash: failed_runs_count_over_changes_of_the_leader (each leader killed after a failed run, with and without the row written) fails without adopt_failure().

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -100,6 +100,15 @@
 	(*list)[(*n)++] = number;
 }
 
+static void append_failure(PoolJob *job, uint32_t number, uint32_t run)
+{
+	/* Rows of an earlier version have no numbers of runs. */
+	while (job->n_failed_runs < job->n_failed)
+		append(&job->failed_runs, &job->n_failed_runs, 0);
+	append(&job->failed, &job->n_failed, number);
+	append(&job->failed_runs, &job->n_failed_runs, run);
+}
+
 uint64_t pool_stored_progress(struct pool *p, struct sched_job *job,
 			      const struct sched_task *task)
 {
@@ -111,7 +120,8 @@
 	if (task->state == SCHED_DONE)
 		append(&j->job->done, &j->job->n_done, number);
 	else
-		append(&j->job->failed, &j->job->n_failed, number);
+		append_failure(j->job, number,
+			       task->failed_runs[task->failures - 1]);
 	return mark_changed(p, j);
 }
 
@@ -183,12 +193,14 @@
 	sub->n_done = j->job->n_done;
 	sub->failed = j->job->failed;
 	sub->n_failed = j->job->n_failed;
+	sub->failed_runs = j->job->failed_runs;
+	sub->n_failed_runs = j->job->n_failed_runs;
 	sub->losses = j->job->losses;
 	sub->n_losses = j->job->n_losses;
 	sched_submit(&p->sched, j, sub, p->now);
-	sub->done = sub->failed = NULL;
+	sub->done = sub->failed = sub->failed_runs = NULL;
 	sub->losses = NULL;
-	sub->n_done = sub->n_failed = sub->n_losses = 0;
+	sub->n_done = sub->n_failed = sub->n_losses = sub->n_failed_runs = 0;
 	p->dispatch_due = 1;
 }
 
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1416,7 +1416,7 @@
   (ProtobufCMessageInit) pool_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[18] =
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[19] =
 {
   {
     "seq",
@@ -1634,11 +1634,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_runs",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolSubmit, n_failed_runs),
+    offsetof(PoolSubmit, failed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
   13,   /* field[13] = done */
   15,   /* field[15] = failed */
+  18,   /* field[18] = failed_runs */
   12,   /* field[12] = former */
   9,   /* field[9] = id */
   2,   /* field[2] = left_ms */
@@ -1658,7 +1671,7 @@
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -1668,7 +1681,7 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  18,
+  19,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
@@ -2472,7 +2485,7 @@
   pool_job__state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor pool_job__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pool_job__field_descriptors[9] =
 {
   {
     "submit",
@@ -2570,12 +2583,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_runs",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_failed_runs),
+    offsetof(PoolJob, failed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_job__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
   4,   /* field[4] = done */
   3,   /* field[3] = ended_ms */
   5,   /* field[5] = failed */
+  8,   /* field[8] = failed_runs */
   7,   /* field[7] = losses */
   1,   /* field[1] = state */
   0,   /* field[0] = submit */
@@ -2584,7 +2610,7 @@
 static const ProtobufCIntRange pool_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool_job__descriptor =
 {
@@ -2594,7 +2620,7 @@
   "PoolJob",
   "",
   sizeof(PoolJob),
-  8,
+  9,
   pool_job__field_descriptors,
   pool_job__field_indices_by_name,
   1,  pool_job__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -239,10 +239,15 @@
   uint64_t specification_hash;
   size_t n_losses;
   PoolLoss **losses;
+  /*
+   * the run of each entry of failed
+   */
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -483,10 +488,15 @@
    */
   size_t n_losses;
   PoolLoss **losses;
+  /*
+   * as in PoolSubmit
+   */
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
 };
 #define POOL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_job__descriptor) \
-    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -339,3 +339,35 @@
 	cr_assert_eq(w.starts, 1);
 	end_world();
 }
+
+/*
+ * The leader is killed after each failed run, before the store or the target
+ * knows that it has seen the end, or after the store does. Each run counts
+ * once.
+ */
+Test(sched_crash, failed_runs_count_over_changes_of_the_leader)
+{
+	struct world_job *job;
+	unsigned term;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		begin_world(1, 1);
+		w.targets[0].fail_percent = 100;
+		w.lose_messages = i == 0;
+		job = world_submit(&w, "q", 1, 100, 1, 1500);
+		for (term = 2; term <= 5 && !job->answered; term++) {
+			world_run_until(&w, w.now + 160);
+			change_leader(term);
+		}
+		w.lose_messages = 0;
+		world_run_until(&w, w.now + 1000);
+		if (!job->answered) {
+			change_leader(6);
+			world_run_until(&w, w.now + 3000);
+		}
+		cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__FAILED);
+		cr_assert_eq(w.starts, 3);
+		end_world();
+	}
+}
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -333,6 +333,17 @@
 		return 0;
 	if (((struct world *)s->user)->lose_messages)
 		return ++((struct world *)s->user)->mark;
+	if (task->state != SCHED_DONE) {
+		sub->failed = realloc(sub->failed,
+				      (sub->n_failed + 1) * sizeof(uint32_t));
+		sub->failed_runs =
+			realloc(sub->failed_runs,
+				(sub->n_failed + 1) * sizeof(uint32_t));
+		sub->failed[sub->n_failed++] = (uint32_t)(task - job->tasks);
+		sub->failed_runs[sub->n_failed_runs++] =
+			task->failed_runs[task->failures - 1];
+		return 0;
+	}
 	sub->done = realloc(sub->done, (sub->n_done + 1) * sizeof(*sub->done));
 	sub->done[sub->n_done++] = (uint32_t)(task - job->tasks);
 	return 0;
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -96,6 +96,43 @@
 	return last;
 }
 
+static int is_counted(const struct sched_task *task, uint32_t run)
+{
+	size_t i;
+
+	for (i = 0; i < task->failures; i++)
+		if (task->failed_runs[i] == run)
+			return 1;
+	return 0;
+}
+
+/*
+ * Counts a failed run that was not counted yet. The earlier scheduler may have
+ * written it to the row, and not acknowledged it to the target. Returns whether
+ * this answered the job.
+ */
+static int adopt_failure(struct sched_task *task, struct sched_target *t,
+			 uint32_t run, uint64_t number)
+{
+	struct sched_job *job = task->job;
+	void *owner = job->owner;
+	rp_ms deadline = job->deadline;
+	int last = sched_task_on_last_attempt(task);
+
+	if (is_counted(task, run)) {
+		sched_unacked_resolve(t, number, NULL, 0, 0);
+		return 0;
+	}
+	if (job->next_run <= run)
+		job->next_run = run + 1;
+	sched_job_started(job);
+	t->s->ops->log(t->s, "adopt_failure", t, task, "");
+	/* The last failure's answer may free the job. */
+	sched_unacked_resolve(t, number, owner, sched_task_failed(task, run),
+			      deadline);
+	return last;
+}
+
 static struct sched_task *find_task(struct sched_job *job, struct rp_str name)
 {
 	size_t i;
@@ -123,6 +160,9 @@
 	struct sched_task *task = find_task(job, str_of(o.name));
 
 	remove_orphan(t, i);
+	if (task && task->state != SCHED_DONE && o.number &&
+	    o.how == SCHED_END_FAILED)
+		return adopt_failure(task, t, o.run, o.number);
 	if (task && task->state == SCHED_WAITING)
 		return adopt_orphan(task, t, &o);
 	sched_unacked_resolve(t, o.number, NULL, 0, 0);
@@ -198,9 +238,14 @@
 	rp_ms deadline;
 	void *owner;
 
-	if (job && end->how == SCHED_END_DONE && end->run >= job->min_run)
+	if (job && end->run >= job->min_run)
 		task = find_task(job, end->task);
-	if (!task || task->state != SCHED_WAITING)
+	if (task && task->state != SCHED_DONE && end->how == SCHED_END_FAILED) {
+		sched_unacked_add_unclaimed(t, end->number);
+		adopt_failure(task, t, end->run, end->number);
+		return;
+	}
+	if (!task || task->state != SCHED_WAITING || end->how != SCHED_END_DONE)
 		return;
 	owner = job->owner;
 	deadline = job->deadline;
--- a/sched-core.c
+++ b/sched-core.c
@@ -421,7 +421,7 @@
 		    sched_loss_must_wait(task))
 			continue;
 		job->avoid = task->avoid;
-		job->last_attempt = task->failures + 1u >= job->max_attempts;
+		job->last_attempt = sched_task_on_last_attempt(task);
 		job->isolate = task->losses && task->losses->n;
 		t = s->place->place(s, job, &job->steps[task->step]);
 		if (t) {
--- a/sched-job.c
+++ b/sched-job.c
@@ -242,7 +242,10 @@
 
 	for (i = 0; i < sub->n_failed; i++)
 		if (sub->failed[i] < job->ntasks)
-			job->tasks[sub->failed[i]].failures++;
+			sched_task_add_failure(&job->tasks[sub->failed[i]],
+					       i < sub->n_failed_runs
+						       ? sub->failed_runs[i]
+						       : 0);
 }
 
 struct sched_job *sched_find_open_job(struct sched *s, struct rp_str id)
@@ -333,7 +336,11 @@
 
 void sched_job_free(struct sched_job *job)
 {
+	size_t i;
+
 	sched_losses_free(job);
+	for (i = 0; i < job->ntasks; i++)
+		free(job->tasks[i].failed_runs);
 	free((void *)job->specification.ptr);
 	free(job->steps);
 	free(job->tasks);
--- a/sched-move.c
+++ b/sched-move.c
@@ -58,7 +58,7 @@
 	if (task->moves >= MOVES_MAX || end <= (double)job->due_at)
 		return 0;
 	job->avoid = task->target;
-	job->last_attempt = task->failures + 1u >= job->max_attempts;
+	job->last_attempt = sched_task_on_last_attempt(task);
 	job->isolate = task->isolated;
 	t = sched_best_target(s, job, step);
 	if (!t || t == task->target)
--- a/sched-run.c
+++ b/sched-run.c
@@ -2,6 +2,8 @@
 
 #include "scheduler.h"
 
+#include <stdlib.h>
+
 /* Share by which a target's clock may be slow. */
 #define CLOCK_DRIFT 0.02
 /* Error of a reading of a target's clock. */
@@ -169,19 +171,39 @@
 	return mark;
 }
 
-static uint64_t run_failed(struct sched_task *task)
+void sched_task_add_failure(struct sched_task *task, uint32_t run)
+{
+	task->failed_runs =
+		realloc(task->failed_runs,
+			(task->failures + 1u) * sizeof(*task->failed_runs));
+	task->failed_runs[task->failures++] = run;
+}
+
+int sched_task_on_last_attempt(const struct sched_task *task)
+{
+	return task->failures + 1u >= task->job->max_attempts;
+}
+
+uint64_t sched_task_failed(struct sched_task *task, uint32_t run)
 {
 	struct sched_job *job = task->job;
 
-	if (++task->failures >= job->max_attempts)
+	sched_task_add_failure(task, run);
+	if (task->failures >= job->max_attempts)
 		return sched_job_answer(job, POOL_ANSWER__OUTCOME__FAILED,
 					"a task reached its maximum number of "
 					"attempts",
 					0);
-	requeue_task(task);
 	return job->stored ? job->s->ops->progress(job->s, job, task) : 0;
 }
 
+static uint64_t run_failed(struct sched_task *task)
+{
+	if (!sched_task_on_last_attempt(task))
+		requeue_task(task);
+	return sched_task_failed(task, task->run);
+}
+
 uint64_t sched_run_ended(struct sched_task *task, enum sched_end_how how)
 {
 	struct sched_job *job = task->job;
--- a/scheduler.h
+++ b/scheduler.h
@@ -79,12 +79,13 @@
 struct sched_task {
 	struct sched_job *job;
 	char name[SCHED_TASK_NAME_MAX];
-	uint8_t state;	   /* enum sched_task_state */
-	uint8_t stop_sent; /* boolean; cleared to send the stop again */
-	uint8_t moves;	   /* times it was stopped to run elsewhere */
-	uint16_t failures; /* failed runs */
-	uint32_t step;	   /* index in the job's steps */
-	uint32_t run;	   /* number of the latest run */
+	uint8_t state;	       /* enum sched_task_state */
+	uint8_t stop_sent;     /* boolean; cleared to send the stop again */
+	uint8_t moves;	       /* times it was stopped to run elsewhere */
+	uint16_t failures;     /* failed runs */
+	uint32_t *failed_runs; /* their numbers; 0: not known */
+	uint32_t step;	       /* index in the job's steps */
+	uint32_t run;	       /* number of the latest run */
 	/* Where it may be running; NULL: nowhere. */
 	struct sched_target *target;
 	/*
@@ -784,6 +785,15 @@
 		     uint32_t run);
 /* The task succeeded. Returns the mark of the message to the owner. */
 uint64_t sched_task_done(struct sched_task *task);
+/* Adds to the failed runs of the task. */
+void sched_task_add_failure(struct sched_task *task, uint32_t run);
+/* Whether another failed run fails the task's job. */
+int sched_task_on_last_attempt(const struct sched_task *task);
+/*
+ * A run of the task has failed. Returns the mark of the message to the owner,
+ * or 0. May free the job.
+ */
+uint64_t sched_task_failed(struct sched_task *task, uint32_t run);
 void sched_run_start(struct sched_task *task, struct sched_target *t);
 void sched_run_stop(struct sched_task *task);
 /*
