Scheduler: run numbers of a term last for many refused starts

What callers saw: nothing yet. Seen in the timeline of the incident, where one job used run 161: each term has 64 run numbers, and each lost or refused start of a job takes one. Under refusals these last a few seconds, and a successor begins with numbers that are in use, which targets refuse as old. Each term now has 4096; 500,000 terms fit in 32 bits.

Evidence: sched_takeover: run_numbers_last_for_many_refused_starts fails with 64.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -425,3 +425,39 @@
 	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
 	world_finish(&w);
 }
+
+/*
+ * A start that a target refuses takes a run number. 64 of them were gone after
+ * a few seconds of refusals, and the successor's first ones were used already.
+ */
+Test(sched_takeover, run_numbers_last_for_many_refused_starts)
+{
+	struct sched_target_reply refusal = { .status = SCHED_REPLY_REFUSED,
+					      .reason = "",
+					      .clock = 1 };
+	struct sched_task *task;
+	uint32_t last = 0;
+	int i;
+
+	begin_world(4);
+	w.delay = 1000;
+	w.stored = 1;
+	world_submit(&w, "q", 1, 100, 1, 1500);
+	task = &w.sched->jobs->tasks[0];
+	for (i = 0; i < 500; i++) {
+		char name[SCHED_TASK_NAME_MAX];
+
+		if (!task->target)
+			sched_dispatch(w.sched, w.now);
+		cr_assert_not_null(task->target);
+		last = task->run;
+		memcpy(name, task->name, sizeof(name));
+		sched_start_reply(w.sched, task->target, name, task->run,
+				  &refusal, w.now);
+	}
+	sched_init(&second, w.sched->ops, &w, NULL, LEAD_TOKEN(2),
+		   WORLD_LEASE_MS, w.now);
+	cr_assert_gt(second.first_run, last);
+	sched_finish(&second);
+	end_world();
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -31,7 +31,7 @@
 #define SCHED_RESTART_MIN_MS 30
 
 /* Run numbers reserved for each scheduler; later schedulers use higher ones. */
-#define SCHED_RUNS_PER_TOKEN 64
+#define SCHED_RUNS_PER_TOKEN 4096
 
 struct sched;
 struct sched_job;
