Tests: deadly tasks on targets that are back at once, and beside each other

A crashed target that is back after 60 ms, under another id or under the same, and two deadly tasks on the same target. All pass on the code as it is.

--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -80,6 +80,40 @@
 	end_world();
 }
 
+/* The next process is there at once, with another id or with the same. */
+Test(sched_crash, a_task_is_given_up_though_its_targets_are_back_at_once)
+{
+	struct world_job *job;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		begin_world(4, 1);
+		w.down = 60;
+		w.same_id = i;
+		job = submit_deadly(3);
+		world_run_until(&w, w.now + 10000);
+		cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__FAILED);
+		cr_assert_leq(job->crashes, 3);
+		end_world();
+	}
+}
+
+/* Both may be on one target when it crashes. */
+Test(sched_crash, two_deadly_tasks_beside_each_other_are_given_up)
+{
+	struct world_job *one, *two, *sound;
+
+	begin_world(2, 1);
+	one = submit_deadly(1);
+	two = submit_deadly(1);
+	sound = world_submit(&w, "q", 2, 300, 1, 1500);
+	world_run_until(&w, w.now + 40000);
+	cr_assert_eq(one->outcome, POOL_ANSWER__OUTCOME__FAILED);
+	cr_assert_eq(two->outcome, POOL_ANSWER__OUTCOME__FAILED);
+	cr_assert_eq(sound->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 Test(sched_crash, several_deadly_tasks_do_not_take_all_targets)
 {
 	struct world_job *deadly[6], *sound[40];
--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -103,6 +103,11 @@
 static void list_target(struct world *w, struct world_target *t)
 {
 	t->back_at = 0;
+	if (w->same_id) {
+		t->unlisted_at = 0;
+		sched_target_listed(w->sched, &t->listing, w->now);
+		return;
+	}
 	snprintf(t->prev_id, sizeof(t->prev_id), "%s", t->listing.id);
 	snprintf(t->listing.id, sizeof(t->listing.id), "t%zu-%lld",
 		 (size_t)(t - w->targets), (long long)w->now);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -135,6 +135,7 @@
 	int crashes;	   /* of targets */
 	rp_ms crash_delay; /* from the start of a deadly task to the crash */
 	rp_ms down;	   /* time until a crashed target is back */
+	int same_id;	   /* crashed targets are back under their old id */
 	apr_pool_t *pool;
 };
 
