Scheduler: a job that a silent target makes hopeless is answered at once

What callers saw: a job that is not stored and whose run was lost with its target was answered when it expired, 0.3 to 1.5 s later, although its lease told that the run could not be made up for; its other runs went on. A target that has not replied to three calls, and for 200 ms, is silent now, and the job is given up if its task cannot run elsewhere in time after the lease.

Evidence: sched_crash: a_job_that_a_crash_makes_hopeless_is_answered_at_once failed before; a_job_that_can_be_made_up_for_is_not_given_up passes both.

--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -342,6 +342,42 @@
 	end_world();
 }
 
+/*
+ * The lease tells that the lost run cannot be made up for. The caller was told
+ * at its deadline only, and the job's other runs went on.
+ */
+Test(sched_crash, a_job_that_a_crash_makes_hopeless_is_answered_at_once)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(2, 0);
+	job = world_submit(&w, "q", 2, 600, 1, 1500);
+	world_run_until(&w, w.now + 50);
+	i = w.targets[0].nruns ? 0 : 1;
+	world_target_crash(&w, &w.targets[i]);
+	world_run_until(&w, w.now + 700);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__INCOMPLETE);
+	end_world();
+}
+
+Test(sched_crash, a_job_that_can_be_made_up_for_is_not_given_up)
+{
+	struct world_job *job;
+
+	begin_world(4, 0);
+	job = world_submit(&w, "q", 1, 700, 1, 6000);
+	world_run_until(&w, w.now + 50);
+	world_target_crash(&w, &w.targets[w.targets[0].nruns   ? 0
+					  : w.targets[1].nruns ? 1
+					  : w.targets[2].nruns ? 2
+							       : 3]);
+	world_run_until(&w, w.now + 4000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
+
 /*
  * A start is sent again as it has no reply. The first copy was received, and
  * its run has ended by then, so that the target refuses the other as old.
--- a/sched-move.c
+++ b/sched-move.c
@@ -23,6 +23,9 @@
 #define PROGRESS_MIN_PERCENT 8
 /* Interval between checks of all runs. */
 #define CHECK_INTERVAL_MS 60
+/* Calls without a reply, and time, from which a target counts as silent. */
+#define SILENT_CALLS 3
+#define SILENT_MS 200
 /* A job is given up if a run needs this many times the time left. */
 #define HOPELESS_FACTOR 1.25
 
@@ -88,6 +91,20 @@
 	sched_run_stop(task);
 }
 
+/*
+ * Whether the run is on a target that has stopped to reply, and its task cannot
+ * be started elsewhere in time once the lease is over.
+ */
+static int is_lost_for_good(const struct sched_task *task, double rerun_ms)
+{
+	const struct sched_target *t = task->target;
+	rp_ms now = t->s->now;
+
+	return t->unanswered >= SILENT_CALLS &&
+	       now - t->replied_at >= SILENT_MS &&
+	       (double)(task->job->expires_at - t->lease_until) < rerun_ms;
+}
+
 /* Returns a task that will end after the job expires, here or elsewhere. */
 static const struct sched_task *hopeless_task(const struct sched_job *job)
 {
@@ -100,6 +117,8 @@
 		const struct sched_task *task = &job->tasks[i];
 		double rerun_ms = job->steps[task->step].work * slowdown;
 
+		if (task->target && is_lost_for_good(task, rerun_ms))
+			return task;
 		if (task->state != SCHED_RUNNING || !task->observed ||
 		    task->percent < PROGRESS_MIN_PERCENT)
 			continue;
