Scheduler: tasks of a common failure are not isolated

What callers saw: after a fifth of the targets had crashed together, each task that was lost with them waited for an idle target of its own, and half of the room stayed empty.

Evidence: sched_crash: tasks_of_targets_that_crash_together_are_not_ isolated failed before.

--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -278,6 +278,28 @@
 	end_world();
 }
 
+/* Half of the room stayed empty after a rack had failed. */
+Test(sched_crash, tasks_of_targets_that_crash_together_are_not_isolated)
+{
+	uint64_t starts;
+	size_t i, beside = 0;
+
+	begin_world(6, 1);
+	w.down = 1500;
+	for (i = 0; i < 6; i++)
+		world_submit(&w, "q", 2, 900, 1, 1500);
+	world_run_until(&w, w.now + 20);
+	for (i = 0; i < 6; i++)
+		world_target_crash(&w, &w.targets[i]);
+	starts = w.starts;
+	while (w.starts < starts + 8)
+		world_run_until(&w, w.now + 1);
+	for (i = 0; i < 6; i++)
+		beside += w.targets[i].nruns > 1;
+	cr_assert_gt(beside, 0);
+	end_world();
+}
+
 /* Tasks that waited for targets start, and crash them, at the same moment. */
 Test(sched_crash, deadly_tasks_that_start_together_are_given_up)
 {
--- a/sched-core.c
+++ b/sched-core.c
@@ -422,7 +422,7 @@
 			continue;
 		job->avoid = task->avoid;
 		job->last_attempt = sched_task_on_last_attempt(task);
-		job->isolate = task->losses && task->losses->n;
+		job->isolate = sched_loss_isolates(task);
 		t = s->place->place(s, job, &job->steps[task->step]);
 		if (t) {
 			sched_run_start(task, t);
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -96,6 +96,17 @@
 	       (crashes >= CRASHES_ALONE_MAX && alone);
 }
 
+int sched_loss_isolates(const struct sched_task *task)
+{
+	const struct sched_losses *losses = task->losses;
+	size_t i;
+
+	for (i = 0; losses && i < losses->n; i++)
+		if (!losses->list[i].common)
+			return 1;
+	return 0;
+}
+
 static int is_likely_at_fault(const struct sched_losses *losses)
 {
 	size_t i;
--- a/sched-run.c
+++ b/sched-run.c
@@ -32,7 +32,7 @@
 		task->next->prev = &task->next;
 	t->runs = task;
 	t->nruns++;
-	task->isolated = task->losses && task->losses->n;
+	task->isolated = (uint8_t)sched_loss_isolates(task);
 	t->nisolated += task->isolated;
 	t->was_isolated = 0;
 	charge(t, need_of(task), 1);
--- a/scheduler.h
+++ b/scheduler.h
@@ -833,6 +833,8 @@
 void sched_losses_changed(struct sched_job *job);
 /* The owner knows of all losses in messages up to the mark. */
 void sched_losses_acked(struct sched *s, const void *owner, uint64_t mark);
+/* Whether the task is to run alone on its next target. */
+int sched_loss_isolates(const struct sched_task *task);
 /* Whether the task may not be started, now or any more. */
 int sched_loss_must_wait(const struct sched_task *task);
 /*
