Evacuate failure domains on an operator's request

Cause: rows "evacuate/DOMAIN" of the operator's table were read by nobody, so tasks went on starting in a domain that was to get nothing more.

Change: every VM follows the rows and keeps for each domain the state with its version; heartbeats carry it to VMs without the store. The scheduler counts targets of such a domain as not available, in placement, moves, reservations and admission alike, and rejects untouched jobs if no target is left. A new leader waits for its first read of the table, for 1 s at most.

Result: regress/sched-evacuate, regress/pool-evacuate and the scripted t-pool-evacuate pass, the latter with the leader killed and the store down and compacted during an evacuation.

--- a/lead-core.c
+++ b/lead-core.c
@@ -37,9 +37,9 @@
 	l->role = leads ? LEAD_LEADING : LEAD_FOLLOWING;
 	l->phase = LEAD_IDLE;
 	l->confirming_since = 0;
-	l->prev_renewal_age = now - l->renewed_at;
+	l->prev_renewal_age = now - l->renewal_seen_at;
 	l->heartbeat_at = now;
-	l->renewed_at = now;
+	l->renewed_at = l->renewal_seen_at = now;
 	l->connection_refused = 0;
 	l->resigning = 0;
 	l->retry_at = 0;
@@ -72,9 +72,13 @@
 	l->retry_at = now + LEAD_BACKOFF_MS;
 }
 
-void lead_renewed(struct lead *l, rp_ms now)
+void lead_renewed(struct lead *l, int64_t version, rp_ms now)
 {
 	l->renewed_at = now;
+	if (version <= l->renewal_version)
+		return;
+	l->renewal_version = version;
+	l->renewal_seen_at = now;
 }
 
 static void start_claim(struct lead *l, rp_ms now);
--- a/lead.h
+++ b/lead.h
@@ -129,7 +129,10 @@
 	enum lead_phase phase;
 	rp_ms phase_at;	    /* start of the phase, unless idle */
 	rp_ms heartbeat_at; /* the last heartbeat from the leader itself */
-	rp_ms renewed_at;   /* the last renewal of the row, as seen here */
+	rp_ms renewed_at;   /* the renewal of the row was read last */
+	/* The latest renewal was first read; reading it again tells nothing. */
+	rp_ms renewal_seen_at;
+	int64_t renewal_version;
 	/*
 	 * Time from the previous leader's last renewal to the change of
 	 * leader, ms.
@@ -165,8 +168,11 @@
 void lead_row_read(struct lead *l, const struct lead_row *row, rp_ms now);
 /* The claim was rejected, or its result is unknown. */
 void lead_claim_failed(struct lead *l, rp_ms now);
-/* The leader renewed its row in the store. */
-void lead_renewed(struct lead *l, rp_ms now);
+/*
+ * The leader's renewal was read from the store, with the version of its row. A
+ * full read of the table finds it again, also when the leader is long gone.
+ */
+void lead_renewed(struct lead *l, int64_t version, rp_ms now);
 /* A heartbeat or an answer to a probe was received. */
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now);
 /* The leader's address refused a connection. */
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -88,6 +88,8 @@
 	char *successors[LEAD_SUCCESSORS];
 	PoolWaiting waiting[WAITING_QUEUES_MAX];
 	PoolWaiting *waiting_ptrs[WAITING_QUEUES_MAX];
+	PoolEvacuation evacuations[POOL_EVACUATIONS_MAX];
+	PoolEvacuation *evacuation_ptrs[POOL_EVACUATIONS_MAX];
 };
 
 static void fill_heartbeat(struct pool *p, PoolBeat *hb,
@@ -105,6 +107,11 @@
 	hb->resigns = p->lead.resigning;
 	hb->store = !p->lead.store_lost;
 	hb->stored = p->has_stored_jobs == 1;
+	hb->n_evacuations = pool_evacuations_list(p, lists->evacuations,
+						  POOL_EVACUATIONS_MAX);
+	hb->evacuations = lists->evacuation_ptrs;
+	for (i = 0; i < hb->n_evacuations; i++)
+		lists->evacuation_ptrs[i] = &lists->evacuations[i];
 	if (!p->leading)
 		return;
 	hb->agents = pool_needs_agents(p);
@@ -129,7 +136,8 @@
 	size_t i;
 
 	hash = hash * 31 + hb->n_waiting;
-
+	for (i = 0; i < hb->n_evacuations; i++)
+		hash = hash * 31 + (uint64_t)hb->evacuations[i]->version;
 	hash = hash * 31 + str_hash(str_of(hb->leader));
 	for (i = 0; i < hb->n_successors; i++)
 		hash = hash * 31 + str_hash(str_of(hb->successors[i]));
--- a/pool-count.c
+++ b/pool-count.c
@@ -89,6 +89,7 @@
 	put_count(t, "takeovers_total", c->takeovers);
 	put_count(t, "leading", (uint64_t)p->leading);
 	put_count(t, "fence", p->lead.row.fence);
+	put_count(t, "domains_evacuated", pool_evacuations_active(p));
 	put_count(t, "routes_version",
 		  p->routes ? (uint64_t)p->routes->version : 0);
 }
@@ -166,10 +167,22 @@
 			     (long long)sent[POOL_FRAME__BODY_LISTINGS]));
 }
 
+static size_t evacuated_targets(const struct sched *s)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < s->ntargets; i++)
+		n += (size_t)s->targets[i]->evacuated;
+	return n;
+}
+
 static void put_scheduler(struct text *t, const struct sched *s)
 {
 	const struct sched_counters *c = &s->count;
 
+	put_count(t, "targets_evacuated", evacuated_targets(s));
+	put_count(t, "jobs_rejected_evacuated_total", c->evacuated);
+
 	put_count(t, "jobs_total", c->jobs);
 	put_count(t, "jobs_completed_total", c->completed);
 	put_count(t, "jobs_failed_total", c->failed);
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -46,13 +46,11 @@
 	s->missing = m;
 }
 
-static void log_unreadable_row(struct store *s, struct pool *p, const char *key,
+static void log_unreadable_row(struct pool *p, const char *key,
 			       const char *error)
 {
-	if (apr_hash_get(s->unreadable_rows, key, APR_HASH_KEY_STRING))
+	if (!pool_row_fault_is_new(p, key))
 		return;
-	apr_hash_set(s->unreadable_rows, apr_pstrdup(p->pool, key),
-		     APR_HASH_KEY_STRING, "");
 	LOG_EVENT(LOG_LEVEL_WARN, "target_row_unreadable",
 		  LOG_TEXT("target", key), LOG_TEXT("why", error));
 }
@@ -110,7 +108,7 @@
 		return;
 	}
 	if (platform_parse_listing(&l, row->key, row->value, row->len, error)) {
-		log_unreadable_row(s, p, row->key, error);
+		log_unreadable_row(p, row->key, error);
 		return;
 	}
 	pool_share_listed(p, &l, row->version);
--- a/pool-member.c
+++ b/pool-member.c
@@ -262,6 +262,7 @@
 			lead_connection_refused(&p->lead, p->now);
 		return;
 	}
+	pool_evacuations_received(p, msg);
 	if (l->member)
 		l->member->store_reachable = msg->store;
 	lead_heartbeat(&p->lead, &hb, p->now);
--- a/pool-store.c
+++ b/pool-store.c
@@ -2,6 +2,7 @@
 
 #include "pool-store.h"
 
+#include <apr_strings.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,11 @@
 	struct pool_routes *routes;
 	char error[PLATFORM_ERROR_MAX] = "";
 
+	if (!strncmp(row->key, PLATFORM_EVACUATION_PREFIX,
+		     strlen(PLATFORM_EVACUATION_PREFIX))) {
+		pool_evacuation_row(w, row);
+		return;
+	}
 	if (strcmp(row->key, PLATFORM_ROUTES_KEY) != 0 || !row->value)
 		return;
 	routes = platform_parse_routes(row->value, row->len, error);
@@ -88,7 +94,7 @@
 		if (row->value)
 			on_leader_row(w->p, row);
 	} else if (!strcmp(row->key, RENEWED_KEY)) {
-		lead_renewed(&w->p->lead, w->p->now);
+		lead_renewed(&w->p->lead, row->version, w->p->now);
 	} else if (!strncmp(row->key, VM_KEY_PREFIX, strlen(VM_KEY_PREFIX))) {
 		on_vm_row(w->p, row);
 	}
@@ -103,6 +109,17 @@
 		lead_row_read(&w->p->lead, &none, w->p->now);
 }
 
+int pool_row_fault_is_new(struct pool *p, const char *key)
+{
+	apr_hash_t *logged = store_of(p)->unreadable_rows;
+
+	if (apr_hash_get(logged, key, APR_HASH_KEY_STRING))
+		return 0;
+	apr_hash_set(logged, apr_pstrdup(p->pool, key), APR_HASH_KEY_STRING,
+		     "");
+	return 1;
+}
+
 rp_ms pool_store_now(const struct pool *p)
 {
 	return p->now + p->store_clock_offset;
@@ -368,6 +385,7 @@
 	s->watches[WATCH_JOBS].nparts = JOBS_PARTS;
 	s->watches[WATCH_JOBS].disabled = 1;
 	s->watches[WATCH_JOBS].on_complete = pool_stored_complete;
+	s->watches[WATCH_OPERATOR].on_complete = pool_evacuations_complete;
 	s->watches[WATCH_POOL].on_complete = on_pool_complete;
 	s->watches[WATCH_TARGETS].on_complete = pool_listing_complete;
 	s->watches[WATCH_TARGETS].on_regained = pool_listing_regained;
@@ -393,6 +411,8 @@
 
 	for (i = 0; i < WATCHES; i++)
 		pool_watch_tick(&s->watches[i], now);
+	if (p->evacuations_known)
+		p->operator_version = s->watches[WATCH_OPERATOR].version;
 	p->lead.store_lost = now - last_reply_at(s) > STORE_TIMEOUT_MS;
 	if (!p->stopping)
 		register_vm(p);
--- a/pool-store.h
+++ b/pool-store.h
@@ -35,7 +35,7 @@
 };
 
 enum watch_kind {
-	WATCH_OPERATOR, /* routes */
+	WATCH_OPERATOR, /* routes and evacuations */
 	WATCH_POOL,	/* the leader and the entry VMs */
 	WATCH_TARGETS,
 	WATCH_JOBS, /* on the leader only */
@@ -64,6 +64,12 @@
 struct pool_call *pool_store_transact(struct pool *p, char *body,
 				      int fresh_connect, pool_call_cb *on_done);
 
+/*
+ * Whether a malformed row of the key has not been logged yet; it counts as
+ * logged from then on.
+ */
+int pool_row_fault_is_new(struct pool *p, const char *key);
+
 /* pool-watch.c */
 #define STORE_READ_TIMEOUT_MS 700 /* in addition to the wait of a poll */
 #define STORE_MAX_BACKOFF_MS 1000 /* longest pause after a failed call */
@@ -71,6 +77,10 @@
 /* Starts a new full read. */
 void pool_watch_restart(struct pool_watch *w);
 
+/* pool-evacuate.c: the callbacks of the watch of the operator's table */
+void pool_evacuation_row(struct pool_watch *w, const struct platform_row *row);
+void pool_evacuations_complete(struct pool_watch *w);
+
 /* pool-keep.c: stored jobs, and the callbacks of their watch */
 #define JOBS_TABLE "rosemary-jobs"
 /* A transaction covers one part. Those of several parts can be in flight. */
--- a/pool-target.c
+++ b/pool-target.c
@@ -463,8 +463,11 @@
 	sched_init(&p->sched, &sched_ops, p, &names, fence, p->set.max_lease,
 		   p->now);
 	pool_stored_begin(p);
-	if (lead_is_provisional(&p->lead))
-		list_cached_targets(p);
+	pool_evacuations_begin(p);
+	if (!lead_is_provisional(&p->lead))
+		return;
+	list_cached_targets(p);
+	sched_targets_cached(&p->sched);
 }
 
 void pool_sched_end(struct pool *p, const char *reason)
--- a/pool.h
+++ b/pool.h
@@ -206,6 +206,29 @@
 void pool_share_flush(struct pool *p);
 void pool_listings_received(struct pool *p, const PoolListings *msg);
 
+/* --- pool-evacuate.c: evacuated failure domains ------------------------ */
+
+/* Domains that are kept, with those that are not evacuated any more. */
+#define POOL_EVACUATIONS_MAX 32
+
+struct pool_evacuation {
+	char failure_domain[RP_NAME_MAX];
+	int active;
+	int64_t version; /* of the store at the latest change */
+	uint32_t round;	 /* of the full read that found it last */
+};
+
+/* Takes over what is newer than what is known. source is logged. */
+void pool_evacuation_set(struct pool *p, const char *failure_domain, int active,
+			 int64_t version, const char *source);
+void pool_evacuations_received(struct pool *p, const PoolBeat *msg);
+/* Lists the known domains for a heartbeat. Returns how many. */
+size_t pool_evacuations_list(const struct pool *p, PoolEvacuation *list,
+			     size_t max);
+size_t pool_evacuations_active(const struct pool *p);
+/* Passes what is known to a scheduler that has just begun. */
+void pool_evacuations_begin(struct pool *p);
+
 /* --- pool-target.c: the scheduler and its calls ---------------------- */
 
 /* Starts the scheduler with the fencing token of this leader. */
@@ -417,8 +440,12 @@
 	struct pool_member *members; /* of this leader */
 	struct pool_member self;     /* this VM as owner of its jobs */
 	PoolBeat *leader_heartbeat;  /* latest of the leader; NULL: none */
-	uint64_t received_mark;	     /* of the leader's latest message */
-	uint64_t acked_mark;	     /* last acknowledged to the leader */
+	struct pool_evacuation evacuations[POOL_EVACUATIONS_MAX];
+	size_t nevacuations;
+	int evacuations_known;	  /* the operator's table has been read */
+	int64_t operator_version; /* of the store, up to which it was read */
+	uint64_t received_mark;	  /* of the leader's latest message */
+	uint64_t acked_mark;	  /* last acknowledged to the leader */
 	struct lead lead;
 	struct sched sched;
 	int leading;		 /* this VM leads, and sched is in use */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -412,6 +412,51 @@
   assert(message->base.descriptor == &pool_waiting__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool_evacuation__init
+                     (PoolEvacuation         *message)
+{
+  static const PoolEvacuation init_value = POOL_EVACUATION__INIT;
+  *message = init_value;
+}
+size_t pool_evacuation__get_packed_size
+                     (const PoolEvacuation *message)
+{
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_evacuation__pack
+                     (const PoolEvacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_evacuation__pack_to_buffer
+                     (const PoolEvacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolEvacuation *
+       pool_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolEvacuation *)
+     protobuf_c_message_unpack (&pool_evacuation__descriptor,
+                                allocator, len, data);
+}
+void   pool_evacuation__free_unpacked
+                     (PoolEvacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool_beat__init
                      (PoolBeat         *message)
 {
@@ -2169,7 +2214,71 @@
   (ProtobufCMessageInit) pool_waiting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pool_evacuation__field_descriptors[3] =
+{
+  {
+    "failure_domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_evacuation__field_indices_by_name[] = {
+  1,   /* field[1] = active */
+  0,   /* field[0] = failure_domain */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange pool_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolEvacuation",
+  "PoolEvacuation",
+  "PoolEvacuation",
+  "",
+  sizeof(PoolEvacuation),
+  3,
+  pool_evacuation__field_descriptors,
+  pool_evacuation__field_indices_by_name,
+  1,  pool_evacuation__number_ranges,
+  (ProtobufCMessageInit) pool_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[15] =
 {
   {
     "fence",
@@ -2339,10 +2448,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolBeat, n_evacuations),
+    offsetof(PoolBeat, evacuations),
+    &pool_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
   13,   /* field[13] = brief */
+  14,   /* field[14] = evacuations */
   0,   /* field[0] = fence */
   4,   /* field[4] = hears */
   1,   /* field[1] = leader */
@@ -2359,7 +2481,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2369,7 +2491,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  14,
+  15,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -24,6 +24,7 @@
 typedef struct PoolAnswer PoolAnswer;
 typedef struct PoolHello PoolHello;
 typedef struct PoolWaiting PoolWaiting;
+typedef struct PoolEvacuation PoolEvacuation;
 typedef struct PoolBeat PoolBeat;
 typedef struct PoolLeader PoolLeader;
 typedef struct PoolJob PoolJob;
@@ -369,6 +370,21 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Whether a failure domain is evacuated, as of a version of the store.
+ */
+struct  PoolEvacuation
+{
+  ProtobufCMessage base;
+  char *failure_domain;
+  protobuf_c_boolean active;
+  int64_t version;
+};
+#define POOL_EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * Heartbeat.
  */
@@ -427,10 +443,12 @@
    * The fields that are not set are as in the heartbeat before.
    */
   protobuf_c_boolean brief;
+  size_t n_evacuations;
+  PoolEvacuation **evacuations;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -1033,6 +1051,25 @@
 void   pool_waiting__free_unpacked
                      (PoolWaiting *message,
                       ProtobufCAllocator *allocator);
+/* PoolEvacuation methods */
+void   pool_evacuation__init
+                     (PoolEvacuation         *message);
+size_t pool_evacuation__get_packed_size
+                     (const PoolEvacuation   *message);
+size_t pool_evacuation__pack
+                     (const PoolEvacuation   *message,
+                      uint8_t             *out);
+size_t pool_evacuation__pack_to_buffer
+                     (const PoolEvacuation   *message,
+                      ProtobufCBuffer     *buffer);
+PoolEvacuation *
+       pool_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_evacuation__free_unpacked
+                     (PoolEvacuation *message,
+                      ProtobufCAllocator *allocator);
 /* PoolBeat methods */
 void   pool_beat__init
                      (PoolBeat         *message);
@@ -1366,6 +1403,9 @@
 typedef void (*PoolWaiting_Closure)
                  (const PoolWaiting *message,
                   void *closure_data);
+typedef void (*PoolEvacuation_Closure)
+                 (const PoolEvacuation *message,
+                  void *closure_data);
 typedef void (*PoolBeat_Closure)
                  (const PoolBeat *message,
                   void *closure_data);
@@ -1430,6 +1470,7 @@
 extern const ProtobufCEnumDescriptor    pool_answer__outcome__descriptor;
 extern const ProtobufCMessageDescriptor pool_hello__descriptor;
 extern const ProtobufCMessageDescriptor pool_waiting__descriptor;
+extern const ProtobufCMessageDescriptor pool_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor pool_beat__descriptor;
 extern const ProtobufCMessageDescriptor pool_leader__descriptor;
 extern const ProtobufCMessageDescriptor pool_job__descriptor;
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -150,7 +150,7 @@
 		if (row.fence || vm->lead.role == LEAD_UNKNOWN)
 			lead_row_read(&vm->lead, row.fence ? &row : &none, now);
 		if (now - renewed_at < 20)
-			lead_renewed(&vm->lead, now);
+			lead_renewed(&vm->lead, renewed_at, now);
 		if (vm->lead.role == LEAD_LEADING &&
 		    vm->lead.row.fence == row.fence &&
 		    now - renewed_at >= LEAD_RENEW_INTERVAL_MS)
--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -122,12 +122,15 @@
 	set_int(o, "clock_lag", &t->clock_lag);
 	if (restart)
 		target_restart(t);
-	if (json_object_get(o, "draining"))
+	if (json_object_get(o, "zone"))
+		snprintf(t->zone, sizeof(t->zone), "%s",
+			 json_string_value(json_object_get(o, "zone")));
+	if (json_object_get(o, "draining") || json_object_get(o, "zone"))
 		target_write_entry(t);
 	return fake_reply_text(r, 200, "");
 }
 
-/* {"table","key","text"}: writes a row on behalf of another writer. */
+/* {"table","key","text"}: writes or, without a text, removes a row. */
 static enum fake_action control_row(struct standin *st, struct fake_request *r,
 				    json_t *o)
 {
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -22,6 +22,7 @@
 	char table[STANDIN_NAME], part[STANDIN_NAME], key[STANDIN_NAME * 2];
 	char *value; /* base64; NULL: the row was removed */
 	int64_t version;
+	int64_t put_at; /* ms */
 };
 
 struct standin_store {
@@ -35,6 +36,9 @@
 	uint64_t reads, writes;
 };
 
+/* Returns the ms since the row was written, or -1 if there is none. */
+int64_t store_row_age(struct standin_store *s, const char *table,
+		      const char *key);
 /* Writes a row with the text as its value, or removes it if text is NULL. */
 void store_put(struct standin_store *s, const char *table, const char *key,
 	       const char *text);
@@ -65,6 +69,7 @@
 	int64_t incarnation, sequence, draining_since;
 	int64_t restarted_at; /* 0: never */
 	int draining;
+	char zone[STANDIN_NAME];
 	int silent;	 /* fault: does not answer */
 	int stuck;	 /* fault: runs make no progress */
 	int failing;	 /* fault: percent of runs that fail */
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -40,6 +40,15 @@
 	free(row->value);
 	row->value = value ? strdup(value) : NULL;
 	row->version = s->version;
+	row->put_at = fake_now_ms();
+}
+
+int64_t store_row_age(struct standin_store *s, const char *table,
+		      const char *key)
+{
+	const struct standin_row *row = find_row(s, table, "", key);
+
+	return row && row->value ? fake_now_ms() - row->put_at : -1;
 }
 
 void store_put(struct standin_store *s, const char *table, const char *key,
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -12,6 +12,8 @@
 #define RESTART_MS 80 /* time until the next incarnation answers */
 #define CRASH_MS 10   /* from the start of a run that crashes its target */
 #define DOWN_MS 2000  /* time until a crashed target is back, with a new id */
+/* Time until no task may start in a zone that is evacuated. */
+#define EVACUATED_MS 1500
 /* Time in which the scheduler may not know of a smaller capacity. */
 #define SHRINK_MS 1000
 
@@ -25,6 +27,7 @@
 	t->cpu = t->prev_cpu = CPU;
 	t->incarnation = 1700000000000 + (int64_t)index;
 	snprintf(t->id, sizeof(t->id), "i-%zu", index);
+	snprintf(t->zone, sizeof(t->zone), "z");
 	t->last_runs = json_object();
 	t->advanced_at = fake_now_ms();
 	target_write_entry(t);
@@ -36,10 +39,10 @@
 
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"desk\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":"
+		 "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":"
 		 "\"%s\",\"capacity\":{\"cpu\":%.0f,\"taskMemoryMb\":65536},"
 		 "\"labels\":[\"a\",\"r1-1\"],\"born\":%lld,\"sequence\":%lld}",
-		 t->st->advertised_port + (int)t->index,
+		 t->st->advertised_port + (int)t->index, t->zone,
 		 t->draining ? "draining" : "ready", t->cpu,
 		 (long long)t->incarnation, (long long)++t->sequence);
 	store_put(&t->st->store, "servers", t->id, text);
@@ -222,6 +225,14 @@
 	json_object_set_new(st->started_jobs, id, json_true());
 }
 
+static int is_evacuated(struct standin *st, const struct standin_target *t)
+{
+	char key[STANDIN_NAME + 16];
+
+	snprintf(key, sizeof(key), "evacuate/%s", t->zone);
+	return store_row_age(&st->store, "op", key) > EVACUATED_MS;
+}
+
 /* Counts a violation for each rule that a start on the target breaks. */
 static void check_start(struct standin *st, struct standin_target *t,
 			const char *task, const char *spec)
@@ -251,6 +262,8 @@
 		standin_violation(st, "started too often after crashes", task);
 	if (t->draining && fake_now_ms() - t->draining_since >= st->drain_ms)
 		standin_violation(st, "start on a draining target", task);
+	if (is_evacuated(st, t))
+		standin_violation(st, "start in an evacuated zone", task);
 }
 
 /* The specification begins with the task's run time in ms. */
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -133,6 +133,12 @@
 	rp_ms slack;
 
 	*retry = RETRY_AFTER_MIN_MS;
+	if (!eligible && sched_service_is_evacuated(s, job->service)) {
+		*reason = "all targets of the service are evacuated";
+		*retry = SCHED_EVACUATED_RETRY_MS;
+		s->count.evacuated++;
+		return 0;
+	}
 	/* A new leader has not read the list and acquired the targets yet. */
 	if (!eligible && s->now - s->started_at < STARTUP_MS)
 		return 1;
--- a/sched-core.c
+++ b/sched-core.c
@@ -64,6 +64,7 @@
 	s->targets_by_id = hash_new(s->pool);
 	s->history = hash_new(s->pool);
 	s->services = hash_new(s->pool);
+	s->evacuated = hash_new(s->pool);
 	s->open_jobs = hash_new(s->pool);
 	s->history_tail = &s->history_head;
 	s->released_tail = &s->released_head;
@@ -353,6 +354,7 @@
 	t->service = sched_get_service(s, l->service);
 	t->listed = 1;
 	t->draining = !l->ready;
+	sched_evacuate_target(t);
 	if (replaced)
 		sched_target_new_incarnation(t, l->incarnation);
 	sched_target_hold(t);
@@ -363,6 +365,11 @@
 	s->targets_loaded = 1;
 }
 
+void sched_targets_cached(struct sched *s)
+{
+	s->targets_cached = 1;
+}
+
 void sched_suspend_stored(struct sched *s, int suspend, rp_ms now)
 {
 	struct sched_job *job;
@@ -441,7 +448,7 @@
 	int deferred;
 
 	s->now = now;
-	if (s->dispatching || s->suspended)
+	if (s->dispatching || s->suspended || sched_awaits_evacuations(s))
 		return;
 	s->dispatching = 1;
 	s->dispatch_pass++;
--- a/sched-service.c
+++ b/sched-service.c
@@ -31,6 +31,11 @@
 	return service;
 }
 
+void sched_service_changed(struct sched_service *service)
+{
+	service->updated_at -= TOTALS_MAX_AGE_MS;
+}
+
 static int64_t max_i64(int64_t a, int64_t b)
 {
 	return a > b ? a : b;
--- a/scheduler.h
+++ b/scheduler.h
@@ -303,10 +303,11 @@
 	struct sched_service *service;
 	struct sched_listing listing;
 	enum sched_target_state state;
-	size_t index; /* in s->targets */
-	int listed;   /* in the platform's list */
-	int draining; /* its entry has last said that it takes no new work */
-	int replaced; /* another incarnation has replied at its address */
+	size_t index;  /* in s->targets */
+	int listed;    /* in the platform's list */
+	int draining;  /* its entry has last said that it takes no new work */
+	int replaced;  /* another incarnation has replied at its address */
+	int evacuated; /* its failure domain is */
 	struct sched_resources used;
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
@@ -444,6 +445,7 @@
 	uint64_t adopted;      /* runs taken over from an earlier scheduler */
 	uint64_t holds;	       /* hold calls */
 	uint64_t over_capacity; /* targets found with more runs than room */
+	uint64_t evacuated;	/* jobs rejected as all domains are evacuated */
 };
 
 /* --- policies, each selected by name ----------------------------------- */
@@ -502,6 +504,7 @@
 	rp_ms now;
 	rp_ms started_at;	/* when this scheduler began */
 	int targets_loaded;	/* the platform's whole list was passed in */
+	int targets_cached;	/* a list from before an outage was */
 	int stored_jobs_loaded; /* all stored jobs were passed in */
 	int stored_suspended;	/* tasks of stored jobs neither run nor start */
 	int suspended;		/* nothing is sent to targets */
@@ -511,6 +514,9 @@
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
 	apr_hash_t *services;	   /* name -> struct sched_service */
+	apr_hash_t *evacuated;	   /* names of evacuated failure domains */
+	/* Nothing starts before then, or until these domains are known. */
+	rp_ms evacuations_awaited_until;
 	apr_hash_t *open_jobs;	/* job id -> struct sched_job, not answered */
 	uint64_t dispatch_pass; /* counts passes of sched_dispatch() */
 	struct sched_target **targets;
@@ -587,6 +593,8 @@
 			 rp_ms now);
 /* The platform's list has been passed in completely. */
 void sched_targets_loaded(struct sched *s);
+/* A list that may be out of date has been, as the store is unreachable. */
+void sched_targets_cached(struct sched *s);
 /*
  * suspend: another scheduler may have taken over the stored jobs, so their runs
  * are stopped and none starts until a call with suspend 0.
@@ -616,6 +624,17 @@
 
 #define SCHED_TICK_MS 20
 
+/*
+ * An operator has asked to start nothing more in the failure domain, or has
+ * taken that back. Jobs of which nothing was started are rejected if no target
+ * is left for them.
+ */
+void sched_set_evacuated(struct sched *s, const char *failure_domain,
+			 int evacuated, rp_ms now);
+/* Starts nothing before the time, unless the evacuations are known earlier. */
+void sched_await_evacuations(struct sched *s, rp_ms until);
+void sched_evacuations_known(struct sched *s, rp_ms now);
+
 struct sched_target *sched_find_target(struct sched *s, const char *id);
 
 /* --- inside sched-*.c ----------------------------------------------- */
@@ -691,6 +710,9 @@
 const struct sched_service *sched_service_totals(struct sched *s,
 						 struct sched_service *service);
 
+/* The totals are to be computed again at the next decision. */
+void sched_service_changed(struct sched_service *service);
+
 /* sched-past.c */
 /*
  * Sets the job's run numbers above those of an earlier submission of the id,
@@ -843,6 +865,17 @@
  */
 void sched_loss_tick(struct sched *s);
 
+/* sched-evacuate.c */
+/* Sets whether the target's failure domain is evacuated. */
+void sched_evacuate_target(struct sched_target *t);
+/* Whether starts wait until the evacuated failure domains are known. */
+int sched_awaits_evacuations(const struct sched *s);
+/* Whether all targets of the service are in evacuated failure domains. */
+int sched_service_is_evacuated(const struct sched *s,
+			       const struct sched_service *service);
+/* Until the operator takes the request back; how long is not known. */
+#define SCHED_EVACUATED_RETRY_MS 2000
+
 /* sched-hold.c */
 /* Resets the state of a target that was seen in another incarnation. */
 void sched_target_new_incarnation(struct sched_target *t, int64_t incarnation);
