--- a/pool-io.h
+++ b/pool-io.h
@@ -181,6 +181,7 @@
 	int probe;	 /* POOL_LINK_PROBE */
 	int starts;	 /* POOL_LINK_STARTS */
 	int connecting, closed;
+	int answers_only; /* all other frames are ignored */
 	rp_ms opened_at;
 	rp_ms received_at; /* when data last came */
 	rp_ms written_at;  /* when frames were last written */
@@ -210,6 +211,8 @@
 #define POOL_STARTS_IDLE_MS 10000 /* the same for a link for starts */
 
 int pool_links_init(struct pool *p);
+/* Handles the answers and progress that have arrived, and nothing else. */
+void pool_link_read_answers(struct pool_link *l);
 /* Starts to connect and queues a hello. Returns NULL on failure. */
 struct pool_link *pool_link_dial(struct pool *p, const char *vm,
 				 const char *address,
--- a/pool-link.c
+++ b/pool-link.c
@@ -129,6 +129,21 @@
 	return 0;
 }
 
+void pool_link_read_answers(struct pool_link *l)
+{
+	size_t before;
+
+	if (l->connecting)
+		return;
+	l->answers_only = 1;
+	do {
+		before = l->in_len;
+		if (read_link(l) < 0 || l->in_len == before)
+			return;
+		parse_frames(l);
+	} while (!l->closed);
+}
+
 /* Writes up to n bytes. Returns how many were written, or -1. */
 static ssize_t write_some(struct pool_link *l, struct pool_out *out, size_t n)
 {
--- a/pool-member.c
+++ b/pool-member.c
@@ -276,6 +276,9 @@
 {
 	struct pool *p = l->p;
 
+	if (l->answers_only && frame->body_case != POOL_FRAME__BODY_ANSWER &&
+	    frame->body_case != POOL_FRAME__BODY_PROGRESS)
+		return;
 	switch (frame->body_case) {
 	case POOL_FRAME__BODY_HELLO:
 		on_hello(l, frame->hello);
@@ -398,6 +401,9 @@
 {
 	struct pool_link *l;
 
+	/* Callers may still wait for answers that came during the pause. */
+	if (p->leader_link)
+		pool_link_read_answers(p->leader_link);
 	if (p->leader_link)
 		pool_link_close(p->leader_link, "paused");
 	/* What came meanwhile has not been read yet. */
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -613,3 +613,26 @@
 		}
 	cr_assert_geq(probes[1] - probes[0], LEAD_RANK_DELAY_MS);
 }
+
+/*
+ * The store was away, and with it the leader's renewals. Reading the last one
+ * again on its return must not make a successor believe that the leader was
+ * alive just before, and that the list of targets lacks none that it uses.
+ */
+Test(lead, a_renewal_that_is_read_again_is_no_news)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+	struct lead_row own = { .fence = LEAD_TOKEN(2), .version = 9 };
+	struct lead *l = &vms[0].lead;
+
+	snprintf(leader.vm, sizeof(leader.vm), "leader");
+	snprintf(own.vm, sizeof(own.vm), "vm");
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
+	own.incarnation = l->incarnation;
+	lead_row_read(l, &leader, 1000);
+	lead_renewed(l, 5, 1300);
+	lead_renewed(l, 5, 6000);
+	lead_row_read(l, &own, 6500);
+	cr_assert_eq(l->role, LEAD_LEADING);
+	cr_assert_eq(l->prev_renewal_age, 5200);
+}
--- a/regress/pool-link.c
+++ b/regress/pool-link.c
@@ -360,3 +360,38 @@
 			sched_tick(&p.sched, p.now += 20);
 	}
 }
+
+/*
+ * A VM that was frozen closes its link to the leader, as the leader has given
+ * it up. Guards against answers that have arrived before, and are dropped with
+ * the link while their callers wait; starts that came with them are too late.
+ */
+Test(pool_link, answers_that_came_during_a_pause_are_delivered)
+{
+	PoolFrame frame = POOL_FRAME__INIT;
+	PoolAnswer answer = POOL_ANSWER__INIT;
+	PoolStart start = POOL_START__INIT;
+	uint8_t packed[8192];
+	size_t n;
+
+	p.leading = 0;
+	p.requests = hash_new(p.pool);
+	p.leader_link = p.links;
+	start.fence = 77;
+	frame.body_case = POOL_FRAME__BODY_START;
+	frame.start = &start;
+	n = pack(&frame, packed);
+	cr_assert_eq(write(client, packed, n), (ssize_t)n);
+	answer.seq = 1;
+	answer.reason = "";
+	answer.mark = 5;
+	frame.body_case = POOL_FRAME__BODY_ANSWER;
+	frame.answer = &answer;
+	n = pack(&frame, packed);
+	cr_assert_eq(write(client, packed, n), (ssize_t)n);
+	pool_handle_pause(&p, 2600);
+	cr_assert_eq(p.received_mark, 5);
+	cr_assert_eq(p.start_fence, 0);
+	cr_assert_null(p.leader_link);
+	p.leading = 1;
+}
