Scheduler: long jobs are not blamed on their targets, and are known early

Cause: a job that takes many times its estimate made each of its targets count as slow, as the variance of an outlier was given to the target. With three such jobs in a hundred, long jobs found few targets fast enough. And a job that could not end in time was often answered at its deadline only.

Change: the other tasks of the job and the other runs on the target tell which of the two an outlier belongs to (sched-outlier.c). The test of moves counted an early answer of any outcome as on time; it counts completed jobs now, which is stricter.

--- a/regress/sched-load.c
+++ b/regress/sched-load.c
@@ -89,7 +89,7 @@
 
 /*
  * Runs a moderate load while the runs on an eighth of the targets stall
- * for 5 s. Returns the share of the long jobs that were on time.
+ * for 5 s. Returns the share of the long jobs that were completed on time.
  */
 static double run_with_stalls(const struct sched_policies *names, uint64_t seed)
 {
@@ -111,7 +111,9 @@
 		if (w.jobs[i]->sub->queue[0] != 'd')
 			continue;
 		n++;
-		on_time += (size_t)w.jobs[i]->on_time;
+		on_time += w.jobs[i]->on_time &&
+			   w.jobs[i]->outcome ==
+				   POOL_ANSWER__OUTCOME__COMPLETED;
 	}
 	sched_finish(&s);
 	world_finish(&w);
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -20,6 +20,8 @@
 /* The objective is STRETCH x run time + OBJECTIVE_OFFSET_MS. */
 #define STRETCH 1.6
 #define OBJECTIVE_OFFSET_MS 60
+/* Factor on the work of a job that is far longer than estimated. */
+#define TAIL_FACTOR 7
 /* Standard deviation of log(work) among the tasks of a job. */
 #define TASK_SPREAD 0.15
 
@@ -265,6 +267,7 @@
 	rp_ms age = w->now - job->arrived_at;
 
 	job->on_time = age <= job->objective;
+	job->answered_at = w->now;
 	switch (job->outcome) {
 	case POOL_ANSWER__OUTCOME__COMPLETED:
 		w->outcomes.value += age <= job->objective ? job->value
@@ -441,6 +444,7 @@
 	w->delay = 1;
 	w->crash_delay = 10;
 	w->down = 3000;
+	w->task_cpu = 6800;
 	w->now = 1000;
 	for (i = 0; i < ntargets; i++) {
 		struct world_target *t = &w->targets[i];
@@ -515,6 +519,12 @@
 	}
 }
 
+/* Of the queues of the generated load, the short jobs come first. */
+static uint32_t priority_of(const char *queue)
+{
+	return !strcmp(queue, "digest") ? 2 : !strcmp(queue, "recheck");
+}
+
 struct world_job *world_submit(struct world *w, const char *queue, int tasks,
 			       double work, double value, rp_ms deadline)
 {
@@ -533,6 +543,7 @@
 	sub->queue = strdup(queue);
 	sub->service = strdup("svc");
 	sub->max_attempts = 3;
+	sub->priority = w->priorities ? priority_of(queue) : 0;
 	sub->stretch = STRETCH;
 	sub->objective_ms = OBJECTIVE_OFFSET_MS;
 	sub->left_ms = (uint32_t)deadline;
@@ -544,9 +555,9 @@
 	sub->steps = malloc(sizeof(*sub->steps));
 	sub->steps[0] = step;
 	step->tasks = (uint32_t)tasks;
-	step->cpu = (uint32_t)(6800 * exp(0.2 * normal(w)));
-	if (step->cpu > 10000)
-		step->cpu = 10000;
+	step->cpu = (uint32_t)(w->task_cpu * exp(0.2 * normal(w)));
+	if (step->cpu > 1.47 * w->task_cpu)
+		step->cpu = (uint32_t)(1.47 * w->task_cpu);
 	step->memory = 64;
 	step->estimate_ms = (uint32_t)(work * exp(0.4 * normal(w))) + 1;
 	step->label = strdup("");
@@ -627,6 +638,18 @@
 	double value; /* of a job answered on time */
 };
 
+/* Makes a share of the jobs far longer than their estimates. */
+static void lengthen(struct world *w, struct world_job *job)
+{
+	uint32_t i;
+
+	if (!w->tail || world_uniform(w) >= w->tail)
+		return;
+	for (i = 0; i < job->sub->steps[0]->tasks; i++)
+		job->task_work[i] *= TAIL_FACTOR;
+	job->long_tail = 1;
+}
+
 static int random_tasks(struct world *w, const struct mix *m)
 {
 	int n = (int)(m->tasks * exp(0.4 * normal(w) - 0.08) + 0.5);
@@ -651,9 +674,11 @@
 
 			if (world_uniform(w) >= m->per_s * scale / 1000)
 				continue;
-			world_submit(w, m->queue, random_tasks(w, m),
-				     m->work * exp(0.4 * normal(w) - 0.08),
-				     m->value, 1500);
+			lengthen(w,
+				 world_submit(
+					 w, m->queue, random_tasks(w, m),
+					 m->work * exp(0.4 * normal(w) - 0.08),
+					 m->value, 1500));
 		}
 		world_run_until(w, w->now + 1);
 	}
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -105,8 +105,10 @@
 	double value;		     /* of an answer on time */
 	int answered;
 	PoolAnswer__Outcome outcome;
-	int started;	     /* a target started one of its tasks */
-	int on_time;	     /* answered on time */
+	int started; /* a target started one of its tasks */
+	int on_time; /* answered on time */
+	rp_ms answered_at;
+	int long_tail;	     /* it takes far longer than estimated */
 	uint8_t *done_acked; /* for each task: its success was acknowledged */
 	int deadly;	     /* task 0 crashes each target that starts it */
 	int crashes;	     /* targets that its task 0 has crashed */
@@ -136,6 +138,9 @@
 	rp_ms crash_delay; /* from the start of a deadly task to the crash */
 	rp_ms down;	   /* time until a crashed target is back */
 	int same_id;	   /* crashed targets are back under their old id */
+	double task_cpu;   /* mean CPU of a task, thousandths of a core */
+	int priorities;	   /* queues have different ones */
+	double tail;	   /* share of generated jobs that are far longer */
 	apr_pool_t *pool;
 };
 
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -23,6 +23,9 @@
 /* Squared error over variance from which a target's speed has changed. */
 #define OUTLIER_RATIO 16.0
 
+/* Run time up to which the cause of an outlier may stay unknown. */
+#define UNKNOWN_MS 400
+
 /* Least weight of one job in a mean. */
 #define MEAN_GAIN_MIN 0.03
 /* Part of the way to the bias of all queues, for each job of a queue. */
@@ -81,6 +84,7 @@
 	q = apr_pcalloc(s->pool, sizeof(*q));
 	snprintf(q->name, sizeof(q->name), "%s", name);
 	q->log_estimate = log(estimate);
+	q->served = 1;
 	apr_hash_set(s->queues, q->name, APR_HASH_KEY_STRING, q);
 	return q;
 }
@@ -168,13 +172,21 @@
 	double error = log(total_ms / sched_run_time(t, step));
 	double var = job->work_var + t->slowdown_var + SCHED_TASK_VAR +
 		     measurement_var;
+	int sudden = error * error > OUTLIER_RATIO * var;
+	enum sched_outlier cause = SCHED_OUTLIER_TARGET;
 	double gain;
 
+	if (sudden && error > 0)
+		cause = sched_outlier_cause(
+			task, error, t->s->now - task->sent_at < UNKNOWN_MS);
+	if (cause == SCHED_OUTLIER_UNKNOWN)
+		return;
 	task->observed = 1;
-	int sudden = error * error > OUTLIER_RATIO * var;
-
 	if (sudden) {
-		t->slowdown_var += error * error;
+		if (cause == SCHED_OUTLIER_JOB)
+			job->work_var += error * error;
+		else
+			t->slowdown_var += error * error;
 		var += error * error;
 	}
 	gain = t->slowdown_var / var;
--- a/sched-move.c
+++ b/sched-move.c
@@ -23,14 +23,8 @@
 #define PROGRESS_MIN_PERCENT 8
 /* Interval between checks of all runs. */
 #define CHECK_INTERVAL_MS 60
-/* Calls without a reply, and time, from which a target counts as silent. */
-#define SILENT_CALLS 3
-#define SILENT_MS 200
-/* A job is given up if a run needs this many times the time left. */
-#define HOPELESS_FACTOR 1.25
-
-/* Predicted end of the run, on the scheduler's clock. */
-static double predicted_end(const struct sched_task *task)
+
+double sched_run_predicted_end(const struct sched_task *task)
 {
 	const struct sched_target *t = task->target;
 	const struct sched_step *step = &task->job->steps[task->step];
@@ -78,7 +72,7 @@
 static void move_if_late(struct sched_task *task)
 {
 	struct sched *s = task->job->s;
-	double end = predicted_end(task);
+	double end = sched_run_predicted_end(task);
 
 	if (!should_move(task, end))
 		return;
@@ -91,68 +85,17 @@
 	sched_run_stop(task);
 }
 
-/*
- * Whether the run is on a target that has stopped to reply, and its task cannot
- * be started elsewhere in time once the lease is over.
- */
-static int is_lost_for_good(const struct sched_task *task, double rerun_ms)
-{
-	const struct sched_target *t = task->target;
-	rp_ms now = t->s->now;
-
-	return t->unanswered >= SILENT_CALLS &&
-	       now - t->replied_at >= SILENT_MS &&
-	       (double)(task->job->expires_at - t->lease_until) < rerun_ms;
-}
-
-/* Returns a task that will end after the job expires, here or elsewhere. */
-static const struct sched_task *hopeless_task(const struct sched_job *job)
-{
-	double slowdown =
-		sched_service_totals(job->s, job->service)->fast_slowdown;
-	double left = (double)(job->expires_at - job->s->now);
-	size_t i;
-
-	for (i = 0; i < job->ntasks; i++) {
-		const struct sched_task *task = &job->tasks[i];
-		double rerun_ms = job->steps[task->step].work * slowdown;
-
-		if (task->target && is_lost_for_good(task, rerun_ms))
-			return task;
-		if (task->state != SCHED_RUNNING || !task->observed ||
-		    task->percent < PROGRESS_MIN_PERCENT)
-			continue;
-		if (rerun_ms > HOPELESS_FACTOR * left &&
-		    predicted_end(task) - (double)job->s->now >
-			    HOPELESS_FACTOR * left)
-			return task;
-	}
-	return NULL;
-}
-
 static void move_late_runs(struct sched *s)
 {
-	struct sched_job *job, *next;
-	const struct sched_task *late;
+	struct sched_job *job;
 	size_t i;
 
 	if (s->now - s->moved_at < CHECK_INTERVAL_MS)
 		return;
 	s->moved_at = s->now;
-	for (job = s->jobs; job; job = next) {
-		next = job->next;
+	for (job = s->jobs; job; job = job->next) {
 		if (!job->nplaced)
 			continue;
-		late = hopeless_task(job);
-		if (late) {
-			s->ops->log(s, "hopeless", late->target, late,
-				    "the run cannot end before its job "
-				    "expires");
-			sched_job_answer(job, POOL_ANSWER__OUTCOME__INCOMPLETE,
-					 "the job cannot end before it expires",
-					 0);
-			continue;
-		}
 		for (i = 0; i < job->ntasks; i++)
 			if (job->tasks[i].state == SCHED_RUNNING)
 				move_if_late(&job->tasks[i]);
