Scheduler: priorities, room in whole tasks, locality, targets that leave

Cause: the priority of a queue was used by nobody, so a burst of one queue took the room of all; free CPU was counted in cores though tasks take half a target; tasks with slack ran away from their rack first; the time that a leaving target has left was not read.

Change: policies "priority" for the order and for admission, with a floor for queues that starve; placement by the room that whole tasks lose when room is short; the factor away from the rack as a setting, the rack first, and a wait for it weighed against running elsewhere; runs that cannot end on a leaving target are moved. Each has a baseline that a setting selects.

--- a/pool-count.c
+++ b/pool-count.c
@@ -182,6 +182,10 @@
 
 	put_count(t, "targets_evacuated", evacuated_targets(s));
 	put_count(t, "jobs_rejected_evacuated_total", c->evacuated);
+	put_count(t, "jobs_hopeless_total", c->hopeless);
+	put_count(t, "jobs_rejected_in_vain_total", c->in_vain);
+	put_count(t, "rack_spills_total", c->rack_spills);
+	put_count(t, "runs_moved_off_leaving_targets_total", c->leave_moves);
 
 	put_count(t, "jobs_total", c->jobs);
 	put_count(t, "jobs_completed_total", c->completed);
--- a/pool-setting.c
+++ b/pool-setting.c
@@ -20,11 +20,14 @@
 	ADDRESS,
 	MS,
 	CORES,
+	FACTOR,
 	LEVEL,
 	ORDER,
 	ADMIT,
 	PLACE,
-	MOVE
+	MOVE,
+	HOPELESS,
+	LEAVE
 };
 
 struct setting {
@@ -55,6 +58,8 @@
 	  "processor share of this VM, cores" },
 	{ "processor-speed", CORES, 0, "1", OFFSET(processor_speed),
 	  "speed of that processor relative to the nominal one" },
+	{ "remote-factor", FACTOR, 0, "2", OFFSET(remote_factor),
+	  "factor on the run time of tasks away from their data's rack" },
 	{ "status", MS, 0, "120000", OFFSET(ended_retention),
 	  "how long the state of an ended stored job is kept, ms" },
 	{ "lease", MS, 0, "1000", OFFSET(max_lease),
@@ -63,24 +68,26 @@
 	  "longest time from SIGTERM to the exit, ms" },
 	{ "rotation", MS, 0, "2500", OFFSET(rotation),
 	  "time until the load balancer notices SIGTERM, ms" },
-	{ "order", ORDER, 0, "latest-start", OFFSET(order),
-	  "order of jobs: latest-start, fifo" },
-	{ "admit", ADMIT, 0, "on-time", OFFSET(admit),
-	  "admission of jobs: on-time, all" },
+	{ "order", ORDER, 0, "priority", OFFSET(order),
+	  "order of jobs: priority, latest-start, fifo" },
+	{ "admit", ADMIT, 0, "priority", OFFSET(admit),
+	  "admission of jobs: priority, on-time, all" },
 	{ "place", PLACE, 0, "slowest-on-time", OFFSET(place),
 	  "choice of targets: slowest-on-time, roomiest" },
 	{ "move", MOVE, 0, "progress", OFFSET(move),
 	  "moves of slow runs to other targets: progress, none" },
+	{ "hopeless", HOPELESS, 0, "bound", OFFSET(hopeless),
+	  "when to give up a job that will be late: bound, predicted" },
+	{ "leave", LEAVE, 0, "move", OFFSET(leave),
+	  "runs on targets that leave: move, none" },
 	{ "log-level", LEVEL, 0, "info", OFFSET(log_level),
 	  "least level of log lines: error, warn, info, debug" },
 };
 
 /* Plug-ins that a setting may name, by its kind minus ORDER. */
 static const enum rp_plugin_kind plugins[] = {
-	RP_PLUGIN_ORDER,
-	RP_PLUGIN_ADMISSION,
-	RP_PLUGIN_PLACE,
-	RP_PLUGIN_MOVE,
+	RP_PLUGIN_ORDER, RP_PLUGIN_ADMISSION, RP_PLUGIN_PLACE,
+	RP_PLUGIN_MOVE,	 RP_PLUGIN_HOPELESS,  RP_PLUGIN_LEAVE,
 };
 
 #define SETTINGS (sizeof(table) / sizeof(*table))
@@ -120,6 +127,14 @@
 	return 0;
 }
 
+static int set_factor(double *factor, const char *text)
+{
+	char *end;
+
+	*factor = strtod(text, &end);
+	return *text && !*end && *factor >= 1 && *factor <= 100 ? 0 : -1;
+}
+
 /* Parses and stores a value. Returns 0, or -1 when it is invalid. */
 static int set_value(struct pool_settings *set, const struct setting *def,
 		     const char *text)
@@ -132,6 +147,8 @@
 		return set_ms((rp_ms *)(void *)field, text);
 	case CORES:
 		return set_cores((int64_t *)(void *)field, text);
+	case FACTOR:
+		return set_factor((double *)(void *)field, text);
 	case LEVEL:
 		return set_level((enum log_level *)(void *)field, text);
 	case ADDRESS:
@@ -142,6 +159,8 @@
 	case ADMIT:
 	case PLACE:
 	case MOVE:
+	case HOPELESS:
+	case LEAVE:
 		if (!plugin_find(plugins[def->kind - ORDER], text))
 			return -1;
 		break;
--- a/pool-share.c
+++ b/pool-share.c
@@ -67,6 +67,7 @@
 	if (!e->removed && listings_equal(&e->l, l))
 		return;
 	e->l = *l;
+	e->leaves_at = l->stays ? p->now + l->stays : 0;
 	e->removed = 0;
 	mark_changed(p, e, version);
 }
@@ -94,7 +95,8 @@
 	char *(*labels)[SCHED_LABELS_MAX];
 };
 
-static void encode(struct message *m, struct pool_listing *e)
+static void encode(struct message *m, const struct pool *p,
+		   struct pool_listing *e)
 {
 	size_t n = m->msg.n_listings++, i;
 	PoolListing *msg = m->ptrs[n] = &m->listings[n];
@@ -115,6 +117,8 @@
 	msg->n_labels = l->nlabels;
 	msg->incarnation = l->incarnation;
 	msg->ready = l->ready;
+	if (e->leaves_at)
+		msg->leaves_ms = e->leaves_at + p->store_clock_offset;
 	msg->cpu = (uint64_t)l->capacity.cpu;
 	msg->memory = (uint64_t)l->capacity.memory;
 	msg->accelerators = (uint64_t)l->capacity.accelerators;
@@ -140,7 +144,7 @@
 		apr_hash_this(i, NULL, NULL, &value);
 		e = value;
 		if (unsent ? e->to_send : e->version > after)
-			encode(m, e);
+			encode(m, p, e);
 		if (unsent)
 			e->to_send = 0;
 	}
@@ -224,6 +228,15 @@
 
 /* --- on a member -------------------------------------------------------- */
 
+static rp_ms stays_for(const struct pool *p, int64_t leaves_ms)
+{
+	rp_ms left = leaves_ms - p->store_clock_offset - p->now;
+
+	if (!leaves_ms)
+		return 0;
+	return left > 0 ? left : 1;
+}
+
 static void decode(struct pool *p, const PoolListing *msg)
 {
 	struct sched_listing l;
@@ -244,6 +257,7 @@
 			 str_of(msg->labels[i]));
 	l.incarnation = msg->incarnation;
 	l.ready = msg->ready;
+	l.stays = stays_for(p, msg->leaves_ms);
 	l.capacity.cpu = (int64_t)msg->cpu;
 	l.capacity.memory = (int64_t)msg->memory;
 	l.capacity.accelerators = (int64_t)msg->accelerators;
--- a/pool-target.c
+++ b/pool-target.c
@@ -369,15 +369,18 @@
 
 	(void)body;
 	(void)len;
-	if (status)
-		p->outside_reachable = 1;
-	if (--p->reachability_calls)
+	if (c->tag != p->reachability_round)
 		return;
+	p->reachability_calls--;
+	/* One reply is enough, or no reply to any call. */
+	if (!status && p->reachability_calls)
+		return;
+	p->reachability_round++;
 	LOG_EVENT(LOG_LEVEL_WARN, "reachability_checked",
-		  LOG_NUMBER("outside_reachable", p->outside_reachable),
+		  LOG_NUMBER("outside_reachable", status != 0),
 		  LOG_NUMBER("targets_known",
 			     (long long)apr_hash_count(p->listings)));
-	lead_reachability_result(&p->lead, p->outside_reachable, p->now);
+	lead_reachability_result(&p->lead, status != 0, p->now);
 }
 
 static void check_target(struct pool *p, const struct sched_listing *l)
@@ -391,7 +394,7 @@
 	};
 
 	p->reachability_calls++;
-	pool_call_begin(p, &spec);
+	pool_call_begin(p, &spec)->tag = p->reachability_round;
 }
 
 /*
@@ -405,9 +408,8 @@
 	apr_hash_index_t *i;
 	void *value;
 
-	if (p->reachability_calls)
-		return;
-	p->outside_reachable = 0;
+	p->reachability_round++;
+	p->reachability_calls = 0;
 	for (i = apr_hash_first(NULL, p->listings);
 	     i && p->reachability_calls < REACHABILITY_TARGETS;
 	     i = apr_hash_next(i)) {
@@ -434,6 +436,15 @@
 	p->dispatch_due = 1;
 }
 
+static void list_cached_target(struct pool *p, const struct pool_listing *e)
+{
+	struct sched_listing l = e->l;
+
+	if (e->leaves_at)
+		l.stays = e->leaves_at > p->now ? e->leaves_at - p->now : 1;
+	pool_sched_target_listed(p, &l);
+}
+
 /* Passes the cached listings to the scheduler, as the store is unreachable. */
 static void list_cached_targets(struct pool *p)
 {
@@ -446,7 +457,7 @@
 		apr_hash_this(i, NULL, NULL, &value);
 		e = value;
 		if (!e->removed)
-			pool_sched_target_listed(p, &e->l);
+			list_cached_target(p, e);
 	}
 }
 
@@ -457,11 +468,14 @@
 		.admit = p->set.admit,
 		.place = p->set.place,
 		.move = p->set.move,
+		.hopeless = p->set.hopeless,
+		.leave = p->set.leave,
 	};
 
 	/* The names were checked when the settings were read. */
 	sched_init(&p->sched, &sched_ops, p, &names, fence, p->set.max_lease,
 		   p->now);
+	sched_set_remote_factor(&p->sched, p->set.remote_factor);
 	pool_stored_begin(p);
 	pool_evacuations_begin(p);
 	if (!lead_is_provisional(&p->lead))
--- a/pool.h
+++ b/pool.h
@@ -37,14 +37,17 @@
 	int64_t processor_speed; /* thousandths of the nominal speed */
 	/* Time for which the rows of ended stored jobs are kept. */
 	rp_ms ended_retention;
-	rp_ms max_lease; /* longest lease that targets grant */
-	rp_ms grace;	 /* from SIGTERM to the exit, at most */
+	double remote_factor; /* on run times away from the data's rack */
+	rp_ms max_lease;      /* longest lease that targets grant */
+	rp_ms grace;	      /* from SIGTERM to the exit, at most */
 	/* From SIGTERM until the load balancer sends no more requests. */
 	rp_ms rotation;
 	char order[RP_NAME_MAX]; /* names of the scheduler's policies */
 	char admit[RP_NAME_MAX];
 	char place[RP_NAME_MAX];
 	char move[RP_NAME_MAX];
+	char hopeless[RP_NAME_MAX];
+	char leave[RP_NAME_MAX];
 	enum log_level log_level;
 	int check_only; /* validate the settings and exit */
 };
@@ -194,6 +197,7 @@
 	int removed;
 	int64_t version; /* of the store at the latest change */
 	int to_send;	 /* changed since the last pool_share_flush() */
+	rp_ms leaves_at; /* while it drains, by this VM's clock; 0: not known */
 };
 
 /* Records an entry as read from the store, or its removal. */
@@ -454,7 +458,7 @@
 	int64_t listing_version; /* all changes up to it are in listings */
 	rp_ms listings_sent_at;
 	unsigned reachability_calls; /* in flight */
-	int outside_reachable;	     /* one of them got a reply */
+	uint32_t reachability_round; /* replies of earlier checks are ignored */
 	rp_ms prev_leader_notified_at;
 	int dispatch_due;    /* sched_dispatch() is to be called */
 	int fenced;	     /* lead_fenced() is to be called */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -3668,7 +3668,7 @@
   (ProtobufCMessageInit) pool_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_listing__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pool_listing__field_descriptors[13] =
 {
   {
     "id",
@@ -3814,6 +3814,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaves_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, leaves_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_listing__field_indices_by_name[] = {
   10,   /* field[10] = accelerators */
@@ -3823,6 +3835,7 @@
   0,   /* field[0] = id */
   6,   /* field[6] = incarnation */
   5,   /* field[5] = labels */
+  12,   /* field[12] = leaves_ms */
   9,   /* field[9] = memory */
   7,   /* field[7] = ready */
   1,   /* field[1] = removed */
@@ -3832,7 +3845,7 @@
 static const ProtobufCIntRange pool_listing__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pool_listing__descriptor =
 {
@@ -3842,7 +3855,7 @@
   "PoolListing",
   "",
   sizeof(PoolListing),
-  12,
+  13,
   pool_listing__field_descriptors,
   pool_listing__field_indices_by_name,
   1,  pool_listing__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -775,10 +775,14 @@
    * of the store at the change
    */
   int64_t version;
+  /*
+   * While it drains: when it leaves, by the store's clock; 0: not known.
+   */
+  int64_t leaves_ms;
 };
 #define POOL_LISTING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_listing__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -37,6 +37,9 @@
 	struct sched *s = job->s;
 
 	job->missed_start = 1;
+	/* That does not tell of the capacity. */
+	if (job->displaced)
+		return;
 	s->usable_share -=
 		USABLE_SHARE_CUT * (s->usable_share - USABLE_SHARE_MIN);
 }
@@ -90,7 +93,7 @@
 
 /*
  * The most capacity that the job's tasks can take within ms from now,
- * thousandths of a core x ms.
+ * thousandths of a core x ms. Away from their rack they take more of it.
  */
 static double work_within(const struct sched_job *job, rp_ms ms)
 {
@@ -101,7 +104,9 @@
 		const struct sched_step *step = &job->steps[i];
 
 		sum += (double)step->nleft * (double)step->need.cpu *
-		       fmin(step->work, span);
+		       fmin(step->work *
+				    sched_locality_factor(job->s, job, step),
+			    span);
 	}
 	return sum;
 }
@@ -115,21 +120,47 @@
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (rp_ms)ms;
 }
 
-/* Time on fast targets, with a standard deviation less work than predicted. */
-static rp_ms shortest_time(struct sched *s, const struct sched_job *job)
+rp_ms sched_job_shortest_time(const struct sched_job *job)
 {
 	return (rp_ms)(sched_job_critical_path(job) *
-		       sched_service_totals(s, job->service)->fast_slowdown *
+		       sched_service_totals(job->s, job->service)->fast_slowdown *
 		       exp(-sqrt(job->work_var)));
 }
 
-static int admit_on_time(struct sched *s, const struct sched_job *job,
-			 const char **reason, rp_ms *retry)
+rp_ms sched_admit_retry_after(const struct sched_job *job)
+{
+	const struct sched_job *j;
+	double backlog = 0;
+	int eligible = 0;
+
+	for (j = job->s->jobs; j; j = j->next)
+		if (j->service == job->service)
+			backlog += waiting_work(j);
+	return retry_after(backlog, usable_rate(job->s, job, &eligible));
+}
+
+static int displaces_none(const struct sched_job *job,
+			  const struct sched_job *other)
+{
+	(void)job;
+	(void)other;
+	return 0;
+}
+
+/*
+ * Whether the job may be accepted if it makes the other one late. displaces is
+ * asked only about jobs that come later in the order.
+ */
+typedef int displaces_fn(const struct sched_job *job,
+			 const struct sched_job *other);
+
+static int admit(struct sched *s, const struct sched_job *job,
+		 displaces_fn *displaces, const char **reason, rp_ms *retry)
 {
 	double work_ahead = 0, backlog = 0;
 	int eligible = 0, passed = 0;
 	double rate = usable_rate(s, job, &eligible);
-	const struct sched_job *j;
+	struct sched_job *j;
 	rp_ms slack;
 
 	*retry = RETRY_AFTER_MIN_MS;
@@ -146,10 +177,16 @@
 		*reason = "no target that can run the job is available";
 		return 0;
 	}
-	if (job->expires_at - s->now < shortest_time(s, job)) {
+	if (job->expires_at - s->now < sched_job_shortest_time(job)) {
 		*reason = "the job cannot end before its deadline";
 		return 0;
 	}
+	/*
+	 * It has waited at another leader and is late already. It gets room
+	 * that the others leave, and an answer is of use until it expires.
+	 */
+	if (job->latest_start < s->now && job->arrived_at < job->submitted_at)
+		return 1;
 	for (j = s->jobs; j; j = j->next) {
 		rp_ms left = j->latest_start - s->now + LATE_SLACK_MS;
 		double work;
@@ -168,6 +205,10 @@
 			work_ahead += work;
 		else if (work > 0 && backlog + work_within(job, left) >
 					     rate * (double)left) {
+			if (displaces(job, j)) {
+				j->displaced = 1;
+				continue;
+			}
 			*reason = "the job would make accepted jobs late";
 			*retry = retry_after(backlog, rate);
 			return 0;
@@ -184,6 +225,27 @@
 	return 1;
 }
 
+static int admit_on_time(struct sched *s, const struct sched_job *job,
+			 const char **reason, rp_ms *retry)
+{
+	return admit(s, job, displaces_none, reason, retry);
+}
+
+static int admit_by_priority(struct sched *s, const struct sched_job *job,
+			     const char **reason, rp_ms *retry)
+{
+	return admit(s, job, sched_share_displaces, reason, retry);
+}
+
+/*
+ * Load pattern: a burst of one queue takes the room of all. A job may make
+ * waiting jobs of a lower priority late, as far as their queues do not starve.
+ */
+static struct sched_admit_ops priority_admit = {
+	.plugin = { .name = "priority" },
+	.admit = admit_by_priority,
+};
+
 static struct sched_admit_ops on_time_admit = {
 	.plugin = { .name = "on-time" },
 	.admit = admit_on_time,
@@ -205,5 +267,6 @@
 	.admit = admit_all,
 };
 
+RP_REGISTER(RP_PLUGIN_ADMISSION, priority_admit);
 RP_REGISTER(RP_PLUGIN_ADMISSION, on_time_admit);
 RP_REGISTER(RP_PLUGIN_ADMISSION, all_admit);
--- a/sched-core.c
+++ b/sched-core.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define DECAY_INTERVAL_MS 500
+/* Factor on the run time away from the rack, unless it is set. */
+#define REMOTE_FACTOR 2.0
 
 static struct rp_plugin *find_policy(enum rp_plugin_kind kind, const char *name,
 				     const char *fallback)
@@ -25,14 +27,21 @@
 		names = &defaults;
 	/* The plug-in is the first member of each struct of operations. */
 	s->order = (const struct sched_order_ops *)find_policy(
-		RP_PLUGIN_ORDER, names->order, "latest-start");
+		RP_PLUGIN_ORDER, names->order, "priority");
 	s->admit = (const struct sched_admit_ops *)find_policy(
-		RP_PLUGIN_ADMISSION, names->admit, "on-time");
+		RP_PLUGIN_ADMISSION, names->admit, "priority");
 	s->place = (const struct sched_place_ops *)find_policy(
 		RP_PLUGIN_PLACE, names->place, "slowest-on-time");
 	s->move = (const struct sched_move_ops *)find_policy(
 		RP_PLUGIN_MOVE, names->move, "progress");
-	return s->order && s->admit && s->place && s->move ? 0 : -1;
+	s->hopeless = (const struct sched_hopeless_ops *)find_policy(
+		RP_PLUGIN_HOPELESS, names->hopeless, "bound");
+	s->leave = (const struct sched_leave_ops *)find_policy(
+		RP_PLUGIN_LEAVE, names->leave, "move");
+	return s->order && s->admit && s->place && s->move && s->hopeless &&
+			       s->leave
+		       ? 0
+		       : -1;
 }
 
 /*
@@ -65,6 +74,8 @@
 	s->history = hash_new(s->pool);
 	s->services = hash_new(s->pool);
 	s->evacuated = hash_new(s->pool);
+	s->rack_claims = hash_new(s->pool);
+	s->remote_factor = REMOTE_FACTOR;
 	s->open_jobs = hash_new(s->pool);
 	s->history_tail = &s->history_head;
 	s->released_tail = &s->released_head;
@@ -306,8 +317,11 @@
 	expire_jobs(s);
 	check_targets(s);
 	sched_loss_tick(s);
-	if (!s->suspended)
+	if (!s->suspended) {
+		sched_hopeless_tick(s);
+		sched_leave_tick(s);
 		s->move->move_runs(s);
+	}
 	sched_dispatch(s, now);
 }
 
@@ -354,6 +368,7 @@
 	t->service = sched_get_service(s, l->service);
 	t->listed = 1;
 	t->draining = !l->ready;
+	t->leave_at = t->draining && l->stays ? now + l->stays : 0;
 	sched_evacuate_target(t);
 	if (replaced)
 		sched_target_new_incarnation(t, l->incarnation);
--- a/sched-job.c
+++ b/sched-job.c
@@ -324,9 +324,11 @@
 	count_failures(job, sub);
 	sched_losses_restore(job, sub->losses, sub->n_losses);
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
+	job->queue->service = job->service;
 	job->queue->nwaiting++;
 	sched_predict_job(job);
 	set_size_bucket(job);
+	sched_fit_add(job);
 	insert_job(job);
 	add_open_job(job);
 	s->njobs++;
@@ -367,6 +369,8 @@
 {
 	struct sched *s = job->s;
 
+	sched_share_answered(job->queue,
+			     outcome == POOL_ANSWER__OUTCOME__COMPLETED);
 	job->queue->answered[job->size_bucket]++;
 	switch (outcome) {
 	case POOL_ANSWER__OUTCOME__COMPLETED:
--- a/sched-order.c
+++ b/sched-order.c
@@ -25,6 +25,33 @@
 	.defer = latest_start_defer,
 };
 
+/*
+ * Time by which a job of a lower priority is put back for each level, and thus
+ * the longest time that it waits for jobs of the next level that come later. A
+ * short job with this slack is still on time.
+ */
+#define PRIORITY_MS 150
+/* Levels that count; a larger number is taken for the last one. */
+#define PRIORITY_LEVELS 4
+
+/*
+ * Load pattern: queues compete for too little room, and some have a higher
+ * priority. Without priorities the order is that of latest-start.
+ */
+static rp_ms priority_key(const struct sched_job *job)
+{
+	uint32_t level = job->priority < PRIORITY_LEVELS ? job->priority
+							 : PRIORITY_LEVELS;
+
+	return job->slack_until + (rp_ms)level * PRIORITY_MS;
+}
+
+static struct sched_order_ops priority_order = {
+	.plugin = { .name = "priority" },
+	.sort_key = priority_key,
+	.defer = latest_start_defer,
+};
+
 static rp_ms fifo_key(const struct sched_job *job)
 {
 	return job->arrived_at;
@@ -45,4 +72,5 @@
 };
 
 RP_REGISTER(RP_PLUGIN_ORDER, latest_start_order);
+RP_REGISTER(RP_PLUGIN_ORDER, priority_order);
 RP_REGISTER(RP_PLUGIN_ORDER, fifo_order);
--- a/sched-place.c
+++ b/sched-place.c
@@ -19,6 +19,12 @@
 #define MARGIN_IDLE 2.0
 /* Difference of log run times up to which these count as equal. */
 #define EQUAL_LOG 0.05
+/*
+ * The same when less than SHORT_ROOM of the CPU is free: room for whole tasks
+ * is worth more then than the speed of targets, which is known only roughly.
+ */
+#define EQUAL_LOG_SHORT 0.2
+#define SHORT_ROOM 0.4
 /* Slack that a job needs to wait for a target. */
 #define WAIT_SLACK_MS 5
 /* Failure rate from which a target gets only PROBE_RUNS runs at a time. */
@@ -30,10 +36,8 @@
 #define RESERVED_MS 1000
 /* Part of the targets that are reserved at most. */
 #define RESERVED_DIVISOR 8
-/* Factor on the run time away from the rack that holds the data. */
-#define REMOTE_FACTOR 2.0
 
-static int has_label(const struct sched_target *t, const char *label)
+int sched_target_has_label(const struct sched_target *t, const char *label)
 {
 	size_t i;
 
@@ -43,19 +47,12 @@
 	return 0;
 }
 
-/* Whether the step's data is on another rack. */
-static int is_remote(const struct sched_target *t,
-		     const struct sched_step *step)
-{
-	return step->rack[0] && !has_label(t, step->rack);
-}
-
 double sched_run_time(const struct sched_target *t,
 		      const struct sched_step *step)
 {
 	double work = step->work * t->slowdown;
 
-	return is_remote(t, step) ? work * REMOTE_FACTOR : work;
+	return sched_is_remote(t, step) ? work * t->s->remote_factor : work;
 }
 
 /*
@@ -132,7 +129,7 @@
 {
 	if (t->service != job->service)
 		return 0;
-	if (step->label[0] && !has_label(t, step->label))
+	if (step->label[0] && !sched_target_has_label(t, step->label))
 		return 0;
 	return sched_resources_fit(&step->need, &t->listing.capacity);
 }
@@ -158,18 +155,21 @@
 	double run_ms; /* predicted run time */
 	double log_run_ms;
 	double cpu_left; /* with the task placed, thousandths of a core */
-	int on_time;	 /* the task likely ends on time */
-	int sound;	 /* its runs seldom fail */
+	double loss; /* of room usable by whole tasks; 0: room is not short */
+	int on_time; /* the task likely ends on time */
+	int sound;   /* its runs seldom fail */
+	int remote;  /* away from the rack of the data */
 };
 
 /*
  * Whether a is better than b. Targets on which the task ends on time are
  * preferred: among them the slowest, among the others the fastest. Equal ones
- * are ordered by the least CPU left, to keep large gaps for large tasks. Sound
+ * are ordered by the least loss of room for whole tasks, if room is short, and
+ * then by the least CPU left, to keep large gaps for large tasks. Sound
  * targets come before others, and before all for a task's last attempt.
  */
 static int is_better(const struct candidate *a, const struct candidate *b,
-		     int last_attempt)
+		     double equal_log, int last_attempt)
 {
 	if (last_attempt && a->sound != b->sound)
 		return a->sound;
@@ -177,8 +177,11 @@
 		return a->on_time;
 	if (a->sound != b->sound)
 		return a->sound;
-	if (fabs(a->log_run_ms - b->log_run_ms) < EQUAL_LOG)
-		return a->cpu_left < b->cpu_left;
+	if (a->on_time && a->remote != b->remote)
+		return b->remote;
+	if (fabs(a->log_run_ms - b->log_run_ms) < equal_log)
+		return a->loss != b->loss ? a->loss < b->loss
+					  : a->cpu_left < b->cpu_left;
 	return a->on_time ? a->run_ms > b->run_ms : a->run_ms < b->run_ms;
 }
 
@@ -187,6 +190,8 @@
 	double log_work;
 	double log_objective, log_deadline; /* log of the ms until then */
 	double margin;			    /* standard deviations */
+	int room_is_short;
+	double equal_log; /* difference up to which run times are equal */
 	double work_var;
 };
 
@@ -226,6 +231,8 @@
 		.log_objective = log_until(s, job->objective_at - overhead),
 		.log_deadline = log_until(s, job->deadline - overhead),
 		.margin = MARGIN_BUSY + MARGIN_IDLE * idle,
+		.room_is_short = idle < SHORT_ROOM,
+		.equal_log = idle < SHORT_ROOM ? EQUAL_LOG_SHORT : EQUAL_LOG,
 		.work_var = job->work_var,
 	};
 }
@@ -287,13 +294,20 @@
 		    (double)(job->expires_at - s->now))
 			continue;
 		c.log_run_ms = criteria.log_work + t->log_slowdown;
-		if (is_remote(t, step))
-			c.log_run_ms += log(REMOTE_FACTOR);
+		c.remote = sched_is_remote(t, step);
+		if (c.remote)
+			c.log_run_ms += log(s->remote_factor);
 		c.on_time = is_likely_on_time(t, &criteria, c.log_run_ms);
 		c.cpu_left = (double)(t->listing.capacity.cpu - t->used.cpu -
 				      step->need.cpu);
+		if (criteria.room_is_short)
+			c.loss = sched_fit_loss(t->service,
+						t->listing.capacity.cpu -
+							t->used.cpu,
+						step->need.cpu);
 		c.sound = t->failure_rate < SOUND_FAILURE_RATE;
-		if (!best.target || is_better(&c, &best, job->last_attempt))
+		if (!best.target ||
+		    is_better(&c, &best, criteria.equal_log, job->last_attempt))
 			best = c;
 	}
 	if (!has_room && s->dispatching && !job->isolate) {
@@ -357,7 +371,12 @@
 {
 	struct candidate best = best_candidate(s, job, step);
 
-	if (best.target && !best.on_time && should_wait(s, job, step, &best))
+	if (!best.target)
+		return NULL;
+	if (!best.on_time && should_wait(s, job, step, &best))
+		return NULL;
+	if (best.remote &&
+	    sched_locality_should_wait(s, job, step, best.target))
 		return NULL;
 	return best.target;
 }
--- a/sched-service.c
+++ b/sched-service.c
@@ -27,6 +27,7 @@
 	service = apr_pcalloc(s->pool, sizeof(*service));
 	snprintf(service->name, sizeof(service->name), "%s", name);
 	service->updated_at = s->now - TOTALS_MAX_AGE_MS;
+	service->served = 1;
 	apr_hash_set(s->services, service->name, APR_HASH_KEY_STRING, service);
 	return service;
 }
@@ -112,5 +113,6 @@
 	}
 	service->fast_slowdown =
 		fast_slowdown(cpu_by_slowdown, service->total_cpu);
+	sched_fit_update(s, service);
 	return service;
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -135,7 +135,9 @@
 	uint64_t njobs;	     /* jobs that log_estimate is the mean of */
 	uint64_t nlearned;   /* jobs that log_bias was learned from */
 	uint32_t nwaiting;   /* jobs with no task started */
-	double mean_size;    /* of its jobs, thousandths of a core x ms */
+	struct sched_service *service; /* of its latest job */
+	double served;	  /* share of its latest jobs that completed */
+	double mean_size; /* of its jobs, thousandths of a core x ms */
 	/* Jobs answered, and those of them that completed, by size. */
 	uint64_t answered[SCHED_SIZE_BUCKETS], completed[SCHED_SIZE_BUCKETS];
 };
@@ -146,6 +148,29 @@
  */
 #define SCHED_FAST_SHARE 0.25
 
+/*
+ * Sizes of a service's tasks, and the room that whole tasks can use, in buckets
+ * of equal width over the CPU of the largest target.
+ */
+#define SCHED_FIT_BUCKETS 64
+
+struct sched_fit {
+	int64_t width;	   /* of a bucket, thousandths of a core; 0: not set */
+	rp_ms computed_at; /* of usable */
+	double sizes[SCHED_FIT_BUCKETS];  /* run time by the CPU of the tasks */
+	double total;			  /* of sizes */
+	double usable[SCHED_FIT_BUCKETS]; /* buckets usable of a free room */
+};
+
+/* Jobs that wait for a rack, counted in each pass of sched_dispatch(). */
+#define SCHED_RACK_CLAIMS_MAX 32
+
+struct sched_rack_claims {
+	char rack[RP_NAME_MAX];
+	uint64_t pass;
+	size_t n;
+};
+
 /* The targets of one service, with totals over them. */
 struct sched_service {
 	char name[RP_NAME_MAX];
@@ -158,6 +183,8 @@
 	size_t nlisted, nsilent;    /* targets, and those that do not reply */
 	/* The largest capacity of any target, for each resource. */
 	struct sched_resources max_capacity;
+	struct sched_fit fit;
+	double served; /* share of the latest jobs that completed */
 	/*
 	 * In pass full_pass of sched_dispatch() no target had room for
 	 * full_need.
@@ -234,6 +261,7 @@
 	int answered;
 	int owner_lost;	  /* it may submit the job to another scheduler */
 	int missed_start; /* considered only after its latest start */
+	int displaced;	  /* made late by a job of a higher priority */
 	/* Runs of an earlier submission of the id may not be over. */
 	int awaits_earlier_runs;
 	int started_earlier; /* a task was, under an earlier submission */
@@ -268,6 +296,7 @@
 	size_t nlabels;
 	int64_t incarnation; /* its start time, ms since 1970 */
 	int ready;	     /* accepts new work */
+	rp_ms stays;	     /* draining: how long at least, ms; 0: not known */
 	struct sched_resources capacity;
 };
 
@@ -303,11 +332,12 @@
 	struct sched_service *service;
 	struct sched_listing listing;
 	enum sched_target_state state;
-	size_t index;  /* in s->targets */
-	int listed;    /* in the platform's list */
-	int draining;  /* its entry has last said that it takes no new work */
-	int replaced;  /* another incarnation has replied at its address */
-	int evacuated; /* its failure domain is */
+	size_t index;	/* in s->targets */
+	int listed;	/* in the platform's list */
+	int draining;	/* its entry has last said that it takes no new work */
+	int replaced;	/* another incarnation has replied at its address */
+	rp_ms leave_at; /* it drains and leaves then; 0: not known to */
+	int evacuated;	/* its failure domain is */
 	struct sched_resources used;
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
@@ -446,6 +476,10 @@
 	uint64_t holds;	       /* hold calls */
 	uint64_t over_capacity; /* targets found with more runs than room */
 	uint64_t evacuated;	/* jobs rejected as all domains are evacuated */
+	uint64_t rack_spills;	/* tasks that did not wait for their rack */
+	uint64_t leave_moves;	/* runs moved off targets that leave */
+	uint64_t in_vain;	/* jobs rejected as no room came free in time */
+	uint64_t hopeless;	/* jobs given up as they cannot end in time */
 };
 
 /* --- policies, each selected by name ----------------------------------- */
@@ -482,12 +516,29 @@
 	void (*move_runs)(struct sched *s);
 };
 
+/*
+ * Jobs that cannot end in time any more: find returns a task that shows it, or
+ * NULL. Called for jobs with a task placed.
+ */
+struct sched_hopeless_ops {
+	struct rp_plugin plugin;
+	const struct sched_task *(*find)(const struct sched_job *job);
+};
+
+/* Handling of runs on targets that leave; called at each tick. */
+struct sched_leave_ops {
+	struct rp_plugin plugin;
+	void (*move_runs)(struct sched *s);
+};
+
 /* Names of policies; NULL: the default. */
 struct sched_policies {
-	const char *order; /* latest-start, or fifo */
-	const char *admit; /* on-time, or all */
-	const char *place; /* slowest-on-time, or roomiest */
-	const char *move;  /* progress, or none */
+	const char *order;    /* priority, latest-start, or fifo */
+	const char *admit;    /* priority, on-time, or all */
+	const char *place;    /* slowest-on-time, or roomiest */
+	const char *move;     /* progress, or none */
+	const char *hopeless; /* bound, or predicted */
+	const char *leave;    /* move, or none */
 };
 
 struct sched {
@@ -496,6 +547,8 @@
 	const struct sched_admit_ops *admit;
 	const struct sched_place_ops *place;
 	const struct sched_move_ops *move;
+	const struct sched_hopeless_ops *hopeless;
+	const struct sched_leave_ops *leave;
 	void *user;
 	uint64_t fence;	       /* fencing token, see lead.h */
 	rp_ms fence_raised_at; /* last sched_raise_fence(); 0: none */
@@ -514,6 +567,8 @@
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
 	apr_hash_t *services;	   /* name -> struct sched_service */
+	apr_hash_t *rack_claims;   /* rack -> struct sched_rack_claims */
+	double remote_factor;	   /* on run times away from the rack */
 	apr_hash_t *evacuated;	   /* names of evacuated failure domains */
 	/* Nothing starts before then, or until these domains are known. */
 	rp_ms evacuations_awaited_until;
@@ -534,8 +589,12 @@
 	/* Mean log of run time over the estimate, over all queues. */
 	double log_bias;
 	uint64_t nlearned; /* jobs that it was learned from */
+	/* Share of the outliers that were the jobs', not their targets'. */
+	double job_outlier_share;
 	rp_ms decayed_at;  /* last sched_learn_decay() */
 	rp_ms moved_at;	   /* last check for runs that will end late */
+	rp_ms left_at;	   /* last check for runs on leaving targets */
+	rp_ms hopeless_at; /* last check for jobs that cannot end in time */
 	/* Share of the targets' capacity that admission counts on. */
 	double usable_share;
 	/*
@@ -562,6 +621,9 @@
 /* Frees all state. Nothing is sent, nobody is answered. */
 void sched_finish(struct sched *s);
 
+/* Factor on the run time of tasks away from their rack; 2 if not called. */
+void sched_set_remote_factor(struct sched *s, double factor);
+
 /* --- events --------------------------------------------------------- */
 
 /*
@@ -673,6 +735,7 @@
 double sched_job_critical_path(const struct sched_job *job);
 
 /* sched-place.c */
+int sched_target_has_label(const struct sched_target *t, const char *label);
 /* Predicted run time of a task of the step on the target, ms. */
 double sched_run_time(const struct sched_target *t,
 		      const struct sched_step *step);
@@ -713,6 +776,35 @@
 /* The totals are to be computed again at the next decision. */
 void sched_service_changed(struct sched_service *service);
 
+/* sched-locality.c */
+/* Whether the step's data is on another rack than the target. */
+int sched_is_remote(const struct sched_target *t,
+		    const struct sched_step *step);
+/* Predicted time at which the target has room for the need; HUGE_VAL: never. */
+double sched_room_at(const struct sched_target *t,
+		     const struct sched_resources *need);
+/*
+ * Whether a task waits for its rack rather than run on the target, which is
+ * away from it.
+ */
+int sched_locality_should_wait(struct sched *s, const struct sched_job *job,
+			       const struct sched_step *step,
+			       const struct sched_target *t);
+/* Factor on the run time of the step's tasks by the load of their rack. */
+double sched_locality_factor(struct sched *s, const struct sched_job *job,
+			     const struct sched_step *step);
+
+/* sched-fit.c */
+/* Learns the sizes of the job's tasks. */
+void sched_fit_add(struct sched_job *job);
+/* Computes the table of usable room, if it is out of date. */
+void sched_fit_update(struct sched *s, struct sched_service *service);
+/* CPU that whole tasks can use of a free room, thousandths of a core. */
+double sched_fit_usable(const struct sched_service *service, int64_t cpu);
+/* Usable room that a task of the CPU takes from a free room. */
+double sched_fit_loss(const struct sched_service *service, int64_t room,
+		      int64_t cpu);
+
 /* sched-past.c */
 /*
  * Sets the job's run numbers above those of an earlier submission of the id,
@@ -733,10 +825,23 @@
 
 /* sched-admit.c */
 #define SCHED_USABLE_SHARE_INITIAL 0.75
+/* Time in which the work that waits is done, within bounds, ms. */
+rp_ms sched_admit_retry_after(const struct sched_job *job);
+/* Time on fast targets, with a standard deviation less work than predicted. */
+rp_ms sched_job_shortest_time(const struct sched_job *job);
 /* Adjust the usable share to whether accepted jobs start on time. */
 void sched_admit_started_on_time(struct sched_job *job);
 void sched_admit_started_late(struct sched_job *job);
 
+/* sched-share.c */
+/* A job of the queue was answered. */
+void sched_share_answered(struct sched_queue *q, int completed);
+/* Whether the queue is served far less often than the others. */
+int sched_share_starves(const struct sched_queue *q);
+/* Whether the job may make the other one, which waits, late. */
+int sched_share_displaces(const struct sched_job *job,
+			  const struct sched_job *other);
+
 /* sched-learn.c */
 /* The reply to a start came after ms. */
 void sched_learn_call_delay(struct sched *s, rp_ms ms);
@@ -876,6 +981,32 @@
 /* Until the operator takes the request back; how long is not known. */
 #define SCHED_EVACUATED_RETRY_MS 2000
 
+/* sched-outlier.c */
+enum sched_outlier {
+	SCHED_OUTLIER_UNKNOWN,
+	SCHED_OUTLIER_JOB,    /* all of its tasks are longer */
+	SCHED_OUTLIER_TARGET, /* it has become slow */
+};
+
+/*
+ * Why a run is longer than predicted, by an error of the logarithm. may_wait:
+ * it may be unknown until other runs have shown their progress.
+ */
+enum sched_outlier sched_outlier_cause(const struct sched_task *task,
+				       double error, int may_wait);
+
+/* sched-move.c */
+/* Predicted end of the run, on the scheduler's clock. */
+double sched_run_predicted_end(const struct sched_task *task);
+
+/* sched-leave.c */
+/* Moves runs off targets that leave; to be called at each tick. */
+void sched_leave_tick(struct sched *s);
+
+/* sched-hopeless.c */
+/* Answers the jobs that cannot end in time; to be called at each tick. */
+void sched_hopeless_tick(struct sched *s);
+
 /* sched-hold.c */
 /* Resets the state of a target that was seen in another incarnation. */
 void sched_target_new_incarnation(struct sched_target *t, int64_t incarnation);
