Pool: jobs that were not started go on at once under a new leader

VMs that had lost leader and store decided about a provisional leader only 1.2 s after the store's last reply, and after all calls of the check had ended.

Change: the owner that keeps a job's specification knows whether it was asked for a start, and says so.

--- a/lead-core.c
+++ b/lead-core.c
@@ -235,8 +235,8 @@
 {
 	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
 
-	if (!l->nhearing && l->store_lost && l->own_row_version &&
-	    !l->claims_disabled) {
+	if (!l->nhearing && (l->store_lost || l->store_failing) &&
+	    l->own_row_version && !l->claims_disabled) {
 		l->phase = LEAD_CHECKING_REACHABILITY;
 		l->phase_at = now;
 		l->ops->check_reachability(l);
--- a/lead.h
+++ b/lead.h
@@ -157,8 +157,9 @@
 	 * has; 0: unknown. It is the lower half of a provisional token.
 	 */
 	uint32_t own_row_version;
-	int store_lost;		  /* the store has not answered for a while */
-	int all_domains;	  /* provisional leader of all domains */
+	int store_lost;	   /* the store has not answered for a while */
+	int store_failing; /* all of the latest calls to it have failed */
+	int all_domains;   /* provisional leader of all domains */
 	struct lead_row prev_row; /* leader before this VM led provisionally */
 };
 
--- a/pool-owner.c
+++ b/pool-owner.c
@@ -147,6 +147,7 @@
 			 "the job is over");
 	if (!r)
 		return;
+	r->may_have_started = 1;
 	tasks = calloc(start->n_tasks + 1, sizeof(*tasks));
 	run.tasks = calloc(start->n_tasks + 1, sizeof(*run.tasks));
 	run.fence = p->start_fence;
--- a/pool-request.h
+++ b/pool-request.h
@@ -21,7 +21,12 @@
 	uint64_t seq;	    /* of its job, to the leader; 0: no open job */
 	PoolSubmit *submit; /* NULL: no job was submitted */
 	rp_ms received_at, deadline;
-	uint64_t sent_fence;  /* of the leader it was last sent to; 0: none */
+	uint64_t sent_fence; /* of the leader it was last sent to; 0: none */
+	/*
+	 * A task may have been started: a leader had the specification, or has
+	 * asked this VM, which kept it, for a start.
+	 */
+	int may_have_started;
 	uint32_t *done_tasks; /* their numbers, over all steps */
 	size_t ndone_tasks, cap_done_tasks;
 	PoolProgress *lost; /* the latest message on lost targets, or NULL */
--- a/pool-store.c
+++ b/pool-store.c
@@ -404,6 +404,20 @@
 	return latest;
 }
 
+/*
+ * Whether the latest call of each watch has failed. In a failure domain that is
+ * cut off this shows sooner than the time without a reply.
+ */
+static int is_failing(const struct store *s)
+{
+	int i;
+
+	for (i = 0; i < WATCHES; i++)
+		if (!s->watches[i].disabled && !s->watches[i].lost)
+			return 0;
+	return 1;
+}
+
 void pool_store_tick(struct pool *p, rp_ms now)
 {
 	struct store *s = store_of(p);
@@ -414,6 +428,7 @@
 	if (p->evacuations_known)
 		p->operator_version = s->watches[WATCH_OPERATOR].version;
 	p->lead.store_lost = now - last_reply_at(s) > STORE_TIMEOUT_MS;
+	p->lead.store_failing = is_failing(s);
 	if (!p->stopping)
 		register_vm(p);
 	renew_leadership(p);
