Takeover after an outage of the store: entries of targets may be missing

The new leader started tasks 23 ms after its election that such targets were running.

Change: within 2.5 s of the end of an outage that this VM has seen, the list may lack targets, and jobs that the predecessor may have started wait for its leases.

--- a/pool-lead.c
+++ b/pool-lead.c
@@ -95,6 +95,18 @@
 	pool_store_confirm(l->user);
 }
 
+/*
+ * Rows that have expired during an outage of the store are written again within
+ * two seconds of its return. The previous leader may be alive and use their
+ * targets.
+ */
+static int entries_may_be_missing(const struct pool *p)
+{
+	return p->lead.store_lost ||
+	       (p->store_back_at &&
+		p->now - p->store_back_at < LISTING_EXPIRY_MS);
+}
+
 static void on_changed(struct lead *l)
 {
 	struct pool *p = l->user;
@@ -125,9 +137,9 @@
 	p->leading = 1;
 	p->self.nanswers = 0;
 	pool_sched_begin(p, l->row.fence);
-	p->sched.prev_may_hold_unlisted = l->prev_renewal_age >
-						  LISTING_EXPIRY_MS ||
-					  LEAD_IS_PROVISIONAL(l->row.fence);
+	p->sched.prev_may_hold_unlisted =
+		l->prev_renewal_age > LISTING_EXPIRY_MS ||
+		entries_may_be_missing(p) || LEAD_IS_PROVISIONAL(l->row.fence);
 	pool_dial_all(p, 1);
 	pool_requests_resubmit(p);
 }
--- a/pool-store.c
+++ b/pool-store.c
@@ -421,13 +421,16 @@
 void pool_store_tick(struct pool *p, rp_ms now)
 {
 	struct store *s = store_of(p);
-	int i;
+	int i, lost;
 
 	for (i = 0; i < WATCHES; i++)
 		pool_watch_tick(&s->watches[i], now);
 	if (p->evacuations_known)
 		p->operator_version = s->watches[WATCH_OPERATOR].version;
-	p->lead.store_lost = now - last_reply_at(s) > STORE_TIMEOUT_MS;
+	lost = now - last_reply_at(s) > STORE_TIMEOUT_MS;
+	if (p->lead.store_lost && !lost)
+		p->store_back_at = now;
+	p->lead.store_lost = lost;
 	p->lead.store_failing = is_failing(s);
 	if (!p->stopping)
 		register_vm(p);
--- a/pool.h
+++ b/pool.h
@@ -446,6 +446,7 @@
 	PoolBeat *leader_heartbeat;  /* latest of the leader; NULL: none */
 	struct pool_evacuation evacuations[POOL_EVACUATIONS_MAX];
 	size_t nevacuations;
+	rp_ms store_back_at; /* the latest outage of the store ended; 0: none */
 	int evacuations_known;	  /* the operator's table has been read */
 	int64_t operator_version; /* of the store, up to which it was read */
 	uint64_t received_mark;	  /* of the leader's latest message */
