--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -168,6 +168,16 @@
 	t->crash_at = w->now + w->crash_delay;
 }
 
+static int is_on_rack(const struct world_target *t, const char *rack)
+{
+	size_t i;
+
+	for (i = 0; i < t->listing.nlabels; i++)
+		if (!strcmp(t->listing.labels[i], rack))
+			return 1;
+	return 0;
+}
+
 int world_target_start(struct world *w, struct world_target *t,
 		       struct world_event *e, const char **reason)
 {
@@ -198,6 +208,10 @@
 	r->job = job;
 	r->need = e->need;
 	r->work = job->task_work[task_index(e->task)];
+	if (is_on_rack(t, job->sub->steps[0]->rack))
+		w->starts_on_rack++;
+	else if (w->remote_factor > 0)
+		r->work *= w->remote_factor;
 	r->started = w->now;
 	r->fails = world_chance(w, t->fail_percent);
 	if (r->fails && t->fail_after)
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -561,7 +561,7 @@
 	step->memory = 64;
 	step->estimate_ms = (uint32_t)(work * exp(0.4 * normal(w))) + 1;
 	step->label = strdup("");
-	step->rack = strdup("");
+	step->rack = strdup(w->rack ? w->rack : "");
 	job->task_work = malloc((size_t)tasks * sizeof(*job->task_work));
 	job->done_acked = calloc((size_t)tasks, 1);
 	for (i = 0; i < tasks; i++) {
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -133,14 +133,17 @@
 	char first_violation[256];
 	int fenced; /* calls refused as fenced */
 	uint64_t starts, moves;
-	int stored;	   /* submitted jobs are stored */
-	int crashes;	   /* of targets */
-	rp_ms crash_delay; /* from the start of a deadly task to the crash */
-	rp_ms down;	   /* time until a crashed target is back */
-	int same_id;	   /* crashed targets are back under their old id */
-	double task_cpu;   /* mean CPU of a task, thousandths of a core */
-	int priorities;	   /* queues have different ones */
-	double tail;	   /* share of generated jobs that are far longer */
+	int stored;	      /* submitted jobs are stored */
+	int crashes;	      /* of targets */
+	rp_ms crash_delay;    /* from the start of a deadly task to the crash */
+	rp_ms down;	      /* time until a crashed target is back */
+	int same_id;	      /* crashed targets are back under their old id */
+	double task_cpu;      /* mean CPU of a task, thousandths of a core */
+	const char *rack;     /* of the data of submitted jobs; NULL: none */
+	double remote_factor; /* on the work away from the rack; 0: 1 */
+	uint64_t starts_on_rack; /* of the tasks of such jobs */
+	int priorities;		 /* queues have different ones */
+	double tail; /* share of generated jobs that are far longer */
 	apr_pool_t *pool;
 };
 
