--- a/pool-count.c
+++ b/pool-count.c
@@ -167,6 +167,21 @@
 			     (long long)sent[POOL_FRAME__BODY_LISTINGS]));
 }
 
+/* Jobs that were not served, by the reason, and the sum of their ages. */
+static void put_causes(struct text *t, const struct pool *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->ncauses; i++) {
+		const struct pool_cause *c = &p->causes[i];
+
+		put(t, "rosemary_pool_not_served_total{why=\"%s\"} %llu\n",
+		    c->reason, (unsigned long long)c->count);
+		put(t, "rosemary_pool_not_served_ms_total{why=\"%s\"} %lld\n",
+		    c->reason, (long long)c->age_sum);
+	}
+}
+
 static size_t evacuated_targets(const struct sched *s)
 {
 	size_t i, n = 0;
@@ -246,6 +261,7 @@
 
 	t.s[0] = '\0';
 	put_daemon(&t, p);
+	put_causes(&t, p);
 	put_links(&t, &p->count);
 	put_turns(&t, &p->turn);
 	if (p->leading)
--- a/pool-request.c
+++ b/pool-request.c
@@ -88,6 +88,7 @@
 
 void pool_request_log_rejected(const struct pool_request *r, const char *reason)
 {
+	pool_cause_add(r->p, "rejected", reason, r->p->now - r->received_at);
 	LOG_EVENT(LOG_LEVEL_INFO, "request_rejected", LOG_TEXT("path", r->path),
 		  LOG_TEXT("id", r->submit ? r->submit->id : ""),
 		  LOG_TEXT("why", reason),
@@ -274,6 +275,7 @@
 static void log_answer(const struct pool_request *r, const char *outcome,
 		       const char *reason)
 {
+	pool_cause_add(r->p, outcome, reason, r->p->now - r->received_at);
 	LOG_EVENT(LOG_LEVEL_INFO, "answered", LOG_TEXT("id", r->submit->id),
 		  LOG_TEXT("queue", r->submit->queue),
 		  LOG_TEXT("outcome", outcome), LOG_TEXT("why", reason),
--- a/pool.h
+++ b/pool.h
@@ -317,6 +317,20 @@
 void pool_requests_abort(struct pool *p);
 void pool_requests_tick(struct pool *p, rp_ms now);
 
+/* --- pool-cause.c: why jobs were not served --------------------------- */
+
+#define POOL_CAUSES_MAX 32
+
+struct pool_cause {
+	char reason[64];
+	uint64_t count;
+	rp_ms age_sum; /* of the requests at their answers */
+};
+
+/* Counts an answer of a job that was not completed. */
+void pool_cause_add(struct pool *p, const char *outcome, const char *reason,
+		    rp_ms age);
+
 /* --- pool-serve.c: HTTP servers -------------------------------------- */
 
 int pool_serve_init(struct pool *p);
@@ -446,6 +460,8 @@
 	PoolBeat *leader_heartbeat;  /* latest of the leader; NULL: none */
 	struct pool_evacuation evacuations[POOL_EVACUATIONS_MAX];
 	size_t nevacuations;
+	struct pool_cause causes[POOL_CAUSES_MAX];
+	size_t ncauses;
 	rp_ms store_back_at; /* the latest outage of the store ended; 0: none */
 	int evacuations_known;	  /* the operator's table has been read */
 	int64_t operator_version; /* of the store, up to which it was read */
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -636,3 +636,43 @@
 	cr_assert_eq(l->role, LEAD_LEADING);
 	cr_assert_eq(l->prev_renewal_age, 5200);
 }
+
+/*
+ * A failure domain is cut off. Its VMs need not wait until the store counts as
+ * lost: the latest calls to it have failed, and nothing outside answers.
+ */
+Test(lead, a_cut_domain_leads_itself_as_soon_as_its_calls_fail)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+	struct lead *l = &vms[0].lead;
+
+	snprintf(leader.vm, sizeof(leader.vm), "leader");
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
+	l->own_row_version = 100;
+	l->nothers = 4;
+	lead_row_read(l, &leader, 1000);
+	l->store_failing = 1;
+	outside_answers = 0;
+	for (now = 1000; now < 2000 && l->role != LEAD_LEADING; now += 10)
+		lead_tick(l, now);
+	cr_assert(lead_is_provisional(l));
+	cr_assert_not(l->all_domains);
+}
+
+/* Guards against a VM that alone is cut off, and leads all targets. */
+Test(lead, failing_calls_to_the_store_alone_are_no_reason)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+	struct lead *l = &vms[0].lead;
+
+	snprintf(leader.vm, sizeof(leader.vm), "leader");
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
+	l->own_row_version = 100;
+	l->nothers = 4;
+	lead_row_read(l, &leader, 1000);
+	l->store_failing = 1;
+	outside_answers = 1;
+	for (now = 1000; now < 4000; now += 10)
+		lead_tick(l, now);
+	cr_assert_eq(l->role, LEAD_FOLLOWING);
+}
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -91,6 +91,33 @@
 	cr_assert_eq(parse_listing(&l, text), -1);
 }
 
+#define LEAVING                                                                \
+	"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"%s\","             \
+	"\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1},\"remainingMs\":%s}"
+
+/* Guards against a time of leaving that another writer has made up. */
+Test(listing, the_time_that_a_target_stays_is_read_while_it_drains)
+{
+	static const struct {
+		const char *state, *value;
+		rp_ms stays;
+	} cases[] = {
+		{ "draining", "1800", 1800 }, { "draining", "0", 1 },
+		{ "draining", "-7", 0 },      { "draining", "\"soon\"", 0 },
+		{ "draining", "null", 0 },    { "ready", "1800", 0 },
+	};
+	struct sched_listing l;
+	char text[512];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		snprintf(text, sizeof(text), LEAVING, cases[i].state,
+			 cases[i].value);
+		cr_assert_eq(parse_listing(&l, text), 0, "%s", text);
+		cr_assert_eq(l.stays, cases[i].stays, "%s", text);
+	}
+}
+
 /* --- rows of the store ----------------------------------------------- */
 
 Test(rows, values_and_removals_are_parsed)
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -245,3 +245,54 @@
 	/* It is acknowledged, as the link is in order. */
 	cr_assert_eq(from_owner.runs_received, 1);
 }
+
+/*
+ * The owner keeps the specification, so nobody starts a task without asking it.
+ * Guards against a next leader that waits for runs that there are not, and
+ * against one that does not wait though there are.
+ */
+Test(pool_share,
+     an_owner_tells_the_next_leader_whether_it_was_asked_for_a_start)
+{
+	struct pool_request r = { .p = &other, .seq = 4 };
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolBeat beat = POOL_BEAT__INIT;
+
+	beat.agents = 1;
+	other.leader_heartbeat = &beat;
+	other.set.max_lease = 1000;
+	sub.id = "0123456789abcdef";
+	sub.queue = sub.service = "q";
+	r.submit = &sub;
+	r.deadline = other.now + 1000;
+	apr_hash_set(other.requests, &r.seq, sizeof(r.seq), &r);
+	other.lead.row.fence = LEAD_TOKEN(1);
+	pool_requests_resubmit(&other);
+	cr_assert_eq(sub.former, 0);
+	other.lead.row.fence = LEAD_TOKEN(2);
+	pool_requests_resubmit(&other);
+	cr_assert_eq(sub.former, 0);
+	receive_start(LEAD_TOKEN(2));
+	other.lead.row.fence = LEAD_TOKEN(3);
+	pool_requests_resubmit(&other);
+	cr_assert_eq(sub.former, LEAD_TOKEN(2));
+	other.leader_heartbeat = NULL;
+	other.links = NULL;
+}
+
+/* The time at which a target leaves is told by the clock that all VMs share. */
+Test(pool_share, the_time_of_leaving_is_passed_on)
+{
+	struct sched_listing l;
+
+	memset(&l, 0, sizeof(l));
+	snprintf(l.id, sizeof(l.id), "a");
+	l.stays = 2000;
+	other.now = leader.now + 77000;
+	leader.store_clock_offset = 500000;
+	other.store_clock_offset = 500000 - 77000;
+	pool_share_listed(&leader, &l, 5);
+	pool_share_read_up_to(&leader, 5);
+	deliver_lists();
+	cr_assert_eq(known(&other, "a")->leaves_at, other.now + 2000);
+}
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -461,3 +461,30 @@
 	sched_finish(&second);
 	end_world();
 }
+
+/*
+ * Jobs that have waited while there was no leader are late already. Guards
+ * against rejections of jobs whose answers are still of use.
+ */
+Test(sched_takeover, a_late_job_that_nobody_has_started_is_served)
+{
+	PoolSubmit *sub;
+	struct world_job *job;
+	int i;
+
+	begin_world(4);
+	for (i = 0; i < 4; i++)
+		world_submit(&w, "q", 4, 300, 1, 1500);
+	job = world_submit(&w, "late", 1, 200, 1, 1500);
+	sched_cancel(&first, job, job->seq, w.now);
+	world_run_until(&w, w.now + 100);
+	sub = job->sub;
+	sub->seq = job->seq = 1000;
+	sub->age_ms = 500;
+	sub->left_ms = 1000;
+	sched_submit(&first, job, sub, w.now);
+	cr_assert(!job->answered);
+	world_run_until(&w, w.now + 900);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
--- a/regress/soak/soak-fault.c
+++ b/regress/soak/soak-fault.c
@@ -235,6 +235,25 @@
 	return 1;
 }
 
+void soak_evacuate(struct soak *s)
+{
+	char body[64];
+	int i;
+
+	for (i = 1; i < s->ntargets; i += 2) {
+		snprintf(body, sizeof(body), "{\"target\":%d,\"zone\":\"y\"}",
+			 i);
+		control(s, "/control/target", body);
+	}
+	control(s, "/control/row",
+		"{\"table\":\"op\",\"key\":\"evacuate/y\",\"text\":\"{}\"}");
+}
+
+void soak_take_back(struct soak *s)
+{
+	control(s, "/control/row", "{\"table\":\"op\",\"key\":\"evacuate/y\"}");
+}
+
 /* --- choice of faults ---------------------------------------------------- */
 
 static const struct soak_fault_kind kinds[] = {
--- a/regress/soak/soak-process.c
+++ b/regress/soak/soak-process.c
@@ -29,6 +29,8 @@
  * 3000 ms are added because faults may keep a pool from reading its entry.
  */
 #define DRAIN_MS 5000
+/* The same for the request to evacuate a failure domain. */
+#define EVACUATED_MS 5000
 #define ARG_MAX_BYTES 128 /* bytes of an argument, with the NUL */
 
 int soak_http_port(const struct soak *s, int vm)
@@ -149,6 +151,7 @@
 		format_arg("%s%d", "--targets=", s->ntargets),
 		format_arg("%s%d", "--advertise=", s->port + TARGET_PORTS),
 		format_arg("%s%d", "--drain-ms=", DRAIN_MS),
+		format_arg("%s%d", "--evacuated-ms=", EVACUATED_MS),
 		NULL,
 	};
 	int i;
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -225,9 +225,13 @@
 
 	soak_start(s);
 	await_ready(s);
+	if (s->evacuate)
+		soak_evacuate(s);
 	start_callers(s, "callers.log", seconds, RATE, seed);
 	inject_faults(s, seconds);
 	await_ready(s);
+	if (s->evacuate)
+		soak_take_back(s);
 	json_decref(soak_control(s, "/control/target",
 				 "{\"target\":0,\"draining\":1}"));
 	wait_ms(s, SETTLE_MS);
@@ -272,6 +276,9 @@
 	case 'k':
 		f->s->stored = 1;
 		return 0;
+	case 'e':
+		f->s->evacuate = 1;
+		return 0;
 	case 'p':
 		f->s->port = atoi(arg);
 		return 0;
@@ -305,6 +312,9 @@
 		  .arg = "DIR",
 		  .doc = "directory of the logs" },
 		{ .name = "stored", .key = 'k', .doc = "submit stored jobs" },
+		{ .name = "evacuate",
+		  .key = 'e',
+		  .doc = "evacuate half of the targets during the faults" },
 		{ .name = "port",
 		  .key = 'p',
 		  .arg = "PORT",
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -64,6 +64,7 @@
 	int nactive;
 	int64_t routes_version; /* version of the operator's routes */
 	int stored;		/* callers submit stored jobs */
+	int evacuate; /* half of the targets are evacuated meanwhile */
 	int violations;
 };
 
@@ -100,6 +101,12 @@
 
 /* --- soak-fault.c ------------------------------------------------------ */
 
+/*
+ * Moves half of the targets to another failure domain and asks the VMs to
+ * evacuate it; or takes the request back.
+ */
+void soak_evacuate(struct soak *s);
+void soak_take_back(struct soak *s);
 /* Begins a random fault, unless too many are active or it is not possible. */
 void soak_begin_fault(struct soak *s);
 /* Ends the faults that are due to end by now. */
--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -267,6 +267,11 @@
 	  .arg = "MS",
 	  .doc = "time after which a start on a draining target is "
 		 "a violation" },
+	{ .name = "evacuated-ms",
+	  .key = 'e',
+	  .arg = "MS",
+	  .doc = "time after which a start in an evacuated zone is a "
+		 "violation" },
 	{ .name = "advertise",
 	  .key = 'a',
 	  .arg = "PORT",
@@ -279,6 +284,7 @@
 	size_t targets;
 	int advertise;
 	int drain_ms;
+	int evacuated_ms;
 };
 
 static error_t parse_flag(int key, char *arg, struct argp_state *state)
@@ -289,6 +295,8 @@
 		f->listen = arg;
 	else if (key == 'n')
 		f->targets = strtoul(arg, NULL, 10);
+	else if (key == 'e')
+		f->evacuated_ms = atoi(arg);
 	else if (key == 'd')
 		f->drain_ms = atoi(arg);
 	else if (key == 'a')
@@ -304,7 +312,7 @@
 					  NULL,	   NULL,       NULL };
 	static const struct fake_server_ops ops = { .handle = handle };
 	static struct standin st;
-	struct flags f = { "127.0.0.1:22100", 4, 0, 0 };
+	struct flags f = { "127.0.0.1:22100", 4, 0, 0, 1500 };
 	size_t i;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &f);
@@ -321,6 +329,7 @@
 	st.done_tasks = json_object();
 	st.seed = 1;
 	st.drain_ms = f.drain_ms;
+	st.evacuated_ms = f.evacuated_ms;
 	st.first_port = atoi(strrchr(f.listen, ':') + 1);
 	st.advertised_port = f.advertise ? f.advertise : st.first_port + 1;
 	st.ntargets = f.targets < STANDIN_TARGETS ? f.targets : STANDIN_TARGETS;
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -117,6 +117,7 @@
 	int advertised_port; /* of the first target, in its entry */
 	/* A start later than this after the drain began is a violation. */
 	int drain_ms;
+	int evacuated_ms; /* the same for a start in an evacuated zone */
 	unsigned seed;
 	int violations;
 	char first_violation[256];
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -12,8 +12,6 @@
 #define RESTART_MS 80 /* time until the next incarnation answers */
 #define CRASH_MS 10   /* from the start of a run that crashes its target */
 #define DOWN_MS 2000  /* time until a crashed target is back, with a new id */
-/* Time until no task may start in a zone that is evacuated. */
-#define EVACUATED_MS 1500
 /* Time in which the scheduler may not know of a smaller capacity. */
 #define SHRINK_MS 1000
 
@@ -230,7 +228,7 @@
 	char key[STANDIN_NAME + 16];
 
 	snprintf(key, sizeof(key), "evacuate/%s", t->zone);
-	return store_row_age(&st->store, "op", key) > EVACUATED_MS;
+	return store_row_age(&st->store, "op", key) > st->evacuated_ms;
 }
 
 /* Counts a violation for each rule that a start on the target breaks. */
--- a/regress/t-pool-soak.sh
+++ b/regress/t-pool-soak.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # A short soak test with two seeds that have failed in the past, for the causes
-# given in regress/soak/seeds.
+# given in regress/soak/seeds, and one with half of the targets evacuated.
 . ./regress/pool.sh
 
 run () {
@@ -13,6 +13,11 @@
 			grep VIOLATION "$dir"/soak-$seed.log
 		tail -1 "$dir"/soak-$seed.log
 	done
+	mkdir "$dir"/5
+	"$bin"/regress/soak/soak --seed=5 --evacuate --bin="$bin" \
+		--seconds=6 --dir="$dir"/5 --port=$port \
+		>"$dir"/soak-5.log || grep VIOLATION "$dir"/soak-5.log
+	tail -1 "$dir"/soak-5.log
 }
 
 check run
