Election: a probe ends when a majority has answered; priorities weigh less

Cause: a VM that probes the others waited 100 ms for all answers, though more than half had said that they do not hear the leader. Queues of the last priority were displaced until they were served half as often as all.

Change: the claim is made as soon as a majority does not hear the leader and nobody does.

--- a/lead-core.c
+++ b/lead-core.c
@@ -168,6 +168,48 @@
 	       (lead_is_provisional(l) || !lead_leader_alive(l, now));
 }
 
+/*
+ * Whether the leader may be alive, though no other VM answers: it has renewed
+ * its row not long ago. Where nothing listens at its address, fewer missing
+ * renewals show that it has ended.
+ */
+static int may_be_renewing(const struct lead *l, rp_ms now)
+{
+	return now - l->renewed_at < (l->connection_refused
+					      ? LEAD_REFUSED_RENEWAL_TIMEOUT_MS
+					      : LEAD_RENEWAL_TIMEOUT_MS);
+}
+
+/* Decides by the answers to the probe whether to claim. */
+static void finish_probe(struct lead *l, rp_ms now)
+{
+	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
+
+	if (!l->nhearing && (l->store_lost || l->store_failing) &&
+	    l->own_row_version && !l->claims_disabled) {
+		l->phase = LEAD_CHECKING_REACHABILITY;
+		l->phase_at = now;
+		l->ops->check_reachability(l);
+		return;
+	}
+	if (l->nhearing || l->store_lost ||
+	    (isolated && may_be_renewing(l, now))) {
+		l->phase = LEAD_IDLE;
+		l->retry_at = now + LEAD_BACKOFF_MS;
+		return;
+	}
+	start_claim(l, now);
+}
+
+/*
+ * Whether this VM and those that answered the probe without hearing the leader
+ * are more than half of the entry VMs.
+ */
+static int has_majority(const struct lead *l)
+{
+	return l->nothers && (l->nnot_hearing + 1) * 2 > l->nothers + 1;
+}
+
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now)
 {
 	if (should_follow(l, hb, now))
@@ -186,6 +228,9 @@
 		l->nhearing++;
 	else
 		l->nnot_hearing++;
+	/* The other answers would not change the decision. */
+	if (!l->nhearing && has_majority(l))
+		finish_probe(l, now);
 }
 
 void lead_connection_refused(struct lead *l, rp_ms now)
@@ -218,48 +263,6 @@
 	l->ops->probe(l);
 }
 
-/*
- * Whether the leader may be alive, though no other VM answers: it has renewed
- * its row not long ago. Where nothing listens at its address, fewer missing
- * renewals show that it has ended.
- */
-static int may_be_renewing(const struct lead *l, rp_ms now)
-{
-	return now - l->renewed_at < (l->connection_refused
-					      ? LEAD_REFUSED_RENEWAL_TIMEOUT_MS
-					      : LEAD_RENEWAL_TIMEOUT_MS);
-}
-
-/* Decides by the answers to the probe whether to claim. */
-static void finish_probe(struct lead *l, rp_ms now)
-{
-	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
-
-	if (!l->nhearing && (l->store_lost || l->store_failing) &&
-	    l->own_row_version && !l->claims_disabled) {
-		l->phase = LEAD_CHECKING_REACHABILITY;
-		l->phase_at = now;
-		l->ops->check_reachability(l);
-		return;
-	}
-	if (l->nhearing || l->store_lost ||
-	    (isolated && may_be_renewing(l, now))) {
-		l->phase = LEAD_IDLE;
-		l->retry_at = now + LEAD_BACKOFF_MS;
-		return;
-	}
-	start_claim(l, now);
-}
-
-/*
- * Whether this VM and those that answered the probe without hearing the leader
- * are more than half of the entry VMs.
- */
-static int has_majority(const struct lead *l)
-{
-	return l->nothers && (l->nnot_hearing + 1) * 2 > l->nothers + 1;
-}
-
 void lead_reachability_result(struct lead *l, int outside, rp_ms now)
 {
 	if (l->phase != LEAD_CHECKING_REACHABILITY)
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -647,7 +647,7 @@
 	struct lead *l = &vms[0].lead;
 
 	snprintf(leader.vm, sizeof(leader.vm), "leader");
-	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 6);
 	l->own_row_version = 100;
 	l->nothers = 4;
 	lead_row_read(l, &leader, 1000);
@@ -666,7 +666,7 @@
 	struct lead *l = &vms[0].lead;
 
 	snprintf(leader.vm, sizeof(leader.vm), "leader");
-	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 6);
 	l->own_row_version = 100;
 	l->nothers = 4;
 	lead_row_read(l, &leader, 1000);
--- a/sched-order.c
+++ b/sched-order.c
@@ -30,7 +30,7 @@
  * the longest time that it waits for jobs of the next level that come later. A
  * short job with this slack is still on time.
  */
-#define PRIORITY_MS 150
+#define PRIORITY_MS 100
 /* Levels that count; a larger number is taken for the last one. */
 #define PRIORITY_LEVELS 4
 
--- a/sched-share.c
+++ b/sched-share.c
@@ -2,8 +2,8 @@
  * Shares of queues when room is short.
  *
  * A job of a higher priority may displace jobs of a lower one that wait. So
- * that no queue starves, a queue that has lately been served less than half as
- * often as all queues together is not displaced any more.
+ * that no queue starves, a queue that has lately been served less than three
+ * quarters as often as all queues together is not displaced any more.
  */
 
 #include "scheduler.h"
@@ -11,7 +11,7 @@
 /* Weight of one answer in the share of jobs that are served. */
 #define SERVED_GAIN 0.03
 /* A queue starves below this part of the share of all. */
-#define STARVING_PART 0.5
+#define STARVING_PART 0.75
 
 void sched_share_answered(struct sched_queue *q, int completed)
 {
