Entry VM: requests wait for the routes of a VM that has just started

Cause: a VM answers 503 until it has read the operator's table, which takes 0.1 to 0.25 s after its start.

Change: such a request waits up to 0.5 s for the table, once; a stop ends the wait.

Result: t-pool-start passes; without the change its third line has 503 as well.

--- a/pool-loop.c
+++ b/pool-loop.c
@@ -175,6 +175,8 @@
 	pool_share_flush(p);
 	pool_state_flush(p);
 	pool_job_queries_expire(p);
+	if (p->awaiting_routes)
+		pool_requests_resume_awaiting(p);
 	pool_jobs_flush(p);
 	pool_links_flush(p);
 	pool_turn_mark(p, POOL_ON_LINKS);
--- a/pool-request.c
+++ b/pool-request.c
@@ -46,6 +46,7 @@
 void pool_request_free(struct pool_request *r)
 {
 	pool_fd_unwatch(r->p, &r->fd);
+	pool_request_forget_awaiting(r);
 	close_job(r);
 	if (r->submit)
 		pool_submit__free_unpacked(r->submit, NULL);
@@ -500,6 +501,8 @@
 	const char *id;
 
 	r->conn = conn;
+	if (!p->routes && pool_request_await_routes(r))
+		return;
 	if (!p->routes) {
 		pool_request_respond(r, 503, "{\"error\":\"no routes yet\"}",
 				     DEFAULT_RETRY_AFTER_S);
--- a/pool-request.h
+++ b/pool-request.h
@@ -31,7 +31,9 @@
 	size_t ndone_tasks, cap_done_tasks;
 	PoolProgress *lost; /* the latest message on lost targets, or NULL */
 	int suspended;	    /* set while the connection waits for the answer */
-	struct pool_job_call *job_call; /* set while the store is asked */
+	int has_awaited_routes;
+	struct pool_request *next_awaiting; /* in p->awaiting_routes */
+	struct pool_job_call *job_call;	    /* set while the store is asked */
 	struct pool_response response;
 };
 
@@ -45,6 +47,13 @@
 void pool_request_fill_submit(struct pool_request *r,
 			      const struct pool_route *route, const char *id);
 
+/* --- pool-request-wait.c: requests before the routes are known --------- */
+
+/* Suspends the connection for the routes. Returns 0 if it has waited already.
+ */
+int pool_request_await_routes(struct pool_request *r);
+void pool_request_forget_awaiting(struct pool_request *r);
+
 /* --- pool-job.c: requests for stored jobs ----------------------------- */
 
 /* Submit, query or cancel; the connection waits for the store's reply. */
--- a/pool.h
+++ b/pool.h
@@ -316,6 +316,8 @@
 /* Answers all open requests: this VM is about to exit. */
 void pool_requests_abort(struct pool *p);
 void pool_requests_tick(struct pool *p, rp_ms now);
+/* Goes on with the requests that need not wait for the routes any more. */
+void pool_requests_resume_awaiting(struct pool *p);
 
 /* --- pool-cause.c: why jobs were not served --------------------------- */
 
@@ -460,6 +462,7 @@
 	PoolBeat *leader_heartbeat;  /* latest of the leader; NULL: none */
 	struct pool_evacuation evacuations[POOL_EVACUATIONS_MAX];
 	size_t nevacuations;
+	struct pool_request *awaiting_routes;
 	struct pool_cause causes[POOL_CAUSES_MAX];
 	size_t ncauses;
 	rp_ms store_back_at; /* the latest outage of the store ended; 0: none */
--- /dev/null
+++ b/regress/t-pool-start.sh
@@ -0,0 +1,42 @@
+#!/bin/sh
+# Requests that come before an entry VM has read the table of routes. Guards
+# against turning them away although the table is there a moment later, and
+# against a request that waits for ever for a store that does not answer.
+. ./regress/pool.sh
+
+run () {
+	start_platform 4
+	control store '{"silent":1}'
+	start_vm 0
+	sleep 0.3
+	call --status POST "$(http_of 0)" /q/0000000000000001 \
+		'{"specification":"30","bestEffort":true,"steps":[{"count":1,
+		"cpu":6000,"estimatedMs":30}]}' >"$dir"/first &
+	first=$!
+	wait $first
+	echo "the store does not answer: $(cat "$dir"/first)"
+	call --status POST "$(http_of 0)" /q/0000000000000002 \
+		'{"specification":"30","bestEffort":true,"steps":[{"count":1,
+		"cpu":6000,"estimatedMs":30}]}' >"$dir"/second &
+	second=$!
+	sleep 0.05
+	kill -TERM "$(pid_of 0)"
+	wait $second
+	echo "the VM is stopped meanwhile: $(cat "$dir"/second)"
+	wait "$(pid_of 0)" || :
+	control store '{"silent":0}'
+
+	start_vm 1
+	statuses=
+	tries=0
+	while test $tries -lt 40
+	do
+		tries=$((tries + 1))
+		statuses="$statuses $(call --status GET "$(http_of 1)" \
+			/none/00)"
+	done
+	echo "before and after the routes are read:" \
+		"$(echo "$statuses" | tr ' ' '\n' | grep . | sort -u | tr '\n' ' ')"
+}
+
+check run
