--- a/sched-hopeless.c
+++ b/sched-hopeless.c
@@ -103,8 +103,10 @@
 
 		if (task->state == SCHED_DONE)
 			return 0;
-		run_ms = t ? least_run_ms(task) : 0;
-		if (!run_ms)
+		if (!t)
+			continue;
+		run_ms = least_run_ms(task);
+		if (run_ms <= 0)
 			continue;
 		n += t != first;
 		first = first ? first : t;
