--- a/bench-sched.c
+++ b/bench-sched.c
@@ -6,7 +6,7 @@
  */
 
 #include "lead.h"
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <apr_general.h>
 
--- a/regress/pool-link.c
+++ b/regress/pool-link.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "pool.h"
+#include "sched-int.h"
 
 static struct pool p;
 static int client = -1;
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -8,7 +8,7 @@
  * with a lower fencing token than they have seen.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #define WORLD_TARGETS 64
 #define WORLD_RUNS 16
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -6,7 +6,7 @@
  * take capacity from others.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -11,7 +11,7 @@
  */
 
 #include "lead.h"
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/sched-core.c
+++ b/sched-core.c
@@ -4,7 +4,7 @@
  */
 
 #include "lead.h"
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/sched-evacuate.c
+++ b/sched-evacuate.c
@@ -3,7 +3,7 @@
  * there. Runs that are there continue to their end.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <apr_strings.h>
 
--- a/sched-fit.c
+++ b/sched-fit.c
@@ -6,7 +6,7 @@
  * often use nothing. The sizes are learned from the jobs that are submitted.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <string.h>
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -5,7 +5,7 @@
  * which runs have ended.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 /* Time that a hold call waits at the target for an end. */
 #define HOLD_WAIT_MS 150
--- a/sched-hopeless.c
+++ b/sched-hopeless.c
@@ -7,7 +7,7 @@
  * callers have estimated, and hold half a target for all of their time.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 
--- /dev/null
+++ b/sched-int.h
@@ -0,0 +1,311 @@
+#ifndef SCHED_INT_H
+#define SCHED_INT_H
+
+/*
+ * What the files of the scheduler use of each other. The embedding code
+ * includes scheduler.h alone.
+ */
+
+#include "scheduler.h"
+
+/* sched-job.c */
+struct sched_job *sched_job_new(struct sched *s, void *owner,
+				const PoolSubmit *sub, rp_ms now);
+void sched_job_free(struct sched_job *job);
+/* Task i had succeeded before the job was submitted here. */
+void sched_job_mark_done(struct sched_job *job, size_t i);
+/*
+ * Answers and closes the job, and stops its runs. Frees it if it has none.
+ * Returns the mark of the message to the owner.
+ */
+uint64_t sched_job_answer(struct sched_job *job, PoolAnswer__Outcome outcome,
+			  const char *reason, rp_ms retry_after);
+/* A task of the job was started, here or by an earlier scheduler. */
+void sched_job_started(struct sched_job *job);
+/* Frees the job if it is answered and has no runs left. */
+void sched_job_reap(struct sched_job *job);
+/* Recomputes the predicted times of the job and its position in s->jobs. */
+void sched_job_reorder(struct sched_job *job);
+/* Whether all steps that the step depends on are done. */
+int sched_step_ready(const struct sched_job *job, size_t step);
+/* Predicted time at speed 1 of the longest chain of unfinished steps, ms. */
+double sched_job_critical_path(const struct sched_job *job);
+
+/* sched-place.c */
+int sched_target_has_label(const struct sched_target *t, const char *label);
+/* Predicted run time of a task of the step on the target, ms. */
+double sched_run_time(const struct sched_target *t,
+		      const struct sched_step *step);
+/* Whether the target may be given tasks now. */
+int sched_target_available(const struct sched_target *t, rp_ms now);
+/* Whether the room covers the need in each resource. */
+int sched_resources_fit(const struct sched_resources *need,
+			const struct sched_resources *room);
+/* Whether the target could run the step's tasks if it were idle. */
+int sched_target_eligible(const struct sched_target *t,
+			  const struct sched_job *job,
+			  const struct sched_step *step);
+int sched_target_has_room(const struct sched_target *t,
+			  const struct sched_resources *need);
+/* Whether the target runs as many tasks of the job's step as spread allows. */
+int sched_target_at_spread_limit(const struct sched_target *t,
+				 const struct sched_job *job,
+				 const struct sched_step *step);
+/*
+ * Returns the best target with room, even if the task will be late there, or
+ * NULL.
+ */
+struct sched_target *sched_best_target(struct sched *s,
+				       const struct sched_job *job,
+				       const struct sched_step *step);
+/*
+ * Keeps other tasks from a target until it is idle, for a task that is to be
+ * isolated.
+ */
+void sched_reserve_target(struct sched *s, const struct sched_job *job,
+			  const struct sched_step *step);
+/* Returns the service of the name; creates it if needed. */
+struct sched_service *sched_get_service(struct sched *s, const char *name);
+/* Returns the service with totals that are a few ms old at most. */
+const struct sched_service *sched_service_totals(struct sched *s,
+						 struct sched_service *service);
+
+/* The totals are to be computed again at the next decision. */
+void sched_service_changed(struct sched_service *service);
+
+/* sched-locality.c */
+/* Whether the step's data is on another rack than the target. */
+int sched_is_remote(const struct sched_target *t,
+		    const struct sched_step *step);
+/* Predicted time at which the target has room for the need; HUGE_VAL: never. */
+double sched_room_at(const struct sched_target *t,
+		     const struct sched_resources *need);
+/*
+ * Whether a task waits for its rack rather than run on the target, which is
+ * away from it.
+ */
+int sched_locality_should_wait(struct sched *s, const struct sched_job *job,
+			       const struct sched_step *step,
+			       const struct sched_target *t);
+/* Factor on the run time of the step's tasks by the load of their rack. */
+double sched_locality_factor(struct sched *s, const struct sched_job *job,
+			     const struct sched_step *step);
+
+/* sched-fit.c */
+/* Learns the sizes of the job's tasks. */
+void sched_fit_add(struct sched_job *job);
+/* Computes the table of usable room, if it is out of date. */
+void sched_fit_update(struct sched *s, struct sched_service *service);
+/* CPU that whole tasks can use of a free room, thousandths of a core. */
+double sched_fit_usable(const struct sched_service *service, int64_t cpu);
+/* Usable room that a task of the CPU takes from a free room. */
+double sched_fit_loss(const struct sched_service *service, int64_t room,
+		      int64_t cpu);
+
+/* sched-past.c */
+/*
+ * Sets the job's run numbers above those of an earlier submission of the id,
+ * and marks the tasks done that had succeeded in it.
+ */
+void sched_history_restore(struct sched_job *job);
+/* Records a job that is about to be answered, if a task was started. */
+void sched_history_add(const struct sched_job *job);
+/* Records a target that was lost with a task of an answered job. */
+void sched_history_add_loss(const struct sched_task *task,
+			    const struct sched_loss *loss);
+/* Records the success of a task whose job may still be submitted. */
+void sched_released_add(struct sched *s, const char *task);
+/* Marks the job's tasks done whose success was recorded. */
+void sched_released_restore(struct sched_job *job);
+void sched_history_expire(struct sched *s);
+void sched_history_finish(struct sched *s);
+
+/* sched-admit.c */
+#define SCHED_USABLE_SHARE_INITIAL 0.75
+/* Time in which the work that waits is done, within bounds, ms. */
+rp_ms sched_admit_retry_after(const struct sched_job *job);
+/* Time on fast targets, with a standard deviation less work than predicted. */
+rp_ms sched_job_shortest_time(const struct sched_job *job);
+/* Adjust the usable share to whether accepted jobs start on time. */
+void sched_admit_started_on_time(struct sched_job *job);
+void sched_admit_started_late(struct sched_job *job);
+
+/* sched-share.c */
+/* A job of the queue was answered. */
+void sched_share_answered(struct sched_queue *q, int completed);
+/* Whether the queue is served far less often than the others. */
+int sched_share_starves(const struct sched_queue *q);
+/* Whether the job may make the other one, which waits, late. */
+int sched_share_displaces(const struct sched_job *job,
+			  const struct sched_job *other);
+
+/* sched-learn.c */
+/* The reply to a start came after ms. */
+void sched_learn_call_delay(struct sched *s, rp_ms ms);
+/* The part of the time since the run's start that was not on the target, ms. */
+double sched_run_delay(const struct sched_task *task);
+/* Time that a run takes until the caller has the answer, beyond its own, ms. */
+double sched_overhead(const struct sched *s);
+/* Corrects a new job's estimates by what was learned of its queue. */
+void sched_predict_job(struct sched_job *job);
+/* A run ended; span is the time since its start call, ms. */
+void sched_learn_end(struct sched_task *task, double span, int failed);
+void sched_learn_progress(struct sched_task *task, int percent);
+/* A run is moved because it would take total_ms at its present speed. */
+void sched_learn_overrun(struct sched_task *task, double total_ms);
+/* The target may have changed: what was learned of its speed is uncertain. */
+void sched_reset_slowdown(struct sched_target *t);
+/* Lets old observations of targets fade; to be called periodically. */
+void sched_learn_decay(struct sched *s);
+/* Returns the queue of the name; creates it with an estimate in ms. */
+struct sched_queue *sched_get_queue(struct sched *s, const char *name,
+				    double estimate);
+
+/* sched-adopt.c */
+/* Keeps what a target's first list shows, for jobs that are resubmitted. */
+void sched_adopt_list(struct sched_target *t,
+		      const struct sched_target_reply *reply);
+/*
+ * Adopts the runs and ends of the job that were found on targets. May answer
+ * the job.
+ */
+void sched_adopt_job(struct sched_job *job);
+/* Stops the runs and releases the ends that no job has claimed in time. */
+void sched_adopt_tick(struct sched_target *t);
+/* A run that this scheduler does not know has ended. */
+void sched_adopt_end(struct sched_target *t, const struct sched_end *end);
+/* Whether jobs of unknown runs may still be submitted. */
+int sched_adopt_pending(const struct sched_target *t);
+/* Whether every run of the job by an earlier scheduler is known or over. */
+int sched_adopt_all_known(const struct sched_job *job);
+
+/* sched-told.c */
+/*
+ * Delays the end's acknowledgement until the owner acknowledges the mark, or
+ * the owner is lost and needed_until has passed. mark 0: adds nothing.
+ */
+void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
+		       uint64_t mark, rp_ms needed_until);
+/* Delays the end's acknowledgement until its job is submitted. */
+void sched_unacked_add_unclaimed(struct sched_target *t, uint64_t number);
+/* Whether an end is not acknowledged because its job is not known. */
+int sched_unacked_has_unclaimed(const struct sched_target *t);
+/*
+ * Sets what an end's acknowledgement waits for, as sched_unacked_add() does;
+ * mark 0: it may be acknowledged.
+ */
+void sched_unacked_resolve(struct sched_target *t, uint64_t number, void *owner,
+			   uint64_t mark, rp_ms needed_until);
+/* The owner's ends wait until its jobs cannot be submitted any more. */
+void sched_unacked_owner_lost(struct sched *s, const void *owner);
+/* Releases the ends of lost owners that are not needed any more. */
+void sched_unacked_expire(struct sched_target *t);
+/* Returns the number up to which ends may be acknowledged. */
+uint64_t sched_ackable_end(const struct sched_target *t);
+
+/* sched-run.c */
+/* The target runs the task, started by an earlier scheduler. */
+void sched_run_adopt(struct sched_task *task, struct sched_target *t,
+		     uint32_t run);
+/* The task succeeded. Returns the mark of the message to the owner. */
+uint64_t sched_task_done(struct sched_task *task);
+/* Adds to the failed runs of the task. */
+void sched_task_add_failure(struct sched_task *task, uint32_t run);
+/* Whether another failed run fails the task's job. */
+int sched_task_on_last_attempt(const struct sched_task *task);
+/*
+ * A run of the task has failed. Returns the mark of the message to the owner,
+ * or 0. May free the job.
+ */
+uint64_t sched_task_failed(struct sched_task *task, uint32_t run);
+void sched_run_start(struct sched_task *task, struct sched_target *t);
+void sched_run_stop(struct sched_task *task);
+/*
+ * The run is over. Requeues the task where it has to run again. Returns the
+ * mark of the message to the owner, or 0. May free the job.
+ */
+uint64_t sched_run_ended(struct sched_task *task, enum sched_end_how how);
+/* Returns the end of a lease granted now, in ms of the target's clock. */
+int64_t sched_new_lease(struct sched_target *t);
+void sched_run_send_stop(struct sched_task *task);
+struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
+				  uint32_t run);
+/*
+ * Treats all runs of the target as over; it has to be acquired again. crashed:
+ * the target is known to have crashed.
+ */
+void sched_target_drop_runs(struct sched_target *t, int crashed,
+			    const char *reason);
+
+/* sched-loss.c */
+/* Notes which of the target's runs may have to do with its loss. */
+void sched_loss_mark_runs(struct sched_target *t);
+/*
+ * The target of the task's run is lost, and the run with it. crashed: it is
+ * known to have crashed.
+ */
+void sched_loss_of_run(struct sched_task *task, int crashed);
+/* Adds the loss, or merges it with what is known of the target already. */
+void sched_loss_add(struct sched_task *task, const struct sched_loss *loss);
+void sched_losses_free(struct sched_job *job);
+/* Adds the losses under an earlier scheduler. */
+void sched_losses_restore(struct sched_job *job, PoolLoss *const *losses,
+			  size_t n);
+/* Tells the owner of the job's losses. */
+void sched_losses_changed(struct sched_job *job);
+/* The owner knows of all losses in messages up to the mark. */
+void sched_losses_acked(struct sched *s, const void *owner, uint64_t mark);
+/* Whether the task is to run alone on its next target. */
+int sched_loss_isolates(const struct sched_task *task);
+/* Whether the task may not be started, now or any more. */
+int sched_loss_must_wait(const struct sched_task *task);
+/*
+ * Learns which of the lost targets have crashed, and gives up the jobs of tasks
+ * that are at fault.
+ */
+void sched_loss_tick(struct sched *s);
+
+/* sched-evacuate.c */
+/* Sets whether the target's failure domain is evacuated. */
+void sched_evacuate_target(struct sched_target *t);
+/* Whether starts wait until the evacuated failure domains are known. */
+int sched_awaits_evacuations(const struct sched *s);
+/* Whether all targets of the service are in evacuated failure domains. */
+int sched_service_is_evacuated(const struct sched *s,
+			       const struct sched_service *service);
+/* Until the operator takes the request back; how long is not known. */
+#define SCHED_EVACUATED_RETRY_MS 2000
+
+/* sched-outlier.c */
+enum sched_outlier {
+	SCHED_OUTLIER_UNKNOWN,
+	SCHED_OUTLIER_JOB,    /* all of its tasks are longer */
+	SCHED_OUTLIER_TARGET, /* it has become slow */
+};
+
+/*
+ * Why a run is longer than predicted, by an error of the logarithm. may_wait:
+ * it may be unknown until other runs have shown their progress.
+ */
+enum sched_outlier sched_outlier_cause(const struct sched_task *task,
+				       double error, int may_wait);
+
+/* sched-move.c */
+/* Predicted end of the run, on the scheduler's clock. */
+double sched_run_predicted_end(const struct sched_task *task);
+
+/* sched-leave.c */
+/* Moves runs off targets that leave; to be called at each tick. */
+void sched_leave_tick(struct sched *s);
+
+/* sched-hopeless.c */
+/* Answers the jobs that cannot end in time; to be called at each tick. */
+void sched_hopeless_tick(struct sched *s);
+
+/* sched-hold.c */
+/* Resets the state of a target that was seen in another incarnation. */
+void sched_target_new_incarnation(struct sched_target *t, int64_t incarnation);
+/* Sends a hold call if one is due and none is in flight. */
+void sched_target_hold(struct sched_target *t);
+
+#endif
--- a/sched-job.c
+++ b/sched-job.c
@@ -1,6 +1,6 @@
 /* Jobs from submission to answer, and their position in the queue. */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <stdio.h>
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -7,7 +7,7 @@
  * between them in proportion to their variances, as in a Kalman filter.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <stdio.h>
--- a/sched-leave.c
+++ b/sched-leave.c
@@ -7,7 +7,7 @@
  * burst.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 /* Interval between checks of all targets. */
 #define CHECK_INTERVAL_MS 40
--- a/sched-locality.c
+++ b/sched-locality.c
@@ -7,7 +7,7 @@
  * it queues for longer.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <string.h>
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -7,7 +7,7 @@
  * another incarnation replies, or when it replies itself.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/sched-move.c
+++ b/sched-move.c
@@ -7,7 +7,7 @@
  * started elsewhere only after the run's end.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 
--- a/sched-order.c
+++ b/sched-order.c
@@ -7,7 +7,7 @@
  * target, get the capacity that the others leave.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 static rp_ms latest_start_key(const struct sched_job *job)
 {
--- a/sched-outlier.c
+++ b/sched-outlier.c
@@ -7,7 +7,7 @@
  * jobs would find none that is fast enough.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 
--- a/sched-past.c
+++ b/sched-past.c
@@ -7,7 +7,7 @@
  * numbers than before.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/sched-place.c
+++ b/sched-place.c
@@ -5,7 +5,7 @@
  * that fast targets stay free for long tasks.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <string.h>
--- a/sched-run.c
+++ b/sched-run.c
@@ -1,6 +1,6 @@
 /* Runs of tasks on targets: starts, stops, ends and leases. */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 
--- a/sched-service.c
+++ b/sched-service.c
@@ -5,7 +5,7 @@
  * not scan hundreds of targets.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <math.h>
 #include <stdio.h>
--- a/sched-share.c
+++ b/sched-share.c
@@ -6,7 +6,7 @@
  * quarters as often as all queues together is not displaced any more.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 /* Weight of one answer in the share of jobs that are served. */
 #define SERVED_GAIN 0.03
--- a/sched-told.c
+++ b/sched-told.c
@@ -7,7 +7,7 @@
  * does not run the task again.
  */
 
-#include "scheduler.h"
+#include "sched-int.h"
 
 #include <stdlib.h>
 #include <string.h>
