--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -478,8 +478,8 @@
 	job->answered = 1; /* its submission is lost with the leader */
 	take_over(LEAD_TOKEN(2));
 	job->answered = 0;
-	for (i = 0; i < 4; i++)
-		world_submit(&w, "q", 4, 300, 1, 1500);
+	for (i = 0; i < 3; i++)
+		world_submit(&w, "q", 4, 200, 1, 1500);
 	world_run_until(&w, w.now + 100);
 	sub = job->sub;
 	sub->seq = job->seq = 1000;
