--- a/bench-sched.c
+++ b/bench-sched.c
@@ -2,7 +2,9 @@
  * Cost of a decision of the pool's scheduler: a job is submitted, a run ends,
  * and the tasks that fit are started, with many jobs waiting.
  *
- *   bench-sched [TARGETS [JOBS [DECISIONS]]]
+ *   bench-sched [TARGETS [JOBS [DECISIONS [all] [racks]]]]
+ *
+ * all: no job is rejected. racks: the data of half of the jobs is on one rack.
  */
 
 #include "lead.h"
@@ -20,6 +22,7 @@
 #define RACK_TARGETS 8	 /* targets of one rack */
 
 static uint64_t seed = 1;
+static int racks;
 
 /* The reply comes at once. */
 static void on_start(struct sched *s, struct sched_target *t,
@@ -148,6 +151,8 @@
 	step.tasks = kinds[kind].tasks;
 	step.cpu = (uint32_t)(TASK_CPU * (0.8 + 0.4 * uniform()));
 	step.memory = 64;
+	if (racks && seq % 2)
+		step.rack = "rack-0";
 	step.estimate_ms = kinds[kind].work;
 	sched_submit(s, s, &sub, now);
 }
@@ -204,9 +209,14 @@
 	rp_ms now = 100000;
 	uint64_t seq = 0;
 	double begin, spent = 0;
+	int arg, admit_all = 0;
 
+	for (arg = 4; arg < argc; arg++) {
+		admit_all |= !strcmp(argv[arg], "all");
+		racks |= !strcmp(argv[arg], "racks");
+	}
 	apr_initialize();
-	sched_init(&s, &ops, NULL, argc > 4 ? &all : NULL, LEAD_TOKEN(1), 1000,
+	sched_init(&s, &ops, NULL, admit_all ? &all : NULL, LEAD_TOKEN(1), 1000,
 		   now);
 	for (i = 0; i < ntargets; i++)
 		add_target(&s, i, now);
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -216,6 +216,39 @@
 	pool_routes_free(r);
 }
 
+/* Guards against a queue that is lost, or first, for a bad priority unnoticed.
+ */
+Test(routes, a_priority_of_another_type_is_reported_and_taken_for_0)
+{
+	static const struct {
+		const char *value;
+		unsigned priority;
+		int reported;
+	} cases[] = {
+		{ "2", 2, 0 },	      { "1.0", 1, 0 },	{ "-1", 0, 1 },
+		{ "\"high\"", 0, 1 }, { "null", 0, 1 }, { "1.5", 0, 1 },
+		{ "1e30", 0, 1 },
+	};
+	struct pool_routes *r;
+	char text[256];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":"
+			 "\"a.x\",\"pathPrefix\":\"/p/\",\"service\":\"s\","
+			 "\"priority\":%s}]}",
+			 cases[i].value);
+		error[0] = '\0';
+		r = platform_parse_routes(text, strlen(text), error);
+		cr_assert_eq(r->n, 1, "%s", text);
+		cr_assert_eq(r->routes[0].priority, cases[i].priority, "%s",
+			     text);
+		cr_assert_eq(error[0] != '\0', cases[i].reported, "%s", text);
+		pool_routes_free(r);
+	}
+}
+
 Test(routes, malformed_table_is_rejected)
 {
 	static const char *const bad[] = { "", "{}", "{\"routes\":[]}",
--- a/regress/t-pool-start.sh
+++ b/regress/t-pool-start.sh
@@ -26,17 +26,23 @@
 	wait "$(pid_of 0)" || :
 	control store '{"silent":0}'
 
+	# The table is there 0.1 to 0.3 s after the request.
+	control store '{"down":1}'
 	start_vm 1
-	statuses=
 	tries=0
-	while test $tries -lt 40
+	while test "$(call --status GET 127.0.0.1:$((port + 121)) \
+		/api/readiness)" != 503
 	do
 		tries=$((tries + 1))
-		statuses="$statuses $(call --status GET "$(http_of 1)" \
-			/none/00)"
+		test $tries -lt 200 || break
+		sleep 0.01
 	done
-	echo "before and after the routes are read:" \
-		"$(echo "$statuses" | tr ' ' '\n' | grep . | sort -u | tr '\n' ' ')"
+	call --status GET "$(http_of 1)" /none/00 >"$dir"/third &
+	third=$!
+	sleep 0.05
+	control store '{"down":0}'
+	wait $third
+	echo "the table is read a moment later: $(cat "$dir"/third)"
 }
 
 check run
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -98,9 +98,11 @@
 
 /*
  * The most capacity that the job's tasks can take within ms from now,
- * thousandths of a core x ms. Away from their rack they take more of it.
+ * thousandths of a core x ms. factors has one for each step, on the work of
+ * tasks that have to run away from their rack.
  */
-static double work_within(const struct sched_job *job, rp_ms ms)
+static double work_within(const struct sched_job *job, const double *factors,
+			  rp_ms ms)
 {
 	double span = ms > 0 ? (double)ms : 0, sum = 0;
 	size_t i;
@@ -109,9 +111,7 @@
 		const struct sched_step *step = &job->steps[i];
 
 		sum += (double)step->nleft * (double)step->need.cpu *
-		       fmin(step->work *
-				    sched_locality_factor(job->s, job, step),
-			    span);
+		       fmin(step->work * factors[i], span);
 	}
 	return sum;
 }
@@ -162,11 +162,13 @@
 static int admit(struct sched *s, const struct sched_job *job,
 		 displaces_fn *displaces, const char **reason, rp_ms *retry)
 {
+	double factors[SCHED_STEPS_MAX];
 	double work_ahead = 0, backlog = 0;
 	int eligible = 0, passed = 0;
 	double rate = usable_rate(s, job, &eligible);
 	struct sched_job *j;
 	rp_ms slack;
+	size_t i;
 
 	*retry = RETRY_AFTER_MIN_MS;
 	if (!eligible && sched_service_is_evacuated(s, job->service)) {
@@ -193,6 +195,9 @@
 	if (job->latest_start < s->now && job->arrived_at < s->started_at &&
 	    s->now - s->started_at < TAKEOVER_MS)
 		return 1;
+	/* Each looks at all targets, so not for each job that waits. */
+	for (i = 0; i < job->nsteps; i++)
+		factors[i] = sched_locality_factor(s, job, &job->steps[i]);
 	for (j = s->jobs; j; j = j->next) {
 		rp_ms left = j->latest_start - s->now + LATE_SLACK_MS;
 		double work;
@@ -209,7 +214,7 @@
 		backlog += work;
 		if (!passed)
 			work_ahead += work;
-		else if (work > 0 && backlog + work_within(job, left) >
+		else if (work > 0 && backlog + work_within(job, factors, left) >
 					     rate * (double)left) {
 			if (displaces(job, j)) {
 				j->displaced = 1;
@@ -222,8 +227,8 @@
 	}
 	/* Without a backlog, capacity is free or soon will be. */
 	slack = job->latest_start - s->now;
-	if (backlog > 0 &&
-	    work_ahead + work_within(job, slack) > rate * (double)slack) {
+	if (backlog > 0 && work_ahead + work_within(job, factors, slack) >
+				   rate * (double)slack) {
 		*reason = "the job cannot end on time";
 		*retry = retry_after(backlog, rate);
 		return 0;
--- a/sched-hopeless.c
+++ b/sched-hopeless.c
@@ -166,6 +166,12 @@
 	       job->expires_at - job->s->now < sched_job_shortest_time(job);
 }
 
+static int never_in_vain(const struct sched_job *job)
+{
+	(void)job;
+	return 0;
+}
+
 static void answer_hopeless(struct sched_job *job,
 			    const struct sched_task *task)
 {
@@ -192,7 +198,7 @@
 		task = job->nplaced ? s->hopeless->find(job) : NULL;
 		if (task) {
 			answer_hopeless(job, task);
-		} else if (waits_in_vain(job)) {
+		} else if (s->hopeless->waits_in_vain(job)) {
 			s->count.in_vain++;
 			sched_job_answer(job, POOL_ANSWER__OUTCOME__REJECTED,
 					 "no room came free in time",
@@ -204,12 +210,14 @@
 static struct sched_hopeless_ops bound_hopeless = {
 	.plugin = { .name = "bound" },
 	.find = find_beyond_bound,
+	.waits_in_vain = waits_in_vain,
 };
 
 /* Baseline for comparison: by the predicted work of the job. */
 static struct sched_hopeless_ops predicted_hopeless = {
 	.plugin = { .name = "predicted" },
 	.find = find_predicted,
+	.waits_in_vain = never_in_vain,
 };
 
 RP_REGISTER(RP_PLUGIN_HOPELESS, bound_hopeless);
--- a/scheduler.h
+++ b/scheduler.h
@@ -523,6 +523,11 @@
 struct sched_hopeless_ops {
 	struct rp_plugin plugin;
 	const struct sched_task *(*find)(const struct sched_job *job);
+	/*
+	 * Whether a job of which nothing was started waits in vain and is to be
+	 * rejected; else it waits until it expires.
+	 */
+	int (*waits_in_vain)(const struct sched_job *job);
 };
 
 /* Handling of runs on targets that leave; called at each tick. */
