t-daemon waits until its caller waits for the result

Cause: the test stopped the daemon 0.7 s after the caller was started. On a busy machine the caller had only just submitted by then, and connected for its result after the daemon's exit.

Change: the test counts the requests that the daemon has received, and stops it once the caller's second one has come. The checks are the same.

--- a/regress/t-daemon.sh
+++ b/regress/t-daemon.sh
@@ -51,6 +51,19 @@
 		fail "sanitizer report"
 }
 
+# expect_caller_waits: waits until the only caller has submitted its request and
+# waits for the result, which are two requests over HTTP beside those made here.
+expect_caller_waits () {
+	n=0
+	until test "$("$bin"/rosemary metrics --entry-vm=127.0.0.1:$port |
+		sed -n 's/^rosemaryd_http_requests_total //p')" -ge $((n + 3))
+	do
+		sleep 0.1
+		n=$((n + 1))
+		test $n -lt 100 || fail "the caller does not wait"
+	done
+}
+
 echo "settings"
 expect 2
 test "$(grep -c 'must be given' $dir/out.log)" = 5 || fail "not all errors were reported"
@@ -84,7 +97,7 @@
 "$bin"/rosemary request --entry-vm=127.0.0.1:$port --service=desk \
 	--team=board --timeout=8000 x >$dir/answer.log 2>&1 &
 caller=$!
-sleep 0.7
+expect_caller_waits
 kill -TERM $daemon
 wait $caller || fail "the caller got no result"
 expect_exit 0
@@ -95,7 +108,7 @@
 "$bin"/rosemary request --entry-vm=127.0.0.1:$port --service=desk \
 	--team=board --timeout=8000 x >$dir/answer.log 2>&1 &
 caller=$!
-sleep 0.7
+expect_caller_waits
 kill -TERM $daemon
 sleep 0.2
 kill -TERM $daemon
