A job is not run again after a change of leader: ends are kept, late jobs refused

A new leader acknowledged ends of tasks whose jobs it did not know after 300 ms. The targets forgot the ends, and the tasks were run again when the owner was back.

Change: - Ends that no job claims stay on their targets while a registered VM is not linked, for at most the longest time that a caller waits. - Heartbeats of a leader carry its clock, and those of a member echo it. Jobs are taken, and links kept, only while the latest echo is at most 500 ms old. A VM submits its jobs once the leader's first heartbeat has come. VMs of an earlier release, which do not echo, are treated as before. - A previous leader is given 800 ms, not 650, to notice that a VM left it: 500 ms for the echo and 250 ms for the VM to return.

--- a/pool-beat.c
+++ b/pool-beat.c
@@ -103,6 +103,7 @@
 	hb->leader = p->lead.row.vm;
 	hb->leader_address = p->lead.row.address;
 	hb->leading = p->leading;
+	hb->clock = p->leading ? (uint64_t)p->now : 0;
 	hb->hears = p->leading || lead_leader_alive(&p->lead, p->now);
 	hb->resigns = p->lead.resigning;
 	hb->store = !p->lead.store_lost;
@@ -148,6 +149,7 @@
 {
 	PoolFrame frame = POOL_FRAME__INIT;
 
+	hb->echo = l->peer_clock;
 	frame.body_case = POOL_FRAME__BODY_BEAT;
 	frame.beat = hb;
 	pool_link_send(l, &frame);
@@ -175,6 +177,7 @@
 	brief.waits = hb->waits;
 	brief.stored = hb->stored;
 	brief.agents = hb->agents;
+	brief.clock = hb->clock;
 	send_beat(l, &brief);
 }
 
--- a/pool-io.h
+++ b/pool-io.h
@@ -192,6 +192,8 @@
 	size_t bulk_rest; /* bytes left of a frame written in part */
 	/* The latest heartbeat that was not brief, in each direction. */
 	PoolBeat *heartbeat;	      /* received; NULL: none */
+	uint64_t peer_clock;	      /* of the latest heartbeat that had it */
+	int greeted;		      /* the leader's first heartbeat came */
 	uint64_t sent_heartbeat_hash; /* of what brief ones leave out */
 	rp_ms sent_heartbeat_at;
 	/* Of a link for starts. */
--- a/pool-member.c
+++ b/pool-member.c
@@ -6,9 +6,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RECONNECT_MS 250      /* time for a member to reconnect */
-#define MEMBER_TIMEOUT_MS 500 /* silence after which its link is closed */
-#define DIAL_INTERVAL_MS 100  /* between attempts to connect to the leader */
+#define RECONNECT_MS 250 /* time for a member to reconnect */
+/*
+ * Age of the latest heartbeat that a member has echoed after which its link is
+ * closed.
+ */
+#define MEMBER_TIMEOUT_MS 500
+#define DIAL_INTERVAL_MS 100 /* between attempts to connect to the leader */
+#define RESUBMIT_MS 300	     /* for a VM that has joined to submit its jobs */
 
 static int is_self(const struct pool *p, const char *vm)
 {
@@ -133,6 +138,8 @@
 			pool_agent_unavailable(p, m);
 		}
 		m->link = l;
+		m->echoes = hello->echoes;
+		m->echoed_at = 0;
 		m->listing_version = hello->listing_version;
 		m->gets_listings = 0;
 		l->member = m;
@@ -140,6 +147,56 @@
 	pool_send_heartbeat(p, l);
 }
 
+/*
+ * When the member certainly followed this leader. Data that has just come does
+ * not show it: a link can deliver it when its sender has closed the link, and
+ * has submitted its jobs to another leader, long ago.
+ */
+static rp_ms followed_at(const struct pool_member *m)
+{
+	if (!m->echoes)
+		return m->link->received_at;
+	return m->echoed_at ? m->echoed_at : m->link->opened_at;
+}
+
+static void echo_received(struct pool_member *m, uint64_t echo, rp_ms now)
+{
+	if (echo <= (uint64_t)now && (rp_ms)echo > m->echoed_at)
+		m->echoed_at = (rp_ms)echo;
+}
+
+/* Whether jobs that come over the link are still those of its member. */
+static int is_current(const struct pool *p, const struct pool_member *m)
+{
+	return !m->echoes ||
+	       (m->echoed_at && p->now - m->echoed_at <= MEMBER_TIMEOUT_MS);
+}
+
+/* The longest time that a caller waits for a job, ms. */
+static rp_ms longest_timeout(const struct pool *p)
+{
+	rp_ms longest = 0;
+	size_t i;
+
+	for (i = 0; p->routes && i < p->routes->n; i++)
+		if (p->routes->routes[i].timeout > longest)
+			longest = p->routes->routes[i].timeout;
+	return longest;
+}
+
+/*
+ * A VM that is not linked may own jobs of an earlier leader, or be a leader
+ * that was cut off and has jobs of its own. It submits them when it joins.
+ */
+static void check_missing_vms(struct pool *p)
+{
+	if (!pool_all_vms_linked(p))
+		p->vm_missing_at = p->now;
+	p->sched.unclaimed_end_wait = p->now - p->vm_missing_at < RESUBMIT_MS
+					      ? longest_timeout(p)
+					      : 0;
+}
+
 /* Closes the links of silent members; removes those that don't reconnect. */
 static void check_members(struct pool *p)
 {
@@ -147,8 +204,7 @@
 
 	for (m = p->members; m; m = next) {
 		next = m->next;
-		if (m->link &&
-		    p->now - m->link->received_at > MEMBER_TIMEOUT_MS)
+		if (m->link && p->now - followed_at(m) > MEMBER_TIMEOUT_MS)
 			pool_link_close(m->link, "member timed out");
 		if (!m->link && p->now - m->disconnected_at > RECONNECT_MS)
 			remove_member(p, m, "did not reconnect");
@@ -182,8 +238,6 @@
 	pool_agent_reset(p);
 	p->leader_link = pool_link_dial(p, p->lead.row.vm, p->lead.row.address,
 					POOL_LINK_MEMBER);
-	if (p->leader_link)
-		pool_requests_resubmit(p);
 }
 
 /* Replaces a silent link, as a TCP connection can fail without an error. */
@@ -221,12 +275,25 @@
 	l->heartbeat->waits = msg->waits;
 	l->heartbeat->stored = msg->stored;
 	l->heartbeat->agents = msg->agents;
+	l->heartbeat->clock = msg->clock;
+	l->heartbeat->echo = msg->echo;
 	return l->heartbeat;
 }
 
-/* Keeps what the leader says of its queues, also after its link is lost. */
+/*
+ * Keeps what the leader says of its queues, also after its link is lost. The
+ * first heartbeat over a link shows that the leader takes jobs over it.
+ */
 static void leader_heartbeat_received(struct pool *p, const PoolBeat *msg)
 {
+	struct pool_link *l = p->leader_link;
+
+	l->peer_clock = msg->clock;
+	if (!l->greeted) {
+		l->greeted = 1;
+		pool_send_heartbeat(p, l);
+		pool_requests_resubmit(p);
+	}
 	if (msg->waits)
 		p->has_stored_jobs = msg->stored || p->accepted_stored_job;
 	pool_beat__free_unpacked(p->leader_heartbeat, NULL);
@@ -263,8 +330,10 @@
 		return;
 	}
 	pool_evacuations_received(p, msg);
-	if (l->member)
+	if (l->member) {
 		l->member->store_reachable = msg->store;
+		echo_received(l->member, msg->echo, p->now);
+	}
 	lead_heartbeat(&p->lead, &hb, p->now);
 	if (l == p->leader_link && msg->leading)
 		leader_heartbeat_received(p, msg);
@@ -289,7 +358,9 @@
 	case POOL_FRAME__BODY_SUBMIT:
 		if (!p->leading || !l->member)
 			break;
-		if (sched_submit_is_valid(frame->submit))
+		if (!is_current(p, l->member))
+			pool_link_close(l, "late submission");
+		else if (sched_submit_is_valid(frame->submit))
 			pool_schedule_job(p, l->member, frame->submit);
 		else
 			pool_link_close(l, "malformed submission");
@@ -392,6 +463,7 @@
 	pool_orders_tick(p, now);
 	if (p->leading) {
 		check_members(p);
+		check_missing_vms(p);
 		pool_check_handover(p);
 	}
 	pool_lead_tick(p, now);
--- a/pool-relay.c
+++ b/pool-relay.c
@@ -62,6 +62,11 @@
 	p->dispatch_due = 1;
 }
 
+int pool_can_submit(const struct pool *p)
+{
+	return p->leading || (p->leader_link && p->leader_link->greeted);
+}
+
 void pool_send_submit(struct pool *p, PoolSubmit *sub)
 {
 	PoolFrame frame = POOL_FRAME__INIT;
@@ -70,8 +75,6 @@
 		pool_schedule_job(p, &p->self, sub);
 		return;
 	}
-	if (!p->leader_link)
-		return; /* pool_requests_resubmit() sends it later */
 	frame.body_case = POOL_FRAME__BODY_SUBMIT;
 	frame.submit = sub;
 	pool_link_send(p->leader_link, &frame);
--- a/pool-request.c
+++ b/pool-request.c
@@ -108,7 +108,7 @@
 	uint64_t fence = p->lead.row.fence;
 	ProtobufCBinaryData specification = r->submit->specification;
 
-	if (!p->leading && !p->leader_link)
+	if (!pool_can_submit(p))
 		return; /* pool_requests_resubmit() submits it later */
 	/*
 	 * The leader that it was sent to before may have started tasks. It has
--- a/pool.h
+++ b/pool.h
@@ -90,6 +90,9 @@
 	uint64_t incarnation;
 	struct pool_link *link; /* NULL: disconnected */
 	rp_ms joined_at, disconnected_at;
+	int echoes; /* it is of a release that echoes the leader's clock */
+	/* When this leader sent the latest heartbeat that it echoed; 0: none */
+	rp_ms echoed_at;
 	uint64_t sent_mark;	 /* of the latest message sent to it */
 	size_t assigned_targets; /* targets that it calls as an agent */
 	int gets_listings;	 /* it is sent changes of the list of targets */
@@ -127,6 +130,8 @@
 void pool_schedule_job(struct pool *p, struct pool_member *m, PoolSubmit *sub);
 /* Whether there is a leader, or there may be one again in time for a job. */
 int pool_leader_expected(const struct pool *p);
+/* Whether there is a leader that takes jobs of this VM now. */
+int pool_can_submit(const struct pool *p);
 /* Sends to the leader, which may be this VM. */
 void pool_send_submit(struct pool *p, PoolSubmit *sub);
 void pool_send_cancel(struct pool *p, uint64_t seq);
@@ -456,6 +461,7 @@
 	int logged_leader_alive; /* as last logged; -1: not yet */
 	rp_ms started_at;
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
+	rp_ms vm_missing_at;   /* this leader had no link to some VM then */
 	struct pool_vm *vms;
 	struct pool_member *members; /* of this leader */
 	struct pool_member self;     /* this VM as owner of its jobs */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -2021,7 +2021,7 @@
   (ProtobufCMessageInit) pool_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[10] =
 {
   {
     "vm",
@@ -2131,9 +2131,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echoes",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, echoes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  9,   /* field[9] = echoes */
   5,   /* field[5] = failure_domain */
   6,   /* field[6] = fence */
   2,   /* field[2] = incarnation */
@@ -2146,7 +2159,7 @@
 static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pool_hello__descriptor =
 {
@@ -2156,7 +2169,7 @@
   "PoolHello",
   "",
   sizeof(PoolHello),
-  9,
+  10,
   pool_hello__field_descriptors,
   pool_hello__field_indices_by_name,
   1,  pool_hello__number_ranges,
@@ -2278,7 +2291,7 @@
   (ProtobufCMessageInit) pool_evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[17] =
 {
   {
     "fence",
@@ -2460,10 +2473,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, clock),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
   13,   /* field[13] = brief */
+  15,   /* field[15] = clock */
+  16,   /* field[16] = echo */
   14,   /* field[14] = evacuations */
   0,   /* field[0] = fence */
   4,   /* field[4] = hears */
@@ -2481,7 +2520,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2491,7 +2530,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  15,
+  17,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -350,10 +350,15 @@
    * The sender knows the list of targets as of this version of the store.
    */
   int64_t listing_version;
+  /*
+   * The sender sets echo in its heartbeats, and submits nothing over the
+   * link before a heartbeat of the leader has come.
+   */
+  protobuf_c_boolean echoes;
 };
 #define POOL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  PoolWaiting
@@ -445,10 +450,18 @@
   protobuf_c_boolean brief;
   size_t n_evacuations;
   PoolEvacuation **evacuations;
+  /*
+   * from the leader: its clock, ms
+   */
+  uint64_t clock;
+  /*
+   * the latest clock that came over the link; 0: none
+   */
+  uint64_t echo;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -51,6 +51,7 @@
 	hello.processor = 250;
 	hello.failure_domain = "z";
 	hello.fence = fence;
+	hello.echoes = 1;
 	frame.body_case = POOL_FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	pool_frame_received(&l, &frame);
@@ -75,3 +76,96 @@
 	/* The VM learns of the present term, in case it is not late. */
 	cr_assert_gt(l.urgent.len, 0);
 }
+
+/* A heartbeat of the member, which has received the leader's of this time. */
+static void receive_echo(rp_ms clock)
+{
+	PoolBeat *beat = calloc(1, sizeof(*beat));
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	pool_beat__init(beat);
+	beat->fence = p.lead.row.fence;
+	beat->echo = (uint64_t)clock;
+	frame.body_case = POOL_FRAME__BODY_BEAT;
+	frame.beat = beat;
+	pool_frame_received(&l, &frame);
+	if (frame.body_case == POOL_FRAME__BODY_BEAT)
+		free(beat);
+}
+
+static void receive_job(void)
+{
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	step.tasks = 1;
+	step.cpu = 1000;
+	step.estimate_ms = 100;
+	sub.seq = 1;
+	sub.id = "0000000000000001";
+	sub.queue = "q";
+	sub.service = "svc";
+	sub.left_ms = 1500;
+	sub.n_steps = 1;
+	sub.steps = &steps;
+	frame.body_case = POOL_FRAME__BODY_SUBMIT;
+	frame.submit = &sub;
+	l.closed = 0;
+	pool_frame_received(&l, &frame);
+}
+
+/* Reads the job without the policy for admission, which needs targets. */
+static void join(void)
+{
+	const struct sched_policies all = { .admit = "all" };
+
+	sched_finish(&p.sched);
+	sched_init(&p.sched, &no_ops, &p, &all, p.lead.row.fence, 1000, p.now);
+	receive_hello(LEAD_TOKEN(3));
+}
+
+Test(pool_member, a_job_of_a_member_that_echoes_is_taken)
+{
+	join();
+	receive_echo(p.now);
+	p.now += 300;
+	receive_job();
+	cr_assert_eq(p.sched.njobs, 1);
+}
+
+/*
+ * The link was silent for 1.7 s and delivers what was sent meanwhile. The owner
+ * has submitted the job to another leader, which has run it. Guards against
+ * running it a second time.
+ */
+Test(pool_member, a_job_that_comes_late_is_not_taken)
+{
+	join();
+	receive_echo(p.now);
+	p.now += 1700;
+	l.received_at = p.now;
+	receive_job();
+	cr_assert_eq(p.sched.njobs, 0);
+	cr_assert(l.closed);
+}
+
+/* The same, with a link that was opened while the network was silent. */
+Test(pool_member, a_job_before_the_first_echo_is_not_taken)
+{
+	join();
+	receive_job();
+	cr_assert_eq(p.sched.njobs, 0);
+	cr_assert(l.closed);
+}
+
+/* Data that arrives late keeps a link alive, but not the jobs of its member. */
+Test(pool_member, a_member_whose_echoes_are_old_is_removed)
+{
+	receive_hello(LEAD_TOKEN(3));
+	receive_echo(p.now);
+	p.now += 600;
+	l.received_at = p.now;
+	pool_members_tick(&p, p.now);
+	cr_assert_null(l.member);
+}
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -491,3 +491,51 @@
 	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
 	end_world();
 }
+
+/*
+ * A leader finds ends of tasks whose job it does not know: its entry VM is cut
+ * off or frozen. Another leader follows, and then the VM submits the job again.
+ * Guards against acknowledging the ends meanwhile: the targets forget them, and
+ * the tasks run a second time.
+ */
+Test(sched_takeover, ends_of_a_vm_that_is_not_connected_are_kept)
+{
+	struct sched third;
+	struct world_job *job;
+
+	begin_world(4);
+	job = world_submit(&w, "q", 4, 100, 1, 1500);
+	world_run_until(&w, w.now + 50);
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	second.unclaimed_end_wait = 1500;
+	world_run_until(&w, w.now + 600);
+	sched_finish(&second);
+	world_drop_calls(&w, &second);
+	world_start_sched(&w, &third, NULL, LEAD_TOKEN(3));
+	world_resubmit(&w);
+	world_run_until(&w, w.now + 500);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 4);
+	end_world();
+}
+
+/* Guards against targets that keep ends for good. */
+Test(sched_takeover, ends_that_no_job_claims_are_acknowledged_in_the_end)
+{
+	size_t i, kept = 0;
+
+	begin_world(4);
+	world_submit(&w, "q", 4, 100, 1, 1500)->answered = 1;
+	world_run_until(&w, w.now + 50);
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	second.unclaimed_end_wait = 1500;
+	world_run_until(&w, w.now + 2500);
+	for (i = 0; i < 4; i++)
+		kept += w.targets[i].nends;
+	cr_assert_eq(kept, 0);
+	end_world();
+}
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -26,10 +26,11 @@
 
 /*
  * Time beyond the length of a lease in which a previous leader notices that a
- * job's entry VM left it. It then stops the job's runs or, if it cannot, lets
- * their lease lapse.
+ * job's entry VM left it: it closes the link 500 ms after the latest heartbeat
+ * that the VM has echoed, and drops the VM's jobs 250 ms later. It then stops
+ * the job's runs or, if it cannot, lets their lease lapse.
  */
-#define PREV_LEADER_STOP_MS 650
+#define PREV_LEADER_STOP_MS 800
 
 /* Records a run on the target. Returns NULL if this scheduler started it. */
 static struct sched_orphan *add_orphan(struct sched_target *t,
@@ -281,23 +282,43 @@
 	claim_orphans(t);
 }
 
+/*
+ * Whether the orphan has succeeded, and its job may be submitted again by an
+ * entry VM that is not connected now. The target's list is then all that keeps
+ * the task from being run a second time by whoever leads next.
+ */
+static int keeps_end(const struct sched *s, struct sched_orphan *o)
+{
+	if (!o->number || o->how != SCHED_END_DONE || !s->unclaimed_end_wait ||
+	    sched_history_is_settled(s, job_id_of(str_of(o->name))))
+		return 0;
+	if (!o->kept_until)
+		o->kept_until = s->now + s->unclaimed_end_wait;
+	return s->now < o->kept_until;
+}
+
+static void stop_orphan(struct sched_target *t, const struct sched_orphan *o)
+{
+	if (!o->number) {
+		t->s->count.orphans++;
+		t->s->ops->stop(t->s, t, str_of(o->name), o->run);
+		return;
+	}
+	if (o->how == SCHED_END_DONE)
+		sched_released_add(t->s, o->name);
+	sched_unacked_resolve(t, o->number, NULL, 0, 0);
+}
+
 static void stop_orphans(struct sched_target *t)
 {
 	size_t i;
 
-	for (i = 0; i < t->norphans; i++) {
-		const struct sched_orphan *o = &t->orphans[i];
-
-		if (o->number) {
-			if (o->how == SCHED_END_DONE)
-				sched_released_add(t->s, o->name);
-			sched_unacked_resolve(t, o->number, NULL, 0, 0);
+	for (i = t->norphans; i-- > 0;) {
+		if (keeps_end(t->s, &t->orphans[i]))
 			continue;
-		}
-		t->s->count.orphans++;
-		t->s->ops->stop(t->s, t, str_of(o->name), o->run);
+		stop_orphan(t, &t->orphans[i]);
+		remove_orphan(t, i);
 	}
-	t->norphans = 0;
 }
 
 /* Whether fence is the token of the regular leader of the term before. */
--- a/sched-past.c
+++ b/sched-past.c
@@ -85,6 +85,7 @@
 	memcpy(rec->id, job->id, sizeof(rec->id));
 	rec->digest = job->specification_hash;
 	rec->next_run = job->next_run + 1;
+	rec->owner_lost = job->owner_lost;
 	rec->ntasks = job->ntasks;
 	for (i = 0; i < job->ntasks; i++)
 		rec->done[i] = job->tasks[i].state == SCHED_DONE;
@@ -99,6 +100,14 @@
 	apr_hash_set(s->history, rec->id, APR_HASH_KEY_STRING, rec);
 }
 
+int sched_history_is_settled(const struct sched *s, struct rp_str job_id)
+{
+	const struct sched_history *rec =
+		apr_hash_get(s->history, job_id.ptr, (apr_ssize_t)job_id.len);
+
+	return rec && !rec->owner_lost;
+}
+
 void sched_history_restore(struct sched_job *job)
 {
 	struct sched *s = job->s;
--- a/scheduler.h
+++ b/scheduler.h
@@ -207,6 +207,7 @@
 	uint32_t next_run; /* run number that a resubmission starts with */
 	struct sched_history_loss *losses;
 	size_t nlosses;
+	int owner_lost; /* the job may come again, from another entry VM */
 	size_t ntasks;
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
@@ -324,6 +325,7 @@
 	uint32_t run;
 	uint64_t number; /* of its end; 0: it is running */
 	enum sched_end_how how;
+	rp_ms kept_until; /* its end is not acknowledged before; 0: not set */
 };
 
 struct sched_target {
@@ -568,6 +570,12 @@
 	int suspended;		/* nothing is sent to targets */
 	/* The previous scheduler may hold targets that are not listed. */
 	int prev_may_hold_unlisted;
+	/*
+	 * Time for which the end of a task that no job claims is kept on its
+	 * target, as an entry VM that is not connected may own the job; 0: all
+	 * are connected.
+	 */
+	rp_ms unclaimed_end_wait;
 	apr_pool_t *pool;
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
