Election without the store: domains that have healed or were restarted have a leader

And three domains stand without a leader, as the answers of VMs that were restarted without the store do not count, and a claim to a silent store is awaited for a second.

Ruled out: a higher token that nobody holds. The targets were listed and dropped because they are of domains that the leader does not lead.

Change: a provisional leader probes, and takes domains that have no leader, or the next term. VMs that know no token answer probes. Domains whose VMs all answer elect a leader without a majority of all. Targets outside are called at the same time as the VMs, and a claim is awaited for 150 ms. A VM answers a probe once, also when it probes itself.

Four tests of elections fail without the change.

--- a/lead-core.c
+++ b/lead-core.c
@@ -1,6 +1,7 @@
 /* Election, succession and resignation of the pool's leader. */
 
 #include "lead.h"
+#include "rosemary-int.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -180,34 +181,141 @@
 					      : LEAD_RENEWAL_TIMEOUT_MS);
 }
 
+/*
+ * Whether this VM and those that answered the probe without hearing the leader
+ * are more than half of the entry VMs.
+ */
+static int has_majority(const struct lead *l)
+{
+	return l->nothers && (l->nnot_hearing + 1) * 2 > l->nothers + 1;
+}
+
+static int store_is_usable(const struct lead *l)
+{
+	return !l->store_lost && !l->store_failing;
+}
+
+static void back_off(struct lead *l, rp_ms now)
+{
+	l->phase = LEAD_IDLE;
+	l->retry_at = now + LEAD_BACKOFF_MS;
+}
+
+static void lead_provisionally(struct lead *l, int all_domains, rp_ms now)
+{
+	l->all_domains = all_domains;
+	if (!LEAD_IS_PROVISIONAL(l->row.fence))
+		l->prev_row = l->row;
+	l->row.fence = LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
+	l->row.incarnation = l->incarnation;
+	snprintf(l->row.vm, sizeof(l->row.vm), "%s", l->vm);
+	snprintf(l->row.address, sizeof(l->row.address), "%s", l->address);
+	apply_row(l, now);
+	l->probed_at = now;
+}
+
+/*
+ * Leads without the store if what has answered allows it. Returns whether it
+ * does.
+ */
+static int try_to_lead_provisionally(struct lead *l, rp_ms now)
+{
+	int majority = has_majority(l);
+
+	if (!l->own_row_version || l->nhearing ||
+	    !(majority || l->outside_reachable == 0 ||
+	      (l->nnot_hearing && l->ops->domains_answered(l))))
+		return 0;
+	lead_provisionally(l, majority, now);
+	return 1;
+}
+
+static void finish_probe_without_store(struct lead *l, rp_ms now)
+{
+	if (try_to_lead_provisionally(l, now))
+		return;
+	if (l->outside_reachable < 0)
+		l->phase = LEAD_CHECKING_REACHABILITY;
+	else
+		back_off(l, now);
+}
+
+/*
+ * The probe of a provisional leader: if nobody else leads the VMs that have
+ * answered, this VM does.
+ */
+static void finish_provisional_probe(struct lead *l, rp_ms now)
+{
+	l->phase = LEAD_IDLE;
+	if (l->nhearing || !l->nnot_hearing || !l->ops->domains_answered(l))
+		return;
+	if (store_is_usable(l)) {
+		if (now >= l->retry_at)
+			start_claim(l, now);
+		return;
+	}
+	if (has_majority(l))
+		l->all_domains = 1;
+	l->ops->domains_added(l);
+}
+
 /* Decides by the answers to the probe whether to claim. */
 static void finish_probe(struct lead *l, rp_ms now)
 {
 	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
 
-	if (!l->nhearing && (l->store_lost || l->store_failing) &&
-	    l->own_row_version && !l->claims_disabled) {
-		l->phase = LEAD_CHECKING_REACHABILITY;
-		l->phase_at = now;
-		l->ops->check_reachability(l);
+	if (l->role == LEAD_LEADING) {
+		finish_provisional_probe(l, now);
+		return;
+	}
+	if (!l->nhearing && !store_is_usable(l) && l->own_row_version &&
+	    !l->claims_disabled) {
+		finish_probe_without_store(l, now);
 		return;
 	}
 	if (l->nhearing || l->store_lost ||
 	    (isolated && may_be_renewing(l, now))) {
-		l->phase = LEAD_IDLE;
-		l->retry_at = now + LEAD_BACKOFF_MS;
+		back_off(l, now);
 		return;
 	}
 	start_claim(l, now);
+	l->claims_after_probe = l->phase == LEAD_CLAIMING;
+}
+
+/* Whether the VM has answered this probe already. Records that it has. */
+static int has_answered(struct lead *l, const char *vm)
+{
+	uint64_t hash = str_hash(str_of(vm));
+	unsigned i, n = l->nhearing + l->nnot_hearing;
+
+	for (i = 0; i < n && i < LEAD_ANSWERS_MAX; i++)
+		if (l->answers[i] == hash)
+			return 1;
+	if (n < LEAD_ANSWERS_MAX)
+		l->answers[n] = hash;
+	return 0;
 }
 
 /*
- * Whether this VM and those that answered the probe without hearing the leader
- * are more than half of the entry VMs.
+ * A VM that knows a lower token does not hear the leader of this one. It may
+ * have just started, and know none at all.
  */
-static int has_majority(const struct lead *l)
+static void count_answer(struct lead *l, const struct lead_heartbeat *hb,
+			 rp_ms now)
 {
-	return l->nothers && (l->nnot_hearing + 1) * 2 > l->nothers + 1;
+	int behind = hb->fence < l->row.fence;
+
+	if (l->phase != LEAD_PROBING ||
+	    (behind && hb->hears_leader && l->role != LEAD_LEADING) ||
+	    has_answered(l, hb->vm))
+		return;
+	if (hb->hears_leader && (behind || l->role != LEAD_LEADING))
+		l->nhearing++;
+	else
+		l->nnot_hearing++;
+	/* The other answers would not change the decision. */
+	if (!l->nhearing && has_majority(l) && l->role != LEAD_LEADING)
+		finish_probe(l, now);
 }
 
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now)
@@ -216,21 +324,12 @@
 		follow_leader(l, hb, now);
 	else if (hb->fence > l->row.fence)
 		return;
-	if (hb->fence < l->row.fence)
-		return;
-	if (hb->leading && l->role == LEAD_FOLLOWING) {
+	if (hb->leading && l->role == LEAD_FOLLOWING &&
+	    hb->fence == l->row.fence) {
 		leader_heartbeat_received(l, hb, now);
 		return;
 	}
-	if (l->phase != LEAD_PROBING)
-		return;
-	if (hb->hears_leader)
-		l->nhearing++;
-	else
-		l->nnot_hearing++;
-	/* The other answers would not change the decision. */
-	if (!l->nhearing && has_majority(l))
-		finish_probe(l, now);
+	count_answer(l, hb, now);
 }
 
 void lead_connection_refused(struct lead *l, rp_ms now)
@@ -250,6 +349,7 @@
 		return;
 	snprintf(row.vm, sizeof(row.vm), "%s", l->vm);
 	snprintf(row.address, sizeof(row.address), "%s", l->address);
+	l->claims_after_probe = 0;
 	l->phase = LEAD_CLAIMING;
 	l->phase_at = now;
 	l->ops->claim(l, &row, l->row.version);
@@ -258,28 +358,23 @@
 static void start_probe(struct lead *l, rp_ms now)
 {
 	l->phase = LEAD_PROBING;
-	l->phase_at = now;
+	l->phase_at = l->probed_at = now;
 	l->nhearing = l->nnot_hearing = 0;
+	l->outside_reachable = -1;
 	l->ops->probe(l);
+	if (l->role != LEAD_LEADING)
+		l->ops->check_reachability(l);
 }
 
 void lead_reachability_result(struct lead *l, int outside, rp_ms now)
 {
+	l->outside_reachable = outside;
 	if (l->phase != LEAD_CHECKING_REACHABILITY)
 		return;
-	l->phase = LEAD_IDLE;
-	l->retry_at = now + LEAD_BACKOFF_MS;
-	if (l->role != LEAD_FOLLOWING || lead_leader_alive(l, now) ||
-	    (outside && !has_majority(l)))
-		return;
-	l->all_domains = outside;
-	if (!LEAD_IS_PROVISIONAL(l->row.fence))
-		l->prev_row = l->row;
-	l->row.fence = LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
-	l->row.incarnation = l->incarnation;
-	snprintf(l->row.vm, sizeof(l->row.vm), "%s", l->vm);
-	snprintf(l->row.address, sizeof(l->row.address), "%s", l->address);
-	apply_row(l, now);
+	if (l->role == LEAD_FOLLOWING && !lead_leader_alive(l, now))
+		finish_probe_without_store(l, now);
+	else
+		back_off(l, now);
 }
 
 /* Stops leading. Probes only after a delay, so that a successor is heard. */
@@ -311,6 +406,12 @@
 	if (l->phase == LEAD_CLAIMING &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
+	/* The store is slow or silent. If the claim succeeds, it raises the
+	 * token. */
+	if (l->phase == LEAD_CLAIMING && l->role == LEAD_FOLLOWING &&
+	    l->claims_after_probe && !lead_leader_alive(l, now) &&
+	    now - l->phase_at >= LEAD_CLAIM_PATIENCE_MS)
+		try_to_lead_provisionally(l, now);
 	if (l->phase == LEAD_CHECKING_REACHABILITY &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
@@ -318,13 +419,16 @@
 	if (lead_is_provisional(l) && l->all_domains && !l->store_lost &&
 	    !l->claims_disabled && l->phase == LEAD_IDLE && now >= l->retry_at)
 		start_claim(l, now);
-	if (l->role != LEAD_FOLLOWING || now < l->retry_at)
-		return;
+	if (lead_is_provisional(l) && l->phase == LEAD_IDLE &&
+	    now - l->probed_at >= LEAD_PROVISIONAL_PROBE_INTERVAL_MS)
+		start_probe(l, now);
 	if (l->phase == LEAD_PROBING) {
 		if (now - l->phase_at >= LEAD_PROBE_TIMEOUT_MS)
 			finish_probe(l, now);
 		return;
 	}
+	if (l->role != LEAD_FOLLOWING || now < l->retry_at)
+		return;
 	if (l->phase != LEAD_IDLE || l->claims_disabled)
 		return;
 	if (!l->row.fence || row_is_earlier_process(l)) {
--- a/lead.h
+++ b/lead.h
@@ -13,12 +13,19 @@
  * A leader is replaced when it resigns, or when its heartbeats stop and no
  * reachable entry VM receives them.
  *
- * There are two cases of a provisional leader, elected without the store:
+ * There are three cases of a provisional leader, elected without the store:
  * - A failure domain that is cut off from the store and from all other
- *   domains. One of its VMs leads the domain's own targets until it receives
- *   heartbeats of the regular leader again.
+ *   domains. One of its VMs leads the domain's own targets.
+ * - Some failure domains whose VMs all reach each other. One of them leads the
+ *   targets of these domains. VMs that are a part of their domain only do not
+ *   lead: the other part may have a leader, which uses the same targets.
  * - A majority of the entry VMs that has lost both leader and store. One of
- *   them leads all targets until the store is back.
+ *   them leads all targets.
+ *
+ * A provisional leader probes the other VMs from time to time. Once VMs of
+ * other domains answer and none of them hears another leader, it leads their
+ * targets too, or claims the next term if the store is back. If one does, that
+ * leader is told of this one, and claims the next term.
  *
  * The upper half of a fencing token is the term: the number of leaders elected
  * through the store. The lower half is 0 for a regular leader and tells the
@@ -40,6 +47,8 @@
 #define LEAD_PROBE_TIMEOUT_MS 100
 /* Time after which a claim without a result is abandoned. */
 #define LEAD_CLAIM_TIMEOUT_MS 1000
+/* Time for which a claim is awaited before leading provisionally. */
+#define LEAD_CLAIM_PATIENCE_MS 150
 /* Interval at which the leader renews its row in the store. */
 #define LEAD_RENEW_INTERVAL_MS 500
 /* Time without renewal after which a VM that reaches no other one claims. */
@@ -50,6 +59,10 @@
 #define LEAD_BACKOFF_MS 300
 /* Highest rank within a failure domain that is told apart. */
 #define LEAD_DOMAIN_RANK_MAX 5
+/* Interval at which a provisional leader probes the other VMs. */
+#define LEAD_PROVISIONAL_PROBE_INTERVAL_MS 400
+/* VMs whose answers to a probe are told apart. */
+#define LEAD_ANSWERS_MAX 256
 /* Number of successors that the leader names in its heartbeats. */
 #define LEAD_SUCCESSORS 3
 /* Delay of a first claim while larger VMs exist, which are preferred. */
@@ -105,6 +118,13 @@
 	 * reports it through lead_reachability_result().
 	 */
 	void (*check_reachability)(struct lead *l);
+	/*
+	 * Whether VMs of another failure domain have answered the probe, and
+	 * each domain that has answered has answered as a whole.
+	 */
+	int (*domains_answered)(struct lead *l);
+	/* This provisional leader leads more failure domains than before. */
+	void (*domains_added)(struct lead *l);
 	/* Has the store confirm this VM's row, for lead_confirmed(). */
 	void (*confirm)(struct lead *l);
 	/* The role or the known leader has changed. */
@@ -147,7 +167,11 @@
 	/* VMs that answered the probe, by whether they hear the leader. */
 	unsigned nhearing;
 	unsigned nnot_hearing;
-	int resigning; /* leads until a successor takes over */
+	uint64_t answers[LEAD_ANSWERS_MAX]; /* hashes of the VMs' names */
+	rp_ms probed_at;		    /* the last probe */
+	int outside_reachable;	/* by the check; -1: it has no result yet */
+	int claims_after_probe; /* the claim is one of a VM that probed */
+	int resigning;		/* leads until a successor takes over */
 	/* A leader was paused then, and does nothing until confirmed. */
 	rp_ms confirming_since; /* 0: it may act */
 	int connection_refused; /* nothing listens at the leader's address */
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -58,11 +58,61 @@
 static void on_probe(struct lead *l)
 {
 	struct pool *p = l->user;
+	struct pool_vm *vm;
 
 	LOG_EVENT(LOG_LEVEL_WARN, "probe", LOG_TEXT("leader", l->row.vm),
 		  LOG_NUMBER("fence", (long long)l->row.fence),
 		  LOG_NUMBER("silent_ms", p->now - l->heartbeat_at));
-	pool_dial_all(p, 0);
+	for (vm = p->vms; vm; vm = vm->next)
+		vm->answered = vm->refused = 0;
+	/* A VM that has just started may know of no leader, and no other VM. */
+	pool_dial_all(p, 1);
+}
+
+static int domain_answered_as_a_whole(const struct pool *p, const char *domain)
+{
+	const struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next)
+		if (!strcmp(vm->failure_domain, domain) && !vm->answered &&
+		    !vm->refused && strcmp(vm->vm, p->set.vm_name) != 0)
+			return 0;
+	return 1;
+}
+
+static int on_domains_answered(struct lead *l)
+{
+	const struct pool *p = l->user;
+	const struct pool_vm *vm;
+	int others = 0;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		if (!vm->answered)
+			continue;
+		if (!domain_answered_as_a_whole(p, vm->failure_domain))
+			return 0;
+		others |= strcmp(vm->failure_domain, p->set.failure_domain) !=
+			  0;
+	}
+	return others && domain_answered_as_a_whole(p, p->set.failure_domain);
+}
+
+int pool_leads_domain(const struct pool *p, const char *domain)
+{
+	const struct pool_vm *vm;
+
+	if (!lead_is_provisional(&p->lead) || p->lead.all_domains ||
+	    !strcmp(domain, p->set.failure_domain))
+		return 1;
+	for (vm = p->vms; vm; vm = vm->next)
+		if (vm->answered && !strcmp(vm->failure_domain, domain))
+			return 1;
+	return 0;
+}
+
+static void on_domains_added(struct lead *l)
+{
+	pool_list_cached_targets(l->user);
 }
 
 static void on_check_reachability(struct lead *l)
@@ -148,6 +198,8 @@
 	.claim = on_claim,
 	.probe = on_probe,
 	.check_reachability = on_check_reachability,
+	.domains_answered = on_domains_answered,
+	.domains_added = on_domains_added,
 	.confirm = on_confirm,
 	.changed = on_changed,
 };
--- a/pool-member.c
+++ b/pool-member.c
@@ -13,7 +13,8 @@
  */
 #define MEMBER_TIMEOUT_MS 500
 #define DIAL_INTERVAL_MS 100 /* between attempts to connect to the leader */
-#define RESUBMIT_MS 300	     /* for a VM that has joined to submit its jobs */
+#define LEARNED_VMS_MAX 256
+#define RESUBMIT_MS 300 /* for a VM that has joined to submit its jobs */
 
 static int is_self(const struct pool *p, const char *vm)
 {
@@ -65,6 +66,16 @@
 	return NULL;
 }
 
+static struct pool_vm *find_vm(struct pool *p, const char *name)
+{
+	struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next)
+		if (!strcmp(vm->vm, name))
+			return vm;
+	return NULL;
+}
+
 int pool_all_vms_linked(struct pool *p)
 {
 	struct pool_vm *vm;
@@ -115,6 +126,20 @@
 	return 0;
 }
 
+/*
+ * A VM that starts while the store is away learns of the others from those that
+ * dial it, until it has read their rows.
+ */
+static void learn_vm(struct pool *p, const PoolHello *hello)
+{
+	if (p->vms_read || p->nlearned_vms == LEARNED_VMS_MAX ||
+	    is_self(p, hello->vm) || find_vm(p, hello->vm))
+		return;
+	p->nlearned_vms++;
+	pool_vm_update(p, hello);
+	find_vm(p, hello->vm)->learned = 1;
+}
+
 static void on_hello(struct pool_link *l, const PoolHello *hello)
 {
 	struct pool *p = l->p;
@@ -125,6 +150,7 @@
 	l->starts = hello->starts;
 	if (l->starts)
 		return;
+	learn_vm(p, hello);
 	if (p->leading && !l->probe && is_for_this_term(l, hello)) {
 		m = pool_find_member(p, hello->vm);
 		if (m && m->incarnation != hello->incarnation) {
@@ -305,9 +331,13 @@
 	struct pool *p = l->p;
 	const PoolBeat *msg = complete_heartbeat(l, frame);
 	struct lead_heartbeat hb;
+	struct pool_vm *vm;
 
 	if (!msg)
 		return;
+	vm = find_vm(p, msg->vm);
+	if (vm && (!msg->hears || msg->fence == p->lead.row.fence))
+		vm->answered = 1;
 	hb = (struct lead_heartbeat){
 		.fence = msg->fence,
 		.vm = msg->vm,
@@ -427,7 +457,10 @@
 void pool_link_on_close(struct pool_link *l, const char *reason, int refused)
 {
 	struct pool *p = l->p;
+	struct pool_vm *vm = find_vm(p, l->peer);
 
+	if (vm && refused)
+		vm->refused = 1;
 	if (l == p->leader_link) {
 		p->leader_link = NULL;
 		LOG_EVENT(LOG_LEVEL_WARN, "link_lost",
@@ -525,9 +558,7 @@
 {
 	struct pool_vm *vm;
 
-	for (vm = p->vms; vm; vm = vm->next)
-		if (!strcmp(vm->vm, hello->vm))
-			break;
+	vm = find_vm(p, hello->vm);
 	if (!vm) {
 		vm = calloc(1, sizeof(*vm));
 		vm->next = p->vms;
@@ -538,9 +569,22 @@
 	str_copy(vm->failure_domain, sizeof(vm->failure_domain),
 		 str_of(hello->failure_domain));
 	vm->processor = hello->processor;
+	vm->learned = 0;
 	count_vms(p);
 }
 
+void pool_vms_read(struct pool *p)
+{
+	struct pool_vm *vm, *next;
+
+	p->vms_read = 1;
+	for (vm = p->vms; vm; vm = next) {
+		next = vm->next;
+		if (vm->learned)
+			pool_vm_remove(p, vm->vm);
+	}
+}
+
 void pool_vm_remove(struct pool *p, const char *name)
 {
 	struct pool_vm **at = &p->vms, *vm;
--- a/pool-store.c
+++ b/pool-store.c
@@ -105,6 +105,7 @@
 {
 	struct lead_row none = { .fence = 0 };
 
+	pool_vms_read(w->p);
 	if (w->p->lead.role == LEAD_UNKNOWN)
 		lead_row_read(&w->p->lead, &none, w->p->now);
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -429,8 +429,7 @@
 {
 	if (!p->leading)
 		return;
-	if (lead_is_provisional(&p->lead) && !p->lead.all_domains &&
-	    strcmp(l->failure_domain, p->set.failure_domain) != 0)
+	if (!pool_leads_domain(p, l->failure_domain))
 		return;
 	sched_target_listed(&p->sched, l, p->now);
 	p->dispatch_due = 1;
@@ -445,8 +444,7 @@
 	pool_sched_target_listed(p, &l);
 }
 
-/* Passes the cached listings to the scheduler, as the store is unreachable. */
-static void list_cached_targets(struct pool *p)
+void pool_list_cached_targets(struct pool *p)
 {
 	apr_hash_index_t *i;
 	void *value;
@@ -480,7 +478,7 @@
 	pool_evacuations_begin(p);
 	if (!lead_is_provisional(&p->lead))
 		return;
-	list_cached_targets(p);
+	pool_list_cached_targets(p);
 	sched_targets_cached(&p->sched);
 }
 
--- a/pool.h
+++ b/pool.h
@@ -111,6 +111,9 @@
 	char address[RP_ADDRESS_MAX];
 	char failure_domain[RP_NAME_MAX];
 	int64_t processor; /* thousandths of a core of nominal speed */
+	/* To the latest probe: it answered; nothing listens at its address. */
+	int answered, refused;
+	int learned; /* from itself, not from its row in the store */
 };
 
 /* Number of VMs in the VM's failure domain that are to lead it before. */
@@ -123,6 +126,8 @@
 /* Adds, changes or removes an entry VM, as its row in the store says. */
 void pool_vm_update(struct pool *p, const PoolHello *hello);
 void pool_vm_remove(struct pool *p, const char *vm);
+/* All rows were read: forgets the VMs that have none. */
+void pool_vms_read(struct pool *p);
 void pool_frame_received(struct pool_link *l, PoolFrame *frame);
 /* refused: the connection was refused, so nothing listens there. */
 void pool_link_on_close(struct pool_link *l, const char *reason, int refused);
@@ -176,6 +181,8 @@
 
 void pool_lead_init(struct pool *p);
 void pool_lead_tick(struct pool *p, rp_ms now);
+/* Whether the targets of the failure domain are this leader's. */
+int pool_leads_domain(const struct pool *p, const char *domain);
 /* Resigns when a member is better suited to lead. */
 void pool_check_handover(struct pool *p);
 
@@ -247,6 +254,8 @@
 
 /* Calls targets of other failure domains, for lead_reachability_result(). */
 void pool_check_reachability(struct pool *p);
+/* Passes the known listings of the domains that this VM leads. */
+void pool_list_cached_targets(struct pool *p);
 /* Passes a listing to the scheduler if this VM leads its failure domain. */
 void pool_sched_target_listed(struct pool *p, const struct sched_listing *l);
 
@@ -461,6 +470,8 @@
 	int logged_leader_alive; /* as last logged; -1: not yet */
 	rp_ms started_at;
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
+	int vms_read;	       /* the rows of all VMs were read */
+	size_t nlearned_vms;   /* VMs that were learned of otherwise */
 	rp_ms vm_missing_at;   /* this leader had no link to some VM then */
 	struct pool_vm *vms;
 	struct pool_member *members; /* of this leader */
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -80,6 +80,28 @@
 	lead_reachability_result(l, outside_answers, now);
 }
 
+/* Whether VMs 0 to 2 and VMs 3 and 4, which are domains, reach each other. */
+static int on_domains_answered(struct lead *l)
+{
+	int i, n = 0, whole[2] = { 1, 1 };
+
+	for (i = 0; i < VMS; i++) {
+		int reached = vms[i].up && !cut[index_of(l)][i];
+
+		n += reached && (i >= 3) != (index_of(l) >= 3);
+		whole[i >= 3] &= reached;
+	}
+	return n && whole[0] && whole[1];
+}
+
+static int domains_added;
+
+static void on_domains_added(struct lead *l)
+{
+	(void)l;
+	domains_added++;
+}
+
 /* The store tells whether the row still names the VM. */
 static void on_confirm(struct lead *l)
 {
@@ -96,6 +118,8 @@
 	.claim = on_claim,
 	.probe = on_probe,
 	.check_reachability = on_check_reachability,
+	.domains_answered = on_domains_answered,
+	.domains_added = on_domains_added,
 	.changed = on_changed,
 };
 
@@ -676,3 +700,122 @@
 		lead_tick(l, now);
 	cr_assert_eq(l->role, LEAD_FOLLOWING);
 }
+
+/*
+ * The regular leader was restarted while its domain's neighbours were cut off,
+ * and nobody claimed: a provisional leader of one domain was followed by all
+ * and used the targets of its own domain only, to the end. Guards against that.
+ */
+Test(lead, a_provisional_leader_claims_when_nobody_else_leads)
+{
+	int i, old;
+
+	move_lead_outside();
+	old = find_leader();
+	outside_answers = 0;
+	cut_domain(1);
+	run_for(1500);
+	for (i = 0; i < 3; i++)
+		cut[i][STORE] = 1;
+	vms[old].up = 0;
+	run_for(300);
+	start_vm(old);
+	cut_domain(0);
+	for (i = 0; i < VMS; i++)
+		cut[i][STORE] = 1;
+	run_for(3000);
+	for (i = 0; i < VMS; i++)
+		cut[i][STORE] = 0;
+	run_for(2000);
+	cr_assert_eq(count_leaders(), 1);
+	cr_assert_geq(find_leader(), 0);
+	cr_assert_not(LEAD_IS_PROVISIONAL(row.fence));
+}
+
+/* The same without the store: it leads the other domains' targets too. */
+Test(lead, a_provisional_leader_takes_domains_that_have_none)
+{
+	int i, old;
+
+	move_lead_outside();
+	old = find_leader();
+	outside_answers = 0;
+	for (i = 0; i < VMS; i++)
+		cut[i][STORE] = 1;
+	cut_domain(1);
+	run_for(3000);
+	vms[old].up = 0;
+	run_for(50);
+	start_vm(old);
+	cut_domain(0);
+	for (i = 3; i < VMS; i++)
+		cut[i][STORE] = 1;
+	domains_added = 0;
+	run_for(1500);
+	cr_assert_eq(count_leaders(), 1);
+	cr_assert_gt(domains_added, 0);
+}
+
+/* Lets VM 3 or 4 lead, by restarting the others. */
+static void move_lead_inside(void)
+{
+	int i;
+
+	for (i = 0; i < 3; i++)
+		vms[i].up = 0;
+	run_for(LEAD_RENEWAL_TIMEOUT_MS + 3000);
+	for (i = 0; i < 3; i++)
+		start_vm(i);
+	run_for(1000);
+	cr_assert_geq(find_leader(), 3);
+	takeovers = 0;
+}
+
+/*
+ * The leader's domain is cut off while the store is away. Two of the three VMs
+ * that are left have been restarted meanwhile and know no leader. Three domains
+ * were without a leader for 5 s, as their answers did not count.
+ */
+Test(lead, restarted_vms_do_not_prevent_an_election)
+{
+	int i, leaders = 0;
+
+	move_lead_inside();
+	for (i = 0; i < VMS; i++)
+		cut[i][STORE] = 1;
+	run_for(1500);
+	cut_domain(1);
+	for (i = 3; i < VMS; i++)
+		cut[i][STORE] = 1;
+	for (i = 1; i < 3; i++) {
+		start_vm(i);
+		vms[i].lead.own_row_version = 0;
+	}
+	run_for(1500);
+	for (i = 0; i < 3; i++)
+		leaders += vms[i].lead.role == LEAD_LEADING;
+	cr_assert_eq(leaders, 1);
+}
+
+/* A claim to a store that does not answer must not delay a cut domain. */
+Test(lead, a_cut_domain_does_not_wait_for_a_silent_store)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+	struct lead *l = &vms[0].lead;
+
+	snprintf(leader.vm, sizeof(leader.vm), "leader");
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 6);
+	l->own_row_version = 100;
+	l->nothers = 1;
+	lead_row_read(l, &leader, 1000);
+	outside_answers = 0;
+	lose_claims = 1;
+	lead_connection_refused(l, 1000);
+	for (now = 1000; now < 5000 && l->phase != LEAD_CLAIMING; now += 10)
+		lead_tick(l, now);
+	for (; l->role != LEAD_LEADING && now < 6000; now += 10)
+		lead_tick(l, now);
+	lose_claims = 0;
+	cr_assert(lead_is_provisional(l));
+	cr_assert_leq(now - l->phase_at, LEAD_CLAIM_PATIENCE_MS + 20);
+}
--- a/regress/pool-link.c
+++ b/regress/pool-link.c
@@ -78,6 +78,7 @@
 		p.members = m->next;
 		free(m);
 	}
+	pool_vms_read(&p);
 	close(p.listener.fd);
 	close(client);
 	sched_finish(&p.sched);
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -33,6 +33,7 @@
 		p.members = m->next;
 		free(m);
 	}
+	pool_vms_read(&p);
 	sched_finish(&p.sched);
 	free(l.urgent.data);
 	free(l.bulk.data);
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -259,6 +259,7 @@
 	PoolBeat beat = POOL_BEAT__INIT;
 
 	beat.agents = 1;
+	other.leader_link->greeted = 1;
 	other.leader_heartbeat = &beat;
 	other.set.max_lease = 1000;
 	sub.id = "0123456789abcdef";
