A planned stop does not wait for the store

Hypothesis: a leader that stops while the store is slow or away costs half a second to a second, as its successor waits for its claim, and members that have read the new row are refused until the new leader knows of it.

A member that dials a leader tells it the incarnation in the row, so a leader learns of its own claim from the first member. A VM whose provisional token would not be higher than the last one does not lead: targets would reject it.

Three tests fail without the change.

--- a/lead-core.c
+++ b/lead-core.c
@@ -42,7 +42,7 @@
 	l->heartbeat_at = now;
 	l->renewed_at = l->renewal_seen_at = now;
 	l->connection_refused = 0;
-	l->resigning = 0;
+	l->resigning = l->leader_stops = 0;
 	l->retry_at = 0;
 	if (!LEAD_IS_PROVISIONAL(l->row.fence))
 		l->all_domains = 0;
@@ -65,8 +65,14 @@
 	apply_row(l, now);
 }
 
+static void stop_awaiting_claim(struct lead *l, rp_ms now);
+
 void lead_claim_failed(struct lead *l, rp_ms now)
 {
+	if (l->phase != LEAD_CLAIMING)
+		return;
+	if (l->store_lost && l->role == LEAD_FOLLOWING)
+		stop_awaiting_claim(l, now);
 	if (l->phase != LEAD_CLAIMING)
 		return;
 	l->phase = LEAD_IDLE;
@@ -82,7 +88,7 @@
 	l->renewal_seen_at = now;
 }
 
-static void start_claim(struct lead *l, rp_ms now);
+static void start_claim(struct lead *l, enum lead_claim_cause cause, rp_ms now);
 
 /*
  * Rank of a VM that the leader does not name as a successor. In a failure
@@ -127,11 +133,13 @@
 	l->heartbeat_at = now;
 	l->connection_refused = 0;
 	l->rank = rank_in(l, hb);
+	l->leader_stops = hb->stops;
 	if (l->phase == LEAD_PROBING)
 		l->phase = LEAD_IDLE;
 	if (hb->resigns && l->rank == 0 && l->phase == LEAD_IDLE &&
 	    now >= l->retry_at)
-		start_claim(l, now);
+		start_claim(l, hb->stops ? LEAD_CLAIM_STOP : LEAD_CLAIM_OTHER,
+			    now);
 }
 
 int lead_is_provisional(const struct lead *l)
@@ -139,6 +147,12 @@
 	return l->role == LEAD_LEADING && LEAD_IS_PROVISIONAL(l->row.fence);
 }
 
+/* Whether this leader's process stops: it follows whoever leads. */
+static int is_stopping(const struct lead *l)
+{
+	return l->resigning && l->claims_disabled;
+}
+
 /*
  * A heartbeat names a provisional leader of this leader's own term, whose token
  * is higher. This leader claims the next term, which the provisional one
@@ -148,10 +162,10 @@
 			      rp_ms now)
 {
 	if (l->role != LEAD_LEADING || lead_is_provisional(l) ||
-	    LEAD_TERM(hb->fence) != LEAD_TERM(l->row.fence))
+	    is_stopping(l) || LEAD_TERM(hb->fence) != LEAD_TERM(l->row.fence))
 		return 0;
 	if (l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, now);
+		start_claim(l, LEAD_CLAIM_OTHER, now);
 	return 1;
 }
 
@@ -166,7 +180,8 @@
 	    LEAD_TERM(hb->fence) != LEAD_TERM(l->row.fence))
 		return 1;
 	return !claim_higher_token(l, hb, now) &&
-	       (lead_is_provisional(l) || !lead_leader_alive(l, now));
+	       (lead_is_provisional(l) || is_stopping(l) || l->leader_stops ||
+		!lead_leader_alive(l, now));
 }
 
 /*
@@ -201,12 +216,23 @@
 	l->retry_at = now + LEAD_BACKOFF_MS;
 }
 
+static uint64_t provisional_token(const struct lead *l)
+{
+	return LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
+}
+
+/* Targets have seen the token of the leader that is known last. */
+static int may_lead_provisionally(const struct lead *l)
+{
+	return l->own_row_version && provisional_token(l) > l->row.fence;
+}
+
 static void lead_provisionally(struct lead *l, int all_domains, rp_ms now)
 {
 	l->all_domains = all_domains;
 	if (!LEAD_IS_PROVISIONAL(l->row.fence))
 		l->prev_row = l->row;
-	l->row.fence = LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
+	l->row.fence = provisional_token(l);
 	l->row.incarnation = l->incarnation;
 	snprintf(l->row.vm, sizeof(l->row.vm), "%s", l->vm);
 	snprintf(l->row.address, sizeof(l->row.address), "%s", l->address);
@@ -222,7 +248,7 @@
 {
 	int majority = has_majority(l);
 
-	if (!l->own_row_version || l->nhearing ||
+	if (!may_lead_provisionally(l) || l->nhearing ||
 	    !(majority || l->outside_reachable == 0 ||
 	      (l->nnot_hearing && l->ops->domains_answered(l))))
 		return 0;
@@ -251,7 +277,7 @@
 		return;
 	if (store_is_usable(l)) {
 		if (now >= l->retry_at)
-			start_claim(l, now);
+			start_claim(l, LEAD_CLAIM_OTHER, now);
 		return;
 	}
 	if (has_majority(l))
@@ -278,8 +304,7 @@
 		back_off(l, now);
 		return;
 	}
-	start_claim(l, now);
-	l->claims_after_probe = l->phase == LEAD_CLAIMING;
+	start_claim(l, LEAD_CLAIM_PROBE, now);
 }
 
 /* Whether the VM has answered this probe already. Records that it has. */
@@ -338,7 +363,7 @@
 	l->connection_refused = 1;
 }
 
-static void start_claim(struct lead *l, rp_ms now)
+static void start_claim(struct lead *l, enum lead_claim_cause cause, rp_ms now)
 {
 	struct lead_row row = {
 		.fence = LEAD_TOKEN(LEAD_TERM(l->row.fence) + 1),
@@ -349,7 +374,7 @@
 		return;
 	snprintf(row.vm, sizeof(row.vm), "%s", l->vm);
 	snprintf(row.address, sizeof(row.address), "%s", l->address);
-	l->claims_after_probe = 0;
+	l->claim_cause = cause;
 	l->phase = LEAD_CLAIMING;
 	l->phase_at = now;
 	l->ops->claim(l, &row, l->row.version);
@@ -398,6 +423,21 @@
 				     : LEAD_HEARTBEAT_TIMEOUT_MS + delay;
 }
 
+/*
+ * The store is slow or silent, so this VM leads without it if it may. If the
+ * claim succeeds nevertheless, it raises the token. A leader that resigns has
+ * agreed, and follows its successor; the successor has all its domains unless
+ * it led provisionally itself.
+ */
+static void stop_awaiting_claim(struct lead *l, rp_ms now)
+{
+	if (l->claim_cause == LEAD_CLAIM_STOP && may_lead_provisionally(l))
+		lead_provisionally(l, !LEAD_IS_PROVISIONAL(l->row.fence), now);
+	else if (l->claim_cause == LEAD_CLAIM_PROBE &&
+		 !lead_leader_alive(l, now))
+		try_to_lead_provisionally(l, now);
+}
+
 void lead_tick(struct lead *l, rp_ms now)
 {
 	if (l->confirming_since &&
@@ -406,19 +446,16 @@
 	if (l->phase == LEAD_CLAIMING &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
-	/* The store is slow or silent. If the claim succeeds, it raises the
-	 * token. */
 	if (l->phase == LEAD_CLAIMING && l->role == LEAD_FOLLOWING &&
-	    l->claims_after_probe && !lead_leader_alive(l, now) &&
-	    now - l->phase_at >= LEAD_CLAIM_PATIENCE_MS)
-		try_to_lead_provisionally(l, now);
+	    (now - l->phase_at >= LEAD_CLAIM_PATIENCE_MS || l->store_lost))
+		stop_awaiting_claim(l, now);
 	if (l->phase == LEAD_CHECKING_REACHABILITY &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
 	/* The store is back: become a regular leader through it. */
 	if (lead_is_provisional(l) && l->all_domains && !l->store_lost &&
 	    !l->claims_disabled && l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, now);
+		start_claim(l, LEAD_CLAIM_OTHER, now);
 	if (lead_is_provisional(l) && l->phase == LEAD_IDLE &&
 	    now - l->probed_at >= LEAD_PROVISIONAL_PROBE_INTERVAL_MS)
 		start_probe(l, now);
@@ -441,7 +478,7 @@
 		 * more, so there is nothing to wait for.
 		 */
 		if (l->row.fence || now - l->heartbeat_at >= delay)
-			start_claim(l, now);
+			start_claim(l, LEAD_CLAIM_OTHER, now);
 		return;
 	}
 	if (now - l->heartbeat_at >= probe_delay(l))
@@ -495,7 +532,7 @@
 	if (lead_is_provisional(l))
 		step_down(l, now);
 	else if (l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, now);
+		start_claim(l, LEAD_CLAIM_OTHER, now);
 }
 
 int lead_leader_alive(const struct lead *l, rp_ms now)
--- a/lead.h
+++ b/lead.h
@@ -101,6 +101,7 @@
 	int leading;	     /* the sender is the leader */
 	int hears_leader;    /* the sender received a recent heartbeat of it */
 	int resigns;	     /* the first successor is to take over now */
+	int stops;	     /* also without the store: the process stops */
 	size_t nsuccessors;
 	char *const *successors; /* names of VMs, by rank */
 };
@@ -131,6 +132,13 @@
 	void (*changed)(struct lead *l);
 };
 
+/* Why a VM claims the next term. */
+enum lead_claim_cause {
+	LEAD_CLAIM_OTHER,
+	LEAD_CLAIM_PROBE, /* the probe has found no leader */
+	LEAD_CLAIM_STOP,  /* the leader stops, and asks its successor */
+};
+
 enum lead_phase {
 	LEAD_IDLE,
 	LEAD_PROBING,		    /* other VMs' answers are awaited */
@@ -169,9 +177,10 @@
 	unsigned nnot_hearing;
 	uint64_t answers[LEAD_ANSWERS_MAX]; /* hashes of the VMs' names */
 	rp_ms probed_at;		    /* the last probe */
-	int outside_reachable;	/* by the check; -1: it has no result yet */
-	int claims_after_probe; /* the claim is one of a VM that probed */
-	int resigning;		/* leads until a successor takes over */
+	int outside_reachable; /* by the check; -1: it has no result yet */
+	enum lead_claim_cause claim_cause;
+	int resigning;	  /* leads until a successor takes over */
+	int leader_stops; /* the leader that this VM follows does */
 	/* A leader was paused then, and does nothing until confirmed. */
 	rp_ms confirming_since; /* 0: it may act */
 	int connection_refused; /* nothing listens at the leader's address */
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -106,6 +106,7 @@
 	hb->clock = p->leading ? (uint64_t)p->now : 0;
 	hb->hears = p->leading || lead_leader_alive(&p->lead, p->now);
 	hb->resigns = p->lead.resigning;
+	hb->stops = p->lead.resigning && p->lead.claims_disabled;
 	hb->store = !p->lead.store_lost;
 	hb->stored = p->has_stored_jobs == 1;
 	hb->n_evacuations = pool_evacuations_list(p, lists->evacuations,
@@ -132,8 +133,8 @@
  */
 static uint64_t heartbeat_hash(const PoolBeat *hb)
 {
-	uint64_t hash = hb->fence * 4 + (uint64_t)hb->leading * 2 +
-			(uint64_t)hb->resigns;
+	uint64_t hash = hb->fence * 8 + (uint64_t)hb->leading * 4 +
+			(uint64_t)hb->resigns * 2 + (uint64_t)hb->stops;
 	size_t i;
 
 	hash = hash * 31 + hb->n_waiting;
--- a/pool-link.c
+++ b/pool-link.c
@@ -323,6 +323,7 @@
 	hello.fence = p->lead.row.fence;
 	hello.listing_version = p->listing_version;
 	hello.echoes = 1;
+	hello.leader_incarnation = p->lead.row.incarnation;
 	frame.body_case = POOL_FRAME__BODY_HELLO;
 	frame.hello = &hello;
 	pool_link_send(l, &frame);
--- a/pool-member.c
+++ b/pool-member.c
@@ -140,6 +140,24 @@
 	find_vm(p, hello->vm)->learned = 1;
 }
 
+/*
+ * The store's row names this process as the leader, and another VM has read it
+ * first. The reply to the claim is still awaited, as the store is slow.
+ */
+static void check_claim_succeeded(struct pool *p, const PoolHello *hello)
+{
+	struct lead_row row = p->lead.row;
+
+	if (hello->probe || hello->leader_incarnation != p->incarnation ||
+	    hello->fence <= row.fence || LEAD_IS_PROVISIONAL(hello->fence))
+		return;
+	row.fence = hello->fence;
+	row.incarnation = p->incarnation;
+	str_copy(row.vm, sizeof(row.vm), str_of(p->set.vm_name));
+	str_copy(row.address, sizeof(row.address), str_of(p->set.link_address));
+	lead_row_read(&p->lead, &row, p->now);
+}
+
 static void on_hello(struct pool_link *l, const PoolHello *hello)
 {
 	struct pool *p = l->p;
@@ -151,6 +169,7 @@
 	if (l->starts)
 		return;
 	learn_vm(p, hello);
+	check_claim_succeeded(p, hello);
 	if (p->leading && !l->probe && is_for_this_term(l, hello)) {
 		m = pool_find_member(p, hello->vm);
 		if (m && m->incarnation != hello->incarnation) {
@@ -346,6 +365,7 @@
 		.leading = msg->leading,
 		.hears_leader = msg->hears,
 		.resigns = msg->resigns,
+		.stops = msg->stops,
 		.nsuccessors = msg->n_successors,
 		.successors = msg->successors,
 	};
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -2021,7 +2021,7 @@
   (ProtobufCMessageInit) pool_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[11] =
 {
   {
     "vm",
@@ -2143,6 +2143,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader_incarnation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, leader_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
@@ -2150,6 +2162,7 @@
   5,   /* field[5] = failure_domain */
   6,   /* field[6] = fence */
   2,   /* field[2] = incarnation */
+  10,   /* field[10] = leader_incarnation */
   8,   /* field[8] = listing_version */
   3,   /* field[3] = probe */
   4,   /* field[4] = processor */
@@ -2159,7 +2172,7 @@
 static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pool_hello__descriptor =
 {
@@ -2169,7 +2182,7 @@
   "PoolHello",
   "",
   sizeof(PoolHello),
-  10,
+  11,
   pool_hello__field_descriptors,
   pool_hello__field_indices_by_name,
   1,  pool_hello__number_ranges,
@@ -2291,7 +2304,7 @@
   (ProtobufCMessageInit) pool_evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[18] =
 {
   {
     "fence",
@@ -2497,6 +2510,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stops",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, stops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
@@ -2510,6 +2535,7 @@
   2,   /* field[2] = leader_address */
   3,   /* field[3] = leading */
   7,   /* field[7] = resigns */
+  17,   /* field[17] = stops */
   9,   /* field[9] = store */
   11,   /* field[11] = stored */
   5,   /* field[5] = successors */
@@ -2520,7 +2546,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2530,7 +2556,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  17,
+  18,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -355,10 +355,15 @@
    * link before a heartbeat of the leader has come.
    */
   protobuf_c_boolean echoes;
+  /*
+   * Of the leader that the link is for, as the store's row names it; 0:
+   * the row has not been read.
+   */
+  uint64_t leader_incarnation;
 };
 #define POOL_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  PoolWaiting
@@ -458,10 +463,14 @@
    * the latest clock that came over the link; 0: none
    */
   uint64_t echo;
+  /*
+   * resigns as its process stops
+   */
+  protobuf_c_boolean stops;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -150,6 +150,7 @@
 		.leading = l->role == LEAD_LEADING,
 		.hears_leader = lead_leader_alive(l, now),
 		.resigns = l->resigning,
+		.stops = l->resigning && l->claims_disabled,
 		.nsuccessors = 3,
 		.successors = successors,
 	};
@@ -819,3 +820,30 @@
 	cr_assert(lead_is_provisional(l));
 	cr_assert_leq(now - l->phase_at, LEAD_CLAIM_PATIENCE_MS + 20);
 }
+
+/*
+ * A planned stop while the store is away. The members were without a leader
+ * until its silence was noticed. Guards against a stop that costs anything.
+ */
+Test(lead, a_resigning_leader_is_followed_without_the_store)
+{
+	int i, old = find_leader(), following = 0;
+
+	for (i = 0; i < VMS; i++) {
+		cut[i][STORE] = 1;
+		vms[i].lead.own_row_version += 100;
+	}
+	run_for(1500);
+	vms[old].lead.claims_disabled = 1;
+	lead_resign(&vms[old].lead);
+	for (i = 0; i < 60 && vms[old].lead.role == LEAD_LEADING; i++) {
+		cr_assert_geq(count_leaders(), 1);
+		run_for(10);
+	}
+	cr_assert_eq(vms[old].lead.role, LEAD_FOLLOWING);
+	run_for(200);
+	cr_assert_eq(count_leaders(), 1);
+	for (i = 0; i < VMS; i++)
+		following += vms[i].lead.row.fence == vms[old].lead.row.fence;
+	cr_assert_eq(following, VMS);
+}
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <apr_general.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,13 @@
 
 static const struct sched_ops no_ops;
 
+static void no_change(struct lead *lead)
+{
+	(void)lead;
+}
+
+static const struct lead_ops lead_ops = { .changed = no_change };
+
 static void init_leader(void)
 {
 	apr_initialize();
@@ -170,3 +178,48 @@
 	pool_members_tick(&p, p.now);
 	cr_assert_null(l.member);
 }
+
+/*
+ * The store has named this VM, and is too slow to tell it. Members that have
+ * read the row were refused until it did. Guards against that.
+ */
+Test(pool_member, a_member_tells_a_leader_that_its_claim_succeeded)
+{
+	PoolHello hello = POOL_HELLO__INIT;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	hello.vm = "vm1";
+	hello.address = "127.0.0.1:1";
+	hello.fence = LEAD_TOKEN(4);
+	hello.leader_incarnation = 9;
+	p.leading = 0;
+	p.incarnation = 9;
+	p.lead.incarnation = 9;
+	p.lead.role = LEAD_FOLLOWING;
+	snprintf(p.lead.vm, sizeof(p.lead.vm), "vm0");
+	p.lead.ops = &lead_ops;
+	frame.body_case = POOL_FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	pool_frame_received(&l, &frame);
+	cr_assert_eq(p.lead.role, LEAD_LEADING);
+	cr_assert_eq(p.lead.row.fence, LEAD_TOKEN(4));
+}
+
+/* The row names an earlier process of this VM. */
+Test(pool_member, a_claim_of_an_earlier_process_is_none_of_this_one)
+{
+	PoolHello hello = POOL_HELLO__INIT;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	hello.vm = "vm1";
+	hello.address = "127.0.0.1:1";
+	hello.fence = LEAD_TOKEN(4);
+	hello.leader_incarnation = 8;
+	p.leading = 0;
+	p.incarnation = 9;
+	p.lead.role = LEAD_FOLLOWING;
+	frame.body_case = POOL_FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	pool_frame_received(&l, &frame);
+	cr_assert_eq(p.lead.role, LEAD_FOLLOWING);
+}
