Metrics of missing service: time without a leader, targets that are not used

Change: leaderless_ms_total on each VM; targets_by_use and targets_of_domains_not_led on the leader; a warning, few_targets_in_use, when less than half of the targets are in use for 2 s.

No decision changes.

--- a/pool-count.c
+++ b/pool-count.c
@@ -87,6 +87,7 @@
 	put_count(t, "links_total", c->links);
 	put_count(t, "pauses_total", c->pauses);
 	put_count(t, "takeovers_total", c->takeovers);
+	put_count(t, "leaderless_ms_total", c->leaderless_ms);
 	put_count(t, "leading", (uint64_t)p->leading);
 	put_count(t, "fence", p->lead.row.fence);
 	put_count(t, "domains_evacuated", pool_evacuations_active(p));
@@ -194,6 +195,8 @@
 static void put_scheduler(struct text *t, const struct sched *s)
 {
 	const struct sched_counters *c = &s->count;
+	unsigned uses[SCHED_USES];
+	enum sched_use use;
 
 	put_count(t, "targets_evacuated", evacuated_targets(s));
 	put_count(t, "jobs_rejected_evacuated_total", c->evacuated);
@@ -209,6 +212,10 @@
 	put_count(t, "jobs_cancelled_total", c->cancelled);
 	put_count(t, "jobs_open", s->njobs);
 	put_count(t, "targets", s->ntargets);
+	sched_count_uses(s, s->now, uses);
+	for (use = 0; use < SCHED_USES; use++)
+		put(t, "rosemary_pool_targets_by_use{use=\"%s\"} %u\n",
+		    sched_use_name(use), uses[use]);
 	put_count(t, "starts_total", c->starts);
 	put_count(t, "ends_total", c->ends);
 	put_count(t, "retries_total", c->retries);
@@ -264,8 +271,11 @@
 	put_causes(&t, p);
 	put_links(&t, &p->count);
 	put_turns(&t, &p->turn);
-	if (p->leading)
+	if (p->leading) {
 		put_scheduler(&t, &p->sched);
+		put_count(&t, "targets_of_domains_not_led",
+			  pool_targets_not_led(p));
+	}
 	put_histogram(&t, "rosemary_pool_answer_ms", &p->count.latency);
 	put_histogram(&t, "rosemary_pool_loop_lag_ms", &p->count.lag);
 	if (p->leading)
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -22,6 +22,7 @@
 {
 	int alive = lead_leader_alive(&p->lead, p->now);
 
+	pool_count_leaderless(p, alive);
 	if (alive)
 		p->leader_alive_at = p->now;
 	if (alive == p->logged_leader_alive)
@@ -185,6 +186,7 @@
 		return;
 	p->count.takeovers++;
 	p->leading = 1;
+	p->few_targets_since = p->now;
 	p->self.nanswers = 0;
 	pool_sched_begin(p, l->row.fence);
 	p->sched.prev_may_hold_unlisted =
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -151,6 +151,7 @@
 	if (p->leading) {
 		pool_stored_tick(p, p->now);
 		sched_tick(&p->sched, p->now);
+		pool_check_targets_in_use(p);
 		pool_turn_mark(p, POOL_ON_SCHEDULER);
 	}
 	pool_requests_tick(p, p->now);
--- a/pool.h
+++ b/pool.h
@@ -333,6 +333,15 @@
 /* Goes on with the requests that need not wait for the routes any more. */
 void pool_requests_resume_awaiting(struct pool *p);
 
+/* --- pool-use.c: service that is missing ------------------------------ */
+
+/* Adds up the time in which this VM heard no leader. */
+void pool_count_leaderless(struct pool *p, int alive);
+/* Listed targets of failure domains that this provisional leader leaves out. */
+unsigned pool_targets_not_led(const struct pool *p);
+/* Warns when this leader uses less than half of the targets for some time. */
+void pool_check_targets_in_use(struct pool *p);
+
 /* --- pool-cause.c: why jobs were not served --------------------------- */
 
 #define POOL_CAUSES_MAX 32
@@ -371,6 +380,7 @@
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
 	uint64_t agent_calls, agent_unanswered, calls_resent;
 	uint64_t links, pauses, takeovers, watch_restarts;
+	uint64_t leaderless_ms; /* time in which this VM heard no leader */
 	/* Bytes over links by kind of frame, POOL_FRAME__BODY_*. */
 	uint64_t sent_bytes[POOL_FRAME_KINDS];
 	uint64_t received_bytes[POOL_FRAME_KINDS];
@@ -470,9 +480,11 @@
 	int logged_leader_alive; /* as last logged; -1: not yet */
 	rp_ms started_at;
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
-	int vms_read;	       /* the rows of all VMs were read */
-	size_t nlearned_vms;   /* VMs that were learned of otherwise */
-	rp_ms vm_missing_at;   /* this leader had no link to some VM then */
+	rp_ms leader_checked_at;
+	rp_ms few_targets_since, few_targets_warned_at;
+	int vms_read;	     /* the rows of all VMs were read */
+	size_t nlearned_vms; /* VMs that were learned of otherwise */
+	rp_ms vm_missing_at; /* this leader had no link to some VM then */
 	struct pool_vm *vms;
 	struct pool_member *members; /* of this leader */
 	struct pool_member self;     /* this VM as owner of its jobs */
--- /dev/null
+++ b/sched-use.c
@@ -0,0 +1,44 @@
+/* Which targets can be given tasks, and why the others cannot. */
+
+#include "sched-int.h"
+
+static const char *const names[SCHED_USES] = {
+	[SCHED_USE_AVAILABLE] = "available",
+	[SCHED_USE_LEAVING] = "leaving",
+	[SCHED_USE_EVACUATED] = "evacuated",
+	[SCHED_USE_NOT_HELD] = "not_held",
+	[SCHED_USE_UNANSWERED] = "unanswered",
+	[SCHED_USE_OTHER] = "other",
+};
+
+const char *sched_use_name(enum sched_use use)
+{
+	return names[use];
+}
+
+static enum sched_use use_of(const struct sched_target *t, rp_ms now)
+{
+	if (sched_target_available(t, now))
+		return SCHED_USE_AVAILABLE;
+	if (!t->listed || !t->listing.ready)
+		return SCHED_USE_LEAVING;
+	if (t->evacuated)
+		return SCHED_USE_EVACUATED;
+	if (t->unanswered || now < t->backoff_until)
+		return SCHED_USE_UNANSWERED;
+	if (t->state != SCHED_HELD)
+		return SCHED_USE_NOT_HELD;
+	return SCHED_USE_OTHER;
+}
+
+void sched_count_uses(const struct sched *s, rp_ms now,
+		      unsigned counts[SCHED_USES])
+{
+	enum sched_use use;
+	size_t i;
+
+	for (use = 0; use < SCHED_USES; use++)
+		counts[use] = 0;
+	for (i = 0; i < s->ntargets; i++)
+		counts[use_of(s->targets[i], now)]++;
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -692,6 +692,20 @@
 		      rp_ms now);
 void sched_hold_reply(struct sched *s, struct sched_target *t,
 		      const struct sched_target_reply *reply, rp_ms now);
+/* Whether a target can be given tasks, or why not. */
+enum sched_use {
+	SCHED_USE_AVAILABLE,
+	SCHED_USE_LEAVING,   /* it drains, or is listed no more */
+	SCHED_USE_EVACUATED, /* its failure domain is */
+	SCHED_USE_NOT_HELD,  /* its list has not been read yet */
+	SCHED_USE_UNANSWERED,
+	SCHED_USE_OTHER, /* it fails, or has runs of others */
+	SCHED_USES,
+};
+
+const char *sched_use_name(enum sched_use use);
+void sched_count_uses(const struct sched *s, rp_ms now,
+		      unsigned counts[SCHED_USES]);
 /* To be called every SCHED_TICK_MS. */
 void sched_tick(struct sched *s, rp_ms now);
 /* Starts the tasks that can start; to be called after each batch of events. */
