Silence of a leader is acted on after 250 ms, or later if its heartbeats are late

Hypothesis: nobody decides for 0.6 to 1.4 s when the leader's domain is cut off, and what ends later than three times its objective, 90 to 400 ms, is of no use.

Change: heartbeats every 50 ms with less than 50 VMs; the limit is four times the longest gap between heartbeats of late, 250 to 450 ms (450 ms before), and the maximum for a new leader; answers to probes are awaited for 60 ms, targets of other domains for 120 ms, claims for 100 ms; ranks differ by 60 ms.

--- a/lead-core.c
+++ b/lead-core.c
@@ -37,6 +37,7 @@
 
 	l->role = leads ? LEAD_LEADING : LEAD_FOLLOWING;
 	l->phase = LEAD_IDLE;
+	l->longest_gap = LEAD_SILENCE_MAX_MS / LEAD_GAPS;
 	l->confirming_since = 0;
 	l->prev_renewal_age = now - l->renewal_seen_at;
 	l->heartbeat_at = now;
@@ -130,6 +131,12 @@
 				      const struct lead_heartbeat *hb,
 				      rp_ms now)
 {
+	double gap = (double)(now - l->heartbeat_at);
+
+	if (gap > l->longest_gap)
+		l->longest_gap = gap;
+	else
+		l->longest_gap += LEAD_GAP_DECAY * (gap - l->longest_gap);
 	l->heartbeat_at = now;
 	l->connection_refused = 0;
 	l->rank = rank_in(l, hb);
@@ -409,7 +416,7 @@
 	l->phase = LEAD_IDLE;
 	l->confirming_since = 0;
 	l->heartbeat_at = now;
-	l->retry_at = now + LEAD_HEARTBEAT_TIMEOUT_MS;
+	l->retry_at = now + LEAD_SILENCE_MAX_MS;
 	l->resigning = 0;
 	l->ops->changed(l);
 }
@@ -419,8 +426,7 @@
 {
 	rp_ms delay = (rp_ms)l->rank * LEAD_RANK_DELAY_MS;
 
-	return l->connection_refused ? delay
-				     : LEAD_HEARTBEAT_TIMEOUT_MS + delay;
+	return l->connection_refused ? delay : lead_silence_limit(l) + delay;
 }
 
 /*
@@ -486,7 +492,7 @@
 }
 
 /*
- * Others claim after LEAD_HEARTBEAT_TIMEOUT_MS of silence, which a leader does
+ * Others claim after a silence of lead_silence_limit(), which a leader does
  * not see while it is paused. The store tells whether one of them has done so.
  */
 void lead_paused(struct lead *l, rp_ms ms, rp_ms now)
@@ -535,11 +541,20 @@
 		start_claim(l, LEAD_CLAIM_OTHER, now);
 }
 
+rp_ms lead_silence_limit(const struct lead *l)
+{
+	double limit = LEAD_GAPS * l->longest_gap;
+
+	if (limit < LEAD_SILENCE_MIN_MS)
+		return LEAD_SILENCE_MIN_MS;
+	return limit > LEAD_SILENCE_MAX_MS ? LEAD_SILENCE_MAX_MS : (rp_ms)limit;
+}
+
 int lead_leader_alive(const struct lead *l, rp_ms now)
 {
 	if (l->role == LEAD_LEADING)
 		return 1;
 	return l->role == LEAD_FOLLOWING && l->row.fence &&
 	       !row_is_own(l, &l->row) &&
-	       now - l->heartbeat_at < LEAD_HEARTBEAT_TIMEOUT_MS;
+	       now - l->heartbeat_at < lead_silence_limit(l);
 }
--- a/lead.h
+++ b/lead.h
@@ -36,19 +36,27 @@
 #include "rosemary.h"
 
 /* Interval between heartbeats. */
-#define LEAD_HEARTBEAT_MS 100
+#define LEAD_HEARTBEAT_MS 50
 /* Silence of the leader after which a new connection is tried. */
-#define LEAD_RECONNECT_MS 250
-/* Silence of the leader after which the other VMs are probed. */
-#define LEAD_HEARTBEAT_TIMEOUT_MS 450
+#define LEAD_RECONNECT_MS 200
+/*
+ * Silence of the leader after which the other VMs are probed: LEAD_GAPS times
+ * the longest time between its heartbeats of late, within these bounds. A
+ * leader that is slow, or heard by a slow VM, is given more time.
+ */
+#define LEAD_SILENCE_MIN_MS 250
+#define LEAD_SILENCE_MAX_MS 450
+#define LEAD_GAPS 4
+/* Part of the way to a shorter gap that the longest one goes, a heartbeat. */
+#define LEAD_GAP_DECAY 0.02
 /* Additional silence that each rank of successor waits for. */
-#define LEAD_RANK_DELAY_MS 120
+#define LEAD_RANK_DELAY_MS 60
 /* Time for the other VMs to answer a probe. */
-#define LEAD_PROBE_TIMEOUT_MS 100
+#define LEAD_PROBE_TIMEOUT_MS 60
 /* Time after which a claim without a result is abandoned. */
 #define LEAD_CLAIM_TIMEOUT_MS 1000
 /* Time for which a claim is awaited before leading provisionally. */
-#define LEAD_CLAIM_PATIENCE_MS 150
+#define LEAD_CLAIM_PATIENCE_MS 100
 /* Interval at which the leader renews its row in the store. */
 #define LEAD_RENEW_INTERVAL_MS 500
 /* Time without renewal after which a VM that reaches no other one claims. */
@@ -157,6 +165,7 @@
 	enum lead_phase phase;
 	rp_ms phase_at;	    /* start of the phase, unless idle */
 	rp_ms heartbeat_at; /* the last heartbeat from the leader itself */
+	double longest_gap; /* between its heartbeats of late, ms */
 	rp_ms renewed_at;   /* the renewal of the row was read last */
 	/* The latest renewal was first read; reading it again tells nothing. */
 	rp_ms renewal_seen_at;
@@ -230,6 +239,8 @@
 void lead_fenced(struct lead *l, rp_ms now);
 /* Whether this VM is a provisional leader. */
 int lead_is_provisional(const struct lead *l);
+/* Silence of the leader after which this VM does not count it as alive, ms. */
+rp_ms lead_silence_limit(const struct lead *l);
 /* Whether this VM leads or has received a recent heartbeat of the leader. */
 int lead_leader_alive(const struct lead *l, rp_ms now);
 
--- a/pool-beat.c
+++ b/pool-beat.c
@@ -10,6 +10,7 @@
  * its successors and the queues, which seldom change.
  */
 #define FULL_INTERVAL_MS 1000
+#define MANY_VMS 50
 
 int64_t pool_processor(const struct pool *p)
 {
@@ -191,6 +192,13 @@
 	send_full(l, &hb, heartbeat_hash(&hb));
 }
 
+/* With many VMs, the bytes of a leader's heartbeats count more. */
+static rp_ms heartbeat_interval(const struct pool *p)
+{
+	return p->lead.nothers < MANY_VMS ? LEAD_HEARTBEAT_MS
+					  : 2 * LEAD_HEARTBEAT_MS;
+}
+
 void pool_send_heartbeats(struct pool *p)
 {
 	struct heartbeat_lists lists;
@@ -198,7 +206,7 @@
 	PoolBeat hb;
 	uint64_t hash;
 
-	if (p->now - p->heartbeat_sent_at < LEAD_HEARTBEAT_MS)
+	if (p->now - p->heartbeat_sent_at < heartbeat_interval(p))
 		return;
 	p->heartbeat_sent_at = p->now;
 	fill_heartbeat(p, &hb, &lists);
--- a/pool-io.h
+++ b/pool-io.h
@@ -21,7 +21,7 @@
 };
 
 #define POOL_LEADER_TICK_MS 20
-#define POOL_FOLLOWER_TICK_MS 50
+#define POOL_FOLLOWER_TICK_MS 25
 /* A wakeup this late shows that the process or the VM was suspended. */
 #define POOL_PAUSE_MS 300
 
--- a/pool-member.c
+++ b/pool-member.c
@@ -85,7 +85,7 @@
 
 		if (!is_self(p, vm->vm) &&
 		    (!m || !m->link ||
-		     p->now - m->link->received_at > LEAD_HEARTBEAT_TIMEOUT_MS))
+		     p->now - m->link->received_at > LEAD_SILENCE_MAX_MS))
 			return 0;
 	}
 	return 1;
--- a/pool-target.c
+++ b/pool-target.c
@@ -360,7 +360,7 @@
 /* --- a partitioned failure domain ------------------------------------- */
 
 #define REACHABILITY_TARGETS 4 /* of other failure domains, to be called */
-#define REACHABILITY_TIMEOUT_MS 300
+#define REACHABILITY_TIMEOUT_MS 120
 
 static void on_reachability_reply(struct pool_call *c, long status,
 				  const char *body, size_t len)
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -847,3 +847,27 @@
 		following += vms[i].lead.row.fence == vms[old].lead.row.fence;
 	cr_assert_eq(following, VMS);
 }
+
+/*
+ * The leader is slow, and its heartbeats come every 120 ms. Guards against
+ * changes of a leader that is alive: with a fixed limit of 250 ms there were 11
+ * in 12 s of slow VMs.
+ */
+Test(lead, a_slow_leader_is_given_more_time)
+{
+	struct lead_heartbeat hb = { .fence = LEAD_TOKEN(1),
+				     .vm = "leader",
+				     .leader = "leader",
+				     .address = "10.0.0.2:1",
+				     .leading = 1 };
+	struct lead *l = &vms[0].lead;
+	int i;
+
+	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 6);
+	lead_heartbeat(l, &hb, 1000);
+	for (i = 1; i <= 200; i++)
+		lead_heartbeat(l, &hb, 1000 + i * LEAD_HEARTBEAT_MS);
+	cr_assert_leq(lead_silence_limit(l), LEAD_SILENCE_MIN_MS + 20);
+	lead_heartbeat(l, &hb, 1000 + 200 * LEAD_HEARTBEAT_MS + 120);
+	cr_assert_eq(lead_silence_limit(l), LEAD_SILENCE_MAX_MS);
+}
