--- a/lead-core.c
+++ b/lead-core.c
@@ -1,7 +1,6 @@
 /* Election, succession and resignation of the pool's leader. */
 
-#include "lead.h"
-#include "rosemary-int.h"
+#include "lead-int.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -31,13 +30,13 @@
 }
 
 /* Sets the role by the leader's row, and restarts all timeouts. */
-static void apply_row(struct lead *l, rp_ms now)
+void lead_apply_row(struct lead *l, rp_ms now)
 {
 	int leads = l->row.fence && row_is_own(l, &l->row);
 
 	l->role = leads ? LEAD_LEADING : LEAD_FOLLOWING;
 	l->phase = LEAD_IDLE;
-	l->longest_gap = LEAD_SILENCE_MAX_MS / LEAD_GAPS;
+	l->longest_gap = (double)LEAD_SILENCE_MAX_MS / LEAD_GAPS;
 	l->confirming_since = 0;
 	l->prev_renewal_age = now - l->renewal_seen_at;
 	l->heartbeat_at = now;
@@ -63,17 +62,15 @@
 			return;
 	}
 	l->row = *row;
-	apply_row(l, now);
+	lead_apply_row(l, now);
 }
 
-static void stop_awaiting_claim(struct lead *l, rp_ms now);
-
 void lead_claim_failed(struct lead *l, rp_ms now)
 {
 	if (l->phase != LEAD_CLAIMING)
 		return;
 	if (l->store_lost && l->role == LEAD_FOLLOWING)
-		stop_awaiting_claim(l, now);
+		lead_stop_awaiting_claim(l, now);
 	if (l->phase != LEAD_CLAIMING)
 		return;
 	l->phase = LEAD_IDLE;
@@ -89,8 +86,6 @@
 	l->renewal_seen_at = now;
 }
 
-static void start_claim(struct lead *l, enum lead_claim_cause cause, rp_ms now);
-
 /*
  * Rank of a VM that the leader does not name as a successor. In a failure
  * domain that is cut off no VM may be named, and one VM is to come first.
@@ -124,7 +119,7 @@
 	l->row.incarnation = 0;
 	snprintf(l->row.vm, sizeof(l->row.vm), "%s", hb->leader);
 	snprintf(l->row.address, sizeof(l->row.address), "%s", hb->address);
-	apply_row(l, now);
+	lead_apply_row(l, now);
 }
 
 static void leader_heartbeat_received(struct lead *l,
@@ -145,8 +140,8 @@
 		l->phase = LEAD_IDLE;
 	if (hb->resigns && l->rank == 0 && l->phase == LEAD_IDLE &&
 	    now >= l->retry_at)
-		start_claim(l, hb->stops ? LEAD_CLAIM_STOP : LEAD_CLAIM_OTHER,
-			    now);
+		lead_start_claim(
+			l, hb->stops ? LEAD_CLAIM_STOP : LEAD_CLAIM_OTHER, now);
 }
 
 int lead_is_provisional(const struct lead *l)
@@ -172,7 +167,7 @@
 	    is_stopping(l) || LEAD_TERM(hb->fence) != LEAD_TERM(l->row.fence))
 		return 0;
 	if (l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, LEAD_CLAIM_OTHER, now);
+		lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 	return 1;
 }
 
@@ -191,165 +186,6 @@
 		!lead_leader_alive(l, now));
 }
 
-/*
- * Whether the leader may be alive, though no other VM answers: it has renewed
- * its row not long ago. Where nothing listens at its address, fewer missing
- * renewals show that it has ended.
- */
-static int may_be_renewing(const struct lead *l, rp_ms now)
-{
-	return now - l->renewed_at < (l->connection_refused
-					      ? LEAD_REFUSED_RENEWAL_TIMEOUT_MS
-					      : LEAD_RENEWAL_TIMEOUT_MS);
-}
-
-/*
- * Whether this VM and those that answered the probe without hearing the leader
- * are more than half of the entry VMs.
- */
-static int has_majority(const struct lead *l)
-{
-	return l->nothers && (l->nnot_hearing + 1) * 2 > l->nothers + 1;
-}
-
-static int store_is_usable(const struct lead *l)
-{
-	return !l->store_lost && !l->store_failing;
-}
-
-static void back_off(struct lead *l, rp_ms now)
-{
-	l->phase = LEAD_IDLE;
-	l->retry_at = now + LEAD_BACKOFF_MS;
-}
-
-static uint64_t provisional_token(const struct lead *l)
-{
-	return LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
-}
-
-/* Targets have seen the token of the leader that is known last. */
-static int may_lead_provisionally(const struct lead *l)
-{
-	return l->own_row_version && provisional_token(l) > l->row.fence;
-}
-
-static void lead_provisionally(struct lead *l, int all_domains, rp_ms now)
-{
-	l->all_domains = all_domains;
-	if (!LEAD_IS_PROVISIONAL(l->row.fence))
-		l->prev_row = l->row;
-	l->row.fence = provisional_token(l);
-	l->row.incarnation = l->incarnation;
-	snprintf(l->row.vm, sizeof(l->row.vm), "%s", l->vm);
-	snprintf(l->row.address, sizeof(l->row.address), "%s", l->address);
-	apply_row(l, now);
-	l->probed_at = now;
-}
-
-/*
- * Leads without the store if what has answered allows it. Returns whether it
- * does.
- */
-static int try_to_lead_provisionally(struct lead *l, rp_ms now)
-{
-	int majority = has_majority(l);
-
-	if (!may_lead_provisionally(l) || l->nhearing ||
-	    !(majority || l->outside_reachable == 0 ||
-	      (l->nnot_hearing && l->ops->domains_answered(l))))
-		return 0;
-	lead_provisionally(l, majority, now);
-	return 1;
-}
-
-static void finish_probe_without_store(struct lead *l, rp_ms now)
-{
-	if (try_to_lead_provisionally(l, now))
-		return;
-	if (l->outside_reachable < 0)
-		l->phase = LEAD_CHECKING_REACHABILITY;
-	else
-		back_off(l, now);
-}
-
-/*
- * The probe of a provisional leader: if nobody else leads the VMs that have
- * answered, this VM does.
- */
-static void finish_provisional_probe(struct lead *l, rp_ms now)
-{
-	l->phase = LEAD_IDLE;
-	if (l->nhearing || !l->nnot_hearing || !l->ops->domains_answered(l))
-		return;
-	if (store_is_usable(l)) {
-		if (now >= l->retry_at)
-			start_claim(l, LEAD_CLAIM_OTHER, now);
-		return;
-	}
-	if (has_majority(l))
-		l->all_domains = 1;
-	l->ops->domains_added(l);
-}
-
-/* Decides by the answers to the probe whether to claim. */
-static void finish_probe(struct lead *l, rp_ms now)
-{
-	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
-
-	if (l->role == LEAD_LEADING) {
-		finish_provisional_probe(l, now);
-		return;
-	}
-	if (!l->nhearing && !store_is_usable(l) && l->own_row_version &&
-	    !l->claims_disabled) {
-		finish_probe_without_store(l, now);
-		return;
-	}
-	if (l->nhearing || l->store_lost ||
-	    (isolated && may_be_renewing(l, now))) {
-		back_off(l, now);
-		return;
-	}
-	start_claim(l, LEAD_CLAIM_PROBE, now);
-}
-
-/* Whether the VM has answered this probe already. Records that it has. */
-static int has_answered(struct lead *l, const char *vm)
-{
-	uint64_t hash = str_hash(str_of(vm));
-	unsigned i, n = l->nhearing + l->nnot_hearing;
-
-	for (i = 0; i < n && i < LEAD_ANSWERS_MAX; i++)
-		if (l->answers[i] == hash)
-			return 1;
-	if (n < LEAD_ANSWERS_MAX)
-		l->answers[n] = hash;
-	return 0;
-}
-
-/*
- * A VM that knows a lower token does not hear the leader of this one. It may
- * have just started, and know none at all.
- */
-static void count_answer(struct lead *l, const struct lead_heartbeat *hb,
-			 rp_ms now)
-{
-	int behind = hb->fence < l->row.fence;
-
-	if (l->phase != LEAD_PROBING ||
-	    (behind && hb->hears_leader && l->role != LEAD_LEADING) ||
-	    has_answered(l, hb->vm))
-		return;
-	if (hb->hears_leader && (behind || l->role != LEAD_LEADING))
-		l->nhearing++;
-	else
-		l->nnot_hearing++;
-	/* The other answers would not change the decision. */
-	if (!l->nhearing && has_majority(l) && l->role != LEAD_LEADING)
-		finish_probe(l, now);
-}
-
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now)
 {
 	if (should_follow(l, hb, now))
@@ -361,7 +197,7 @@
 		leader_heartbeat_received(l, hb, now);
 		return;
 	}
-	count_answer(l, hb, now);
+	lead_count_answer(l, hb, now);
 }
 
 void lead_connection_refused(struct lead *l, rp_ms now)
@@ -370,7 +206,7 @@
 	l->connection_refused = 1;
 }
 
-static void start_claim(struct lead *l, enum lead_claim_cause cause, rp_ms now)
+void lead_start_claim(struct lead *l, enum lead_claim_cause cause, rp_ms now)
 {
 	struct lead_row row = {
 		.fence = LEAD_TOKEN(LEAD_TERM(l->row.fence) + 1),
@@ -387,28 +223,6 @@
 	l->ops->claim(l, &row, l->row.version);
 }
 
-static void start_probe(struct lead *l, rp_ms now)
-{
-	l->phase = LEAD_PROBING;
-	l->phase_at = l->probed_at = now;
-	l->nhearing = l->nnot_hearing = 0;
-	l->outside_reachable = -1;
-	l->ops->probe(l);
-	if (l->role != LEAD_LEADING)
-		l->ops->check_reachability(l);
-}
-
-void lead_reachability_result(struct lead *l, int outside, rp_ms now)
-{
-	l->outside_reachable = outside;
-	if (l->phase != LEAD_CHECKING_REACHABILITY)
-		return;
-	if (l->role == LEAD_FOLLOWING && !lead_leader_alive(l, now))
-		finish_probe_without_store(l, now);
-	else
-		back_off(l, now);
-}
-
 /* Stops leading. Probes only after a delay, so that a successor is heard. */
 static void step_down(struct lead *l, rp_ms now)
 {
@@ -429,21 +243,6 @@
 	return l->connection_refused ? delay : lead_silence_limit(l) + delay;
 }
 
-/*
- * The store is slow or silent, so this VM leads without it if it may. If the
- * claim succeeds nevertheless, it raises the token. A leader that resigns has
- * agreed, and follows its successor; the successor has all its domains unless
- * it led provisionally itself.
- */
-static void stop_awaiting_claim(struct lead *l, rp_ms now)
-{
-	if (l->claim_cause == LEAD_CLAIM_STOP && may_lead_provisionally(l))
-		lead_provisionally(l, !LEAD_IS_PROVISIONAL(l->row.fence), now);
-	else if (l->claim_cause == LEAD_CLAIM_PROBE &&
-		 !lead_leader_alive(l, now))
-		try_to_lead_provisionally(l, now);
-}
-
 void lead_tick(struct lead *l, rp_ms now)
 {
 	if (l->confirming_since &&
@@ -454,20 +253,20 @@
 		l->phase = LEAD_IDLE;
 	if (l->phase == LEAD_CLAIMING && l->role == LEAD_FOLLOWING &&
 	    (now - l->phase_at >= LEAD_CLAIM_PATIENCE_MS || l->store_lost))
-		stop_awaiting_claim(l, now);
+		lead_stop_awaiting_claim(l, now);
 	if (l->phase == LEAD_CHECKING_REACHABILITY &&
 	    now - l->phase_at >= LEAD_CLAIM_TIMEOUT_MS)
 		l->phase = LEAD_IDLE;
 	/* The store is back: become a regular leader through it. */
 	if (lead_is_provisional(l) && l->all_domains && !l->store_lost &&
 	    !l->claims_disabled && l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, LEAD_CLAIM_OTHER, now);
+		lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 	if (lead_is_provisional(l) && l->phase == LEAD_IDLE &&
 	    now - l->probed_at >= LEAD_PROVISIONAL_PROBE_INTERVAL_MS)
-		start_probe(l, now);
+		lead_start_probe(l, now);
 	if (l->phase == LEAD_PROBING) {
 		if (now - l->phase_at >= LEAD_PROBE_TIMEOUT_MS)
-			finish_probe(l, now);
+			lead_finish_probe(l, now);
 		return;
 	}
 	if (l->role != LEAD_FOLLOWING || now < l->retry_at)
@@ -484,11 +283,11 @@
 		 * more, so there is nothing to wait for.
 		 */
 		if (l->row.fence || now - l->heartbeat_at >= delay)
-			start_claim(l, LEAD_CLAIM_OTHER, now);
+			lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 		return;
 	}
 	if (now - l->heartbeat_at >= probe_delay(l))
-		start_probe(l, now);
+		lead_start_probe(l, now);
 }
 
 /*
@@ -538,7 +337,7 @@
 	if (lead_is_provisional(l))
 		step_down(l, now);
 	else if (l->phase == LEAD_IDLE && now >= l->retry_at)
-		start_claim(l, LEAD_CLAIM_OTHER, now);
+		lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 }
 
 rp_ms lead_silence_limit(const struct lead *l)
--- a/pool-member.c
+++ b/pool-member.c
@@ -13,28 +13,7 @@
  */
 #define MEMBER_TIMEOUT_MS 500
 #define DIAL_INTERVAL_MS 100 /* between attempts to connect to the leader */
-#define LEARNED_VMS_MAX 256
-#define RESUBMIT_MS 300 /* for a VM that has joined to submit its jobs */
-
-static int is_self(const struct pool *p, const char *vm)
-{
-	return !strcmp(vm, p->set.vm_name);
-}
-
-void pool_dial_all(struct pool *p, int announce)
-{
-	struct pool_vm *vm;
-
-	for (vm = p->vms; vm; vm = vm->next) {
-		struct pool_link *l;
-
-		if (is_self(p, vm->vm))
-			continue;
-		l = pool_link_dial(p, vm->vm, vm->address, POOL_LINK_PROBE);
-		if (l && announce)
-			pool_send_heartbeat(p, l);
-	}
-}
+#define RESUBMIT_MS 300	     /* for a VM that has joined to submit its jobs */
 
 /* --- on the leader: its members -------------------------------------- */
 
@@ -66,31 +45,6 @@
 	return NULL;
 }
 
-static struct pool_vm *find_vm(struct pool *p, const char *name)
-{
-	struct pool_vm *vm;
-
-	for (vm = p->vms; vm; vm = vm->next)
-		if (!strcmp(vm->vm, name))
-			return vm;
-	return NULL;
-}
-
-int pool_all_vms_linked(struct pool *p)
-{
-	struct pool_vm *vm;
-
-	for (vm = p->vms; vm; vm = vm->next) {
-		const struct pool_member *m = pool_find_member(p, vm->vm);
-
-		if (!is_self(p, vm->vm) &&
-		    (!m || !m->link ||
-		     p->now - m->link->received_at > LEAD_SILENCE_MAX_MS))
-			return 0;
-	}
-	return 1;
-}
-
 static struct pool_member *member_new(struct pool *p, const PoolHello *hello)
 {
 	struct pool_member *m = calloc(1, sizeof(*m));
@@ -126,20 +80,6 @@
 	return 0;
 }
 
-/*
- * A VM that starts while the store is away learns of the others from those that
- * dial it, until it has read their rows.
- */
-static void learn_vm(struct pool *p, const PoolHello *hello)
-{
-	if (p->vms_read || p->nlearned_vms == LEARNED_VMS_MAX ||
-	    is_self(p, hello->vm) || find_vm(p, hello->vm))
-		return;
-	p->nlearned_vms++;
-	pool_vm_update(p, hello);
-	find_vm(p, hello->vm)->learned = 1;
-}
-
 /*
  * The store's row names this process as the leader, and another VM has read it
  * first. The reply to the claim is still awaited, as the store is slow.
@@ -168,7 +108,7 @@
 	l->starts = hello->starts;
 	if (l->starts)
 		return;
-	learn_vm(p, hello);
+	pool_vm_learn(p, hello);
 	check_claim_succeeded(p, hello);
 	if (p->leading && !l->probe && is_for_this_term(l, hello)) {
 		m = pool_find_member(p, hello->vm);
@@ -275,7 +215,7 @@
 static void dial_leader(struct pool *p)
 {
 	if (p->leading || p->leader_link || !p->lead.row.fence ||
-	    is_self(p, p->lead.row.vm) || p->now < p->dial_due)
+	    pool_is_self(p, p->lead.row.vm) || p->now < p->dial_due)
 		return;
 	p->dial_due = p->now + DIAL_INTERVAL_MS;
 	/* The marks were received over the previous link. */
@@ -354,7 +294,7 @@
 
 	if (!msg)
 		return;
-	vm = find_vm(p, msg->vm);
+	vm = pool_find_vm(p, msg->vm);
 	if (vm && (!msg->hears || msg->fence == p->lead.row.fence))
 		vm->answered = 1;
 	hb = (struct lead_heartbeat){
@@ -477,7 +417,7 @@
 void pool_link_on_close(struct pool_link *l, const char *reason, int refused)
 {
 	struct pool *p = l->p;
-	struct pool_vm *vm = find_vm(p, l->peer);
+	struct pool_vm *vm = pool_find_vm(p, l->peer);
 
 	if (vm && refused)
 		vm->refused = 1;
@@ -538,84 +478,3 @@
 	if (p->leading)
 		sched_suspend(&p->sched, !lead_may_act(&p->lead), p->now);
 }
-
-/* --- entry VMs registered in the store ------------------------------- */
-
-unsigned pool_domain_rank(const struct pool *p, const char *name,
-			  const char *failure_domain, int64_t processor)
-{
-	const struct pool_vm *vm;
-	unsigned rank = 0;
-
-	for (vm = p->vms; vm; vm = vm->next) {
-		if (strcmp(vm->failure_domain, failure_domain) != 0)
-			continue;
-		rank += vm->processor > processor ||
-			(vm->processor == processor &&
-			 strcmp(vm->vm, name) < 0);
-	}
-	return rank;
-}
-
-/* Counts the other VMs, and the much larger ones, for the election. */
-static void count_vms(struct pool *p)
-{
-	struct pool_vm *vm;
-
-	p->lead.nothers = p->lead.nlarger = 0;
-	for (vm = p->vms; vm; vm = vm->next) {
-		if (is_self(p, vm->vm))
-			continue;
-		p->lead.nothers++;
-		p->lead.nlarger += vm->processor >=
-				   POOL_LARGER_FACTOR * pool_processor(p);
-	}
-	p->lead.domain_rank = pool_domain_rank(
-		p, p->set.vm_name, p->set.failure_domain, pool_processor(p));
-}
-
-void pool_vm_update(struct pool *p, const PoolHello *hello)
-{
-	struct pool_vm *vm;
-
-	vm = find_vm(p, hello->vm);
-	if (!vm) {
-		vm = calloc(1, sizeof(*vm));
-		vm->next = p->vms;
-		p->vms = vm;
-	}
-	str_copy(vm->vm, sizeof(vm->vm), str_of(hello->vm));
-	str_copy(vm->address, sizeof(vm->address), str_of(hello->address));
-	str_copy(vm->failure_domain, sizeof(vm->failure_domain),
-		 str_of(hello->failure_domain));
-	vm->processor = hello->processor;
-	vm->learned = 0;
-	count_vms(p);
-}
-
-void pool_vms_read(struct pool *p)
-{
-	struct pool_vm *vm, *next;
-
-	p->vms_read = 1;
-	for (vm = p->vms; vm; vm = next) {
-		next = vm->next;
-		if (vm->learned)
-			pool_vm_remove(p, vm->vm);
-	}
-}
-
-void pool_vm_remove(struct pool *p, const char *name)
-{
-	struct pool_vm **at = &p->vms, *vm;
-
-	while ((vm = *at)) {
-		if (strcmp(vm->vm, name) != 0) {
-			at = &vm->next;
-			continue;
-		}
-		*at = vm->next;
-		free(vm);
-	}
-	count_vms(p);
-}
--- /dev/null
+++ b/pool-vm.c
@@ -0,0 +1,151 @@
+/* The entry VMs that are known, from the store or from themselves. */
+
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* VMs that are learned of from themselves. */
+#define LEARNED_VMS_MAX 256
+
+int pool_is_self(const struct pool *p, const char *vm)
+{
+	return !strcmp(vm, p->set.vm_name);
+}
+
+struct pool_vm *pool_find_vm(struct pool *p, const char *name)
+{
+	struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next)
+		if (!strcmp(vm->vm, name))
+			return vm;
+	return NULL;
+}
+
+unsigned pool_domain_rank(const struct pool *p, const char *name,
+			  const char *failure_domain, int64_t processor)
+{
+	const struct pool_vm *vm;
+	unsigned rank = 0;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		if (strcmp(vm->failure_domain, failure_domain) != 0)
+			continue;
+		rank += vm->processor > processor ||
+			(vm->processor == processor &&
+			 strcmp(vm->vm, name) < 0);
+	}
+	return rank;
+}
+
+/* Counts the other VMs, and the much larger ones, for the election. */
+static void count_vms(struct pool *p)
+{
+	struct pool_vm *vm;
+
+	p->lead.nothers = p->lead.nlarger = 0;
+	for (vm = p->vms; vm; vm = vm->next) {
+		if (pool_is_self(p, vm->vm))
+			continue;
+		p->lead.nothers++;
+		p->lead.nlarger += vm->processor >=
+				   POOL_LARGER_FACTOR * pool_processor(p);
+	}
+	p->lead.domain_rank = pool_domain_rank(
+		p, p->set.vm_name, p->set.failure_domain, pool_processor(p));
+}
+
+void pool_vm_update(struct pool *p, const PoolHello *hello)
+{
+	struct pool_vm *vm;
+
+	vm = pool_find_vm(p, hello->vm);
+	if (!vm) {
+		vm = calloc(1, sizeof(*vm));
+		vm->next = p->vms;
+		p->vms = vm;
+	}
+	str_copy(vm->vm, sizeof(vm->vm), str_of(hello->vm));
+	str_copy(vm->address, sizeof(vm->address), str_of(hello->address));
+	str_copy(vm->failure_domain, sizeof(vm->failure_domain),
+		 str_of(hello->failure_domain));
+	vm->processor = hello->processor;
+	vm->learned = 0;
+	count_vms(p);
+}
+
+void pool_vms_read(struct pool *p)
+{
+	struct pool_vm **at = &p->vms, *vm;
+
+	p->vms_read = 1;
+	while ((vm = *at)) {
+		if (!vm->learned) {
+			at = &vm->next;
+			continue;
+		}
+		*at = vm->next;
+		free(vm);
+	}
+	count_vms(p);
+}
+
+void pool_vm_remove(struct pool *p, const char *name)
+{
+	struct pool_vm **at = &p->vms, *vm;
+
+	while ((vm = *at)) {
+		if (strcmp(vm->vm, name) != 0) {
+			at = &vm->next;
+			continue;
+		}
+		*at = vm->next;
+		free(vm);
+	}
+	count_vms(p);
+}
+
+/*
+ * A VM that starts while the store is away learns of the others from those that
+ * dial it, until it has read their rows.
+ */
+void pool_vm_learn(struct pool *p, const PoolHello *hello)
+{
+	if (p->vms_read || p->nlearned_vms == LEARNED_VMS_MAX ||
+	    pool_is_self(p, hello->vm) || pool_find_vm(p, hello->vm))
+		return;
+	p->nlearned_vms++;
+	pool_vm_update(p, hello);
+	pool_find_vm(p, hello->vm)->learned = 1;
+}
+
+void pool_dial_all(struct pool *p, int announce)
+{
+	struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		struct pool_link *l;
+
+		if (pool_is_self(p, vm->vm))
+			continue;
+		l = pool_link_dial(p, vm->vm, vm->address, POOL_LINK_PROBE);
+		if (l && announce)
+			pool_send_heartbeat(p, l);
+	}
+}
+
+int pool_all_vms_linked(struct pool *p)
+{
+	struct pool_vm *vm;
+
+	for (vm = p->vms; vm; vm = vm->next) {
+		const struct pool_member *m = pool_find_member(p, vm->vm);
+
+		if (!pool_is_self(p, vm->vm) &&
+		    (!m || !m->link ||
+		     p->now - m->link->received_at > LEAD_SILENCE_MAX_MS))
+			return 0;
+	}
+	return 1;
+}
--- a/pool.h
+++ b/pool.h
@@ -116,6 +116,13 @@
 	int learned; /* from itself, not from its row in the store */
 };
 
+/* --- pool-vm.c: the entry VMs that are known -------------------------- */
+
+/* Whether the name is this VM's. */
+int pool_is_self(const struct pool *p, const char *vm);
+struct pool_vm *pool_find_vm(struct pool *p, const char *name);
+/* A VM has dialled this one. Adds it if the rows of VMs were not read yet. */
+void pool_vm_learn(struct pool *p, const PoolHello *hello);
 /* Number of VMs in the VM's failure domain that are to lead it before. */
 unsigned pool_domain_rank(const struct pool *p, const char *vm,
 			  const char *failure_domain, int64_t processor);
