--- a/regress/daemon-test.h
+++ b/regress/daemon-test.h
@@ -105,21 +105,31 @@
 	apr_terminate();
 }
 
-/* Listens on a free port; writes "ip:port" and returns the socket. */
-static inline int test_listen(char *address)
+/* Returns -1 if the port is in use. A socket that failed cannot be bound again.
+ */
+static inline int test_open_port(int port, int listens)
 {
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons((uint16_t)port) };
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int port, one = 1;
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &listens, sizeof(listens));
+	if (!bind(fd, (struct sockaddr *)&sa, sizeof(sa)) &&
+	    (!listens || !listen(fd, 64)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static inline int test_open_free_port(char *address, int listens)
+{
+	int port, fd;
+
 	for (port = TEST_PORT_FIRST + getpid() % 300; port < TEST_PORT_LAST;
 	     port++) {
-		struct sockaddr_in sa = { .sin_family = AF_INET,
-					  .sin_port = htons((uint16_t)port) };
-
-		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
-		    listen(fd, 64))
+		fd = test_open_port(port, listens);
+		if (fd < 0)
 			continue;
 		snprintf(address, RP_ADDRESS_MAX, "127.0.0.1:%d", port);
 		return fd;
@@ -128,6 +138,22 @@
 	return -1;
 }
 
+/* Listens on a free port; writes "ip:port" and returns the socket. */
+static inline int test_listen(char *address)
+{
+	return test_open_free_port(address, 1);
+}
+
+/*
+ * Takes a free port at which connections are refused. While the socket is open,
+ * no other test that runs at the same time gets the port, and with it what is
+ * sent to it.
+ */
+static inline int test_refuse(char *address)
+{
+	return test_open_free_port(address, 0);
+}
+
 /*
  * An HTTP server that replies to the n-th request of each connection with
  * replies[n]. CLOSE closes the connection without a reply; SILENT sends nothing
--- a/regress/http-peer.c
+++ b/regress/http-peer.c
@@ -217,12 +217,13 @@
 Test(peer, refused_connection_fails_link)
 {
 	char address[RP_ADDRESS_MAX];
+	int fd = test_refuse(address);
 
-	close(test_listen(address));
 	send_message("e2", address, "a", 1);
 	check_peer_down(1, "e2");
 	send_message("e2", address, "a", 1);
 	check_peer_down(2, "e2");
+	close(fd);
 }
 
 Test(peer, connect_timeout_fails_link)
@@ -307,9 +308,9 @@
 Test(peer, links_fail_independently)
 {
 	char dead[RP_ADDRESS_MAX];
+	int fd = test_refuse(dead);
 	int i;
 
-	close(test_listen(dead));
 	for (i = 0; i < 3; i++) {
 		send_message("e2", dead, "a", 1);
 		send_message("e1", test_settings.peer_listen, "x", 1);
@@ -320,4 +321,5 @@
 			cr_assert_str_eq(test_events[i].ev.peer_down.name, "e"
 									   "2");
 	test_wait_event(4);
+	close(fd);
 }
--- a/regress/t-fake-target.sh
+++ b/regress/t-fake-target.sh
@@ -56,7 +56,7 @@
 	wait $task_pid
 	cat "$dir/e"
 	echo '# a silent connection gets no answer; a new one does'
-	start_task f '{"ms":200}'
+	start_task f '{"ms":1500}'
 	set_target '{"silent":true}'
 	until_is done call -h X-Task-State GET "$address" /v1/tasks/f
 	kill -0 $task_pid && echo 'no answer on the old connection'
