The age of a job that is submitted again is known by the wait that is left

Their objective counts from the first try, but a restarted system took them for new. Three quarters of them were served, nearly all too late, while 80 new jobs were rejected within 0.3 s of the first decision.

Ruled out: the time to the new leader (200 ms) and to its targets (50 ms more); runs of before the loss, whose leases had ended.

Change: the scheduler learns which waits callers of a queue come with again and again; a shorter one tells how long the caller has waited already. Stored jobs are left alone.

--- a/sched-admit.c
+++ b/sched-admit.c
@@ -192,7 +192,7 @@
 	 * It has waited while there was no leader and is late already. It gets
 	 * room that the others leave, and an answer is of use until it expires.
 	 */
-	if (job->latest_start < s->now && job->arrived_at < s->started_at &&
+	if (job->latest_start < s->now && job->received_at < s->started_at &&
 	    s->now - s->started_at < TAKEOVER_MS)
 		return 1;
 	/* Each looks at all targets, so not for each job that waits. */
--- a/sched-int.h
+++ b/sched-int.h
@@ -130,6 +130,12 @@
 void sched_admit_started_on_time(struct sched_job *job);
 void sched_admit_started_late(struct sched_job *job);
 
+/*
+ * Learns the time that a caller waits for its answer, ms, and returns how long
+ * it has waited already, in earlier tries.
+ */
+rp_ms sched_wait_elapsed(struct sched_queue *q, rp_ms wait);
+
 /* sched-share.c */
 /* A job of the queue was answered. */
 void sched_share_answered(struct sched_queue *q, int completed);
--- a/sched-job.c
+++ b/sched-job.c
@@ -311,6 +311,7 @@
 	job->prev_fence = sub->former;
 	job->stored = sub->stored;
 	job->arrived_at = now - sub->age_ms;
+	job->received_at = job->arrived_at;
 	job->submitted_at = now;
 	job->deadline = now + (sub->stored ? NO_DEADLINE : sub->left_ms);
 	job->nsteps = sub->n_steps;
@@ -326,6 +327,9 @@
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
 	job->queue->service = job->service;
 	job->queue->nwaiting++;
+	if (!job->stored)
+		job->arrived_at -= sched_wait_elapsed(
+			job->queue, (rp_ms)sub->age_ms + sub->left_ms);
 	sched_predict_job(job);
 	set_size_bucket(job);
 	sched_fit_add(job);
--- a/scheduler.h
+++ b/scheduler.h
@@ -127,7 +127,20 @@
 #define SCHED_SIZE_BUCKETS 5
 extern const unsigned sched_size_bounds[SCHED_SIZE_BUCKETS - 1];
 
-/* Run times learned from the jobs of one queue. */
+/* Waits that callers of one queue come with most often (sched-wait.c). */
+#define SCHED_WAITS_MAX 4
+
+struct sched_wait {
+	rp_ms ms;
+	double weight;
+};
+
+struct sched_waits {
+	struct sched_wait list[SCHED_WAITS_MAX];
+	double weight; /* of all jobs, up to 1 */
+};
+
+/* What is learned from the jobs of one queue. */
 struct sched_queue {
 	char name[SCHED_QUEUE_NAME_MAX];
 	double log_estimate; /* mean log of the callers' estimates */
@@ -136,6 +149,7 @@
 	uint64_t nlearned;   /* jobs that log_bias was learned from */
 	uint32_t nwaiting;   /* jobs with no task started */
 	struct sched_service *service; /* of its latest job */
+	struct sched_waits waits;
 	double served;	  /* share of its latest jobs that completed */
 	double mean_size; /* of its jobs, thousandths of a core x ms */
 	/* Jobs answered, and those of them that completed, by size. */
@@ -235,7 +249,8 @@
 	/* The objective is stretch x run time + objective_offset, in ms. */
 	double stretch;
 	rp_ms objective_offset;
-	rp_ms arrived_at;   /* at the entry VM */
+	rp_ms arrived_at;   /* first try of the caller, as far as is known */
+	rp_ms received_at;  /* by the entry VM */
 	rp_ms submitted_at; /* to this scheduler */
 	rp_ms deadline;	    /* the caller stops waiting */
 	rp_ms objective_at; /* predicted end of the objective */
