--- a/regress/sched-wait.c
+++ b/regress/sched-wait.c
@@ -66,7 +66,7 @@
 	cr_assert_eq(sched_wait_elapsed(&q, 2500), 500);
 }
 
-static void submit_long(rp_ms age)
+static void submit_repeated(rp_ms age)
 {
 	struct world_job *job =
 		world_submit(&w, "recheck", 2, 200, 0, WAIT_MS - age);
@@ -88,7 +88,8 @@
 	world_run_until(&w, w.now + 100);
 	for (end = w.now + 1500; w.now < end;) {
 		if (repeated && world_uniform(&w) < 0.15)
-			submit_long(300 + (rp_ms)(1000 * world_uniform(&w)));
+			submit_repeated(300 +
+					(rp_ms)(1000 * world_uniform(&w)));
 		world_generate_load(&w, 1.2, 1);
 	}
 	world_run_until(&w, w.now + 2000);
