--- /dev/null
+++ b/regress/pool-unlisted.c
@@ -0,0 +1,131 @@
+/*
+ * A leader whose failure domain was cut off from the store uses targets whose
+ * entries have expired there. Guards against a successor that takes its own
+ * list for complete, and starts tasks a second time that run on such targets.
+ */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "pool-store.h"
+#include "sched-int.h"
+
+static struct pool p;
+static struct store store;
+static struct pool_member owner = { .vm = "vm2" };
+
+static void set_policy(char *to, const char *name)
+{
+	snprintf(to, RP_NAME_MAX, "%s", name);
+}
+
+static void begin(void)
+{
+	int i;
+
+	apr_initialize();
+	apr_pool_create(&p.pool, NULL);
+	snprintf(p.set.vm_name, sizeof(p.set.vm_name), "vm0");
+	snprintf(p.set.link_address, sizeof(p.set.link_address), "127.0.0.1:1");
+	p.watches = store.watches;
+	for (i = 0; i < WATCHES; i++)
+		store.watches[i].p = &p;
+	store.unreadable_rows = hash_new(p.pool);
+	store.listed_rounds = hash_new(p.pool);
+	p.requests = hash_new(p.pool);
+	p.listings = hash_new(p.pool);
+	p.set.remote_factor = 2;
+	p.set.max_lease = 1000;
+	set_policy(p.set.order, "priority");
+	set_policy(p.set.admit, "priority");
+	set_policy(p.set.place, "slowest-on-time");
+	set_policy(p.set.move, "progress");
+	set_policy(p.set.hopeless, "bound");
+	set_policy(p.set.leave, "move");
+	p.incarnation = 7;
+	pool_loop_init(&p);
+	pool_calls_init(&p);
+	pool_agent_init(&p);
+	pool_lead_init(&p);
+	p.now = 10000;
+}
+
+TestSuite(pool_unlisted, .init = begin);
+
+/* vm1 leads the domain that was cut off, and claims a term once it heals. */
+static void follow_healed_leader(void)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(3), .version = 8 };
+
+	snprintf(leader.vm, sizeof(leader.vm), "vm1");
+	lead_renewed(&p.lead, 7, p.now);
+	lead_row_read(&p.lead, &leader, p.now);
+}
+
+static void take_over(void)
+{
+	struct lead_row own = { .fence = LEAD_TOKEN(4), .version = 9 };
+
+	p.now += 100;
+	own.incarnation = p.incarnation;
+	snprintf(own.vm, sizeof(own.vm), "vm0");
+	lead_row_read(&p.lead, &own, p.now);
+	cr_assert(p.leading);
+}
+
+/* The store lists one target, which runs nothing. */
+static void read_list(void)
+{
+	struct sched_listing l = { .ready = 1, .incarnation = 1 };
+	struct sched_target_reply reply = { .status = SCHED_REPLY_OK,
+					    .reason = "",
+					    .clock = 1 };
+
+	snprintf(l.id, sizeof(l.id), "listed");
+	snprintf(l.address, sizeof(l.address), "127.0.0.1:2");
+	snprintf(l.service, sizeof(l.service), "svc");
+	l.capacity.cpu = 16000;
+	l.capacity.memory = 65536;
+	pool_sched_target_listed(&p, &l);
+	pool_listing_complete(&store.watches[WATCH_TARGETS]);
+	reply.sent_at = p.now;
+	sched_hold_reply(&p.sched, sched_find_target(&p.sched, "listed"),
+			 &reply, p.now);
+}
+
+/* The job's task was started under the leader before; it runs somewhere. */
+static struct sched_job *resubmit_job(void)
+{
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+
+	step.tasks = 1;
+	step.cpu = 1000;
+	step.estimate_ms = 500;
+	sub.seq = 1;
+	sub.id = "0123456789abcdef";
+	sub.queue = "q";
+	sub.service = "svc";
+	sub.max_attempts = 3;
+	sub.left_ms = 1000;
+	sub.former = LEAD_TOKEN(3);
+	sub.steps = &steps;
+	sub.n_steps = 1;
+	sched_submit(&p.sched, &owner, &sub, p.now);
+	return sched_find_open_job(&p.sched, str_of(sub.id));
+}
+
+Test(pool_unlisted, tasks_of_a_leader_with_unlisted_targets_are_not_started)
+{
+	const struct sched_job *job;
+
+	follow_healed_leader();
+	take_over();
+	read_list();
+	job = resubmit_job();
+	cr_assert_not_null(job);
+	cr_assert(!sched_adopt_all_known(job));
+}
