A leader tells its successor whether the store lists all targets that it uses

Cause: entries of targets that are cut off from the store expire there, while a leader inside their domain goes on using them. After the heal a successor read the list, heard from all targets in it, and started the tasks that it did not find there, 0.2 to 0.7 s after the first run. It examined only whether its own store had been away, and whether the leader before had renewed its row; that one had just claimed its term. The class: a list is taken for complete because its reader was well, though those that write it were cut off.

Ruled out: a job with earlier leaders than the last (the tasks were first submitted under the term that was examined); run numbers of two leaders (8193 and 24577).

Change: a leader says in each heartbeat whether its latest read of the list is at most a second old and no entry of a target in use is missing, or so old that it may expire before it is read. A successor that has not heard so from the regular leader of the term before, or read the list later than one interval of the entries afterwards, lets jobs that the predecessor may have started wait for its leases, as it does after an outage. The stand-in's targets rewrite their entries, as the platform's do.

regress/pool-lead.c passed without any word of the predecessor; its VM now hears one that confirms the list, and what it asserts is unchanged.

--- a/pool-beat.c
+++ b/pool-beat.c
@@ -138,6 +138,7 @@
 	if (!p->leading)
 		return;
 	hb->agents = pool_needs_agents(p);
+	hb->list_confirmed = pool_list_is_confirmed(p);
 	hb->linked = count_linked(p);
 	hb->successors = lists->successors;
 	hb->n_successors =
@@ -201,6 +202,7 @@
 	brief.waits = hb->waits;
 	brief.stored = hb->stored;
 	brief.agents = hb->agents;
+	brief.list_confirmed = hb->list_confirmed;
 	brief.clock = hb->clock;
 	send_beat(l, &brief);
 }
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -10,12 +10,6 @@
 #define NOTIFY_INTERVAL_MS 100 /* of heartbeats to the previous leader */
 /* Time without a leader after which jobs are rejected. */
 #define NO_LEADER_MS 1500
-/*
- * After a gap between leaders that is longer than this, rows of targets that
- * the previous leader still uses may have expired, so that the list of targets
- * lacks them.
- */
-#define LISTING_EXPIRY_MS 2500
 
 /* Records when the leader was alive, and logs when it is lost or regained. */
 static void check_leader_alive(struct pool *p)
@@ -185,18 +179,6 @@
 	pool_store_confirm(l->user);
 }
 
-/*
- * Rows that have expired during an outage of the store are written again within
- * two seconds of its return. The previous leader may be alive and use their
- * targets.
- */
-static int entries_may_be_missing(const struct pool *p)
-{
-	return p->lead.store_lost ||
-	       (p->store_back_at &&
-		p->now - p->store_back_at < LISTING_EXPIRY_MS);
-}
-
 static void on_changed(struct lead *l)
 {
 	struct pool *p = l->user;
@@ -234,9 +216,7 @@
 		vm->led = 0;
 	lead_domains_that_answered(p);
 	pool_sched_begin(p, l->row.fence);
-	p->sched.prev_may_hold_unlisted =
-		l->prev_renewal_age > LISTING_EXPIRY_MS ||
-		entries_may_be_missing(p) || LEAD_IS_PROVISIONAL(l->row.fence);
+	pool_list_doubt_predecessor(p);
 	pool_dial_unlinked(p);
 	pool_requests_resubmit(p);
 }
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -32,16 +32,18 @@
 	free(m);
 }
 
-static void add_missing(struct store *s, const char *id, rp_ms now)
+static void add_missing(struct pool *p, const char *id)
 {
+	struct store *s = store_of(p);
 	struct missing_target *m;
 
+	sched_target_entry_read(&p->sched, id, 0);
 	for (m = s->missing; m; m = m->next)
 		if (!strcmp(m->id, id))
 			return;
 	m = calloc(1, sizeof(*m));
 	str_copy(m->id, sizeof(m->id), str_of(id));
-	m->since = now;
+	m->since = p->now;
 	m->next = s->missing;
 	s->missing = m;
 }
@@ -104,7 +106,7 @@
 	if (!row->value) {
 		pool_share_removed(p, row->key, row->version);
 		if (p->leading && sched_find_target(&p->sched, row->key))
-			add_missing(s, row->key, p->now);
+			add_missing(p, row->key);
 		return;
 	}
 	if (platform_parse_listing(&l, row->key, row->value, row->len, error)) {
@@ -118,6 +120,7 @@
 	set_listed_round(w, l.id);
 	log_listing(p, &l, row->version);
 	pool_sched_target_listed(p, &l);
+	sched_target_entry_read(&p->sched, l.id, p->now);
 }
 
 /* Removes the entries that a full read has not listed. */
@@ -150,14 +153,14 @@
 	remove_unlisted(w);
 
 	if (p->leading)
-		sched_targets_loaded(&p->sched);
+		pool_list_loaded(p);
 	for (i = 0; p->leading && i < p->sched.ntargets; i++) {
 		const char *id = p->sched.targets[i]->listing.id;
 		uint32_t *round =
 			apr_hash_get(s->listed_rounds, id, APR_HASH_KEY_STRING);
 
 		if (!round || *round != w->round)
-			add_missing(s, id, p->now);
+			add_missing(p, id);
 	}
 }
 
--- a/pool-member.c
+++ b/pool-member.c
@@ -244,6 +244,7 @@
 	l->heartbeat->waits = msg->waits;
 	l->heartbeat->stored = msg->stored;
 	l->heartbeat->agents = msg->agents;
+	l->heartbeat->list_confirmed = msg->list_confirmed;
 	l->heartbeat->clock = msg->clock;
 	l->heartbeat->echo = msg->echo;
 	return l->heartbeat;
@@ -264,6 +265,7 @@
 		pool_send_heartbeat(p, l);
 		pool_requests_resubmit(p);
 	}
+	pool_list_confirmation_received(p, msg);
 	if (msg->waits)
 		p->has_stored_jobs = msg->stored || p->accepted_stored_job;
 	pool_beat__free_unpacked(p->leader_heartbeat, NULL);
--- a/pool-setting.c
+++ b/pool-setting.c
@@ -64,6 +64,8 @@
 	  "how long the state of an ended stored job is kept, ms" },
 	{ "lease", MS, 0, "1000", OFFSET(max_lease),
 	  "longest lease that targets grant, ms" },
+	{ "entry-interval", MS, 0, "1500", OFFSET(entry_interval),
+	  "interval at which targets rewrite their entries in the store, ms" },
 	{ "grace", MS, 0, "5500", OFFSET(grace),
 	  "longest time from SIGTERM to the exit, ms" },
 	{ "rotation", MS, 0, "2500", OFFSET(rotation),
--- a/pool-store.h
+++ b/pool-store.h
@@ -90,6 +90,9 @@
 void pool_stored_row(struct pool_watch *w, const struct platform_row *row);
 void pool_stored_complete(struct pool_watch *w);
 
+/* pool-confirm.c: the full read of the list is complete. */
+void pool_list_loaded(struct pool *p);
+
 /* pool-listing.c: the callbacks of the watch of targets */
 void pool_listing_row(struct pool_watch *w, const struct platform_row *row);
 void pool_listing_complete(struct pool_watch *w);
--- a/pool.h
+++ b/pool.h
@@ -39,6 +39,7 @@
 	rp_ms ended_retention;
 	double remote_factor; /* on run times away from the data's rack */
 	rp_ms max_lease;      /* longest lease that targets grant */
+	rp_ms entry_interval; /* at which targets rewrite their entries */
 	rp_ms grace;	      /* from SIGTERM to the exit, at most */
 	/* From SIGTERM until the load balancer sends no more requests. */
 	rp_ms rotation;
@@ -243,6 +244,15 @@
 void pool_share_flush(struct pool *p);
 void pool_listings_received(struct pool *p, const PoolListings *msg);
 
+/* --- pool-confirm.c: whether the list has all targets in use ---------- */
+
+/* Whether the store's list has all targets that this leader uses. */
+int pool_list_is_confirmed(struct pool *p);
+/* A leader's heartbeat says whether it has. */
+void pool_list_confirmation_received(struct pool *p, const PoolBeat *msg);
+/* Decides whether the leader before this one may use unlisted targets. */
+void pool_list_doubt_predecessor(struct pool *p);
+
 /* --- pool-evacuate.c: evacuated failure domains ------------------------ */
 
 /* Domains that are kept, with those that are not evacuated any more. */
@@ -518,6 +528,12 @@
 	struct pool_cause causes[POOL_CAUSES_MAX];
 	size_t ncauses;
 	rp_ms store_back_at; /* the latest outage of the store ended; 0: none */
+	/*
+	 * Token of the leader whose latest heartbeat says that the store's list
+	 * has all targets that it uses, and when it came; 0: none.
+	 */
+	uint64_t list_confirmed_fence;
+	rp_ms list_confirmed_at;
 	int evacuations_known;	  /* the operator's table has been read */
 	int64_t operator_version; /* of the store, up to which it was read */
 	uint64_t received_mark;	  /* of the leader's latest message */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -2304,7 +2304,7 @@
   (ProtobufCMessageInit) pool_evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[19] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[20] =
 {
   {
     "fence",
@@ -2534,6 +2534,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list_confirmed",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, list_confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
@@ -2547,6 +2559,7 @@
   2,   /* field[2] = leader_address */
   3,   /* field[3] = leading */
   18,   /* field[18] = linked */
+  19,   /* field[19] = list_confirmed */
   7,   /* field[7] = resigns */
   17,   /* field[17] = stops */
   9,   /* field[9] = store */
@@ -2559,7 +2572,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2569,7 +2582,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  19,
+  20,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -471,10 +471,14 @@
    * from the leader: VMs linked to it, and itself
    */
   uint32_t linked;
+  /*
+   * From the leader: the store's list has all targets that it uses.
+   */
+  protobuf_c_boolean list_confirmed;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/pool-lead.c
+++ b/regress/pool-lead.c
@@ -28,6 +28,7 @@
 	p.listings = hash_new(p.pool);
 	p.set.remote_factor = 2;
 	p.set.max_lease = 1000;
+	p.set.entry_interval = 1500;
 	p.incarnation = 7;
 	pool_loop_init(&p);
 	pool_calls_init(&p);
@@ -39,11 +40,18 @@
 
 TestSuite(pool_lead, .init = begin);
 
-/* The predecessor's renewal is read, and this VM is elected 100 ms later. */
+/*
+ * The predecessor's renewal is read, it says that the list has its targets, and
+ * this VM is elected 100 ms later.
+ */
 static void take_over(void)
 {
 	struct lead_row own = { .fence = LEAD_TOKEN(2), .version = 9 };
+	PoolBeat beat = POOL_BEAT__INIT;
 
+	beat.fence = LEAD_TOKEN(1);
+	beat.list_confirmed = 1;
+	pool_list_confirmation_received(&p, &beat);
 	lead_renewed(&p.lead, 5, p.now);
 	p.now += 100;
 	own.incarnation = p.incarnation;
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -39,6 +39,7 @@
 	p.listings = hash_new(p.pool);
 	p.set.remote_factor = 2;
 	p.set.max_lease = 1000;
+	p.set.entry_interval = 1500;
 	set_policy(p.set.order, "priority");
 	set_policy(p.set.admit, "priority");
 	set_policy(p.set.place, "slowest-on-time");
@@ -55,8 +56,8 @@
 
 TestSuite(pool_unlisted, .init = begin);
 
-/* vm1 leads the domain that was cut off, and claims a term once it heals. */
-static void follow_healed_leader(void)
+/* vm1 leads; its domain may have been cut off from the store. */
+static void follow_leader(void)
 {
 	struct lead_row leader = { .fence = LEAD_TOKEN(3), .version = 8 };
 
@@ -118,14 +119,116 @@
 	return sched_find_open_job(&p.sched, str_of(sub.id));
 }
 
-Test(pool_unlisted, tasks_of_a_leader_with_unlisted_targets_are_not_started)
+/* Whether the tasks may start at once. */
+static int may_start(void)
 {
 	const struct sched_job *job;
 
-	follow_healed_leader();
 	take_over();
 	read_list();
 	job = resubmit_job();
 	cr_assert_not_null(job);
-	cr_assert(!sched_adopt_all_known(job));
+	return sched_adopt_all_known(job);
+}
+
+static void receive_heartbeat(int list_confirmed)
+{
+	PoolBeat beat = POOL_BEAT__INIT;
+
+	beat.fence = LEAD_TOKEN(3);
+	beat.list_confirmed = list_confirmed;
+	pool_list_confirmation_received(&p, &beat);
+}
+
+Test(pool_unlisted, tasks_of_a_leader_with_unlisted_targets_are_not_started)
+{
+	follow_leader();
+	cr_assert(!may_start());
+}
+
+Test(pool_unlisted, tasks_of_a_leader_that_has_confirmed_the_list_are_started)
+{
+	follow_leader();
+	receive_heartbeat(0);
+	receive_heartbeat(1);
+	cr_assert(may_start());
+}
+
+Test(pool_unlisted, the_latest_heartbeat_counts)
+{
+	follow_leader();
+	receive_heartbeat(1);
+	receive_heartbeat(0);
+	cr_assert(!may_start());
+}
+
+/* Entries may have expired between the heartbeat and the reading. */
+Test(pool_unlisted, a_confirmation_holds_for_one_interval_of_entries)
+{
+	follow_leader();
+	receive_heartbeat(1);
+	p.now += p.set.entry_interval;
+	lead_renewed(&p.lead, 9, p.now);
+	cr_assert(!may_start());
+}
+
+/* --- the leader's own view ----------------------------------------------- */
+
+/* Leads, has read the list, and holds its one target. */
+static struct sched_target *lead(void)
+{
+	struct pool_watch *w = &store.watches[WATCH_TARGETS];
+
+	follow_leader();
+	take_over();
+	read_list();
+	w->complete = 1;
+	w->lost = 0;
+	w->replied_at = p.now;
+	sched_target_entry_read(&p.sched, "listed", p.now);
+	cr_assert(pool_list_is_confirmed(&p));
+	return sched_find_target(&p.sched, "listed");
+}
+
+/* Time passes, in which the store replies. */
+static void wait_ms(rp_ms ms)
+{
+	p.now += ms;
+	store.watches[WATCH_TARGETS].replied_at = p.now;
+}
+
+Test(pool_unlisted, a_leader_without_the_store_confirms_nothing)
+{
+	lead();
+	store.watches[WATCH_TARGETS].lost = 1;
+	cr_assert(!pool_list_is_confirmed(&p));
+	store.watches[WATCH_TARGETS].lost = 0;
+	p.now += 1001;
+	cr_assert(!pool_list_is_confirmed(&p));
+}
+
+Test(pool_unlisted, an_entry_that_is_missing_or_about_to_expire_is_told)
+{
+	lead();
+	wait_ms(p.set.entry_interval);
+	cr_assert(pool_list_is_confirmed(&p));
+	wait_ms(2 * p.set.entry_interval);
+	cr_assert(!pool_list_is_confirmed(&p));
+	sched_target_entry_read(&p.sched, "listed", p.now);
+	cr_assert(pool_list_is_confirmed(&p));
+	sched_target_entry_read(&p.sched, "listed", 0);
+	cr_assert(!pool_list_is_confirmed(&p));
+}
+
+/* Targets that leave would delay jobs at each change of leader. */
+Test(pool_unlisted, a_target_without_runs_that_leaves_does_not_matter)
+{
+	struct sched_target *t = lead();
+
+	t->listing.ready = 0;
+	sched_target_entry_read(&p.sched, "listed", 0);
+	cr_assert(pool_list_is_confirmed(&p));
+	t->nruns = 1;
+	cr_assert(!pool_list_is_confirmed(&p));
+	t->nruns = 0;
 }
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -68,6 +68,7 @@
 	char id[STANDIN_NAME];
 	int64_t incarnation, sequence, draining_since;
 	int64_t restarted_at; /* 0: never */
+	int64_t entry_written_at;
 	int draining;
 	char zone[STANDIN_NAME];
 	int silent;	 /* fault: does not answer */
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -12,6 +12,7 @@
 #define RESTART_MS 80 /* time until the next incarnation answers */
 #define CRASH_MS 10   /* from the start of a run that crashes its target */
 #define DOWN_MS 2000  /* time until a crashed target is back, with a new id */
+#define ENTRY_INTERVAL_MS 1500 /* at which a target rewrites its entry */
 /* Time in which the scheduler may not know of a smaller capacity. */
 #define SHRINK_MS 1000
 
@@ -35,6 +36,7 @@
 {
 	char text[512];
 
+	t->entry_written_at = fake_now_ms();
 	snprintf(text, sizeof(text),
 		 "{\"service\":\"desk\",\"address\":\"127.0.0.1:%d\","
 		 "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,\"state\":"
@@ -145,6 +147,8 @@
 
 	t->advanced_at = now;
 	advance_crash(t);
+	if (!t->crashed_until && now - t->entry_written_at >= ENTRY_INTERVAL_MS)
+		target_write_entry(t);
 	t->clock_offset -= elapsed * t->clock_lag / 100;
 	for (i = t->nruns; i-- > 0;) {
 		struct standin_run *run = &t->runs[i];
--- a/sched-use.c
+++ b/sched-use.c
@@ -1,4 +1,7 @@
-/* Which targets can be given tasks, and why the others cannot. */
+/*
+ * Which targets can be given tasks, and why the others cannot; whether the
+ * platform lists those that are in use.
+ */
 
 #include "sched-int.h"
 
@@ -42,3 +45,30 @@
 	for (i = 0; i < s->ntargets; i++)
 		counts[use_of(s->targets[i], now)]++;
 }
+
+void sched_target_entry_read(struct sched *s, const char *id, rp_ms at)
+{
+	struct sched_target *t = sched_find_target(s, id);
+
+	if (t)
+		t->entry_read_at = at;
+}
+
+static int is_in_use(const struct sched_target *t)
+{
+	return t->nruns || (t->listed && t->listing.ready && !t->unanswered);
+}
+
+int sched_entries_are_current(const struct sched *s, rp_ms now, rp_ms max_age)
+{
+	size_t i;
+
+	for (i = 0; i < s->ntargets; i++) {
+		const struct sched_target *t = s->targets[i];
+
+		if (is_in_use(t) &&
+		    (!t->entry_read_at || now - t->entry_read_at > max_age))
+			return 0;
+	}
+	return 1;
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -348,8 +348,10 @@
 	struct sched_service *service;
 	struct sched_listing listing;
 	enum sched_target_state state;
-	size_t index;	/* in s->targets */
-	int listed;	/* in the platform's list */
+	size_t index; /* in s->targets */
+	int listed;   /* in the platform's list */
+	/* Its entry was read from the store last; 0: it is not there. */
+	rp_ms entry_read_at;
 	int draining;	/* its entry has last said that it takes no new work */
 	int replaced;	/* another incarnation has replied at its address */
 	rp_ms leave_at; /* it drains and leaves then; 0: not known to */
@@ -698,6 +700,16 @@
 void sched_stored_jobs_loaded(struct sched *s);
 /* The platform's list has lost an entry. */
 void sched_target_unlisted(struct sched *s, const char *id, rp_ms now);
+/*
+ * The target's entry was read from the store at the time, changed or not; 0: it
+ * was not found there.
+ */
+void sched_target_entry_read(struct sched *s, const char *id, rp_ms at);
+/*
+ * Whether each target that has tasks of this scheduler, or may be given some,
+ * has an entry in the store that was read at most max_age ms ago.
+ */
+int sched_entries_are_current(const struct sched *s, rp_ms now, rp_ms max_age);
 void sched_start_reply(struct sched *s, struct sched_target *t,
 		       const char *task, uint32_t run,
 		       const struct sched_target_reply *reply, rp_ms now);
