The first leader that may have started a job's tasks is told to each later one

What callers could see: a task that runs twice.

Cause: an owner told a new leader only of the leader that the job was sent to last. If a leader whose targets cannot all be known had started tasks (a provisional one, or the same one under an earlier token), and a regular leader then had the job for some ms without any effect, the next leader examined that regular one alone, whose runs it can all know, and started the tasks at once. The same if the submission to a leader whose link broke is repeated: it then names that leader itself, which takes the job for one that never arrived (never_arrived()) and that nobody has started.

Change: the owner keeps the token of the first leader that may have started a task, and sends it to each later one. A leader that is not the successor of that one waits until all leases are over, as it does for provisional leaders.

Result: pool_share: the_first_leader_that_may_have_started_tasks_is_not_forgotten failed before (the token was that of the regular leader) and passes; the other tests of pool-share, pool-member, pool-link and pool-resend pass unchanged.

--- a/pool-owner.c
+++ b/pool-owner.c
@@ -147,7 +147,8 @@
 			 "the job is over");
 	if (!r)
 		return;
-	r->may_have_started = 1;
+	if (!r->started_fence)
+		r->started_fence = r->sent_fence;
 	tasks = calloc(start->n_tasks + 1, sizeof(*tasks));
 	run.tasks = calloc(start->n_tasks + 1, sizeof(*run.tasks));
 	run.fence = p->start_fence;
--- a/pool-request.c
+++ b/pool-request.c
@@ -111,11 +111,11 @@
 	if (!pool_can_submit(p))
 		return; /* pool_requests_resubmit() submits it later */
 	/*
-	 * The leader that it was sent to before may have started tasks. It has
-	 * not if this VM keeps the specification and was asked for no start;
-	 * its link is closed, so none can be asked for any more.
+	 * A leader that it was sent to before has not started tasks if this VM
+	 * keeps the specification and was asked for no start; its link is
+	 * closed, so none can be asked for any more.
 	 */
-	r->submit->former = r->may_have_started ? r->sent_fence : 0;
+	r->submit->former = r->started_fence;
 	r->sent_fence = fence;
 	r->submit->age_ms = (uint32_t)(p->now - r->received_at);
 	r->submit->left_ms =
@@ -127,8 +127,8 @@
 		r->submit->n_losses = r->lost->n_losses;
 	}
 	pool_owner_keep_specification(p, r->submit);
-	if (!r->submit->specification_hash)
-		r->may_have_started = 1;
+	if (!r->submit->specification_hash && !r->started_fence)
+		r->started_fence = fence;
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
 	r->submit->specification = specification;
--- a/pool-request.h
+++ b/pool-request.h
@@ -23,10 +23,11 @@
 	rp_ms received_at, deadline;
 	uint64_t sent_fence; /* of the leader it was last sent to; 0: none */
 	/*
-	 * A task may have been started: a leader had the specification, or has
-	 * asked this VM, which kept it, for a start.
+	 * Token of the first leader that may have started a task: it had the
+	 * specification, or has asked this VM, which kept it, for a start. 0:
+	 * none. Later leaders may not know all runs of that one.
 	 */
-	int may_have_started;
+	uint64_t started_fence;
 	uint32_t *done_tasks; /* their numbers, over all steps */
 	size_t ndone_tasks, cap_done_tasks;
 	PoolProgress *lost; /* the latest message on lost targets, or NULL */
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -214,8 +214,8 @@
   size_t n_steps;
   PoolStep **steps;
   /*
-   * Fencing token of a previous leader that may have started tasks of
-   * the job; 0: none has.
+   * Fencing token of the first previous leader that may have started tasks
+   * of the job; 0: none has.
    */
   uint64_t former;
   /*
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -281,6 +281,39 @@
 	other.links = NULL;
 }
 
+/*
+ * A provisional leader has started a task, and two regular ones follow in short
+ * order. Guards against the second of them examining only the first, whose runs
+ * it can all know, and starting the task again.
+ */
+Test(pool_share, the_first_leader_that_may_have_started_tasks_is_not_forgotten)
+{
+	struct pool_request r = { .p = &other, .seq = 4 };
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolBeat beat = POOL_BEAT__INIT;
+
+	beat.agents = 1;
+	other.leader_link->greeted = 1;
+	other.leader_heartbeat = &beat;
+	other.set.max_lease = 1000;
+	sub.id = "0123456789abcdef";
+	sub.queue = sub.service = "q";
+	r.submit = &sub;
+	r.deadline = other.now + 1000;
+	apr_hash_set(other.requests, &r.seq, sizeof(r.seq), &r);
+	other.lead.row.fence = LEAD_TOKEN(1) | 7;
+	pool_requests_resubmit(&other);
+	receive_start(LEAD_TOKEN(1) | 7);
+	other.lead.row.fence = LEAD_TOKEN(2);
+	pool_requests_resubmit(&other);
+	cr_assert_eq(sub.former, LEAD_TOKEN(1) | 7);
+	other.lead.row.fence = LEAD_TOKEN(3);
+	pool_requests_resubmit(&other);
+	cr_assert_eq(sub.former, LEAD_TOKEN(1) | 7);
+	other.leader_heartbeat = NULL;
+	other.links = NULL;
+}
+
 /* The time at which a target leaves is told by the clock that all VMs share. */
 Test(pool_share, the_time_of_leaving_is_passed_on)
 {
