Log what a new leader's targets are used for

The event targets_in_use has these counts at 500 ms and 1 s of a takeover, and whenever what most targets are used for changes; it is a warning unless most are available. Targets with runs of other schedulers are counted apart from those that fail.

Warnings now have a limit of their own.

--- a/log-json.c
+++ b/log-json.c
@@ -246,24 +246,29 @@
 
 /*
  * Limits the lines per second, so that many failures at once don't flood the
- * log. The first line of a later second says how many were dropped.
+ * log. The first line of a later second says how many were dropped. Warnings
+ * have a limit of their own: lines about each job must not crowd them out.
  */
-static int is_below_limit(void)
+static int is_below_limit(enum log_level level)
 {
-	static atomic_long second, lines;
+	static struct {
+		atomic_long second, lines;
+	} counters[2];
+	atomic_long *second = &counters[level <= LOG_LEVEL_WARN].second;
+	atomic_long *lines = &counters[level <= LOG_LEVEL_WARN].lines;
 	long now = (long)time(NULL);
-	long before = atomic_load(&second);
+	long before = atomic_load(second);
 	long dropped;
 
 	if (before != now &&
-	    atomic_compare_exchange_strong(&second, &before, now)) {
-		dropped = atomic_exchange(&lines, 0) - lines_per_second;
+	    atomic_compare_exchange_strong(second, &before, now)) {
+		dropped = atomic_exchange(lines, 0) - lines_per_second;
 		if (dropped > 0)
 			log4c_category_log(category, LOG4C_PRIORITY_WARN,
 					   "%c%c%ld lines were left out",
 					   SEPARATOR, SEPARATOR, dropped);
 	}
-	return atomic_fetch_add(&lines, 1) < lines_per_second;
+	return atomic_fetch_add(lines, 1) < lines_per_second;
 }
 
 void log_line(enum log_level level, const char *step, const char *peer,
@@ -275,7 +280,7 @@
 
 	if (!category ||
 	    !log4c_category_is_priority_enabled(category, priority_of(level)) ||
-	    !is_below_limit())
+	    !is_below_limit(level))
 		return;
 	at = snprintf(text, sizeof(text), "%s%c%s%c", step, SEPARATOR, peer,
 		      SEPARATOR);
@@ -296,7 +301,7 @@
 
 	if (!category ||
 	    !log4c_category_is_priority_enabled(category, priority_of(level)) ||
-	    !is_below_limit())
+	    !is_below_limit(level))
 		return;
 	l.text[l.len++] = RECORD;
 	put_field(&l, "event", event, strlen(event));
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -228,7 +228,7 @@
 		return;
 	p->count.takeovers++;
 	p->leading = 1;
-	p->few_targets_since = p->now;
+	p->few_targets_since = p->uses_counted_at = p->now;
 	p->self.nanswers = 0;
 	for (vm = p->vms; vm; vm = vm->next)
 		vm->led = 0;
--- a/pool.h
+++ b/pool.h
@@ -503,8 +503,10 @@
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
 	rp_ms leader_checked_at;
 	rp_ms uses_counted_at, few_targets_since, few_targets_warned_at;
-	int vms_read;	     /* the rows of all VMs were read */
-	size_t nlearned_vms; /* VMs that were learned of otherwise */
+	uint64_t uses_logged_fence;	/* token at the last log of the uses */
+	enum sched_use most_common_use; /* of the targets, as last logged */
+	int vms_read;			/* the rows of all VMs were read */
+	size_t nlearned_vms;		/* VMs that were learned of otherwise */
 	/* A VM that may own jobs had no link to this leader then. */
 	rp_ms owner_missing_at;
 	rp_ms announced_at; /* to VMs that are not linked to this leader */
--- a/regress/pool-use.c
+++ b/regress/pool-use.c
@@ -66,6 +66,22 @@
 	cr_assert_eq(p.few_targets_warned_at, p.now);
 }
 
+/*
+ * A provisional leader rejected all jobs for 3 s, and no event told that it
+ * knew no targets.
+ */
+Test(pool_use, counts_of_a_new_leader_are_logged)
+{
+	p.now += 500;
+	pool_check_targets_in_use(&p);
+	cr_assert_eq(p.uses_logged_fence, p.sched.fence);
+	cr_assert_eq(p.most_common_use, SCHED_USE_AVAILABLE);
+	p.now += 5000;
+	p.most_common_use = SCHED_USE_NOT_HELD;
+	pool_check_targets_in_use(&p);
+	cr_assert_eq(p.most_common_use, SCHED_USE_AVAILABLE);
+}
+
 Test(pool_use, time_without_a_leader_adds_up)
 {
 	pool_count_leaderless(&p, 1);
--- a/sched-use.c
+++ b/sched-use.c
@@ -8,6 +8,7 @@
 	[SCHED_USE_EVACUATED] = "evacuated",
 	[SCHED_USE_NOT_HELD] = "not_held",
 	[SCHED_USE_UNANSWERED] = "unanswered",
+	[SCHED_USE_FOREIGN] = "foreign_runs",
 	[SCHED_USE_OTHER] = "other",
 };
 
@@ -28,6 +29,8 @@
 		return SCHED_USE_UNANSWERED;
 	if (t->state != SCHED_HELD)
 		return SCHED_USE_NOT_HELD;
+	if (t->nforeign)
+		return SCHED_USE_FOREIGN;
 	return SCHED_USE_OTHER;
 }
 
--- a/scheduler.h
+++ b/scheduler.h
@@ -713,7 +713,8 @@
 	SCHED_USE_EVACUATED, /* its failure domain is */
 	SCHED_USE_NOT_HELD,  /* its list has not been read yet */
 	SCHED_USE_UNANSWERED,
-	SCHED_USE_OTHER, /* it fails, or has runs of others */
+	SCHED_USE_FOREIGN, /* it has runs of other schedulers */
+	SCHED_USE_OTHER,   /* it fails, or its entry is out of date */
 	SCHED_USES,
 };
 
