A VM without the list of targets does not lead provisionally

The leader sends the list of targets to three VMs of each failure domain. The fourth of each domain probed at 425 to 432 ms, before their second try, and three of these led provisionally within 30 ms: sando-3, penal-3, point-3. None of them had the list, which no log told: reachability_checked, with 350 targets, was logged by the VMs with the list only. penal-3 was followed by all, and its first calls to targets came when the store was back at 35 s.

A VM now leads provisionally only with the list. One without it can serve nothing, and rejects jobs that another VM would serve.

The test failed before.

--- a/lead-probe.c
+++ b/lead-probe.c
@@ -53,7 +53,8 @@
 /* Targets have seen the token of the leader that is known last. */
 static int may_lead_provisionally(const struct lead *l)
 {
-	return l->own_row_version && provisional_token(l) > l->row.fence;
+	return l->own_row_version && !l->targets_unknown &&
+	       provisional_token(l) > l->row.fence;
 }
 
 static void lead_provisionally(struct lead *l, int all_domains, rp_ms now)
--- a/lead.h
+++ b/lead.h
@@ -22,6 +22,9 @@
  * - A majority of the entry VMs that has lost both leader and store. One of
  *   them leads all targets.
  *
+ * A VM that does not have the list of targets does not lead provisionally: it
+ * would reject all jobs until the store is back.
+ *
  * A provisional leader probes the other VMs from time to time. Once VMs of
  * other domains answer and none of them hears another leader, it leads their
  * targets too, or claims the next term if the store is back. If one does, that
@@ -203,9 +206,10 @@
 	 * has; 0: unknown. It is the lower half of a provisional token.
 	 */
 	uint32_t own_row_version;
-	int store_lost;	   /* the store has not answered for a while */
-	int store_failing; /* all of the latest calls to it have failed */
-	int all_domains;   /* provisional leader of all domains */
+	int targets_unknown; /* as a provisional leader it would have none */
+	int store_lost;	     /* the store has not answered for a while */
+	int store_failing;   /* all of the latest calls to it have failed */
+	int all_domains;     /* provisional leader of all domains */
 	struct lead_row prev_row; /* leader before this VM led provisionally */
 };
 
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -255,11 +255,13 @@
 {
 	lead_init(&p->lead, &lead_ops, p, p->set.vm_name, p->set.link_address,
 		  p->incarnation);
+	p->lead.targets_unknown = 1;
 	p->logged_leader_alive = -1;
 }
 
 void pool_lead_tick(struct pool *p, rp_ms now)
 {
+	p->lead.targets_unknown = !p->listing_version;
 	lead_tick(&p->lead, now);
 	notify_prev_leader(p);
 	check_leader_alive(p);
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -945,3 +945,24 @@
 	lead_claim_reported(l, fence, l->incarnation, now);
 	cr_assert_eq(l->role, LEAD_LEADING);
 }
+
+/*
+ * The leader was killed while the store was silent. A VM without the list of
+ * targets led provisionally, as those with it had probed too early and backed
+ * off, and rejected all jobs until the store was back.
+ */
+Test(lead, a_vm_without_the_list_does_not_lead_provisionally)
+{
+	int i, old = find_leader();
+
+	for (i = 0; i < VMS; i++) {
+		cut[i][STORE] = 1;
+		vms[i].lead.targets_unknown = 1;
+	}
+	vms[4].lead.targets_unknown = 0;
+	run_for(1500);
+	vms[old].up = 0;
+	run_for(2500);
+	cr_assert_eq(count_leaders(), 1);
+	cr_assert(lead_is_provisional(&vms[4].lead));
+}
