Ends of another provisional leader's runs are not taken for own ones

All provisional leaders of a term number their runs from the same number, and a late end was counted for the job that is open if its number was in the scheduler's range. A caller that got no answer submits its job again: if the second submission reached another provisional leader, the failed run of the first one, found on a target that the leader reached later, was counted for the second, which failed although its own run went on. The end of a regular leader's run is not counted so.

A number cannot tell the provisional leaders of a term apart: 32 bits would have to hold the term, the row version that orders these leaders, and the count. A run is a provisional leader's own if it has started it there and given it up, so each target has the latest 64 of these runs, until it has another incarnation. A regular leader's numbers are its own still, as a target that was removed and is back has lost that list. Found in the code, no other place depends on whose range a number is of: targets list runs by task and number, and two leaders that give one run of a task the same number on one target mean the same run.

Test: sched_provisional::an_end_of_another_provisional_leader_is_not_its_own failed before (the job was answered as failed).

--- /dev/null
+++ b/regress/sched-provisional.c
@@ -0,0 +1,71 @@
+/* Several leaders of one term: regular, provisional, and with a raised token.
+ */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <string.h>
+
+#include "lead.h"
+#include "world/world.h"
+
+static struct world w;
+static struct sched first, second;
+
+static void begin(void)
+{
+	apr_initialize();
+}
+
+TestSuite(sched_provisional, .init = begin, .timeout = 60);
+
+static void end_world(void)
+{
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&first);
+	sched_finish(&second);
+	world_finish(&w);
+}
+
+/* Submits the job to the scheduler that leads. */
+static void submit_again(struct world_job *job, uint64_t former)
+{
+	job->sub->former = former;
+	job->sub->age_ms = (uint32_t)(w.now - job->arrived_at);
+	job->sub->left_ms = 1500 - job->sub->age_ms;
+	sched_submit(w.sched, job, job->sub, w.now);
+	sched_dispatch(w.sched, w.now);
+}
+
+/*
+ * Two provisional leaders number their runs from the same number. The failure
+ * of a run of the first, under an earlier submission, must not fail the job
+ * that the caller has submitted anew to the second.
+ */
+Test(sched_provisional, an_end_of_another_provisional_leader_is_not_its_own)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 2);
+	sched_finish(&first);
+	world_start_sched(&w, &first, NULL, LEAD_TOKEN(1) | 7);
+	world_run_until(&w, w.now + 50);
+	w.targets[0].fail_percent = w.targets[1].fail_percent = 100;
+	job = world_submit(&w, "q", 1, 100, 1, 1500);
+	job->sub->max_attempts = 1;
+	world_run_until(&w, w.now + 20);
+	w.targets[0].unresponsive = w.targets[0].nruns > 0;
+	w.targets[1].unresponsive = w.targets[1].nruns > 0;
+	w.targets[0].fail_percent = w.targets[1].fail_percent = 0;
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 9);
+	world_run_until(&w, w.now + 250);
+	job->task_work[0] = 700;
+	job->sub->seq = job->seq = 1000;
+	submit_again(job, 0);
+	world_run_until(&w, w.now + 20);
+	w.targets[0].unresponsive = w.targets[1].unresponsive = 0;
+	world_run_until(&w, w.now + 1000);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -112,6 +112,7 @@
 static void free_target(struct sched_target *t)
 {
 	free(t->orphans);
+	free(t->given_up);
 	free(t->unacked);
 	free(t);
 }
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -61,7 +61,7 @@
 	t->state = SCHED_UNHELD;
 	t->ends_seen = t->ends_acked = 0;
 	t->nunacked = 0;
-	t->norphans = t->nforeign = 0;
+	t->norphans = t->nforeign = t->ngiven_up = 0;
 	t->adopted = 0;
 	t->clock = 0;
 	t->unanswered = 0;
@@ -303,6 +303,7 @@
 		if (task->replied_at && t->hold_sent_at > task->replied_at) {
 			if (task->restarted)
 				sched_loss_of_run(task, 1);
+			sched_adopt_give_up(task);
 			sched_run_ended(task, SCHED_END_STOPPED);
 		} else if (task->state == SCHED_STOPPING && !task->stop_sent)
 			sched_run_send_stop(task);
--- a/sched-int.h
+++ b/sched-int.h
@@ -178,6 +178,8 @@
 void sched_adopt_job(struct sched_job *job);
 /* Stops the runs and releases the ends that no job has claimed in time. */
 void sched_adopt_tick(struct sched_target *t);
+/* The run of the task is over, as far as is known, and its end may come. */
+void sched_adopt_give_up(const struct sched_task *task);
 /* A run that this scheduler does not know has ended. */
 void sched_adopt_end(struct sched_target *t, const struct sched_end *end);
 /* Whether jobs of unknown runs may still be submitted. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -239,6 +239,7 @@
 		t->s->count.lapses++;
 		t->s->ops->log(t->s, "lapse", t, t->runs, reason);
 		sched_loss_of_run(t->runs, crashed);
+		sched_adopt_give_up(t->runs);
 		sched_run_ended(t->runs, SCHED_END_STOPPED);
 	}
 	t->lease_until = 0;
--- a/scheduler.h
+++ b/scheduler.h
@@ -333,6 +333,12 @@
 	rp_ms needed_until;
 };
 
+/* A run of this scheduler whose end is not known. */
+struct sched_given_up {
+	uint64_t name; /* hash of the task's name */
+	uint32_t run;
+};
+
 /* A run of an earlier scheduler, or its end, found on a target. */
 struct sched_orphan {
 	char name[SCHED_TASK_NAME_MAX];
@@ -392,8 +398,14 @@
 	rp_ms adopt_until; /* orphans wait for their jobs until then */
 	struct sched_orphan *orphans;
 	size_t norphans, cap_orphans;
+	/* The latest runs that were given up; a ring once it is full. */
+	struct sched_given_up *given_up;
+	size_t ngiven_up, next_given_up;
 };
 
+/* Runs given up on a target of which the numbers are kept. */
+#define SCHED_GIVEN_UP_MAX 64
+
 /* A running task in a target's list. */
 struct sched_run {
 	struct rp_str task;
