Run numbers rise with the leader's token

A leader that was cut off, and got the next term's token, went on with the run numbers of its former token, below those of the provisional leader meanwhile. Targets refuse a run that is not numbered higher than one that was stopped or has ended there, so that all its starts of such a task were refused on these targets until the numbers were used up: in the test 254 starts in 0.6 s, each refused, and the job was not answered.

The numbers of new jobs, of jobs that are submitted again, and of the next runs of open jobs now rise to the range of the new token, which is above all ranges of the term before.

Tests: sched_provisional::run_numbers_rise_with_the_token and jobs_of_before_get_the_numbers_of_the_token failed before.

--- a/regress/sched-provisional.c
+++ b/regress/sched-provisional.c
@@ -69,3 +69,51 @@
 	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
 	end_world();
 }
+
+/*
+ * Targets refuse runs that are not numbered higher than one that has ended
+ * there. A regular leader that got a higher token went on with its old numbers,
+ * below those of the provisional leader meanwhile, and all its starts of the
+ * task were refused.
+ */
+Test(sched_provisional, run_numbers_rise_with_the_token)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 1);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 7);
+	world_run_until(&w, w.now + 50);
+	job = world_submit(&w, "q", 1, 300, 1, 1500);
+	world_run_until(&w, w.now + 20);
+	sched_owner_lost(&second, job, w.now); /* stops the run */
+	world_run_until(&w, w.now + 100);
+	w.sched = &first;
+	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
+	world_run_until(&w, w.now + 20);
+	submit_again(job, 0);
+	world_run_until(&w, w.now + 600);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_leq(first.count.starts, 2);
+	end_world();
+}
+
+/* The same for a job that the leader has had all the time. */
+Test(sched_provisional, jobs_of_before_get_the_numbers_of_the_token)
+{
+	struct sched_job *open;
+	struct world_job *job;
+	uint32_t before;
+
+	world_begin(&w, &first, 1);
+	w.delay = 1000; /* nothing starts */
+	job = world_submit(&w, "q", 1, 300, 1, 1500);
+	open = sched_find_open_job(&first, str_of(job->sub->id));
+	before = open->next_run;
+	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
+	cr_assert_gt(open->next_run, before + SCHED_RUNS_PER_TOKEN);
+	sched_init(&second, first.ops, &w, NULL, LEAD_TOKEN(2), WORLD_LEASE_MS,
+		   w.now);
+	cr_assert_eq(open->next_run, second.first_run);
+	end_world();
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -82,12 +82,27 @@
 	return find_policies(s, policies);
 }
 
+/*
+ * Targets refuse a run that is not numbered higher than one that has ended
+ * there, and another scheduler may have used higher numbers meanwhile.
+ */
+static void raise_run_numbers(struct sched *s)
+{
+	struct sched_job *job;
+
+	s->first_run = first_run(s->fence);
+	for (job = s->jobs; job; job = job->next)
+		if (job->next_run < s->first_run)
+			job->next_run = s->first_run;
+}
+
 void sched_raise_fence(struct sched *s, uint64_t fence, rp_ms now)
 {
 	size_t i;
 
 	s->now = s->fence_raised_at = now;
 	s->fence = fence;
+	raise_run_numbers(s);
 	s->suspended = 0; /* the store has named this leader again */
 	for (i = 0; i < s->ntargets; i++) {
 		struct sched_target *t = s->targets[i];
--- a/sched-past.c
+++ b/sched-past.c
@@ -110,7 +110,11 @@
 		apr_hash_get(s->history, job->id, APR_HASH_KEY_STRING);
 	size_t i;
 
-	job->next_run = job->min_run = rec ? rec->next_run : s->first_run;
+	/* The record may be of before the token was raised. */
+	job->next_run = s->first_run;
+	if (rec && rec->next_run > job->next_run)
+		job->next_run = rec->next_run;
+	job->min_run = job->next_run;
 	job->started_earlier = rec != NULL;
 	rec = find_record(job);
 	if (!rec)
--- a/scheduler.h
+++ b/scheduler.h
@@ -585,7 +585,7 @@
 	void *user;
 	uint64_t fence;	       /* fencing token, see lead.h */
 	rp_ms fence_raised_at; /* last sched_raise_fence(); 0: none */
-	uint32_t first_run;    /* least run number of this scheduler */
+	uint32_t first_run;    /* least run number under the token */
 	rp_ms max_lease;       /* longest lease that targets grant, ms */
 	rp_ms now;
 	rp_ms started_at;	/* when this scheduler began */
