--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -200,7 +200,8 @@
 	claim_orphans(t);
 }
 
-void sched_adopt_job(struct sched_job *job)
+/* Returns whether this answered the job. */
+static int adopt_job(struct sched_job *job)
 {
 	struct sched *s = job->s;
 	size_t i, j;
@@ -208,7 +209,7 @@
 	sched_released_restore(job);
 	if (job->ndone == job->ntasks) {
 		sched_job_answer(job, POOL_ANSWER__OUTCOME__COMPLETED, "", 0);
-		return;
+		return 1;
 	}
 	for (i = 0; i < s->ntargets; i++) {
 		struct sched_target *t = s->targets[i];
@@ -217,14 +218,74 @@
 			if (str_eq(job_id_of(str_of(t->orphans[j].name)),
 				   str_of(job->id)) &&
 			    claim_orphan(job, t, j))
-				return;
+				return 1;
 	}
+	return 0;
+}
+
+void sched_adopt_job(struct sched_job *job)
+{
+	adopt_job(job);
+}
+
+int sched_adopt_returned(struct sched_job *job, const PoolSubmit *sub)
+{
+	uint64_t before = job->submit_fence;
+	size_t i;
+
+	job->submit_fence = job->s->fence;
+	/* The owner submitted it to this scheduler last, or nobody started it.
+	 */
+	if (!sub->former || sub->former == before || job->stored)
+		return 0;
+	job->prev_fence = sub->former;
+	job->submitted_at = job->s->now;
+	for (i = 0; i < sub->n_done; i++)
+		if (sub->done[i] < job->ntasks &&
+		    job->tasks[sub->done[i]].state == SCHED_WAITING)
+			sched_job_mark_done(job, sub->done[i]);
+	return adopt_job(job);
 }
 
-/* Whether this scheduler started the run; each has its own run numbers. */
-static int is_own_run(const struct sched *s, uint32_t run)
+void sched_adopt_give_up(const struct sched_task *task)
 {
-	return run >= s->first_run && run < s->first_run + SCHED_RUNS_PER_TOKEN;
+	struct sched_target *t = task->target;
+	struct sched_given_up *g;
+
+	if (!t->given_up)
+		t->given_up = calloc(SCHED_GIVEN_UP_MAX, sizeof(*g));
+	if (!t->given_up)
+		return;
+	g = &t->given_up[t->next_given_up];
+	g->name = str_hash(str_of(task->name));
+	g->run = task->run;
+	t->next_given_up = (t->next_given_up + 1) % SCHED_GIVEN_UP_MAX;
+	if (t->ngiven_up < SCHED_GIVEN_UP_MAX)
+		t->ngiven_up++;
+}
+
+/*
+ * Whether the number is one of this scheduler alone: all provisional leaders of
+ * a term have the same numbers.
+ */
+static int is_own_number(const struct sched *s, uint32_t run)
+{
+	return !LEAD_IS_PROVISIONAL(s->fence) && run >= s->first_run &&
+	       run < s->first_run + SCHED_RUNS_PER_TOKEN;
+}
+
+/* Whether this scheduler started the run here, and gave it up. */
+static int was_given_up(const struct sched_target *t,
+			const struct sched_end *end)
+{
+	uint64_t name = str_hash(end->task);
+	size_t i;
+
+	for (i = 0; i < t->ngiven_up; i++)
+		if (t->given_up[i].run == end->run &&
+		    t->given_up[i].name == name)
+			return 1;
+	return 0;
 }
 
 /*
@@ -271,7 +332,7 @@
 		o->how = end->how;
 		return;
 	}
-	if (is_own_run(t->s, end->run) &&
+	if ((is_own_number(t->s, end->run) || was_given_up(t, end)) &&
 	    sched_find_open_job(t->s, job_id_of(end->task))) {
 		accept_late_end(t, end);
 		return;
--- a/scheduler.h
+++ b/scheduler.h
@@ -282,6 +282,7 @@
 	int started_earlier; /* a task was, under an earlier submission */
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
+	uint64_t submit_fence; /* token at its latest submission */
 	size_t ntasks;
 	int size_bucket;      /* of struct sched_queue */
 	size_t ndone;	      /* succeeded */
@@ -333,6 +334,12 @@
 	rp_ms needed_until;
 };
 
+/* A run of this scheduler whose end is not known. */
+struct sched_given_up {
+	uint64_t name; /* hash of the task's name */
+	uint32_t run;
+};
+
 /* A run of an earlier scheduler, or its end, found on a target. */
 struct sched_orphan {
 	char name[SCHED_TASK_NAME_MAX];
@@ -394,8 +401,14 @@
 	rp_ms adopt_until; /* orphans wait for their jobs until then */
 	struct sched_orphan *orphans;
 	size_t norphans, cap_orphans;
+	/* The latest runs that were given up; a ring once it is full. */
+	struct sched_given_up *given_up;
+	size_t ngiven_up, next_given_up;
 };
 
+/* Runs given up on a target of which the numbers are kept. */
+#define SCHED_GIVEN_UP_MAX 64
+
 /* A running task in a target's list. */
 struct sched_run {
 	struct rp_str task;
@@ -575,7 +588,7 @@
 	void *user;
 	uint64_t fence;	       /* fencing token, see lead.h */
 	rp_ms fence_raised_at; /* last sched_raise_fence(); 0: none */
-	uint32_t first_run;    /* least run number of this scheduler */
+	uint32_t first_run;    /* least run number under the token */
 	rp_ms max_lease;       /* longest lease that targets grant, ms */
 	rp_ms now;
 	rp_ms started_at;	/* when this scheduler began */
@@ -725,7 +738,8 @@
 	SCHED_USE_EVACUATED, /* its failure domain is */
 	SCHED_USE_NOT_HELD,  /* its list has not been read yet */
 	SCHED_USE_UNANSWERED,
-	SCHED_USE_OTHER, /* it fails, or has runs of others */
+	SCHED_USE_FOREIGN, /* it has runs of other schedulers */
+	SCHED_USE_OTHER,   /* it fails, or its entry is out of date */
 	SCHED_USES,
 };
 
