A failing test: a provisional leader renews the leases of runs that are not its own

A task runs twice. A domain is cut off, and one of its targets runs a task of an entry VM of the domain and one of an entry VM elsewhere. The regular leader cannot reach the target and starts the second task again when its lease is over. The provisional leader of the domain has adopted the first task meanwhile; its hold renews the lease of the whole target, so that the second run goes on until it is stopped as unclaimed, 300 ms after the first list.

Simulated targets can now be cut off from one scheduler only.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -409,6 +409,54 @@
 	world_finish(&w);
 }
 
+/* Advances to the time, while both schedulers lead. */
+static void run_both(rp_ms until)
+{
+	while (w.now < until) {
+		world_run_until(&w, w.now + 1);
+		if (w.now % SCHED_TICK_MS == 0)
+			sched_tick(w.sched == &first ? &second : &first, w.now);
+	}
+}
+
+/*
+ * A domain that is cut off has a provisional leader, which knows the jobs of
+ * its own entry VMs only. The regular leader starts the other tasks elsewhere
+ * when their leases are over. Guards against a provisional leader that renews
+ * these leases, together with those of the runs that it has adopted.
+ */
+Test(sched_takeover, runs_of_another_leader_end_with_its_lease)
+{
+	struct world_job *outside;
+	rp_ms cut_at, lease;
+
+	begin_world(2);
+	w.task_cpu = 3000;
+	sched_target_unlisted(&first, w.targets[1].listing.id, w.now);
+	world_submit(&w, "q", 1, 1200, 1, 3000);
+	outside = world_submit(&w, "q", 1, 1400, 1, 3000);
+	world_run_until(&w, w.now + 50);
+	cr_assert_eq(w.targets[0].nruns, 2);
+	lease = w.targets[0].lease_until;
+	while (w.targets[0].lease_until == lease)
+		world_run_until(&w, w.now + 1);
+	sched_target_listed(&first, &w.targets[1].listing, w.now);
+	cut_at = w.now;
+	w.targets[0].cut_off = &first;
+	w.targets[1].cut_off = &second;
+	world_run_until(&w, cut_at + 850);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 7);
+	outside->answered = 1; /* its entry VM is in another domain */
+	world_resubmit(&w);
+	outside->answered = 0;
+	run_both(cut_at + 1300);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	cr_assert_eq(second.count.adopted, 1);
+	sched_finish(&first);
+	sched_finish(&second);
+	world_finish(&w);
+}
+
 /* The old leader resumes after a pause, and targets reject its calls. */
 Test(sched_takeover, an_old_leader_is_fenced)
 {
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -194,7 +194,8 @@
 	const char *reason = "";
 	int status;
 
-	if (t->unresponsive || w->now < t->unresponsive_until) {
+	if (t->unresponsive || t->cut_off == e->sched ||
+	    w->now < t->unresponsive_until) {
 		reply(w, e, 0, "");
 		return;
 	}
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -39,8 +39,9 @@
 struct world_target {
 	struct sched_listing listing;
 	double speed;
-	double slowdown;  /* injected factor on run times; 1: none */
-	int unresponsive; /* gives no replies; its runs go on */
+	double slowdown;	     /* injected factor on run times; 1: none */
+	int unresponsive;	     /* gives no replies; its runs go on */
+	const struct sched *cut_off; /* that scheduler's calls are lost */
 	/* It gives no replies until then, as it restarts. */
 	rp_ms unresponsive_until;
 	int fail_percent;  /* share of runs that fail */
