A provisional leader does not renew leases over runs that no job claims

A task ran twice: once on a target of a domain that was cut off, once elsewhere. The lease of a target holds for everything that runs there. A provisional leader that had adopted one of a target's runs renewed it, and with it the runs of jobs whose entry VMs were outside its domain. The regular leader could not reach the target, counted these runs as over when its own lease was, and started their tasks again; they went on until they were stopped as unclaimed, 300 ms after the first list, or as long as the table of stored jobs was not read. It needs a provisional leader that begins 0.7 to 1 s after the last renewal, or stops that are lost.

While a target has runs that no job has claimed, a provisional leader now only lists it. These runs end no later than with the lease that the regular leader counts by. The count of such runs is set before the first ones are adopted, as an adoption calls the target at once. Runs that were adopted on such a target lapse with them if the others are not claimed or stopped in time.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -195,8 +195,11 @@
 	for (i = t->norphans; i-- > 0;)
 		if (!t->orphans[i].number)
 			remove_orphan(t, i);
+	/* A run that is adopted now must not renew the lease of the others. */
+	t->nforeign = 0;
 	for (i = 0; i < reply->nruns; i++)
-		add_orphan(t, reply->runs[i].task, reply->runs[i].run);
+		t->nforeign += add_orphan(t, reply->runs[i].task,
+					  reply->runs[i].run) != NULL;
 	claim_orphans(t);
 }
 
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -5,6 +5,7 @@
  * which runs have ended.
  */
 
+#include "lead.h"
 #include "sched-int.h"
 
 /* Time that a hold call waits at the target for an end. */
@@ -309,6 +310,16 @@
 	}
 }
 
+/*
+ * Whether a renewal would prolong runs that no job has claimed. Another leader
+ * may go on elsewhere: it counts them as over when its lease is, and starts
+ * their tasks again.
+ */
+static int has_runs_of_another_leader(const struct sched_target *t)
+{
+	return t->nforeign && LEAD_IS_PROVISIONAL(t->s->fence);
+}
+
 void sched_hold_reply(struct sched *s, struct sched_target *t,
 		      const struct sched_target_reply *reply, rp_ms now)
 {
@@ -343,7 +354,7 @@
 	if (reply->nends < ENDS_PER_REPLY)
 		reconcile_runs(t, reply);
 	check_capacity(t);
-	if (t->nforeign && !t->nruns)
+	if (t->nforeign && (!t->nruns || has_runs_of_another_leader(t)))
 		t->hold_retry_at = now + RETRY_MS;
 	sched_target_hold(t);
 }
@@ -387,7 +398,7 @@
 		 * time at which the runs are certainly over.
 		 */
 		wait = 0;
-	} else if (t->nruns) {
+	} else if (t->nruns && !has_runs_of_another_leader(t)) {
 		until = sched_new_lease(t);
 		wait = HOLD_WAIT_MS;
 	} else if (!t->nforeign && !is_idle_call_due(t)) {
