A job that is over is cancelled when its leader still starts it

The leader started tasks of jobs whose callers had left, again and again until the jobs expired. An entry VM cancels a job when its caller's connection breaks, but sends nothing while its link to the leader is down, and on the next link it submits only the jobs that are open. When links and callers are lost together, or all members change links as the leader raises its token, the leader is never told. Each start came back as "the job is over", and the task was placed at once on another target.

The owner now answers a start of a job that it does not know with a cancel, after the reply that nothing was called, so that the leader keeps no run to stop. A job whose tasks all run already still goes on until they end.

pool-member, a_start_of_a_job_that_is_over_cancels_it: failed before, passes now.

--- a/pool-owner.c
+++ b/pool-owner.c
@@ -145,8 +145,11 @@
 	for (i = 0; !r && i < start->n_tasks; i++)
 		not_made(p, "", start->tasks[i]->seq, start->tasks[i]->target,
 			 "the job is over");
-	if (!r)
+	if (!r) {
+		/* It was cancelled while no link to the leader was up. */
+		pool_send_cancel(p, start->job);
 		return;
+	}
 	r->may_have_started = 1;
 	tasks = calloc(start->n_tasks + 1, sizeof(*tasks));
 	run.tasks = calloc(start->n_tasks + 1, sizeof(*run.tasks));
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -301,3 +301,29 @@
 	pool_beat__free_unpacked(p.leader_heartbeat, NULL);
 	l.heartbeat = p.leader_heartbeat = NULL;
 }
+
+/*
+ * A caller left while the link to the leader was down, so that the leader was
+ * not told. Guards against a leader that starts the job's tasks again and again
+ * until the job expires.
+ */
+Test(pool_member, a_start_of_a_job_that_is_over_cancels_it)
+{
+	PoolStart start = POOL_START__INIT;
+	PoolStartTask task = POOL_START_TASK__INIT, *tasks = &task;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	p.leading = 0;
+	p.requests = hash_new(p.sched.pool);
+	p.lead.role = LEAD_FOLLOWING;
+	p.leader_link = &l;
+	task.target = "t0";
+	start.job = 9;
+	start.tasks = &tasks;
+	start.n_tasks = 1;
+	frame.body_case = POOL_FRAME__BODY_START;
+	frame.start = &start;
+	pool_frame_received(&l, &frame);
+	cr_assert_gt(p.count.sent_bytes[POOL_FRAME__BODY_REPLY], 0);
+	cr_assert_gt(p.count.sent_bytes[POOL_FRAME__BODY_CANCEL], 0);
+}
