--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -9,8 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { START, STOP, HOLD, START_REPLY, STOP_REPLY, HOLD_REPLY };
-
 /* Time after which a call without a reply is given up. */
 #define LOST_MS 120
 /* Time until the end of a stopped run is listed. */
@@ -105,7 +103,7 @@
 	struct world_event *r = calloc(1, sizeof(*r));
 
 	*r = *e;
-	r->kind = e->kind + START_REPLY;
+	r->kind = e->kind + WORLD_START_REPLY;
 	r->at = w->now + w->delay;
 	r->lost = status == 0 || world_chance(w, e->target->lose_percent);
 	if (r->lost)
@@ -133,10 +131,10 @@
 		       : e->until	     ? SCHED_REPLY_FENCED
 					     : SCHED_REPLY_REFUSED;
 	reply.sent_at = e->sent_at;
-	if (e->kind == HOLD_REPLY && !e->lost)
+	if (e->kind == WORLD_HOLD_REPLY && !e->lost)
 		reply.incarnation = t->listing.incarnation;
 	reply.clock = e->lost ? 0 : world_target_clock(w, t) - w->delay;
-	if (e->kind == HOLD_REPLY && reply.status == SCHED_REPLY_OK) {
+	if (e->kind == WORLD_HOLD_REPLY && reply.status == SCHED_REPLY_OK) {
 		for (i = 0; i < t->nruns; i++) {
 			struct world_run *r = &t->runs[i];
 
@@ -155,10 +153,10 @@
 		reply.ends = ends;
 		reply.nends = t->nends;
 	}
-	if (e->kind == START_REPLY)
+	if (e->kind == WORLD_START_REPLY)
 		sched_start_reply(e->sched, st, e->task, e->run, &reply,
 				  w->now);
-	else if (e->kind == STOP_REPLY)
+	else if (e->kind == WORLD_STOP_REPLY)
 		sched_stop_reply(e->sched, st, e->task, e->run, &reply, w->now);
 	else
 		sched_hold_reply(e->sched, st, &reply, w->now);
@@ -173,8 +171,12 @@
 	for (e = w->events; e; e = e->next) {
 		if (e->target != t)
 			continue;
-		if (e->kind < START_REPLY)
-			e->kind += START_REPLY;
+		if (e->late) {
+			e->target = NULL; /* its caller has had its reply */
+			continue;
+		}
+		if (e->kind < WORLD_START_REPLY)
+			e->kind += WORLD_START_REPLY;
 		e->lost = 1;
 	}
 }
@@ -188,30 +190,78 @@
 	       (!t->nends || t->ends[t->nends - 1].number <= e->acked_end);
 }
 
+/*
+ * Whether the call gets no reply and is carried out later. A lease counts from
+ * then on if late_leases is set.
+ */
+static int put_off(struct world *w, struct world_event *e)
+{
+	const struct world_late *late = &e->target->late[e->kind];
+	struct world_event *later;
+	rp_ms delay;
+
+	if (!world_chance(w, late->percent))
+		return 0;
+	delay = late->min +
+		(rp_ms)(world_uniform(w) * (double)(late->max - late->min));
+	reply(w, e, 0, "");
+	later = calloc(1, sizeof(*later));
+	*later = *e;
+	later->late = 1;
+	later->at = w->now + delay;
+	if (later->until && w->late_leases)
+		later->until += delay;
+	add_event(w, later);
+	return 1;
+}
+
+static void carry_out_late(struct world *w, struct world_event *e)
+{
+	struct world_target *t = e->target;
+	const char *reason;
+
+	if (!t || w->now < t->unresponsive_until ||
+	    strcmp(e->id, t->listing.id) != 0)
+		return;
+	if (e->kind == WORLD_HOLD)
+		world_target_hold(w, t, e, &reason);
+	else if (e->kind == WORLD_START)
+		world_target_start(w, t, e, &reason);
+	else
+		world_target_stop(w, t, e, &reason);
+}
+
 static void handle_call(struct world *w, struct world_event *e)
 {
 	struct world_target *t = e->target;
 	const char *reason = "";
 	int status;
 
+	if (e->late) {
+		carry_out_late(w, e);
+		return;
+	}
 	if (t->unresponsive || w->now < t->unresponsive_until) {
 		reply(w, e, 0, "");
 		return;
 	}
+	if (!e->waits && put_off(w, e))
+		return;
 	if (strcmp(e->id, t->listing.id) != 0) {
 		status = 421;
-	} else if (e->kind == HOLD) {
+	} else if (e->kind == WORLD_HOLD) {
 		status = world_target_hold(w, t, e, &reason);
 		if (status == 200 && must_wait(w, e)) {
 			struct world_event *retry = calloc(1, sizeof(*retry));
 
 			*retry = *e;
 			retry->until = 0;
+			retry->waits = 1;
 			retry->at = w->now + 1;
 			add_event(w, retry);
 			return;
 		}
-	} else if (e->kind == START) {
+	} else if (e->kind == WORLD_START) {
 		status = world_target_start(w, t, e, &reason);
 	} else {
 		status = world_target_stop(w, t, e, &reason);
@@ -225,7 +275,7 @@
 		     struct sched_task *task, int64_t until)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, START, s, t);
+	struct world_event *e = new_event(w, WORLD_START, s, t);
 
 	snprintf(e->task, sizeof(e->task), "%s", task->name);
 	e->run = task->run;
@@ -240,7 +290,7 @@
 		    uint32_t run)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, STOP, s, t);
+	struct world_event *e = new_event(w, WORLD_STOP, s, t);
 
 	str_copy(e->task, sizeof(e->task), task);
 	e->run = run;
@@ -253,7 +303,7 @@
 		    uint64_t acked_end, rp_ms wait)
 {
 	struct world *w = s->user;
-	struct world_event *e = new_event(w, HOLD, s, t);
+	struct world_event *e = new_event(w, WORLD_HOLD, s, t);
 
 	e->fence = s->fence;
 	e->until = until;
@@ -510,7 +560,8 @@
 	struct world_event **at = &w->events, *e;
 
 	while ((e = *at)) {
-		if (e->sched != s) {
+		/* What targets carry out late has left the process. */
+		if (e->sched != s || e->late) {
 			at = &e->next;
 			continue;
 		}
@@ -617,7 +668,7 @@
 			struct world_event *e = w->events;
 
 			w->events = e->next;
-			if (e->kind >= START_REPLY)
+			if (e->kind >= WORLD_START_REPLY)
 				deliver_reply(w, e);
 			else
 				handle_call(w, e);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -14,6 +14,23 @@
 #define WORLD_RUNS 16
 #define WORLD_ENDS 256
 
+/* Calls to targets, and their replies. */
+enum {
+	WORLD_START,
+	WORLD_STOP,
+	WORLD_HOLD,
+	WORLD_CALLS,
+	WORLD_START_REPLY = WORLD_CALLS,
+	WORLD_STOP_REPLY,
+	WORLD_HOLD_REPLY,
+};
+
+/* Calls of one kind that get no reply and are carried out late. */
+struct world_late {
+	int percent;	/* share of the calls */
+	rp_ms min, max; /* delay after the arrival */
+};
+
 struct world;
 struct world_job;
 
@@ -49,7 +66,8 @@
 	int lose_percent;  /* share of replies that are lost */
 	double clock_rate; /* of its clock; 1: exact */
 	rp_ms start_delay; /* additional delay of start calls */
-	uint64_t fence;	   /* highest fencing token seen */
+	struct world_late late[WORLD_CALLS];
+	uint64_t fence; /* highest fencing token seen */
 	rp_ms lease_until;
 	struct world_run runs[WORLD_RUNS];
 	size_t nruns;
@@ -83,7 +101,9 @@
 	rp_ms wait_until;   /* a hold call waits for an end until then */
 	struct sched_resources need;
 	double work;
-	int lost; /* the reply is lost */
+	int lost;  /* the reply is lost */
+	int waits; /* a hold call that was carried out, but for its reply */
+	int late;  /* the caller has given up; it is carried out now */
 	struct world_event *next;
 };
 
@@ -128,6 +148,7 @@
 	struct world_outcomes outcomes;
 	rp_ms delay;	   /* one way to a target, ms */
 	int lose_messages; /* messages to owners are lost */
+	int late_leases;   /* a lease counts from the arrival of a late call */
 	uint64_t mark;	   /* of the latest message that was lost */
 	int violations;
 	char first_violation[256];
