Keep a run on its target while its start may be carried out late

What callers see: a task that runs twice, or a target with more than it has room for, seconds after targets left calls unanswered.

Cause: once a lease was over, all runs of the target were forgotten, also those whose start and stop had no reply. Such a start may be carried out seconds later, and its lease may count from then on. By then its room and its task had been given away. A hold that is carried out late prolongs runs in the same way.

A run whose start had no reply now stays on its target, as one that is being stopped: it takes up room, its stop is sent again after each list, and its task and any later submission of its job wait. It is over once its stop is acknowledged and a list does not show it, once another incarnation replies, once the target has accepted a higher token, or if the target has been unlisted for 3 s or the start is 15 s old. Runs that had begun are kept in the same way only if the target has left a call unanswered and replied to a later one in the last 15 s: a hold is late by more than a lease, so that without such a reply the runs were over before. A target that has crashed does not show this, so its runs are started elsewhere as soon as before.

The number of such runs is bounded by the room of the target.

--- /dev/null
+++ b/regress/sched-late-takeover.c
@@ -0,0 +1,49 @@
+/*
+ * Calls of a previous leader that get no reply and are carried out seconds
+ * later, on targets that its successor has not reached.
+ */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+
+#include "lead.h"
+#include "world/world.h"
+
+static struct world w;
+static struct sched first, second;
+
+static void init_apr(void)
+{
+	apr_initialize();
+}
+
+TestSuite(sched_late_takeover, .init = init_apr, .timeout = 60);
+
+/* The task must not run elsewhere while the target may still start it. */
+Test(sched_late_takeover, a_start_is_late_before_the_target_is_reached)
+{
+	struct world_target *t = &w.targets[0];
+	size_t i;
+
+	world_begin(&w, &first, 12);
+	w.late_leases = 1;
+	w.stored = 1;
+	for (i = 1; i < w.ntargets; i++)
+		sched_target_unlisted(&first, w.targets[i].listing.id, w.now);
+	t->late[WORLD_START] = (struct world_late){ 100, 3000, 3000 };
+	world_submit(&w, "q", 1, 6000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	t->unresponsive = 1;
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	world_resubmit(&w);
+	world_run_until(&w, w.now + 5000);
+	t->unresponsive = 0;
+	world_run_until(&w, w.now + 15000);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&second);
+	world_finish(&w);
+}
--- a/regress/sched-late.c
+++ b/regress/sched-late.c
@@ -127,18 +127,19 @@
 	begin_world(12);
 	for (i = 1; i < w.ntargets; i++)
 		set_usable(&w.targets[i], 0);
-	world_submit(&w, "q", 1, 6000, 1, 60000);
-	world_run_until(&w, w.now + 1200);
+	world_submit(&w, "q", 1, 9000, 1, 60000);
+	world_run_until(&w, w.now + 500);
 	cr_assert_eq(t->nruns, 1);
 	for (i = 1; i < w.ntargets; i++)
 		set_usable(&w.targets[i], 1);
-	delay_calls(t, WORLD_HOLD, 700);
-	world_run_until(&w, w.now + 200);
+	delay_calls(t, WORLD_HOLD, 2000);
+	world_run_until(&w, w.now + 300);
+	delay_calls(t, WORLD_HOLD, 0);
+	world_run_until(&w, w.now + 1000);
 	t->unresponsive = 1;
 	world_run_until(&w, w.now + 4000);
 	t->unresponsive = 0;
-	delay_all_calls(t, 0);
-	world_run_until(&w, w.now + 9000);
+	world_run_until(&w, w.now + 15000);
 	end_world();
 }
 
@@ -158,27 +159,6 @@
 	end_world();
 }
 
-/*
- * The same before the successor has reached the target. The task must not run
- * elsewhere.
- */
-Test(sched_late, a_start_is_late_before_the_new_leader_reaches_the_target)
-{
-	begin_world(12);
-	start_late(6000, 3000, 6000);
-	world_run_until(&w, w.now + 200);
-	sched_finish(&first);
-	world_drop_calls(&w, &first);
-	delay_all_calls(&w.targets[0], 0);
-	w.targets[0].unresponsive = 1;
-	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
-	world_resubmit(&w);
-	world_run_until(&w, w.now + 5000);
-	w.targets[0].unresponsive = 0;
-	world_run_until(&w, w.now + 15000);
-	end_world();
-}
-
 /* The entry of the target lapses in the list, and comes back. */
 Test(sched_late, the_target_is_removed_and_listed_anew)
 {
--- a/sched-core.c
+++ b/sched-core.c
@@ -295,7 +295,7 @@
 		struct sched_target *t = s->targets[i];
 
 		if (t->nruns && s->now >= t->lease_until)
-			sched_target_drop_runs(t, 0, "the lease is over");
+			sched_target_lease_over(t);
 		if (!t->listed && !t->nruns && !t->hold_in_flight) {
 			remove_target(t);
 			continue;
@@ -416,6 +416,8 @@
 	s->now = now;
 	if (!t)
 		return;
+	if (t->listed)
+		t->unlisted_at = now;
 	t->listed = 0;
 	t->listing.ready = 0;
 }
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -65,6 +65,7 @@
 	t->adopted = 0;
 	t->clock = 0;
 	t->unanswered = 0;
+	t->answered_sent_at = t->unanswered_sent_at = t->lossy_at = 0;
 	t->backoff_until = t->hold_retry_at = 0;
 	sched_reset_slowdown(t);
 }
@@ -103,6 +104,26 @@
 	return sched_ackable_end(t);
 }
 
+/*
+ * Notes when a target leaves a call unanswered and replies to a later one. A
+ * target that has crashed does not.
+ */
+static void note_answered(struct sched_target *t,
+			  const struct sched_target_reply *reply)
+{
+	rp_ms *latest = reply->status == SCHED_REPLY_UNKNOWN
+				? &t->unanswered_sent_at
+				: &t->answered_sent_at;
+
+	if (reply->sent_at > *latest)
+		*latest = reply->sent_at;
+	if (t->unanswered_sent_at &&
+	    t->answered_sent_at > t->unanswered_sent_at) {
+		t->unanswered_sent_at = 0;
+		t->lossy_at = t->s->now;
+	}
+}
+
 /* Applies what all replies have in common. Returns whether it succeeded. */
 static int apply_reply(struct sched_target *t,
 		       const struct sched_target_reply *reply)
@@ -113,6 +134,7 @@
 		return 0;
 	if (reply->incarnation && reply->incarnation != t->incarnation)
 		sched_target_new_incarnation(t, reply->incarnation);
+	note_answered(t, reply);
 	if (reply->clock) {
 		t->clock = reply->clock;
 		t->clock_at = s->now;
@@ -277,9 +299,19 @@
 }
 
 /*
- * Updates the known runs from a list. A run that is missing in a list requested
- * after the reply to its start or stop is over.
+ * Whether a run that is not in the list is over. The list was requested after
+ * the reply to the run's start or stop; or the target has seen a higher token
+ * since, and refuses a start that is late.
  */
+static int is_over(const struct sched_target *t, const struct sched_task *task)
+{
+	if (task->replied_at && t->hold_sent_at > task->replied_at)
+		return 1;
+	return task->overdue && t->s->fence_raised_at > task->sent_at &&
+	       t->hold_sent_at >= t->s->fence_raised_at;
+}
+
+/* Updates the known runs from a list. */
 static void reconcile_runs(struct sched_target *t,
 			   const struct sched_target_reply *reply)
 {
@@ -300,7 +332,7 @@
 				sched_run_send_stop(task);
 			continue;
 		}
-		if (task->replied_at && t->hold_sent_at > task->replied_at) {
+		if (is_over(t, task)) {
 			if (task->restarted)
 				sched_loss_of_run(task, 1);
 			sched_run_ended(task, SCHED_END_STOPPED);
@@ -318,7 +350,9 @@
 	t->hold_in_flight = 0;
 	ok = apply_reply(t, reply);
 	t->hold_retry_at = now + RETRY_MS;
-	if (!t->nruns && t->backoff_until > t->hold_retry_at)
+	/* Without a lease, no run has to be kept alive. */
+	if ((!t->nruns || !t->lease_until) &&
+	    t->backoff_until > t->hold_retry_at)
 		t->hold_retry_at = t->backoff_until;
 	if (!ok) {
 		if (t->state == SCHED_ACQUIRING)
--- a/sched-hopeless.c
+++ b/sched-hopeless.c
@@ -37,10 +37,11 @@
 {
 	const struct sched_target *t = task->target;
 	rp_ms now = t->s->now;
+	rp_ms from = t->lease_until > now ? t->lease_until : now;
 
 	return t->unanswered >= SILENT_CALLS &&
 	       now - t->replied_at >= SILENT_MS &&
-	       (double)(task->job->expires_at - t->lease_until) < rerun_ms;
+	       (double)(task->job->expires_at - from) < rerun_ms;
 }
 
 /* Returns a task that will end after the job expires, here or elsewhere. */
--- a/sched-int.h
+++ b/sched-int.h
@@ -236,6 +236,12 @@
 void sched_run_send_stop(struct sched_task *task);
 struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
 				  uint32_t run);
+/*
+ * All leases are over. Gives up the target's runs, but for those that calls may
+ * still start or prolong that are carried out late; to be called at each tick
+ * then. The target has to be acquired again.
+ */
+void sched_target_lease_over(struct sched_target *t);
 /*
  * Treats all runs of the target as over; it has to be acquired again. crashed:
  * the target is known to have crashed.
--- a/sched-run.c
+++ b/sched-run.c
@@ -8,6 +8,13 @@
 #define CLOCK_DRIFT 0.02
 /* Error of a reading of a target's clock. */
 #define LEASE_SLACK_MS 30
+/* Time after which a call that had no reply is not carried out any more. */
+#define LATE_CALL_MAX_MS 15000
+/*
+ * Time without an entry in the list after which a target is gone. Entries that
+ * expire in an outage of the store are back two seconds after its end.
+ */
+#define GONE_MS 3000
 
 static const struct sched_resources *need_of(const struct sched_task *task)
 {
@@ -90,7 +97,7 @@
 	task->sent_at = s->now;
 	task->replied_at = 0;
 	task->observed = task->percent = 0;
-	task->restarted = task->seen = 0;
+	task->restarted = task->seen = task->overdue = 0;
 	task->progress_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
@@ -112,7 +119,7 @@
 	task->sent_at = task->replied_at = t->s->now;
 	/* Its start time is unknown, so nothing can be learned from it. */
 	task->observed = 1;
-	task->restarted = 0;
+	task->restarted = task->overdue = 0;
 	task->seen = 1;
 	task->predicted = sched_run_time(t, &task->job->steps[task->step]);
 	link_run(task, t);
@@ -230,17 +237,87 @@
 	return 0;
 }
 
+/*
+ * Whether the run may begin, or go on, after the lease that is known. A start
+ * that had no reply may be carried out seconds later, with a lease from then
+ * on, unless the run was stopped first. A hold may be late as well, and then
+ * prolongs all runs; that is assumed if the target has left calls unanswered of
+ * late and replied to others.
+ */
+static int may_outlive_lease(const struct sched_task *task)
+{
+	const struct sched_target *t = task->target;
+	rp_ms now = t->s->now;
+
+	if (!t->listed && now - t->unlisted_at >= GONE_MS)
+		return 0;
+	if (task->state == SCHED_STOPPING && task->stop_sent &&
+	    task->replied_at)
+		return 0;
+	if (!task->seen)
+		return now - task->sent_at < LATE_CALL_MAX_MS;
+	return t->lossy_at && now - t->lossy_at < LATE_CALL_MAX_MS;
+}
+
+/*
+ * Keeps the run on the target after its lease, until a list that comes after
+ * its stop, or after now if it had begun, does not show it.
+ */
+static void keep_overdue(struct sched_task *task)
+{
+	struct sched_target *t = task->target;
+
+	task->overdue = 1;
+	task->state = SCHED_STOPPING;
+	task->stop_sent = 0; /* sent after the next list */
+	task->replied_at = task->seen ? t->s->now : 0;
+	t->s->count.overdue++;
+	t->s->ops->log(t->s, "overdue", t, task,
+		       "calls may be carried out late");
+	sched_loss_of_run(task, 0);
+}
+
+static void drop_run(struct sched_task *task, int crashed, const char *reason)
+{
+	struct sched_target *t = task->target;
+
+	t->s->count.lapses++;
+	t->s->ops->log(t->s, "lapse", t, task, reason);
+	if (!task->overdue || crashed)
+		sched_loss_of_run(task, crashed);
+	sched_run_ended(task, SCHED_END_STOPPED);
+}
+
 void sched_target_drop_runs(struct sched_target *t, int crashed,
 			    const char *reason)
 {
 	sched_loss_mark_runs(t);
 	t->was_isolated = t->nisolated > 0;
-	while (t->runs) {
-		t->s->count.lapses++;
-		t->s->ops->log(t->s, "lapse", t, t->runs, reason);
-		sched_loss_of_run(t->runs, crashed);
-		sched_run_ended(t->runs, SCHED_END_STOPPED);
+	while (t->runs)
+		drop_run(t->runs, crashed, reason);
+	t->lease_until = 0;
+	t->nforeign = 0;
+	t->state = SCHED_UNHELD; /* until the next list */
+}
+
+void sched_target_lease_over(struct sched_target *t)
+{
+	int first = t->lease_until != 0;
+	struct sched_task *task, *next;
+
+	if (first) {
+		sched_loss_mark_runs(t);
+		t->was_isolated = t->nisolated > 0;
 	}
+	for (task = t->runs; task; task = next) {
+		next = task->next;
+		if (!may_outlive_lease(task))
+			drop_run(task, 0, "the lease is over");
+		else if (!task->overdue)
+			keep_overdue(task);
+	}
+	if (!first)
+		return;
 	t->lease_until = 0;
 	t->nforeign = 0;
 	t->state = SCHED_UNHELD; /* until the next list */
--- a/scheduler.h
+++ b/scheduler.h
@@ -102,6 +102,7 @@
 	int observed;	   /* learned from already, or not to be */
 	uint8_t seen;	   /* boolean; the target has said that it was there */
 	uint8_t restarted; /* boolean; the target has another incarnation */
+	uint8_t overdue;   /* boolean; it may run though its lease is over */
 	/* Of the runs on the target when it was lost or restarted: booleans. */
 	uint8_t lost_alone, lost_newest, lost_common;
 	uint8_t isolated;  /* boolean; no other task starts beside it */
@@ -348,8 +349,9 @@
 	struct sched_service *service;
 	struct sched_listing listing;
 	enum sched_target_state state;
-	size_t index;	/* in s->targets */
-	int listed;	/* in the platform's list */
+	size_t index;	   /* in s->targets */
+	int listed;	   /* in the platform's list */
+	rp_ms unlisted_at; /* the list has lost it */
 	int draining;	/* its entry has last said that it takes no new work */
 	int replaced;	/* another incarnation has replied at its address */
 	rp_ms leave_at; /* it drains and leaves then; 0: not known to */
@@ -373,10 +375,18 @@
 	int hold_in_flight; /* a hold call awaits its reply */
 	int hold_acquires;  /* that call is the first of the target's holder */
 	rp_ms hold_sent_at;
-	rp_ms hold_retry_at;	  /* no hold call before then */
-	rp_ms lease_until;	  /* runs started so far have ended by then */
+	rp_ms hold_retry_at; /* no hold call before then */
+	/*
+	 * Runs started so far have ended by then, but for overdue ones. 0: none
+	 * was started since that time has passed.
+	 */
+	rp_ms lease_until;
 	rp_ms replied_at;	  /* last reply to any call */
 	unsigned unanswered;	  /* consecutive calls without a reply */
+	rp_ms answered_sent_at;	  /* latest call that was replied to */
+	rp_ms unanswered_sent_at; /* latest call without a reply */
+	/* Was last seen to leave a call unanswered and reply to a later one. */
+	rp_ms lossy_at;
 	double slowdown;	  /* run time relative to speed 1 */
 	double log_slowdown;	  /* natural logarithm of slowdown */
 	double slowdown_var;	  /* variance of log_slowdown */
@@ -484,6 +494,7 @@
 	uint64_t moves;	       /* runs moved to another target */
 	uint64_t given_up;     /* jobs failed as targets crashed under a task */
 	uint64_t lapses;       /* runs lost with a lease or an incarnation */
+	uint64_t overdue;      /* runs kept on their targets after the lease */
 	uint64_t runs_lost;    /* runs lost with their target */
 	uint64_t runs_crashed; /* of them, with a target that has crashed */
 	uint64_t runs_cut_off; /* of them, with a target that was cut off */
