A hold may be late though a copy of it was replied to

Calls to targets are sent again before they time out, and the first reply counts. The scheduler did not learn that the call itself had none, so it took runs for over whose lease that call prolongs when it is carried out, seconds later, on a target that cannot be reached meanwhile: the task was started elsewhere and ran twice.

The reply of a call now says when it is that of a copy, at a time when more than 5 % of the calls have to be sent again; an agent passes this on to the leader.

Tests: sched_late: a_hold_is_late_and_a_copy_of_it_is_replied_to ("task runs twice" without the change), pool_resend: the_leader_learns_that_a_call_may_be_late.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -117,6 +117,7 @@
 	log_reply_error(c, status, &r);
 	msg.seq = (uint32_t)c->seq;
 	msg.status = pool_resend_status(c, r.reply.status);
+	msg.lossy = pool_resend_is_lossy(c);
 	msg.reason = (char *)r.reply.reason;
 	msg.clock = (uint64_t)r.reply.clock;
 	msg.incarnation = (uint64_t)r.reply.incarnation;
--- a/pool-io.h
+++ b/pool-io.h
@@ -151,6 +151,11 @@
  */
 enum sched_reply_status pool_resend_status(const struct pool_call *c,
 					   enum sched_reply_status status);
+/*
+ * Whether a copy of the call was replied to, at a time when many calls are
+ * lost: the call itself may be carried out late then.
+ */
+int pool_resend_is_lossy(const struct pool_call *c);
 /* The call is about to be freed. */
 void pool_resend_ended(struct pool_call *c, long status);
 
--- a/pool-order.c
+++ b/pool-order.c
@@ -169,6 +169,7 @@
 				 : SCHED_REPLY_UNKNOWN;
 	r.reply.clock = (int64_t)msg->clock;
 	r.reply.incarnation = (int64_t)msg->incarnation;
+	r.reply.lossy = msg->lossy;
 	if (msg->target) {
 		t = apr_hash_get(p->targets_by_number, &msg->target,
 				 sizeof(msg->target));
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -170,6 +170,11 @@
 	return status;
 }
 
+int pool_resend_is_lossy(const struct pool_call *c)
+{
+	return c->resend && c->resend->ncopies && c->p->resend.loss > LOSS_MAX;
+}
+
 static void learn_reply_time(struct pool *p, double ms)
 {
 	double error = ms - p->resend.mean;
--- a/pool-target.c
+++ b/pool-target.c
@@ -39,6 +39,7 @@
 	platform_parse_reply(&r, status, body, len);
 	r.reply.sent_at = c->sent_at;
 	r.reply.status = pool_resend_status(c, r.reply.status);
+	r.reply.lossy = pool_resend_is_lossy(c);
 	if (r.error[0])
 		log_warn("target", ((struct sched_target *)c->user)->listing.id,
 			 "%s", r.error);
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -3578,7 +3578,7 @@
   (ProtobufCMessageInit) pool_listed_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_reply__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pool_reply__field_descriptors[12] =
 {
   {
     "seq",
@@ -3712,11 +3712,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lossy",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, lossy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_reply__field_indices_by_name[] = {
   3,   /* field[3] = clock */
   9,   /* field[9] = ends */
   4,   /* field[4] = incarnation */
+  11,   /* field[11] = lossy */
   10,   /* field[10] = no_incarnation */
   8,   /* field[8] = percents */
   2,   /* field[2] = reason */
@@ -3729,7 +3742,7 @@
 static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pool_reply__descriptor =
 {
@@ -3739,7 +3752,7 @@
   "PoolReply",
   "",
   sizeof(PoolReply),
-  11,
+  12,
   pool_reply__field_descriptors,
   pool_reply__field_indices_by_name,
   1,  pool_reply__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -770,10 +770,14 @@
   uint32_t *percents;
   size_t n_ends;
   PoolListedEnd **ends;
+  /*
+   * it replied to a copy, and leaves calls unanswered
+   */
+  protobuf_c_boolean lossy;
 };
 #define POOL_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_reply__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/regress/pool-resend.c
+++ b/regress/pool-resend.c
@@ -123,12 +123,12 @@
 	cr_assert_gt(leader_link.bulk.len, 0);
 }
 
-/* The other copy may have been carried out, or may yet be. */
-Test(pool_resend, a_refused_copy_of_a_start_does_not_say_that_none_runs)
+/*
+ * Has the agent start a task on a target that answers the copy of the call
+ * alone. Returns what the agent tells the leader.
+ */
+static PoolFrame *answer_copy_of_start(const char *answer)
 {
-	static const char refusal[] = "HTTP/1.1 409 Conflict\r\n"
-				      "Content-Length: 29\r\n\r\n"
-				      "{\"clockMs\":5,\"reason\":\"room\"}";
 	char request[2048], address[32];
 	PoolOrder order = POOL_ORDER__INIT;
 	PoolFrame *frame;
@@ -143,14 +143,43 @@
 	cr_assert_geq(p.count.calls_resent, 1);
 	read_request(request, sizeof(request));
 	fd = read_request(request, sizeof(request));
-	cr_assert_eq(write(fd, refusal, sizeof(refusal) - 1),
-		     (ssize_t)sizeof(refusal) - 1);
+	cr_assert_eq(write(fd, answer, strlen(answer)),
+		     (ssize_t)strlen(answer));
 	run_for(20);
 	cr_assert_gt(leader_link.bulk.len, 0);
 	cr_assert_lt(leader_link.bulk.data[0], 128);
 	frame = pool_frame__unpack(NULL, (size_t)leader_link.bulk.data[0],
 				   (uint8_t *)leader_link.bulk.data + 1);
 	cr_assert_not_null(frame);
+	return frame;
+}
+
+/* The other copy may have been carried out, or may yet be. */
+Test(pool_resend, a_refused_copy_of_a_start_does_not_say_that_none_runs)
+{
+	PoolFrame *frame = answer_copy_of_start("HTTP/1.1 409 Conflict\r\n"
+						"Content-Length: 29\r\n\r\n"
+						"{\"clockMs\":5,\"reason\":"
+						"\"room\"}");
+
 	cr_assert_eq(frame->reply->status, SCHED_REPLY_UNCERTAIN);
+	cr_assert_not(frame->reply->lossy);
+	pool_frame__free_unpacked(frame, NULL);
+}
+
+/*
+ * The reply to a copy hides that the call itself has none. A reply that is only
+ * slow does not count: few calls are lost then.
+ */
+Test(pool_resend, the_leader_learns_that_a_call_may_be_late)
+{
+	PoolFrame *frame;
+
+	p.resend.loss = 0.3;
+	frame = answer_copy_of_start("HTTP/1.1 200 OK\r\n"
+				     "Content-Length: 13\r\n\r\n"
+				     "{\"clockMs\":5}");
+	cr_assert_eq(frame->reply->status, SCHED_REPLY_OK);
+	cr_assert(frame->reply->lossy);
 	pool_frame__free_unpacked(frame, NULL);
 }
--- a/regress/sched-late-takeover.c
+++ b/regress/sched-late-takeover.c
@@ -31,7 +31,7 @@
 	w.stored = 1;
 	for (i = 1; i < w.ntargets; i++)
 		sched_target_unlisted(&first, w.targets[i].listing.id, w.now);
-	t->late[WORLD_START] = (struct world_late){ 100, 3000, 3000 };
+	t->late[WORLD_START] = (struct world_late){ 100, 3000, 3000, 0 };
 	world_submit(&w, "q", 1, 6000, 1, 60000);
 	world_run_until(&w, w.now + 20);
 	cr_assert_eq(first.count.starts, 1);
--- a/regress/sched-late.c
+++ b/regress/sched-late.c
@@ -38,7 +38,7 @@
 /* Calls of the kind are carried out ms late; 0: at once, with a reply. */
 static void delay_calls(struct world_target *t, int kind, rp_ms ms)
 {
-	t->late[kind] = (struct world_late){ ms ? 100 : 0, ms, ms };
+	t->late[kind] = (struct world_late){ ms ? 100 : 0, ms, ms, 0 };
 }
 
 static void delay_all_calls(struct world_target *t, rp_ms ms)
@@ -118,8 +118,11 @@
 	end_world();
 }
 
-/* Runs taken for over are prolonged by a hold that is carried out late. */
-Test(sched_late, a_hold_is_late)
+/*
+ * Holds are late for a while, then the target cannot be reached. Its runs have
+ * a lease of the late ones. copied: a copy of each late hold has a reply.
+ */
+static void run_late_holds(int copied)
 {
 	struct world_target *t = &w.targets[0];
 	size_t i;
@@ -133,6 +136,7 @@
 	for (i = 1; i < w.ntargets; i++)
 		set_usable(&w.targets[i], 1);
 	delay_calls(t, WORLD_HOLD, 2000);
+	t->late[WORLD_HOLD].copied = copied;
 	world_run_until(&w, w.now + 300);
 	delay_calls(t, WORLD_HOLD, 0);
 	world_run_until(&w, w.now + 1000);
@@ -143,6 +147,18 @@
 	end_world();
 }
 
+/* Runs were taken for over that a late hold had prolonged. */
+Test(sched_late, a_hold_is_late)
+{
+	run_late_holds(0);
+}
+
+/* The reply to a copy hid that the hold had none. */
+Test(sched_late, a_hold_is_late_and_a_copy_of_it_is_replied_to)
+{
+	run_late_holds(1);
+}
+
 /* The previous leader's start is carried out on a target of its successor. */
 Test(sched_late, a_start_is_late_and_the_leader_changes)
 {
@@ -226,7 +242,7 @@
 	for (i = 0; i < w.ntargets; i++)
 		for (kind = 0; kind < WORLD_CALLS; kind++)
 			w.targets[i].late[kind] =
-				(struct world_late){ percent, 2000, 12000 };
+				(struct world_late){ percent, 2000, 12000, 0 };
 	world_generate_load(&w, 0.7, 12000);
 	for (i = 0; i < w.ntargets; i++)
 		delay_all_calls(&w.targets[i], 0);
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -131,6 +131,7 @@
 		       : e->until	     ? SCHED_REPLY_FENCED
 					     : SCHED_REPLY_REFUSED;
 	reply.sent_at = e->sent_at;
+	reply.lossy = e->copied;
 	if (e->kind == WORLD_HOLD_REPLY && !e->lost)
 		reply.incarnation = t->listing.incarnation;
 	reply.clock = e->lost ? 0 : world_target_clock(w, t) - w->delay;
@@ -191,8 +192,9 @@
 }
 
 /*
- * Whether the call gets no reply and is carried out later. A lease counts from
- * then on if late_leases is set.
+ * Has the call carried out later, if it is to be. A lease counts from then on
+ * if late_leases is set. Returns whether neither the call nor a copy of it is
+ * carried out now.
  */
 static int put_off(struct world *w, struct world_event *e)
 {
@@ -204,7 +206,6 @@
 		return 0;
 	delay = late->min +
 		(rp_ms)(world_uniform(w) * (double)(late->max - late->min));
-	reply(w, e, 0, "");
 	later = calloc(1, sizeof(*later));
 	*later = *e;
 	later->late = 1;
@@ -212,7 +213,10 @@
 	if (later->until && w->late_leases)
 		later->until += delay;
 	add_event(w, later);
-	return 1;
+	e->copied = late->copied;
+	if (!late->copied)
+		reply(w, e, 0, "");
+	return !late->copied;
 }
 
 static void carry_out_late(struct world *w, struct world_event *e)
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -29,6 +29,7 @@
 struct world_late {
 	int percent;	/* share of the calls */
 	rp_ms min, max; /* delay after the arrival */
+	int copied;	/* a copy of the call has a reply */
 };
 
 struct world;
@@ -101,9 +102,10 @@
 	rp_ms wait_until;   /* a hold call waits for an end until then */
 	struct sched_resources need;
 	double work;
-	int lost;  /* the reply is lost */
-	int waits; /* a hold call that was carried out, but for its reply */
-	int late;  /* the caller has given up; it is carried out now */
+	int lost;   /* the reply is lost */
+	int copied; /* it is late, and the reply is to a copy of it */
+	int waits;  /* a hold call that was carried out, but for its reply */
+	int late;   /* the caller has given up; it is carried out now */
 	struct world_event *next;
 };
 
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -122,6 +122,8 @@
 		t->unanswered_sent_at = 0;
 		t->lossy_at = t->s->now;
 	}
+	if (reply->lossy && reply->status != SCHED_REPLY_UNKNOWN)
+		t->lossy_at = t->s->now;
 }
 
 /* Applies what all replies have in common. Returns whether it succeeded. */
--- a/scheduler.h
+++ b/scheduler.h
@@ -437,6 +437,7 @@
 	rp_ms sent_at;	     /* when the call was sent */
 	int64_t incarnation; /* the incarnation that replied; 0: not given */
 	int64_t clock;	     /* the target's clock, ms; 0: not given */
+	int lossy;	     /* a copy of the call likely had no reply */
 	const struct sched_run *runs;
 	size_t nruns;
 	const struct sched_end *ends;
