An entry whose address is none names no target

An entry of another writer with the address 10.0.0.1:70000, :-1, :0, without a port, or "@10.0.0.1/x:80" was taken as a target. pool_parse_address() cut the port to 16 bits, so that the owners of jobs were sent to 10.0.0.1:4464, which may be another target, while the leader's own calls went to what libcurl made of the text.

A port is now 1 to 65535 in digits only, and an address to connect to is not 0.0.0.0. Port 0 stays valid where a process listens.

The entries in platform-decode had the address "a:1", which is none; they have a valid one now, so that each of them is still malformed by the one member that it is about.

--- a/pool-io.h
+++ b/pool-io.h
@@ -34,10 +34,15 @@
 void pool_defer_free(struct pool *p, void *memory);
 int pool_loop_init(struct pool *p);
 void pool_loop_run(struct pool *p);
-/* Parses "ip:port". Returns 0, or -1. */
+
+/* --- pool-address.c: addresses as text and as numbers ----------------- */
+
 struct sockaddr_in;
+/*
+ * Parses "ip:port". The port may be 0, to listen at any. Returns 0, or -1.
+ */
 int pool_parse_address(const char *text, struct sockaddr_in *sa);
-/* An address in 48 bits; 0: it is malformed. */
+/* An address to connect to, in 48 bits; 0: it is malformed. */
 uint64_t pool_address_pack(const char *text);
 /* text is a buffer of RP_ADDRESS_MAX bytes. */
 void pool_address_unpack(uint64_t address, char *text);
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -2,9 +2,7 @@
 
 #include "pool.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,39 +25,6 @@
 	return (rp_ms)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
-int pool_parse_address(const char *text, struct sockaddr_in *sa)
-{
-	char host[RP_ADDRESS_MAX];
-	const char *colon = strrchr(text, ':');
-
-	memset(sa, 0, sizeof(*sa));
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		return -1;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	sa->sin_family = AF_INET;
-	sa->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
-}
-
-uint64_t pool_address_pack(const char *text)
-{
-	struct sockaddr_in sa;
-
-	if (pool_parse_address(text, &sa) < 0)
-		return 0;
-	return (uint64_t)ntohl(sa.sin_addr.s_addr) << 16 | ntohs(sa.sin_port);
-}
-
-void pool_address_unpack(uint64_t address, char *text)
-{
-	snprintf(text, RP_ADDRESS_MAX, "%u.%u.%u.%u:%u",
-		 (unsigned)(address >> 40) & 255,
-		 (unsigned)(address >> 32) & 255,
-		 (unsigned)(address >> 24) & 255,
-		 (unsigned)(address >> 16) & 255, (unsigned)address & 65535);
-}
-
 int pool_fd_watch(struct pool *p, struct pool_fd *f, uint32_t events)
 {
 	struct epoll_event ev = { .events = events, .data.ptr = f };
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -54,18 +54,23 @@
 		"null",
 		"17",
 		"{}",
-		"{\"service\":7,\"address\":\"a:1\",\"state\":\"ready\","
+		"{\"service\":7,\"address\":\"10.0.0.1:1\",\"state\":\"ready\","
 		"\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1}}",
 		"{\"service\":\"s\",\"state\":\"ready\","
 		"\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1}}",
-		"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"odd\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"odd\","
 		"\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1}}",
-		"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\"}",
-		"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"ready\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"ready\","
 		"\"capacity\":{\"cpu\":\"many\",\"taskMemoryMb\":1}}",
-		"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"ready\","
 		"\"capacity\":{\"cpu\":-5,\"taskMemoryMb\":1}}",
-		"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"ready\","
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		"\"ready\","
 		"\"capacity\":[16000]}",
 	};
 	struct sched_listing l;
@@ -85,14 +90,15 @@
 	memset(name, 'x', sizeof(name));
 	name[sizeof(name) - 1] = '\0';
 	snprintf(text, sizeof(text),
-		 "{\"service\":\"%s\",\"address\":\"a:1\",\"state\":\"ready\","
+		 "{\"service\":\"%s\",\"address\":\"10.0.0.1:1\",\"state\":"
+		 "\"ready\","
 		 "\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1}}",
 		 name);
 	cr_assert_eq(parse_listing(&l, text), -1);
 }
 
 #define LEAVING                                                                \
-	"{\"service\":\"s\",\"address\":\"a:1\",\"state\":\"%s\","             \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":\"%s\","      \
 	"\"capacity\":{\"cpu\":1,\"taskMemoryMb\":1},\"remainingMs\":%s}"
 
 /* Guards against a time of leaving that another writer has made up. */
--- /dev/null
+++ b/regress/platform-odd.c
@@ -0,0 +1,101 @@
+/*
+ * Entries, rows and replies of other writers: nested deeply, with numbers out
+ * of range, or with addresses that are none.
+ */
+
+#include <criterion/criterion.h>
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+#include "pool-io.h"
+
+static char error[PLATFORM_ERROR_MAX];
+
+static int parse_listing(struct sched_listing *l, const char *text)
+{
+	error[0] = '\0';
+	return platform_parse_listing(l, "i-1", text, strlen(text), error);
+}
+
+/* Parses a valid entry with one member replaced by the given text. */
+static int parse_entry_with(struct sched_listing *l, const char *name,
+			    const char *value)
+{
+	static const char *const members[][2] = {
+		{ "service", "\"s\"" },
+		{ "address", "\"10.0.0.1:80\"" },
+		{ "zone", "\"z\"" },
+		{ "state", "\"ready\"" },
+		{ "capacity", "{\"cpu\":16000,\"taskMemoryMb\":32768}" },
+		{ "labels", "[\"a\"]" },
+		{ "born", "1700000000123" },
+	};
+	char text[1024] = "{\"sequence\":1";
+	size_t i, len = strlen(text);
+
+	for (i = 0; i < sizeof(members) / sizeof(*members); i++)
+		len += (size_t)snprintf(text + len, sizeof(text) - len,
+					",\"%s\":%s", members[i][0],
+					strcmp(members[i][0], name) != 0
+						? members[i][1]
+						: value);
+	snprintf(text + len, sizeof(text) - len, "}");
+	return parse_listing(l, text);
+}
+
+/* --- addresses ---------------------------------------------------------- */
+
+/*
+ * The port was cut to 16 bits: the starts of tasks went to 10.0.0.1:4464, which
+ * may be another target, and the leader's calls to another address.
+ */
+Test(odd_entry, an_address_that_is_none_names_no_target)
+{
+	static const char *const bad[] = {
+		"\"10.0.0.1:70000\"",
+		"\"10.0.0.1:65536\"",
+		"\"10.0.0.1:-1\"",
+		"\"10.0.0.1:0\"",
+		"\"10.0.0.1:\"",
+		"\"10.0.0.1\"",
+		"\"10.0.0.1:80x\"",
+		"\"10.0.0.1: 80\"",
+		"\"10.0.0.1:+80\"",
+		"\"10.0.0.1:4294967376\"",
+		"\"10.0.0.1:18446744073709551696\"",
+		"\"@10.0.0.1/x:80\"",
+		"\"user@10.0.0.1:80\"",
+		"\"10.0.0.1/x:80\"",
+		"\"10.0.0:80\"",
+		"\"10.0.0.256:80\"",
+		"\"0.0.0.0:80\"",
+		"\"a:80\"",
+		"\":80\"",
+		"8080",
+	};
+	struct sched_listing l;
+	size_t i;
+
+	cr_assert_eq(parse_entry_with(&l, "address", "\"10.0.0.1:1\""), 0);
+	cr_assert_eq(parse_entry_with(&l, "address", "\"10.0.0.1:65535\""), 0);
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		cr_assert_eq(parse_entry_with(&l, "address", bad[i]), -1, "%s",
+			     bad[i]);
+		cr_assert_neq(error[0], '\0', "%s", bad[i]);
+	}
+}
+
+/* Guards against calls that go to another port than the one given. */
+Test(odd_entry, a_port_out_of_range_is_not_packed)
+{
+	char text[RP_ADDRESS_MAX];
+
+	cr_assert_eq(pool_address_pack("10.0.0.1:70000"), 0);
+	cr_assert_eq(pool_address_pack("10.0.0.1:0"), 0);
+	cr_assert_eq(pool_address_pack("10.0.0.1:-1"), 0);
+	pool_address_unpack(pool_address_pack("10.0.0.1:65535"), text);
+	cr_assert_str_eq(text, "10.0.0.1:65535");
+}
