An entry with a number out of range names no target

A cpu of 1e300 in an entry of another writer was cast to int64_t out of range, 2^63-1 was taken as that much room, and a born of 1e300 or of another type as another incarnation or as none known, with which the entry counts as current. A remainingMs of 2^63-1 was added to the present time, which overflows.

A remainingMs out of range is not known, as it was for one of another type.

--- a/regress/platform-odd.c
+++ b/regress/platform-odd.c
@@ -99,3 +99,85 @@
 	pool_address_unpack(pool_address_pack("10.0.0.1:65535"), text);
 	cr_assert_str_eq(text, "10.0.0.1:65535");
 }
+
+/* --- numbers ------------------------------------------------------------ */
+
+/*
+ * A capacity of 1e300 was cast out of range, and 2^63-1 was taken as that much
+ * room, which sums over targets overflow.
+ */
+Test(odd_entry, a_capacity_out_of_range_names_no_target)
+{
+	static const char *const bad[] = {
+		"{\"cpu\":1e300,\"taskMemoryMb\":1}",
+		"{\"cpu\":9223372036854775807,\"taskMemoryMb\":1}",
+		"{\"cpu\":2147483648,\"taskMemoryMb\":1}",
+		"{\"cpu\":0.5,\"taskMemoryMb\":1}",
+		"{\"cpu\":-1,\"taskMemoryMb\":1}",
+		"{\"cpu\":1,\"taskMemoryMb\":1e300}",
+		"{\"cpu\":1,\"taskMemoryMb\":9223372036854775807}",
+		"{\"cpu\":1,\"taskMemoryMb\":1,\"gpu\":1e19}",
+		"{\"cpu\":1,\"taskMemoryMb\":1,\"gpu\":null}",
+		"{\"cpu\":true,\"taskMemoryMb\":1}",
+	};
+	struct sched_listing l;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		cr_assert_eq(parse_entry_with(&l, "capacity", bad[i]), -1, "%s",
+			     bad[i]);
+	cr_assert_eq(parse_entry_with(&l, "capacity",
+				      "{\"cpu\":16000.0,\"taskMemoryMb\":1}"),
+		     0);
+	cr_assert_eq(l.capacity.cpu, 16000);
+}
+
+/*
+ * The target of the entry counted as another incarnation, and as one without a
+ * known incarnation if the value was not a number.
+ */
+Test(odd_entry, a_born_that_is_no_time_names_no_target)
+{
+	static const char *const bad[] = {
+		"1e300",
+		"9223372036854775807",
+		"9007199254740993",
+		"1700000000123.5",
+		"-1",
+		"0",
+		"\"1700000000123\"",
+		"null",
+		"[]",
+	};
+	struct sched_listing l;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		cr_assert_eq(parse_entry_with(&l, "born", bad[i]), -1, "%s",
+			     bad[i]);
+}
+
+/* The time is added to the present one, which overflowed. */
+Test(odd_entry, a_time_of_leaving_out_of_range_is_not_known)
+{
+	struct sched_listing l;
+
+	cr_assert_eq(parse_entry_with(&l, "state",
+				      "\"draining\",\"remainingMs\":1e300"),
+		     0);
+	cr_assert_eq(l.stays, 0);
+	cr_assert_eq(parse_entry_with(&l, "state",
+				      "\"draining\",\"remainingMs\":"
+				      "9223372036854775807"),
+		     0);
+	cr_assert_eq(l.stays, 0);
+}
+
+/* Numbers that the parser itself rejects. */
+Test(odd_entry, a_number_that_is_no_double_is_rejected)
+{
+	struct sched_listing l;
+
+	cr_assert_eq(parse_entry_with(&l, "born", "1e999"), -1);
+	cr_assert_eq(parse_entry_with(&l, "born", "99999999999999999999"), -1);
+}
