A label that is too long is not cut to another one

Labels of an entry were cut to 63 bytes and compared with the label that a step requires, cut in the same way: two labels that differ behind that were taken for the same. A failure domain that is too long, or is not a text, was taken for none. No evacuation reaches such a target.

--- a/regress/platform-odd.c
+++ b/regress/platform-odd.c
@@ -181,3 +181,23 @@
 	cr_assert_eq(parse_entry_with(&l, "born", "1e999"), -1);
 	cr_assert_eq(parse_entry_with(&l, "born", "99999999999999999999"), -1);
 }
+
+/*
+ * A label was cut to the longest one that is kept, and a domain that is too
+ * long was taken for none, which no evacuation reaches.
+ */
+Test(odd_entry, a_label_or_domain_of_another_form_names_no_target)
+{
+	char text[256], name[100];
+	struct sched_listing l;
+
+	memset(name, 'x', sizeof(name));
+	name[sizeof(name) - 1] = '\0';
+	snprintf(text, sizeof(text), "[\"a\",\"%s\"]", name);
+	cr_assert_eq(parse_entry_with(&l, "labels", text), -1);
+	cr_assert_eq(parse_entry_with(&l, "labels", "\"a\""), -1);
+	cr_assert_eq(parse_entry_with(&l, "labels", "[7]"), -1);
+	snprintf(text, sizeof(text), "\"%s\"", name);
+	cr_assert_eq(parse_entry_with(&l, "zone", text), -1);
+	cr_assert_eq(parse_entry_with(&l, "zone", "7"), -1);
+}
