--- a/regress/platform-odd.c
+++ b/regress/platform-odd.c
@@ -201,3 +201,104 @@
 	cr_assert_eq(parse_entry_with(&l, "zone", text), -1);
 	cr_assert_eq(parse_entry_with(&l, "zone", "7"), -1);
 }
+
+/* --- nesting ------------------------------------------------------------ */
+
+/* Returns text with a list nested so deeply. The caller frees it. */
+static char *nest(size_t depth)
+{
+	char *text = malloc(2 * depth + 1);
+
+	memset(text, '[', depth);
+	memset(text + depth, ']', depth);
+	text[2 * depth] = '\0';
+	return text;
+}
+
+static int parse_nested_entry(size_t depth)
+{
+	char *list = nest(depth), *text = malloc(2 * depth + 256);
+	struct sched_listing l;
+	int rc;
+
+	sprintf(text,
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		"\"z\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,"
+		"\"taskMemoryMb\":1},\"version\":%s}",
+		list);
+	rc = parse_listing(&l, text);
+	free(list);
+	free(text);
+	return rc;
+}
+
+static void *parse_deep_entries(void *ok)
+{
+	*(int *)ok = parse_nested_entry(2000) == -1 &&
+		     parse_nested_entry(100000) == -1 &&
+		     parse_nested_entry(64) == -1 && parse_nested_entry(4) == 0;
+	return NULL;
+}
+
+/* Runs a function that sets an int, and returns it. */
+static int run_with_little_stack(void *(*function)(void *ok))
+{
+	pthread_attr_t attr;
+	pthread_t thread;
+	int ok = 0;
+
+	pthread_attr_init(&attr);
+	cr_assert_eq(pthread_attr_setstacksize(&attr, 128 * 1024), 0);
+	cr_assert_eq(pthread_create(&thread, &attr, function, &ok), 0);
+	pthread_join(thread, NULL);
+	pthread_attr_destroy(&attr);
+	return ok;
+}
+
+/*
+ * The JSON library reads 2,000 levels, for which it takes 130 to 190 kB of
+ * stack. With less, the process ended, and again whenever it read the entry.
+ */
+Test(odd_entry, a_deeply_nested_entry_takes_little_stack)
+{
+	cr_assert(run_with_little_stack(parse_deep_entries));
+}
+
+/* Guards against brackets in strings that count as levels. */
+Test(odd_entry, brackets_in_strings_are_not_levels)
+{
+	struct sched_listing l;
+
+	cr_assert_eq(parse_entry_with(&l, "service",
+				      "\"\\\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["
+				      "[[[[[[[[[\""),
+		     0);
+}
+
+/* Guards against a reader that ends on any of the texts of other writers. */
+static void *parse_deep_others(void *ok)
+{
+	char *list = nest(2000);
+	char *text = malloc(5000);
+	struct platform_reply r;
+	int supported;
+
+	sprintf(text, "{\"steps\":[{\"count\":1,\"after\":%s}]}", list);
+	*(int *)ok = !platform_parse_job(text, strlen(text), &supported, error);
+	sprintf(text, "{\"version\":1,\"routes\":%s}", list);
+	*(int *)ok &= !platform_parse_routes(text, strlen(text), error);
+	sprintf(text, "{\"a\":%s}", list);
+	*(int *)ok &= !platform_evacuation_is_valid(text, strlen(text));
+	sprintf(text, "{\"clockMs\":1,\"running\":%s}", list);
+	platform_parse_reply(&r, 200, text, strlen(text));
+	*(int *)ok &= r.reply.status == SCHED_REPLY_UNKNOWN;
+	platform_reply_finish(&r);
+	free(list);
+	free(text);
+	return NULL;
+}
+
+Test(odd_text, deep_nesting_takes_little_stack)
+{
+	cr_assert(run_with_little_stack(parse_deep_others));
+}
