A malformed entry of a known target counts as missing

Within the feed, an entry of a good target that another writer replaced by a malformed one was ignored, and the target stayed in use for as long as the store kept its history; a full read dropped it after 2.5 s. A leader that took over while the entry was malformed did not know the target at all: it held that all targets had sent their lists, and could start tasks again that still ran there.

The protocol says that such an entry names no worker to use, and that an entry still missing two seconds later is to be treated as gone. So it counts as missing: the last good values hold for 2.5 s, in which the target writes it again, and then the target gets no new work; runs that are there go on. Nothing of the malformed entry is used. A new leader lists the target by the last good entry that it was sent, and so asks it for its runs. One that was never sent the list lets jobs of the leader before wait until the leases are over.

--- a/pool-listing.c
+++ b/pool-listing.c
@@ -46,15 +46,6 @@
 	s->missing = m;
 }
 
-static void log_unreadable_row(struct pool *p, const char *key,
-			       const char *error)
-{
-	if (!pool_row_fault_is_new(p, key))
-		return;
-	LOG_EVENT(LOG_LEVEL_WARN, "target_row_unreadable",
-		  LOG_TEXT("target", key), LOG_TEXT("why", error));
-}
-
 /*
  * Logs a listing if it changes anything for the scheduler. Targets also rewrite
  * their rows unchanged, as heartbeats.
@@ -94,6 +85,42 @@
 	*round = w->round;
 }
 
+static void log_malformed(struct pool *p, const char *key, const char *error)
+{
+	if (!pool_row_fault_is_new(p, key))
+		return;
+	LOG_EVENT(LOG_LEVEL_WARN, "target_row_unreadable",
+		  LOG_TEXT("target", key), LOG_TEXT("why", error),
+		  LOG_NUMBER("known",
+			     p->leading && sched_find_target(&p->sched, key)));
+}
+
+/*
+ * A malformed entry names no target. That of a known target counts as missing:
+ * what its last good entry said holds for a while. A new leader lists the
+ * target by that entry, as runs of the leader before may be there.
+ */
+static void malformed_row(struct pool_watch *w, const char *key,
+			  const char *error)
+{
+	struct pool *p = w->p;
+	const struct pool_listing *e =
+		apr_hash_get(p->listings, key, APR_HASH_KEY_STRING);
+
+	log_malformed(p, key, error);
+	if (!p->leading)
+		return;
+	if (e && !e->removed) {
+		set_listed_round(w, key);
+		if (!sched_find_target(&p->sched, key))
+			pool_list_cached_target(p, e);
+	} else if (!w->complete && !p->listing_version) {
+		p->sched.prev_may_hold_unlisted = 1;
+	}
+	if (sched_find_target(&p->sched, key))
+		add_missing(store_of(p), key, p->now);
+}
+
 void pool_listing_row(struct pool_watch *w, const struct platform_row *row)
 {
 	struct pool *p = w->p;
@@ -108,7 +135,7 @@
 		return;
 	}
 	if (platform_parse_listing(&l, row->key, row->value, row->len, error)) {
-		log_unreadable_row(p, row->key, error);
+		malformed_row(w, row->key, error);
 		return;
 	}
 	pool_share_listed(p, &l, row->version);
@@ -178,6 +205,7 @@
 			  LOG_NUMBER("missing_ms", p->now - m->since));
 		if (p->leading)
 			sched_target_unlisted(&p->sched, m->id, p->now);
+		pool_share_removed(p, m->id, p->listing_version);
 		remove_missing(s, m->id);
 	}
 }
--- a/pool-target.c
+++ b/pool-target.c
@@ -436,7 +436,7 @@
 	p->dispatch_due = 1;
 }
 
-static void list_cached_target(struct pool *p, const struct pool_listing *e)
+void pool_list_cached_target(struct pool *p, const struct pool_listing *e)
 {
 	struct sched_listing l = e->l;
 
@@ -456,7 +456,7 @@
 		apr_hash_this(i, NULL, NULL, &value);
 		e = value;
 		if (!e->removed)
-			list_cached_target(p, e);
+			pool_list_cached_target(p, e);
 	}
 }
 
--- a/pool.h
+++ b/pool.h
@@ -275,7 +275,9 @@
 
 /* Calls targets of other failure domains, for lead_reachability_result(). */
 void pool_check_reachability(struct pool *p);
-/* Passes the known listings of the domains that this VM leads. */
+/* Passes a known listing if this VM leads its failure domain. */
+void pool_list_cached_target(struct pool *p, const struct pool_listing *e);
+/* The same for all known listings. */
 void pool_list_cached_targets(struct pool *p);
 /* Passes a listing to the scheduler if this VM leads its failure domain. */
 void pool_sched_target_listed(struct pool *p, const struct sched_listing *l);
--- /dev/null
+++ b/regress/pool-odd.c
@@ -0,0 +1,156 @@
+/* Rows of other writers in the tables that a VM follows. */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "pool-store.h"
+
+#define ENTRY                                                                  \
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","       \
+	"\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"taskMemoryMb\":"    \
+	"32768},\"born\":1700000000123,\"sequence\":4}"
+#define ODD_ENTRY "{\"service\":\"s\",\"address\":\"127.0.0.1:70000\"}"
+
+static struct pool p;
+
+static void begin(void)
+{
+	struct lead_row leader = { .fence = LEAD_TOKEN(1), .version = 1 };
+
+	apr_initialize();
+	apr_pool_create(&p.pool, NULL);
+	snprintf(p.set.vm_name, sizeof(p.set.vm_name), "vm0");
+	snprintf(p.set.link_address, sizeof(p.set.link_address), "127.0.0.1:1");
+	snprintf(p.set.store_address, sizeof(p.set.store_address),
+		 "127.0.0.1:1");
+	snprintf(leader.vm, sizeof(leader.vm), "vm1");
+	p.requests = hash_new(p.pool);
+	p.set.remote_factor = 2;
+	p.set.max_lease = 1000;
+	p.incarnation = 7;
+	p.now = 10000;
+	pool_loop_init(&p);
+	pool_calls_init(&p);
+	pool_store_init(&p);
+	pool_agent_init(&p);
+	pool_lead_init(&p);
+	lead_row_read(&p.lead, &leader, p.now);
+}
+
+TestSuite(pool_odd, .init = begin, .timeout = 20);
+
+/* The leader before has just renewed. */
+static void take_over(void)
+{
+	struct lead_row own = { .fence = LEAD_TOKEN(2), .version = 9 };
+
+	lead_renewed(&p.lead, 5, p.now);
+	p.now += 100;
+	own.incarnation = p.incarnation;
+	snprintf(own.vm, sizeof(own.vm), "vm0");
+	lead_row_read(&p.lead, &own, p.now);
+	cr_assert(p.leading);
+}
+
+static struct pool_watch *targets(void)
+{
+	return &store_of(&p)->watches[WATCH_TARGETS];
+}
+
+/* A row is read; value NULL: it was removed. */
+static void row_read(const char *key, const char *value)
+{
+	static int64_t version = 100;
+	struct platform_row row = { .value = (char *)value,
+				    .len = value ? strlen(value) : 0,
+				    .version = ++version };
+
+	snprintf(row.key, sizeof(row.key), "%s", key);
+	pool_listing_row(targets(), &row);
+}
+
+static void full_read_ends(void)
+{
+	targets()->complete = 1;
+	pool_listing_complete(targets());
+}
+
+static void pass(rp_ms ms)
+{
+	p.now += ms;
+	pool_listing_tick(&p);
+}
+
+static const struct sched_target *target(const char *id)
+{
+	return sched_find_target(&p.sched, id);
+}
+
+/*
+ * The entry names no target any more. Until its target has written it again,
+ * what the last good one said holds, as for an entry that is missing.
+ */
+Test(pool_odd, a_target_whose_entry_stays_malformed_is_unlisted)
+{
+	take_over();
+	row_read("i-1", ENTRY);
+	full_read_ends();
+	row_read("i-1", ODD_ENTRY);
+	pass(2000);
+	cr_assert(target("i-1")->listed);
+	cr_assert_str_eq(target("i-1")->listing.address, "127.0.0.1:9");
+	pass(600);
+	cr_assert_not(target("i-1")->listed);
+	row_read("i-1", ENTRY);
+	cr_assert(target("i-1")->listed);
+	cr_assert(target("i-1")->listing.ready);
+	pass(5000);
+	cr_assert(target("i-1")->listed);
+}
+
+Test(pool_odd, a_target_that_repairs_its_entry_stays_listed)
+{
+	take_over();
+	row_read("i-1", ENTRY);
+	full_read_ends();
+	row_read("i-1", ODD_ENTRY);
+	pass(1500);
+	row_read("i-1", ENTRY);
+	pass(5000);
+	cr_assert(target("i-1")->listed);
+}
+
+/*
+ * The runs of the leader before on that target were not known, and its tasks
+ * were started a second time.
+ */
+Test(pool_odd, a_new_leader_asks_the_target_of_a_malformed_entry)
+{
+	struct sched_listing l;
+	char error[PLATFORM_ERROR_MAX];
+
+	cr_assert_eq(platform_parse_listing(&l, "i-1", ENTRY, strlen(ENTRY),
+					    error),
+		     0);
+	pool_share_listed(&p, &l, 50);
+	pool_share_read_up_to(&p, 50);
+	take_over();
+	row_read("i-1", ODD_ENTRY);
+	row_read("odd", ODD_ENTRY);
+	full_read_ends();
+	cr_assert_not_null(target("i-1"));
+	cr_assert_null(target("odd"));
+	cr_assert_eq(p.sched.prev_may_hold_unlisted, 0);
+	pass(2600);
+	cr_assert_not(target("i-1")->listed);
+}
+
+Test(pool_odd, a_leader_that_never_had_the_list_waits_for_the_leases)
+{
+	take_over();
+	row_read("i-1", ODD_ENTRY);
+	cr_assert_eq(p.sched.prev_may_hold_unlisted, 1);
+}
