A removal of an entry that is not known takes no memory

The list of targets that VMs keep got an entry for each row that was removed, also of other writers' rows that never named a target. A key longer than an id of a target was cut, so that it was not found again and each removal took another 2 kB.

A removal only changes an entry that is known; an entry that is not there counts as removed anyway. pool-odd: a_malformed_or_removed_row_of_no_target_is_not_kept failed before and passes now.

--- a/pool-share.c
+++ b/pool-share.c
@@ -74,9 +74,10 @@
 
 void pool_share_removed(struct pool *p, const char *id, int64_t version)
 {
-	struct pool_listing *e = get_entry(p, id);
+	struct pool_listing *e =
+		apr_hash_get(p->listings, id, APR_HASH_KEY_STRING);
 
-	if (e->removed)
+	if (!e || e->removed)
 		return;
 	e->removed = 1;
 	mark_changed(p, e, version);
--- a/regress/pool-odd.c
+++ b/regress/pool-odd.c
@@ -154,3 +154,20 @@
 	row_read("i-1", ODD_ENTRY);
 	cr_assert_eq(p.sched.prev_may_hold_unlisted, 1);
 }
+
+/* Guards against memory that each read of such a row takes. */
+Test(pool_odd, a_malformed_or_removed_row_of_no_target_is_not_kept)
+{
+	char key[100];
+
+	memset(key, 'k', sizeof(key));
+	key[sizeof(key) - 1] = '\0';
+	take_over();
+	row_read(key, ODD_ENTRY);
+	row_read(key, ENTRY);
+	row_read(key, NULL);
+	row_read("i-2", ODD_ENTRY);
+	row_read("i-2", NULL);
+	cr_assert_eq(apr_hash_count(p.listings), 0);
+	cr_assert_eq(p.sched.ntargets, 0);
+}
