A malformed row of a stored job is not scheduled

Submissions of other VMs are checked before they are scheduled; rows of the table of stored jobs were not. A row without steps, with more than 64, with 2^32-1 tasks or with another id made each leader that read it read or write beyond its arrays, and so end, and its successor after it. A time of acceptance of 2^63 overflowed, and an age over 49 days was cut.

The row is checked like a submission, and against its key; a malformed one is logged once and is no job. A stretch is at most 1e6, with which the objective of the longest chain of steps is within 64 bits.

pool-odd: a_malformed_stored_job_is_not_scheduled ended before with "signed integer overflow" in schedule(), and with that repaired alone with a heap-buffer-overflow for the row without steps. It passes now.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -182,12 +182,22 @@
 	return LEAD_TOKEN(LEAD_TERM(p->sched.fence) - 1);
 }
 
+/* Since the job was accepted, ms. */
+static uint32_t age_of(const struct pool *p, const PoolJob *job)
+{
+	rp_ms now = pool_store_now(p), age;
+
+	if (now < 0 || job->accepted_ms > (uint64_t)now)
+		return 0;
+	age = now - (rp_ms)job->accepted_ms;
+	return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+}
+
 static void schedule(struct pool *p, struct stored_job *j)
 {
 	PoolSubmit *sub = j->job->submit;
-	rp_ms age = pool_store_now(p) - (rp_ms)j->job->accepted_ms;
 
-	sub->age_ms = age > 0 ? (uint32_t)age : 0;
+	sub->age_ms = age_of(p, j->job);
 	sub->former = prev_leader_token(p, j);
 	sub->done = j->job->done;
 	sub->n_done = j->job->n_done;
@@ -270,6 +280,22 @@
 		merge_late_write(p, j, job);
 }
 
+/* Whether the row can be of a job of this id. An open one is scheduled. */
+static int job_is_valid(const char *id, const PoolJob *job)
+{
+	const PoolSubmit *sub =
+		job->state == POOL_JOB__STATE__OPEN ? job->submit : NULL;
+
+	return strlen(id) < SCHED_ID_MAX &&
+	       (!sub || (sched_submit_is_valid(sub) && !strcmp(sub->id, id)));
+}
+
+static void log_malformed(struct pool *p, const char *key)
+{
+	if (pool_row_fault_is_new(p, key))
+		log_warn("job", key, "malformed row of a job");
+}
+
 static void add_job(struct pool *p, const struct platform_row *row,
 		    PoolJob *job)
 {
@@ -298,8 +324,9 @@
 	if (!row->value || (j && row->version <= j->version))
 		return;
 	job = pool_job__unpack(NULL, row->len, (uint8_t *)row->value);
-	if (!job) {
-		log_warn("job", row->key, "cannot parse the row of a job");
+	if (!job || (!j && !job_is_valid(row->key, job))) {
+		log_malformed(p, row->key);
+		pool_job__free_unpacked(job, NULL);
 		return;
 	}
 	if (!j) {
--- a/regress/pool-odd.c
+++ b/regress/pool-odd.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "pool-store.h"
+#include "pool-keep.h"
 
 #define ENTRY                                                                  \
 	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","       \
@@ -27,6 +27,12 @@
 	snprintf(p.set.store_address, sizeof(p.set.store_address),
 		 "127.0.0.1:1");
 	snprintf(leader.vm, sizeof(leader.vm), "vm1");
+	snprintf(p.set.order, sizeof(p.set.order), "priority");
+	snprintf(p.set.admit, sizeof(p.set.admit), "priority");
+	snprintf(p.set.place, sizeof(p.set.place), "slowest-on-time");
+	snprintf(p.set.move, sizeof(p.set.move), "progress");
+	snprintf(p.set.hopeless, sizeof(p.set.hopeless), "bound");
+	snprintf(p.set.leave, sizeof(p.set.leave), "move");
 	p.requests = hash_new(p.pool);
 	p.set.remote_factor = 2;
 	p.set.max_lease = 1000;
@@ -171,3 +177,60 @@
 	cr_assert_eq(apr_hash_count(p.listings), 0);
 	cr_assert_eq(p.sched.ntargets, 0);
 }
+
+/* --- rows of stored jobs ------------------------------------------------ */
+
+#define JOB_ID "00000000000000a1"
+
+/* Reads the row of an open job with n steps, each of so many tasks. */
+static void job_row_read(const char *key, char *id, size_t n, uint32_t tasks,
+			 double stretch)
+{
+	PoolJob job = POOL_JOB__INIT;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps[1000];
+	struct platform_row row = { .version = 20 };
+	char value[65536];
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		steps[i] = &step;
+	step.tasks = tasks;
+	sub.id = id;
+	sub.queue = "q";
+	sub.service = "s";
+	sub.stored = 1;
+	sub.stretch = stretch;
+	sub.steps = steps;
+	sub.n_steps = n;
+	job.submit = &sub;
+	job.accepted_ms = UINT64_MAX / 2 + 1;
+	row.value = value;
+	row.len = pool_job__pack(&job, (uint8_t *)value);
+	snprintf(row.key, sizeof(row.key), "%s", key);
+	pool_stored_row(&store_of(&p)->watches[WATCH_JOBS], &row);
+}
+
+/*
+ * Each leader that read such a row ended: the scheduler has room for 64 steps,
+ * and takes the first one for granted.
+ */
+Test(pool_odd, a_malformed_stored_job_is_not_scheduled)
+{
+	char long_id[100];
+
+	memset(long_id, 'a', sizeof(long_id));
+	long_id[sizeof(long_id) - 1] = '\0';
+	take_over();
+	job_row_read(JOB_ID, JOB_ID, 0, 1, 1);
+	job_row_read(JOB_ID, JOB_ID, 1000, 1, 1);
+	job_row_read(JOB_ID, JOB_ID, 1, UINT32_MAX, 1);
+	job_row_read(JOB_ID, JOB_ID, 64, UINT32_MAX, 1);
+	job_row_read(JOB_ID, JOB_ID, 1, 0, 1);
+	job_row_read(JOB_ID, JOB_ID, 1, 1, 1e300);
+	job_row_read(JOB_ID, "00000000000000a2", 1, 1, 1);
+	job_row_read(long_id, long_id, 1, 1, 1);
+	cr_assert_eq(p.sched.njobs, 0);
+	job_row_read(JOB_ID, JOB_ID, 1, 1, 1);
+	cr_assert_eq(p.sched.njobs, 1);
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -23,6 +23,8 @@
 #define SCHED_STEPS_MAX 64     /* bits in PoolStep.after */
 #define SCHED_TASKS_MAX 4096
 #define SCHED_LABELS_MAX 4
+/* The longest chain of steps times this is within 64 bits. */
+#define SCHED_STRETCH_MAX 1e6
 
 /* Variance of log(run time in ms) among the tasks of one job. */
 #define SCHED_TASK_VAR 0.03
