A number out of range in a target's reply is malformed

Run numbers were cut to 32 bits, so that a run could be taken for another one of the same task. An end number of -1 hid all later ends, 1e300 was cast out of range, a clock of 2^63-1 overflowed in the lease that is computed from it, and a born of another type counted as not given.

Such a reply is malformed as a whole, like one with a malformed run: its call counts as unanswered.

--- a/regress/platform-odd.c
+++ b/regress/platform-odd.c
@@ -302,3 +302,82 @@
 {
 	cr_assert(run_with_little_stack(parse_deep_others));
 }
+
+/* --- replies of targets ------------------------------------------------- */
+
+static enum sched_reply_status reply_status(const char *text)
+{
+	enum sched_reply_status status;
+	struct platform_reply r;
+
+	platform_parse_reply(&r, 200, text, strlen(text));
+	status = r.reply.status;
+	cr_assert_eq(status != SCHED_REPLY_OK, r.error[0] != '\0', "%s", text);
+	platform_reply_finish(&r);
+	return status;
+}
+
+/*
+ * A run number was cut to 32 bits and taken for another run, an end number of
+ * -1 hid all later ends, and a clock of 2^63-1 overflowed in the lease.
+ */
+Test(odd_reply, a_number_out_of_range_is_malformed)
+{
+	static const char *const bad[] = {
+		"{\"clockMs\":9223372036854775807}",
+		"{\"clockMs\":-5}",
+		"{\"clockMs\":1e300}",
+		"{\"clockMs\":4.5}",
+		"{\"clockMs\":\"5\"}",
+		"{\"clockMs\":5,\"born\":-1}",
+		"{\"clockMs\":5,\"born\":1e300}",
+		"{\"clockMs\":5,\"born\":\"1700000000123\"}",
+		"{\"clockMs\":5,\"running\":[[\"a.0.0.0\",4294967301,\"\",1]]}",
+		"{\"clockMs\":5,\"running\":[[\"a.0.0.0\",1e300,\"\",1]]}",
+		"{\"clockMs\":5,\"running\":[[\"a.0.0.0\",-1,\"\",1]]}",
+		"{\"clockMs\":5,\"running\":[[\"a.0.0.0\",0,\"\",1]]}",
+		"{\"clockMs\":5,\"running\":[[\"a.0.0.0\"]]}",
+		"{\"clockMs\":5,\"running\":{\"a.0.0.0\":1}}",
+		"{\"clockMs\":5,\"finished\":[[-1,\"a.0.0.0\",1,\"done\",\"\"]]"
+		"}",
+		"{\"clockMs\":5,\"finished\":[[1e300,\"a.0.0.0\",1,\"done\","
+		"\"\"]"
+		"]}",
+		"{\"clockMs\":5,\"finished\":[[1,\"a.0.0.0\",4294967297,"
+		"\"done\",\"\"]]}",
+		"{\"clockMs\":5,\"finished\":7}",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		cr_assert_eq(reply_status(bad[i]), SCHED_REPLY_UNKNOWN, "%s",
+			     bad[i]);
+	cr_assert_eq(reply_status("{\"clockMs\":5.0,\"born\":6,\"running\":[[\""
+				  "a.0.0.0\",4294967295,\"\",1]]}"),
+		     SCHED_REPLY_OK);
+}
+
+/* It only tells how far a run is, so the rest of the reply holds. */
+Test(odd_reply, a_percentage_is_0_to_100)
+{
+	static const struct {
+		const char *text;
+		int percent;
+	} cases[] = { { "41", 41 },   { "41.7", 41 },	   { "-3", 0 },
+		      { "1e300", 0 }, { "2147483653", 0 }, { "\"x\"", 0 } };
+	struct platform_reply r;
+	char text[128];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		snprintf(text, sizeof(text),
+			 "{\"clockMs\":5,\"running\":[[\"a.0.0.0\",1,\"\",%s]]"
+			 "}",
+			 cases[i].text);
+		platform_parse_reply(&r, 200, text, strlen(text));
+		cr_assert_eq(r.reply.status, SCHED_REPLY_OK, "%s", text);
+		cr_assert_eq(r.reply.runs[0].percent, cases[i].percent, "%s",
+			     text);
+		platform_reply_finish(&r);
+	}
+}
