A row with an unusual key or value does not stop a watch

Rows with keys of 128 bytes or more, of the 200 that the store allows, were left out, and a page of such rows after one other was read again and again.

--- a/pool-store.h
+++ b/pool-store.h
@@ -24,7 +24,7 @@
 	int lost;	       /* the latest call failed */
 	int64_t version;       /* of the store at the latest read */
 	int64_t first_version; /* at the first page; 0: not read yet */
-	char next_key[RP_NAME_MAX * 2]; /* where the next page begins */
+	char next_key[PLATFORM_KEY_MAX]; /* where the next page begins */
 	uint32_t round; /* counts the full reads; stale replies are ignored */
 	rp_ms due, backoff;
 	rp_ms replied_at; /* latest reply of the store */
