A malformed row of an entry VM names no VM

Rows of entry VMs were taken as they came: one without a name, with another name than its key, or with an address that is none added a VM that can never be linked. The leader took it for an owner of jobs that is missing, for as long as the row was there, and the others counted it among those that have to answer a probe.

Such a row is logged once and names no VM; the last valid row of a VM holds until it is removed. pool-odd: a_malformed_row_of_a_vm_names_no_vm failed before and passes now.

--- a/pool-store.c
+++ b/pool-store.c
@@ -71,20 +71,28 @@
 	pool_leader__free_unpacked(msg, NULL);
 }
 
+/* Whether the row is of the VM of this name, and says where to reach it. */
+static int vm_is_valid(const char *name, const PoolHello *vm)
+{
+	return name[0] && strlen(name) < RP_NAME_MAX && !strcmp(vm->vm, name) &&
+	       pool_address_pack(vm->address);
+}
+
+/* The last valid row of a VM holds until the row is removed. */
 static void on_vm_row(struct pool *p, const struct platform_row *row)
 {
+	const char *name = row->key + strlen(VM_KEY_PREFIX);
 	PoolHello *vm;
 
 	if (!row->value) {
-		pool_vm_left(p, row->key + strlen(VM_KEY_PREFIX));
+		pool_vm_left(p, name);
 		return;
 	}
 	vm = pool_hello__unpack(NULL, row->len, (uint8_t *)row->value);
-	if (!vm) {
-		log_warn("vm", "store", "cannot parse the row");
-		return;
-	}
-	pool_vm_update(p, vm);
+	if (vm && vm_is_valid(name, vm))
+		pool_vm_update(p, vm);
+	else if (pool_row_fault_is_new(p, row->key))
+		log_warn("vm", "store", "malformed row %s", row->key);
 	pool_hello__free_unpacked(vm, NULL);
 }
 
--- a/regress/pool-odd.c
+++ b/regress/pool-odd.c
@@ -234,3 +234,51 @@
 	job_row_read(JOB_ID, JOB_ID, 1, 1, 1);
 	cr_assert_eq(p.sched.njobs, 1);
 }
+
+/* --- rows of entry VMs -------------------------------------------------- */
+
+static void vm_row_read(const char *key, PoolHello *hello)
+{
+	struct platform_row row = { .version = 30 };
+	char value[1024];
+
+	row.value = value;
+	row.len = pool_hello__pack(hello, (uint8_t *)value);
+	snprintf(row.key, sizeof(row.key), "%s", key);
+	store_of(&p)->watches[WATCH_POOL].on_row(
+		&store_of(&p)->watches[WATCH_POOL], &row);
+}
+
+/*
+ * Such a VM is never linked. The leader took it for an owner of jobs that is
+ * missing, and a VM counted it among those that have to answer a probe.
+ */
+Test(pool_odd, a_malformed_row_of_a_vm_names_no_vm)
+{
+	PoolHello hello = POOL_HELLO__INIT;
+	char long_name[100];
+
+	memset(long_name, 'v', sizeof(long_name));
+	long_name[sizeof(long_name) - 1] = '\0';
+	vm_row_read("vm/vm2", &hello);
+	hello.vm = "vm2";
+	vm_row_read("vm/vm2", &hello);
+	hello.address = "127.0.0.1:70000";
+	vm_row_read("vm/vm2", &hello);
+	hello.address = "127.0.0.1:0";
+	vm_row_read("vm/vm2", &hello);
+	hello.address = "127.0.0.1:7";
+	vm_row_read("vm/vm3", &hello);
+	hello.vm = long_name;
+	vm_row_read("vm/vm2", &hello);
+	cr_assert_null(p.vms);
+	cr_assert_eq(p.lead.nothers, 0);
+	hello.vm = "vm2";
+	hello.processor = UINT32_MAX;
+	vm_row_read("vm/vm2", &hello);
+	cr_assert_not_null(pool_find_vm(&p, "vm2"));
+	/* The last good row holds, as the VM has not left. */
+	hello.address = "";
+	vm_row_read("vm/vm2", &hello);
+	cr_assert_str_eq(pool_find_vm(&p, "vm2")->address, "127.0.0.1:7");
+}
