A provisional leader that may have started tasks is told to later leaders

What callers could see: a task that runs twice, since "The first leader that may have started a job's tasks is told to each later one".

Cause: if a regular leader had the job first, and the provisional leader of a domain that was cut off went on with it, the next regular leader was told of the first one alone. Telling only the first also hid from a leader that a job which is back from a provisional one may have been started there (sched_adopt_returned()).

Change: of several leaders that may have started a job the owner tells the first provisional one, or else the first. A job that is back counts as started by another leader unless the token told is one of this scheduler's own.

Result: pool_share: a_provisional_leader_that_has_started_tasks_is_told tells LEAD_TOKEN(1) without the change, and passes; sched-provisional and sched-takeover pass.

--- a/pool-owner.c
+++ b/pool-owner.c
@@ -150,8 +150,7 @@
 		pool_send_cancel(p, start->job);
 		return;
 	}
-	if (!r->started_fence)
-		r->started_fence = r->sent_fence;
+	pool_request_may_be_started(r);
 	tasks = calloc(start->n_tasks + 1, sizeof(*tasks));
 	run.tasks = calloc(start->n_tasks + 1, sizeof(*run.tasks));
 	run.fence = p->start_fence;
--- a/pool-request.c
+++ b/pool-request.c
@@ -102,6 +102,13 @@
 
 /* --- jobs ------------------------------------------------------------ */
 
+void pool_request_may_be_started(struct pool_request *r)
+{
+	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
+				  LEAD_IS_PROVISIONAL(r->sent_fence)))
+		r->started_fence = r->sent_fence;
+}
+
 static void submit_job(struct pool_request *r)
 {
 	struct pool *p = r->p;
@@ -127,8 +134,8 @@
 		r->submit->n_losses = r->lost->n_losses;
 	}
 	pool_owner_keep_specification(p, r->submit);
-	if (!r->submit->specification_hash && !r->started_fence)
-		r->started_fence = fence;
+	if (!r->submit->specification_hash)
+		pool_request_may_be_started(r);
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
 	r->submit->specification = specification;
--- a/pool-request.h
+++ b/pool-request.h
@@ -23,9 +23,9 @@
 	rp_ms received_at, deadline;
 	uint64_t sent_fence; /* of the leader it was last sent to; 0: none */
 	/*
-	 * Token of the first leader that may have started a task: it had the
+	 * Token of a leader that may have started a task: it had the
 	 * specification, or has asked this VM, which kept it, for a start. 0:
-	 * none. Later leaders may not know all runs of that one.
+	 * none. Of several, see pool_request_may_be_started().
 	 */
 	uint64_t started_fence;
 	uint32_t *done_tasks; /* their numbers, over all steps */
@@ -44,6 +44,13 @@
 /* Logs that the request got an error response. */
 void pool_request_log_rejected(const struct pool_request *r,
 			       const char *reason);
+/*
+ * The leader that the request was sent to last may start tasks of it. Of
+ * several leaders, the first provisional one is kept, or else the first: a
+ * later leader must not take the runs of the others for those of the regular
+ * leader before it, which it can know.
+ */
+void pool_request_may_be_started(struct pool_request *r);
 /* Copies the route's settings and the id into the submission. */
 void pool_request_fill_submit(struct pool_request *r,
 			      const struct pool_route *route, const char *id);
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -214,8 +214,9 @@
   size_t n_steps;
   PoolStep **steps;
   /*
-   * Fencing token of the first previous leader that may have started tasks
-   * of the job; 0: none has.
+   * Fencing token of a previous leader that may have started tasks of
+   * the job; 0: none has. Of several, the first provisional one, or else
+   * the first.
    */
   uint64_t former;
   /*
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -314,6 +314,25 @@
 	other.links = NULL;
 }
 
+/*
+ * The same with a regular leader before the provisional one, whose domain was
+ * cut off. Guards against the next regular leader examining the first alone.
+ */
+Test(pool_share, a_provisional_leader_that_has_started_tasks_is_told)
+{
+	struct pool_request r = { .p = &other };
+
+	r.sent_fence = LEAD_TOKEN(1);
+	pool_request_may_be_started(&r);
+	cr_assert_eq(r.started_fence, LEAD_TOKEN(1));
+	r.sent_fence = LEAD_TOKEN(1) | 7;
+	pool_request_may_be_started(&r);
+	cr_assert_eq(r.started_fence, LEAD_TOKEN(1) | 7);
+	r.sent_fence = LEAD_TOKEN(2);
+	pool_request_may_be_started(&r);
+	cr_assert_eq(r.started_fence, LEAD_TOKEN(1) | 7);
+}
+
 /* The time at which a target leaves is told by the clock that all VMs share. */
 Test(pool_share, the_time_of_leaving_is_passed_on)
 {
--- a/regress/sched-provisional.c
+++ b/regress/sched-provisional.c
@@ -160,6 +160,7 @@
 	cr_assert(!job->answered);
 	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
 	submit_again(job, LEAD_TOKEN(1));
+	submit_again(job, LEAD_TOKEN(1));
 	submit_again(job, LEAD_TOKEN(2));
 	world_run_until(&w, w.now + 400);
 	cr_assert(job->started);
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -237,9 +237,9 @@
 	size_t i;
 
 	job->submit_fence = job->s->fence;
-	/* The owner submitted it to this scheduler last, or nobody started it.
-	 */
-	if (!sub->former || sub->former == before || job->stored)
+	/* Nobody has started it but this scheduler, under an earlier token. */
+	if (!sub->former || sub->former == before ||
+	    sub->former == job->first_fence || job->stored)
 		return 0;
 	job->prev_fence = sub->former;
 	job->submitted_at = job->s->now;
--- a/sched-job.c
+++ b/sched-job.c
@@ -310,7 +310,7 @@
 	job->stretch = sub->stretch;
 	job->objective_offset = sub->objective_ms;
 	job->prev_fence = sub->former;
-	job->submit_fence = s->fence;
+	job->first_fence = job->submit_fence = s->fence;
 	job->stored = sub->stored;
 	job->arrived_at = now - sub->age_ms;
 	job->received_at = job->arrived_at;
--- a/scheduler.h
+++ b/scheduler.h
@@ -285,7 +285,8 @@
 	int started_earlier; /* a task was, under an earlier submission */
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
-	uint64_t submit_fence; /* token at its latest submission */
+	/* Tokens of this scheduler at its first and its latest submission. */
+	uint64_t first_fence, submit_fence;
 	size_t ntasks;
 	int size_bucket;      /* of struct sched_queue */
 	size_t ndone;	      /* succeeded */
