Stored jobs of the time before a token was raised may have been started

What callers could see: a stored job whose tasks run twice.

Cause: a leader takes a job's row that was written in its term for one that no other leader has started, once the term has lasted 1.2 s. It reckoned from when it began to lead, also if it was provisional then and has the regular token only since. Until the regular leader of before notices, that one may start a job that has just been accepted.

Change: the time is reckoned from the last raise of the token.

Result: pool_keep: a_job_from_before_the_token_was_raised_may_have_been_started failed before (0 in place of the token of the term before), and passes.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -176,8 +176,13 @@
 static uint64_t prev_leader_token(const struct pool *p,
 				  const struct stored_job *j)
 {
+	rp_ms since = p->sched.started_at;
+
+	/* Another leader may have acted until the token was raised. */
+	if (p->sched.fence_raised_at > since)
+		since = p->sched.fence_raised_at;
 	if (j->version > p->lead.row.version &&
-	    p->now - p->sched.started_at > PREV_LEADER_START_MS)
+	    p->now - since > PREV_LEADER_START_MS)
 		return 0;
 	return LEAD_TOKEN(LEAD_TERM(p->sched.fence) - 1);
 }
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -171,3 +171,38 @@
 	free(member_link.bulk.data);
 	sched_finish(&p.sched);
 }
+
+/*
+ * This leader was provisional, and got the next term's token. Until then the
+ * regular leader may have started a job that was accepted just before. Guards
+ * against starting its tasks at once.
+ */
+Test(pool_keep, a_job_from_before_the_token_was_raised_may_have_been_started)
+{
+	static const struct sched_ops no_ops;
+	PoolJob job = POOL_JOB__INIT;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+	uint8_t packed[512];
+	struct platform_row row = { .key = "0000000000000001", .version = 9 };
+	const struct sched_job *open;
+
+	sched_init(&p.sched, &no_ops, &p, NULL, LEAD_TOKEN(1) | 7, 1000,
+		   p.now - 5000);
+	sched_raise_fence(&p.sched, LEAD_TOKEN(2), p.now - 10);
+	p.leading = 1;
+	p.lead.row.version = 5;
+	step.tasks = 1;
+	sub.id = row.key;
+	sub.queue = sub.service = "q";
+	sub.stored = 1;
+	sub.n_steps = 1;
+	sub.steps = &steps;
+	job.submit = &sub;
+	row.len = pool_job__pack(&job, packed);
+	row.value = (char *)packed;
+	stored_job_apply_row(&p, &row);
+	open = sched_find_open_job(&p.sched, str_of(row.key));
+	cr_assert_not_null(open);
+	cr_assert_eq(open->prev_fence, LEAD_TOKEN(1));
+}
