Confirmation of the list: silent targets, old entries, leaders in doubt

In each case a successor may be told that the list has all targets of the leader, and start tasks again that run on a target whose entry has expired: - a target that has left one call unanswered was not counted, though it is used again with its next reply. It counts until it is silent for two leases. - A full read made entries young that were written seconds ago. An entry counts from when its row is seen to have changed. - A leader that doubts its own predecessor, or is provisional, confirmed at once. Stored jobs name the leader before alone, so its successor would trust it. - The time to read an entry was not part of the budget; 300 ms are taken off. No test read a brief heartbeat that takes a confirmation back.

Result: pool_unlisted (two new tests, two extended) and pool_member: a_brief_heartbeat_tells_whether_the_list_is_confirmed pass; pool-odd and pool-lead pass, whose leader before confirms the list.

--- a/pool-confirm.c
+++ b/pool-confirm.c
@@ -11,12 +11,13 @@
 #include "pool-store.h"
 
 /*
- * The store removes an entry that was not rewritten for three intervals. In
- * ENTRY_AGE_INTERVALS less LEAD_SILENCE_MAX_MS, for which a heartbeat may have
- * been under way, entries are safe from it for one interval, in which the
- * successor has to read the list.
+ * The store removes an entry that was not rewritten for three intervals. Of the
+ * first two, the time is taken off that reading the entry may have taken, and
+ * that a heartbeat may have been under way. In the third the successor has to
+ * read the list.
  */
 #define ENTRY_AGE_INTERVALS 2
+#define READ_DELAY_MS 300
 /* Age of the latest reply of the store, which is asked every 300 ms. */
 #define LIST_AGE_MAX_MS 1000
 /*
@@ -31,10 +32,12 @@
 int pool_list_is_confirmed(struct pool *p)
 {
 	rp_ms max_age = ENTRY_AGE_INTERVALS * p->set.entry_interval -
-			LEAD_SILENCE_MAX_MS;
+			LEAD_SILENCE_MAX_MS - READ_DELAY_MS;
 	const struct pool_watch *w;
 
-	if (!p->leading || !p->sched.targets_loaded)
+	if (!p->leading || !p->sched.targets_loaded ||
+	    lead_is_provisional(&p->lead) ||
+	    sched_prev_may_go_on(&p->sched, p->now))
 		return 0;
 	w = &store_of(p)->watches[WATCH_TARGETS];
 	return w->complete && !w->lost &&
@@ -82,7 +85,7 @@
 	return NULL;
 }
 
-static void set_doubt(struct pool *p, const char *why)
+void pool_list_doubt(struct pool *p, const char *why)
 {
 	p->sched.prev_may_hold_unlisted = why != NULL;
 	LOG_EVENT(LOG_LEVEL_INFO, "predecessor",
@@ -97,7 +100,7 @@
 
 void pool_list_doubt_predecessor(struct pool *p)
 {
-	set_doubt(p, find_doubt(p));
+	pool_list_doubt(p, find_doubt(p));
 }
 
 void pool_list_loaded(struct pool *p)
@@ -105,6 +108,6 @@
 	if (!p->sched.targets_loaded && !p->sched.prev_may_hold_unlisted &&
 	    p->list_confirmed_fence &&
 	    p->now - p->list_confirmed_at > p->set.entry_interval)
-		set_doubt(p, "the list was read late");
+		pool_list_doubt(p, "the list was read late");
 	sched_targets_loaded(&p->sched);
 }
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -117,12 +117,26 @@
 		if (!sched_find_target(&p->sched, key))
 			pool_list_cached_target(p, e);
 	} else if (!w->complete && !p->listing_version) {
-		p->sched.prev_may_hold_unlisted = 1;
+		pool_list_doubt(p, "an entry is malformed");
 	}
 	if (sched_find_target(&p->sched, key))
 		add_missing(p, key);
 }
 
+/*
+ * A row that is read again, or for the first time, may have been written long
+ * ago.
+ */
+static void note_rewritten(struct pool *p, const char *id, int64_t version)
+{
+	struct pool_listing *e =
+		apr_hash_get(p->listings, id, APR_HASH_KEY_STRING);
+
+	if (e->row_version && e->row_version != version)
+		sched_target_entry_read(&p->sched, id, p->now);
+	e->row_version = version;
+}
+
 void pool_listing_row(struct pool_watch *w, const struct platform_row *row)
 {
 	struct pool *p = w->p;
@@ -147,7 +161,7 @@
 	set_listed_round(w, l.id);
 	log_listing(p, &l, row->version);
 	pool_sched_target_listed(p, &l);
-	sched_target_entry_read(&p->sched, l.id, p->now);
+	note_rewritten(p, l.id, row->version);
 }
 
 /* Removes the entries that a full read has not listed. */
--- a/pool-store.h
+++ b/pool-store.h
@@ -90,7 +90,12 @@
 void pool_stored_row(struct pool_watch *w, const struct platform_row *row);
 void pool_stored_complete(struct pool_watch *w);
 
-/* pool-confirm.c: the full read of the list is complete. */
+/*
+ * pool-confirm.c: whether the list may lack targets that the leader before
+ * uses, and why; NULL: it has all.
+ */
+void pool_list_doubt(struct pool *p, const char *why);
+/* The full read of the list is complete. */
 void pool_list_loaded(struct pool *p);
 
 /* pool-listing.c: the callbacks of the watch of targets */
--- a/pool.h
+++ b/pool.h
@@ -229,8 +229,9 @@
 struct pool_listing {
 	struct sched_listing l;
 	int removed;
-	int64_t version; /* of the store at the latest change */
-	int to_send;	 /* changed since the last pool_share_flush() */
+	int64_t version;     /* of the store at the latest change */
+	int64_t row_version; /* of its row as read last, changed or not */
+	int to_send;	     /* changed since the last pool_share_flush() */
 	rp_ms leaves_at; /* while it drains, by this VM's clock; 0: not known */
 };
 
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -327,3 +327,40 @@
 	cr_assert_gt(p.count.sent_bytes[POOL_FRAME__BODY_REPLY], 0);
 	cr_assert_gt(p.count.sent_bytes[POOL_FRAME__BODY_CANCEL], 0);
 }
+
+static void receive_confirmation(int brief, int confirmed)
+{
+	PoolBeat *beat = calloc(1, sizeof(*beat));
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	pool_beat__init(beat);
+	beat->fence = brief ? 0 : p.lead.row.fence;
+	beat->leading = 1;
+	beat->brief = brief;
+	beat->list_confirmed = confirmed;
+	frame.body_case = POOL_FRAME__BODY_BEAT;
+	frame.beat = beat;
+	pool_frame_received(&l, &frame);
+	if (frame.body_case == POOL_FRAME__BODY_BEAT)
+		pool_beat__free_unpacked(beat, NULL);
+}
+
+/*
+ * A heartbeat that is brief takes the confirmation of the list back. Guards
+ * against a successor that goes by an old one.
+ */
+Test(pool_member, a_brief_heartbeat_tells_whether_the_list_is_confirmed)
+{
+	p.leading = 0;
+	p.requests = hash_new(p.sched.pool);
+	p.lead.role = LEAD_FOLLOWING;
+	p.lead.ops = &lead_ops;
+	p.leader_link = &l;
+	receive_confirmation(0, 1);
+	cr_assert_eq(p.list_confirmed_fence, LEAD_TOKEN(3));
+	receive_confirmation(1, 0);
+	cr_assert_eq(p.list_confirmed_fence, 0);
+	pool_beat__free_unpacked(p.leader_heartbeat, NULL);
+	pool_beat__free_unpacked(l.heartbeat, NULL);
+	p.leader_heartbeat = l.heartbeat = NULL;
+}
--- a/regress/pool-odd.c
+++ b/regress/pool-odd.c
@@ -36,6 +36,7 @@
 	p.requests = hash_new(p.pool);
 	p.set.remote_factor = 2;
 	p.set.max_lease = 1000;
+	p.set.entry_interval = 1500;
 	p.incarnation = 7;
 	p.now = 10000;
 	pool_loop_init(&p);
@@ -48,11 +49,15 @@
 
 TestSuite(pool_odd, .init = begin, .timeout = 20);
 
-/* The leader before has just renewed. */
+/* The leader before has just renewed, and the list had all its targets. */
 static void take_over(void)
 {
 	struct lead_row own = { .fence = LEAD_TOKEN(2), .version = 9 };
+	PoolBeat beat = POOL_BEAT__INIT;
 
+	beat.fence = LEAD_TOKEN(1);
+	beat.list_confirmed = 1;
+	pool_list_confirmation_received(&p, &beat);
 	lead_renewed(&p.lead, 5, p.now);
 	p.now += 100;
 	own.incarnation = p.incarnation;
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -174,6 +174,13 @@
 
 /* --- the leader's own view ----------------------------------------------- */
 
+/* Time passes, in which the store replies. */
+static void wait_ms(rp_ms ms)
+{
+	p.now += ms;
+	store.watches[WATCH_TARGETS].replied_at = p.now;
+}
+
 /* Leads, has read the list, and holds its one target. */
 static struct sched_target *lead(void)
 {
@@ -185,18 +192,15 @@
 	w->complete = 1;
 	w->lost = 0;
 	w->replied_at = p.now;
+	/* Its own predecessor may use targets that are not listed. */
+	sched_target_entry_read(&p.sched, "listed", p.now);
+	cr_assert(!pool_list_is_confirmed(&p));
+	wait_ms(p.set.max_lease + 800);
 	sched_target_entry_read(&p.sched, "listed", p.now);
 	cr_assert(pool_list_is_confirmed(&p));
 	return sched_find_target(&p.sched, "listed");
 }
 
-/* Time passes, in which the store replies. */
-static void wait_ms(rp_ms ms)
-{
-	p.now += ms;
-	store.watches[WATCH_TARGETS].replied_at = p.now;
-}
-
 Test(pool_unlisted, a_leader_without_the_store_confirms_nothing)
 {
 	lead();
@@ -232,3 +236,41 @@
 	cr_assert(!pool_list_is_confirmed(&p));
 	t->nruns = 0;
 }
+
+/* One lost reply does not show that a target is gone. */
+Test(pool_unlisted, a_target_that_has_not_replied_for_a_moment_matters)
+{
+	struct sched_target *t = lead();
+
+	t->unanswered = 1;
+	t->replied_at = p.now;
+	sched_target_entry_read(&p.sched, "listed", 0);
+	cr_assert(!pool_list_is_confirmed(&p));
+	wait_ms(2 * p.set.max_lease + 1);
+	cr_assert(pool_list_is_confirmed(&p));
+}
+
+static void read_row(int64_t version)
+{
+	static char text[] = "{\"service\":\"svc\",\"address\":\"127.0.0.1:2\","
+			     "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,"
+			     "\"taskMemoryMb\":65536}}";
+	struct platform_row row = { .key = "listed",
+				    .value = text,
+				    .len = sizeof(text) - 1,
+				    .version = version };
+
+	pool_listing_row(&store.watches[WATCH_TARGETS], &row);
+}
+
+/* A full read finds entries that were written long ago. */
+Test(pool_unlisted, an_entry_that_is_read_again_is_not_younger)
+{
+	lead();
+	read_row(20);
+	wait_ms(2 * p.set.entry_interval);
+	read_row(20);
+	cr_assert(!pool_list_is_confirmed(&p));
+	read_row(21);
+	cr_assert(pool_list_is_confirmed(&p));
+}
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -391,6 +391,12 @@
 	       LEAD_TERM(fence) + 1 == LEAD_TERM(s->fence);
 }
 
+int sched_prev_may_go_on(const struct sched *s, rp_ms now)
+{
+	return s->prev_may_hold_unlisted &&
+	       now - s->started_at < s->max_lease + PREV_LEADER_STOP_MS;
+}
+
 int sched_adopt_all_known(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
--- a/sched-use.c
+++ b/sched-use.c
@@ -57,9 +57,15 @@
 		t->entry_read_at = at;
 }
 
-static int is_in_use(const struct sched_target *t)
+/* A target that has not replied for so many leases is taken for gone. */
+#define SILENT_LEASES 2
+
+static int is_in_use(const struct sched_target *t, rp_ms now)
 {
-	return t->nruns || (t->listed && t->listing.ready && !t->unanswered);
+	return t->nruns ||
+	       (t->listed && t->listing.ready &&
+		!(t->unanswered &&
+		  now - t->replied_at > SILENT_LEASES * t->s->max_lease));
 }
 
 int sched_entries_are_current(const struct sched *s, rp_ms now, rp_ms max_age)
@@ -69,7 +75,7 @@
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
 
-		if (is_in_use(t) &&
+		if (is_in_use(t, now) &&
 		    (!t->entry_read_at || now - t->entry_read_at > max_age))
 			return 0;
 	}
--- a/scheduler.h
+++ b/scheduler.h
@@ -362,7 +362,7 @@
 	size_t index;	   /* in s->targets */
 	int listed;	   /* in the platform's list */
 	rp_ms unlisted_at; /* the list has lost it */
-	/* Its entry was read from the store last; 0: it is not there. */
+	/* When its entry was seen to be rewritten; 0: not yet, or missing. */
 	rp_ms entry_read_at;
 	int draining;	/* its entry has last said that it takes no new work */
 	int replaced;	/* another incarnation has replied at its address */
@@ -729,13 +729,15 @@
 /* The platform's list has lost an entry. */
 void sched_target_unlisted(struct sched *s, const char *id, rp_ms now);
 /*
- * The target's entry was read from the store at the time, changed or not; 0: it
- * was not found there.
+ * The target has rewritten its entry in the store at the time, changed or not;
+ * 0: the entry is missing.
  */
 void sched_target_entry_read(struct sched *s, const char *id, rp_ms at);
+/* Whether the previous scheduler may still use targets that are not listed. */
+int sched_prev_may_go_on(const struct sched *s, rp_ms now);
 /*
  * Whether each target that has tasks of this scheduler, or may be given some,
- * has an entry in the store that was read at most max_age ms ago.
+ * has an entry in the store that was rewritten at most max_age ms ago.
  */
 int sched_entries_are_current(const struct sched *s, rp_ms now, rp_ms max_age);
 void sched_start_reply(struct sched *s, struct sched_target *t,
