--- a/sched-run.c
+++ b/sched-run.c
@@ -277,10 +277,9 @@
 	sched_loss_of_run(task, 0);
 }
 
-static void drop_run(struct sched_task *task, int crashed, const char *reason)
+static void drop_run(struct sched_target *t, struct sched_task *task,
+		     int crashed, const char *reason)
 {
-	struct sched_target *t = task->target;
-
 	t->s->count.lapses++;
 	t->s->ops->log(t->s, "lapse", t, task, reason);
 	if (!task->overdue || crashed)
@@ -294,7 +293,7 @@
 	sched_loss_mark_runs(t);
 	t->was_isolated = t->nisolated > 0;
 	while (t->runs)
-		drop_run(t->runs, crashed, reason);
+		drop_run(t, t->runs, crashed, reason);
 	t->lease_until = 0;
 	t->nforeign = 0;
 	t->state = SCHED_UNHELD; /* until the next list */
@@ -312,7 +311,7 @@
 	for (task = t->runs; task; task = next) {
 		next = task->next;
 		if (!may_outlive_lease(task))
-			drop_run(task, 0, "the lease is over");
+			drop_run(t, task, 0, "the lease is over");
 		else if (!task->overdue)
 			keep_overdue(task);
 	}
