Known red: a provisional leader with a high row version has no successor

A provisional token has the VM's row version as its lower half, and each one must be above the one that targets have seen. If no VM that is left has a higher version, nobody leads until the store is back, though all of them reach each other.

Probes are logged with the VM's own row version and whether it has the list of targets. Not fixed: a count before the version would leave too few bits for a version that is unique.

--- a/pool-lead.c
+++ b/pool-lead.c
@@ -85,7 +85,9 @@
 
 	LOG_EVENT(LOG_LEVEL_WARN, "probe", LOG_TEXT("leader", l->row.vm),
 		  LOG_NUMBER("fence", (long long)l->row.fence),
-		  LOG_NUMBER("silent_ms", p->now - l->heartbeat_at));
+		  LOG_NUMBER("silent_ms", p->now - l->heartbeat_at),
+		  LOG_NUMBER("row_version", l->own_row_version),
+		  LOG_NUMBER("list", !l->targets_unknown));
 	for (vm = p->vms; vm; vm = vm->next)
 		vm->answered = vm->refused = 0;
 	count_members_as_answers(p);
