A negative stretch of a submission stays valid

The bound on the stretch of a submission also rejected a negative one, which pool-link takes for valid so that an odd table costs no VM its link.

--- a/sched-job.c
+++ b/sched-job.c
@@ -281,8 +281,8 @@
 
 	if (!sub->id[0] || strlen(sub->id) >= SCHED_ID_MAX ||
 	    strlen(sub->queue) >= SCHED_QUEUE_NAME_MAX ||
-	    strlen(sub->service) >= RP_NAME_MAX || !(sub->stretch >= 0) ||
-	    sub->stretch > SCHED_STRETCH_MAX || !sub->n_steps ||
+	    strlen(sub->service) >= RP_NAME_MAX ||
+	    !(fabs(sub->stretch) <= SCHED_STRETCH_MAX) || !sub->n_steps ||
 	    sub->n_steps > SCHED_STEPS_MAX)
 		return 0;
 	for (i = 0; i < sub->n_steps; i++) {
