A provisional leader leaves stored jobs to the regular one

What callers could see: a stored job whose tasks run twice.

Cause: a failure domain that is cut off from the others may reach the store. Its provisional leader does not claim the next term, as no other domain answers, but wrote the markers of the table of stored jobs, read it, and scheduled its jobs, which the regular leader runs on targets of the other domains. That one noticed when it next wrote to a part.

Change: while a leader is provisional, stored jobs are suspended, and it writes no marker. The regular leader reads the jobs that VMs of that domain accept.

Result: pool_keep: a_provisional_leader_leaves_stored_jobs_to_the_regular_one failed before (a marker was sent), and passes; t-pool-stored passes.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -362,18 +362,21 @@
 }
 
 /*
- * Whether a successor may have taken over: it needs the store to do so, and
- * only does so when this leader's heartbeats fail to arrive.
+ * Whether another leader may run the stored jobs: the regular one beside this
+ * provisional one, or a successor, which needs the store to take over, and only
+ * does so when this leader's heartbeats fail to arrive.
  */
-static int may_be_replaced(struct pool *p)
+static int another_may_lead(struct pool *p)
 {
+	if (lead_is_provisional(&p->lead))
+		return 1;
 	return p->now - p->leadership_confirmed_at >= LEADERSHIP_CONFIRM_MS &&
 	       !pool_all_vms_linked(p);
 }
 
 static void check_leadership(struct pool *p)
 {
-	int suspend = may_be_replaced(p);
+	int suspend = another_may_lead(p);
 
 	if (suspend == p->sched.stored_suspended)
 		return;
@@ -388,5 +391,7 @@
 void pool_stored_tick(struct pool *p, rp_ms now)
 {
 	check_leadership(p);
-	stored_write_tick(p, now);
+	/* A marker of this token would keep the regular leader from writing. */
+	if (!lead_is_provisional(&p->lead))
+		stored_write_tick(p, now);
 }
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -206,3 +206,21 @@
 	cr_assert_not_null(open);
 	cr_assert_eq(open->prev_fence, LEAD_TOKEN(1));
 }
+
+/*
+ * A domain is cut off from the others, but not from the store: its provisional
+ * leader and the regular one both read the table of stored jobs. Guards against
+ * both running their tasks.
+ */
+Test(pool_keep, a_provisional_leader_leaves_stored_jobs_to_the_regular_one)
+{
+	p.lead.role = LEAD_LEADING;
+	p.lead.row.fence = LEAD_TOKEN(1) | 7;
+	pool_stored_tick(&p, p.now);
+	cr_assert_null(p.calls);
+	cr_assert(p.sched.stored_suspended);
+	p.lead.row.fence = LEAD_TOKEN(2);
+	pool_stored_tick(&p, p.now);
+	cr_assert_not_null(p.calls);
+	cr_assert_not(p.sched.stored_suspended);
+}
