Names of the confirmation of the list; a doubt is logged once

Read-through. pool_list_* are the lists of runs that agents send, so what is said of the list of targets is pool_listing_*. "predecessor" becomes the event "predecessor_list". An entry counts by when it was written, and is named so. If nothing was confirmed, the age is -1. Malformed rows of a first read set the doubt once.

--- a/pool-beat.c
+++ b/pool-beat.c
@@ -138,7 +138,7 @@
 	if (!p->leading)
 		return;
 	hb->agents = pool_needs_agents(p);
-	hb->list_confirmed = pool_list_is_confirmed(p);
+	hb->list_confirmed = pool_listing_is_confirmed(p);
 	hb->linked = count_linked(p);
 	hb->successors = lists->successors;
 	hb->n_successors =
--- a/pool-confirm.c
+++ b/pool-confirm.c
@@ -29,7 +29,7 @@
 
 /* --- on a leader -------------------------------------------------------- */
 
-int pool_list_is_confirmed(struct pool *p)
+int pool_listing_is_confirmed(struct pool *p)
 {
 	rp_ms max_age = ENTRY_AGE_INTERVALS * p->set.entry_interval -
 			LEAD_SILENCE_MAX_MS - READ_DELAY_MS;
@@ -47,7 +47,7 @@
 
 /* --- on its successor --------------------------------------------------- */
 
-void pool_list_confirmation_received(struct pool *p, const PoolBeat *msg)
+void pool_listing_confirmation_received(struct pool *p, const PoolBeat *msg)
 {
 	if (msg->list_confirmed) {
 		p->list_confirmed_fence = msg->fence;
@@ -69,7 +69,7 @@
 		p->now - p->store_back_at < LISTING_EXPIRY_MS);
 }
 
-static const char *find_doubt(const struct pool *p)
+static const char *why_list_may_lack_targets(const struct pool *p)
 {
 	const struct lead *l = &p->lead;
 	uint64_t prev = LEAD_TOKEN(LEAD_TERM(l->row.fence) - 1);
@@ -80,34 +80,38 @@
 		return "the store was away";
 	if (l->prev_renewal_age > LISTING_EXPIRY_MS)
 		return "the previous leader has not renewed";
+	/* The first term has none before it; both are 0 then. */
 	if (p->list_confirmed_fence != prev)
 		return "the previous leader has not confirmed the list";
 	return NULL;
 }
 
-void pool_list_doubt(struct pool *p, const char *why)
+void pool_listing_set_doubt(struct pool *p, const char *why)
 {
 	p->sched.prev_may_hold_unlisted = why != NULL;
-	LOG_EVENT(LOG_LEVEL_INFO, "predecessor",
+	LOG_EVENT(LOG_LEVEL_INFO, "predecessor_list",
 		  LOG_NUMBER("fence", (long long)p->lead.row.fence),
 		  LOG_NUMBER("may_hold_unlisted", why != NULL),
 		  LOG_TEXT("why", why ? why : ""),
 		  LOG_NUMBER("confirmed_fence",
 			     (long long)p->list_confirmed_fence),
-		  LOG_NUMBER("confirmed_ms_ago", p->now - p->list_confirmed_at),
+		  LOG_NUMBER("confirmed_ms_ago",
+			     p->list_confirmed_at
+				     ? p->now - p->list_confirmed_at
+				     : -1),
 		  LOG_NUMBER("renewed_ms_ago", p->lead.prev_renewal_age));
 }
 
-void pool_list_doubt_predecessor(struct pool *p)
+void pool_listing_check_predecessor(struct pool *p)
 {
-	pool_list_doubt(p, find_doubt(p));
+	pool_listing_set_doubt(p, why_list_may_lack_targets(p));
 }
 
-void pool_list_loaded(struct pool *p)
+void pool_listing_loaded(struct pool *p)
 {
 	if (!p->sched.targets_loaded && !p->sched.prev_may_hold_unlisted &&
 	    p->list_confirmed_fence &&
 	    p->now - p->list_confirmed_at > p->set.entry_interval)
-		pool_list_doubt(p, "the list was read late");
+		pool_listing_set_doubt(p, "the list was read late");
 	sched_targets_loaded(&p->sched);
 }
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -218,7 +218,7 @@
 		vm->led = 0;
 	lead_domains_that_answered(p);
 	pool_sched_begin(p, l->row.fence);
-	pool_list_doubt_predecessor(p);
+	pool_listing_check_predecessor(p);
 	pool_dial_unlinked(p);
 	pool_requests_resubmit(p);
 }
--- a/pool-listing.c
+++ b/pool-listing.c
@@ -37,7 +37,7 @@
 	struct store *s = store_of(p);
 	struct missing_target *m;
 
-	sched_target_entry_read(&p->sched, id, 0);
+	sched_target_entry_written(&p->sched, id, 0);
 	for (m = s->missing; m; m = m->next)
 		if (!strcmp(m->id, id))
 			return;
@@ -116,8 +116,9 @@
 		set_listed_round(w, key);
 		if (!sched_find_target(&p->sched, key))
 			pool_list_cached_target(p, e);
-	} else if (!w->complete && !p->listing_version) {
-		pool_list_doubt(p, "an entry is malformed");
+	} else if (!w->complete && !p->listing_version &&
+		   !p->sched.prev_may_hold_unlisted) {
+		pool_listing_set_doubt(p, "an entry is malformed");
 	}
 	if (sched_find_target(&p->sched, key))
 		add_missing(p, key);
@@ -133,7 +134,7 @@
 		apr_hash_get(p->listings, id, APR_HASH_KEY_STRING);
 
 	if (e->row_version && e->row_version != version)
-		sched_target_entry_read(&p->sched, id, p->now);
+		sched_target_entry_written(&p->sched, id, p->now);
 	e->row_version = version;
 }
 
@@ -194,7 +195,7 @@
 	remove_unlisted(w);
 
 	if (p->leading)
-		pool_list_loaded(p);
+		pool_listing_loaded(p);
 	for (i = 0; p->leading && i < p->sched.ntargets; i++) {
 		const char *id = p->sched.targets[i]->listing.id;
 		uint32_t *round =
--- a/pool-store.h
+++ b/pool-store.h
@@ -94,9 +94,9 @@
  * pool-confirm.c: whether the list may lack targets that the leader before
  * uses, and why; NULL: it has all.
  */
-void pool_list_doubt(struct pool *p, const char *why);
+void pool_listing_set_doubt(struct pool *p, const char *why);
 /* The full read of the list is complete. */
-void pool_list_loaded(struct pool *p);
+void pool_listing_loaded(struct pool *p);
 
 /* pool-listing.c: the callbacks of the watch of targets */
 void pool_listing_row(struct pool_watch *w, const struct platform_row *row);
--- a/pool.h
+++ b/pool.h
@@ -248,11 +248,11 @@
 /* --- pool-confirm.c: whether the list has all targets in use ---------- */
 
 /* Whether the store's list has all targets that this leader uses. */
-int pool_list_is_confirmed(struct pool *p);
+int pool_listing_is_confirmed(struct pool *p);
 /* A leader's heartbeat says whether it has. */
-void pool_list_confirmation_received(struct pool *p, const PoolBeat *msg);
+void pool_listing_confirmation_received(struct pool *p, const PoolBeat *msg);
 /* Decides whether the leader before this one may use unlisted targets. */
-void pool_list_doubt_predecessor(struct pool *p);
+void pool_listing_check_predecessor(struct pool *p);
 
 /* --- pool-evacuate.c: evacuated failure domains ------------------------ */
 
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -137,7 +137,7 @@
 
 	beat.fence = LEAD_TOKEN(3);
 	beat.list_confirmed = list_confirmed;
-	pool_list_confirmation_received(&p, &beat);
+	pool_listing_confirmation_received(&p, &beat);
 }
 
 Test(pool_unlisted, tasks_of_a_leader_with_unlisted_targets_are_not_started)
@@ -193,11 +193,11 @@
 	w->lost = 0;
 	w->replied_at = p.now;
 	/* Its own predecessor may use targets that are not listed. */
-	sched_target_entry_read(&p.sched, "listed", p.now);
-	cr_assert(!pool_list_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", p.now);
+	cr_assert(!pool_listing_is_confirmed(&p));
 	wait_ms(p.set.max_lease + 800);
-	sched_target_entry_read(&p.sched, "listed", p.now);
-	cr_assert(pool_list_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", p.now);
+	cr_assert(pool_listing_is_confirmed(&p));
 	return sched_find_target(&p.sched, "listed");
 }
 
@@ -205,23 +205,23 @@
 {
 	lead();
 	store.watches[WATCH_TARGETS].lost = 1;
-	cr_assert(!pool_list_is_confirmed(&p));
+	cr_assert(!pool_listing_is_confirmed(&p));
 	store.watches[WATCH_TARGETS].lost = 0;
 	p.now += 1001;
-	cr_assert(!pool_list_is_confirmed(&p));
+	cr_assert(!pool_listing_is_confirmed(&p));
 }
 
 Test(pool_unlisted, an_entry_that_is_missing_or_about_to_expire_is_told)
 {
 	lead();
 	wait_ms(p.set.entry_interval);
-	cr_assert(pool_list_is_confirmed(&p));
+	cr_assert(pool_listing_is_confirmed(&p));
 	wait_ms(2 * p.set.entry_interval);
-	cr_assert(!pool_list_is_confirmed(&p));
-	sched_target_entry_read(&p.sched, "listed", p.now);
-	cr_assert(pool_list_is_confirmed(&p));
-	sched_target_entry_read(&p.sched, "listed", 0);
-	cr_assert(!pool_list_is_confirmed(&p));
+	cr_assert(!pool_listing_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", p.now);
+	cr_assert(pool_listing_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", 0);
+	cr_assert(!pool_listing_is_confirmed(&p));
 }
 
 /* Targets that leave would delay jobs at each change of leader. */
@@ -230,10 +230,10 @@
 	struct sched_target *t = lead();
 
 	t->listing.ready = 0;
-	sched_target_entry_read(&p.sched, "listed", 0);
-	cr_assert(pool_list_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", 0);
+	cr_assert(pool_listing_is_confirmed(&p));
 	t->nruns = 1;
-	cr_assert(!pool_list_is_confirmed(&p));
+	cr_assert(!pool_listing_is_confirmed(&p));
 	t->nruns = 0;
 }
 
@@ -244,10 +244,10 @@
 
 	t->unanswered = 1;
 	t->replied_at = p.now;
-	sched_target_entry_read(&p.sched, "listed", 0);
-	cr_assert(!pool_list_is_confirmed(&p));
+	sched_target_entry_written(&p.sched, "listed", 0);
+	cr_assert(!pool_listing_is_confirmed(&p));
 	wait_ms(2 * p.set.max_lease + 1);
-	cr_assert(pool_list_is_confirmed(&p));
+	cr_assert(pool_listing_is_confirmed(&p));
 }
 
 static void read_row(int64_t version)
@@ -270,7 +270,7 @@
 	read_row(20);
 	wait_ms(2 * p.set.entry_interval);
 	read_row(20);
-	cr_assert(!pool_list_is_confirmed(&p));
+	cr_assert(!pool_listing_is_confirmed(&p));
 	read_row(21);
-	cr_assert(pool_list_is_confirmed(&p));
+	cr_assert(pool_listing_is_confirmed(&p));
 }
--- a/sched-core.c
+++ b/sched-core.c
@@ -392,16 +392,6 @@
 	sched_target_hold(t);
 }
 
-void sched_targets_loaded(struct sched *s)
-{
-	s->targets_loaded = 1;
-}
-
-void sched_targets_cached(struct sched *s)
-{
-	s->targets_cached = 1;
-}
-
 void sched_suspend_stored(struct sched *s, int suspend, rp_ms now)
 {
 	struct sched_job *job;
--- a/sched-use.c
+++ b/sched-use.c
@@ -49,12 +49,22 @@
 		counts[use_of(s->targets[i], now)]++;
 }
 
-void sched_target_entry_read(struct sched *s, const char *id, rp_ms at)
+void sched_targets_loaded(struct sched *s)
+{
+	s->targets_loaded = 1;
+}
+
+void sched_targets_cached(struct sched *s)
+{
+	s->targets_cached = 1;
+}
+
+void sched_target_entry_written(struct sched *s, const char *id, rp_ms at)
 {
 	struct sched_target *t = sched_find_target(s, id);
 
 	if (t)
-		t->entry_read_at = at;
+		t->entry_written_at = at;
 }
 
 /* A target that has not replied for so many leases is taken for gone. */
@@ -75,8 +85,8 @@
 	for (i = 0; i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
 
-		if (is_in_use(t, now) &&
-		    (!t->entry_read_at || now - t->entry_read_at > max_age))
+		if (is_in_use(t, now) && (!t->entry_written_at ||
+					  now - t->entry_written_at > max_age))
 			return 0;
 	}
 	return 1;
--- a/scheduler.h
+++ b/scheduler.h
@@ -363,7 +363,7 @@
 	int listed;	   /* in the platform's list */
 	rp_ms unlisted_at; /* the list has lost it */
 	/* When its entry was seen to be rewritten; 0: not yet, or missing. */
-	rp_ms entry_read_at;
+	rp_ms entry_written_at;
 	int draining;	/* its entry has last said that it takes no new work */
 	int replaced;	/* another incarnation has replied at its address */
 	rp_ms leave_at; /* it drains and leaves then; 0: not known to */
@@ -732,7 +732,7 @@
  * The target has rewritten its entry in the store at the time, changed or not;
  * 0: the entry is missing.
  */
-void sched_target_entry_read(struct sched *s, const char *id, rp_ms at);
+void sched_target_entry_written(struct sched *s, const char *id, rp_ms at);
 /* Whether the previous scheduler may still use targets that are not listed. */
 int sched_prev_may_go_on(const struct sched *s, rp_ms now);
 /*
