--- a/pool-confirm.c
+++ b/pool-confirm.c
@@ -47,7 +47,7 @@
 
 /* --- on its successor --------------------------------------------------- */
 
-void pool_listing_confirmation_received(struct pool *p, const PoolBeat *msg)
+void pool_listing_heartbeat_received(struct pool *p, const PoolBeat *msg)
 {
 	if (msg->list_confirmed) {
 		p->list_confirmed_fence = msg->fence;
--- a/pool-member.c
+++ b/pool-member.c
@@ -265,7 +265,7 @@
 		pool_send_heartbeat(p, l);
 		pool_requests_resubmit(p);
 	}
-	pool_listing_confirmation_received(p, msg);
+	pool_listing_heartbeat_received(p, msg);
 	if (msg->waits)
 		p->has_stored_jobs = msg->stored || p->accepted_stored_job;
 	pool_beat__free_unpacked(p->leader_heartbeat, NULL);
--- a/pool.h
+++ b/pool.h
@@ -250,7 +250,7 @@
 /* Whether the store's list has all targets that this leader uses. */
 int pool_listing_is_confirmed(struct pool *p);
 /* A leader's heartbeat says whether it has. */
-void pool_listing_confirmation_received(struct pool *p, const PoolBeat *msg);
+void pool_listing_heartbeat_received(struct pool *p, const PoolBeat *msg);
 /* Decides whether the leader before this one may use unlisted targets. */
 void pool_listing_check_predecessor(struct pool *p);
 
--- a/regress/pool-member.c
+++ b/regress/pool-member.c
@@ -328,7 +328,7 @@
 	cr_assert_gt(p.count.sent_bytes[POOL_FRAME__BODY_CANCEL], 0);
 }
 
-static void receive_confirmation(int brief, int confirmed)
+static void receive_list_confirmed(int brief, int confirmed)
 {
 	PoolBeat *beat = calloc(1, sizeof(*beat));
 	PoolFrame frame = POOL_FRAME__INIT;
@@ -346,7 +346,7 @@
 }
 
 /*
- * A heartbeat that is brief takes the confirmation of the list back. Guards
+ * A heartbeat that is brief takes back that the list is confirmed. Guards
  * against a successor that goes by an old one.
  */
 Test(pool_member, a_brief_heartbeat_tells_whether_the_list_is_confirmed)
@@ -356,9 +356,9 @@
 	p.lead.role = LEAD_FOLLOWING;
 	p.lead.ops = &lead_ops;
 	p.leader_link = &l;
-	receive_confirmation(0, 1);
+	receive_list_confirmed(0, 1);
 	cr_assert_eq(p.list_confirmed_fence, LEAD_TOKEN(3));
-	receive_confirmation(1, 0);
+	receive_list_confirmed(1, 0);
 	cr_assert_eq(p.list_confirmed_fence, 0);
 	pool_beat__free_unpacked(p.leader_heartbeat, NULL);
 	pool_beat__free_unpacked(l.heartbeat, NULL);
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -137,7 +137,7 @@
 
 	beat.fence = LEAD_TOKEN(3);
 	beat.list_confirmed = list_confirmed;
-	pool_listing_confirmation_received(&p, &beat);
+	pool_listing_heartbeat_received(&p, &beat);
 }
 
 Test(pool_unlisted, tasks_of_a_leader_with_unlisted_targets_are_not_started)
@@ -163,7 +163,7 @@
 }
 
 /* Entries may have expired between the heartbeat and the reading. */
-Test(pool_unlisted, a_confirmation_holds_for_one_interval_of_entries)
+Test(pool_unlisted, a_confirmed_list_is_good_for_one_interval_of_entries)
 {
 	follow_leader();
 	receive_heartbeat(1);
