t-pool-odd cuts targets off from the store while their entries are malformed

The stand-in's targets rewrite their entries every 1.5 s, as the platform's do, and so repair them before they count as gone. The test was written when nothing did that.

Change: the stand-in can cut a target off from the store, and the test does so for the targets whose entries stay malformed. Its expected output is unchanged.

--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -107,6 +107,7 @@
 	t = &st->targets[index];
 	target_advance(t);
 	set_int(o, "silent", &t->silent);
+	set_int(o, "cut_off", &t->cut_off);
 	set_int(o, "stuck", &t->stuck);
 	set_int(o, "failing", &t->failing);
 	set_int(o, "losing", &t->losing);
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -72,6 +72,7 @@
 	int draining;
 	char zone[STANDIN_NAME];
 	int silent;	 /* fault: does not answer */
+	int cut_off;	 /* fault: does not reach the store */
 	int stuck;	 /* fault: runs make no progress */
 	int failing;	 /* fault: percent of runs that fail */
 	int losing;	 /* fault: percent of calls that are lost */
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -147,7 +147,8 @@
 
 	t->advanced_at = now;
 	advance_crash(t);
-	if (!t->crashed_until && now - t->entry_written_at >= ENTRY_INTERVAL_MS)
+	if (!t->crashed_until && !t->cut_off &&
+	    now - t->entry_written_at >= ENTRY_INTERVAL_MS)
 		target_write_entry(t);
 	t->clock_offset -= elapsed * t->clock_lag / 100;
 	for (i = t->nruns; i-- > 0;) {
--- a/regress/t-pool-odd.sh
+++ b/regress/t-pool-odd.sh
@@ -38,9 +38,14 @@
 	entry "$1-port" 127.0.0.1:$((port + 1 + 65536)) 16000 1700000000000 1
 }
 
+# cut_off TARGET: the target does not rewrite its entry.
+cut_off () {
+	control target "{\"target\":$1,\"cut_off\":1}"
+}
+
 # restore TARGET: has the stand-in write the entry of the target again.
 restore () {
-	control target "{\"target\":$1,\"zone\":\"z\"}"
+	control target "{\"target\":$1,\"cut_off\":0,\"zone\":\"z\"}"
 }
 
 # lines N EVENT TARGET: counts lines of the log of VM N.
@@ -78,6 +83,9 @@
 		"listed: $(lines $l target_listed feed)"
 
 	load $jobs --seconds=7 --seed=33
+	cut_off 0
+	cut_off 1
+	cut_off 2
 	entry i-0 127.0.0.1:70000 1e300 1 1
 	sleep 1
 	restore 0
@@ -93,6 +101,7 @@
 	served "entries of targets are malformed for a while" 170 $zero_counts
 
 	load $jobs --seconds=6 --seed=34
+	cut_off 3
 	text i-3 "{"
 	sleep 0.5
 	kill -KILL "$(pid_of "$l")"
