A target that is unlisted is kept until its ends are acknowledged

What callers could see: a task of a stored job that runs again after it was done.

Cause: a target whose entry is missing for 2.5 s and that runs nothing was removed, with the record of ends that the owners of their jobs have not acknowledged. When it was listed again, its ends were taken for known, as their tasks were done here, and acknowledged to it. If the leader was lost then, nothing that outlives it knew of them. It needs a row of a stored job that cannot be written for that long.

Change: the target is kept while such ends are left. They expire with the job, or are released when nobody claims them, so one that is gone is removed then.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -589,3 +589,34 @@
 	cr_assert_eq(kept, 0);
 	end_world();
 }
+
+/*
+ * The list loses a target for a while, on which the leader has seen a task end.
+ * Guards against forgetting that the job's owner has not acknowledged the end:
+ * the target would drop it when it is back, and the next leader would start the
+ * task again.
+ */
+Test(sched_takeover, ends_of_a_target_that_is_unlisted_wait_for_their_owner)
+{
+	struct world_target *t = &w.targets[0];
+	struct world_job *job;
+
+	begin_world(1);
+	w.stored = 1;
+	w.task_cpu = 3000;
+	job = world_submit(&w, "q", 2, 100, 1, 1500);
+	job->task_work[1] = 3000;
+	w.lose_messages = 1;
+	world_run_until(&w, w.now + 200);
+	cr_assert_eq(t->nends, 1);
+	sched_target_unlisted(&first, t->listing.id, w.now);
+	world_run_until(&w, w.now + 3500);
+	sched_target_listed(&first, &t->listing, w.now);
+	world_run_until(&w, w.now + 800);
+	cr_assert_eq(t->nends, 2);
+	take_over(LEAD_TOKEN(2));
+	w.lose_messages = 0;
+	world_run_until(&w, w.now + 3000);
+	cr_assert_eq(w.starts, 2);
+	end_world();
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -313,7 +313,9 @@
 
 		if (t->nruns && s->now >= t->lease_until)
 			sched_target_lease_over(t);
-		if (!t->listed && !t->nruns && !t->hold_in_flight) {
+		/* One that is back would drop ends that nobody knows of yet. */
+		if (!t->listed && !t->nruns && !t->nunacked &&
+		    !t->hold_in_flight) {
 			remove_target(t);
 			continue;
 		}
