No leader renews leases over runs that no job claims

What callers could see: a task that runs twice.

The same happens with a regular successor, if the leader before it is cut off with its domain: that one counts the runs outside as over when its lease is, and starts their tasks in its domain, while the successor, which has adopted another run of the target, renews the lease of all of them until it stops those that nobody claims.

Change: while a target has unclaimed runs, any leader only lists it.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -419,13 +419,8 @@
 	}
 }
 
-/*
- * A domain that is cut off has a provisional leader, which knows the jobs of
- * its own entry VMs only. The regular leader starts the other tasks elsewhere
- * when their leases are over. Guards against a provisional leader that renews
- * these leases, together with those of the runs that it has adopted.
- */
-Test(sched_takeover, runs_of_another_leader_end_with_its_lease)
+/* Two leaders reach one target each; one of its jobs is with each. */
+static void take_over_one_side(uint64_t fence)
 {
 	struct world_job *outside;
 	rp_ms cut_at, lease;
@@ -445,7 +440,7 @@
 	w.targets[0].cut_off = &first;
 	w.targets[1].cut_off = &second;
 	world_run_until(&w, cut_at + 850);
-	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 7);
+	world_start_sched(&w, &second, NULL, fence);
 	outside->answered = 1; /* its entry VM is in another domain */
 	world_resubmit(&w);
 	outside->answered = 0;
@@ -457,6 +452,26 @@
 	world_finish(&w);
 }
 
+/*
+ * A domain that is cut off has a provisional leader, which knows the jobs of
+ * its own entry VMs only. The regular leader starts the other tasks elsewhere
+ * when their leases are over. Guards against a provisional leader that renews
+ * these leases, together with those of the runs that it has adopted.
+ */
+Test(sched_takeover, runs_of_another_leader_end_with_its_lease)
+{
+	take_over_one_side(LEAD_TOKEN(1) | 7);
+}
+
+/*
+ * The same with the leader's own domain cut off, and a regular successor in the
+ * others, where the target is.
+ */
+Test(sched_takeover, runs_of_a_leader_that_is_cut_off_end_with_its_lease)
+{
+	take_over_one_side(LEAD_TOKEN(2));
+}
+
 /* The old leader resumes after a pause, and targets reject its calls. */
 Test(sched_takeover, an_old_leader_is_fenced)
 {
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -5,7 +5,6 @@
  * which runs have ended.
  */
 
-#include "lead.h"
 #include "sched-int.h"
 
 /* Time that a hold call waits at the target for an end. */
@@ -347,12 +346,12 @@
 
 /*
  * Whether a renewal would prolong runs that no job has claimed. Another leader
- * may go on elsewhere: it counts them as over when its lease is, and starts
- * their tasks again.
+ * may go on in a part that is cut off: it counts them as over when its lease
+ * is, and starts their tasks again.
  */
-static int has_runs_of_another_leader(const struct sched_target *t)
+static int has_unclaimed_runs(const struct sched_target *t)
 {
-	return t->nforeign && LEAD_IS_PROVISIONAL(t->s->fence);
+	return t->nforeign > 0;
 }
 
 void sched_hold_reply(struct sched *s, struct sched_target *t,
@@ -391,7 +390,7 @@
 	if (reply->nends < ENDS_PER_REPLY)
 		reconcile_runs(t, reply);
 	check_capacity(t);
-	if (t->nforeign && (!t->nruns || has_runs_of_another_leader(t)))
+	if (has_unclaimed_runs(t))
 		t->hold_retry_at = now + RETRY_MS;
 	sched_target_hold(t);
 }
@@ -435,7 +434,7 @@
 		 * time at which the runs are certainly over.
 		 */
 		wait = 0;
-	} else if (t->nruns && !has_runs_of_another_leader(t)) {
+	} else if (t->nruns && !has_unclaimed_runs(t)) {
 		until = sched_new_lease(t);
 		wait = HOLD_WAIT_MS;
 	} else if (!t->nforeign && !is_idle_call_due(t)) {
