--- a/regress/lead-provisional.c
+++ b/regress/lead-provisional.c
@@ -1,72 +1,8 @@
-/* A second provisional leader of a term. */
+/* A second provisional leader of a term, with a lower row version. */
 
 #include <criterion/criterion.h>
 
-#include "lead.h"
-
-static struct lead l;
-
-static void on_claim(struct lead *lead, const struct lead_row *row,
-		     int64_t expected)
-{
-	(void)lead;
-	(void)row;
-	(void)expected;
-}
-
-static void on_event(struct lead *lead)
-{
-	(void)lead;
-}
-
-static int on_domains_answered(struct lead *lead)
-{
-	(void)lead;
-	return 1;
-}
-
-static const struct lead_ops ops = {
-	.confirm = on_event,
-	.claim = on_claim,
-	.probe = on_event,
-	.check_reachability = on_event,
-	.domains_answered = on_domains_answered,
-	.domains_added = on_event,
-	.changed = on_event,
-};
-
-/* Lets the leader of the token fall silent, without the store. */
-static void lose_leader(uint64_t fence)
-{
-	struct lead_heartbeat hb = { .fence = fence,
-				     .vm = "leader",
-				     .leader = "leader",
-				     .address = "10.0.0.2:1",
-				     .leading = 1,
-				     .nlinked = 3 };
-	struct lead_heartbeat answer = { .fence = fence, .vm = "other" };
-	rp_ms now;
-
-	lead_init(&l, &ops, NULL, "vm", "10.0.0.1:1", 6);
-	l.own_row_version = 100;
-	l.nothers = 2;
-	l.store_lost = 1;
-	lead_heartbeat(&l, &hb, 1000);
-	lead_heartbeat(&l, &hb, 1050);
-	answer.leader = answer.address = "";
-	for (now = 1050; now < 4000; now += 10) {
-		lead_tick(&l, now);
-		if (l.phase == LEAD_PROBING)
-			lead_heartbeat(&l, &answer, now);
-	}
-}
-
-Test(lead_provisional, a_lower_one_is_replaced)
-{
-	lose_leader(LEAD_TOKEN(1) | 50);
-	cr_assert(lead_is_provisional(&l));
-	cr_assert_gt(l.row.fence, LEAD_TOKEN(1) | 50);
-}
+#include "lead-alone.h"
 
 /*
  * The VMs that are left of a majority, or of a domain that is cut off, have
