The log line of a move has the predictions that it compares

An operator could see that a run was stopped to be started elsewhere, but not why it was expected to end earlier there. The line has both predicted ends, when the job is due and expires, the progress, the work as estimated and as known, and the speeds. Moves off targets that leave have the same line.

No change of logic.

--- a/bench-sched.c
+++ b/bench-sched.c
@@ -82,6 +82,14 @@
 	(void)reason;
 }
 
+static void on_log_move(struct sched *s, const struct sched_task *task,
+			const struct sched_move *m)
+{
+	(void)s;
+	(void)task;
+	(void)m;
+}
+
 static const struct sched_ops ops = {
 	.start = on_start,
 	.stop = on_stop,
@@ -89,6 +97,7 @@
 	.answer = on_answer,
 	.progress = on_progress,
 	.log = on_log,
+	.log_move = on_log_move,
 };
 
 static double uniform(void)
--- /dev/null
+++ b/pool-log.c
@@ -0,0 +1,77 @@
+/* Log lines of the scheduler about runs and targets. */
+
+#include "pool.h"
+
+#include <math.h>
+
+void pool_log_run(struct sched *s, const char *event,
+		  const struct sched_target *t, const struct sched_task *task,
+		  const char *reason)
+{
+	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", t->listing.id),
+		  LOG_TEXT("task", task ? task->name : ""),
+		  LOG_NUMBER("run", task ? task->run : 0),
+		  LOG_NUMBER("sent_ms_ago", task ? s->now - task->sent_at : 0),
+		  LOG_NUMBER("predicted_ms",
+			     task ? (long long)task->predicted : 0),
+		  LOG_NUMBER("percent", task ? task->percent : 0),
+		  LOG_NUMBER("progress_ms_ago",
+			     task ? s->now - task->progress_at : 0),
+		  LOG_NUMBER("slowdown_percent",
+			     (long long)(100 * t->slowdown)),
+		  LOG_TEXT("why", reason),
+		  LOG_NUMBER("replied_ms_ago", s->now - t->replied_at),
+		  LOG_NUMBER("born", t->incarnation),
+		  LOG_NUMBER("listed_born", t->listing.incarnation),
+		  LOG_NUMBER("cpu", t->listing.capacity.cpu),
+		  LOG_NUMBER("used_cpu", t->used.cpu),
+		  LOG_NUMBER("foreign", (long long)t->nforeign),
+		  LOG_NUMBER("runs", (long long)t->nruns));
+}
+
+void pool_log_loss(struct sched *s, const char *event,
+		   const struct sched_task *task, const struct sched_loss *loss,
+		   const char *reason)
+{
+	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", loss->target),
+		  LOG_TEXT("task", task->name), LOG_NUMBER("run", task->run),
+		  LOG_TEXT("why", reason),
+		  LOG_NUMBER("born", loss->incarnation),
+		  LOG_NUMBER("lost_ms_ago", s->now - loss->at),
+		  LOG_NUMBER("alone", loss->alone),
+		  LOG_NUMBER("newest", loss->newest),
+		  LOG_NUMBER("seen", loss->seen),
+		  LOG_NUMBER("common", loss->common),
+		  LOG_NUMBER("task_lost", (long long)task->losses->n),
+		  LOG_NUMBER("task_crashed",
+			     (long long)sched_losses_crashed(task->losses)));
+}
+
+void pool_log_move(struct sched *s, const struct sched_task *task,
+		   const struct sched_move *m)
+{
+	const struct sched_target *t = task->target;
+	const struct sched_job *job = task->job;
+
+	LOG_EVENT(
+		LOG_LEVEL_INFO, "move", LOG_TEXT("target", t->listing.id),
+		LOG_TEXT("task", task->name), LOG_NUMBER("run", task->run),
+		LOG_TEXT("why", m->reason),
+		LOG_TEXT("to", m->to ? m->to->listing.id : ""),
+		LOG_NUMBER("moves", task->moves),
+		LOG_NUMBER("sent_ms_ago", s->now - task->sent_at),
+		LOG_NUMBER("percent", task->percent),
+		LOG_NUMBER("progress_ms_ago", s->now - task->progress_at),
+		LOG_NUMBER("replied_ms_ago", s->now - t->replied_at),
+		LOG_NUMBER("end_in_ms", (long long)m->end - s->now),
+		LOG_NUMBER("end_there_in_ms", (long long)m->end_there - s->now),
+		LOG_NUMBER("due_in_ms", job->due_at - s->now),
+		LOG_NUMBER("expires_in_ms", job->expires_at - s->now),
+		LOG_NUMBER("predicted_ms", (long long)task->predicted),
+		LOG_NUMBER("estimate_ms", (long long)exp(job->log_estimate)),
+		LOG_NUMBER("work_ms", (long long)job->steps[task->step].work),
+		LOG_NUMBER("observed", task->observed),
+		LOG_NUMBER("slowdown_percent", (long long)(100 * t->slowdown)),
+		LOG_NUMBER("slowdown_there_percent",
+			   m->to ? (long long)(100 * m->to->slowdown) : 0));
+}
--- a/pool-target.c
+++ b/pool-target.c
@@ -286,31 +286,6 @@
 	pool_assignment_free(pool_of(s), t);
 }
 
-static void do_log(struct sched *s, const char *event,
-		   const struct sched_target *t, const struct sched_task *task,
-		   const char *reason)
-{
-	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", t->listing.id),
-		  LOG_TEXT("task", task ? task->name : ""),
-		  LOG_NUMBER("run", task ? task->run : 0),
-		  LOG_NUMBER("sent_ms_ago", task ? s->now - task->sent_at : 0),
-		  LOG_NUMBER("predicted_ms",
-			     task ? (long long)task->predicted : 0),
-		  LOG_NUMBER("percent", task ? task->percent : 0),
-		  LOG_NUMBER("progress_ms_ago",
-			     task ? s->now - task->progress_at : 0),
-		  LOG_NUMBER("slowdown_percent",
-			     (long long)(100 * t->slowdown)),
-		  LOG_TEXT("why", reason),
-		  LOG_NUMBER("replied_ms_ago", s->now - t->replied_at),
-		  LOG_NUMBER("born", t->incarnation),
-		  LOG_NUMBER("listed_born", t->listing.incarnation),
-		  LOG_NUMBER("cpu", t->listing.capacity.cpu),
-		  LOG_NUMBER("used_cpu", t->used.cpu),
-		  LOG_NUMBER("foreign", (long long)t->nforeign),
-		  LOG_NUMBER("runs", (long long)t->nruns));
-}
-
 static uint64_t do_losses(struct sched *s, struct sched_job *job)
 {
 	PoolProgress progress = POOL_PROGRESS__INIT;
@@ -328,24 +303,6 @@
 	return mark;
 }
 
-static void do_log_loss(struct sched *s, const char *event,
-			const struct sched_task *task,
-			const struct sched_loss *loss, const char *reason)
-{
-	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", loss->target),
-		  LOG_TEXT("task", task->name), LOG_NUMBER("run", task->run),
-		  LOG_TEXT("why", reason),
-		  LOG_NUMBER("born", loss->incarnation),
-		  LOG_NUMBER("lost_ms_ago", s->now - loss->at),
-		  LOG_NUMBER("alone", loss->alone),
-		  LOG_NUMBER("newest", loss->newest),
-		  LOG_NUMBER("seen", loss->seen),
-		  LOG_NUMBER("common", loss->common),
-		  LOG_NUMBER("task_lost", (long long)task->losses->n),
-		  LOG_NUMBER("task_crashed",
-			     (long long)sched_losses_crashed(task->losses)));
-}
-
 static const struct sched_ops sched_ops = {
 	.start = do_start,
 	.stop = do_stop,
@@ -354,9 +311,10 @@
 	.fenced = do_fenced,
 	.target_removed = do_target_removed,
 	.progress = do_progress,
-	.log = do_log,
+	.log = pool_log_run,
 	.losses = do_losses,
-	.log_loss = do_log_loss,
+	.log_loss = pool_log_loss,
+	.log_move = pool_log_move,
 };
 
 /* --- a partitioned failure domain ------------------------------------- */
--- a/pool.h
+++ b/pool.h
@@ -423,6 +423,15 @@
 };
 
 void pool_histogram_add(struct pool_histogram *h, rp_ms ms);
+/* pool-log.c: the scheduler's log lines, see struct sched_ops. */
+void pool_log_run(struct sched *s, const char *event,
+		  const struct sched_target *t, const struct sched_task *task,
+		  const char *reason);
+void pool_log_loss(struct sched *s, const char *event,
+		   const struct sched_task *task, const struct sched_loss *loss,
+		   const char *reason);
+void pool_log_move(struct sched *s, const struct sched_task *task,
+		   const struct sched_move *m);
 /* Logs at intervals what passes over the leader's links. */
 void pool_log_traffic(struct pool *p);
 /* Returns the metrics as text, to be freed. */
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -411,13 +411,11 @@
 		   const struct sched_target *t, const struct sched_task *task,
 		   const char *reason)
 {
-	struct world *w = s->user;
-
+	(void)s;
+	(void)event;
 	(void)t;
 	(void)task;
 	(void)reason;
-	if (!strcmp(event, "move"))
-		w->moves++;
 }
 
 /* The owner keeps the losses for the next submission. */
@@ -472,6 +470,16 @@
 	(void)reason;
 }
 
+static void on_log_move(struct sched *s, const struct sched_task *task,
+			const struct sched_move *m)
+{
+	struct world *w = s->user;
+
+	(void)task;
+	(void)m;
+	w->moves++;
+}
+
 static const struct sched_ops ops = {
 	.start = on_start,
 	.stop = on_stop,
@@ -483,6 +491,7 @@
 	.log = on_log,
 	.losses = on_losses,
 	.log_loss = on_log_loss,
+	.log_move = on_log_move,
 };
 
 /* --- control by the tests -------------------------------------------- */
--- a/sched-leave.c
+++ b/sched-leave.c
@@ -17,7 +17,8 @@
 #define MOVES_MAX 2
 
 /* Whether a run elsewhere that begins after ms ends before the job expires. */
-static int ends_elsewhere(const struct sched_task *task, rp_ms ms)
+static int ends_elsewhere(const struct sched_task *task, rp_ms ms,
+			  struct sched_move *m)
 {
 	struct sched_job *job = task->job;
 	struct sched *s = job->s;
@@ -28,27 +29,31 @@
 	job->last_attempt = sched_task_on_last_attempt(task);
 	job->isolate = task->isolated;
 	t = sched_best_target(s, job, step);
-	return t && t != task->target &&
-	       (double)(s->now + ms) + 2 * s->call_delay +
-			       sched_run_time(t, step) <=
-		       (double)job->expires_at;
+	if (!t || t == task->target)
+		return 0;
+	m->to = t;
+	m->end_there = (double)(s->now + ms) + 2 * s->call_delay +
+		       sched_run_time(t, step);
+	return m->end_there <= (double)job->expires_at;
 }
 
-static int should_move(const struct sched_task *task)
+static int should_move(const struct sched_task *task, struct sched_move *m)
 {
 	const struct sched_target *t = task->target;
 	rp_ms left = t->leave_at - t->s->now;
 
-	if (task->state != SCHED_RUNNING || task->moves >= MOVES_MAX ||
-	    sched_run_predicted_end(task) <= (double)t->leave_at)
+	if (task->state != SCHED_RUNNING || task->moves >= MOVES_MAX)
+		return 0;
+	m->end = sched_run_predicted_end(task);
+	if (m->end <= (double)t->leave_at)
 		return 0;
 	/*
 	 * Its target may stay longer than it says. If it does not, the run
 	 * counts as lost when its lease is over.
 	 */
-	if (left > 0 && ends_elsewhere(task, left + t->s->max_lease))
+	if (left > 0 && ends_elsewhere(task, left + t->s->max_lease, m))
 		return 0;
-	return ends_elsewhere(task, MOVE_MS);
+	return ends_elsewhere(task, MOVE_MS, m);
 }
 
 static void leave_target(struct sched_target *t)
@@ -57,13 +62,16 @@
 	struct sched *s = t->s;
 
 	for (task = t->runs; task; task = next) {
+		struct sched_move m = {
+			.reason = "the target leaves before the run ends",
+		};
+
 		next = task->next;
-		if (!should_move(task))
+		if (!should_move(task, &m))
 			continue;
 		task->moves++;
 		s->count.leave_moves++;
-		s->ops->log(s, "move", t, task,
-			    "the target leaves before the run ends");
+		s->ops->log_move(s, task, &m);
 		sched_run_stop(task);
 	}
 }
--- a/sched-move.c
+++ b/sched-move.c
@@ -44,15 +44,15 @@
 	return (double)task->sent_at + delay + total_ms;
 }
 
-static int should_move(const struct sched_task *task, double end)
+static int should_move(const struct sched_task *task, struct sched_move *m)
 {
 	struct sched_job *job = task->job;
 	struct sched *s = job->s;
 	const struct sched_step *step = &job->steps[task->step];
 	const struct sched_target *t;
-	double end_there;
 
-	if (task->moves >= MOVES_MAX || end <= (double)job->due_at)
+	m->end = sched_run_predicted_end(task);
+	if (task->moves >= MOVES_MAX || m->end <= (double)job->due_at)
 		return 0;
 	job->avoid = task->target;
 	job->last_attempt = sched_task_on_last_attempt(task);
@@ -60,27 +60,29 @@
 	t = sched_best_target(s, job, step);
 	if (!t || t == task->target)
 		return 0;
-	end_there = (double)s->now + MOVE_MS + 2 * s->call_delay +
-		    MOVE_SAFETY * sched_run_time(t, step);
+	m->to = t;
+	m->end_there = (double)s->now + MOVE_MS + 2 * s->call_delay +
+		       MOVE_SAFETY * sched_run_time(t, step);
 	/* Only there does it end on time, or at least before it expires. */
-	if (end_there <= (double)job->due_at)
+	if (m->end_there <= (double)job->due_at)
 		return 1;
-	return end > (double)job->expires_at &&
-	       end_there < (double)job->expires_at;
+	return m->end > (double)job->expires_at &&
+	       m->end_there < (double)job->expires_at;
 }
 
 static void move_if_late(struct sched_task *task)
 {
 	struct sched *s = task->job->s;
-	double end = sched_run_predicted_end(task);
+	struct sched_move m = {
+		.reason = "the run would end late here and earlier elsewhere",
+	};
 
-	if (!should_move(task, end))
+	if (!should_move(task, &m))
 		return;
 	task->moves++;
 	s->count.moves++;
-	s->ops->log(s, "move", task->target, task,
-		    "the run would end late here and earlier elsewhere");
-	sched_learn_overrun(task, end - (double)task->sent_at -
+	s->ops->log_move(s, task, &m);
+	sched_learn_overrun(task, m.end - (double)task->sent_at -
 					  sched_run_delay(task));
 	sched_run_stop(task);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -462,6 +462,13 @@
 	size_t nends;
 };
 
+/* Why a run is moved; the log has it. */
+struct sched_move {
+	const char *reason;
+	const struct sched_target *to; /* the best target now */
+	double end, end_there;	       /* predicted, on the scheduler's clock */
+};
+
 /* Calls and messages that the embedding code sends for the scheduler. */
 struct sched_ops {
 	/* until: end of the lease, on the target's clock. */
@@ -504,6 +511,9 @@
 	void (*log_loss)(struct sched *s, const char *event,
 			 const struct sched_task *task,
 			 const struct sched_loss *loss, const char *reason);
+	/* Logs that a run is stopped, to be started on another target. */
+	void (*log_move)(struct sched *s, const struct sched_task *task,
+			 const struct sched_move *m);
 };
 
 struct sched_counters {
