A run is not moved because its job is long

Hypotheses: M1, the end here is what progress shows, and the end there, the due time and the expiry are by the estimate. M2, percents are rounded down, so that a run that ends just in time looks late. M7, the best target is the least of many uncertain slowdowns. Most moves are at 8 to 15 percent (M2).

Change: sched-predict.c predicts a task's work by its run's progress; the error of the prediction is divided between job and target by their variances, and for outliers by the evidence that is used in learning. sched-move.c uses it for the end there, the due time and the expiry. A target counts as no faster than the fast ones of the service, as in admission.

Why it works: both sides move alike with what was observed of the job; only what is the target's makes a difference.

--- a/sched-int.h
+++ b/sched-int.h
@@ -31,6 +31,17 @@
 /* Predicted time at speed 1 of the longest chain of unfinished steps, ms. */
 double sched_job_critical_path(const struct sched_job *job);
 
+struct sched_times {
+	rp_ms objective_at, due_at, expires_at; /* as of struct sched_job */
+};
+
+/*
+ * The job's times if the task has that work, ms at speed 1, where that is more
+ * than is known of its step. task NULL: as its steps are known.
+ */
+struct sched_times sched_job_times(const struct sched_job *job,
+				   const struct sched_task *task, double work);
+
 /* sched-place.c */
 int sched_target_has_label(const struct sched_target *t, const char *label);
 /* Predicted run time of a task of the step on the target, ms. */
@@ -159,6 +170,12 @@
 void sched_learn_progress(struct sched_task *task, int percent);
 /* A run is moved because it would take total_ms at its present speed. */
 void sched_learn_overrun(struct sched_task *task, double total_ms);
+/*
+ * The share of the error of a prediction, in the log, that is the job's and its
+ * task's, and so shows on any target: 0 to 1.
+ */
+double sched_learn_share_of_job(const struct sched_task *task, double error,
+				double measurement_var);
 /* The target may have changed: what was learned of its speed is uncertain. */
 void sched_reset_slowdown(struct sched_target *t);
 /* Lets old observations of targets fade; to be called periodically. */
@@ -295,6 +312,18 @@
 /* Until the operator takes the request back; how long is not known. */
 #define SCHED_EVACUATED_RETRY_MS 2000
 
+/* sched-predict.c */
+/* Predicted end of the run, on the scheduler's clock. */
+double sched_run_predicted_end(const struct sched_task *task);
+/* Predicted run time of the task at speed 1, by its run's progress too, ms. */
+double sched_task_work(const struct sched_task *task);
+/*
+ * Predicted run time of the task on the target if it is started there anew, ms.
+ * The target counts as no faster than the service's fast ones.
+ */
+double sched_rerun_time(const struct sched_task *task,
+			const struct sched_target *t);
+
 /* sched-outlier.c */
 enum sched_outlier {
 	SCHED_OUTLIER_UNKNOWN,
@@ -308,10 +337,9 @@
  */
 enum sched_outlier sched_outlier_cause(const struct sched_task *task,
 				       double error, int may_wait);
-
-/* sched-move.c */
-/* Predicted end of the run, on the scheduler's clock. */
-double sched_run_predicted_end(const struct sched_task *task);
+/* The cause as far as it is known now; nothing is learned from it. */
+enum sched_outlier sched_outlier_presumed(const struct sched_task *task,
+					  double error);
 
 /* sched-leave.c */
 /* Moves runs off targets that leave; to be called at each tick. */
--- a/sched-job.c
+++ b/sched-job.c
@@ -59,9 +59,7 @@
 }
 
 /* Length of the longest chain of steps, with the given length of each step. */
-static double longest_path(const struct sched_job *job,
-			   double (*length)(const struct sched_job *job,
-					    const struct sched_step *step))
+static double longest_path(const struct sched_job *job, const double *lengths)
 {
 	double ends[SCHED_STEPS_MAX], longest = 0;
 	size_t i, j;
@@ -71,45 +69,56 @@
 		for (j = 0; j < i; j++)
 			if (job->steps[i].depends_on >> j & 1)
 				ends[i] = fmax(ends[i], ends[j]);
-		ends[i] += length(job, &job->steps[i]);
+		ends[i] += lengths[i];
 		longest = fmax(longest, ends[i]);
 	}
 	return longest;
 }
 
-static double step_work(const struct sched_job *job,
-			const struct sched_step *step)
+double sched_job_critical_path(const struct sched_job *job)
 {
-	(void)job;
-	return step->work;
-}
+	double lengths[SCHED_STEPS_MAX];
+	size_t i;
 
-static double step_work_left(const struct sched_job *job,
-			     const struct sched_step *step)
-{
-	return step->nleft ? step->work + sched_overhead(job->s) : 0;
+	for (i = 0; i < job->nsteps; i++)
+		lengths[i] =
+			job->steps[i].nleft
+				? job->steps[i].work + sched_overhead(job->s)
+				: 0;
+	return longest_path(job, lengths);
 }
 
-double sched_job_critical_path(const struct sched_job *job)
+struct sched_times sched_job_times(const struct sched_job *job,
+				   const struct sched_task *task, double work)
 {
-	return longest_path(job, step_work_left);
+	double lengths[SCHED_STEPS_MAX], objective;
+	struct sched_times times;
+	size_t i;
+
+	for (i = 0; i < job->nsteps; i++)
+		lengths[i] = job->steps[i].work;
+	if (task)
+		lengths[task->step] = fmax(lengths[task->step], work);
+	objective = job->stretch * longest_path(job, lengths) +
+		    (double)job->objective_offset;
+	times.objective_at = job->arrived_at + (rp_ms)objective;
+	times.due_at = times.objective_at;
+	if (times.due_at > job->deadline)
+		times.due_at = job->deadline;
+	times.expires_at = job->arrived_at + (rp_ms)(LATE_FACTOR * objective);
+	if (times.expires_at > job->deadline || job->stored)
+		times.expires_at = job->deadline;
+	return times;
 }
 
 void sched_job_reorder(struct sched_job *job)
 {
-	double objective = job->stretch * longest_path(job, step_work) +
-			   (double)job->objective_offset;
-	double path;
-	rp_ms useless_at = job->arrived_at + (rp_ms)(LATE_FACTOR * objective);
-
-	job->objective_at = job->arrived_at + (rp_ms)objective;
-	job->due_at = job->objective_at;
-	if (job->due_at > job->deadline)
-		job->due_at = job->deadline;
-	job->expires_at = useless_at < job->deadline && !job->stored
-				  ? useless_at
-				  : job->deadline;
-	path = sched_job_critical_path(job);
+	struct sched_times times = sched_job_times(job, NULL, 0);
+	double path = sched_job_critical_path(job);
+
+	job->objective_at = times.objective_at;
+	job->due_at = times.due_at;
+	job->expires_at = times.expires_at;
 	job->slack_until = job->due_at - (rp_ms)path;
 	job->latest_start =
 		job->due_at -
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -204,6 +204,17 @@
 		sched_job_reorder(job);
 }
 
+double sched_learn_share_of_job(const struct sched_task *task, double error,
+				double measurement_var)
+{
+	double of_job = task->job->work_var + SCHED_TASK_VAR;
+	double var = of_job + task->target->slowdown_var + measurement_var;
+
+	if (error <= 0 || error * error <= OUTLIER_RATIO * var)
+		return of_job / var;
+	return sched_outlier_presumed(task, error) == SCHED_OUTLIER_JOB;
+}
+
 /* Time on the target, of a span from the start, ms. */
 static double time_on_target(const struct sched_task *task, double span)
 {
--- a/sched-move.c
+++ b/sched-move.c
@@ -9,51 +9,29 @@
 
 #include "sched-int.h"
 
-#include <math.h>
-
 /* Time for the stop, its end in a list, and the new start. */
 #define MOVE_MS 60
 /* Margin on the predicted run time at the other target. */
 #define MOVE_SAFETY 1.15
 /* Number of times that one task may be moved. */
 #define MOVES_MAX 2
-/* Run time from which progress is used to predict a run's end. */
-#define PROGRESS_MIN_MS 100
-/* Least progress for a prediction; a run with less is taken to have it. */
-#define PROGRESS_MIN_PERCENT 8
 /* Interval between checks of all runs. */
 #define CHECK_INTERVAL_MS 60
 
-double sched_run_predicted_end(const struct sched_task *task)
-{
-	const struct sched_target *t = task->target;
-	const struct sched_step *step = &task->job->steps[task->step];
-	double delay = sched_run_delay(task);
-	double run_ms = (double)(task->progress_at - task->sent_at) - delay;
-	double total_ms = sched_run_time(t, step);
-
-	if (run_ms >= PROGRESS_MIN_MS) {
-		int percent = task->percent > 1 ? task->percent : 1;
-
-		if (percent >= PROGRESS_MIN_PERCENT)
-			total_ms = run_ms * 100.0 / percent;
-		else
-			total_ms = fmax(total_ms,
-					run_ms * 100.0 / PROGRESS_MIN_PERCENT);
-	}
-	return (double)task->sent_at + delay + total_ms;
-}
-
 static int should_move(const struct sched_task *task, struct sched_move *m)
 {
 	struct sched_job *job = task->job;
 	struct sched *s = job->s;
 	const struct sched_step *step = &job->steps[task->step];
 	const struct sched_target *t;
+	struct sched_times times;
 
 	m->end = sched_run_predicted_end(task);
 	if (task->moves >= MOVES_MAX || m->end <= (double)job->due_at)
 		return 0;
+	times = sched_job_times(job, task, sched_task_work(task));
+	if (m->end <= (double)times.due_at)
+		return 0;
 	job->avoid = task->target;
 	job->last_attempt = sched_task_on_last_attempt(task);
 	job->isolate = task->isolated;
@@ -62,12 +40,12 @@
 		return 0;
 	m->to = t;
 	m->end_there = (double)s->now + MOVE_MS + 2 * s->call_delay +
-		       MOVE_SAFETY * sched_run_time(t, step);
+		       MOVE_SAFETY * sched_rerun_time(task, t);
 	/* Only there does it end on time, or at least before it expires. */
-	if (m->end_there <= (double)job->due_at)
+	if (m->end_there <= (double)times.due_at)
 		return 1;
-	return m->end > (double)job->expires_at &&
-	       m->end_there < (double)job->expires_at;
+	return m->end > (double)times.expires_at &&
+	       m->end_there < (double)times.expires_at;
 }
 
 static void move_if_late(struct sched_task *task)
--- a/sched-outlier.c
+++ b/sched-outlier.c
@@ -71,19 +71,36 @@
 	return votes;
 }
 
+/* Above 0: the job; below: the target; 0: not known. */
+static int count_votes(const struct sched_task *task, double error)
+{
+	return evidence_of_step(task, error) + evidence_of_target(task, error);
+}
+
+static enum sched_outlier cause_of(const struct sched *s, int votes)
+{
+	if (!votes)
+		return s->job_outlier_share > 0.5 ? SCHED_OUTLIER_JOB
+						  : SCHED_OUTLIER_TARGET;
+	return votes > 0 ? SCHED_OUTLIER_JOB : SCHED_OUTLIER_TARGET;
+}
+
+enum sched_outlier sched_outlier_presumed(const struct sched_task *task,
+					  double error)
+{
+	return cause_of(task->job->s, count_votes(task, error));
+}
+
 enum sched_outlier sched_outlier_cause(const struct sched_task *task,
 				       double error, int may_wait)
 {
 	struct sched *s = task->job->s;
-	int votes =
-		evidence_of_step(task, error) + evidence_of_target(task, error);
+	int votes = count_votes(task, error);
 
 	if (!votes && may_wait)
 		return SCHED_OUTLIER_UNKNOWN;
-	if (!votes)
-		return s->job_outlier_share > 0.5 ? SCHED_OUTLIER_JOB
-						  : SCHED_OUTLIER_TARGET;
-	s->job_outlier_share +=
-		SHARE_GAIN * ((votes > 0 ? 1.0 : 0.0) - s->job_outlier_share);
-	return votes > 0 ? SCHED_OUTLIER_JOB : SCHED_OUTLIER_TARGET;
+	if (votes)
+		s->job_outlier_share += SHARE_GAIN * ((votes > 0 ? 1.0 : 0.0) -
+						      s->job_outlier_share);
+	return cause_of(s, votes);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -105,6 +105,7 @@
 	uint8_t seen;	   /* boolean; the target has said that it was there */
 	uint8_t restarted; /* boolean; the target has another incarnation */
 	uint8_t overdue;   /* boolean; it may run though its lease is over */
+	uint8_t adopted;   /* boolean; when it was started is not known */
 	/* Of the runs on the target when it was lost or restarted: booleans. */
 	uint8_t lost_alone, lost_newest, lost_common;
 	uint8_t isolated;  /* boolean; no other task starts beside it */
