An outlier without evidence is not the target's fault at first

What callers saw: in the first seconds of a leader, single tasks that take seven times as long as estimated are moved again and again, until their jobs expire.

Cause: the share of outliers that are the jobs' began at 0, so that an outlier of which neither another task of its step nor another run on its target says more was the target's until some tens of others were decided. Its slowdown was then set to seven, and the run moved.

Change: it begins at one half, and at one half the job is the cause. Evidence of either kind moves it as before, so that on a site whose targets become slow and whose jobs have no outliers it goes to the targets.

--- a/regress/sched-move.c
+++ b/regress/sched-move.c
@@ -14,6 +14,8 @@
 #include "world/world.h"
 
 static const double equal[] = { 1.0 };
+/* A third of the targets takes 1.3 times as long. */
+static const double third_slow[] = { 1.0, 1.0, 1 / 1.3 };
 static struct world w;
 static struct sched s;
 
@@ -295,6 +297,11 @@
 }
 
 /* Guards against moves that serve less than none, with no target at fault. */
+Test(sched_move, moves_serve_no_less_than_none)
+{
+	check_no_loss(third_slow, 3);
+}
+
 Test(sched_move, moves_serve_no_less_than_none_on_equal_targets)
 {
 	check_no_loss(equal, 1);
--- a/sched-core.c
+++ b/sched-core.c
@@ -68,6 +68,7 @@
 	s->max_lease = max_lease;
 	s->now = s->started_at = now;
 	s->usable_share = SCHED_USABLE_SHARE_INITIAL;
+	s->job_outlier_share = 0.5;
 	apr_pool_create(&s->pool, NULL);
 	s->queues = hash_new(s->pool);
 	s->targets_by_id = hash_new(s->pool);
--- a/sched-outlier.c
+++ b/sched-outlier.c
@@ -80,8 +80,8 @@
 static enum sched_outlier cause_of(const struct sched *s, int votes)
 {
 	if (!votes)
-		return s->job_outlier_share > 0.5 ? SCHED_OUTLIER_JOB
-						  : SCHED_OUTLIER_TARGET;
+		return s->job_outlier_share >= 0.5 ? SCHED_OUTLIER_JOB
+						   : SCHED_OUTLIER_TARGET;
 	return votes > 0 ? SCHED_OUTLIER_JOB : SCHED_OUTLIER_TARGET;
 }
 
