A run on a leaving target is not repeated by its estimate

What callers could see: a job that is answered late or not at all, whose target has given notice.

Cause: the end here is what progress shows, the end elsewhere and the expiry were by the estimate. A run of a task that is far longer counted as short enough to be repeated after it is lost, and stayed.

Test: sched_leave: a_run_that_is_longer_than_estimated_is_moved_in_time failed before (the outcome is not completed), and passes.

--- a/regress/sched-leave.c
+++ b/regress/sched-leave.c
@@ -52,6 +52,33 @@
 	end();
 }
 
+/*
+ * Guards against a run that stays because its task counts as short by its
+ * estimate, and could be repeated once it is lost.
+ */
+Test(sched_leave, a_run_that_is_longer_than_estimated_is_moved_in_time)
+{
+	struct world_job *job;
+	size_t i, at = 0;
+
+	world_begin(&w, &s, 4);
+	world_submit(&w, "q", 4, 300, 1, 3000);
+	world_run_until(&w, w.now + 1000);
+	job = world_submit(&w, "q", 1, 300, 1, 3000);
+	job->task_work[0] = 2000;
+	world_run_until(&w, w.now + 180);
+	for (i = 0; i < 4; i++)
+		if (w.targets[i].nruns)
+			at = i;
+	drain(at, 150);
+	world_run_until(&w, w.now + 150);
+	w.targets[at].unresponsive = 1;
+	world_run_until(&w, w.now + 2700);
+	cr_assert_eq(s.count.leave_moves, 1);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end();
+}
+
 /* Guards against work thrown away for a target that stays long enough. */
 Test(sched_leave, a_run_that_ends_in_time_stays)
 {
--- a/sched-leave.c
+++ b/sched-leave.c
@@ -33,8 +33,10 @@
 		return 0;
 	m->to = t;
 	m->end_there = (double)(s->now + ms) + 2 * s->call_delay +
-		       sched_run_time(t, step);
-	return m->end_there <= (double)job->expires_at;
+		       sched_rerun_time(task, t);
+	return m->end_there <=
+	       (double)sched_job_times(job, task, sched_task_work(task))
+		       .expires_at;
 }
 
 static int should_move(const struct sched_task *task, struct sched_move *m)
