A new leader adopts runs of a job that its caller sent again

What callers see: a task that runs twice at the same time. A caller whose connection broke submits its job again at another entry VM, while the first VM is frozen or cut off, and the leader is lost before it has noticed this.

Cause: a leader takes runs that targets list for those of a job only if the entry VM that submits the job says that a leader may have started it. The second entry VM has sent the job to no leader. The leader that was lost knew the earlier submission from its history; its successor does not, and starts the tasks beside the runs that are listed.

Change: a run that a target lists, and that this scheduler has not started for the submission, is adopted by the job of its id, whether or not the job was sent to an earlier leader. The job's other tasks wait then like those of a job that was submitted again. Ends still do not count for the new submission (sched_provisional: an_end_of_another_provisional_leader_is_not_its_own).

Why it works: a successor raises the token of each target before it lists it, so what is not listed can't start there any more. A target that it has not reached yet is not covered: new jobs do not wait for it.

It was found by reading.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -170,16 +170,50 @@
 	return 0;
 }
 
+/*
+ * Whether the number is one of this scheduler alone: all provisional leaders of
+ * a term have the same numbers.
+ */
+static int is_own_number(const struct sched *s, uint32_t run)
+{
+	return !LEAD_IS_PROVISIONAL(s->fence) && run >= s->first_run &&
+	       run < s->first_run + SCHED_RUNS_PER_TOKEN;
+}
+
+/* The token of the regular leader of the term in which the run was started. */
+static uint64_t fence_of_run(uint32_t run)
+{
+	return LEAD_TOKEN((run - 1) / SCHED_RUNS_PER_TOKEN / 2 + 1);
+}
+
+/*
+ * Whether the job may adopt the orphan. A caller without an answer submits its
+ * job again at another entry VM, which has not sent it to any leader. A run
+ * that is listed tells that an earlier one has started it; an end does not
+ * count for the new submission.
+ */
+static int may_adopt(struct sched_job *job, const struct sched_orphan *o)
+{
+	if (job->prev_fence)
+		return 1;
+	if (o->number ||
+	    (is_own_number(job->s, o->run) && o->run >= job->min_run))
+		return 0;
+	job->prev_fence = fence_of_run(o->run);
+	return 1;
+}
+
 /* Finds the target's orphans whose jobs were resubmitted already. */
 static void claim_orphans(struct sched_target *t)
 {
 	size_t i;
 
 	for (i = t->norphans; i-- > 0;) {
-		struct sched_job *job = sched_find_open_job(
-			t->s, job_id_of(str_of(t->orphans[i].name)));
+		struct sched_orphan *o = &t->orphans[i];
+		struct sched_job *job =
+			sched_find_open_job(t->s, job_id_of(str_of(o->name)));
 
-		if (job && job->prev_fence)
+		if (job && may_adopt(job, o))
 			claim_orphan(job, t, i);
 	}
 }
@@ -209,7 +243,8 @@
 	struct sched *s = job->s;
 	size_t i, j;
 
-	sched_released_restore(job);
+	if (job->prev_fence || job->ndone)
+		sched_released_restore(job);
 	if (job->ndone == job->ntasks) {
 		sched_job_answer(job, POOL_ANSWER__OUTCOME__COMPLETED, "", 0);
 		return 1;
@@ -220,15 +255,16 @@
 		for (j = t->norphans; j-- > 0;)
 			if (str_eq(job_id_of(str_of(t->orphans[j].name)),
 				   str_of(job->id)) &&
+			    may_adopt(job, &t->orphans[j]) &&
 			    claim_orphan(job, t, j))
 				return 1;
 	}
 	return 0;
 }
 
-void sched_adopt_job(struct sched_job *job)
+int sched_adopt_job(struct sched_job *job)
 {
-	adopt_job(job);
+	return adopt_job(job) || job->prev_fence || job->ndone;
 }
 
 int sched_adopt_returned(struct sched_job *job, const PoolSubmit *sub)
@@ -267,16 +303,6 @@
 		t->ngiven_up++;
 }
 
-/*
- * Whether the number is one of this scheduler alone: all provisional leaders of
- * a term have the same numbers.
- */
-static int is_own_number(const struct sched *s, uint32_t run)
-{
-	return !LEAD_IS_PROVISIONAL(s->fence) && run >= s->first_run &&
-	       run < s->first_run + SCHED_RUNS_PER_TOKEN;
-}
-
 /* Whether this scheduler started the run here, and gave it up. */
 static int was_given_up(const struct sched_target *t,
 			const struct sched_end *end)
--- a/sched-core.c
+++ b/sched-core.c
@@ -220,10 +220,8 @@
 	job = sched_job_new(s, owner, sub, now);
 	s->count.jobs++;
 	supersede(job, earlier);
-	if (job->prev_fence || job->ndone) {
-		sched_adopt_job(job);
+	if (sched_adopt_job(job))
 		return;
-	}
 	if (job->stored || s->admit->admit(s, job, &reason, &retry_after))
 		return;
 	sched_job_answer(job, POOL_ANSWER__OUTCOME__REJECTED, reason,
--- a/sched-int.h
+++ b/sched-int.h
@@ -173,9 +173,9 @@
 		      const struct sched_target_reply *reply);
 /*
  * Adopts the runs and ends of the job that were found on targets. May answer
- * the job.
+ * the job. Returns whether an earlier scheduler may have started it.
  */
-void sched_adopt_job(struct sched_job *job);
+int sched_adopt_job(struct sched_job *job);
 /* Stops the runs and releases the ends that no job has claimed in time. */
 void sched_adopt_tick(struct sched_target *t);
 /* The run of the task is over, as far as is known, and its end may come. */
