The row of a stored job names the domains in which it may have been started

Callers could see a task of a stored job run twice. A leader ended while a start had no reply, or while a hold might still be carried out; its successor did not reach the target. After 1.8 s it took all runs of the previous leader for over, and started the task elsewhere. Then the target carried out the call, up to 12 s late, with a lease from then on.

Cause: the successor cannot know on which unreached target a task may have been started, and waits for the leases alone. To wait for every target would stop all jobs that were submitted again while one failure domain is cut off.

The leader now adds a failure domain to the row before the job's first start there, and starts none of its tasks until the store has committed that. The successor lets a job wait beyond the leases for unreached targets of these domains only, for the 15 s that late calls are reckoned with. A row that was late-written by the previous leader is merged, and a job whose row has domains counts as possibly started. Rows of an earlier release have none: there the wait is as it was.

Cost: a row for each job and domain, in transactions that are written anyway, and the time of one before the first start in a domain.

--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -24,6 +24,7 @@
 {
 	j->version = version;
 	sched_owner_acked(&p->sched, j, j->sent_mark, p->now);
+	p->dispatch_due = 1;
 	if (j->mark > j->sent_mark) {
 		stored_job_queue(&p->stored_jobs->parts[j->part], j);
 	} else if (j->ended_at) {
@@ -116,12 +117,12 @@
 static struct rp_str pack_job(const struct pool *p, struct stored_job *j)
 {
 	PoolSubmit *submit = j->job->submit;
-	size_t nlosses = j->job->n_losses;
+	size_t nlosses = j->job->n_losses, ndomains = j->job->n_domains;
 	struct rp_str value;
 
 	if (j->ended_at) {
 		j->job->submit = NULL;
-		j->job->n_losses = 0;
+		j->job->n_losses = j->job->n_domains = 0;
 	}
 	j->job->writer = p->sched.fence;
 	value.len = pool_job__get_packed_size(j->job);
@@ -129,6 +130,7 @@
 	pool_job__pack(j->job, (uint8_t *)value.ptr);
 	j->job->submit = submit;
 	j->job->n_losses = nlosses;
+	j->job->n_domains = ndomains;
 	return value;
 }
 
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -109,6 +109,13 @@
 	append(&job->failed_runs, &job->n_failed_runs, run);
 }
 
+static void add_domain(PoolJob *job, const char *domain)
+{
+	job->domains = realloc(job->domains,
+			       (job->n_domains + 1) * sizeof(*job->domains));
+	job->domains[job->n_domains++] = strdup(domain);
+}
+
 uint64_t pool_stored_progress(struct pool *p, struct sched_job *job,
 			      const struct sched_task *task)
 {
@@ -136,6 +143,16 @@
 	return mark_changed(p, j);
 }
 
+uint64_t pool_stored_domains(struct sched *s, struct sched_job *job)
+{
+	struct stored_job *j = job->owner;
+
+	if (!j || !j->job)
+		return 0;
+	add_domain(j->job, job->domains[job->ndomains - 1]);
+	return mark_changed(s->user, j);
+}
+
 uint64_t pool_stored_answer(struct pool *p, struct sched_job *job,
 			    PoolAnswer__Outcome outcome)
 {
@@ -181,7 +198,7 @@
 	/* Another leader may have acted until the token was raised. */
 	if (p->sched.fence_raised_at > since)
 		since = p->sched.fence_raised_at;
-	if (j->version > p->lead.row.version &&
+	if (!j->job->n_domains && j->version > p->lead.row.version &&
 	    p->now - since > PREV_LEADER_START_MS)
 		return 0;
 	return LEAD_TOKEN(LEAD_TERM(p->sched.fence) - 1);
@@ -212,10 +229,14 @@
 	sub->n_failed_runs = j->job->n_failed_runs;
 	sub->losses = j->job->losses;
 	sub->n_losses = j->job->n_losses;
+	sub->domains = j->job->domains;
+	sub->n_domains = j->job->n_domains;
 	sched_submit(&p->sched, j, sub, p->now);
 	sub->done = sub->failed = sub->failed_runs = NULL;
 	sub->losses = NULL;
+	sub->domains = NULL;
 	sub->n_done = sub->n_failed = sub->n_losses = sub->n_failed_runs = 0;
+	sub->n_domains = 0;
 	p->dispatch_due = 1;
 }
 
@@ -253,6 +274,21 @@
 	return *n > before;
 }
 
+/* Adds the domains that only the other row has. Returns whether it has any. */
+static int merge_domains(PoolJob *job, const PoolJob *other)
+{
+	size_t i, j, before = job->n_domains;
+
+	for (i = 0; i < other->n_domains; i++) {
+		for (j = 0; j < before; j++)
+			if (!strcmp(job->domains[j], other->domains[i]))
+				break;
+		if (j == before)
+			add_domain(job, other->domains[i]);
+	}
+	return job->n_domains > before;
+}
+
 /* Merges a write of the previous leader that came after the row was read. */
 static void merge_late_write(struct pool *p, struct stored_job *j,
 			     const PoolJob *job)
@@ -260,6 +296,7 @@
 	int more =
 		merge(&j->job->done, &j->job->n_done, job->done, job->n_done);
 
+	more |= merge_domains(j->job, job);
 	if (!more)
 		return;
 	LOG_EVENT(LOG_LEVEL_INFO, "job_late_progress", LOG_TEXT("id", j->id),
--- a/pool-loss.c
+++ b/pool-loss.c
@@ -53,3 +53,20 @@
 		pool_loss__free_unpacked(list[i], NULL);
 	free(list);
 }
+
+uint64_t pool_losses_send(struct sched *s, struct sched_job *job)
+{
+	PoolProgress progress = POOL_PROGRESS__INIT;
+	uint64_t mark;
+
+	if (!job->owner)
+		return 0;
+	if (job->stored)
+		return pool_stored_losses(s->user, job);
+	progress.seq = job->seq;
+	progress.lost = 1;
+	progress.losses = pool_losses_encode(job, &progress.n_losses);
+	mark = pool_send_progress(s->user, job->owner, &progress);
+	pool_losses_free(progress.losses, progress.n_losses);
+	return mark;
+}
--- a/pool-target.c
+++ b/pool-target.c
@@ -311,23 +311,6 @@
 		  LOG_NUMBER("runs", (long long)t->nruns));
 }
 
-static uint64_t do_losses(struct sched *s, struct sched_job *job)
-{
-	PoolProgress progress = POOL_PROGRESS__INIT;
-	uint64_t mark;
-
-	if (!job->owner)
-		return 0;
-	if (job->stored)
-		return pool_stored_losses(pool_of(s), job);
-	progress.seq = job->seq;
-	progress.lost = 1;
-	progress.losses = pool_losses_encode(job, &progress.n_losses);
-	mark = pool_send_progress(pool_of(s), job->owner, &progress);
-	pool_losses_free(progress.losses, progress.n_losses);
-	return mark;
-}
-
 static void do_log_loss(struct sched *s, const char *event,
 			const struct sched_task *task,
 			const struct sched_loss *loss, const char *reason)
@@ -355,7 +338,8 @@
 	.target_removed = do_target_removed,
 	.progress = do_progress,
 	.log = do_log,
-	.losses = do_losses,
+	.losses = pool_losses_send,
+	.domains = pool_stored_domains,
 	.log_loss = do_log_loss,
 };
 
--- a/pool.h
+++ b/pool.h
@@ -62,6 +62,8 @@
  */
 PoolLoss **pool_losses_encode(const struct sched_job *job, size_t *n);
 void pool_losses_free(PoolLoss **list, size_t n);
+/* Tells the owner of the job. Returns the mark of the message, or 0. */
+uint64_t pool_losses_send(struct sched *s, struct sched_job *job);
 
 /* --- pool-member.c: the pool's entry VMs and its leader -------------- */
 
@@ -300,6 +302,7 @@
 
 /* Queue a row to be written. Return the mark that its write acknowledges. */
 uint64_t pool_stored_losses(struct pool *p, struct sched_job *job);
+uint64_t pool_stored_domains(struct sched *s, struct sched_job *job);
 uint64_t pool_stored_progress(struct pool *p, struct sched_job *job,
 			      const struct sched_task *task);
 uint64_t pool_stored_answer(struct pool *p, struct sched_job *job,
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1461,7 +1461,7 @@
   (ProtobufCMessageInit) pool_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[19] =
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[20] =
 {
   {
     "seq",
@@ -1691,9 +1691,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domains",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolSubmit, n_domains),
+    offsetof(PoolSubmit, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  19,   /* field[19] = domains */
   13,   /* field[13] = done */
   15,   /* field[15] = failed */
   18,   /* field[18] = failed_runs */
@@ -1716,7 +1729,7 @@
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -1726,7 +1739,7 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  19,
+  20,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
@@ -2698,7 +2711,7 @@
   pool_job__state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor pool_job__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pool_job__field_descriptors[10] =
 {
   {
     "submit",
@@ -2808,9 +2821,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domains",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolJob, n_domains),
+    offsetof(PoolJob, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_job__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
+  9,   /* field[9] = domains */
   4,   /* field[4] = done */
   3,   /* field[3] = ended_ms */
   5,   /* field[5] = failed */
@@ -2823,7 +2849,7 @@
 static const ProtobufCIntRange pool_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pool_job__descriptor =
 {
@@ -2833,7 +2859,7 @@
   "PoolJob",
   "",
   sizeof(PoolJob),
-  9,
+  10,
   pool_job__field_descriptors,
   pool_job__field_indices_by_name,
   1,  pool_job__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -246,10 +246,16 @@
    */
   size_t n_failed_runs;
   uint32_t *failed_runs;
+  /*
+   * Of a stored job: failure domains in which earlier leaders may have
+   * started tasks of it.
+   */
+  size_t n_domains;
+  char **domains;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -505,8 +511,8 @@
 {
   ProtobufCMessage base;
   /*
-   * Without seq, age_ms, left_ms, former, done, failed and losses. The leader
-   * leaves it out once the job has ended.
+   * Without seq, age_ms, left_ms, former, done, failed, losses and domains.
+   * The leader leaves it out once the job has ended.
    */
   PoolSubmit *submit;
   PoolJob__State state;
@@ -542,10 +548,16 @@
    */
   size_t n_failed_runs;
   uint32_t *failed_runs;
+  /*
+   * Failure domains in which tasks may have been started. A leader starts
+   * none in a domain before the row has it.
+   */
+  size_t n_domains;
+  char **domains;
 };
 #define POOL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_job__descriptor) \
-    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "pool-keep.h"
+#include "sched-int.h"
 
 static struct pool p;
 
@@ -224,3 +225,57 @@
 	cr_assert_not_null(p.calls);
 	cr_assert_not(p.sched.stored_suspended);
 }
+
+/*
+ * The row names the failure domains in which tasks may have been started, and
+ * the next leader lets the job wait for their targets. Guards against a row
+ * that loses them, and against a job that counts as never started though it has
+ * some.
+ */
+Test(pool_keep, the_row_names_the_domains_of_starts)
+{
+	static const struct sched_ops no_ops = { .domains =
+							 pool_stored_domains };
+	static const struct sched_target t = { .listing = { .failure_domain =
+								    "a" } };
+	PoolJob job = POOL_JOB__INIT, *written;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+	char *domains[] = { "b" };
+	uint8_t packed[512];
+	struct platform_row row = { .key = "0000000000000001", .version = 9 };
+	struct sched_job *open;
+	struct stored_job *j;
+
+	sched_init(&p.sched, &no_ops, &p, NULL, LEAD_TOKEN(2), 1000,
+		   p.now - 5000);
+	p.leading = 1;
+	p.lead.row.version = 5;
+	step.tasks = 1;
+	sub.id = row.key;
+	sub.queue = sub.service = "q";
+	sub.stored = 1;
+	sub.n_steps = 1;
+	sub.steps = &steps;
+	job.submit = &sub;
+	job.domains = domains;
+	job.n_domains = 1;
+	row.len = pool_job__pack(&job, packed);
+	row.value = (char *)packed;
+	stored_job_apply_row(&p, &row);
+	open = sched_find_open_job(&p.sched, str_of(row.key));
+	cr_assert_eq(open->prev_fence, LEAD_TOKEN(1));
+	cr_assert_eq(open->nformer_domains, 1);
+	cr_assert_str_eq(open->domains[0], "b");
+	cr_assert_not(sched_domain_is_told(open, &t));
+	j = stored_job_find(&p, row.key);
+	cr_assert(j->queued);
+	cr_assert_eq(open->domains_mark, j->mark);
+	sched_owner_acked(&p.sched, j, j->mark, p.now);
+	cr_assert(sched_domain_is_told(open, &t));
+	row.len = pool_job__pack(j->job, packed);
+	written = pool_job__unpack(NULL, row.len, packed);
+	cr_assert_eq(written->n_domains, 2);
+	cr_assert_str_eq(written->domains[1], "a");
+	pool_job__free_unpacked(written, NULL);
+}
--- /dev/null
+++ b/regress/sched-domain.c
@@ -0,0 +1,187 @@
+/*
+ * A leader ends, and its successor does not reach a target that may carry out a
+ * start or a hold of it later. The row of a stored job names the failure
+ * domains in which its tasks may have been started.
+ */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "lead.h"
+#include "world/world.h"
+
+static struct world w;
+static struct sched first, second;
+
+static void init_apr(void)
+{
+	apr_initialize();
+}
+
+TestSuite(sched_domain, .init = init_apr, .timeout = 60);
+
+/* Half of the targets are in domain "a", the others in "b". */
+static void begin_world(size_t ntargets)
+{
+	static const double speeds[] = { 1.0 };
+	size_t i;
+
+	world_init(&w, 7, ntargets, speeds, 1);
+	w.late_leases = 1;
+	w.stored = 1;
+	for (i = 0; i < ntargets; i++)
+		snprintf(w.targets[i].listing.failure_domain, RP_NAME_MAX, "%s",
+			 i < ntargets / 2 ? "a" : "b");
+	world_start_sched(&w, &first, NULL, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 50);
+}
+
+static void end_world(void)
+{
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&second);
+	world_finish(&w);
+}
+
+/* The first scheduler uses the targets of one domain alone, or of both. */
+static void use_domain(const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < w.ntargets; i++) {
+		struct sched_listing l = w.targets[i].listing;
+
+		l.ready = !domain || !strcmp(l.failure_domain, domain);
+		sched_target_listed(&first, &l, w.now);
+	}
+}
+
+static void cut_domain_off(const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < w.ntargets; i++)
+		if (!strcmp(w.targets[i].listing.failure_domain, domain))
+			w.targets[i].unresponsive = 1;
+}
+
+/* The first scheduler ends, and all jobs are submitted to the second. */
+static void take_over(void)
+{
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	world_resubmit(&w);
+}
+
+/*
+ * One domain is cut off from the successor. Jobs that were not started there go
+ * on: one that runs in the other domain, and whose second task had no room, one
+ * of which a start had no reply there, and one that was not started. Guards
+ * against a wait for each target of the service.
+ */
+Test(sched_domain, jobs_go_on_while_a_domain_is_cut_off)
+{
+	struct world_job *jobs[3], *there;
+	size_t i;
+
+	begin_world(4);
+	w.task_cpu = 10500; /* one on each target */
+	use_domain("b");
+	there = world_submit(&w, "q", 1, 2000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	use_domain("a");
+	jobs[0] = world_submit(&w, "q", 3, 300, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 3);
+	w.targets[0].late[WORLD_START] = w.targets[1].late[WORLD_START] =
+		(struct world_late){ 100, 3000, 3000, 0 };
+	jobs[1] = world_submit(&w, "q", 1, 300, 1, 60000);
+	while (first.count.starts < 5)
+		world_run_until(&w, w.now + 1);
+	jobs[2] = world_submit(&w, "q", 1, 300, 1, 60000);
+	world_run_until(&w, w.now + 5);
+	cr_assert_eq(first.count.starts, 5);
+	w.targets[0].late[WORLD_START].percent =
+		w.targets[1].late[WORLD_START].percent = 0;
+	cut_domain_off("b");
+	take_over();
+	world_run_until(&w, w.now + 3500);
+	for (i = 0; i < 3; i++)
+		cr_assert(jobs[i]->answered, "job %d", (int)i);
+	cr_assert_not(there->answered);
+	world_run_until(&w, w.now + 16000);
+	cr_assert(there->answered);
+	end_world();
+}
+
+/*
+ * A hold is carried out, and a copy of it later, which prolongs the run. Guards
+ * against taking the run for over when the leases of the previous leader are.
+ */
+Test(sched_domain, a_hold_is_late_before_the_target_is_reached)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(2);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].late[WORLD_HOLD] =
+			(struct world_late){ 100, 2000, 6000, 1 };
+	job = world_submit(&w, "q", 1, 9000, 1, 60000);
+	world_run_until(&w, w.now + 4000);
+	cr_assert_eq(w.starts, 1);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = w.targets[i].nruns > 0;
+	take_over();
+	world_run_until(&w, w.now + 4500);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = 0;
+	world_run_until(&w, w.now + 15000);
+	cr_assert(job->answered);
+	end_world();
+}
+
+/* A target that is not reached for longer than calls are late holds up no job.
+ */
+Test(sched_domain, the_wait_for_late_calls_ends)
+{
+	struct world_job *job;
+
+	begin_world(4);
+	use_domain("a");
+	job = world_submit(&w, "q", 1, 300, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cut_domain_off("a");
+	take_over();
+	world_run_until(&w, w.now + 15000);
+	cr_assert_not(job->answered);
+	world_run_until(&w, w.now + 3000);
+	cr_assert(job->answered);
+	end_world();
+}
+
+/* A successor reads only what the store has: nothing starts before. */
+Test(sched_domain, the_domain_is_told_before_the_start)
+{
+	struct world_job *job;
+
+	begin_world(4);
+	use_domain("a");
+	w.lose_messages = 1;
+	job = world_submit(&w, "q", 1, 300, 1, 60000);
+	world_run_until(&w, w.now + 500);
+	cr_assert_eq(first.count.starts, 0);
+	w.lose_messages = 0;
+	sched_owner_acked(&first, job, w.mark, w.now);
+	world_run_until(&w, w.now + 500);
+	cr_assert_eq(first.count.starts, 1);
+	cr_assert(job->answered);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&first);
+	world_finish(&w);
+}
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -461,6 +461,24 @@
 	return 0;
 }
 
+/* The owner keeps the domains for the next submission. */
+static uint64_t on_domains(struct sched *s, struct sched_job *job)
+{
+	struct world *w = s->user;
+	struct world_job *owner = job->owner;
+	PoolSubmit *sub = owner ? owner->sub : NULL;
+
+	if (!sub)
+		return 0;
+	if (w->lose_messages)
+		return ++w->mark;
+	sub->domains = realloc(sub->domains,
+			       (sub->n_domains + 1) * sizeof(*sub->domains));
+	sub->domains[sub->n_domains++] =
+		strdup(job->domains[job->ndomains - 1]);
+	return 0;
+}
+
 static void on_log_loss(struct sched *s, const char *event,
 			const struct sched_task *task,
 			const struct sched_loss *loss, const char *reason)
@@ -482,6 +500,7 @@
 	.progress = on_progress,
 	.log = on_log,
 	.losses = on_losses,
+	.domains = on_domains,
 	.log_loss = on_log_loss,
 };
 
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -400,10 +400,13 @@
 int sched_adopt_all_known(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
+	rp_ms over = job->submitted_at + s->max_lease + PREV_LEADER_STOP_MS;
 	size_t i;
 
-	if (s->now - job->submitted_at >= s->max_lease + PREV_LEADER_STOP_MS)
-		return 1;
+	/* A call of a previous leader may be carried out after its leases. */
+	if (s->now >= over)
+		return s->now >= over + LATE_CALL_MAX_MS ||
+		       !sched_domains_unreached(job);
 	/*
 	 * A previous leader that was cut off from the store may go on with
 	 * targets whose entries in the store have expired.
--- a/sched-core.c
+++ b/sched-core.c
@@ -439,7 +439,8 @@
 
 	if (job->stored && s->stored_suspended)
 		return;
-	if (job->awaits_earlier_runs && has_earlier_runs(job))
+	if (job->domains_mark ||
+	    (job->awaits_earlier_runs && has_earlier_runs(job)))
 		return;
 	job->awaits_earlier_runs = 0;
 	/* An earlier scheduler's runs of its tasks may not be known yet. */
@@ -457,6 +458,8 @@
 		job->last_attempt = sched_task_on_last_attempt(task);
 		job->isolate = sched_loss_isolates(task);
 		t = s->place->place(s, job, &job->steps[task->step]);
+		if (t && !sched_domain_is_told(job, t))
+			return;
 		if (t) {
 			sched_run_start(task, t);
 			continue;
--- /dev/null
+++ b/sched-domain.c
@@ -0,0 +1,86 @@
+/*
+ * Failure domains in which tasks of a stored job may have been started.
+ *
+ * A target may carry out a start long after the scheduler that sent it has
+ * ended, and a successor that cannot reach the target does not learn of it. So
+ * the owner, which outlives schedulers, knows of a domain before the first task
+ * is started there. A successor lets the job wait for unreached targets of
+ * these domains alone: the others are not known to be in question when a domain
+ * is cut off. Jobs with a deadline are over before such a call is carried out.
+ */
+
+#include "sched-int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static int has_domain(const struct sched_job *job, size_t n, const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(job->domains[i], domain))
+			return 1;
+	return 0;
+}
+
+static void add_domain(struct sched_job *job, const char *domain)
+{
+	job->domains = realloc(job->domains,
+			       (job->ndomains + 1) * sizeof(*job->domains));
+	job->domains[job->ndomains++] = strdup(domain);
+}
+
+void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub)
+{
+	size_t i;
+
+	for (i = 0; i < sub->n_domains; i++)
+		add_domain(job, sub->domains[i]);
+	job->nformer_domains = job->ndomains;
+}
+
+void sched_domains_free(struct sched_job *job)
+{
+	size_t i;
+
+	for (i = 0; i < job->ndomains; i++)
+		free(job->domains[i]);
+	free(job->domains);
+}
+
+int sched_domain_is_told(struct sched_job *job, const struct sched_target *t)
+{
+	const char *domain = t->listing.failure_domain;
+
+	if (!job->stored || has_domain(job, job->ndomains, domain))
+		return 1;
+	add_domain(job, domain);
+	job->domains_mark = job->s->ops->domains(job->s, job);
+	return !job->domains_mark;
+}
+
+void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark)
+{
+	struct sched_job *job;
+
+	for (job = s->jobs; job; job = job->next)
+		if (job->owner == owner && job->domains_mark <= mark)
+			job->domains_mark = 0;
+}
+
+int sched_domains_unreached(const struct sched_job *job)
+{
+	const struct sched *s = job->s;
+	size_t i;
+
+	for (i = 0; job->nformer_domains && i < s->ntargets; i++) {
+		const struct sched_target *t = s->targets[i];
+
+		if (!t->adopted && t->service == job->service &&
+		    has_domain(job, job->nformer_domains,
+			       t->listing.failure_domain))
+			return 1;
+	}
+	return 0;
+}
--- a/sched-int.h
+++ b/sched-int.h
@@ -8,6 +8,12 @@
 
 #include "scheduler.h"
 
+/*
+ * Time after which a call that had no reply is taken for lost. The platform
+ * carries calls out seconds late, and gives no bound.
+ */
+#define LATE_CALL_MAX_MS 15000
+
 /* sched-job.c */
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now);
@@ -192,6 +198,23 @@
 /* Whether every run of the job by an earlier scheduler is known or over. */
 int sched_adopt_all_known(const struct sched_job *job);
 
+/* sched-domain.c */
+/* Keeps the domains in which earlier schedulers may have started tasks. */
+void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
+void sched_domains_free(struct sched_job *job);
+/*
+ * Whether tasks of the job may be started on the target. If not, its owner is
+ * told of the failure domain, and they may be once it has acknowledged that.
+ */
+int sched_domain_is_told(struct sched_job *job, const struct sched_target *t);
+/* The owner knows of all domains in messages up to the mark. */
+void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark);
+/*
+ * Whether there is a target on which an earlier scheduler may have started a
+ * task of the job, and which this one has not reached.
+ */
+int sched_domains_unreached(const struct sched_job *job);
+
 /* sched-told.c */
 /*
  * Delays the end's acknowledgement until the owner acknowledges the mark, or
--- a/sched-job.c
+++ b/sched-job.c
@@ -326,6 +326,7 @@
 	mark_done(job, sub);
 	count_failures(job, sub);
 	sched_losses_restore(job, sub->losses, sub->n_losses);
+	sched_domains_restore(job, sub);
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
 	job->queue->service = job->service;
 	job->queue->nwaiting++;
@@ -347,6 +348,7 @@
 	size_t i;
 
 	sched_losses_free(job);
+	sched_domains_free(job);
 	for (i = 0; i < job->ntasks; i++)
 		free(job->tasks[i].failed_runs);
 	free((void *)job->specification.ptr);
--- a/sched-run.c
+++ b/sched-run.c
@@ -8,11 +8,6 @@
 #define CLOCK_DRIFT 0.02
 /* Error of a reading of a target's clock. */
 #define LEASE_SLACK_MS 30
-/*
- * Time after which a call that had no reply is taken for lost. The platform
- * carries calls out seconds late, and gives no bound.
- */
-#define LATE_CALL_MAX_MS 15000
 /*
  * Time without an entry in the list after which a target is gone. Entries that
  * expire in an outage of the store are back two seconds after its end.
--- a/sched-told.c
+++ b/sched-told.c
@@ -94,6 +94,7 @@
 
 	s->now = now;
 	sched_losses_acked(s, owner, mark);
+	sched_domains_acked(s, owner, mark);
 	for (i = 0; i < s->ntargets; i++)
 		if (s->targets[i]->nunacked)
 			remove_acked(s->targets[i], owner, mark);
--- a/scheduler.h
+++ b/scheduler.h
@@ -294,6 +294,13 @@
 	size_t nwaiting;      /* to be started */
 	size_t nsuspects;     /* tasks with losses */
 	uint64_t losses_mark; /* of the message on these to be acked; 0: none */
+	/*
+	 * Stored: failure domains in which tasks of it may have been started,
+	 * first those of earlier schedulers.
+	 */
+	char **domains;
+	size_t ndomains, nformer_domains;
+	uint64_t domains_mark; /* of their change to be acked; 0: none */
 	struct sched_step *steps;
 	size_t nsteps;
 	struct sched_task *tasks;
@@ -500,6 +507,12 @@
 	 * with losses do not start until it is acknowledged.
 	 */
 	uint64_t (*losses)(struct sched *s, struct sched_job *job);
+	/*
+	 * A task of the stored job is to be started in another failure domain.
+	 * Returns the mark of the message to the owner, or 0; none starts until
+	 * it is acknowledged.
+	 */
+	uint64_t (*domains)(struct sched *s, struct sched_job *job);
 	/* Logs what is learned of a target that was lost with the task. */
 	void (*log_loss)(struct sched *s, const char *event,
 			 const struct sched_task *task,
