A target that is unlisted before its list was read is not gone yet

Callers could see a task run twice after a change of leader. A target that the new leader had listed, and not reached, was removed as soon as its entry was lost, which happens within seconds where it is cut off from the store. Jobs that the previous leader may have started there counted it no more, and started elsewhere while it could still carry out a start.

Such a target is kept, and called, for the 3 s after which a run of this leader on an unlisted target counts as over.

All sched-* tests, pool-unlisted, pool-odd and pool-use pass.

--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -185,3 +185,29 @@
 	sched_finish(&first);
 	world_finish(&w);
 }
+
+/*
+ * The entry of the target is lost before the successor reaches it. Guards
+ * against dropping the target with it: the job did not wait any more.
+ */
+Test(sched_domain, a_target_that_is_unlisted_is_not_gone_yet)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(4);
+	use_domain("a");
+	w.targets[0].late[WORLD_START] = w.targets[1].late[WORLD_START] =
+		(struct world_late){ 100, 2500, 2500, 0 };
+	job = world_submit(&w, "q", 1, 3000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	cut_domain_off("a");
+	take_over();
+	world_run_until(&w, w.now + 1000);
+	for (i = 0; i < 2; i++)
+		sched_target_unlisted(&second, w.targets[i].listing.id, w.now);
+	world_run_until(&w, w.now + 7000);
+	cr_assert(job->answered);
+	end_world();
+}
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -429,6 +429,11 @@
 	return t->s->now < t->adopt_until || !t->s->stored_jobs_loaded;
 }
 
+int sched_adopt_is_awaited(const struct sched_target *t)
+{
+	return !t->adopted && t->s->now - t->unlisted_at < GONE_MS;
+}
+
 void sched_adopt_tick(struct sched_target *t)
 {
 	if (t->norphans && !sched_adopt_pending(t) && !t->s->suspended)
--- a/sched-int.h
+++ b/sched-int.h
@@ -13,6 +13,11 @@
  * carries calls out seconds late, and gives no bound.
  */
 #define LATE_CALL_MAX_MS 15000
+/*
+ * Time without an entry in the list after which a target is gone. Entries that
+ * expire in an outage of the store are back two seconds after its end.
+ */
+#define GONE_MS 3000
 
 /* sched-job.c */
 struct sched_job *sched_job_new(struct sched *s, void *owner,
@@ -195,6 +200,11 @@
  * is back. Returns whether this answered it.
  */
 int sched_adopt_returned(struct sched_job *job, const PoolSubmit *sub);
+/*
+ * Whether the list of an unlisted target is still awaited, as runs of earlier
+ * schedulers may go on there.
+ */
+int sched_adopt_is_awaited(const struct sched_target *t);
 /* Whether every run of the job by an earlier scheduler is known or over. */
 int sched_adopt_all_known(const struct sched_job *job);
 
--- a/sched-run.c
+++ b/sched-run.c
@@ -8,12 +8,6 @@
 #define CLOCK_DRIFT 0.02
 /* Error of a reading of a target's clock. */
 #define LEASE_SLACK_MS 30
-/*
- * Time without an entry in the list after which a target is gone. Entries that
- * expire in an outage of the store are back two seconds after its end.
- */
-#define GONE_MS 3000
-
 static const struct sched_resources *need_of(const struct sched_task *task)
 {
 	return &task->job->steps[task->step].need;
