--- a/pool-target.c
+++ b/pool-target.c
@@ -286,23 +286,6 @@
 	pool_assignment_free(pool_of(s), t);
 }
 
-static uint64_t do_losses(struct sched *s, struct sched_job *job)
-{
-	PoolProgress progress = POOL_PROGRESS__INIT;
-	uint64_t mark;
-
-	if (!job->owner)
-		return 0;
-	if (job->stored)
-		return pool_stored_losses(pool_of(s), job);
-	progress.seq = job->seq;
-	progress.lost = 1;
-	progress.losses = pool_losses_encode(job, &progress.n_losses);
-	mark = pool_send_progress(pool_of(s), job->owner, &progress);
-	pool_losses_free(progress.losses, progress.n_losses);
-	return mark;
-}
-
 static const struct sched_ops sched_ops = {
 	.start = do_start,
 	.stop = do_stop,
@@ -312,7 +295,8 @@
 	.target_removed = do_target_removed,
 	.progress = do_progress,
 	.log = pool_log_run,
-	.losses = do_losses,
+	.losses = pool_losses_send,
+	.domains = pool_stored_domains,
 	.log_loss = pool_log_loss,
 	.log_move = pool_log_move,
 };
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -426,10 +426,13 @@
 int sched_adopt_all_known(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
+	rp_ms over = job->submitted_at + s->max_lease + PREV_LEADER_STOP_MS;
 	size_t i;
 
-	if (s->now - job->submitted_at >= s->max_lease + PREV_LEADER_STOP_MS)
-		return 1;
+	/* A call of a previous leader may be carried out after its leases. */
+	if (s->now >= over)
+		return s->now >= over + LATE_CALL_MAX_MS ||
+		       !sched_domains_unreached(job);
 	/*
 	 * A previous leader that was cut off from the store may go on with
 	 * targets whose entries in the store have expired.
@@ -452,6 +455,11 @@
 	return t->s->now < t->adopt_until || !t->s->stored_jobs_loaded;
 }
 
+int sched_adopt_is_awaited(const struct sched_target *t)
+{
+	return !t->adopted && t->s->now - t->unlisted_at < GONE_MS;
+}
+
 void sched_adopt_tick(struct sched_target *t)
 {
 	if (t->norphans && !sched_adopt_pending(t) && !t->s->suspended)
--- a/sched-core.c
+++ b/sched-core.c
@@ -314,7 +314,7 @@
 			sched_target_lease_over(t);
 		/* One that is back would drop ends that nobody knows of yet. */
 		if (!t->listed && !t->nruns && !t->nunacked &&
-		    !t->hold_in_flight) {
+		    !t->hold_in_flight && !sched_adopt_is_awaited(t)) {
 			remove_target(t);
 			continue;
 		}
@@ -438,7 +438,8 @@
 
 	if (job->stored && s->stored_suspended)
 		return;
-	if (job->awaits_earlier_runs && has_earlier_runs(job))
+	if (job->domains_mark ||
+	    (job->awaits_earlier_runs && has_earlier_runs(job)))
 		return;
 	job->awaits_earlier_runs = 0;
 	/* An earlier scheduler's runs of its tasks may not be known yet. */
@@ -456,6 +457,8 @@
 		job->last_attempt = sched_task_on_last_attempt(task);
 		job->isolate = sched_loss_isolates(task);
 		t = s->place->place(s, job, &job->steps[task->step]);
+		if (t && !sched_domain_is_told(job, t))
+			return;
 		if (t) {
 			sched_run_start(task, t);
 			continue;
--- a/sched-int.h
+++ b/sched-int.h
@@ -8,6 +8,17 @@
 
 #include "scheduler.h"
 
+/*
+ * Time after which a call that had no reply is taken for lost. The platform
+ * carries calls out seconds late, and gives no bound.
+ */
+#define LATE_CALL_MAX_MS 15000
+/*
+ * Time without an entry in the list after which a target is gone. Entries that
+ * expire in an outage of the store are back two seconds after its end.
+ */
+#define GONE_MS 3000
+
 /* sched-job.c */
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now);
@@ -206,9 +217,31 @@
  * is back. Returns whether this answered it.
  */
 int sched_adopt_returned(struct sched_job *job, const PoolSubmit *sub);
+/*
+ * Whether the list of an unlisted target is still awaited, as runs of earlier
+ * schedulers may go on there.
+ */
+int sched_adopt_is_awaited(const struct sched_target *t);
 /* Whether every run of the job by an earlier scheduler is known or over. */
 int sched_adopt_all_known(const struct sched_job *job);
 
+/* sched-domain.c */
+/* Keeps the domains in which earlier schedulers may have started tasks. */
+void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
+void sched_domains_free(struct sched_job *job);
+/*
+ * Whether tasks of the job may be started on the target. If not, its owner is
+ * told of the failure domain, and they may be once it has acknowledged that.
+ */
+int sched_domain_is_told(struct sched_job *job, const struct sched_target *t);
+/* The owner knows of all domains in messages up to the mark. */
+void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark);
+/*
+ * Whether there is a target on which an earlier scheduler may have started a
+ * task of the job, and which this one has not reached.
+ */
+int sched_domains_unreached(const struct sched_job *job);
+
 /* sched-told.c */
 /*
  * Delays the end's acknowledgement until the owner acknowledges the mark, or
