A later provisional leader is above the one that it lost

Callers of a failure domain that was cut off from its provisional leader got no service until the store was back. The lower half of a provisional token was the version of the VM's own row. If all VMs that were left had lower versions than the leader they had lost, none of them could have a token above its token, which their targets had seen, and none led. VMs register one domain after the other, so that this holds for whole domains. Nor did a VM lead twice in a term.

The lower half is now a count in 8 bits, and 24 bits of the version below it. A VM takes the least of its tokens that is above the one it knows. Other VMs have other bits, so two sides of a cut that count up have different tokens, and the higher one is followed when they meet. Rows with versions a multiple of 2^24 apart would have the same token. A VM that knows of another one like this does not lead provisionally, nor does one that has not read its own row yet: rows are read in the order of their versions, so the VM with the newer row knows.

At the end of the count no VM below leads until the store names a leader; a carry into the term would be another leader's token.

During a rolling update, an older release takes the lower half for a version: it does not lead if the count is above its own, as before. Its own token, of 32 bits of its version, has the same 24 bits as in the new form.

--- a/lead-probe.c
+++ b/lead-probe.c
@@ -45,16 +45,26 @@
 	l->retry_at = now + LEAD_BACKOFF_MS;
 }
 
+/*
+ * The least token of this VM that is above that of the leader known last, which
+ * targets have seen. With the count at its end, it is one of the next term.
+ */
 static uint64_t provisional_token(const struct lead *l)
 {
-	return LEAD_TOKEN(LEAD_TERM(l->row.fence)) | l->own_row_version;
+	uint64_t version = LEAD_SHORT_VERSION(l->own_row_version);
+	uint64_t token = l->row.fence - LEAD_SHORT_VERSION(l->row.fence);
+
+	token += version;
+	if (token <= l->row.fence)
+		token += 1u << LEAD_COUNT_SHIFT;
+	return token;
 }
 
-/* Targets have seen the token of the leader that is known last. */
 static int may_lead_provisionally(const struct lead *l)
 {
-	return l->own_row_version && !l->targets_unknown &&
-	       provisional_token(l) > l->row.fence;
+	return l->own_row_version && !l->version_shared &&
+	       !l->targets_unknown &&
+	       LEAD_TERM(provisional_token(l)) == LEAD_TERM(l->row.fence);
 }
 
 static void lead_provisionally(struct lead *l, int all_domains, rp_ms now)
--- a/lead.h
+++ b/lead.h
@@ -32,8 +32,16 @@
  *
  * The upper half of a fencing token is the term: the number of leaders elected
  * through the store. The lower half is 0 for a regular leader and tells the
- * provisional leaders of a term apart. A provisional leader's token is thus
- * above the token of the leader that it lost and below the next leader's.
+ * provisional leaders of a term apart: its lower 24 bits are those of the
+ * version of the VM's own row, and its upper 8 bits count, so that a later one
+ * is above the one that it lost, whichever row is newer. A provisional leader's
+ * token is thus above the token of the leader that it lost and below the next
+ * leader's. Once the count is at its end, none leads until the store is back.
+ *
+ * Rows whose versions are a multiple of 2^24 apart have the same bits. A VM
+ * that knows of another one like this does not lead provisionally, nor does one
+ * that has not read its own row: until then there may be older rows that it has
+ * not read. So of two such VMs one at least knows.
  */
 
 #include "rosemary.h"
@@ -86,6 +94,10 @@
 #define LEAD_TOKEN(term) ((uint64_t)(term) << 32)
 #define LEAD_TERM(token) ((token) >> 32)
 #define LEAD_IS_PROVISIONAL(token) ((uint32_t)(token) != 0)
+/* A provisional token has the count of its term above the version of a row. */
+#define LEAD_COUNT_SHIFT 24
+#define LEAD_SHORT_VERSION(version)                                            \
+	((uint32_t)(version) & ((1u << LEAD_COUNT_SHIFT) - 1))
 
 enum lead_role {
 	LEAD_UNKNOWN, /* the store has not been read yet */
@@ -203,9 +215,11 @@
 	int claims_disabled;	/* the process is stopping: makes no claim */
 	/*
 	 * Version of this VM's own row in the store, which no other VM's row
-	 * has; 0: unknown. It is the lower half of a provisional token.
+	 * has; 0: unknown.
 	 */
 	uint32_t own_row_version;
+	/* Another VM's row may have the same LEAD_SHORT_VERSION(). */
+	int version_shared;
 	int targets_unknown; /* as a provisional leader it would have none */
 	int store_lost;	     /* the store has not answered for a while */
 	int store_failing;   /* all of the latest calls to it have failed */
--- a/pool-store.c
+++ b/pool-store.c
@@ -90,7 +90,7 @@
 	}
 	vm = pool_hello__unpack(NULL, row->len, (uint8_t *)row->value);
 	if (vm && vm_is_valid(name, vm))
-		pool_vm_update(p, vm);
+		pool_vm_update(p, vm, row->version);
 	else if (pool_row_fault_is_new(p, row->key))
 		log_warn("vm", "store", "malformed row %s", row->key);
 	pool_hello__free_unpacked(vm, NULL);
--- a/pool-vm.c
+++ b/pool-vm.c
@@ -64,7 +64,22 @@
 		p, p->set.vm_name, p->set.failure_domain, pool_processor(p));
 }
 
-void pool_vm_update(struct pool *p, const PoolHello *hello)
+int pool_vm_may_share_version(const struct pool *p)
+{
+	uint32_t own = p->lead.own_row_version;
+	const struct pool_vm *vm;
+	int read = 0;
+
+	for (vm = p->vms; vm; vm = vm->next)
+		if (pool_is_self(p, vm->vm))
+			read = (uint32_t)vm->version == own;
+		else if (vm->version && LEAD_SHORT_VERSION(vm->version) ==
+						LEAD_SHORT_VERSION(own))
+			return 1;
+	return !read;
+}
+
+void pool_vm_update(struct pool *p, const PoolHello *hello, int64_t version)
 {
 	struct pool_vm *vm;
 
@@ -79,6 +94,7 @@
 	str_copy(vm->failure_domain, sizeof(vm->failure_domain),
 		 str_of(hello->failure_domain));
 	vm->processor = hello->processor;
+	vm->version = version;
 	vm->learned = 0;
 	vm->left_at = 0;
 	count_vms(p);
@@ -123,7 +139,7 @@
 	    pool_is_self(p, hello->vm) || pool_find_vm(p, hello->vm))
 		return;
 	p->nlearned_vms++;
-	pool_vm_update(p, hello);
+	pool_vm_update(p, hello, 0);
 	pool_find_vm(p, hello->vm)->learned = 1;
 }
 
--- a/pool.h
+++ b/pool.h
@@ -112,6 +112,7 @@
 	char address[RP_ADDRESS_MAX];
 	char failure_domain[RP_NAME_MAX];
 	int64_t processor; /* thousandths of a core of nominal speed */
+	int64_t version;   /* of its row; 0: not known */
 	/* To the latest probe: it answered; nothing listens at its address. */
 	int answered, refused;
 	/* Its domain is led by this VM, which leads provisionally. */
@@ -134,8 +135,17 @@
 void pool_members_tick(struct pool *p, rp_ms now);
 /* This process was suspended for ms. */
 void pool_handle_pause(struct pool *p, rp_ms ms);
-/* Adds, changes or removes an entry VM, as its row in the store says. */
-void pool_vm_update(struct pool *p, const PoolHello *hello);
+/*
+ * Adds or changes an entry VM, as its row in the store says. version: of the
+ * row; 0: it was not read.
+ */
+void pool_vm_update(struct pool *p, const PoolHello *hello, int64_t version);
+/*
+ * Whether another VM's row may have the same LEAD_SHORT_VERSION() as this VM's.
+ * Rows are read in the order of their versions, so this VM knows all older rows
+ * once it has read its own.
+ */
+int pool_vm_may_share_version(const struct pool *p);
 /* The VM's row was removed. It is known for a while, as it may be alive. */
 void pool_vm_left(struct pool *p, const char *vm);
 /* All rows were read: forgets the VMs that have none. */
--- a/regress/lead-provisional.c
+++ b/regress/lead-provisional.c
@@ -15,3 +15,79 @@
 	cr_assert(lead_is_provisional(&l));
 	cr_assert_gt(l.row.fence, LEAD_TOKEN(1) | 150);
 }
+
+/*
+ * Each of several VMs loses the same leader, as after a cut with several sides,
+ * and each loses the leader after it, in any order. Guards against two VMs that
+ * lead with the same token, and against a token that is not above the one lost.
+ */
+Test(lead_provisional, no_two_have_the_same_token)
+{
+	static const uint32_t versions[] = { 1,
+					     7,
+					     100,
+					     150,
+					     (1 << 24) - 1,
+					     1 << 24,
+					     1 << 25 | 9,
+					     7u << 24 | 8,
+					     255u << 24 | 11 };
+	enum { N = sizeof(versions) / sizeof(versions[0]), ROUNDS = 60 };
+	static uint64_t tokens[N * ROUNDS];
+	uint64_t fence = LEAD_TOKEN(1);
+	size_t n = 0, i, j, round;
+
+	for (round = 0; round < ROUNDS; round++) {
+		size_t first = n;
+
+		for (i = 0; i < N; i++) {
+			own_version = versions[i];
+			lose_leader(fence);
+			cr_assert(lead_is_provisional(&l));
+			cr_assert_gt(l.row.fence, fence);
+			cr_assert_eq(LEAD_TERM(l.row.fence), 1);
+			for (j = first; j < n; j++)
+				cr_assert_neq(tokens[j], l.row.fence);
+			tokens[n++] = l.row.fence;
+		}
+		/* One of them is lost to all sides; its own token is unused. */
+		fence = tokens[first + round * 5 % N];
+	}
+	/* A token of a later round is another VM's only if it has its bits. */
+	for (i = 0; i < n; i++)
+		cr_assert_eq(LEAD_SHORT_VERSION(tokens[i]),
+			     LEAD_SHORT_VERSION(versions[i % N]));
+}
+
+/* Rows whose versions have the same lower bits: no token tells them apart. */
+Test(lead_provisional, a_shared_version_does_not_lead)
+{
+	version_shared = 1;
+	lose_leader(LEAD_TOKEN(1));
+	cr_assert_eq(l.role, LEAD_FOLLOWING);
+}
+
+/*
+ * The count is at its end. Guards against a token of the next term, which the
+ * store gives to another VM.
+ */
+Test(lead_provisional, the_count_does_not_run_over)
+{
+	const uint64_t last = LEAD_TOKEN(1) | 255u << LEAD_COUNT_SHIFT;
+
+	lose_leader(last | 150);
+	cr_assert_eq(l.role, LEAD_FOLLOWING);
+	cr_assert_eq(l.row.fence, last | 150);
+	lose_leader(last | 50);
+	cr_assert_eq(l.row.fence, last | 100);
+	lose_leader(LEAD_TOKEN(UINT32_MAX) | UINT32_MAX);
+	cr_assert_eq(l.role, LEAD_FOLLOWING);
+}
+
+/* The same VM led, was paused and follows nobody; its members left it. */
+Test(lead_provisional, a_vm_leads_again_with_a_higher_token)
+{
+	lose_leader(LEAD_TOKEN(1) | 100);
+	cr_assert(lead_is_provisional(&l));
+	cr_assert_eq(l.row.fence, LEAD_TOKEN(1) | 1u << LEAD_COUNT_SHIFT | 100);
+}
