job_ended shows the work of a job, its moves and its lost runs

job_ended has now the CPU of a task, the run time of the longest task as far as progress or ends of its runs have shown it (sched-shown.c), and the numbers of moves and of runs lost with targets. A target that is slow makes one task look long; the shortest task of the step bounds it. A run that was adopted shows nothing, as its beginning is not known.

Nothing is decided by any of it.

--- a/pool-setting.c
+++ b/pool-setting.c
@@ -84,6 +84,8 @@
 	  "runs on targets that leave: move, none" },
 	{ "log-level", LEVEL, 0, "info", OFFSET(log_level),
 	  "least level of log lines: error, warn, info, debug" },
+	{ "log-estimate", MS, 0, "1", OFFSET(log_estimate),
+	  "estimate from which jobs that are completed are logged, ms" },
 };
 
 /* Plug-ins that a setting may name, by its kind minus ORDER. */
--- a/pool-target.c
+++ b/pool-target.c
@@ -3,7 +3,6 @@
 #include "pool.h"
 #include "platform/platform.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -214,34 +213,8 @@
 	struct pool *p = pool_of(s);
 	struct pool_member *m = job->stored ? NULL : job->owner;
 	PoolAnswer sent = *answer;
-	rp_ms waited =
-		(job->first_started_at ? job->first_started_at : s->now) -
-		job->arrived_at;
-
-	LOG_EVENT(
-		LOG_LEVEL_INFO, "job_ended", LOG_TEXT("id", job->id),
-		LOG_TEXT("queue", job->queue->name),
-		LOG_TEXT("outcome", pool_outcome_name(answer->outcome)),
-		LOG_TEXT("why", answer->reason),
-		LOG_TEXT("member", m ? m->vm : ""),
-		LOG_NUMBER("tasks", (long long)job->ntasks),
-		LOG_NUMBER("done", (long long)job->ndone),
-		LOG_NUMBER("running", (long long)job->nplaced),
-		LOG_NUMBER("waiting", (long long)job->nwaiting),
-		LOG_NUMBER("started_late", job->missed_start),
-		LOG_NUMBER("estimate_ms", (long long)exp(job->log_estimate)),
-		LOG_NUMBER("work_ms", (long long)job->steps[0].work),
-		LOG_NUMBER("waited_ms", waited),
-		LOG_NUMBER("age_ms", s->now - job->arrived_at),
-		LOG_NUMBER("earlier_ms", job->received_at - job->arrived_at),
-		LOG_NUMBER("objective_ms", job->due_at - job->arrived_at),
-		LOG_NUMBER("left_ms", job->deadline - s->now),
-		LOG_NUMBER("retries", job->retries),
-		LOG_TEXT("last_target", job->last_target),
-		LOG_NUMBER("last_sent_ms_ago",
-			   job->last_sent_at ? s->now - job->last_sent_at : 0),
-		LOG_NUMBER("last_predicted_ms", (long long)job->last_predicted),
-		LOG_NUMBER("queued_jobs", (long long)s->njobs));
+
+	pool_log_job(s, job, answer);
 	if (job->stored && job->owner)
 		return pool_stored_answer(p, job, answer->outcome);
 	if (!m)
@@ -286,31 +259,6 @@
 	pool_assignment_free(pool_of(s), t);
 }
 
-static void do_log(struct sched *s, const char *event,
-		   const struct sched_target *t, const struct sched_task *task,
-		   const char *reason)
-{
-	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", t->listing.id),
-		  LOG_TEXT("task", task ? task->name : ""),
-		  LOG_NUMBER("run", task ? task->run : 0),
-		  LOG_NUMBER("sent_ms_ago", task ? s->now - task->sent_at : 0),
-		  LOG_NUMBER("predicted_ms",
-			     task ? (long long)task->predicted : 0),
-		  LOG_NUMBER("percent", task ? task->percent : 0),
-		  LOG_NUMBER("progress_ms_ago",
-			     task ? s->now - task->progress_at : 0),
-		  LOG_NUMBER("slowdown_percent",
-			     (long long)(100 * t->slowdown)),
-		  LOG_TEXT("why", reason),
-		  LOG_NUMBER("replied_ms_ago", s->now - t->replied_at),
-		  LOG_NUMBER("born", t->incarnation),
-		  LOG_NUMBER("listed_born", t->listing.incarnation),
-		  LOG_NUMBER("cpu", t->listing.capacity.cpu),
-		  LOG_NUMBER("used_cpu", t->used.cpu),
-		  LOG_NUMBER("foreign", (long long)t->nforeign),
-		  LOG_NUMBER("runs", (long long)t->nruns));
-}
-
 static uint64_t do_losses(struct sched *s, struct sched_job *job)
 {
 	PoolProgress progress = POOL_PROGRESS__INIT;
@@ -328,24 +276,6 @@
 	return mark;
 }
 
-static void do_log_loss(struct sched *s, const char *event,
-			const struct sched_task *task,
-			const struct sched_loss *loss, const char *reason)
-{
-	LOG_EVENT(LOG_LEVEL_INFO, event, LOG_TEXT("target", loss->target),
-		  LOG_TEXT("task", task->name), LOG_NUMBER("run", task->run),
-		  LOG_TEXT("why", reason),
-		  LOG_NUMBER("born", loss->incarnation),
-		  LOG_NUMBER("lost_ms_ago", s->now - loss->at),
-		  LOG_NUMBER("alone", loss->alone),
-		  LOG_NUMBER("newest", loss->newest),
-		  LOG_NUMBER("seen", loss->seen),
-		  LOG_NUMBER("common", loss->common),
-		  LOG_NUMBER("task_lost", (long long)task->losses->n),
-		  LOG_NUMBER("task_crashed",
-			     (long long)sched_losses_crashed(task->losses)));
-}
-
 static const struct sched_ops sched_ops = {
 	.start = do_start,
 	.stop = do_stop,
@@ -354,9 +284,9 @@
 	.fenced = do_fenced,
 	.target_removed = do_target_removed,
 	.progress = do_progress,
-	.log = do_log,
+	.log = pool_log_run,
 	.losses = do_losses,
-	.log_loss = do_log_loss,
+	.log_loss = pool_log_loss,
 };
 
 /* --- a partitioned failure domain ------------------------------------- */
--- a/pool.h
+++ b/pool.h
@@ -50,7 +50,8 @@
 	char hopeless[RP_NAME_MAX];
 	char leave[RP_NAME_MAX];
 	enum log_level log_level;
-	int check_only; /* validate the settings and exit */
+	rp_ms log_estimate; /* least of completed jobs that are logged */
+	int check_only;	    /* validate the settings and exit */
 };
 
 /* Reads ROSEMARY_POOL_* and flags. Returns 0, or the exit status to use. */
@@ -277,6 +278,17 @@
 /* Passes what is known to a scheduler that has just begun. */
 void pool_evacuations_begin(struct pool *p);
 
+/* --- pool-log.c: log lines of the scheduler, of struct sched_ops ------ */
+
+void pool_log_job(struct sched *s, const struct sched_job *job,
+		  const PoolAnswer *answer);
+void pool_log_run(struct sched *s, const char *event,
+		  const struct sched_target *t, const struct sched_task *task,
+		  const char *reason);
+void pool_log_loss(struct sched *s, const char *event,
+		   const struct sched_task *task, const struct sched_loss *loss,
+		   const char *reason);
+
 /* --- pool-target.c: the scheduler and its calls ---------------------- */
 
 /* Starts the scheduler with the fencing token of this leader. */
--- a/sched-int.h
+++ b/sched-int.h
@@ -28,6 +28,11 @@
 void sched_job_reorder(struct sched_job *job);
 /* Whether all steps that the step depends on are done. */
 int sched_step_ready(const struct sched_job *job, size_t step);
+typedef double sched_step_length(const struct sched_job *job,
+				 const struct sched_step *step);
+/* Length of the longest chain of steps, with the given length of each step. */
+double sched_job_longest_path(const struct sched_job *job,
+			      sched_step_length *length);
 /* Predicted time at speed 1 of the longest chain of unfinished steps, ms. */
 double sched_job_critical_path(const struct sched_job *job);
 
@@ -167,6 +172,10 @@
 struct sched_queue *sched_get_queue(struct sched *s, const char *name,
 				    double estimate);
 
+/* sched-shown.c */
+/* A run of the task has made the progress in run_ms on its target. */
+void sched_shown_add(struct sched_task *task, double run_ms, int percent);
+
 /* sched-adopt.c */
 /* Keeps what a target's first list shows, for jobs that are resubmitted. */
 void sched_adopt_list(struct sched_target *t,
--- a/sched-job.c
+++ b/sched-job.c
@@ -58,10 +58,8 @@
 	return 1;
 }
 
-/* Length of the longest chain of steps, with the given length of each step. */
-static double longest_path(const struct sched_job *job,
-			   double (*length)(const struct sched_job *job,
-					    const struct sched_step *step))
+double sched_job_longest_path(const struct sched_job *job,
+			      sched_step_length *length)
 {
 	double ends[SCHED_STEPS_MAX], longest = 0;
 	size_t i, j;
@@ -92,13 +90,14 @@
 
 double sched_job_critical_path(const struct sched_job *job)
 {
-	return longest_path(job, step_work_left);
+	return sched_job_longest_path(job, step_work_left);
 }
 
 void sched_job_reorder(struct sched_job *job)
 {
-	double objective = job->stretch * longest_path(job, step_work) +
-			   (double)job->objective_offset;
+	double objective =
+		job->stretch * sched_job_longest_path(job, step_work) +
+		(double)job->objective_offset;
 	double path;
 	rp_ms useless_at = job->arrived_at + (rp_ms)(LATE_FACTOR * objective);
 
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -227,6 +227,7 @@
 		FAILURE_GAIN * ((failed ? 1.0 : 0.0) - t->failure_rate);
 	if (failed || run_ms < 1)
 		return;
+	sched_shown_add(task, run_ms, 100);
 	if (!task->observed)
 		observe(task, run_ms, delay_var(t->s, run_ms));
 	if (task->job->ndone + 1 == task->job->ntasks)
@@ -250,6 +251,7 @@
 
 	task->percent = percent;
 	task->progress_at = t->s->now;
+	sched_shown_add(task, run_ms, percent);
 	if (task->observed || run_ms < PROGRESS_MIN_MS || percent >= 100)
 		return;
 	if (percent < PROGRESS_MIN_PERCENT &&
--- a/sched-move.c
+++ b/sched-move.c
@@ -77,6 +77,7 @@
 	if (!should_move(task, end))
 		return;
 	task->moves++;
+	task->job->runs_moved++;
 	s->count.moves++;
 	s->ops->log(s, "move", task->target, task,
 		    "the run would end late here and earlier elsewhere");
--- a/sched-run.c
+++ b/sched-run.c
@@ -100,7 +100,7 @@
 	task->sent_at = s->now;
 	task->replied_at = 0;
 	task->observed = task->percent = 0;
-	task->restarted = task->seen = task->overdue = 0;
+	task->restarted = task->seen = task->overdue = task->adopted = 0;
 	task->progress_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
@@ -123,7 +123,7 @@
 	/* Its start time is unknown, so nothing can be learned from it. */
 	task->observed = 1;
 	task->restarted = task->overdue = 0;
-	task->seen = 1;
+	task->seen = task->adopted = 1;
 	task->predicted = sched_run_time(t, &task->job->steps[task->step]);
 	link_run(task, t);
 	/* The previous leader's lease ends no later than one granted now. */
@@ -284,6 +284,7 @@
 		     int crashed, const char *reason)
 {
 	t->s->count.lapses++;
+	task->job->runs_lost++;
 	t->s->ops->log(t->s, "lapse", t, task, reason);
 	if (!task->overdue || crashed)
 		sched_loss_of_run(task, crashed);
--- a/scheduler.h
+++ b/scheduler.h
@@ -110,6 +110,13 @@
 	uint8_t isolated;  /* boolean; no other task starts beside it */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
+	uint8_t adopted;   /* boolean; when it began is not known */
+	/*
+	 * Least work that a run of the task has shown, ms at speed 1, by its
+	 * progress in percent, 100 at its end; 0: none yet.
+	 */
+	double shown_work;
+	int shown_percent;
 };
 
 struct sched_step {
@@ -271,6 +278,8 @@
 	rp_ms last_sent_at;
 	double last_predicted; /* run time, ms */
 	uint32_t retries;      /* runs that were requeued */
+	uint32_t runs_lost;    /* of them, with a lease or an incarnation */
+	uint32_t runs_moved;   /* stopped to run elsewhere */
 	/* Of the task that is being placed. */
 	const struct sched_target *avoid;
 	int last_attempt; /* another failure fails the job */
@@ -681,6 +690,12 @@
 /* Factor on the run time of tasks away from their rack; 2 if not called. */
 void sched_set_remote_factor(struct sched *s, double factor);
 
+/*
+ * Least time at speed 1 of the longest chain of steps that runs of the job have
+ * shown, ms. 0: none.
+ */
+double sched_job_shown_work(const struct sched_job *job);
+
 /* --- events --------------------------------------------------------- */
 
 /*
