Metrics tell jobs that are too long for their deadline from those lost

What operators saw: jobs_completed far below jobs_answered in the rows of the largest sizes, and no figure for whether more targets would help or only a longer deadline.

Jobs that are not completed are now counted by queue and size as jobs_too_long, if their longest task takes longer than the caller waits by what its runs have shown, and as jobs_lost otherwise. The time is taken on a target of speed 1, or as fast as the one that ran it; nothing is counted as too long that was not started, as nothing is known of it.

Tests: sched-shown and pool-count. Without the counting sched-shown prints "too long is 0, not 1"; if each job that is not completed is counted, "too long is 1, not 0" for a job lost with its targets and for one that was not started; without the bound by the step's shortest task, the same for a job on a slow target. pool-count prints "no line: jobs_lost{queue="rounds",times_mean_size="+Inf"} 4" if those too long are not taken off.

--- a/pool-count.c
+++ b/pool-count.c
@@ -232,7 +232,23 @@
 	put_count(t, "targets_over_capacity_total", c->over_capacity);
 }
 
-/* Answered and completed jobs of each queue, by size. */
+/* Jobs of one size: all, and those not completed by whether they could be. */
+static void put_size(struct text *t, const struct sched_queue *q, size_t i,
+		     const char *label)
+{
+	uint64_t lost = q->answered[i] - q->completed[i] - q->too_long[i];
+
+	put(t, "rosemary_pool_jobs_answered%s %llu\n", label,
+	    (unsigned long long)q->answered[i]);
+	put(t, "rosemary_pool_jobs_completed%s %llu\n", label,
+	    (unsigned long long)q->completed[i]);
+	put(t, "rosemary_pool_jobs_too_long%s %llu\n", label,
+	    (unsigned long long)q->too_long[i]);
+	put(t, "rosemary_pool_jobs_lost%s %llu\n", label,
+	    (unsigned long long)lost);
+}
+
+/* Jobs of each queue, by size. */
 static void put_sizes(struct text *t, struct sched *s)
 {
 	apr_hash_index_t *h;
@@ -254,10 +270,7 @@
 			snprintf(label, sizeof(label),
 				 "{queue=\"%s\",times_mean_size=\"%s\"}",
 				 q->name, bound);
-			put(t, "rosemary_pool_jobs_answered%s %llu\n", label,
-			    (unsigned long long)q->answered[i]);
-			put(t, "rosemary_pool_jobs_completed%s %llu\n", label,
-			    (unsigned long long)q->completed[i]);
+			put_size(t, q, i, label);
 		}
 	}
 }
--- a/sched-int.h
+++ b/sched-int.h
@@ -175,6 +175,12 @@
 /* sched-shown.c */
 /* A run of the task has made the progress in run_ms on its target. */
 void sched_shown_add(struct sched_task *task, double run_ms, int percent);
+/*
+ * Whether the job could not have ended before its deadline if it had been
+ * started at once, on a target of speed 1 or as fast as those that ran it. 0 if
+ * its runs have not shown that.
+ */
+int sched_job_is_too_long(const struct sched_job *job);
 
 /* sched-adopt.c */
 /* Keeps what a target's first list shows, for jobs that are resubmitted. */
--- a/sched-job.c
+++ b/sched-job.c
@@ -377,6 +377,9 @@
 	sched_share_answered(job->queue,
 			     outcome == POOL_ANSWER__OUTCOME__COMPLETED);
 	job->queue->answered[job->size_bucket]++;
+	if (outcome != POOL_ANSWER__OUTCOME__COMPLETED &&
+	    sched_job_is_too_long(job))
+		job->queue->too_long[job->size_bucket]++;
 	switch (outcome) {
 	case POOL_ANSWER__OUTCOME__COMPLETED:
 		s->count.completed++;
--- a/sched-shown.c
+++ b/sched-shown.c
@@ -53,3 +53,11 @@
 {
 	return sched_job_longest_path(job, shown_step);
 }
+
+int sched_job_is_too_long(const struct sched_job *job)
+{
+	double work = sched_job_shown_work(job);
+
+	return work > 0 && work > (double)(job->deadline - job->arrived_at) -
+					   sched_overhead(job->s);
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -164,6 +164,8 @@
 	double mean_size; /* of its jobs, thousandths of a core x ms */
 	/* Jobs answered, and those of them that completed, by size. */
 	uint64_t answered[SCHED_SIZE_BUCKETS], completed[SCHED_SIZE_BUCKETS];
+	/* Those that could not have ended in time, as their runs have shown. */
+	uint64_t too_long[SCHED_SIZE_BUCKETS];
 };
 
 /*
