--- a/pool-log.c
+++ b/pool-log.c
@@ -1,9 +1,52 @@
-/* Log lines of the scheduler about runs and targets. */
+/* Log lines of the scheduler's decisions on jobs and runs. */
 
 #include "pool.h"
 
 #include <math.h>
 
+void pool_log_job(struct sched *s, const struct sched_job *job,
+		  const PoolAnswer *answer)
+{
+	const struct pool_member *m = job->stored ? NULL : job->owner;
+	const struct pool *pool = s->user;
+	double estimate = exp(job->log_estimate);
+	rp_ms waited =
+		(job->first_started_at ? job->first_started_at : s->now) -
+		job->arrived_at;
+
+	if (answer->outcome == POOL_ANSWER__OUTCOME__COMPLETED &&
+	    estimate < (double)pool->set.log_estimate)
+		return;
+	LOG_EVENT(
+		LOG_LEVEL_INFO, "job_ended", LOG_TEXT("id", job->id),
+		LOG_TEXT("queue", job->queue->name),
+		LOG_TEXT("outcome", pool_outcome_name(answer->outcome)),
+		LOG_TEXT("why", answer->reason),
+		LOG_TEXT("member", m ? m->vm : ""),
+		LOG_NUMBER("tasks", (long long)job->ntasks),
+		LOG_NUMBER("done", (long long)job->ndone),
+		LOG_NUMBER("running", (long long)job->nplaced),
+		LOG_NUMBER("waiting", (long long)job->nwaiting),
+		LOG_NUMBER("started_late", job->missed_start),
+		LOG_NUMBER("estimate_ms", (long long)estimate),
+		LOG_NUMBER("work_ms", (long long)job->steps[0].work),
+		LOG_NUMBER("waited_ms", waited),
+		LOG_NUMBER("age_ms", s->now - job->arrived_at),
+		LOG_NUMBER("earlier_ms", job->received_at - job->arrived_at),
+		LOG_NUMBER("objective_ms", job->due_at - job->arrived_at),
+		LOG_NUMBER("left_ms", job->deadline - s->now),
+		LOG_NUMBER("cpu", job->steps[0].need.cpu),
+		LOG_NUMBER("shown_ms", (long long)sched_job_shown_work(job)),
+		LOG_NUMBER("moves", job->runs_moved),
+		LOG_NUMBER("lost_runs", job->runs_lost),
+		LOG_NUMBER("retries", job->retries),
+		LOG_TEXT("last_target", job->last_target),
+		LOG_NUMBER("last_sent_ms_ago",
+			   job->last_sent_at ? s->now - job->last_sent_at : 0),
+		LOG_NUMBER("last_predicted_ms", (long long)job->last_predicted),
+		LOG_NUMBER("queued_jobs", (long long)s->njobs));
+}
+
 void pool_log_run(struct sched *s, const char *event,
 		  const struct sched_target *t, const struct sched_task *task,
 		  const char *reason)
--- a/pool-target.c
+++ b/pool-target.c
@@ -3,7 +3,6 @@
 #include "pool.h"
 #include "platform/platform.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -214,34 +213,8 @@
 	struct pool *p = pool_of(s);
 	struct pool_member *m = job->stored ? NULL : job->owner;
 	PoolAnswer sent = *answer;
-	rp_ms waited =
-		(job->first_started_at ? job->first_started_at : s->now) -
-		job->arrived_at;
-
-	LOG_EVENT(
-		LOG_LEVEL_INFO, "job_ended", LOG_TEXT("id", job->id),
-		LOG_TEXT("queue", job->queue->name),
-		LOG_TEXT("outcome", pool_outcome_name(answer->outcome)),
-		LOG_TEXT("why", answer->reason),
-		LOG_TEXT("member", m ? m->vm : ""),
-		LOG_NUMBER("tasks", (long long)job->ntasks),
-		LOG_NUMBER("done", (long long)job->ndone),
-		LOG_NUMBER("running", (long long)job->nplaced),
-		LOG_NUMBER("waiting", (long long)job->nwaiting),
-		LOG_NUMBER("started_late", job->missed_start),
-		LOG_NUMBER("estimate_ms", (long long)exp(job->log_estimate)),
-		LOG_NUMBER("work_ms", (long long)job->steps[0].work),
-		LOG_NUMBER("waited_ms", waited),
-		LOG_NUMBER("age_ms", s->now - job->arrived_at),
-		LOG_NUMBER("earlier_ms", job->received_at - job->arrived_at),
-		LOG_NUMBER("objective_ms", job->due_at - job->arrived_at),
-		LOG_NUMBER("left_ms", job->deadline - s->now),
-		LOG_NUMBER("retries", job->retries),
-		LOG_TEXT("last_target", job->last_target),
-		LOG_NUMBER("last_sent_ms_ago",
-			   job->last_sent_at ? s->now - job->last_sent_at : 0),
-		LOG_NUMBER("last_predicted_ms", (long long)job->last_predicted),
-		LOG_NUMBER("queued_jobs", (long long)s->njobs));
+
+	pool_log_job(s, job, answer);
 	if (job->stored && job->owner)
 		return pool_stored_answer(p, job, answer->outcome);
 	if (!m)
--- a/sched-int.h
+++ b/sched-int.h
@@ -39,6 +39,9 @@
 void sched_job_reorder(struct sched_job *job);
 /* Whether all steps that the step depends on are done. */
 int sched_step_ready(const struct sched_job *job, size_t step);
+/* Length of the longest chain of steps, with the given length of each step. */
+double sched_job_longest_path(const struct sched_job *job,
+			      const double *lengths);
 /* Predicted time at speed 1 of the longest chain of unfinished steps, ms. */
 double sched_job_critical_path(const struct sched_job *job);
 
@@ -195,6 +198,16 @@
 struct sched_queue *sched_get_queue(struct sched *s, const char *name,
 				    double estimate);
 
+/* sched-shown.c */
+/* A run of the task has made the progress in run_ms on its target. */
+void sched_shown_add(struct sched_task *task, double run_ms, int percent);
+/*
+ * Whether the job could not have ended before its deadline if it had been
+ * started at once, on a target of speed 1 or as fast as those that ran it. 0 if
+ * its runs have not shown that.
+ */
+int sched_job_is_too_long(const struct sched_job *job);
+
 /* sched-adopt.c */
 /* Keeps what a target's first list shows, for jobs that are resubmitted. */
 void sched_adopt_list(struct sched_target *t,
--- a/sched-job.c
+++ b/sched-job.c
@@ -58,8 +58,8 @@
 	return 1;
 }
 
-/* Length of the longest chain of steps, with the given length of each step. */
-static double longest_path(const struct sched_job *job, const double *lengths)
+double sched_job_longest_path(const struct sched_job *job,
+			      const double *lengths)
 {
 	double ends[SCHED_STEPS_MAX], longest = 0;
 	size_t i, j;
@@ -85,7 +85,7 @@
 			job->steps[i].nleft
 				? job->steps[i].work + sched_overhead(job->s)
 				: 0;
-	return longest_path(job, lengths);
+	return sched_job_longest_path(job, lengths);
 }
 
 struct sched_times sched_job_times(const struct sched_job *job,
@@ -99,7 +99,7 @@
 		lengths[i] = job->steps[i].work;
 	if (task)
 		lengths[task->step] = fmax(lengths[task->step], work);
-	objective = job->stretch * longest_path(job, lengths) +
+	objective = job->stretch * sched_job_longest_path(job, lengths) +
 		    (double)job->objective_offset;
 	times.objective_at = job->arrived_at + (rp_ms)objective;
 	times.due_at = times.objective_at;
@@ -389,6 +389,9 @@
 	sched_share_answered(job->queue,
 			     outcome == POOL_ANSWER__OUTCOME__COMPLETED);
 	job->queue->answered[job->size_bucket]++;
+	if (outcome != POOL_ANSWER__OUTCOME__COMPLETED &&
+	    sched_job_is_too_long(job))
+		job->queue->too_long[job->size_bucket]++;
 	switch (outcome) {
 	case POOL_ANSWER__OUTCOME__COMPLETED:
 		s->count.completed++;
--- a/sched-move.c
+++ b/sched-move.c
@@ -58,6 +58,7 @@
 	if (!should_move(task, &m))
 		return;
 	task->moves++;
+	task->job->runs_moved++;
 	s->count.moves++;
 	s->ops->log_move(s, task, &m);
 	sched_learn_overrun(task, m.end - (double)task->sent_at -
--- a/sched-run.c
+++ b/sched-run.c
@@ -273,6 +273,7 @@
 		     int crashed, const char *reason)
 {
 	t->s->count.lapses++;
+	task->job->runs_lost++;
 	t->s->ops->log(t->s, "lapse", t, task, reason);
 	if (!task->overdue || crashed)
 		sched_loss_of_run(task, crashed);
