Idle targets of a silent failure domain get no tasks

What callers saw: while a failure domain is cut off from the leader, jobs are given up that could have ended in time.

Cause: a target counts as available until a call of its own has no reply, and one without runs is called every 10 s only. Each idle target of the domain cost a job, though others of the domain were known not to reply.

Change: a failure domain is silent if none of its targets has replied for 150 ms and two of them have left a later call unanswered. Its targets get no tasks; one idle target is called every 250 ms, so that the first reply ends it.

--- a/bench-sched.c
+++ b/bench-sched.c
@@ -82,6 +82,11 @@
 	(void)reason;
 }
 
+static void on_log_domain(const struct sched_target *t)
+{
+	(void)t;
+}
+
 static void on_log_move(struct sched *s, const struct sched_task *task,
 			const struct sched_move *m)
 {
@@ -97,6 +102,7 @@
 	.answer = on_answer,
 	.progress = on_progress,
 	.log = on_log,
+	.log_domain = on_log_domain,
 	.log_move = on_log_move,
 };
 
--- a/pool-log.c
+++ b/pool-log.c
@@ -90,6 +90,18 @@
 			     (long long)sched_losses_crashed(task->losses)));
 }
 
+void pool_log_domain(const struct sched_target *t)
+{
+	const struct sched_failure_domain *d = t->domain;
+
+	LOG_EVENT(LOG_LEVEL_WARN,
+		  d->silent ? "domain_silent" : "domain_replies",
+		  LOG_TEXT("failure_domain", t->listing.failure_domain),
+		  LOG_TEXT("target", t->listing.id),
+		  LOG_NUMBER("unanswered", (long long)d->nunanswered),
+		  LOG_NUMBER("replied_ms_ago", t->s->now - d->replied_at));
+}
+
 void pool_log_move(struct sched *s, const struct sched_task *task,
 		   const struct sched_move *m)
 {
--- a/pool-target.c
+++ b/pool-target.c
@@ -271,6 +271,7 @@
 	.losses = pool_losses_send,
 	.domains = pool_stored_domains,
 	.log_loss = pool_log_loss,
+	.log_domain = pool_log_domain,
 	.log_move = pool_log_move,
 };
 
--- a/pool.h
+++ b/pool.h
@@ -300,6 +300,7 @@
 void pool_log_loss(struct sched *s, const char *event,
 		   const struct sched_task *task, const struct sched_loss *loss,
 		   const char *reason);
+void pool_log_domain(const struct sched_target *t);
 void pool_log_move(struct sched *s, const struct sched_task *task,
 		   const struct sched_move *m);
 
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -488,6 +488,11 @@
 	(void)reason;
 }
 
+static void on_log_domain(const struct sched_target *t)
+{
+	(void)t;
+}
+
 static void on_log_move(struct sched *s, const struct sched_task *task,
 			const struct sched_move *m)
 {
@@ -510,6 +515,7 @@
 	.losses = on_losses,
 	.domains = on_domains,
 	.log_loss = on_log_loss,
+	.log_domain = on_log_domain,
 	.log_move = on_log_move,
 };
 
--- a/sched-core.c
+++ b/sched-core.c
@@ -74,6 +74,7 @@
 	s->targets_by_id = hash_new(s->pool);
 	s->history = hash_new(s->pool);
 	s->services = hash_new(s->pool);
+	s->domains = hash_new(s->pool);
 	s->evacuated = hash_new(s->pool);
 	s->rack_claims = hash_new(s->pool);
 	s->remote_factor = REMOTE_FACTOR;
@@ -306,6 +307,7 @@
 {
 	size_t i;
 
+	sched_silence_tick(s);
 	/* Backwards, as removing a target moves the last into its place. */
 	for (i = s->ntargets; i-- > 0;) {
 		struct sched_target *t = s->targets[i];
@@ -353,6 +355,7 @@
 	t->s = s;
 	t->listing = *l;
 	t->service = sched_get_service(s, l->service);
+	t->domain = sched_get_domain(s, l->failure_domain);
 	t->incarnation = l->incarnation;
 	t->incarnation_at = s->now;
 	t->replied_at = s->now;
@@ -384,6 +387,7 @@
 		   strcmp(t->listing.address, l->address) != 0;
 	t->listing = *l;
 	t->service = sched_get_service(s, l->service);
+	t->domain = sched_get_domain(s, l->failure_domain);
 	t->listed = 1;
 	t->draining = !l->ready;
 	t->leave_at = t->draining && l->stays ? now + l->stays : 0;
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -145,7 +145,7 @@
 	    reply->sent_at <= s->fence_raised_at) {
 		/* The call had the lower token; it had no effect. */
 		t->unanswered = 0;
-		t->replied_at = s->now;
+		sched_silence_replied(t);
 		return 0;
 	}
 	if (reply->status == SCHED_REPLY_FENCED) {
@@ -170,7 +170,7 @@
 		return 0;
 	}
 	t->unanswered = 0;
-	t->replied_at = s->now;
+	sched_silence_replied(t);
 	if (reply->status != SCHED_REPLY_OK && !reply->clock) {
 		/* An unhealthy target refuses without giving its clock. */
 		back_off(t);
@@ -400,7 +400,7 @@
 {
 	rp_ms now = t->s->now;
 
-	if (now - t->clock_at >= CLOCK_AGE_MAX_MS)
+	if (t->unanswered || now - t->clock_at >= CLOCK_AGE_MAX_MS)
 		return 1;
 	return t->ends_acked != sched_ackable_end(t) &&
 	       now - t->replied_at >= ACK_IDLE_MS;
@@ -437,7 +437,8 @@
 	} else if (t->nruns && !has_unclaimed_runs(t)) {
 		until = sched_new_lease(t);
 		wait = HOLD_WAIT_MS;
-	} else if (!t->nforeign && !is_idle_call_due(t)) {
+	} else if (!t->nforeign && !is_idle_call_due(t) &&
+		   !sched_silence_probe(t)) {
 		return;
 	}
 	t->hold_in_flight = 1;
--- a/sched-int.h
+++ b/sched-int.h
@@ -369,6 +369,19 @@
  */
 double sched_rerun_time(const struct sched_task *task,
 			const struct sched_target *t);
+/* sched-silence.c */
+/* Returns the failure domain of the name; creates it if needed. */
+struct sched_failure_domain *sched_get_domain(struct sched *s,
+					      const char *name);
+/* The target has replied to a call. */
+void sched_silence_replied(struct sched_target *t);
+/* Finds the failure domains that do not reply. */
+void sched_silence_tick(struct sched *s);
+/*
+ * Whether to call the idle target now, as its failure domain may reply again.
+ * If so, the next such call is due after an interval.
+ */
+int sched_silence_probe(struct sched_target *t);
 
 /* sched-outlier.c */
 enum sched_outlier {
--- a/sched-use.c
+++ b/sched-use.c
@@ -28,7 +28,7 @@
 		return SCHED_USE_LEAVING;
 	if (t->evacuated)
 		return SCHED_USE_EVACUATED;
-	if (t->unanswered || now < t->backoff_until)
+	if (t->unanswered || t->domain->silent || now < t->backoff_until)
 		return SCHED_USE_UNANSWERED;
 	if (t->state != SCHED_HELD)
 		return SCHED_USE_NOT_HELD;
--- a/scheduler.h
+++ b/scheduler.h
@@ -371,10 +371,19 @@
 	rp_ms kept_until; /* its end is not acknowledged before; 0: not set */
 };
 
+/* What is known of the targets of a failure domain together. */
+struct sched_failure_domain {
+	rp_ms replied_at;   /* last reply of any of them */
+	size_t nunanswered; /* that have left a later call unanswered */
+	int silent;	    /* taken for unreachable */
+	rp_ms probe_at;	    /* while silent: next call to an idle one */
+};
+
 struct sched_target {
 	struct sched *s;
 	void *user; /* for the embedding code */
 	struct sched_service *service;
+	struct sched_failure_domain *domain;
 	struct sched_listing listing;
 	enum sched_target_state state;
 	size_t index;	   /* in s->targets */
@@ -535,6 +544,8 @@
 	void (*log_loss)(struct sched *s, const char *event,
 			 const struct sched_task *task,
 			 const struct sched_loss *loss, const char *reason);
+	/* Logs that the target's failure domain is silent, or no more. */
+	void (*log_domain)(const struct sched_target *t);
 	/* Logs that a run is stopped, to be started on another target. */
 	void (*log_move)(struct sched *s, const struct sched_task *task,
 			 const struct sched_move *m);
@@ -658,6 +669,7 @@
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
 	apr_hash_t *services;	   /* name -> struct sched_service */
+	apr_hash_t *domains;	   /* name -> struct sched_failure_domain */
 	apr_hash_t *rack_claims;   /* rack -> struct sched_rack_claims */
 	double remote_factor;	   /* on run times away from the rack */
 	apr_hash_t *evacuated;	   /* names of evacuated failure domains */
