A job submitted again elsewhere may have been started by an earlier leader

Callers could see two runs of a task at the same time after a change of leader, also of best-effort jobs. A caller that got no answer submits a job again at any entry VM, which has not sent it to a leader before and names none. The new leader then started its tasks at once, in two cases although an earlier leader's run went on: the job had been submitted by its first owner, and waited for a target that was not reached; or a target's list had shown the run, which no job had claimed yet.

The first submission's earlier leader now holds for the second as well, and a running orphan of the job's id shows that there was one. The job claims the run, or waits as other jobs that were submitted again.

Not covered: a submission that comes after the first one was cancelled here while it waited, and one in the moment in which an orphan is being stopped.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -226,6 +226,34 @@
 	return 0;
 }
 
+/* Whether a target runs a task of the job that another scheduler started. */
+static int has_running_orphan(const struct sched_job *job)
+{
+	const struct sched *s = job->s;
+	size_t i, j;
+
+	for (i = 0; i < s->ntargets; i++) {
+		const struct sched_target *t = s->targets[i];
+
+		for (j = 0; j < t->norphans; j++)
+			if (!t->orphans[j].number &&
+			    str_eq(job_id_of(str_of(t->orphans[j].name)),
+				   str_of(job->id)))
+				return 1;
+	}
+	return 0;
+}
+
+void sched_adopt_former(struct sched_job *job, const struct sched_job *earlier)
+{
+	if (job->prev_fence)
+		return;
+	if (earlier && earlier->prev_fence)
+		job->prev_fence = earlier->prev_fence;
+	else if (has_running_orphan(job))
+		job->prev_fence = LEAD_TOKEN(LEAD_TERM(job->s->fence) - 1);
+}
+
 void sched_adopt_job(struct sched_job *job)
 {
 	adopt_job(job);
--- a/sched-core.c
+++ b/sched-core.c
@@ -180,6 +180,7 @@
  */
 static void supersede(struct sched_job *job, struct sched_job *earlier)
 {
+	sched_adopt_former(job, earlier);
 	if (earlier)
 		sched_job_answer(earlier, POOL_ANSWER__OUTCOME__INCOMPLETE,
 				 "superseded by another submission", 0);
--- a/sched-int.h
+++ b/sched-int.h
@@ -187,6 +187,13 @@
  * the job.
  */
 void sched_adopt_job(struct sched_job *job);
+/*
+ * The job's owner knows of no earlier scheduler, as a caller submits a job
+ * again at any entry VM. Finds whether one may have started it all the same: it
+ * was submitted here before by another owner, which knew of one, or a target
+ * runs a task of it. earlier: that submission, or NULL.
+ */
+void sched_adopt_former(struct sched_job *job, const struct sched_job *earlier);
 /* Stops the runs and releases the ends that no job has claimed in time. */
 void sched_adopt_tick(struct sched_target *t);
 /* The run of the task is over, as far as is known, and its end may come. */
