--- a/sched-core.c
+++ b/sched-core.c
@@ -182,6 +182,9 @@
  */
 static void supersede(struct sched_job *job, struct sched_job *earlier)
 {
+	/* Its owner may not know of the leader that started it before. */
+	if (earlier && !job->prev_fence)
+		job->prev_fence = earlier->prev_fence;
 	if (earlier)
 		sched_job_answer(earlier, POOL_ANSWER__OUTCOME__INCOMPLETE,
 				 "superseded by another submission", 0);
