A provisional leader that a majority follows leads all domains

Callers got half of their jobs rejected after a cut had ended, until the store was back. The provisional leader of the domain that was cut off had the highest token, and all VMs followed it; it used the targets of its own domain alone. It added others only if each domain answered as a whole, and a VM of its domain was dead and dark.

A majority of the VMs that does not hear another leader suffices now, as it does when a leader is elected without the store. Targets decide by the token as before.

lead_provisional::one_that_a_majority_follows_leads_all_domains failed before: "l.all_domains is false".

--- a/lead-probe.c
+++ b/lead-probe.c
@@ -108,12 +108,14 @@
 
 /*
  * The probe of a provisional leader: if nobody else leads the VMs that have
- * answered, this VM does.
+ * answered, this VM does. A majority suffices, as it does for an election: some
+ * VMs of each domain may be dead.
  */
 static void finish_provisional_probe(struct lead *l, rp_ms now)
 {
 	l->phase = LEAD_IDLE;
-	if (l->nhearing || !l->nnot_hearing || !l->ops->domains_answered(l))
+	if (l->nhearing || !l->nnot_hearing ||
+	    !(has_majority(l) || l->ops->domains_answered(l)))
 		return;
 	if (store_is_usable(l)) {
 		if (now >= l->retry_at)
--- a/regress/lead-alone.h
+++ b/regress/lead-alone.h
@@ -20,10 +20,12 @@
 	(void)lead;
 }
 
+static int domains_answered = 1;
+
 static int on_domains_answered(struct lead *lead)
 {
 	(void)lead;
-	return 1;
+	return domains_answered;
 }
 
 static const struct lead_ops ops = {
--- a/regress/lead-provisional.c
+++ b/regress/lead-provisional.c
@@ -91,3 +91,42 @@
 	cr_assert(lead_is_provisional(&l));
 	cr_assert_eq(l.row.fence, LEAD_TOKEN(1) | 1u << LEAD_COUNT_SHIFT | 100);
 }
+
+/*
+ * A domain was cut off, and has a provisional leader of its own targets. The
+ * cut has ended, the store is still away, and a majority follows that leader;
+ * one VM of its domain is dead. Guards against a leader of all VMs that uses
+ * the targets of its own domain alone, as no domain answers as a whole.
+ */
+Test(lead_provisional, one_that_a_majority_follows_leads_all_domains)
+{
+	static const char *const others[] = { "a", "b", "c" };
+	struct lead_heartbeat hb = { .hears_leader = 1,
+				     .leader = "vm",
+				     .address = "10.0.0.1:1" };
+	rp_ms now;
+	size_t i;
+
+	lose_leader(LEAD_TOKEN(1) | 150);
+	l.nothers = 4;
+	l.all_domains = 0; /* it was elected by its domain */
+	domains_answered = 0;
+	hb.fence = l.row.fence;
+	for (now = 4000; now < 6000; now += 10) {
+		lead_tick(&l, now);
+		for (i = 0; l.phase == LEAD_PROBING && i < 1; i++) {
+			hb.vm = others[i];
+			lead_heartbeat(&l, &hb, now);
+		}
+	}
+	cr_assert_not(l.all_domains);
+	for (; now < 8000; now += 10) {
+		lead_tick(&l, now);
+		for (i = 0; l.phase == LEAD_PROBING && i < 3; i++) {
+			hb.vm = others[i];
+			lead_heartbeat(&l, &hb, now);
+		}
+	}
+	cr_assert(l.all_domains);
+	cr_assert_eq(l.row.fence, hb.fence);
+}
