Moves are compared with none by standard errors

The load tests of moves allowed a fixed 0.002 below playing without moves (0.02 for the largest tenth), set after the first results. The bound is now the target itself, no loss, up to two standard errors of the mean of the twelve paired differences.

--- a/regress/sched-move.c
+++ b/regress/sched-move.c
@@ -212,14 +212,15 @@
 	return (x->cpu_ms < y->cpu_ms) - (x->cpu_ms > y->cpu_ms);
 }
 
-struct result {
-	double completed; /* share of all jobs */
-	double value;	  /* share that was earned */
-	double largest;	  /* share of the largest tenth of the long jobs */
+/* What a play of one seed is measured by. */
+enum {
+	COMPLETED, /* share of all jobs */
+	VALUE,	   /* share that was earned */
+	LARGEST,   /* share of the largest tenth of the long jobs */
+	FIGURES,
 };
 
-/* Difference of the means of all seeds that is noise. */
-#define NOISE 0.002
+#define SEEDS 12
 
 /* Share of the largest tenth of the long jobs that completed. */
 static double share_of_largest(void)
@@ -251,49 +252,60 @@
  * Tasks take half a target, and three of a hundred jobs seven times as long as
  * estimated.
  */
-static struct result run_mix(const struct sched_policies *names,
-			     const double *speeds, size_t nspeeds)
+static void run_mix(const struct sched_policies *names, const double *speeds,
+		    size_t nspeeds, uint64_t seed, double figures[FIGURES])
 {
-	struct result r = { 0, 0, 0 };
-	double value = 0, most = 0;
-	size_t i, jobs = 0, completed = 0;
-	uint64_t seed;
-
-	for (seed = 1; seed <= 12; seed++) {
-		world_init(&w, seed, 48, speeds, nspeeds);
-		w.task_cpu = 8000;
-		w.tail = 0.03;
-		world_start_sched(&w, &s, names, LEAD_TOKEN(1));
-		world_run_until(&w, w.now + 100);
-		world_generate_load(&w, 0.6, 15000);
-		world_run_until(&w, w.now + 2000);
-		for (i = 0; i < w.njobs; i++)
-			completed += w.jobs[i]->answered &&
-				     w.jobs[i]->outcome ==
-					     POOL_ANSWER__OUTCOME__COMPLETED;
-		jobs += w.njobs;
-		value += w.outcomes.value;
-		most += w.outcomes.max_value;
-		r.largest += share_of_largest() / 12;
-		end();
-	}
-	r.completed = (double)completed / (double)jobs;
-	r.value = value / most;
-	return r;
+	size_t i, completed = 0;
+
+	world_init(&w, seed, 48, speeds, nspeeds);
+	w.task_cpu = 8000;
+	w.tail = 0.03;
+	world_start_sched(&w, &s, names, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 100);
+	world_generate_load(&w, 0.6, 15000);
+	world_run_until(&w, w.now + 2000);
+	for (i = 0; i < w.njobs; i++)
+		completed += w.jobs[i]->answered &&
+			     w.jobs[i]->outcome ==
+				     POOL_ANSWER__OUTCOME__COMPLETED;
+	figures[COMPLETED] = (double)completed / (double)w.njobs;
+	figures[VALUE] = w.outcomes.value / w.outcomes.max_value;
+	figures[LARGEST] = share_of_largest();
+	end();
 }
 
+/*
+ * Compares moves with none by the differences of the seeds: their mean is not
+ * below 0 by more than two standard errors.
+ */
 static void check_no_loss(const double *speeds, size_t nspeeds)
 {
+	static const char *const names[] = { "completed", "value", "largest" };
 	const struct sched_policies none = { .move = "none" };
-	struct result base = run_mix(&none, speeds, nspeeds);
-	struct result r = run_mix(NULL, speeds, nspeeds);
-
-	cr_expect_geq(r.completed, base.completed - NOISE,
-		      "completed %.4f, %.4f", r.completed, base.completed);
-	cr_expect_geq(r.value, base.value - NOISE, "value %.4f, %.4f", r.value,
-		      base.value);
-	cr_expect_geq(r.largest, base.largest - 10 * NOISE,
-		      "largest %.4f, %.4f", r.largest, base.largest);
+	double sum[FIGURES] = { 0 }, squares[FIGURES] = { 0 };
+	uint64_t seed;
+	size_t i;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		double base[FIGURES], figures[FIGURES];
+
+		run_mix(&none, speeds, nspeeds, seed, base);
+		run_mix(NULL, speeds, nspeeds, seed, figures);
+		for (i = 0; i < FIGURES; i++) {
+			double diff = figures[i] - base[i];
+
+			sum[i] += diff;
+			squares[i] += diff * diff;
+		}
+	}
+	for (i = 0; i < FIGURES; i++) {
+		double mean = sum[i] / SEEDS;
+		double var = (squares[i] / SEEDS - mean * mean) / (SEEDS - 1);
+		double error = sqrt(fmax(var, 0));
+
+		cr_expect_geq(mean, -2 * error, "%s %.4f, standard error %.4f",
+			      names[i], mean, error);
+	}
 }
 
 /* Guards against moves that serve less than none, with no target at fault. */
