Lost targets do not silence a domain whose others reply

What callers could see: while two targets of a failure domain are lost, its idle targets, which are not called, are taken for unreachable at each call to these two, until a probe is replied to. In a service of one domain jobs that arrive then are rejected.

Cause: lost targets are called again and again, each time later than the last reply of the domain, and count again each time.

Change: a target counts if it was reachable at the domain's last reply.

Test: sched_silence::lost_targets_silence_an_idle_domain_once_at_most, "silent 20 times" before.

--- a/sched-hold.c
+++ b/sched-hold.c
@@ -165,7 +165,8 @@
 		/* Another call was replied to meanwhile: the target is up. */
 		if (t->replied_at > reply->sent_at)
 			return 0;
-		t->unanswered++;
+		if (!t->unanswered++)
+			t->unanswered_since = s->now;
 		back_off(t);
 		return 0;
 	}
--- a/sched-silence.c
+++ b/sched-silence.c
@@ -64,7 +64,9 @@
 		struct sched_target *t = s->targets[i];
 		struct sched_failure_domain *d = t->domain;
 
-		if (t->unanswered && t->unanswered_sent_at > d->replied_at &&
+		/* One that was lost before the domain's last reply is alone. */
+		if (t->unanswered && t->unanswered_since > d->replied_at &&
+		    t->unanswered_sent_at > d->replied_at &&
 		    ++d->nunanswered >= SILENT_TARGETS &&
 		    s->now - d->replied_at >= SILENT_MS)
 			set_silent(t, 1);
--- a/scheduler.h
+++ b/scheduler.h
@@ -422,6 +422,7 @@
 	rp_ms lease_until;
 	rp_ms replied_at;	  /* last reply to any call */
 	unsigned unanswered;	  /* consecutive calls without a reply */
+	rp_ms unanswered_since;	  /* when the first of these was given up */
 	rp_ms answered_sent_at;	  /* latest call that was replied to */
 	rp_ms unanswered_sent_at; /* latest call without a reply */
 	/* Was last seen to leave a call unanswered and reply to a later one. */
