A test that fails: lost targets silence an idle domain again and again

sched_silence::lost_targets_silence_an_idle_domain_once_at_most prints "silent 20 times" in 20 s: two targets of six are lost, and the others reply whenever they are called.

--- a/regress/sched-silence.c
+++ b/regress/sched-silence.c
@@ -126,3 +126,25 @@
 			     !w.targets[i].unresponsive, "%zu", i);
 	finish();
 }
+
+/*
+ * Two targets that do not reply for long, and idle ones that do: these stay in
+ * use. Guards against a domain that is taken for silent again and again.
+ */
+Test(sched_silence, lost_targets_silence_an_idle_domain_once_at_most)
+{
+	size_t i, times = 0;
+	int silent = 0, ms;
+
+	begin();
+	occupy_far(2);
+	for (i = NTARGETS / 2; i < NTARGETS; i++)
+		w.targets[i].unresponsive = target(i)->nruns > 0;
+	for (ms = 0; ms < 20000; ms++) {
+		world_run_until(&w, w.now + 1);
+		times += !silent && target(NTARGETS - 1)->domain->silent;
+		silent = target(NTARGETS - 1)->domain->silent;
+	}
+	cr_assert_leq(times, 1, "silent %zu times", times);
+	finish();
+}
