--- a/regress/sched-move.c
+++ b/regress/sched-move.c
@@ -175,6 +175,32 @@
 	cr_assert_eq(completed, 6, "%d of 6", completed);
 }
 
+/*
+ * The same with one task, and no other run on the target, so that no evidence
+ * tells the target's fault from a long job. As long as that shows, the job
+ * would be lost in either case. Guards against a run that stays there for ever.
+ */
+Test(sched_move, a_lone_run_on_a_target_that_hangs_is_moved)
+{
+	uint64_t seed;
+	size_t i;
+	int completed = 0;
+
+	for (seed = 1; seed <= 6; seed++) {
+		struct world_job *job;
+
+		begin(seed);
+		job = world_submit(&w, "recheck", 1, 200, 1, 1500);
+		world_run_until(&w, w.now + 20);
+		for (i = 0; i < 12; i++)
+			w.targets[i].stalled = w.targets[i].nruns > 0;
+		world_run_until(&w, w.now + 1600);
+		completed += job->outcome == POOL_ANSWER__OUTCOME__COMPLETED;
+		end();
+	}
+	cr_assert_eq(completed, 6, "%d of 6", completed);
+}
+
 /* Guards against runs that stay on a target that has become slow. */
 Test(sched_move, a_run_on_a_target_that_has_become_slow_is_moved)
 {
