A run that has stalled is its target's fault, not its job's

What callers could see: a job of one task that is lost, as its target hangs from its first moments on, though others are free.

Cause: without evidence of another run, an outlier counts as the job's since. The run of a target that hangs looks like one of a very long job, and was predicted to take as long anywhere.

Change: a run's own progress is evidence. That of a long job rises at an even rate; a run that takes three times as long as it took for each percent so far, or for the first percent as long as for thirty by its prediction, has stalled, and its target is the cause.

Ruled out: to presume the target whenever the run would end after the deadline, as the job would be lost in either case.

--- a/sched-learn.c
+++ b/sched-learn.c
@@ -260,6 +260,8 @@
 		time_on_target(task, (double)(t->s->now - task->sent_at));
 	double total_ms = run_ms * 100.0 / (percent > 1 ? percent : 1);
 
+	if (percent > task->percent)
+		task->percent_at = t->s->now;
 	task->percent = percent;
 	task->progress_at = t->s->now;
 	sched_shown_add(task, run_ms, percent);
--- a/sched-outlier.c
+++ b/sched-outlier.c
@@ -13,6 +13,11 @@
 
 /* Run time from which the progress of another run is evidence. */
 #define EVIDENCE_MIN_MS 60
+/* A run has stalled if it takes this many times as long as for a percent. */
+#define STALL_PERCENTS 3
+#define STALL_MIN_MS 100
+/* The same for the first percent, in percents as predicted. */
+#define STALL_FIRST 30
 /* Weight of one decision in the share of outliers that are the jobs'. */
 #define SHARE_GAIN 0.05
 
@@ -71,9 +76,29 @@
 	return votes;
 }
 
+/*
+ * Whether the run makes no progress any more, or far less than before. A long
+ * job progresses at an even rate.
+ */
+static int has_stalled(const struct sched_task *task)
+{
+	double limit = STALL_FIRST * task->predicted / 100;
+
+	if (task->state != SCHED_RUNNING || task->adopted)
+		return 0;
+	if (task->percent > 0)
+		limit = STALL_PERCENTS *
+			(double)(task->percent_at - task->sent_at) /
+			task->percent;
+	return (double)(task->progress_at - task->percent_at) >
+	       fmax(limit, STALL_MIN_MS);
+}
+
 /* Above 0: the job; below: the target; 0: not known. */
 static int count_votes(const struct sched_task *task, double error)
 {
+	if (has_stalled(task))
+		return -1;
 	return evidence_of_step(task, error) + evidence_of_target(task, error);
 }
 
--- a/sched-run.c
+++ b/sched-run.c
@@ -90,7 +90,7 @@
 	task->replied_at = 0;
 	task->observed = task->percent = 0;
 	task->restarted = task->seen = task->overdue = task->adopted = 0;
-	task->progress_at = s->now;
+	task->progress_at = task->percent_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
 	if (task->isolated)
--- a/scheduler.h
+++ b/scheduler.h
@@ -110,6 +110,7 @@
 	uint8_t isolated;  /* boolean; no other task starts beside it */
 	int percent;	   /* progress reported last */
 	rp_ms progress_at; /* when progress was reported last */
+	rp_ms percent_at;  /* when it was seen to have risen last */
 	uint8_t adopted;   /* boolean; when it began is not known */
 	/*
 	 * Least work that a run of the task has shown, ms at speed 1, by its
