Names that say what a function or a flag does

sched_domain_announce() tells the owner of a domain, which the name of a query hid; a version may be shared, which a VM cannot always know. No change of logic: lead-provisional, sched-domain and pool-keep pass.

--- a/lead-probe.c
+++ b/lead-probe.c
@@ -62,7 +62,7 @@
 
 static int may_lead_provisionally(const struct lead *l)
 {
-	return l->own_row_version && !l->version_shared &&
+	return l->own_row_version && !l->version_may_be_shared &&
 	       !l->targets_unknown &&
 	       LEAD_TERM(provisional_token(l)) == LEAD_TERM(l->row.fence);
 }
--- a/lead.h
+++ b/lead.h
@@ -219,7 +219,7 @@
 	 */
 	uint32_t own_row_version;
 	/* Another VM's row may have the same LEAD_SHORT_VERSION(). */
-	int version_shared;
+	int version_may_be_shared;
 	int targets_unknown; /* as a provisional leader it would have none */
 	int store_lost;	     /* the store has not answered for a while */
 	int store_failing;   /* all of the latest calls to it have failed */
--- a/pool-lead.c
+++ b/pool-lead.c
@@ -81,7 +81,7 @@
 		  LOG_NUMBER("fence", (long long)l->row.fence),
 		  LOG_NUMBER("silent_ms", p->now - l->heartbeat_at),
 		  LOG_NUMBER("row_version", l->own_row_version),
-		  LOG_NUMBER("version_shared", l->version_shared),
+		  LOG_NUMBER("version_may_be_shared", l->version_may_be_shared),
 		  LOG_NUMBER("list", !l->targets_unknown));
 	for (vm = p->vms; vm; vm = vm->next)
 		vm->answered = vm->refused = 0;
@@ -245,7 +245,7 @@
 void pool_lead_tick(struct pool *p, rp_ms now)
 {
 	p->lead.targets_unknown = !p->listing_version;
-	p->lead.version_shared = pool_vm_may_share_version(p);
+	p->lead.version_may_be_shared = pool_vm_may_share_version(p);
 	lead_tick(&p->lead, now);
 	notify_prev_leader(p);
 	check_leader_alive(p);
--- a/regress/lead-alone.h
+++ b/regress/lead-alone.h
@@ -40,7 +40,7 @@
 
 /* What differs between VMs in the election. */
 static uint32_t own_version = 100;
-static int version_shared;
+static int version_may_be_shared;
 
 /* Lets the leader of the token fall silent, without the store. */
 static void lose_leader(uint64_t fence)
@@ -56,7 +56,7 @@
 
 	lead_init(&l, &ops, NULL, "vm", "10.0.0.1:1", 6);
 	l.own_row_version = own_version;
-	l.version_shared = version_shared;
+	l.version_may_be_shared = version_may_be_shared;
 	l.nothers = 2;
 	l.store_lost = 1;
 	lead_heartbeat(&l, &hb, 1000);
--- a/regress/lead-provisional.c
+++ b/regress/lead-provisional.c
@@ -62,7 +62,7 @@
 /* Rows whose versions have the same lower bits: no token tells them apart. */
 Test(lead_provisional, a_shared_version_does_not_lead)
 {
-	version_shared = 1;
+	version_may_be_shared = 1;
 	lose_leader(LEAD_TOKEN(1));
 	cr_assert_eq(l.role, LEAD_FOLLOWING);
 }
--- a/regress/pool-keep-late.c
+++ b/regress/pool-keep-late.c
@@ -78,7 +78,7 @@
 	row.value = (char *)packed;
 	stored_job_apply_row(&p, &row);
 	open = sched_find_open_job(&p.sched, str_of(row.key));
-	cr_assert_not(sched_domain_is_told(open, &t));
+	cr_assert_not(sched_domain_announce(open, &t));
 	job.done = &done;
 	job.n_done = 1;
 	job.writer = LEAD_TOKEN(1);
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -267,12 +267,12 @@
 	cr_assert_eq(open->prev_fence, LEAD_TOKEN(1));
 	cr_assert_eq(open->nformer_domains, 1);
 	cr_assert_str_eq(open->domains[0], "b");
-	cr_assert_not(sched_domain_is_told(open, &t));
+	cr_assert_not(sched_domain_announce(open, &t));
 	j = stored_job_find(&p, row.key);
 	cr_assert(j->queued);
 	cr_assert_eq(open->domains_mark, j->mark);
 	sched_owner_acked(&p.sched, j, j->mark, p.now);
-	cr_assert(sched_domain_is_told(open, &t));
+	cr_assert(sched_domain_announce(open, &t));
 	row.len = pool_job__pack(j->job, packed);
 	written = pool_job__unpack(NULL, row.len, packed);
 	cr_assert_eq(written->n_domains, 2);
--- a/sched-core.c
+++ b/sched-core.c
@@ -464,7 +464,7 @@
 		job->last_attempt = sched_task_on_last_attempt(task);
 		job->isolate = sched_loss_isolates(task);
 		t = s->place->place(s, job, &job->steps[task->step]);
-		if (t && !sched_domain_is_told(job, t))
+		if (t && !sched_domain_announce(job, t))
 			return;
 		if (t) {
 			sched_run_start(task, t);
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -49,7 +49,7 @@
 	free(job->domains);
 }
 
-int sched_domain_is_told(struct sched_job *job, const struct sched_target *t)
+int sched_domain_announce(struct sched_job *job, const struct sched_target *t)
 {
 	const char *domain = t->listing.failure_domain;
 
--- a/sched-int.h
+++ b/sched-int.h
@@ -243,10 +243,11 @@
 void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
 void sched_domains_free(struct sched_job *job);
 /*
- * Whether tasks of the job may be started on the target. If not, its owner is
- * told of the failure domain, and they may be once it has acknowledged that.
+ * Tells the job's owner of the target's failure domain, unless it knows of it.
+ * Returns whether tasks may be started there now, or only after the owner has
+ * acknowledged that.
  */
-int sched_domain_is_told(struct sched_job *job, const struct sched_target *t);
+int sched_domain_announce(struct sched_job *job, const struct sched_target *t);
 /* The owner knows of all domains in messages up to the mark. */
 void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark);
 /*
