--- a/sched-domain.c
+++ b/sched-domain.c
@@ -6,7 +6,8 @@
  * the owner, which outlives schedulers, knows of a domain before the first task
  * is started there. A successor lets the job wait for unreached targets of
  * these domains alone: the others are not known to be in question when a domain
- * is cut off. Jobs with a deadline are over before such a call is carried out.
+ * is cut off. Jobs with a deadline name no domains: of these, one that lives
+ * longer than a call may be late is not covered.
  */
 
 #include "sched-int.h"
