--- a/sched-outlier.c
+++ b/sched-outlier.c
@@ -13,10 +13,13 @@
 
 /* Run time from which the progress of another run is evidence. */
 #define EVIDENCE_MIN_MS 60
-/* A run has stalled if it takes this many times as long as for a percent. */
+/*
+ * A run has stalled if its percentage has not risen for this many times as long
+ * as each percent took so far, and at least for STALL_MIN_MS.
+ */
 #define STALL_PERCENTS 3
 #define STALL_MIN_MS 100
-/* The same for the first percent, in percents as predicted. */
+/* The same at 0 percent, in times of a percent as predicted at the start. */
 #define STALL_FIRST 30
 /* Weight of one decision in the share of outliers that are the jobs'. */
 #define SHARE_GAIN 0.05
--- a/sched-run.c
+++ b/sched-run.c
@@ -8,6 +8,7 @@
 #define CLOCK_DRIFT 0.02
 /* Error of a reading of a target's clock. */
 #define LEASE_SLACK_MS 30
+
 static const struct sched_resources *need_of(const struct sched_task *task)
 {
 	return &task->job->steps[task->step].need;
--- a/sched-silence.c
+++ b/sched-silence.c
@@ -64,7 +64,7 @@
 		struct sched_target *t = s->targets[i];
 		struct sched_failure_domain *d = t->domain;
 
-		/* One that was lost before the domain's last reply is alone. */
+		/* One lost before that reply does not tell of the others. */
 		if (t->unanswered && t->unanswered_since > d->replied_at &&
 		    t->unanswered_sent_at > d->replied_at &&
 		    ++d->nunanswered >= SILENT_TARGETS &&
