Owners keep the failure domains of jobs with long deadlines

Callers could see a task run twice when they wait for longer than 1.8 s. A leader ended while a start had no reply; its successor did not reach the target, took the leases of the previous leader for the end of all its runs, and started the task elsewhere. Then the target carried the call out.

Cause: only stored jobs named the failure domains in which their tasks may have been started, in their rows. A job that is not stored has no row.

Hypotheses before the change: (a) the owner, which outlives leaders, is told too late or not at all: then an acknowledgement has to come before the start; (b) a message that is lost with its link is waited for without end; (c) a job that another leader had meanwhile loses that one's domains. A test for each failed without its part of the change.

The leader now names the domains in a PoolProgress to the entry VM that owns the job, starts nothing in a new domain before its mark is acknowledged, and gets the domains back with the next submission.

--- a/pool-request.c
+++ b/pool-request.c
@@ -53,6 +53,7 @@
 	free(r->body);
 	free(r->done_tasks);
 	pool_progress__free_unpacked(r->lost, NULL);
+	pool_request_free_domains(r);
 	pool_defer_free(r->p, r);
 }
 
@@ -133,6 +134,8 @@
 		r->submit->losses = r->lost->losses;
 		r->submit->n_losses = r->lost->n_losses;
 	}
+	r->submit->domains = r->domains;
+	r->submit->n_domains = r->ndomains;
 	pool_owner_keep_specification(p, r->submit);
 	if (!r->submit->specification_hash)
 		pool_request_may_be_started(r);
@@ -141,7 +144,8 @@
 	r->submit->specification = specification;
 	r->submit->done = NULL;
 	r->submit->losses = NULL;
-	r->submit->n_done = r->submit->n_losses = 0;
+	r->submit->domains = NULL;
+	r->submit->n_done = r->submit->n_losses = r->submit->n_domains = 0;
 }
 
 /*
@@ -350,6 +354,7 @@
 		pool_progress__free_unpacked(r->lost, NULL);
 		r->lost = copy_progress(progress);
 	}
+	pool_request_add_domains(r, progress);
 	for (i = 0; i < progress->n_done; i++) {
 		if (r->ndone_tasks == r->cap_done_tasks) {
 			r->cap_done_tasks = r->cap_done_tasks * 2 + 8;
--- a/pool-request.h
+++ b/pool-request.h
@@ -31,7 +31,9 @@
 	uint32_t *done_tasks; /* their numbers, over all steps */
 	size_t ndone_tasks, cap_done_tasks;
 	PoolProgress *lost; /* the latest message on lost targets, or NULL */
-	int suspended;	    /* set while the connection waits for the answer */
+	char **domains;	    /* in which leaders may have started tasks */
+	size_t ndomains;
+	int suspended; /* set while the connection waits for the answer */
 	int has_awaited_routes;
 	struct pool_request *next_awaiting; /* in p->awaiting_routes */
 	struct pool_job_call *job_call;	    /* set while the store is asked */
@@ -55,6 +57,13 @@
 void pool_request_fill_submit(struct pool_request *r,
 			      const struct pool_route *route, const char *id);
 
+/* --- pool-domain.c ---------------------------------------------------- */
+
+/* Keeps the failure domains that the leader has told of. */
+void pool_request_add_domains(struct pool_request *r,
+			      const PoolProgress *progress);
+void pool_request_free_domains(struct pool_request *r);
+
 /* --- pool-request-wait.c: requests before the routes are known --------- */
 
 /* Suspends the connection for the routes. Returns 0 if it has waited already.
--- a/pool.h
+++ b/pool.h
@@ -66,6 +66,14 @@
 /* Tells the owner of the job. Returns the mark of the message, or 0. */
 uint64_t pool_losses_send(struct sched *s, struct sched_job *job);
 
+/* --- pool-domain.c ---------------------------------------------------- */
+
+/*
+ * Tells the owner of the job in which failure domains its tasks may be started.
+ * Returns the mark of the message, or 0.
+ */
+uint64_t pool_domains_send(struct sched *s, struct sched_job *job);
+
 /* --- pool-member.c: the pool's entry VMs and its leader -------------- */
 
 #define POOL_RECENT_ANSWERS 256
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1746,7 +1746,7 @@
   (ProtobufCMessageInit) pool_submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pool_progress__field_descriptors[6] =
 {
   {
     "seq",
@@ -1808,8 +1808,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domains",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolProgress, n_domains),
+    offsetof(PoolProgress, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_progress__field_indices_by_name[] = {
+  5,   /* field[5] = domains */
   1,   /* field[1] = done */
   4,   /* field[4] = losses */
   3,   /* field[3] = lost */
@@ -1819,7 +1832,7 @@
 static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pool_progress__descriptor =
 {
@@ -1829,7 +1842,7 @@
   "PoolProgress",
   "",
   sizeof(PoolProgress),
-  5,
+  6,
   pool_progress__field_descriptors,
   pool_progress__field_indices_by_name,
   1,  pool_progress__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -247,8 +247,8 @@
   size_t n_failed_runs;
   uint32_t *failed_runs;
   /*
-   * Of a stored job: failure domains in which earlier leaders may have
-   * started tasks of it.
+   * Failure domains in which earlier leaders may have started tasks of
+   * the job, unless it ends before their late calls matter.
    */
   size_t n_domains;
   char **domains;
@@ -277,10 +277,17 @@
   protobuf_c_boolean lost;
   size_t n_losses;
   PoolLoss **losses;
+  /*
+   * Failure domains in which tasks of the job may be started from now on;
+   * they add to those sent before. The leader starts none in a domain
+   * before the owner has acknowledged it.
+   */
+  size_t n_domains;
+  char **domains;
 };
 #define POOL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_progress__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -211,3 +211,104 @@
 	cr_assert(job->answered);
 	end_world();
 }
+
+/* Submits the job, whose caller waits for 60 s, to the scheduler that leads. */
+static void submit_again(struct world_job *job, uint64_t former)
+{
+	job->sub->former = former;
+	job->fence = w.sched->fence;
+	job->sub->age_ms = (uint32_t)(w.now - job->arrived_at);
+	job->sub->left_ms = 60000 - job->sub->age_ms;
+	sched_submit(w.sched, job, job->sub, w.now);
+	sched_dispatch(w.sched, w.now);
+}
+
+/*
+ * The same for jobs that are not stored, whose owners keep the domains. Guards
+ * against a wait for each target of the service.
+ */
+Test(sched_domain, jobs_with_deadlines_go_on_while_a_domain_is_cut_off)
+{
+	struct world_job *here, *there;
+
+	begin_world(4);
+	w.stored = 0;
+	use_domain("a");
+	here = world_submit(&w, "q", 1, 3000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	w.targets[2].late[WORLD_START] = w.targets[3].late[WORLD_START] =
+		(struct world_late){ 100, 3000, 3000, 0 };
+	use_domain("b");
+	there = world_submit(&w, "q", 1, 6000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 2);
+	cut_domain_off("b");
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	submit_again(here, LEAD_TOKEN(1));
+	submit_again(there, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 3500);
+	cr_assert(here->answered);
+	cr_assert_not(there->answered);
+	w.targets[2].unresponsive = w.targets[3].unresponsive = 0;
+	world_run_until(&w, w.now + 15000);
+	cr_assert(there->answered);
+	end_world();
+}
+
+/* A caller that is gone before late calls matter costs no message. */
+Test(sched_domain, a_job_that_ends_with_the_leases_names_no_domain)
+{
+	struct world_job *job;
+
+	begin_world(4);
+	w.stored = 0;
+	w.lose_messages = 1;
+	job = world_submit(&w, "q", 1, 300, 1, 1500);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	cr_assert_eq(job->sub->n_domains, 0);
+	sched_finish(&first);
+	world_finish(&w);
+}
+
+/*
+ * A provisional leader had the job meanwhile, and its start is late. Guards
+ * against a leader that keeps only the domains that it knew before.
+ */
+Test(sched_domain, a_job_that_is_back_has_the_domains_of_the_other_leader)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(4);
+	w.stored = 0;
+	w.task_cpu = 12000;
+	world_submit(&w, "q", 4, 200, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	job = world_submit(&w, "q", 1, 3000, 1, 60000);
+	cr_assert_eq(first.count.starts, 4);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(1) | 7);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].late[WORLD_START] =
+			(struct world_late){ 100, 3000, 3000, 0 };
+	submit_again(job, 0);
+	while (!second.count.starts)
+		world_run_until(&w, w.now + 1);
+	world_run_until(&w, w.now + 5);
+	cr_assert_eq(job->sub->n_domains, 1);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].late[WORLD_START].percent = 0;
+	cut_domain_off(job->sub->domains[0]);
+	w.sched = &first;
+	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
+	submit_again(job, second.fence);
+	world_run_until(&w, w.now + 5000);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = 0;
+	world_run_until(&w, w.now + 10000);
+	cr_assert(job->answered);
+	sched_finish(&first);
+	end_world();
+}
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -279,6 +279,7 @@
 		return 0;
 	job->prev_fence = sub->former;
 	job->submitted_at = job->s->now;
+	sched_domains_restore(job, sub);
 	for (i = 0; i < sub->n_done; i++)
 		if (sub->done[i] < job->ntasks &&
 		    job->tasks[sub->done[i]].state == SCHED_WAITING)
@@ -423,10 +424,15 @@
 	       now - s->started_at < s->max_lease + PREV_LEADER_STOP_MS;
 }
 
+rp_ms sched_adopt_leases_over(const struct sched_job *job)
+{
+	return job->submitted_at + job->s->max_lease + PREV_LEADER_STOP_MS;
+}
+
 int sched_adopt_all_known(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
-	rp_ms over = job->submitted_at + s->max_lease + PREV_LEADER_STOP_MS;
+	rp_ms over = sched_adopt_leases_over(job);
 	size_t i;
 
 	/* A call of a previous leader may be carried out after its leases. */
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -1,13 +1,12 @@
 /*
- * Failure domains in which tasks of a stored job may have been started.
+ * Failure domains in which tasks of a job may have been started.
  *
  * A target may carry out a start long after the scheduler that sent it has
  * ended, and a successor that cannot reach the target does not learn of it. So
  * the owner, which outlives schedulers, knows of a domain before the first task
  * is started there. A successor lets the job wait for unreached targets of
  * these domains alone: the others are not known to be in question when a domain
- * is cut off. Jobs with a deadline name no domains: of these, one that lives
- * longer than a call may be late is not covered.
+ * is cut off. A job that is over when the leases are needs none of this.
  */
 
 #include "sched-int.h"
@@ -37,7 +36,8 @@
 	size_t i;
 
 	for (i = 0; i < sub->n_domains; i++)
-		add_domain(job, sub->domains[i]);
+		if (!has_domain(job, job->ndomains, sub->domains[i]))
+			add_domain(job, sub->domains[i]);
 	job->nformer_domains = job->ndomains;
 }
 
@@ -50,17 +50,31 @@
 	free(job->domains);
 }
 
+/*
+ * Whether the job may be open when a successor looks at its domains, which is
+ * after the leases of this scheduler. The successor has it later than this one.
+ */
+static int needs_domains(const struct sched_job *job)
+{
+	return job->stored || job->deadline > sched_adopt_leases_over(job);
+}
+
 int sched_domain_announce(struct sched_job *job, const struct sched_target *t)
 {
 	const char *domain = t->listing.failure_domain;
 
-	if (!job->stored || has_domain(job, job->ndomains, domain))
+	if (!needs_domains(job) || has_domain(job, job->ndomains, domain))
 		return 1;
 	add_domain(job, domain);
 	job->domains_mark = job->s->ops->domains(job->s, job);
 	return !job->domains_mark;
 }
 
+void sched_domains_resend(struct sched_job *job)
+{
+	job->domains_mark = job->s->ops->domains(job->s, job);
+}
+
 void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark)
 {
 	struct sched_job *job;
--- a/sched-int.h
+++ b/sched-int.h
@@ -235,6 +235,8 @@
  * schedulers may go on there.
  */
 int sched_adopt_is_awaited(const struct sched_target *t);
+/* When leases of earlier schedulers are over for the job. */
+rp_ms sched_adopt_leases_over(const struct sched_job *job);
 /* Whether every run of the job by an earlier scheduler is known or over. */
 int sched_adopt_all_known(const struct sched_job *job);
 
@@ -242,6 +244,8 @@
 /* Keeps the domains in which earlier schedulers may have started tasks. */
 void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
 void sched_domains_free(struct sched_job *job);
+/* Tells the owner again, as a message may have been lost. */
+void sched_domains_resend(struct sched_job *job);
 /*
  * Tells the job's owner of the target's failure domain, unless it knows of it.
  * Returns whether tasks may be started there now, or only after the owner has
--- a/scheduler.h
+++ b/scheduler.h
@@ -307,8 +307,8 @@
 	size_t nsuspects;     /* tasks with losses */
 	uint64_t losses_mark; /* of the message on these to be acked; 0: none */
 	/*
-	 * Stored: failure domains in which tasks of it may have been started,
-	 * first those of earlier schedulers.
+	 * Failure domains in which tasks of it may have been started, first
+	 * those of earlier schedulers. None if it ends before it matters.
 	 */
 	char **domains;
 	size_t ndomains, nformer_domains;
@@ -537,9 +537,9 @@
 	 */
 	uint64_t (*losses)(struct sched *s, struct sched_job *job);
 	/*
-	 * A task of the stored job is to be started in another failure domain.
-	 * Returns the mark of the message to the owner, or 0; none starts until
-	 * it is acknowledged.
+	 * A task of the job is to be started in another failure domain, the
+	 * last of job->domains. Returns the mark of the message to the owner,
+	 * or 0; none starts until it is acknowledged.
 	 */
 	uint64_t (*domains)(struct sched *s, struct sched_job *job);
 	/* Logs what is learned of a target that was lost with the task. */
