A late write does not stand for the leader's own one

Callers could see a task of a stored job run twice. A late write of the previous leader has the job scheduled anew, from the row in memory, while the leader's own change with a new failure domain waits to be written. Tasks could start in that domain at once. If this leader was lost before the write, and the start was late, its successor did not wait for the domain.

Cause: pool-keep.c submits the job with all domains of the row in memory, and the scheduler takes those for known to the store. That the job was waiting for a mark is lost with the job that is cancelled.

A job that is scheduled anew now waits for the mark of the merged row, whether it has a domain that the store lacks or not: it costs one transaction after a late write, which is rare.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -289,7 +289,10 @@
 	return job->n_domains > before;
 }
 
-/* Merges a write of the previous leader that came after the row was read. */
+/*
+ * Merges a write of the previous leader that came after the row was read. The
+ * domains that this leader was about to write are not in the store.
+ */
 static void merge_late_write(struct pool *p, struct stored_job *j,
 			     const PoolJob *job)
 {
@@ -304,7 +307,7 @@
 		  LOG_NUMBER("writer", (long long)job->writer));
 	sched_cancel_stored(&p->sched, j->id, p->now);
 	schedule(p, j);
-	mark_changed(p, j);
+	sched_domains_await(&p->sched, j->id, mark_changed(p, j));
 }
 
 /*
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -279,3 +279,57 @@
 	cr_assert_str_eq(written->domains[1], "a");
 	pool_job__free_unpacked(written, NULL);
 }
+
+static uint64_t no_answer(struct sched *s, struct sched_job *job,
+			  const PoolAnswer *answer)
+{
+	(void)s;
+	(void)job;
+	(void)answer;
+	return 0;
+}
+
+/*
+ * A late write of the previous leader has the job scheduled anew, which waits
+ * for the row with both. Guards against a wait that no write ends.
+ */
+Test(pool_keep, a_merged_row_is_written_before_the_job_goes_on)
+{
+	static const struct sched_ops no_ops = { .domains = pool_stored_domains,
+						 .answer = no_answer };
+	PoolJob job = POOL_JOB__INIT;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+	char *domains[] = { "b" };
+	uint8_t packed[512];
+	struct platform_row row = { .key = "0000000000000001", .version = 4 };
+	struct sched_job *open;
+	struct stored_job *j;
+
+	sched_init(&p.sched, &no_ops, &p, NULL, LEAD_TOKEN(2), 1000,
+		   p.now - 5000);
+	p.leading = 1;
+	step.tasks = 2;
+	sub.id = row.key;
+	sub.queue = sub.service = "q";
+	sub.stored = 1;
+	sub.n_steps = 1;
+	sub.steps = &steps;
+	job.submit = &sub;
+	row.len = pool_job__pack(&job, packed);
+	row.value = (char *)packed;
+	stored_job_apply_row(&p, &row);
+	job.domains = domains;
+	job.n_domains = 1;
+	job.writer = LEAD_TOKEN(1);
+	row.version = 6;
+	row.len = pool_job__pack(&job, packed);
+	stored_job_apply_row(&p, &row);
+	open = sched_find_open_job(&p.sched, str_of(row.key));
+	j = stored_job_find(&p, row.key);
+	cr_assert(j->queued);
+	cr_assert_eq(open->nformer_domains, 1);
+	cr_assert_eq(open->domains_mark, j->mark);
+	sched_owner_acked(&p.sched, j, j->mark, p.now);
+	cr_assert_eq(open->domains_mark, 0);
+}
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -75,6 +75,14 @@
 	job->domains_mark = job->s->ops->domains(job->s, job);
 }
 
+void sched_domains_await(struct sched *s, const char *id, uint64_t mark)
+{
+	struct sched_job *job = sched_find_open_job(s, str_of(id));
+
+	if (job)
+		job->domains_mark = mark;
+}
+
 void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark)
 {
 	struct sched_job *job;
--- a/scheduler.h
+++ b/scheduler.h
@@ -745,6 +745,11 @@
 		  rp_ms now);
 /* Whether a submission of another VM is within the limits of a job. */
 int sched_submit_is_valid(const PoolSubmit *sub);
+/*
+ * The owner of the open job knows of its failure domains only once it has
+ * acknowledged the mark: no task of it starts before.
+ */
+void sched_domains_await(struct sched *s, const char *id, uint64_t mark);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
 /* Cancels a stored job by its id. */
 void sched_cancel_stored(struct sched *s, const char *id, rp_ms now);
