A simulated pool for random orders of events around changes of leader

The tests of a takeover play one order of events each, with the schedulers that the test has set up.

regress/world/vms-*.c runs several entry VMs in logical time: the real lead-*.c and sched-*.c, and around them what pool-member.c, pool-lead.c, pool-request.c, pool-confirm.c and pool-listing.c do with links, members, jobs and the list of targets. Callers submit a job again at another entry VM 1.3 s after their connection broke. A seed draws the size of the pool, the callers and 3 to 12 faults within a few seconds: VMs killed, frozen and cut off, failure domains, the store, targets frozen, restarted and cut off, calls carried out late, replies lost. The checks are those of world.h.

--- /dev/null
+++ b/regress/sched-orders.c
@@ -0,0 +1,71 @@
+/*
+ * Random orders of events around changes of leader, in a simulated pool.
+ * Guards against tasks that run twice and targets over their room.
+ *
+ * SEEDS=FROM-TO plays these seeds instead, SKIP=BITS leaves out faults, TRACE=1
+ * prints all events. CUT_CALLERS=1 cuts callers off with a failure domain,
+ * CHECK_DONE=1 counts starts after an end that was noted.
+ */
+
+#include <criterion/criterion.h>
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "world/vms.h"
+
+#define SEEDS 60
+
+static struct vms o;
+
+static void init_apr(void)
+{
+	apr_initialize();
+}
+
+TestSuite(sched_orders, .init = init_apr, .timeout = 0);
+
+Test(sched_orders, random_days)
+{
+	const char *seeds = getenv("SEEDS"), *skip = getenv("SKIP");
+	const struct vms_options opt = {
+		.skip = skip ? (unsigned)strtoul(skip, NULL, 0) : 0,
+		.trace = getenv("TRACE") != NULL,
+		.cut_callers = getenv("CUT_CALLERS") != NULL,
+		.check_done = getenv("CHECK_DONE") != NULL,
+	};
+	unsigned long long seed = 1, last = SEEDS, events = 0, starts = 0;
+	unsigned long long resent = 0, takeovers = 0, provisional = 0;
+	unsigned long long raised = 0, answered[8] = { 0 };
+	int bad = 0, i;
+
+	if (seeds)
+		cr_assert_eq(sscanf(seeds, "%llu-%llu", &seed, &last), 2);
+	for (; seed <= last; seed++) {
+		vms_play(&o, seed, &opt);
+		if (o.w.violations) {
+			fprintf(stderr, "seed %llu: %s\n", seed,
+				o.w.first_violation);
+			bad++;
+		}
+		events += o.events_seen + o.w.order;
+		starts += o.w.starts;
+		resent += o.resent;
+		takeovers += o.takeovers;
+		provisional += o.provisional;
+		raised += o.raised;
+		for (i = 0; i < 8; i++)
+			answered[i] += o.answered[i];
+		vms_finish(&o);
+	}
+	if (seeds)
+		fprintf(stderr,
+			"%d bad, %llu events, %llu starts, %llu resent, "
+			"%llu leaders, %llu provisional, %llu raised, "
+			"answers %llu %llu %llu %llu\n",
+			bad, events, starts, resent, takeovers, provisional,
+			raised, answered[0], answered[1], answered[2],
+			answered[3]);
+	cr_assert_eq(bad, 0, "%d of the seeds broke an invariant", bad);
+}
--- /dev/null
+++ b/regress/world/vms-job.c
@@ -0,0 +1,463 @@
+/*
+ * Jobs of the simulated callers on the entry VMs that receive them, as
+ * pool-request.c and pool-relay.c have them.
+ */
+
+#include "vms.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ANSWER_MARGIN_MS 20
+#define NO_LEADER_MS 1500
+#define RESEND_MS 1300 /* PROTOCOL.md, resendMs */
+
+/* --- on the leader ---------------------------------------------------- */
+
+static struct vms *vms_of(const struct sched *s)
+{
+	return s->user; /* the world is the first member */
+}
+
+static uint64_t send_answer(struct vm *vm, struct vms_member *m, uint64_t seq,
+			    PoolAnswer__Outcome outcome)
+{
+	struct vms_message *msg;
+
+	if (m == &vm->self) {
+		vms_answer_received(vm, seq, outcome);
+		return 0;
+	}
+	m->answers[m->nanswers % VMS_ANSWERS].seq = seq;
+	m->answers[m->nanswers++ % VMS_ANSWERS].outcome = outcome;
+	m->sent_mark++;
+	if (!m->link)
+		return m->sent_mark;
+	msg = vms_send(m->link, VMS_MEMBER, VMS_ANSWER);
+	msg->mark = m->sent_mark;
+	msg->seq = seq;
+	msg->outcome = outcome;
+	return m->sent_mark;
+}
+
+static uint64_t on_answer(struct sched *s, struct sched_job *job,
+			  const PoolAnswer *a)
+{
+	struct vms *o = vms_of(s);
+	struct vm *vm = vms_vm_of(o, s);
+
+	vms_trace(o, "vm%d answers %s: %d %s", vm->index, job->id, a->outcome,
+		  a->reason);
+	if (!job->owner)
+		return 0;
+	return send_answer(vm, job->owner, job->seq, a->outcome);
+}
+
+static uint64_t on_progress(struct sched *s, struct sched_job *job,
+			    const struct sched_task *task)
+{
+	struct vm *vm = vms_vm_of(vms_of(s), s);
+	struct vms_member *m = job->owner;
+	uint32_t index = (uint32_t)(task - job->tasks);
+	struct vms_message *msg;
+
+	if (!m || task->state != SCHED_DONE)
+		return 0;
+	if (m == &vm->self) {
+		vms_progress_received(vm, job->seq, index);
+		return 0;
+	}
+	m->sent_mark++;
+	if (!m->link)
+		return m->sent_mark;
+	msg = vms_send(m->link, VMS_MEMBER, VMS_PROGRESS);
+	msg->mark = m->sent_mark;
+	msg->seq = job->seq;
+	msg->done[0] = index;
+	return m->sent_mark;
+}
+
+static void on_start(struct sched *s, struct sched_target *t,
+		     struct sched_task *task, int64_t until)
+{
+	vms_trace(vms_of(s), "vm%d starts %s run %u on %s",
+		  vms_vm_of(vms_of(s), s)->index, task->name, task->run,
+		  t->listing.id);
+	world_ops.start(s, t, task, until);
+}
+
+static void on_stop(struct sched *s, struct sched_target *t, struct rp_str task,
+		    uint32_t run)
+{
+	vms_trace(vms_of(s), "vm%d stops %.*s run %u on %s",
+		  vms_vm_of(vms_of(s), s)->index, (int)task.len, task.ptr, run,
+		  t->listing.id);
+	world_ops.stop(s, t, task, run);
+}
+
+static void on_hold(struct sched *s, struct sched_target *t, int64_t until,
+		    uint64_t acked_end, rp_ms wait)
+{
+	world_ops.hold(s, t, until, acked_end, wait);
+}
+
+static void on_fenced(struct sched *s, struct sched_target *t)
+{
+	struct vm *vm = vms_vm_of(vms_of(s), s);
+
+	vms_trace(vms_of(s), "vm%d is fenced by %s", vm->index, t->listing.id);
+	vm->fenced = 1;
+}
+
+static void on_target_removed(struct sched *s, struct sched_target *t)
+{
+	(void)s;
+	(void)t;
+}
+
+static void on_log(struct sched *s, const char *event,
+		   const struct sched_target *t, const struct sched_task *task,
+		   const char *reason)
+{
+	vms_trace(vms_of(s), "vm%d %s %s %s run %u %s",
+		  vms_vm_of(vms_of(s), s)->index, event, t ? t->listing.id : "",
+		  task ? task->name : "", task ? task->run : 0, reason);
+}
+
+static uint64_t on_losses(struct sched *s, struct sched_job *job)
+{
+	(void)s;
+	(void)job;
+	return 0;
+}
+
+static void on_log_loss(struct sched *s, const char *event,
+			const struct sched_task *task,
+			const struct sched_loss *loss, const char *reason)
+{
+	(void)s;
+	(void)event;
+	(void)task;
+	(void)loss;
+	(void)reason;
+}
+
+static void on_log_domain(const struct sched_target *t)
+{
+	(void)t;
+}
+
+static void on_log_move(struct sched *s, const struct sched_task *task,
+			const struct sched_move *m)
+{
+	vms_trace(vms_of(s), "vm%d moves %s: %s",
+		  vms_vm_of(vms_of(s), s)->index, task->name, m->reason);
+}
+
+const struct sched_ops vms_ops = {
+	.start = on_start,
+	.stop = on_stop,
+	.hold = on_hold,
+	.answer = on_answer,
+	.fenced = on_fenced,
+	.target_removed = on_target_removed,
+	.progress = on_progress,
+	.log = on_log,
+	.losses = on_losses,
+	.domains = on_losses,
+	.log_loss = on_log_loss,
+	.log_domain = on_log_domain,
+	.log_move = on_log_move,
+};
+
+static int was_answered(struct vm *vm, struct vms_member *m,
+			const struct vms_message *msg)
+{
+	size_t i;
+
+	for (i = 0; i < VMS_ANSWERS && i < m->nanswers; i++) {
+		if (m->answers[i].seq != msg->seq ||
+		    (m->answers[i].outcome == POOL_ANSWER__OUTCOME__REJECTED &&
+		     msg->former))
+			continue;
+		send_answer(vm, m, msg->seq, m->answers[i].outcome);
+		return 1;
+	}
+	return 0;
+}
+
+void vms_schedule(struct vm *vm, struct vms_member *m,
+		  const struct vms_message *msg)
+{
+	PoolSubmit sub = *msg->job->sub;
+
+	if (was_answered(vm, m, msg))
+		return;
+	sub.seq = msg->seq;
+	sub.former = msg->former;
+	sub.age_ms = (uint32_t)msg->age;
+	sub.left_ms = (uint32_t)msg->left;
+	sub.done = (uint32_t *)msg->done;
+	sub.n_done = msg->ndone;
+	if (m != &vm->self && sub.former == vm->lead.row.fence &&
+	    vm->o->w.now - m->joined_at > (rp_ms)sub.age_ms)
+		sub.former = 0;
+	vms_trace(vm->o, "vm%d: job %s of vm%d seq %llu former %llx left %u",
+		  vm->index, sub.id, m->vm, (unsigned long long)sub.seq,
+		  (unsigned long long)sub.former, sub.left_ms);
+	sched_submit(&vm->sched, m, &sub, vm->o->w.now);
+	vm->dispatch_due = 1;
+}
+
+/* --- on the entry VM -------------------------------------------------- */
+
+static struct vms_request *find_request(struct vm *vm, uint64_t seq)
+{
+	struct vms_request *r;
+
+	for (r = vm->requests; r; r = r->next)
+		if (r->seq == seq)
+			return r;
+	return NULL;
+}
+
+static void close_request(struct vm *vm, struct vms_request *r)
+{
+	struct vms_request **at = &vm->requests;
+
+	while (*at != r)
+		at = &(*at)->next;
+	*at = r->next;
+	if (r->caller)
+		r->caller->request = NULL;
+	free(r);
+}
+
+static void submit(struct vm *vm, struct vms_request *r)
+{
+	rp_ms now = vm->o->w.now;
+	struct vms_message local, *msg = &local;
+
+	if (!vm->leading && !(vm->leader_link && vm->leader_link->greeted))
+		return;
+	memset(&local, 0, sizeof(local));
+	if (!vm->leading)
+		msg = vms_send(vm->leader_link, VMS_LEADER, VMS_SUBMIT);
+	msg->job = r->job;
+	msg->seq = r->seq;
+	msg->former = r->started_fence;
+	r->sent_fence = vm->lead.row.fence;
+	msg->age = now - r->received_at;
+	msg->left = r->deadline > now ? r->deadline - now : 0;
+	memcpy(msg->done, r->done, sizeof(msg->done));
+	msg->ndone = r->ndone;
+	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
+				  LEAD_IS_PROVISIONAL(r->sent_fence)))
+		r->started_fence = r->sent_fence;
+	if (vm->leading)
+		vms_schedule(vm, &vm->self, msg);
+}
+
+/* Submitting a job may answer it, and free its request. */
+void vms_resubmit(struct vm *vm)
+{
+	uint64_t seqs[VMS_CALLERS];
+	struct vms_request *r;
+	size_t n = 0, i;
+
+	for (r = vm->requests; r && n < VMS_CALLERS; r = r->next)
+		seqs[n++] = r->seq;
+	for (i = 0; i < n; i++)
+		if ((r = find_request(vm, seqs[i])))
+			submit(vm, r);
+}
+
+static void send_cancel(struct vm *vm, uint64_t seq)
+{
+	if (vm->leading) {
+		sched_cancel(&vm->sched, &vm->self, seq, vm->o->w.now);
+		vm->dispatch_due = 1;
+	} else if (vm->leader_link) {
+		vms_send(vm->leader_link, VMS_LEADER, VMS_CANCEL)->seq = seq;
+	}
+}
+
+/* The caller is told; with no result it submits the job again. */
+static void answer_caller(struct vms *o, struct vms_caller *c,
+			  PoolAnswer__Outcome outcome)
+{
+	o->answered[outcome]++;
+	if (outcome == POOL_ANSWER__OUTCOME__INCOMPLETE)
+		c->resend_at = o->w.now + RESEND_MS;
+}
+
+void vms_answer_received(struct vm *vm, uint64_t seq,
+			 PoolAnswer__Outcome outcome)
+{
+	struct vms_request *r = find_request(vm, seq);
+
+	if (!r)
+		return;
+	if (r->caller)
+		answer_caller(vm->o, r->caller, outcome);
+	close_request(vm, r);
+}
+
+void vms_progress_received(struct vm *vm, uint64_t seq, uint32_t task)
+{
+	struct vms_request *r = find_request(vm, seq);
+	size_t i;
+
+	for (i = 0; r && i < r->ndone; i++)
+		if (r->done[i] == task)
+			return;
+	if (r && r->ndone < VMS_TASKS)
+		r->done[r->ndone++] = task;
+}
+
+static void abort_request(struct vm *vm, struct vms_request *r)
+{
+	send_cancel(vm, r->seq);
+	if (r->caller)
+		answer_caller(vm->o, r->caller,
+			      r->sent_fence ? POOL_ANSWER__OUTCOME__INCOMPLETE
+					    : POOL_ANSWER__OUTCOME__REJECTED);
+	close_request(vm, r);
+}
+
+/* Whether callers reach the VM, or it them. */
+static int callers_reach(const struct vms *o, const struct vm *vm)
+{
+	return !o->callers_cut || o->w.now >= o->cut_until[vm->domain];
+}
+
+static int is_over(const struct vm *vm, const struct vms_request *r)
+{
+	rp_ms now = vm->o->w.now;
+
+	return now >= r->deadline + ANSWER_MARGIN_MS ||
+	       (!r->sent_fence && !vm->leading &&
+		now - vm->leader_alive_at >= NO_LEADER_MS);
+}
+
+void vms_requests_tick(struct vm *vm)
+{
+	struct vms_request *r, *next;
+
+	for (r = vm->requests; r; r = next) {
+		next = r->next;
+		if (!r->caller && callers_reach(vm->o, vm)) {
+			send_cancel(vm, r->seq);
+			close_request(vm, r);
+		} else if (is_over(vm, r)) {
+			abort_request(vm, r);
+		}
+	}
+}
+
+/* The VM's process has ended: connections to its callers break. */
+void vms_requests_drop(struct vm *vm)
+{
+	while (vm->requests) {
+		struct vms_request *r = vm->requests;
+
+		if (r->caller)
+			r->caller->resend_at = vm->o->w.now + RESEND_MS;
+		close_request(vm, r);
+	}
+}
+
+/* --- callers ---------------------------------------------------------- */
+
+void vms_caller_break(struct vms *o, struct vms_caller *c)
+{
+	if (!c->request)
+		return;
+	vms_trace(o, "connection of %s to vm%d breaks", c->job->sub->id, c->vm);
+	c->request->caller = NULL;
+	c->request = NULL;
+	c->resend_at = o->w.now + RESEND_MS;
+}
+
+static void submit_at(struct vms *o, struct vms_caller *c, struct vm *vm)
+{
+	struct vms_request *r = calloc(1, sizeof(*r));
+	rp_ms left = o->timeout;
+
+	if (o->rest_only)
+		left -= o->w.now - c->first_at;
+	r->caller = c;
+	r->job = c->job;
+	r->seq = ++vm->next_seq;
+	r->received_at = o->w.now;
+	r->deadline = o->w.now + left;
+	r->next = vm->requests;
+	vm->requests = r;
+	c->request = r;
+	c->vm = vm->index;
+	c->resend_at = 0;
+	vms_trace(o, "caller of %s to vm%d, waits %lld", c->job->sub->id,
+		  vm->index, (long long)left);
+	submit(vm, r);
+}
+
+static struct vm *choose_vm(struct vms *o, int except)
+{
+	size_t i, at = vms_random(o, o->nvms);
+
+	for (i = 0; i < o->nvms; i++) {
+		struct vm *vm = &o->vms[(at + i) % o->nvms];
+
+		if (vms_awake(o, vm) && vm->index != except &&
+		    callers_reach(o, vm) &&
+		    (vm->leading ||
+		     o->w.now - vm->leader_alive_at < NO_LEADER_MS))
+			return vm;
+	}
+	return NULL;
+}
+
+static void new_caller(struct vms *o)
+{
+	struct vm *vm = choose_vm(o, -1);
+	struct vms_caller *c = &o->callers[o->ncallers];
+	double work = 60 + (double)vms_random(o, (uint64_t)o->max_work);
+	int tasks = 1 + (int)vms_random(o, VMS_TASKS);
+
+	if (!vm || o->ncallers == VMS_CALLERS)
+		return;
+	o->ncallers++;
+	c->job = world_job_new(&o->w, "q", tasks, work, 1, o->timeout);
+	c->job->resent = !o->check_done;
+	c->first_at = o->w.now;
+	submit_at(o, c, vm);
+}
+
+void vms_callers_tick(struct vms *o)
+{
+	size_t i;
+
+	if (o->w.now < o->length && vms_random(o, 1000) < (uint64_t)o->load)
+		new_caller(o);
+	for (i = 0; i < o->ncallers; i++) {
+		struct vms_caller *c = &o->callers[i];
+		struct vm *vm;
+
+		if (c->request && o->callers_cut &&
+		    !callers_reach(o, &o->vms[c->vm]))
+			vms_caller_break(o, c);
+		if (!c->resend_at || o->w.now < c->resend_at)
+			continue;
+		if (o->rest_only &&
+		    o->w.now - c->first_at + 100 >= o->timeout) {
+			c->resend_at = 0;
+			continue;
+		}
+		vm = choose_vm(o, c->vm);
+		if (!vm)
+			continue;
+		c->job->resent = 1;
+		o->resent++;
+		submit_at(o, c, vm);
+	}
+}
--- /dev/null
+++ b/regress/world/vms.h
@@ -0,0 +1,340 @@
+#ifndef VMS_H
+#define VMS_H
+
+/*
+ * Simulation of a pool in logical time: entry VMs with the real election
+ * (lead.h) and the real scheduler, the links between them, the platform's
+ * store, and callers that submit a job again at another entry VM. What the
+ * pool's code does around both is modelled after pool-member.c, pool-lead.c,
+ * pool-request.c, pool-relay.c, pool-confirm.c and pool-listing.c. The targets
+ * are those of world.h, which checks the invariants.
+ *
+ * Not modelled: stored jobs, agents, losses, operators' requests.
+ */
+
+#include "lead.h"
+#include "world.h"
+
+#define VMS_MAX 6
+#define VMS_DOMAINS 3
+#define VMS_TASKS 3    /* of a job */
+#define VMS_ANSWERS 64 /* recent ones that a leader keeps for a member */
+#define VMS_CALLERS 512
+#define VMS_FAULTS 12
+
+struct vms;
+
+struct vms_beat {
+	uint64_t fence;
+	int vm, leader; /* leader -1: none is known */
+	int leading, hears, resigns, list_confirmed, store;
+	unsigned nlinked;
+	int nsuccessors, successors[LEAD_SUCCESSORS];
+	rp_ms clock, echo;
+};
+
+enum vms_kind {
+	VMS_HELLO,
+	VMS_BEAT,
+	VMS_SUBMIT,
+	VMS_CANCEL,
+	VMS_ANSWER,
+	VMS_PROGRESS,
+	VMS_ACK,
+	VMS_CLOSE,
+};
+
+struct vms_message {
+	struct vms_message *next;
+	rp_ms at; /* when it arrives, unless the path is cut or blocked */
+	enum vms_kind kind;
+	struct vms_beat beat;
+	uint64_t leader_incarnation; /* of a hello, as its sender knows it */
+	/* Of a submission, an answer, a progress or a cancellation. */
+	struct world_job *job;
+	uint64_t seq, mark, former;
+	rp_ms age, left;
+	uint32_t done[VMS_TASKS];
+	size_t ndone;
+	PoolAnswer__Outcome outcome;
+};
+
+enum { VMS_MEMBER, VMS_LEADER, VMS_ENDS };
+
+/* A connection from a member to its leader. */
+struct vms_link {
+	struct vms_link *next;
+	int vms[VMS_ENDS];
+	int boots[VMS_ENDS]; /* of their processes */
+	int open[VMS_ENDS];
+	/* To each end, in order, and whether it waits as the path is cut. */
+	struct vms_message *head[VMS_ENDS], **tail[VMS_ENDS];
+	int blocked[VMS_ENDS];
+	int greeted;
+	rp_ms opened_at;
+	rp_ms received_at; /* by the member */
+	rp_ms peer_clock;  /* the leader's, read last by the member */
+};
+
+/* A member, as its leader knows it; jobs have it as their owner. */
+struct vms_member {
+	struct vms_member *next;
+	int vm, boot;
+	struct vms_link *link; /* NULL: not connected */
+	int removed;
+	int store_reachable;
+	rp_ms echoed_at, joined_at, disconnected_at;
+	uint64_t sent_mark;
+	struct {
+		uint64_t seq;
+		PoolAnswer__Outcome outcome;
+	} answers[VMS_ANSWERS];
+	size_t nanswers;
+};
+
+/* An open job on the entry VM that received it. */
+struct vms_request {
+	struct vms_request *next;
+	struct vms_caller *caller; /* NULL: it has closed the connection */
+	struct world_job *job;
+	uint64_t seq, started_fence, sent_fence;
+	rp_ms received_at, deadline;
+	uint32_t done[VMS_TASKS];
+	size_t ndone;
+};
+
+struct vms_caller {
+	struct world_job *job;
+	struct vms_request *request; /* NULL: it does not wait now */
+	int vm;
+	rp_ms first_at, resend_at; /* resend_at 0: not to be sent again */
+};
+
+struct vm {
+	struct vms *o;
+	int index, domain;
+	int boot; /* counts its processes */
+	int up;
+	int vanished; /* its address does not refuse connections */
+	rp_ms up_at;  /* it is started again then */
+	rp_ms frozen_until, frozen_at;
+	rp_ms cut_until;	 /* from the other VMs and the store */
+	rp_ms store_cut_until;	 /* from the store */
+	rp_ms targets_cut_until; /* from all targets */
+	struct lead lead;
+	char name[8], address[8];
+	struct sched sched;
+	int leading, fenced, dispatch_due;
+	struct vms_member self, *members;
+	struct vms_link *leader_link;
+	rp_ms dial_due, heartbeat_at, tick_due, owner_missing_at;
+	rp_ms prev_notified_at, leader_alive_at;
+	int answered[VMS_MAX], refused[VMS_MAX], led[VMS_MAX];
+	uint64_t list_confirmed_fence;
+	rp_ms list_confirmed_at, store_back_at;
+	/* The store, as it was read last. */
+	rp_ms read_due, store_replied_at, renew_due, list_replied_at;
+	int list_complete, list_lost;
+	struct sched_listing listings[WORLD_TARGETS];
+	int listed[WORLD_TARGETS]; /* in the VM's own copy of the list */
+	uint64_t versions[WORLD_TARGETS];
+	rp_ms missing_since[WORLD_TARGETS];
+	struct vms_request *requests;
+	uint64_t next_seq;
+};
+
+/* The entry of a target in the store. */
+struct vms_entry {
+	int present;
+	uint64_t version;
+	rp_ms written_at, write_due;
+	rp_ms cut_until; /* the target, from the store */
+	rp_ms frozen_until;
+	rp_ms vm_cut_until; /* from one VM */
+	int cut_vm;
+	struct sched_listing listing;
+};
+
+enum vms_call {
+	VMS_CLAIM,
+	VMS_CLAIM_REPLY,
+	VMS_RENEW,
+	VMS_RENEW_REPLY,
+	VMS_REACHABILITY,
+	VMS_PROBE,
+	VMS_PROBE_ANSWER,
+};
+
+/* A call to the store, or a message without a link. */
+struct vms_event {
+	struct vms_event *next;
+	rp_ms at, sent_at;
+	enum vms_call kind;
+	int vm, boot, peer;
+	struct lead_row row;
+	int64_t expected;
+	int ok;
+	struct vms_beat beat;
+};
+
+enum vms_fault_kind {
+	VMS_KILL,
+	VMS_FREEZE,
+	VMS_CUT_DOMAIN,
+	VMS_CUT_VM,
+	VMS_CUT_VM_STORE,
+	VMS_CUT_VM_TARGETS,
+	VMS_STORE_AWAY,
+	VMS_FREEZE_TARGET,
+	VMS_RESTART_TARGET,
+	VMS_CUT_TARGET_STORE,
+	VMS_CUT_TARGET_VM,
+	VMS_LATE,
+	VMS_LOSE,
+	VMS_RESIGN,
+	VMS_RESET,
+	VMS_FAULT_KINDS,
+};
+
+struct vms_fault {
+	enum vms_fault_kind kind;
+	rp_ms at, span;
+	int which, leader; /* leader: it hits the VM that leads */
+	int percent;
+	rp_ms delay;
+};
+
+struct vms_options {
+	unsigned skip; /* bits of faults that are left out */
+	int trace;
+	/*
+	 * On half of the days callers do not reach the VMs of a domain that is
+	 * cut off, which do not learn of it.
+	 */
+	int cut_callers;
+	int check_done; /* a task may not start after its end was noted */
+};
+
+struct vms {
+	struct world w; /* first: operations of the scheduler get it */
+	uint64_t random;
+	int trace;
+	int check_done;
+	size_t nvms;
+	struct vm vms[VMS_MAX];
+	struct vms_link *links;
+	struct vms_member *removed;
+	struct vms_event *events;
+	rp_ms cut_until[VMS_DOMAINS]; /* from each other and the store */
+	int callers_cut;	      /* callers do not reach such a domain */
+	rp_ms store_away_until;
+	rp_ms store_delay; /* longest, of a call */
+	struct lead_row row;
+	int64_t version, renewal_version;
+	struct vms_entry entries[WORLD_TARGETS];
+	struct vms_caller callers[VMS_CALLERS];
+	size_t ncallers;
+	rp_ms timeout; /* of callers */
+	int rest_only; /* second submissions wait for the rest of it */
+	double max_work;
+	int load; /* jobs a second */
+	rp_ms length;
+	struct vms_fault faults[VMS_FAULTS];
+	size_t nfaults;
+	uint64_t answered[8]; /* by outcome */
+	uint64_t resent, takeovers, provisional, raised;
+	uint64_t events_seen;
+};
+
+static inline rp_ms vms_now(const struct vm *vm)
+{
+	return vm->o->w.now;
+}
+
+static inline int vms_is_self(const struct vm *vm, int i)
+{
+	return vm->index == i;
+}
+
+/* --- vms-day.c ------------------------------------------------------------ */
+
+void vms_play(struct vms *o, uint64_t seed, const struct vms_options *opt);
+void vms_finish(struct vms *o);
+uint64_t vms_random(struct vms *o, uint64_t n);
+void vms_trace(const struct vms *o, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* --- vms-path.c: links, and what reaches what ---------------------------- */
+
+int vms_awake(const struct vms *o, const struct vm *vm);
+int vms_path(const struct vms *o, int a, int b);
+int vms_store_reached(const struct vms *o, const struct vm *vm);
+int vms_target_reached(const struct vms *o, const struct vm *vm,
+		       const struct world_target *t);
+struct vms_link *vms_dial(struct vm *vm, int leader);
+struct vms_message *vms_send(struct vms_link *l, int to, enum vms_kind kind);
+void vms_link_close(struct vms_link *l, int end);
+void vms_links_deliver(struct vms *o);
+void vms_vm_ended(struct vm *vm);
+void vms_links_finish(struct vms *o);
+/* The VM has received the message over its end of the link. */
+void vms_received(struct vm *vm, struct vms_link *l, int end,
+		  struct vms_message *m);
+void vms_link_lost(struct vm *vm, struct vms_link *l, int end);
+
+/* --- vms-lead.c: election ------------------------------------------------- */
+
+void vms_vm_start(struct vms *o, int i);
+void vms_vm_tick(struct vm *vm);
+/* The process goes on after it was frozen. */
+void vms_vm_woken(struct vm *vm);
+struct vm *vms_vm_of(struct vms *o, const struct sched *s);
+void vms_sched_end(struct vm *vm);
+void vms_probe_received(struct vms *o, const struct vms_event *e);
+
+/* --- vms-member.c: heartbeats, members, links to the leader --------------- */
+
+/* Index of the VM that this one knows as its leader, or -1. */
+int vms_leader_of(const struct vm *vm);
+struct vms_beat vms_beat(struct vm *vm);
+void vms_beat_apply(struct vm *vm, const struct vms_beat *b);
+void vms_beats_send(struct vm *vm);
+/* Whether the VM certainly followed this leader a moment ago. */
+int vms_is_linked(const struct vm *vm, int i);
+void vms_members_check(struct vm *vm);
+void vms_members_clear(struct vm *vm);
+void vms_leader_dial(struct vm *vm);
+void vms_leader_link_drop(struct vm *vm);
+
+/* --- vms-store.c: calls to the store, and messages without a link --------- */
+
+struct vms_event *vms_event_add(struct vm *vm, enum vms_call kind, rp_ms at);
+/* A time 2 ms from now, or up to most ms later. */
+rp_ms vms_after(struct vm *vm, rp_ms most);
+void vms_renewal_send(struct vm *vm);
+void vms_store_read(struct vm *vm);
+void vms_events_run(struct vms *o);
+
+/* --- vms-list.c: the list of targets -------------------------------------- */
+
+void vms_entries_tick(struct vms *o);
+void vms_read_list(struct vm *vm);
+void vms_list_cached(struct vm *vm);
+int vms_list_is_confirmed(struct vm *vm);
+void vms_check_predecessor(struct vm *vm);
+
+/* --- vms-job.c: jobs of callers ------------------------------------------- */
+
+extern const struct sched_ops vms_ops;
+void vms_resubmit(struct vm *vm);
+void vms_requests_tick(struct vm *vm);
+void vms_requests_drop(struct vm *vm);
+void vms_schedule(struct vm *vm, struct vms_member *m,
+		  const struct vms_message *msg);
+void vms_answer_received(struct vm *vm, uint64_t seq,
+			 PoolAnswer__Outcome outcome);
+void vms_progress_received(struct vm *vm, uint64_t seq, uint32_t task);
+void vms_callers_tick(struct vms *o);
+void vms_caller_break(struct vms *o, struct vms_caller *c);
+
+#endif
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -134,6 +134,7 @@
 	int long_tail;	     /* it takes far longer than estimated */
 	uint8_t *done_acked; /* for each task: its success was acknowledged */
 	int deadly;	     /* task 0 crashes each target that starts it */
+	int resent;	     /* its caller has sent it again: it may run anew */
 	int crashes;	     /* targets that its task 0 has crashed */
 	int starts_after;    /* of task 0, after three crashes */
 };
@@ -168,6 +169,16 @@
 	uint64_t starts_on_rack; /* of the tasks of such jobs */
 	int priorities;		 /* queues have different ones */
 	double tail; /* share of generated jobs that are far longer */
+	/*
+	 * Several schedulers run at once. The test advances them and gets their
+	 * messages: world_step() calls none of them but for replies.
+	 */
+	int several;
+	/* Whether calls of the scheduler reach the target; NULL: cut_off. */
+	int (*reaches)(struct world *w, const struct sched *s,
+		       const struct world_target *t);
+	/* Replies are delivered to the scheduler no earlier; NULL: at once. */
+	rp_ms (*replies_at)(struct world *w, const struct sched *s);
 	apr_pool_t *pool;
 };
 
@@ -220,6 +231,15 @@
 
 /* --- world.c ----------------------------------------------------------- */
 
+/* What schedulers call; jobs have a struct world_job as their owner. */
+extern const struct sched_ops world_ops;
+
+/* Creates a job, as world_submit() does, and submits it to nobody. */
+struct world_job *world_job_new(struct world *w, const char *queue, int tasks,
+				double work, double value, rp_ms deadline);
+/* Advances calls, replies and targets by 1 ms. */
+void world_step(struct world *w);
+
 /* Submits a job of tasks with a mean work in ms; deadline is in ms from now. */
 struct world_job *world_submit(struct world *w, const char *queue, int tasks,
 			       double work, double value, rp_ms deadline);
