sched: Try jobs predicted too long by less than the error

On an idle service, callers saw jobs accepted and answered only when they were about to expire, and none of their tasks started. Placement left out each target on which the mean of the prediction ends after the job expires, while admission allowed one standard deviation: a job between the two was accepted and placed nowhere. A point estimate decided where its error is known; estimates are off by a quarter either way as a rule.

Both now rule a job out only if its prediction is too long by two standard deviations of its error. What is accepted is also started, and its progress tells soon which it is; what is further off is rejected on arrival, and so are such jobs while no room is free.

--- a/regress/sched-hopeless.c
+++ b/regress/sched-hopeless.c
@@ -94,6 +94,75 @@
 	end();
 }
 
+/*
+ * A prediction is off by a quarter either way as a rule. Guards against a job
+ * that is accepted and placed nowhere until it expires, as it is predicted to
+ * take longer than is left by less than that.
+ */
+Test(sched_hopeless, a_job_predicted_too_long_by_less_than_its_error_is_tried)
+{
+	int i, completed = 0;
+
+	world_begin(&w, &s, 8);
+	world_generate_load(&w, 0.4, 4000);
+	world_run_until(&w, w.now + 1500);
+	for (i = 0; i < 40; i++) {
+		/* With the mean of its queue, 900 ms, it is predicted to take
+		   1,640 ms. */
+		struct world_job *job =
+			world_submit(&w, "digest", 1, 3000, 1, 1500);
+
+		job->task_work[0] = 1300;
+		world_run_until(&w, w.now + 1600);
+		completed += job->outcome == POOL_ANSWER__OUTCOME__COMPLETED;
+	}
+	cr_assert_geq(completed, 36, "%d of 40", completed);
+	end();
+}
+
+/* Guards against callers that wait for a job that is tried in vain. */
+Test(sched_hopeless, a_job_predicted_too_long_by_more_is_rejected_at_once)
+{
+	int i;
+
+	world_begin(&w, &s, 8);
+	world_generate_load(&w, 0.4, 4000);
+	world_run_until(&w, w.now + 1500);
+	for (i = 0; i < 10; i++) {
+		struct world_job *job =
+			world_submit(&w, "recheck", 1, 100000, 1, 1500);
+
+		cr_assert(job->answered);
+		cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__REJECTED);
+		world_run_until(&w, w.now + 100);
+	}
+	end();
+}
+
+/*
+ * Jobs that are tried take room. Guards against those that would keep others
+ * waiting: while none is free they are rejected on arrival.
+ */
+Test(sched_hopeless, a_job_predicted_too_long_is_not_tried_without_room)
+{
+	int i;
+
+	world_begin(&w, &s, 8);
+	world_generate_load(&w, 0.4, 4000);
+	world_run_until(&w, w.now + 1500);
+	for (i = 0; i < 24; i++)
+		world_submit(&w, "digest", 1, 900, 1, 1500);
+	for (i = 0; i < 20; i++) {
+		struct world_job *job =
+			world_submit(&w, "digest", 1, 3000, 1, 1500);
+
+		cr_assert(job->answered, "job %d", i);
+		cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__REJECTED);
+	}
+	world_run_until(&w, w.now + 2000);
+	end();
+}
+
 struct result {
 	double value;	  /* share that was earned */
 	double of_others; /* share of the long jobs as estimated completed */
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -129,7 +129,7 @@
 {
 	return (rp_ms)(sched_job_critical_path(job) *
 		       sched_service_totals(job->s, job->service)->fast_slowdown *
-		       exp(-sqrt(job->work_var)));
+		       exp(-SCHED_TRY_SIGMAS * sqrt(job->work_var)));
 }
 
 rp_ms sched_admit_retry_after(const struct sched_job *job)
--- a/sched-int.h
+++ b/sched-int.h
@@ -19,6 +19,13 @@
  */
 #define GONE_MS 3000
 
+/*
+ * Standard deviations of its error by which a prediction may be beyond the time
+ * that is left, and the job counts as one that can end in time still: a job
+ * that is accepted is placed as well, and 2 in 100 that could end are rejected.
+ */
+#define SCHED_TRY_SIGMAS 2.0
+
 /* sched-job.c */
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now);
@@ -149,7 +156,7 @@
 #define SCHED_USABLE_SHARE_INITIAL 0.75
 /* Time in which the work that waits is done, within bounds, ms. */
 rp_ms sched_admit_retry_after(const struct sched_job *job);
-/* Time on fast targets, with a standard deviation less work than predicted. */
+/* Time on fast targets if the work is as little as the prediction allows. */
 rp_ms sched_job_shortest_time(const struct sched_job *job);
 /* Adjust the usable share to whether accepted jobs start on time. */
 void sched_admit_started_on_time(struct sched_job *job);
--- a/sched-place.c
+++ b/sched-place.c
@@ -193,6 +193,7 @@
 	int room_is_short;
 	double equal_log; /* difference up to which run times are equal */
 	double work_var;
+	double log_left; /* log of the ms until the job expires */
 };
 
 /*
@@ -234,9 +235,20 @@
 		.room_is_short = idle < SHORT_ROOM,
 		.equal_log = idle < SHORT_ROOM ? EQUAL_LOG_SHORT : EQUAL_LOG,
 		.work_var = job->work_var,
+		.log_left =
+			log_until(s, job->expires_at - (rp_ms)s->call_delay),
 	};
 }
 
+/* Whether the task may end before its job expires, for all that is known. */
+static int may_end_in_time(const struct sched_target *t,
+			   const struct criteria *c, double log_run_ms)
+{
+	double var = t->slowdown_var + SCHED_TASK_VAR + c->work_var;
+
+	return log_run_ms - SCHED_TRY_SIGMAS * sqrt(var) <= c->log_left;
+}
+
 /*
  * Whether the job should wait for a faster target: it would be late on the best
  * candidate, but the fastest target could still finish it on time.
@@ -290,13 +302,12 @@
 		    sched_target_at_spread_limit(t, job, step))
 			continue;
 		c.run_ms = sched_run_time(t, step);
-		if (c.run_ms + s->call_delay >
-		    (double)(job->expires_at - s->now))
-			continue;
 		c.log_run_ms = criteria.log_work + t->log_slowdown;
 		c.remote = sched_is_remote(t, step);
 		if (c.remote)
 			c.log_run_ms += log(s->remote_factor);
+		if (!may_end_in_time(t, &criteria, c.log_run_ms))
+			continue;
 		c.on_time = is_likely_on_time(t, &criteria, c.log_run_ms);
 		c.cpu_left = (double)(t->listing.capacity.cpu - t->used.cpu -
 				      step->need.cpu);
