Wait for targets that the first list of a successor lacked

Callers could see a task of a stored job run twice. The entry of a target had expired before the successor read the list, and came back 2.9 s later; the target had not carried out its start yet. The successor took the failure domain for reached, as it knew no target of it, and started the task elsewhere 1.8 s after the takeover.

Cause: sched_domains_unreached() looks at known targets alone. A target that is unlisted after the first list is kept for GONE_MS, 3 s, and waited for; one that the list never had is not.

Other jobs wait no longer, and none does when the list was confirmed.

--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -312,3 +312,50 @@
 	sched_finish(&first);
 	end_world();
 }
+
+/* The second scheduler, whose first list lacks the targets of one domain. */
+static void start_second_without_domain(const char *domain)
+{
+	size_t i;
+
+	sched_init(&second, first.ops, &w, NULL, LEAD_TOKEN(2), WORLD_LEASE_MS,
+		   w.now);
+	w.sched = &second;
+	for (i = 0; i < w.ntargets; i++)
+		if (strcmp(w.targets[i].listing.failure_domain, domain) != 0)
+			sched_target_listed(&second, &w.targets[i].listing,
+					    w.now);
+	sched_targets_loaded(&second);
+	sched_stored_jobs_loaded(&second);
+}
+
+/*
+ * The entry of the target had expired before the successor read the list, and
+ * is back soon. Guards against taking the domain for reached meanwhile.
+ */
+Test(sched_domain, a_target_that_the_first_list_lacks_is_not_gone_yet)
+{
+	struct world_job *job;
+
+	begin_world(4);
+	use_domain("a");
+	w.targets[0].late[WORLD_START] = w.targets[1].late[WORLD_START] =
+		(struct world_late){ 100, 3500, 3500, 0 };
+	job = world_submit(&w, "q", 1, 6000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	cut_domain_off("a");
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	start_second_without_domain("a");
+	second.prev_may_hold_unlisted = 1;
+	world_resubmit(&w);
+	world_run_until(&w, w.now + 2900);
+	sched_target_listed(&second, &w.targets[0].listing, w.now);
+	sched_target_listed(&second, &w.targets[1].listing, w.now);
+	world_run_until(&w, w.now + 2000);
+	w.targets[0].unresponsive = w.targets[1].unresponsive = 0;
+	world_run_until(&w, w.now + 9000);
+	cr_assert(job->answered);
+	end_world();
+}
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -92,11 +92,22 @@
 			job->domains_mark = 0;
 }
 
+/*
+ * Whether targets that this scheduler's first list lacked may still come back.
+ * One that is unlisted later is kept for as long.
+ */
+static int unlisted_may_return(const struct sched *s)
+{
+	return s->prev_may_hold_unlisted && s->now - s->started_at < GONE_MS;
+}
+
 int sched_domains_unreached(const struct sched_job *job)
 {
 	const struct sched *s = job->s;
 	size_t i;
 
+	if (job->nformer_domains && unlisted_may_return(s))
+		return 1;
 	for (i = 0; job->nformer_domains && i < s->ntargets; i++) {
 		const struct sched_target *t = s->targets[i];
 
