--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -8,6 +8,7 @@
 
 #include <apr_general.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lead.h"
@@ -359,3 +360,43 @@
 	cr_assert(job->answered);
 	end_world();
 }
+
+/*
+ * A leader of an earlier release, which names no domains, has started the task;
+ * the next one adopts the run, and a hold of it is late. Guards against a third
+ * leader that waits for the leases alone.
+ */
+Test(sched_domain, the_domain_of_an_adopted_run_is_named)
+{
+	static struct sched third;
+	struct world_job *job;
+	size_t i;
+
+	begin_world(4);
+	use_domain("a");
+	job = world_submit(&w, "q", 1, 9000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(w.starts, 1);
+	for (i = 0; i < job->sub->n_domains; i++)
+		free(job->sub->domains[i]);
+	job->sub->n_domains = 0;
+	take_over();
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].late[WORLD_HOLD] =
+			(struct world_late){ 100, 2000, 6000, 1 };
+	world_run_until(&w, w.now + 4000);
+	cr_assert_eq(second.count.adopted, 1);
+	cut_domain_off("a");
+	sched_finish(&second);
+	world_drop_calls(&w, &second);
+	world_start_sched(&w, &third, NULL, LEAD_TOKEN(3));
+	world_resubmit(&w);
+	world_run_until(&w, w.now + 4500);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = 0;
+	world_run_until(&w, w.now + 15000);
+	cr_assert(job->answered);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&third);
+	world_finish(&w);
+}
