A planned stop frees the submissions that the store has not answered

Hypothesis: pool_jobs_abort() answers the callers shortly before the end, and leaves the calls to the reply of the store, which does not come any more. The calls are listed in memory of the APR pool that ends with the process, so that nothing refers to them then. Cancellations and reads are referred to by their calls to the store, which are not freed either but can be reached.

pool_jobs_finish() frees them after the loop and the servers have ended, when no reply and no request can refer to them. Callers see no difference.

--- a/pool-job.c
+++ b/pool-job.c
@@ -146,6 +146,12 @@
 			"job_unanswered");
 }
 
+void pool_jobs_finish(struct pool *p)
+{
+	while (p->job_calls->all)
+		job_call_free(p->job_calls->all);
+}
+
 /* Answers the request after a failed call to the store. */
 static void respond_failed(struct pool_job_call *j, long status)
 {
--- a/pool.h
+++ b/pool.h
@@ -365,6 +365,8 @@
 void pool_jobs_flush(struct pool *p);
 /* Answers all requests that wait for the store: this VM is about to exit. */
 void pool_jobs_abort(struct pool *p);
+/* Frees what waits for the store, after the loop and the servers have ended. */
+void pool_jobs_finish(struct pool *p);
 
 /* --- pool-request.c: callers' requests ------------------------------- */
 
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -117,6 +117,7 @@
 		  LOG_NUMBER("after_ms", p->now - p->stopping_since));
 	log_flush();
 	pool_serve_finish(p);
+	pool_jobs_finish(p);
 	pool_agent_reset(p);
 	return 0;
 }
