A late job claims the runs that are being stopped

Callers could see one task run twice at the same time after a change of leader. A new leader stops the runs that it has found and that no job has claimed within 300 ms, and forgot them with the stop. An entry VM that was frozen or cut off until then, such as the leader before, submits its jobs as it joins. The new leader knew of no run, all targets had been read, and it started the tasks at once, while the stop was under way. A stop that was lost left the run going until its lease was over, up to a second.

A run that was found is kept now until a list or an end shows that it is over; its stop is sent once by the tick, and after each list as before. A job that comes meanwhile adopts it: the run goes on if the stop was lost, and its task is queued again when the stop has ended it.

The order of events is one of the daemon: on_changed() submits nothing until the link to the new leader is greeted, and a frozen VM joins after its pause.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -386,13 +386,18 @@
 	return s->now < o->kept_until;
 }
 
-static void stop_orphan(struct sched_target *t, const struct sched_orphan *o)
+/* A running one is kept: it goes on until the stop has arrived. */
+static void stop_run(struct sched_target *t, struct sched_orphan *o)
+{
+	if (o->stopped)
+		return; /* sent again after each list */
+	o->stopped = 1;
+	t->s->count.orphans++;
+	t->s->ops->stop(t->s, t, str_of(o->name), o->run);
+}
+
+static void release_end(struct sched_target *t, const struct sched_orphan *o)
 {
-	if (!o->number) {
-		t->s->count.orphans++;
-		t->s->ops->stop(t->s, t, str_of(o->name), o->run);
-		return;
-	}
 	if (o->how == SCHED_END_DONE)
 		sched_released_add(t->s, o->name);
 	sched_unacked_resolve(t, o->number, NULL, 0, 0);
@@ -403,13 +408,39 @@
 	size_t i;
 
 	for (i = t->norphans; i-- > 0;) {
-		if (keeps_end(t->s, &t->orphans[i]))
-			continue;
-		stop_orphan(t, &t->orphans[i]);
-		remove_orphan(t, i);
+		struct sched_orphan *o = &t->orphans[i];
+
+		if (!o->number) {
+			stop_run(t, o);
+		} else if (!keeps_end(t->s, o)) {
+			release_end(t, o);
+			remove_orphan(t, i);
+		}
 	}
 }
 
+static int is_listed(const struct sched_target_reply *reply,
+		     const struct sched_orphan *o)
+{
+	size_t i;
+
+	for (i = 0; i < reply->nruns; i++)
+		if (reply->runs[i].run == o->run &&
+		    str_eq(reply->runs[i].task, str_of(o->name)))
+			return 1;
+	return 0;
+}
+
+void sched_adopt_reconcile(struct sched_target *t,
+			   const struct sched_target_reply *reply)
+{
+	size_t i;
+
+	for (i = t->norphans; i-- > 0;)
+		if (!t->orphans[i].number && !is_listed(reply, &t->orphans[i]))
+			remove_orphan(t, i);
+}
+
 /* Whether fence is the token of the regular leader of the term before. */
 static int is_predecessor(const struct sched *s, uint64_t fence)
 {
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -388,8 +388,10 @@
 	}
 	apply_ends(t, reply);
 	stop_foreign_runs(t, reply);
-	if (reply->nends < ENDS_PER_REPLY)
+	if (reply->nends < ENDS_PER_REPLY) {
 		reconcile_runs(t, reply);
+		sched_adopt_reconcile(t, reply);
+	}
 	check_capacity(t);
 	if (has_unclaimed_runs(t))
 		t->hold_retry_at = now + RETRY_MS;
--- a/sched-int.h
+++ b/sched-int.h
@@ -221,6 +221,10 @@
 void sched_adopt_tick(struct sched_target *t);
 /* The run of the task is over, as far as is known, and its end may come. */
 void sched_adopt_give_up(const struct sched_task *task);
+/* Forgets the runs that were found on the target and are not listed any more.
+ */
+void sched_adopt_reconcile(struct sched_target *t,
+			   const struct sched_target_reply *reply);
 /* A run that this scheduler does not know has ended. */
 void sched_adopt_end(struct sched_target *t, const struct sched_end *end);
 /* Whether jobs of unknown runs may still be submitted. */
--- a/scheduler.h
+++ b/scheduler.h
@@ -370,6 +370,7 @@
 	uint64_t number; /* of its end; 0: it is running */
 	enum sched_end_how how;
 	rp_ms kept_until; /* its end is not acknowledged before; 0: not set */
+	int stopped;	  /* no job had claimed it in time; it may still run */
 };
 
 /* What is known of the targets of a failure domain together. */
