A job that no leader could start is rejected

A caller whose job got no answer from the leader until its deadline was told 504, "tasks may have run", also if none can have. It can't submit such a job again; after 503 with Retry-After it can. So it was when an entry VM was cut off right after it had sent the job, when the leader was lost and the job waited for room, and when a VM stopped.

abort_job() asked whether the job had been sent to a leader. But a VM that keeps the specification passes on every start itself, and remembers which leader has asked for one (started_fence). If none has, nothing was started; and nothing will be, as the job is closed before the caller is answered and a start of a closed job is not passed on. A job whose specification was sent to the leader, or a VM that leads, counts as started, as before.

pool_share::a_job_that_no_leader_could_start_is_rejected and a_job_that_was_rejected_is_not_started failed before.

--- a/pool-request.c
+++ b/pool-request.c
@@ -404,18 +404,23 @@
 	free(all);
 }
 
+/*
+ * A job that no leader could start is rejected, also if it was sent to one:
+ * this VM passes on no start of a job that it has closed.
+ */
 static void abort_job(struct pool_request *r, const char *reason)
 {
-	int sent = r->sent_fence != 0;
-	PoolAnswer__Outcome outcome = sent ? POOL_ANSWER__OUTCOME__INCOMPLETE
-					   : POOL_ANSWER__OUTCOME__REJECTED;
+	PoolAnswer__Outcome outcome = POOL_ANSWER__OUTCOME__REJECTED;
 
+	if (r->started_fence)
+		outcome = POOL_ANSWER__OUTCOME__INCOMPLETE;
+	else
+		r->p->count.rejected++;
 	pool_send_cancel(r->p, r->seq);
 	log_answer(r, pool_outcome_name(outcome), reason);
-	r->p->count.rejected += !sent;
 	answer_job(r, platform_outcome_status(outcome),
 		   platform_outcome_body(outcome),
-		   sent ? 0 : DEFAULT_RETRY_AFTER_S);
+		   r->started_fence ? 0 : DEFAULT_RETRY_AFTER_S);
 }
 
 static void expire_job(struct pool_request *r)
--- a/regress/pool-share.c
+++ b/regress/pool-share.c
@@ -281,6 +281,75 @@
 	other.links = NULL;
 }
 
+/* A job that the leader does not answer; agents: this VM keeps its text. */
+static unsigned status_without_answer(int agents, uint64_t asked_by)
+{
+	struct pool_request r = { .p = &other, .seq = 4, .fd.fd = -1 };
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolBeat beat = POOL_BEAT__INIT;
+
+	beat.agents = agents;
+	other.leader_link->greeted = 1;
+	other.leader_heartbeat = &beat;
+	other.set.max_lease = 1000;
+	other.lead.row.fence = LEAD_TOKEN(1);
+	sub.id = "0123456789abcdef";
+	sub.queue = sub.service = "q";
+	r.submit = &sub;
+	r.received_at = other.now;
+	r.deadline = other.now + 1000;
+	apr_hash_set(other.requests, &r.seq, sizeof(r.seq), &r);
+	other.nopen++;
+	pool_requests_resubmit(&other);
+	if (asked_by)
+		receive_start(asked_by);
+	other.leader_link = NULL; /* it is lost, and none comes */
+	other.now += 2000;
+	pool_requests_tick(&other, other.now);
+	other.leader_heartbeat = NULL;
+	cr_assert_eq(r.seq, 0);
+	cr_assert_eq(!r.response.retry_after_s, r.response.status != 503);
+	return r.response.status;
+}
+
+/*
+ * The specification has not left this VM, and no start was asked of it: none
+ * will be made, as the job is closed. Guards against an answer that says that
+ * tasks may have run, after which a caller can't submit the job again.
+ */
+Test(pool_share, a_job_that_no_leader_could_start_is_rejected)
+{
+	cr_assert_eq(status_without_answer(1, 0), 503);
+	other.links = NULL;
+}
+
+/* Guards against a rejection of a job that runs. */
+Test(pool_share, a_job_of_which_a_start_was_asked_is_not_rejected)
+{
+	cr_assert_eq(status_without_answer(1, LEAD_TOKEN(1)), 504);
+	other.links = NULL;
+}
+
+/* The leader has the specification, and starts tasks by itself. */
+Test(pool_share, a_job_whose_specification_was_sent_is_not_rejected)
+{
+	cr_assert_eq(status_without_answer(0, 0), 504);
+	other.links = NULL;
+}
+
+/* A start that arrives after the rejection. Guards against a run of it. */
+Test(pool_share, a_job_that_was_rejected_is_not_started)
+{
+	struct pool_link *l = other.leader_link;
+
+	cr_assert_eq(status_without_answer(1, 0), 503);
+	other.leader_link = l;
+	receive_start(LEAD_TOKEN(1));
+	cr_assert_null(other.calls);
+	cr_assert_eq(other.count.target_calls, 0);
+	other.links = NULL;
+}
+
 /*
  * A provisional leader has started a task, and two regular ones follow in short
  * order. Guards against the second of them examining only the first, whose runs
