A leader starts nothing for an entry VM that may follow another one

Callers could see one task run twice at the same time: a leader that was frozen for less than a second asks the store and goes on, as the row still names it. A failure domain that was cut off meanwhile had a provisional leader, which had adopted the runs of the domain's entry VMs. The leader found the leases of these runs over, and started their tasks elsewhere at once: the link of a silent member is closed at the first tick, but its jobs were dropped 250 ms later. The same holds without a freeze, between the time that a VM hears no leader (450 ms at most) and 750 ms, if the lease of a target that was unreachable before ends then.

None of a member's jobs starts a task now while the member has not echoed a heartbeat for LEAD_SILENCE_MAX_MS, or its link is closed. They go on once it echoes again, and are dropped as before if it does not. A VM may follow another leader sooner than that, after 310 ms at the earliest with fast heartbeats; that window stays, as echoes of a large pool are up to 200 ms old and more.

--- a/pool-member.c
+++ b/pool-member.c
@@ -165,6 +165,22 @@
 	p->sched.longest_wait = longest_timeout(p);
 }
 
+/*
+ * A member that has not echoed for as long as a VM hears no leader at most may
+ * follow another one, which runs its jobs, until it is removed here.
+ */
+static void check_silence(struct pool *p, struct pool_member *m)
+{
+	int silent = !m->link ||
+		     p->now - pool_member_followed_at(m) > LEAD_SILENCE_MAX_MS;
+
+	if (silent == m->silent)
+		return;
+	m->silent = silent;
+	sched_owner_silent(&p->sched, m, silent, p->now);
+	p->dispatch_due |= !silent;
+}
+
 /* Closes the links of silent members; removes those that don't reconnect. */
 static void check_members(struct pool *p)
 {
@@ -175,6 +191,7 @@
 		if (m->link &&
 		    p->now - pool_member_followed_at(m) > MEMBER_TIMEOUT_MS)
 			pool_link_close(m->link, "member timed out");
+		check_silence(p, m);
 		if (!m->link && p->now - m->disconnected_at > RECONNECT_MS)
 			remove_member(p, m, "did not reconnect");
 	}
--- a/pool-relay.c
+++ b/pool-relay.c
@@ -59,6 +59,8 @@
 	if (never_arrived(p, m, sub))
 		sub->former = 0;
 	sched_submit(&p->sched, m, sub, p->now);
+	if (m->silent)
+		sched_owner_silent(&p->sched, m, 1, p->now);
 	p->dispatch_due = 1;
 }
 
--- a/pool.h
+++ b/pool.h
@@ -97,6 +97,7 @@
 	int echoes; /* it is of a release that echoes the leader's clock */
 	/* When this leader sent the latest heartbeat that it echoed; 0: none */
 	rp_ms echoed_at;
+	int silent; /* it may follow another leader: none of its jobs start */
 	uint64_t sent_mark;	 /* of the latest message sent to it */
 	size_t assigned_targets; /* targets that it calls as an agent */
 	int gets_listings;	 /* it is sent changes of the list of targets */
--- a/regress/world/vms-job.c
+++ b/regress/world/vms-job.c
@@ -206,6 +206,8 @@
 		  vm->index, sub.id, m->vm, (unsigned long long)sub.seq,
 		  (unsigned long long)sub.former, sub.left_ms);
 	sched_submit(&vm->sched, m, &sub, vm->o->w.now);
+	if (m->silent)
+		sched_owner_silent(&vm->sched, m, 1, vm->o->w.now);
 	vm->dispatch_due = 1;
 }
 
--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -195,6 +195,18 @@
 	send_beat(vm, l, VMS_MEMBER);
 }
 
+static void check_silence(struct vm *vm, struct vms_member *m)
+{
+	int silent = !m->link ||
+		     vms_now(vm) - followed_at(m) > LEAD_SILENCE_MAX_MS;
+
+	if (silent == m->silent)
+		return;
+	m->silent = silent;
+	sched_owner_silent(&vm->sched, m, silent, vms_now(vm));
+	vm->dispatch_due |= !silent;
+}
+
 static void check_members(struct vm *vm)
 {
 	struct vms_member *m, *next;
@@ -207,6 +219,7 @@
 			m->link = NULL;
 			m->disconnected_at = vms_now(vm);
 		}
+		check_silence(vm, m);
 		if (!m->link && vms_now(vm) - m->disconnected_at > RECONNECT_MS)
 			remove_member(vm, m);
 	}
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -81,7 +81,7 @@
 	struct vms_member *next;
 	int vm, boot;
 	struct vms_link *link; /* NULL: not connected */
-	int removed;
+	int removed, silent;
 	int store_reachable;
 	rp_ms echoed_at, joined_at, disconnected_at;
 	uint64_t sent_mark;
--- a/sched-core.c
+++ b/sched-core.c
@@ -445,7 +445,7 @@
 
 	if (job->stored && s->stored_suspended)
 		return;
-	if (job->domains_mark ||
+	if (job->domains_mark || job->owner_silent ||
 	    (job->awaits_earlier_runs && has_earlier_runs(job)))
 		return;
 	job->awaits_earlier_runs = 0;
--- a/sched-job.c
+++ b/sched-job.c
@@ -440,3 +440,14 @@
 	sched_job_reap(job);
 	return mark;
 }
+
+void sched_owner_silent(struct sched *s, const void *owner, int silent,
+			rp_ms now)
+{
+	struct sched_job *job;
+
+	s->now = now;
+	for (job = s->jobs; job; job = job->next)
+		if (job->owner == owner)
+			job->owner_silent = silent;
+}
--- a/scheduler.h
+++ b/scheduler.h
@@ -289,6 +289,7 @@
 	int isolate;	  /* it may have crashed a target */
 	int stored; /* kept in the store: has no deadline, is not rejected */
 	int answered;
+	int owner_silent; /* it may have submitted the job to another one */
 	int owner_lost;	  /* it may submit the job to another scheduler */
 	int missed_start; /* considered only after its latest start */
 	int displaced;	  /* made late by a job of a higher priority */
@@ -762,6 +763,13 @@
  * long as the jobs' callers wait.
  */
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now);
+/*
+ * silent: the owner has not shown for a while that it follows this scheduler,
+ * and may have submitted its jobs to another one. None of their tasks starts
+ * until a call with silent 0.
+ */
+void sched_owner_silent(struct sched *s, const void *owner, int silent,
+			rp_ms now);
 /* An entry of the platform's list is new or has changed. */
 void sched_target_listed(struct sched *s, const struct sched_listing *l,
 			 rp_ms now);
