Keep what a first submission knew of earlier leaders' runs

Callers that wait for long could see a task run twice after a change of leader. The first submission waited for a target that may still carry out a call of the previous leader. The caller's connection broke, it submitted the job again at another entry VM, and the task was started at once or when the leases were over, beside the late run.

Cause: the failure domains, and that an earlier leader had started the job, belonged to the submission, not to the job. They were dropped when the first one was superseded or cancelled, and a cancelled job that this leader had not started left no record at all. The record of answered jobs now keeps both, with the time from which the leases count, and the new owner is told of the domains.

A job whose caller does not wait for late calls names no domain, so it gets no message. If it is cancelled while it waits for the leases of the previous leader, its second submission waits for the rest of them.

--- a/sched-domain.c
+++ b/sched-domain.c
@@ -59,10 +59,9 @@
 	return job->stored || job->deadline > sched_adopt_leases_over(job);
 }
 
-int sched_domain_announce(struct sched_job *job, const struct sched_target *t)
+/* Returns whether the owner knows of the domain already. */
+static int announce(struct sched_job *job, const char *domain)
 {
-	const char *domain = t->listing.failure_domain;
-
 	if (!needs_domains(job) || has_domain(job, job->ndomains, domain))
 		return 1;
 	add_domain(job, domain);
@@ -70,6 +69,39 @@
 	return !job->domains_mark;
 }
 
+int sched_domain_announce(struct sched_job *job, const struct sched_target *t)
+{
+	return announce(job, t->listing.failure_domain);
+}
+
+void sched_domains_inherit(struct sched_job *job,
+			   const struct sched_history *rec)
+{
+	size_t i;
+
+	for (i = 0; i < rec->ndomains; i++) {
+		announce(job, rec->domains[i]);
+		if (i < rec->nformer_domains)
+			job->nformer_domains = job->ndomains;
+	}
+}
+
+void sched_domains_record(struct sched_history *rec,
+			  const struct sched_job *job)
+{
+	size_t i;
+
+	if (!job->ndomains)
+		return;
+	rec->domains = calloc(job->ndomains, sizeof(*rec->domains));
+	if (!rec->domains)
+		return;
+	for (i = 0; i < job->ndomains; i++)
+		rec->domains[i] = strdup(job->domains[i]);
+	rec->ndomains = job->ndomains;
+	rec->nformer_domains = job->nformer_domains;
+}
+
 void sched_domains_resend(struct sched_job *job)
 {
 	job->domains_mark = job->s->ops->domains(job->s, job);
--- a/sched-int.h
+++ b/sched-int.h
@@ -255,6 +255,12 @@
 /* Keeps the domains in which earlier schedulers may have started tasks. */
 void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
 void sched_domains_free(struct sched_job *job);
+/* Keeps those of an earlier submission, and tells the new owner of them. */
+void sched_domains_inherit(struct sched_job *job,
+			   const struct sched_history *rec);
+/* Copies the domains of a job that is answered into its record. */
+void sched_domains_record(struct sched_history *rec,
+			  const struct sched_job *job);
 /* Tells the owner again, as a message may have been lost. */
 void sched_domains_resend(struct sched_job *job);
 /*
--- a/sched-past.c
+++ b/sched-past.c
@@ -78,9 +78,10 @@
 {
 	struct sched *s = job->s;
 	struct sched_history *rec;
+	int unknown = job->prev_fence && !sched_adopt_all_known(job);
 	size_t i;
 
-	if (!job->first_started_at)
+	if (!job->first_started_at && !unknown)
 		return;
 	rec = calloc(1, sizeof(*rec) + job->ntasks);
 	if (!rec)
@@ -93,6 +94,11 @@
 	for (i = 0; i < job->ntasks; i++)
 		rec->done[i] = job->tasks[i].state == SCHED_DONE;
 	add_losses(rec, job);
+	if (unknown) {
+		rec->prev_fence = job->prev_fence;
+		rec->submitted_at = job->submitted_at;
+	}
+	sched_domains_record(rec, job);
 	*s->history_tail = rec;
 	s->history_tail = &rec->next;
 	/*
@@ -103,6 +109,27 @@
 	apr_hash_set(s->history, rec->id, APR_HASH_KEY_STRING, rec);
 }
 
+/*
+ * Restores what the earlier submission knew of earlier schedulers. A job
+ * without unknown runs is admitted like any other.
+ */
+static void restore_previous(struct sched_job *job,
+			     const struct sched_history *rec)
+{
+	int inherits = rec->prev_fence && !job->prev_fence;
+	rp_ms submitted_at = job->submitted_at;
+
+	if (inherits) {
+		job->prev_fence = rec->prev_fence;
+		job->submitted_at = rec->submitted_at;
+	}
+	sched_domains_inherit(job, rec);
+	if (inherits && sched_adopt_all_known(job)) {
+		job->prev_fence = 0;
+		job->submitted_at = submitted_at;
+	}
+}
+
 void sched_history_restore(struct sched_job *job)
 {
 	struct sched *s = job->s;
@@ -116,6 +143,8 @@
 		job->next_run = rec->next_run;
 	job->min_run = job->next_run;
 	job->started_earlier = rec != NULL;
+	if (rec)
+		restore_previous(job, rec);
 	rec = find_record(job);
 	if (!rec)
 		return;
@@ -138,6 +167,9 @@
 	s->history_head = rec->next;
 	if (!s->history_head)
 		s->history_tail = &s->history_head;
+	while (rec->ndomains)
+		free(rec->domains[--rec->ndomains]);
+	free(rec->domains);
 	free(rec->losses);
 	free(rec);
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -234,6 +234,11 @@
 	uint32_t next_run; /* run number that a resubmission starts with */
 	struct sched_history_loss *losses;
 	size_t nlosses;
+	/* Of the job, if runs of an earlier scheduler may be unknown yet. */
+	uint64_t prev_fence;
+	rp_ms submitted_at;
+	char **domains;
+	size_t ndomains, nformer_domains;
 	size_t ntasks;
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
