Keep failed runs of a late write of the previous leader

A task of a stored job could be started once more after it had failed as often as its queue allows. A row that the previous leader had written came after this leader had read the job: of that row only the tasks that are done and the failure domains were merged, and the next write left the failed runs out.

Failed runs are now merged by their task and run number, as a row that was read counts them. Losses of targets are still not merged: they delay starts and bound crashes, and the present leader learns them anew.

Failed before: pool_keep::failed_runs_of_a_late_write_are_kept, 1 failure instead of 2.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -274,6 +274,30 @@
 	return *n > before;
 }
 
+/* The run of an entry of failed; 0 in rows of an earlier version. */
+static uint32_t failed_run(const PoolJob *job, size_t i)
+{
+	return i < job->n_failed_runs ? job->failed_runs[i] : 0;
+}
+
+/* Adds the failed runs that only the other row has. Returns whether it has any.
+ */
+static int merge_failures(PoolJob *job, const PoolJob *other)
+{
+	size_t i, j, before = job->n_failed;
+
+	for (i = 0; i < other->n_failed; i++) {
+		for (j = 0; j < before; j++)
+			if (job->failed[j] == other->failed[i] &&
+			    failed_run(job, j) == failed_run(other, i))
+				break;
+		if (j == before)
+			append_failure(job, other->failed[i],
+				       failed_run(other, i));
+	}
+	return job->n_failed > before;
+}
+
 /* Adds the domains that only the other row has. Returns whether it has any. */
 static int merge_domains(PoolJob *job, const PoolJob *other)
 {
@@ -299,6 +323,7 @@
 	int more =
 		merge(&j->job->done, &j->job->n_done, job->done, job->n_done);
 
+	more |= merge_failures(j->job, job);
 	more |= merge_domains(j->job, job);
 	if (!more)
 		return;
--- a/regress/pool-keep.c
+++ b/regress/pool-keep.c
@@ -333,3 +333,49 @@
 	sched_owner_acked(&p.sched, j, j->mark, p.now);
 	cr_assert_eq(open->domains_mark, 0);
 }
+
+/*
+ * The late write has a failed run that this leader did not read. Guards against
+ * an attempt beyond the limit, and a row that is written without that run.
+ */
+Test(pool_keep, failed_runs_of_a_late_write_are_kept)
+{
+	static const struct sched_ops no_ops = { .domains = pool_stored_domains,
+						 .answer = no_answer };
+	PoolJob job = POOL_JOB__INIT;
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+	uint32_t failed[] = { 1, 1 }, failed_runs[] = { 8, 9 };
+	uint8_t packed[512];
+	struct platform_row row = { .key = "0000000000000001", .version = 4 };
+	struct sched_job *open;
+	struct stored_job *j;
+
+	sched_init(&p.sched, &no_ops, &p, NULL, LEAD_TOKEN(2), 1000,
+		   p.now - 5000);
+	p.leading = 1;
+	step.tasks = 2;
+	sub.id = row.key;
+	sub.queue = sub.service = "q";
+	sub.stored = 1;
+	sub.max_attempts = 3;
+	sub.n_steps = 1;
+	sub.steps = &steps;
+	job.submit = &sub;
+	job.failed = failed;
+	job.failed_runs = failed_runs;
+	job.n_failed = job.n_failed_runs = 1;
+	row.len = pool_job__pack(&job, packed);
+	row.value = (char *)packed;
+	stored_job_apply_row(&p, &row);
+	job.n_failed = job.n_failed_runs = 2;
+	job.writer = LEAD_TOKEN(1);
+	row.version = 6;
+	row.len = pool_job__pack(&job, packed);
+	stored_job_apply_row(&p, &row);
+	open = sched_find_open_job(&p.sched, str_of(row.key));
+	cr_assert_eq(open->tasks[1].failures, 2);
+	j = stored_job_find(&p, row.key);
+	cr_assert_eq(j->job->n_failed, 2);
+	cr_assert_eq(j->job->failed_runs[1], 9);
+}
