--- a/pool-job.c
+++ b/pool-job.c
@@ -148,8 +148,12 @@
 
 void pool_jobs_finish(struct pool *p)
 {
-	while (p->job_calls->all)
-		job_call_free(p->job_calls->all);
+	struct pool_job_call *j, *next;
+
+	for (j = p->job_calls->all; j; j = next) {
+		next = j->all_next;
+		job_call_free(j);
+	}
 }
 
 /* Answers the request after a failed call to the store. */
