A job sent again waits for runs that its lost owner may have kept alive

Callers could see one task run twice at the same time: a failure domain is cut off with the entry VM of a job and with the target that runs it. The leader outside drops the VM's jobs after 750 ms, and counts the run as over when its lease is. Inside, a provisional leader has adopted the run and renews it. The caller, whose connection broke, submits the job again at an entry VM outside 1.3 s later, and the leader started its tasks anew.

The leader knows that the earlier submission's owner was lost, and that its run was given up without a reply of its target. It records until when the caller of that submission waits, after which its entry VM cancels the job; a new submission of the id starts no task before. Only jobs that are sent again after both are delayed.

--- a/sched-core.c
+++ b/sched-core.c
@@ -446,6 +446,7 @@
 	if (job->stored && s->stored_suspended)
 		return;
 	if (job->domains_mark || job->owner_silent ||
+	    s->now < job->starts_after ||
 	    (job->awaits_earlier_runs && has_earlier_runs(job)))
 		return;
 	job->awaits_earlier_runs = 0;
--- a/sched-int.h
+++ b/sched-int.h
@@ -138,6 +138,12 @@
 /* Records a target that was lost with a task of an answered job. */
 void sched_history_add_loss(const struct sched_task *task,
 			    const struct sched_loss *loss);
+/*
+ * Records that the run, whose target cannot be reached, may go on as long as
+ * the job's caller waits: the lost owner may have submitted the job to a
+ * scheduler that reaches the target.
+ */
+void sched_history_add_unreached(const struct sched_task *task);
 /* Records the success of a task whose job may still be submitted. */
 void sched_released_add(struct sched *s, const char *task);
 /* Marks the job's tasks done whose success was recorded. */
--- a/sched-past.c
+++ b/sched-past.c
@@ -74,6 +74,25 @@
 	}
 }
 
+/* Time for an entry VM to cancel a job at its deadline, and to stop its runs.
+ */
+#define EXPIRY_MS 100
+
+void sched_history_add_unreached(const struct sched_task *task)
+{
+	const struct sched_job *closed = task->job;
+	struct sched_job *job =
+		sched_find_open_job(closed->s, str_of(closed->id));
+	struct sched_history *rec = find_record(closed);
+	rp_ms until = closed->deadline + EXPIRY_MS;
+
+	/* The job may have been submitted again already. */
+	if (job && job->starts_after < until)
+		job->starts_after = until;
+	if (rec && rec->may_go_on_until < until)
+		rec->may_go_on_until = until;
+}
+
 void sched_history_add(const struct sched_job *job)
 {
 	struct sched *s = job->s;
@@ -116,6 +135,8 @@
 		job->next_run = rec->next_run;
 	job->min_run = job->next_run;
 	job->started_earlier = rec != NULL;
+	if (rec)
+		job->starts_after = rec->may_go_on_until;
 	rec = find_record(job);
 	if (!rec)
 		return;
--- a/scheduler.h
+++ b/scheduler.h
@@ -230,8 +230,9 @@
 	struct sched_history *next; /* the record added next */
 	rp_ms closed_at;
 	char id[SCHED_ID_MAX];
-	uint64_t digest;   /* of the specification */
-	uint32_t next_run; /* run number that a resubmission starts with */
+	uint64_t digest;       /* of the specification */
+	uint32_t next_run;     /* run number that a resubmission starts with */
+	rp_ms may_go_on_until; /* runs of it, under another scheduler */
 	struct sched_history_loss *losses;
 	size_t nlosses;
 	size_t ntasks;
@@ -296,6 +297,7 @@
 	/* Runs of an earlier submission of the id may not be over. */
 	int awaits_earlier_runs;
 	int started_earlier; /* a task was, under an earlier submission */
+	rp_ms starts_after;  /* no task starts before */
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	/* Tokens of this scheduler at its first and its latest submission. */
