The simulated pool keeps the failure domains of jobs

So neither the wait before a start nor what a successor is told was played.

They are now messages like those on tasks that are done, with marks, lost with their links, and go to the next leader with the submission.

--- a/regress/world/vms-job.c
+++ b/regress/world/vms-job.c
@@ -9,8 +9,6 @@
 #include <string.h>
 
 #define ANSWER_MARGIN_MS 20
-#define NO_LEADER_MS 1500
-#define RESEND_MS 1300 /* PROTOCOL.md, resendMs */
 
 /* --- on the leader ---------------------------------------------------- */
 
@@ -19,6 +17,21 @@
 	return s->user; /* the world is the first member */
 }
 
+/* A message to the member of the next mark. NULL: it is lost. */
+static struct vms_message *send_marked(struct vms_member *m, enum vms_kind kind,
+				       uint64_t seq)
+{
+	struct vms_message *msg;
+
+	m->sent_mark++;
+	if (!m->link)
+		return NULL;
+	msg = vms_send(m->link, VMS_MEMBER, kind);
+	msg->mark = m->sent_mark;
+	msg->seq = seq;
+	return msg;
+}
+
 static uint64_t send_answer(struct vm *vm, struct vms_member *m, uint64_t seq,
 			    PoolAnswer__Outcome outcome)
 {
@@ -30,13 +43,9 @@
 	}
 	m->answers[m->nanswers % VMS_ANSWERS].seq = seq;
 	m->answers[m->nanswers++ % VMS_ANSWERS].outcome = outcome;
-	m->sent_mark++;
-	if (!m->link)
-		return m->sent_mark;
-	msg = vms_send(m->link, VMS_MEMBER, VMS_ANSWER);
-	msg->mark = m->sent_mark;
-	msg->seq = seq;
-	msg->outcome = outcome;
+	msg = send_marked(m, VMS_ANSWER, seq);
+	if (msg)
+		msg->outcome = outcome;
 	return m->sent_mark;
 }
 
@@ -67,13 +76,9 @@
 		vms_progress_received(vm, job->seq, index);
 		return 0;
 	}
-	m->sent_mark++;
-	if (!m->link)
-		return m->sent_mark;
-	msg = vms_send(m->link, VMS_MEMBER, VMS_PROGRESS);
-	msg->mark = m->sent_mark;
-	msg->seq = job->seq;
-	msg->done[0] = index;
+	msg = send_marked(m, VMS_PROGRESS, job->seq);
+	if (msg)
+		msg->done[0] = index;
 	return m->sent_mark;
 }
 
@@ -131,6 +136,28 @@
 	return 0;
 }
 
+static uint64_t on_domains(struct sched *s, struct sched_job *job)
+{
+	struct vm *vm = vms_vm_of(vms_of(s), s);
+	struct vms_member *m = job->owner;
+	unsigned domains = 0;
+	struct vms_message *msg;
+	size_t i;
+
+	for (i = 0; i < job->ndomains; i++)
+		domains |= 1u << (job->domains[i][0] - 'a');
+	if (!m)
+		return 0;
+	if (m == &vm->self) {
+		vms_domains_received(vm, job->seq, domains);
+		return 0;
+	}
+	msg = send_marked(m, VMS_TOLD_DOMAINS, job->seq);
+	if (msg)
+		msg->domains = domains;
+	return m->sent_mark;
+}
+
 static void on_log_loss(struct sched *s, const char *event,
 			const struct sched_task *task,
 			const struct sched_loss *loss, const char *reason)
@@ -164,7 +191,7 @@
 	.progress = on_progress,
 	.log = on_log,
 	.losses = on_losses,
-	.domains = on_losses,
+	.domains = on_domains,
 	.log_loss = on_log_loss,
 	.log_domain = on_log_domain,
 	.log_move = on_log_move,
@@ -189,7 +216,10 @@
 void vms_schedule(struct vm *vm, struct vms_member *m,
 		  const struct vms_message *msg)
 {
+	static char *const names[VMS_DOMAINS] = { "a", "b", "c" };
+	char *domains[VMS_DOMAINS];
 	PoolSubmit sub = *msg->job->sub;
+	int i;
 
 	if (was_answered(vm, m, msg))
 		return;
@@ -199,6 +229,10 @@
 	sub.left_ms = (uint32_t)msg->left;
 	sub.done = (uint32_t *)msg->done;
 	sub.n_done = msg->ndone;
+	sub.domains = domains;
+	for (i = 0; i < VMS_DOMAINS; i++)
+		if (msg->domains & 1u << i)
+			domains[sub.n_domains++] = names[i];
 	if (m != &vm->self && sub.former == vm->lead.row.fence &&
 	    vm->o->w.now - m->joined_at > (rp_ms)sub.age_ms)
 		sub.former = 0;
@@ -235,7 +269,7 @@
 	free(r);
 }
 
-static void submit(struct vm *vm, struct vms_request *r)
+void vms_submit(struct vm *vm, struct vms_request *r)
 {
 	rp_ms now = vm->o->w.now;
 	struct vms_message local, *msg = &local;
@@ -253,6 +287,7 @@
 	msg->left = r->deadline > now ? r->deadline - now : 0;
 	memcpy(msg->done, r->done, sizeof(msg->done));
 	msg->ndone = r->ndone;
+	msg->domains = r->domains;
 	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
 				  LEAD_IS_PROVISIONAL(r->sent_fence)))
 		r->started_fence = r->sent_fence;
@@ -271,7 +306,7 @@
 		seqs[n++] = r->seq;
 	for (i = 0; i < n; i++)
 		if ((r = find_request(vm, seqs[i])))
-			submit(vm, r);
+			vms_submit(vm, r);
 }
 
 static void send_cancel(struct vm *vm, uint64_t seq)
@@ -290,7 +325,7 @@
 {
 	o->answered[outcome]++;
 	if (outcome == POOL_ANSWER__OUTCOME__INCOMPLETE)
-		c->resend_at = o->w.now + RESEND_MS;
+		c->resend_at = o->w.now + VMS_RESEND_MS;
 }
 
 void vms_answer_received(struct vm *vm, uint64_t seq,
@@ -317,6 +352,14 @@
 		r->done[r->ndone++] = task;
 }
 
+void vms_domains_received(struct vm *vm, uint64_t seq, unsigned domains)
+{
+	struct vms_request *r = find_request(vm, seq);
+
+	if (r)
+		r->domains |= domains;
+}
+
 static void abort_request(struct vm *vm, struct vms_request *r)
 {
 	send_cancel(vm, r->seq);
@@ -327,8 +370,7 @@
 	close_request(vm, r);
 }
 
-/* Whether callers reach the VM, or it them. */
-static int callers_reach(const struct vms *o, const struct vm *vm)
+int vms_callers_reach(const struct vms *o, const struct vm *vm)
 {
 	return !o->callers_cut || o->w.now >= o->cut_until[vm->domain];
 }
@@ -339,7 +381,7 @@
 
 	return now >= r->deadline + ANSWER_MARGIN_MS ||
 	       (!r->sent_fence && !vm->leading &&
-		now - vm->leader_alive_at >= NO_LEADER_MS);
+		now - vm->leader_alive_at >= VMS_NO_LEADER_MS);
 }
 
 void vms_requests_tick(struct vm *vm)
@@ -348,7 +390,7 @@
 
 	for (r = vm->requests; r; r = next) {
 		next = r->next;
-		if (!r->caller && callers_reach(vm->o, vm)) {
+		if (!r->caller && vms_callers_reach(vm->o, vm)) {
 			send_cancel(vm, r->seq);
 			close_request(vm, r);
 		} else if (is_over(vm, r)) {
@@ -364,102 +406,7 @@
 		struct vms_request *r = vm->requests;
 
 		if (r->caller)
-			r->caller->resend_at = vm->o->w.now + RESEND_MS;
+			r->caller->resend_at = vm->o->w.now + VMS_RESEND_MS;
 		close_request(vm, r);
 	}
 }
-
-/* --- callers ---------------------------------------------------------- */
-
-void vms_caller_break(struct vms *o, struct vms_caller *c)
-{
-	if (!c->request)
-		return;
-	vms_trace(o, "connection of %s to vm%d breaks", c->job->sub->id, c->vm);
-	c->request->caller = NULL;
-	c->request = NULL;
-	c->resend_at = o->w.now + RESEND_MS;
-}
-
-static void submit_at(struct vms *o, struct vms_caller *c, struct vm *vm)
-{
-	struct vms_request *r = calloc(1, sizeof(*r));
-	rp_ms left = o->timeout;
-
-	if (o->rest_only)
-		left -= o->w.now - c->first_at;
-	r->caller = c;
-	r->job = c->job;
-	r->seq = ++vm->next_seq;
-	r->received_at = o->w.now;
-	r->deadline = o->w.now + left;
-	r->next = vm->requests;
-	vm->requests = r;
-	c->request = r;
-	c->vm = vm->index;
-	c->resend_at = 0;
-	vms_trace(o, "caller of %s to vm%d, waits %lld", c->job->sub->id,
-		  vm->index, (long long)left);
-	submit(vm, r);
-}
-
-static struct vm *choose_vm(struct vms *o, int except)
-{
-	size_t i, at = vms_random(o, o->nvms);
-
-	for (i = 0; i < o->nvms; i++) {
-		struct vm *vm = &o->vms[(at + i) % o->nvms];
-
-		if (vms_awake(o, vm) && vm->index != except &&
-		    callers_reach(o, vm) &&
-		    (vm->leading ||
-		     o->w.now - vm->leader_alive_at < NO_LEADER_MS))
-			return vm;
-	}
-	return NULL;
-}
-
-static void new_caller(struct vms *o)
-{
-	struct vm *vm = choose_vm(o, -1);
-	struct vms_caller *c = &o->callers[o->ncallers];
-	double work = 60 + (double)vms_random(o, (uint64_t)o->max_work);
-	int tasks = 1 + (int)vms_random(o, VMS_TASKS);
-
-	if (!vm || o->ncallers == VMS_CALLERS)
-		return;
-	o->ncallers++;
-	c->job = world_job_new(&o->w, "q", tasks, work, 1, o->timeout);
-	c->job->resent = !o->check_done;
-	c->first_at = o->w.now;
-	submit_at(o, c, vm);
-}
-
-void vms_callers_tick(struct vms *o)
-{
-	size_t i;
-
-	if (o->w.now < o->length && vms_random(o, 1000) < (uint64_t)o->load)
-		new_caller(o);
-	for (i = 0; i < o->ncallers; i++) {
-		struct vms_caller *c = &o->callers[i];
-		struct vm *vm;
-
-		if (c->request && o->callers_cut &&
-		    !callers_reach(o, &o->vms[c->vm]))
-			vms_caller_break(o, c);
-		if (!c->resend_at || o->w.now < c->resend_at)
-			continue;
-		if (o->rest_only &&
-		    o->w.now - c->first_at + 100 >= o->timeout) {
-			c->resend_at = 0;
-			continue;
-		}
-		vm = choose_vm(o, c->vm);
-		if (!vm)
-			continue;
-		c->job->resent = 1;
-		o->resent++;
-		submit_at(o, c, vm);
-	}
-}
--- a/regress/world/vms-lead.c
+++ b/regress/world/vms-lead.c
@@ -283,6 +283,8 @@
 			vms_answer_received(vm, m->seq, m->outcome);
 		else if (m->kind == VMS_PROGRESS)
 			vms_progress_received(vm, m->seq, m->done[0]);
+		else if (m->kind == VMS_TOLD_DOMAINS)
+			vms_domains_received(vm, m->seq, m->domains);
 	}
 	vms_leader_link_drop(vm);
 	lead_paused(&vm->lead, vms_now(vm) - vm->frozen_at, vms_now(vm));
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -21,6 +21,8 @@
 #define VMS_ANSWERS 64 /* recent ones that a leader keeps for a member */
 #define VMS_CALLERS 512
 #define VMS_FAULTS 12
+#define VMS_RESEND_MS 1300    /* PROTOCOL.md, resendMs */
+#define VMS_NO_LEADER_MS 1500 /* from which jobs are not taken */
 
 struct vms;
 
@@ -40,6 +42,7 @@
 	VMS_CANCEL,
 	VMS_ANSWER,
 	VMS_PROGRESS,
+	VMS_TOLD_DOMAINS,
 	VMS_ACK,
 	VMS_CLOSE,
 };
@@ -54,6 +57,7 @@
 	struct world_job *job;
 	uint64_t seq, mark, former;
 	rp_ms age, left;
+	unsigned domains; /* a bit for each; of a submission, or told */
 	uint32_t done[VMS_TASKS];
 	size_t ndone;
 	PoolAnswer__Outcome outcome;
@@ -99,6 +103,7 @@
 	struct world_job *job;
 	uint64_t seq, started_fence, sent_fence;
 	rp_ms received_at, deadline;
+	unsigned domains; /* that leaders have told, a bit for each */
 	uint32_t done[VMS_TASKS];
 	size_t ndone;
 };
@@ -334,6 +339,13 @@
 void vms_answer_received(struct vm *vm, uint64_t seq,
 			 PoolAnswer__Outcome outcome);
 void vms_progress_received(struct vm *vm, uint64_t seq, uint32_t task);
+void vms_domains_received(struct vm *vm, uint64_t seq, unsigned domains);
+void vms_submit(struct vm *vm, struct vms_request *r);
+/* Whether callers reach the VM, or it them. */
+int vms_callers_reach(const struct vms *o, const struct vm *vm);
+
+/* --- vms-caller.c --------------------------------------------------------- */
+
 void vms_callers_tick(struct vms *o);
 void vms_caller_break(struct vms *o, struct vms_caller *c);
 
