--- a/regress/pool-silent.c
+++ b/regress/pool-silent.c
@@ -32,6 +32,14 @@
 	(void)wait;
 }
 
+/* The owner knows of the domain already. */
+static uint64_t on_domains(struct sched *s, struct sched_job *job)
+{
+	(void)s;
+	(void)job;
+	return 0;
+}
+
 static void on_log(struct sched *s, const char *event,
 		   const struct sched_target *t, const struct sched_task *task,
 		   const char *reason)
@@ -46,6 +54,7 @@
 static const struct sched_ops ops = {
 	.start = on_start,
 	.hold = on_hold,
+	.domains = on_domains,
 	.log = on_log,
 };
 
@@ -133,6 +142,8 @@
 	const struct sched_policies all = { .admit = "all" };
 
 	apr_initialize();
+	apr_pool_create(&p.pool, NULL);
+	p.targets_by_number = hash_new(p.pool);
 	snprintf(p.set.vm_name, sizeof(p.set.vm_name), "vm0");
 	p.leading = 1;
 	p.now = p.balanced_at = 1000;
@@ -158,6 +169,7 @@
 	sched_finish(&p.sched);
 	free(l.urgent.data);
 	free(l.bulk.data);
+	apr_pool_destroy(p.pool);
 }
 
 TestSuite(pool_silent, .init = init_leader, .fini = finish_leader);
