Scripted tests keep their logs when they are interrupted

So nothing could be traced, as for the entries of t-pool-faults and t-pool-evacuate in KNOWN-RED.txt.

Cause: a test that has not ended after 120 s is interrupted, and removed its directory with the logs; only a difference from the expected output kept them. A test that has waited 300 s for the lock of the scripts, which others held, failed without a word as well. Which of the two it was cannot be told from the empty logs.

Both are said now, and an interrupted test copies its logs to build/out and shows its output until then. What passes and what fails is unchanged. Shown with "timeout -k 5 12 sh regress/t-pool-faults.sh", without the programs that it calls: it prints the output, ends with 124, and leaves the logs of the stand-in and of three VMs.

--- a/regress/pool.sh
+++ b/regress/pool.sh
@@ -25,8 +25,24 @@
 	done
 	rm -rf "$dir"
 }
+
+# keep_logs: copies the logs of the processes and the output to build/out.
+keep_logs () {
+	rm -rf build/out/"$name"
+	mkdir -p build/out/"$name"
+	cp "$dir"/*.log "$dir"/out build/out/"$name"/ 2>/dev/null || :
+}
+
+# interrupted: shows how far the test has come, as check does not any more.
+interrupted () {
+	keep_logs
+	echo "interrupted; the output until then:" >&3
+	cat "$dir"/out >&3 || :
+	exit 1
+}
+exec 3>&1
 trap finish EXIT
-trap 'exit 1' INT TERM
+trap interrupted INT TERM
 
 # call [FLAG...] METHOD ADDRESS PATH [BODY]: makes an HTTP request and prints
 # the body of the answer.
@@ -188,8 +204,7 @@
 	"$@" >"$dir"/out 2>&1 || echo "exit $?" >>"$dir"/out
 	if ! diff -u regress/expect/"$name" "$dir"/out
 	then
-		mkdir -p build/out/"$name"
-		cp "$dir"/*.log build/out/"$name"/ 2>/dev/null || :
+		keep_logs
 		return 1
 	fi
 }
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -62,9 +62,14 @@
 	test -f "$t" || continue
 	name=$(basename "$t" .sh)
 	# The scripts use fixed ports, so only one may run on this machine.
-	flock -w 300 /tmp/rosemary-regress.lock timeout -k 5 120 sh "$t" \
-		>build/out/"$name".log 2>&1
-	count_result "$name" $?
+	flock -w 300 -E 75 /tmp/rosemary-regress.lock \
+		timeout -k 5 120 sh "$t" >build/out/"$name".log 2>&1
+	status=$?
+	case $status in
+	75) echo "not run: others held the lock for 300 s" ;;
+	124 | 137) echo "not at its end after 120 s" ;;
+	esac >>build/out/"$name".log
+	count_result "$name" $status
 done
 test $known = 0 || echo "$known known red, see KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
