Tests of HTTP clients: the server's threads run before the first call

http-platform failed beside other work, by 1 or 2 of its 7 tests, with outcomes "no reply" (commit_outcomes "outcome is 4, not 2", commit_is_not_resent "4, not 0", calls_are_bounded without 4 replies).

Hypotheses: (a) the call goes to the port of another test that runs at the same time; (b) the reply comes after the 500 ms that the tests give.

The server now has its threads running before the test makes its first call, and they accept connections themselves. The time that the tests give stays 500 ms, and what they check is unchanged.

--- a/regress/daemon-test.h
+++ b/regress/daemon-test.h
@@ -12,6 +12,7 @@
 #include <apr_general.h>
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
@@ -162,6 +163,9 @@
 #define CLOSE "close"
 #define SILENT ""
 
+/* Connections that are served at the same time. */
+#define TEST_SERVER_THREADS 16
+
 struct test_server {
 	char address[RP_ADDRESS_MAX];
 	const char *const *replies;
@@ -169,15 +173,11 @@
 	atomic_int connections;
 	atomic_int requests;
 	atomic_int stopping;
-	atomic_int hold_replies;     /* wait with replies until cleared */
-	atomic_int open_connections; /* each has a thread */
-	char last_request[4096];     /* with header and body */
-	pthread_t thread;
-};
-
-struct test_conn {
-	struct test_server *s;
-	int fd;
+	atomic_int hold_replies; /* wait with replies until cleared */
+	atomic_int open_connections;
+	atomic_int running;	 /* threads */
+	char last_request[4096]; /* with header and body */
+	pthread_t threads[TEST_SERVER_THREADS];
 };
 
 /* Reads a request with its body. Returns 0 when the connection was closed. */
@@ -210,68 +210,76 @@
 	}
 }
 
-static inline void *test_serve_conn(void *arg)
+static inline void test_serve_conn(struct test_server *s, int fd)
 {
-	struct test_conn c = *(struct test_conn *)arg;
-	const char *const *reply = c.s->replies;
+	const char *const *reply = s->replies;
 	char buf[4096];
 
-	free(arg);
-	while (test_read_request(c.s, c.fd, buf, sizeof(buf))) {
-		memcpy(c.s->last_request, buf, sizeof(buf));
-		atomic_fetch_add(&c.s->requests, 1);
-		while (atomic_load(&c.s->hold_replies) &&
-		       !atomic_load(&c.s->stopping))
+	while (test_read_request(s, fd, buf, sizeof(buf))) {
+		memcpy(s->last_request, buf, sizeof(buf));
+		atomic_fetch_add(&s->requests, 1);
+		while (atomic_load(&s->hold_replies) &&
+		       !atomic_load(&s->stopping))
 			apr_sleep(1000);
 		if (!strcmp(*reply, CLOSE))
 			break;
-		if (**reply && write(c.fd, *reply, strlen(*reply)) < 0)
+		if (**reply && write(fd, *reply, strlen(*reply)) < 0)
 			break;
 		if (reply[1])
 			reply++;
 	}
-	close(c.fd);
-	atomic_fetch_sub(&c.s->open_connections, 1);
-	return NULL;
+	close(fd);
+	atomic_fetch_sub(&s->open_connections, 1);
 }
 
-static inline void *test_accept_loop(void *arg)
+/* Accepts a connection and serves it until it is closed. */
+static inline void *test_server_main(void *arg)
 {
 	struct test_server *s = arg;
 
+	atomic_fetch_add(&s->running, 1);
 	while (!atomic_load(&s->stopping)) {
 		struct pollfd p = { .fd = s->fd, .events = POLLIN };
-		struct test_conn *c;
-		pthread_t thread;
+		int fd;
 
 		if (poll(&p, 1, 10) <= 0)
 			continue;
-		c = malloc(sizeof(*c));
-		c->s = s;
-		c->fd = accept(s->fd, NULL, NULL);
+		fd = accept(s->fd, NULL, NULL);
+		if (fd < 0)
+			continue; /* another thread has it */
 		atomic_fetch_add(&s->connections, 1);
 		atomic_fetch_add(&s->open_connections, 1);
-		pthread_create(&thread, NULL, test_serve_conn, c);
-		pthread_detach(thread);
+		test_serve_conn(s, fd);
 	}
 	return NULL;
 }
 
+/*
+ * Returns when all threads run. On a busy machine a new thread begins up to a
+ * second late, which a call with a timeout of 500 ms would take for no reply.
+ */
 static inline void test_server_start(struct test_server *s,
 				     const char *const *replies)
 {
+	int i;
+
 	memset(s, 0, sizeof(*s));
 	s->replies = replies;
 	s->fd = test_listen(s->address);
-	pthread_create(&s->thread, NULL, test_accept_loop, s);
+	fcntl(s->fd, F_SETFL, O_NONBLOCK);
+	for (i = 0; i < TEST_SERVER_THREADS; i++)
+		pthread_create(&s->threads[i], NULL, test_server_main, s);
+	while (atomic_load(&s->running) < TEST_SERVER_THREADS)
+		apr_sleep(1000);
 }
 
 static inline void test_server_stop(struct test_server *s)
 {
+	int i;
+
 	atomic_store(&s->stopping, 1);
-	pthread_join(s->thread, NULL);
-	while (atomic_load(&s->open_connections))
-		apr_sleep(1000);
+	for (i = 0; i < TEST_SERVER_THREADS; i++)
+		pthread_join(s->threads[i], NULL);
 	close(s->fd);
 }
 
