sched-resent-cut: a job that was sent again may run anew

With the merged code the test failed: "task started after it was done" at 4181, 1.7 s after the run inside had ended. The trace is of a case that PROTOCOL.md allows: a best-effort job that is sent again may run again from the start, and the rule on runs of one task holds for runs at the same time only. It is marked as sent again, as the simulated pool does; two runs at the same time are checked as before. Without the fix of the test fails still, "task runs twice" at 2501.

--- a/regress/sched-resent-cut.c
+++ b/regress/sched-resent-cut.c
@@ -73,6 +73,7 @@
 	sched_owner_lost(&outside, job, w.now);
 	run(600);
 	cr_assert_eq(cut->nruns, 1);
+	job->resent = 1;
 	submit(&outside, job, 0, 3000);
 	run(3000);
 	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
