A leader without the store uses the list that it has

The store answered the claim of a new leader at 19.42 s and was silent from then on, until 25.4 s. A provisional leader begins with the list of targets that the leader before has sent it. A regular one begins without any, as it reads the list from the store at once, and went on without any when no reply came; its log line "probe" shows that it had a list of 350 targets. The provisional leader that served at that moment had given way to it.

Ruled out: a leader that was never sent the list (lead_election has that case), and targets that do not reply.

A new leader that has not read the list for 100 ms, for which a claim is awaited as well, uses the one that it was sent. Nothing is taken for complete: tasks that the leader before may have started still wait for its leases until the store's list is read, and targets that this one lacks are removed after 2.5 s as before. The event cached_list_used tells of it.

pool_unlisted::a_leader_without_a_reply_of_the_store_uses_the_list_it_has failed before.

--- a/pool-listing.c
+++ b/pool-listing.c
@@ -11,6 +11,8 @@
  * the store lost in an outage again sooner.
  */
 #define REMOVED_AFTER_MS 2500
+/* Time for which a new leader awaits the list; a claim is awaited as long. */
+#define LIST_PATIENCE_MS LEAD_CLAIM_PATIENCE_MS
 
 /* A target whose row is missing, but that is not removed yet. */
 struct missing_target {
@@ -206,12 +208,34 @@
 	}
 }
 
+/*
+ * The store may go away right after it has named this leader. Targets that the
+ * leader before has told of are used until the list is read, as a provisional
+ * leader does. Jobs that were started before still wait, as the list may lack
+ * targets.
+ */
+static void use_cached_list(struct pool *p)
+{
+	if (p->sched.targets_loaded || p->sched.targets_cached ||
+	    !p->listing_version ||
+	    p->now - p->sched.started_at < LIST_PATIENCE_MS)
+		return;
+	LOG_EVENT(LOG_LEVEL_WARN, "cached_list_used",
+		  LOG_NUMBER("version", (long long)p->listing_version),
+		  LOG_NUMBER("led_ms", p->now - p->sched.started_at),
+		  LOG_NUMBER("store_lost", p->lead.store_lost));
+	pool_list_cached_targets(p);
+	sched_targets_cached(&p->sched);
+}
+
 void pool_listing_tick(struct pool *p)
 {
 	struct store *s = store_of(p);
 	struct pool_watch *w = &s->watches[WATCH_TARGETS];
 	struct missing_target *m, *next;
 
+	if (p->leading)
+		use_cached_list(p);
 	if (w->lost || !w->complete)
 		return;
 	for (m = s->missing; m; m = next) {
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -274,3 +274,50 @@
 	read_row(21);
 	cr_assert(pool_listing_is_confirmed(&p));
 }
+
+/* A target that the leader before has told this VM of. */
+static void learn_target(void)
+{
+	struct sched_listing l = { .ready = 1, .incarnation = 1 };
+
+	snprintf(l.id, sizeof(l.id), "cached");
+	snprintf(l.address, sizeof(l.address), "127.0.0.1:3");
+	snprintf(l.service, sizeof(l.service), "svc");
+	l.capacity.cpu = 16000;
+	l.capacity.memory = 65536;
+	pool_share_listed(&p, &l, 5);
+	pool_share_read_up_to(&p, 5);
+}
+
+/*
+ * The store has named this VM the leader and is silent from then on. Guards
+ * against a leader that has the list of targets from the leader before, and
+ * rejects all jobs until the store is back.
+ */
+Test(pool_unlisted, a_leader_without_a_reply_of_the_store_uses_the_list_it_has)
+{
+	follow_leader();
+	receive_heartbeat(1);
+	learn_target();
+	take_over();
+	pool_listing_tick(&p);
+	/* The store is about to say which targets there are. */
+	cr_assert_null(sched_find_target(&p.sched, "cached"));
+	p.now += 100;
+	pool_listing_tick(&p);
+	cr_assert_not_null(sched_find_target(&p.sched, "cached"));
+	/* It may lack targets on which the leader before has started tasks. */
+	cr_assert(!sched_adopt_all_known(resubmit_job()));
+}
+
+/* Guards against targets that have left meanwhile. */
+Test(pool_unlisted, a_list_that_was_read_is_not_replaced_by_an_older_one)
+{
+	follow_leader();
+	learn_target();
+	take_over();
+	read_list();
+	p.now += 100;
+	pool_listing_tick(&p);
+	cr_assert_null(sched_find_target(&p.sched, "cached"));
+}
