--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -400,3 +400,43 @@
 	sched_finish(&third);
 	world_finish(&w);
 }
+
+/*
+ * The caller submits the job again, at another VM, while a target is cut off
+ * that may start a task of it late; then the leader is lost. Guards against an
+ * owner that knows only of the domains of its own submission.
+ */
+Test(sched_domain, a_job_that_is_submitted_again_has_the_domains_of_before)
+{
+	struct world_job *job;
+	size_t i;
+
+	begin_world(4);
+	w.stored = 0;
+	use_domain("a");
+	w.targets[0].late[WORLD_START] = w.targets[1].late[WORLD_START] =
+		(struct world_late){ 100, 3000, 3000, 0 };
+	job = world_submit(&w, "q", 1, 6000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	cr_assert_eq(first.count.starts, 1);
+	w.targets[0].late[WORLD_START].percent =
+		w.targets[1].late[WORLD_START].percent = 0;
+	cut_domain_off("a");
+	for (i = 0; i < job->sub->n_domains; i++)
+		free(job->sub->domains[i]);
+	job->sub->n_domains = 0;
+	job->sub->seq = job->seq = 1000;
+	submit_again(job, 0);
+	cr_assert(job->answered);
+	job->answered = 0; /* that was the first submission's */
+	world_run_until(&w, w.now + 5);
+	sched_finish(&first);
+	world_drop_calls(&w, &first);
+	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
+	submit_again(job, LEAD_TOKEN(1));
+	world_run_until(&w, w.now + 5000);
+	w.targets[0].unresponsive = w.targets[1].unresponsive = 0;
+	world_run_until(&w, w.now + 15000);
+	cr_assert(job->answered);
+	end_world();
+}
