--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -7,7 +7,8 @@
  * store, and callers that submit a job again at another entry VM. What the
  * pool's code does around both is modelled after pool-member.c, pool-lead.c,
  * pool-request.c, pool-relay.c, pool-confirm.c and pool-listing.c. The targets
- * are those of world.h, which checks the invariants.
+ * are those of world.h, which checks the invariants. A day is one run of the
+ * simulation, with the faults that its seed draws.
  *
  * Not modelled: stored jobs, agents, losses, operators' requests.
  */
@@ -21,7 +22,7 @@
 #define VMS_ANSWERS 64 /* recent ones that a leader keeps for a member */
 #define VMS_CALLERS 512
 #define VMS_FAULTS 12
-#define VMS_RESEND_MS 1300    /* PROTOCOL.md, resendMs */
+#define VMS_RESEND_MS 1300    /* until a caller submits its job again */
 #define VMS_NO_LEADER_MS 1500 /* from which jobs are not taken */
 
 struct vms;
@@ -240,7 +241,7 @@
 	struct vms_caller callers[VMS_CALLERS];
 	size_t ncallers;
 	rp_ms timeout; /* of callers */
-	int rest_only; /* second submissions wait for the rest of it */
+	int rest_only; /* a second submission has the rest of the time */
 	double max_work;
 	int load; /* jobs a second */
 	rp_ms length;
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -6,7 +6,8 @@
  * the owner, which outlives schedulers, knows of a domain before the first task
  * is started there. A successor lets the job wait for unreached targets of
  * these domains alone: the others are not known to be in question when a domain
- * is cut off. A job that is over when the leases are needs none of this.
+ * is cut off. Jobs that expire before the leases of this scheduler name no
+ * domains.
  */
 
 #include "sched-int.h"
--- a/sched-int.h
+++ b/sched-int.h
@@ -20,9 +20,10 @@
 #define GONE_MS 3000
 
 /*
- * Standard deviations of its error by which a prediction may be beyond the time
- * that is left, and the job counts as one that can end in time still: a job
- * that is accepted is placed as well, and 2 in 100 that could end are rejected.
+ * A job counts as one that cannot end in time once its prediction exceeds the
+ * time that is left by this many standard deviations of its error. Admission
+ * and placement share the value, so that an accepted job is placed as well; of
+ * the jobs that could end in time, 2 in 100 are rejected.
  */
 #define SCHED_TRY_SIGMAS 2.0
 
