--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -109,7 +109,7 @@
 	lead_heartbeat(&vm->lead, &hb, vms_now(vm));
 }
 
-static void list_confirmation_received(struct vm *vm, const struct vms_beat *b)
+static void list_state_received(struct vm *vm, const struct vms_beat *b)
 {
 	if (b->list_confirmed) {
 		vm->list_confirmed_fence = b->fence;
@@ -147,7 +147,7 @@
 		send_beat(vm, l, VMS_LEADER);
 		vms_resubmit(vm);
 	}
-	list_confirmation_received(vm, b);
+	list_state_received(vm, b);
 }
 
 static void remove_member(struct vm *vm, struct vms_member *m)
