Nothing starts for a member once its link is closed

Callers could see one task run twice at the same time: a VM that joins another leader closes its link and submits its jobs there, where they start within milliseconds. The leader before noticed the closed link at its next tick, up to 20 ms later, and a dispatch in between could start a task that waited.

Found by the review, by reading; pool_silent::nothing_starts_once_the_link_is_closed failed before (one start).

--- a/pool-member.c
+++ b/pool-member.c
@@ -438,6 +438,7 @@
 		pool_agent_unavailable(p, l->member);
 		l->member->link = NULL;
 		l->member->disconnected_at = p->now;
+		check_silence(p, l->member);
 		l->member = NULL;
 	}
 }
--- a/regress/pool-silent.c
+++ b/regress/pool-silent.c
@@ -213,3 +213,16 @@
 	dispatch_after(10);
 	cr_assert_eq(starts, 1);
 }
+
+/*
+ * A link that is closed tells that its member may have joined another leader.
+ * Guards against starts before the next tick.
+ */
+Test(pool_silent, nothing_starts_once_the_link_is_closed)
+{
+	receive_job("0000000000000001");
+	pool_link_on_close(&l, "closed by the peer", 0);
+	target_replies();
+	sched_dispatch(&p.sched, p.now);
+	cr_assert_eq(starts, 0);
+}
