Keep until when a run may go on over a second submission

A third submission of a job could run a task twice at the same time: the second one waited for a run that a leader inside a cut may keep alive, was cancelled meanwhile, and its record replaced that of the first without the time to wait for.

The set-up of the first test is shared now; its checks are the same.

--- a/regress/sched-resent-cut.c
+++ b/regress/sched-resent-cut.c
@@ -46,8 +46,11 @@
 	sched_dispatch(s, w.now);
 }
 
-/* The run goes on inside until its caller's time is over. */
-Test(sched_resent_cut, the_provisional_leader_goes_on_with_the_run)
+/*
+ * Submits a job outside, and to a leader inside a cut that its target is in.
+ * Returns the job after 850 ms.
+ */
+static struct world_job *cut_off(double work, rp_ms deadline)
 {
 	struct world_target *cut = NULL;
 	struct world_job *job;
@@ -55,7 +58,7 @@
 
 	world_begin(&w, &outside, 6);
 	w.several = 1;
-	job = world_submit(&w, "q", 1, 2500, 1, 3000);
+	job = world_submit(&w, "q", 1, work, 1, deadline);
 	run(100);
 	for (i = 0; i < 6; i++)
 		if (w.targets[i].nruns)
@@ -68,16 +71,43 @@
 	sched_target_listed(&inside, &cut->listing, w.now);
 	sched_targets_cached(&inside);
 	sched_stored_jobs_loaded(&inside);
-	submit(&inside, job, LEAD_TOKEN(1), 2300);
+	submit(&inside, job, LEAD_TOKEN(1), deadline - 700);
 	run(150);
-	sched_owner_lost(&outside, job, w.now);
-	run(600);
 	cr_assert_eq(cut->nruns, 1);
 	job->resent = 1;
-	submit(&outside, job, 0, 3000);
-	run(3000);
+	return job;
+}
+
+static void end_world(rp_ms ms)
+{
+	run(ms);
 	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
 	sched_finish(&outside);
 	sched_finish(&inside);
 	world_finish(&w);
 }
+
+/* The run goes on inside until its caller's time is over. */
+Test(sched_resent_cut, the_provisional_leader_goes_on_with_the_run)
+{
+	struct world_job *job = cut_off(2500, 3000);
+
+	sched_owner_lost(&outside, job, w.now);
+	run(600);
+	submit(&outside, job, 0, 3000);
+	end_world(3000);
+}
+
+/* A third submission knows what the second one waited for. */
+Test(sched_resent_cut, the_second_submission_is_cancelled)
+{
+	struct world_job *job = cut_off(5000, 6000);
+
+	sched_owner_lost(&outside, job, w.now);
+	run(600);
+	submit(&outside, job, LEAD_TOKEN(1) | 7, 6000);
+	sched_cancel(&outside, job, job->sub->seq, w.now);
+	run(100);
+	submit(&outside, job, 0, 6000);
+	end_world(6000);
+}
--- a/sched-past.c
+++ b/sched-past.c
@@ -117,6 +117,7 @@
 		rec->prev_fence = job->prev_fence;
 		rec->submitted_at = job->submitted_at;
 	}
+	rec->may_go_on_until = job->starts_after;
 	sched_domains_record(rec, job);
 	*s->history_tail = rec;
 	s->history_tail = &rec->next;
