A superseded job's run may be kept alive by its owner, too

If the caller submits the job again earlier, within 750 ms of the cut, the first submission is superseded instead, and the lapse of its run let the second one start beside it.

The owner of a superseded job may not have had that answer, so a lapse of its run counts alike. Only jobs that are submitted twice, and whose target does not reply, wait.

--- a/regress/sched-resent-cut.c
+++ b/regress/sched-resent-cut.c
@@ -98,6 +98,16 @@
 	end_world(3000);
 }
 
+/* As above, with the second submission before the first owner is lost. */
+Test(sched_resent_cut, the_job_is_sent_again_before_its_owner_is_lost)
+{
+	struct world_job *job = cut_off(2500, 3000), other = *job;
+
+	submit(&outside, &other, 0, 3000);
+	sched_owner_lost(&outside, job, w.now);
+	end_world(3600);
+}
+
 /* A third submission knows what the second one waited for. */
 Test(sched_resent_cut, the_second_submission_is_cancelled)
 {
--- a/sched-core.c
+++ b/sched-core.c
@@ -185,9 +185,11 @@
 	/* Its owner may not know of the leader that started it before. */
 	if (earlier && !job->prev_fence)
 		job->prev_fence = earlier->prev_fence;
-	if (earlier)
+	if (earlier) {
+		earlier->superseded = 1;
 		sched_job_answer(earlier, POOL_ANSWER__OUTCOME__INCOMPLETE,
 				 "superseded by another submission", 0);
+	}
 	job->awaits_earlier_runs = has_earlier_runs(job);
 	sched_history_restore(job);
 }
--- a/sched-int.h
+++ b/sched-int.h
@@ -148,8 +148,9 @@
 			    const struct sched_loss *loss);
 /*
  * Records that the run, whose target cannot be reached, may go on as long as
- * the job's caller waits: the lost owner may have submitted the job to a
- * scheduler that reaches the target.
+ * the job's caller waits: the owner, which is lost or does not know of a second
+ * submission, may have submitted the job to a scheduler that reaches the
+ * target.
  */
 void sched_history_add_unreached(const struct sched_task *task);
 /* Records the success of a task whose job may still be submitted. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -280,7 +280,7 @@
 	t->s->ops->log(t->s, "lapse", t, task, reason);
 	if (!task->overdue || crashed)
 		sched_loss_of_run(task, crashed);
-	if (task->job->owner_lost && !crashed)
+	if ((task->job->owner_lost || task->job->superseded) && !crashed)
 		sched_history_add_unreached(task);
 	sched_adopt_give_up(task);
 	sched_run_ended(task, SCHED_END_STOPPED);
--- a/scheduler.h
+++ b/scheduler.h
@@ -297,6 +297,7 @@
 	int answered;
 	int owner_silent; /* it may have submitted the job to another one */
 	int owner_lost;	  /* it may submit the job to another scheduler */
+	int superseded;	  /* by another submission; its owner may not know */
 	int missed_start; /* considered only after its latest start */
 	int displaced;	  /* made late by a job of a higher priority */
 	/* Runs of an earlier submission of the id may not be over. */
