A job names a bounded number of failure domains

A submission of another VM, or a row, could have any number of failure domains, of any length; each start of the job compares with all of them.

A submission or a row with more than 64, or with a name that no target can have, is malformed, and a job starts nothing in a domain beyond that. Pools have a few domains. pool_link::failure_domains_of_a_submission_are_bounded failed before.

--- a/pool-keep.c
+++ b/pool-keep.c
@@ -357,6 +357,7 @@
 		job->state == POOL_JOB__STATE__OPEN ? job->submit : NULL;
 
 	return strlen(id) < SCHED_ID_MAX &&
+	       job->n_domains <= SCHED_DOMAINS_MAX &&
 	       (!sub || (sched_submit_is_valid(sub) && !strcmp(sub->id, id)));
 }
 
--- a/regress/pool-link.c
+++ b/regress/pool-link.c
@@ -228,6 +228,34 @@
 		     sched_get_queue(&p.sched, name, 1));
 }
 
+/* Guards against a list without a bound, which each start looks through. */
+Test(pool_link, failure_domains_of_a_submission_are_bounded)
+{
+	char name[RP_NAME_MAX + 1];
+	char *domains[SCHED_DOMAINS_MAX + 1];
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps[] = { &step };
+	size_t i;
+
+	for (i = 0; i <= SCHED_DOMAINS_MAX; i++)
+		domains[i] = "a";
+	sub.id = "0123456789abcdef";
+	sub.queue = sub.service = "s";
+	step.tasks = 1;
+	sub.steps = steps;
+	sub.n_steps = 1;
+	sub.domains = domains;
+	sub.n_domains = SCHED_DOMAINS_MAX;
+	cr_assert(sched_submit_is_valid(&sub));
+	sub.n_domains++;
+	cr_assert_not(sched_submit_is_valid(&sub));
+	memset(name, 'a', RP_NAME_MAX);
+	name[RP_NAME_MAX] = '\0';
+	domains[0] = name;
+	sub.n_domains = 1;
+	cr_assert_not(sched_submit_is_valid(&sub));
+}
+
 /* A frame that the other side would not take wrote beyond the buffer. */
 Test(pool_link, a_frame_that_is_too_long_is_not_sent)
 {
--- a/sched-domain.c
+++ b/sched-domain.c
@@ -65,6 +65,8 @@
 {
 	if (!needs_domains(job) || has_domain(job, job->ndomains, domain))
 		return 1;
+	if (job->ndomains >= SCHED_DOMAINS_MAX)
+		return 0;
 	add_domain(job, domain);
 	job->domains_mark = job->s->ops->domains(job->s, job);
 	return !job->domains_mark;
--- a/sched-job.c
+++ b/sched-job.c
@@ -294,6 +294,11 @@
 	    !(fabs(sub->stretch) <= SCHED_STRETCH_MAX) || !sub->n_steps ||
 	    sub->n_steps > SCHED_STEPS_MAX)
 		return 0;
+	if (sub->n_domains > SCHED_DOMAINS_MAX)
+		return 0;
+	for (i = 0; i < sub->n_domains; i++)
+		if (strlen(sub->domains[i]) >= RP_NAME_MAX)
+			return 0;
 	for (i = 0; i < sub->n_steps; i++) {
 		if (!sub->steps[i]->tasks)
 			return 0;
--- a/scheduler.h
+++ b/scheduler.h
@@ -22,6 +22,7 @@
 #define SCHED_TASK_NAME_MAX 56 /* bytes of "ID.0.STEP.INDEX", with the NUL */
 #define SCHED_STEPS_MAX 64     /* bits in PoolStep.after */
 #define SCHED_TASKS_MAX 4096
+#define SCHED_DOMAINS_MAX 64 /* failure domains that a job names */
 #define SCHED_LABELS_MAX 4
 /* The longest chain of steps times this is within 64 bits. */
 #define SCHED_STRETCH_MAX 1e6
