Acknowledgements walk the jobs only while one waits for its domains

The leader went through all open jobs at each acknowledgement of a member, and at each row that was written, to find those that wait for their owner to know a failure domain. Jobs whose callers wait for less than 1.8 s never do. It now notes whether any job waits, as it does for lost targets. Found by the review; no change of what waits: sched-domain, pool-domain, pool-keep and sched-resent-domain pass.

--- a/sched-domain.c
+++ b/sched-domain.c
@@ -60,6 +60,14 @@
 	return job->stored || job->deadline > sched_adopt_leases_over(job);
 }
 
+/* Nothing starts until the owner has acknowledged the mark; 0: it knows. */
+static void await_owner(struct sched_job *job, uint64_t mark)
+{
+	job->domains_mark = mark;
+	if (mark)
+		job->s->awaits_domains = 1;
+}
+
 /* Returns whether the owner knows of the domain already. */
 static int announce(struct sched_job *job, const char *domain)
 {
@@ -68,7 +76,7 @@
 	if (job->ndomains >= SCHED_DOMAINS_MAX)
 		return 0;
 	add_domain(job, domain);
-	job->domains_mark = job->s->ops->domains(job->s, job);
+	await_owner(job, job->s->ops->domains(job->s, job));
 	return !job->domains_mark;
 }
 
@@ -107,7 +115,7 @@
 
 void sched_domains_resend(struct sched_job *job)
 {
-	job->domains_mark = job->s->ops->domains(job->s, job);
+	await_owner(job, job->s->ops->domains(job->s, job));
 }
 
 void sched_domains_await(struct sched *s, const char *id, uint64_t mark)
@@ -115,16 +123,21 @@
 	struct sched_job *job = sched_find_open_job(s, str_of(id));
 
 	if (job)
-		job->domains_mark = mark;
+		await_owner(job, mark);
 }
 
 void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark)
 {
 	struct sched_job *job;
 
-	for (job = s->jobs; job; job = job->next)
+	if (!s->awaits_domains)
+		return;
+	s->awaits_domains = 0;
+	for (job = s->jobs; job; job = job->next) {
 		if (job->owner == owner && job->domains_mark <= mark)
 			job->domains_mark = 0;
+		s->awaits_domains |= job->domains_mark != 0;
+	}
 }
 
 /*
--- a/scheduler.h
+++ b/scheduler.h
@@ -699,6 +699,7 @@
 	struct sched_job *closed; /* answered; runs are being stopped */
 	size_t njobs;		  /* in jobs */
 	size_t nsuspects;	  /* tasks with losses, of all jobs */
+	int awaits_domains; /* a job may wait for its owner to know them */
 	/* Tasks to be isolated that this pass has found no target for. */
 	size_t nunplaced;
 	struct sched_counters count;
