--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -264,6 +264,7 @@
 		if (m->link == l) {
 			m->link = NULL;
 			m->disconnected_at = vms_now(vm);
+			check_silence(vm, m);
 		}
 }
 
@@ -314,6 +315,7 @@
 		vms_link_close(l, VMS_LEADER);
 		m->link = NULL;
 		m->disconnected_at = vms_now(vm);
+		check_silence(vm, m);
 	} else {
 		vms_schedule(vm, m, msg);
 	}
