Predict runs of an earlier leader by their progress

A new leader does not know when a run that it adopts has begun. Its end was predicted as if the run began at the change and had all of its work before it, until 100 ms of progress were seen; after that, as if all of the progress was made since. So in the first 100 ms each job with less than four fifths of its whole run time left was given up, and runs on targets that count as slow could be moved.

The run's beginning is now estimated once, from the first progress that the leader sees and the predicted run time, and no earlier than the job's arrival. Later progress corrects the rate. What hopeless, moves, leaving targets and locality decide follows from that. The lower bound in sched-hopeless.c still counts from the adoption, as only that is certain.

sched-adopted-given-up fails before: 8 of 8 jobs of 1,200 ms, adopted after 900 ms, were not all left alone ("second.count.hopeless == 0 is false").

--- a/sched-int.h
+++ b/sched-int.h
@@ -389,6 +389,11 @@
 #define SCHED_EVACUATED_RETRY_MS 2000
 
 /* sched-predict.c */
+/*
+ * Returns when a run that is adopted has begun, by its first progress that is
+ * known and by how long it is predicted to take. Lists do not tell.
+ */
+rp_ms sched_run_likely_begin(const struct sched_task *task, int percent);
 /* Predicted end of the run, on the scheduler's clock. */
 double sched_run_predicted_end(const struct sched_task *task);
 /* Predicted run time of the task at speed 1, by its run's progress too, ms. */
--- a/sched-learn.c
+++ b/sched-learn.c
@@ -262,6 +262,8 @@
 
 	if (percent > task->percent)
 		task->percent_at = t->s->now;
+	if (task->adopted && !task->progress_at)
+		task->began_at = sched_run_likely_begin(task, percent);
 	task->percent = percent;
 	task->progress_at = t->s->now;
 	sched_shown_add(task, run_ms, percent);
--- a/sched-predict.c
+++ b/sched-predict.c
@@ -15,14 +15,28 @@
 /* Least progress for a prediction; a run with less is taken to have it. */
 #define PROGRESS_MIN_PERCENT 8
 
+rp_ms sched_run_likely_begin(const struct sched_task *task, int percent)
+{
+	rp_ms at = task->job->s->now -
+		   (rp_ms)(task->predicted * (percent + 0.5) / 100);
+
+	return at > task->job->arrived_at ? at : task->job->arrived_at;
+}
+
+/* When the run began on its target, on the scheduler's clock. */
+static double begin_of(const struct sched_task *task)
+{
+	return task->adopted ? (double)task->began_at
+			     : (double)task->sent_at + sched_run_delay(task);
+}
+
 /*
  * Returns the run time as a whole that the run's progress shows, ms, or 0 if
  * none is shown. Targets report whole percents, rounded down.
  */
 static double shown_ms(const struct sched_task *task)
 {
-	double run_ms = (double)(task->progress_at - task->sent_at) -
-			sched_run_delay(task);
+	double run_ms = (double)task->progress_at - begin_of(task);
 	double least_ms;
 
 	if (task->state != SCHED_RUNNING || run_ms < PROGRESS_MIN_MS)
@@ -43,7 +57,7 @@
 	if (ms <= 0)
 		ms = sched_run_time(task->target,
 				    &task->job->steps[task->step]);
-	return (double)task->sent_at + sched_run_delay(task) + ms;
+	return begin_of(task) + ms;
 }
 
 /* Variance of log(percent), as whole percents are reported. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -114,6 +114,9 @@
 	task->observed = 1;
 	task->restarted = task->overdue = 0;
 	task->seen = task->adopted = 1;
+	task->percent = 0;
+	task->progress_at = task->percent_at = 0;
+	task->began_at = task->job->arrived_at;
 	task->predicted = sched_run_time(t, &task->job->steps[task->step]);
 	link_run(task, t);
 	/* The previous leader's lease ends no later than one granted now. */
--- a/scheduler.h
+++ b/scheduler.h
@@ -113,6 +113,7 @@
 	rp_ms progress_at; /* when progress was reported last */
 	rp_ms percent_at;  /* when it was seen to have risen last */
 	uint8_t adopted;   /* boolean; when it began is not known */
+	rp_ms began_at;	   /* an adopted run, likely */
 	/*
 	 * Least work that a run of the task has shown, ms at speed 1, by its
 	 * progress in percent, 100 at its end; 0: none yet.
