lead: A provisional leader claims over the row of its term

Once the store was back it claimed the next term every second, at 14.2, 15.2 and 16.2 s, each time over version 41 of the leader's row, which had version 4823; the store rejected all of them, and the leader stayed provisional. A late write of another VM replaced it at 16.6 s.

lead_row_read() dropped the row, as its token is below that of a provisional leader, and with it the version that the next claim has to name. It keeps the version of the row of its term now, also on VMs that follow a provisional leader. Nothing else of the row is taken: the token that is followed stays.

Both tests claimed over version 41 before.

--- a/lead-core.c
+++ b/lead-core.c
@@ -54,7 +54,12 @@
 	int64_t version = row->version;
 
 	if (l->role != LEAD_UNKNOWN && row->fence <= l->row.fence) {
-		if (row->fence != l->row.fence || version <= l->row.version)
+		if (version <= l->row.version)
+			return;
+		/* A provisional leader has no row: the term's is claimed. */
+		if (LEAD_TERM(row->fence) == LEAD_TERM(l->row.fence))
+			l->row.version = version;
+		if (row->fence != l->row.fence)
 			return;
 		/* The same leader, known from a heartbeat before the row. */
 		l->row.version = version;
--- a/regress/lead-alone.h
+++ b/regress/lead-alone.h
@@ -7,12 +7,14 @@
 
 static struct lead l;
 
+static int64_t claimed_version; /* of the row, by the latest claim */
+
 static void on_claim(struct lead *lead, const struct lead_row *row,
 		     int64_t expected)
 {
 	(void)lead;
 	(void)row;
-	(void)expected;
+	claimed_version = expected;
 }
 
 static void on_event(struct lead *lead)
--- a/regress/lead-provisional.c
+++ b/regress/lead-provisional.c
@@ -130,3 +130,65 @@
 	cr_assert(l.all_domains);
 	cr_assert_eq(l.row.fence, hb.fence);
 }
+
+/* Lets the store come back, whose row is that of the leader before. */
+static void read_row_of_term(uint64_t fence, int64_t version)
+{
+	struct lead_row row = { .vm = "leader",
+				.address = "10.0.0.2:1",
+				.incarnation = 7,
+				.fence = fence,
+				.version = version };
+	rp_ms now;
+
+	l.store_lost = 0;
+	lead_row_read(&l, &row, 4000);
+	for (now = 4000; now < 5000; now += 10)
+		lead_tick(&l, now);
+}
+
+/*
+ * The leader before was elected while this VM had lost the store, and is known
+ * by its heartbeats. Guards against claims over the row of an earlier term,
+ * which the store rejects for as long as this VM leads.
+ */
+Test(lead_provisional, it_claims_over_the_row_of_its_term)
+{
+	lose_leader(LEAD_TOKEN(2));
+	cr_assert(lead_is_provisional(&l));
+	l.row.version = 41;
+	read_row_of_term(LEAD_TOKEN(2), 4823);
+	cr_assert_eq(claimed_version, 4823);
+}
+
+/* The same for a VM that has followed another provisional leader. */
+Test(lead_provisional, its_follower_claims_over_the_row_of_the_term)
+{
+	struct lead_heartbeat hb = { .fence = LEAD_TOKEN(2) | 150,
+				     .vm = "leader",
+				     .leader = "leader",
+				     .address = "10.0.0.2:1",
+				     .leading = 1 };
+	struct lead_heartbeat answer = {
+		.fence = hb.fence, .vm = "other", .leader = "", .address = ""
+	};
+	struct lead_row row = { .vm = "first",
+				.address = "10.0.0.3:1",
+				.fence = LEAD_TOKEN(2),
+				.version = 4823 };
+	rp_ms now;
+
+	lead_init(&l, &ops, NULL, "vm", "10.0.0.1:1", 6);
+	l.row.version = 41;
+	l.nothers = 2;
+	lead_heartbeat(&l, &hb, 1000);
+	cr_assert_eq(l.row.fence, hb.fence);
+	lead_row_read(&l, &row, 1050);
+	cr_assert_eq(l.row.fence, hb.fence);
+	for (now = 1050; now < 4000; now += 10) {
+		lead_tick(&l, now);
+		if (l.phase == LEAD_PROBING)
+			lead_heartbeat(&l, &answer, now);
+	}
+	cr_assert_eq(claimed_version, 4823);
+}
