--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -237,6 +237,7 @@
 	rp_ms store_delay; /* longest, of a call */
 	struct lead_row row;
 	int64_t version, renewal_version;
+	uint64_t renewal_fence;
 	struct vms_entry entries[WORLD_TARGETS];
 	struct vms_caller callers[VMS_CALLERS];
 	size_t ncallers;
