--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -190,8 +190,6 @@
 		       const struct sched_policies *policies, uint64_t fence);
 /* Sets up targets of speed 1 and a first scheduler that holds them. */
 void world_begin(struct world *w, struct sched *s, size_t ntargets);
-/* Drops the scheduler's calls in flight, as its process has ended. */
-void world_drop_calls(struct world *w, const struct sched *s);
 /* Returns a random number, uniform from 0 up to but not including 1. */
 double world_uniform(struct world *w);
 /* Returns 1 in the given percentage of calls, at random. */
@@ -202,6 +200,19 @@
 /* Longest lease that targets grant. */
 #define WORLD_LEASE_MS 1000
 
+/* --- call.c ------------------------------------------------------------ */
+
+/* Operations of schedulers: calls to the targets. */
+void world_call_start(struct sched *s, struct sched_target *t,
+		      struct sched_task *task, int64_t until);
+void world_call_stop(struct sched *s, struct sched_target *t,
+		     struct rp_str task, uint32_t run);
+void world_call_hold(struct sched *s, struct sched_target *t, int64_t until,
+		     uint64_t acked_end, rp_ms wait);
+/* Delivers the calls and replies that have arrived. */
+void world_deliver(struct world *w);
+/* Drops the scheduler's calls in flight, as its process has ended. */
+void world_drop_calls(struct world *w, const struct sched *s);
 /* Calls in flight get no reply: the target's process has ended. */
 void world_fail_calls(struct world *w, const struct world_target *t);
 
