Simulated pool: calls outlast their leader, targets come back otherwise

sched-orders dropped the calls of a leader that ended, delivered none that a cut path had held up, and brought targets back under their old id with an entry at once. A reply shows the target as it carried the call out, not as it is when the reply is read.

--- a/regress/sched-orders.c
+++ b/regress/sched-orders.c
@@ -4,7 +4,9 @@
  *
  * SEEDS=FROM-TO plays these seeds instead, SKIP=BITS leaves out faults, TRACE=1
  * prints all events. CUT_CALLERS=1 cuts callers off with a failure domain,
- * CHECK_DONE=1 counts starts after an end that was noted.
+ * CHECK_DONE=1 counts starts after an end that was noted. PARTS=BITS limits the
+ * days to these parts of the model (enum vms_part). KEEP_LATE=1 has targets
+ * that restart under their old id carry out late calls of before.
  */
 
 #include <criterion/criterion.h>
@@ -29,11 +31,14 @@
 Test(sched_orders, random_days)
 {
 	const char *seeds = getenv("SEEDS"), *skip = getenv("SKIP");
+	const char *parts = getenv("PARTS");
 	const struct vms_options opt = {
 		.skip = skip ? (unsigned)strtoul(skip, NULL, 0) : 0,
 		.trace = getenv("TRACE") != NULL,
 		.cut_callers = getenv("CUT_CALLERS") != NULL,
 		.check_done = getenv("CHECK_DONE") != NULL,
+		.keep_late = getenv("KEEP_LATE") != NULL,
+		.parts = parts ? (unsigned)strtoul(parts, NULL, 0) : ~0u,
 	};
 	unsigned long long seed = 1, last = SEEDS, events = 0, starts = 0;
 	unsigned long long resent = 0, takeovers = 0, provisional = 0;
--- a/regress/world/call.c
+++ b/regress/world/call.c
@@ -10,6 +10,12 @@
 #define LOST_MS 120
 /* Time until the end of a stopped run is listed. */
 #define STOP_MS 30
+/* From which on a call without a reply is sent again. */
+#define RESEND_MS 20
+/* Between attempts to deliver a call whose path is cut, and how long. */
+#define RETRANSMIT_MS 20
+#define RETRANSMIT_MAX_MS 300
+#define BLOCKED_MAX_MS 8000
 
 static void add_event(struct world *w, struct world_event *e)
 {
@@ -33,6 +39,13 @@
 	return NULL;
 }
 
+static void free_event(struct world_event *e)
+{
+	free(e->runs);
+	free(e->ends);
+	free(e);
+}
+
 static struct world_event *new_event(struct world *w, int kind, struct sched *s,
 				     const struct sched_target *called)
 {
@@ -43,15 +56,23 @@
 	e->sched = s;
 	e->target = find_target(w, called);
 	e->at = w->now + w->delay;
+	if (w->jitter)
+		e->at += (rp_ms)(world_uniform(w) * (double)w->jitter);
 	e->sent_at = w->now;
+	e->from = w->calling;
 	return e;
 }
 
 /* --- replies --------------------------------------------------------- */
 
-static struct sched_target *sched_target_of(const struct world_event *e)
+static void copy_lists(struct world_event *r, const struct world_target *t)
 {
-	return sched_find_target(e->sched, e->id);
+	r->runs = malloc(t->nruns * sizeof(*t->runs) + 1);
+	r->ends = malloc(t->nends * sizeof(*t->ends) + 1);
+	memcpy(r->runs, t->runs, t->nruns * sizeof(*t->runs));
+	memcpy(r->ends, t->ends, t->nends * sizeof(*t->ends));
+	r->nruns = t->nruns;
+	r->nends = t->nends;
 }
 
 /*
@@ -61,8 +82,11 @@
 static void reply(struct world *w, struct world_event *e, int status,
 		  const char *reason)
 {
-	struct world_event *r = calloc(1, sizeof(*r));
+	struct world_event *r;
 
+	if (!e->sched && !e->seq)
+		return; /* nobody waits for it */
+	r = calloc(1, sizeof(*r));
 	*r = *e;
 	r->kind = e->kind + WORLD_START_REPLY;
 	r->at = w->now + w->delay;
@@ -72,19 +96,23 @@
 	r->run = e->run;
 	r->acked_end = (uint64_t)status;
 	r->until = !strcmp(reason, "fence");
+	r->clock = world_target_clock(w, e->target);
+	r->incarnation = e->target->listing.incarnation;
+	if (e->kind == WORLD_HOLD && status == 200)
+		copy_lists(r, e->target);
 	add_event(w, r);
 }
 
 static void deliver_reply(struct world *w, struct world_event *e)
 {
-	struct world_target *t = e->target;
-	struct sched_target *st = sched_target_of(e);
+	struct sched_target *st = e->sched ? sched_find_target(e->sched, e->id)
+					   : NULL;
 	struct sched_run runs[WORLD_RUNS];
 	struct sched_end ends[WORLD_ENDS];
 	struct sched_target_reply reply = { .reason = "" };
 	size_t i;
 
-	if (!st)
+	if (!st && !e->seq)
 		return;
 	reply.status = e->lost		     ? SCHED_REPLY_UNKNOWN
 		       : e->acked_end == 200 ? SCHED_REPLY_OK
@@ -94,26 +122,30 @@
 	reply.sent_at = e->sent_at;
 	reply.lossy = e->copied;
 	if (e->kind == WORLD_HOLD_REPLY && !e->lost)
-		reply.incarnation = t->listing.incarnation;
-	reply.clock = e->lost ? 0 : world_target_clock(w, t) - w->delay;
+		reply.incarnation = e->incarnation;
+	reply.clock = e->lost ? 0 : e->clock;
 	if (e->kind == WORLD_HOLD_REPLY && reply.status == SCHED_REPLY_OK) {
-		for (i = 0; i < t->nruns; i++) {
-			struct world_run *r = &t->runs[i];
+		for (i = 0; i < e->nruns; i++) {
+			const struct world_run *r = &e->runs[i];
 
 			runs[i].task = str_of(r->task);
 			runs[i].run = r->run;
 			runs[i].percent = (int)(100 * r->done / r->work);
 		}
-		for (i = 0; i < t->nends; i++) {
-			ends[i].number = t->ends[i].number;
-			ends[i].task = str_of(t->ends[i].task);
-			ends[i].run = t->ends[i].run;
-			ends[i].how = t->ends[i].how;
+		for (i = 0; i < e->nends; i++) {
+			ends[i].number = e->ends[i].number;
+			ends[i].task = str_of(e->ends[i].task);
+			ends[i].run = e->ends[i].run;
+			ends[i].how = e->ends[i].how;
 		}
 		reply.runs = runs;
-		reply.nruns = t->nruns;
+		reply.nruns = e->nruns;
 		reply.ends = ends;
-		reply.nends = t->nends;
+		reply.nends = e->nends;
+	}
+	if (!e->sched) {
+		w->replied(w, e, &reply);
+		return;
 	}
 	if (e->kind == WORLD_START_REPLY)
 		sched_start_reply(e->sched, st, e->task, e->run, &reply,
@@ -134,9 +166,13 @@
 		if (e->target != t)
 			continue;
 		if (e->late) {
-			e->target = NULL; /* its caller has had its reply */
+			/* Its caller has had its reply. */
+			if (!w->keep_late)
+				e->target = NULL;
 			continue;
 		}
+		if (e->kind < WORLD_START_REPLY && w->resends)
+			continue; /* it finds nobody there */
 		if (e->kind < WORLD_START_REPLY)
 			e->kind += WORLD_START_REPLY;
 		e->lost = 1;
@@ -180,12 +216,55 @@
 	return !late->copied;
 }
 
+static int is_reached(struct world *w, const struct world_event *e)
+{
+	if (w->reaches)
+		return w->reaches(w, e);
+	return e->target->cut_off != e->sched;
+}
+
+/* Packets of a call that were lost are sent again until they arrive. */
+static void keep_blocked(struct world *w, const struct world_event *e)
+{
+	struct world_event *later;
+
+	if (!world_chance(w, w->keep_blocked))
+		return;
+	later = calloc(1, sizeof(*later));
+	*later = *e;
+	later->late = later->blocked = 1;
+	later->at = w->now + RETRANSMIT_MS;
+	add_event(w, later);
+}
+
+/* Returns whether the call goes on waiting for its path. */
+static int is_blocked(struct world *w, struct world_event *e)
+{
+	struct world_event *later;
+
+	if (!e->blocked || w->now - e->sent_at > BLOCKED_MAX_MS)
+		return 0;
+	later = calloc(1, sizeof(*later));
+	*later = *e;
+	if (is_reached(w, e)) {
+		later->blocked = 0;
+		later->at =
+			w->now + (rp_ms)(world_uniform(w) * RETRANSMIT_MAX_MS);
+	} else {
+		later->at = w->now + RETRANSMIT_MS;
+	}
+	add_event(w, later);
+	return 1;
+}
+
 static void carry_out_late(struct world *w, struct world_event *e)
 {
 	struct world_target *t = e->target;
 	const char *reason;
 
-	if (!t || w->now < t->unresponsive_until ||
+	if (t && is_blocked(w, e))
+		return;
+	if (!t || e->blocked || w->now < t->unresponsive_until ||
 	    strcmp(e->id, t->listing.id) != 0)
 		return;
 	if (e->kind == WORLD_HOLD)
@@ -196,11 +275,27 @@
 		world_target_stop(w, t, e, &reason);
 }
 
-static int is_reached(struct world *w, const struct world_event *e)
+/*
+ * A call to a target that restarts may be sent again, to the next incarnation:
+ * see pool-resend.c.
+ */
+static int resend(struct world *w, const struct world_event *e)
 {
-	if (w->reaches)
-		return w->reaches(w, e->sched, e->target);
-	return e->target->cut_off != e->sched;
+	struct world_event *copy;
+
+	if (w->now >= e->target->unresponsive_until || e->resent ||
+	    !world_chance(w, w->resends))
+		return 0;
+	copy = calloc(1, sizeof(*copy));
+	*copy = *e;
+	copy->resent = copy->copied = 1;
+	copy->acked_end = 0;
+	copy->at = e->sent_at + RESEND_MS +
+		   (rp_ms)(world_uniform(w) * (LOST_MS - RESEND_MS));
+	if (copy->at <= w->now)
+		copy->at = w->now + 1;
+	add_event(w, copy);
+	return 1;
 }
 
 static void handle_call(struct world *w, struct world_event *e)
@@ -215,6 +310,9 @@
 	}
 	if (t->unresponsive || !is_reached(w, e) ||
 	    w->now < t->unresponsive_until) {
+		if (resend(w, e))
+			return;
+		keep_blocked(w, e);
 		reply(w, e, 0, "");
 		return;
 	}
@@ -244,6 +342,25 @@
 
 /* --- operations of the scheduler ------------------------------------- */
 
+void world_call(struct world *w, const struct world_event *call)
+{
+	struct world_event *e = calloc(1, sizeof(*e));
+
+	*e = *call;
+	e->sent_at = w->now;
+	e->from = w->calling;
+	e->at = w->now + w->delay;
+	if (w->jitter)
+		e->at += (rp_ms)(world_uniform(w) * (double)w->jitter);
+	if (e->kind == WORLD_STOP)
+		e->at += STOP_MS;
+	if (e->kind == WORLD_START)
+		e->at += e->target->start_delay;
+	if (e->kind == WORLD_HOLD)
+		e->wait_until += e->at;
+	add_event(w, e);
+}
+
 void world_call_start(struct sched *s, struct sched_target *t,
 		      struct sched_task *task, int64_t until)
 {
@@ -296,7 +413,23 @@
 			continue;
 		}
 		*at = e->next;
-		free(e);
+		free_event(e);
+	}
+}
+
+void world_end_calls(struct world *w, const struct sched *s)
+{
+	struct world_event **at = &w->events, *e;
+
+	while ((e = *at)) {
+		if (e->sched == s && e->kind >= WORLD_START_REPLY) {
+			*at = e->next;
+			free_event(e);
+			continue;
+		}
+		if (e->sched == s)
+			e->sched = NULL;
+		at = &e->next;
 	}
 }
 
@@ -304,7 +437,7 @@
  */
 static int hold_back(struct world *w, struct world_event *e)
 {
-	rp_ms at = w->replies_at ? w->replies_at(w, e->sched) : 0;
+	rp_ms at = w->replies_at ? w->replies_at(w, e) : 0;
 
 	if (at <= w->now)
 		return 0;
@@ -324,6 +457,6 @@
 			continue;
 		else
 			deliver_reply(w, e);
-		free(e);
+		free_event(e);
 	}
 }
--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -90,7 +90,7 @@
 
 rp_ms world_target_clock(const struct world *w, const struct world_target *t)
 {
-	return (rp_ms)((double)w->now * t->clock_rate);
+	return (rp_ms)((double)(w->now - t->clock_start) * t->clock_rate);
 }
 
 void world_target_advance(struct world *w, struct world_target *t, rp_ms span)
@@ -291,6 +291,8 @@
 {
 	lose_state(w, t);
 	t->unresponsive_until = w->now + RESTART_MS;
+	if (w->new_clocks)
+		t->clock_start = w->now;
 }
 
 void world_target_crash(struct world *w, struct world_target *t)
--- a/regress/world/vms-day.c
+++ b/regress/world/vms-day.c
@@ -37,31 +37,13 @@
 	return least + (rp_ms)vms_random(o, (uint64_t)(most - least + 1));
 }
 
-static int chance(struct vms *o, uint64_t percent)
+int vms_chance(struct vms *o, uint64_t percent)
 {
 	return vms_random(o, 100) < percent;
 }
 
 /* --- what a day is like ----------------------------------------------- */
 
-static const char *const names[VMS_FAULT_KINDS] = {
-	"kill",
-	"freeze",
-	"cut domain",
-	"cut vm",
-	"cut vm's store",
-	"cut vm's targets",
-	"store away",
-	"freeze target",
-	"restart target",
-	"cut target's store",
-	"cut target's vm",
-	"late calls",
-	"lost replies",
-	"resign",
-	"reset",
-};
-
 static struct vms_fault *add_fault(struct vms *o, enum vms_fault_kind kind,
 				   rp_ms at, rp_ms span)
 {
@@ -71,9 +53,9 @@
 	f->at = at;
 	f->span = span;
 	f->which = (int)vms_random(o, 1000);
-	f->leader = chance(o, 50);
+	f->leader = vms_chance(o, 50);
 	f->percent = (int)between(o, 5, 60);
-	f->delay = between(o, 100, chance(o, 50) ? 1500 : 8000);
+	f->delay = between(o, 100, vms_chance(o, 50) ? 1500 : 8000);
 	return f;
 }
 
@@ -95,7 +77,7 @@
 	int which = (int)vms_random(o, 1000);
 	struct vms_fault *f;
 
-	f = add_fault(o, chance(o, 70) ? VMS_FREEZE : VMS_CUT_VM, at,
+	f = add_fault(o, vms_chance(o, 70) ? VMS_FREEZE : VMS_CUT_VM, at,
 		      between(o, 1000, 4000));
 	f->which = which;
 	f->leader = 0;
@@ -103,7 +85,7 @@
 	f->which = which;
 	f->leader = 0;
 	f->percent = 100;
-	f = add_fault(o, chance(o, 70) ? VMS_KILL : of_leader(o),
+	f = add_fault(o, vms_chance(o, 70) ? VMS_KILL : of_leader(o),
 		      at + between(o, 300, 800), between(o, 500, 4000));
 	f->leader = 1;
 }
@@ -143,20 +125,20 @@
 	rp_ms at = between(o, 3500, 5500);
 	size_t n = 3 + vms_random(o, VMS_FAULTS - 3 + 1);
 
-	if (chance(o, 40))
+	if (vms_chance(o, 40))
 		draw_owner_and_leader(o, at + between(o, 0, 1500));
-	if (chance(o, 30))
+	if (vms_chance(o, 30))
 		draw_leader_and_domain(o, at + between(o, 0, 1500));
-	if (chance(o, 30))
+	if (vms_chance(o, 30))
 		draw_unlisted(o, at + between(o, 0, 1000));
 	while (o->nfaults < n)
 		add_fault(o,
-			  chance(o, 35) ? of_leader(o)
-					: (enum vms_fault_kind)vms_random(
-						  o, VMS_FAULT_KINDS),
+			  vms_chance(o, 35) ? of_leader(o)
+					    : (enum vms_fault_kind)vms_random(
+						      o, VMS_FAULT_KINDS),
 			  at + between(o, 0, 2500),
-			  chance(o, 50) ? between(o, 100, 1500)
-					: between(o, 500, 5000));
+			  vms_chance(o, 50) ? between(o, 100, 1500)
+					    : between(o, 500, 5000));
 }
 
 static void draw_day(struct vms *o, const struct vms_options *opt)
@@ -165,12 +147,12 @@
 
 	o->nvms = 3 + vms_random(o, VMS_MAX - 3 + 1);
 	o->timeout = timeouts[vms_random(o, 4)];
-	o->max_work = (double)o->timeout * (chance(o, 50) ? 0.3 : 0.6);
-	o->rest_only = chance(o, 50);
-	o->callers_cut = chance(o, 50) && opt->cut_callers;
-	o->store_delay = chance(o, 20) ? between(o, 50, 900) : 15;
+	o->max_work = (double)o->timeout * (vms_chance(o, 50) ? 0.3 : 0.6);
+	o->rest_only = vms_chance(o, 50);
+	o->callers_cut = vms_chance(o, 50) && opt->cut_callers;
+	o->store_delay = vms_chance(o, 20) ? between(o, 50, 900) : 15;
 	o->length = START_MS + DAY_MS;
-	o->w.late_leases = chance(o, 50);
+	o->w.late_leases = vms_chance(o, 50);
 	o->w.task_cpu = (double)between(o, 3000, 9000);
 	/* From a tenth of the room to nearly all of it. */
 	o->load = (int)((double)between(o, 10, 90) / 100 *
@@ -182,7 +164,7 @@
 static void draw_targets(struct vms *o)
 {
 	static const char *const domains[VMS_DOMAINS] = { "a", "b", "c" };
-	int slow_clocks = chance(o, 40);
+	int slow_clocks = vms_chance(o, 40);
 	size_t i;
 
 	for (i = 0; i < o->w.ntargets; i++) {
@@ -193,209 +175,22 @@
 			 domains[i % VMS_DOMAINS]);
 		if (slow_clocks)
 			t->clock_rate = 1 - 0.0001 * (double)between(o, 0, 200);
-		o->entries[i].listing = t->listing;
-		o->entries[i].present = 1;
-		o->entries[i].version = (uint64_t)++o->version;
-		o->entries[i].written_at = o->w.now;
 		o->entries[i].write_due = o->w.now + between(o, 0, 1500);
 	}
-}
-
-/* --- faults ----------------------------------------------------------- */
-
-static void kill_vm(struct vms *o, struct vm *vm, const struct vms_fault *f)
-{
-	vm->vanished = f->percent < 20;
-	vms_requests_drop(vm);
-	if (vm->leading)
-		vms_sched_end(vm);
-	vms_vm_ended(vm);
-	while (vm->members) {
-		struct vms_member *m = vm->members;
-
-		vm->members = m->next;
-		m->next = o->removed;
-		o->removed = m;
-	}
-	vm->leader_link = NULL;
-	vm->up = 0;
-	vm->frozen_until = 0;
-	vm->frozen_at = o->w.now;
-	vm->up_at = o->w.now + f->span + 200;
-}
-
-static struct vm *victim(struct vms *o, const struct vms_fault *f)
-{
-	size_t i;
-
-	for (i = 0; f->leader && i < o->nvms; i++)
-		if (o->vms[i].leading)
-			return &o->vms[i];
-	return &o->vms[(size_t)f->which % o->nvms];
-}
-
-static void fault_of_vm(struct vms *o, const struct vms_fault *f)
-{
-	struct vm *vm = victim(o, f);
-	rp_ms until = o->w.now + f->span;
-
-	vms_trace(o, "FAULT %s vm%d until %lld", names[f->kind], vm->index,
-		  (long long)until);
-	if (f->kind == VMS_KILL && vm->up)
-		kill_vm(o, vm, f);
-	else if (f->kind == VMS_FREEZE && vms_awake(o, vm)) {
-		vm->frozen_at = o->w.now;
-		vm->frozen_until = until;
-	} else if (f->kind == VMS_CUT_VM)
-		vm->cut_until = until;
-	else if (f->kind == VMS_CUT_VM_STORE)
-		vm->store_cut_until = until;
-	else if (f->kind == VMS_CUT_VM_TARGETS)
-		vm->targets_cut_until = until;
-	else if (f->kind == VMS_RESIGN && vm->leading &&
-		 !lead_is_provisional(&vm->lead))
-		lead_resign(&vm->lead);
-}
-
-static void fault_of_target(struct vms *o, const struct vms_fault *f)
-{
-	size_t i = (size_t)f->which % o->w.ntargets;
-	struct world_target *t = &o->w.targets[i];
-	struct vms_entry *e = &o->entries[i];
-	rp_ms until = o->w.now + f->span;
-	struct vms_fault vm = *f;
-
-	vms_trace(o, "FAULT %s t%zu until %lld", names[f->kind], i,
-		  (long long)until);
-	if (f->kind == VMS_FREEZE_TARGET)
-		e->frozen_until = until;
-	else if (f->kind == VMS_CUT_TARGET_STORE)
-		e->cut_until = until + f->span;
-	else if (f->kind == VMS_CUT_TARGET_VM) {
-		e->vm_cut_until = until;
-		vm.which = f->percent;
-		e->cut_vm = victim(o, &vm)->index;
-	} else {
-		world_target_restart(&o->w, t);
-		if (f->percent < 30)
-			t->unresponsive_until = until;
-		e->write_due = t->unresponsive_until;
-	}
-}
-
-static void fault_of_calls(struct vms *o, const struct vms_fault *f)
-{
-	size_t i, n = 1 + (size_t)f->which % o->w.ntargets;
-	int kind = (f->which / 16) % (WORLD_CALLS + 1);
-	int k;
-
-	vms_trace(o,
-		  "FAULT %s %d%% of %zu targets kind %d delay %lld span %lld",
-		  names[f->kind], f->percent, n, kind, (long long)f->delay,
-		  (long long)f->span);
-	for (i = 0; i < n; i++) {
-		struct world_target *t = &o->w.targets[i];
-
-		if (f->kind == VMS_LOSE)
-			t->lose_percent = f->percent;
-		for (k = 0; f->kind == VMS_LATE && k < WORLD_CALLS; k++)
-			if (kind == WORLD_CALLS || kind == k)
-				t->late[k] = (struct world_late){ f->percent,
-								  50, f->delay,
-								  f->leader };
-	}
-}
-
-static void end_fault_of_calls(struct vms *o, const struct vms_fault *f)
-{
-	size_t i;
-
-	for (i = 0; i < o->w.ntargets; i++) {
-		if (f->kind == VMS_LOSE)
-			o->w.targets[i].lose_percent = 0;
-		else
-			memset(o->w.targets[i].late, 0,
-			       sizeof(o->w.targets[i].late));
-	}
-}
-
-static void reset_callers(struct vms *o, const struct vms_fault *f)
-{
-	size_t i;
-
-	vms_trace(o, "FAULT reset of %d%% at vm%d", f->percent,
-		  f->leader ? -1 : f->which % (int)o->nvms);
-	for (i = 0; i < o->ncallers; i++)
-		if ((f->leader ||
-		     o->callers[i].vm == f->which % (int)o->nvms) &&
-		    chance(o, (uint64_t)f->percent))
-			vms_caller_break(o, &o->callers[i]);
-}
-
-static void run_fault(struct vms *o, const struct vms_fault *f)
-{
-	switch (f->kind) {
-	case VMS_CUT_DOMAIN:
-		vms_trace(o, "FAULT cut domain %d until %lld",
-			  f->which % VMS_DOMAINS,
-			  (long long)(o->w.now + f->span));
-		o->cut_until[f->which % VMS_DOMAINS] = o->w.now + f->span;
-		break;
-	case VMS_STORE_AWAY:
-		vms_trace(o, "FAULT store away until %lld",
-			  (long long)(o->w.now + f->span));
-		o->store_away_until = o->w.now + f->span;
-		break;
-	case VMS_FREEZE_TARGET:
-	case VMS_RESTART_TARGET:
-	case VMS_CUT_TARGET_STORE:
-	case VMS_CUT_TARGET_VM:
-		fault_of_target(o, f);
-		break;
-	case VMS_LATE:
-	case VMS_LOSE:
-		fault_of_calls(o, f);
-		break;
-	case VMS_RESET:
-		reset_callers(o, f);
-		break;
-	default:
-		fault_of_vm(o, f);
-	}
-}
-
-static void run_faults(struct vms *o, unsigned skip)
-{
-	size_t i;
-
-	for (i = 0; i < o->nfaults; i++) {
-		const struct vms_fault *f = &o->faults[i];
-
-		if (skip >> i & 1)
-			continue;
-		if (o->w.now == f->at)
-			run_fault(o, f);
-		if (o->w.now == f->at + f->span &&
-		    (f->kind == VMS_LATE || f->kind == VMS_LOSE))
-			end_fault_of_calls(o, f);
-	}
+	vms_entries_init(o);
 }
 
 /* --- a day ------------------------------------------------------------ */
 
-static int reaches(struct world *w, const struct sched *s,
-		   const struct world_target *t)
+static int reaches(struct world *w, const struct world_event *e)
 {
-	struct vms *o = (struct vms *)w;
-
-	return vms_target_reached(o, vms_vm_of(o, s), t);
+	return vms_target_reached((struct vms *)w, e->from, e->target);
 }
 
-static rp_ms replies_at(struct world *w, const struct sched *s)
+static rp_ms replies_at(struct world *w, const struct world_event *e)
 {
-	struct vms *o = (struct vms *)w;
-
-	return vms_vm_of(o, s)->frozen_until;
+	(void)w;
+	return ((const struct vm *)e->from)->frozen_until;
 }
 
 static void step(struct vms *o)
@@ -436,15 +231,17 @@
 	world_init(&o->w, seed, ntargets, speeds, 3);
 	o->trace = opt->trace;
 	o->check_done = opt->check_done;
+	o->keep_late = opt->keep_late;
 	o->w.several = 1;
 	o->w.reaches = reaches;
 	o->w.replies_at = replies_at;
 	draw_day(o, opt);
+	vms_draw_parts(o, seed, opt->parts);
 	draw_targets(o);
 	for (i = 0; i < o->nvms; i++)
 		vms_vm_start(o, (int)i);
 	while (o->w.now < o->length + END_MS && !o->w.violations) {
-		run_faults(o, opt->skip);
+		vms_faults_run(o, opt->skip);
 		step(o);
 	}
 }
--- a/regress/world/vms-job.c
+++ b/regress/world/vms-job.c
@@ -88,6 +88,7 @@
 	vms_trace(vms_of(s), "vm%d starts %s run %u on %s",
 		  vms_vm_of(vms_of(s), s)->index, task->name, task->run,
 		  t->listing.id);
+	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.start(s, t, task, until);
 }
 
@@ -97,12 +98,14 @@
 	vms_trace(vms_of(s), "vm%d stops %.*s run %u on %s",
 		  vms_vm_of(vms_of(s), s)->index, (int)task.len, task.ptr, run,
 		  t->listing.id);
+	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.stop(s, t, task, run);
 }
 
 static void on_hold(struct sched *s, struct sched_target *t, int64_t until,
 		    uint64_t acked_end, rp_ms wait)
 {
+	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.hold(s, t, until, acked_end, wait);
 }
 
--- a/regress/world/vms-lead.c
+++ b/regress/world/vms-lead.c
@@ -145,7 +145,10 @@
 
 void vms_sched_end(struct vm *vm)
 {
-	world_drop_calls(&vm->o->w, &vm->sched);
+	if (vms_has_part(vm->o, VMS_WIRE))
+		world_end_calls(&vm->o->w, &vm->sched);
+	else
+		world_drop_calls(&vm->o->w, &vm->sched);
 	sched_finish(&vm->sched);
 	vm->leading = 0;
 }
--- a/regress/world/vms-list.c
+++ b/regress/world/vms-list.c
@@ -12,22 +12,65 @@
 #define READ_DELAY_MS 300
 #define LISTING_EXPIRY_MS 2500
 
+void vms_entries_init(struct vms *o)
+{
+	size_t i;
+
+	o->nentries = o->w.ntargets;
+	for (i = 0; i < o->nentries; i++) {
+		struct vms_entry *e = &o->entries[i];
+
+		e->target = i;
+		e->listing = o->w.targets[i].listing;
+		e->present = 1;
+		e->version = (uint64_t)++o->version;
+		e->written_at = o->w.now;
+	}
+}
+
+static struct vms_entry *current_entry(struct vms *o, size_t target)
+{
+	size_t i;
+
+	for (i = 0; i < o->nentries; i++)
+		if (o->entries[i].target == target && !o->entries[i].superseded)
+			return &o->entries[i];
+	return NULL;
+}
+
+void vms_entry_renamed(struct vms *o, size_t target, rp_ms write_due)
+{
+	struct vms_entry *e;
+
+	current_entry(o, target)->superseded = 1;
+	e = &o->entries[o->nentries++];
+	e->target = target;
+	e->listing = o->w.targets[target].listing;
+	e->write_due = write_due;
+}
+
+static int can_write(const struct vms *o, size_t target)
+{
+	return o->w.now >= o->cut_until[target % VMS_DOMAINS] &&
+	       o->w.now >= o->entries[target].cut_until &&
+	       o->w.now >= o->store_away_until &&
+	       o->w.now >= o->w.targets[target].unresponsive_until;
+}
+
 void vms_entries_tick(struct vms *o)
 {
 	size_t i;
 
-	for (i = 0; i < o->w.ntargets; i++) {
+	for (i = 0; i < o->nentries; i++) {
 		struct vms_entry *e = &o->entries[i];
 
 		if (e->present && o->w.now - e->written_at > ENTRY_TTL_MS) {
-			vms_trace(o, "entry of t%zu expires", i);
+			vms_trace(o, "entry of %s expires", e->listing.id);
 			e->present = 0;
 		}
-		if (o->w.now < e->write_due)
+		if (o->w.now < e->write_due || e->superseded)
 			continue;
-		if (o->w.now < o->cut_until[i % VMS_DOMAINS] ||
-		    o->w.now < e->cut_until || o->w.now < o->store_away_until ||
-		    o->w.now < o->w.targets[i].unresponsive_until) {
+		if (!can_write(o, e->target)) {
 			e->write_due =
 				o->w.now + 100 + (rp_ms)vms_random(o, 300);
 			continue;
@@ -36,7 +79,7 @@
 		e->version = (uint64_t)++o->version;
 		e->written_at = o->w.now;
 		e->write_due = o->w.now + ENTRY_INTERVAL_MS;
-		e->listing = o->w.targets[i].listing;
+		e->listing = o->w.targets[e->target].listing;
 	}
 }
 
@@ -55,7 +98,8 @@
 
 static void list_target(struct vm *vm, size_t i)
 {
-	if (vm->listed[i] && leads_domain(vm, (int)(i % VMS_DOMAINS)))
+	if (vm->listed[i] &&
+	    leads_domain(vm, (int)(vm->o->entries[i].target % VMS_DOMAINS)))
 		sched_target_listed(&vm->sched, &vm->listings[i], vm->o->w.now);
 }
 
@@ -63,7 +107,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < vm->o->w.ntargets; i++)
+	for (i = 0; i < vm->o->nentries; i++)
 		list_target(vm, i);
 }
 
@@ -110,7 +154,7 @@
 {
 	struct vms *o = vm->o;
 	const struct vms_entry *e = &o->entries[i];
-	const char *id = o->w.targets[i].listing.id;
+	const char *id = e->listing.id;
 
 	if (!e->present) {
 		if (sched_find_target(&vm->sched, id) &&
@@ -133,13 +177,14 @@
 
 static void check_missing(struct vm *vm, size_t i)
 {
+	const struct vms_entry *e = &vm->o->entries[i];
 	rp_ms now = vm->o->w.now;
 
 	if (!vm->missing_since[i] ||
 	    now - vm->missing_since[i] < REMOVED_AFTER_MS)
 		return;
-	vms_trace(vm->o, "vm%d: t%zu is unlisted", vm->index, i);
-	sched_target_unlisted(&vm->sched, vm->o->w.targets[i].listing.id, now);
+	vms_trace(vm->o, "vm%d: %s is unlisted", vm->index, e->listing.id);
+	sched_target_unlisted(&vm->sched, e->listing.id, now);
 	vm->listed[i] = 0;
 	vm->missing_since[i] = 0;
 }
@@ -150,7 +195,7 @@
 	struct vms *o = vm->o;
 	size_t i;
 
-	for (i = 0; !vm->leading && i < o->w.ntargets; i++)
+	for (i = 0; !vm->leading && i < o->nentries; i++)
 		if (o->entries[i].present) {
 			vm->listings[i] = o->entries[i].listing;
 			vm->versions[i] = o->entries[i].version;
@@ -158,7 +203,7 @@
 		}
 	if (!vm->leading)
 		return;
-	for (i = 0; i < o->w.ntargets; i++) {
+	for (i = 0; i < o->nentries; i++) {
 		if (vm->list_lost && vm->missing_since[i])
 			vm->missing_since[i] = o->w.now;
 		read_entry(vm, i);
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -21,7 +21,8 @@
 #define VMS_TASKS 3    /* of a job */
 #define VMS_ANSWERS 64 /* recent ones that a leader keeps for a member */
 #define VMS_CALLERS 512
-#define VMS_FAULTS 12
+#define VMS_FAULTS 12 /* of any kind, and of a part of the model */
+#define VMS_PART_FAULTS 6
 #define VMS_RESEND_MS 1300    /* until a caller submits its job again */
 #define VMS_NO_LEADER_MS 1500 /* from which jobs are not taken */
 
@@ -149,9 +150,14 @@
 	uint64_t next_seq;
 };
 
-/* The entry of a target in the store. */
+/*
+ * The entry of a target in the store. The first ones, of the targets in their
+ * order, have the paths of the targets, also after they got another id.
+ */
 struct vms_entry {
 	int present;
+	size_t target;
+	int superseded; /* its target has another id now */
 	uint64_t version;
 	rp_ms written_at, write_due;
 	rp_ms cut_until; /* the target, from the store */
@@ -208,6 +214,16 @@
 	int which, leader; /* leader: it hits the VM that leads */
 	int percent;
 	rp_ms delay;
+	int new_id;	    /* a restarted target is back with another id */
+	rp_ms listed_after; /* its restart */
+};
+
+/* Parts of the model that are drawn for each day. */
+enum vms_part {
+	VMS_WIRE,	  /* calls outlast their leader, and cut paths */
+	VMS_INCARNATIONS, /* targets come back with other ids or late entries */
+	VMS_AGENTS,	  /* members call the targets for the leader */
+	VMS_PARTS,
 };
 
 struct vms_options {
@@ -219,6 +235,8 @@
 	 */
 	int cut_callers;
 	int check_done; /* a task may not start after its end was noted */
+	int keep_late;	/* restarted targets carry out calls of before */
+	unsigned parts; /* bits of enum vms_part */
 };
 
 struct vms {
@@ -226,6 +244,8 @@
 	uint64_t random;
 	int trace;
 	int check_done;
+	unsigned parts; /* of this day */
+	int keep_late;
 	size_t nvms;
 	struct vm vms[VMS_MAX];
 	struct vms_link *links;
@@ -239,6 +259,7 @@
 	int64_t version, renewal_version;
 	uint64_t renewal_fence;
 	struct vms_entry entries[WORLD_TARGETS];
+	size_t nentries;
 	struct vms_caller callers[VMS_CALLERS];
 	size_t ncallers;
 	rp_ms timeout; /* of callers */
@@ -246,7 +267,7 @@
 	double max_work;
 	int load; /* jobs a second */
 	rp_ms length;
-	struct vms_fault faults[VMS_FAULTS];
+	struct vms_fault faults[VMS_FAULTS + VMS_PART_FAULTS];
 	size_t nfaults;
 	uint64_t answered[8]; /* by outcome */
 	uint64_t resent, takeovers, provisional, raised;
@@ -268,9 +289,21 @@
 void vms_play(struct vms *o, uint64_t seed, const struct vms_options *opt);
 void vms_finish(struct vms *o);
 uint64_t vms_random(struct vms *o, uint64_t n);
+int vms_chance(struct vms *o, uint64_t percent);
 void vms_trace(const struct vms *o, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* --- vms-part.c ------------------------------------------------------- */
+
+int vms_has_part(const struct vms *o, enum vms_part part);
+/* Draws the parts without a change to what else the seed draws. */
+void vms_draw_parts(struct vms *o, uint64_t seed, unsigned parts);
+
+/* --- vms-fault.c ----------------------------------------------------- */
+
+/* Begins and ends the faults of this moment, but for the bits of skip. */
+void vms_faults_run(struct vms *o, unsigned skip);
+
 /* --- vms-path.c: links, and what reaches what ---------------------------- */
 
 int vms_awake(const struct vms *o, const struct vm *vm);
@@ -324,6 +357,9 @@
 
 /* --- vms-list.c: the list of targets -------------------------------------- */
 
+void vms_entries_init(struct vms *o);
+/* The target has another id, and writes another entry from then on. */
+void vms_entry_renamed(struct vms *o, size_t target, rp_ms write_due);
 void vms_entries_tick(struct vms *o);
 void vms_read_list(struct vm *vm);
 void vms_list_cached(struct vm *vm);
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -296,6 +296,8 @@
 		struct world_event *e = w->events;
 
 		w->events = e->next;
+		free(e->runs);
+		free(e->ends);
 		free(e);
 	}
 	apr_pool_destroy(w->pool);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -67,6 +67,7 @@
 	int stalled;	   /* runs make no progress */
 	int lose_percent;  /* share of replies that are lost */
 	double clock_rate; /* of its clock; 1: exact */
+	rp_ms clock_start;
 	rp_ms start_delay; /* additional delay of start calls */
 	struct world_late late[WORLD_CALLS];
 	uint64_t fence; /* highest fencing token seen */
@@ -103,10 +104,19 @@
 	rp_ms wait_until;   /* a hold call waits for an end until then */
 	struct sched_resources need;
 	double work;
-	int lost;   /* the reply is lost */
-	int copied; /* it is late, and the reply is to a copy of it */
-	int waits;  /* a hold call that was carried out, but for its reply */
-	int late;   /* the caller has given up; it is carried out now */
+	int lost;    /* the reply is lost */
+	int copied;  /* it is late, and the reply is to a copy of it */
+	int waits;   /* a hold call that was carried out, but for its reply */
+	int late;    /* the caller has given up; it is carried out now */
+	int blocked; /* it arrives late, once its path is back */
+	int resent;  /* it was sent again, as it had no reply */
+	const void *from; /* who calls, if several do */
+	uint64_t seq;	  /* of a call for another; its caller gets the reply */
+	/* Of a reply, as the target is when it carries the call out. */
+	int64_t clock, incarnation;
+	struct world_run *runs;
+	struct world_end *ends;
+	size_t nruns, nends;
 	struct world_event *next;
 };
 
@@ -174,11 +184,19 @@
 	 * messages: world_step() calls none of them but for replies.
 	 */
 	int several;
-	/* Whether calls of the scheduler reach the target; NULL: cut_off. */
-	int (*reaches)(struct world *w, const struct sched *s,
-		       const struct world_target *t);
-	/* Replies are delivered to the scheduler no earlier; NULL: at once. */
-	rp_ms (*replies_at)(struct world *w, const struct sched *s);
+	const void *calling; /* whose calls are made now, if several call */
+	/* Whether the call reaches its target; NULL: cut_off. */
+	int (*reaches)(struct world *w, const struct world_event *e);
+	/* Replies are delivered to the caller no earlier; NULL: at once. */
+	rp_ms (*replies_at)(struct world *w, const struct world_event *e);
+	/* The reply to a call with a number. */
+	void (*replied)(struct world *w, const struct world_event *e,
+			const struct sched_target_reply *reply);
+	int keep_blocked; /* share of calls that wait for their path */
+	rp_ms jitter;	  /* added to the delay of a call at random, most */
+	int keep_late;	  /* a restarted target carries out late calls, too */
+	int new_clocks;	  /* clocks of restarted targets start anew */
+	int resends;	  /* share of calls to them that are sent again */
 	apr_pool_t *pool;
 };
 
@@ -211,8 +229,12 @@
 		     uint64_t acked_end, rp_ms wait);
 /* Delivers the calls and replies that have arrived. */
 void world_deliver(struct world *w);
+/* Makes a call like this one, which is copied, to the target of that id. */
+void world_call(struct world *w, const struct world_event *call);
 /* Drops the scheduler's calls in flight, as its process has ended. */
 void world_drop_calls(struct world *w, const struct sched *s);
+/* The scheduler has ended; its calls in flight are carried out. */
+void world_end_calls(struct world *w, const struct sched *s);
 /* Calls in flight get no reply: the target's process has ended. */
 void world_fail_calls(struct world *w, const struct world_target *t);
 
