Simulated pool: members call targets for the leader

What is on the way when a link, an owner or the leader ends arrives as late as the links allow; replies come over the leader's present link only.

--- a/regress/world/call.c
+++ b/regress/world/call.c
@@ -28,8 +28,8 @@
 	*at = e;
 }
 
-static struct world_target *find_target(struct world *w,
-					const struct sched_target *t)
+struct world_target *world_find_target(struct world *w,
+				       const struct sched_target *t)
 {
 	size_t i;
 
@@ -54,7 +54,7 @@
 	snprintf(e->id, sizeof(e->id), "%s", called->listing.id);
 	e->kind = kind;
 	e->sched = s;
-	e->target = find_target(w, called);
+	e->target = world_find_target(w, called);
 	e->at = w->now + w->delay;
 	if (w->jitter)
 		e->at += (rp_ms)(world_uniform(w) * (double)w->jitter);
@@ -103,57 +103,75 @@
 	add_event(w, r);
 }
 
-static void deliver_reply(struct world *w, struct world_event *e)
+void world_read_reply(const struct world_event *e, struct world_reply *r)
 {
-	struct sched_target *st = e->sched ? sched_find_target(e->sched, e->id)
-					   : NULL;
-	struct sched_run runs[WORLD_RUNS];
-	struct sched_end ends[WORLD_ENDS];
-	struct sched_target_reply reply = { .reason = "" };
 	size_t i;
 
-	if (!st && !e->seq)
-		return;
-	reply.status = e->lost		     ? SCHED_REPLY_UNKNOWN
-		       : e->acked_end == 200 ? SCHED_REPLY_OK
-		       : e->acked_end == 421 ? SCHED_REPLY_WRONG_INCARNATION
-		       : e->until	     ? SCHED_REPLY_FENCED
-					     : SCHED_REPLY_REFUSED;
-	reply.sent_at = e->sent_at;
-	reply.lossy = e->copied;
+	memset(&r->reply, 0, sizeof(r->reply));
+	r->reply.reason = "";
+	r->reply.status = e->lost		? SCHED_REPLY_UNKNOWN
+			  : e->acked_end == 200 ? SCHED_REPLY_OK
+			  : e->acked_end == 421 ? SCHED_REPLY_WRONG_INCARNATION
+			  : e->until		? SCHED_REPLY_FENCED
+						: SCHED_REPLY_REFUSED;
+	r->reply.sent_at = e->sent_at;
+	r->reply.lossy = e->copied;
 	if (e->kind == WORLD_HOLD_REPLY && !e->lost)
-		reply.incarnation = e->incarnation;
-	reply.clock = e->lost ? 0 : e->clock;
-	if (e->kind == WORLD_HOLD_REPLY && reply.status == SCHED_REPLY_OK) {
-		for (i = 0; i < e->nruns; i++) {
-			const struct world_run *r = &e->runs[i];
-
-			runs[i].task = str_of(r->task);
-			runs[i].run = r->run;
-			runs[i].percent = (int)(100 * r->done / r->work);
-		}
-		for (i = 0; i < e->nends; i++) {
-			ends[i].number = e->ends[i].number;
-			ends[i].task = str_of(e->ends[i].task);
-			ends[i].run = e->ends[i].run;
-			ends[i].how = e->ends[i].how;
-		}
-		reply.runs = runs;
-		reply.nruns = e->nruns;
-		reply.ends = ends;
-		reply.nends = e->nends;
+		r->reply.incarnation = e->incarnation;
+	r->reply.clock = e->lost ? 0 : e->clock;
+	if (e->kind != WORLD_HOLD_REPLY || r->reply.status != SCHED_REPLY_OK)
+		return;
+	for (i = 0; i < e->nruns; i++) {
+		const struct world_run *run = &e->runs[i];
+
+		r->runs[i].task = str_of(run->task);
+		r->runs[i].run = run->run;
+		r->runs[i].percent = (int)(100 * run->done / run->work);
 	}
+	for (i = 0; i < e->nends; i++) {
+		r->ends[i].number = e->ends[i].number;
+		r->ends[i].task = str_of(e->ends[i].task);
+		r->ends[i].run = e->ends[i].run;
+		r->ends[i].how = e->ends[i].how;
+	}
+	r->reply.runs = r->runs;
+	r->reply.nruns = e->nruns;
+	r->reply.ends = r->ends;
+	r->reply.nends = e->nends;
+}
+
+void world_copy_reply(struct world_event *to, const struct world_event *from)
+{
+	*to = *from;
+	to->runs = malloc(from->nruns * sizeof(*from->runs) + 1);
+	to->ends = malloc(from->nends * sizeof(*from->ends) + 1);
+	if (from->nruns)
+		memcpy(to->runs, from->runs, from->nruns * sizeof(*from->runs));
+	if (from->nends)
+		memcpy(to->ends, from->ends, from->nends * sizeof(*from->ends));
+}
+
+static void deliver_reply(struct world *w, struct world_event *e)
+{
+	struct sched_target *t = e->sched ? sched_find_target(e->sched, e->id)
+					  : NULL;
+	struct world_reply r;
+
+	if (!t && !e->seq)
+		return;
+	world_read_reply(e, &r);
 	if (!e->sched) {
-		w->replied(w, e, &reply);
+		w->replied(w, e, &r.reply);
 		return;
 	}
 	if (e->kind == WORLD_START_REPLY)
-		sched_start_reply(e->sched, st, e->task, e->run, &reply,
+		sched_start_reply(e->sched, t, e->task, e->run, &r.reply,
 				  w->now);
 	else if (e->kind == WORLD_STOP_REPLY)
-		sched_stop_reply(e->sched, st, e->task, e->run, &reply, w->now);
+		sched_stop_reply(e->sched, t, e->task, e->run, &r.reply,
+				 w->now);
 	else
-		sched_hold_reply(e->sched, st, &reply, w->now);
+		sched_hold_reply(e->sched, t, &r.reply, w->now);
 	if (e->sched == w->sched || w->several)
 		sched_dispatch(e->sched, w->now);
 }
--- a/regress/world/vms-day.c
+++ b/regress/world/vms-day.c
@@ -235,6 +235,7 @@
 	o->w.several = 1;
 	o->w.reaches = reaches;
 	o->w.replies_at = replies_at;
+	o->w.replied = vms_replied;
 	draw_day(o, opt);
 	vms_draw_parts(o, seed, opt->parts);
 	draw_targets(o);
--- a/regress/world/vms-job.c
+++ b/regress/world/vms-job.c
@@ -5,6 +5,7 @@
 
 #include "vms.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -82,12 +83,31 @@
 	return m->sent_mark;
 }
 
+static struct world_event call_of(struct sched *s, struct sched_target *t,
+				  int kind)
+{
+	struct world_event call = { .kind = kind, .fence = s->fence };
+
+	snprintf(call.id, sizeof(call.id), "%s", t->listing.id);
+	call.target = world_find_target(&vms_of(s)->w, t);
+	return call;
+}
+
 static void on_start(struct sched *s, struct sched_target *t,
 		     struct sched_task *task, int64_t until)
 {
+	struct world_event call;
+
 	vms_trace(vms_of(s), "vm%d starts %s run %u on %s",
 		  vms_vm_of(vms_of(s), s)->index, task->name, task->run,
 		  t->listing.id);
+	call = call_of(s, t, WORLD_START);
+	snprintf(call.task, sizeof(call.task), "%s", task->name);
+	call.run = task->run;
+	call.until = until;
+	call.need = task->job->steps[task->step].need;
+	if (vms_order_start(vms_vm_of(vms_of(s), s), t, task, &call))
+		return;
 	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.start(s, t, task, until);
 }
@@ -95,9 +115,16 @@
 static void on_stop(struct sched *s, struct sched_target *t, struct rp_str task,
 		    uint32_t run)
 {
+	struct world_event call;
+
 	vms_trace(vms_of(s), "vm%d stops %.*s run %u on %s",
 		  vms_vm_of(vms_of(s), s)->index, (int)task.len, task.ptr, run,
 		  t->listing.id);
+	call = call_of(s, t, WORLD_STOP);
+	str_copy(call.task, sizeof(call.task), task);
+	call.run = run;
+	if (vms_order_call(vms_vm_of(vms_of(s), s), t, &call))
+		return;
 	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.stop(s, t, task, run);
 }
@@ -105,6 +132,13 @@
 static void on_hold(struct sched *s, struct sched_target *t, int64_t until,
 		    uint64_t acked_end, rp_ms wait)
 {
+	struct world_event call = call_of(s, t, WORLD_HOLD);
+
+	call.until = until;
+	call.acked_end = acked_end;
+	call.wait_until = wait;
+	if (vms_order_call(vms_vm_of(vms_of(s), s), t, &call))
+		return;
 	vms_of(s)->w.calling = vms_vm_of(vms_of(s), s);
 	world_ops.hold(s, t, until, acked_end, wait);
 }
@@ -119,8 +153,7 @@
 
 static void on_target_removed(struct sched *s, struct sched_target *t)
 {
-	(void)s;
-	(void)t;
+	vms_orders_of_target_drop(vms_vm_of(vms_of(s), s), t->listing.id);
 }
 
 static void on_log(struct sched *s, const char *event,
@@ -226,6 +259,13 @@
 
 	if (was_answered(vm, m, msg))
 		return;
+	if (msg->owner_starts) {
+		struct rp_str s = { (char *)sub.specification.data,
+				    sub.specification.len };
+
+		sub.specification_hash = str_hash(s);
+		sub.specification.len = 0;
+	}
 	sub.seq = msg->seq;
 	sub.former = msg->former;
 	sub.age_ms = (uint32_t)msg->age;
@@ -272,6 +312,22 @@
 	free(r);
 }
 
+static void may_be_started(struct vms_request *r)
+{
+	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
+				  LEAD_IS_PROVISIONAL(r->sent_fence)))
+		r->started_fence = r->sent_fence;
+}
+
+int vms_request_started(struct vm *vm, uint64_t seq)
+{
+	struct vms_request *r = find_request(vm, seq);
+
+	if (r)
+		may_be_started(r);
+	return r != NULL;
+}
+
 void vms_submit(struct vm *vm, struct vms_request *r)
 {
 	rp_ms now = vm->o->w.now;
@@ -291,9 +347,9 @@
 	memcpy(msg->done, r->done, sizeof(msg->done));
 	msg->ndone = r->ndone;
 	msg->domains = r->domains;
-	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
-				  LEAD_IS_PROVISIONAL(r->sent_fence)))
-		r->started_fence = r->sent_fence;
+	msg->owner_starts = !vm->leading && vms_has_part(vm->o, VMS_AGENTS);
+	if (!msg->owner_starts)
+		may_be_started(r);
 	if (vm->leading)
 		vms_schedule(vm, &vm->self, msg);
 }
@@ -312,7 +368,7 @@
 			vms_submit(vm, r);
 }
 
-static void send_cancel(struct vm *vm, uint64_t seq)
+void vms_cancel_send(struct vm *vm, uint64_t seq)
 {
 	if (vm->leading) {
 		sched_cancel(&vm->sched, &vm->self, seq, vm->o->w.now);
@@ -365,11 +421,12 @@
 
 static void abort_request(struct vm *vm, struct vms_request *r)
 {
-	send_cancel(vm, r->seq);
+	vms_cancel_send(vm, r->seq);
 	if (r->caller)
 		answer_caller(vm->o, r->caller,
-			      r->sent_fence ? POOL_ANSWER__OUTCOME__INCOMPLETE
-					    : POOL_ANSWER__OUTCOME__REJECTED);
+			      r->started_fence
+				      ? POOL_ANSWER__OUTCOME__INCOMPLETE
+				      : POOL_ANSWER__OUTCOME__REJECTED);
 	close_request(vm, r);
 }
 
@@ -394,7 +451,7 @@
 	for (r = vm->requests; r; r = next) {
 		next = r->next;
 		if (!r->caller && vms_callers_reach(vm->o, vm)) {
-			send_cancel(vm, r->seq);
+			vms_cancel_send(vm, r->seq);
 			close_request(vm, r);
 		} else if (is_over(vm, r)) {
 			abort_request(vm, r);
--- a/regress/world/vms-lead.c
+++ b/regress/world/vms-lead.c
@@ -150,6 +150,7 @@
 	else
 		world_drop_calls(&vm->o->w, &vm->sched);
 	sched_finish(&vm->sched);
+	vms_orders_drop(vm);
 	vm->leading = 0;
 }
 
@@ -260,6 +261,8 @@
 		notify_prev_leader(vm);
 		if (lead_leader_alive(&vm->lead, vms_now(vm)))
 			vm->leader_alive_at = vms_now(vm);
+		vms_orders_tick(vm);
+		vms_starts_check(vm);
 		if (vm->leading)
 			sched_tick(&vm->sched, vms_now(vm));
 		vms_requests_tick(vm);
@@ -276,7 +279,7 @@
 /* The process goes on after it was frozen: see pool_handle_pause(). */
 void vms_vm_woken(struct vm *vm)
 {
-	struct vms_link *l = vm->leader_link;
+	struct vms_link *l = vm->leader_link, *links;
 	struct vms_message *m;
 
 	for (m = l ? l->head[VMS_MEMBER] : NULL; m; m = m->next) {
@@ -290,6 +293,9 @@
 			vms_domains_received(vm, m->seq, m->domains);
 	}
 	vms_leader_link_drop(vm);
+	for (links = vm->o->links; links; links = links->next)
+		if (links->vms[VMS_LEADER] == vm->index)
+			links->heard_at = vms_now(vm);
 	lead_paused(&vm->lead, vms_now(vm) - vm->frozen_at, vms_now(vm));
 	if (vm->leading)
 		sched_suspend(&vm->sched, !lead_may_act(&vm->lead),
--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -157,6 +157,7 @@
 	vms_trace(vm->o, "vm%d: member vm%d removed", vm->index, m->vm);
 	sched_owner_lost(&vm->sched, m, vms_now(vm));
 	vm->dispatch_due = 1;
+	vms_agent_unavailable(vm, m);
 	while (*at != m)
 		at = &(*at)->next;
 	*at = m->next;
@@ -189,6 +190,8 @@
 			m->next = vm->members;
 			vm->members = m;
 		}
+		if (m->link)
+			vms_agent_unavailable(vm, m);
 		m->link = l;
 		m->echoed_at = 0;
 	}
@@ -216,6 +219,7 @@
 		if (m->link &&
 		    vms_now(vm) - followed_at(m) > MEMBER_TIMEOUT_MS) {
 			vms_link_close(m->link, VMS_LEADER);
+			vms_agent_unavailable(vm, m);
 			m->link = NULL;
 			m->disconnected_at = vms_now(vm);
 		}
@@ -262,6 +266,7 @@
 		vm->leader_link = NULL;
 	for (m = vm->members; end == VMS_LEADER && m; m = m->next)
 		if (m->link == l) {
+			vms_agent_unavailable(vm, m);
 			m->link = NULL;
 			m->disconnected_at = vms_now(vm);
 			check_silence(vm, m);
@@ -286,6 +291,10 @@
 		l->received_at = vms_now(vm);
 		if (msg->kind == VMS_BEAT)
 			beat_received(vm, l, end, &msg->beat);
+		if (l == vm->leader_link && msg->kind == VMS_ORDER)
+			vms_order_received(vm, msg);
+		if (l == vm->leader_link && msg->kind == VMS_START)
+			vms_start_received(vm, msg);
 		if (l != vm->leader_link || !msg->mark)
 			return;
 		ack = vms_send(l, VMS_LEADER, VMS_ACK);
@@ -298,6 +307,11 @@
 			vms_progress_received(vm, msg->seq, msg->done[0]);
 		return;
 	}
+	l->heard_at = vms_now(vm);
+	if (msg->kind == VMS_RUN) {
+		vms_run_received(vm, msg);
+		return;
+	}
 	while (m && m->link != l)
 		m = m->next;
 	if (msg->kind == VMS_HELLO)
@@ -308,11 +322,14 @@
 		return;
 	else if (msg->kind == VMS_ACK)
 		sched_owner_acked(&vm->sched, m, msg->mark, vms_now(vm));
+	else if (msg->kind == VMS_REPLY)
+		vms_order_replied(vm, m, msg);
 	else if (msg->kind == VMS_CANCEL)
 		sched_cancel(&vm->sched, m, msg->seq, vms_now(vm));
 	else if (!m->echoed_at ||
 		 vms_now(vm) - m->echoed_at > MEMBER_TIMEOUT_MS) {
 		vms_link_close(l, VMS_LEADER);
+		vms_agent_unavailable(vm, m);
 		m->link = NULL;
 		m->disconnected_at = vms_now(vm);
 		check_silence(vm, m);
@@ -367,6 +384,7 @@
 	    vms_is_self(vm, leader) || vms_now(vm) < vm->dial_due)
 		return;
 	vm->dial_due = vms_now(vm) + DIAL_INTERVAL_MS;
+	vm->order_fence = 0;
 	vm->leader_link = vms_dial(vm, leader);
 	if (!vm->leader_link)
 		return;
--- a/regress/world/vms-path.c
+++ b/regress/world/vms-path.c
@@ -46,32 +46,50 @@
 
 /* --- links ------------------------------------------------------------ */
 
-struct vms_link *vms_dial(struct vm *vm, int leader)
+static struct vms_link *link_new(struct vm *vm, int to)
 {
 	struct vms *o = vm->o;
-	struct vms_link *l;
+	struct vms_link *l = calloc(1, sizeof(*l));
 
-	if (!vms_path(o, vm->index, leader) ||
-	    (!o->vms[leader].up && o->vms[leader].vanished))
-		return NULL;
-	if (!o->vms[leader].up) {
-		lead_connection_refused(&vm->lead, o->w.now);
-		return NULL;
-	}
-	l = calloc(1, sizeof(*l));
 	l->vms[VMS_MEMBER] = vm->index;
-	l->vms[VMS_LEADER] = leader;
+	l->vms[VMS_LEADER] = to;
 	l->boots[VMS_MEMBER] = vm->boot;
-	l->boots[VMS_LEADER] = o->vms[leader].boot;
+	l->boots[VMS_LEADER] = o->vms[to].boot;
 	l->open[0] = l->open[1] = 1;
 	l->tail[0] = &l->head[0];
 	l->tail[1] = &l->head[1];
-	l->opened_at = l->received_at = o->w.now;
+	l->opened_at = l->received_at = l->heard_at = o->w.now;
+	l->number = ++o->nlinks;
 	l->next = o->links;
 	o->links = l;
 	return l;
 }
 
+struct vms_link *vms_dial_starts(struct vm *vm, int agent)
+{
+	struct vms_link *l;
+
+	if (!vms_path(vm->o, vm->index, agent) || !vm->o->vms[agent].up)
+		return NULL;
+	l = link_new(vm, agent);
+	l->starts = 1;
+	return l;
+}
+
+struct vms_link *vms_dial(struct vm *vm, int leader)
+{
+	struct vms *o = vm->o;
+
+	if (!vms_path(o, vm->index, leader) ||
+	    (!o->vms[leader].up && o->vms[leader].vanished))
+		return NULL;
+	if (!o->vms[leader].up) {
+		lead_connection_refused(&vm->lead, o->w.now);
+		return NULL;
+	}
+	return link_new(vm, leader);
+}
+
 struct vms_message *vms_send(struct vms_link *l, int to, enum vms_kind kind)
 {
 	struct vms_message *m = calloc(1, sizeof(*m));
@@ -96,6 +114,10 @@
 	l->head[to] = m->next;
 	if (!l->head[to])
 		l->tail[to] = &l->head[to];
+	if (m->kind == VMS_REPLY && !m->not_sent) {
+		free(m->call.runs);
+		free(m->call.ends);
+	}
 	free(m);
 }
 
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -10,7 +10,7 @@
  * are those of world.h, which checks the invariants. A day is one run of the
  * simulation, with the faults that its seed draws.
  *
- * Not modelled: stored jobs, agents, losses, operators' requests.
+ * Not modelled: stored jobs, losses, operators' requests.
  */
 
 #include "lead.h"
@@ -47,6 +47,10 @@
 	VMS_TOLD_DOMAINS,
 	VMS_ACK,
 	VMS_CLOSE,
+	VMS_ORDER, /* a call of an agent */
+	VMS_START, /* of a task of the owner */
+	VMS_RUN,   /* a start that the owner passes on to an agent */
+	VMS_REPLY,
 };
 
 struct vms_message {
@@ -63,6 +67,10 @@
 	uint32_t done[VMS_TASKS];
 	size_t ndone;
 	PoolAnswer__Outcome outcome;
+	int owner_starts; /* of a submission: the owner starts its tasks */
+	struct world_event call;
+	int agent;    /* that is to make the call; -1: the owner */
+	int not_sent; /* of a reply: the target was not called */
 };
 
 enum { VMS_MEMBER, VMS_LEADER, VMS_ENDS };
@@ -77,6 +85,9 @@
 	struct vms_message *head[VMS_ENDS], **tail[VMS_ENDS];
 	int blocked[VMS_ENDS];
 	int greeted;
+	int starts; /* from an owner of jobs to an agent */
+	uint64_t number;
+	rp_ms heard_at; /* by the leader */
 	rp_ms opened_at;
 	rp_ms received_at; /* by the member */
 	rp_ms peer_clock;  /* the leader's, read last by the member */
@@ -98,6 +109,15 @@
 	size_t nanswers;
 };
 
+/* A call that the leader has asked members for. */
+struct vms_order {
+	struct vms_order *next;
+	uint64_t seq;
+	struct vms_member *agent, *owner; /* NULL: it has no link now */
+	rp_ms sent_at, expires_at;
+	struct world_event call;
+};
+
 /* An open job on the entry VM that received it. */
 struct vms_request {
 	struct vms_request *next;
@@ -148,6 +168,10 @@
 	rp_ms missing_since[WORLD_TARGETS];
 	struct vms_request *requests;
 	uint64_t next_seq;
+	struct vms_order *orders;
+	uint64_t last_order;
+	struct vms_member *agents[WORLD_TARGETS]; /* of the targets */
+	uint64_t order_fence; /* of the leader's latest order over its link */
 };
 
 /*
@@ -249,6 +273,7 @@
 	size_t nvms;
 	struct vm vms[VMS_MAX];
 	struct vms_link *links;
+	uint64_t nlinks;
 	struct vms_member *removed;
 	struct vms_event *events;
 	rp_ms cut_until[VMS_DOMAINS]; /* from each other and the store */
@@ -312,6 +337,8 @@
 int vms_target_reached(const struct vms *o, const struct vm *vm,
 		       const struct world_target *t);
 struct vms_link *vms_dial(struct vm *vm, int leader);
+/* A link for starts, from the owner of jobs to an agent. */
+struct vms_link *vms_dial_starts(struct vm *vm, int agent);
 struct vms_message *vms_send(struct vms_link *l, int to, enum vms_kind kind);
 void vms_link_close(struct vms_link *l, int end);
 void vms_links_deliver(struct vms *o);
@@ -382,6 +409,33 @@
 /* Whether callers reach the VM, or it them. */
 int vms_callers_reach(const struct vms *o, const struct vm *vm);
 
+/* Notes a start of the job. Returns 0 if it is over. */
+int vms_request_started(struct vm *vm, uint64_t seq);
+void vms_cancel_send(struct vm *vm, uint64_t seq);
+
+/* --- vms-agent.c: calls that members make for the leader ------------------ */
+
+/* Has an agent make the call. Returns 0 if the leader is to make it. */
+int vms_order_call(struct vm *vm, const struct sched_target *t,
+		   const struct world_event *call);
+/* The same for a start, which the owner of the job may have to make. */
+int vms_order_start(struct vm *vm, const struct sched_target *t,
+		    const struct sched_task *task,
+		    const struct world_event *call);
+void vms_order_replied(struct vm *vm, struct vms_member *m,
+		       const struct vms_message *msg);
+/* Gives up the calls of a member without a link. */
+void vms_agent_unavailable(struct vm *vm, const struct vms_member *m);
+void vms_orders_tick(struct vm *vm);
+void vms_orders_of_target_drop(struct vm *vm, const char *id);
+void vms_orders_drop(struct vm *vm);
+void vms_replied(struct world *w, const struct world_event *e,
+		 const struct sched_target_reply *reply);
+void vms_order_received(struct vm *vm, const struct vms_message *msg);
+void vms_start_received(struct vm *vm, const struct vms_message *msg);
+void vms_run_received(struct vm *vm, const struct vms_message *msg);
+void vms_starts_check(struct vm *vm);
+
 /* --- vms-caller.c --------------------------------------------------------- */
 
 void vms_callers_tick(struct vms *o);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -112,6 +112,7 @@
 	int resent;  /* it was sent again, as it had no reply */
 	const void *from; /* who calls, if several do */
 	uint64_t seq;	  /* of a call for another; its caller gets the reply */
+	uint64_t link;	  /* over which it was asked for */
 	/* Of a reply, as the target is when it carries the call out. */
 	int64_t clock, incarnation;
 	struct world_run *runs;
@@ -229,6 +230,19 @@
 		     uint64_t acked_end, rp_ms wait);
 /* Delivers the calls and replies that have arrived. */
 void world_deliver(struct world *w);
+/* A reply as a scheduler gets it. */
+struct world_reply {
+	struct sched_target_reply reply;
+	struct sched_run runs[WORLD_RUNS];
+	struct sched_end ends[WORLD_ENDS];
+};
+
+/* The result points to the event. */
+void world_read_reply(const struct world_event *e, struct world_reply *r);
+/* Copies the event with its lists, which the copy owns. */
+void world_copy_reply(struct world_event *to, const struct world_event *from);
+struct world_target *world_find_target(struct world *w,
+				       const struct sched_target *t);
 /* Makes a call like this one, which is copied, to the target of that id. */
 void world_call(struct world *w, const struct world_event *call);
 /* Drops the scheduler's calls in flight, as its process has ended. */
