A leader's own job counts as started once it is

Callers of the VM that led were told 504, "tasks may have run", of jobs of which no task had been started, and could not submit them again. So it was when the VM stopped leading and no leader followed until the deadline, or when it stopped altogether. If a leader did follow, it held such a job for the leases of its predecessor, 1.8 s, for runs that there were not; few callers wait that long.

submit_job() noted the leader as one that may have started tasks as soon as this VM submitted the job to itself, as no start is asked of an owner that leads. Its own scheduler knows, though. It is asked before it is dropped, and before such a job is given up: a job counts as started if a task was ever started or a run adopted, also by an earlier leader. Jobs whose specification was sent to another leader count as started at once, as before.

--- a/pool-request.c
+++ b/pool-request.c
@@ -103,13 +103,6 @@
 
 /* --- jobs ------------------------------------------------------------ */
 
-void pool_request_may_be_started(struct pool_request *r)
-{
-	if (!r->started_fence || (!LEAD_IS_PROVISIONAL(r->started_fence) &&
-				  LEAD_IS_PROVISIONAL(r->sent_fence)))
-		r->started_fence = r->sent_fence;
-}
-
 static void submit_job(struct pool_request *r)
 {
 	struct pool *p = r->p;
@@ -137,7 +130,7 @@
 	r->submit->domains = r->domains;
 	r->submit->n_domains = r->ndomains;
 	pool_owner_keep_specification(p, r->submit);
-	if (!r->submit->specification_hash)
+	if (!r->submit->specification_hash && !p->leading)
 		pool_request_may_be_started(r);
 	pool_send_submit(p, r->submit);
 	/* If the answer has come during the call, r is still allocated. */
@@ -417,6 +410,8 @@
 {
 	PoolAnswer__Outcome outcome = POOL_ANSWER__OUTCOME__REJECTED;
 
+	if (r->p->leading)
+		pool_requests_note_own_starts(r->p);
 	if (r->started_fence)
 		outcome = POOL_ANSWER__OUTCOME__INCOMPLETE;
 	else
--- a/pool-request.h
+++ b/pool-request.h
@@ -25,7 +25,8 @@
 	/*
 	 * Token of a leader that may have started a task: it had the
 	 * specification, or has asked this VM, which kept it, for a start. 0:
-	 * none. Of several, see pool_request_may_be_started().
+	 * none. Of several, see pool_request_may_be_started(). While this VM
+	 * leads, its scheduler knows; see pool_requests_note_own_starts().
 	 */
 	uint64_t started_fence;
 	uint32_t *done_tasks; /* their numbers, over all steps */
@@ -46,6 +47,12 @@
 /* Logs that the request got an error response. */
 void pool_request_log_rejected(const struct pool_request *r,
 			       const char *reason);
+/* Copies the route's settings and the id into the submission. */
+void pool_request_fill_submit(struct pool_request *r,
+			      const struct pool_route *route, const char *id);
+
+/* --- pool-started.c ---------------------------------------------------- */
+
 /*
  * The leader that the request was sent to last may start tasks of it. Of
  * several leaders, the first provisional one is kept, or else the first: a
@@ -53,9 +60,6 @@
  * leader before it, which it can know.
  */
 void pool_request_may_be_started(struct pool_request *r);
-/* Copies the route's settings and the id into the submission. */
-void pool_request_fill_submit(struct pool_request *r,
-			      const struct pool_route *route, const char *id);
 
 /* --- pool-domain.c ---------------------------------------------------- */
 
--- a/pool-target.c
+++ b/pool-target.c
@@ -407,6 +407,7 @@
 	LOG_EVENT(LOG_LEVEL_INFO, "schedule_dropped", LOG_TEXT("why", reason),
 		  LOG_NUMBER("jobs", (long long)p->sched.njobs),
 		  LOG_NUMBER("fence", (long long)p->sched.fence));
+	pool_requests_note_own_starts(p);
 	pool_calls_cancel(p, p->call_group++);
 	for (i = 0; i < p->sched.ntargets; i++)
 		pool_assignment_free(p, p->sched.targets[i]);
--- a/pool.h
+++ b/pool.h
@@ -402,6 +402,11 @@
 void pool_requests_resubmit(struct pool *p);
 /* Answers all open requests: this VM is about to exit. */
 void pool_requests_abort(struct pool *p);
+/*
+ * On a leader: notes which of the jobs of its own callers its scheduler may
+ * have started, before that is dropped (pool-started.c).
+ */
+void pool_requests_note_own_starts(struct pool *p);
 void pool_requests_tick(struct pool *p, rp_ms now);
 /* Goes on with the requests that need not wait for the routes any more. */
 void pool_requests_resume_awaiting(struct pool *p);
--- a/sched-evacuate.c
+++ b/sched-evacuate.c
@@ -44,13 +44,6 @@
 	return n > 0 && (s->targets_loaded || s->targets_cached);
 }
 
-/* Whether no task of the job was ever started, also by earlier schedulers. */
-static int is_untouched(const struct sched_job *job)
-{
-	return !job->first_started_at && !job->started_earlier &&
-	       !job->prev_fence;
-}
-
 /* Rejects jobs of services that have no target left. */
 static void reject_unservable(struct sched *s)
 {
@@ -58,7 +51,7 @@
 
 	for (job = s->jobs; job; job = next) {
 		next = job->next;
-		if (job->stored || !is_untouched(job) ||
+		if (job->stored || !sched_job_is_untouched(job) ||
 		    !sched_service_is_evacuated(s, job->service))
 			continue;
 		s->count.evacuated++;
--- a/sched-job.c
+++ b/sched-job.c
@@ -371,6 +371,12 @@
 	free(job);
 }
 
+int sched_job_is_untouched(const struct sched_job *job)
+{
+	return !job->first_started_at && !job->started_earlier &&
+	       !job->prev_fence;
+}
+
 void sched_job_started(struct sched_job *job)
 {
 	if (job->first_started_at)
--- a/scheduler.h
+++ b/scheduler.h
@@ -768,6 +768,8 @@
  */
 void sched_domains_await(struct sched *s, const char *id, uint64_t mark);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
+/* Whether no task of the job was ever started, also by earlier schedulers. */
+int sched_job_is_untouched(const struct sched_job *job);
 /* Cancels a stored job by its id. */
 void sched_cancel_stored(struct sched *s, const char *id, rp_ms now);
 #define SCHED_ALL_MARKS UINT64_MAX
