--- a/regress/world/call.c
+++ b/regress/world/call.c
@@ -98,7 +98,7 @@
 	r->until = !strcmp(reason, "fence");
 	r->clock = world_target_clock(w, e->target);
 	r->incarnation = e->target->listing.incarnation;
-	if (e->kind == WORLD_HOLD && status == 200)
+	if (w->several && e->kind == WORLD_HOLD && status == 200)
 		copy_lists(r, e->target);
 	add_event(w, r);
 }
@@ -159,6 +159,13 @@
 
 	if (!t && !e->seq)
 		return;
+	/* One scheduler reads replies as they come. */
+	if (!w->several) {
+		e->clock = world_target_clock(w, e->target) - w->delay;
+		e->incarnation = e->target->listing.incarnation;
+		if (e->kind == WORLD_HOLD_REPLY && e->acked_end == 200)
+			copy_lists(e, e->target);
+	}
 	world_read_reply(e, &r);
 	if (!e->sched) {
 		w->replied(w, e, &r.reply);
