A last failure that is listed late waits for the start of the next run

A run that was given up may turn out to have failed, as the last attempt that the job allows, while the next run of its task is being started. The job was answered as failed and that run was stopped, but the failure was acknowledged to its target at once. A start that is carried out late then came after the last failure was noted, and a successor could not see it in the list. The same cause as with a late success, found by looking for it elsewhere.

Such a failure is now acknowledged once the other run is over. Failures before the last attempt do not wait: the task may be started again.

sched_late_success::a_last_failure_is_listed_late failed before: the end is not listed any more 2.5 s later, and the start is carried out after 3 s.

--- a/regress/sched-late-success.c
+++ b/regress/sched-late-success.c
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <apr_general.h>
+#include <string.h>
 
 #include "lead.h"
 #include "world/world.h"
@@ -15,6 +16,7 @@
 
 static struct world w;
 static struct sched first, second;
+static int fail_percent; /* of the first run */
 
 static void init_apr(void)
 {
@@ -37,6 +39,9 @@
 	sched_target_unlisted(&first, w.targets[1].listing.id, w.now);
 	job = world_job_new(&w, "q", 1, 300, 1, 20000);
 	job->sub->stretch = 20;
+	if (fail_percent)
+		job->sub->max_attempts = 1;
+	w.targets[0].fail_percent = fail_percent;
 	job->fence = first.fence;
 	sched_submit(&first, job, job->sub, w.now);
 	sched_dispatch(&first, w.now);
@@ -58,11 +63,25 @@
 	world_run_until(&w, w.now + ms);
 }
 
-static void end_world(const struct world_job *job)
+/* Calls have no reply, and starts are carried out before their stops. */
+static void carry_out_late(struct world_target *t)
+{
+	t->late[WORLD_START] = (struct world_late){ 100, 3000, 3000, 0 };
+	t->late[WORLD_HOLD] = t->late[WORLD_START];
+	t->late[WORLD_STOP] = (struct world_late){ 100, 5000, 5000, 0 };
+	w.late_leases = 1;
+}
+
+static void carry_out_in_time(struct world_target *t)
+{
+	memset(t->late, 0, sizeof(t->late));
+}
+
+static void end_world(const struct world_job *job, PoolAnswer__Outcome outcome)
 {
 	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
 	cr_assert(job->answered);
-	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(job->outcome, outcome);
 	cr_assert_eq(w.targets[0].nends + w.targets[1].nends, 0);
 	sched_finish(w.sched);
 	world_finish(&w);
@@ -80,7 +99,7 @@
 	w.targets[1].unresponsive = 0;
 	world_run_until(&w, w.now + 20000);
 	cr_assert_eq(first.count.starts, 2);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /*
@@ -89,21 +108,34 @@
  */
 Test(sched_late_success, the_start_is_carried_out_seconds_later)
 {
-	struct world_target *t = &w.targets[1];
 	struct world_job *job = start_again(1, 300, 10);
-	int kind;
 
-	for (kind = 0; kind < WORLD_CALLS; kind++)
-		t->late[kind] = (struct world_late){ 100, 3000, 3000, 0 };
-	t->late[WORLD_STOP].min = t->late[WORLD_STOP].max = 5000;
-	w.late_leases = 1;
+	carry_out_late(&w.targets[1]);
 	reply_again(2500);
 	cr_assert(job->answered);
 	cr_assert_eq(w.targets[0].nends, 1);
-	for (kind = 0; kind < WORLD_CALLS; kind++)
-		t->late[kind].percent = 0;
+	carry_out_in_time(&w.targets[1]);
+	world_run_until(&w, w.now + 20000);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
+}
+
+/*
+ * Guards against an acknowledgement of the last failure that is allowed before
+ * the start of the next run, which is carried out 3 s later, is over.
+ */
+Test(sched_late_success, a_last_failure_is_listed_late)
+{
+	struct world_job *job;
+
+	fail_percent = 100;
+	job = start_again(1, 300, 10);
+	carry_out_late(&w.targets[1]);
+	reply_again(2500);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__FAILED);
+	cr_assert_eq(w.targets[0].nends, 1);
+	carry_out_in_time(&w.targets[1]);
 	world_run_until(&w, w.now + 20000);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__FAILED);
 }
 
 /* Guards against a run that goes on though its task is done. */
@@ -117,7 +149,7 @@
 	cr_assert(job->answered);
 	cr_assert_eq(w.targets[1].nruns, 0);
 	world_run_until(&w, w.now + 1000);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /* Guards against a job that is answered twice, by both successes. */
@@ -129,7 +161,7 @@
 		world_run_until(&w, w.now + 1);
 	reply_again(1000);
 	cr_assert_eq(first.count.completed, 1);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /* Guards against a start after the end of the job, under another leader. */
@@ -146,7 +178,7 @@
 	world_resubmit(&w);
 	world_run_until(&w, w.now + 4000);
 	cr_assert_eq(second.count.starts, 0);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /*
@@ -169,7 +201,7 @@
 	cr_assert(job->answered);
 	cr_assert_eq(w.targets[1].nruns, 0);
 	world_run_until(&w, w.now + 1000);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /* Guards against an end that waits for a target of which the runs are gone. */
@@ -181,7 +213,7 @@
 	world_target_restart(&w, t);
 	sched_target_listed(&first, &t->listing, w.now);
 	reply_again(3000);
-	end_world(job);
+	end_world(job, POOL_ANSWER__OUTCOME__COMPLETED);
 }
 
 /* Guards against ends that are never acknowledged, as their job is gone. */
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -118,6 +118,8 @@
 		job->next_run = run + 1;
 	sched_job_started(job);
 	t->s->ops->log(t->s, "adopt_failure", t, task, "");
+	if (last && task->target && !task->seen)
+		sched_unacked_await_run(t, number, task);
 	/* The last failure's answer may free the job. */
 	sched_unacked_resolve(t, number, owner, sched_task_failed(task, run),
 			      deadline);
--- a/sched-told.c
+++ b/sched-told.c
@@ -6,8 +6,9 @@
  * record of it that survives this scheduler. A successor reads it there and
  * does not run the task again.
  *
- * No task is started after its success was acknowledged. If the start of
- * another run of the task is on its way, the end waits until that is over.
+ * No task is started after its success, or the last failure that is allowed,
+ * was acknowledged. If the start of another run of the task is on its way, the
+ * end waits until that is over.
  */
 
 #include "sched-int.h"
