sched: Late starts that tell nothing of the room do not lower the capacity

Each job that starts late lowers the share of the targets' capacity that admission counts on by a tenth of the way to 0.3; each start on time raises it by 0.2 % of the way to 0.9. A job also counted as late if it had waited for a leader, or if its first start had no reply and its task had to be started again. Neither tells of the room.

Late starts of both kinds no longer lower the share; those of jobs that wait for room do.

--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -635,3 +635,43 @@
 	cr_assert_eq(w.starts, 2);
 	end_world();
 }
+
+/*
+ * There is no leader for 700 ms, with most of the room free. The jobs that have
+ * waited start late for that reason alone. Guards against new jobs that are
+ * rejected with targets free, as late starts count as a lack of room.
+ */
+Test(sched_takeover, jobs_that_waited_for_a_leader_do_not_tell_of_the_room)
+{
+	int i;
+
+	begin_world(8);
+	for (i = 0; i < 12; i++)
+		world_job_new(&w, "q", 1, 100, 1, 1500);
+	w.now += 700;
+	take_over(LEAD_TOKEN(2));
+	world_run_until(&w, w.now + 1000);
+	cr_assert_geq(second.usable_share, SCHED_USABLE_SHARE_INITIAL, "%.2f",
+		      second.usable_share);
+	end_world();
+}
+
+/* The same for a job whose first start had no reply, and is made again. */
+Test(sched_takeover, runs_that_are_started_again_do_not_tell_of_the_room)
+{
+	struct world_job *jobs[8];
+	size_t i;
+
+	begin_world(8);
+	for (i = 0; i < 8; i++)
+		w.targets[i].late[WORLD_START] =
+			(struct world_late){ 100, 3000, 3000, 0 };
+	for (i = 0; i < 8; i++)
+		jobs[i] = world_submit(&w, "q", 1, 100, 1, 10000);
+	world_run_until(&w, w.now + 5000);
+	for (i = 0; i < 8; i++)
+		cr_assert(jobs[i]->answered);
+	cr_assert_geq(first.usable_share, SCHED_USABLE_SHARE_INITIAL, "%.2f",
+		      first.usable_share);
+	end_world();
+}
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -42,8 +42,8 @@
 	struct sched *s = job->s;
 
 	job->missed_start = 1;
-	/* That does not tell of the capacity. */
-	if (job->displaced)
+	/* These do not tell of the capacity. */
+	if (job->displaced || job->retries || job->received_at < s->started_at)
 		return;
 	s->usable_share -=
 		USABLE_SHARE_CUT * (s->usable_share - USABLE_SHARE_MIN);
