A call has time for more copies while many are lost

A call is given 60 ms, in which two copies are sent, 20 ms after each other: all three are lost in 0.06 to 0.1 of the cases. Each such call costs much more than time: its target gets nothing until it replies, and a start has to be stopped while its room stays taken.

While a VM sees more than one call in twenty lost, its calls have 40 ms more, in which two more copies are sent. The budget bounds them as before; a call without a reply is noticed 40 ms later then. Elsewhere nothing changes.

pool_resend::few_calls_have_no_reply_while_most_are_answered failed before: 285 of 5,000 calls had no reply, of which two of five are lost; the bound of 100 is twice what four copies leave.

--- a/pool-io.h
+++ b/pool-io.h
@@ -116,7 +116,7 @@
 
 /* --- pool-resend.c: calls to targets that are sent again ---------------- */
 
-#define POOL_COPIES_MAX 2
+#define POOL_COPIES_MAX 4
 
 /* What a call that may be sent again needs for it. */
 struct pool_resend_spec {
@@ -140,6 +140,8 @@
 void pool_resend_init(struct pool *p);
 /* The time for which a hold is to wait at its target, at most wait. */
 rp_ms pool_hold_wait(const struct pool *p, rp_ms wait);
+/* Time for further copies of a call while many are lost, else 0, ms. */
+rp_ms pool_resend_extra_time(const struct pool *p);
 /*
  * Has the call sent again if there is no reply. wait is that of its target.
  * copy_request, whose ownership passes, is the body of copies; NULL: the same.
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -27,6 +27,8 @@
 /* Share of lost calls from which holds wait for LOSSY_WAIT_MS at most. */
 #define LOSS_MAX 0.05
 #define LOSSY_WAIT_MS 40
+/* Time for further copies of a call, from that share on. */
+#define LOSSY_EXTRA_MS 40
 
 void pool_resend_init(struct pool *p)
 {
@@ -44,6 +46,11 @@
 								 : wait;
 }
 
+rp_ms pool_resend_extra_time(const struct pool *p)
+{
+	return p->resend.loss > LOSS_MAX ? LOSSY_EXTRA_MS : 0;
+}
+
 static rp_ms resend_delay(const struct pool *p)
 {
 	rp_ms ms = (rp_ms)(p->resend.mean +
--- a/pool-target.c
+++ b/pool-target.c
@@ -23,7 +23,8 @@
  */
 rp_ms pool_reply_timeout(const struct pool *p)
 {
-	rp_ms ms = REPLY_TIMEOUT_MIN_MS + (rp_ms)(REPLY_TIMEOUT_LAGS * p->lag);
+	rp_ms ms = REPLY_TIMEOUT_MIN_MS + pool_resend_extra_time(p) +
+		   (rp_ms)(REPLY_TIMEOUT_LAGS * p->lag);
 
 	return ms < REPLY_TIMEOUT_MAX_MS ? ms : REPLY_TIMEOUT_MAX_MS;
 }
--- a/regress/pool-resend.c
+++ b/regress/pool-resend.c
@@ -201,7 +201,7 @@
 }
 
 /*
- * Makes a call of which all copies are sent as they are due. Returns whether
+ * Makes a call of which two copies are sent as they are due. Returns whether
  * one was due and not sent. lost is asked for each, the call first.
  */
 static int misses_copy(int (*lost)(void))
@@ -220,7 +220,7 @@
 		end_call(c, 0);
 		return 0;
 	}
-	for (i = 0; i < POOL_COPIES_MAX; i++) {
+	for (i = 0; i < 2; i++) {
 		p.now += 25;
 		pool_resend_tick(&p);
 		copy = c->resend->copies[i];
@@ -267,6 +267,53 @@
 		     (unsigned long long)p.count.calls_resent);
 }
 
+/* Whether the call had no reply, nor any of its copies. */
+static int is_unanswered(int (*lost)(void))
+{
+	struct pool_call_spec spec = { .address = "127.0.0.1:1",
+				       .path = "/",
+				       .header = "",
+				       .request = strdup("{}"),
+				       .timeout = pool_reply_timeout(&p),
+				       .on_done = ignore_reply };
+	struct pool_call *c = pool_call_new(&p, &spec);
+	rp_ms until = p.now + spec.timeout;
+	unsigned sent = 0;
+
+	pool_resend_enable(c, &spec, 0, NULL);
+	if (!lost()) {
+		end_call(c, 0);
+		return 0;
+	}
+	for (; p.now < until; p.now++) {
+		pool_resend_tick(&p);
+		if (c->resend->ncopies == sent)
+			continue;
+		sent = c->resend->ncopies;
+		if (!lost()) {
+			end_call(p.calls, 0);
+			return 0;
+		}
+	}
+	while (p.calls != c)
+		end_call(p.calls, 1);
+	end_call(c, 1);
+	return 1;
+}
+
+/*
+ * Two of five calls are lost. With two copies 64 of 1000 calls have no reply,
+ * with four 10. Guards against targets that get nothing though they are well.
+ */
+Test(pool_resend, few_calls_have_no_reply_while_most_are_answered)
+{
+	unsigned i, unanswered = 0;
+
+	for (i = 0; i < 5000; i++)
+		unanswered += (unsigned)is_unanswered(two_of_five_are_lost);
+	cr_assert_leq(unanswered, 100, "%u", unanswered);
+}
+
 /* Guards against more load on targets that do not answer at all. */
 Test(pool_resend, copies_end_when_no_call_is_answered)
 {
