Starts after a success are checked by the words of the rule

The simulated targets counted a start after a success that was acknowledged before, and not one that came before the acknowledgement. They count both now. With CHECK_DONE=1 of sched-orders a success whose target's lease lapsed before the acknowledgement does not count as noted, as the rule has it; directed tests keep the stricter check. CHECK_DONE stays off: the rule counts such starts for jobs that have to be kept only, and sched-orders has none.

--- a/regress/world/target.c
+++ b/regress/world/target.c
@@ -54,6 +54,8 @@
 	e->run = r->run;
 	e->job = r->job;
 	e->how = how;
+	e->at = w->now;
+	e->lapsed = 0;
 	refuse_runs_up_to(w, t, r->task, r->run);
 }
 
@@ -95,12 +97,15 @@
 
 void world_target_advance(struct world *w, struct world_target *t, rp_ms span)
 {
+	int over = world_target_clock(w, t) >= t->lease_until;
 	size_t i;
 
+	for (i = 0; over && i < t->nends; i++)
+		t->ends[i].lapsed = 1;
 	for (i = t->nruns; i-- > 0;) {
 		struct world_run *r = &t->runs[i];
 
-		if (world_target_clock(w, t) >= t->lease_until) {
+		if (over) {
 			end_run(w, t, r, SCHED_END_STOPPED);
 			continue;
 		}
@@ -213,6 +218,7 @@
 	renew_lease(w, t, e->until);
 	if (job->done_acked[task_index(e->task)] && !job->resent)
 		world_violated(w, "task started after it was done", e->task);
+	job->started_at[task_index(e->task)] = w->now;
 	r = &t->runs[t->nruns++];
 	memset(r, 0, sizeof(*r));
 	snprintf(r->task, sizeof(r->task), "%s", e->task);
@@ -258,6 +264,20 @@
 	return 200;
 }
 
+/*
+ * The success is acknowledged. A start after it counts, whether it came after
+ * this or before.
+ */
+static void note_done(struct world *w, const struct world_end *e)
+{
+	int i = task_index(e->task);
+
+	if (!e->lapsed && e->job->started_at[i] > e->at && !e->job->resent)
+		world_violated(w, "task started after it was done", e->task);
+	if (!e->lapsed || !w->lapses_count)
+		e->job->done_acked[i] = 1;
+}
+
 int world_target_hold(struct world *w, struct world_target *t,
 		      struct world_event *e, const char **reason)
 {
@@ -270,8 +290,7 @@
 	renew_lease(w, t, e->until);
 	for (; i < t->nends && t->ends[i].number <= e->acked_end; i++)
 		if (t->ends[i].how == SCHED_END_DONE)
-			t->ends[i].job->done_acked[task_index(t->ends[i].task)] =
-				1;
+			note_done(w, &t->ends[i]);
 	memmove(t->ends, t->ends + i, (t->nends - i) * sizeof(*t->ends));
 	t->nends -= i;
 	return 200;
--- a/regress/world/vms-day.c
+++ b/regress/world/vms-day.c
@@ -233,6 +233,7 @@
 	o->check_done = opt->check_done;
 	o->keep_late = opt->keep_late;
 	o->w.several = 1;
+	o->w.lapses_count = 1;
 	o->w.reaches = reaches;
 	o->w.replies_at = replies_at;
 	o->w.replied = vms_replied;
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -290,6 +290,7 @@
 		pool_submit__free_unpacked(w->jobs[i]->sub, NULL);
 		free(w->jobs[i]->task_work);
 		free(w->jobs[i]->done_acked);
+		free(w->jobs[i]->started_at);
 		free(w->jobs[i]);
 	}
 	while (w->events) {
@@ -370,6 +371,7 @@
 	step->rack = strdup(w->rack ? w->rack : "");
 	job->task_work = malloc((size_t)tasks * sizeof(*job->task_work));
 	job->done_acked = calloc((size_t)tasks, 1);
+	job->started_at = calloc((size_t)tasks, sizeof(*job->started_at));
 	for (i = 0; i < tasks; i++) {
 		job->task_work[i] = work * exp(TASK_SPREAD * normal(w));
 		longest = fmax(longest, job->task_work[i]);
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -52,6 +52,8 @@
 	char task[SCHED_TASK_NAME_MAX];
 	uint32_t run;
 	enum sched_end_how how;
+	rp_ms at;
+	int lapsed; /* the lease was over before it was acknowledged */
 };
 
 struct world_target {
@@ -144,6 +146,7 @@
 	rp_ms answered_at;
 	int long_tail;	     /* it takes far longer than estimated */
 	uint8_t *done_acked; /* for each task: its success was acknowledged */
+	rp_ms *started_at;   /* of each task, its latest start; 0: none */
 	int deadly;	     /* task 0 crashes each target that starts it */
 	int resent;	     /* its caller has sent it again: it may run anew */
 	int crashes;	     /* targets that its task 0 has crashed */
@@ -193,6 +196,11 @@
 	/* The reply to a call with a number. */
 	void (*replied)(struct world *w, const struct world_event *e,
 			const struct sched_target_reply *reply);
+	/*
+	 * A success that is acknowledged after a lapse of the lease does not
+	 * count as taken note of.
+	 */
+	int lapses_count;
 	int keep_blocked; /* share of calls that wait for their path */
 	rp_ms jitter;	  /* added to the delay of a call at random, most */
 	int keep_late;	  /* a restarted target carries out late calls, too */
