Revert "lead: A minority does not replace a leader that renews its row"

A review by reading found two orders of events in which it leaves VMs without a leader that had one before:

- A failure domain with the leader loses power just after a renewal.
The others, less than a majority, probe within 0.7 s of it; one of them leads provisionally, and does not claim through the store any more, though the renewals have stopped.
- A provisional leader in a domain that is cut off renews too, and its renewals count as those of the leader: VMs that lost the leader and are less than a majority wait for as long as the cut lasts.

The fault that it was for stays: both sides of a cut that reach the store replace each other's leader.

--- a/lead-core.c
+++ b/lead-core.c
@@ -97,15 +97,13 @@
 	l->retry_at = now + LEAD_BACKOFF_MS;
 }
 
-void lead_renewed(struct lead *l, uint64_t fence, int64_t version, rp_ms now)
+void lead_renewed(struct lead *l, int64_t version, rp_ms now)
 {
 	l->renewed_at = now;
 	if (version <= l->renewal_version)
 		return;
 	l->renewal_version = version;
-	/* Its own renewals do not tell whether there is another leader. */
-	if (!lead_is_provisional(l) || fence != l->row.fence)
-		l->renewal_seen_at = now;
+	l->renewal_seen_at = now;
 }
 
 /*
--- a/lead.h
+++ b/lead.h
@@ -11,13 +11,11 @@
  * accept its token.
  *
  * A leader is replaced when it resigns, or when its heartbeats stop and no
- * reachable entry VM receives them. VMs that are less than a majority replace
- * it only if it does not renew its row either.
+ * reachable entry VM receives them.
  *
  * There are three cases of a provisional leader, elected without the store:
- * - A failure domain that is cut off from all other domains, and from the store
- *   or from a leader that renews its row there. One of its VMs leads the
- *   domain's own targets.
+ * - A failure domain that is cut off from the store and from all other
+ *   domains. One of its VMs leads the domain's own targets.
  * - Some failure domains whose VMs all reach each other. One of them leads the
  *   targets of these domains. VMs that are a part of their domain only do not
  *   lead: the other part may have a leader, which uses the same targets.
@@ -71,8 +69,6 @@
 #define LEAD_CLAIM_PATIENCE_MS 100
 /* Interval at which the leader renews its row in the store. */
 #define LEAD_RENEW_INTERVAL_MS 500
-/* Time until the others have read a renewal, with a store that is slow. */
-#define LEAD_RENEWAL_DELAY_MS 200
 /* Time without renewal after which a VM that reaches no other one claims. */
 #define LEAD_RENEWAL_TIMEOUT_MS 3500
 /* The same for a VM whose connection the leader's address refused. */
@@ -244,11 +240,10 @@
 /* The claim was rejected, or its result is unknown. */
 void lead_claim_failed(struct lead *l, rp_ms now);
 /*
- * The renewal of the leader of this token was read from the store, with the
- * version of its row. A full read of the table finds it again, also when the
- * leader is long gone.
+ * The leader's renewal was read from the store, with the version of its row. A
+ * full read of the table finds it again, also when the leader is long gone.
  */
-void lead_renewed(struct lead *l, uint64_t fence, int64_t version, rp_ms now);
+void lead_renewed(struct lead *l, int64_t version, rp_ms now);
 /* A heartbeat or an answer to a probe was received. */
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now);
 /* The leader's address refused a connection. */
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -20,14 +20,12 @@
 	rp_ms heartbeat_at;
 	rp_ms probed_at;      /* 0: no probe under way */
 	rp_ms store_lost_for; /* ms */
-	rp_ms renewed_at;
 };
 
 static struct vm vms[VMS];
 static int cut[VMS + 1][VMS + 1];
 static struct lead_row row; /* the store's row that names the leader */
 static rp_ms now, renewed_at;
-static uint64_t renewed_fence; /* of the leader that has renewed last */
 static int takeovers;
 static int lose_claims; /* claims have no effect and get no reply */
 
@@ -61,7 +59,6 @@
 	row.version = expected + 1;
 	takeovers++;
 	renewed_at = now;
-	renewed_fence = row.fence;
 	lead_row_read(l, &row, now);
 }
 
@@ -161,19 +158,6 @@
 	lead_heartbeat(&to->lead, &hb, now);
 }
 
-/* A provisional leader has no row that would have to be its own. */
-static void renew(struct vm *vm)
-{
-	const struct lead *l = &vm->lead;
-
-	if (l->role != LEAD_LEADING ||
-	    (l->row.fence != row.fence && !lead_is_provisional(l)) ||
-	    now - vm->renewed_at < LEAD_RENEW_INTERVAL_MS)
-		return;
-	vm->renewed_at = renewed_at = now;
-	renewed_fence = l->row.fence;
-}
-
 /* One step of 10 ms for a VM: its reads of the store and its messages. */
 static void step_vm(int i)
 {
@@ -191,8 +175,11 @@
 		if (row.fence || vm->lead.role == LEAD_UNKNOWN)
 			lead_row_read(&vm->lead, row.fence ? &row : &none, now);
 		if (now - renewed_at < 20)
-			lead_renewed(&vm->lead, renewed_fence, renewed_at, now);
-		renew(vm);
+			lead_renewed(&vm->lead, renewed_at, now);
+		if (vm->lead.role == LEAD_LEADING &&
+		    vm->lead.row.fence == row.fence &&
+		    now - renewed_at >= LEAD_RENEW_INTERVAL_MS)
+			renewed_at = now;
 	}
 	for (j = 0; j < VMS; j++) {
 		if (j == i || !vms[j].up || cut[i][j])
@@ -568,96 +555,6 @@
 	cr_assert_eq(count_leaders(), 1);
 }
 
-/* Lets VM 3 or 4 lead, by restarting the others. */
-static void move_lead_inside(void)
-{
-	int i;
-
-	for (i = 0; i < 3; i++)
-		vms[i].up = 0;
-	run_for(LEAD_RENEWAL_TIMEOUT_MS + 3000);
-	for (i = 0; i < 3; i++)
-		start_vm(i);
-	run_for(1000);
-	cr_assert_geq(find_leader(), 3);
-	takeovers = 0;
-}
-
-/* Cuts VMs 3 and 4 off from the others, not from the store. */
-static void cut_domain_off_vms(void)
-{
-	int i;
-
-	cut_domain(1);
-	for (i = 3; i < VMS; i++)
-		cut[i][STORE] = 0;
-}
-
-/*
- * A domain and the rest do not reach each other, and both reach the store: both
- * claimed in turn, every 550 ms, and each change of leader dropped all jobs.
- * Guards against changes of a leader that renews its row, and against a domain
- * that is not served meanwhile.
- */
-Test(lead, both_sides_of_a_cut_that_reach_the_store_keep_their_leaders)
-{
-	int i, provisional, outside, served = 0;
-
-	move_lead_outside();
-	outside = find_leader();
-	outside_answers = 0;
-	cut_domain_off_vms();
-	run_for(2000);
-	for (i = 0; i < 400; i++) {
-		run_for(10);
-		provisional = lead_is_provisional(&vms[3].lead) +
-			      lead_is_provisional(&vms[4].lead);
-		served += provisional == 1;
-	}
-	cr_assert_eq(takeovers, 0);
-	cr_assert_eq(find_leader(), outside);
-	cr_assert_eq(served, 400);
-	cut_domain(0);
-	for (i = 3; i < VMS; i++)
-		if (lead_is_provisional(&vms[i].lead))
-			send_heartbeat(&vms[i], &vms[outside]);
-	run_for(1500);
-	cr_assert_eq(count_leaders(), 1);
-	cr_assert_eq(find_leader(), outside);
-}
-
-/* The same where the leader is in the domain: the majority replaces it once. */
-Test(lead, a_leader_cut_off_with_its_domain_is_replaced_once)
-{
-	int i, provisional = 0;
-
-	move_lead_inside();
-	outside_answers = 0;
-	cut_domain_off_vms();
-	run_for(6000);
-	cr_assert_eq(takeovers, 1);
-	cr_assert_lt(find_leader(), 3);
-	cr_assert_geq(find_leader(), 0);
-	for (i = 3; i < VMS; i++)
-		provisional += lead_is_provisional(&vms[i].lead);
-	cr_assert_eq(provisional, 1);
-}
-
-/* The leader is lost with the majority: its renewals stop, not only it. */
-Test(lead, a_minority_replaces_a_leader_that_does_not_renew)
-{
-	rp_ms since;
-	int i;
-
-	move_lead_outside();
-	for (i = 0; i < 3; i++)
-		vms[i].up = 0;
-	for (since = now; now - since < 3000 && find_leader() < 0;)
-		run_for(10);
-	cr_assert_geq(find_leader(), 3);
-	cr_assert_leq(now - since, 1200, "%d ms", (int)(now - since));
-}
-
 /* A provisional leader follows the regular leader's successor as well. */
 Test(lead, a_provisional_leader_follows_the_successor)
 {
@@ -758,8 +655,8 @@
 	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
 	own.incarnation = l->incarnation;
 	lead_row_read(l, &leader, 1000);
-	lead_renewed(l, leader.fence, 5, 1300);
-	lead_renewed(l, leader.fence, 5, 6000);
+	lead_renewed(l, 5, 1300);
+	lead_renewed(l, 5, 6000);
 	lead_row_read(l, &own, 6500);
 	cr_assert_eq(l->role, LEAD_LEADING);
 	cr_assert_eq(l->prev_renewal_age, 5200);
@@ -860,6 +757,21 @@
 	cr_assert_gt(domains_added, 0);
 }
 
+/* Lets VM 3 or 4 lead, by restarting the others. */
+static void move_lead_inside(void)
+{
+	int i;
+
+	for (i = 0; i < 3; i++)
+		vms[i].up = 0;
+	run_for(LEAD_RENEWAL_TIMEOUT_MS + 3000);
+	for (i = 0; i < 3; i++)
+		start_vm(i);
+	run_for(1000);
+	cr_assert_geq(find_leader(), 3);
+	takeovers = 0;
+}
+
 /*
  * The leader's domain is cut off while the store is away. Two of the three VMs
  * that are left have been restarted meanwhile and know no leader. Three domains
