The stand-in's targets refuse runs up to the highest one stopped

A target rejects any run that is not higher than a run stopped or ended there. The stand-in kept the run of the latest stop, also if that was lower: a stop of run 1 that is carried out late, after run 2 has ended, let a late start of run 2 begin again, "started after it was done".

--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -311,6 +311,16 @@
 	return reply_accepted(t, r);
 }
 
+/* Starts of the task are refused up to the highest of these runs. */
+static void refuse_runs_up_to(struct standin_target *t, const char *task,
+			      int64_t run)
+{
+	json_t *last_run = json_object_get(t->last_runs, task);
+
+	if (!last_run || run > json_integer_value(last_run))
+		json_object_set_new(t->last_runs, task, json_integer(run));
+}
+
 static enum fake_action stop_run(struct standin_target *t, json_t *body,
 				 struct fake_request *r)
 {
@@ -325,7 +335,7 @@
 	if (i < STANDIN_RUNS)
 		end_run(t, i, "stopped");
 	else
-		json_object_set_new(t->last_runs, task, json_integer(run));
+		refuse_runs_up_to(t, task, run);
 	return reply_accepted(t, r);
 }
 
