sched: What is kept for a job is kept until its own deadline

Records of answered jobs, records of released ends and ends of owners that are not connected were kept for 10 s, or for the longest timeoutMs of the routes up to 60 s.

A record of an answered job expires 10 s after the job's deadline, in a heap and within a bound on their number. A leader's heartbeats tell how long the callers of the jobs that it and its predecessors had open wait; a successor keeps ends that no job claims that long, if that is longer than the routes' timeout. Jobs accepted by a VM that is cut off are not known to it; they are covered by the routes' timeout alone, as before.

The simulated owners submitted all jobs with 1,500 ms, whatever their deadline; they use the deadline now.

--- a/pool-beat.c
+++ b/pool-beat.c
@@ -139,6 +139,7 @@
 		return;
 	hb->agents = pool_needs_agents(p);
 	hb->list_confirmed = pool_listing_is_confirmed(p);
+	hb->callers_wait_ms = pool_callers_wait_ms(p);
 	hb->linked = count_linked(p);
 	hb->successors = lists->successors;
 	hb->n_successors =
@@ -203,6 +204,7 @@
 	brief.stored = hb->stored;
 	brief.agents = hb->agents;
 	brief.list_confirmed = hb->list_confirmed;
+	brief.callers_wait_ms = hb->callers_wait_ms;
 	brief.clock = hb->clock;
 	send_beat(l, &brief);
 }
--- a/pool-member.c
+++ b/pool-member.c
@@ -141,7 +141,7 @@
 	       (m->echoed_at && p->now - m->echoed_at <= MEMBER_TIMEOUT_MS);
 }
 
-/* The longest time that a caller waits for a job, ms. */
+/* The longest time that a caller waits which states no deadline, ms. */
 static rp_ms longest_timeout(const struct pool *p)
 {
 	rp_ms longest = 0;
@@ -162,7 +162,7 @@
 	if (pool_owner_may_be_missing(p))
 		p->owner_missing_at = p->now;
 	p->sched.owners_missing = p->now - p->owner_missing_at < RESUBMIT_MS;
-	p->sched.longest_wait = longest_timeout(p);
+	p->sched.default_wait = longest_timeout(p);
 }
 
 /*
@@ -263,6 +263,7 @@
 	l->heartbeat->agents = msg->agents;
 	l->heartbeat->list_confirmed = msg->list_confirmed;
 	l->heartbeat->clock = msg->clock;
+	l->heartbeat->callers_wait_ms = msg->callers_wait_ms;
 	l->heartbeat->echo = msg->echo;
 	return l->heartbeat;
 }
@@ -283,6 +284,7 @@
 		pool_requests_resubmit(p);
 	}
 	pool_listing_heartbeat_received(p, msg);
+	pool_callers_wait_received(p, msg->callers_wait_ms);
 	if (msg->waits)
 		p->has_stored_jobs = msg->stored || p->accepted_stored_job;
 	pool_beat__free_unpacked(p->leader_heartbeat, NULL);
--- a/pool-target.c
+++ b/pool-target.c
@@ -393,6 +393,7 @@
 	sched_init(&p->sched, &sched_ops, p, &names, fence, p->set.max_lease,
 		   p->now);
 	sched_set_remote_factor(&p->sched, p->set.remote_factor);
+	sched_callers_waited_until(&p->sched, p->callers_wait_until);
 	pool_stored_begin(p);
 	pool_evacuations_begin(p);
 	if (!lead_is_provisional(&p->lead))
@@ -409,6 +410,7 @@
 		  LOG_NUMBER("jobs", (long long)p->sched.njobs),
 		  LOG_NUMBER("fence", (long long)p->sched.fence));
 	pool_requests_note_own_starts(p);
+	pool_callers_wait_received(p, pool_callers_wait_ms(p));
 	pool_calls_cancel(p, p->call_group++);
 	for (i = 0; i < p->sched.ntargets; i++)
 		pool_assignment_free(p, p->sched.targets[i]);
--- a/pool.h
+++ b/pool.h
@@ -245,6 +245,13 @@
 /* Removes this VM's row from the store, as the VM is stopping. */
 void pool_store_unregister(struct pool *p);
 
+/* --- pool-deadline.c: how long callers wait --------------------------- */
+
+/* On the leader: the longest that callers still wait, for a heartbeat, ms. */
+uint32_t pool_callers_wait_ms(const struct pool *p);
+/* A leader's heartbeat tells it. */
+void pool_callers_wait_received(struct pool *p, uint32_t ms);
+
 /* --- pool-share.c: the list of targets on VMs that don't read it ------- */
 
 /* An entry of the list, kept also after it was removed. */
@@ -583,6 +590,9 @@
 	 */
 	uint64_t list_confirmed_fence;
 	rp_ms list_confirmed_at;
+	/* Callers of jobs that leaders have had may wait until then; 0: none.
+	 */
+	rp_ms callers_wait_until;
 	int evacuations_known;	  /* the operator's table has been read */
 	int64_t operator_version; /* of the store, up to which it was read */
 	uint64_t received_mark;	  /* of the leader's latest message */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -2330,7 +2330,7 @@
   (ProtobufCMessageInit) pool_evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[20] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[21] =
 {
   {
     "fence",
@@ -2572,10 +2572,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "callers_wait_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, callers_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
   13,   /* field[13] = brief */
+  20,   /* field[20] = callers_wait_ms */
   15,   /* field[15] = clock */
   16,   /* field[16] = echo */
   14,   /* field[14] = evacuations */
@@ -2598,7 +2611,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2608,7 +2621,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  20,
+  21,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/regress/sched-takeover.c
+++ b/regress/sched-takeover.c
@@ -573,7 +573,7 @@
 	world_drop_calls(&w, &first);
 	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
 	second.owners_missing = 1;
-	second.longest_wait = 1500;
+	second.default_wait = 1500;
 	world_run_until(&w, w.now + 600);
 	sched_finish(&second);
 	world_drop_calls(&w, &second);
@@ -597,7 +597,7 @@
 	world_drop_calls(&w, &first);
 	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
 	second.owners_missing = 1;
-	second.longest_wait = 1500;
+	second.default_wait = 1500;
 	world_run_until(&w, w.now + 2500);
 	for (i = 0; i < 4; i++)
 		kept += w.targets[i].nends;
--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -255,7 +255,7 @@
 	}
 	vm->sched.owners_missing = vms_now(vm) - vm->owner_missing_at <
 				   RESUBMIT_MS;
-	vm->sched.longest_wait = vm->o->timeout;
+	vm->sched.default_wait = vm->o->timeout;
 }
 
 void vms_link_lost(struct vm *vm, struct vms_link *l, int end)
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -354,6 +354,7 @@
 	sub->stretch = STRETCH;
 	sub->objective_ms = OBJECTIVE_OFFSET_MS;
 	sub->left_ms = (uint32_t)deadline;
+	job->deadline = deadline;
 	sub->stored = w->stored;
 	sub->specification.data = malloc(4);
 	memcpy(sub->specification.data, "work", 4);
@@ -411,13 +412,14 @@
 		struct world_job *job = w->jobs[i];
 		rp_ms age = w->now - job->arrived_at;
 
-		if (job->answered || (!job->sub->stored && age >= 1500))
+		if (job->answered ||
+		    (!job->sub->stored && age >= job->deadline))
 			continue;
 		job->sub->former = job->fence;
 		job->fence = w->sched->fence;
 		job->sub->age_ms = (uint32_t)age;
 		if (!job->sub->stored)
-			job->sub->left_ms = (uint32_t)(1500 - age);
+			job->sub->left_ms = (uint32_t)(job->deadline - age);
 		sched_submit(w->sched, job, job->sub, w->now);
 	}
 }
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -136,6 +136,7 @@
 	PoolSubmit *sub;
 	uint64_t fence; /* of the scheduler that it was submitted to last */
 	rp_ms arrived_at;
+	rp_ms deadline;		     /* the caller's, ms from its arrival */
 	rp_ms objective, late_until; /* ms from its arrival */
 	double *task_work;	     /* of each task, ms at speed 1 */
 	double value;		     /* of an answer on time */
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -107,7 +107,7 @@
 {
 	struct sched_job *job = task->job;
 	void *owner = job->owner;
-	rp_ms deadline = job->deadline;
+	rp_ms deadline = sched_job_needed_until(job);
 	int last = sched_task_on_last_attempt(task);
 
 	if (is_counted(task, run)) {
@@ -340,7 +340,7 @@
 	if (!o->number || o->how != SCHED_END_DONE || !s->owners_missing)
 		return 0;
 	if (!o->kept_until)
-		o->kept_until = s->now + s->longest_wait;
+		o->kept_until = sched_unknown_jobs_until(s);
 	return s->now < o->kept_until;
 }
 
--- a/sched-core.c
+++ b/sched-core.c
@@ -79,7 +79,7 @@
 	s->rack_claims = hash_new(s->pool);
 	s->remote_factor = REMOTE_FACTOR;
 	s->open_jobs = hash_new(s->pool);
-	s->history_tail = &s->history_head;
+	heap_init(&s->history_expiry);
 	s->released_tail = &s->released_head;
 	return find_policies(s, policies);
 }
@@ -273,6 +273,8 @@
 		if (job->owner != owner)
 			continue;
 		job->owner_lost = 1;
+		if (!job->stored)
+			sched_callers_waited_until(s, job->deadline);
 		cancel_job(job);
 	}
 	sched_unacked_owner_lost(s, owner);
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -247,7 +247,7 @@
 	/* The last end of a job may free it. */
 	owner = task->job->owner;
 	owner_lost = task->job->owner_lost;
-	deadline = task->job->deadline;
+	deadline = sched_job_needed_until(task->job);
 	if (e->how != SCHED_END_STOPPED)
 		sched_learn_end(task, (double)(t->s->now - task->sent_at),
 				e->how == SCHED_END_FAILED);
--- a/sched-int.h
+++ b/sched-int.h
@@ -41,6 +41,9 @@
 			  const char *reason, rp_ms retry_after);
 /* A task of the job was started, here or by an earlier scheduler. */
 void sched_job_started(struct sched_job *job);
+/* Until when the job may be submitted again; 0: a stored job has no deadline.
+ */
+rp_ms sched_job_needed_until(const struct sched_job *job);
 /* Frees the job if it is answered and has no runs left. */
 void sched_job_reap(struct sched_job *job);
 /* Recomputes the predicted times of the job and its position in s->jobs. */
@@ -157,6 +160,8 @@
 void sched_released_add(struct sched *s, const char *task);
 /* Marks the job's tasks done whose success was recorded. */
 void sched_released_restore(struct sched_job *job);
+/* Until when an entry VM that is not connected may submit its jobs. */
+rp_ms sched_unknown_jobs_until(const struct sched *s);
 void sched_history_expire(struct sched *s);
 void sched_history_finish(struct sched *s);
 
@@ -326,6 +331,8 @@
  */
 void sched_unacked_resolve(struct sched_target *t, uint64_t number, void *owner,
 			   uint64_t mark, rp_ms needed_until);
+/* Until when a job may be submitted of which an end here is kept; 0: none. */
+rp_ms sched_unacked_needed_until(const struct sched_target *t);
 /* The owner's ends wait until its jobs cannot be submitted any more. */
 void sched_unacked_owner_lost(struct sched *s, const void *owner);
 /* Releases the ends of lost owners that are not needed any more. */
--- a/sched-job.c
+++ b/sched-job.c
@@ -385,6 +385,11 @@
 	job->queue->nwaiting--;
 }
 
+rp_ms sched_job_needed_until(const struct sched_job *job)
+{
+	return job->stored ? 0 : job->deadline;
+}
+
 void sched_job_reap(struct sched_job *job)
 {
 	if (!job->answered || job->nplaced)
--- a/sched-late.c
+++ b/sched-late.c
@@ -43,7 +43,7 @@
 {
 	struct sched_job *job = task->job;
 	void *owner = job->owner;
-	rp_ms deadline = job->deadline;
+	rp_ms deadline = sched_job_needed_until(job);
 	int last = job->ndone + 1 == job->ntasks;
 
 	if (task->state == SCHED_WAITING) {
--- a/sched-past.c
+++ b/sched-past.c
@@ -13,11 +13,12 @@
 #include <string.h>
 
 /*
- * Time after which a job is not submitted again, or longer where callers wait
- * longer, within a bound on the memory.
+ * Time after a job's answer, or its deadline if that is later, in which it may
+ * be submitted again.
  */
 #define HISTORY_MS 10000
-#define HISTORY_MAX_MS 60000
+/* Records that are kept at most, as callers may state any deadline. */
+#define HISTORY_MAX 100000
 
 static void add_loss(struct sched_history *rec, size_t task,
 		     const struct sched_loss *loss)
@@ -93,6 +94,41 @@
 		rec->may_go_on_until = until;
 }
 
+static void remove_record(struct sched *s, struct sched_history *rec)
+{
+	if (apr_hash_get(s->history, rec->id, APR_HASH_KEY_STRING) == rec)
+		apr_hash_set(s->history, rec->id, APR_HASH_KEY_STRING, NULL);
+	heap_remove(&s->history_expiry, &rec->expiry_node);
+	while (rec->ndomains)
+		free(rec->domains[--rec->ndomains]);
+	free(rec->domains);
+	free(rec->losses);
+	free(rec);
+}
+
+/* Returns the record that expires first, or NULL. */
+static struct sched_history *first_to_expire(const struct sched *s)
+{
+	struct rp_heap_node *node = heap_first(&s->history_expiry);
+
+	return node ? RP_CONTAINER(node, struct sched_history, expiry_node)
+		    : NULL;
+}
+
+static rp_ms later(rp_ms a, rp_ms b)
+{
+	return a > b ? a : b;
+}
+
+/* When the job is not submitted again any more. A stored one has no deadline.
+ */
+static rp_ms expires_at(const struct sched_job *job)
+{
+	rp_ms now = job->s->now;
+
+	return (job->stored ? now : later(now, job->deadline)) + HISTORY_MS;
+}
+
 void sched_history_add(const struct sched_job *job)
 {
 	struct sched *s = job->s;
@@ -105,7 +141,6 @@
 	rec = calloc(1, sizeof(*rec) + job->ntasks);
 	if (!rec)
 		return;
-	rec->closed_at = s->now;
 	memcpy(rec->id, job->id, sizeof(rec->id));
 	rec->digest = job->specification_hash;
 	rec->next_run = job->next_run + 1;
@@ -119,8 +154,11 @@
 	}
 	rec->may_go_on_until = job->starts_after;
 	sched_domains_record(rec, job);
-	*s->history_tail = rec;
-	s->history_tail = &rec->next;
+	if (s->history_expiry.len >= HISTORY_MAX)
+		remove_record(s, first_to_expire(s));
+	heap_node_init(&rec->expiry_node);
+	heap_set(&s->history_expiry, &rec->expiry_node,
+		 (double)expires_at(job));
 	/*
 	 * An entry keeps the key that it was created with. It is removed first,
 	 * as that key points into the old record.
@@ -179,29 +217,13 @@
 		sched_losses_changed(job);
 }
 
-static void remove_oldest(struct sched *s)
-{
-	struct sched_history *rec = s->history_head;
-
-	if (apr_hash_get(s->history, rec->id, APR_HASH_KEY_STRING) == rec)
-		apr_hash_set(s->history, rec->id, APR_HASH_KEY_STRING, NULL);
-	s->history_head = rec->next;
-	if (!s->history_head)
-		s->history_tail = &s->history_head;
-	while (rec->ndomains)
-		free(rec->domains[--rec->ndomains]);
-	free(rec->domains);
-	free(rec->losses);
-	free(rec);
-}
-
 void sched_released_add(struct sched *s, const char *task)
 {
 	struct sched_released_end *e = calloc(1, sizeof(*e));
 
 	if (!e)
 		return;
-	e->released_at = s->now;
+	e->kept_until = later(s->now + HISTORY_MS, sched_unknown_jobs_until(s));
 	str_copy(e->task, sizeof(e->task), str_of(task));
 	*s->released_tail = e;
 	s->released_tail = &e->next;
@@ -228,29 +250,48 @@
 	free(e);
 }
 
-static rp_ms history_time(const struct sched *s)
+rp_ms sched_unknown_jobs_until(const struct sched *s)
 {
-	if (s->longest_wait < HISTORY_MS)
-		return HISTORY_MS;
-	return s->longest_wait > HISTORY_MAX_MS ? HISTORY_MAX_MS
-						: s->longest_wait;
+	return later(s->now + s->default_wait, s->callers_wait_until);
+}
+
+void sched_callers_waited_until(struct sched *s, rp_ms until)
+{
+	s->callers_wait_until = later(s->callers_wait_until, until);
+}
+
+rp_ms sched_callers_wait_until(const struct sched *s)
+{
+	rp_ms until = s->callers_wait_until;
+	const struct sched_job *job;
+	size_t i;
+
+	for (job = s->jobs; job; job = job->next)
+		if (!job->stored)
+			until = later(until, job->deadline);
+	for (i = 0; i < s->ntargets; i++)
+		until = later(until, sched_unacked_needed_until(s->targets[i]));
+	return until;
 }
 
 void sched_history_expire(struct sched *s)
 {
-	rp_ms kept = history_time(s);
+	struct sched_history *rec;
 
-	while (s->released_head &&
-	       s->now - s->released_head->released_at > kept)
+	while (s->released_head && s->now > s->released_head->kept_until)
 		remove_oldest_released(s);
-	while (s->history_head && s->now - s->history_head->closed_at > kept)
-		remove_oldest(s);
+	while ((rec = first_to_expire(s)) &&
+	       (double)s->now > rec->expiry_node.key)
+		remove_record(s, rec);
 }
 
 void sched_history_finish(struct sched *s)
 {
-	while (s->history_head)
-		remove_oldest(s);
+	struct sched_history *rec;
+
+	while ((rec = first_to_expire(s)))
+		remove_record(s, rec);
+	heap_finish(&s->history_expiry);
 	while (s->released_head)
 		remove_oldest_released(s);
 }
--- a/sched-told.c
+++ b/sched-told.c
@@ -153,6 +153,17 @@
 			remove_acked(s->targets[i], owner, mark);
 }
 
+rp_ms sched_unacked_needed_until(const struct sched_target *t)
+{
+	rp_ms until = 0;
+	size_t i;
+
+	for (i = 0; i < t->nunacked; i++)
+		if (t->unacked[i].needed_until > until)
+			until = t->unacked[i].needed_until;
+	return until;
+}
+
 void sched_unacked_owner_lost(struct sched *s, const void *owner)
 {
 	size_t i, j;
--- a/scheduler.h
+++ b/scheduler.h
@@ -231,8 +231,7 @@
 
 /* Record of an answered job, kept for a while in case it is resubmitted. */
 struct sched_history {
-	struct sched_history *next; /* the record added next */
-	rp_ms closed_at;
+	struct rp_heap_node expiry_node;
 	char id[SCHED_ID_MAX];
 	uint64_t digest;       /* of the specification */
 	uint32_t next_run;     /* run number that a resubmission starts with */
@@ -251,7 +250,7 @@
 /* A task whose success was acknowledged to its target, claimed by no job. */
 struct sched_released_end {
 	struct sched_released_end *next; /* the one released next */
-	rp_ms released_at;
+	rp_ms kept_until;
 	char task[SCHED_TASK_NAME_MAX];
 };
 
@@ -679,10 +678,16 @@
 	int prev_may_hold_unlisted;
 	/*
 	 * An entry VM that is not connected may own jobs of an earlier leader:
-	 * ends that no job claims are kept on their targets for longest_wait.
+	 * ends that no job claims are kept on their targets while the callers
+	 * of such jobs may wait, see sched_unknown_jobs_until().
 	 */
 	int owners_missing;
-	rp_ms longest_wait; /* of callers, for any job, ms; 0: not known */
+	rp_ms default_wait; /* of callers that state no deadline, longest, ms */
+	/*
+	 * Latest deadline of the jobs that earlier schedulers and owners that
+	 * are lost had open, as far as is known; 0: none.
+	 */
+	rp_ms callers_wait_until;
 	apr_pool_t *pool;
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
@@ -698,7 +703,7 @@
 	struct sched_target **targets;
 	size_t ntargets, cap_targets;
 	apr_hash_t *history; /* job id -> its latest struct sched_history */
-	struct sched_history *history_head, **history_tail; /* oldest first */
+	struct rp_heap history_expiry; /* all of them, by when they expire */
 	struct sched_released_end *released_head, **released_tail;
 	struct sched_job *jobs;	  /* not answered, by sort key */
 	struct sched_job *closed; /* answered; runs are being stopped */
@@ -785,6 +790,13 @@
  * long as the jobs' callers wait.
  */
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now);
+/*
+ * Until when callers wait for jobs that may be submitted to a successor: those
+ * that are open, and those whose owners do not know of an end yet. 0: none.
+ */
+rp_ms sched_callers_wait_until(const struct sched *s);
+/* Earlier schedulers had jobs whose callers wait until then at most. */
+void sched_callers_waited_until(struct sched *s, rp_ms until);
 /*
  * silent: the owner has not shown for a while that it follows this scheduler,
  * and may have submitted its jobs to another one. None of their tasks starts
