pool: The caller's stated deadline is not cut to the route's timeout

Cause: open_job() took the smaller of X-Rosemarypoint-Deadline and the route's timeoutMs. The header says how long the caller waits; nothing says that the timeout limits it. The timeout stands in now where no deadline is stated, or a malformed one, which is logged. A deadline of 0 counts as stated, and no longer as none.

--- a/pool-deadline.c
+++ b/pool-deadline.c
@@ -1,9 +1,23 @@
 /*
- * How long callers wait: what a leader tells its successors of the deadlines of
- * its jobs.
+ * How long callers wait for an answer. Each states it with its request; the
+ * route's timeout is for those that do not.
  */
 
-#include "pool.h"
+#include "pool-request.h"
+#include "platform/platform.h"
+
+void pool_request_set_deadline(struct pool_request *r,
+			       const struct pool_route *route,
+			       const char *stated)
+{
+	rp_ms wait = route->timeout;
+
+	if (stated && !platform_parse_deadline(stated, &wait))
+		LOG_EVENT(LOG_LEVEL_INFO, "deadline_unreadable",
+			  LOG_TEXT("path", r->path), LOG_TEXT("stated", stated),
+			  LOG_NUMBER("taken_ms", route->timeout));
+	r->deadline = r->received_at + wait;
+}
 
 uint32_t pool_callers_wait_ms(const struct pool *p)
 {
--- a/pool-request.c
+++ b/pool-request.c
@@ -182,14 +182,10 @@
 }
 
 static void open_job(struct pool_request *r, const struct pool_route *route,
-		     const char *id, const char *deadline)
+		     const char *id)
 {
 	struct pool *p = r->p;
-	rp_ms limit = deadline ? strtoll(deadline, NULL, 10) : 0;
 
-	if (limit <= 0 || limit > route->timeout)
-		limit = route->timeout;
-	r->deadline = r->received_at + limit;
 	r->seq = ++p->next_seq;
 	pool_request_fill_submit(r, route, id);
 	apr_hash_set(p->requests, &r->seq, sizeof(r->seq), r);
@@ -201,8 +197,7 @@
 }
 
 static void handle_submission(struct pool_request *r,
-			      const struct pool_route *route, const char *id,
-			      const char *deadline)
+			      const struct pool_route *route, const char *id)
 {
 	char error[PLATFORM_ERROR_MAX];
 	int supported = 0;
@@ -242,7 +237,7 @@
 		pool_request_log_rejected(r, "no leader");
 		return;
 	}
-	open_job(r, route, id, deadline);
+	open_job(r, route, id);
 }
 
 static struct pool_request *find_job(struct pool *p, const char *id)
@@ -529,9 +524,10 @@
 		pool_request_log_rejected(r, "no such queue");
 		return;
 	}
+	pool_request_set_deadline(r, route, deadline);
 	id = r->path + strlen(route->prefix);
 	if (!strcmp(r->method, "POST") && *id)
-		handle_submission(r, route, id, deadline);
+		handle_submission(r, route, id);
 	else if (!strcmp(r->method, "GET") && !*id)
 		respond_waiting(r, route);
 	else if (!strcmp(r->method, "GET"))
--- a/pool-request.h
+++ b/pool-request.h
@@ -51,6 +51,16 @@
 void pool_request_fill_submit(struct pool_request *r,
 			      const struct pool_route *route, const char *id);
 
+/* --- pool-deadline.c --------------------------------------------------- */
+
+/*
+ * Sets the request's deadline to what its caller states, or to the route's
+ * timeout if stated is NULL or malformed.
+ */
+void pool_request_set_deadline(struct pool_request *r,
+			       const struct pool_route *route,
+			       const char *stated);
+
 /* --- pool-started.c ---------------------------------------------------- */
 
 /*
--- a/pool-route.h
+++ b/pool-route.h
@@ -16,7 +16,7 @@
 	double stretch;
 	rp_ms objective;
 	int advised;   /* an external service chooses targets: not supported */
-	rp_ms timeout; /* longest deadline of a job */
+	rp_ms timeout; /* deadline of a job whose caller states none */
 };
 
 struct pool_routes {
--- a/regress/platform-decode.c
+++ b/regress/platform-decode.c
@@ -188,6 +188,34 @@
 	free(body);
 }
 
+/* --- callers ---------------------------------------------------------- */
+
+/*
+ * Guards against a number that is cut to 32 bits, or a text of which the first
+ * digits count.
+ */
+Test(callers, a_deadline_is_a_whole_number_of_ms)
+{
+	static const char *const bad[] = { "",	  "-1", "+1",	"1.5", "1s",
+					   "1e3", " 1", "0x10", "soon" };
+	rp_ms ms = -7;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		cr_assert_not(platform_parse_deadline(bad[i], &ms), "%s",
+			      bad[i]);
+		cr_assert_eq(ms, -7);
+	}
+	cr_assert(platform_parse_deadline("0", &ms));
+	cr_assert_eq(ms, 0);
+	cr_assert(platform_parse_deadline("39500", &ms));
+	cr_assert_eq(ms, 39500);
+	cr_assert(platform_parse_deadline("4294967301", &ms));
+	cr_assert_eq(ms, UINT32_MAX);
+	cr_assert(platform_parse_deadline("99999999999999999999999", &ms));
+	cr_assert_eq(ms, UINT32_MAX);
+}
+
 /* --- the operator's routes ------------------------------------------- */
 
 Test(routes, table_is_parsed_and_searched)
--- a/rosemary-fake-call.c
+++ b/rosemary-fake-call.c
@@ -16,12 +16,14 @@
 #define EXIT_HTTP_ERROR 1
 #define EXIT_UNREACHABLE 5
 #define RETRY_INTERVAL_MS 20
+#define DEADLINE_HEADER "X-Rosemarypoint-Deadline"
 
 struct call {
 	const char *args[4]; /* method, address, path, body */
 	size_t nargs;
 	const char *field;
 	const char *header;
+	long deadline_ms; /* that is stated; -1: none */
 	int print_length; /* print the number of elements */
 	int print_status;
 	int from_stdin;
@@ -40,6 +42,7 @@
 	{ "length", 'n', NULL, 0,
 	  "print the number of elements of the JSON or field", 0 },
 	{ "header", 'h', "NAME", 0, "print a header's value", 0 },
+	{ "deadline", 'd', "MS", 0, "state that the caller waits for MS", 0 },
 	{ "status", 's', NULL, 0, "print the HTTP status", 0 },
 	{ "wait", 'w', "MS", 0, "retry for MS until there is an answer", 0 },
 	{ "stdin", 'i', NULL, 0, "make no call, read JSON from stdin", 0 },
@@ -64,6 +67,9 @@
 	case 'h':
 		c->header = arg;
 		return 0;
+	case 'd':
+		c->deadline_ms = strtol(arg, NULL, 10);
+		return 0;
 	case 's':
 		c->print_status = 1;
 		return 0;
@@ -120,9 +126,16 @@
 /* Performs the call once. */
 static CURLcode perform_call(struct call *c, CURL *curl)
 {
-	char url[1024];
+	char url[1024], deadline[64];
+	struct curl_slist *headers = NULL;
+	CURLcode code;
 
 	snprintf(url, sizeof(url), "http://%s%s", c->args[1], c->args[2]);
+	snprintf(deadline, sizeof(deadline), DEADLINE_HEADER ": %ld",
+		 c->deadline_ms);
+	if (c->deadline_ms >= 0)
+		headers = curl_slist_append(NULL, deadline);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_PROXY, "");
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, c->args[0]);
@@ -134,7 +147,10 @@
 	if (strcmp(c->args[0], "GET") != 0)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
 				 c->args[3] ? c->args[3] : "");
-	return curl_easy_perform(curl);
+	code = curl_easy_perform(curl);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, NULL);
+	curl_slist_free_all(headers);
+	return code;
 }
 
 /* Retries the call until there is an answer or retry_ms has passed. */
@@ -251,7 +267,7 @@
 					  NULL,
 					  NULL,
 					  NULL };
-	struct call c = { .nargs = 0 };
+	struct call c = { .deadline_ms = -1 };
 
 	argp_err_exit_status = 2;
 	argp_parse(&argp, argc, argv, 0, NULL, &c);
