pool: A VM that stops takes no job that it cannot answer

A planned stop accepted jobs until the exit, by their callers' deadlines, and aborted those that were open then. With stated deadlines these may end long after the exit: their callers got 504 at the end of the grace period, for work that another VM would have done.

A request that comes after SIGTERM has to be answered before the exit, so its deadline is no later than that. Admission rejects, with Retry-After, what cannot end by then. The process exits 500 ms before SIGKILL, as before.

--- a/pool-deadline.c
+++ b/pool-deadline.c
@@ -17,6 +17,9 @@
 			  LOG_TEXT("path", r->path), LOG_TEXT("stated", stated),
 			  LOG_NUMBER("taken_ms", route->timeout));
 	r->deadline = r->received_at + wait;
+	/* What cannot be answered before the exit is rejected by admission. */
+	if (r->p->stopping && r->deadline > pool_answers_until(r->p))
+		r->deadline = pool_answers_until(r->p);
 }
 
 uint32_t pool_callers_wait_ms(const struct pool *p)
--- a/pool-io.h
+++ b/pool-io.h
@@ -34,6 +34,8 @@
 void pool_defer_free(struct pool *p, void *memory);
 int pool_loop_init(struct pool *p);
 void pool_loop_run(struct pool *p);
+/* After SIGTERM: when the requests that are open then are aborted. */
+rp_ms pool_answers_until(const struct pool *p);
 
 /* --- pool-address.c: addresses as text and as numbers ----------------- */
 
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -13,6 +13,7 @@
 #define MAX_EVENTS 128		/* for one epoll_wait() */
 #define LOG_FLUSH_MS 50		/* interval */
 #define LAST_ANSWERS_MS 100	/* for answers to go out before the exit */
+#define EXIT_MARGIN_MS 500	/* between the exit and SIGKILL */
 #define LAG_WEIGHT 0.2		/* of one tick in the moving mean */
 #define LAG_LIMIT_MS 60		/* a tick later than this shows overload */
 #define LAG_RESIGN_AFTER_MS 400 /* overload after which a leader resigns */
@@ -148,6 +149,12 @@
 	pool_turn_mark(p, POOL_ON_LINKS);
 }
 
+rp_ms pool_answers_until(const struct pool *p)
+{
+	return p->stopping_since + p->set.grace - EXIT_MARGIN_MS -
+	       LAST_ANSWERS_MS;
+}
+
 /*
  * After SIGTERM: ends the loop when the load balancer has had the time to
  * notice and all requests are answered, at the latest when the grace period is
@@ -161,11 +168,11 @@
 		return;
 	if (elapsed >= p->set.rotation && !p->nopen && !p->leading)
 		p->finished = 1;
-	if (elapsed >= p->set.grace - LAST_ANSWERS_MS) {
+	if (p->now >= pool_answers_until(p)) {
 		pool_requests_abort(p);
 		pool_jobs_abort(p);
 	}
-	if (elapsed >= p->set.grace)
+	if (p->now >= pool_answers_until(p) + LAST_ANSWERS_MS)
 		p->finished = 1;
 }
 
--- a/pool.h
+++ b/pool.h
@@ -40,7 +40,7 @@
 	double remote_factor; /* on run times away from the data's rack */
 	rp_ms max_lease;      /* longest lease that targets grant */
 	rp_ms entry_interval; /* at which targets rewrite their entries */
-	rp_ms grace;	      /* from SIGTERM to the exit, at most */
+	rp_ms grace;	      /* from SIGTERM to SIGKILL */
 	/* From SIGTERM until the load balancer sends no more requests. */
 	rp_ms rotation;
 	char order[RP_NAME_MAX]; /* names of the scheduler's policies */
--- a/regress/t-pool-deadline.sh
+++ b/regress/t-pool-deadline.sh
@@ -46,6 +46,17 @@
 		submit 1 14 50 50 --deadline=9223372036854775807
 	wait $longer $none
 	cat "$dir"/longer "$dir"/none
+
+	# A VM that stops rejects what it cannot answer before its exit.
+	start_vm 2 --grace=3000 --rotation=2000
+	await_ready 2
+	kill -TERM "$(pid_of 2)"
+	sleep 0.2
+	timed "stopping, 90 s of work, 200 s stated" 0 1000 \
+		submit 2 20 90000 90000 --deadline=200000
+	timed "stopping, 100 ms of work, 20 s stated" 100 1500 \
+		submit 2 21 100 100 --deadline=20000
+	wait "$(pid_of 2)" && echo "exit 0"
 	expect_no_violation
 }
 
--- a/regress/t-pool-serve.sh
+++ b/regress/t-pool-serve.sh
@@ -50,7 +50,7 @@
 
 	# A stopping VM gives up jobs that outlast the grace period, and exits
 	# with status 0.
-	start_vm 3 --grace=700 --rotation=100
+	start_vm 3 --grace=1200 --rotation=100
 	await_ready 3
 	call --status POST "$(http_of 3)" /q/0000000000000020 \
 		'{"specification":"3000","bestEffort":true,"steps":[{"count":1,
