sched: Ends that no job claims leave their targets after the default wait

A target replies at once to a hold call while it lists an end that is not acknowledged, so holds were made every 60 ms, and ends of other runs there were seen that late.

They are released after the longest timeoutMs of the routes, as before, and so are those of lost owners. The leader remembers them until the jobs' deadlines.

--- a/regress/sched-deadline.c
+++ b/regress/sched-deadline.c
@@ -13,7 +13,7 @@
 #define DEFAULT_WAIT_MS 1500
 
 static struct world w;
-static struct sched first, second, third;
+static struct sched first, second;
 
 static void init_apr(void)
 {
@@ -93,54 +93,75 @@
 	sched_callers_waited_until(to, until);
 }
 
-/* Runs the job's tasks to their ends, which its owner does not learn of. */
+/* A task ends just after its leader, and its owner does not learn of it. */
 static struct world_job *begin_unknown_job(void)
 {
 	struct world_job *job;
 
 	world_begin(&w, &first, 4);
-	job = world_submit(&w, "q", 4, 100, 1, 20000);
-	world_run_until(&w, w.now + 50);
+	job = world_job_new(&w, "q", 1, 3000, 1, 20000);
+	job->task_work[0] = job->sub->steps[0]->estimate_ms = 3000;
+	job->fence = first.fence;
+	sched_submit(&first, job, job->sub, w.now);
+	world_run_until(&w, w.now + 2900);
 	succeed(&first, &second, 2);
-	world_run_until(&w, w.now + 9000);
+	world_run_until(&w, w.now + 5000);
 	return job;
 }
 
 /*
- * An entry VM is frozen over a change of leader, and submits its job after
- * another one. Guards against acknowledging the ends meanwhile: the targets
- * forget them, and the tasks run a second time.
+ * An entry VM is frozen over a change of leader, and submits its job near its
+ * deadline. Guards against a second run of its tasks.
  */
-Test(sched_deadline, ends_of_an_unknown_job_are_kept_until_its_deadline)
+Test(sched_deadline, an_unclaimed_end_is_known_until_the_jobs_deadline)
 {
 	struct world_job *job = begin_unknown_job();
 
-	succeed(&second, &third, 3);
-	third.owners_missing = 0;
+	world_run_until(&w, w.now + 6000);
+	second.owners_missing = 0;
 	world_resubmit(&w);
-	world_run_until(&w, w.now + 4000);
+	world_run_until(&w, w.now + 6000);
 	cr_assert(job->answered);
 	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
-	cr_assert_eq(w.starts, 4);
-	end_world(&third);
+	cr_assert_eq(w.starts, 1);
+	end_world(&second);
 }
 
-/* Guards against targets that keep ends for good. */
-Test(sched_deadline, ends_of_an_unknown_job_are_released_after_its_deadline)
+/*
+ * Other ends of a target are seen late while an end is kept there. Guards
+ * against targets that are slow for as long as any caller waits.
+ */
+Test(sched_deadline, an_unclaimed_end_does_not_stay_on_its_target)
 {
 	size_t i, kept = 0;
 
 	begin_unknown_job()->answered = 1;
 	for (i = 0; i < 4; i++)
 		kept += w.targets[i].nends;
-	cr_assert_eq(kept, 4);
-	world_run_until(&w, w.now + 13000);
-	for (kept = i = 0; i < 4; i++)
-		kept += w.targets[i].nends;
 	cr_assert_eq(kept, 0);
 	end_world(&second);
 }
 
+/* The same for the ends of an owner that is lost. */
+Test(sched_deadline, an_end_of_a_lost_owner_does_not_stay_on_its_target)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 1);
+	first.default_wait = DEFAULT_WAIT_MS;
+	job = world_submit(&w, "q", 1, 100, 1, 30000);
+	world_run_until(&w, w.now + 50);
+	w.lose_messages = 1;
+	world_run_until(&w, w.now + 250);
+	cr_assert_eq(w.targets[0].nends, 1);
+	sched_owner_lost(&first, job, w.now);
+	world_run_until(&w, w.now + 1000);
+	cr_assert_eq(w.targets[0].nends, 1);
+	world_run_until(&w, w.now + 1500);
+	cr_assert_eq(w.targets[0].nends, 0);
+	end_world(&first);
+}
+
 /* Guards against a successor that forgets before the callers do. */
 Test(sched_deadline, a_lost_owners_jobs_count_until_their_deadlines)
 {
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -334,13 +334,17 @@
  * Whether the orphan has succeeded, and its job may be submitted again by an
  * entry VM that is not connected now. The target's list is then all that keeps
  * the task from being run a second time by whoever leads next.
+ *
+ * While an end is kept, the target replies to each hold call at once, and other
+ * ends there are seen late. So it is not kept for as long as callers may wait:
+ * after that this scheduler alone remembers it.
  */
 static int keeps_end(const struct sched *s, struct sched_orphan *o)
 {
 	if (!o->number || o->how != SCHED_END_DONE || !s->owners_missing)
 		return 0;
 	if (!o->kept_until)
-		o->kept_until = sched_unknown_jobs_until(s);
+		o->kept_until = s->now + s->default_wait;
 	return s->now < o->kept_until;
 }
 
--- a/sched-int.h
+++ b/sched-int.h
@@ -160,8 +160,6 @@
 void sched_released_add(struct sched *s, const char *task);
 /* Marks the job's tasks done whose success was recorded. */
 void sched_released_restore(struct sched_job *job);
-/* Until when an entry VM that is not connected may submit its jobs. */
-rp_ms sched_unknown_jobs_until(const struct sched *s);
 void sched_history_expire(struct sched *s);
 void sched_history_finish(struct sched *s);
 
--- a/sched-past.c
+++ b/sched-past.c
@@ -223,7 +223,7 @@
 
 	if (!e)
 		return;
-	e->kept_until = later(s->now + HISTORY_MS, sched_unknown_jobs_until(s));
+	e->kept_until = later(s->now + HISTORY_MS, s->callers_wait_until);
 	str_copy(e->task, sizeof(e->task), str_of(task));
 	*s->released_tail = e;
 	s->released_tail = &e->next;
@@ -250,11 +250,6 @@
 	free(e);
 }
 
-rp_ms sched_unknown_jobs_until(const struct sched *s)
-{
-	return later(s->now + s->default_wait, s->callers_wait_until);
-}
-
 void sched_callers_waited_until(struct sched *s, rp_ms until)
 {
 	s->callers_wait_until = later(s->callers_wait_until, until);
--- a/sched-told.c
+++ b/sched-told.c
@@ -164,6 +164,16 @@
 	return until;
 }
 
+/* The end is kept as one that no job claims is, see sched-adopt.c. */
+static void owner_lost(const struct sched *s, struct sched_unacked_end *e)
+{
+	rp_ms until = s->now + s->default_wait;
+
+	e->owner = NULL;
+	if (s->default_wait && e->needed_until > until)
+		e->needed_until = until;
+}
+
 void sched_unacked_owner_lost(struct sched *s, const void *owner)
 {
 	size_t i, j;
@@ -171,7 +181,7 @@
 	for (i = 0; i < s->ntargets; i++)
 		for (j = 0; j < s->targets[i]->nunacked; j++)
 			if (s->targets[i]->unacked[j].owner == owner)
-				s->targets[i]->unacked[j].owner = NULL;
+				owner_lost(s, &s->targets[i]->unacked[j]);
 }
 
 void sched_unacked_expire(struct sched_target *t)
--- a/scheduler.h
+++ b/scheduler.h
@@ -678,14 +678,14 @@
 	int prev_may_hold_unlisted;
 	/*
 	 * An entry VM that is not connected may own jobs of an earlier leader:
-	 * ends that no job claims are kept on their targets while the callers
-	 * of such jobs may wait, see sched_unknown_jobs_until().
+	 * ends that no job claims are kept on their targets for default_wait.
 	 */
 	int owners_missing;
 	rp_ms default_wait; /* of callers that state no deadline, longest, ms */
 	/*
 	 * Latest deadline of the jobs that earlier schedulers and owners that
-	 * are lost had open, as far as is known; 0: none.
+	 * are lost had open, as far as is known; 0: none. Records of ends that
+	 * no job has claimed are kept until then.
 	 */
 	rp_ms callers_wait_until;
 	apr_pool_t *pool;
