--- /dev/null
+++ b/pool-job-submit.c
@@ -0,0 +1,152 @@
+/*
+ * Submissions of stored jobs, on any entry VM. Jobs of one part that are
+ * submitted while a transaction is in flight go into the next one.
+ */
+
+#include "pool-job.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Each row takes two of the 100 entries that the store allows. */
+#define BATCH_ROWS 50
+#define BATCH_BYTES 400000 /* from which no more rows are added */
+
+static void enqueue(struct submit_part *part, struct pool_job_call *j)
+{
+	j->next = NULL;
+	*part->last = j;
+	part->last = &j->next;
+}
+
+void pool_job_submit(struct pool_request *r)
+{
+	struct pool_job_call *j = pool_job_call_new(r, r->submit->id);
+	PoolJob job = POOL_JOB__INIT;
+
+	r->p->has_stored_jobs = r->p->accepted_stored_job = 1;
+	job.submit = r->submit;
+	job.accepted_ms = (uint64_t)pool_store_now(r->p);
+	j->len = pool_job__get_packed_size(&job);
+	j->packed_job = malloc(j->len);
+	pool_job__pack(&job, j->packed_job);
+	enqueue(&r->p->job_calls->parts[pool_job_part(j->id)], j);
+}
+
+static int rows_contain(const struct platform_rows *rows, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < rows->n; i++)
+		if (!strcmp(rows->rows[i].key, id))
+			return 1;
+	return 0;
+}
+
+/*
+ * Handles a transaction that failed because some rows exist already. Their
+ * jobs were accepted before; the others are queued again.
+ */
+static void handle_conflict(struct submit_part *part, struct pool_job_call *j,
+			    const char *body, size_t len)
+{
+	struct platform_rows rows;
+	char error[PLATFORM_ERROR_MAX];
+	struct pool_job_call *next;
+
+	platform_parse_rows(&rows, body, len, error);
+	for (; j; j = next) {
+		next = j->next;
+		if (rows_contain(&rows, j->id)) {
+			pool_job_respond(j, 200, "{}", 0, "job_known");
+			pool_job_call_free(j);
+		} else if (++j->attempts < POOL_JOB_ATTEMPTS) {
+			enqueue(part, j);
+		} else {
+			pool_job_respond_failed(j, 503);
+			pool_job_call_free(j);
+		}
+	}
+	platform_rows_finish(&rows);
+}
+
+static void on_submitted(struct pool_call *c, long status, const char *body,
+			 size_t len)
+{
+	struct submit_part *part = &c->p->job_calls->parts[c->tag];
+	struct pool_job_call *j = part->sent, *next;
+
+	part->sent = NULL;
+	part->in_flight = 0;
+	if (status == 412) {
+		handle_conflict(part, j, body, len);
+		return;
+	}
+	for (; j; j = next) {
+		next = j->next;
+		if (status == 200)
+			pool_job_respond(j, 200, "{}", 0, "job_accepted");
+		else
+			pool_job_respond_failed(j, status);
+		pool_job_call_free(j);
+	}
+}
+
+static int list_contains(const struct pool_job_call *j, const char *id)
+{
+	for (; j; j = j->next)
+		if (!strcmp(j->id, id))
+			return 1;
+	return 0;
+}
+
+/* Moves queued jobs to the part's next transaction. Returns how many. */
+static size_t fill_batch(struct submit_part *part,
+			 struct platform_write *writes)
+{
+	struct pool_job_call **at = &part->first, *j;
+	size_t n = 0, bytes = 0;
+
+	while ((j = *at) && n < BATCH_ROWS && bytes < BATCH_BYTES) {
+		/* A transaction writes a row once: a repeated id waits. */
+		if (list_contains(part->sent, j->id)) {
+			at = &j->next;
+			continue;
+		}
+		*at = j->next;
+		j->next = part->sent;
+		part->sent = j;
+		bytes += j->len;
+		writes[n++] = (struct platform_write){
+			.key = j->id,
+			.value = { (char *)j->packed_job, j->len },
+		};
+	}
+	for (part->last = &part->first; *part->last;)
+		part->last = &(*part->last)->next;
+	return n;
+}
+
+static void write_part(struct pool *p, unsigned i)
+{
+	struct submit_part *part = &p->job_calls->parts[i];
+	struct platform_write writes[BATCH_ROWS];
+	size_t n = fill_batch(part, writes);
+
+	part->in_flight = 1;
+	pool_store_transact(p,
+			    platform_transaction_body(
+				    JOBS_TABLE, pool_part_name(i), writes, n),
+			    0, on_submitted)
+		->tag = i;
+}
+
+void pool_jobs_flush(struct pool *p)
+{
+	unsigned i;
+
+	for (i = 0; i < JOBS_PARTS; i++)
+		if (p->job_calls->parts[i].first &&
+		    !p->job_calls->parts[i].in_flight)
+			write_part(p, i);
+}
--- a/pool-request.h
+++ b/pool-request.h
@@ -1,7 +1,7 @@
 #ifndef POOL_REQUEST_H
 #define POOL_REQUEST_H
 
-/* A caller's request, shared by pool-request.c and pool-job.c. */
+/* A caller's request, shared by the files that handle it. */
 
 #include "pool.h"
 
@@ -85,7 +85,7 @@
 int pool_request_await_routes(struct pool_request *r);
 void pool_request_forget_awaiting(struct pool_request *r);
 
-/* --- pool-job.c: requests for stored jobs ----------------------------- */
+/* --- pool-job.c, pool-job-submit.c: requests for stored jobs ----------- */
 
 /* Submit, query or cancel; the connection waits for the store's reply. */
 void pool_job_submit(struct pool_request *r);
