pool: Requests for stored jobs go by their callers' deadlines

Callers saw: 504 after 1.5 s for the state, the cancellation or the submission of a stored job while they waited on and the store came back; answers long after the wait that they had stated.

Cause: READ_TIMEOUT_MS and the store's WRITE_TIMEOUT_MS decided alone; the request's deadline was set and not read.

A request is now answered at its deadline at the latest: 503 with Retry-After if no transaction has had the submission, else 504. Until then a call without a reply is repeated with a backoff, over another connection, and repeated reads keep an interval on each VM. Writes are repeated only under conditions that fail if the first was performed: a submission requires that no row exists, a cancellation reads the row again. A submission is not repeated for longer than rows of ended jobs are kept, as the job would run again. After a write without a reply, a refusal of its repetition is answered 504, no longer 503.

pool-stop.c: its requests state a deadline, as those of pool_request_begin() do.

--- a/pool-job-submit.c
+++ b/pool-job-submit.c
@@ -12,6 +12,11 @@
 #define BATCH_ROWS 50
 #define BATCH_BYTES 400000 /* from which no more rows are added */
 
+int pool_job_is_unsent(const struct pool_job_call *j)
+{
+	return j->packed_job && !j->sent && !j->may_be_written;
+}
+
 static void enqueue(struct submit_part *part, struct pool_job_call *j)
 {
 	j->next = NULL;
@@ -57,6 +62,7 @@
 	platform_parse_rows(&rows, body, len, error);
 	for (; j; j = next) {
 		next = j->next;
+		j->sent = 0;
 		if (rows_contain(&rows, j->id)) {
 			pool_job_respond(j, 200, "{}", 0, "job_known");
 			pool_job_call_free(j);
@@ -70,24 +76,63 @@
 	platform_rows_finish(&rows);
 }
 
+/*
+ * Whether the job may be written again. An ended job's row is removed after
+ * some time, and the job would run again then.
+ */
+static int may_write_again(const struct pool_job_call *j)
+{
+	const struct pool_request *r = j->request;
+
+	return r && j->may_be_written &&
+	       j->p->now + pool_job_backoff(j->failures) < r->deadline &&
+	       j->p->now - r->received_at < j->p->set.ended_retention;
+}
+
+/* Handles a transaction that failed: the store has refused it, or no reply came
+ */
+static void handle_failure(struct pool *p, struct submit_part *again,
+			   struct pool_job_call *j, long status)
+{
+	struct pool_job_call *next;
+
+	again->due = p->now + pool_job_backoff(again->failures++);
+	for (; j; j = next) {
+		next = j->next;
+		j->sent = 0;
+		j->may_be_written |= !pool_job_refused(status);
+		if (may_write_again(j)) {
+			j->failures++;
+			enqueue(again, j);
+			continue;
+		}
+		pool_job_respond_failed(j, status);
+		pool_job_call_free(j);
+	}
+}
+
 static void on_submitted(struct pool_call *c, long status, const char *body,
 			 size_t len)
 {
-	struct submit_part *part = &c->p->job_calls->parts[c->tag];
+	struct submit_part *parts = c->p->job_calls->parts;
+	struct submit_part *part = &parts[c->tag];
+	struct submit_part *again = &parts[JOBS_PARTS + c->tag % JOBS_PARTS];
 	struct pool_job_call *j = part->sent, *next;
 
 	part->sent = NULL;
 	part->in_flight = 0;
+	if (status != 200 && status != 412) {
+		handle_failure(c->p, again, j, status);
+		return;
+	}
+	again->failures = 0;
 	if (status == 412) {
 		handle_conflict(part, j, body, len);
 		return;
 	}
 	for (; j; j = next) {
 		next = j->next;
-		if (status == 200)
-			pool_job_respond(j, 200, "{}", 0, "job_accepted");
-		else
-			pool_job_respond_failed(j, status);
+		pool_job_respond(j, 200, "{}", 0, "job_accepted");
 		pool_job_call_free(j);
 	}
 }
@@ -100,6 +145,23 @@
 	return 0;
 }
 
+/* Drops queued jobs whose callers do not wait any more. */
+static void drop_expired(struct submit_part *part)
+{
+	struct pool_job_call **at = &part->first, *j;
+
+	while ((j = *at)) {
+		if (j->request && j->p->now < j->request->deadline) {
+			at = &j->next;
+			continue;
+		}
+		*at = j->next;
+		pool_job_respond_failed(j, pool_job_is_unsent(j) ? 503 : 0);
+		pool_job_call_free(j);
+	}
+	part->last = at;
+}
+
 /* Moves queued jobs to the part's next transaction. Returns how many. */
 static size_t fill_batch(struct submit_part *part,
 			 struct platform_write *writes)
@@ -115,6 +177,7 @@
 		}
 		*at = j->next;
 		j->next = part->sent;
+		j->sent = 1;
 		part->sent = j;
 		bytes += j->len;
 		writes[n++] = (struct platform_write){
@@ -134,10 +197,11 @@
 	size_t n = fill_batch(part, writes);
 
 	part->in_flight = 1;
-	pool_store_transact(p,
-			    platform_transaction_body(
-				    JOBS_TABLE, pool_part_name(i), writes, n),
-			    0, on_submitted)
+	pool_store_transact_within(
+		p,
+		platform_transaction_body(
+			JOBS_TABLE, pool_part_name(i % JOBS_PARTS), writes, n),
+		pool_job_timeout(part->failures), i >= JOBS_PARTS, on_submitted)
 		->tag = i;
 }
 
@@ -145,8 +209,13 @@
 {
 	unsigned i;
 
-	for (i = 0; i < JOBS_PARTS; i++)
-		if (p->job_calls->parts[i].first &&
-		    !p->job_calls->parts[i].in_flight)
+	for (i = 0; i < POOL_JOB_LANES; i++) {
+		struct submit_part *part = &p->job_calls->parts[i];
+
+		if (!part->first || part->in_flight || p->now < part->due)
+			continue;
+		drop_expired(part);
+		if (part->first)
 			write_part(p, i);
+	}
 }
--- a/pool-job.c
+++ b/pool-job.c
@@ -3,6 +3,11 @@
  *
  * A job is accepted once its row is in the store, where the leader finds it.
  * Its state is read from the row, and a cancellation is written to the row.
+ *
+ * A request is answered at its deadline at the latest. While its caller waits,
+ * a call to the store that got no reply is repeated. That is safe for writes,
+ * as their conditions hold only if the earlier write was not performed: a job's
+ * row must not exist, or must have the version that was read.
  */
 
 #include "pool-job.h"
@@ -11,7 +16,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define READ_TIMEOUT_MS 1500
+/* Of a call to the store; it grows by as much with each failure. */
+#define CALL_TIMEOUT_MS 1500
+#define CALL_TIMEOUT_MAX_MS 6000
+#define MIN_BACKOFF_MS 100
+/* Between the reads of this VM that repeat one: the store bounds the rate. */
+#define READ_AGAIN_INTERVAL_MS 50
 /* Time for the leader's reply to a query; it may wait for 100 ms. */
 #define QUERY_TIMEOUT_MS 160
 
@@ -20,7 +30,7 @@
 	int i;
 
 	p->job_calls = apr_pcalloc(p->pool, sizeof(*p->job_calls));
-	for (i = 0; i < JOBS_PARTS; i++)
+	for (i = 0; i < POOL_JOB_LANES; i++)
 		p->job_calls->parts[i].last = &p->job_calls->parts[i].first;
 	return 0;
 }
@@ -119,9 +129,15 @@
 	}
 }
 
+int pool_job_refused(long status)
+{
+	return status == 503 ||
+	       (status >= 400 && status < 500 && status != 412);
+}
+
 void pool_job_respond_failed(struct pool_job_call *j, long status)
 {
-	if (status == 429 || status == 503)
+	if (pool_job_refused(status) && !j->may_be_written)
 		pool_job_respond(j, 503, "{\"error\":\"the store is busy\"}",
 				 DEFAULT_RETRY_AFTER_S, "job_refused");
 	else /* the store may have written the row */
@@ -130,6 +146,22 @@
 				 "job_unanswered");
 }
 
+/* --- calls to the store that are repeated ------------------------------- */
+
+rp_ms pool_job_backoff(unsigned failures)
+{
+	rp_ms backoff = MIN_BACKOFF_MS << (failures < 5 ? failures : 5);
+
+	return backoff < STORE_MAX_BACKOFF_MS ? backoff : STORE_MAX_BACKOFF_MS;
+}
+
+rp_ms pool_job_timeout(unsigned failures)
+{
+	rp_ms timeout = CALL_TIMEOUT_MS * (failures > 1 ? failures : 1);
+
+	return timeout < CALL_TIMEOUT_MAX_MS ? timeout : CALL_TIMEOUT_MAX_MS;
+}
+
 /* --- queries and cancellations ------------------------------------------ */
 
 /* Returns NULL if the state is not final. */
@@ -194,20 +226,45 @@
 static void read_row(struct pool_job_call *j)
 {
 	struct pool *p = j->p;
-	char *path = platform_row_path(
-		JOBS_TABLE, pool_part_name(pool_job_part(j->id)), j->id);
+	char *path;
 	struct pool_call_spec spec = {
 		.address = p->set.store_address,
-		.path = path,
-		.timeout = READ_TIMEOUT_MS,
+		.timeout = pool_job_timeout(j->failures),
+		/* The reply may have been lost with the connection. */
+		.fresh_connect = j->failures > 0,
 		.on_done = on_row,
 	};
 
+	if (j->request && p->now >= j->request->deadline) {
+		pool_job_respond_failed(j, j->cancel ? 503 : 0);
+		pool_job_call_free(j);
+		return;
+	}
+	path = platform_row_path(JOBS_TABLE,
+				 pool_part_name(pool_job_part(j->id)), j->id);
+	spec.path = path;
 	p->count.store_calls++;
 	pool_call_begin(p, &spec)->user = j;
 	free(path);
 }
 
+/*
+ * After a failed call: has the job's row read again, or answers the request if
+ * the store has refused the call, or if the caller does not wait for as long.
+ */
+static void read_again(struct pool_job_call *j, long status)
+{
+	rp_ms at = j->p->now + pool_job_backoff(j->failures++);
+
+	if (j->request && at < j->request->deadline &&
+	    (j->may_be_written || !pool_job_refused(status))) {
+		j->repeat_at = at;
+		return;
+	}
+	pool_job_respond_failed(j, status);
+	pool_job_call_free(j);
+}
+
 static void on_cancelled(struct pool_call *c, long status, const char *body,
 			 size_t len)
 {
@@ -219,11 +276,16 @@
 		read_row(j);
 		return;
 	}
-	if (status == 200)
+	if (status == 200) {
 		pool_job_respond(j, 200, "{\"state\":\"cancelled\"}", 0,
 				 "job_cancelled");
-	else
-		pool_job_respond_failed(j, status == 412 ? 503 : status);
+	} else if (status == 412) {
+		pool_job_respond_failed(j, 503);
+	} else {
+		j->may_be_written |= !pool_job_refused(status);
+		read_again(j, status);
+		return;
+	}
 	pool_job_call_free(j);
 }
 
@@ -243,12 +305,12 @@
 	row = malloc(len);
 	pool_job__pack(job, row);
 	write.value = (struct rp_str){ (char *)row, len };
-	pool_store_transact(
+	pool_store_transact_within(
 		p,
 		platform_transaction_body(JOBS_TABLE,
 					  pool_part_name(pool_job_part(j->id)),
 					  &write, 1),
-		0, on_cancelled)
+		pool_job_timeout(j->failures), j->failures > 0, on_cancelled)
 		->user = j;
 	free(row);
 }
@@ -261,8 +323,7 @@
 	PoolJob *job;
 
 	if (status != 200) {
-		pool_job_respond_failed(j, status);
-		pool_job_call_free(j);
+		read_again(j, status);
 		return;
 	}
 	job = parse_job(j, body, len, &version);
@@ -307,7 +368,8 @@
 {
 	struct pool_job_call *j = pool_job_call_new(r, id);
 
-	if (!query_leader(j))
+	/* The row can still be read after a query without a reply. */
+	if (r->deadline - r->p->now < 2 * QUERY_TIMEOUT_MS || !query_leader(j))
 		read_row(j);
 }
 
@@ -354,3 +416,37 @@
 	j->cancel = 1;
 	read_row(j);
 }
+
+/* Returns the call whose row is to be read again first, if it is due. */
+static struct pool_job_call *first_to_read_again(const struct pool *p)
+{
+	struct pool_job_call *j, *first = NULL;
+
+	for (j = p->job_calls->all; j; j = j->all_next)
+		if (j->repeat_at && j->repeat_at <= p->now &&
+		    (!first || j->repeat_at < first->repeat_at))
+			first = j;
+	return first;
+}
+
+void pool_jobs_tick(struct pool *p)
+{
+	struct pool_job_call *j, *next;
+
+	for (j = p->job_calls->all; j; j = next) {
+		next = j->all_next;
+		if (j->request && p->now >= j->request->deadline)
+			pool_job_respond_failed(j, pool_job_is_unsent(j) ? 503
+									 : 0);
+		if (!j->request && j->repeat_at)
+			pool_job_call_free(j);
+	}
+	if (p->now < p->job_calls->read_again_due)
+		return;
+	j = first_to_read_again(p);
+	if (!j)
+		return;
+	p->job_calls->read_again_due = p->now + READ_AGAIN_INTERVAL_MS;
+	j->repeat_at = 0;
+	read_row(j);
+}
--- a/pool-store.c
+++ b/pool-store.c
@@ -143,12 +143,20 @@
 
 struct pool_call *pool_store_transact(struct pool *p, char *body,
 				      int fresh_connect, pool_call_cb *on_done)
+{
+	return pool_store_transact_within(p, body, WRITE_TIMEOUT_MS,
+					  fresh_connect, on_done);
+}
+
+struct pool_call *pool_store_transact_within(struct pool *p, char *body,
+					     rp_ms timeout, int fresh_connect,
+					     pool_call_cb *on_done)
 {
 	struct pool_call_spec spec = {
 		.address = p->set.store_address,
 		.path = PLATFORM_TRANSACTION_PATH,
 		.request = body,
-		.timeout = WRITE_TIMEOUT_MS,
+		.timeout = timeout,
 		.fresh_connect = fresh_connect,
 		.on_done = on_done,
 	};
--- a/pool-store.h
+++ b/pool-store.h
@@ -63,6 +63,9 @@
 /* Sends a transaction; takes ownership of body. */
 struct pool_call *pool_store_transact(struct pool *p, char *body,
 				      int fresh_connect, pool_call_cb *on_done);
+struct pool_call *pool_store_transact_within(struct pool *p, char *body,
+					     rp_ms timeout, int fresh_connect,
+					     pool_call_cb *on_done);
 
 /*
  * Whether a malformed row of the key has not been logged yet; it counts as
--- a/pool.h
+++ b/pool.h
@@ -368,6 +368,8 @@
 void pool_job_state_received(struct pool *p, const PoolStateReply *msg);
 /* Reads the rows of jobs for which the leader has not replied in time. */
 void pool_job_queries_expire(struct pool *p);
+/* Answers requests at their deadlines, and repeats calls to the store. */
+void pool_jobs_tick(struct pool *p);
 int pool_jobs_init(struct pool *p);
 /* Writes the jobs that were submitted in this loop iteration. */
 void pool_jobs_flush(struct pool *p);
--- a/regress/pool-stop.c
+++ b/regress/pool-stop.c
@@ -63,6 +63,7 @@
 	sub->service = strdup("q");
 	sub->stored = 1;
 	r->submit = sub;
+	r->deadline = p.now + 60000;
 	return r;
 }
 
