relay: The owner is sent what is left of the caller's timeout

A relayed submission was sent with the caller's whole timeout each time. An owner that it reached late, after lost messages, counted it anew from there, so the job went on after its deadline, by up to 3 s.

The new test of cluster-relay.c fails before: a job with a timeout of 2,500 ms, whose first sends are lost for 1,200 ms, is answered after 4,005 ms.

--- a/regress/cluster-relay.c
+++ b/regress/cluster-relay.c
@@ -184,3 +184,34 @@
 	cr_assert_eq(net->targets[0].leaving_starts, starts);
 	check_and_free(net);
 }
+
+/*
+ * Guards against an owner that counts the caller's timeout anew when the call
+ * reaches it late: the job would go on after its deadline.
+ */
+Test(cluster, relayed_submission_ends_at_its_callers_deadline)
+{
+	struct net_options opt;
+	struct net *net;
+	char key[RP_KEY_MAX];
+	size_t a;
+
+	net_options_init(&opt);
+	opt.task_us = 60000000;
+	net = net_new(&opt);
+	net_run(net, 3000);
+	net_key(net, 0, key);
+	net_cut(net, 1, 0, 1);
+	a = net_submit(net, 1, key, 1, 2500);
+	net_run(net, 1200);
+	net_cut(net, 1, 0, 0);
+	net_run(net, 8000);
+	cr_assert_eq(net->calls[a].answers, 1);
+	cr_assert_eq(net->calls[a].code, RP_E_DEADLINE);
+	cr_assert_lt(
+		net->calls[a].done_us - net->calls[a].sent_us, 2700000,
+		"answered after %lld ms",
+		(long long)(net->calls[a].done_us - net->calls[a].sent_us) /
+			1000);
+	check_and_free(net);
+}
--- a/relay-call.c
+++ b/relay-call.c
@@ -43,7 +43,7 @@
 	struct rp_node *n = &k->node;
 
 	r->id = ++n->next_relay;
-	r->last_response_at = now;
+	r->received_at = r->last_response_at = now;
 	r->resend_at = now + RELAY_RESEND_MS;
 	r->give_up_at = now + relay_timeout(k, r);
 	apr_hash_set(n->relays, &r->id, sizeof(r->id), r);
--- a/relay-wait.c
+++ b/relay-wait.c
@@ -49,7 +49,18 @@
 	return b;
 }
 
-/* Encodes the submission; allocates the tasks. */
+/*
+ * The owner counts the timeout from its receipt of the call, which may have
+ * been lost before: it is sent what is left of the caller's.
+ */
+static rp_ms timeout_left(const struct rp_relay *r, rp_ms now)
+{
+	rp_ms left = r->sub->timeout - (now - r->received_at);
+
+	return left > 0 ? left : 1;
+}
+
+/* Encodes the submission, without its timeout; allocates the tasks. */
 static void pack_submission(const struct rp_submission *sub, RpRelay *msg)
 {
 	RpTask *tasks = kernel_alloc(sub->ntasks * sizeof(*tasks));
@@ -58,7 +69,6 @@
 	msg->key_is_callers = sub->key_is_callers != 0;
 	msg->service = bytes_of(sub->service);
 	msg->team = bytes_of(sub->team);
-	msg->timeout_ms = sub->timeout;
 	msg->is_request = sub->is_request != 0;
 	msg->idempotent = sub->idempotent != 0;
 	msg->n_tasks = sub->ntasks;
@@ -86,10 +96,12 @@
 	msg.owner = (char *)r->owner;
 	msg.owner_incarnation = r->owner_incarnation;
 	/* The owner has the submission that it acknowledged: query it. */
-	if (r->sub && r->acked)
+	if (r->sub && r->acked) {
 		msg.op = RP_RELAY__OP__QUERY;
-	else if (r->sub)
+	} else if (r->sub) {
 		pack_submission(r->sub, &msg);
+		msg.timeout_ms = timeout_left(r, now);
+	}
 	env.n_relays = 1;
 	env.relays = &list;
 	peer_send(k, now, r->sent_to, &env, acts);
--- a/rosemary-int.h
+++ b/rosemary-int.h
@@ -590,6 +590,7 @@
 	int wait;		   /* answer when final, not at once */
 	int acked;		   /* the member acknowledged the call */
 	uint32_t unanswered_sends; /* sends since the last message about it */
+	rp_ms received_at;	   /* from the caller */
 	rp_ms last_response_at;	   /* last message about it, or when it began */
 	rp_ms resend_at;
 	rp_ms give_up_at;
