pool: Settings of time may be fractions, and seconds

deploy/system.toml appended three zeros to graceS and status_s. The platform states bounds as whole numbers or fractions: of 1.5 s it made 1.5000, and the process did not start.

regress/pool-setting.c does not pass before, as '6s' is not valid there.

--- a/pool-setting.c
+++ b/pool-setting.c
@@ -13,6 +13,7 @@
 #define FIRST_FLAG_KEY 1000
 #define CHECK_FLAG_KEY 900
 #define EXIT_BAD_SETTING 2
+#define MS_MAX 1e15
 #define OFFSET(member) offsetof(struct pool_settings, member)
 
 enum setting_kind {
@@ -109,14 +110,24 @@
 	return -1;
 }
 
+/*
+ * The platform states bounds as whole numbers or fractions, of ms or, with the
+ * unit "s", of seconds.
+ */
 static int set_ms(rp_ms *ms, const char *text)
 {
 	char *end;
-	long long n = strtoll(text, &end, 10);
+	double n = strtod(text, &end);
 
-	if (!*text || *end || n < 1)
+	if (end == text)
+		return -1;
+	if (!strcmp(end, "s")) {
+		n *= 1000;
+		end++;
+	}
+	if (*end || !(n >= 1 && n <= MS_MAX))
 		return -1;
-	*ms = n;
+	*ms = (rp_ms)(n + 0.5);
 	return 0;
 }
 
