cli: A stated timeout that is malformed is not replaced by the default

rosemary submit took 60 s in place of a timeout_ms in the job's file that is not a whole number, and the entry VM never saw what was stated. It is rejected now.

t-cli.sh fails before: with timeouts of "500", 500.5 and null the job is completed.

--- a/cmd-submit.c
+++ b/cmd-submit.c
@@ -169,10 +169,12 @@
 		cli_usage("give --service");
 	if (!json_object_get(job, "team"))
 		json_object_set_new(job, "team", json_string("default"));
-	if (!s->timeout_ms)
-		s->timeout_ms = json_is_integer(timeout)
-					? json_integer_value(timeout)
-					: 60000;
+	if (s->timeout_ms)
+		return;
+	s->timeout_ms = timeout ? json_integer_value(timeout) : 60000;
+	/* The entry VM checks its range; it is not replaced by the default. */
+	if (timeout && !json_is_integer(timeout))
+		cli_usage("timeout_ms: want a whole number");
 }
 
 /* Makes the job from a file or from the flags and submits it. */
--- a/regress/t-cli.sh
+++ b/regress/t-cli.sh
@@ -35,6 +35,14 @@
 	pick state <"$dir/answer"
 	pick results.1.id <"$dir/answer"
 	key=$(pick key <"$dir/answer")
+	echo '# a timeout that the file states is not replaced by the default'
+	for timeout in '"500"' 500.5 null 0
+	do
+		echo "{\"timeout_ms\":$timeout,\"tasks\":[
+			{\"id\":\"x\",\"payload\":\"\"}]}" >"$dir/timeout.json"
+		rosemary submit -s deadline-desk "$dir/timeout.json" -e "$vm0" |
+			grep -e ^state -e message -e exit
+	done
 	echo '# the same key at another entry VM starts no task again'
 	count_starts
 	rosemary submit -s deadline-desk --issued-key "$key" -e "$vm1" \
