regress/standin: Callers can state their own deadlines

The callers of the stand-in sent no X-Rosemarypoint-Deadline, so that each waited for the route's timeout and no test could tell the two apart.

--deadline-ms=MIN-MAX draws each job's deadline, log-uniformly, and states it with each submission of the job. The caller waits that long and 2 s more, as a late answer would not be seen otherwise. The report has the number of jobs with a deadline, and of submissions without an answer 500 ms after it. The draws have a seed of their own; without the flag nothing changes.

--- a/Makefile
+++ b/Makefile
@@ -167,7 +167,7 @@
 		-lgslcblas -lm -pthread
 
 $(B)/regress/standin/callers: $(B)/regress/standin/callers.o
-	$(LINK) -lcurl -ljansson
+	$(LINK) -lcurl -ljansson -lm
 
 # The soak test: random faults on the real programs.
 $(B)/regress/soak/proxy: $(B)/regress/soak/proxy.o
--- a/regress/standin/callers.c
+++ b/regress/standin/callers.c
@@ -7,6 +7,7 @@
 #include <argp.h>
 #include <curl/curl.h>
 #include <jansson.h>
+#include <math.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,7 +21,10 @@
 #define GIVE_UP_MS 6000		/* time after the first submission */
 #define STORED_GIVE_UP_MS 30000 /* the same for a stored job */
 #define POLL_MS 200		/* interval of requests for a job's state */
-#define TRIES_MAX 8		/* that are logged */
+#define DEADLINE_HEADER "X-Rosemarypoint-Deadline"
+#define LATE_MS 500	      /* delay after a deadline that counts as late */
+#define ANSWER_MARGIN_MS 2000 /* wait for an answer beyond a deadline */
+#define TRIES_MAX 8	      /* that are logged */
 
 /* Outcomes that the stand-in verifies. */
 enum outcome { OUTCOME_OTHER, OUTCOME_REJECTED, OUTCOME_COMPLETED };
@@ -29,7 +33,9 @@
 	unsigned long long id;
 	int tasks, sends;
 	int64_t submitted_at;
-	int64_t send_at; /* next request; 0: none is scheduled */
+	int64_t sent_at;  /* of the latest request */
+	int64_t send_at;  /* next request; 0: none is scheduled */
+	long deadline_ms; /* stated with each submission; 0: none */
 	CURL *easy;
 	struct curl_slist *headers;
 	char request[BODY_MAX], answer[BODY_MAX];
@@ -50,6 +56,8 @@
 	double rate, seconds;
 	int tasks, task_ms;
 	unsigned seed;
+	double deadline_min, deadline_max; /* ms; 0: none is stated */
+	unsigned deadline_seed;	    /* keeps the other draws as they are */
 	int stored;		    /* submit stored jobs */
 	const char *verify_address; /* stand-in; NULL: do not verify */
 };
@@ -60,6 +68,8 @@
 	int completed, failed, rejected, incomplete, unanswered, resent;
 	int unexpected;	    /* answers that no other count fits */
 	int no_retry_after; /* rejections without Retry-After */
+	int deadlines;	    /* jobs with a deadline */
+	int late; /* answers over LATE_MS after the deadline, or missing then */
 } count;
 static struct flags f = {
 	.rate = 20, .seconds = 3, .tasks = 2, .task_ms = 100, .seed = 1
@@ -97,6 +107,32 @@
 	return size * n;
 }
 
+/* Log-uniform, so that deadlines of each order of magnitude are as frequent. */
+static long draw_deadline(void)
+{
+	double share = rand_r(&f.deadline_seed) / (RAND_MAX + 1.0);
+
+	return lround(f.deadline_min *
+		      pow(f.deadline_max / f.deadline_min, share));
+}
+
+/* Limits the request to what the job's caller waits, and states that. */
+static void set_wait(struct job *j)
+{
+	char header[64];
+
+	if (!j->deadline_ms) {
+		curl_easy_setopt(j->easy, CURLOPT_TIMEOUT_MS, (long)GIVE_UP_MS);
+		return;
+	}
+	snprintf(header, sizeof(header), DEADLINE_HEADER ": %ld",
+		 j->deadline_ms);
+	j->headers = curl_slist_append(NULL, header);
+	curl_easy_setopt(j->easy, CURLOPT_HTTPHEADER, j->headers);
+	curl_easy_setopt(j->easy, CURLOPT_TIMEOUT_MS,
+			 j->deadline_ms + ANSWER_MARGIN_MS);
+}
+
 /* A random VM; a retry goes to another one, as the platform sends it. */
 static size_t choose_address(const struct job *j)
 {
@@ -127,6 +163,7 @@
 		 f.task_ms, f.stored ? 1 : j->sends,
 		 f.stored ? "false" : "true", j->tasks, f.task_ms);
 	j->answer_len = 0;
+	j->sent_at = now_ms();
 	j->send_at = 0;
 	j->easy = curl_easy_init();
 	curl_easy_setopt(j->easy, CURLOPT_URL, url);
@@ -138,7 +175,7 @@
 	curl_easy_setopt(j->easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(j->easy, CURLOPT_HEADERDATA, j);
 	curl_easy_setopt(j->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(j->easy, CURLOPT_TIMEOUT_MS, (long)GIVE_UP_MS);
+	set_wait(j);
 	curl_multi_add_handle(multi, j->easy);
 }
 
@@ -164,11 +201,22 @@
 	json_array_append_new(unanswered, tries);
 }
 
+/*
+ * Time after the first submission from which the job is not sent again. An
+ * entry VM may be frozen for longer than a short deadline, so that it is at
+ * least the usual one.
+ */
+static int64_t give_up_ms(const struct job *j)
+{
+	int64_t ms = f.stored ? STORED_GIVE_UP_MS : GIVE_UP_MS;
+
+	return j->deadline_ms > ms ? j->deadline_ms : ms;
+}
+
 /* Schedules another submission, or gives the job up. */
 static void resend_or_give_up(struct job *j)
 {
-	if (now_ms() - j->submitted_at >
-	    (f.stored ? STORED_GIVE_UP_MS : GIVE_UP_MS)) {
+	if (now_ms() - j->submitted_at > give_up_ms(j)) {
 		report_unanswered(j);
 		count.unanswered++;
 		open_jobs--;
@@ -238,11 +286,16 @@
 				  &status);
 		curl_multi_remove_handle(multi, j->easy);
 		curl_easy_cleanup(j->easy);
+		curl_slist_free_all(j->headers);
 		j->easy = NULL;
+		j->headers = NULL;
 		if (j->sends <= TRIES_MAX) {
 			j->tries[j->sends - 1].ended_at = now_ms();
 			j->tries[j->sends - 1].error = (int)rc;
 		}
+		if (j->deadline_ms &&
+		    now_ms() - j->sent_at > j->deadline_ms + LATE_MS)
+			count.late++;
 		if (rc == CURLE_OK && status)
 			handle_answer(j, status);
 		else
@@ -262,6 +315,10 @@
 		j->id = (unsigned long long)f.seed << 32 | njobs;
 		j->tasks = f.tasks;
 		j->submitted_at = now_ms();
+		if (f.deadline_min > 0) {
+			j->deadline_ms = draw_deadline();
+			count.deadlines++;
+		}
 		open_jobs++;
 		send_job(j);
 	}
@@ -316,13 +373,15 @@
 
 static void report(void)
 {
-	json_t *o = json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "jobs",
-			      (json_int_t)njobs, "completed", count.completed,
-			      "failed", count.failed, "rejected",
-			      count.rejected, "incomplete", count.incomplete,
-			      "unanswered", count.unanswered, "resent",
-			      count.resent, "unexpected", count.unexpected,
-			      "no_retry_after", count.no_retry_after);
+	json_t *o = json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i}",
+			      "jobs", (json_int_t)njobs, "completed",
+			      count.completed, "failed", count.failed,
+			      "rejected", count.rejected, "incomplete",
+			      count.incomplete, "unanswered", count.unanswered,
+			      "resent", count.resent, "unexpected",
+			      count.unexpected, "no_retry_after",
+			      count.no_retry_after, "deadlines",
+			      count.deadlines, "late", count.late);
 	json_t *verified = f.verify_address ? verify_outcomes() : NULL;
 
 	if (verified)
@@ -335,9 +394,20 @@
 	json_decref(o);
 }
 
+/* Parses "MIN-MAX" or a single number, in ms. Returns 0 if it is malformed. */
+static int parse_deadline(const char *arg)
+{
+	char *end;
+
+	f.deadline_min = f.deadline_max = strtod(arg, &end);
+	if (*end == '-')
+		f.deadline_max = strtod(end + 1, &end);
+	return !*end && f.deadline_min >= 1 && f.deadline_max <= INT32_MAX &&
+	       f.deadline_min <= f.deadline_max;
+}
+
 static error_t parse(int key, char *arg, struct argp_state *state)
 {
-	(void)state;
 	switch (key) {
 	case 'r':
 		f.rate = atof(arg);
@@ -354,6 +424,10 @@
 	case 'x':
 		f.seed = (unsigned)atoi(arg);
 		return 0;
+	case 'd':
+		if (!parse_deadline(arg))
+			argp_error(state, "'%s' must be MS or MIN-MAX", arg);
+		return 0;
 	case 'k':
 		f.stored = 1;
 		return 0;
@@ -378,6 +452,11 @@
 		{ .name = "tasks", .key = 't', .arg = "COUNT" },
 		{ .name = "ms", .key = 'm', .arg = "MS" },
 		{ .name = "seed", .key = 'x', .arg = "N" },
+		{ .name = "deadline-ms",
+		  .key = 'd',
+		  .arg = "MIN-MAX",
+		  .doc = "how long each caller states that it waits, "
+			 "log-uniform; none if not given" },
 		{ .name = "stored", .key = 'k', .doc = "submit stored jobs" },
 		{ .name = "verify",
 		  .key = 'v',
@@ -391,6 +470,7 @@
 	int running;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	f.deadline_seed = f.seed;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	multi = curl_multi_init();
 	unanswered = json_array();
