soak: Half of the seeds have callers that state deadlines

All callers waited for the route's 5 s, so no run outlived two leaders and no record was needed for longer than that.

Half of the seeds run callers with deadlines of 100 ms to 60 s during the faults, and of 5 to 60 s after them. The seed decides without a draw of soak_random(), so that the faults of recorded seeds stay as they are. All checks stay, among them the 30 s in which the callers have to end: their work takes under half a second, whatever they state.

--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -30,6 +30,9 @@
 #define RATE 25		    /* jobs per second during faults */
 #define RATE_AFTER_FAULTS 8 /* jobs per second; any pool can serve it */
 #define LAST_LEASE_MS 1500  /* a lease of 1000 ms and a margin */
+/* How long callers wait; the route's timeout, for the others, is 5000 ms. */
+#define DEADLINES "100-60000"
+#define DEADLINES_AFTER_FAULTS "5000-60000"
 
 int64_t soak_now(void)
 {
@@ -64,12 +67,21 @@
 	}
 }
 
+/*
+ * Whether the callers state deadlines, for half of the seeds. Not drawn by
+ * soak_random(), which would change the faults of the recorded seeds.
+ */
+static int states_deadlines(unsigned seed)
+{
+	return (int)(seed * 0x9e3779b97f4a7c15u >> 63);
+}
+
 static void start_callers(struct soak *s, const char *log, int seconds,
-			  int rate, unsigned seed)
+			  int rate, unsigned seed, const char *deadlines)
 {
-	char program[512], flags[5][64], addresses[SOAK_VMS][64];
-	char *argv[9 + SOAK_VMS] = { program,  flags[0], flags[1],   flags[2],
-				     flags[3], flags[4], "--tasks=3" };
+	char program[512], flags[6][64], addresses[SOAK_VMS][64];
+	char *argv[10 + SOAK_VMS] = { program,	flags[0], flags[1],   flags[2],
+				      flags[3], flags[4], "--tasks=3" };
 	int i, n = 7;
 
 	snprintf(program, sizeof(program), "%s/regress/standin/callers",
@@ -86,6 +98,10 @@
 	}
 	if (s->stored)
 		argv[n++] = "--stored";
+	if (deadlines) {
+		snprintf(flags[5], 64, "--deadline-ms=%s", deadlines);
+		argv[n++] = flags[5];
+	}
 	argv[n] = NULL;
 	s->callers = soak_spawn(s, log, argv);
 }
@@ -217,6 +233,7 @@
 
 static void run(struct soak *s, unsigned seed, int seconds)
 {
+	int deadlines = states_deadlines(seed);
 	json_t *report;
 
 	current = s;
@@ -227,7 +244,8 @@
 	await_ready(s);
 	if (s->evacuate)
 		soak_evacuate(s);
-	start_callers(s, "callers.log", seconds, RATE, seed);
+	start_callers(s, "callers.log", seconds, RATE, seed,
+		      deadlines ? DEADLINES : NULL);
 	inject_faults(s, seconds);
 	await_ready(s);
 	if (s->evacuate)
@@ -239,7 +257,8 @@
 	report = callers_report(s, "callers.log");
 	check_callers(s, report);
 	json_decref(report);
-	start_callers(s, "calm.log", 2, RATE_AFTER_FAULTS, seed + 1000000);
+	start_callers(s, "calm.log", 2, RATE_AFTER_FAULTS, seed + 1000000,
+		      deadlines ? DEADLINES_AFTER_FAULTS : NULL);
 	report = callers_report(s, "calm.log");
 	check_callers(s, report);
 	if (get_int(report, "completed") != get_int(report, "jobs"))
@@ -347,7 +366,8 @@
 		s.nvms = nvms;
 	if (!s.ntargets)
 		s.ntargets = ntargets;
-	printf("seed %u: %d vms, %d targets\n", f.seed, s.nvms, s.ntargets);
+	printf("seed %u: %d vms, %d targets%s\n", f.seed, s.nvms, s.ntargets,
+	       states_deadlines(f.seed) ? ", callers state deadlines" : "");
 	run(&s, f.seed, f.seconds);
 	printf("seed %u: %s\n", f.seed, s.violations ? "failed" : "passed");
 	return s.violations != 0;
