load: Each job has its own timeout

--timeout was one number for all jobs, so that a job that got another one's timeout did not show. Timeouts are drawn after the rest of the plan, which therefore does not change with them.

--- a/load-caller.c
+++ b/load-caller.c
@@ -108,7 +108,7 @@
 		t.due_us = now + RETRY_DELAY_US;
 		t.vm = (vm + 1) % c->set->nvms;
 		if (now - c->start_us - t.job->planned_us <
-		    c->set->timeout_ms * 1000)
+		    t.job->timeout_ms * 1000)
 			load_loop_schedule(&c->loop, &t);
 		else
 			t.job->state = LOAD_LOST;
@@ -260,7 +260,7 @@
 		 job->is_request ? "requests" : "jobs");
 	if (!job->ncalls++)
 		job->sent_us = load_now_us() - c->start_us;
-	load_call_start(&c->loop, call, buf, set->timeout_ms + ANSWER_GRACE_MS);
+	load_call_start(&c->loop, call, buf, job->timeout_ms + ANSWER_GRACE_MS);
 }
 
 /* Schedules the next job of this thread, with its resubmission. */
--- a/load-plan.c
+++ b/load-plan.c
@@ -63,11 +63,20 @@
 				  load_dist_draw(&set->resubmit_after_ms, rng));
 }
 
+/* The least timeout that the interface takes is 1 ms. */
+static int64_t draw_timeout(const struct load_settings *set, gsl_rng *rng)
+{
+	long long ms = llround(load_dist_draw(&set->timeout_ms, rng));
+
+	return ms > 1 ? ms : 1;
+}
+
 void load_plan_init(struct load_plan *plan, const struct load_settings *set)
 {
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
 	size_t cap = 0;
 	double at_s = 0;
+	size_t i;
 
 	memset(plan, 0, sizeof(*plan));
 	gsl_rng_set(rng, set->seed);
@@ -87,6 +96,9 @@
 			 (int64_t)(at_s * 1e6));
 		plan->ntasks += plan->jobs[plan->njobs++].ntasks;
 	}
+	/* Drawn last, so that a range of timeouts does not change the rest. */
+	for (i = 0; i < plan->njobs; i++)
+		plan->jobs[i].timeout_ms = draw_timeout(set, rng);
 	gsl_rng_free(rng);
 }
 
@@ -127,7 +139,7 @@
 {
 	json_t *o = json_pack("{s:s, s:s, s:I}", "service", job->service,
 			      "team", job->team, "timeout_ms",
-			      (json_int_t)set->timeout_ms);
+			      (json_int_t)job->timeout_ms);
 	json_t *tasks = json_array();
 	char *text;
 	size_t i;
--- a/load.c
+++ b/load.c
@@ -13,6 +13,7 @@
 
 #define EXIT_VIOLATIONS 1
 #define EXIT_USAGE 2
+#define TIMEOUT_MAX 86400000 /* ms, a day */
 
 enum long_flag {
 	FLAG_OWN_KEYS = 256,
@@ -39,7 +40,7 @@
 	  "service time of a task in ms (50)", 0 },
 	{ "service", 's', "NAME[:WEIGHT]", 0, "repeatable", 0 },
 	{ "team", 't', "NAME[:WEIGHT]", 0, "repeatable (default)", 0 },
-	{ "timeout", 'T', "MS", 0, "of every job (30000)", 0 },
+	{ "timeout", 'T', "DIST", 0, "timeout of a job in ms (30000)", 0 },
 	{ "own-keys", FLAG_OWN_KEYS, "SHARE", 0,
 	  "share of jobs under the caller's own key (0)", 0 },
 	{ "resubmit", FLAG_RESUBMIT, "SHARE", 0,
@@ -147,8 +148,11 @@
 		parse_mix(state, &set->teams, arg);
 		return 0;
 	case 'T':
-		set->timeout_ms =
-			(int64_t)parse_number(state, arg, 1, 86400000);
+		parse_dist(state, &set->timeout_ms, arg);
+		if (set->timeout_ms.a < 1 || set->timeout_ms.a > TIMEOUT_MAX ||
+		    set->timeout_ms.b > TIMEOUT_MAX)
+			argp_error(state, "'%s' must be within 1..%d", arg,
+				   TIMEOUT_MAX);
 		return 0;
 	case FLAG_OWN_KEYS:
 		set->own_keys = parse_number(state, arg, 0, 1);
@@ -228,7 +232,7 @@
 	set->tasks.a = 10;
 	set->task_ms.a = 50;
 	set->fastest = 1;
-	set->timeout_ms = 30000;
+	set->timeout_ms.a = 30000;
 	load_dist_parse(&set->resubmit_after_ms, "0-100");
 	set->settle_ms = 500;
 	set->threads = 1;
--- a/load.h
+++ b/load.h
@@ -30,7 +30,7 @@
 	LOAD_DIST_LOGNORMAL,
 };
 
-/* A distribution of task counts or service times. */
+/* A distribution of task counts or times. */
 struct load_dist {
 	enum load_dist_kind kind;
 	double a; /* fixed value, minimum or mean, by kind */
@@ -65,12 +65,12 @@
 	struct load_dist task_ms;
 	struct load_mix services;
 	struct load_mix teams;
-	double fastest;	    /* speed factor of the fastest target */
-	int64_t timeout_ms; /* of each job */
-	double own_keys;    /* share of jobs under the caller's own key, 0..1 */
-	double resubmit;    /* share of jobs sent twice, 0..1 */
-	double requests;    /* share of single requests, 0..1 */
-	double idempotent;  /* share of idempotent ones among requests, 0..1 */
+	double fastest;		     /* speed factor of the fastest target */
+	struct load_dist timeout_ms; /* of a job */
+	double own_keys;   /* share of jobs under the caller's own key, 0..1 */
+	double resubmit;   /* share of jobs sent twice, 0..1 */
+	double requests;   /* share of single requests, 0..1 */
+	double idempotent; /* share of idempotent ones among requests, 0..1 */
 	struct load_dist resubmit_after_ms;
 	/* How long after its planned time a refused or lost call is retried. */
 	int64_t retry_for_ms;
@@ -115,6 +115,7 @@
 	int own_key;		/* under the caller's own key */
 	int is_request;
 	int idempotent;
+	int64_t timeout_ms;
 	size_t ntasks;
 	float *task_ms;
 	uint8_t *nstarts; /* of each task, from the records */
--- a/regress/t-load.sh
+++ b/regress/t-load.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # The load generator: a run without faults, and one with tasks started twice,
-# which must be detected.
+# which must be detected. Each job has its own timeout, as one that is the same
+# for all hides a job that gets another one's.
 . regress/lib.sh
 
 start_all 2 4 --speed 1,0.5
@@ -10,6 +11,8 @@
 		--rate 60 --seconds 1 --tasks 1-8 --task-ms 1-10 \
 		--team a:2 --team b --resubmit 0.3 \
 		--requests 0.2 --retry-for 10000 --settle 100 \
+		--timeout 15000-60000 \
+		--timeout 15000-60000 \
 		--verify "$(target_of 0)x4" --json "$@" \
 		>"$dir/report" 2>"$dir/err"
 }
