regress: Simulated callers state deadlines that differ

So no seed could tell a job's own deadline from the route's timeout, and few jobs outlived a lease.

ONCE=1 has callers that do not come back, as those of the sites.

--- a/regress/sched-orders.c
+++ b/regress/sched-orders.c
@@ -5,8 +5,9 @@
  * SEEDS=FROM-TO plays these seeds instead, SKIP=BITS leaves out faults, TRACE=1
  * prints all events. CUT_CALLERS=1 cuts callers off with a failure domain,
  * CHECK_DONE=1 counts starts after an end that was noted. PARTS=BITS limits the
- * days to these parts of the model (enum vms_part). KEEP_LATE=1 has targets
- * that restart under their old id carry out late calls of before.
+ * days to these parts of the model (enum vms_part); 7 has all callers wait
+ * equally long. KEEP_LATE=1 has targets that restart under their old id carry
+ * out late calls of before. ONCE=1 has callers that do not submit a job again.
  */
 
 #include <criterion/criterion.h>
@@ -28,7 +29,7 @@
 
 TestSuite(sched_orders, .init = init_apr, .timeout = 0);
 
-Test(sched_orders, random_days)
+static void play(unsigned limit)
 {
 	const char *seeds = getenv("SEEDS"), *skip = getenv("SKIP");
 	const char *parts = getenv("PARTS");
@@ -38,7 +39,8 @@
 		.cut_callers = getenv("CUT_CALLERS") != NULL,
 		.check_done = getenv("CHECK_DONE") != NULL,
 		.keep_late = getenv("KEEP_LATE") != NULL,
-		.parts = parts ? (unsigned)strtoul(parts, NULL, 0) : ~0u,
+		.once = getenv("ONCE") != NULL,
+		.parts = parts ? (unsigned)strtoul(parts, NULL, 0) : limit,
 	};
 	unsigned long long seed = 1, last = SEEDS, events = 0, starts = 0;
 	unsigned long long resent = 0, takeovers = 0, provisional = 0;
@@ -74,3 +76,15 @@
 			answered[3]);
 	cr_assert_eq(bad, 0, "%d of the seeds broke an invariant", bad);
 }
+
+Test(sched_orders, random_days)
+{
+	play(~0u);
+}
+
+/* All callers wait equally long, as those that state no deadline do. */
+Test(sched_orders, days_of_one_timeout)
+{
+	if (!getenv("SEEDS"))
+		play(~(1u << VMS_DEADLINES));
+}
--- a/regress/world/vms-caller.c
+++ b/regress/world/vms-caller.c
@@ -20,7 +20,7 @@
 static void submit_at(struct vms *o, struct vms_caller *c, struct vm *vm)
 {
 	struct vms_request *r = calloc(1, sizeof(*r));
-	rp_ms left = o->timeout;
+	rp_ms left = c->wait;
 
 	if (o->rest_only)
 		left -= o->w.now - c->first_at;
@@ -65,7 +65,8 @@
 	if (!vm || o->ncallers == VMS_CALLERS)
 		return;
 	o->ncallers++;
-	c->job = world_job_new(&o->w, "q", tasks, work, 1, o->timeout);
+	c->wait = vms_draw_wait(o, &work);
+	c->job = world_job_new(&o->w, "q", tasks, work, 1, c->wait);
 	c->job->resent = !o->check_done;
 	c->first_at = o->w.now;
 	submit_at(o, c, vm);
@@ -84,10 +85,9 @@
 		if (c->request && o->callers_cut &&
 		    !vms_callers_reach(o, &o->vms[c->vm]))
 			vms_caller_break(o, c);
-		if (!c->resend_at || o->w.now < c->resend_at)
+		if (o->once || !c->resend_at || o->w.now < c->resend_at)
 			continue;
-		if (o->rest_only &&
-		    o->w.now - c->first_at + 100 >= o->timeout) {
+		if (o->rest_only && o->w.now - c->first_at + 100 >= c->wait) {
 			c->resend_at = 0;
 			continue;
 		}
--- a/regress/world/vms-day.c
+++ b/regress/world/vms-day.c
@@ -231,6 +231,7 @@
 	world_init(&o->w, seed, ntargets, speeds, 3);
 	o->trace = opt->trace;
 	o->check_done = opt->check_done;
+	o->once = opt->once;
 	o->keep_late = opt->keep_late;
 	o->w.several = 1;
 	o->w.lapses_count = 1;
--- a/regress/world/vms-lead.c
+++ b/regress/world/vms-lead.c
@@ -149,6 +149,7 @@
 		world_end_calls(&vm->o->w, &vm->sched);
 	else
 		world_drop_calls(&vm->o->w, &vm->sched);
+	vms_callers_wait_received(vm, vms_callers_wait(vm));
 	sched_finish(&vm->sched);
 	vms_orders_drop(vm);
 	vm->leading = 0;
@@ -158,6 +159,7 @@
 {
 	sched_init(&vm->sched, &vms_ops, &vm->o->w, NULL, vm->lead.row.fence,
 		   WORLD_LEASE_MS, vms_now(vm));
+	sched_callers_waited_until(&vm->sched, vm->callers_wait_until);
 	sched_stored_jobs_loaded(&vm->sched);
 	vm->self.vm = vm->index;
 	if (!lead_is_provisional(&vm->lead))
--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -55,6 +55,19 @@
 	return n;
 }
 
+rp_ms vms_callers_wait(const struct vm *vm)
+{
+	rp_ms until = sched_callers_wait_until(&vm->sched);
+
+	return until > vms_now(vm) ? until - vms_now(vm) : 0;
+}
+
+void vms_callers_wait_received(struct vm *vm, rp_ms wait)
+{
+	if (vms_now(vm) + wait > vm->callers_wait_until)
+		vm->callers_wait_until = vms_now(vm) + wait;
+}
+
 struct vms_beat vms_beat(struct vm *vm)
 {
 	struct vms_beat b = { .fence = vm->lead.row.fence,
@@ -70,6 +83,7 @@
 		return b;
 	b.clock = vms_now(vm);
 	b.list_confirmed = vms_list_is_confirmed(vm);
+	b.callers_wait = vms_callers_wait(vm);
 	b.nsuccessors = successors(vm, b.successors, LEAD_SUCCESSORS);
 	if (vms_now(vm) - vm->sched.started_at < JOIN_MS)
 		return b;
@@ -148,6 +162,7 @@
 		vms_resubmit(vm);
 	}
 	list_state_received(vm, b);
+	vms_callers_wait_received(vm, b->callers_wait);
 }
 
 static void remove_member(struct vm *vm, struct vms_member *m)
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -23,6 +23,7 @@
 #define VMS_CALLERS 512
 #define VMS_FAULTS 12 /* of any kind, and of a part of the model */
 #define VMS_PART_FAULTS 6
+#define VMS_LATER_FAULTS 6
 #define VMS_RESEND_MS 1300    /* until a caller submits its job again */
 #define VMS_NO_LEADER_MS 1500 /* from which jobs are not taken */
 
@@ -34,6 +35,7 @@
 	int leading, hears, resigns, list_confirmed, store;
 	unsigned nlinked;
 	int nsuccessors, successors[LEAD_SUCCESSORS];
+	rp_ms callers_wait;
 	rp_ms clock, echo;
 };
 
@@ -134,6 +136,7 @@
 	struct world_job *job;
 	struct vms_request *request; /* NULL: it does not wait now */
 	int vm;
+	rp_ms wait;		   /* as it states */
 	rp_ms first_at, resend_at; /* resend_at 0: not to be sent again */
 };
 
@@ -159,6 +162,7 @@
 	int answered[VMS_MAX], refused[VMS_MAX], led[VMS_MAX];
 	uint64_t list_confirmed_fence;
 	rp_ms list_confirmed_at, store_back_at;
+	rp_ms callers_wait_until; /* of jobs that leaders have had */
 	/* The store, as it was read last. */
 	rp_ms read_due, store_replied_at, renew_due, list_replied_at;
 	int list_complete, list_lost;
@@ -247,6 +251,7 @@
 	VMS_WIRE,	  /* calls outlast their leader, and cut paths */
 	VMS_INCARNATIONS, /* targets come back with other ids or late entries */
 	VMS_AGENTS,	  /* members call the targets for the leader */
+	VMS_DEADLINES,	  /* each caller states another deadline */
 	VMS_PARTS,
 };
 
@@ -259,6 +264,7 @@
 	 */
 	int cut_callers;
 	int check_done; /* a task may not start after its end was noted */
+	int once;	/* callers do not submit a job again */
 	int keep_late;	/* restarted targets carry out calls of before */
 	unsigned parts; /* bits of enum vms_part */
 };
@@ -268,6 +274,7 @@
 	uint64_t random;
 	int trace;
 	int check_done;
+	int once;
 	unsigned parts; /* of this day */
 	int keep_late;
 	size_t nvms;
@@ -287,12 +294,13 @@
 	size_t nentries;
 	struct vms_caller callers[VMS_CALLERS];
 	size_t ncallers;
-	rp_ms timeout; /* of callers */
+	rp_ms timeout; /* of the route, and of callers that state none */
+	uint64_t caller_random; /* for what callers state */
 	int rest_only; /* a second submission has the rest of the time */
 	double max_work;
 	int load; /* jobs a second */
 	rp_ms length;
-	struct vms_fault faults[VMS_FAULTS + VMS_PART_FAULTS];
+	struct vms_fault faults[VMS_FAULTS + VMS_PART_FAULTS + VMS_LATER_FAULTS];
 	size_t nfaults;
 	uint64_t answered[8]; /* by outcome */
 	uint64_t resent, takeovers, provisional, raised;
@@ -323,6 +331,8 @@
 int vms_has_part(const struct vms *o, enum vms_part part);
 /* Draws the parts without a change to what else the seed draws. */
 void vms_draw_parts(struct vms *o, uint64_t seed, unsigned parts);
+/* Draws how long a caller waits; the work of its tasks is changed to fit. */
+rp_ms vms_draw_wait(struct vms *o, double *work);
 
 /* --- vms-fault.c ----------------------------------------------------- */
 
@@ -363,6 +373,10 @@
 
 /* Index of the VM that this one knows as its leader, or -1. */
 int vms_leader_of(const struct vm *vm);
+/* How long callers of the leader's jobs still wait at most. */
+rp_ms vms_callers_wait(const struct vm *vm);
+/* A leader has told it. */
+void vms_callers_wait_received(struct vm *vm, rp_ms wait);
 struct vms_beat vms_beat(struct vm *vm);
 void vms_beat_apply(struct vm *vm, const struct vms_beat *b);
 void vms_beats_send(struct vm *vm);
