sched: A renewal without a reply may still come, if calls are late

The last renewal comes later, and its lease counts from then.

A run that has begun was kept after its lease only if its own target had left calls unanswered and replied to later ones. One that is cut off, or leaves all calls unanswered for a lease, shows nothing.

If another target has shown it within two leases, such a run is kept for one more lease. That is enough: a renewal has no effect on a run unless it comes before the lease ends, and none is sent after one without a reply. With no such sign a target still counts as crashed when the lease is over.

Evidence: sched-late/a_hold_is_late_and_none_is_replied_to fails before.

--- a/regress/sched-late.c
+++ b/regress/sched-late.c
@@ -159,6 +159,39 @@
 	run_late_holds(1);
 }
 
+/*
+ * Holds of target 0 are late, and it is cut off before it replies to one. Those
+ * of target 1 are late as well, and it replies to later ones. Guards against a
+ * task that is started elsewhere as soon as its lease is over, while a late
+ * hold goes on prolonging its run. Jobs of a second or two were over by then.
+ */
+Test(sched_late, a_hold_is_late_and_none_is_replied_to)
+{
+	size_t i;
+
+	begin_world(12);
+	for (i = 2; i < w.ntargets; i++)
+		set_usable(&w.targets[i], 0);
+	w.stored = 0;
+	world_submit(&w, "q", 1, 4000, 1, 12000);
+	world_submit(&w, "q", 1, 4000, 1, 12000);
+	world_run_until(&w, w.now + 500);
+	cr_assert_eq(w.targets[0].nruns, 1);
+	cr_assert_eq(w.targets[1].nruns, 1);
+	for (i = 2; i < w.ntargets; i++)
+		set_usable(&w.targets[i], 1);
+	delay_calls(&w.targets[0], WORLD_HOLD, 600);
+	delay_calls(&w.targets[1], WORLD_HOLD, 600);
+	world_run_until(&w, w.now + 400);
+	delay_calls(&w.targets[1], WORLD_HOLD, 0);
+	w.targets[0].unresponsive = 1;
+	world_run_until(&w, w.now + 3000);
+	w.targets[0].unresponsive = 0;
+	delay_calls(&w.targets[0], WORLD_HOLD, 0);
+	world_run_until(&w, w.now + 15000);
+	end_world();
+}
+
 /* The previous leader's start is carried out on a target of its successor. */
 Test(sched_late, a_start_is_late_and_the_leader_changes)
 {
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -66,6 +66,7 @@
 	t->clock = 0;
 	t->unanswered = 0;
 	t->answered_sent_at = t->unanswered_sent_at = t->lossy_at = 0;
+	t->late_lease_until = 0;
 	t->backoff_until = t->hold_retry_at = 0;
 	sched_reset_slowdown(t);
 }
@@ -104,6 +105,11 @@
 	return sched_ackable_end(t);
 }
 
+static void set_lossy(struct sched_target *t)
+{
+	t->lossy_at = t->s->lossy_at = t->s->now;
+}
+
 /*
  * Notes when a target leaves a call unanswered and replies to a later one. A
  * target that has crashed does not.
@@ -120,10 +126,10 @@
 	if (t->unanswered_sent_at &&
 	    t->answered_sent_at > t->unanswered_sent_at) {
 		t->unanswered_sent_at = 0;
-		t->lossy_at = t->s->now;
+		set_lossy(t);
 	}
 	if (reply->lossy && reply->status != SCHED_REPLY_UNKNOWN)
-		t->lossy_at = t->s->now;
+		set_lossy(t);
 }
 
 /* Applies what all replies have in common. Returns whether it succeeded. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -63,14 +63,17 @@
 	       (int64_t)((double)(t->s->now - t->clock_at) * (1 - CLOCK_DRIFT));
 }
 
+/* When a lease that is granted now has certainly ended. */
+static rp_ms end_of_lease(const struct sched *s)
+{
+	return s->now + (rp_ms)((double)s->max_lease * (1 + CLOCK_DRIFT)) +
+	       LEASE_SLACK_MS;
+}
+
 /* Sets the time at which all leases granted up to now have certainly ended. */
 static void extend_lease(struct sched_target *t)
 {
-	struct sched *s = t->s;
-
-	t->lease_until = s->now +
-			 (rp_ms)((double)s->max_lease * (1 + CLOCK_DRIFT)) +
-			 LEASE_SLACK_MS;
+	t->lease_until = end_of_lease(t->s);
 }
 
 int64_t sched_new_lease(struct sched_target *t)
@@ -261,6 +264,8 @@
 		return 0;
 	if (!task->seen)
 		return now - task->sent_at < LATE_CALL_MAX_MS;
+	if (now < t->late_lease_until)
+		return 1;
 	return t->lossy_at && now - t->lossy_at < LATE_CALL_MAX_MS;
 }
 
@@ -309,12 +314,27 @@
 	t->state = SCHED_UNHELD; /* until the next list */
 }
 
+/*
+ * The target has not replied since its last renewal, so it does not show
+ * whether it carries out calls late. If other targets do so at this time, the
+ * renewal may have come as late as the end of the lease before. There is no
+ * other one: a target that leaves calls unanswered is sent none.
+ */
+static void allow_late_renewal(struct sched_target *t)
+{
+	struct sched *s = t->s;
+
+	if (s->lossy_at && s->now - s->lossy_at < 2 * s->max_lease)
+		t->late_lease_until = end_of_lease(s);
+}
+
 void sched_target_lease_over(struct sched_target *t)
 {
 	int first = t->lease_until != 0;
 	struct sched_task *task, *next;
 
 	if (first) {
+		allow_late_renewal(t);
 		sched_loss_mark_runs(t);
 		t->was_isolated = t->nisolated > 0;
 	}
--- a/scheduler.h
+++ b/scheduler.h
@@ -443,6 +443,7 @@
 	rp_ms unanswered_sent_at; /* latest call without a reply */
 	/* Was last seen to leave a call unanswered and reply to a later one. */
 	rp_ms lossy_at;
+	rp_ms late_lease_until;	  /* a renewal may be late; 0: none */
 	double slowdown;	  /* run time relative to speed 1 */
 	double log_slowdown;	  /* natural logarithm of slowdown */
 	double slowdown_var;	  /* variance of log_slowdown */
@@ -688,6 +689,7 @@
 	 * no job has claimed are kept until then.
 	 */
 	rp_ms callers_wait_until;
+	rp_ms lossy_at; /* the latest of its targets */
 	apr_pool_t *pool;
 	apr_hash_t *queues;	   /* name -> struct sched_queue */
 	apr_hash_t *targets_by_id; /* id -> struct sched_target */
