Revert "lead: A minority does not replace a leader that renews its row"

A review, with trials on the simulated election, found orders of events in which it does not hold:

- The feed of the leader's row loses one answer, and a VM that is cut off with its domain and leads it provisionally takes the silence for the end of the regular leader: it claims, and the majority claims back 470 ms later.
- A provisional leader renews in the same row.
Reads that cover both writes show its own only: 8 changes of leader in 12 s with reads every 600 ms.
- With renewals 900 ms apart, as a slow store makes them, the minority claims.
- VMs that are less than a majority, and may not lead provisionally as targets outside answer them or as they do not know the list, have no leader for as long as the cut lasts; before, they claimed.

--- a/lead-core.c
+++ b/lead-core.c
@@ -40,8 +40,6 @@
 	l->prev_renewal_age = now - l->renewal_seen_at;
 	l->heartbeat_at = now;
 	l->renewed_at = l->renewal_seen_at = now;
-	if (!LEAD_IS_PROVISIONAL(l->row.fence))
-		l->regular_renewed_at = now;
 	l->connection_refused = 0;
 	l->resigning = l->leader_stops = 0;
 	l->nlinked = 0;
@@ -99,18 +97,13 @@
 	l->retry_at = now + LEAD_BACKOFF_MS;
 }
 
-void lead_renewed(struct lead *l, uint64_t fence, int64_t version, rp_ms now)
+void lead_renewed(struct lead *l, int64_t version, rp_ms now)
 {
-	int regular = !LEAD_IS_PROVISIONAL(fence);
-
-	if (regular)
-		l->renewed_at = now;
+	l->renewed_at = now;
 	if (version <= l->renewal_version)
 		return;
 	l->renewal_version = version;
 	l->renewal_seen_at = now;
-	if (regular)
-		l->regular_renewed_at = now;
 }
 
 /*
@@ -293,10 +286,6 @@
 	if (lead_is_provisional(l) && l->all_domains && !l->store_lost &&
 	    !l->claims_disabled && l->phase == LEAD_IDLE && now >= l->retry_at)
 		lead_start_claim(l, LEAD_CLAIM_OTHER, now);
-	lead_note_store(l, now);
-	if (lead_regular_is_lost(l, now) && !l->claims_disabled &&
-	    l->phase == LEAD_IDLE && now >= l->retry_at)
-		lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 	if (lead_is_provisional(l) && l->phase == LEAD_IDLE &&
 	    now - l->probed_at >= LEAD_PROVISIONAL_PROBE_INTERVAL_MS)
 		lead_start_probe(l, now);
--- a/lead-int.h
+++ b/lead-int.h
@@ -17,13 +17,6 @@
 /* A VM has sent its heartbeat, which may be an answer to the probe. */
 void lead_count_answer(struct lead *l, const struct lead_heartbeat *hb,
 		       rp_ms now);
-/* Notes whether the store is usable; for each tick. */
-void lead_note_store(struct lead *l, rp_ms now);
-/*
- * Whether this VM leads provisionally, and the store has not told of a regular
- * leader for so long that there is none.
- */
-int lead_regular_is_lost(const struct lead *l, rp_ms now);
 /* Leads without the store, if this VM may, as its claim has no reply yet. */
 void lead_stop_awaiting_claim(struct lead *l, rp_ms now);
 
--- a/lead-probe.c
+++ b/lead-probe.c
@@ -20,21 +20,6 @@
 					      : LEAD_RENEWAL_TIMEOUT_MS);
 }
 
-/*
- * Whether the store shows that a regular leader is alive that is out of reach:
- * it has renewed its row since its heartbeats stopped, or the next renewal is
- * not overdue.
- */
-static int is_seen_renewing(const struct lead *l, rp_ms now)
-{
-	rp_ms age = now - l->regular_renewed_at;
-
-	if (l->role == LEAD_LEADING ||
-	    l->regular_renewed_at - l->heartbeat_at > LEAD_RENEWAL_DELAY_MS)
-		return age < LEAD_REFUSED_RENEWAL_TIMEOUT_MS;
-	return age < LEAD_RENEW_INTERVAL_MS + LEAD_RENEWAL_DELAY_MS;
-}
-
 /*
  * Whether this VM and those that answered the probe without hearing the leader
  * are more than half of the entry VMs: of those that the leader was linked to,
@@ -49,37 +34,11 @@
 	return nvms > 1 && (l->nnot_hearing + 1) * 2 > nvms;
 }
 
-/*
- * Whether the VMs that have answered are cut off from a leader that is alive.
- * If they took the lead through the store, the others, which do not hear them
- * either, would take it back, for as long as they cannot reach each other.
- */
-static int is_cut_off_with_others(const struct lead *l, rp_ms now)
-{
-	return l->nnot_hearing && !has_majority(l) && is_seen_renewing(l, now);
-}
-
 static int store_is_usable(const struct lead *l)
 {
 	return !l->store_lost && !l->store_failing;
 }
 
-void lead_note_store(struct lead *l, rp_ms now)
-{
-	if (!store_is_usable(l))
-		l->store_unusable_at = now;
-}
-
-int lead_regular_is_lost(const struct lead *l, rp_ms now)
-{
-	rp_ms since = l->regular_renewed_at > l->store_unusable_at
-			      ? l->regular_renewed_at
-			      : l->store_unusable_at;
-
-	return lead_is_provisional(l) && store_is_usable(l) &&
-	       now - since >= LEAD_REFUSED_RENEWAL_TIMEOUT_MS;
-}
-
 static void back_off(struct lead *l, rp_ms now)
 {
 	l->phase = LEAD_IDLE;
@@ -158,7 +117,7 @@
 	if (l->nhearing || !l->nnot_hearing ||
 	    !(has_majority(l) || l->ops->domains_answered(l)))
 		return;
-	if (store_is_usable(l) && !is_cut_off_with_others(l, now)) {
+	if (store_is_usable(l)) {
 		if (now >= l->retry_at)
 			lead_start_claim(l, LEAD_CLAIM_OTHER, now);
 		return;
@@ -173,18 +132,17 @@
 void lead_finish_probe(struct lead *l, rp_ms now)
 {
 	int isolated = !l->nhearing && !l->nnot_hearing && l->nothers;
-	int cut_off = is_cut_off_with_others(l, now);
 
 	if (l->role == LEAD_LEADING) {
 		finish_provisional_probe(l, now);
 		return;
 	}
-	if (!l->nhearing && (cut_off || !store_is_usable(l)) &&
-	    l->own_row_version && !l->claims_disabled) {
+	if (!l->nhearing && !store_is_usable(l) && l->own_row_version &&
+	    !l->claims_disabled) {
 		finish_probe_without_store(l, now);
 		return;
 	}
-	if (l->nhearing || l->store_lost || cut_off ||
+	if (l->nhearing || l->store_lost ||
 	    (isolated && may_be_renewing(l, now))) {
 		back_off(l, now);
 		return;
--- a/lead.h
+++ b/lead.h
@@ -11,13 +11,11 @@
  * accept its token.
  *
  * A leader is replaced when it resigns, or when its heartbeats stop and no
- * reachable entry VM receives them. VMs that are less than a majority replace
- * it only if it does not renew its row either.
+ * reachable entry VM receives them.
  *
  * There are three cases of a provisional leader, elected without the store:
- * - A failure domain that is cut off from all other domains, and from the store
- *   or from a leader that renews its row there. One of its VMs leads the
- *   domain's own targets.
+ * - A failure domain that is cut off from the store and from all other
+ *   domains. One of its VMs leads the domain's own targets.
  * - Some failure domains whose VMs all reach each other. One of them leads the
  *   targets of these domains. VMs that are a part of their domain only do not
  *   lead: the other part may have a leader, which uses the same targets.
@@ -29,10 +27,8 @@
  *
  * A provisional leader probes the other VMs from time to time. Once VMs of
  * other domains answer and none of them hears another leader, it leads their
- * targets too, or claims the next term if the store is back. It also claims the
- * next term if it reaches the store and no regular leader renews there. If one
- * of the others hears a leader, that leader is told of this one, and claims the
- * next term.
+ * targets too, or claims the next term if the store is back. If one does, that
+ * leader is told of this one, and claims the next term.
  *
  * The upper half of a fencing token is the term: the number of leaders elected
  * through the store. The lower half is 0 for a regular leader and tells the
@@ -73,8 +69,6 @@
 #define LEAD_CLAIM_PATIENCE_MS 100
 /* Interval at which the leader renews its row in the store. */
 #define LEAD_RENEW_INTERVAL_MS 500
-/* Time until the others have read a renewal, with a store that is slow. */
-#define LEAD_RENEWAL_DELAY_MS 200
 /* Time without renewal after which a VM that reaches no other one claims. */
 #define LEAD_RENEWAL_TIMEOUT_MS 3500
 /* The same for a VM whose connection the leader's address refused. */
@@ -187,13 +181,10 @@
 	rp_ms phase_at;	    /* start of the phase, unless idle */
 	rp_ms heartbeat_at; /* the last heartbeat from the leader itself */
 	double longest_gap; /* between its heartbeats of late, ms */
-	rp_ms renewed_at;   /* a regular leader's renewal was read last */
+	rp_ms renewed_at;   /* the renewal of the row was read last */
 	/* The latest renewal was first read; reading it again tells nothing. */
 	rp_ms renewal_seen_at;
 	int64_t renewal_version;
-	/* The same for renewals of regular leaders. */
-	rp_ms regular_renewed_at;
-	rp_ms store_unusable_at; /* 0: it was never */
 	/*
 	 * Time from the previous leader's last renewal to the change of
 	 * leader, ms.
@@ -249,11 +240,10 @@
 /* The claim was rejected, or its result is unknown. */
 void lead_claim_failed(struct lead *l, rp_ms now);
 /*
- * The renewal of the leader of this token was read from the store, with the
- * version of its row. A full read of the table finds it again, also when the
- * leader is long gone.
+ * The leader's renewal was read from the store, with the version of its row. A
+ * full read of the table finds it again, also when the leader is long gone.
  */
-void lead_renewed(struct lead *l, uint64_t fence, int64_t version, rp_ms now);
+void lead_renewed(struct lead *l, int64_t version, rp_ms now);
 /* A heartbeat or an answer to a probe was received. */
 void lead_heartbeat(struct lead *l, const struct lead_heartbeat *hb, rp_ms now);
 /* The leader's address refused a connection. */
--- a/pool-store.c
+++ b/pool-store.c
@@ -96,20 +96,13 @@
 	pool_hello__free_unpacked(vm, NULL);
 }
 
-static void on_renewal_row(struct pool *p, const struct platform_row *row)
-{
-	uint64_t fence = row->value ? strtoull(row->value, NULL, 10) : 0;
-
-	lead_renewed(&p->lead, fence, row->version, p->now);
-}
-
 static void on_pool_row(struct pool_watch *w, const struct platform_row *row)
 {
 	if (!strcmp(row->key, LEADER_KEY)) {
 		if (row->value)
 			on_leader_row(w->p, row);
 	} else if (!strcmp(row->key, RENEWED_KEY)) {
-		on_renewal_row(w->p, row);
+		lead_renewed(&w->p->lead, row->version, w->p->now);
 	} else if (!strncmp(row->key, VM_KEY_PREFIX, strlen(VM_KEY_PREFIX))) {
 		on_vm_row(w->p, row);
 	}
--- a/regress/lead-election.c
+++ b/regress/lead-election.c
@@ -377,8 +377,8 @@
 	lead_init(l, &ops, NULL, "vm", "10.0.0.1:1", 7);
 	own.incarnation = l->incarnation;
 	lead_row_read(l, &leader, 1000);
-	lead_renewed(l, LEAD_TOKEN(1), 5, 1300);
-	lead_renewed(l, LEAD_TOKEN(1), 5, 6000);
+	lead_renewed(l, 5, 1300);
+	lead_renewed(l, 5, 6000);
 	lead_row_read(l, &own, 6500);
 	cr_assert_eq(l->role, LEAD_LEADING);
 	cr_assert_eq(l->prev_renewal_age, 5200);
--- a/regress/lead-pool.h
+++ b/regress/lead-pool.h
@@ -23,14 +23,12 @@
 	rp_ms heartbeat_at;
 	rp_ms probed_at;      /* 0: no probe under way */
 	rp_ms store_lost_for; /* ms */
-	rp_ms renewed_at;
 };
 
 static struct vm vms[VMS];
 static int cut[VMS + 1][VMS + 1];
 static struct lead_row row; /* the store's row that names the leader */
 static rp_ms now, renewed_at;
-static uint64_t renewed_fence; /* of the leader that has renewed last */
 static int takeovers;
 static int lose_claims; /* claims have no effect and get no reply */
 
@@ -64,7 +62,6 @@
 	row.version = expected + 1;
 	takeovers++;
 	renewed_at = now;
-	renewed_fence = row.fence;
 	lead_row_read(l, &row, now);
 }
 
@@ -164,19 +161,6 @@
 	lead_heartbeat(&to->lead, &hb, now);
 }
 
-/* A provisional leader has no row that would have to be its own. */
-static inline void renew(struct vm *vm)
-{
-	const struct lead *l = &vm->lead;
-
-	if (l->role != LEAD_LEADING ||
-	    (l->row.fence != row.fence && !lead_is_provisional(l)) ||
-	    now - vm->renewed_at < LEAD_RENEW_INTERVAL_MS)
-		return;
-	vm->renewed_at = renewed_at = now;
-	renewed_fence = l->row.fence;
-}
-
 /* One step of 10 ms for a VM: its reads of the store and its messages. */
 static inline void step_vm(int i)
 {
@@ -194,8 +178,11 @@
 		if (row.fence || vm->lead.role == LEAD_UNKNOWN)
 			lead_row_read(&vm->lead, row.fence ? &row : &none, now);
 		if (now - renewed_at < 20)
-			lead_renewed(&vm->lead, renewed_fence, renewed_at, now);
-		renew(vm);
+			lead_renewed(&vm->lead, renewed_at, now);
+		if (vm->lead.role == LEAD_LEADING &&
+		    vm->lead.row.fence == row.fence &&
+		    now - renewed_at >= LEAD_RENEW_INTERVAL_MS)
+			renewed_at = now;
 	}
 	for (j = 0; j < VMS; j++) {
 		if (j == i || !vms[j].up || cut[i][j])
--- a/regress/pool-lead.c
+++ b/regress/pool-lead.c
@@ -52,7 +52,7 @@
 	beat.fence = LEAD_TOKEN(1);
 	beat.list_confirmed = 1;
 	pool_listing_heartbeat_received(&p, &beat);
-	lead_renewed(&p.lead, p.lead.row.fence, 5, p.now);
+	lead_renewed(&p.lead, 5, p.now);
 	p.now += 100;
 	own.incarnation = p.incarnation;
 	snprintf(own.vm, sizeof(own.vm), "vm0");
--- a/regress/pool-unlisted.c
+++ b/regress/pool-unlisted.c
@@ -62,7 +62,7 @@
 	struct lead_row leader = { .fence = LEAD_TOKEN(3), .version = 8 };
 
 	snprintf(leader.vm, sizeof(leader.vm), "vm1");
-	lead_renewed(&p.lead, p.lead.row.fence, 7, p.now);
+	lead_renewed(&p.lead, 7, p.now);
 	lead_row_read(&p.lead, &leader, p.now);
 }
 
@@ -168,7 +168,7 @@
 	follow_leader();
 	receive_heartbeat(1);
 	p.now += p.set.entry_interval;
-	lead_renewed(&p.lead, p.lead.row.fence, 9, p.now);
+	lead_renewed(&p.lead, 9, p.now);
 	cr_assert(!may_start());
 }
 
--- a/regress/world/vms-store.c
+++ b/regress/world/vms-store.c
@@ -74,10 +74,8 @@
 		reply(vm, e, VMS_RENEW_REPLY, -1);
 		return;
 	}
-	if (ok) {
+	if (ok)
 		o->renewal_version = ++o->version;
-		o->renewal_fence = e->row.fence;
-	}
 	reply(vm, e, VMS_RENEW_REPLY, ok);
 }
 
@@ -170,8 +168,8 @@
 			vm->store_replied_at = vms_now(vm);
 			vm->lead.targets_unknown = 0;
 			lead_row_read(&vm->lead, &o->row, vms_now(vm));
-			lead_renewed(&vm->lead, o->renewal_fence,
-				     o->renewal_version, vms_now(vm));
+			lead_renewed(&vm->lead, o->renewal_version,
+				     vms_now(vm));
 			vms_read_list(vm);
 		} else {
 			vm->list_lost = 1;
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -289,7 +289,6 @@
 	rp_ms store_delay; /* longest, of a call */
 	struct lead_row row;
 	int64_t version, renewal_version;
-	uint64_t renewal_fence;
 	struct vms_entry entries[WORLD_TARGETS];
 	size_t nentries;
 	struct vms_caller callers[VMS_CALLERS];
