sched: Records follow a stated deadline for two minutes at most

A caller may state any deadline. One of weeks, whose job ended after 50 ms, was told from leader to leader for as long, and records of released ends were kept all the while, without a bound; 100,000 records with long deadlines would have displaced each other one on arrival. Found by review.

Records are kept until the job's deadline if that is within two minutes, and ten seconds more. A heartbeat tells no longer time. sched-deadline has a test; it fails before.

--- a/regress/sched-deadline.c
+++ b/regress/sched-deadline.c
@@ -162,6 +162,25 @@
 	end_world(&first);
 }
 
+/*
+ * Guards against one caller that states weeks, whose record displaces others,
+ * and of which each leader tells the next.
+ */
+Test(sched_deadline, a_deadline_of_weeks_is_forgotten_after_minutes)
+{
+	rp_ms begin;
+
+	world_begin(&w, &first, 1);
+	begin = w.now;
+	world_submit(&w, "q", 1, 100, 1, UINT32_MAX);
+	cr_assert_leq(sched_callers_wait_until(&first), begin + 120000);
+	world_run_until(&w, begin + 1000);
+	cr_assert_eq(apr_hash_count(first.history), 1);
+	world_run_until(&w, begin + 132000);
+	cr_assert_eq(apr_hash_count(first.history), 0);
+	end_world(&first);
+}
+
 /* Guards against a successor that forgets before the callers do. */
 Test(sched_deadline, a_lost_owners_jobs_count_until_their_deadlines)
 {
--- a/sched-past.c
+++ b/sched-past.c
@@ -17,7 +17,11 @@
  * be submitted again.
  */
 #define HISTORY_MS 10000
-/* Records that are kept at most, as callers may state any deadline. */
+/*
+ * Time until a deadline that records are kept for at most, and their number:
+ * bounds on the memory, as callers may state any deadline.
+ */
+#define HISTORY_MAX_MS 120000
 #define HISTORY_MAX 100000
 
 static void add_loss(struct sched_history *rec, size_t task,
@@ -120,13 +124,18 @@
 	return a > b ? a : b;
 }
 
-/* When the job is not submitted again any more. A stored one has no deadline.
- */
-static rp_ms expires_at(const struct sched_job *job)
+/* The end of the time in which a job of the deadline may be submitted again. */
+static rp_ms history_until(const struct sched *s, rp_ms deadline)
 {
-	rp_ms now = job->s->now;
+	rp_ms most = s->now + HISTORY_MAX_MS;
 
-	return (job->stored ? now : later(now, job->deadline)) + HISTORY_MS;
+	return later(s->now, deadline < most ? deadline : most) + HISTORY_MS;
+}
+
+/* A stored job has no deadline. */
+static rp_ms expires_at(const struct sched_job *job)
+{
+	return history_until(job->s, job->stored ? 0 : job->deadline);
 }
 
 void sched_history_add(const struct sched_job *job)
@@ -223,7 +232,7 @@
 
 	if (!e)
 		return;
-	e->kept_until = later(s->now + HISTORY_MS, s->callers_wait_until);
+	e->kept_until = history_until(s, s->callers_wait_until);
 	str_copy(e->task, sizeof(e->task), str_of(task));
 	*s->released_tail = e;
 	s->released_tail = &e->next;
@@ -266,7 +275,9 @@
 			until = later(until, job->deadline);
 	for (i = 0; i < s->ntargets; i++)
 		until = later(until, sched_unacked_needed_until(s->targets[i]));
-	return until;
+	return later(0, until < s->now + HISTORY_MAX_MS
+				? until
+				: s->now + HISTORY_MAX_MS);
 }
 
 void sched_history_expire(struct sched *s)
--- a/scheduler.h
+++ b/scheduler.h
@@ -794,7 +794,8 @@
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now);
 /*
  * Until when callers wait for jobs that may be submitted to a successor: those
- * that are open, and those whose owners do not know of an end yet. 0: none.
+ * that are open, and those whose owners do not know of an end yet; as far as
+ * records are kept for them. 0: none.
  */
 rp_ms sched_callers_wait_until(const struct sched *s);
 /* Earlier schedulers had jobs whose callers wait until then at most. */
