sched: Ends that are kept do not hide those of later runs

A target returns 500 ends at a time, from the first one that is not acknowledged. While one is kept for a job that may be submitted again, later ends pile up behind it; at 500 the target shows no new one, and finished tasks keep their room until their jobs expire. A target keeps 250 at most now.

Simulated targets return 500 ends at a time; they had kept 256.

--- a/regress/sched-deadline.c
+++ b/regress/sched-deadline.c
@@ -81,7 +81,8 @@
 }
 
 /* The scheduler ends; its successor is told what a leader's heartbeats tell. */
-static void succeed(struct sched *from, struct sched *to, uint64_t term)
+static void succeed(struct sched *from, struct sched *to, uint64_t term,
+		    rp_ms default_wait)
 {
 	rp_ms until = sched_callers_wait_until(from);
 
@@ -89,12 +90,12 @@
 	world_drop_calls(&w, from);
 	world_start_sched(&w, to, NULL, LEAD_TOKEN(term));
 	to->owners_missing = 1;
-	to->default_wait = DEFAULT_WAIT_MS;
+	to->default_wait = default_wait;
 	sched_callers_waited_until(to, until);
 }
 
 /* A task ends just after its leader, and its owner does not learn of it. */
-static struct world_job *begin_unknown_job(void)
+static struct world_job *begin_unknown_job(rp_ms default_wait)
 {
 	struct world_job *job;
 
@@ -104,7 +105,7 @@
 	job->fence = first.fence;
 	sched_submit(&first, job, job->sub, w.now);
 	world_run_until(&w, w.now + 2900);
-	succeed(&first, &second, 2);
+	succeed(&first, &second, 2, default_wait);
 	world_run_until(&w, w.now + 5000);
 	return job;
 }
@@ -115,7 +116,7 @@
  */
 Test(sched_deadline, an_unclaimed_end_is_known_until_the_jobs_deadline)
 {
-	struct world_job *job = begin_unknown_job();
+	struct world_job *job = begin_unknown_job(DEFAULT_WAIT_MS);
 
 	world_run_until(&w, w.now + 6000);
 	second.owners_missing = 0;
@@ -135,13 +136,43 @@
 {
 	size_t i, kept = 0;
 
-	begin_unknown_job()->answered = 1;
+	begin_unknown_job(DEFAULT_WAIT_MS)->answered = 1;
 	for (i = 0; i < 4; i++)
 		kept += w.targets[i].nends;
 	cr_assert_eq(kept, 0);
 	end_world(&second);
 }
 
+/*
+ * A target returns 500 ends at a time, and all of them again until the first
+ * is acknowledged. Guards against an end that is kept, as callers that state no
+ * deadline wait for long, and hides those of later runs.
+ */
+Test(sched_deadline, an_end_that_is_kept_does_not_hide_later_ones)
+{
+	int i, completed = 0, ended_early = 0;
+
+	begin_unknown_job(60000)->answered = 1;
+	for (i = 0; i < 3000; i++) {
+		world_submit(&w, "q", 1, 10, 1, 2000);
+		world_run_until(&w, w.now + 8);
+	}
+	world_run_until(&w, w.now + 3000);
+	for (i = 1; i <= 3000; i++) {
+		const struct world_job *job = w.jobs[w.njobs - (size_t)i];
+
+		cr_assert(job->answered);
+		if (job->outcome == POOL_ANSWER__OUTCOME__COMPLETED)
+			completed++;
+		else if (job->outcome != POOL_ANSWER__OUTCOME__REJECTED)
+			ended_early++;
+	}
+	cr_assert_eq(ended_early, 0, "%d of 3000 jobs ended early",
+		     ended_early);
+	cr_assert_geq(completed, 2500, "%d of 3000 completed", completed);
+	end_world(&second);
+}
+
 /* The same for the ends of an owner that is lost. */
 Test(sched_deadline, an_end_of_a_lost_owner_does_not_stay_on_its_target)
 {
--- a/regress/world/call.c
+++ b/regress/world/call.c
@@ -72,7 +72,8 @@
 	memcpy(r->runs, t->runs, t->nruns * sizeof(*t->runs));
 	memcpy(r->ends, t->ends, t->nends * sizeof(*t->ends));
 	r->nruns = t->nruns;
-	r->nends = t->nends;
+	r->nends = t->nends < WORLD_ENDS_PER_REPLY ? t->nends
+						   : WORLD_ENDS_PER_REPLY;
 }
 
 /*
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -12,7 +12,8 @@
 
 #define WORLD_TARGETS 64
 #define WORLD_RUNS 16
-#define WORLD_ENDS 256
+#define WORLD_ENDS 1024
+#define WORLD_ENDS_PER_REPLY 500
 
 /* Calls to targets, and their replies. */
 enum {
--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -339,9 +339,12 @@
  * ends there are seen late. So it is not kept for as long as callers may wait:
  * after that this scheduler alone remembers it.
  */
-static int keeps_end(const struct sched *s, struct sched_orphan *o)
+static int keeps_end(const struct sched_target *t, struct sched_orphan *o)
 {
-	if (!o->number || o->how != SCHED_END_DONE || !s->owners_missing)
+	const struct sched *s = t->s;
+
+	if (!o->number || o->how != SCHED_END_DONE || !s->owners_missing ||
+	    sched_unacked_is_full(t))
 		return 0;
 	if (!o->kept_until)
 		o->kept_until = s->now + s->default_wait;
@@ -374,7 +377,7 @@
 
 		if (!o->number) {
 			stop_run(t, o);
-		} else if (!keeps_end(t->s, o)) {
+		} else if (!keeps_end(t, o)) {
 			release_end(t, o);
 			remove_orphan(t, i);
 		}
--- a/sched-int.h
+++ b/sched-int.h
@@ -335,6 +335,8 @@
 void sched_unacked_owner_lost(struct sched *s, const void *owner);
 /* Releases the ends of lost owners that are not needed any more. */
 void sched_unacked_expire(struct sched_target *t);
+/* Whether ends that are kept are about to hide those of later runs. */
+int sched_unacked_is_full(const struct sched_target *t);
 /* Returns the number up to which ends may be acknowledged. */
 uint64_t sched_ackable_end(const struct sched_target *t);
 
--- a/sched-told.c
+++ b/sched-told.c
@@ -16,6 +16,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Ends that a target keeps at most for jobs that may be submitted again. It
+ * returns them all with each list, 500 at a time: later ones would not be seen.
+ */
+#define ENDS_KEPT_MAX 250
+
 void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
 		       uint64_t mark, rp_ms needed_until)
 {
@@ -184,15 +190,22 @@
 				owner_lost(s, &s->targets[i]->unacked[j]);
 }
 
+int sched_unacked_is_full(const struct sched_target *t)
+{
+	return t->nunacked &&
+	       t->ends_seen - sched_ackable_end(t) >= ENDS_KEPT_MAX;
+}
+
 void sched_unacked_expire(struct sched_target *t)
 {
+	int full = sched_unacked_is_full(t);
 	size_t i;
 
 	for (i = t->nunacked; i-- > 0;) {
 		const struct sched_unacked_end *e = &t->unacked[i];
 
 		if (!e->owner && e->needed_until &&
-		    t->s->now >= e->needed_until)
+		    (full || t->s->now >= e->needed_until))
 			told(t, i);
 	}
 }
