sched: Room for a start that may reach a target that is back

A start without a reply was forgotten 3 s after its target's entry had gone, and its room with it, while elsewhere such calls count as ones that may still come for 15 s. A target that comes back under its id could get more than it has room for (LIMIT): its clock starts anew, so that the lease of the late start, in the time of the clock before, is far ahead. Whether the platform carries calls out across a restart is open; it names targets by id in calls.

The target keeps the room of such starts until they cannot come any more, and stays known as long. Its tasks are started elsewhere after 3 s as before.

sched-late-unlisted fails without the change: capacity exceeded.

--- a/sched-core.c
+++ b/sched-core.c
@@ -325,7 +325,8 @@
 			sched_target_lease_over(t);
 		/* One that is back would drop ends that nobody knows of yet. */
 		if (!t->listed && !t->nruns && !t->nunacked &&
-		    !t->hold_in_flight && !sched_adopt_is_awaited(t)) {
+		    !t->hold_in_flight && !sched_adopt_is_awaited(t) &&
+		    s->now >= t->late_until) {
 			remove_target(t);
 			continue;
 		}
--- a/sched-place.c
+++ b/sched-place.c
@@ -105,17 +105,6 @@
 	return !t->nisolated && now >= t->reserved_until;
 }
 
-int sched_target_has_room(const struct sched_target *t,
-			  const struct sched_resources *need)
-{
-	const struct sched_resources *capacity = &t->listing.capacity;
-
-	return t->used.cpu + need->cpu <= capacity->cpu &&
-	       t->used.memory + need->memory <= capacity->memory &&
-	       t->used.accelerators + need->accelerators <=
-		       capacity->accelerators;
-}
-
 int sched_resources_fit(const struct sched_resources *need,
 			const struct sched_resources *room)
 {
@@ -123,6 +112,22 @@
 	       need->accelerators <= room->accelerators;
 }
 
+int sched_target_has_room(const struct sched_target *t,
+			  const struct sched_resources *need)
+{
+	struct sched_resources room = t->listing.capacity;
+
+	room.cpu -= t->used.cpu;
+	room.memory -= t->used.memory;
+	room.accelerators -= t->used.accelerators;
+	if (t->s->now < t->late_until) {
+		room.cpu -= t->late.cpu;
+		room.memory -= t->late.memory;
+		room.accelerators -= t->late.accelerators;
+	}
+	return sched_resources_fit(need, &room);
+}
+
 int sched_target_eligible(const struct sched_target *t,
 			  const struct sched_job *job,
 			  const struct sched_step *step)
--- a/sched-run.c
+++ b/sched-run.c
@@ -3,6 +3,7 @@
 #include "sched-int.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Share by which a target's clock may be slow. */
 #define CLOCK_DRIFT 0.02
@@ -288,6 +289,28 @@
 	sched_loss_of_run(task, 0);
 }
 
+/*
+ * A start without a reply whose target is gone from the list may reach the next
+ * incarnation of its id. Its lease is in the time of the clock before, and may
+ * be far ahead there.
+ */
+static void keep_room(const struct sched_task *task)
+{
+	struct sched_target *t = task->target;
+	rp_ms until = task->sent_at + LATE_CALL_MAX_MS;
+	const struct sched_resources *need = need_of(task);
+
+	if (task->seen || t->listed)
+		return;
+	if (t->s->now >= t->late_until)
+		memset(&t->late, 0, sizeof(t->late));
+	t->late.cpu += need->cpu;
+	t->late.memory += need->memory;
+	t->late.accelerators += need->accelerators;
+	if (until > t->late_until)
+		t->late_until = until;
+}
+
 static void drop_run(struct sched_target *t, struct sched_task *task,
 		     int crashed, const char *reason)
 {
@@ -299,6 +322,7 @@
 	if ((task->job->owner_lost || task->job->superseded) && !crashed)
 		sched_history_add_unreached(task);
 	sched_late_give_up(task);
+	keep_room(task);
 	sched_run_ended(task, SCHED_END_STOPPED);
 }
 
--- a/scheduler.h
+++ b/scheduler.h
@@ -414,6 +414,12 @@
 	struct sched_resources used;
 	struct sched_task *runs; /* tasks that may be running here */
 	size_t nruns;
+	/*
+	 * Of starts that were forgotten with its entry, and may still reach it
+	 * until late_until if it comes back.
+	 */
+	struct sched_resources late;
+	rp_ms late_until;
 	size_t nisolated;	  /* of the runs */
 	int was_isolated;	  /* the runs that were lost with it were */
 	rp_ms reserved_until;	  /* for a task to be isolated */
