sched: Runs that a restart has ended are stopped on the next incarnation

Calls are sent again when a target is slow to reply. If one copy of a start had a reply and the target then restarted under its id, the run counted as over as soon as the next list did not show it. The other copy, carried out late, started the task on the next incarnation, which has no record of the run: more than the target has room for, or the task twice.

--- a/sched-hold.c
+++ b/sched-hold.c
@@ -320,6 +320,20 @@
 	       t->hold_sent_at >= t->s->fence_raised_at;
 }
 
+/*
+ * Whether another copy of the run's start may still reach the target, which has
+ * restarted since and would carry it out. A stop that this incarnation has
+ * acknowledged prevents that.
+ */
+static int may_start_again(const struct sched_target *t,
+			   const struct sched_task *task)
+{
+	if (!task->restarted || t->s->now - task->sent_at >= LATE_CALL_MAX_MS)
+		return 0;
+	return !sched_run_is_stopping(task) ||
+	       task->replied_at < t->incarnation_at;
+}
+
 /* Updates the known runs from a list. */
 static void reconcile_runs(struct sched_target *t,
 			   const struct sched_target_reply *reply)
@@ -341,7 +355,9 @@
 				sched_run_send_stop(task);
 			continue;
 		}
-		if (is_over(t, task)) {
+		if (is_over(t, task) && may_start_again(t, task)) {
+			sched_run_stop_again(task);
+		} else if (is_over(t, task)) {
 			if (task->restarted)
 				sched_loss_of_run(task, 1);
 			sched_late_give_up(task);
--- a/sched-int.h
+++ b/sched-int.h
@@ -367,6 +367,8 @@
 /* Returns the end of a lease granted now, in ms of the target's clock. */
 int64_t sched_new_lease(struct sched_target *t);
 void sched_run_send_stop(struct sched_task *task);
+/* Stops the run on an incarnation of its target that has not stopped it. */
+void sched_run_stop_again(struct sched_task *task);
 struct sched_task *sched_run_find(struct sched_target *t, struct rp_str name,
 				  uint32_t run);
 /*
--- a/sched-run.c
+++ b/sched-run.c
@@ -159,6 +159,14 @@
 	sched_target_hold(task->target);
 }
 
+void sched_run_stop_again(struct sched_task *task)
+{
+	if (!sched_run_is_stopping(task))
+		task->state = SCHED_STOPPING;
+	task->replied_at = 0;
+	sched_run_send_stop(task);
+}
+
 /* Queues the task to run again, with a higher run number. */
 static void requeue_task(struct sched_task *task)
 {
