--- a/pool-job.c
+++ b/pool-job.c
@@ -157,7 +157,7 @@
 
 rp_ms pool_job_timeout(unsigned failures)
 {
-	rp_ms timeout = CALL_TIMEOUT_MS * (failures > 1 ? failures : 1);
+	rp_ms timeout = (rp_ms)CALL_TIMEOUT_MS * (failures > 1 ? failures : 1);
 
 	return timeout < CALL_TIMEOUT_MAX_MS ? timeout : CALL_TIMEOUT_MAX_MS;
 }
@@ -369,7 +369,8 @@
 	struct pool_job_call *j = pool_job_call_new(r, id);
 
 	/* The row can still be read after a query without a reply. */
-	if (r->deadline - r->p->now < 2 * QUERY_TIMEOUT_MS || !query_leader(j))
+	if (r->deadline - r->p->now < (rp_ms)2 * QUERY_TIMEOUT_MS ||
+	    !query_leader(j))
 		read_row(j);
 }
 
@@ -431,21 +432,22 @@
 
 void pool_jobs_tick(struct pool *p)
 {
-	struct pool_job_call *j, *next;
+	struct pool_job_call *j;
 
-	for (j = p->job_calls->all; j; j = next) {
-		next = j->all_next;
+	for (j = p->job_calls->all; j; j = j->all_next) {
 		if (j->request && p->now >= j->request->deadline)
 			pool_job_respond_failed(j, pool_job_is_unsent(j) ? 503
 									 : 0);
-		if (!j->request && j->repeat_at)
-			pool_job_call_free(j);
 	}
 	if (p->now < p->job_calls->read_again_due)
 		return;
 	j = first_to_read_again(p);
 	if (!j)
 		return;
+	if (!j->request) { /* its caller does not wait any more */
+		pool_job_call_free(j);
+		return;
+	}
 	p->job_calls->read_again_due = p->now + READ_AGAIN_INTERVAL_MS;
 	j->repeat_at = 0;
 	read_row(j);
