sched: A job that has to wait beyond its deadline is answered at once

A second submission of a job waits while a run of the first may go on out of reach, until the first one's deadline. With stated deadlines that may be far beyond its own: it was accepted, held without a start, and answered 504 in the end. Admission counts the time from the earliest start now.

sched-deadline has the test; it fails before.

--- a/regress/sched-deadline.c
+++ b/regress/sched-deadline.c
@@ -80,6 +80,32 @@
 	end_world(&first);
 }
 
+/*
+ * A run of a lost owner's job may go on out of reach until that job's deadline,
+ * so a second submission may not start before. Guards against one that is held
+ * until it expires, though it cannot end in time.
+ */
+Test(sched_deadline, a_job_that_has_to_wait_too_long_is_answered_at_once)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 2);
+	job = world_submit(&w, "q", 1, 3000, 1, 30000);
+	world_run_until(&w, w.now + 200);
+	w.targets[0].unresponsive = w.targets[0].nruns > 0;
+	w.targets[1].unresponsive = w.targets[1].nruns > 0;
+	sched_owner_lost(&first, job, w.now);
+	world_run_until(&w, w.now + 3000);
+	job->sub->former = job->sub->n_done = 0;
+	job->sub->seq = job->seq = 1000;
+	job->sub->left_ms = 6000;
+	job->answered = 0;
+	sched_submit(&first, job, job->sub, w.now);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__INCOMPLETE);
+	end_world(&first);
+}
+
 /* The scheduler ends; its successor is told what a leader's heartbeats tell. */
 static void succeed(struct sched *from, struct sched *to, uint64_t term,
 		    rp_ms default_wait)
--- a/sched-admit.c
+++ b/sched-admit.c
@@ -167,7 +167,7 @@
 	int eligible = 0, passed = 0;
 	double rate = usable_rate(s, job, &eligible);
 	struct sched_job *j;
-	rp_ms slack;
+	rp_ms slack, earliest;
 	size_t i;
 
 	*retry = RETRY_AFTER_MIN_MS;
@@ -184,7 +184,9 @@
 		*reason = "no target that can run the job is available";
 		return 0;
 	}
-	if (job->expires_at - s->now < sched_job_shortest_time(job)) {
+	/* It may have to wait for runs of an earlier submission. */
+	earliest = job->starts_after > s->now ? job->starts_after : s->now;
+	if (job->expires_at - earliest < sched_job_shortest_time(job)) {
 		*reason = "the job cannot end before its deadline";
 		return 0;
 	}
