--- a/rosemary-fake-call.c
+++ b/rosemary-fake-call.c
@@ -4,6 +4,8 @@
  * with 5 when there was no answer.
  */
 
+#include "platform/platform.h"
+
 #include <argp.h>
 #include <curl/curl.h>
 #include <jansson.h>
@@ -16,7 +18,6 @@
 #define EXIT_HTTP_ERROR 1
 #define EXIT_UNREACHABLE 5
 #define RETRY_INTERVAL_MS 20
-#define DEADLINE_HEADER "X-Rosemarypoint-Deadline"
 
 struct call {
 	const char *args[4]; /* method, address, path, body */
@@ -131,7 +132,7 @@
 	CURLcode code;
 
 	snprintf(url, sizeof(url), "http://%s%s", c->args[1], c->args[2]);
-	snprintf(deadline, sizeof(deadline), DEADLINE_HEADER ": %ld",
+	snprintf(deadline, sizeof(deadline), PLATFORM_DEADLINE_HEADER ": %ld",
 		 c->deadline_ms);
 	if (c->deadline_ms >= 0)
 		headers = curl_slist_append(NULL, deadline);
