sched: An end listed after its owner was lost leaves its target as well

Ends without an owner are kept for the default wait, or until the deadline if that is earlier, wherever they are added. The success is noted in the record of the answered job, so that the caller, which may come back until its deadline, gets it and the task does not run again; that record had lacked it.

sched-deadline has a test of both; it fails before, one end is left after 2.8 s.

--- a/regress/sched-deadline.c
+++ b/regress/sched-deadline.c
@@ -219,6 +219,33 @@
 	end_world(&first);
 }
 
+/*
+ * The same for an end that is listed after its owner was lost, before the stop
+ * has arrived. Guards as well against a second run of its task, when the caller
+ * comes back after the target was told to forget the end.
+ */
+Test(sched_deadline, an_end_after_its_owner_is_lost_does_not_stay_either)
+{
+	struct world_job *job;
+
+	world_begin(&w, &first, 1);
+	first.default_wait = DEFAULT_WAIT_MS;
+	job = world_submit(&w, "q", 1, 300, 1, 30000);
+	world_run_until(&w, w.now + 100);
+	cr_assert_eq(w.targets[0].nruns, 1);
+	w.targets[0].late[WORLD_STOP] =
+		(struct world_late){ 100, 1000, 1000, 0 };
+	sched_owner_lost(&first, job, w.now);
+	world_run_until(&w, w.now + 800);
+	cr_assert_eq(w.targets[0].nends, 1);
+	world_run_until(&w, w.now + 2000);
+	cr_assert_eq(w.targets[0].nends, 0);
+	submit_elsewhere(job, &first, 5000);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	cr_assert_eq(w.starts, 1);
+	end_world(&first);
+}
+
 /*
  * Guards against one caller that states weeks, whose record displaces others,
  * and of which each leader tells the next.
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -257,6 +257,8 @@
 	if (e->how != SCHED_END_STOPPED)
 		sched_learn_end(task, (double)(t->s->now - task->sent_at),
 				e->how == SCHED_END_FAILED);
+	if (owner_lost && e->how == SCHED_END_DONE)
+		sched_history_add_done(task);
 	mark = sched_run_ended(task, e->how);
 	if (owner_lost && e->how == SCHED_END_DONE)
 		mark = SCHED_ALL_MARKS;
--- a/sched-int.h
+++ b/sched-int.h
@@ -149,6 +149,8 @@
 /* Records a target that was lost with a task of an answered job. */
 void sched_history_add_loss(const struct sched_task *task,
 			    const struct sched_loss *loss);
+/* Records the success of a task of an answered job. */
+void sched_history_add_done(const struct sched_task *task);
 /*
  * Records that the run, whose target cannot be reached, may go on as long as
  * the job's caller waits: the owner, which is lost or does not know of a second
@@ -304,7 +306,8 @@
 /* sched-told.c */
 /*
  * Delays the end's acknowledgement until the owner acknowledges the mark, or
- * the owner is lost and needed_until has passed. mark 0: adds nothing.
+ * the owner is lost, which is NULL, and needed_until or default_wait has
+ * passed. mark 0: adds nothing.
  */
 void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
 		       uint64_t mark, rp_ms needed_until);
@@ -331,7 +334,7 @@
 			   uint64_t mark, rp_ms needed_until);
 /* Until when a job may be submitted of which an end here is kept; 0: none. */
 rp_ms sched_unacked_needed_until(const struct sched_target *t);
-/* The owner's ends wait until its jobs cannot be submitted any more. */
+/* The owner's ends wait as those that no job claims do, and then go. */
 void sched_unacked_owner_lost(struct sched *s, const void *owner);
 /* Releases the ends of lost owners that are not needed any more. */
 void sched_unacked_expire(struct sched_target *t);
--- a/sched-past.c
+++ b/sched-past.c
@@ -79,6 +79,14 @@
 	}
 }
 
+void sched_history_add_done(const struct sched_task *task)
+{
+	struct sched_history *rec = find_record(task->job);
+
+	if (rec)
+		rec->done[task - task->job->tasks] = 1;
+}
+
 /* Time for an entry VM to cancel a job at its deadline, and to stop its runs.
  */
 #define EXPIRY_MS 100
--- a/sched-told.c
+++ b/sched-told.c
@@ -22,6 +22,14 @@
  */
 #define ENDS_KEPT_MAX 250
 
+/* An end without an owner is kept as one that no job claims, sched-adopt.c. */
+static rp_ms kept_without_owner(const struct sched *s, rp_ms needed_until)
+{
+	rp_ms until = s->now + s->default_wait;
+
+	return s->default_wait && needed_until > until ? until : needed_until;
+}
+
 void sched_unacked_add(struct sched_target *t, uint64_t number, void *owner,
 		       uint64_t mark, rp_ms needed_until)
 {
@@ -36,7 +44,8 @@
 		.number = number,
 		.owner = owner,
 		.mark = mark,
-		.needed_until = needed_until,
+		.needed_until = owner ? needed_until
+				      : kept_without_owner(t->s, needed_until),
 	};
 }
 
@@ -170,14 +179,10 @@
 	return until;
 }
 
-/* The end is kept as one that no job claims is, see sched-adopt.c. */
 static void owner_lost(const struct sched *s, struct sched_unacked_end *e)
 {
-	rp_ms until = s->now + s->default_wait;
-
 	e->owner = NULL;
-	if (s->default_wait && e->needed_until > until)
-		e->needed_until = until;
+	e->needed_until = kept_without_owner(s, e->needed_until);
 }
 
 void sched_unacked_owner_lost(struct sched *s, const void *owner)
--- a/scheduler.h
+++ b/scheduler.h
@@ -686,6 +686,7 @@
 	/*
 	 * An entry VM that is not connected may own jobs of an earlier leader:
 	 * ends that no job claims are kept on their targets for default_wait.
+	 * Ends of owners that are lost are kept no longer either.
 	 */
 	int owners_missing;
 	rp_ms default_wait; /* of callers that state no deadline, longest, ms */
@@ -794,8 +795,8 @@
 void sched_owner_acked(struct sched *s, void *owner, uint64_t mark, rp_ms now);
 /*
  * The owner is lost: its jobs are cancelled. It may be alive and submit them to
- * another scheduler, so ends that it may not know of stay on the targets as
- * long as the jobs' callers wait.
+ * another scheduler, so ends that it may not know of stay on the targets for
+ * default_wait, or until the jobs' deadlines if these are earlier.
  */
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now);
 /*
