sched: Time that jobs wait for their starts, by queue and reason

Callers of class remind got late answers, and log and metrics could not tell a wait for room from one for the job's owner: "waited_ms" of a job has no reason, and most jobs are not logged.

Cause: start_tasks() returned without saying why. It returns the reason now; the time is summed up by job, and by queue once the job is answered. Metric start_delay_ms_total, event start_delays, two fields of job_ended.

--- a/pool-count.c
+++ b/pool-count.c
@@ -275,6 +275,29 @@
 	}
 }
 
+/* Jobs of each queue, and for what they waited. */
+static void put_delays(struct text *t, struct sched *s)
+{
+	apr_hash_index_t *h;
+	void *value;
+	int i;
+
+	for (h = apr_hash_first(NULL, s->queues); h; h = apr_hash_next(h)) {
+		const struct sched_queue *q;
+
+		apr_hash_this(h, NULL, NULL, &value);
+		q = value;
+		put(t, "rosemary_pool_jobs_ended_total{queue=\"%s\"} %llu\n",
+		    q->name, (unsigned long long)q->nended);
+		for (i = SCHED_DELAY_NONE + 1; i < SCHED_DELAYS; i++)
+			put(t,
+			    "rosemary_pool_start_delay_ms_total{queue=\"%s\","
+			    "why=\"%s\"} %lld\n",
+			    q->name, sched_delay_name((enum sched_delay)i),
+			    (long long)q->delays[i]);
+	}
+}
+
 char *pool_metrics(struct pool *p)
 {
 	struct text t = { malloc(TEXT_MAX), 0 };
@@ -293,5 +316,7 @@
 	put_histogram(&t, "rosemary_pool_loop_lag_ms", &p->count.lag);
 	if (p->leading)
 		put_sizes(&t, &p->sched);
+	if (p->leading)
+		put_delays(&t, &p->sched);
 	return t.s;
 }
--- a/pool-log.c
+++ b/pool-log.c
@@ -4,6 +4,9 @@
 
 #include <math.h>
 
+#define DELAYS_INTERVAL_MS 5000 /* between log lines on a queue's delays */
+#define DELAYS_QUEUES_MAX 20	/* queues that are logged */
+
 void pool_log_job(struct sched *s, const struct sched_job *job,
 		  const PoolAnswer *answer)
 {
@@ -31,6 +34,8 @@
 		LOG_NUMBER("estimate_ms", (long long)estimate),
 		LOG_NUMBER("work_ms", (long long)job->steps[0].work),
 		LOG_NUMBER("waited_ms", waited),
+		LOG_NUMBER("room_delay_ms", job->delays[SCHED_DELAY_ROOM]),
+		LOG_NUMBER("owner_delay_ms", job->delays[SCHED_DELAY_OWNER]),
 		LOG_NUMBER("age_ms", s->now - job->arrived_at),
 		LOG_NUMBER("earlier_ms", job->received_at - job->arrived_at),
 		LOG_NUMBER("objective_ms", job->due_at - job->arrived_at),
@@ -130,3 +135,36 @@
 		LOG_NUMBER("slowdown_there_percent",
 			   m->to ? (long long)(100 * m->to->slowdown) : 0));
 }
+
+static void log_delays(const struct sched_queue *q)
+{
+	LOG_EVENT(LOG_LEVEL_INFO, "start_delays", LOG_TEXT("queue", q->name),
+		  LOG_NUMBER("jobs", (long long)q->nended),
+		  LOG_NUMBER("room_ms", q->delays[SCHED_DELAY_ROOM]),
+		  LOG_NUMBER("owner_ms", q->delays[SCHED_DELAY_OWNER]),
+		  LOG_NUMBER("losses_ms", q->delays[SCHED_DELAY_LOSSES]),
+		  LOG_NUMBER("earlier_runs_ms",
+			     q->delays[SCHED_DELAY_EARLIER_RUNS]));
+}
+
+void pool_log_delays(struct pool *p)
+{
+	apr_hash_index_t *h;
+	void *value;
+	int n = 0;
+
+	if (!p->leading || p->now - p->delays_logged_at < DELAYS_INTERVAL_MS)
+		return;
+	p->delays_logged_at = p->now;
+	for (h = apr_hash_first(NULL, p->sched.queues);
+	     h && n < DELAYS_QUEUES_MAX; h = apr_hash_next(h)) {
+		const struct sched_queue *q;
+
+		apr_hash_this(h, NULL, NULL, &value);
+		q = value;
+		if (!q->nended)
+			continue;
+		log_delays(q);
+		n++;
+	}
+}
--- a/pool.h
+++ b/pool.h
@@ -478,6 +478,8 @@
 void pool_histogram_add(struct pool_histogram *h, rp_ms ms);
 /* Logs at intervals what passes over the leader's links. */
 void pool_log_traffic(struct pool *p);
+/* On the leader: logs for what the jobs of each queue have waited. */
+void pool_log_delays(struct pool *p);
 /* Returns the metrics as text, to be freed. */
 char *pool_metrics(struct pool *p);
 
@@ -564,6 +566,7 @@
 	rp_ms dial_due;
 	rp_ms heartbeat_sent_at;
 	rp_ms traffic_logged_at;
+	rp_ms delays_logged_at;
 	int logged_leader_alive; /* as last logged; -1: not yet */
 	rp_ms started_at;
 	rp_ms leader_alive_at; /* when it was last known alive; 0: never */
--- a/sched-core.c
+++ b/sched-core.c
@@ -164,17 +164,6 @@
 	return NULL;
 }
 
-/* Whether runs of an earlier submission of the id may not be over. */
-static int has_earlier_runs(const struct sched_job *job)
-{
-	const struct sched_job *other;
-
-	for (other = job->s->closed; other; other = other->next)
-		if (other->nplaced && !strcmp(other->id, job->id))
-			return 1;
-	return 0;
-}
-
 /*
  * A caller that got no answer may submit the job again, at any entry VM. The
  * earlier submission is answered, and the new one starts no task until the
@@ -190,7 +179,7 @@
 		sched_job_answer(earlier, POOL_ANSWER__OUTCOME__INCOMPLETE,
 				 "superseded by another submission", 0);
 	}
-	job->awaits_earlier_runs = has_earlier_runs(job);
+	job->awaits_earlier_runs = sched_has_earlier_runs(job);
 	sched_history_restore(job);
 }
 
@@ -443,68 +432,3 @@
 	t->listed = 0;
 	t->listing.ready = 0;
 }
-
-/* Starts the job's tasks that are ready, as long as there is room. */
-static void start_tasks(struct sched_job *job)
-{
-	struct sched *s = job->s;
-	size_t i;
-
-	if (job->stored && s->stored_suspended)
-		return;
-	if (job->domains_mark || job->owner_silent ||
-	    s->now < job->starts_after ||
-	    (job->awaits_earlier_runs && has_earlier_runs(job)))
-		return;
-	job->awaits_earlier_runs = 0;
-	/* An earlier scheduler's runs of its tasks may not be known yet. */
-	if (job->prev_fence && !sched_adopt_all_known(job))
-		return;
-	for (i = 0; i < job->ntasks && job->nwaiting; i++) {
-		struct sched_task *task = &job->tasks[i];
-		struct sched_target *t;
-
-		if (task->state != SCHED_WAITING ||
-		    !sched_step_ready(job, task->step) ||
-		    sched_loss_must_wait(task))
-			continue;
-		job->avoid = task->avoid;
-		job->last_attempt = sched_task_on_last_attempt(task);
-		job->isolate = sched_loss_isolates(task);
-		t = s->place->place(s, job, &job->steps[task->step]);
-		if (t && !sched_domain_announce(job, t))
-			return;
-		if (t) {
-			sched_run_start(task, t);
-			continue;
-		}
-		if (!job->isolate)
-			return;
-		s->nunplaced++;
-		sched_reserve_target(s, job, &job->steps[task->step]);
-	}
-}
-
-void sched_dispatch(struct sched *s, rp_ms now)
-{
-	struct sched_job *job, *next;
-	int deferred;
-
-	s->now = now;
-	if (s->dispatching || s->suspended || sched_awaits_evacuations(s))
-		return;
-	s->dispatching = 1;
-	s->dispatch_pass++;
-	s->nunplaced = 0;
-	for (deferred = 0; deferred <= 1; deferred++)
-		for (job = s->jobs; job; job = next) {
-			next = job->next;
-			if (!job->nwaiting ||
-			    deferred != s->order->defer(job, now))
-				continue;
-			if (deferred && !job->missed_start)
-				sched_admit_started_late(job);
-			start_tasks(job);
-		}
-	s->dispatching = 0;
-}
--- a/sched-int.h
+++ b/sched-int.h
@@ -277,6 +277,16 @@
 int sched_late_success(struct sched_task *task, struct sched_target *t,
 		       uint64_t number);
 
+/* sched-dispatch.c */
+/* Whether runs of an earlier submission of the id may not be over. */
+int sched_has_earlier_runs(const struct sched_job *job);
+
+/* sched-delay.c */
+/* The job waits for that from now on. */
+void sched_delay_set(struct sched_job *job, enum sched_delay delay);
+/* Adds the delays of a job that is answered to those of its queue. */
+void sched_delay_count(struct sched_job *job);
+
 /* sched-domain.c */
 /* Keeps the domains in which earlier schedulers may have started tasks. */
 void sched_domains_restore(struct sched_job *job, const PoolSubmit *sub);
--- a/sched-job.c
+++ b/sched-job.c
@@ -328,7 +328,7 @@
 	job->stored = sub->stored;
 	job->arrived_at = now - sub->age_ms;
 	job->received_at = job->arrived_at;
-	job->submitted_at = now;
+	job->submitted_at = job->delayed_since = now;
 	job->deadline = now + (sub->stored ? NO_DEADLINE : sub->left_ms);
 	job->nsteps = sub->n_steps;
 	job->steps = calloc(job->nsteps, sizeof(*job->steps));
@@ -437,6 +437,7 @@
 	answer.reason = (char *)reason;
 	answer.retry_after_ms = (uint32_t)retry_after;
 	count_outcome(job, outcome);
+	sched_delay_count(job);
 	if (!job->first_started_at)
 		job->queue->nwaiting--;
 	sched_history_add(job);
--- a/scheduler.h
+++ b/scheduler.h
@@ -155,6 +155,17 @@
 	double weight; /* of all jobs, up to 1 */
 };
 
+/* What a job waits for while tasks of it could start. */
+enum sched_delay {
+	SCHED_DELAY_NONE,
+	SCHED_DELAY_ROOM,
+	SCHED_DELAY_OWNER,  /* its acknowledgement, or its silence */
+	SCHED_DELAY_LOSSES, /* what became of lost targets */
+	/* Runs of earlier schedulers or submissions are known, or over. */
+	SCHED_DELAY_EARLIER_RUNS,
+	SCHED_DELAYS
+};
+
 /* What is learned from the jobs of one queue. */
 struct sched_queue {
 	char name[SCHED_QUEUE_NAME_MAX];
@@ -171,6 +182,8 @@
 	uint64_t answered[SCHED_SIZE_BUCKETS], completed[SCHED_SIZE_BUCKETS];
 	/* Those that could not have ended in time, as their runs have shown. */
 	uint64_t too_long[SCHED_SIZE_BUCKETS];
+	uint64_t nended;	    /* jobs answered */
+	rp_ms delays[SCHED_DELAYS]; /* of these, sums */
 };
 
 /*
@@ -307,6 +320,9 @@
 	int awaits_earlier_runs;
 	int started_earlier; /* a task was, under an earlier submission */
 	rp_ms starts_after;  /* no task starts before */
+	enum sched_delay delay;
+	rp_ms delayed_since;
+	rp_ms delays[SCHED_DELAYS]; /* up to then */
 	/* Token of a scheduler that may have started tasks of it; 0: none. */
 	uint64_t prev_fence;
 	/* Tokens of this scheduler at its first and its latest submission. */
@@ -782,6 +798,7 @@
  */
 void sched_domains_await(struct sched *s, const char *id, uint64_t mark);
 void sched_cancel(struct sched *s, void *owner, uint64_t seq, rp_ms now);
+const char *sched_delay_name(enum sched_delay delay);
 /* Whether no task of the job was ever started, also by earlier schedulers. */
 int sched_job_is_untouched(const struct sched_job *job);
 /* Cancels a stored job by its id. */
