sched: A start does not wait for the entry VM that owns its job

Cause: a job that may outlast the leases of its leader, 1.8 s, started nothing in a failure domain before its owner had acknowledged that domain. That was written when jobs ended within 1.5 s. Since stated deadlines are in force nearly every job states 2 s or more, and a wide job waited for each of its domains in turn.

Change: an owner that passes starts on learns of the domains with them (PoolStart.domains). Any other presumes that tasks were started anywhere until it is told of all domains, once no task waits; a successor of a leader that ended before that waits for unreached targets of all domains. An owner that has been told still acknowledges another domain before a start there, as do the rows of stored jobs and owners of earlier releases. So the late-start rule holds, and deadlines are as callers state them.

--- a/pool-domain.c
+++ b/pool-domain.c
@@ -17,6 +17,8 @@
 	progress.seq = job->seq;
 	progress.domains = job->domains;
 	progress.n_domains = job->ndomains;
+	progress.all_domains = job->domains_told;
+	progress.any_domain = job->any_former_domain;
 	return pool_send_progress(s->user, job->owner, &progress);
 }
 
@@ -30,20 +32,45 @@
 	return 0;
 }
 
-void pool_request_add_domains(struct pool_request *r,
-			      const PoolProgress *progress)
+void pool_request_add_domains(struct pool_request *r, char *const *domains,
+			      size_t n)
 {
 	size_t i;
 
-	for (i = 0; i < progress->n_domains; i++) {
-		if (has_domain(r, progress->domains[i]))
+	for (i = 0; i < n; i++) {
+		if (has_domain(r, domains[i]))
 			continue;
 		r->domains = realloc(r->domains,
 				     (r->ndomains + 1) * sizeof(*r->domains));
-		r->domains[r->ndomains++] = strdup(progress->domains[i]);
+		r->domains[r->ndomains++] = strdup(domains[i]);
 	}
 }
 
+void pool_request_domains_told(struct pool_request *r,
+			       const PoolProgress *progress)
+{
+	pool_request_add_domains(r, progress->domains, progress->n_domains);
+	r->any_domain |= progress->any_domain;
+	if (progress->all_domains)
+		r->presumes_domains = 0;
+}
+
+void pool_request_presume_domains(struct pool_request *r, uint64_t fence)
+{
+	PoolSubmit *sub = r->submit;
+
+	/* The leader before has ended without having told of all. */
+	if (r->presumes_domains && r->sent_fence != fence) {
+		r->any_domain = 1;
+		r->presumes_domains = 0;
+	}
+	/* This VM learns of the starts that it is asked for, and of its own. */
+	if (!sub->specification_hash && !r->p->leading)
+		r->presumes_domains = 1;
+	sub->any_domain = r->any_domain;
+	sub->presumes_domains = !r->p->leading;
+}
+
 void pool_request_free_domains(struct pool_request *r)
 {
 	size_t i;
--- a/pool-order-start.c
+++ b/pool-order-start.c
@@ -20,14 +20,28 @@
 			pool_token_to_send(p, &s->owner->sent_start_fence);
 		start.tasks = s->ptrs;
 		start.n_tasks = s->n;
+		start.domains = s->domain_ptrs;
+		start.n_domains = s->ndomains;
 		frame.body_case = POOL_FRAME__BODY_START;
 		frame.start = &start;
 		pool_link_send(s->owner->link, &frame);
 	}
-	s->n = 0;
+	s->n = s->ndomains = 0;
 	s->owner = NULL;
 }
 
+static void add_domain(struct pool_starts *s, const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < s->ndomains; i++)
+		if (!strcmp(s->domains[i], domain))
+			return;
+	str_copy(s->domains[i], RP_NAME_MAX, str_of(domain));
+	s->domain_ptrs[i] = s->domains[i];
+	s->ndomains++;
+}
+
 void pool_starts_forget(struct pool *p, const struct pool_member *owner)
 {
 	if (p->starts.owner == owner)
@@ -62,5 +76,8 @@
 			     ? pool_address_pack(agent->address)
 			     : 0;
 	s->n++;
+	/* None if the job ends before it matters. */
+	if (job->ndomains)
+		add_domain(s, t->listing.failure_domain);
 	return c;
 }
--- a/pool-order.h
+++ b/pool-order.h
@@ -119,6 +119,10 @@
 	PoolStartTask tasks[POOL_STARTS_MAX];
 	PoolStartTask *ptrs[POOL_STARTS_MAX];
 	char targets[POOL_STARTS_MAX][RP_NAME_MAX];
+	/* Their failure domains. */
+	size_t ndomains;
+	char *domain_ptrs[POOL_STARTS_MAX];
+	char domains[POOL_STARTS_MAX][RP_NAME_MAX];
 };
 
 /* Asks the owner of the task's job to start it through the agent. */
--- a/pool-owner.c
+++ b/pool-owner.c
@@ -151,6 +151,7 @@
 		return;
 	}
 	pool_request_may_be_started(r);
+	pool_request_add_domains(r, start->domains, start->n_domains);
 	tasks = calloc(start->n_tasks + 1, sizeof(*tasks));
 	run.tasks = calloc(start->n_tasks + 1, sizeof(*run.tasks));
 	run.fence = p->start_fence;
--- a/pool-request.c
+++ b/pool-request.c
@@ -117,7 +117,6 @@
 	 * closed, so none can be asked for any more.
 	 */
 	r->submit->former = r->started_fence;
-	r->sent_fence = fence;
 	r->submit->age_ms = (uint32_t)(p->now - r->received_at);
 	r->submit->left_ms =
 		r->deadline > p->now ? (uint32_t)(r->deadline - p->now) : 0;
@@ -130,6 +129,8 @@
 	r->submit->domains = r->domains;
 	r->submit->n_domains = r->ndomains;
 	pool_owner_keep_specification(p, r->submit);
+	pool_request_presume_domains(r, fence);
+	r->sent_fence = fence;
 	if (!r->submit->specification_hash && !p->leading)
 		pool_request_may_be_started(r);
 	pool_send_submit(p, r->submit);
@@ -342,7 +343,7 @@
 		pool_progress__free_unpacked(r->lost, NULL);
 		r->lost = copy_progress(progress);
 	}
-	pool_request_add_domains(r, progress);
+	pool_request_domains_told(r, progress);
 	for (i = 0; i < progress->n_done; i++) {
 		if (r->ndone_tasks == r->cap_done_tasks) {
 			r->cap_done_tasks = r->cap_done_tasks * 2 + 8;
--- a/pool-request.h
+++ b/pool-request.h
@@ -34,6 +34,9 @@
 	PoolProgress *lost; /* the latest message on lost targets, or NULL */
 	char **domains;	    /* in which leaders may have started tasks */
 	size_t ndomains;
+	int any_domain; /* earlier leaders may have, anywhere */
+	/* The leader may have, anywhere, as it has not told of all domains. */
+	int presumes_domains;
 	int suspended; /* set while the connection waits for the answer */
 	int has_awaited_routes;
 	struct pool_request *next_awaiting; /* in p->awaiting_routes */
@@ -73,9 +76,17 @@
 
 /* --- pool-domain.c ---------------------------------------------------- */
 
-/* Keeps the failure domains that the leader has told of. */
-void pool_request_add_domains(struct pool_request *r,
-			      const PoolProgress *progress);
+/* Keeps failure domains in which the leader may start tasks. */
+void pool_request_add_domains(struct pool_request *r, char *const *domains,
+			      size_t n);
+/* The leader has told of its failure domains. */
+void pool_request_domains_told(struct pool_request *r,
+			       const PoolProgress *progress);
+/*
+ * The job is about to be submitted to the leader of the token, which need not
+ * tell of a failure domain before it starts tasks there.
+ */
+void pool_request_presume_domains(struct pool_request *r, uint64_t fence);
 void pool_request_free_domains(struct pool_request *r);
 
 /* --- pool-request-wait.c: requests before the routes are known --------- */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1461,7 +1461,7 @@
   (ProtobufCMessageInit) pool_loss__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[20] =
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[22] =
 {
   {
     "seq",
@@ -1703,9 +1703,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "any_domain",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, any_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "presumes_domains",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, presumes_domains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  20,   /* field[20] = any_domain */
   19,   /* field[19] = domains */
   13,   /* field[13] = done */
   15,   /* field[15] = failed */
@@ -1716,6 +1741,7 @@
   17,   /* field[17] = losses */
   6,   /* field[6] = max_attempts */
   8,   /* field[8] = objective_ms */
+  21,   /* field[21] = presumes_domains */
   5,   /* field[5] = priority */
   3,   /* field[3] = queue */
   0,   /* field[0] = seq */
@@ -1729,7 +1755,7 @@
 static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor pool_submit__descriptor =
 {
@@ -1739,14 +1765,14 @@
   "PoolSubmit",
   "",
   sizeof(PoolSubmit),
-  20,
+  22,
   pool_submit__field_descriptors,
   pool_submit__field_indices_by_name,
   1,  pool_submit__number_ranges,
   (ProtobufCMessageInit) pool_submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pool_progress__field_descriptors[8] =
 {
   {
     "seq",
@@ -1820,8 +1846,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "all_domains",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, all_domains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "any_domain",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, any_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_progress__field_indices_by_name[] = {
+  6,   /* field[6] = all_domains */
+  7,   /* field[7] = any_domain */
   5,   /* field[5] = domains */
   1,   /* field[1] = done */
   4,   /* field[4] = losses */
@@ -1832,7 +1884,7 @@
 static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pool_progress__descriptor =
 {
@@ -1842,7 +1894,7 @@
   "PoolProgress",
   "",
   sizeof(PoolProgress),
-  6,
+  8,
   pool_progress__field_descriptors,
   pool_progress__field_indices_by_name,
   1,  pool_progress__number_ranges,
@@ -3219,7 +3271,7 @@
   (ProtobufCMessageInit) pool_start_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_start__field_descriptors[3] =
+static const ProtobufCFieldDescriptor pool_start__field_descriptors[4] =
 {
   {
     "job",
@@ -3257,8 +3309,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domains",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolStart, n_domains),
+    offsetof(PoolStart, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_start__field_indices_by_name[] = {
+  3,   /* field[3] = domains */
   1,   /* field[1] = fence */
   0,   /* field[0] = job */
   2,   /* field[2] = tasks */
@@ -3266,7 +3331,7 @@
 static const ProtobufCIntRange pool_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pool_start__descriptor =
 {
@@ -3276,7 +3341,7 @@
   "PoolStart",
   "",
   sizeof(PoolStart),
-  3,
+  4,
   pool_start__field_descriptors,
   pool_start__field_indices_by_name,
   1,  pool_start__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -252,10 +252,21 @@
    */
   size_t n_domains;
   char **domains;
+  /*
+   * Earlier leaders may have started tasks in any failure domain: one has
+   * ended before it told the owner of all of its domains.
+   */
+  protobuf_c_boolean any_domain;
+  /*
+   * Until this leader has told the owner of all of its domains, the owner
+   * presumes any. It takes those of PoolStart as well. So the leader need
+   * not await an acknowledgement before it starts tasks.
+   */
+  protobuf_c_boolean presumes_domains;
 };
 #define POOL_SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_submit__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -279,15 +290,23 @@
   PoolLoss **losses;
   /*
    * Failure domains in which tasks of the job may be started from now on;
-   * they add to those sent before. The leader starts none in a domain
-   * before the owner has acknowledged it.
+   * they add to those sent before.
    */
   size_t n_domains;
   char **domains;
+  /*
+   * These are all domains of this leader. It starts none in another one
+   * before the owner has acknowledged that.
+   */
+  protobuf_c_boolean all_domains;
+  /*
+   * as in PoolSubmit
+   */
+  protobuf_c_boolean any_domain;
 };
 #define POOL_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_progress__descriptor) \
-    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -670,10 +689,15 @@
   uint64_t fence;
   size_t n_tasks;
   PoolStartTask **tasks;
+  /*
+   * failure domains of their targets
+   */
+  size_t n_domains;
+  char **domains;
 };
 #define POOL_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_start__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 struct  PoolRunTask
--- a/regress/pool-domain.c
+++ b/regress/pool-domain.c
@@ -87,11 +87,14 @@
 }
 
 /* Submits a job of the member to the leader, also again. */
-static struct sched_job *submit(uint32_t left_ms)
+static struct sched_job *submit_with(uint32_t left_ms, int presumes,
+				     uint64_t specification_hash)
 {
 	PoolSubmit sub = POOL_SUBMIT__INIT;
 	PoolStep step = POOL_STEP__INIT, *steps = &step;
 
+	sub.presumes_domains = presumes;
+	sub.specification_hash = specification_hash;
 	step.tasks = 2;
 	sub.seq = 4;
 	sub.id = "0123456789abcdef";
@@ -103,6 +106,12 @@
 	return sched_find_open_job(&leader.sched, str_of(sub.id));
 }
 
+/* Its owner is of a release that presumes no failure domains. */
+static struct sched_job *submit(uint32_t left_ms)
+{
+	return submit_with(left_ms, 0, 0);
+}
+
 /* The owner acknowledges the leader's messages up to the mark. */
 static void receive_ack(uint64_t mark)
 {
@@ -187,6 +196,92 @@
 	pool_frame__free_unpacked(frame, NULL);
 }
 
+/* Guards against a start that waits for the owner of a job. */
+Test(pool_domain, an_owner_that_presumes_domains_is_told_after_the_starts)
+{
+	struct sched_job *job = submit_with(60000, 1, 0);
+	PoolFrame *frame;
+
+	cr_assert(sched_domain_announce(job, &in_a));
+	cr_assert(sched_domain_announce(job, &in_b));
+	cr_assert_null(next_frame(&to_owner));
+	sched_domains_placed(job);
+	frame = next_frame(&to_owner);
+	cr_assert_not_null(frame);
+	cr_assert(frame->progress->all_domains);
+	cr_assert_not(frame->progress->any_domain);
+	cr_assert_eq(frame->progress->n_domains, 2);
+	pool_frame__free_unpacked(frame, NULL);
+	cr_assert_not(job->domains_mark);
+	sched_domains_placed(job);
+	cr_assert_null(next_frame(&to_owner));
+}
+
+/*
+ * A link was lost, and the job is submitted again. Guards against an owner that
+ * presumes any domain for the rest of the job.
+ */
+Test(pool_domain, an_owner_is_told_again_after_a_reconnection)
+{
+	struct sched_job *job = submit_with(60000, 1, 0);
+	PoolFrame *frame;
+
+	cr_assert(sched_domain_announce(job, &in_a));
+	member.link = NULL;
+	sched_domains_placed(job);
+	member.link = &to_owner;
+	cr_assert_eq(submit_with(60000, 1, 0), job);
+	frame = next_frame(&to_owner);
+	cr_assert_not_null(frame);
+	cr_assert(frame->progress->all_domains);
+	pool_frame__free_unpacked(frame, NULL);
+	cr_assert_not(job->domains_mark);
+}
+
+/* The start that names the domain may be lost with its link. */
+Test(pool_domain, an_owner_that_starts_tasks_is_told_after_a_reconnection)
+{
+	struct sched_job *job = submit_with(60000, 1, 7);
+	PoolFrame *frame;
+
+	cr_assert(sched_domain_announce(job, &in_a));
+	sched_domains_placed(job);
+	cr_assert_null(next_frame(&to_owner));
+	cr_assert_eq(submit_with(60000, 1, 7), job);
+	frame = next_frame(&to_owner);
+	cr_assert_not_null(frame);
+	cr_assert_eq(frame->progress->n_domains, 1);
+	cr_assert_not(frame->progress->all_domains);
+	pool_frame__free_unpacked(frame, NULL);
+}
+
+/* Guards against starts that name no domain, or one for each task. */
+Test(pool_domain, a_start_names_the_domains_of_its_targets)
+{
+	struct sched_target in_c = { .listing.failure_domain = "c" };
+	struct sched_job *job = submit_with(60000, 1, 7);
+	PoolFrame *frame;
+
+	snprintf(in_c.listing.address, RP_ADDRESS_MAX, "10.0.0.1:80");
+	cr_assert(sched_domain_announce(job, &in_c));
+	leader.agent_calls = hash_new(leader.sched.pool);
+	job->tasks[0].target = job->tasks[1].target = &in_c;
+	pool_start_send(&leader, NULL, &job->tasks[0], 1000, NULL);
+	pool_start_send(&leader, NULL, &job->tasks[1], 1000, NULL);
+	pool_starts_flush(&leader);
+	job->tasks[0].target = job->tasks[1].target = NULL;
+	frame = next_frame(&to_owner);
+	cr_assert_not_null(frame);
+	cr_assert_eq(frame->body_case, POOL_FRAME__BODY_START);
+	cr_assert_eq(frame->start->n_tasks, 2);
+	cr_assert_eq(frame->start->n_domains, 1);
+	cr_assert_str_eq(frame->start->domains[0], "c");
+	pool_frame__free_unpacked(frame, NULL);
+	pool_calls_cancel(&leader, 0);
+	while (leader.calls)
+		pool_call_end(leader.calls, 0, NULL, 0);
+}
+
 static void receive_domains(const char *first, const char *second)
 {
 	char *domains[] = { (char *)first, (char *)second };
@@ -210,16 +305,10 @@
 	return next_frame(&to_leader);
 }
 
-/*
- * Guards against a next leader that takes a call of this one for over, as the
- * owner does not tell where tasks may have been started. A leader that knows of
- * fewer domains takes none back.
- */
-Test(pool_domain, the_owner_tells_the_next_leader)
+static struct pool_request *open_request(void)
 {
 	struct pool_request *r = pool_request_new(&owner, "POST", "/q/1");
 	PoolSubmit *sub = calloc(1, sizeof(*sub));
-	PoolFrame *frame;
 
 	pool_submit__init(sub);
 	sub->seq = r->seq = 4;
@@ -230,6 +319,19 @@
 	r->deadline = owner.now + 60000;
 	owner.set.max_lease = 1000;
 	apr_hash_set(owner.requests, &r->seq, sizeof(r->seq), r);
+	return r;
+}
+
+/*
+ * Guards against a next leader that takes a call of this one for over, as the
+ * owner does not tell where tasks may have been started. A leader that knows of
+ * fewer domains takes none back.
+ */
+Test(pool_domain, the_owner_tells_the_next_leader)
+{
+	struct pool_request *r = open_request();
+	PoolFrame *frame;
+
 	frame = resubmit(LEAD_TOKEN(1));
 	cr_assert_eq(frame->submit->n_domains, 0);
 	pool_frame__free_unpacked(frame, NULL);
@@ -247,3 +349,84 @@
 	pool_frame__free_unpacked(frame, NULL);
 	pool_request_free(r);
 }
+
+static void receive_told(int all_domains)
+{
+	PoolProgress progress = POOL_PROGRESS__INIT;
+	PoolFrame frame = POOL_FRAME__INIT;
+
+	progress.seq = 4;
+	progress.mark = 1;
+	progress.all_domains = all_domains;
+	frame.body_case = POOL_FRAME__BODY_PROGRESS;
+	frame.progress = &progress;
+	pool_frame_received(&to_leader, &frame);
+}
+
+static void check_resubmission(uint64_t fence, int any_domain)
+{
+	PoolFrame *frame = resubmit(fence);
+
+	cr_assert_not_null(frame);
+	cr_assert(frame->submit->presumes_domains);
+	cr_assert_eq(frame->submit->any_domain, any_domain, "fence %llx",
+		     (unsigned long long)fence);
+	pool_frame__free_unpacked(frame, NULL);
+}
+
+/*
+ * Guards against an owner that takes the domains that it knows for all of them,
+ * though its leader has ended before it could tell.
+ */
+Test(pool_domain, an_owner_that_was_not_told_presumes_any_domain)
+{
+	struct pool_request *r = open_request();
+
+	check_resubmission(LEAD_TOKEN(1), 0);
+	check_resubmission(LEAD_TOKEN(1), 0);
+	receive_told(0);
+	check_resubmission(LEAD_TOKEN(2), 1);
+	receive_told(1);
+	check_resubmission(LEAD_TOKEN(3), 1);
+	pool_request_free(r);
+}
+
+Test(pool_domain, an_owner_that_was_told_presumes_nothing)
+{
+	struct pool_request *r = open_request();
+
+	check_resubmission(LEAD_TOKEN(1), 0);
+	receive_told(1);
+	check_resubmission(LEAD_TOKEN(2), 0);
+	/* The link is lost, and the leader may start more meanwhile. */
+	receive_told(1);
+	check_resubmission(LEAD_TOKEN(2), 0);
+	check_resubmission(LEAD_TOKEN(3), 1);
+	pool_request_free(r);
+}
+
+/* Its specification is kept, so only this VM can start its tasks. */
+Test(pool_domain, an_owner_that_starts_tasks_presumes_nothing)
+{
+	PoolBeat beat = POOL_BEAT__INIT;
+	PoolStart start = POOL_START__INIT;
+	struct pool_request *r = open_request();
+	char *domains[] = { "a", "b" };
+	PoolFrame *frame;
+
+	beat.agents = 1;
+	owner.leader_heartbeat = &beat;
+	check_resubmission(LEAD_TOKEN(1), 0);
+	start.job = 4;
+	start.fence = LEAD_TOKEN(1);
+	start.domains = domains;
+	start.n_domains = 2;
+	pool_start_received(&owner, &start);
+	frame = resubmit(LEAD_TOKEN(2));
+	cr_assert_eq(frame->submit->former, LEAD_TOKEN(1));
+	cr_assert_not(frame->submit->any_domain);
+	cr_assert_eq(frame->submit->n_domains, 2);
+	pool_frame__free_unpacked(frame, NULL);
+	owner.leader_heartbeat = NULL;
+	pool_request_free(r);
+}
--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -4,71 +4,12 @@
  * domains in which its tasks may have been started.
  */
 
-#include <criterion/criterion.h>
+#include "two-domains.h"
 
-#include <apr_general.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-
-#include "lead.h"
-#include "world/world.h"
-
-static struct world w;
-static struct sched first, second;
-
-static void init_apr(void)
-{
-	apr_initialize();
-}
 
 TestSuite(sched_domain, .init = init_apr, .timeout = 60);
 
-/* Half of the targets are in domain "a", the others in "b". */
-static void begin_world(size_t ntargets)
-{
-	static const double speeds[] = { 1.0 };
-	size_t i;
-
-	world_init(&w, 7, ntargets, speeds, 1);
-	w.late_leases = 1;
-	w.stored = 1;
-	for (i = 0; i < ntargets; i++)
-		snprintf(w.targets[i].listing.failure_domain, RP_NAME_MAX, "%s",
-			 i < ntargets / 2 ? "a" : "b");
-	world_start_sched(&w, &first, NULL, LEAD_TOKEN(1));
-	world_run_until(&w, w.now + 50);
-}
-
-static void end_world(void)
-{
-	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
-	sched_finish(&second);
-	world_finish(&w);
-}
-
-/* The first scheduler uses the targets of one domain alone, or of both. */
-static void use_domain(const char *domain)
-{
-	size_t i;
-
-	for (i = 0; i < w.ntargets; i++) {
-		struct sched_listing l = w.targets[i].listing;
-
-		l.ready = !domain || !strcmp(l.failure_domain, domain);
-		sched_target_listed(&first, &l, w.now);
-	}
-}
-
-static void cut_domain_off(const char *domain)
-{
-	size_t i;
-
-	for (i = 0; i < w.ntargets; i++)
-		if (!strcmp(w.targets[i].listing.failure_domain, domain))
-			w.targets[i].unresponsive = 1;
-}
-
 /* The first scheduler ends, and all jobs are submitted to the second. */
 static void take_over(void)
 {
@@ -213,17 +154,6 @@
 	end_world();
 }
 
-/* Submits the job, whose caller waits for 60 s, to the scheduler that leads. */
-static void submit_again(struct world_job *job, uint64_t former)
-{
-	job->sub->former = former;
-	job->fence = w.sched->fence;
-	job->sub->age_ms = (uint32_t)(w.now - job->arrived_at);
-	job->sub->left_ms = 60000 - job->sub->age_ms;
-	sched_submit(w.sched, job, job->sub, w.now);
-	sched_dispatch(w.sched, w.now);
-}
-
 /*
  * The same for jobs that are not stored, whose owners keep the domains. Guards
  * against a wait for each target of the service.
@@ -278,13 +208,12 @@
  * A provisional leader had the job meanwhile, and its start is late. Guards
  * against a leader that keeps only the domains that it knew before.
  */
-Test(sched_domain, a_job_that_is_back_has_the_domains_of_the_other_leader)
+static void job_is_back_from_another_leader(void)
 {
+	char domain[RP_NAME_MAX];
 	struct world_job *job;
 	size_t i;
 
-	begin_world(4);
-	w.stored = 0;
 	w.task_cpu = 12000;
 	world_submit(&w, "q", 4, 200, 1, 60000);
 	world_run_until(&w, w.now + 20);
@@ -298,10 +227,13 @@
 	while (!second.count.starts)
 		world_run_until(&w, w.now + 1);
 	world_run_until(&w, w.now + 5);
-	cr_assert_eq(job->sub->n_domains, 1);
+	cr_assert(job->sub->any_domain || job->sub->n_domains == 1);
+	snprintf(
+		domain, sizeof(domain), "%s",
+		sched_find_open_job(&second, str_of(job->sub->id))->domains[0]);
 	for (i = 0; i < w.ntargets; i++)
 		w.targets[i].late[WORLD_START].percent = 0;
-	cut_domain_off(job->sub->domains[0]);
+	cut_domain_off(domain);
 	w.sched = &first;
 	sched_raise_fence(&first, LEAD_TOKEN(2), w.now);
 	submit_again(job, second.fence);
@@ -314,6 +246,21 @@
 	end_world();
 }
 
+Test(sched_domain, a_job_that_is_back_has_the_domains_of_the_other_leader)
+{
+	begin_world(4);
+	w.stored = 0;
+	w.owners_need_domains = 1;
+	job_is_back_from_another_leader();
+}
+
+Test(sched_domain, a_job_that_is_back_may_have_been_started_anywhere)
+{
+	begin_world(4);
+	w.stored = 0;
+	job_is_back_from_another_leader();
+}
+
 /* The second scheduler, whose first list lacks the targets of one domain. */
 static void start_second_without_domain(const char *domain)
 {
--- a/regress/sched-late-deadline.c
+++ b/regress/sched-late-deadline.c
@@ -40,10 +40,9 @@
 	t->unresponsive = 1;
 	world_start_sched(&w, &second, NULL, LEAD_TOKEN(2));
 	job->sub->former = job->fence;
-	job->fence = second.fence;
 	job->sub->age_ms = 20;
 	job->sub->left_ms = 60000 - 20;
-	sched_submit(&second, job, job->sub, w.now);
+	world_submit_job(&w, job);
 	world_run_until(&w, w.now + 5000);
 	t->unresponsive = 0;
 	world_run_until(&w, w.now + 15000);
--- a/regress/sched-resent-domain.c
+++ b/regress/sched-resent-domain.c
@@ -19,6 +19,19 @@
 static struct world w;
 static struct sched first, second;
 
+static enum {
+	NEED_DOMAINS, /* of an earlier release, which presumes nothing */
+	PRESUME_ANY,
+	START_TASKS, /* and learn of the domains of these */
+	OWNERS
+} owners;
+
+static void for_all_owners(void (*check)(void))
+{
+	for (owners = NEED_DOMAINS; owners < OWNERS; owners++)
+		check();
+}
+
 static void init_apr(void)
 {
 	apr_initialize();
@@ -34,6 +47,8 @@
 
 	world_init(&w, 7, TARGETS, speeds, 1);
 	w.late_leases = 1;
+	w.owners_need_domains = owners == NEED_DOMAINS;
+	w.owners_start = owners == START_TASKS;
 	for (i = 0; i < TARGETS; i++)
 		snprintf(w.targets[i].listing.failure_domain, RP_NAME_MAX, "%s",
 			 i < TARGETS / 2 ? "a" : "b");
@@ -54,10 +69,9 @@
 static void submit(struct world_job *job, uint64_t former)
 {
 	job->sub->former = former;
-	job->fence = second.fence;
 	job->sub->age_ms = (uint32_t)(w.now - job->arrived_at);
 	job->sub->left_ms = 60000 - job->sub->age_ms;
-	sched_submit(&second, job, job->sub, w.now);
+	world_submit_job(&w, job);
 	sched_dispatch(&second, w.now);
 }
 
@@ -66,6 +80,7 @@
 {
 	while (job->sub->n_domains)
 		free(job->sub->domains[--job->sub->n_domains]);
+	job->sub->any_domain = 0;
 	job->sub->seq += 1000;
 	submit(job, 0);
 	job->answered = 0; /* the first submission was */
@@ -94,6 +109,15 @@
 	return job;
 }
 
+/* A next leader would be told of the domain. */
+static void check_owner_knows(const struct world_job *job)
+{
+	if (owners == PRESUME_ANY && job->sub->any_domain)
+		return;
+	cr_assert_eq(job->sub->n_domains, 1);
+	cr_assert_str_eq(job->sub->domains[0], "a");
+}
+
 static void end_world(struct world_job *job)
 {
 	size_t i;
@@ -109,18 +133,23 @@
 }
 
 /* The task was started beside the late run, once the leases were over. */
-Test(sched_resent_domain, the_first_submission_is_superseded)
+static void check_superseded(void)
 {
 	struct world_job *job = lose_leader();
 
 	world_run_until(&w, w.now + 500);
 	submit_elsewhere(job);
-	cr_assert_eq(job->sub->n_domains, 1);
+	check_owner_knows(job);
 	end_world(job);
 }
 
+Test(sched_resent_domain, the_first_submission_is_superseded)
+{
+	for_all_owners(check_superseded);
+}
+
 /* As above, at once: a cancelled job that had not started left no record. */
-Test(sched_resent_domain, the_first_submission_is_cancelled)
+static void check_cancelled(void)
 {
 	struct world_job *job = lose_leader();
 
@@ -128,12 +157,17 @@
 	sched_cancel(&second, job, job->sub->seq, w.now);
 	world_run_until(&w, w.now + 1300);
 	submit_elsewhere(job);
-	cr_assert_eq(job->sub->n_domains, 1);
+	check_owner_knows(job);
 	end_world(job);
 }
 
+Test(sched_resent_domain, the_first_submission_is_cancelled)
+{
+	for_all_owners(check_cancelled);
+}
+
 /* The new owner would not tell the next leader where the run is. */
-Test(sched_resent_domain, the_owner_is_told_where_a_run_was_adopted)
+static void check_adopted(void)
 {
 	struct world_job *job;
 
@@ -146,7 +180,11 @@
 	submit_elsewhere(job);
 	world_run_until(&w, w.now + 100);
 	cr_assert_eq(second.count.starts, 0);
-	cr_assert_eq(job->sub->n_domains, 1);
-	cr_assert_str_eq(job->sub->domains[0], "a");
+	check_owner_knows(job);
 	end_world(job);
 }
+
+Test(sched_resent_domain, the_owner_is_told_where_a_run_was_adopted)
+{
+	for_all_owners(check_adopted);
+}
--- a/regress/world/vms-agent.c
+++ b/regress/world/vms-agent.c
@@ -136,6 +136,7 @@
 	msg = vms_send(owner->link, VMS_MEMBER, VMS_START);
 	msg->call = order->call;
 	msg->seq = task->job->seq;
+	msg->domains = 1u << (t->listing.failure_domain[0] - 'a');
 	msg->agent = agent_for_start(vm, t, call->target, owner);
 	if (msg->agent >= 0) {
 		struct vms_member *m = vm->members;
@@ -320,6 +321,7 @@
 		vms_cancel_send(vm, msg->seq);
 		return;
 	}
+	vms_domains_received(vm, msg);
 	vms_trace(vm->o, "vm%d passes %s run %u on to vm%d", vm->index,
 		  msg->call.task, msg->call.run, msg->agent);
 	if (msg->agent < 0 || msg->agent == vm->index) {
--- a/regress/world/vms-lead.c
+++ b/regress/world/vms-lead.c
@@ -292,7 +292,7 @@
 		else if (m->kind == VMS_PROGRESS)
 			vms_progress_received(vm, m->seq, m->done[0]);
 		else if (m->kind == VMS_TOLD_DOMAINS)
-			vms_domains_received(vm, m->seq, m->domains);
+			vms_domains_received(vm, m);
 	}
 	vms_leader_link_drop(vm);
 	for (links = vm->o->links; links; links = links->next)
--- a/regress/world/vms-member.c
+++ b/regress/world/vms-member.c
@@ -317,7 +317,7 @@
 		if (msg->kind == VMS_ANSWER)
 			vms_answer_received(vm, msg->seq, msg->outcome);
 		else if (msg->kind == VMS_TOLD_DOMAINS)
-			vms_domains_received(vm, msg->seq, msg->domains);
+			vms_domains_received(vm, msg);
 		else
 			vms_progress_received(vm, msg->seq, msg->done[0]);
 		return;
--- a/regress/world/world.c
+++ b/regress/world/world.c
@@ -188,22 +188,90 @@
 	return 0;
 }
 
+/* Acknowledges what the owners were told in time. */
+static void deliver_acks(struct world *w)
+{
+	struct world_told *told;
+
+	while ((told = w->told) && told->at <= w->now) {
+		w->told = told->next;
+		if (!w->told)
+			w->told_tail = &w->told;
+		if (told->sched == w->sched)
+			sched_owner_acked(w->sched, told->owner, told->mark,
+					  w->now);
+		free(told);
+	}
+}
+
+static uint64_t acknowledge_later(struct world *w, struct sched *s,
+				  struct world_job *owner)
+{
+	struct world_told *told;
+
+	if (!w->ack_delay)
+		return 0;
+	told = calloc(1, sizeof(*told));
+	told->at = w->now + w->ack_delay;
+	told->sched = s;
+	told->owner = owner;
+	told->mark = ++w->mark;
+	if (!w->told)
+		w->told_tail = &w->told;
+	*w->told_tail = told;
+	w->told_tail = &told->next;
+	return told->mark;
+}
+
+static int has_domain(const PoolSubmit *sub, const char *domain)
+{
+	size_t i;
+
+	for (i = 0; i < sub->n_domains; i++)
+		if (!strcmp(sub->domains[i], domain))
+			return 1;
+	return 0;
+}
+
+static void add_domain(PoolSubmit *sub, const char *domain)
+{
+	if (has_domain(sub, domain))
+		return;
+	sub->domains = realloc(sub->domains,
+			       (sub->n_domains + 1) * sizeof(*sub->domains));
+	sub->domains[sub->n_domains++] = strdup(domain);
+}
+
+/* An owner that is asked for a start learns of the target's domain. */
+static void on_start(struct sched *s, struct sched_target *t,
+		     struct sched_task *task, int64_t until)
+{
+	struct sched_job *job = task->job;
+	struct world_job *owner = job->owner_starts ? job->owner : NULL;
+
+	if (owner && owner->sub->presumes_domains && job->ndomains)
+		add_domain(owner->sub, t->listing.failure_domain);
+	world_call_start(s, t, task, until);
+}
+
 /* The owner keeps the domains for the next submission. */
 static uint64_t on_domains(struct sched *s, struct sched_job *job)
 {
 	struct world *w = s->user;
 	struct world_job *owner = job->owner;
 	PoolSubmit *sub = owner ? owner->sub : NULL;
+	size_t i;
 
 	if (!sub)
 		return 0;
 	if (w->lose_messages)
 		return ++w->mark;
-	sub->domains = realloc(sub->domains,
-			       (sub->n_domains + 1) * sizeof(*sub->domains));
-	sub->domains[sub->n_domains++] =
-		strdup(job->domains[job->ndomains - 1]);
-	return 0;
+	for (i = 0; i < job->ndomains; i++)
+		add_domain(sub, job->domains[i]);
+	if (job->domains_told)
+		sub->any_domain = 0;
+	sub->any_domain |= job->any_former_domain;
+	return acknowledge_later(w, s, owner);
 }
 
 static void on_log_loss(struct sched *s, const char *event,
@@ -233,7 +301,7 @@
 }
 
 const struct sched_ops world_ops = {
-	.start = world_call_start,
+	.start = on_start,
 	.stop = world_call_stop,
 	.hold = world_call_hold,
 	.answer = on_answer,
@@ -301,6 +369,12 @@
 		free(e->ends);
 		free(e);
 	}
+	while (w->told) {
+		struct world_told *told = w->told;
+
+		w->told = told->next;
+		free(told);
+	}
 	apr_pool_destroy(w->pool);
 }
 
@@ -356,6 +430,7 @@
 	sub->left_ms = (uint32_t)deadline;
 	job->deadline = deadline;
 	sub->stored = w->stored;
+	sub->specification_hash = (uint64_t)w->owners_start;
 	sub->specification.data = malloc(4);
 	memcpy(sub->specification.data, "work", 4);
 	sub->specification.len = 4;
@@ -398,12 +473,25 @@
 	struct world_job *job =
 		world_job_new(w, queue, tasks, work, value, deadline);
 
-	job->fence = w->sched->fence;
-	sched_submit(w->sched, job, job->sub, w->now);
+	world_submit_job(w, job);
 	sched_dispatch(w->sched, w->now);
 	return job;
 }
 
+/*
+ * The owner presumes from then on that tasks were started in any domain. The
+ * scheduler is told that it does, and of those before.
+ */
+void world_submit_job(struct world *w, struct world_job *job)
+{
+	PoolSubmit *sub = job->sub;
+
+	sub->presumes_domains = !sub->stored && !w->owners_need_domains;
+	job->fence = w->sched->fence;
+	sched_submit(w->sched, job, sub, w->now);
+	sub->any_domain |= sub->presumes_domains && !sub->specification_hash;
+}
+
 void world_resubmit(struct world *w)
 {
 	size_t i;
@@ -416,11 +504,10 @@
 		    (!job->sub->stored && age >= job->deadline))
 			continue;
 		job->sub->former = job->fence;
-		job->fence = w->sched->fence;
 		job->sub->age_ms = (uint32_t)age;
 		if (!job->sub->stored)
 			job->sub->left_ms = (uint32_t)(job->deadline - age);
-		sched_submit(w->sched, job, job->sub, w->now);
+		world_submit_job(w, job);
 	}
 }
 
@@ -439,6 +526,7 @@
 	while (w->now < until) {
 		world_step(w);
 		world_list_crashed(w);
+		deliver_acks(w);
 		if (w->now % SCHED_TICK_MS == 0)
 			sched_tick(w->sched, w->now);
 	}
@@ -497,8 +585,10 @@
 			 */
 			work = m->work * exp(0.4 * normal(w) - 0.08);
 			tasks = random_tasks(w, m);
-			lengthen(w, world_submit(w, m->queue, tasks, work,
-						 m->value, 1500));
+			lengthen(w, world_submit(
+					    w, m->queue, tasks, work, m->value,
+					    w->load_deadline ? w->load_deadline
+							     : 1500));
 		}
 		world_run_until(w, w->now + 1);
 	}
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -155,6 +155,15 @@
 	int starts_after;    /* of task 0, after three crashes */
 };
 
+/* A message to the owner of a job that is acknowledged later. */
+struct world_told {
+	struct world_told *next;
+	rp_ms at;
+	struct sched *sched;
+	struct world_job *owner;
+	uint64_t mark;
+};
+
 struct world {
 	rp_ms now;
 	uint64_t random;     /* state of the generator */
@@ -169,7 +178,15 @@
 	rp_ms delay;	   /* one way to a target, ms */
 	int lose_messages; /* messages to owners are lost */
 	int late_leases;   /* a lease counts from the arrival of a late call */
-	uint64_t mark;	   /* of the latest message that was lost */
+	uint64_t mark;	   /* of the latest message that was lost, or late */
+	/* Time after which owners acknowledge failure domains; 0: at once. */
+	rp_ms ack_delay;
+	struct world_told *told, **told_tail;
+	int owners_start; /* owners keep specifications, and start the tasks */
+	/* Owners are of a release that does not presume failure domains. */
+	int owners_need_domains;
+	/* Deadline of the jobs of the generated load, ms; 0: 1500. */
+	rp_ms load_deadline;
 	int violations;
 	char first_violation[256];
 	int fenced; /* calls refused as fenced */
@@ -300,6 +317,8 @@
 /* Submits a job of tasks with a mean work in ms; deadline is in ms from now. */
 struct world_job *world_submit(struct world *w, const char *queue, int tasks,
 			       double work, double value, rp_ms deadline);
+/* Submits the job as its submission has it to the scheduler that leads. */
+void world_submit_job(struct world *w, struct world_job *job);
 /* Submits all open jobs to the scheduler that leads. */
 void world_resubmit(struct world *w);
 /* Advances to the time, ticking the scheduler that leads. */
--- a/sched-core.c
+++ b/sched-core.c
@@ -197,8 +197,7 @@
 			job->s->ops->progress(job->s, job, &job->tasks[i]);
 	if (job->nsuspects)
 		sched_losses_changed(job);
-	if (job->domains_mark)
-		sched_domains_resend(job);
+	sched_domains_resend(job);
 }
 
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
--- a/sched-dispatch.c
+++ b/sched-dispatch.c
@@ -87,6 +87,8 @@
 	for (deferred = 0; deferred <= 1; deferred++)
 		for (job = s->jobs; job; job = next) {
 			next = job->next;
+			if (!job->nwaiting)
+				sched_domains_placed(job);
 			if (!job->nwaiting ||
 			    deferred != s->order->defer(job, now))
 				continue;
--- a/sched-int.h
+++ b/sched-int.h
@@ -297,14 +297,20 @@
 /* Copies the domains of a job that is answered into its record. */
 void sched_domains_record(struct sched_history *rec,
 			  const struct sched_job *job);
+/*
+ * All tasks of the job were started: the owner need not presume any domain any
+ * more.
+ */
+void sched_domains_placed(struct sched_job *job);
 /* Tells the owner again, as a message may have been lost. */
 void sched_domains_resend(struct sched_job *job);
 /*
- * Tells the job's owner of the target's failure domain, unless it knows of it.
- * Returns whether tasks may be started there now, or only after the owner has
- * acknowledged that.
+ * A task is to be started in the target's failure domain. Returns whether it
+ * may be now, or only after the owner has acknowledged a message.
  */
 int sched_domain_announce(struct sched_job *job, const struct sched_target *t);
+/* An earlier scheduler has started a task there. */
+void sched_domain_adopted(struct sched_job *job, const struct sched_target *t);
 /* The owner knows of all domains in messages up to the mark. */
 void sched_domains_acked(struct sched *s, const void *owner, uint64_t mark);
 /*
--- a/sched-job.c
+++ b/sched-job.c
@@ -341,6 +341,7 @@
 	count_failures(job, sub);
 	sched_losses_restore(job, sub->losses, sub->n_losses);
 	sched_domains_restore(job, sub);
+	job->presumes_domains = sub->presumes_domains && !sub->stored;
 	job->queue = sched_get_queue(s, sub->queue, job->steps[0].work);
 	job->queue->service = job->service;
 	job->queue->nwaiting++;
--- a/sched-run.c
+++ b/sched-run.c
@@ -129,7 +129,7 @@
 	t->s->count.adopted++;
 	t->s->ops->log(t->s, "adopt", t, task, "started by a previous leader");
 	/* That leader may be of a release that names no failure domains. */
-	sched_domain_announce(task->job, t);
+	sched_domain_adopted(task->job, t);
 	sched_target_hold(t);
 }
 
--- a/scheduler.h
+++ b/scheduler.h
@@ -256,6 +256,7 @@
 	rp_ms submitted_at;
 	char **domains;
 	size_t ndomains, nformer_domains;
+	int any_former_domain;
 	size_t ntasks;
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
@@ -340,7 +341,14 @@
 	 */
 	char **domains;
 	size_t ndomains, nformer_domains;
+	int any_former_domain; /* earlier schedulers may have, anywhere */
 	uint64_t domains_mark; /* of their change to be acked; 0: none */
+	/*
+	 * The owner presumes any domain until it is told of all, or learns them
+	 * from the starts that it is asked for.
+	 */
+	int presumes_domains;
+	int domains_told;
 	struct sched_step *steps;
 	size_t nsteps;
 	struct sched_task *tasks;
@@ -575,9 +583,9 @@
 	 */
 	uint64_t (*losses)(struct sched *s, struct sched_job *job);
 	/*
-	 * A task of the job is to be started in another failure domain, the
-	 * last of job->domains. Returns the mark of the message to the owner,
-	 * or 0; none starts until it is acknowledged.
+	 * Tells the owner of the job's failure domains, of which the last may
+	 * be new. Returns the mark of the message, or 0 if the owner knows them
+	 * already.
 	 */
 	uint64_t (*domains)(struct sched *s, struct sched_job *job);
 	/* Logs what is learned of a target that was lost with the task. */
