--- a/regress/mutate-orders.sh
+++ b/regress/mutate-orders.sh
@@ -60,12 +60,16 @@
 	's/return t->nforeign > 0;/return 0;/'
 mutate "names no domains of jobs with deadlines" sched-domain.c \
 	's/return job->stored || job->deadline >.*/return job->stored;/'
+mutate "forgets that any domain is presumed" sched-domain.c \
+	's/^	job->any_former_domain |= sub->any_domain;//'
+mutate "tells of all domains too early" sched-dispatch.c \
+	's/^			if (!job->nwaiting)$/			if (job->nplaced)/'
 mutate "does not await the domains' mark" sched-domain.c \
 	's/^	job->domains_mark = mark;/	mark = job->domains_mark = 0;/'
 mutate "adopts no runs of a first submission" sched-adopt.c \
 	's/^	if (o->number ||$/	if (1 || o->number ||/'
 mutate "does not await earlier runs" sched-core.c \
-	's/job->awaits_earlier_runs = has.*/job->awaits_earlier_runs = 0;/'
+	's/job->awaits_earlier_runs = sched_has.*/job->awaits_earlier_runs = 0;/'
 mutate "forgets runs that are being stopped" sched-adopt.c \
 	's/^			stop_run(t, o);/			{ stop_run(t, o); remove_orphan(t, i); }/'
 mutate "starts for silent members" regress/world/vms-member.c \
