sched: The delay of a job ends when its last task is adopted

After a change of leader start_delay_ms_total counted the whole run of an adopted job as a wait for earlier runs: a job is not looked at again once none of its tasks waits, so its delay was never ended. Found by reading.

Change: sched_dispatch() ends it.

Failed before: sched_delay, a_job_whose_run_is_adopted_waits_no_more, 1904 ms in place of less than 800.

Tests: of sched_domain's returned job each kind of owner has its own assertion again, where either would do; the other jobs with deadlines and sched_late_deadline run with owners of both releases, as the simulated owners presume domains by default.

--- a/pool-count.c
+++ b/pool-count.c
@@ -314,9 +314,9 @@
 	}
 	put_histogram(&t, "rosemary_pool_answer_ms", &p->count.latency);
 	put_histogram(&t, "rosemary_pool_loop_lag_ms", &p->count.lag);
-	if (p->leading)
+	if (p->leading) {
 		put_sizes(&t, &p->sched);
-	if (p->leading)
 		put_delays(&t, &p->sched);
+	}
 	return t.s;
 }
--- a/regress/mutate-orders.sh
+++ b/regress/mutate-orders.sh
@@ -63,7 +63,7 @@
 mutate "forgets that any domain is presumed" sched-domain.c \
 	's/^	job->any_former_domain |= sub->any_domain;//'
 mutate "tells of all domains too early" sched-dispatch.c \
-	's/^			if (!job->nwaiting)$/			if (job->nplaced)/'
+	's/^			if (!job->nwaiting) {$/			if (job->nplaced) {/'
 mutate "does not await the domains' mark" sched-domain.c \
 	's/^	job->domains_mark = mark;/	mark = job->domains_mark = 0;/'
 mutate "adopts no runs of a first submission" sched-adopt.c \
--- a/regress/sched-delay.c
+++ b/regress/sched-delay.c
@@ -65,3 +65,38 @@
 	cr_assert_leq(delay_of(SCHED_DELAY_ROOM), 20);
 	end_world();
 }
+
+/*
+ * The job waits for runs of an earlier leader, and its only run is adopted
+ * then. Guards against counting the time of the run.
+ */
+Test(sched_delay, a_job_whose_run_is_adopted_waits_no_more)
+{
+	static struct sched next;
+	const struct sched_queue *q;
+	size_t i;
+
+	world_begin(&w, &s, 2);
+	world_submit(&w, "q", 1, 2000, 1, 60000);
+	world_run_until(&w, w.now + 100);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = 1;
+	sched_finish(&s);
+	world_drop_calls(&w, &s);
+	world_start_sched(&w, &next, NULL, LEAD_TOKEN(2));
+	world_resubmit(&w);
+	sched_dispatch(&next, w.now);
+	world_run_until(&w, w.now + 200);
+	for (i = 0; i < w.ntargets; i++)
+		w.targets[i].unresponsive = 0;
+	world_run_until(&w, w.now + 3000);
+	q = sched_get_queue(&next, "q", 1);
+	cr_assert_eq(next.count.adopted, 1);
+	cr_assert_eq(q->nended, 1);
+	cr_assert_gt(q->delays[SCHED_DELAY_EARLIER_RUNS], 100);
+	cr_assert_lt(q->delays[SCHED_DELAY_EARLIER_RUNS], 800, "%lld ms",
+		     (long long)q->delays[SCHED_DELAY_EARLIER_RUNS]);
+	cr_assert_eq(w.violations, 0, "%s", w.first_violation);
+	sched_finish(&next);
+	world_finish(&w);
+}
--- a/regress/sched-domain.c
+++ b/regress/sched-domain.c
@@ -158,12 +158,13 @@
  * The same for jobs that are not stored, whose owners keep the domains. Guards
  * against a wait for each target of the service.
  */
-Test(sched_domain, jobs_with_deadlines_go_on_while_a_domain_is_cut_off)
+static void jobs_with_deadlines_go_on(int owners_need_domains)
 {
 	struct world_job *here, *there;
 
 	begin_world(4);
 	w.stored = 0;
+	w.owners_need_domains = owners_need_domains;
 	use_domain("a");
 	here = world_submit(&w, "q", 1, 3000, 1, 60000);
 	world_run_until(&w, w.now + 20);
@@ -188,6 +189,12 @@
 	end_world();
 }
 
+Test(sched_domain, jobs_with_deadlines_go_on_while_a_domain_is_cut_off)
+{
+	jobs_with_deadlines_go_on(0);
+	jobs_with_deadlines_go_on(1);
+}
+
 /* A caller that is gone before late calls matter costs no message. */
 Test(sched_domain, a_job_that_ends_with_the_leases_names_no_domain)
 {
@@ -227,7 +234,10 @@
 	while (!second.count.starts)
 		world_run_until(&w, w.now + 1);
 	world_run_until(&w, w.now + 5);
-	cr_assert(job->sub->any_domain || job->sub->n_domains == 1);
+	if (w.owners_need_domains)
+		cr_assert_eq(job->sub->n_domains, 1);
+	else
+		cr_assert(job->sub->any_domain);
 	snprintf(
 		domain, sizeof(domain), "%s",
 		sched_find_open_job(&second, str_of(job->sub->id))->domains[0]);
@@ -353,13 +363,14 @@
  * that may start a task of it late; then the leader is lost. Guards against an
  * owner that knows only of the domains of its own submission.
  */
-Test(sched_domain, a_job_that_is_submitted_again_has_the_domains_of_before)
+static void job_is_submitted_again(int owners_need_domains)
 {
 	struct world_job *job;
 	size_t i;
 
 	begin_world(4);
 	w.stored = 0;
+	w.owners_need_domains = owners_need_domains;
 	use_domain("a");
 	w.targets[0].late[WORLD_START] = w.targets[1].late[WORLD_START] =
 		(struct world_late){ 100, 3000, 3000, 0 };
@@ -372,6 +383,7 @@
 	for (i = 0; i < job->sub->n_domains; i++)
 		free(job->sub->domains[i]);
 	job->sub->n_domains = 0;
+	job->sub->any_domain = 0;
 	job->sub->seq = job->seq = 1000;
 	submit_again(job, 0);
 	cr_assert(job->answered);
@@ -387,3 +399,9 @@
 	cr_assert(job->answered);
 	end_world();
 }
+
+Test(sched_domain, a_job_that_is_submitted_again_has_the_domains_of_before)
+{
+	job_is_submitted_again(0);
+	job_is_submitted_again(1);
+}
--- a/regress/sched-late-deadline.c
+++ b/regress/sched-late-deadline.c
@@ -21,7 +21,7 @@
 TestSuite(sched_late_deadline, .init = init_apr, .timeout = 60);
 
 /* The task must not run elsewhere while the target may still start it. */
-Test(sched_late_deadline, a_start_is_late_before_the_target_is_reached)
+static void start_is_late(int owners_need_domains)
 {
 	struct world_target *t = &w.targets[0];
 	struct world_job *job;
@@ -29,6 +29,7 @@
 
 	world_begin(&w, &first, 12);
 	w.late_leases = 1;
+	w.owners_need_domains = owners_need_domains;
 	for (i = 1; i < w.ntargets; i++)
 		sched_target_unlisted(&first, w.targets[i].listing.id, w.now);
 	t->late[WORLD_START] = (struct world_late){ 100, 3000, 3000, 0 };
@@ -50,3 +51,9 @@
 	sched_finish(&second);
 	world_finish(&w);
 }
+
+Test(sched_late_deadline, a_start_is_late_before_the_target_is_reached)
+{
+	start_is_late(0);
+	start_is_late(1);
+}
--- a/sched-dispatch.c
+++ b/sched-dispatch.c
@@ -87,10 +87,12 @@
 	for (deferred = 0; deferred <= 1; deferred++)
 		for (job = s->jobs; job; job = next) {
 			next = job->next;
-			if (!job->nwaiting)
+			if (!job->nwaiting) {
+				sched_delay_set(job, SCHED_DELAY_NONE);
 				sched_domains_placed(job);
-			if (!job->nwaiting ||
-			    deferred != s->order->defer(job, now))
+				continue;
+			}
+			if (deferred != s->order->defer(job, now))
 				continue;
 			if (deferred && !job->missed_start)
 				sched_admit_started_late(job);
