--- a/review/rig.c
+++ b/review/rig.c
@@ -871,6 +871,25 @@
 
 static int manifest_version;
 static int64_t down_until; /* the store answers 503 */
+/* The next write of a job is done, its channel is reset, and the store is down
+ * for so long. */
+static int64_t outage_ms;
+
+static int starts_outage(const struct conn *c)
+{
+	return outage_ms && !c->port && !strcmp(c->path, "/api/rows-tx") &&
+	       c->body && strstr(c->body, "\"rosemary-jobs\"") &&
+	       !strstr(c->body, "\"writes\":[]");
+}
+
+/* Closes the channel with a reset. */
+static void reset_conn(struct conn *c)
+{
+	struct linger now = { .l_onoff = 1 };
+
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	conn_free(c);
+}
 
 static void write_manifest(int nroutes, int max_attempts)
 {
@@ -960,7 +979,10 @@
 	} else if (!strcmp(what, "manifest"))
 		write_manifest((int)int_of(o, "routes", 8),
 			       (int)int_of(o, "attempts", 3));
-	else if (!strcmp(what, "down")) {
+	else if (!strcmp(what, "outage")) {
+		outage_ms = int_of(o, "ms", 0);
+		record("the next write of a job begins an outage of the store");
+	} else if (!strcmp(what, "down")) {
 		down_until = now_ms() + int_of(o, "ms", 0);
 		record("the store is down for %lld ms: 503",
 		       (long long)int_of(o, "ms", 0));
@@ -987,6 +1009,17 @@
 		handle_worker(c, first);
 	else if (now_ms() < down_until && strncmp(c->path, "/control/", 9) != 0)
 		send_reply(c, 503, NULL, READ_MS);
+	else if (starts_outage(c)) {
+		rows_tx(c);
+		record("the store does a write of %zu bytes to rosemary-jobs "
+		       "and resets its channel",
+		       c->body_len);
+		down_until = now_ms() + outage_ms;
+		record("the store is down for %lld ms: 503",
+		       (long long)outage_ms);
+		outage_ms = 0;
+		reset_conn(c);
+	}
 	else if (!strncmp(c->path, "/control/", 9))
 		control(c);
 	else if (!strcmp(c->path, "/api/rows-get"))
