--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -10,7 +10,7 @@
 export RIG_CPU=16000
 . review/common.sh
 # The first step runs on all workers, so that each job has run in all zones.
-step='{"count":4,"cpu":400,"taskMemoryMb":64,"estimatedMs":200,"antiAffinity":1},{"count":386,"cpu":400,"taskMemoryMb":64,"estimatedMs":200,"after":[0]}'
+step='{"count":4,"cpu":320,"taskMemoryMb":64,"estimatedMs":200,"antiAffinity":1},{"count":386,"cpu":320,"taskMemoryMb":64,"estimatedMs":200,"after":[0]}'
 # Ids of one part.
 ids="$($rig ids 8)"
 
