--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A zone is cut off for 4 s, with resets: its entry VM and its workers reach each other and
+# A zone is cut off for 2.8 s, with resets: its entry VM and its workers reach each other and
 # nothing else, and clients still reach it. Clients of the zone send short
 # best-effort jobs all the time. A stored job has tasks on all workers, which end
 # as done 0.6 s after the cut. No task may be started after a run of it has ended
@@ -37,9 +37,9 @@
 if test "$TROUBLE" != 0
 then
 	echo "front-z$z reset" >"$dir/cut"
-	control cutzone "{\"zone\":\"z$z\",\"ms\":4000,\"resets\":1}" >/dev/null
-	control cutpath "{\"vm\":$z,\"ms\":4000,\"how\":\"reset\"}" >/dev/null
-	sleep 4
+	control cutzone "{\"zone\":\"z$z\",\"ms\":2800,\"resets\":1}" >/dev/null
+	control cutpath "{\"vm\":$z,\"ms\":2800,\"how\":\"reset\"}" >/dev/null
+	sleep 2.8
 	rm "$dir/cut"
 	note "the cut is over"
 fi
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# One worker of eight is grey for 5 s: of five starts it does one and resets the
-# channel without an answer, refuses the next with 503, and serves the other
-# three. Clients hand in stored jobs of a few short tasks all the while. No task
+# One worker of eight is grey for 5 s: of five starts it serves three, does the
+# next and resets the channel without an answer, and refuses the last with 503.
+# Clients hand in stored jobs of a few short tasks all the while. No task
 # may run twice at the same time on workers that are up.
 cd "$(dirname "$0")/../.." || exit 2
 out=review/2/record.txt
