sched: compare runs with the time at which their list was requested

Cause: t->hold_sent_at was the time of the latest hold call, and was read as the request time of the list at hand. The call counted as answered before its list was applied. If an end in the list answered its job, the stop of another task of the job on the same target sent the next hold at once and overwrote the time. Each run whose start had been replied to while the list was under way then counted as over.

Told apart from the other hypothesis, a list that is old by itself, by the record: all tasks started twice were on the target whose list held the last failure of a job, in the same ms; jobs that fail without another task on the target do not show it.

Change: the reply carries the time of its request, which nothing can overwrite, and the field is gone. A hold counts as in flight until its reply is applied. Whether a list was requested under a raised token is told by the first list under it, not by a time that may be equal. A run that counts as over by a list is logged (run_unlisted), and the log lines of runs have the leader's token.

No test saw it as the simulation had no list that is older than the reply to a start; it has now (list_delay, and a part of sched-orders).

--- a/pool-log.c
+++ b/pool-log.c
@@ -74,7 +74,8 @@
 		  LOG_NUMBER("cpu", t->listing.capacity.cpu),
 		  LOG_NUMBER("used_cpu", t->used.cpu),
 		  LOG_NUMBER("foreign", (long long)t->nforeign),
-		  LOG_NUMBER("runs", (long long)t->nruns));
+		  LOG_NUMBER("runs", (long long)t->nruns),
+		  LOG_NUMBER("fence", (long long)s->fence));
 }
 
 void pool_log_loss(struct sched *s, const char *event,
--- a/regress/sched-orders.c
+++ b/regress/sched-orders.c
@@ -6,8 +6,9 @@
  * prints all events. CUT_CALLERS=1 cuts callers off with a failure domain,
  * CHECK_DONE=1 counts starts after an end that was noted. PARTS=BITS limits the
  * days to these parts of the model (enum vms_part); 7 has all callers wait
- * equally long. KEEP_LATE=1 has targets that restart under their old id carry
- * out late calls of before. ONCE=1 has callers that do not submit a job again.
+ * equally long, 16 has lists that are older than replies to starts. KEEP_LATE=1
+ * has targets that restart under their old id carry out late calls of before.
+ * ONCE=1 has callers that do not submit a job again.
  */
 
 #include <criterion/criterion.h>
@@ -79,12 +80,19 @@
 
 Test(sched_orders, random_days)
 {
-	play(~0u);
+	play(~(1u << VMS_OLD_LISTS));
 }
 
 /* All callers wait equally long, as those that state no deadline do. */
 Test(sched_orders, days_of_one_timeout)
 {
 	if (!getenv("SEEDS"))
-		play(~(1u << VMS_DEADLINES));
+		play(~(1u << VMS_DEADLINES | 1u << VMS_OLD_LISTS));
+}
+
+/* Guards against runs that count as over by a list from before they began. */
+Test(sched_orders, days_of_old_lists)
+{
+	if (!getenv("SEEDS"))
+		play(1u << VMS_OLD_LISTS);
 }
--- a/regress/world/call.c
+++ b/regress/world/call.c
@@ -99,8 +99,11 @@
 	r->until = !strcmp(reason, "fence");
 	r->clock = world_target_clock(w, e->target);
 	r->incarnation = e->target->listing.incarnation;
-	if (w->several && e->kind == WORLD_HOLD && status == 200)
+	r->listed = w->several || e->target->list_delay;
+	if (r->listed && e->kind == WORLD_HOLD && status == 200)
 		copy_lists(r, e->target);
+	if (e->kind == WORLD_HOLD && !r->lost)
+		r->at += e->target->list_delay;
 	add_event(w, r);
 }
 
@@ -161,7 +164,7 @@
 	if (!t && !e->seq)
 		return;
 	/* One scheduler reads replies as they come. */
-	if (!w->several) {
+	if (!e->listed && !w->several) {
 		e->clock = world_target_clock(w, e->target) - w->delay;
 		e->incarnation = e->target->listing.incarnation;
 		if (e->kind == WORLD_HOLD_REPLY && e->acked_end == 200)
--- a/regress/world/vms-part.c
+++ b/regress/world/vms-part.c
@@ -84,6 +84,23 @@
 	}
 }
 
+/* Some of the tasks fail, a few of them as often as is allowed. */
+static void draw_old_lists(struct vms *o, uint64_t seed)
+{
+	uint64_t random = seed * 0x9fb21c651e98df25u + 5;
+	int most, percent;
+	size_t i;
+
+	for (i = 0; i < 8; i++)
+		random_next(&random);
+	most = 2 + draw(&random, 60);
+	percent = 5 + draw(&random, 40);
+	for (i = 0; i < o->w.ntargets; i++) {
+		o->w.targets[i].list_delay = draw(&random, most);
+		o->w.targets[i].fail_percent = percent;
+	}
+}
+
 rp_ms vms_draw_wait(struct vms *o, double *work)
 {
 	double wait, most;
@@ -130,4 +147,8 @@
 		o->parts |= 1u << VMS_DEADLINES;
 		draw_deadlines(o, &o->caller_random);
 	}
+	if (parts >> VMS_OLD_LISTS & 1) {
+		o->parts |= 1u << VMS_OLD_LISTS;
+		draw_old_lists(o, seed);
+	}
 }
--- a/regress/world/vms.h
+++ b/regress/world/vms.h
@@ -254,6 +254,8 @@
 	VMS_INCARNATIONS, /* targets come back with other ids or late entries */
 	VMS_AGENTS,	  /* members call the targets for the leader */
 	VMS_DEADLINES,	  /* each caller states another deadline */
+	/* Replies to holds are overtaken by those to starts; tasks fail. */
+	VMS_OLD_LISTS,
 	VMS_PARTS,
 };
 
--- a/regress/world/world.h
+++ b/regress/world/world.h
@@ -72,6 +72,8 @@
 	double clock_rate; /* of its clock; 1: exact */
 	rp_ms clock_start;
 	rp_ms start_delay; /* additional delay of start calls */
+	/* The same of replies to holds, which those to starts overtake. */
+	rp_ms list_delay;
 	struct world_late late[WORLD_CALLS];
 	uint64_t fence; /* highest fencing token seen */
 	rp_ms lease_until;
@@ -116,7 +118,8 @@
 	const void *from; /* who calls, if several do */
 	uint64_t seq;	  /* of a call for another; its caller gets the reply */
 	uint64_t link;	  /* over which it was asked for */
-	/* Of a reply, as the target is when it carries the call out. */
+	/* Of a reply, as the target is when it carries the call out, if so. */
+	int listed;
 	int64_t clock, incarnation;
 	struct world_run *runs;
 	struct world_end *ends;
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -311,15 +311,16 @@
 
 /*
  * Whether a run that is not in the list is over. The list was requested after
- * the reply to the run's start or stop; or the target has seen a higher token
- * since, and refuses a start that is late.
+ * the reply to the run's start or stop; or the target has replied under a
+ * higher token since, and refuses a start that is late.
  */
-static int is_over(const struct sched_target *t, const struct sched_task *task)
+static int is_over(const struct sched_target *t, const struct sched_task *task,
+		   rp_ms requested_at)
 {
-	if (task->replied_at && t->hold_sent_at > task->replied_at)
+	if (task->replied_at && requested_at > task->replied_at)
 		return 1;
 	return task->overdue && t->s->fence_raised_at > task->sent_at &&
-	       t->hold_sent_at >= t->s->fence_raised_at;
+	       t->adopted;
 }
 
 /*
@@ -357,11 +358,15 @@
 				sched_run_send_stop(task);
 			continue;
 		}
-		if (is_over(t, task) && may_start_again(t, task)) {
+		if (is_over(t, task, reply->sent_at) &&
+		    may_start_again(t, task)) {
 			sched_run_stop_again(task);
-		} else if (is_over(t, task)) {
+		} else if (is_over(t, task, reply->sent_at)) {
 			if (task->restarted)
 				sched_loss_of_run(task, 1);
+			if (!sched_run_is_stopping(task))
+				t->s->ops->log(t->s, "run_unlisted", t, task,
+					       "a later list lacks it");
 			sched_late_give_up(task);
 			sched_run_ended(task, SCHED_END_STOPPED);
 		} else if (sched_run_is_stopping(task) && !task->stop_sent)
@@ -379,14 +384,12 @@
 	return t->nforeign > 0;
 }
 
-void sched_hold_reply(struct sched *s, struct sched_target *t,
-		      const struct sched_target_reply *reply, rp_ms now)
+static void apply_hold_reply(struct sched_target *t,
+			     const struct sched_target_reply *reply)
 {
-	int ok;
+	rp_ms now = t->s->now;
+	int ok = apply_reply(t, reply);
 
-	s->now = now;
-	t->hold_in_flight = 0;
-	ok = apply_reply(t, reply);
 	t->hold_retry_at = now + RETRY_MS;
 	/* Without a lease, no run has to be kept alive. */
 	if ((!t->nruns || !t->lease_until) &&
@@ -397,10 +400,8 @@
 			t->state = SCHED_UNHELD;
 		/* Only a call with the lower token leaves the target unheld. */
 		if (reply->status == SCHED_REPLY_FENCED &&
-		    t->state == SCHED_UNHELD) {
+		    t->state == SCHED_UNHELD)
 			t->hold_retry_at = 0;
-			sched_target_hold(t);
-		}
 		return;
 	}
 	t->hold_retry_at = 0;
@@ -419,6 +420,18 @@
 	check_capacity(t);
 	if (has_unclaimed_runs(t))
 		t->hold_retry_at = now + RETRY_MS;
+}
+
+/*
+ * The call counts as in flight until its reply is applied. One that is sent
+ * before would acknowledge ends of this list that nobody knows of yet.
+ */
+void sched_hold_reply(struct sched *s, struct sched_target *t,
+		      const struct sched_target_reply *reply, rp_ms now)
+{
+	s->now = now;
+	apply_hold_reply(t, reply);
+	t->hold_in_flight = 0;
 	sched_target_hold(t);
 }
 
@@ -470,7 +483,6 @@
 	}
 	t->hold_in_flight = 1;
 	t->hold_acquires = t->state == SCHED_ACQUIRING;
-	t->hold_sent_at = s->now;
 	acked_end = ends_to_acknowledge(t);
 	if (acked_end)
 		t->ends_acked = acked_end;
--- a/scheduler.h
+++ b/scheduler.h
@@ -457,9 +457,8 @@
 	rp_ms hold_replied_at;	  /* last successful hold call */
 	struct sched_unacked_end *unacked;
 	size_t nunacked, cap_unacked;
-	int hold_in_flight; /* a hold call awaits its reply */
-	int hold_acquires;  /* that call is the first of the target's holder */
-	rp_ms hold_sent_at;
+	int hold_in_flight;  /* a hold call awaits its reply */
+	int hold_acquires;   /* that call is the first of the target's holder */
 	rp_ms hold_retry_at; /* no hold call before then */
 	/*
 	 * Runs started so far have ended by then, but for overdue ones. 0: none
