sched: let a lease lapse that results of unknown jobs are listed under

What callers saw: a failure domain was cut off for 2.8 s.

Cause: the regular leader counts its runs on unreached targets as void once its lease is over. That holds for a run that has succeeded only if the target's lease lapses before the end is acknowledged. The provisional leader inside kept off a target while unknown runs were at work there, but not once they had ended: its own start, or a renewal for a run that it had adopted, prolonged the lease of the whole target, and the ends never lapsed. Both leaders reckoned one lease from their own calls.

Told apart by the record: on each target concerned the provisional leader's first start came within 60 ms of the ends, its lease never lapsed, and the regular leader acknowledged the ends after the cut; no end was acknowledged inside, as ends are kept while stored jobs are not known.

Change: while the stored jobs are not known, a target that lists results which no job here claims gets no start and no renewal until the lease of the leader before has certainly ended, one lease after the first list. After that the results count for nobody. Targets without such ends, and all targets where there are no stored jobs, are not delayed. It is logged as lapse_awaited.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -219,6 +219,7 @@
 
 	t->adopted = 1;
 	t->adopt_until = t->s->now + ADOPT_MS;
+	t->prev_lease_until = sched_end_of_lease(t->s);
 	/* Ends that were seen before wait for their jobs or owners already. */
 	for (i = t->norphans; i-- > 0;)
 		if (!t->orphans[i].number)
@@ -456,6 +457,19 @@
 	return t->s->now < t->adopt_until || !t->s->stored_jobs_loaded;
 }
 
+int sched_adopt_awaits_lapse(const struct sched_target *t)
+{
+	size_t i;
+
+	if (t->s->stored_jobs_loaded || t->s->now >= t->prev_lease_until)
+		return 0;
+	for (i = 0; i < t->norphans; i++)
+		if (t->orphans[i].number &&
+		    t->orphans[i].how != SCHED_END_STOPPED)
+			return 1;
+	return 0;
+}
+
 int sched_adopt_is_awaited(const struct sched_target *t)
 {
 	return !t->adopted && t->s->now - t->unlisted_at < GONE_MS;
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -375,13 +375,30 @@
 }
 
 /*
- * Whether a renewal would prolong runs that no job has claimed. Another leader
- * may go on in a part that is cut off: it counts them as over when its lease
- * is, and starts their tasks again.
+ * Whether a renewal would prolong what no job has claimed: runs that are at
+ * work, or the lease in which others have ended. Another leader may go on in a
+ * part that is cut off: it counts them as over when its lease is, and starts
+ * their tasks again.
  */
-static int has_unclaimed_runs(const struct sched_target *t)
+static int prolongs_unclaimed(const struct sched_target *t)
 {
-	return t->nforeign > 0;
+	return t->nforeign > 0 || sched_adopt_awaits_lapse(t);
+}
+
+static void apply_list(struct sched_target *t,
+		       const struct sched_target_reply *reply)
+{
+	int awaited_lapse = sched_adopt_awaits_lapse(t);
+
+	apply_ends(t, reply);
+	if (!awaited_lapse && sched_adopt_awaits_lapse(t))
+		t->s->ops->log(t->s, "lapse_awaited", t, NULL,
+			       "results that no job claims are listed");
+	stop_foreign_runs(t, reply);
+	if (reply->nends >= ENDS_PER_REPLY)
+		return;
+	reconcile_runs(t, reply);
+	sched_adopt_reconcile(t, reply);
 }
 
 static void apply_hold_reply(struct sched_target *t,
@@ -411,14 +428,9 @@
 		if (!t->adopted)
 			sched_adopt_list(t, reply);
 	}
-	apply_ends(t, reply);
-	stop_foreign_runs(t, reply);
-	if (reply->nends < ENDS_PER_REPLY) {
-		reconcile_runs(t, reply);
-		sched_adopt_reconcile(t, reply);
-	}
+	apply_list(t, reply);
 	check_capacity(t);
-	if (has_unclaimed_runs(t))
+	if (prolongs_unclaimed(t))
 		t->hold_retry_at = now + RETRY_MS;
 }
 
@@ -474,10 +486,10 @@
 		 * time at which the runs are certainly over.
 		 */
 		wait = 0;
-	} else if (t->nruns && !has_unclaimed_runs(t)) {
+	} else if (t->nruns && !prolongs_unclaimed(t)) {
 		until = sched_new_lease(t);
 		wait = HOLD_WAIT_MS;
-	} else if (!t->nforeign && !is_idle_call_due(t) &&
+	} else if (!t->nruns && !t->nforeign && !is_idle_call_due(t) &&
 		   !sched_silence_probe(t)) {
 		return;
 	}
--- a/sched-int.h
+++ b/sched-int.h
@@ -247,6 +247,13 @@
 void sched_adopt_end(struct sched_target *t, const struct sched_end *end);
 /* Whether jobs of unknown runs may still be submitted. */
 int sched_adopt_pending(const struct sched_target *t);
+/*
+ * Whether the target lists results of runs that no job here claims, and that
+ * the leader of their jobs may count as void, as its lease is over: it starts
+ * their tasks again. So this scheduler must not prolong that lease. Once it has
+ * lapsed, the results count for nobody.
+ */
+int sched_adopt_awaits_lapse(const struct sched_target *t);
 /*
  * The job, which this scheduler has, was submitted to another one meanwhile and
  * is back. Returns whether this answered it.
@@ -383,6 +390,8 @@
  * mark of the message to the owner, or 0. May free the job.
  */
 uint64_t sched_run_ended(struct sched_task *task, enum sched_end_how how);
+/* When a lease that is granted now has certainly ended. */
+rp_ms sched_end_of_lease(const struct sched *s);
 /* Returns the end of a lease granted now, in ms of the target's clock. */
 int64_t sched_new_lease(struct sched_target *t);
 void sched_run_send_stop(struct sched_task *task);
--- a/sched-place.c
+++ b/sched-place.c
@@ -69,7 +69,8 @@
 {
 	if (t->state != SCHED_HELD || !t->listed || !t->listing.ready ||
 	    t->evacuated || !entry_is_current(t) || t->nforeign ||
-	    t->unanswered || t->domain->silent || now < t->backoff_until)
+	    t->unanswered || t->domain->silent || now < t->backoff_until ||
+	    sched_adopt_awaits_lapse(t))
 		return 0;
 	return t->failure_rate < FAILURE_RATE_MAX || t->nruns < PROBE_RUNS;
 }
--- a/sched-run.c
+++ b/sched-run.c
@@ -64,8 +64,7 @@
 	       (int64_t)((double)(t->s->now - t->clock_at) * (1 - CLOCK_DRIFT));
 }
 
-/* When a lease that is granted now has certainly ended. */
-static rp_ms end_of_lease(const struct sched *s)
+rp_ms sched_end_of_lease(const struct sched *s)
 {
 	return s->now + (rp_ms)((double)s->max_lease * (1 + CLOCK_DRIFT)) +
 	       LEASE_SLACK_MS;
@@ -74,7 +73,7 @@
 /* Sets the time at which all leases granted up to now have certainly ended. */
 static void extend_lease(struct sched_target *t)
 {
-	t->lease_until = end_of_lease(t->s);
+	t->lease_until = sched_end_of_lease(t->s);
 }
 
 int64_t sched_new_lease(struct sched_target *t)
@@ -357,7 +356,7 @@
 	struct sched *s = t->s;
 
 	if (s->lossy_at && s->now - s->lossy_at < 2 * s->max_lease)
-		t->late_lease_until = end_of_lease(s);
+		t->late_lease_until = sched_end_of_lease(s);
 }
 
 void sched_target_lease_over(struct sched_target *t)
--- a/scheduler.h
+++ b/scheduler.h
@@ -486,6 +486,8 @@
 	/* Its first list was read; other schedulers start nothing since. */
 	int adopted;
 	rp_ms adopt_until; /* orphans wait for their jobs until then */
+	/* Leases of earlier schedulers have certainly ended by then. */
+	rp_ms prev_lease_until;
 	struct sched_orphan *orphans;
 	size_t norphans, cap_orphans;
 	/* The latest runs that were given up; a ring once it is full. */
