sched: count no reply of an incarnation for the one that follows it

Effect: a target restarts under its old id, and a copy of a start that had a reply is carried out afterwards. The target then gets more than it has room for, or the task runs beside its next run elsewhere.

Cause: replies to starts and stops do not tell the incarnation. A stop that the incarnation before had acknowledged counted for the next one, which has no record of it and starts the run. It counted if the reply came after the restart was seen, and if the lease was over before the next list. A run that was not stopped was given up with its lease, as it had been seen, though only in the incarnation before.

Change: a reply to a stop counts only if the call was sent after the incarnation was seen; a restart voids the stops of before; a run of before a restart stays on its target after the lease until a stop of it is acknowledged, as one whose start had no reply does.

--- a/sched-hold.c
+++ b/sched-hold.c
@@ -39,8 +39,14 @@
 	struct sched_task *task;
 
 	sched_loss_mark_runs(t);
-	for (task = t->runs; task; task = task->next)
+	for (task = t->runs; task; task = task->next) {
 		task->restarted = 1;
+		if (!sched_run_is_stopping(task))
+			continue;
+		/* The next incarnation has no record of the stop. */
+		task->stop_sent = 0;
+		task->replied_at = 0;
+	}
 }
 
 /*
@@ -229,7 +235,8 @@
 	task = sched_run_find(t, str_of(name), run);
 	if (!task || !sched_run_is_stopping(task))
 		return;
-	if (ok)
+	/* An incarnation that was seen since has no record of the stop. */
+	if (ok && reply->sent_at > t->incarnation_at)
 		task->replied_at = now;
 	else
 		task->stop_sent = 0; /* sent again after the next list */
@@ -333,8 +340,7 @@
 {
 	if (!task->restarted || t->s->now - task->sent_at >= LATE_CALL_MAX_MS)
 		return 0;
-	return !sched_run_is_stopping(task) ||
-	       task->replied_at < t->incarnation_at;
+	return !sched_run_is_stopping(task) || !task->replied_at;
 }
 
 /* Updates the known runs from a list. */
--- a/sched-run.c
+++ b/sched-run.c
@@ -270,7 +270,8 @@
 		return 0;
 	if (sched_run_is_stopping(task) && task->stop_sent && task->replied_at)
 		return 0;
-	if (!task->seen)
+	/* A copy of the start may begin it anew in the next incarnation. */
+	if (!task->seen || task->restarted)
 		return now - task->sent_at < LATE_CALL_MAX_MS;
 	if (now < t->late_lease_until)
 		return 1;
@@ -289,7 +290,7 @@
 	if (!sched_run_is_stopping(task))
 		task->state = SCHED_STOPPING;
 	task->stop_sent = 0; /* sent after the next list */
-	task->replied_at = task->seen ? t->s->now : 0;
+	task->replied_at = task->seen && !task->restarted ? t->s->now : 0;
 	t->s->count.overdue++;
 	t->s->ops->log(t->s, "overdue", t, task,
 		       "calls may be carried out late");
