regress: restart all entry VMs among jobs that fail, with lists that are old

The stand-in platform can delay replies to holds (list_ms) and has jobs whose first task always fails. t-pool-old-list kills all entry VMs among such jobs.

--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -14,6 +14,9 @@
 struct suspension {
 	int64_t since;
 	int lost; /* carried out late, see standin_is_lost() */
+	/* The reply is ready, and sent then; NULL: it is not ready. */
+	json_t *reply;
+	int64_t reply_at;
 };
 
 void standin_violation(struct standin *st, const char *what,
@@ -55,6 +58,27 @@
 	return FAKE_SUSPENDED;
 }
 
+enum fake_action standin_reply_later(struct fake_request *r, json_t *value,
+				     int ms)
+{
+	enum fake_action verdict = standin_suspend(r);
+	struct suspension *susp = r->data;
+
+	susp->reply = value;
+	susp->reply_at = fake_now_ms() + ms;
+	return verdict;
+}
+
+/* The reply of the request is ready: sends it, or waits until it is due. */
+static enum fake_action send_when_due(struct fake_request *r)
+{
+	struct suspension *susp = r->data;
+
+	if (fake_now_ms() < susp->reply_at)
+		return standin_suspend(r);
+	return fake_reply_json(r, 200, susp->reply);
+}
+
 int standin_is_lost(struct standin *st, struct fake_request *r, int percent)
 {
 	struct suspension *susp = r->data;
@@ -113,6 +137,7 @@
 	set_int(o, "stuck", &t->stuck);
 	set_int(o, "failing", &t->failing);
 	set_int(o, "losing", &t->losing);
+	set_int(o, "list_ms", &t->list_ms);
 	if (!t->draining)
 		t->draining_since = fake_now_ms();
 	set_int(o, "draining", &t->draining);
@@ -236,10 +261,13 @@
 static enum fake_action handle(struct fake_request *r)
 {
 	struct standin *st = r->conn->srv->user_data;
+	const struct suspension *susp = r->data;
 	enum fake_action verdict;
 
 	apr_thread_mutex_lock(st->lock);
-	if (!strncmp(r->path, "/control/", 9))
+	if (susp && susp->reply)
+		verdict = send_when_due(r);
+	else if (!strncmp(r->path, "/control/", 9))
 		verdict = control(st, r);
 	else if (r->conn->port == 0)
 		verdict = store_handle(st, r);
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -77,6 +77,7 @@
 	int stuck;	 /* fault: runs make no progress */
 	int failing;	 /* fault: percent of runs that fail */
 	int losing;	 /* fault: percent of calls that are lost */
+	int list_ms;	 /* fault: delay of replies to holds, ms */
 	double cpu;	 /* capacity, thousandths of a core */
 	double prev_cpu; /* before it was changed last */
 	int64_t cpu_changed_at;
@@ -141,6 +142,9 @@
 /* Whether the request is one of the percent that get no answer in time. */
 int standin_is_lost(struct standin *st, struct fake_request *r, int percent);
 enum fake_action standin_suspend(struct fake_request *r);
+/* Replies with the value, which it frees, after ms. */
+enum fake_action standin_reply_later(struct fake_request *r, json_t *value,
+				     int ms);
 /* Returns the ms since the request was first suspended, or 0. */
 int64_t standin_wait_ms(struct fake_request *r);
 
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -10,6 +10,7 @@
 #define CPU 16000.0   /* capacity, thousandths of a core */
 #define TASK_CPU 6000 /* CPU of every task, thousandths of a core */
 #define RESTART_MS 80 /* time until the next incarnation answers */
+#define FAILS_MS 60   /* until a task fails that always does */
 #define CRASH_MS 10   /* from the start of a run that crashes its target */
 #define DOWN_MS 2000  /* time until a crashed target is back, with a new id */
 #define ENTRY_INTERVAL_MS 1500 /* at which a target rewrites its entry */
@@ -269,6 +270,12 @@
 		standin_violation(st, "start in an evacuated zone", task);
 }
 
+/* Whether the task is the first one of a job that can never be done. */
+static int always_fails(const char *task, const char *spec)
+{
+	return strstr(spec, "first-fails") && !strcmp(strrchr(task, '.'), ".0");
+}
+
 /* The specification begins with the task's run time in ms. */
 static enum fake_action start_run(struct standin_target *t, json_t *body,
 				  struct fake_request *r)
@@ -307,6 +314,10 @@
 		t->crash_at = fake_now_ms() + CRASH_MS;
 	new_run->cpu = TASK_CPU;
 	new_run->fails = t->failing && rand_r(&st->seed) % 100 < t->failing;
+	if (always_fails(task, spec)) {
+		new_run->fails = 1;
+		new_run->work_ms = FAILS_MS;
+	}
 	st->starts++;
 	return reply_accepted(t, r);
 }
@@ -372,6 +383,7 @@
 			     struct fake_request *r)
 {
 	int64_t last_seen = 0, wait = 0;
+	json_t *list;
 	size_t i = 0;
 
 	fake_json_int(body, "lastSeen", &last_seen);
@@ -392,12 +404,12 @@
 	}
 	if (!t->nends && standin_wait_ms(r) < wait)
 		return standin_suspend(r);
-	return fake_reply_json(r, 200,
-			       json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
-					 (json_int_t)target_clock(t), "born",
-					 (json_int_t)t->incarnation, "running",
-					 runs_json(t), "finished",
-					 ends_json(t)));
+	list = json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
+			 (json_int_t)target_clock(t), "born",
+			 (json_int_t)t->incarnation, "running", runs_json(t),
+			 "finished", ends_json(t));
+	return t->list_ms ? standin_reply_later(r, list, t->list_ms)
+			  : fake_reply_json(r, 200, list);
 }
 
 enum fake_action target_handle(struct standin_target *t, struct fake_request *r)
