sched: send stops again to a target that restarts under its old id

Effect: a target gets more than it has room for, or a task runs twice.

Cause: a start without a reply waits, at an agent that is frozen or cut off, or at the platform. The leader stops the run, the target acknowledges the stop, and the run counts as over. If the target restarts under its old id, it has no record of the stop and carries the start out.

--- a/regress/sched-late-restart.c
+++ b/regress/sched-late-restart.c
@@ -135,3 +135,32 @@
 	world_run_until(&w, w.now + 3000);
 	end_world();
 }
+
+/*
+ * Guards against a task that runs twice, and a target that gets more than it
+ * has room for. The only copy of a start had no reply, and its stop had one;
+ * the next incarnation had no record of the stop, and carried the start out
+ * (sched-orders, seed 2833 with ONCE=1 PARTS=15, an agent that was frozen with
+ * the start).
+ */
+Test(sched_late_restart, a_start_arrives_that_was_stopped_before)
+{
+	struct world_target *t = &w.targets[0];
+
+	world_begin(&w, &first, 2);
+	w.keep_late = w.new_clocks = 1;
+	t->clock_start = -500000;
+	world_run_until(&w, w.now + 25000); /* idle clocks are read again */
+	w.task_cpu = 6000;
+	t->late[WORLD_START] = (struct world_late){ 100, 2000, 2000, 0 };
+	world_submit(&w, "q", 1, 20000, 1, 60000);
+	world_run_until(&w, w.now + 20);
+	t->late[WORLD_START].percent = 0;
+	while (!first.count.retries)
+		world_run_until(&w, w.now + 1);
+	world_target_restart(&w, t);
+	sched_target_listed(&first, &t->listing, w.now);
+	world_run_until(&w, w.now + 4000);
+	cr_assert_eq(first.count.starts, 2);
+	end_world();
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -130,6 +130,7 @@
 {
 	free(t->orphans);
 	free(t->given_up);
+	free(t->late_starts);
 	free(t->unacked);
 	free(t);
 }
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -58,8 +58,10 @@
 	struct sched *s = t->s;
 
 	s->ops->log(s, "new_incarnation", t, t->runs, "");
-	if (t->incarnation)
+	if (t->incarnation) {
 		mark_restarted(t);
+		sched_late_starts_restarted(t);
+	}
 	t->prev_incarnation = t->incarnation;
 	t->replaced = 0;
 	t->incarnation = incarnation;
@@ -203,6 +205,9 @@
 	s->now = now;
 	ok = apply_reply(t, reply);
 	task = sched_run_find(t, str_of(name), run);
+	if (task && (ok || reply->status == SCHED_REPLY_REFUSED ||
+		     reply->status == SCHED_REPLY_NOT_SENT))
+		task->start_is_late = reply->lossy != 0;
 	if (!task || sched_run_is_stopping(task))
 		return;
 	if (ok) {
@@ -231,12 +236,14 @@
 	int ok;
 
 	s->now = now;
-	ok = apply_reply(t, reply);
+	/* An incarnation that was seen since has no record of the stop. */
+	ok = apply_reply(t, reply) && reply->sent_at > t->incarnation_at;
+	if (ok)
+		sched_late_start_stopped(t, str_of(name), run);
 	task = sched_run_find(t, str_of(name), run);
 	if (!task || !sched_run_is_stopping(task))
 		return;
-	/* An incarnation that was seen since has no record of the stop. */
-	if (ok && reply->sent_at > t->incarnation_at)
+	if (ok)
 		task->replied_at = now;
 	else
 		task->stop_sent = 0; /* sent again after the next list */
@@ -405,6 +412,7 @@
 		return;
 	reconcile_runs(t, reply);
 	sched_adopt_reconcile(t, reply);
+	sched_late_starts_stop(t);
 }
 
 static void apply_hold_reply(struct sched_target *t,
--- a/sched-int.h
+++ b/sched-int.h
@@ -284,6 +284,20 @@
 int sched_late_success(struct sched_task *task, struct sched_target *t,
 		       uint64_t number);
 
+/* sched-restart.c */
+/* The run is over for this scheduler. Keeps its start if it may be late. */
+void sched_late_start_add(const struct sched_task *task);
+/* The target has restarted under its id, and has no record of stops. */
+void sched_late_starts_restarted(struct sched_target *t);
+/* Sends the stops again that this incarnation has not acknowledged. */
+void sched_late_starts_stop(struct sched_target *t);
+/* This incarnation has acknowledged the run's stop. */
+void sched_late_start_stopped(struct sched_target *t, struct rp_str name,
+			      uint32_t run);
+/* Takes what these starts need from the room. */
+void sched_late_starts_reserve(const struct sched_target *t,
+			       struct sched_resources *room);
+
 /* sched-dispatch.c */
 /* Whether runs of an earlier submission of the id may not be over. */
 int sched_has_earlier_runs(const struct sched_job *job);
--- a/sched-place.c
+++ b/sched-place.c
@@ -126,6 +126,7 @@
 		room.memory -= t->late.memory;
 		room.accelerators -= t->late.accelerators;
 	}
+	sched_late_starts_reserve(t, &room);
 	return sched_resources_fit(need, &room);
 }
 
--- a/sched-run.c
+++ b/sched-run.c
@@ -94,6 +94,7 @@
 	task->replied_at = 0;
 	task->observed = task->percent = 0;
 	task->restarted = task->seen = task->overdue = task->adopted = 0;
+	task->start_is_late = 1; /* until its reply */
 	task->progress_at = task->percent_at = s->now;
 	task->predicted = sched_run_time(t, &job->steps[task->step]);
 	link_run(task, t);
@@ -115,7 +116,7 @@
 	task->sent_at = task->replied_at = t->s->now;
 	/* Its start time is unknown, so nothing can be learned from it. */
 	task->observed = 1;
-	task->restarted = task->overdue = 0;
+	task->restarted = task->overdue = task->start_is_late = 0;
 	task->seen = task->adopted = 1;
 	task->percent = 0;
 	task->progress_at = task->percent_at = 0;
@@ -238,6 +239,7 @@
 		 str_of(task->target->listing.id));
 	job->last_sent_at = task->sent_at;
 	job->last_predicted = task->predicted;
+	sched_late_start_add(task);
 	unlink_run(task);
 	if (task->delays_ack)
 		sched_unacked_run_over(task);
--- a/scheduler.h
+++ b/scheduler.h
@@ -100,13 +100,15 @@
 	struct sched_losses *losses; /* NULL: none */
 	/* The fields below describe the run on the target. */
 	struct sched_task *next, **prev; /* in the target's list of runs */
-	rp_ms sent_at;	    /* the start call was sent, or the run adopted */
-	rp_ms replied_at;   /* reply to the latest start or stop; 0: none */
-	double predicted;   /* run time predicted at the start, ms */
-	int observed;	    /* learned from already, or not to be */
-	uint8_t seen;	    /* boolean; the target has said that it was there */
-	uint8_t restarted;  /* boolean; the target has another incarnation */
-	uint8_t overdue;    /* boolean; it may run though its lease is over */
+	rp_ms sent_at;	   /* the start call was sent, or the run adopted */
+	rp_ms replied_at;  /* reply to the latest start or stop; 0: none */
+	double predicted;  /* run time predicted at the start, ms */
+	int observed;	   /* learned from already, or not to be */
+	uint8_t seen;	   /* boolean; the target has said that it was there */
+	uint8_t restarted; /* boolean; the target has another incarnation */
+	uint8_t overdue;   /* boolean; it may run though its lease is over */
+	/* Boolean; its start, or a copy, may not have been carried out yet. */
+	uint8_t start_is_late;
 	uint8_t delays_ack; /* boolean; ends on other targets wait for it */
 	/* Of the runs on the target when it was lost or restarted: booleans. */
 	uint8_t lost_alone, lost_newest, lost_common;
@@ -401,6 +403,15 @@
 	uint32_t run;
 };
 
+/* A run that is over for this scheduler, whose start may still arrive. */
+struct sched_late_start {
+	char name[SCHED_TASK_NAME_MAX];
+	uint32_t run;
+	int restarted; /* the target has no record of its stop */
+	struct sched_resources need;
+	rp_ms until; /* the start is taken for lost from then on */
+};
+
 /* A run of an earlier scheduler, or its end, found on a target. */
 struct sched_orphan {
 	char name[SCHED_TASK_NAME_MAX];
@@ -490,6 +501,8 @@
 	rp_ms prev_lease_until;
 	struct sched_orphan *orphans;
 	size_t norphans, cap_orphans;
+	struct sched_late_start *late_starts;
+	size_t nlate_starts, nlate_restarted;
 	/* The latest runs that were given up; a ring once it is full. */
 	struct sched_given_up *given_up;
 	size_t ngiven_up, next_given_up;
