sched: look at a job's other steps if one finds no target

Its first step needs a label that no target has any more; its second step waits for nothing.

Cause: start_tasks() returned at the first task without a target, as if all tasks of a job had the same needs.

Change: it goes on with the next step. Jobs of one step are treated as before.

--- a/sched-dispatch.c
+++ b/sched-dispatch.c
@@ -31,9 +31,14 @@
 	return SCHED_DELAY_NONE;
 }
 
+static size_t last_task(const struct sched_job *job, size_t step)
+{
+	return job->steps[step].first_task + job->steps[step].ntasks - 1;
+}
+
 /*
- * Starts the job's tasks that are ready, as long as there is room. Returns what
- * keeps the others from being started.
+ * Starts the job's tasks that are ready, as long as there is room for those of
+ * their step. Returns what keeps the others from being started.
  */
 static enum sched_delay start_tasks(struct sched_job *job)
 {
@@ -65,8 +70,11 @@
 			continue;
 		}
 		delay = SCHED_DELAY_ROOM;
-		if (!job->isolate)
-			return delay;
+		if (!job->isolate) {
+			/* Steps after it may need less, or another label. */
+			i = last_task(job, task->step);
+			continue;
+		}
 		s->nunplaced++;
 		sched_reserve_target(s, job, &job->steps[task->step]);
 	}
