pool: send cancellations again over the next link to the leader

Cause: the entry VM answers at once and forgets the job. If its link to the leader has gone silent, the message is lost. Over the next link only open jobs are submitted again, and the leader keeps the jobs of a member that comes back in time.

The leader ignores one of a job that it does not have.

--- a/pool-relay.c
+++ b/pool-relay.c
@@ -82,24 +82,6 @@
 	pool_link_send(p->leader_link, &frame);
 }
 
-void pool_send_cancel(struct pool *p, uint64_t seq)
-{
-	PoolFrame frame = POOL_FRAME__INIT;
-	PoolCancel cancel = POOL_CANCEL__INIT;
-
-	if (p->leading) {
-		sched_cancel(&p->sched, &p->self, seq, p->now);
-		p->dispatch_due = 1;
-		return;
-	}
-	if (!p->leader_link)
-		return;
-	cancel.seq = seq;
-	frame.body_case = POOL_FRAME__BODY_CANCEL;
-	frame.cancel = &cancel;
-	pool_link_send(p->leader_link, &frame);
-}
-
 static void remember_answer(struct pool_member *m, const PoolAnswer *answer)
 {
 	struct pool_recent_answer *a =
--- a/pool-request.c
+++ b/pool-request.c
@@ -396,6 +396,7 @@
 		if (all[i]->seq)
 			submit_job(all[i]);
 	free(all);
+	pool_cancels_resend(p);
 }
 
 /*
--- a/pool.h
+++ b/pool.h
@@ -173,7 +173,10 @@
 int pool_can_submit(const struct pool *p);
 /* Sends to the leader, which may be this VM. */
 void pool_send_submit(struct pool *p, PoolSubmit *sub);
+/* Cancels a job of this VM, now and over the next link to the leader. */
 void pool_send_cancel(struct pool *p, uint64_t seq);
+/* Sends the recent ones again, as a link may have lost them. */
+void pool_cancels_resend(struct pool *p);
 /*
  * Send from this leader to the entry VM that owns a job. Return the mark of
  * the message, or 0 when this VM is the owner.
@@ -407,7 +410,7 @@
 void pool_request_answer_received(struct pool *p, const PoolAnswer *answer);
 void pool_request_progress_received(struct pool *p,
 				    const PoolProgress *progress);
-/* Submits all open jobs to the current leader. */
+/* Submits all open jobs to the current leader, and cancels the others. */
 void pool_requests_resubmit(struct pool *p);
 /* Answers all open requests: this VM is about to exit. */
 void pool_requests_abort(struct pool *p);
@@ -529,6 +532,14 @@
 void pool_turn_end(struct pool *p);
 const char *pool_activity_name(enum pool_activity a);
 
+/* Jobs cancelled of late that are kept. */
+#define POOL_CANCELLED_KEPT 512
+
+struct pool_cancelled {
+	uint64_t seq;
+	rp_ms until; /* it need not be sent again from then on */
+};
+
 /* State of the daemon. Times are those of pool_clock(). */
 struct pool {
 	struct pool_settings set;
@@ -628,6 +639,8 @@
 	struct pool_state_query *state_queries; /* to this leader */
 	apr_hash_t *requests;			/* seq -> struct pool_request */
 	uint64_t next_seq;
+	struct pool_cancelled cancelled[POOL_CANCELLED_KEPT]; /* a ring */
+	size_t ncancelled;
 	unsigned nopen; /* requests not yet answered */
 	struct pool_turn turn;
 	struct pool_counters count;
