sched: hold no crash against a task whose run had made progress

Targets had crashed one after the other, whatever they ran.

Cause: is_at_fault() gave a task up after two crashes, one of them alone and without progress, after three, or after four of any kind. A long task whose targets crash for other reasons reaches each of these.

Change: only crashes under runs that had shown no progress count. Tasks that crash their targets soon after each start are given up as before.

--- a/regress/sched-crash.c
+++ b/regress/sched-crash.c
@@ -463,3 +463,31 @@
 		end_world();
 	}
 }
+
+/*
+ * Guards against an accepted job that is shown as failed though none of its
+ * runs has failed: the targets that run its task crash one after the other,
+ * each time after the run has made progress.
+ */
+Test(sched_crash, crashes_of_other_causes_are_not_held_against_a_long_task)
+{
+	struct world_job *job;
+	size_t i, crashes = 0;
+
+	begin_world(6, 1);
+	job = world_submit(&w, "q", 1, 3000, 1, 60000);
+	while (crashes < 6) {
+		world_run_until(&w, w.now + 1200);
+		for (i = 0; i < w.ntargets; i++) {
+			if (!w.targets[i].nruns)
+				continue;
+			world_target_crash(&w, &w.targets[i]);
+			crashes++;
+		}
+		cr_assert(!job->answered);
+	}
+	world_run_until(&w, w.now + 20000);
+	cr_assert(job->answered);
+	cr_assert_eq(job->outcome, POOL_ANSWER__OUTCOME__COMPLETED);
+	end_world();
+}
--- a/sched-loss.c
+++ b/sched-loss.c
@@ -74,8 +74,9 @@
 /*
  * Two crashes may be a coincidence for a task that was one of several each
  * time. A task runs alone after the first, so that the second tells. A run that
- * was not seen may never have begun, on a target that had crashed before.
- * Crashes of many targets at once are no run's fault.
+ * was not seen may never have begun, on a target that had crashed before, and
+ * one that had made progress has outlived its start. Crashes of many targets at
+ * once are no run's fault.
  */
 static int is_at_fault(const struct sched_losses *losses)
 {
@@ -84,13 +85,13 @@
 	for (i = 0; i < losses->n; i++) {
 		const struct sched_loss *loss = &losses->list[i];
 
-		if (!loss->crashed || !loss->seen)
+		if (!loss->crashed || !loss->seen || !loss->no_progress)
 			continue;
 		seen++;
 		if (loss->common)
 			continue;
 		crashes++;
-		alone += loss->alone && loss->no_progress;
+		alone += loss->alone;
 	}
 	return seen >= SEEN_MAX || crashes >= CRASHES_MAX ||
 	       (crashes >= CRASHES_ALONE_MAX && alone);
