pool: count no refusal of a repeated request for the first sending

Cause: libcurl sends a request again if a connection that it has reused ends without a reply. The daemon does not see this, and takes a 503 to the second sending for a refusal of the call, which "has then done nothing". The first sending may have been carried out.

Ruled out: copies that the daemon sends itself (pool-resend.c), whose refusal counts as uncertain already; there was none in the cases.

Change: the daemon counts libcurl's attempts, as rosemaryd does. A refused repeat of a start or stop is uncertain, like a refused copy: the run is stopped and waits for a list. A refused repeat of a write to the store counts as no reply. The request is not kept from being repeated, as targets accept it twice and most connections end while they are idle. calls_repeated_total counts them.

--- a/pool-call.c
+++ b/pool-call.c
@@ -117,6 +117,24 @@
 	return 0;
 }
 
+/*
+ * Called by libcurl before each attempt to write the request. It sends one
+ * again on another connection if a reused one ends without a reply.
+ */
+static int on_write_request(void *arg, char *peer_ip, char *local_ip,
+			    int peer_port, int local_port)
+{
+	struct pool_call *c = arg;
+
+	(void)peer_ip;
+	(void)local_ip;
+	(void)peer_port;
+	(void)local_port;
+	if (c->attempts++)
+		c->p->count.calls_repeated++;
+	return CURL_PREREQFUNC_OK;
+}
+
 /* Creates a handle with the options that all calls share. */
 static CURL *new_handle(void)
 {
@@ -131,6 +149,7 @@
 			 (long)CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, IDLE_TIMEOUT_S);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_write_request);
 	return e;
 }
 
@@ -164,6 +183,7 @@
 	curl_easy_setopt(e, CURLOPT_PRIVATE, c);
 	curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)spec->timeout);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+	curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, (long)spec->fresh_connect);
 	set_request(c, spec);
 }
@@ -223,6 +243,28 @@
 	free(c);
 }
 
+int pool_call_refused(long status)
+{
+	return status == 503 ||
+	       (status >= 400 && status < 500 && status != 412);
+}
+
+/*
+ * The status of the reply. If the request was sent again, a refusal of the last
+ * attempt does not tell that an earlier one was not carried out, and counts as
+ * no reply. pool_resend_status() does the same for targets.
+ */
+static long status_of(const struct pool_call *c)
+{
+	long status = 0;
+
+	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (c->attempts > 1 && c->request && !c->resend &&
+	    pool_call_refused(status))
+		return 0;
+	return status;
+}
+
 static void finish_calls(struct pool *p)
 {
 	struct CURLMsg *msg;
@@ -236,8 +278,7 @@
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
 		if (msg->data.result == CURLE_OK)
-			curl_easy_getinfo(msg->easy_handle,
-					  CURLINFO_RESPONSE_CODE, &status);
+			status = status_of(c);
 		pool_call_end(c, status, c->body, c->len);
 	}
 }
--- a/pool-count.c
+++ b/pool-count.c
@@ -84,6 +84,7 @@
 	put_count(t, "agent_calls_total", c->agent_calls);
 	put_count(t, "agent_calls_unanswered_total", c->agent_unanswered);
 	put_count(t, "target_calls_resent_total", c->calls_resent);
+	put_count(t, "calls_repeated_total", c->calls_repeated);
 	put_count(t, "links_total", c->links);
 	put_count(t, "pauses_total", c->pauses);
 	put_count(t, "takeovers_total", c->takeovers);
--- a/pool-io.h
+++ b/pool-io.h
@@ -67,7 +67,8 @@
 	char *request; /* body, owned; NULL: a GET */
 	char *body;    /* of the reply */
 	size_t len, cap;
-	pool_call_cb *on_done;		 /* NULL: the reply is ignored */
+	unsigned attempts;     /* to send the request, see pool-call.c */
+	pool_call_cb *on_done; /* NULL: the reply is ignored */
 	struct pool_resend_spec *resend; /* NULL: it is sent once */
 	struct pool_call *original;	 /* of which this is a copy, or NULL */
 	pool_reply_cb *on_reply;
@@ -110,6 +111,8 @@
 /* Starts a call. Returns it, so that its user fields can be set. */
 struct pool_call *pool_call_begin(struct pool *p,
 				  const struct pool_call_spec *spec);
+/* Whether the status says that the call has done nothing. */
+int pool_call_refused(long status);
 /* Time until libcurl's timer expires, ms; -1: it isn't armed. */
 rp_ms pool_calls_timeout(const struct pool *p);
 void pool_calls_tick(struct pool *p);
--- a/pool-job-submit.c
+++ b/pool-job-submit.c
@@ -100,7 +100,7 @@
 	for (; j; j = next) {
 		next = j->next;
 		j->sent = 0;
-		j->may_be_written |= !pool_job_refused(status);
+		j->may_be_written |= !pool_call_refused(status);
 		if (may_write_again(j)) {
 			j->failures++;
 			enqueue(again, j);
--- a/pool-job.c
+++ b/pool-job.c
@@ -129,15 +129,9 @@
 	}
 }
 
-int pool_job_refused(long status)
-{
-	return status == 503 ||
-	       (status >= 400 && status < 500 && status != 412);
-}
-
 void pool_job_respond_failed(struct pool_job_call *j, long status)
 {
-	if (pool_job_refused(status) && !j->may_be_written)
+	if (pool_call_refused(status) && !j->may_be_written)
 		pool_job_respond(j, 503, "{\"error\":\"the store is busy\"}",
 				 DEFAULT_RETRY_AFTER_S, "job_refused");
 	else /* the store may have written the row */
@@ -257,7 +251,7 @@
 	rp_ms at = j->p->now + pool_job_backoff(j->failures++);
 
 	if (j->request && at < j->request->deadline &&
-	    (j->may_be_written || !pool_job_refused(status))) {
+	    (j->may_be_written || !pool_call_refused(status))) {
 		j->repeat_at = at;
 		return;
 	}
@@ -282,7 +276,7 @@
 	} else if (status == 412) {
 		pool_job_respond_failed(j, 503);
 	} else {
-		j->may_be_written |= !pool_job_refused(status);
+		j->may_be_written |= !pool_call_refused(status);
 		read_again(j, status);
 		return;
 	}
--- a/pool-job.h
+++ b/pool-job.h
@@ -64,8 +64,6 @@
 void pool_job_respond_failed(struct pool_job_call *j, long status);
 /* Whether it is a submission that no transaction has had. */
 int pool_job_is_unsent(const struct pool_job_call *j);
-/* Whether the status says that the store has done nothing. */
-int pool_job_refused(long status);
 /* The pause before a call is repeated, and its timeout, after failures. */
 rp_ms pool_job_backoff(unsigned failures);
 rp_ms pool_job_timeout(unsigned failures);
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -172,7 +172,9 @@
 enum sched_reply_status pool_resend_status(const struct pool_call *c,
 					   enum sched_reply_status status)
 {
-	if (status == SCHED_REPLY_REFUSED && c->resend && c->resend->ncopies)
+	int copied = c->resend && c->resend->ncopies;
+
+	if (status == SCHED_REPLY_REFUSED && (copied || c->attempts > 1))
 		return SCHED_REPLY_UNCERTAIN;
 	return status;
 }
--- a/pool.h
+++ b/pool.h
@@ -473,6 +473,7 @@
 	uint64_t requests, bad, not_found, rejected, answered, callers_gone;
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
 	uint64_t agent_calls, agent_unanswered, calls_resent;
+	uint64_t calls_repeated;
 	uint64_t links, pauses, takeovers, watch_restarts;
 	uint64_t leaderless_ms; /* time in which this VM heard no leader */
 	/* Bytes over links by kind of frame, POOL_FRAME__BODY_*. */
