sched: notice by its clock that a target has restarted

What callers see: a target over its room.

Cause: a target restarts under its old id, while the entry in the platform's list is old, or the store is away. An idle target is called every 10 s, so a leader goes on by what the incarnation before has listed. Its next start tells nothing: a reply to a start does not name the incarnation. So it starts more there, beside what another leader has started since the restart. In the trace, which has a leader inside a cut and one outside, the starts come 0.5 s after the restart.

Change: each reply gives the target's clock, which starts anew with each incarnation, and a call is carried out after it was sent. If the clock is behind what it must be at least by then, the target gets nothing more until its next list. Agents leave out the clock of no reply any more.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -125,8 +125,6 @@
 	if (t && r.reply.status == SCHED_REPLY_OK) {
 		msg.target = t->number;
 		pool_list_encode(&lists, &t->list, &r.reply, &msg);
-	} else if (r.reply.status == SCHED_REPLY_OK) {
-		msg.clock = 0;
 	}
 	send_reply(p, &msg);
 	pool_list_message_finish(&lists);
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -800,7 +800,8 @@
   uint32_t status;
   char *reason;
   /*
-   * Of the target; 0: not given. Left out when a start succeeded.
+   * Of the target; 0: not given. Of an earlier release it is 0 when a
+   * start succeeded.
    */
   uint64_t clock;
   /*
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -18,6 +18,8 @@
  * shorter by up to CLOCK_DRIFT of the age.
  */
 #define CLOCK_AGE_MAX_MS 10000
+/* Time by which a reading of a target's clock may seem to be behind. */
+#define CLOCK_BEHIND_MS 500
 /* Delay before a retry; doubled up to the maximum while calls fail. */
 #define RETRY_MS 60
 #define RETRY_MAX_MS 1000
@@ -138,6 +140,32 @@
 		set_lossy(t);
 }
 
+/*
+ * Whether the clock shows that the target has restarted under its id, as clocks
+ * start anew then. A call is carried out after it was sent, so that the clock
+ * of the same incarnation is not behind. Replies to starts and stops do not
+ * name the incarnation.
+ */
+static int is_clock_behind(const struct sched_target *t,
+			   const struct sched_target_reply *reply)
+{
+	if (!reply->clock || reply->incarnation || !t->clock ||
+	    reply->sent_at < t->clock_at)
+		return 0;
+	return reply->clock + CLOCK_BEHIND_MS <
+	       sched_least_clock(t, reply->sent_at);
+}
+
+/* Nothing is known of what runs there until the next list. */
+static void await_list(struct sched_target *t)
+{
+	t->s->ops->log(t->s, "clock_behind", t, t->runs,
+		       "the target has restarted");
+	if (t->state == SCHED_HELD)
+		t->state = SCHED_UNHELD;
+	t->hold_retry_at = 0;
+}
+
 /* Applies what all replies have in common. Returns whether it succeeded. */
 static int apply_reply(struct sched_target *t,
 		       const struct sched_target_reply *reply)
@@ -149,6 +177,8 @@
 	if (reply->incarnation && reply->incarnation != t->incarnation)
 		sched_target_new_incarnation(t, reply->incarnation);
 	note_answered(t, reply);
+	if (is_clock_behind(t, reply))
+		await_list(t);
 	if (reply->clock) {
 		t->clock = reply->clock;
 		t->clock_at = s->now;
--- a/sched-int.h
+++ b/sched-int.h
@@ -406,6 +406,8 @@
 uint64_t sched_run_ended(struct sched_task *task, enum sched_end_how how);
 /* When a lease that is granted now has certainly ended. */
 rp_ms sched_end_of_lease(const struct sched *s);
+/* The least that the target's clock may show at the time. */
+int64_t sched_least_clock(const struct sched_target *t, rp_ms at);
 /* Returns the end of a lease granted now, in ms of the target's clock. */
 int64_t sched_new_lease(struct sched_target *t);
 void sched_run_send_stop(struct sched_task *task);
--- a/sched-run.c
+++ b/sched-run.c
@@ -54,14 +54,10 @@
 	task->job->nplaced--;
 }
 
-/*
- * The least that the target's clock may show now. With a later time, a call
- * that is carried out late would be granted a lease beyond lease_until.
- */
-static int64_t clock_now(const struct sched_target *t)
+int64_t sched_least_clock(const struct sched_target *t, rp_ms at)
 {
 	return t->clock +
-	       (int64_t)((double)(t->s->now - t->clock_at) * (1 - CLOCK_DRIFT));
+	       (int64_t)((double)(at - t->clock_at) * (1 - CLOCK_DRIFT));
 }
 
 rp_ms sched_end_of_lease(const struct sched *s)
@@ -79,7 +75,11 @@
 int64_t sched_new_lease(struct sched_target *t)
 {
 	extend_lease(t);
-	return clock_now(t) + t->s->max_lease;
+	/*
+	 * With a later time, a call that is carried out late would be granted a
+	 * lease beyond lease_until.
+	 */
+	return sched_least_clock(t, t->s->now) + t->s->max_lease;
 }
 
 void sched_run_start(struct sched_task *task, struct sched_target *t)
