pool: let libcurl repeat no hold that acknowledges ends

What callers could see: a task that was done starts again.

Cause: a connection ends as its target restarts under its old id. libcurl sends a hold that was under way again, to the next incarnation, with the number of an end of the one before. The target drops its own ends up to it, which nobody has seen. Copies that the daemon sends acknowledge no ends for this reason.

Change: libcurl's second attempt to send such a hold is ended, which counts as no reply. Others are repeated as before.

Measured: regress/pool-repeated: a_hold_that_acknowledges_ends_is_not_repeated fails without the change.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -136,7 +136,7 @@
 static struct pool_call *call_target(struct pool *p, const char *id,
 				     const char *address, const char *path,
 				     char *request, char *copy_request,
-				     rp_ms wait)
+				     int once, rp_ms wait)
 {
 	char header[RP_NAME_MAX + 64];
 	struct pool_call_spec spec = {
@@ -144,6 +144,7 @@
 		.path = path,
 		.header = header,
 		.request = request,
+		.once = once,
 		.timeout = wait + pool_reply_timeout(p),
 		.on_done = on_target_reply,
 	};
@@ -192,13 +193,14 @@
 
 		c = call_target(p, t->id, t->address, PLATFORM_HOLD_PATH,
 				hold_body(p, order, order->acked_end, wait),
-				hold_body(p, order, 0, wait), wait);
+				hold_body(p, order, 0, wait),
+				order->acked_end != 0, wait);
 		c->tag = t->number;
 	} else if (order->kind == POOL_ORDER__KIND__STOP) {
 		c = call_target(p, t->id, t->address, PLATFORM_STOP_PATH,
 				platform_stop_body(str_of(order->task),
 						   order->run, p->order_fence),
-				NULL, 0);
+				NULL, 0, 0);
 	} else {
 		c = call_target(p, t->id, t->address, PLATFORM_START_PATH,
 				platform_start_body(
@@ -206,7 +208,7 @@
 					specification_of(order->specification),
 					(int64_t)order->lease_until,
 					p->order_fence),
-				NULL, 0);
+				NULL, 0, 0);
 	}
 	c->seq = order->seq;
 	str_copy(c->task, sizeof(c->task), str_of(order->task));
@@ -228,7 +230,7 @@
 				platform_start_body(
 					str_of(name), task->run, specification,
 					(int64_t)task->lease_until, run->fence),
-				NULL, 0);
+				NULL, 0, 0);
 		c->seq = task->seq;
 		str_copy(c->task, sizeof(c->task), str_of(name));
 	}
--- a/pool-call.c
+++ b/pool-call.c
@@ -130,8 +130,11 @@
 	(void)local_ip;
 	(void)peer_port;
 	(void)local_port;
-	if (c->attempts++)
-		c->p->count.calls_repeated++;
+	if (!c->attempts++)
+		return CURL_PREREQFUNC_OK;
+	if (c->once)
+		return CURL_PREREQFUNC_ABORT;
+	c->p->count.calls_repeated++;
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -196,6 +199,7 @@
 	c->p = p;
 	c->request = spec->request;
 	c->on_done = spec->on_done;
+	c->once = spec->once;
 	c->sent_at = p->now;
 	c->next = p->calls;
 	c->prev = &p->calls;
--- a/pool-io.h
+++ b/pool-io.h
@@ -68,6 +68,7 @@
 	char *body;    /* of the reply */
 	size_t len, cap;
 	unsigned attempts;     /* to send the request, see pool-call.c */
+	int once;	       /* there is to be one */
 	pool_call_cb *on_done; /* NULL: the reply is ignored */
 	struct pool_resend_spec *resend; /* NULL: it is sent once */
 	struct pool_call *original;	 /* of which this is a copy, or NULL */
@@ -98,6 +99,7 @@
 	char *request;	    /* body, ownership passes; NULL: a GET */
 	rp_ms timeout;
 	int fresh_connect; /* don't reuse a connection */
+	int once;	   /* libcurl must not send the request again */
 	pool_call_cb *on_done;
 };
 
--- a/pool-resend.c
+++ b/pool-resend.c
@@ -7,7 +7,8 @@
  * there already is not started again, and neither is one that was stopped or
  * has ended. So the same call is sent again on another connection, and the
  * first reply counts. A copy of a hold acknowledges no ends: it may reach
- * another incarnation, which numbers them anew.
+ * another incarnation, which numbers them anew. libcurl does not send one again
+ * that does.
  */
 
 #include "pool.h"
--- a/pool-target.c
+++ b/pool-target.c
@@ -49,7 +49,7 @@
 
 static struct pool_call *call_directly(struct pool *p, struct sched_target *t,
 				       const char *path, char *request,
-				       char *copy_request, rp_ms wait,
+				       char *copy_request, int once, rp_ms wait,
 				       pool_reply_cb *on_reply)
 {
 	char header[RP_NAME_MAX + 64];
@@ -60,6 +60,7 @@
 		.request = request,
 		.timeout = wait + pool_reply_timeout(p),
 		.fresh_connect = t->unanswered > 0,
+		.once = once,
 		.on_done = on_http_reply,
 	};
 	struct pool_call *c;
@@ -155,7 +156,7 @@
 				  platform_start_body(name, task->run,
 						      job->specification, until,
 						      s->fence),
-				  NULL, 0, on_start_reply);
+				  NULL, 0, 0, on_start_reply);
 	}
 	set_call(c, t, name, task->run);
 }
@@ -178,7 +179,7 @@
 	} else {
 		c = call_directly(p, t, PLATFORM_STOP_PATH,
 				  platform_stop_body(task, run, s->fence), NULL,
-				  0, on_stop_reply);
+				  0, 0, on_stop_reply);
 	}
 	set_call(c, t, task, run);
 }
@@ -203,7 +204,7 @@
 				  platform_hold_body(until, s->fence, acked_end,
 						     wait),
 				  platform_hold_body(until, s->fence, 0, wait),
-				  wait, on_hold_reply);
+				  acked_end != 0, wait, on_hold_reply);
 	}
 	set_call(c, t, str_of(""), 0);
 }
--- a/regress/pool-repeated.c
+++ b/regress/pool-repeated.c
@@ -131,6 +131,20 @@
 	pool_order_received(&p, &order);
 }
 
+static void order_hold(uint32_t acked_end)
+{
+	PoolOrder order = POOL_ORDER__INIT;
+
+	order.seq = 7;
+	order.target = 1;
+	order.id = "i-1";
+	order.address = pool_address_pack(address);
+	order.fence = LEAD_TOKEN(1);
+	order.kind = POOL_ORDER__KIND__HOLD;
+	order.acked_end = acked_end;
+	pool_order_received(&p, &order);
+}
+
 static void on_store_reply(struct pool_call *c, long status, const char *body,
 			   size_t len)
 {
@@ -210,6 +224,49 @@
 	cr_assert_eq(store_status, 0);
 }
 
+/*
+ * The connection may have ended as the target has restarted: the next
+ * incarnation numbers its ends anew, and drops those that are acknowledged.
+ */
+Test(pool_repeated, a_hold_that_acknowledges_ends_is_not_repeated)
+{
+	char byte;
+	int fd;
+
+	order_hold(57);
+	fd = accept_call();
+	answer(fd, OK);
+	run_until_ended();
+	leader_link.bulk.len = 0;
+	order_hold(58);
+	run_until_readable(fd);
+	close(fd);
+	run_until_ended();
+	/* libcurl connects before it asks whether it may send. */
+	fd = accept(server, NULL, NULL);
+	cr_assert_leq(recv(fd, &byte, 1, MSG_DONTWAIT), 0, "it is sent again");
+	close(fd);
+	cr_assert_eq(status_told(), SCHED_REPLY_UNKNOWN);
+}
+
+Test(pool_repeated, a_hold_that_acknowledges_none_is_repeated)
+{
+	int fd, again;
+
+	order_hold(57);
+	fd = accept_call();
+	answer(fd, OK);
+	run_until_ended();
+	order_hold(0);
+	run_until_readable(fd);
+	close(fd);
+	again = accept_call();
+	answer(again, OK);
+	run_until_ended();
+	close(again);
+	cr_assert_eq(p.count.calls_repeated, 1);
+}
+
 Test(pool_repeated, a_refusal_of_a_write_that_was_sent_once_counts)
 {
 	int fd;
