sched: wait for results that a first list lacks

Cause: a list has 500 results at most; the others come once those are acknowledged. Results wait on their targets while the store loses answers. If the leader is lost then, its successor adopts what its first list has, and counts the target as known: tasks whose results are to come start again.

Ruled out: results that were acknowledged unseen (they are listed later, and noted then), and a lease that lapsed in between (the script leaves these out).

Change: a target whose last list was full may have more. Jobs that an earlier leader may have started, of its service, wait until a list is not full, which takes the writes of their rows. The wait ends if the target's entry is gone, or it restarts.

--- a/sched-adopt.c
+++ b/sched-adopt.c
@@ -431,6 +431,8 @@
 	rp_ms over = sched_adopt_leases_over(job);
 	size_t i;
 
+	if (sched_ends_may_be_missing(job))
+		return 0;
 	/* A call of a previous leader may be carried out after its leases. */
 	if (s->now >= over)
 		return s->now >= over + LATE_CALL_MAX_MS ||
--- a/sched-core.c
+++ b/sched-core.c
@@ -293,6 +293,7 @@
 {
 	struct sched *s = t->s;
 
+	sched_set_more_ends(t, 0);
 	s->ops->target_removed(s, t);
 	apr_hash_set(s->targets_by_id, t->listing.id, APR_HASH_KEY_STRING,
 		     NULL);
--- a/sched-hold.c
+++ b/sched-hold.c
@@ -71,6 +71,7 @@
 	t->nunacked = 0;
 	t->norphans = t->nforeign = t->ngiven_up = 0;
 	t->adopted = 0;
+	sched_set_more_ends(t, 0);
 	t->clock = 0;
 	t->unanswered = 0;
 	t->answered_sent_at = t->unanswered_sent_at = t->lossy_at = 0;
--- a/sched-int.h
+++ b/sched-int.h
@@ -523,6 +523,13 @@
 void sched_hopeless_tick(struct sched *s);
 
 /* sched-list.c */
+/* Sets whether the target's last list may lack ends. */
+void sched_set_more_ends(struct sched_target *t, int more_ends);
+/*
+ * Whether results of the job's tasks may be among those that the lists of
+ * targets lack. They are to come once the others are acknowledged.
+ */
+int sched_ends_may_be_missing(const struct sched_job *job);
 /* Applies the list that the target has replied with. */
 void sched_list_apply(struct sched_target *t,
 		      const struct sched_target_reply *reply);
--- a/sched-list.c
+++ b/sched-list.c
@@ -147,17 +147,44 @@
 	}
 }
 
+void sched_set_more_ends(struct sched_target *t, int more_ends)
+{
+	if (t->more_ends == more_ends)
+		return;
+	t->more_ends = more_ends;
+	if (more_ends)
+		t->s->nmore_ends++;
+	else
+		t->s->nmore_ends--;
+}
+
+int sched_ends_may_be_missing(const struct sched_job *job)
+{
+	const struct sched *s = job->s;
+	size_t i;
+
+	for (i = 0; s->nmore_ends && i < s->ntargets; i++) {
+		const struct sched_target *t = s->targets[i];
+
+		if (t->more_ends && t->service == job->service &&
+		    (t->listed || s->now - t->unlisted_at < GONE_MS))
+			return 1;
+	}
+	return 0;
+}
+
 void sched_list_apply(struct sched_target *t,
 		      const struct sched_target_reply *reply)
 {
 	int awaited_lapse = sched_adopt_awaits_lapse(t);
 
+	sched_set_more_ends(t, reply->nends >= ENDS_PER_REPLY);
 	apply_ends(t, reply);
 	if (!awaited_lapse && sched_adopt_awaits_lapse(t))
 		t->s->ops->log(t->s, "lapse_awaited", t, NULL,
 			       "results that no job claims are listed");
 	stop_foreign_runs(t, reply);
-	if (reply->nends >= ENDS_PER_REPLY)
+	if (t->more_ends)
 		return;
 	reconcile_runs(t, reply);
 	sched_adopt_reconcile(t, reply);
--- a/scheduler.h
+++ b/scheduler.h
@@ -497,6 +497,7 @@
 	int over_capacity; /* runs need more than the entry says it has */
 	/* Its first list was read; other schedulers start nothing since. */
 	int adopted;
+	int more_ends;	   /* the last list may lack some */
 	rp_ms adopt_until; /* orphans wait for their jobs until then */
 	/* Leases of earlier schedulers have certainly ended by then. */
 	rp_ms prev_lease_until;
@@ -750,6 +751,7 @@
 	uint64_t dispatch_pass; /* counts passes of sched_dispatch() */
 	struct sched_target **targets;
 	size_t ntargets, cap_targets;
+	size_t nmore_ends;   /* of them, whose lists may lack some ends */
 	apr_hash_t *history; /* job id -> its latest struct sched_history */
 	struct rp_heap history_expiry; /* all of them, by when they expire */
 	struct sched_released_end *released_head, **released_tail;
