sched: count only recent runs as probes of a target that fails

Cause: a target whose runs have failed is given one run at a time, whose end shows whether it still fails. A long run that it has counts as that one run, and its failure rate falls only while it has none. With a long run on each target, one job whose tasks fail closes all of them.

Change: only runs that began within the last second count. An older one has outlasted what ended the others, or is not about it.

--- a/sched-place.c
+++ b/sched-place.c
@@ -30,6 +30,8 @@
 /* Failure rate from which a target gets only PROBE_RUNS runs at a time. */
 #define FAILURE_RATE_MAX 0.45
 #define PROBE_RUNS 1
+/* Age from which a run does not count as one of these: it has not failed. */
+#define PROBE_MS 1000
 /* Failure rate below which a target counts as sound. */
 #define SOUND_FAILURE_RATE 0.1
 /* A reservation for a task to be isolated ends after this. */
@@ -65,6 +67,17 @@
 	       t->listing.incarnation == t->incarnation;
 }
 
+/* Whether runs that began a moment ago may show that the target still fails. */
+static int is_being_probed(const struct sched_target *t, rp_ms now)
+{
+	const struct sched_task *task;
+	int n = 0;
+
+	for (task = t->runs; task; task = task->next)
+		n += now - task->sent_at < PROBE_MS;
+	return n >= PROBE_RUNS;
+}
+
 int sched_target_available(const struct sched_target *t, rp_ms now)
 {
 	if (t->state != SCHED_HELD || !t->listed || !t->listing.ready ||
@@ -72,7 +85,7 @@
 	    t->unanswered || t->domain->silent || now < t->backoff_until ||
 	    sched_adopt_awaits_lapse(t))
 		return 0;
-	return t->failure_rate < FAILURE_RATE_MAX || t->nruns < PROBE_RUNS;
+	return t->failure_rate < FAILURE_RATE_MAX || !is_being_probed(t, now);
 }
 
 /*
