pool: have the leader cancel jobs that another VM has taken

What callers see: a best-effort job is cancelled at another entry VM than the one that has taken it, as that one stops and gets no new connections.

Cause: the VM takes a missing row for a job that there is not. Jobs that are not stored have none.

Change: the VM asks the leader, by the query for a stored job's state with a flag. The leader cancels the job if it has it, and answers its owner with the new outcome "cancelled". 410 needs the leader's reply; without it the caller is told 503.

--- a/pool-job.c
+++ b/pool-job.c
@@ -309,6 +309,27 @@
 	free(row);
 }
 
+static int query_leader(struct pool_job_call *j);
+
+static void respond_missing(struct pool_job_call *j)
+{
+	pool_job_respond(j, 410, "", 0,
+			 j->cancel ? "job_cancelled" : "job_state");
+}
+
+/*
+ * There is no row of the job. If it is not stored, another VM may have taken
+ * it, and the leader knows.
+ */
+static void cancel_at_leader(struct pool_job_call *j)
+{
+	j->has_no_row = 1;
+	if (query_leader(j))
+		return;
+	pool_job_respond_failed(j, 503);
+	pool_job_call_free(j);
+}
+
 static void on_row(struct pool_call *c, long status, const char *body,
 		   size_t len)
 {
@@ -323,13 +344,13 @@
 	job = parse_job(j, body, len, &version);
 	if (job && j->cancel && job->state == POOL_JOB__STATE__OPEN) {
 		write_cancelled(j, job, version);
+	} else if (!job && j->cancel) {
+		cancel_at_leader(j);
 	} else {
 		if (job)
 			respond_state(j, state_name(j->p, j->id, job));
 		else
-			pool_job_respond(j, 410, "", 0,
-					 j->cancel ? "job_cancelled"
-						   : "job_state");
+			respond_missing(j);
 		pool_job_call_free(j);
 	}
 	pool_job__free_unpacked(job, NULL);
@@ -348,6 +369,7 @@
 	j->query_until = p->now + QUERY_TIMEOUT_MS;
 	p->job_calls->nqueries++;
 	query.id = j->id;
+	query.cancel = j->cancel;
 	if (p->leading) {
 		pool_state_query_received(p, NULL, &query);
 		return 1;
@@ -368,16 +390,24 @@
 		read_row(j);
 }
 
-/* The query is over: the state is final, or NULL to read the row. */
-static void end_query(struct pool_job_call *j, const char *state)
+/*
+ * The query is over: the state is final, or NULL to read the row. replied: the
+ * leader has replied.
+ */
+static void end_query(struct pool_job_call *j, const char *state, int replied)
 {
 	j->query_seq = 0;
 	j->p->job_calls->nqueries--;
-	if (j->request && !state) {
+	if (j->request && !state && !j->has_no_row) {
 		read_row(j);
 		return;
 	}
-	respond_state(j, state);
+	if (state)
+		respond_state(j, state);
+	else if (replied)
+		respond_missing(j);
+	else
+		pool_job_respond_failed(j, 503);
 	pool_job_call_free(j);
 }
 
@@ -389,7 +419,8 @@
 		if (j->query_seq == msg->seq)
 			break;
 	if (j)
-		end_query(j, msg->final ? final_state_name(msg->state) : NULL);
+		end_query(j, msg->final ? final_state_name(msg->state) : NULL,
+			  1);
 }
 
 void pool_job_queries_expire(struct pool *p)
@@ -400,7 +431,7 @@
 	     j = next) {
 		next = j->all_next;
 		if (j->query_seq && p->now >= j->query_until)
-			end_query(j, NULL);
+			end_query(j, NULL, 0);
 	}
 }
 
--- a/pool-job.h
+++ b/pool-job.h
@@ -23,6 +23,7 @@
 	uint8_t *packed_job; /* row of a submitted job, else NULL */
 	size_t len;
 	int cancel; /* cancel the job after reading its row */
+	int has_no_row;
 	int attempts;
 	int sent;	    /* a transaction in flight has its row */
 	int may_be_written; /* a write has been sent, its outcome is unknown */
--- a/pool-request.c
+++ b/pool-request.c
@@ -294,6 +294,8 @@
 		return "failed";
 	case POOL_ANSWER__OUTCOME__INCOMPLETE:
 		return "incomplete";
+	case POOL_ANSWER__OUTCOME__CANCELLED:
+		return "cancelled";
 	default:
 		return "rejected";
 	}
--- a/pool-state.c
+++ b/pool-state.c
@@ -5,6 +5,9 @@
  * not say so yet, and ask again only much later. So the leader delays its reply
  * for a moment if the job is about to end. It replies only with a final state
  * that the row has; else the entry VM reads the row.
+ *
+ * A job that is not stored has no row. An entry VM that is to cancel one which
+ * another VM has taken asks the leader to.
  */
 
 #include "pool-keep.h"
@@ -20,6 +23,7 @@
 	char vm[RP_NAME_MAX]; /* that asks; "": this one */
 	uint64_t seq;
 	char id[SCHED_ID_MAX];
+	int cancel;
 	rp_ms until;
 };
 
@@ -33,11 +37,20 @@
 	str_copy(q->vm, sizeof(q->vm), str_of(m ? m->vm : ""));
 	str_copy(q->id, sizeof(q->id), str_of(msg->id));
 	q->seq = msg->seq;
+	q->cancel = msg->cancel;
 	q->until = p->now + QUERY_WAIT_MS;
 	q->next = p->state_queries;
 	p->state_queries = q;
 }
 
+static void cancel_unstored(struct pool *p, const struct pool_state_query *q,
+			    PoolStateReply *msg)
+{
+	msg->final = sched_cancel_unstored(&p->sched, q->id, p->now);
+	msg->state = POOL_JOB__STATE__CANCELLED;
+	p->dispatch_due = 1;
+}
+
 static void reply(struct pool *p, const struct pool_state_query *q,
 		  const struct stored_job *j)
 {
@@ -48,6 +61,8 @@
 	msg.seq = q->seq;
 	msg.final = j && !j->job;
 	msg.state = msg.final ? j->state : POOL_JOB__STATE__OPEN;
+	if (q->cancel)
+		cancel_unstored(p, q, &msg);
 	if (!q->vm[0]) {
 		pool_job_state_received(p, &msg);
 		return;
@@ -78,7 +93,7 @@
 		const struct stored_job *j =
 			p->stored_jobs ? stored_job_find(p, q->id) : NULL;
 
-		if (p->now < q->until && may_end_soon(p, j)) {
+		if (!q->cancel && p->now < q->until && may_end_soon(p, j)) {
 			at = &q->next;
 			continue;
 		}
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -1977,18 +1977,20 @@
   (ProtobufCMessageInit) pool_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue pool_answer__outcome__enum_values_by_number[4] =
+static const ProtobufCEnumValue pool_answer__outcome__enum_values_by_number[5] =
 {
   { "COMPLETED", "POOL_ANSWER__OUTCOME__COMPLETED", 0 },
   { "FAILED", "POOL_ANSWER__OUTCOME__FAILED", 1 },
   { "REJECTED", "POOL_ANSWER__OUTCOME__REJECTED", 2 },
   { "INCOMPLETE", "POOL_ANSWER__OUTCOME__INCOMPLETE", 3 },
+  { "CANCELLED", "POOL_ANSWER__OUTCOME__CANCELLED", 4 },
 };
 static const ProtobufCIntRange pool_answer__outcome__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex pool_answer__outcome__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex pool_answer__outcome__enum_values_by_name[5] =
 {
+  { "CANCELLED", 4 },
   { "COMPLETED", 0 },
   { "FAILED", 1 },
   { "INCOMPLETE", 3 },
@@ -2001,9 +2003,9 @@
   "Outcome",
   "PoolAnswer__Outcome",
   "",
-  4,
+  5,
   pool_answer__outcome__enum_values_by_number,
-  4,
+  5,
   pool_answer__outcome__enum_values_by_name,
   1,
   pool_answer__outcome__value_ranges,
@@ -4160,7 +4162,7 @@
   (ProtobufCMessageInit) pool_listings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_state_query__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pool_state_query__field_descriptors[3] =
 {
   {
     "seq",
@@ -4186,15 +4188,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancel",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, cancel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_state_query__field_indices_by_name[] = {
+  2,   /* field[2] = cancel */
   1,   /* field[1] = id */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange pool_state_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor pool_state_query__descriptor =
 {
@@ -4204,7 +4219,7 @@
   "PoolStateQuery",
   "",
   sizeof(PoolStateQuery),
-  2,
+  3,
   pool_state_query__field_descriptors,
   pool_state_query__field_indices_by_name,
   1,  pool_state_query__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -58,7 +58,11 @@
   /*
    * ended early; tasks may have run
    */
-  POOL_ANSWER__OUTCOME__INCOMPLETE = 3
+  POOL_ANSWER__OUTCOME__INCOMPLETE = 3,
+  /*
+   * by its caller, at another entry VM
+   */
+  POOL_ANSWER__OUTCOME__CANCELLED = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_ANSWER__OUTCOME)
 } PoolAnswer__Outcome;
 typedef enum _PoolJob__State {
@@ -906,10 +910,15 @@
    */
   uint64_t seq;
   char *id;
+  /*
+   * The job is not stored, and is to be cancelled. The reply is final if
+   * it was open.
+   */
+  protobuf_c_boolean cancel;
 };
 #define POOL_STATE_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_state_query__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  PoolStateReply
--- a/regress/pool-cancel.c
+++ b/regress/pool-cancel.c
@@ -68,3 +68,112 @@
 	pool_requests_resubmit(&owner);
 	cr_assert_gt(second.bulk.len, 0);
 }
+
+/* --- at an entry VM that has not taken the job ------------------------- */
+
+static struct pool leader;
+static struct pool_link to_owner, to_other;
+static struct pool_member members[2] = {
+	{ .vm = "owner", .link = &to_owner },
+	{ .vm = "other", .link = &to_other },
+};
+static PoolAnswer__Outcome answered;
+
+static uint64_t on_answer(struct sched *s, struct sched_job *job,
+			  const PoolAnswer *answer)
+{
+	(void)s;
+	cr_assert_eq(job->owner, &members[0]);
+	answered = answer->outcome;
+	return 0;
+}
+
+static const struct sched_ops ops = { .answer = on_answer };
+
+/* The leader has job 4 of the VM "owner". */
+static void lead_with_job(int stored)
+{
+	static const struct sched_policies all = { .admit = "all" };
+	PoolSubmit sub = POOL_SUBMIT__INIT;
+	PoolStep step = POOL_STEP__INIT, *steps = &step;
+
+	apr_pool_create(&leader.pool, NULL);
+	leader.leading = 1;
+	leader.now = 1000;
+	to_owner.p = to_other.p = &leader;
+	members[0].next = &members[1];
+	leader.members = members;
+	sched_init(&leader.sched, &ops, &leader, &all, LEAD_TOKEN(1), 1000,
+		   leader.now);
+	step.tasks = 1;
+	sub.seq = 4;
+	sub.id = "0123456789abcdef";
+	sub.queue = sub.service = "q";
+	sub.stored = stored;
+	sub.left_ms = 5000;
+	sub.steps = &steps;
+	sub.n_steps = 1;
+	sched_submit(&leader.sched, &members[0], &sub, leader.now);
+	answered = POOL_ANSWER__OUTCOME__REJECTED;
+}
+
+static void finish_leading(void)
+{
+	sched_finish(&leader.sched);
+	free(to_other.bulk.data);
+	apr_pool_destroy(leader.pool);
+}
+
+/* Has the VM "other" cancel a job, and returns whether it was open. */
+static int cancel_elsewhere(const char *id)
+{
+	PoolStateQuery query = POOL_STATE_QUERY__INIT;
+	PoolFrame *frame;
+	int final;
+
+	query.seq = 9;
+	query.id = (char *)id;
+	query.cancel = 1;
+	pool_state_query_received(&leader, &members[1], &query);
+	pool_state_flush(&leader);
+	cr_assert_gt(to_other.bulk.len, 0);
+	frame = pool_frame__unpack(NULL, (size_t)to_other.bulk.data[0],
+				   (uint8_t *)to_other.bulk.data + 1);
+	cr_assert_eq(frame->state_reply->seq, 9);
+	final = frame->state_reply->final;
+	if (final)
+		cr_assert_eq(frame->state_reply->state,
+			     POOL_JOB__STATE__CANCELLED);
+	pool_frame__free_unpacked(frame, NULL);
+	return final;
+}
+
+/*
+ * Guards against a job that goes on though its caller was told that there is
+ * none: it had cancelled the job at an entry VM that does not know of it.
+ */
+Test(pool_cancel, the_leader_cancels_a_job_that_another_vm_has_taken)
+{
+	lead_with_job(0);
+	cr_assert(cancel_elsewhere("0123456789abcdef"));
+	cr_assert_eq(answered, POOL_ANSWER__OUTCOME__CANCELLED);
+	cr_assert_eq(leader.sched.njobs, 0);
+	finish_leading();
+}
+
+Test(pool_cancel, a_job_that_nobody_has_is_not_cancelled)
+{
+	lead_with_job(0);
+	cr_assert_not(cancel_elsewhere("00000000000000ff"));
+	cr_assert_eq(leader.sched.njobs, 1);
+	finish_leading();
+}
+
+/* The row decides on a stored job. */
+Test(pool_cancel, a_stored_job_is_not_cancelled_without_its_row)
+{
+	lead_with_job(1);
+	cr_assert_not(cancel_elsewhere("0123456789abcdef"));
+	cr_assert_eq(leader.sched.njobs, 1);
+	finish_leading();
+}
--- a/sched-core.c
+++ b/sched-core.c
@@ -253,6 +253,19 @@
 		cancel_job(job);
 }
 
+int sched_cancel_unstored(struct sched *s, const char *id, rp_ms now)
+{
+	struct sched_job *job = sched_find_open_job(s, str_of(id));
+
+	s->now = now;
+	if (!job || job->stored)
+		return 0;
+	s->count.cancelled++;
+	sched_job_answer(job, POOL_ANSWER__OUTCOME__CANCELLED,
+			 "cancelled at another entry VM", 0);
+	return 1;
+}
+
 void sched_owner_lost(struct sched *s, void *owner, rp_ms now)
 {
 	struct sched_job *job, *next;
--- a/sched-job.c
+++ b/sched-job.c
@@ -417,6 +417,8 @@
 	case POOL_ANSWER__OUTCOME__REJECTED:
 		s->count.rejected++;
 		break;
+	case POOL_ANSWER__OUTCOME__CANCELLED:
+		break;
 	default:
 		s->count.failed++;
 	}
--- a/scheduler.h
+++ b/scheduler.h
@@ -828,6 +828,11 @@
 int sched_job_is_untouched(const struct sched_job *job);
 /* Cancels a stored job by its id. */
 void sched_cancel_stored(struct sched *s, const char *id, rp_ms now);
+/*
+ * Cancels a job that is not stored, and answers its owner. Returns 0 if there
+ * is none of the id.
+ */
+int sched_cancel_unstored(struct sched *s, const char *id, rp_ms now);
 #define SCHED_ALL_MARKS UINT64_MAX
 
 /*
