--- a/pool-io.h
+++ b/pool-io.h
@@ -68,7 +68,7 @@
 	char *body;    /* of the reply */
 	size_t len, cap;
 	unsigned attempts;     /* to send the request, see pool-call.c */
-	int once;	       /* there is to be one */
+	int once;	       /* there must not be another one */
 	pool_call_cb *on_done; /* NULL: the reply is ignored */
 	struct pool_resend_spec *resend; /* NULL: it is sent once */
 	struct pool_call *original;	 /* of which this is a copy, or NULL */
--- a/pool-job.h
+++ b/pool-job.h
@@ -22,8 +22,8 @@
 	char id[SCHED_ID_MAX];
 	uint8_t *packed_job; /* row of a submitted job, else NULL */
 	size_t len;
-	int cancel; /* cancel the job after reading its row */
-	int has_no_row;
+	int cancel;	/* cancel the job after reading its row */
+	int has_no_row; /* it is cancelled at the leader, if that has it */
 	int attempts;
 	int sent;	    /* a transaction in flight has its row */
 	int may_be_written; /* a write has been sent, its outcome is unknown */
