pool: do not deny a job that the leader may not know

Cause, change: - A leader was asked to cancel a job that is not stored, and a reply that it has none became 410. A provisional leader, or one to which a VM is not linked, may not know a job that runs. It says nothing of such a job now, and the caller is told 503. Ruled out: to ask again later, as the caller waits. - An id that is too long was cut short when a job was read or cancelled, and could be the id of another job. It is no job's. - The clock in a start from another VM may be any number; the difference with the leader's could overflow. - A field that said "owner_returned" is awaits_submission.

--- a/pool-agent.c
+++ b/pool-agent.c
@@ -243,12 +243,13 @@
 }
 
 /* The leader's clock now, as far as its heartbeats tell; 0: none has come. */
-static rp_ms leader_clock(const struct pool *p)
+static uint64_t leader_clock(const struct pool *p)
 {
 	const struct pool_link *l = p->leader_link;
 
-	return l->greeted ? (rp_ms)l->peer_clock + p->now - l->peer_clock_at
-			  : 0;
+	if (!l->greeted)
+		return 0;
+	return l->peer_clock + (uint64_t)(p->now - l->peer_clock_at);
 }
 
 /*
@@ -258,11 +259,12 @@
  */
 static int is_awaited(const struct pool *p, const PoolRun *run)
 {
-	rp_ms clock = leader_clock(p);
+	uint64_t clock = leader_clock(p);
 
 	if (!run->asked_at)
 		return 1; /* by a leader of an earlier release */
-	return clock && clock - (rp_ms)run->asked_at < POOL_ORDER_TIMEOUT_MS;
+	return clock && (clock < run->asked_at ||
+			 clock - run->asked_at < POOL_ORDER_TIMEOUT_MS);
 }
 
 static void log_not_made(const struct pool *p, const struct pool_link *l,
--- a/pool-request.c
+++ b/pool-request.c
@@ -534,6 +534,9 @@
 		handle_submission(r, route, id);
 	else if (!strcmp(r->method, "GET") && !*id)
 		respond_waiting(r, route);
+	else if (strlen(id) >= SCHED_ID_MAX)
+		/* No job has it; cut short, it could be the id of one. */
+		pool_request_respond(r, 410, "", 0);
 	else if (!strcmp(r->method, "GET"))
 		respond_state(r, id);
 	else if (!strcmp(r->method, "DELETE") && *id)
--- a/pool-state.c
+++ b/pool-state.c
@@ -30,8 +30,12 @@
 void pool_state_query_received(struct pool *p, const struct pool_member *m,
 			       const PoolStateQuery *msg)
 {
-	struct pool_state_query *q = calloc(1, sizeof(*q));
+	struct pool_state_query *q;
 
+	/* Cut short, it could be the id of another job. */
+	if (strlen(msg->id) >= sizeof(q->id))
+		return;
+	q = calloc(1, sizeof(*q));
 	if (!q)
 		return;
 	str_copy(q->vm, sizeof(q->vm), str_of(m ? m->vm : ""));
@@ -43,12 +47,24 @@
 	p->state_queries = q;
 }
 
-static void cancel_unstored(struct pool *p, const struct pool_state_query *q,
-			    PoolStateReply *msg)
+/*
+ * Whether a job may be open of which this leader does not know: another leader
+ * may have it, or its entry VM has not submitted it here yet.
+ */
+static int may_not_know_all_jobs(struct pool *p)
+{
+	return lead_is_provisional(&p->lead) || p->sched.owners_missing ||
+	       pool_owner_may_be_missing(p);
+}
+
+/* Returns 0 if nothing can be said: the entry VM then says so, too. */
+static int cancel_unstored(struct pool *p, const struct pool_state_query *q,
+			   PoolStateReply *msg)
 {
 	msg->final = sched_cancel_unstored(&p->sched, q->id, p->now);
 	msg->state = POOL_JOB__STATE__CANCELLED;
 	p->dispatch_due = 1;
+	return msg->final || !may_not_know_all_jobs(p);
 }
 
 static void reply(struct pool *p, const struct pool_state_query *q,
@@ -61,8 +77,8 @@
 	msg.seq = q->seq;
 	msg.final = j && !j->job;
 	msg.state = msg.final ? j->state : POOL_JOB__STATE__OPEN;
-	if (q->cancel)
-		cancel_unstored(p, q, &msg);
+	if (q->cancel && !cancel_unstored(p, q, &msg))
+		return;
 	if (!q->vm[0]) {
 		pool_job_state_received(p, &msg);
 		return;
--- a/regress/lead-isolated.c
+++ b/regress/lead-isolated.c
@@ -11,7 +11,7 @@
 #include "lead.h"
 
 static struct lead l;
-static unsigned checks, confirmations, changes;
+static unsigned checks, nconfirm, changes;
 
 static void on_claim(struct lead *lead, const struct lead_row *row,
 		     int64_t expected)
@@ -41,7 +41,7 @@
 static void on_confirm(struct lead *lead)
 {
 	(void)lead;
-	confirmations++;
+	nconfirm++;
 }
 
 static void on_changed(struct lead *lead)
@@ -118,7 +118,7 @@
 	lead_isolated(LEAD_TOKEN(1));
 	l.store_lost = 0;
 	lead_reachability_result(&l, 1, 5003);
-	cr_assert_eq(confirmations, 1);
+	cr_assert_eq(nconfirm, 1);
 	cr_assert_not(lead_may_act(&l));
 	lead_confirmed(&l);
 	cr_assert(lead_may_act(&l));
--- a/regress/pool-cancel.c
+++ b/regress/pool-cancel.c
@@ -169,6 +169,43 @@
 	finish_leading();
 }
 
+/*
+ * Guards against "there is none" from a leader that cannot know: another one
+ * may have the job, or its entry VM is yet to submit it.
+ */
+Test(pool_cancel, a_leader_that_may_not_know_a_job_does_not_reply)
+{
+	PoolStateQuery query = POOL_STATE_QUERY__INIT;
+
+	lead_with_job(0);
+	leader.sched.owners_missing = 1;
+	query.seq = 9;
+	query.id = "00000000000000ff";
+	query.cancel = 1;
+	pool_state_query_received(&leader, &members[1], &query);
+	pool_state_flush(&leader);
+	cr_assert_eq(to_other.bulk.len, 0);
+	/* What it knows it cancels. */
+	cr_assert(cancel_elsewhere("0123456789abcdef"));
+	finish_leading();
+}
+
+/* Cut short it would be the id of another job. */
+Test(pool_cancel, an_id_that_is_too_long_cancels_nothing)
+{
+	PoolStateQuery query = POOL_STATE_QUERY__INIT;
+
+	lead_with_job(0);
+	query.seq = 9;
+	query.id = "0123456789abcdef0123456789abcdef";
+	query.cancel = 1;
+	pool_state_query_received(&leader, &members[1], &query);
+	pool_state_flush(&leader);
+	cr_assert_eq(to_other.bulk.len, 0);
+	cr_assert_eq(leader.sched.njobs, 1);
+	finish_leading();
+}
+
 /* The row decides on a stored job. */
 Test(pool_cancel, a_stored_job_is_not_cancelled_without_its_row)
 {
--- a/regress/pool-late-run.c
+++ b/regress/pool-late-run.c
@@ -147,6 +147,9 @@
 	/* A leader of an earlier release does not tell. */
 	receive_run(0);
 	cr_assert_eq(p.count.target_calls, 3);
+	/* Another VM may send any number. */
+	receive_run((uint64_t)1 << 63);
+	cr_assert_eq(p.count.target_calls, 4);
 }
 
 Test(pool_late_run, the_owner_passes_on_when_the_leader_has_asked)
--- a/sched-core.c
+++ b/sched-core.c
@@ -211,7 +211,7 @@
 
 	s->now = now;
 	if (earlier && earlier->owner == owner && earlier->seq == sub->seq) {
-		earlier->owner_returned = 0;
+		earlier->awaits_submission = 0;
 		if (!sched_adopt_returned(earlier, sub))
 			resend_progress(earlier);
 		return;
--- a/sched-dispatch.c
+++ b/sched-dispatch.c
@@ -19,7 +19,7 @@
 {
 	struct sched *s = job->s;
 
-	if (job->domains_mark || job->owner_silent || job->owner_returned)
+	if (job->domains_mark || job->owner_silent || job->awaits_submission)
 		return SCHED_DELAY_OWNER;
 	if (s->now < job->starts_after ||
 	    (job->awaits_earlier_runs && sched_has_earlier_runs(job)))
--- a/sched-job.c
+++ b/sched-job.c
@@ -479,5 +479,5 @@
 	s->now = now;
 	for (job = s->jobs; job; job = job->next)
 		if (job->owner == owner && !job->stored)
-			job->owner_returned = 1;
+			job->awaits_submission = 1;
 }
--- a/scheduler.h
+++ b/scheduler.h
@@ -314,12 +314,12 @@
 	int isolate;	  /* it may have crashed a target */
 	int stored; /* kept in the store: has no deadline, is not rejected */
 	int answered;
-	int owner_silent;   /* it may have submitted the job to another one */
-	int owner_returned; /* it has, or not, and is to submit the job again */
-	int owner_lost;	    /* it may submit the job to another scheduler */
-	int superseded;	    /* by another submission; its owner may not know */
-	int missed_start;   /* considered only after its latest start */
-	int displaced;	    /* made late by a job of a higher priority */
+	int owner_silent; /* it may have submitted the job to another one */
+	int awaits_submission; /* again: its owner is connected anew */
+	int owner_lost;	       /* it may submit the job to another scheduler */
+	int superseded;	  /* by another submission; its owner may not know */
+	int missed_start; /* considered only after its latest start */
+	int displaced;	  /* made late by a job of a higher priority */
 	/* Runs of an earlier submission of the id may not be over. */
 	int awaits_earlier_runs;
 	int started_earlier; /* a task was, under an earlier submission */
