--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -1,14 +1,11 @@
 # Shell functions of the cases 6 to 10; sourced by their run.sh from the root of
 # the project. The programs are the deploy file's target/rosemary-poold and the
 # stand-in and client that review/build-2.sh builds. All addresses are loopback
-# addresses, the ports are free ones.
+# addresses, the ports are free ones. run.sh sets $here, $record and $trouble.
 
 set -u
-here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-trouble=${TROUBLE:-1}
 tools=${TOOLS:-target/review-2}
-record=$here/record.txt
 dir=$(mktemp -d)
 pids=
 
--- a/review/rig-2.c
+++ b/review/rig-2.c
@@ -14,6 +14,11 @@
 #include "fake.h"
 
 #include <apr_base64.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <apr_general.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -86,6 +91,7 @@
 struct job {
 	char id[32];
 	int total, done, at_work;
+	double need; /* most CPU of one of its tasks */
 	int64_t idle_since;	/* nothing of it runs, and it is not done */
 	int64_t worst;		/* longest such time since the watch began */
 };
@@ -327,6 +333,31 @@
 		job->at_work += by;
 }
 
+/*
+ * Whether there is capacity for a task of the job twice over, and under half of
+ * the service's capacity is in use.
+ */
+static int has_capacity(const struct job *job)
+{
+	double used = 0, capacity = 0;
+	int i, room = 0;
+	size_t j;
+
+	for (i = 0; i < g.nworkers; i++) {
+		const struct worker *t = &g.workers[i];
+		double cpu = 0;
+
+		if (!t->up || t->draining)
+			continue;
+		for (j = 0; j < t->nruns; j++)
+			cpu += t->runs[j]->cpu;
+		used += cpu;
+		capacity += t->cpu;
+		room += (int)((t->cpu - cpu) / job->need);
+	}
+	return room >= 2 && 2 * used < capacity;
+}
+
 static void watch_jobs(int64_t now)
 {
 	int i;
@@ -335,7 +366,8 @@
 		struct job *job = &g.jobs[i];
 		int64_t from;
 
-		if (job->at_work || job->done >= job->total) {
+		if (job->at_work || job->done >= job->total ||
+		    !has_capacity(job)) {
 			job->idle_since = 0;
 			continue;
 		}
@@ -556,6 +588,32 @@
 	    (long long)t->born);
 }
 
+/* A port without a process refuses connections, one of a dark machine hangs. */
+static void stop_listening(const struct worker *t)
+{
+	if (!t->dark)
+		close(g.srv.listeners[t->index + 1]);
+}
+
+static void listen_again(const struct worker *t)
+{
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons((uint16_t)(g.first_port + 1 + t->index)),
+	};
+	struct epoll_event ev = { .events = EPOLLIN };
+	int one = 1, fd = socket(AF_INET,
+				 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&addr, sizeof(addr)) || listen(fd, 512))
+		say("worker %d cannot listen again", t->index);
+	ev.data.fd = fd;
+	epoll_ctl(g.srv.epoll, EPOLL_CTL_ADD, fd, &ev);
+	g.srv.listeners[t->index + 1] = fd;
+}
+
 static void crash(struct worker *t, int back_ms, int same_id)
 {
 	size_t i;
@@ -571,6 +629,7 @@
 	}
 	t->nruns = t->nends = 0;
 	t->up = 0;
+	stop_listening(t);
 	t->same_id = same_id;
 	t->down_until = back_ms ? clock_ms() + back_ms : 0;
 	t->entry_gone_at = t->written_at + 3 * STATUS_MS;
@@ -624,6 +683,8 @@
 				put_text("servers", t->id, NULL);
 				t->entry_gone_at = 0;
 			}
+			if (!t->dark)
+				listen_again(t);
 			begin_life(t, t->same_id);
 		} else if (t->entry_gone_at && now >= t->entry_gone_at) {
 			put_text("servers", t->id, NULL);
@@ -836,8 +897,11 @@
 	t->runs[t->nruns++] = run;
 	count_run(task, 1);
 	if (job_of(task))
-		for (i = 0, job_of(task)->total = 0; i < s.nsteps; i++)
+		for (i = 0, job_of(task)->total = 0; i < s.nsteps; i++) {
 			job_of(task)->total += s.n[i];
+			if (s.cpu[i] > job_of(task)->need)
+				job_of(task)->need = s.cpu[i];
+		}
 	say("start  %s run %lld on worker %d (%s)", task, (long long)number,
 	    t->index, t->id);
 	return accepted(t, r);
