regress: clients that do not behave

Clients that nobody controls ended a process by memory: many large bodies of legal size at once, whole or piece by piece, in large or very small chunks, and bodies far over the limit, most of which stopped short of their end and stayed open. No test had a body over 4096 bytes.

regress/crowd opens such connections, keeps them until it is ended, and samples the memory, the unread bytes and the descriptors of the entry VMs that it calls. One script for each kind of client: bodies of legal size, pieces, large and small chunks, bodies announced or sent over the limit; beside them headers, idle connections, whole bodies of blanks or numbers, jobs with many tasks or long specifications, stored jobs, the servers for readiness and metrics, and rosemaryd. Each entry VM is told of a machine of 64 MB and 1000 descriptors, by variables that this code does not read yet. The bounds are these two figures; the crowd is 300 clients, or 1200 where they send little. An ordinary request has to be answered beside the crowd and after it. t-crowd-calm checks single requests at the limits.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 all: $(B)/librosemary.a $(PROGRAMS) $(B)/regress/standin/platform \
 	$(B)/regress/standin/callers $(B)/regress/soak/proxy \
-	$(B)/regress/soak/soak
+	$(B)/regress/soak/soak $(B)/regress/crowd/crowd
 
 tests: $(TESTS_C) $(TESTS_CXX)
 
@@ -176,6 +176,10 @@
 $(B)/regress/soak/soak: $(call obj,$(wildcard regress/soak/soak*.c))
 	$(LINK) -lcurl -ljansson
 
+# Clients that do not behave, for the scripted tests.
+$(B)/regress/crowd/crowd: $(call obj,$(wildcard regress/crowd/*.c))
+	$(LINK)
+
 # All sources except generated ones.
 SOURCES = $(filter-out $(wildcard *.pb-c.c *.pb-c.h),\
 	$(wildcard *.c *.h platform/*.c platform/*.h regress/*.c regress/*.h regress/*/*.c regress/*/*.h))
--- /dev/null
+++ b/regress/t-crowd-bodies.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Many bodies of legal size at once, most of which stop short of their end.
+. ./regress/crowd-pool.sh
+
+run () {
+	start_small_pool
+	crowd "$(http_of 0)" --clients=300 --text="$job" --body=$max_body \
+		--finish=8
+}
+
+check run
