platform: refuse jobs of more than 16384 values before parsing them

Callers that sent bodies of legal size that are one array of numbers made others wait: each took some 20 times its bytes in memory, and the time to build and free 131,072 values, before it was found not to be a job.

--- a/regress/platform-job.c
+++ b/regress/platform-job.c
@@ -87,3 +87,39 @@
 	cr_assert_null(
 		platform_parse_job(text, strlen(text), &supported, error));
 }
+
+/*
+ * A body of numbers only, of legal size, took 20 times its size in memory, and
+ * the time to parse it.
+ */
+Test(odd_job, a_job_of_too_many_values_is_malformed)
+{
+	static char text[262144];
+	char error[PLATFORM_ERROR_MAX] = "";
+	int supported = 0, i, n = 0;
+
+	n += sprintf(text, "{\"steps\":[{\"count\":1}],\"numbers\":[0");
+	for (i = 0; i < 16384; i++)
+		n += sprintf(text + n, ",0");
+	n += sprintf(text + n, "]}");
+	cr_assert_null(platform_parse_job(text, (size_t)n, &supported, error));
+	cr_assert_str_eq(error, "more than 16384 values");
+}
+
+/* Commas in texts are not counted: a specification may have any. */
+Test(odd_job, a_specification_may_have_many_commas)
+{
+	static char text[65536];
+	char error[PLATFORM_ERROR_MAX] = "";
+	PoolSubmit *sub;
+	int supported = 0, n = 0;
+
+	n += sprintf(text, "{\"steps\":[{\"count\":1}],\"specification\":\"");
+	memset(text + n, ',', 20000);
+	n += 20000;
+	n += sprintf(text + n, "\"}");
+	sub = platform_parse_job(text, (size_t)n, &supported, error);
+	cr_assert_not_null(sub);
+	cr_assert_eq(sub->specification.len, 20000);
+	pool_submit__free_unpacked(sub, NULL);
+}
