http: count what callers make rosemaryd hold against one budget

Callers ended processes by memory. Each request had a buffer of up to twice the longest body, and nothing counted the buffers of all requests, the connections, what they leave unread, the values that a body is parsed into, or the submissions that are kept. At the limit of connections new callers were not refused but waited.

Connections count with their header and their receive buffer, which is limited, bodies as they grow, submissions until they are freed, responses until they are sent. A connection that waits for its caller is closed for a new one when there are too many; a body is closed for others that are shorter (conn-table.c, conn-body.c). So a caller that sends its whole request is served beside any number that do not. A submission for which there is no memory is refused with 429 and does not run. Each limit has a metric and a log line.

Ruled out: time limits alone, as a byte now and then renews them and slow links need them long; a smaller limit of the body, as the number of bodies is what counts.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,9 @@
 	dispatch-*.c queue-*.c admit-*.c route-*.c limit-*.c health-*.c \
 	retry-*.c member-*.c table-*.c claim-*.c relay-*.c drain-*.c \
 	trace-*.c peer-*.c sched-*.c lead-*.c)) $(wildcard *.pb-c.c)
-DAEMON = $(wildcard rosemaryd.c daemon-*.c http-*.c setting-*.c log-*.c)
-POOL = $(wildcard pool-*.c platform/*.c) log-json.c
+DAEMON = $(wildcard rosemaryd.c daemon-*.c http-*.c setting-*.c log-*.c \
+	conn-*.c)
+POOL = $(wildcard pool-*.c conn-*.c platform/*.c) log-json.c
 CLI = $(wildcard rosemary.c cmd-*.c cli-*.c)
 FAKES = $(wildcard fake-*.c)
 LOAD = $(wildcard load*.c)
--- a/daemon-peer-in.c
+++ b/daemon-peer-in.c
@@ -153,7 +153,7 @@
 		apr_pool_destroy(pool);
 		return;
 	}
-	if (pt->nin_conns >= pt->d->settings->peer_connections) {
+	if ((size_t)pt->nin_conns >= pt->d->limits.peers) {
 		log_warn("relay", "", "too many peer connections: %d",
 			 pt->nin_conns);
 		apr_pool_destroy(pool);
--- a/daemon-peer-out.c
+++ b/daemon-peer-out.c
@@ -80,8 +80,7 @@
 {
 	struct frame *f = calloc(1, sizeof(*f));
 
-	if (!f ||
-	    link->queued_bytes + data->len > pt->d->settings->peer_queue) {
+	if (!f || link->queued_bytes + data->len > pt->d->limits.peer_queue) {
 		free(f);
 		rp_blob_unref(data);
 		counter_add(COUNT_PEER_MESSAGES_DROPPED, 1);
--- a/daemon-run.c
+++ b/daemon-run.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #define DISCONNECT_CHECK_MS 100 /* interval between checks of callers */
+#define LIMITS_LOG_MS 1000	/* between log lines of a limit */
 
 /* --- locks for the kernel --------------------------------------------- */
 
@@ -68,6 +69,8 @@
 	opt.incarnation = (uint64_t)wall;
 	opt.wall_offset = wall - daemon_now();
 	opt.locks = lock_ops;
+	opt.budget = &d->budget;
+	daemon_limit_kernel(d, &opt);
 	if (!opt.seed)
 		apr_generate_random_bytes((unsigned char *)&opt.seed,
 					  sizeof(opt.seed));
@@ -86,7 +89,7 @@
 {
 	struct rp_event ev = { .type = RP_EVENT_TICK };
 	struct daemon *d = arg;
-	rp_ms next_check = 0;
+	rp_ms next_check = 0, next_log = 0;
 
 	(void)thread;
 	daemon_name_thread("tick");
@@ -94,8 +97,13 @@
 		daemon_handle_event(d, &ev);
 		if (daemon_now() >= next_check) {
 			http_wait_check_disconnects(d);
+			machine_trim(&d->budget, &d->held_peak);
 			next_check = daemon_now() + DISCONNECT_CHECK_MS;
 		}
+		if (daemon_now() >= next_log) {
+			http_log_limits(d);
+			next_log = daemon_now() + LIMITS_LOG_MS;
+		}
 		apr_sleep(apr_time_from_msec(RP_TICK_MS));
 	}
 	return NULL;
@@ -106,6 +114,7 @@
 	d->settings = settings;
 	if (apr_pool_create(&d->pool, NULL) != APR_SUCCESS)
 		return -1;
+	daemon_limits_init(d);
 	if (init_locks(d) < 0 || start_kernel(d) < 0)
 		return -1;
 	if (http_waits_init(d) < 0 || target_start(d) < 0 ||
--- a/daemon-target.c
+++ b/daemon-target.c
@@ -338,7 +338,7 @@
 
 		apr_pool_create(&pool, d->pool);
 		tl->starts = apr_hash_make(pool);
-		if (loop_init(&tl->loop, d, tl, d->settings->target_idle) < 0)
+		if (loop_init(&tl->loop, d, tl, (int)d->limits.target_idle) < 0)
 			return -1;
 	}
 	return 0;
--- a/daemon.h
+++ b/daemon.h
@@ -20,6 +20,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "conn.h"
 #include "rosemary.h"
 #include "setting.h"
 #include "log.h"
@@ -69,10 +70,28 @@
 struct platform_client;
 struct peer_transport;
 
+/* --- daemon-limit.c: memory and descriptors of the machine --------------- */
+
+/* The settings, as far as the machine has room for them. */
+struct daemon_limits {
+	size_t callers;	    /* connections */
+	size_t target_idle; /* connections, per thread */
+	size_t peers;	    /* inbound connections */
+	size_t peer_queue;  /* bytes queued for one entry VM */
+};
+
+struct daemon;
+void daemon_limits_init(struct daemon *d);
+/* Reduces the kernel's limits to what the machine has memory for. */
+void daemon_limit_kernel(const struct daemon *d, struct rp_options *opt);
+
 struct daemon {
 	const struct settings *settings;
 	apr_pool_t *pool;
 	struct rp_kernel *kernel;
+	struct daemon_limits limits;
+	struct rp_budget budget; /* for what callers make this process hold */
+	size_t held_peak;	 /* bytes, since memory was last returned */
 	struct http_server *http;
 	struct http_waits *waits;
 	struct target_client *targets;
@@ -244,6 +263,10 @@
 int http_count_active(struct daemon *d);
 /* Passes the data of KEYS, ANSWER or EDITED to the request that waits. */
 void http_execute(struct daemon *d, struct rp_action *act);
+/* Logs limits on callers that were reached since the last call. */
+void http_log_limits(struct daemon *d);
+/* Writes the limits as metrics. */
+void http_write_limits(struct daemon *d, struct rp_writer *w);
 /* Ends waits of callers that have disconnected; called by the tick thread. */
 void http_wait_check_disconnects(struct daemon *d);
 /* Makes http_wait_add() fail from now on, so that new calls are refused. */
--- a/http-json.c
+++ b/http-json.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define RETRY_FULL_MS 1000
+
 /* Adds a Retry-After header in whole seconds, rounded up. */
 static void add_retry_after(struct MHD_Response *resp, rp_ms after)
 {
@@ -29,6 +31,10 @@
 	r->responded = 1;
 	if (!resp)
 		return;
+	r->held = len;
+	budget_add(&r->d->budget, RP_HOLD_MESSAGES, len);
+	/* The connection waits for its caller to read the response. */
+	conn_end(r->caller);
 	MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE, type);
 	add_retry_after(resp, retry_after);
 	if (r->x_next)
@@ -58,10 +64,14 @@
 void http_send_text(struct http_request *r, int http_status, const char *type,
 		    const char *text, size_t len)
 {
-	char *copy = malloc(len + 1);
+	char *copy = http_make_room(r, RP_HOLD_MESSAGES, len) < 0
+			     ? NULL
+			     : malloc(len + 1);
 
-	if (!copy)
+	if (!copy) {
+		http_send_full(r, "no memory for the response");
 		return;
+	}
 	memcpy(copy, text, len);
 	queue_response(r, http_status, type, copy, len, 0);
 }
@@ -96,6 +106,14 @@
 	http_send_json(r, http_status, root, retry_after);
 }
 
+void http_send_full(struct http_request *r, const char *reason)
+{
+	struct rp_status st;
+
+	rp_status_set(&st, RP_E_FULL, RP_STEP_ADMIT, "", "%s", reason);
+	http_send_refusal(r, &st, RETRY_FULL_MS);
+}
+
 void http_send_error(struct http_request *r, int http_status, enum rp_code code,
 		     enum rp_step step, const char *fmt, ...)
 {
--- a/http-operate.c
+++ b/http-operate.c
@@ -125,6 +125,7 @@
 	text_init(&t);
 	rp_kernel_metrics(r->d->kernel, &t.w);
 	counter_write_all(&t.w);
+	http_write_limits(r->d, &t.w);
 	send_buffer(r, &t, "text/plain");
 }
 
--- a/http-parse.c
+++ b/http-parse.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define TASK_ID_MAX 200 /* bytes */
+/* Of a value in memory; an object of two texts takes less than twice as much.
+ */
+#define VALUE_BYTES 256
 
 /* State of parsing a submission or an edit. */
 struct parser {
@@ -14,6 +17,8 @@
 	json_t *root;
 	struct rp_submission_spec spec;
 	struct rp_task_spec *tasks;
+	struct rp_budget *budget; /* that counts held; NULL: none */
+	size_t held;		  /* bytes */
 };
 
 /* Sets an error that is not about a single field. Returns -1. */
@@ -34,11 +39,50 @@
 	return -1;
 }
 
+/* Bytes that the parsed values of a body take at most. */
+static size_t parsed_bytes(const char *body, size_t len)
+{
+	size_t i, n = 1;
+
+	for (i = 0; i < len; i++)
+		n += body[i] == ',';
+	return n * VALUE_BYTES + 2 * len;
+}
+
+/* Counts the memory for the parsed values until parser_finish(). */
+static int hold_parsed(struct parser *p, const struct http_request *r)
+{
+	size_t n = parsed_bytes(r->body, r->len);
+
+	if (r->caller)
+		conn_make_room(r->caller->table, RP_HOLD_JOBS, n);
+	if (budget_take(&r->d->budget, RP_HOLD_JOBS, n) < 0) {
+		p->http_status = MHD_HTTP_TOO_MANY_REQUESTS;
+		rp_status_set(p->st, RP_E_FULL, RP_STEP_PARSE, "",
+			      "body: no memory to parse it");
+		return -1;
+	}
+	p->budget = &r->d->budget;
+	p->held = n;
+	return 0;
+}
+
+static void parser_finish(struct parser *p)
+{
+	free(p->tasks);
+	json_decref(p->root);
+	budget_release(p->budget, RP_HOLD_JOBS, p->held);
+}
+
 /* Parses the body as a JSON object. Error messages do not quote the body. */
-static int parse_object(struct parser *p, const char *body, size_t len)
+static int parse_object(struct parser *p, const struct http_request *r)
 {
+	const char *body = r->body;
+	size_t len = r->len;
 	json_error_t err;
 
+	if (hold_parsed(p, r) < 0)
+		return -1;
 	p->root = json_loadb(body ? body : "", len,
 			     JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, &err);
 	if (!p->root) {
@@ -274,7 +318,7 @@
 					       NULL };
 
 	p->spec.is_request = is_request;
-	if (parse_object(p, r->body, r->len) < 0 ||
+	if (parse_object(p, r) < 0 ||
 	    check_fields(p, p->root, "", is_request ? request : job) < 0 ||
 	    parse_key(p, own_key) < 0 || parse_names(p) < 0 ||
 	    parse_timeout(p, r->d->settings) < 0)
@@ -297,8 +341,7 @@
 				  "out of memory");
 	}
 	*http_status = p.http_status;
-	free(p.tasks);
-	json_decref(p.root);
+	parser_finish(&p);
 	return sub;
 }
 
@@ -398,7 +441,7 @@
 					       "cells", NULL };
 	const json_t *base;
 
-	if (parse_object(p, r->body, r->len) < 0 ||
+	if (parse_object(p, r) < 0 ||
 	    check_fields(p, p->root, "", allowed) < 0 ||
 	    parse_name_field(p, p->root, "edit_id", edit->edit_id) < 0)
 		return -1;
@@ -418,6 +461,6 @@
 	struct parser p = { .st = st };
 	int rc = parse_edit(&p, r, edit);
 
-	json_decref(p.root);
+	parser_finish(&p);
 	return rc;
 }
--- a/http-server.c
+++ b/http-server.c
@@ -9,11 +9,11 @@
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
-/* A rejected body is discarded up to this multiple of the limit http_body. */
-#define DISCARD_FACTOR 4
+#define CONNECTION_BYTES 2048 /* of a connection, beside its header */
 
 struct http_server {
 	struct MHD_Daemon *mhd;
+	struct conn_table conns;
 	atomic_int nactive; /* requests that have not been completed */
 };
 
@@ -46,6 +46,9 @@
 				"body: did not arrive within %lld ms",
 				(long long)r->d->settings->http_read);
 		break;
+	case MHD_HTTP_TOO_MANY_REQUESTS:
+		http_send_full(r, "no memory for the body");
+		break;
 	default:
 		http_send_error(r, r->error_status, RP_E_INPUT, RP_STEP_PARSE,
 				"path: the name is malformed or too long");
@@ -61,23 +64,22 @@
 	counter_add(COUNT_HTTP_BYTES_IN, n);
 	if (daemon_now() - r->began_at > r->d->settings->http_read)
 		set_error_status(r, MHD_HTTP_REQUEST_TIMEOUT);
-	if (r->len + n > max)
-		set_error_status(r, MHD_HTTP_CONTENT_TOO_LARGE);
 	if (r->error_status) {
-		r->len += n;
-		return r->len > max * DISCARD_FACTOR ? -1 : 0;
+		conn_free_body(r->caller);
+		return conn_discard(r->caller, n, max);
 	}
-	if (r->len + n + 1 > r->cap) {
-		size_t cap = (r->len + n) * 2 + 1;
-		char *body = realloc(r->body, cap);
-
-		if (!body)
-			return -1;
-		r->body = body;
-		r->cap = cap;
+	switch (conn_append(r->caller, data, n, max)) {
+	case CONN_APPENDED:
+		break;
+	case CONN_TOO_LONG:
+		set_error_status(r, MHD_HTTP_CONTENT_TOO_LARGE);
+		break;
+	case CONN_NO_MEMORY:
+		set_error_status(r, MHD_HTTP_TOO_MANY_REQUESTS);
+		break;
+	case CONN_CLOSED:
+		return -1;
 	}
-	memcpy(r->body + r->len, data, n);
-	r->len += n;
 	return 0;
 }
 
@@ -91,13 +93,30 @@
 
 	if (http_status)
 		set_error_status(r, http_status);
-	if (length && strtoull(length, NULL, 10) > r->d->settings->http_body)
+	if (length && strtoull(length, NULL, 10) > r->d->settings->http_body) {
+		conn_limit_reached(r->caller->table, CONN_LIMIT_BODY);
 		set_error_status(r, MHD_HTTP_CONTENT_TOO_LARGE);
+	}
 	if (r->error_status && length)
 		send_request_error(r);
 	return MHD_YES;
 }
 
+static void begin_handling(struct http_request *r)
+{
+	int is_submission = r->route->handle == http_handle_job ||
+			    r->route->handle == http_handle_request;
+
+	if (conn_begin(r->caller, is_submission) < 0) {
+		http_send_full(r, "too many requests are being handled");
+		return;
+	}
+	r->body = r->caller->body;
+	r->len = r->caller->len;
+	if (!http_check_arguments(r))
+		r->route->handle(r);
+}
+
 /* Called when the request is complete, and again after each suspension. */
 static enum MHD_Result handle_request(struct http_request *r)
 {
@@ -105,8 +124,7 @@
 		send_request_error(r);
 	} else if (!r->handled) {
 		r->handled = 1;
-		if (!http_check_arguments(r))
-			r->route->handle(r);
+		begin_handling(r);
 	} else if (atomic_load(&r->phase) == HTTP_READY) {
 		if (r->response_kind == HTTP_RESPONSE_DISCONNECTED)
 			return MHD_NO;
@@ -124,6 +142,7 @@
 		return NULL;
 	r->d = d;
 	r->conn = conn;
+	r->caller = conn_of(conn);
 	r->began_at = daemon_now();
 	atomic_init(&r->phase, HTTP_HANDLING);
 	atomic_fetch_add(&d->http->nactive, 1);
@@ -147,7 +166,7 @@
 	if (!r) {
 		r = create_request(d, conn);
 		*state = r;
-		return r ? begin_request(r, method, url) : MHD_NO;
+		return r && r->caller ? begin_request(r, method, url) : MHD_NO;
 	}
 	if (*len) {
 		int rc = append_body(r, data, *len);
@@ -171,10 +190,12 @@
 	(void)reason;
 	if (!r)
 		return;
+	if (r->caller)
+		conn_end(r->caller);
+	budget_release(&d->budget, RP_HOLD_MESSAGES, r->held);
 	rp_answer_unref(r->answer);
 	free(r->keys);
 	free(r->conflicts);
-	free(r->body);
 	free(r);
 	*state = NULL;
 	atomic_fetch_sub(&d->http->nactive, 1);
@@ -228,14 +249,18 @@
 	d->http = server;
 	if (parse_address(set->http_listen, &sa) < 0)
 		return -1;
+	conn_table_init(&server->conns, "callers", &d->budget,
+			d->limits.callers, set->http_header + CONNECTION_BYTES);
+	/* Each thread may have all connections. */
 	server->mhd = MHD_start_daemon(
 		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
 			MHD_USE_ERROR_LOG,
-		0, NULL, NULL, on_request, d, MHD_OPTION_EXTERNAL_LOGGER,
-		on_server_log, NULL, MHD_OPTION_SOCK_ADDR, &sa,
-		MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)set->http_threads,
-		MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)set->http_connections,
+		0, conn_on_accept, &server->conns, on_request, d,
+		MHD_OPTION_EXTERNAL_LOGGER, on_server_log, NULL,
+		MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_THREAD_POOL_SIZE,
+		(unsigned int)set->http_threads, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)(d->limits.callers * (size_t)set->http_threads),
+		MHD_OPTION_NOTIFY_CONNECTION, conn_on_notify, &server->conns,
 		MHD_OPTION_CONNECTION_TIMEOUT,
 		(unsigned int)((set->http_idle + 999) / 1000),
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, set->http_header,
@@ -243,8 +268,10 @@
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, d,
 		MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
 		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_END);
-	if (server->mhd)
+	if (server->mhd) {
+		conn_limit_unread(server->mhd);
 		return 0;
+	}
 	log_error("start", set->http_listen, "cannot listen for callers");
 	return -1;
 }
@@ -259,8 +286,42 @@
 
 void http_stop(struct daemon *d)
 {
-	if (d->http && d->http->mhd)
-		MHD_stop_daemon(d->http->mhd);
+	if (!d->http || !d->http->mhd)
+		return;
+	MHD_stop_daemon(d->http->mhd);
+	conn_table_finish(&d->http->conns);
+}
+
+void http_log_limits(struct daemon *d)
+{
+	conn_log_limits(&d->http->conns);
+}
+
+void http_write_limits(struct daemon *d, struct rp_writer *w)
+{
+	const struct conn_table *t = &d->http->conns;
+	enum conn_limit limit;
+	enum rp_hold kind;
+
+	for (kind = 0; kind < RP_HOLDS; kind++)
+		rp_writer_printf(w, "rosemaryd_held_bytes{what=\"%s\"} %zu\n",
+				 budget_name(kind),
+				 atomic_load(&d->budget.used[kind]));
+	rp_writer_printf(w, "rosemaryd_held_bytes_limit %zu\n",
+			 d->budget.limit);
+	rp_writer_printf(w, "rosemaryd_connections %zu\n", t->n);
+	rp_writer_printf(w, "rosemaryd_connections_limit %zu\n", t->max);
+	for (limit = 0; limit < CONN_LIMITS; limit++)
+		rp_writer_printf(w,
+				 "rosemaryd_limit_reached_total{limit=\"%s\"} "
+				 "%llu\n",
+				 conn_limit_name(limit),
+				 (unsigned long long)t->reached[limit]);
+}
+
+int http_make_room(struct http_request *r, enum rp_hold kind, size_t n)
+{
+	return conn_make_room(r->caller->table, kind, n);
 }
 
 int http_count_active(struct daemon *d)
--- a/http-submit.c
+++ b/http-submit.c
@@ -54,10 +54,18 @@
 	int http_status;
 
 	sub = http_parse_submission(r, own_key, is_request, &st, &http_status);
+	conn_free_body(r->caller);
+	r->body = NULL;
 	if (!sub) {
 		http_send_status(r, http_status, &st, 0);
 		return;
 	}
+	http_make_room(r, RP_HOLD_JOBS, sub->bytes);
+	if (rp_submission_hold(sub, &r->d->budget) < 0) {
+		http_send_full(r, "no memory for the submission");
+		rp_submission_unref(sub);
+		return;
+	}
 	memcpy(r->key, sub->key.ptr, sub->key.len);
 	r->key[sub->key.len] = '\0';
 	r->wants_next_keys = !sub->key_is_callers;
--- a/http.h
+++ b/http.h
@@ -43,12 +43,15 @@
 	struct MHD_Connection *conn;
 	const struct http_route *route;
 	char name[RP_KEY_MAX]; /* name in the path, decoded; "" if none */
-	char *body;	       /* of the request */
-	size_t len, cap;       /* of body */
+	struct conn *caller;   /* connection, which has the body */
+	char *body;	       /* of the request, once it is complete */
+	size_t len;
+	size_t held; /* bytes of the response that are counted */
 	rp_ms began_at;
 	const char *unknown_argument; /* of the query; NULL if none */
 	const char *x_next; /* header X-Next of the response, or NULL */
 	int error_status;   /* HTTP status if rejected while read, else 0 */
+	int is_long;	    /* its body is announced to be too long */
 	int handled;	    /* the route's function has been called */
 	int responded;	    /* a response has been queued */
 
@@ -68,6 +71,11 @@
 	struct rp_cell *conflicts;
 };
 
+/* --- http-server.c ----------------------------------------------------- */
+
+/* Closes connections until there are n bytes for the kind. Returns 0 or -1. */
+int http_make_room(struct http_request *r, enum rp_hold kind, size_t n);
+
 /* --- http-wait.c: requests that wait for the kernel ------------------- */
 
 /*
@@ -132,6 +140,8 @@
 /* Sends a status as JSON with the HTTP status that its code maps to. */
 void http_send_refusal(struct http_request *r, const struct rp_status *st,
 		       rp_ms retry_after);
+/* Refuses a request that there is no room for; nothing was done. */
+void http_send_full(struct http_request *r, const char *reason);
 /* Sends an error that the daemon itself detected. */
 void http_send_error(struct http_request *r, int http_status, enum rp_code code,
 		     enum rp_step step, const char *fmt, ...)
--- a/kernel-blob.c
+++ b/kernel-blob.c
@@ -1,5 +1,6 @@
 /* Reference-counted blobs, submissions and answers of the public header. */
 
+#include "budget.h"
 #include "rosemary-int.h"
 
 #include <stdlib.h>
@@ -8,6 +9,9 @@
 #define XXH_STATIC_LINKING_ONLY /* for XXH64_state_t on the stack */
 #include <xxhash.h>
 
+/* Of a task of a submission, beside its id and payload, with its state. */
+#define TASK_BYTES 128
+
 struct rp_blob *rp_blob_new(const void *data, size_t len)
 {
 	struct rp_blob *b = malloc(sizeof(*b) + len + 1);
@@ -109,6 +113,19 @@
 	return s;
 }
 
+int rp_submission_hold(struct rp_submission *s, struct rp_budget *b)
+{
+	size_t n = sizeof(*s) + s->bytes + s->ntasks * TASK_BYTES;
+
+	if (!b || s->budget)
+		return 0;
+	if (budget_take(b, RP_HOLD_JOBS, n) < 0)
+		return -1;
+	s->budget = b;
+	s->held = n;
+	return 0;
+}
+
 struct rp_submission *rp_submission_ref(struct rp_submission *s)
 {
 	atomic_fetch_add(&s->refs, 1);
@@ -119,6 +136,7 @@
 {
 	if (!s || atomic_fetch_sub(&s->refs, 1) != 1)
 		return;
+	budget_release(s->budget, RP_HOLD_JOBS, s->held);
 	free(s->arena);
 	free(s->tasks);
 	free(s);
--- a/regress/crowd.sh
+++ b/regress/crowd.sh
@@ -22,6 +22,7 @@
 crowd () {
 	address=$1
 	shift
+	: >"$dir"/crowd.log
 	"$bin"/regress/crowd/crowd --address="$address" "$@" $watched \
 		>"$dir"/crowd.log &
 	crowd_pid=$!
@@ -35,6 +36,8 @@
 	kill -TERM $crowd_pid
 	wait $crowd_pid
 	seen=$(tail -n 1 "$dir"/crowd.log)
+	mkdir -p build/out
+	echo "$seen" >build/out/"$name".seen
 	ordinary_requests "after it" | ${answers_after:-cat}
 	bound ended 0 "$seen"
 	bound memory_kb $((memory_mb * 1024)) "$seen"
--- a/regress/daemon-test.h
+++ b/regress/daemon-test.h
@@ -92,6 +92,7 @@
 	test_settings.platform_calls = 4;
 	test_daemon.settings = &test_settings;
 	apr_pool_create(&test_daemon.pool, NULL);
+	daemon_limits_init(&test_daemon);
 	return &test_daemon;
 }
 
--- a/relay-serve.c
+++ b/relay-serve.c
@@ -128,6 +128,12 @@
 				   "tasks: malformed", w, acts);
 		return;
 	}
+	if (rp_submission_hold(sub, k->opt.budget) < 0) {
+		answer_status_only(k, now, RP_REFUSED, RP_E_FULL,
+				   "no memory for the submission", w, acts);
+		rp_submission_unref(sub);
+		return;
+	}
 	/* The claim names this incarnation, so the key had a record here. */
 	if (!sub->key_is_callers)
 		sub_submit(k, now, sub, msg->wait, w, acts);
--- a/rosemary.h
+++ b/rosemary.h
@@ -116,10 +116,14 @@
  * A caller's submission: a job of tasks, or a single request (one task).
  * Reference-counted and immutable once it is built.
  */
+struct rp_budget;
+
 struct rp_submission {
 	atomic_int refs;
-	struct rp_str key;  /* issued key, or the caller's own */
-	int key_is_callers; /* the key came as Idempotency-Key */
+	struct rp_budget *budget; /* that counts its memory; NULL: none */
+	size_t held;		  /* bytes that are counted */
+	struct rp_str key;	  /* issued key, or the caller's own */
+	int key_is_callers;	  /* the key came as Idempotency-Key */
 	struct rp_str service;
 	struct rp_str team;
 	rp_ms timeout;	 /* from receipt to deadline, ms */
@@ -146,6 +150,11 @@
  * is exhausted. The fields are validated later, by the kernel.
  */
 struct rp_submission *rp_submission_new(const struct rp_submission_spec *spec);
+/*
+ * Counts the submission, and what the kernel allocates for its tasks, until it
+ * is freed. Returns -1 if the budget has no room for it.
+ */
+int rp_submission_hold(struct rp_submission *s, struct rp_budget *b);
 struct rp_submission *rp_submission_ref(struct rp_submission *s);
 void rp_submission_unref(struct rp_submission *s);
 
@@ -471,11 +480,12 @@
 	char limit[RP_NAME_MAX];
 	char health[RP_NAME_MAX];
 	char retry[RP_NAME_MAX];
-	rp_ms key_lifetime;   /* time until an issued key expires, ms */
-	rp_ms max_timeout;    /* longest timeout of a submission, ms */
-	size_t max_queued;    /* queued tasks per service */
-	size_t max_records;   /* records of submissions */
-	size_t max_retained;  /* bytes of retained answers */
+	rp_ms key_lifetime;	  /* time until an issued key expires, ms */
+	rp_ms max_timeout;	  /* longest timeout of a submission, ms */
+	struct rp_budget *budget; /* for submissions; NULL: no limit */
+	size_t max_queued;	  /* queued tasks per service */
+	size_t max_records;	  /* records of submissions */
+	size_t max_retained;	  /* bytes of retained answers */
 	int retry_percent;    /* retries and hedges per 100 first attempts */
 	rp_ms silence_limit;  /* longest wait before a lookup, ms */
 	rp_ms table_poll;     /* mean interval of table polls, ms; 0: none */
--- a/setting-table.c
+++ b/setting-table.c
@@ -76,6 +76,10 @@
 	  FIELD(platform_calls), "most calls to the platform in flight" },
 	{ "drain-limit", SETTING_MS, 0, "360000", 0, HOUR, "ms",
 	  FIELD(drain_limit), "timeout of a planned stop" },
+	{ "memory", SETTING_INT, 0, "0", 0, 1000000000, "MB", FIELD(memory),
+	  "memory of the machine; 0: the system's" },
+	{ "descriptors", SETTING_INT, 0, "0", 0, 1000000000, "descriptors",
+	  FIELD(descriptors), "most open descriptors; 0: the system's limit" },
 	{ "log-level", SETTING_LEVEL, 0, "info", 0, 0, "error|warn|info|debug",
 	  FIELD(log_level), "lowest level that is logged" },
 
--- a/setting.h
+++ b/setting.h
@@ -38,6 +38,8 @@
 	rp_ms peer_idle;       /* timeout of idle inbound peer connections */
 	int platform_calls;    /* most in flight; further ones fail unsent */
 	rp_ms drain_limit;     /* timeout of the planned stop */
+	int memory;	       /* of the machine, MB; 0: the system's */
+	int descriptors;       /* of the process; 0: the system's limit */
 	enum log_level log_level;
 	struct rp_vm *vms; /* owned; kernel.seeds points to it */
 	size_t nvms;
