sched: reject a job that the leader has no memory for

Admission looks at time and capacity only.

The scheduler counts jobs, and the records that it keeps of them, against the budget of its process. A new job without room is rejected with a retry after 1 s, like one that admission rejects: none of its tasks runs. Jobs that an earlier leader may have started, and stored ones, are kept in any case.

--- a/sched-core.c
+++ b/sched-core.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define DECAY_INTERVAL_MS 500
+#define NO_MEMORY_RETRY_MS 1000
 /* Factor on the run time away from the rack, unless it is set. */
 #define REMOTE_FACTOR 2.0
 
@@ -201,13 +202,41 @@
 	sched_domains_resend(job);
 }
 
+/* While stored jobs wait for memory, others have at most a quarter of it. */
+static int has_memory_for(const struct sched *s, const PoolSubmit *sub)
+{
+	size_t n = sched_submit_memory(sub);
+
+	return budget_has_room(s->budget, RP_HOLD_JOBS, n) &&
+	       (!s->ndeferred ||
+		budget_is_within_part(s->budget, RP_HOLD_JOBS, n, 4));
+}
+
+struct sched_queue *sched_defer(struct sched *s, const PoolSubmit *sub)
+{
+	struct sched_queue *q = sched_get_queue(
+		s, sub->queue,
+		sub->steps[0]->estimate_ms ? sub->steps[0]->estimate_ms : 1);
+
+	s->ndeferred++;
+	q->nwaiting++;
+	return q;
+}
+
+void sched_undefer(struct sched *s, struct sched_queue *q)
+{
+	s->ndeferred--;
+	q->nwaiting--;
+}
+
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now)
 {
 	struct sched_job *earlier = sched_find_open_job(s, str_of(sub->id)),
 			 *job;
-	const char *reason;
-	rp_ms retry_after;
+	int has_memory = has_memory_for(s, sub);
+	const char *reason = SCHED_NO_MEMORY;
+	rp_ms retry_after = NO_MEMORY_RETRY_MS;
 
 	s->now = now;
 	if (earlier && earlier->owner == owner && earlier->seq == sub->seq) {
@@ -221,8 +250,11 @@
 	supersede(job, earlier);
 	if (sched_adopt_job(job))
 		return;
-	if (job->stored || s->admit->admit(s, job, &reason, &retry_after))
+	/* What was accepted, or may have been started, is kept in any case. */
+	if (job->stored ||
+	    (has_memory && s->admit->admit(s, job, &reason, &retry_after)))
 		return;
+	s->count.no_memory += !has_memory;
 	sched_job_answer(job, POOL_ANSWER__OUTCOME__REJECTED, reason,
 			 retry_after);
 }
--- a/sched-int.h
+++ b/sched-int.h
@@ -8,6 +8,9 @@
 
 #include "scheduler.h"
 
+/* Why a job is rejected that the budget has no room for. */
+#define SCHED_NO_MEMORY "the leader has no memory for the job"
+
 /*
  * Time after which a call that had no reply is taken for lost. The platform
  * carries calls out seconds late, and gives no bound.
--- a/sched-job.c
+++ b/sched-job.c
@@ -307,6 +307,23 @@
 	return ntasks <= SCHED_TASKS_MAX;
 }
 
+size_t sched_submit_memory(const PoolSubmit *sub)
+{
+	size_t i, ntasks = 0;
+
+	for (i = 0; i < sub->n_steps; i++)
+		ntasks += sub->steps[i]->tasks;
+	return sizeof(struct sched_job) + sizeof(struct sched_history) +
+	       sub->n_steps * sizeof(struct sched_step) +
+	       ntasks * (sizeof(struct sched_task) + 1) +
+	       sub->specification.len;
+}
+
+static enum rp_hold hold_of(int stored)
+{
+	return stored ? RP_HOLD_STORED : RP_HOLD_JOBS;
+}
+
 struct sched_job *sched_job_new(struct sched *s, void *owner,
 				const PoolSubmit *sub, rp_ms now)
 {
@@ -314,6 +331,8 @@
 	size_t i;
 
 	job->s = s;
+	job->held = sched_submit_memory(sub);
+	budget_add(s->budget, hold_of(sub->stored), job->held);
 	job->owner = owner;
 	job->seq = sub->seq;
 	snprintf(job->id, sizeof(job->id), "%s", sub->id);
@@ -362,6 +381,7 @@
 {
 	size_t i;
 
+	budget_release(job->s->budget, hold_of(job->stored), job->held);
 	sched_losses_free(job);
 	sched_domains_free(job);
 	for (i = 0; i < job->ntasks; i++)
--- a/sched-past.c
+++ b/sched-past.c
@@ -111,6 +111,7 @@
 	if (apr_hash_get(s->history, rec->id, APR_HASH_KEY_STRING) == rec)
 		apr_hash_set(s->history, rec->id, APR_HASH_KEY_STRING, NULL);
 	heap_remove(&s->history_expiry, &rec->expiry_node);
+	budget_release(s->budget, RP_HOLD_JOBS, rec->held);
 	while (rec->ndomains)
 		free(rec->domains[--rec->ndomains]);
 	free(rec->domains);
@@ -158,6 +159,8 @@
 	rec = calloc(1, sizeof(*rec) + job->ntasks);
 	if (!rec)
 		return;
+	rec->held = sizeof(*rec) + job->ntasks;
+	budget_add(s->budget, RP_HOLD_JOBS, rec->held);
 	memcpy(rec->id, job->id, sizeof(rec->id));
 	rec->digest = job->specification_hash;
 	rec->next_run = job->next_run + 1;
--- a/scheduler.h
+++ b/scheduler.h
@@ -14,6 +14,7 @@
  * answer. Times are of the scheduler's clock, in ms, unless stated otherwise.
  */
 
+#include "budget.h"
 #include "rosemary-int.h"
 #include "pool.pb-c.h"
 
@@ -259,6 +260,7 @@
 	char **domains;
 	size_t ndomains, nformer_domains;
 	int any_former_domain;
+	size_t held; /* bytes that are counted */
 	size_t ntasks;
 	uint8_t done[]; /* for each task: whether it had succeeded */
 };
@@ -276,6 +278,7 @@
 	void *owner;  /* who receives the answer; NULL: nobody */
 	uint64_t seq; /* the owner's number for the job */
 	char id[SCHED_ID_MAX];
+	size_t held; /* bytes that are counted */
 	struct sched_queue *queue;
 	struct sched_service *service;
 	struct rp_str specification; /* empty if the owner keeps it */
@@ -617,6 +620,7 @@
 
 struct sched_counters {
 	uint64_t jobs, completed, failed, rejected, cancelled;
+	uint64_t no_memory; /* of the rejected ones, for want of memory */
 	uint64_t starts, ends;
 	uint64_t retries;      /* runs that were requeued */
 	uint64_t moves;	       /* runs moved to another target */
@@ -710,10 +714,12 @@
 	const struct sched_hopeless_ops *hopeless;
 	const struct sched_leave_ops *leave;
 	void *user;
-	uint64_t fence;	       /* fencing token, see lead.h */
-	rp_ms fence_raised_at; /* last sched_raise_fence(); 0: none */
-	uint32_t first_run;    /* least run number under the token */
-	rp_ms max_lease;       /* longest lease that targets grant, ms */
+	struct rp_budget *budget; /* for the memory of jobs; NULL: none */
+	size_t ndeferred;	  /* stored jobs that wait for memory */
+	uint64_t fence;		  /* fencing token, see lead.h */
+	rp_ms fence_raised_at;	  /* last sched_raise_fence(); 0: none */
+	uint32_t first_run;	  /* least run number under the token */
+	rp_ms max_lease;	  /* longest lease that targets grant, ms */
 	rp_ms now;
 	rp_ms started_at;	/* when this scheduler began */
 	int targets_loaded;	/* the platform's whole list was passed in */
@@ -815,6 +821,15 @@
  */
 void sched_submit(struct sched *s, void *owner, const PoolSubmit *sub,
 		  rp_ms now);
+/*
+ * Counts a stored job that is left in the store until there is memory for it as
+ * waiting in its queue, which is returned.
+ */
+struct sched_queue *sched_defer(struct sched *s, const PoolSubmit *sub);
+/* It is about to be submitted, or has ended. */
+void sched_undefer(struct sched *s, struct sched_queue *q);
+/* Bytes that the scheduler allocates for a job, and for its record later. */
+size_t sched_submit_memory(const PoolSubmit *sub);
 /* Whether a submission of another VM is within the limits of a job. */
 int sched_submit_is_valid(const PoolSubmit *sub);
 /*
