pool: count what callers make an entry VM hold against one budget

Callers that nobody controls ended a process by memory: many large bodies of legal size at once, whole or piece by piece, in large or very small chunks, and bodies far over the limit, most of which stopped just short of their end and stayed open.

Each request had a buffer of up to twice maxBodyBytes, which was kept after a 413 and while the job waited and ran. Nothing counted the bytes of all requests, and 2000 connections to each of three servers were allowed, beside 4096 idle ones to targets, on machines of 3075 descriptors. After a 413 the rest was read, however long it was. At the limit new callers were not refused but waited.

Connections, bodies, jobs, calls to targets and the store, and the buffers of links are counted against one budget where they are allocated. Connections that wait for their callers are closed to make room, longest bodies first, so that a caller that sends its whole request is served beside any number that do not; the servers for readiness and metrics have 64 and 16. A body is freed as soon as it is parsed. An announced body that is too long is refused at once, and of others four times the limit is read. New jobs leave an eighth of the budget for what was accepted, and submissions leave connections for states and cancellations. A specification has at most 16384 bytes, as each start carries it; the platform allows 4000. The allocator returns what it keeps after much was freed. Each limit has a metric and a log line.

Ruled out: time limits alone, which a byte now and then renews and slow links would meet; lower constants, which 120 MB and 512 MB cannot share.

--- a/pool-call.c
+++ b/pool-call.c
@@ -8,7 +8,8 @@
 
 #define BODY_MAX (16u << 20) /* bytes of one reply */
 #define CONNECT_TIMEOUT_MS 400
-#define MAX_IDLE_CONNECTIONS 4096
+/* Bytes of a call beside its bodies, with its libcurl handle. */
+#define CALL_BYTES 4096
 #define IDLE_TIMEOUT_S 120L /* of a connection kept for reuse */
 
 /* A socket that libcurl has opened. */
@@ -19,6 +20,12 @@
 
 static void finish_calls(struct pool *p);
 
+static void hold(struct pool_call *c, size_t n)
+{
+	c->held += n;
+	pool_hold(c->p, RP_HOLD_MESSAGES, (long)n);
+}
+
 static size_t on_body(char *data, size_t size, size_t n, void *arg)
 {
 	struct pool_call *c = arg;
@@ -32,6 +39,7 @@
 
 		if (!body)
 			return 0;
+		hold(c, cap - c->cap);
 		c->body = body;
 		c->cap = cap;
 	}
@@ -111,8 +119,12 @@
 	curl_multi_setopt(p->curl, CURLMOPT_SOCKETDATA, p);
 	curl_multi_setopt(p->curl, CURLMOPT_TIMERFUNCTION, on_timer);
 	curl_multi_setopt(p->curl, CURLMOPT_TIMERDATA, p);
-	curl_multi_setopt(p->curl, CURLMOPT_MAXCONNECTS,
-			  (long)MAX_IDLE_CONNECTIONS);
+	if (p->limits.calls) {
+		curl_multi_setopt(p->curl, CURLMOPT_MAXCONNECTS,
+				  (long)p->limits.idle_calls);
+		curl_multi_setopt(p->curl, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+				  (long)p->limits.calls);
+	}
 	curl_multi_setopt(p->curl, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
 	return 0;
 }
@@ -201,6 +213,7 @@
 	c->on_done = spec->on_done;
 	c->once = spec->once;
 	c->sent_at = p->now;
+	hold(c, CALL_BYTES + (c->request ? strlen(c->request) : 0));
 	c->next = p->calls;
 	c->prev = &p->calls;
 	if (c->next)
@@ -241,6 +254,7 @@
 		c->next->prev = c->prev;
 	if (c->easy)
 		release_handle(c->p, c->easy);
+	pool_hold(c->p, RP_HOLD_MESSAGES, -(long)c->held);
 	curl_slist_free_all(c->headers);
 	free(c->request);
 	free(c->body);
--- a/pool-count.c
+++ b/pool-count.c
@@ -65,6 +65,36 @@
 	put(t, "rosemary_pool_%s %llu\n", name, (unsigned long long)n);
 }
 
+/* What callers make this VM hold, and what was refused for that. */
+static void put_limits(struct text *t, const struct pool *p)
+{
+	enum conn_limit limit;
+	enum rp_hold kind;
+	int i;
+
+	for (kind = 0; kind < RP_HOLDS; kind++)
+		put(t, "rosemary_pool_held_bytes{what=\"%s\"} %zu\n",
+		    budget_name(kind), atomic_load(&p->budget.used[kind]));
+	put_count(t, "held_bytes_limit", p->budget.limit);
+	put_count(t, "jobs_without_memory_total", p->count.no_memory);
+	for (i = 0; i < POOL_SERVERS; i++) {
+		const struct conn_table *c = &p->servers[i].conns;
+
+		if (!p->servers[i].mhd)
+			continue;
+		put(t, "rosemary_pool_connections{server=\"%s\"} %zu\n",
+		    c->name, c->n);
+		put(t, "rosemary_pool_connections_limit{server=\"%s\"} %zu\n",
+		    c->name, c->max);
+		for (limit = 0; limit < CONN_LIMITS; limit++)
+			put(t,
+			    "rosemary_pool_limit_reached_total{server=\"%s\","
+			    "limit=\"%s\"} %llu\n",
+			    c->name, conn_limit_name(limit),
+			    (unsigned long long)c->reached[limit]);
+	}
+}
+
 static void put_daemon(struct text *t, const struct pool *p)
 {
 	const struct pool_counters *c = &p->count;
@@ -210,6 +240,8 @@
 	put_count(t, "jobs_completed_total", c->completed);
 	put_count(t, "jobs_failed_total", c->failed);
 	put_count(t, "jobs_rejected_total", c->rejected);
+	put_count(t, "jobs_rejected_without_memory_total", c->no_memory);
+	put_count(t, "stored_jobs_deferred", s->ndeferred);
 	put_count(t, "jobs_cancelled_total", c->cancelled);
 	put_count(t, "jobs_open", s->njobs);
 	put_count(t, "targets", s->ntargets);
@@ -305,6 +337,7 @@
 
 	t.s[0] = '\0';
 	put_daemon(&t, p);
+	put_limits(&t, p);
 	put_causes(&t, p);
 	put_links(&t, &p->count);
 	put_turns(&t, &p->turn);
--- a/pool-io.h
+++ b/pool-io.h
@@ -67,6 +67,7 @@
 	char *request; /* body, owned; NULL: a GET */
 	char *body;    /* of the reply */
 	size_t len, cap;
+	size_t held;	       /* bytes that are counted */
 	unsigned attempts;     /* to send the request, see pool-call.c */
 	int once;	       /* there must not be another one */
 	pool_call_cb *on_done; /* NULL: the reply is ignored */
--- a/pool-job-submit.c
+++ b/pool-job-submit.c
@@ -35,6 +35,8 @@
 	j->len = pool_job__get_packed_size(&job);
 	j->packed_job = malloc(j->len);
 	pool_job__pack(&job, j->packed_job);
+	j->held += j->len;
+	pool_hold(r->p, RP_HOLD_JOBS, (long)j->len);
 	enqueue(&r->p->job_calls->parts[pool_job_part(j->id)], j);
 }
 
--- a/pool-job.c
+++ b/pool-job.c
@@ -55,6 +55,8 @@
 
 	j->p = r->p;
 	j->request = r;
+	j->held = sizeof(*j);
+	pool_hold(j->p, RP_HOLD_JOBS, (long)j->held);
 	snprintf(j->id, sizeof(j->id), "%s", id);
 	j->all_next = a->all;
 	j->all_prev = &a->all;
@@ -100,6 +102,7 @@
 	*j->all_prev = j->all_next;
 	if (j->all_next)
 		j->all_next->all_prev = j->all_prev;
+	pool_hold(j->p, RP_HOLD_JOBS, -(long)j->held);
 	free(j->packed_job);
 	free(j);
 }
--- a/pool-job.h
+++ b/pool-job.h
@@ -21,6 +21,7 @@
 	struct pool_request *request; /* NULL: the caller has disconnected */
 	char id[SCHED_ID_MAX];
 	uint8_t *packed_job; /* row of a submitted job, else NULL */
+	size_t held;	     /* bytes that are counted */
 	size_t len;
 	int cancel;	/* cancel the job after reading its row */
 	int has_no_row; /* it is cancelled at the leader, if that has it */
--- a/pool-link.c
+++ b/pool-link.c
@@ -11,9 +11,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HEADER_MAX 3	   /* bytes of a frame's length, a varint */
-#define READ_BYTES 16384   /* least space in the buffer for a recv() */
-#define OUT_MAX (8u << 20) /* bytes; a link with more to write is closed */
+#define HEADER_MAX 3		/* bytes of a frame's length, a varint */
+#define READ_BYTES 16384	/* least space in the buffer for a recv() */
+#define OUT_MAX (8u << 20)	/* bytes; a link with more to write is closed */
+#define KEPT_BYTES (256u << 10) /* longer buffers are freed once empty */
 #define LISTEN_BACKLOG 256
 /*
  * Frames are written at most this often, but for WRITE_BYTES of them. Under
@@ -22,6 +23,21 @@
 #define WRITE_INTERVAL_MS 5
 #define WRITE_BYTES 1400
 
+static void enlarge(struct pool_link *l, char **data, size_t *cap, size_t size)
+{
+	pool_hold(l->p, RP_HOLD_MESSAGES, (long)(size - *cap));
+	*data = realloc(*data, size);
+	*cap = size;
+}
+
+static void release(struct pool_link *l, char **data, size_t *cap)
+{
+	pool_hold(l->p, RP_HOLD_MESSAGES, -(long)*cap);
+	free(*data);
+	*data = NULL;
+	*cap = 0;
+}
+
 static struct pool_link *link_new(struct pool *p, int fd)
 {
 	struct pool_link *l = calloc(1, sizeof(*l));
@@ -34,6 +50,7 @@
 	l->next = p->links;
 	p->links = l;
 	l->number = ++p->last_link_number;
+	p->nlinks++;
 	p->count.links++;
 	return l;
 }
@@ -108,6 +125,8 @@
 		return;
 	l->in_len -= at;
 	memmove(l->in, l->in + at, l->in_len);
+	if (!l->in_len && l->in_cap > KEPT_BYTES)
+		release(l, &l->in, &l->in_cap);
 }
 
 /* Returns -1 when the connection is closed or failed. */
@@ -115,10 +134,8 @@
 {
 	ssize_t n;
 
-	if (l->in_cap - l->in_len < READ_BYTES) {
-		l->in_cap = l->in_cap * 2 + READ_BYTES;
-		l->in = realloc(l->in, l->in_cap);
-	}
+	if (l->in_cap - l->in_len < READ_BYTES)
+		enlarge(l, &l->in, &l->in_cap, l->in_cap * 2 + READ_BYTES);
 	n = recv(l->fd.fd, l->in + l->in_len, l->in_cap - l->in_len, 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return 0;
@@ -158,10 +175,12 @@
 	return done;
 }
 
-static void remove_written(struct pool_out *out, size_t n)
+static void remove_written(struct pool_link *l, struct pool_out *out, size_t n)
 {
 	out->len -= n;
 	memmove(out->data, out->data + n, out->len);
+	if (!out->len && out->cap > KEPT_BYTES)
+		release(l, &out->data, &out->cap);
 }
 
 /* Writes frames of bulk; the first byte of the buffer begins a frame. */
@@ -178,7 +197,7 @@
 		end += n;
 	}
 	l->bulk_rest = end - (size_t)done;
-	remove_written(&l->bulk, (size_t)done);
+	remove_written(l, &l->bulk, (size_t)done);
 	return 0;
 }
 
@@ -188,7 +207,7 @@
 
 	if (done < 0)
 		return -1;
-	remove_written(&l->urgent, (size_t)done);
+	remove_written(l, &l->urgent, (size_t)done);
 	return 0;
 }
 
@@ -200,7 +219,7 @@
 	if (done < 0)
 		return -1;
 	l->bulk_rest -= (size_t)done;
-	remove_written(&l->bulk, (size_t)done);
+	remove_written(l, &l->bulk, (size_t)done);
 	return 0;
 }
 
@@ -348,14 +367,15 @@
 		pool_link_close(l, "frame to send is too long");
 		return;
 	}
-	if (out->len + n > OUT_MAX) {
+	if (out->len + n > OUT_MAX ||
+	    (out->len > KEPT_BYTES &&
+	     !budget_has_room(&l->p->budget, RP_HOLD_MESSAGES, n))) {
 		pool_link_close(l, "output buffer full");
 		return;
 	}
-	if (out->cap - out->len < HEADER_MAX + n) {
-		out->cap = (out->len + HEADER_MAX + n) * 2;
-		out->data = realloc(out->data, out->cap);
-	}
+	if (out->cap - out->len < HEADER_MAX + n)
+		enlarge(l, &out->data, &out->cap,
+			(out->len + HEADER_MAX + n) * 2);
 	out->len += write_length(out->data + out->len, n);
 	pool_frame__pack(frame, (uint8_t *)out->data + out->len);
 	out->len += n;
@@ -381,6 +401,12 @@
 	fd = accept4(f->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	if (fd < 0)
 		return;
+	if (p->limits.links && p->nlinks >= p->limits.links) {
+		log_warn("link", "", "too many links, limit %zu",
+			 p->limits.links);
+		close(fd);
+		return;
+	}
 	l = link_new(p, fd);
 	l->inbound = 1;
 	l->fd.on_event = on_link_event;
@@ -415,9 +441,10 @@
 {
 	pool_fd_unwatch(l->p, &l->fd);
 	close(l->fd.fd);
-	free(l->in);
-	free(l->urgent.data);
-	free(l->bulk.data);
+	release(l, &l->in, &l->in_cap);
+	release(l, &l->urgent.data, &l->urgent.cap);
+	release(l, &l->bulk.data, &l->bulk.cap);
+	l->p->nlinks--;
 	pool_beat__free_unpacked(l->heartbeat, NULL);
 	pool_defer_free(l->p, l);
 }
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -122,6 +122,7 @@
 	}
 	pool_requests_tick(p, p->now);
 	pool_jobs_tick(p);
+	pool_limits_tick(p);
 	pool_log_traffic(p);
 	pool_log_delays(p);
 	pool_turn_mark(p, POOL_ON_REQUESTS);
--- a/pool-request.c
+++ b/pool-request.c
@@ -12,10 +12,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
 
-#define UNSUPPORTED_RETRY_S 3600 /* for kinds of job that are not served */
-#define ANSWER_MARGIN_MS 20	 /* for an answer in flight at the deadline */
+#define ANSWER_MARGIN_MS 20 /* for an answer in flight at the deadline */
 
 struct pool_request *pool_request_new(struct pool *p, const char *method,
 				      const char *path)
@@ -50,31 +48,13 @@
 	close_job(r);
 	if (r->submit)
 		pool_submit__free_unpacked(r->submit, NULL);
-	free(r->body);
+	pool_hold(r->p, RP_HOLD_JOBS, -(long)r->held);
 	free(r->done_tasks);
 	pool_progress__free_unpacked(r->lost, NULL);
 	pool_request_free_domains(r);
 	pool_defer_free(r->p, r);
 }
 
-int pool_request_append(struct pool_request *r, const char *data, size_t len)
-{
-	if (r->len + len > r->max_body)
-		return -1;
-	if (r->len + len > r->cap) {
-		size_t cap = (r->len + len) * 2;
-		char *body = realloc(r->body, cap);
-
-		if (!body)
-			return -1;
-		r->body = body;
-		r->cap = cap;
-	}
-	memcpy(r->body + r->len, data, len);
-	r->len += len;
-	return 0;
-}
-
 struct pool_response *pool_request_response(struct pool_request *r)
 {
 	return &r->response;
@@ -103,7 +83,7 @@
 
 /* --- jobs ------------------------------------------------------------ */
 
-static void submit_job(struct pool_request *r)
+void pool_request_submit(struct pool_request *r)
 {
 	struct pool *p = r->p;
 	uint64_t fence = p->lead.row.fence;
@@ -142,105 +122,6 @@
 	r->submit->n_done = r->submit->n_losses = r->submit->n_domains = 0;
 }
 
-/*
- * The caller has closed the connection. libmicrohttpd does not notice, as it
- * does not poll a suspended connection.
- */
-static void on_caller_closed(struct pool_fd *f, uint32_t events)
-{
-	struct pool_request *r = (struct pool_request *)f;
-
-	(void)events;
-	pool_fd_unwatch(r->p, f);
-	pool_request_caller_closed(r);
-}
-
-static void watch_caller(struct pool_request *r)
-{
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-	if (!info)
-		return;
-	r->fd.fd = info->connect_fd;
-	r->fd.on_event = on_caller_closed;
-	pool_fd_watch(r->p, &r->fd, EPOLLRDHUP | EPOLLHUP | EPOLLERR);
-}
-
-void pool_request_fill_submit(struct pool_request *r,
-			      const struct pool_route *route, const char *id)
-{
-	PoolSubmit *sub = r->submit;
-
-	sub->seq = r->seq;
-	sub->queue = strdup(route->name);
-	sub->service = strdup(route->service);
-	sub->id = strdup(id);
-	sub->priority = route->priority;
-	sub->max_attempts = route->max_attempts;
-	sub->stretch = route->stretch;
-	sub->objective_ms = (uint32_t)route->objective;
-}
-
-static void open_job(struct pool_request *r, const struct pool_route *route,
-		     const char *id)
-{
-	struct pool *p = r->p;
-
-	r->seq = ++p->next_seq;
-	pool_request_fill_submit(r, route, id);
-	apr_hash_set(p->requests, &r->seq, sizeof(r->seq), r);
-	p->nopen++;
-	r->suspended = 1;
-	watch_caller(r);
-	MHD_suspend_connection(r->conn);
-	submit_job(r);
-}
-
-static void handle_submission(struct pool_request *r,
-			      const struct pool_route *route, const char *id)
-{
-	char error[PLATFORM_ERROR_MAX];
-	int supported = 0;
-
-	r->submit = platform_parse_job(r->body, r->len, &supported, error);
-	if (!r->submit || strlen(id) >= SCHED_ID_MAX) {
-		r->p->count.bad++;
-		pool_request_respond(r, 400, "{\"error\":\"malformed job\"}",
-				     0);
-		pool_request_log_rejected(r, r->submit ? "id too long" : error);
-		return;
-	}
-	if (!supported || route->advised) {
-		r->p->count.rejected++;
-		pool_request_respond(r, 503,
-				     "{\"error\":\"kind of job not served\"}",
-				     UNSUPPORTED_RETRY_S);
-		pool_request_log_rejected(r, "kind of job not served");
-		return;
-	}
-	if (pool_submit__get_packed_size(r->submit) > POOL_SUBMIT_MAX) {
-		r->p->count.bad++;
-		pool_request_respond(r, 413, "{\"error\":\"job too large\"}",
-				     0);
-		pool_request_log_rejected(r, "job too large");
-		return;
-	}
-	if (r->submit->stored) {
-		pool_request_fill_submit(r, route, id);
-		pool_job_submit(r);
-		return;
-	}
-	if (!pool_leader_expected(r->p)) {
-		r->p->count.rejected++;
-		pool_request_respond(r, 503, "{\"error\":\"no leader\"}",
-				     DEFAULT_RETRY_AFTER_S);
-		pool_request_log_rejected(r, "no leader");
-		return;
-	}
-	open_job(r, route, id);
-}
-
 static struct pool_request *find_job(struct pool *p, const char *id)
 {
 	apr_hash_index_t *i;
@@ -396,7 +277,7 @@
 
 	for (i = 0; i < n; i++)
 		if (all[i]->seq)
-			submit_job(all[i]);
+			pool_request_submit(all[i]);
 	free(all);
 	pool_cancels_resend(p);
 }
@@ -531,7 +412,7 @@
 	pool_request_set_deadline(r, route, deadline);
 	id = r->path + strlen(route->prefix);
 	if (!strcmp(r->method, "POST") && *id)
-		handle_submission(r, route, id);
+		pool_submission_begin(r, route, id);
 	else if (!strcmp(r->method, "GET") && !*id)
 		respond_waiting(r, route);
 	else if (strlen(id) >= SCHED_ID_MAX)
--- a/pool-request.h
+++ b/pool-request.h
@@ -15,9 +15,9 @@
 	struct MHD_Connection *conn;
 	char method[8];
 	char path[512];
-	char *body;
-	size_t len, cap;
+	struct conn *caller; /* connection, which has the body */
 	size_t max_body;
+	size_t held;	    /* bytes of its job that are counted */
 	uint64_t seq;	    /* of its job, to the leader; 0: no open job */
 	PoolSubmit *submit; /* NULL: no job was submitted */
 	rp_ms received_at, deadline;
@@ -50,6 +50,14 @@
 /* Logs that the request got an error response. */
 void pool_request_log_rejected(const struct pool_request *r,
 			       const char *reason);
+/* Submits the job to the leader, if there is one. */
+void pool_request_submit(struct pool_request *r);
+
+/* --- pool-submission.c ------------------------------------------------ */
+
+/* Handles a submission whose body is complete. */
+void pool_submission_begin(struct pool_request *r,
+			   const struct pool_route *route, const char *id);
 /* Copies the route's settings and the id into the submission. */
 void pool_request_fill_submit(struct pool_request *r,
 			      const struct pool_route *route, const char *id);
--- a/pool-serve.c
+++ b/pool-serve.c
@@ -1,6 +1,6 @@
 /* HTTP servers for callers, readiness checks and metrics. */
 
-#include "pool.h"
+#include "pool-request.h"
 #include "platform/platform.h"
 
 #include <netinet/in.h>
@@ -9,8 +9,6 @@
 #include <string.h>
 #include <sys/epoll.h>
 
-#define CONNECTION_MEMORY 24576 /* bytes, for headers and read buffer */
-#define MAX_CONNECTIONS 2000	/* of one server */
 #define IDLE_TIMEOUT_S 60
 /* A VM is ready if the leader was alive within this time. */
 #define READY_LEADER_MS 1500
@@ -44,6 +42,71 @@
 	return MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
 }
 
+static void respond_too_long(struct pool_request *r)
+{
+	pool_request_respond(r, 413, "{\"error\":\"body too long\"}", 0);
+	pool_request_log_rejected(r, "body too long");
+}
+
+/*
+ * The first call for a request. One whose body is announced to be too long is
+ * answered at once, and its connection closed.
+ */
+static enum MHD_Result begin_request(struct MHD_Connection *conn,
+				     struct pool_request *r)
+{
+	const char *length = find_header(conn, "Content-Length");
+
+	r->caller = conn_of(conn);
+	if (!r->caller)
+		return MHD_NO;
+	if (!length || strtoull(length, NULL, 10) <= r->max_body)
+		return MHD_YES;
+	conn_limit_reached(r->caller->table, CONN_LIMIT_BODY);
+	respond_too_long(r);
+	return queue_response(conn, &r->response, 1);
+}
+
+/* The connection is closed if the result is MHD_NO. */
+static enum MHD_Result receive_body(struct pool_request *r, const char *data,
+				    size_t len)
+{
+	if (r->response.status)
+		return conn_discard(r->caller, len, r->max_body) < 0 ? MHD_NO
+								     : MHD_YES;
+	switch (conn_append(r->caller, data, len, r->max_body)) {
+	case CONN_APPENDED:
+		break;
+	case CONN_TOO_LONG:
+		respond_too_long(r);
+		break;
+	case CONN_NO_MEMORY:
+		pool_request_respond(r, 503, "{\"error\":\"out of memory\"}",
+				     DEFAULT_RETRY_AFTER_S);
+		pool_request_log_rejected(r, "no memory for the body");
+		break;
+	case CONN_CLOSED:
+		return MHD_NO;
+	}
+	return MHD_YES;
+}
+
+/* The request is complete, or goes on after it was suspended. */
+static void handle_request(struct pool_request *r, struct MHD_Connection *conn)
+{
+	const char *host = find_header(conn, "Host");
+
+	if (conn_begin(r->caller, !strcmp(r->method, "POST")) < 0) {
+		pool_request_respond(r, 503,
+				     "{\"error\":\"too many requests\"}",
+				     DEFAULT_RETRY_AFTER_S);
+		pool_request_log_rejected(r, "too many open requests");
+		return;
+	}
+	pool_request_begin(r, host ? host : "",
+			   find_header(conn, PLATFORM_DEADLINE_HEADER), conn);
+}
+
 /*
  * libmicrohttpd calls this after the headers, for each part of the body, after
  * the body, and when a suspended connection was resumed.
@@ -55,32 +118,25 @@
 {
 	struct pool *p = ((struct pool_http *)arg)->p;
 	struct pool_request *r = *state;
-	struct pool_response *response;
-	const char *host;
+	size_t n = *len;
+	int refused;
 
 	(void)version;
 	if (!r) {
-		*state = pool_request_new(p, method, url);
-		return *state ? MHD_YES : MHD_NO;
+		r = *state = pool_request_new(p, method, url);
+		return r ? begin_request(conn, r) : MHD_NO;
 	}
-	response = pool_request_response(r);
-	if (*len) {
-		if (pool_request_append(r, data, *len) < 0) {
-			response->status = 413;
-			response->body = "";
-		}
+	if (n) {
 		*len = 0;
-		return MHD_YES;
-	}
-	if (!response->status) {
-		host = find_header(conn, "Host");
-		pool_request_begin(r, host ? host : "",
-				   find_header(conn, PLATFORM_DEADLINE_HEADER),
-				   conn);
+		return receive_body(r, data, n);
 	}
-	if (!response->status)
+	/* What comes after a body that was refused is not read any more. */
+	refused = r->response.status != 0 && !r->conn;
+	if (!r->response.status)
+		handle_request(r, conn);
+	if (!r->response.status)
 		return MHD_YES; /* suspended */
-	return queue_response(conn, response, p->stopping);
+	return queue_response(conn, &r->response, p->stopping || refused);
 }
 
 static void on_request_completed(void *arg, struct MHD_Connection *conn,
@@ -95,6 +151,8 @@
 	if (!r)
 		return;
 	pool_request_caller_closed(r);
+	if (r->caller)
+		conn_end(r->caller);
 	pool_request_free(r);
 	*state = NULL;
 }
@@ -113,6 +171,7 @@
 {
 	struct pool *p = ((struct pool_http *)arg)->p;
 	struct pool_response response = { .body = "{}" };
+	struct conn *c = conn_of(conn);
 
 	(void)method;
 	(void)version;
@@ -122,6 +181,8 @@
 	response.status = is_ready(p) ? 200 : 503;
 	if (strcmp(url, PLATFORM_READY_PATH) != 0)
 		response.status = 404;
+	if (c)
+		conn_end(c); /* it waits for the next request from now on */
 	return queue_response(conn, &response, 0);
 }
 
@@ -133,6 +194,7 @@
 {
 	struct pool *p = ((struct pool_http *)arg)->p;
 	struct pool_response response = { .status = 200 };
+	struct conn *c = conn_of(conn);
 	char *text = pool_metrics(p);
 	enum MHD_Result rc;
 
@@ -142,6 +204,8 @@
 	(void)data;
 	(void)len;
 	(void)state;
+	if (c)
+		conn_end(c);
 	response.body = text;
 	rc = queue_response(conn, &response, 0);
 	free(text);
@@ -155,8 +219,12 @@
 		->run_due = 1;
 }
 
+static const char *const server_names[POOL_SERVERS] = { "callers", "ready",
+							"metrics" };
+
 static int start_http(struct pool *p, enum pool_server kind,
-		      const char *address, MHD_AccessHandlerCallback handler)
+		      const char *address, size_t connections,
+		      MHD_AccessHandlerCallback handler)
 {
 	struct pool_http *h = &p->servers[kind];
 	const union MHD_DaemonInfo *info;
@@ -167,18 +235,22 @@
 		return -1;
 	}
 	h->p = p;
+	conn_table_init(&h->conns, server_names[kind], &p->budget, connections,
+			POOL_CONNECTION_COST);
 	h->mhd = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-		handler, h, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-		MHD_OPTION_CONNECTION_LIMIT, (unsigned)MAX_CONNECTIONS,
-		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-		MHD_OPTION_NOTIFY_COMPLETED, on_request_completed, h,
-		MHD_OPTION_END);
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, conn_on_accept,
+		&h->conns, handler, h, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&sa, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)POOL_CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned)connections, MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned)IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_CONNECTION,
+		conn_on_notify, &h->conns, MHD_OPTION_NOTIFY_COMPLETED,
+		on_request_completed, h, MHD_OPTION_END);
 	if (!h->mhd) {
 		log_error("start", address, "cannot listen");
 		return -1;
 	}
+	conn_limit_unread(h->mhd);
 	info = MHD_get_daemon_info(h->mhd, MHD_DAEMON_INFO_EPOLL_FD);
 	h->fd.fd = info->epoll_fd;
 	h->fd.on_event = on_mhd_event;
@@ -187,13 +259,16 @@
 
 int pool_serve_init(struct pool *p)
 {
-	if (start_http(p, POOL_CALLERS, p->set.listen, on_caller_request) < 0 ||
-	    start_http(p, POOL_READY, p->set.ready_listen, on_ready_request) <
-		    0)
+	const struct pool_limits *l = &p->limits;
+
+	if (start_http(p, POOL_CALLERS, p->set.listen, l->callers,
+		       on_caller_request) < 0 ||
+	    start_http(p, POOL_READY, p->set.ready_listen, l->ready,
+		       on_ready_request) < 0)
 		return -1;
 	if (!p->set.metrics_listen[0])
 		return 0;
-	return start_http(p, POOL_METRICS, p->set.metrics_listen,
+	return start_http(p, POOL_METRICS, p->set.metrics_listen, l->metrics,
 			  on_metrics_request);
 }
 
@@ -232,6 +307,8 @@
 	int i;
 
 	for (i = 0; i < POOL_SERVERS; i++)
-		if (p->servers[i].mhd)
+		if (p->servers[i].mhd) {
 			MHD_stop_daemon(p->servers[i].mhd);
+			conn_table_finish(&p->servers[i].conns);
+		}
 }
--- a/pool-setting.c
+++ b/pool-setting.c
@@ -14,6 +14,8 @@
 #define CHECK_FLAG_KEY 900
 #define EXIT_BAD_SETTING 2
 #define MS_MAX 1e15
+#define MEGABYTES_MAX 1e9
+#define COUNT_MAX 1e9
 #define OFFSET(member) offsetof(struct pool_settings, member)
 
 enum setting_kind {
@@ -23,6 +25,8 @@
 	CORES,
 	FACTOR,
 	LEVEL,
+	MEGABYTES,
+	COUNT,
 	ORDER,
 	ADMIT,
 	PLACE,
@@ -87,6 +91,10 @@
 	  "least level of log lines: error, warn, info, debug" },
 	{ "log-estimate", MS, 0, "1", OFFSET(log_estimate),
 	  "estimate from which jobs that are completed are logged, ms" },
+	{ "memory", MEGABYTES, 0, "", OFFSET(memory),
+	  "memory of this VM's machine, MB; default: the system's" },
+	{ "descriptors", COUNT, 0, "", OFFSET(descriptors),
+	  "file descriptors of this process; default: the system's limit" },
 };
 
 /* Plug-ins that a setting may name, by its kind minus ORDER. */
@@ -150,6 +158,18 @@
 	return *text && !*end && *factor >= 1 && *factor <= 100 ? 0 : -1;
 }
 
+/* Sets a number of units; a fraction of a unit is dropped in the result. */
+static int set_size(size_t *size, const char *text, size_t unit, double max)
+{
+	char *end;
+	double n = strtod(text, &end);
+
+	if (end == text || *end || !(n >= 1 && n <= max))
+		return -1;
+	*size = (size_t)(n * (double)unit);
+	return 0;
+}
+
 /* Parses and stores a value. Returns 0, or -1 when it is invalid. */
 static int set_value(struct pool_settings *set, const struct setting *def,
 		     const char *text)
@@ -164,6 +184,11 @@
 		return set_cores((int64_t *)(void *)field, text);
 	case FACTOR:
 		return set_factor((double *)(void *)field, text);
+	case MEGABYTES:
+		return set_size((size_t *)(void *)field, text, (size_t)1 << 20,
+				MEGABYTES_MAX);
+	case COUNT:
+		return set_size((size_t *)(void *)field, text, 1, COUNT_MAX);
 	case LEVEL:
 		return set_level((enum log_level *)(void *)field, text);
 	case ADDRESS:
--- a/pool-target.c
+++ b/pool-target.c
@@ -401,6 +401,7 @@
 	/* The names were checked when the settings were read. */
 	sched_init(&p->sched, &sched_ops, p, &names, fence, p->set.max_lease,
 		   p->now);
+	p->sched.budget = &p->budget;
 	sched_set_remote_factor(&p->sched, p->set.remote_factor);
 	sched_callers_waited_until(&p->sched, p->callers_wait_until);
 	pool_stored_begin(p);
--- a/pool.h
+++ b/pool.h
@@ -9,6 +9,8 @@
  * back. The leader is elected through a row of the platform's store.
  */
 
+#include "budget.h"
+#include "conn.h"
 #include "lead.h"
 #include "log.h"
 #include "pool-io.h"
@@ -51,12 +53,34 @@
 	char leave[RP_NAME_MAX];
 	enum log_level log_level;
 	rp_ms log_estimate; /* least of completed jobs that are logged */
-	int check_only;	    /* validate the settings and exit */
+	/* Of this VM's machine; 0: those of the system. */
+	size_t memory; /* bytes */
+	size_t descriptors;
+	int check_only; /* validate the settings and exit */
 };
 
 /* Reads ROSEMARY_POOL_* and flags. Returns 0, or the exit status to use. */
 int pool_settings_load(struct pool_settings *set, int argc, char **argv);
 
+/* --- pool-limit.c: memory and descriptors of the machine -------------- */
+
+/* Bytes of a connection of a caller, without what it leaves unread. */
+#define POOL_CONNECTION_MEMORY 24576 /* for headers and read buffer */
+#define POOL_CONNECTION_COST (POOL_CONNECTION_MEMORY + 2048)
+
+/* Most connections of each kind; 0: no limit. */
+struct pool_limits {
+	size_t callers, ready, metrics; /* to the servers */
+	size_t links;			/* with other entry VMs */
+	size_t calls, idle_calls;	/* to targets and the store */
+};
+
+void pool_limits_init(struct pool *p);
+/* Counts memory that a caller makes this VM hold; n < 0: that it has freed. */
+void pool_hold(struct pool *p, enum rp_hold kind, long n);
+/* Returns memory after much was freed, and logs limits that were reached. */
+void pool_limits_tick(struct pool *p);
+
 /* --- pool-loss.c ------------------------------------------------------ */
 
 /* Returns the losses of all tasks of the job, up to a limit, and their number.
@@ -358,6 +382,8 @@
 void pool_stored_begin(struct pool *p);
 void pool_stored_tick(struct pool *p, rp_ms now);
 void pool_stored_end(struct pool *p);
+/* Whether the leader, as far as is known, has memory for more stored jobs. */
+int pool_stored_has_room(const struct pool *p);
 /* Whether this VM leads and has started a task of the job. */
 int pool_stored_started(struct pool *p, const char *id);
 
@@ -399,8 +425,6 @@
 struct pool_request *pool_request_new(struct pool *p, const char *method,
 				      const char *path);
 void pool_request_free(struct pool_request *r);
-/* Appends to the body. Returns -1 when it becomes too long. */
-int pool_request_append(struct pool_request *r, const char *data, size_t len);
 /* Handles a request whose body is complete. */
 void pool_request_begin(struct pool_request *r, const char *host,
 			const char *deadline, struct MHD_Connection *conn);
@@ -470,6 +494,7 @@
 };
 
 struct pool_counters {
+	uint64_t no_memory; /* jobs that were refused for want of memory */
 	uint64_t requests, bad, not_found, rejected, answered, callers_gone;
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
 	uint64_t agent_calls, agent_unanswered, calls_resent;
@@ -494,6 +519,7 @@
 /* One HTTP server. */
 struct pool_http {
 	struct MHD_Daemon *mhd;
+	struct conn_table conns;
 	struct pool_fd fd; /* libmicrohttpd's own epoll descriptor */
 	struct pool *p;
 	int run_due; /* MHD_run() is to be called */
@@ -548,6 +574,10 @@
 /* State of the daemon. Times are those of pool_clock(). */
 struct pool {
 	struct pool_settings set;
+	struct pool_limits limits;
+	struct rp_budget budget;
+	size_t held_peak; /* bytes, since memory was last returned */
+	rp_ms limits_logged_at;
 	uint64_t incarnation; /* random, new at each start */
 	apr_pool_t *pool;
 	int epoll;
@@ -578,6 +608,7 @@
 	struct pool_http servers[POOL_SERVERS];
 	struct pool_fd listener;
 	struct pool_link *links;
+	size_t nlinks;
 	struct pool_link *leader_link; /* NULL: none, or this VM leads */
 	rp_ms dial_due;
 	rp_ms heartbeat_sent_at;
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -71,6 +71,7 @@
 
 static int start_daemon(struct pool *p)
 {
+	pool_limits_init(p);
 	if (pool_loop_init(p) < 0 || watch_signals(p) < 0 ||
 	    pool_calls_init(p) < 0 || pool_store_init(p) < 0 ||
 	    pool_members_init(p) < 0 || pool_links_init(p) < 0 ||
