pool: leave stored jobs in the store while the leader has no memory for them

The leader's heartbeats say that it has no memory for more, and entry VMs answer 503, or 200 if the row shows that the job was accepted before. They count as waiting, their states are read from the store, and they can be cancelled.

--- a/pool-beat.c
+++ b/pool-beat.c
@@ -140,6 +140,7 @@
 	hb->agents = pool_needs_agents(p);
 	hb->list_confirmed = pool_listing_is_confirmed(p);
 	hb->callers_wait_ms = pool_callers_wait_ms(p);
+	hb->no_memory = !pool_stored_has_room(p);
 	hb->linked = count_linked(p);
 	hb->successors = lists->successors;
 	hb->n_successors =
@@ -205,6 +206,7 @@
 	brief.agents = hb->agents;
 	brief.list_confirmed = hb->list_confirmed;
 	brief.callers_wait_ms = hb->callers_wait_ms;
+	brief.no_memory = hb->no_memory;
 	brief.clock = hb->clock;
 	send_beat(l, &brief);
 }
--- a/pool-job.c
+++ b/pool-job.c
@@ -333,6 +333,16 @@
 	pool_job_call_free(j);
 }
 
+static void respond_known(struct pool_job_call *j, int known)
+{
+	if (known)
+		pool_job_respond(j, 200, "{}", 0, "job_known");
+	else
+		pool_job_respond(j, 503, "{\"error\":\"out of memory\"}",
+				 DEFAULT_RETRY_AFTER_S, "job_refused");
+	j->p->count.no_memory += !known;
+}
+
 static void on_row(struct pool_call *c, long status, const char *body,
 		   size_t len)
 {
@@ -345,7 +355,10 @@
 		return;
 	}
 	job = parse_job(j, body, len, &version);
-	if (job && j->cancel && job->state == POOL_JOB__STATE__OPEN) {
+	if (j->known_only) {
+		respond_known(j, job != NULL);
+		pool_job_call_free(j);
+	} else if (job && j->cancel && job->state == POOL_JOB__STATE__OPEN) {
 		write_cancelled(j, job, version);
 	} else if (!job && j->cancel) {
 		cancel_at_leader(j);
@@ -446,6 +459,14 @@
 	read_row(j);
 }
 
+void pool_job_submit_known(struct pool_request *r)
+{
+	struct pool_job_call *j = pool_job_call_new(r, r->submit->id);
+
+	j->known_only = 1;
+	read_row(j);
+}
+
 /* Returns the call whose row is to be read again first, if it is due. */
 static struct pool_job_call *first_to_read_again(const struct pool *p)
 {
--- a/pool-job.h
+++ b/pool-job.h
@@ -24,6 +24,7 @@
 	size_t held;	     /* bytes that are counted */
 	size_t len;
 	int cancel;	/* cancel the job after reading its row */
+	int known_only; /* a submission that is accepted if it was before */
 	int has_no_row; /* it is cancelled at the leader, if that has it */
 	int attempts;
 	int sent;	    /* a transaction in flight has its row */
--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -28,8 +28,7 @@
 	if (j->mark > j->sent_mark) {
 		stored_job_queue(&p->stored_jobs->parts[j->part], j);
 	} else if (j->ended_at) {
-		pool_job__free_unpacked(j->job, NULL);
-		j->job = NULL;
+		stored_job_close(p, j);
 	}
 }
 
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -21,6 +21,7 @@
 #define LEADERSHIP_CONFIRM_MS 1000
 /* Time after a takeover in which the previous leader may start new jobs. */
 #define PREV_LEADER_START_MS 1200
+#define HASH_ENTRY_BYTES 64
 
 void pool_stored_begin(struct pool *p)
 {
@@ -29,6 +30,7 @@
 
 	apr_pool_create(&s->pool, NULL);
 	s->jobs = hash_new(s->pool);
+	s->deferred_last = &s->deferred;
 	for (i = 0; i < JOBS_PARTS; i++)
 		s->parts[i].last = &s->parts[i].first;
 	p->stored_jobs = s;
@@ -37,8 +39,27 @@
 		sched_stored_jobs_loaded(&p->sched);
 }
 
-static void stored_job_free(struct stored_job *j)
+/* Counts the job's bytes, with those of its row while that is kept. */
+static void hold_job(struct pool *p, struct stored_job *j, size_t row_len)
 {
+	/* The row's lists and texts are allocated one by one. */
+	size_t n = sizeof(*j) + HASH_ENTRY_BYTES + (j->job ? 2 * row_len : 0);
+
+	pool_hold(p, RP_HOLD_STORED, (long)n - (long)j->held);
+	j->held = n;
+}
+
+void stored_job_close(struct pool *p, struct stored_job *j)
+{
+	pool_job__free_unpacked(j->job, NULL);
+	j->job = NULL;
+	hold_job(p, j, 0);
+}
+
+static void stored_job_free(struct pool *p, struct stored_job *j)
+{
+	stored_job_undefer(p, j);
+	pool_hold(p, RP_HOLD_STORED, -(long)j->held);
 	pool_job__free_unpacked(j->job, NULL);
 	free(j);
 }
@@ -53,7 +74,9 @@
 	for (i = apr_hash_first(NULL, p->stored_jobs->jobs); i;
 	     i = apr_hash_next(i)) {
 		apr_hash_this(i, NULL, NULL, &value);
-		stored_job_free(value);
+		/* The scheduler, which counts it as waiting, has ended. */
+		((struct stored_job *)value)->deferred_bytes = 0;
+		stored_job_free(p, value);
 	}
 	apr_pool_destroy(p->stored_jobs->pool);
 	free(p->stored_jobs);
@@ -180,7 +203,7 @@
 {
 	ack_all(p, j);
 	apr_hash_set(p->stored_jobs->jobs, j->id, APR_HASH_KEY_STRING, NULL);
-	stored_job_free(j);
+	stored_job_free(p, j);
 }
 
 /* --- rows -------------------------------------------------------------- */
@@ -248,8 +271,8 @@
 	sched_cancel_stored(&p->sched, j->id, p->now);
 	j->state = job->state;
 	j->ended_at = (rp_ms)job->ended_ms;
-	pool_job__free_unpacked(j->job, NULL);
-	j->job = NULL;
+	stored_job_undefer(p, j);
+	stored_job_close(p, j);
 	ack_all(p, j);
 }
 
@@ -342,6 +365,10 @@
 static void apply_change(struct pool *p, struct stored_job *j,
 			 const PoolJob *job)
 {
+	if (j->deferred_bytes && job->state != POOL_JOB__STATE__OPEN) {
+		close_job(p, j, job);
+		return;
+	}
 	if (!j->job || j->job->state != POOL_JOB__STATE__OPEN)
 		return;
 	if (job->state != POOL_JOB__STATE__OPEN)
@@ -377,16 +404,42 @@
 	j->version = row->version;
 	apr_hash_set(p->stored_jobs->jobs, j->id, APR_HASH_KEY_STRING, j);
 	p->has_stored_jobs = 1;
-	if (job->state == POOL_JOB__STATE__OPEN && job->submit) {
+	if (job->state == POOL_JOB__STATE__OPEN && job->submit &&
+	    !stored_job_defer(p, j, job)) {
 		j->job = job;
+		hold_job(p, j, row->len);
 		schedule(p, j);
 		return;
 	}
 	j->state = job->state;
 	j->ended_at = (rp_ms)job->ended_ms;
+	hold_job(p, j, 0);
 	pool_job__free_unpacked(job, NULL);
 }
 
+void stored_job_load(struct pool *p, struct stored_job *j,
+		     const struct platform_row *row)
+{
+	PoolJob *job = pool_job__unpack(NULL, row->len, (uint8_t *)row->value);
+
+	if (!job || !job_is_valid(row->key, job)) {
+		log_malformed(p, row->key);
+		pool_job__free_unpacked(job, NULL);
+		stored_job_undefer(p, j);
+		return;
+	}
+	j->version = row->version;
+	if (job->state != POOL_JOB__STATE__OPEN || !job->submit) {
+		close_job(p, j, job);
+		pool_job__free_unpacked(job, NULL);
+		return;
+	}
+	stored_job_undefer(p, j);
+	j->job = job;
+	hold_job(p, j, row->len);
+	schedule(p, j);
+}
+
 void stored_job_apply_row(struct pool *p, const struct platform_row *row)
 {
 	struct stored_job *j = stored_job_find(p, row->key);
@@ -457,6 +510,7 @@
 void pool_stored_tick(struct pool *p, rp_ms now)
 {
 	check_leadership(p);
+	stored_load_deferred(p);
 	/* A marker of this token would keep the regular leader from writing. */
 	if (!lead_is_provisional(&p->lead))
 		stored_write_tick(p, now);
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -29,12 +29,16 @@
 	struct stored_job *next; /* in its part's write queue */
 	char id[SCHED_ID_MAX];
 	unsigned part;
-	int64_t version;      /* of its row */
-	PoolJob *job;	      /* NULL: ended, and the row says so */
-	rp_ms ended_at;	      /* by the store's clock; 0: not ended */
-	PoolJob__State state; /* if ended */
-	int queued;	      /* in the write queue */
-	int writing;	      /* in a transaction in flight */
+	int64_t version; /* of its row */
+	PoolJob *job;	 /* NULL: ended, and the row says so, or deferred */
+	size_t held;	 /* bytes that are counted */
+	/* Bytes that it needs to be scheduled, for which there was no room. */
+	size_t deferred_bytes;	   /* 0: it is not deferred */
+	struct sched_queue *queue; /* while it is deferred */
+	rp_ms ended_at;		   /* by the store's clock; 0: not ended */
+	PoolJob__State state;	   /* if ended */
+	int queued;		   /* in the write queue */
+	int writing;		   /* in a transaction in flight */
 	/*
 	 * Changes of all jobs are numbered by marks. These are the marks of the
 	 * latest change, and of the latest one that a transaction includes.
@@ -60,17 +64,39 @@
 	int removal_in_flight;
 	rp_ms removal_started_at; /* of the latest removal */
 	uint64_t last_mark;	  /* of all changes */
+	/* Jobs for which there is no memory, the one to be read first. */
+	struct stored_job *deferred, **deferred_last;
+	size_t ndeferred;
+	int load_in_flight; /* one of them is being read */
+	rp_ms load_due;
 };
 
 /* pool-keep.c */
 /* Queues the row of a job to be written, unless it is queued already. */
 void stored_job_queue(struct stored_part *part, struct stored_job *j);
 struct stored_job *stored_job_find(struct pool *p, const char *id);
+/* Frees the row of a job that has ended, which the store has. */
+void stored_job_close(struct pool *p, struct stored_job *j);
 /* Removes a job whose row was removed, and acknowledges its changes. */
 void stored_job_remove(struct pool *p, struct stored_job *j);
 /* Applies a row that is newer than what is known of its job. */
 void stored_job_apply_row(struct pool *p, const struct platform_row *row);
 
+/* Schedules a deferred job of which this is the row. */
+void stored_job_load(struct pool *p, struct stored_job *j,
+		     const struct platform_row *row);
+
+/* pool-keep-defer.c */
+/*
+ * Leaves the open job in the store if there is no memory to schedule it.
+ * Returns whether it does.
+ */
+int stored_job_defer(struct pool *p, struct stored_job *j, const PoolJob *job);
+/* The job is scheduled, or has ended. */
+void stored_job_undefer(struct pool *p, struct stored_job *j);
+/* Reads a deferred job again if there is room. */
+void stored_load_deferred(struct pool *p);
+
 /* pool-keep-write.c */
 void stored_write_tick(struct pool *p, rp_ms now);
 
--- a/pool-member.c
+++ b/pool-member.c
@@ -267,6 +267,7 @@
 	l->heartbeat->list_confirmed = msg->list_confirmed;
 	l->heartbeat->clock = msg->clock;
 	l->heartbeat->callers_wait_ms = msg->callers_wait_ms;
+	l->heartbeat->no_memory = msg->no_memory;
 	l->heartbeat->echo = msg->echo;
 	return l->heartbeat;
 }
--- a/pool-request.h
+++ b/pool-request.h
@@ -108,6 +108,11 @@
 
 /* Submit, query or cancel; the connection waits for the store's reply. */
 void pool_job_submit(struct pool_request *r);
+/*
+ * The same for a job that there is no memory for: it is refused unless it was
+ * accepted before, as a refusal says that it never runs.
+ */
+void pool_job_submit_known(struct pool_request *r);
 void pool_job_state(struct pool_request *r, const char *id);
 void pool_job_cancel(struct pool_request *r, const char *id);
 /* The caller has closed the connection: the store's reply goes nowhere. */
--- a/pool-state.c
+++ b/pool-state.c
@@ -75,7 +75,7 @@
 	const struct pool_member *m;
 
 	msg.seq = q->seq;
-	msg.final = j && !j->job;
+	msg.final = j && !j->job && j->state != POOL_JOB__STATE__OPEN;
 	msg.state = msg.final ? j->state : POOL_JOB__STATE__OPEN;
 	if (q->cancel && !cancel_unstored(p, q, &msg))
 		return;
--- a/pool-submission.c
+++ b/pool-submission.c
@@ -84,7 +84,7 @@
 	       sub->n_steps * STEP_BYTES + 2 * ntasks * sizeof(*sub->done);
 }
 
-/* Returns 0 if there is no memory for the job, on this VM or the leader. */
+/* Returns 0 if there is no memory for the job on this VM. */
 static int has_memory(struct pool_request *r)
 {
 	struct pool *p = r->p;
@@ -138,7 +138,10 @@
 		       DEFAULT_RETRY_AFTER_S, "no memory for the job");
 	} else if (r->submit->stored) {
 		pool_request_fill_submit(r, route, id);
-		pool_job_submit(r);
+		if (pool_stored_has_room(r->p))
+			pool_job_submit(r);
+		else
+			pool_job_submit_known(r);
 	} else {
 		open_job(r, route, id);
 	}
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -2384,7 +2384,7 @@
   (ProtobufCMessageInit) pool_evacuation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[21] =
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[22] =
 {
   {
     "fence",
@@ -2638,6 +2638,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "no_memory",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, no_memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
   12,   /* field[12] = agents */
@@ -2653,6 +2665,7 @@
   3,   /* field[3] = leading */
   18,   /* field[18] = linked */
   19,   /* field[19] = list_confirmed */
+  21,   /* field[21] = no_memory */
   7,   /* field[7] = resigns */
   17,   /* field[17] = stops */
   9,   /* field[9] = store */
@@ -2665,7 +2678,7 @@
 static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor pool_beat__descriptor =
 {
@@ -2675,7 +2688,7 @@
   "PoolBeat",
   "",
   sizeof(PoolBeat),
-  21,
+  22,
   pool_beat__field_descriptors,
   pool_beat__field_indices_by_name,
   1,  pool_beat__number_ranges,
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -517,10 +517,14 @@
    * and leaders before it had open.
    */
   uint32_t callers_wait_ms;
+  /*
+   * From the leader: it has no memory for more stored jobs.
+   */
+  protobuf_c_boolean no_memory;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
