--- a/pool-request.c
+++ b/pool-request.c
@@ -55,11 +55,6 @@
 	pool_defer_free(r->p, r);
 }
 
-struct pool_response *pool_request_response(struct pool_request *r)
-{
-	return &r->response;
-}
-
 void pool_request_respond(struct pool_request *r, unsigned status,
 			  const char *body, unsigned retry_after_s)
 {
--- a/pool.h
+++ b/pool.h
@@ -428,7 +428,6 @@
 /* Handles a request whose body is complete. */
 void pool_request_begin(struct pool_request *r, const char *host,
 			const char *deadline, struct MHD_Connection *conn);
-struct pool_response *pool_request_response(struct pool_request *r);
 /* The caller has closed the connection: its job is cancelled. */
 void pool_request_caller_closed(struct pool_request *r);
 const char *pool_outcome_name(PoolAnswer__Outcome outcome);
