http: lock the body that is freed after a refusal

After a refusal, as for a body that is too long or late, the rest of the request is read and dropped, and its buffer was freed without the lock of the table. Another thread that made room at that moment could read or free the same buffer. Found by reading; the threads that serve callers are four. conn_discard() frees it under the lock now, and the metrics are read under it.

t-crowd-daemon-bodies, -chunks and -tasks with ThreadSanitizer: no report (their bounds of memory do not hold for such a build).

--- a/conn-body.c
+++ b/conn-body.c
@@ -86,6 +86,9 @@
 
 int conn_discard(struct conn *c, size_t n, size_t max)
 {
+	pthread_mutex_lock(&c->table->lock);
+	conn_free_body(c);
+	pthread_mutex_unlock(&c->table->lock);
 	c->discarded += n;
 	return c->discarded / DISCARD_FACTOR > max ? -1 : 0;
 }
--- a/conn.h
+++ b/conn.h
@@ -90,10 +90,11 @@
 enum conn_append_result conn_append(struct conn *c, const char *data, size_t n,
 				    size_t max);
 /*
- * Counts bytes that are not kept, as the body was refused. Returns -1 if the
- * connection is to be closed, as its caller goes on sending.
+ * Frees the body, and counts bytes that are not kept, as it was refused.
+ * Returns -1 if the connection is to be closed, as its caller goes on sending.
  */
 int conn_discard(struct conn *c, size_t n, size_t max);
+/* For a request that is being handled; others may close the rest meanwhile. */
 void conn_free_body(struct conn *c);
 
 /* --- conn-limit.c: what the limits have refused -----------------------------
--- a/http-server.c
+++ b/http-server.c
@@ -64,10 +64,8 @@
 	counter_add(COUNT_HTTP_BYTES_IN, n);
 	if (daemon_now() - r->began_at > r->d->settings->http_read)
 		set_error_status(r, MHD_HTTP_REQUEST_TIMEOUT);
-	if (r->error_status) {
-		conn_free_body(r->caller);
+	if (r->error_status)
 		return conn_discard(r->caller, n, max);
-	}
 	switch (conn_append(r->caller, data, n, max)) {
 	case CONN_APPENDED:
 		break;
@@ -299,10 +297,11 @@
 
 void http_write_limits(struct daemon *d, struct rp_writer *w)
 {
-	const struct conn_table *t = &d->http->conns;
+	struct conn_table *t = &d->http->conns;
 	enum conn_limit limit;
 	enum rp_hold kind;
 
+	pthread_mutex_lock(&t->lock);
 	for (kind = 0; kind < RP_HOLDS; kind++)
 		rp_writer_printf(w, "rosemaryd_held_bytes{what=\"%s\"} %zu\n",
 				 budget_name(kind),
@@ -317,6 +316,7 @@
 				 "%llu\n",
 				 conn_limit_name(limit),
 				 (unsigned long long)t->reached[limit]);
+	pthread_mutex_unlock(&t->lock);
 }
 
 int http_make_room(struct http_request *r, enum rp_hold kind, size_t n)
