--- a/regress/crowd.sh
+++ b/regress/crowd.sh
@@ -1,8 +1,8 @@
 # Shell functions for tests of clients that do not behave, sourced by
 # crowd-pool.sh and crowd-daemon.sh, which say how to start entry VMs and what
-# an ordinary request is. The memory of processes that are built with sanitizers says nothing,
-# so the processes are the optimised ones. Run one of these tests at a time,
-# apart from other load.
+# an ordinary request is. The memory of processes that are built with sanitizers
+# says nothing, so the processes are the optimised ones. Run one of these tests
+# at a time, apart from other load.
 
 bin=build
 # What the platform states for the machine of each entry VM.
