--- a/pool-keep.c
+++ b/pool-keep.c
@@ -117,28 +117,6 @@
 	return j->mark;
 }
 
-static void append(uint32_t **list, size_t *n, uint32_t number)
-{
-	*list = realloc(*list, (*n + 1) * sizeof(**list));
-	(*list)[(*n)++] = number;
-}
-
-static void append_failure(PoolJob *job, uint32_t number, uint32_t run)
-{
-	/* Rows of an earlier version have no numbers of runs. */
-	while (job->n_failed_runs < job->n_failed)
-		append(&job->failed_runs, &job->n_failed_runs, 0);
-	append(&job->failed, &job->n_failed, number);
-	append(&job->failed_runs, &job->n_failed_runs, run);
-}
-
-static void add_domain(PoolJob *job, const char *domain)
-{
-	job->domains = realloc(job->domains,
-			       (job->n_domains + 1) * sizeof(*job->domains));
-	job->domains[job->n_domains++] = strdup(domain);
-}
-
 uint64_t pool_stored_progress(struct pool *p, struct sched_job *job,
 			      const struct sched_task *task)
 {
@@ -148,10 +126,10 @@
 	if (!j->job)
 		return 0;
 	if (task->state == SCHED_DONE)
-		append(&j->job->done, &j->job->n_done, number);
+		stored_row_add_number(&j->job->done, &j->job->n_done, number);
 	else
-		append_failure(j->job, number,
-			       task->failed_runs[task->failures - 1]);
+		stored_row_add_failure(j->job, number,
+				       task->failed_runs[task->failures - 1]);
 	return mark_changed(p, j);
 }
 
@@ -172,7 +150,7 @@
 
 	if (!j || !j->job)
 		return 0;
-	add_domain(j->job, job->domains[job->ndomains - 1]);
+	stored_row_add_domain(j->job, job->domains[job->ndomains - 1]);
 	return mark_changed(s->user, j);
 }
 
@@ -276,66 +254,6 @@
 	ack_all(p, j);
 }
 
-static int contains(const uint32_t *list, size_t n, uint32_t number)
-{
-	size_t i;
-
-	for (i = 0; i < n; i++)
-		if (list[i] == number)
-			return 1;
-	return 0;
-}
-
-/* Adds the numbers that only the other list has. Returns whether it has any. */
-static int merge(uint32_t **list, size_t *n, const uint32_t *other, size_t m)
-{
-	size_t i, before = *n;
-
-	for (i = 0; i < m; i++)
-		if (!contains(*list, before, other[i]))
-			append(list, n, other[i]);
-	return *n > before;
-}
-
-/* The run of an entry of failed; 0 in rows of an earlier version. */
-static uint32_t failed_run(const PoolJob *job, size_t i)
-{
-	return i < job->n_failed_runs ? job->failed_runs[i] : 0;
-}
-
-/* Adds the failed runs that only the other row has. Returns whether it has any.
- */
-static int merge_failures(PoolJob *job, const PoolJob *other)
-{
-	size_t i, j, before = job->n_failed;
-
-	for (i = 0; i < other->n_failed; i++) {
-		for (j = 0; j < before; j++)
-			if (job->failed[j] == other->failed[i] &&
-			    failed_run(job, j) == failed_run(other, i))
-				break;
-		if (j == before)
-			append_failure(job, other->failed[i],
-				       failed_run(other, i));
-	}
-	return job->n_failed > before;
-}
-
-/* Adds the domains that only the other row has. Returns whether it has any. */
-static int merge_domains(PoolJob *job, const PoolJob *other)
-{
-	size_t i, j, before = job->n_domains;
-
-	for (i = 0; i < other->n_domains; i++) {
-		for (j = 0; j < before; j++)
-			if (!strcmp(job->domains[j], other->domains[i]))
-				break;
-		if (j == before)
-			add_domain(job, other->domains[i]);
-	}
-	return job->n_domains > before;
-}
-
 /*
  * Merges a write of the previous leader that came after the row was read. The
  * domains that this leader was about to write are not in the store.
@@ -343,12 +261,7 @@
 static void merge_late_write(struct pool *p, struct stored_job *j,
 			     const PoolJob *job)
 {
-	int more =
-		merge(&j->job->done, &j->job->n_done, job->done, job->n_done);
-
-	more |= merge_failures(j->job, job);
-	more |= merge_domains(j->job, job);
-	if (!more)
+	if (!stored_row_merge(j->job, job))
 		return;
 	LOG_EVENT(LOG_LEVEL_INFO, "job_late_progress", LOG_TEXT("id", j->id),
 		  LOG_NUMBER("done", (long long)j->job->n_done),
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -86,6 +86,14 @@
 void stored_job_load(struct pool *p, struct stored_job *j,
 		     const struct platform_row *row);
 
+/* pool-keep-merge.c */
+/* Adds a number to a list of a row. */
+void stored_row_add_number(uint32_t **list, size_t *n, uint32_t number);
+void stored_row_add_failure(PoolJob *job, uint32_t number, uint32_t run);
+void stored_row_add_domain(PoolJob *job, const char *domain);
+/* Adds what only the other row has. Returns whether it has any. */
+int stored_row_merge(PoolJob *job, const PoolJob *other);
+
 /* pool-keep-defer.c */
 /*
  * Leaves the open job in the store if there is no memory to schedule it.
