pool: keep a cancelled job from running if it is submitted later

Cause: a cancellation of an id without a row left nothing that a later submission of the id meets: the late write has the condition that there is no row, the submitting VM repeats it, and the owner of a job that is not stored submits it to each leader.

The leader now writes a row that says that the job is cancelled, on the condition that there is none, and the caller is told when the store has it. The store decides which write came first, with any number of VMs and leaders; a row that was written before is cancelled. Leaders answer jobs that are not stored by these rows, and start none before they have read them, for 1 s at most. To callers there is no job of a row whose id nobody has submitted (GET 410, POST 503). Such rows are removed like those of ended jobs.

A VM asks the leader before it reads a row, and again until its caller's deadline. A VM without a link that refuses connections is dead, and no longer keeps cancellations from being acknowledged.

The stand-in of the platform can make writes late.

--- a/pool-count.c
+++ b/pool-count.c
@@ -77,6 +77,8 @@
 		    budget_name(kind), atomic_load(&p->budget.used[kind]));
 	put_count(t, "held_bytes_limit", p->budget.limit);
 	put_count(t, "jobs_without_memory_total", p->count.no_memory);
+	put_count(t, "cancellations_recorded_total", p->count.cancels_recorded);
+	put_count(t, "cancellations_refused_total", p->count.cancels_refused);
 	for (i = 0; i < POOL_SERVERS; i++) {
 		const struct conn_table *c = &p->servers[i].conns;
 
--- a/pool-job-submit.c
+++ b/pool-job-submit.c
@@ -10,7 +10,8 @@
 
 /* Each row takes two of the 100 entries that the store allows. */
 #define BATCH_ROWS 50
-#define BATCH_BYTES 400000 /* from which no more rows are added */
+#define BATCH_BYTES 400000     /* from which no more rows are added */
+#define CANCELLED_RETRY_S 3600 /* for a job that never runs */
 
 int pool_job_is_unsent(const struct pool_job_call *j)
 {
@@ -40,34 +41,56 @@
 	enqueue(&r->p->job_calls->parts[pool_job_part(j->id)], j);
 }
 
-static int rows_contain(const struct platform_rows *rows, const char *id)
+static const struct platform_row *find_row(const struct platform_rows *rows,
+					   const char *id)
 {
 	size_t i;
 
 	for (i = 0; i < rows->n; i++)
 		if (!strcmp(rows->rows[i].key, id))
-			return 1;
-	return 0;
+			return &rows->rows[i];
+	return NULL;
+}
+
+/*
+ * There is a row of the job: it was accepted before, or cancelled before any
+ * submission was, and this one is not accepted either.
+ */
+static void respond_existing(struct pool_job_call *j,
+			     const struct platform_row *row)
+{
+	PoolJob *job = row->value ? pool_job__unpack(NULL, row->len,
+						     (uint8_t *)row->value)
+				  : NULL;
+
+	if (job && job->unsubmitted)
+		pool_job_respond(j, 503, "{\"error\":\"cancelled\"}",
+				 CANCELLED_RETRY_S, "job_refused");
+	else
+		pool_job_respond(j, 200, "{}", 0, "job_known");
+	pool_job__free_unpacked(job, NULL);
+	pool_job_call_free(j);
 }
 
 /*
- * Handles a transaction that failed because some rows exist already. Their
- * jobs were accepted before; the others are queued again.
+ * Handles a transaction that failed because some rows exist already. The other
+ * jobs are queued again.
  */
 static void handle_conflict(struct submit_part *part, struct pool_job_call *j,
 			    const char *body, size_t len)
 {
 	struct platform_rows rows;
 	char error[PLATFORM_ERROR_MAX];
+	const struct platform_row *row;
 	struct pool_job_call *next;
 
 	platform_parse_rows(&rows, body, len, error);
 	for (; j; j = next) {
 		next = j->next;
 		j->sent = 0;
-		if (rows_contain(&rows, j->id)) {
-			pool_job_respond(j, 200, "{}", 0, "job_known");
-			pool_job_call_free(j);
+		row = find_row(&rows, j->id);
+		if (row) {
+			respond_existing(j, row);
 		} else if (++j->attempts < POOL_JOB_ATTEMPTS) {
 			enqueue(part, j);
 		} else {
--- a/pool-job.c
+++ b/pool-job.c
@@ -2,7 +2,7 @@
  * Callers' requests for stored jobs, on any entry VM.
  *
  * A job is accepted once its row is in the store, where the leader finds it.
- * Its state is read from the row, and a cancellation is written to the row.
+ * Its state is read from the row. See pool-job-cancel.c for cancellations.
  *
  * A request is answered at its deadline at the latest. While its caller waits,
  * a call to the store that got no reply is repeated. That is safe for writes,
@@ -22,8 +22,6 @@
 #define MIN_BACKOFF_MS 100
 /* Between the reads of this VM that repeat one: the store bounds the rate. */
 #define READ_AGAIN_INTERVAL_MS 50
-/* Time for the leader's reply to a query; it may wait for 100 ms. */
-#define QUERY_TIMEOUT_MS 160
 
 int pool_jobs_init(struct pool *p)
 {
@@ -159,10 +157,9 @@
 	return timeout < CALL_TIMEOUT_MAX_MS ? timeout : CALL_TIMEOUT_MAX_MS;
 }
 
-/* --- queries and cancellations ------------------------------------------ */
+/* --- states ------------------------------------------------------------- */
 
-/* Returns NULL if the state is not final. */
-static const char *final_state_name(PoolJob__State state)
+const char *pool_job_final_state(PoolJob__State state)
 {
 	switch (state) {
 	case POOL_JOB__STATE__COMPLETED:
@@ -179,7 +176,7 @@
 static const char *state_name(struct pool *p, const char *id,
 			      const PoolJob *job)
 {
-	const char *name = final_state_name(job->state);
+	const char *name = pool_job_final_state(job->state);
 
 	if (name)
 		return name;
@@ -188,7 +185,7 @@
 		       : "queued";
 }
 
-static void respond_state(struct pool_job_call *j, const char *name)
+void pool_job_respond_state(struct pool_job_call *j, const char *name)
 {
 	struct pool_request *r = j->request;
 
@@ -220,7 +217,7 @@
 static void on_row(struct pool_call *c, long status, const char *body,
 		   size_t len);
 
-static void read_row(struct pool_job_call *j)
+void pool_job_read_row(struct pool_job_call *j)
 {
 	struct pool *p = j->p;
 	char *path;
@@ -245,11 +242,7 @@
 	free(path);
 }
 
-/*
- * After a failed call: has the job's row read again, or answers the request if
- * the store has refused the call, or if the caller does not wait for as long.
- */
-static void read_again(struct pool_job_call *j, long status)
+void pool_job_read_again(struct pool_job_call *j, long status)
 {
 	rp_ms at = j->p->now + pool_job_backoff(j->failures++);
 
@@ -262,77 +255,12 @@
 	pool_job_call_free(j);
 }
 
-static void on_cancelled(struct pool_call *c, long status, const char *body,
-			 size_t len)
-{
-	struct pool_job_call *j = c->user;
-
-	(void)body;
-	(void)len;
-	if (status == 412 && ++j->attempts < POOL_JOB_ATTEMPTS) {
-		read_row(j);
-		return;
-	}
-	if (status == 200) {
-		pool_job_respond(j, 200, "{\"state\":\"cancelled\"}", 0,
-				 "job_cancelled");
-	} else if (status == 412) {
-		pool_job_respond_failed(j, 503);
-	} else {
-		j->may_be_written |= !pool_call_refused(status);
-		read_again(j, status);
-		return;
-	}
-	pool_job_call_free(j);
-}
-
-static void write_cancelled(struct pool_job_call *j, PoolJob *job,
-			    int64_t version)
-{
-	struct pool *p = j->p;
-	size_t len;
-	uint8_t *row;
-	struct platform_write write = { .key = j->id,
-					.expected_version = version };
-
-	job->writer = 0;
-	job->state = POOL_JOB__STATE__CANCELLED;
-	job->ended_ms = (uint64_t)pool_store_now(p);
-	len = pool_job__get_packed_size(job);
-	row = malloc(len);
-	pool_job__pack(job, row);
-	write.value = (struct rp_str){ (char *)row, len };
-	pool_store_transact_within(
-		p,
-		platform_transaction_body(JOBS_TABLE,
-					  pool_part_name(pool_job_part(j->id)),
-					  &write, 1),
-		pool_job_timeout(j->failures), j->failures > 0, on_cancelled)
-		->user = j;
-	free(row);
-}
-
-static int query_leader(struct pool_job_call *j);
-
-static void respond_missing(struct pool_job_call *j)
+void pool_job_respond_missing(struct pool_job_call *j)
 {
 	pool_job_respond(j, 410, "", 0,
 			 j->cancel ? "job_cancelled" : "job_state");
 }
 
-/*
- * There is no row of the job. If it is not stored, another VM may have taken
- * it, and the leader knows.
- */
-static void cancel_at_leader(struct pool_job_call *j)
-{
-	j->has_no_row = 1;
-	if (query_leader(j))
-		return;
-	pool_job_respond_failed(j, 503);
-	pool_job_call_free(j);
-}
-
 static void respond_known(struct pool_job_call *j, int known)
 {
 	if (known)
@@ -347,124 +275,35 @@
 		   size_t len)
 {
 	struct pool_job_call *j = c->user;
-	int64_t version;
+	int64_t version = 0;
 	PoolJob *job;
 
 	if (status != 200) {
-		read_again(j, status);
+		pool_job_read_again(j, status);
 		return;
 	}
 	job = parse_job(j, body, len, &version);
 	if (j->known_only) {
-		respond_known(j, job != NULL);
+		respond_known(j, job && !job->unsubmitted);
 		pool_job_call_free(j);
-	} else if (job && j->cancel && job->state == POOL_JOB__STATE__OPEN) {
-		write_cancelled(j, job, version);
-	} else if (!job && j->cancel) {
-		cancel_at_leader(j);
+	} else if (j->cancel) {
+		pool_job_cancel_row(j, job, version);
 	} else {
-		if (job)
-			respond_state(j, state_name(j->p, j->id, job));
+		if (job && !job->unsubmitted)
+			pool_job_respond_state(j, state_name(j->p, j->id, job));
 		else
-			respond_missing(j);
+			pool_job_respond_missing(j);
 		pool_job_call_free(j);
 	}
 	pool_job__free_unpacked(job, NULL);
 }
 
-/* Asks the leader for the job's state. Returns 0 if there is none to ask. */
-static int query_leader(struct pool_job_call *j)
-{
-	struct pool *p = j->p;
-	PoolFrame frame = POOL_FRAME__INIT;
-	PoolStateQuery query = POOL_STATE_QUERY__INIT;
-
-	if (!p->leading && !p->leader_link)
-		return 0;
-	j->query_seq = query.seq = ++p->job_calls->last_query_seq;
-	j->query_until = p->now + QUERY_TIMEOUT_MS;
-	p->job_calls->nqueries++;
-	query.id = j->id;
-	query.cancel = j->cancel;
-	if (p->leading) {
-		pool_state_query_received(p, NULL, &query);
-		return 1;
-	}
-	frame.body_case = POOL_FRAME__BODY_STATE_QUERY;
-	frame.state_query = &query;
-	pool_link_send(p->leader_link, &frame);
-	return 1;
-}
-
-void pool_job_state(struct pool_request *r, const char *id)
-{
-	struct pool_job_call *j = pool_job_call_new(r, id);
-
-	/* The row can still be read after a query without a reply. */
-	if (r->deadline - r->p->now < (rp_ms)2 * QUERY_TIMEOUT_MS ||
-	    !query_leader(j))
-		read_row(j);
-}
-
-/*
- * The query is over: the state is final, or NULL to read the row. replied: the
- * leader has replied.
- */
-static void end_query(struct pool_job_call *j, const char *state, int replied)
-{
-	j->query_seq = 0;
-	j->p->job_calls->nqueries--;
-	if (j->request && !state && !j->has_no_row) {
-		read_row(j);
-		return;
-	}
-	if (state)
-		respond_state(j, state);
-	else if (replied)
-		respond_missing(j);
-	else
-		pool_job_respond_failed(j, 503);
-	pool_job_call_free(j);
-}
-
-void pool_job_state_received(struct pool *p, const PoolStateReply *msg)
-{
-	struct pool_job_call *j;
-
-	for (j = msg->seq ? p->job_calls->all : NULL; j; j = j->all_next)
-		if (j->query_seq == msg->seq)
-			break;
-	if (j)
-		end_query(j, msg->final ? final_state_name(msg->state) : NULL,
-			  1);
-}
-
-void pool_job_queries_expire(struct pool *p)
-{
-	struct pool_job_call *j, *next;
-
-	for (j = p->job_calls->nqueries ? p->job_calls->all : NULL; j;
-	     j = next) {
-		next = j->all_next;
-		if (j->query_seq && p->now >= j->query_until)
-			end_query(j, NULL, 0);
-	}
-}
-
-void pool_job_cancel(struct pool_request *r, const char *id)
-{
-	struct pool_job_call *j = pool_job_call_new(r, id);
-
-	j->cancel = 1;
-	read_row(j);
-}
-
 void pool_job_submit_known(struct pool_request *r)
 {
 	struct pool_job_call *j = pool_job_call_new(r, r->submit->id);
 
 	j->known_only = 1;
-	read_row(j);
+	pool_job_read_row(j);
 }
 
 /* Returns the call whose row is to be read again first, if it is due. */
@@ -499,5 +338,5 @@
 	}
 	p->job_calls->read_again_due = p->now + READ_AGAIN_INTERVAL_MS;
 	j->repeat_at = 0;
-	read_row(j);
+	pool_job_read_row(j);
 }
--- a/pool-job.h
+++ b/pool-job.h
@@ -1,7 +1,7 @@
 #ifndef POOL_JOB_H
 #define POOL_JOB_H
 
-/* Requests for stored jobs, shared by pool-job.c and pool-job-submit.c. */
+/* Requests for stored jobs and cancellations, shared by pool-job*.c. */
 
 #include "pool-request.h"
 #include "pool-store.h"
@@ -23,16 +23,18 @@
 	uint8_t *packed_job; /* row of a submitted job, else NULL */
 	size_t held;	     /* bytes that are counted */
 	size_t len;
-	int cancel;	/* cancel the job after reading its row */
+	int cancel;	/* cancel the job */
+	int submitted;	/* this VM has had a submission of that job */
 	int known_only; /* a submission that is accepted if it was before */
-	int has_no_row; /* it is cancelled at the leader, if that has it */
+	int has_no_row; /* there was none when it was read */
 	int attempts;
 	int sent;	    /* a transaction in flight has its row */
 	int may_be_written; /* a write has been sent, its outcome is unknown */
 	unsigned failures;  /* calls to the store without a reply */
 	rp_ms repeat_at;    /* when its row is read again; 0: not waiting */
 	uint64_t query_seq; /* of the query to the leader; 0: none */
-	rp_ms query_until;  /* the row is read without its reply then */
+	/* When it goes on without a reply, or asks again; 0: neither. */
+	rp_ms query_until;
 };
 
 struct submit_part {
@@ -46,7 +48,7 @@
 
 struct pool_job_calls {
 	uint64_t last_query_seq;
-	size_t nqueries;      /* without a reply */
+	size_t nqueries;      /* calls with query_until */
 	rp_ms read_again_due; /* the next read that repeats one */
 	/* Of each part the first transaction, then those that repeat one. */
 	struct submit_part parts[POOL_JOB_LANES];
@@ -70,5 +72,38 @@
 /* The pause before a call is repeated, and its timeout, after failures. */
 rp_ms pool_job_backoff(unsigned failures);
 rp_ms pool_job_timeout(unsigned failures);
+/* Reads the job's row, and goes on with what it says. */
+void pool_job_read_row(struct pool_job_call *j);
+/*
+ * After a failed call: has the job's row read again, or answers the request if
+ * the store has refused the call, or if the caller does not wait for as long.
+ */
+void pool_job_read_again(struct pool_job_call *j, long status);
+/* Returns NULL if the state is not final. */
+const char *pool_job_final_state(PoolJob__State state);
+void pool_job_respond_state(struct pool_job_call *j, const char *name);
+/* There is no such job. */
+void pool_job_respond_missing(struct pool_job_call *j);
+
+/* --- pool-job-query.c -------------------------------------------------- */
+
+/*
+ * Asks the leader for the job's state, or to cancel it, and waits for timeout.
+ * Returns 0 if there is none to ask.
+ */
+int pool_job_query_leader(struct pool_job_call *j, rp_ms timeout);
+/* Goes on after ms, as if the leader had not replied. */
+void pool_job_query_wait(struct pool_job_call *j, rp_ms ms);
+
+/* --- pool-job-cancel.c -------------------------------------------------- */
+
+/* Has the leader cancel the job. If there is no leader, its row is read. */
+void pool_job_cancel_ask(struct pool_job_call *j, rp_ms timeout);
+/* The leader's reply, which is not a final state; NULL: none came in time. */
+void pool_job_cancel_replied(struct pool_job_call *j,
+			     const PoolStateReply *msg);
+/* The job's row was read; NULL: there is none. */
+void pool_job_cancel_row(struct pool_job_call *j, PoolJob *job,
+			 int64_t version);
 
 #endif
--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -18,6 +18,7 @@
 #define WRITE_INTERVAL_MS 50
 #define WRITE_BACKOFF_MS 300	  /* after a failed transaction */
 #define REMOVAL_INTERVAL_MS 2000  /* between removals of ended jobs */
+#define REMOVAL_MORE_MS 100	  /* the same, while there are many */
 #define RETENTION_MARGIN_MS 30000 /* kept in addition to ended_retention */
 
 static void job_written(struct pool *p, struct stored_job *j, int64_t version)
@@ -28,6 +29,7 @@
 	if (j->mark > j->sent_mark) {
 		stored_job_queue(&p->stored_jobs->parts[j->part], j);
 	} else if (j->ended_at) {
+		stored_job_cancel_recorded(p, j);
 		stored_job_close(p, j);
 	}
 }
@@ -252,6 +254,8 @@
 		log_failed(c->p, "removal", c->tag, status);
 	for (i = 0; status == 200 && i < s->nremoving; i++)
 		stored_job_remove(c->p, s->removing[i]);
+	if (status == 200 && s->nremoving == STORED_BATCH_ROWS)
+		s->removal_due = c->p->now + REMOVAL_MORE_MS;
 }
 
 static int is_expired(const struct pool *p, const struct stored_job *j)
@@ -308,9 +312,8 @@
 		else if (part->first)
 			write_part(p, i);
 	}
-	if (s->removal_in_flight ||
-	    now - s->removal_started_at < REMOVAL_INTERVAL_MS)
+	if (s->removal_in_flight || now < s->removal_due)
 		return;
-	s->removal_started_at = now;
+	s->removal_due = now + REMOVAL_INTERVAL_MS;
 	remove_expired(p);
 }
--- a/pool-keep.c
+++ b/pool-keep.c
@@ -21,7 +21,12 @@
 #define LEADERSHIP_CONFIRM_MS 1000
 /* Time after a takeover in which the previous leader may start new jobs. */
 #define PREV_LEADER_START_MS 1200
-#define HASH_ENTRY_BYTES 64
+/*
+ * Time to read the table after a takeover, for which the store has replied a
+ * moment ago. If it is away then, jobs that are not stored must not wait for
+ * it.
+ */
+#define READ_TABLE_MS 1000
 
 void pool_stored_begin(struct pool *p)
 {
@@ -34,16 +39,19 @@
 	for (i = 0; i < JOBS_PARTS; i++)
 		s->parts[i].last = &s->parts[i].first;
 	p->stored_jobs = s;
-	/* Runs found on targets need not wait for the table if it is empty. */
+	/* Nothing need wait for the table if it is empty. */
 	if (!p->has_stored_jobs)
 		sched_stored_jobs_loaded(&p->sched);
+	/* A provisional leader need not reach the store. */
+	else if (!lead_is_provisional(&p->lead))
+		sched_await_cancelled(&p->sched, p->now + READ_TABLE_MS);
 }
 
 /* Counts the job's bytes, with those of its row while that is kept. */
 static void hold_job(struct pool *p, struct stored_job *j, size_t row_len)
 {
 	/* The row's lists and texts are allocated one by one. */
-	size_t n = sizeof(*j) + HASH_ENTRY_BYTES + (j->job ? 2 * row_len : 0);
+	size_t n = STORED_ENDED_BYTES + (j->job ? 2 * row_len : 0);
 
 	pool_hold(p, RP_HOLD_STORED, (long)n - (long)j->held);
 	j->held = n;
@@ -69,6 +77,7 @@
 	apr_hash_index_t *i;
 	void *value;
 
+	pool_cancel_queries_end(p);
 	if (!p->stored_jobs)
 		return;
 	for (i = apr_hash_first(NULL, p->stored_jobs->jobs); i;
@@ -110,7 +119,7 @@
 	part->last = &j->next;
 }
 
-static uint64_t mark_changed(struct pool *p, struct stored_job *j)
+uint64_t stored_job_changed(struct pool *p, struct stored_job *j)
 {
 	j->mark = ++p->stored_jobs->last_mark;
 	stored_job_queue(&p->stored_jobs->parts[j->part], j);
@@ -130,7 +139,7 @@
 	else
 		stored_row_add_failure(j->job, number,
 				       task->failed_runs[task->failures - 1]);
-	return mark_changed(p, j);
+	return stored_job_changed(p, j);
 }
 
 uint64_t pool_stored_losses(struct pool *p, struct sched_job *job)
@@ -141,7 +150,7 @@
 		return 0;
 	pool_losses_free(j->job->losses, j->job->n_losses);
 	j->job->losses = pool_losses_encode(job, &j->job->n_losses);
-	return mark_changed(p, j);
+	return stored_job_changed(p, j);
 }
 
 uint64_t pool_stored_domains(struct sched *s, struct sched_job *job)
@@ -151,7 +160,7 @@
 	if (!j || !j->job)
 		return 0;
 	stored_row_add_domain(j->job, job->domains[job->ndomains - 1]);
-	return mark_changed(s->user, j);
+	return stored_job_changed(s->user, j);
 }
 
 uint64_t pool_stored_answer(struct pool *p, struct sched_job *job,
@@ -168,7 +177,7 @@
 	j->state = j->job->state;
 	j->ended_at = pool_store_now(p);
 	j->job->ended_ms = (uint64_t)j->ended_at;
-	return mark_changed(p, j);
+	return stored_job_changed(p, j);
 }
 
 /* Acknowledges all changes of the job: none will be written any more. */
@@ -181,6 +190,7 @@
 {
 	ack_all(p, j);
 	apr_hash_set(p->stored_jobs->jobs, j->id, APR_HASH_KEY_STRING, NULL);
+	stored_job_set_unsubmitted(p, j, 0);
 	stored_job_free(p, j);
 }
 
@@ -241,14 +251,21 @@
 	p->dispatch_due = 1;
 }
 
-static void close_job(struct pool *p, struct stored_job *j, const PoolJob *job)
+static void set_ended(struct pool *p, struct stored_job *j, const PoolJob *job)
+{
+	j->state = job->state;
+	j->ended_at = (rp_ms)job->ended_ms;
+	j->cancelling = 0;
+	stored_job_set_unsubmitted(p, j, job->unsubmitted);
+}
+
+void stored_job_end(struct pool *p, struct stored_job *j, const PoolJob *job)
 {
 	LOG_EVENT(LOG_LEVEL_INFO, "job_closed", LOG_TEXT("id", j->id),
 		  LOG_NUMBER("state", job->state),
 		  LOG_NUMBER("version", j->version));
 	sched_cancel_stored(&p->sched, j->id, p->now);
-	j->state = job->state;
-	j->ended_at = (rp_ms)job->ended_ms;
+	set_ended(p, j, job);
 	stored_job_undefer(p, j);
 	stored_job_close(p, j);
 	ack_all(p, j);
@@ -268,7 +285,7 @@
 		  LOG_NUMBER("writer", (long long)job->writer));
 	sched_cancel_stored(&p->sched, j->id, p->now);
 	schedule(p, j);
-	sched_domains_await(&p->sched, j->id, mark_changed(p, j));
+	sched_domains_await(&p->sched, j->id, stored_job_changed(p, j));
 }
 
 /*
@@ -279,13 +296,17 @@
 			 const PoolJob *job)
 {
 	if (j->deferred_bytes && job->state != POOL_JOB__STATE__OPEN) {
-		close_job(p, j, job);
+		stored_job_end(p, j, job);
+		return;
+	}
+	if (j->cancelling) {
+		stored_job_apply_cancelled(p, j, job);
 		return;
 	}
 	if (!j->job || j->job->state != POOL_JOB__STATE__OPEN)
 		return;
 	if (job->state != POOL_JOB__STATE__OPEN)
-		close_job(p, j, job);
+		stored_job_end(p, j, job);
 	else if (job->writer != p->sched.fence)
 		merge_late_write(p, j, job);
 }
@@ -307,15 +328,23 @@
 		log_warn("job", key, "malformed row of a job");
 }
 
-static void add_job(struct pool *p, const struct platform_row *row,
-		    PoolJob *job)
+struct stored_job *stored_job_new(struct pool *p, const char *id)
 {
 	struct stored_job *j = calloc(1, sizeof(*j));
 
-	str_copy(j->id, sizeof(j->id), str_of(row->key));
+	str_copy(j->id, sizeof(j->id), str_of(id));
 	j->part = pool_job_part(j->id);
-	j->version = row->version;
 	apr_hash_set(p->stored_jobs->jobs, j->id, APR_HASH_KEY_STRING, j);
+	hold_job(p, j, 0);
+	return j;
+}
+
+static void add_job(struct pool *p, const struct platform_row *row,
+		    PoolJob *job)
+{
+	struct stored_job *j = stored_job_new(p, row->key);
+
+	j->version = row->version;
 	p->has_stored_jobs = 1;
 	if (job->state == POOL_JOB__STATE__OPEN && job->submit &&
 	    !stored_job_defer(p, j, job)) {
@@ -324,9 +353,12 @@
 		schedule(p, j);
 		return;
 	}
-	j->state = job->state;
-	j->ended_at = (rp_ms)job->ended_ms;
+	set_ended(p, j, job);
 	hold_job(p, j, 0);
+	/* Its entry VM has submitted it to this leader before the row was read.
+	 */
+	if (job->state == POOL_JOB__STATE__CANCELLED)
+		sched_cancel_unstored(&p->sched, j->id, p->now);
 	pool_job__free_unpacked(job, NULL);
 }
 
@@ -343,7 +375,7 @@
 	}
 	j->version = row->version;
 	if (job->state != POOL_JOB__STATE__OPEN || !job->submit) {
-		close_job(p, j, job);
+		stored_job_end(p, j, job);
 		pool_job__free_unpacked(job, NULL);
 		return;
 	}
@@ -364,6 +396,8 @@
 	if (!job || (!j && !job_is_valid(row->key, job))) {
 		log_malformed(p, row->key);
 		pool_job__free_unpacked(job, NULL);
+		if (j && j->cancelling)
+			j->version = row->version; /* it is replaced */
 		return;
 	}
 	if (!j) {
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -37,8 +37,10 @@
 	struct sched_queue *queue; /* while it is deferred */
 	rp_ms ended_at;		   /* by the store's clock; 0: not ended */
 	PoolJob__State state;	   /* if ended */
-	int queued;		   /* in the write queue */
-	int writing;		   /* in a transaction in flight */
+	int cancelling;	 /* its row is being written, see pool-keep-cancel.c */
+	int unsubmitted; /* it was cancelled before it was submitted */
+	int queued;	 /* in the write queue */
+	int writing;	 /* in a transaction in flight */
 	/*
 	 * Changes of all jobs are numbered by marks. These are the marks of the
 	 * latest change, and of the latest one that a transaction includes.
@@ -62,8 +64,9 @@
 	struct stored_job *removing[STORED_BATCH_ROWS]; /* in a transaction */
 	size_t nremoving;
 	int removal_in_flight;
-	rp_ms removal_started_at; /* of the latest removal */
-	uint64_t last_mark;	  /* of all changes */
+	rp_ms removal_due;
+	uint64_t last_mark; /* of all changes */
+	size_t nunsubmitted;
 	/* Jobs for which there is no memory, the one to be read first. */
 	struct stored_job *deferred, **deferred_last;
 	size_t ndeferred;
@@ -71,7 +74,16 @@
 	rp_ms load_due;
 };
 
+/* Bytes that are counted of a job that has ended. */
+#define STORED_ENDED_BYTES (sizeof(struct stored_job) + 64)
+
 /* pool-keep.c */
+/* Adds a job of which nothing is known yet. */
+struct stored_job *stored_job_new(struct pool *p, const char *id);
+/* Has the row written. Returns the mark that its write acknowledges. */
+uint64_t stored_job_changed(struct pool *p, struct stored_job *j);
+/* Ends the job, as its row in the store says. */
+void stored_job_end(struct pool *p, struct stored_job *j, const PoolJob *job);
 /* Queues the row of a job to be written, unless it is queued already. */
 void stored_job_queue(struct stored_part *part, struct stored_job *j);
 struct stored_job *stored_job_find(struct pool *p, const char *id);
@@ -86,6 +98,31 @@
 void stored_job_load(struct pool *p, struct stored_job *j,
 		     const struct platform_row *row);
 
+/* pool-keep-cancel.c */
+enum stored_cancel {
+	STORED_CANCEL_PENDING, /* neither is known yet */
+	STORED_CANCEL_IN_ROW,  /* it is open, and is to be cancelled there */
+	STORED_CANCEL_ENDED,   /* the store has a row of it that says so */
+	/* The same; to callers there is no such job. */
+	STORED_CANCEL_UNSUBMITTED,
+	STORED_CANCEL_REFUSED,
+};
+
+/*
+ * Cancels a job that is not stored, and has a row written that keeps later
+ * submissions from running. submitted: a submission is known; it is set if this
+ * leader had the job. Sets the state if it has ended.
+ */
+enum stored_cancel stored_job_cancel(struct pool *p, const char *id,
+				     int *submitted, PoolJob__State *state);
+/* The store has a row which says that the job has ended. */
+void stored_job_cancel_recorded(struct pool *p, struct stored_job *j);
+/* Applies a row of the store to a job that is cancelling. */
+void stored_job_apply_cancelled(struct pool *p, struct stored_job *j,
+				const PoolJob *job);
+void stored_job_set_unsubmitted(struct pool *p, struct stored_job *j,
+				int unsubmitted);
+
 /* pool-keep-merge.c */
 /* Adds a number to a list of a row. */
 void stored_row_add_number(uint32_t **list, size_t *n, uint32_t number);
--- a/pool-log.c
+++ b/pool-log.c
@@ -145,7 +145,8 @@
 		  LOG_NUMBER("owner_ms", q->delays[SCHED_DELAY_OWNER]),
 		  LOG_NUMBER("losses_ms", q->delays[SCHED_DELAY_LOSSES]),
 		  LOG_NUMBER("earlier_runs_ms",
-			     q->delays[SCHED_DELAY_EARLIER_RUNS]));
+			     q->delays[SCHED_DELAY_EARLIER_RUNS]),
+		  LOG_NUMBER("cancelled_ms", q->delays[SCHED_DELAY_CANCELLED]));
 }
 
 void pool_log_delays(struct pool *p)
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -144,6 +144,7 @@
 	pool_send_run_acks(p);
 	pool_share_flush(p);
 	pool_state_flush(p);
+	pool_cancel_queries_flush(p);
 	pool_job_queries_expire(p);
 	if (p->awaiting_routes)
 		pool_requests_resume_awaiting(p);
--- a/pool-member.c
+++ b/pool-member.c
@@ -431,8 +431,10 @@
 	struct pool *p = l->p;
 	struct pool_vm *vm = pool_find_vm(p, l->peer);
 
-	if (vm && refused)
+	if (vm && refused) {
 		vm->refused = 1;
+		vm->refused_at = p->now;
+	}
 	if (l == p->leader_link) {
 		p->leader_link = NULL;
 		LOG_EVENT(LOG_LEVEL_WARN, "link_lost",
--- a/pool-relay.c
+++ b/pool-relay.c
@@ -40,6 +40,21 @@
 	return 0;
 }
 
+/* Answers a job that was cancelled. Returns whether it was. */
+static int answer_cancelled(struct pool *p, struct pool_member *m,
+			    const PoolSubmit *sub)
+{
+	PoolAnswer answer = POOL_ANSWER__INIT;
+
+	if (!pool_stored_is_cancelled(p, sub->id))
+		return 0;
+	answer.seq = sub->seq;
+	answer.outcome = POOL_ANSWER__OUTCOME__CANCELLED;
+	answer.reason = "cancelled before it was submitted";
+	pool_send_answer(p, m, &answer);
+	return 1;
+}
+
 /*
  * Whether a job that was sent to this leader before never arrived, given that
  * the scheduler does not know it. This holds if the member joined before the
@@ -54,7 +69,7 @@
 
 void pool_schedule_job(struct pool *p, struct pool_member *m, PoolSubmit *sub)
 {
-	if (resend_answer(p, m, sub))
+	if (resend_answer(p, m, sub) || answer_cancelled(p, m, sub))
 		return;
 	if (never_arrived(p, m, sub))
 		sub->former = 0;
--- a/pool-request.c
+++ b/pool-request.c
@@ -371,13 +371,14 @@
 	struct pool_request *job = find_job(r->p, id);
 
 	if (!job) {
-		pool_job_cancel(r, id);
+		pool_job_cancel(r, id, 0);
 		return;
 	}
 	pool_send_cancel(r->p, job->seq);
 	log_answer(job, "cancelled", "by the caller");
 	answer_job(job, 200, "{\"state\":\"cancelled\"}", 0);
-	pool_request_respond(r, 200, "{\"state\":\"cancelled\"}", 0);
+	/* It may be submitted again, here or at another entry VM. */
+	pool_job_cancel(r, id, 1);
 }
 
 void pool_request_begin(struct pool_request *r, const char *host,
--- a/pool-request.h
+++ b/pool-request.h
@@ -104,7 +104,7 @@
 int pool_request_await_routes(struct pool_request *r);
 void pool_request_forget_awaiting(struct pool_request *r);
 
-/* --- pool-job.c, pool-job-submit.c: requests for stored jobs ----------- */
+/* --- pool-job*.c: requests for stored jobs, and cancellations ---------- */
 
 /* Submit, query or cancel; the connection waits for the store's reply. */
 void pool_job_submit(struct pool_request *r);
@@ -114,7 +114,8 @@
  */
 void pool_job_submit_known(struct pool_request *r);
 void pool_job_state(struct pool_request *r, const char *id);
-void pool_job_cancel(struct pool_request *r, const char *id);
+/* submitted: this VM has had a submission of the job, which is not stored. */
+void pool_job_cancel(struct pool_request *r, const char *id, int submitted);
 /* The caller has closed the connection: the store's reply goes nowhere. */
 void pool_job_caller_closed(struct pool_request *r);
 
--- a/pool-state.c
+++ b/pool-state.c
@@ -5,9 +5,6 @@
  * not say so yet, and ask again only much later. So the leader delays its reply
  * for a moment if the job is about to end. It replies only with a final state
  * that the row has; else the entry VM reads the row.
- *
- * A job that is not stored has no row. An entry VM that is to cancel one which
- * another VM has taken asks the leader to.
  */
 
 #include "pool-keep.h"
@@ -23,7 +20,6 @@
 	char vm[RP_NAME_MAX]; /* that asks; "": this one */
 	uint64_t seq;
 	char id[SCHED_ID_MAX];
-	int cancel;
 	rp_ms until;
 };
 
@@ -35,59 +31,47 @@
 	/* Cut short, it could be the id of another job. */
 	if (strlen(msg->id) >= sizeof(q->id))
 		return;
+	if (msg->cancel) {
+		pool_cancel_query_received(p, m ? m->vm : "", msg);
+		return;
+	}
 	q = calloc(1, sizeof(*q));
 	if (!q)
 		return;
 	str_copy(q->vm, sizeof(q->vm), str_of(m ? m->vm : ""));
 	str_copy(q->id, sizeof(q->id), str_of(msg->id));
 	q->seq = msg->seq;
-	q->cancel = msg->cancel;
 	q->until = p->now + QUERY_WAIT_MS;
 	q->next = p->state_queries;
 	p->state_queries = q;
 }
 
-/*
- * Whether a job may be open of which this leader does not know: another leader
- * may have it, or its entry VM has not submitted it here yet.
- */
-static int may_not_know_all_jobs(struct pool *p)
+void pool_state_reply(struct pool *p, const char *vm, PoolStateReply *msg)
 {
-	return lead_is_provisional(&p->lead) || p->sched.owners_missing ||
-	       pool_owner_may_be_missing(p);
-}
+	PoolFrame frame = POOL_FRAME__INIT;
+	const struct pool_member *m;
 
-/* Returns 0 if nothing can be said: the entry VM then says so, too. */
-static int cancel_unstored(struct pool *p, const struct pool_state_query *q,
-			   PoolStateReply *msg)
-{
-	msg->final = sched_cancel_unstored(&p->sched, q->id, p->now);
-	msg->state = POOL_JOB__STATE__CANCELLED;
-	p->dispatch_due = 1;
-	return msg->final || !may_not_know_all_jobs(p);
+	if (!vm[0]) {
+		pool_job_state_received(p, msg);
+		return;
+	}
+	m = pool_find_member(p, vm);
+	frame.body_case = POOL_FRAME__BODY_STATE_REPLY;
+	frame.state_reply = msg;
+	if (m && m->link)
+		pool_link_send(m->link, &frame);
 }
 
 static void reply(struct pool *p, const struct pool_state_query *q,
 		  const struct stored_job *j)
 {
-	PoolFrame frame = POOL_FRAME__INIT;
 	PoolStateReply msg = POOL_STATE_REPLY__INIT;
-	const struct pool_member *m;
 
 	msg.seq = q->seq;
-	msg.final = j && !j->job && j->state != POOL_JOB__STATE__OPEN;
+	msg.final = j && !j->job && !j->unsubmitted &&
+		    j->state != POOL_JOB__STATE__OPEN;
 	msg.state = msg.final ? j->state : POOL_JOB__STATE__OPEN;
-	if (q->cancel && !cancel_unstored(p, q, &msg))
-		return;
-	if (!q->vm[0]) {
-		pool_job_state_received(p, &msg);
-		return;
-	}
-	m = pool_find_member(p, q->vm);
-	frame.body_case = POOL_FRAME__BODY_STATE_REPLY;
-	frame.state_reply = &msg;
-	if (m && m->link)
-		pool_link_send(m->link, &frame);
+	pool_state_reply(p, q->vm, &msg);
 }
 
 /* Whether all tasks run or have ended, and the row is still to be written. */
@@ -109,7 +93,7 @@
 		const struct stored_job *j =
 			p->stored_jobs ? stored_job_find(p, q->id) : NULL;
 
-		if (!q->cancel && p->now < q->until && may_end_soon(p, j)) {
+		if (p->now < q->until && may_end_soon(p, j)) {
 			at = &q->next;
 			continue;
 		}
--- a/pool-vm.c
+++ b/pool-vm.c
@@ -14,6 +14,8 @@
  */
 #define LEFT_KEPT_MS 30000
 #define ANNOUNCE_INTERVAL_MS 500 /* to VMs that are not linked */
+/* Time for which a VM that has refused a connection counts as dead. */
+#define REFUSAL_HOLDS_MS 2000
 /* Time since the store confirmed this leader, beyond the renewal interval. */
 #define UNCONFIRMED_MS (LEAD_RENEW_INTERVAL_MS + 250)
 
@@ -199,6 +201,22 @@
 	return 0;
 }
 
+int pool_missing_vms_are_dead(struct pool *p)
+{
+	const struct pool_vm *vm;
+	int dead = 1;
+
+	for (vm = p->vms; vm; vm = vm->next)
+		if (!pool_is_self(p, vm->vm) && !is_linked(p, vm))
+			dead &= vm->refused &&
+				p->now - vm->refused_at < REFUSAL_HOLDS_MS;
+	if (!dead && p->now - p->announced_at >= ANNOUNCE_INTERVAL_MS) {
+		p->announced_at = p->now;
+		pool_dial_unlinked(p);
+	}
+	return dead;
+}
+
 /* Whether it cannot be known that the VM does not follow another leader. */
 static int may_follow_another(struct pool *p, struct pool_vm *vm)
 {
--- a/pool.h
+++ b/pool.h
@@ -151,6 +151,7 @@
 	int64_t version;   /* of its row; 0: not known */
 	/* To the latest probe: it answered; nothing listens at its address. */
 	int answered, refused;
+	rp_ms refused_at;
 	/* Its domain is led by this VM, which leads provisionally. */
 	int led;
 	int learned;   /* from itself, not from its row in the store */
@@ -222,6 +223,11 @@
 int pool_is_isolated(struct pool *p);
 /* Whether a VM that may own jobs has no live link to this leader. */
 int pool_owner_may_be_missing(struct pool *p);
+/*
+ * Whether at the addresses of all VMs without a live link nothing has listened
+ * a moment ago. Connects to them if that is not known.
+ */
+int pool_missing_vms_are_dead(struct pool *p);
 /*
  * Opens a probe link to each known VM that is not linked to this leader, and
  * sends it a heartbeat. A VM that has just started may know of no leader, and
@@ -384,6 +390,8 @@
 void pool_stored_end(struct pool *p);
 /* Whether the leader, as far as is known, has memory for more stored jobs. */
 int pool_stored_has_room(const struct pool *p);
+/* Whether a row says that the job is cancelled, or is about to. */
+int pool_stored_is_cancelled(struct pool *p, const char *id);
 /* Whether this VM leads and has started a task of the job. */
 int pool_stored_started(struct pool *p, const char *id);
 
@@ -392,9 +400,20 @@
 /* m: the member that asks; NULL: this VM. */
 void pool_state_query_received(struct pool *p, const struct pool_member *m,
 			       const PoolStateQuery *msg);
+/* vm: the one that asked; "": this one. */
+void pool_state_reply(struct pool *p, const char *vm, PoolStateReply *msg);
 /* Replies to the queries that need not wait any more. */
 void pool_state_flush(struct pool *p);
 
+/* --- pool-state-cancel.c: queries to cancel a job, on the leader ------ */
+
+void pool_cancel_query_received(struct pool *p, const char *vm,
+				const PoolStateQuery *msg);
+/* Replies to those that are not pending any more. */
+void pool_cancel_queries_flush(struct pool *p);
+/* Drops all: this VM does not lead any more. */
+void pool_cancel_queries_end(struct pool *p);
+
 /* --- pool-job.c: requests for stored jobs, on any VM ------------------ */
 
 /* The leader's reply to a query for the state of a job. */
@@ -494,6 +513,7 @@
 
 struct pool_counters {
 	uint64_t no_memory; /* jobs that were refused for want of memory */
+	uint64_t cancels_recorded, cancels_refused; /* by the leader */
 	uint64_t requests, bad, not_found, rejected, answered, callers_gone;
 	uint64_t store_calls, store_failed, target_calls, target_unanswered;
 	uint64_t agent_calls, agent_unanswered, calls_resent;
@@ -673,7 +693,9 @@
 	rp_ms leadership_confirmed_at;
 	struct pool_job_calls *job_calls; /* requests that wait for the store */
 	struct pool_state_query *state_queries; /* to this leader */
-	apr_hash_t *requests;			/* seq -> struct pool_request */
+	struct pool_cancel_query *cancel_queries;
+	size_t ncancel_queries;
+	apr_hash_t *requests; /* seq -> struct pool_request */
 	uint64_t next_seq;
 	struct pool_cancelled cancelled[POOL_CANCELLED_KEPT]; /* a ring */
 	size_t ncancelled;
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -593,10 +593,15 @@
    */
   size_t n_domains;
   char **domains;
+  /*
+   * The job was cancelled before a submission of it was known. To callers
+   * there is no such job.
+   */
+  protobuf_c_boolean unsubmitted;
 };
 #define POOL_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_job__descriptor) \
-    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, POOL_JOB__STATE__OPEN, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -904,7 +909,7 @@
 
 
 /*
- * Asks the leader for the state of a stored job.
+ * Asks the leader for the state of a stored job, or to cancel a job.
  */
 struct  PoolStateQuery
 {
@@ -915,14 +920,18 @@
   uint64_t seq;
   char *id;
   /*
-   * The job is not stored, and is to be cancelled. The reply is final if
-   * it was open.
+   * To cancel: the leader replies when the store has a row which says that
+   * the job has ended, or when the sender is to cancel it in its row.
    */
   protobuf_c_boolean cancel;
+  /*
+   * The sender has had a submission of the job, which is not stored.
+   */
+  protobuf_c_boolean submitted;
 };
 #define POOL_STATE_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_state_query__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  PoolStateReply
@@ -934,10 +943,18 @@
    */
   protobuf_c_boolean final;
   PoolJob__State state;
+  /*
+   * The row keeps later submissions from running. None is known.
+   */
+  protobuf_c_boolean unsubmitted;
+  /*
+   * the leader has no room for another such row
+   */
+  protobuf_c_boolean refused;
 };
 #define POOL_STATE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_state_reply__descriptor) \
-    , 0, 0, POOL_JOB__STATE__OPEN }
+    , 0, 0, POOL_JOB__STATE__OPEN, 0, 0 }
 
 
 typedef enum {
--- a/regress/pool-stop.c
+++ b/regress/pool-stop.c
@@ -100,7 +100,7 @@
 {
 	struct pool_request *r = new_request("0000000000000003");
 
-	pool_job_cancel(r, r->submit->id);
+	pool_job_cancel(r, r->submit->id, 0);
 	cr_assert_not_null(p.calls);
 	abort_request(r);
 }
--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -13,7 +13,8 @@
 /* Data of a request that was suspended. */
 struct suspension {
 	int64_t since;
-	int lost; /* carried out late, see standin_is_lost() */
+	int lost;    /* see standin_is_lost() */
+	int late_ms; /* it is carried out after this time; -1: never */
 	/* The reply is ready, and sent then; NULL: it is not ready. */
 	json_t *reply;
 	int64_t reply_at;
@@ -79,18 +80,31 @@
 	return fake_reply_json(r, 200, susp->reply);
 }
 
-int standin_is_lost(struct standin *st, struct fake_request *r, int percent)
+void standin_lose(struct fake_request *r, int ms)
 {
-	struct suspension *susp = r->data;
+	struct suspension *susp = calloc(1, sizeof(*susp));
 
-	if (susp)
-		return susp->lost && standin_wait_ms(r) < STANDIN_LATE_MS;
-	if (!percent || rand_r(&st->seed) % 100 >= percent)
-		return 0;
-	susp = calloc(1, sizeof(*susp));
 	susp->since = fake_now_ms();
 	susp->lost = 1;
+	susp->late_ms = ms;
 	r->data = susp;
+}
+
+int standin_is_late(struct fake_request *r)
+{
+	const struct suspension *susp = r->data;
+
+	return susp && susp->lost &&
+	       (susp->late_ms < 0 || standin_wait_ms(r) < susp->late_ms);
+}
+
+int standin_is_lost(struct standin *st, struct fake_request *r, int percent)
+{
+	if (r->data)
+		return standin_is_late(r);
+	if (!percent || rand_r(&st->seed) % 100 >= percent)
+		return 0;
+	standin_lose(r, STANDIN_LATE_MS);
 	return 1;
 }
 
@@ -114,6 +128,8 @@
 	s->up_at = up_after_ms ? fake_now_ms() + up_after_ms : 0;
 	set_int(o, "silent", &s->silent);
 	set_int(o, "lose_answers", &s->lose_answers);
+	set_int(o, "late_writes", &s->late_writes);
+	set_int(o, "late_ms", &s->late_ms);
 	set_int(o, "compact", &compact);
 	if (compact)
 		s->compacted = ++s->version;
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -25,6 +25,8 @@
 	int64_t put_at; /* ms */
 };
 
+struct standin_late_write;
+
 struct standin_store {
 	struct standin_row *rows;
 	size_t n, cap;
@@ -34,6 +36,9 @@
 	int64_t up_at;	   /* ms, when it is up again by itself; 0: never */
 	int silent;	   /* fault: does not answer */
 	int lose_answers;  /* fault: percent of writes made but not answered */
+	int late_writes;   /* fault: as many of new jobs get no answer, */
+	int late_ms;	   /* and are made after this time */
+	struct standin_late_write *late; /* that are to be made */
 	uint64_t reads, writes;
 };
 
@@ -141,6 +146,10 @@
 #define STANDIN_LATE_MS 2000 /* after which a lost call is carried out */
 /* Whether the request is one of the percent that get no answer in time. */
 int standin_is_lost(struct standin *st, struct fake_request *r, int percent);
+/* Has the request carried out after ms; -1: never. */
+void standin_lose(struct fake_request *r, int ms);
+/* Whether the request was lost, and is not to be carried out yet. */
+int standin_is_late(struct fake_request *r);
 enum fake_action standin_suspend(struct fake_request *r);
 /* Replies with the value, which it frees, after ms. */
 enum fake_action standin_reply_later(struct fake_request *r, json_t *value,
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -204,6 +204,89 @@
 	return hold;
 }
 
+#define JOBS_TABLE "rosemary-jobs"
+
+/* Whether the transaction writes a row of a job that must not exist. */
+static int writes_new_job(json_t *root)
+{
+	json_t *list = json_object_get(root, "expectedRevision");
+	size_t i;
+
+	for (i = 0; i < json_array_size(list); i++) {
+		json_t *o = json_array_get(list, i);
+
+		if (!strcmp(get_string(o, "table"), JOBS_TABLE) &&
+		    !json_integer_value(json_object_get(o, "recordVersion")))
+			return 1;
+	}
+	return 0;
+}
+
+/* A transaction that is made later, when its connection may be closed. */
+struct standin_late_write {
+	struct standin_late_write *next;
+	json_t *root;
+	int64_t due_at;
+};
+
+/* Loses the transaction if it is one of those that are to be made late. */
+static int is_lost(struct standin_store *s, struct fake_request *r,
+		   json_t *root)
+{
+	struct standin_late_write *late;
+
+	if (r->data || !s->late_writes || !writes_new_job(root))
+		return standin_is_late(r);
+	s->late_writes--;
+	standin_lose(r, -1);
+	late = calloc(1, sizeof(*late));
+	late->root = json_incref(root);
+	late->due_at = fake_now_ms() + s->late_ms;
+	late->next = s->late;
+	s->late = late;
+	return 1;
+}
+
+/* Makes the writes and removals of a transaction whose conditions hold. */
+static void commit(struct standin_store *s, json_t *root)
+{
+	json_t *o;
+	size_t i;
+
+	s->version++;
+	json_array_foreach(json_object_get(root, "writes"), i, o)
+		put_row(s, get_string(o, "table"), get_string(o, "part"),
+			get_string(o, "key"), get_string(o, "value"));
+	json_array_foreach(json_object_get(root, "remove"), i, o)
+		put_row(s, get_string(o, "table"), get_string(o, "part"),
+			get_string(o, "key"), NULL);
+}
+
+/* Makes the late writes that are due, if their conditions still hold. */
+static void make_late_writes(struct standin_store *s)
+{
+	struct standin_late_write **at = &s->late, *late;
+
+	while ((late = *at)) {
+		json_t *current;
+
+		if (fake_now_ms() < late->due_at) {
+			at = &late->next;
+			continue;
+		}
+		*at = late->next;
+		current = json_array();
+		if (conditions_hold(s,
+				    json_object_get(late->root, "expectedRevisi"
+								"on"),
+				    current))
+			commit(s, late->root);
+		json_decref(current);
+		json_decref(late->root);
+		free(late);
+	}
+}
+
 static enum fake_action write_rows(struct standin *st, struct fake_request *r)
 {
 	struct standin_store *s = &st->store;
@@ -212,8 +295,12 @@
 	json_t *removals = json_object_get(root, "remove");
 	json_t *conditions = json_object_get(root, "expectedRevision");
 	json_t *current = json_array();
-	size_t i;
 
+	if (is_lost(s, r, root)) {
+		json_decref(root);
+		json_decref(current);
+		return standin_suspend(r);
+	}
 	s->writes++;
 	if (json_array_size(conditions) + json_array_size(writes) +
 			    json_array_size(removals) >
@@ -229,19 +316,7 @@
 		return reply_rows(s, r, 412, current);
 	}
 	json_decref(current);
-	s->version++;
-	for (i = 0; i < json_array_size(writes); i++) {
-		json_t *o = json_array_get(writes, i);
-
-		put_row(s, get_string(o, "table"), get_string(o, "part"),
-			get_string(o, "key"), get_string(o, "value"));
-	}
-	for (i = 0; i < json_array_size(removals); i++) {
-		json_t *o = json_array_get(removals, i);
-
-		put_row(s, get_string(o, "table"), get_string(o, "part"),
-			get_string(o, "key"), NULL);
-	}
+	commit(s, root);
 	json_decref(root);
 	if (s->lose_answers && rand_r(&st->seed) % 100 < s->lose_answers)
 		return FAKE_DROP;
@@ -256,6 +331,7 @@
 		return standin_suspend(r);
 	if (s->up_at && fake_now_ms() >= s->up_at)
 		s->down = 0;
+	make_late_writes(s);
 	if (s->down)
 		return fake_reply_error(r, 503, "down");
 	if (!strcmp(r->path, "/api/rows-get"))
--- a/sched-core.c
+++ b/sched-core.c
@@ -467,6 +467,11 @@
 	s->stored_jobs_loaded = 1;
 }
 
+void sched_await_cancelled(struct sched *s, rp_ms until)
+{
+	s->cancelled_awaited_until = until;
+}
+
 void sched_target_unlisted(struct sched *s, const char *id, rp_ms now)
 {
 	struct sched_target *t = sched_find_target(s, id);
--- a/sched-delay.c
+++ b/sched-delay.c
@@ -7,7 +7,7 @@
 #include "sched-int.h"
 
 static const char *const names[SCHED_DELAYS] = {
-	"none", "room", "owner", "losses", "earlier_runs",
+	"none", "room", "owner", "losses", "earlier_runs", "cancelled",
 };
 
 const char *sched_delay_name(enum sched_delay delay)
--- a/sched-dispatch.c
+++ b/sched-dispatch.c
@@ -21,6 +21,9 @@
 
 	if (job->domains_mark || job->owner_silent || job->awaits_submission)
 		return SCHED_DELAY_OWNER;
+	if (!job->stored && !s->stored_jobs_loaded &&
+	    s->now < s->cancelled_awaited_until)
+		return SCHED_DELAY_CANCELLED;
 	if (s->now < job->starts_after ||
 	    (job->awaits_earlier_runs && sched_has_earlier_runs(job)))
 		return SCHED_DELAY_EARLIER_RUNS;
--- a/scheduler.h
+++ b/scheduler.h
@@ -166,6 +166,7 @@
 	SCHED_DELAY_LOSSES, /* what became of lost targets */
 	/* Runs of earlier schedulers or submissions are known, or over. */
 	SCHED_DELAY_EARLIER_RUNS,
+	SCHED_DELAY_CANCELLED, /* which jobs were cancelled earlier */
 	SCHED_DELAYS
 };
 
@@ -725,8 +726,10 @@
 	int targets_loaded;	/* the platform's whole list was passed in */
 	int targets_cached;	/* a list from before an outage was */
 	int stored_jobs_loaded; /* all stored jobs were passed in */
-	int stored_suspended;	/* tasks of stored jobs neither run nor start */
-	int suspended;		/* nothing is sent to targets */
+	/* Until then other jobs wait for that: they may have been cancelled. */
+	rp_ms cancelled_awaited_until;
+	int stored_suspended; /* tasks of stored jobs neither run nor start */
+	int suspended;	      /* nothing is sent to targets */
 	/* The previous scheduler may hold targets that are not listed. */
 	int prev_may_hold_unlisted;
 	/*
@@ -900,6 +903,8 @@
 void sched_suspend(struct sched *s, int suspend, rp_ms now);
 /* All stored jobs have been passed in. */
 void sched_stored_jobs_loaded(struct sched *s);
+/* Starts tasks of other jobs only when they are loaded, or at that time. */
+void sched_await_cancelled(struct sched *s, rp_ms until);
 /* The platform's list has lost an entry. */
 void sched_target_unlisted(struct sched *s, const char *id, rp_ms now);
 /*
