--- a/pool-beat.c
+++ b/pool-beat.c
@@ -67,35 +67,11 @@
 	return n;
 }
 
-/* Lists up to max queues that have waiting jobs. Returns how many. */
-static size_t list_waiting(struct pool *p, PoolWaiting *list, size_t max)
-{
-	apr_hash_index_t *i;
-	size_t n = 0;
-
-	for (i = apr_hash_first(p->sched.pool, p->sched.queues); i && n < max;
-	     i = apr_hash_next(i)) {
-		struct sched_queue *q;
-		void *value;
-
-		apr_hash_this(i, NULL, NULL, &value);
-		q = value;
-		if (!q->nwaiting)
-			continue;
-		pool_waiting__init(&list[n]);
-		list[n].queue = q->name;
-		list[n++].jobs = q->nwaiting;
-	}
-	return n;
-}
-
-#define WAITING_QUEUES_MAX 64
-
 /* Memory that a heartbeat message points to. */
 struct heartbeat_lists {
 	char *successors[LEAD_SUCCESSORS];
-	PoolWaiting waiting[WAITING_QUEUES_MAX];
-	PoolWaiting *waiting_ptrs[WAITING_QUEUES_MAX];
+	PoolWaiting waiting[POOL_WAITING_MAX];
+	PoolWaiting *waiting_ptrs[POOL_WAITING_MAX];
 	PoolEvacuation evacuations[POOL_EVACUATIONS_MAX];
 	PoolEvacuation *evacuation_ptrs[POOL_EVACUATIONS_MAX];
 };
@@ -145,7 +121,7 @@
 	hb->successors = lists->successors;
 	hb->n_successors =
 		pool_successors(p, lists->successors, LEAD_SUCCESSORS);
-	hb->n_waiting = list_waiting(p, lists->waiting, WAITING_QUEUES_MAX);
+	pool_waiting_list(p, hb, lists->waiting);
 	hb->waiting = lists->waiting_ptrs;
 	hb->waits = p->sched.stored_jobs_loaded;
 	for (i = 0; i < hb->n_waiting; i++)
@@ -163,6 +139,7 @@
 	size_t i;
 
 	hash = hash * 31 + hb->n_waiting;
+	hash = hash * 31 + (uint64_t)hb->more_waiting;
 	hash = hash * 31 + hb->linked;
 	for (i = 0; i < hb->n_evacuations; i++)
 		hash = hash * 31 + (uint64_t)hb->evacuations[i]->version;
@@ -220,7 +197,7 @@
 	send_full(l, &hb, heartbeat_hash(&hb));
 }
 
-static rp_ms heartbeat_interval(const struct pool *p)
+rp_ms pool_heartbeat_interval(const struct pool *p)
 {
 	rp_ms interval = (rp_ms)p->lead.nothers * INTERVAL_PER_VM_MS;
 
@@ -236,7 +213,7 @@
 	PoolBeat hb;
 	uint64_t hash;
 
-	if (p->now - p->heartbeat_sent_at < heartbeat_interval(p))
+	if (p->now - p->heartbeat_sent_at < pool_heartbeat_interval(p))
 		return;
 	p->heartbeat_sent_at = p->now;
 	fill_heartbeat(p, &hb, &lists);
@@ -257,23 +234,3 @@
 	free(packed);
 	return copy;
 }
-
-int pool_waiting_jobs(struct pool *p, const char *queue, unsigned *jobs)
-{
-	struct sched_queue *q;
-	size_t i;
-
-	*jobs = 0;
-	if (p->leading) {
-		q = apr_hash_get(p->sched.queues, queue, APR_HASH_KEY_STRING);
-		*jobs = q ? q->nwaiting : 0;
-		return p->sched.stored_jobs_loaded;
-	}
-	if (!p->leader_heartbeat || !p->leader_heartbeat->waits ||
-	    !lead_leader_alive(&p->lead, p->now))
-		return 0;
-	for (i = 0; i < p->leader_heartbeat->n_waiting; i++)
-		if (!strcmp(p->leader_heartbeat->waiting[i]->queue, queue))
-			*jobs = p->leader_heartbeat->waiting[i]->jobs;
-	return 1;
-}
--- a/pool-count.c
+++ b/pool-count.c
@@ -130,9 +130,10 @@
 
 /* Names of the kinds of frames, by POOL_FRAME__BODY_*. */
 static const char *const frame_kinds[POOL_FRAME_KINDS] = {
-	"none",	  "hello",    "heartbeat", "submit",	  "cancel",
-	"answer", "progress", "order",	   "reply",	  "ack",
-	"start",  "run",      "listings",  "state_query", "state_reply",
+	"none",	       "hello",	      "heartbeat", "submit",	  "cancel",
+	"answer",      "progress",    "order",	   "reply",	  "ack",
+	"start",       "run",	      "listings",  "state_query", "state_reply",
+	"count_query", "count_reply",
 };
 
 static void put_links(struct text *t, const struct pool_counters *c)
--- a/pool-io.h
+++ b/pool-io.h
@@ -227,7 +227,7 @@
 /* Of a submission; leaves room for what an owner adds when it passes it on. */
 #define POOL_SUBMIT_MAX (POOL_FRAME_MAX - (1u << 16))
 /* Kinds of frames, for the counters. */
-#define POOL_FRAME_KINDS (POOL_FRAME__BODY_STATE_REPLY + 1)
+#define POOL_FRAME_KINDS (POOL_FRAME__BODY_COUNT_REPLY + 1)
 #define POOL_LINK_IDLE_MS                                                      \
 	2000 /* without data, after which a link is closed                     \
 	      */
--- a/pool-loop.c
+++ b/pool-loop.c
@@ -122,6 +122,7 @@
 	}
 	pool_requests_tick(p, p->now);
 	pool_jobs_tick(p);
+	pool_counts_tick(p);
 	pool_limits_tick(p);
 	pool_log_traffic(p);
 	pool_log_delays(p);
@@ -146,6 +147,7 @@
 	pool_state_flush(p);
 	pool_cancel_queries_flush(p);
 	pool_job_queries_expire(p);
+	pool_counts_flush(p);
 	if (p->awaiting_routes)
 		pool_requests_resume_awaiting(p);
 	pool_jobs_flush(p);
--- a/pool-member.c
+++ b/pool-member.c
@@ -13,7 +13,6 @@
  */
 #define MEMBER_TIMEOUT_MS 500
 #define DIAL_INTERVAL_MS 100 /* between attempts to connect to the leader */
-#define RESUBMIT_MS 300	     /* for a VM that has joined to submit its jobs */
 
 /* --- on the leader: its members -------------------------------------- */
 
@@ -144,30 +143,6 @@
 	       (m->echoed_at && p->now - m->echoed_at <= MEMBER_TIMEOUT_MS);
 }
 
-/* The longest time that a caller waits which states no deadline, ms. */
-static rp_ms longest_timeout(const struct pool *p)
-{
-	rp_ms longest = 0;
-	size_t i;
-
-	for (i = 0; p->routes && i < p->routes->n; i++)
-		if (p->routes->routes[i].timeout > longest)
-			longest = p->routes->routes[i].timeout;
-	return longest;
-}
-
-/*
- * A VM that is not linked may own jobs of an earlier leader, or be a leader
- * that was cut off and has jobs of its own. It submits them when it joins.
- */
-static void check_missing_owners(struct pool *p)
-{
-	if (pool_owner_may_be_missing(p))
-		p->owner_missing_at = p->now;
-	p->sched.owners_missing = p->now - p->owner_missing_at < RESUBMIT_MS;
-	p->sched.default_wait = longest_timeout(p);
-}
-
 /*
  * A member that has not echoed for as long as a VM hears no leader at most may
  * follow another one, which runs its jobs, until it is removed here.
@@ -417,6 +392,14 @@
 		if (l == p->leader_link)
 			pool_job_state_received(p, frame->state_reply);
 		break;
+	case POOL_FRAME__BODY_COUNT_QUERY:
+		if (p->leading && l->member)
+			pool_count_query_received(p, l, frame->count_query);
+		break;
+	case POOL_FRAME__BODY_COUNT_REPLY:
+		if (l == p->leader_link)
+			pool_count_reply_received(p, frame->count_reply);
+		break;
 	case POOL_FRAME__BODY_REPLY:
 		if (p->leading && l->member)
 			pool_reply_received(p, l->member, frame->reply);
@@ -471,7 +454,7 @@
 	pool_orders_tick(p, now);
 	if (p->leading) {
 		check_members(p);
-		check_missing_owners(p);
+		pool_check_missing_owners(p);
 		pool_vms_tick(p);
 		pool_check_handover(p);
 	}
--- a/pool-request.c
+++ b/pool-request.c
@@ -45,6 +45,7 @@
 {
 	pool_fd_unwatch(r->p, &r->fd);
 	pool_request_forget_awaiting(r);
+	pool_request_forget_count(r);
 	close_job(r);
 	if (r->submit)
 		pool_submit__free_unpacked(r->submit, NULL);
@@ -340,8 +341,12 @@
 			    const struct pool_route *route)
 {
 	unsigned jobs;
+	enum pool_count count = pool_waiting_jobs(r->p, route->name, &jobs);
 
-	if (!pool_waiting_jobs(r->p, route->name, &jobs)) {
+	if (count == POOL_COUNT_TO_ASK &&
+	    pool_request_await_count(r, route->name))
+		return;
+	if (count != POOL_COUNT_KNOWN) {
 		pool_request_respond(r, 503, "{\"error\":\"not known yet\"}",
 				     DEFAULT_RETRY_AFTER_S);
 		pool_request_log_rejected(r, "waiting jobs are not known");
--- a/pool-request.h
+++ b/pool-request.h
@@ -39,8 +39,10 @@
 	int presumes_domains;
 	int suspended; /* set while the connection waits for the answer */
 	int has_awaited_routes;
-	struct pool_request *next_awaiting; /* in p->awaiting_routes */
-	struct pool_job_call *job_call;	    /* set while the store is asked */
+	/* In p->awaiting_routes, or among those that wait for a count. */
+	struct pool_request *next_awaiting;
+	struct pool_queue_count *awaited_count; /* NULL: it awaits none */
+	struct pool_job_call *job_call; /* set while the store is asked */
 	struct pool_response response;
 };
 
@@ -104,6 +106,13 @@
 int pool_request_await_routes(struct pool_request *r);
 void pool_request_forget_awaiting(struct pool_request *r);
 
+/* --- pool-waiting.c ----------------------------------------------------- */
+
+/* Suspends the connection for the count of a queue. Returns 0 if it has waited.
+ */
+int pool_request_await_count(struct pool_request *r, const char *queue);
+void pool_request_forget_count(struct pool_request *r);
+
 /* --- pool-job*.c: requests for stored jobs, and cancellations ---------- */
 
 /* Submit, query or cancel; the connection waits for the store's reply. */
--- a/pool-vm.c
+++ b/pool-vm.c
@@ -13,6 +13,7 @@
  * while the store is away, and is then known from nowhere else.
  */
 #define LEFT_KEPT_MS 30000
+#define RESUBMIT_MS 300 /* for a VM that has joined to submit its jobs */
 #define ANNOUNCE_INTERVAL_MS 500 /* to VMs that are not linked */
 /* Time for which a VM that has refused a connection counts as dead. */
 #define REFUSAL_HOLDS_MS 2000
@@ -201,6 +202,26 @@
 	return 0;
 }
 
+/* The longest time that a caller waits which states no deadline, ms. */
+static rp_ms longest_timeout(const struct pool *p)
+{
+	rp_ms longest = 0;
+	size_t i;
+
+	for (i = 0; p->routes && i < p->routes->n; i++)
+		if (p->routes->routes[i].timeout > longest)
+			longest = p->routes->routes[i].timeout;
+	return longest;
+}
+
+void pool_check_missing_owners(struct pool *p)
+{
+	if (pool_owner_may_be_missing(p))
+		p->owner_missing_at = p->now;
+	p->sched.owners_missing = p->now - p->owner_missing_at < RESUBMIT_MS;
+	p->sched.default_wait = longest_timeout(p);
+}
+
 int pool_missing_vms_are_dead(struct pool *p)
 {
 	const struct pool_vm *vm;
--- a/pool.h
+++ b/pool.h
@@ -223,6 +223,11 @@
 int pool_is_isolated(struct pool *p);
 /* Whether a VM that may own jobs has no live link to this leader. */
 int pool_owner_may_be_missing(struct pool *p);
+/*
+ * A VM that is not linked may own jobs of an earlier leader, or be a leader
+ * that was cut off and has jobs of its own. It submits them when it joins.
+ */
+void pool_check_missing_owners(struct pool *p);
 /*
  * Whether at the addresses of all VMs without a live link nothing has listened
  * a moment ago. Connects to them if that is not known.
@@ -255,8 +260,33 @@
 /* To be freed with pool_beat__free_unpacked(). */
 PoolBeat *pool_heartbeat_copy(const PoolBeat *hb);
 void pool_send_heartbeats(struct pool *p);
-/* Counts a queue's waiting jobs in the pool. Returns 0 if it is not known. */
-int pool_waiting_jobs(struct pool *p, const char *queue, unsigned *jobs);
+/* Between those that a VM sends; it grows with the number of VMs. */
+rp_ms pool_heartbeat_interval(const struct pool *p);
+
+/* --- pool-waiting.c: how many jobs wait in a queue -------------------- */
+
+#define POOL_WAITING_MAX 64 /* queues that a heartbeat names */
+
+/* Names queues with waiting jobs in the heartbeat. */
+void pool_waiting_list(struct pool *p, PoolBeat *hb, PoolWaiting *list);
+
+enum pool_count {
+	POOL_COUNT_UNKNOWN, /* no leader is known that could tell */
+	POOL_COUNT_KNOWN,
+	POOL_COUNT_TO_ASK, /* the leader's heartbeat leaves queues out */
+};
+
+/* Counts a queue's waiting jobs in the pool. */
+enum pool_count pool_waiting_jobs(struct pool *p, const char *queue,
+				  unsigned *jobs);
+void pool_count_query_received(struct pool *p, struct pool_link *l,
+			       const PoolCountQuery *msg);
+void pool_count_reply_received(struct pool *p, const PoolCountReply *msg);
+/* Asks the leader for the counts that requests wait for. */
+void pool_counts_flush(struct pool *p);
+/* Goes on with the requests that have waited for long enough. */
+void pool_counts_tick(struct pool *p);
+void pool_counts_finish(struct pool *p);
 
 /* --- pool-lead.c: the election of the leader ------------------------- */
 
@@ -653,6 +683,7 @@
 	struct pool_evacuation evacuations[POOL_EVACUATIONS_MAX];
 	size_t nevacuations;
 	struct pool_request *awaiting_routes;
+	struct pool_queue_counts *queue_counts; /* NULL: none were needed */
 	struct pool_cause causes[POOL_CAUSES_MAX];
 	size_t ncauses;
 	rp_ms store_back_at; /* the latest outage of the store ended; 0: none */
--- a/pool.pb-c.c
+++ b/pool.pb-c.c
@@ -7,3187 +7,4802 @@
 #endif
 
 #include "pool.pb-c.h"
-void pool_step__init(PoolStep *message)
+void   pool_step__init
+                     (PoolStep         *message)
 {
-	static const PoolStep init_value = POOL_STEP__INIT;
-	*message = init_value;
+  static const PoolStep init_value = POOL_STEP__INIT;
+  *message = init_value;
 }
-size_t pool_step__get_packed_size(const PoolStep *message)
+size_t pool_step__get_packed_size
+                     (const PoolStep *message)
 {
-	assert(message->base.descriptor == &pool_step__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_step__pack(const PoolStep *message, uint8_t *out)
+size_t pool_step__pack
+                     (const PoolStep *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_step__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_step__pack_to_buffer(const PoolStep *message,
-				 ProtobufCBuffer *buffer)
+size_t pool_step__pack_to_buffer
+                     (const PoolStep *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_step__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolStep *pool_step__unpack(ProtobufCAllocator *allocator, size_t len,
-			    const uint8_t *data)
+PoolStep *
+       pool_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolStep *)protobuf_c_message_unpack(&pool_step__descriptor,
-						     allocator, len, data);
+  return (PoolStep *)
+     protobuf_c_message_unpack (&pool_step__descriptor,
+                                allocator, len, data);
 }
-void pool_step__free_unpacked(PoolStep *message, ProtobufCAllocator *allocator)
+void   pool_step__free_unpacked
+                     (PoolStep *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_step__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_loss__init(PoolLoss *message)
+void   pool_loss__init
+                     (PoolLoss         *message)
 {
-	static const PoolLoss init_value = POOL_LOSS__INIT;
-	*message = init_value;
+  static const PoolLoss init_value = POOL_LOSS__INIT;
+  *message = init_value;
 }
-size_t pool_loss__get_packed_size(const PoolLoss *message)
+size_t pool_loss__get_packed_size
+                     (const PoolLoss *message)
 {
-	assert(message->base.descriptor == &pool_loss__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_loss__pack(const PoolLoss *message, uint8_t *out)
+size_t pool_loss__pack
+                     (const PoolLoss *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_loss__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_loss__pack_to_buffer(const PoolLoss *message,
-				 ProtobufCBuffer *buffer)
+size_t pool_loss__pack_to_buffer
+                     (const PoolLoss *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_loss__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolLoss *pool_loss__unpack(ProtobufCAllocator *allocator, size_t len,
-			    const uint8_t *data)
+PoolLoss *
+       pool_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolLoss *)protobuf_c_message_unpack(&pool_loss__descriptor,
-						     allocator, len, data);
+  return (PoolLoss *)
+     protobuf_c_message_unpack (&pool_loss__descriptor,
+                                allocator, len, data);
 }
-void pool_loss__free_unpacked(PoolLoss *message, ProtobufCAllocator *allocator)
+void   pool_loss__free_unpacked
+                     (PoolLoss *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_loss__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_submit__init(PoolSubmit *message)
+void   pool_submit__init
+                     (PoolSubmit         *message)
 {
-	static const PoolSubmit init_value = POOL_SUBMIT__INIT;
-	*message = init_value;
+  static const PoolSubmit init_value = POOL_SUBMIT__INIT;
+  *message = init_value;
 }
-size_t pool_submit__get_packed_size(const PoolSubmit *message)
+size_t pool_submit__get_packed_size
+                     (const PoolSubmit *message)
 {
-	assert(message->base.descriptor == &pool_submit__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_submit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_submit__pack(const PoolSubmit *message, uint8_t *out)
+size_t pool_submit__pack
+                     (const PoolSubmit *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_submit__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_submit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_submit__pack_to_buffer(const PoolSubmit *message,
-				   ProtobufCBuffer *buffer)
+size_t pool_submit__pack_to_buffer
+                     (const PoolSubmit *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_submit__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_submit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolSubmit *pool_submit__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+PoolSubmit *
+       pool_submit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolSubmit *)protobuf_c_message_unpack(&pool_submit__descriptor,
-						       allocator, len, data);
+  return (PoolSubmit *)
+     protobuf_c_message_unpack (&pool_submit__descriptor,
+                                allocator, len, data);
 }
-void pool_submit__free_unpacked(PoolSubmit *message,
-				ProtobufCAllocator *allocator)
+void   pool_submit__free_unpacked
+                     (PoolSubmit *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_submit__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_submit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_progress__init(PoolProgress *message)
+void   pool_progress__init
+                     (PoolProgress         *message)
 {
-	static const PoolProgress init_value = POOL_PROGRESS__INIT;
-	*message = init_value;
+  static const PoolProgress init_value = POOL_PROGRESS__INIT;
+  *message = init_value;
 }
-size_t pool_progress__get_packed_size(const PoolProgress *message)
+size_t pool_progress__get_packed_size
+                     (const PoolProgress *message)
 {
-	assert(message->base.descriptor == &pool_progress__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_progress__pack(const PoolProgress *message, uint8_t *out)
+size_t pool_progress__pack
+                     (const PoolProgress *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_progress__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_progress__pack_to_buffer(const PoolProgress *message,
-				     ProtobufCBuffer *buffer)
+size_t pool_progress__pack_to_buffer
+                     (const PoolProgress *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_progress__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolProgress *pool_progress__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+PoolProgress *
+       pool_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolProgress *)protobuf_c_message_unpack(
-		&pool_progress__descriptor, allocator, len, data);
+  return (PoolProgress *)
+     protobuf_c_message_unpack (&pool_progress__descriptor,
+                                allocator, len, data);
 }
-void pool_progress__free_unpacked(PoolProgress *message,
-				  ProtobufCAllocator *allocator)
+void   pool_progress__free_unpacked
+                     (PoolProgress *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_progress__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_heard__init(PoolHeard *message)
+void   pool_heard__init
+                     (PoolHeard         *message)
 {
-	static const PoolHeard init_value = POOL_HEARD__INIT;
-	*message = init_value;
+  static const PoolHeard init_value = POOL_HEARD__INIT;
+  *message = init_value;
 }
-size_t pool_heard__get_packed_size(const PoolHeard *message)
+size_t pool_heard__get_packed_size
+                     (const PoolHeard *message)
 {
-	assert(message->base.descriptor == &pool_heard__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_heard__pack(const PoolHeard *message, uint8_t *out)
+size_t pool_heard__pack
+                     (const PoolHeard *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_heard__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_heard__pack_to_buffer(const PoolHeard *message,
-				  ProtobufCBuffer *buffer)
+size_t pool_heard__pack_to_buffer
+                     (const PoolHeard *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_heard__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolHeard *pool_heard__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+PoolHeard *
+       pool_heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolHeard *)protobuf_c_message_unpack(&pool_heard__descriptor,
-						      allocator, len, data);
+  return (PoolHeard *)
+     protobuf_c_message_unpack (&pool_heard__descriptor,
+                                allocator, len, data);
 }
-void pool_heard__free_unpacked(PoolHeard *message,
-			       ProtobufCAllocator *allocator)
+void   pool_heard__free_unpacked
+                     (PoolHeard *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_heard__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_heard__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_cancel__init(PoolCancel *message)
+void   pool_cancel__init
+                     (PoolCancel         *message)
 {
-	static const PoolCancel init_value = POOL_CANCEL__INIT;
-	*message = init_value;
+  static const PoolCancel init_value = POOL_CANCEL__INIT;
+  *message = init_value;
 }
-size_t pool_cancel__get_packed_size(const PoolCancel *message)
+size_t pool_cancel__get_packed_size
+                     (const PoolCancel *message)
 {
-	assert(message->base.descriptor == &pool_cancel__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_cancel__pack(const PoolCancel *message, uint8_t *out)
+size_t pool_cancel__pack
+                     (const PoolCancel *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_cancel__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_cancel__pack_to_buffer(const PoolCancel *message,
-				   ProtobufCBuffer *buffer)
+size_t pool_cancel__pack_to_buffer
+                     (const PoolCancel *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_cancel__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolCancel *pool_cancel__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+PoolCancel *
+       pool_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolCancel *)protobuf_c_message_unpack(&pool_cancel__descriptor,
-						       allocator, len, data);
+  return (PoolCancel *)
+     protobuf_c_message_unpack (&pool_cancel__descriptor,
+                                allocator, len, data);
 }
-void pool_cancel__free_unpacked(PoolCancel *message,
-				ProtobufCAllocator *allocator)
+void   pool_cancel__free_unpacked
+                     (PoolCancel *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_cancel__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_answer__init(PoolAnswer *message)
+void   pool_answer__init
+                     (PoolAnswer         *message)
 {
-	static const PoolAnswer init_value = POOL_ANSWER__INIT;
-	*message = init_value;
+  static const PoolAnswer init_value = POOL_ANSWER__INIT;
+  *message = init_value;
 }
-size_t pool_answer__get_packed_size(const PoolAnswer *message)
+size_t pool_answer__get_packed_size
+                     (const PoolAnswer *message)
 {
-	assert(message->base.descriptor == &pool_answer__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_answer__pack(const PoolAnswer *message, uint8_t *out)
+size_t pool_answer__pack
+                     (const PoolAnswer *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_answer__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_answer__pack_to_buffer(const PoolAnswer *message,
-				   ProtobufCBuffer *buffer)
+size_t pool_answer__pack_to_buffer
+                     (const PoolAnswer *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_answer__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolAnswer *pool_answer__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+PoolAnswer *
+       pool_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolAnswer *)protobuf_c_message_unpack(&pool_answer__descriptor,
-						       allocator, len, data);
+  return (PoolAnswer *)
+     protobuf_c_message_unpack (&pool_answer__descriptor,
+                                allocator, len, data);
 }
-void pool_answer__free_unpacked(PoolAnswer *message,
-				ProtobufCAllocator *allocator)
+void   pool_answer__free_unpacked
+                     (PoolAnswer *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_answer__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_hello__init(PoolHello *message)
+void   pool_hello__init
+                     (PoolHello         *message)
 {
-	static const PoolHello init_value = POOL_HELLO__INIT;
-	*message = init_value;
+  static const PoolHello init_value = POOL_HELLO__INIT;
+  *message = init_value;
 }
-size_t pool_hello__get_packed_size(const PoolHello *message)
+size_t pool_hello__get_packed_size
+                     (const PoolHello *message)
 {
-	assert(message->base.descriptor == &pool_hello__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_hello__pack(const PoolHello *message, uint8_t *out)
+size_t pool_hello__pack
+                     (const PoolHello *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_hello__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_hello__pack_to_buffer(const PoolHello *message,
-				  ProtobufCBuffer *buffer)
+size_t pool_hello__pack_to_buffer
+                     (const PoolHello *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_hello__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolHello *pool_hello__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+PoolHello *
+       pool_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolHello *)protobuf_c_message_unpack(&pool_hello__descriptor,
-						      allocator, len, data);
+  return (PoolHello *)
+     protobuf_c_message_unpack (&pool_hello__descriptor,
+                                allocator, len, data);
 }
-void pool_hello__free_unpacked(PoolHello *message,
-			       ProtobufCAllocator *allocator)
+void   pool_hello__free_unpacked
+                     (PoolHello *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_hello__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_waiting__init(PoolWaiting *message)
+void   pool_waiting__init
+                     (PoolWaiting         *message)
 {
-	static const PoolWaiting init_value = POOL_WAITING__INIT;
-	*message = init_value;
+  static const PoolWaiting init_value = POOL_WAITING__INIT;
+  *message = init_value;
 }
-size_t pool_waiting__get_packed_size(const PoolWaiting *message)
+size_t pool_waiting__get_packed_size
+                     (const PoolWaiting *message)
 {
-	assert(message->base.descriptor == &pool_waiting__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_waiting__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_waiting__pack(const PoolWaiting *message, uint8_t *out)
+size_t pool_waiting__pack
+                     (const PoolWaiting *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_waiting__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_waiting__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_waiting__pack_to_buffer(const PoolWaiting *message,
-				    ProtobufCBuffer *buffer)
+size_t pool_waiting__pack_to_buffer
+                     (const PoolWaiting *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_waiting__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_waiting__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolWaiting *pool_waiting__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+PoolWaiting *
+       pool_waiting__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolWaiting *)protobuf_c_message_unpack(
-		&pool_waiting__descriptor, allocator, len, data);
+  return (PoolWaiting *)
+     protobuf_c_message_unpack (&pool_waiting__descriptor,
+                                allocator, len, data);
 }
-void pool_waiting__free_unpacked(PoolWaiting *message,
-				 ProtobufCAllocator *allocator)
+void   pool_waiting__free_unpacked
+                     (PoolWaiting *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_waiting__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_waiting__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_evacuation__init(PoolEvacuation *message)
+void   pool_count_query__init
+                     (PoolCountQuery         *message)
 {
-	static const PoolEvacuation init_value = POOL_EVACUATION__INIT;
-	*message = init_value;
+  static const PoolCountQuery init_value = POOL_COUNT_QUERY__INIT;
+  *message = init_value;
 }
-size_t pool_evacuation__get_packed_size(const PoolEvacuation *message)
+size_t pool_count_query__get_packed_size
+                     (const PoolCountQuery *message)
 {
-	assert(message->base.descriptor == &pool_evacuation__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_count_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_evacuation__pack(const PoolEvacuation *message, uint8_t *out)
+size_t pool_count_query__pack
+                     (const PoolCountQuery *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_evacuation__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_count_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_evacuation__pack_to_buffer(const PoolEvacuation *message,
-				       ProtobufCBuffer *buffer)
+size_t pool_count_query__pack_to_buffer
+                     (const PoolCountQuery *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_evacuation__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_count_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolEvacuation *pool_evacuation__unpack(ProtobufCAllocator *allocator,
-					size_t len, const uint8_t *data)
+PoolCountQuery *
+       pool_count_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolEvacuation *)protobuf_c_message_unpack(
-		&pool_evacuation__descriptor, allocator, len, data);
+  return (PoolCountQuery *)
+     protobuf_c_message_unpack (&pool_count_query__descriptor,
+                                allocator, len, data);
 }
-void pool_evacuation__free_unpacked(PoolEvacuation *message,
-				    ProtobufCAllocator *allocator)
+void   pool_count_query__free_unpacked
+                     (PoolCountQuery *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_evacuation__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_count_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_beat__init(PoolBeat *message)
+void   pool_count_reply__init
+                     (PoolCountReply         *message)
 {
-	static const PoolBeat init_value = POOL_BEAT__INIT;
-	*message = init_value;
+  static const PoolCountReply init_value = POOL_COUNT_REPLY__INIT;
+  *message = init_value;
 }
-size_t pool_beat__get_packed_size(const PoolBeat *message)
+size_t pool_count_reply__get_packed_size
+                     (const PoolCountReply *message)
 {
-	assert(message->base.descriptor == &pool_beat__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_count_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_beat__pack(const PoolBeat *message, uint8_t *out)
+size_t pool_count_reply__pack
+                     (const PoolCountReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_beat__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_count_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_beat__pack_to_buffer(const PoolBeat *message,
-				 ProtobufCBuffer *buffer)
+size_t pool_count_reply__pack_to_buffer
+                     (const PoolCountReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_beat__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_count_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolBeat *pool_beat__unpack(ProtobufCAllocator *allocator, size_t len,
-			    const uint8_t *data)
+PoolCountReply *
+       pool_count_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolBeat *)protobuf_c_message_unpack(&pool_beat__descriptor,
-						     allocator, len, data);
+  return (PoolCountReply *)
+     protobuf_c_message_unpack (&pool_count_reply__descriptor,
+                                allocator, len, data);
 }
-void pool_beat__free_unpacked(PoolBeat *message, ProtobufCAllocator *allocator)
+void   pool_count_reply__free_unpacked
+                     (PoolCountReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_beat__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_count_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_leader__init(PoolLeader *message)
+void   pool_evacuation__init
+                     (PoolEvacuation         *message)
 {
-	static const PoolLeader init_value = POOL_LEADER__INIT;
-	*message = init_value;
+  static const PoolEvacuation init_value = POOL_EVACUATION__INIT;
+  *message = init_value;
 }
-size_t pool_leader__get_packed_size(const PoolLeader *message)
+size_t pool_evacuation__get_packed_size
+                     (const PoolEvacuation *message)
 {
-	assert(message->base.descriptor == &pool_leader__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_leader__pack(const PoolLeader *message, uint8_t *out)
+size_t pool_evacuation__pack
+                     (const PoolEvacuation *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_leader__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_leader__pack_to_buffer(const PoolLeader *message,
-				   ProtobufCBuffer *buffer)
+size_t pool_evacuation__pack_to_buffer
+                     (const PoolEvacuation *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_leader__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolLeader *pool_leader__unpack(ProtobufCAllocator *allocator, size_t len,
-				const uint8_t *data)
+PoolEvacuation *
+       pool_evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolLeader *)protobuf_c_message_unpack(&pool_leader__descriptor,
-						       allocator, len, data);
+  return (PoolEvacuation *)
+     protobuf_c_message_unpack (&pool_evacuation__descriptor,
+                                allocator, len, data);
 }
-void pool_leader__free_unpacked(PoolLeader *message,
-				ProtobufCAllocator *allocator)
+void   pool_evacuation__free_unpacked
+                     (PoolEvacuation *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_leader__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_job__init(PoolJob *message)
+void   pool_beat__init
+                     (PoolBeat         *message)
 {
-	static const PoolJob init_value = POOL_JOB__INIT;
-	*message = init_value;
+  static const PoolBeat init_value = POOL_BEAT__INIT;
+  *message = init_value;
 }
-size_t pool_job__get_packed_size(const PoolJob *message)
+size_t pool_beat__get_packed_size
+                     (const PoolBeat *message)
 {
-	assert(message->base.descriptor == &pool_job__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_job__pack(const PoolJob *message, uint8_t *out)
+size_t pool_beat__pack
+                     (const PoolBeat *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_job__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_job__pack_to_buffer(const PoolJob *message, ProtobufCBuffer *buffer)
+size_t pool_beat__pack_to_buffer
+                     (const PoolBeat *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_job__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolJob *pool_job__unpack(ProtobufCAllocator *allocator, size_t len,
-			  const uint8_t *data)
+PoolBeat *
+       pool_beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolJob *)protobuf_c_message_unpack(&pool_job__descriptor,
-						    allocator, len, data);
+  return (PoolBeat *)
+     protobuf_c_message_unpack (&pool_beat__descriptor,
+                                allocator, len, data);
 }
-void pool_job__free_unpacked(PoolJob *message, ProtobufCAllocator *allocator)
+void   pool_beat__free_unpacked
+                     (PoolBeat *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_job__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_order__init(PoolOrder *message)
+void   pool_leader__init
+                     (PoolLeader         *message)
 {
-	static const PoolOrder init_value = POOL_ORDER__INIT;
-	*message = init_value;
+  static const PoolLeader init_value = POOL_LEADER__INIT;
+  *message = init_value;
 }
-size_t pool_order__get_packed_size(const PoolOrder *message)
+size_t pool_leader__get_packed_size
+                     (const PoolLeader *message)
 {
-	assert(message->base.descriptor == &pool_order__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_leader__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_order__pack(const PoolOrder *message, uint8_t *out)
+size_t pool_leader__pack
+                     (const PoolLeader *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_order__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_leader__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_order__pack_to_buffer(const PoolOrder *message,
-				  ProtobufCBuffer *buffer)
+size_t pool_leader__pack_to_buffer
+                     (const PoolLeader *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_order__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_leader__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolOrder *pool_order__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+PoolLeader *
+       pool_leader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolOrder *)protobuf_c_message_unpack(&pool_order__descriptor,
-						      allocator, len, data);
+  return (PoolLeader *)
+     protobuf_c_message_unpack (&pool_leader__descriptor,
+                                allocator, len, data);
 }
-void pool_order__free_unpacked(PoolOrder *message,
-			       ProtobufCAllocator *allocator)
+void   pool_leader__free_unpacked
+                     (PoolLeader *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_order__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_leader__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_start_task__init(PoolStartTask *message)
+void   pool_job__init
+                     (PoolJob         *message)
 {
-	static const PoolStartTask init_value = POOL_START_TASK__INIT;
-	*message = init_value;
+  static const PoolJob init_value = POOL_JOB__INIT;
+  *message = init_value;
 }
-size_t pool_start_task__get_packed_size(const PoolStartTask *message)
+size_t pool_job__get_packed_size
+                     (const PoolJob *message)
 {
-	assert(message->base.descriptor == &pool_start_task__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_start_task__pack(const PoolStartTask *message, uint8_t *out)
+size_t pool_job__pack
+                     (const PoolJob *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_start_task__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_start_task__pack_to_buffer(const PoolStartTask *message,
-				       ProtobufCBuffer *buffer)
+size_t pool_job__pack_to_buffer
+                     (const PoolJob *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_start_task__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolStartTask *pool_start_task__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+PoolJob *
+       pool_job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolStartTask *)protobuf_c_message_unpack(
-		&pool_start_task__descriptor, allocator, len, data);
+  return (PoolJob *)
+     protobuf_c_message_unpack (&pool_job__descriptor,
+                                allocator, len, data);
 }
-void pool_start_task__free_unpacked(PoolStartTask *message,
-				    ProtobufCAllocator *allocator)
+void   pool_job__free_unpacked
+                     (PoolJob *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_start_task__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_start__init(PoolStart *message)
+void   pool_order__init
+                     (PoolOrder         *message)
 {
-	static const PoolStart init_value = POOL_START__INIT;
-	*message = init_value;
+  static const PoolOrder init_value = POOL_ORDER__INIT;
+  *message = init_value;
 }
-size_t pool_start__get_packed_size(const PoolStart *message)
+size_t pool_order__get_packed_size
+                     (const PoolOrder *message)
 {
-	assert(message->base.descriptor == &pool_start__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_start__pack(const PoolStart *message, uint8_t *out)
+size_t pool_order__pack
+                     (const PoolOrder *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_start__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_start__pack_to_buffer(const PoolStart *message,
-				  ProtobufCBuffer *buffer)
+size_t pool_order__pack_to_buffer
+                     (const PoolOrder *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_start__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolStart *pool_start__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+PoolOrder *
+       pool_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolStart *)protobuf_c_message_unpack(&pool_start__descriptor,
-						      allocator, len, data);
+  return (PoolOrder *)
+     protobuf_c_message_unpack (&pool_order__descriptor,
+                                allocator, len, data);
 }
-void pool_start__free_unpacked(PoolStart *message,
-			       ProtobufCAllocator *allocator)
+void   pool_order__free_unpacked
+                     (PoolOrder *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_start__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_run_task__init(PoolRunTask *message)
+void   pool_start_task__init
+                     (PoolStartTask         *message)
 {
-	static const PoolRunTask init_value = POOL_RUN_TASK__INIT;
-	*message = init_value;
+  static const PoolStartTask init_value = POOL_START_TASK__INIT;
+  *message = init_value;
 }
-size_t pool_run_task__get_packed_size(const PoolRunTask *message)
+size_t pool_start_task__get_packed_size
+                     (const PoolStartTask *message)
 {
-	assert(message->base.descriptor == &pool_run_task__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_run_task__pack(const PoolRunTask *message, uint8_t *out)
+size_t pool_start_task__pack
+                     (const PoolStartTask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_run_task__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_run_task__pack_to_buffer(const PoolRunTask *message,
-				     ProtobufCBuffer *buffer)
+size_t pool_start_task__pack_to_buffer
+                     (const PoolStartTask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_run_task__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolRunTask *pool_run_task__unpack(ProtobufCAllocator *allocator, size_t len,
-				   const uint8_t *data)
+PoolStartTask *
+       pool_start_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolRunTask *)protobuf_c_message_unpack(
-		&pool_run_task__descriptor, allocator, len, data);
+  return (PoolStartTask *)
+     protobuf_c_message_unpack (&pool_start_task__descriptor,
+                                allocator, len, data);
 }
-void pool_run_task__free_unpacked(PoolRunTask *message,
-				  ProtobufCAllocator *allocator)
+void   pool_start_task__free_unpacked
+                     (PoolStartTask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_run_task__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_start_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_run__init(PoolRun *message)
+void   pool_start__init
+                     (PoolStart         *message)
 {
-	static const PoolRun init_value = POOL_RUN__INIT;
-	*message = init_value;
+  static const PoolStart init_value = POOL_START__INIT;
+  *message = init_value;
 }
-size_t pool_run__get_packed_size(const PoolRun *message)
+size_t pool_start__get_packed_size
+                     (const PoolStart *message)
 {
-	assert(message->base.descriptor == &pool_run__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_run__pack(const PoolRun *message, uint8_t *out)
+size_t pool_start__pack
+                     (const PoolStart *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_run__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_run__pack_to_buffer(const PoolRun *message, ProtobufCBuffer *buffer)
+size_t pool_start__pack_to_buffer
+                     (const PoolStart *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_run__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_start__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolRun *pool_run__unpack(ProtobufCAllocator *allocator, size_t len,
-			  const uint8_t *data)
+PoolStart *
+       pool_start__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolRun *)protobuf_c_message_unpack(&pool_run__descriptor,
-						    allocator, len, data);
+  return (PoolStart *)
+     protobuf_c_message_unpack (&pool_start__descriptor,
+                                allocator, len, data);
 }
-void pool_run__free_unpacked(PoolRun *message, ProtobufCAllocator *allocator)
+void   pool_start__free_unpacked
+                     (PoolStart *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_run__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_start__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_listed_run__init(PoolListedRun *message)
+void   pool_run_task__init
+                     (PoolRunTask         *message)
 {
-	static const PoolListedRun init_value = POOL_LISTED_RUN__INIT;
-	*message = init_value;
+  static const PoolRunTask init_value = POOL_RUN_TASK__INIT;
+  *message = init_value;
 }
-size_t pool_listed_run__get_packed_size(const PoolListedRun *message)
+size_t pool_run_task__get_packed_size
+                     (const PoolRunTask *message)
 {
-	assert(message->base.descriptor == &pool_listed_run__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_listed_run__pack(const PoolListedRun *message, uint8_t *out)
+size_t pool_run_task__pack
+                     (const PoolRunTask *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_listed_run__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_listed_run__pack_to_buffer(const PoolListedRun *message,
-				       ProtobufCBuffer *buffer)
+size_t pool_run_task__pack_to_buffer
+                     (const PoolRunTask *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_listed_run__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolListedRun *pool_listed_run__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+PoolRunTask *
+       pool_run_task__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolListedRun *)protobuf_c_message_unpack(
-		&pool_listed_run__descriptor, allocator, len, data);
+  return (PoolRunTask *)
+     protobuf_c_message_unpack (&pool_run_task__descriptor,
+                                allocator, len, data);
 }
-void pool_listed_run__free_unpacked(PoolListedRun *message,
-				    ProtobufCAllocator *allocator)
+void   pool_run_task__free_unpacked
+                     (PoolRunTask *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_listed_run__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_run_task__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_listed_end__init(PoolListedEnd *message)
+void   pool_run__init
+                     (PoolRun         *message)
 {
-	static const PoolListedEnd init_value = POOL_LISTED_END__INIT;
-	*message = init_value;
+  static const PoolRun init_value = POOL_RUN__INIT;
+  *message = init_value;
 }
-size_t pool_listed_end__get_packed_size(const PoolListedEnd *message)
+size_t pool_run__get_packed_size
+                     (const PoolRun *message)
 {
-	assert(message->base.descriptor == &pool_listed_end__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_listed_end__pack(const PoolListedEnd *message, uint8_t *out)
+size_t pool_run__pack
+                     (const PoolRun *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_listed_end__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_listed_end__pack_to_buffer(const PoolListedEnd *message,
-				       ProtobufCBuffer *buffer)
+size_t pool_run__pack_to_buffer
+                     (const PoolRun *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_listed_end__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolListedEnd *pool_listed_end__unpack(ProtobufCAllocator *allocator,
-				       size_t len, const uint8_t *data)
+PoolRun *
+       pool_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolListedEnd *)protobuf_c_message_unpack(
-		&pool_listed_end__descriptor, allocator, len, data);
+  return (PoolRun *)
+     protobuf_c_message_unpack (&pool_run__descriptor,
+                                allocator, len, data);
 }
-void pool_listed_end__free_unpacked(PoolListedEnd *message,
-				    ProtobufCAllocator *allocator)
+void   pool_run__free_unpacked
+                     (PoolRun *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_listed_end__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_reply__init(PoolReply *message)
+void   pool_listed_run__init
+                     (PoolListedRun         *message)
 {
-	static const PoolReply init_value = POOL_REPLY__INIT;
-	*message = init_value;
+  static const PoolListedRun init_value = POOL_LISTED_RUN__INIT;
+  *message = init_value;
 }
-size_t pool_reply__get_packed_size(const PoolReply *message)
+size_t pool_listed_run__get_packed_size
+                     (const PoolListedRun *message)
 {
-	assert(message->base.descriptor == &pool_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_reply__pack(const PoolReply *message, uint8_t *out)
+size_t pool_listed_run__pack
+                     (const PoolListedRun *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_reply__pack_to_buffer(const PoolReply *message,
-				  ProtobufCBuffer *buffer)
+size_t pool_listed_run__pack_to_buffer
+                     (const PoolListedRun *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolReply *pool_reply__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
+PoolListedRun *
+       pool_listed_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolReply *)protobuf_c_message_unpack(&pool_reply__descriptor,
-						      allocator, len, data);
+  return (PoolListedRun *)
+     protobuf_c_message_unpack (&pool_listed_run__descriptor,
+                                allocator, len, data);
 }
-void pool_reply__free_unpacked(PoolReply *message,
-			       ProtobufCAllocator *allocator)
+void   pool_listed_run__free_unpacked
+                     (PoolListedRun *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listed_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_listing__init(PoolListing *message)
+void   pool_listed_end__init
+                     (PoolListedEnd         *message)
 {
-	static const PoolListing init_value = POOL_LISTING__INIT;
-	*message = init_value;
+  static const PoolListedEnd init_value = POOL_LISTED_END__INIT;
+  *message = init_value;
 }
-size_t pool_listing__get_packed_size(const PoolListing *message)
+size_t pool_listed_end__get_packed_size
+                     (const PoolListedEnd *message)
 {
-	assert(message->base.descriptor == &pool_listing__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_listing__pack(const PoolListing *message, uint8_t *out)
+size_t pool_listed_end__pack
+                     (const PoolListedEnd *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_listing__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_listing__pack_to_buffer(const PoolListing *message,
-				    ProtobufCBuffer *buffer)
+size_t pool_listed_end__pack_to_buffer
+                     (const PoolListedEnd *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_listing__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolListing *pool_listing__unpack(ProtobufCAllocator *allocator, size_t len,
-				  const uint8_t *data)
+PoolListedEnd *
+       pool_listed_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolListing *)protobuf_c_message_unpack(
-		&pool_listing__descriptor, allocator, len, data);
+  return (PoolListedEnd *)
+     protobuf_c_message_unpack (&pool_listed_end__descriptor,
+                                allocator, len, data);
 }
-void pool_listing__free_unpacked(PoolListing *message,
-				 ProtobufCAllocator *allocator)
+void   pool_listed_end__free_unpacked
+                     (PoolListedEnd *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_listing__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listed_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_listings__init(PoolListings *message)
+void   pool_reply__init
+                     (PoolReply         *message)
 {
-	static const PoolListings init_value = POOL_LISTINGS__INIT;
-	*message = init_value;
+  static const PoolReply init_value = POOL_REPLY__INIT;
+  *message = init_value;
 }
-size_t pool_listings__get_packed_size(const PoolListings *message)
+size_t pool_reply__get_packed_size
+                     (const PoolReply *message)
 {
-	assert(message->base.descriptor == &pool_listings__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_listings__pack(const PoolListings *message, uint8_t *out)
+size_t pool_reply__pack
+                     (const PoolReply *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_listings__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_listings__pack_to_buffer(const PoolListings *message,
-				     ProtobufCBuffer *buffer)
+size_t pool_reply__pack_to_buffer
+                     (const PoolReply *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_listings__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolListings *pool_listings__unpack(ProtobufCAllocator *allocator, size_t len,
-				    const uint8_t *data)
+PoolReply *
+       pool_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolListings *)protobuf_c_message_unpack(
-		&pool_listings__descriptor, allocator, len, data);
+  return (PoolReply *)
+     protobuf_c_message_unpack (&pool_reply__descriptor,
+                                allocator, len, data);
 }
-void pool_listings__free_unpacked(PoolListings *message,
-				  ProtobufCAllocator *allocator)
+void   pool_reply__free_unpacked
+                     (PoolReply *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_listings__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_state_query__init(PoolStateQuery *message)
+void   pool_listing__init
+                     (PoolListing         *message)
 {
-	static const PoolStateQuery init_value = POOL_STATE_QUERY__INIT;
-	*message = init_value;
+  static const PoolListing init_value = POOL_LISTING__INIT;
+  *message = init_value;
 }
-size_t pool_state_query__get_packed_size(const PoolStateQuery *message)
+size_t pool_listing__get_packed_size
+                     (const PoolListing *message)
 {
-	assert(message->base.descriptor == &pool_state_query__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_state_query__pack(const PoolStateQuery *message, uint8_t *out)
+size_t pool_listing__pack
+                     (const PoolListing *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_state_query__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_state_query__pack_to_buffer(const PoolStateQuery *message,
-					ProtobufCBuffer *buffer)
+size_t pool_listing__pack_to_buffer
+                     (const PoolListing *message,
+                      ProtobufCBuffer *buffer)
 {
-	assert(message->base.descriptor == &pool_state_query__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PoolStateQuery *pool_state_query__unpack(ProtobufCAllocator *allocator,
-					 size_t len, const uint8_t *data)
+PoolListing *
+       pool_listing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-	return (PoolStateQuery *)protobuf_c_message_unpack(
-		&pool_state_query__descriptor, allocator, len, data);
+  return (PoolListing *)
+     protobuf_c_message_unpack (&pool_listing__descriptor,
+                                allocator, len, data);
 }
-void pool_state_query__free_unpacked(PoolStateQuery *message,
-				     ProtobufCAllocator *allocator)
+void   pool_listing__free_unpacked
+                     (PoolListing *message,
+                      ProtobufCAllocator *allocator)
 {
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_state_query__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listing__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void pool_state_reply__init(PoolStateReply *message)
+void   pool_listings__init
+                     (PoolListings         *message)
 {
-	static const PoolStateReply init_value = POOL_STATE_REPLY__INIT;
-	*message = init_value;
+  static const PoolListings init_value = POOL_LISTINGS__INIT;
+  *message = init_value;
 }
-size_t pool_state_reply__get_packed_size(const PoolStateReply *message)
+size_t pool_listings__get_packed_size
+                     (const PoolListings *message)
 {
-	assert(message->base.descriptor == &pool_state_reply__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t pool_state_reply__pack(const PoolStateReply *message, uint8_t *out)
+size_t pool_listings__pack
+                     (const PoolListings *message,
+                      uint8_t       *out)
 {
-	assert(message->base.descriptor == &pool_state_reply__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t pool_state_reply__pack_to_buffer(const PoolStateReply *message,
-					ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &pool_state_reply__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-PoolStateReply *pool_state_reply__unpack(ProtobufCAllocator *allocator,
-					 size_t len, const uint8_t *data)
-{
-	return (PoolStateReply *)protobuf_c_message_unpack(
-		&pool_state_reply__descriptor, allocator, len, data);
-}
-void pool_state_reply__free_unpacked(PoolStateReply *message,
-				     ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_state_reply__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-void pool_frame__init(PoolFrame *message)
-{
-	static const PoolFrame init_value = POOL_FRAME__INIT;
-	*message = init_value;
-}
-size_t pool_frame__get_packed_size(const PoolFrame *message)
-{
-	assert(message->base.descriptor == &pool_frame__descriptor);
-	return protobuf_c_message_get_packed_size(
-		(const ProtobufCMessage *)(message));
-}
-size_t pool_frame__pack(const PoolFrame *message, uint8_t *out)
-{
-	assert(message->base.descriptor == &pool_frame__descriptor);
-	return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
-}
-size_t pool_frame__pack_to_buffer(const PoolFrame *message,
-				  ProtobufCBuffer *buffer)
-{
-	assert(message->base.descriptor == &pool_frame__descriptor);
-	return protobuf_c_message_pack_to_buffer(
-		(const ProtobufCMessage *)message, buffer);
-}
-PoolFrame *pool_frame__unpack(ProtobufCAllocator *allocator, size_t len,
-			      const uint8_t *data)
-{
-	return (PoolFrame *)protobuf_c_message_unpack(&pool_frame__descriptor,
-						      allocator, len, data);
-}
-void pool_frame__free_unpacked(PoolFrame *message,
-			       ProtobufCAllocator *allocator)
-{
-	if (!message)
-		return;
-	assert(message->base.descriptor == &pool_frame__descriptor);
-	protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
-					 allocator);
-}
-static const ProtobufCFieldDescriptor pool_step__field_descriptors[9] = {
-	{
-		"tasks", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, tasks), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cpu", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					/* quantifier_offset */
-		offsetof(PoolStep, cpu), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"memory", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, memory), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"accelerators", 4, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(PoolStep, accelerators), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"estimate_ms", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, estimate_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"after", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, after), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"label", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, label), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"rack", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, rack), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"spread", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStep, spread), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+size_t pool_listings__pack_to_buffer
+                     (const PoolListings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolListings *
+       pool_listings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolListings *)
+     protobuf_c_message_unpack (&pool_listings__descriptor,
+                                allocator, len, data);
+}
+void   pool_listings__free_unpacked
+                     (PoolListings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_listings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_state_query__init
+                     (PoolStateQuery         *message)
+{
+  static const PoolStateQuery init_value = POOL_STATE_QUERY__INIT;
+  *message = init_value;
+}
+size_t pool_state_query__get_packed_size
+                     (const PoolStateQuery *message)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_state_query__pack
+                     (const PoolStateQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_state_query__pack_to_buffer
+                     (const PoolStateQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStateQuery *
+       pool_state_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStateQuery *)
+     protobuf_c_message_unpack (&pool_state_query__descriptor,
+                                allocator, len, data);
+}
+void   pool_state_query__free_unpacked
+                     (PoolStateQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_state_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_state_reply__init
+                     (PoolStateReply         *message)
+{
+  static const PoolStateReply init_value = POOL_STATE_REPLY__INIT;
+  *message = init_value;
+}
+size_t pool_state_reply__get_packed_size
+                     (const PoolStateReply *message)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_state_reply__pack
+                     (const PoolStateReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_state_reply__pack_to_buffer
+                     (const PoolStateReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolStateReply *
+       pool_state_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolStateReply *)
+     protobuf_c_message_unpack (&pool_state_reply__descriptor,
+                                allocator, len, data);
+}
+void   pool_state_reply__free_unpacked
+                     (PoolStateReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_state_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pool_frame__init
+                     (PoolFrame         *message)
+{
+  static const PoolFrame init_value = POOL_FRAME__INIT;
+  *message = init_value;
+}
+size_t pool_frame__get_packed_size
+                     (const PoolFrame *message)
+{
+  assert(message->base.descriptor == &pool_frame__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool_frame__pack
+                     (const PoolFrame *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool_frame__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool_frame__pack_to_buffer
+                     (const PoolFrame *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool_frame__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PoolFrame *
+       pool_frame__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PoolFrame *)
+     protobuf_c_message_unpack (&pool_frame__descriptor,
+                                allocator, len, data);
+}
+void   pool_frame__free_unpacked
+                     (PoolFrame *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool_frame__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor pool_step__field_descriptors[9] =
+{
+  {
+    "tasks",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "estimate_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, estimate_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "label",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spread",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStep, spread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_step__field_indices_by_name[] = {
-	3, /* field[3] = accelerators */
-	5, /* field[5] = after */
-	1, /* field[1] = cpu */
-	4, /* field[4] = estimate_ms */
-	6, /* field[6] = label */
-	2, /* field[2] = memory */
-	7, /* field[7] = rack */
-	8, /* field[8] = spread */
-	0, /* field[0] = tasks */
-};
-static const ProtobufCIntRange pool_step__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 9 } };
-const ProtobufCMessageDescriptor pool_step__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolStep",
-	"PoolStep",
-	"PoolStep",
-	"",
-	sizeof(PoolStep),
-	9,
-	pool_step__field_descriptors,
-	pool_step__field_indices_by_name,
-	1,
-	pool_step__number_ranges,
-	(ProtobufCMessageInit)pool_step__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_loss__field_descriptors[9] = {
-	{
-		"task", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(PoolLoss, task), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, target), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"alone", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, alone), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"no_progress", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, no_progress), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"crashed", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, crashed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"newest", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, newest), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"seen", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0,					 /* quantifier_offset
-							  */
-		offsetof(PoolLoss, seen), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"common", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolLoss, common), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  3,   /* field[3] = accelerators */
+  5,   /* field[5] = after */
+  1,   /* field[1] = cpu */
+  4,   /* field[4] = estimate_ms */
+  6,   /* field[6] = label */
+  2,   /* field[2] = memory */
+  7,   /* field[7] = rack */
+  8,   /* field[8] = spread */
+  0,   /* field[0] = tasks */
+};
+static const ProtobufCIntRange pool_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor pool_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStep",
+  "PoolStep",
+  "PoolStep",
+  "",
+  sizeof(PoolStep),
+  9,
+  pool_step__field_descriptors,
+  pool_step__field_indices_by_name,
+  1,  pool_step__number_ranges,
+  (ProtobufCMessageInit) pool_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_loss__field_descriptors[9] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "alone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_progress",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, no_progress),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, crashed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "newest",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, newest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "common",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolLoss, common),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_loss__field_indices_by_name[] = {
-	3, /* field[3] = alone */
-	8, /* field[8] = common */
-	5, /* field[5] = crashed */
-	2, /* field[2] = incarnation */
-	6, /* field[6] = newest */
-	4, /* field[4] = no_progress */
-	7, /* field[7] = seen */
-	1, /* field[1] = target */
-	0, /* field[0] = task */
-};
-static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 9 } };
-const ProtobufCMessageDescriptor pool_loss__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolLoss",
-	"PoolLoss",
-	"PoolLoss",
-	"",
-	sizeof(PoolLoss),
-	9,
-	pool_loss__field_descriptors,
-	pool_loss__field_indices_by_name,
-	1,
-	pool_loss__number_ranges,
-	(ProtobufCMessageInit)pool_loss__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_submit__field_descriptors[22] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, age_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"left_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, left_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"queue", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, queue), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, service), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"priority", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, priority), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"max_attempts", 7, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(PoolSubmit, max_attempts), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stretch", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_DOUBLE,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, stretch), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"objective_ms", 9, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(PoolSubmit, objective_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"specification", 11, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(PoolSubmit, specification), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"steps", 12, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolSubmit, n_steps), offsetof(PoolSubmit, steps),
-		&pool_step__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"former", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, former), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"done", 14, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(PoolSubmit, n_done), offsetof(PoolSubmit, done), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stored", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, stored), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failed", 16, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(PoolSubmit, n_failed), offsetof(PoolSubmit, failed),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"specification_hash", 17, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-		offsetof(PoolSubmit, specification_hash), NULL, NULL,
-		0,	      /* flags
-			       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"losses", 18, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolSubmit, n_losses),
-		offsetof(PoolSubmit, losses), &pool_loss__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failed_runs", 19, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_UINT32, offsetof(PoolSubmit, n_failed_runs),
-		offsetof(PoolSubmit, failed_runs), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"domains", 20, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_STRING, offsetof(PoolSubmit, n_domains),
-		offsetof(PoolSubmit, domains), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"any_domain", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolSubmit, any_domain), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"presumes_domains", 22, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(PoolSubmit, presumes_domains), NULL, NULL, 0, /* flags
-									*/
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  3,   /* field[3] = alone */
+  8,   /* field[8] = common */
+  5,   /* field[5] = crashed */
+  2,   /* field[2] = incarnation */
+  6,   /* field[6] = newest */
+  4,   /* field[4] = no_progress */
+  7,   /* field[7] = seen */
+  1,   /* field[1] = target */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange pool_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor pool_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolLoss",
+  "PoolLoss",
+  "PoolLoss",
+  "",
+  sizeof(PoolLoss),
+  9,
+  pool_loss__field_descriptors,
+  pool_loss__field_indices_by_name,
+  1,  pool_loss__number_ranges,
+  (ProtobufCMessageInit) pool_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_submit__field_descriptors[22] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, objective_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specification",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, specification),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "steps",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolSubmit, n_steps),
+    offsetof(PoolSubmit, steps),
+    &pool_step__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "former",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, former),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolSubmit, n_done),
+    offsetof(PoolSubmit, done),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolSubmit, n_failed),
+    offsetof(PoolSubmit, failed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specification_hash",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, specification_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolSubmit, n_losses),
+    offsetof(PoolSubmit, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_runs",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolSubmit, n_failed_runs),
+    offsetof(PoolSubmit, failed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolSubmit, n_domains),
+    offsetof(PoolSubmit, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "any_domain",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, any_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "presumes_domains",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolSubmit, presumes_domains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_submit__field_indices_by_name[] = {
-	1,  /* field[1] = age_ms */
-	20, /* field[20] = any_domain */
-	19, /* field[19] = domains */
-	13, /* field[13] = done */
-	15, /* field[15] = failed */
-	18, /* field[18] = failed_runs */
-	12, /* field[12] = former */
-	9,  /* field[9] = id */
-	2,  /* field[2] = left_ms */
-	17, /* field[17] = losses */
-	6,  /* field[6] = max_attempts */
-	8,  /* field[8] = objective_ms */
-	21, /* field[21] = presumes_domains */
-	5,  /* field[5] = priority */
-	3,  /* field[3] = queue */
-	0,  /* field[0] = seq */
-	4,  /* field[4] = service */
-	10, /* field[10] = specification */
-	16, /* field[16] = specification_hash */
-	11, /* field[11] = steps */
-	14, /* field[14] = stored */
-	7,  /* field[7] = stretch */
-};
-static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 22 }
-};
-const ProtobufCMessageDescriptor pool_submit__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolSubmit",
-	"PoolSubmit",
-	"PoolSubmit",
-	"",
-	sizeof(PoolSubmit),
-	22,
-	pool_submit__field_descriptors,
-	pool_submit__field_indices_by_name,
-	1,
-	pool_submit__number_ranges,
-	(ProtobufCMessageInit)pool_submit__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_progress__field_descriptors[8] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolProgress, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"done", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(PoolProgress, n_done), offsetof(PoolProgress, done),
-		NULL, NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"mark", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolProgress, mark), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lost", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolProgress, lost), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"losses", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolProgress, n_losses),
-		offsetof(PoolProgress, losses), &pool_loss__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"domains", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-		offsetof(PoolProgress, n_domains),
-		offsetof(PoolProgress, domains), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"all_domains", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolProgress, all_domains), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"any_domain", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolProgress, any_domain), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = age_ms */
+  20,   /* field[20] = any_domain */
+  19,   /* field[19] = domains */
+  13,   /* field[13] = done */
+  15,   /* field[15] = failed */
+  18,   /* field[18] = failed_runs */
+  12,   /* field[12] = former */
+  9,   /* field[9] = id */
+  2,   /* field[2] = left_ms */
+  17,   /* field[17] = losses */
+  6,   /* field[6] = max_attempts */
+  8,   /* field[8] = objective_ms */
+  21,   /* field[21] = presumes_domains */
+  5,   /* field[5] = priority */
+  3,   /* field[3] = queue */
+  0,   /* field[0] = seq */
+  4,   /* field[4] = service */
+  10,   /* field[10] = specification */
+  16,   /* field[16] = specification_hash */
+  11,   /* field[11] = steps */
+  14,   /* field[14] = stored */
+  7,   /* field[7] = stretch */
+};
+static const ProtobufCIntRange pool_submit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 22 }
+};
+const ProtobufCMessageDescriptor pool_submit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolSubmit",
+  "PoolSubmit",
+  "PoolSubmit",
+  "",
+  sizeof(PoolSubmit),
+  22,
+  pool_submit__field_descriptors,
+  pool_submit__field_indices_by_name,
+  1,  pool_submit__number_ranges,
+  (ProtobufCMessageInit) pool_submit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_progress__field_descriptors[8] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolProgress, n_done),
+    offsetof(PoolProgress, done),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mark",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolProgress, n_losses),
+    offsetof(PoolProgress, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolProgress, n_domains),
+    offsetof(PoolProgress, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "all_domains",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, all_domains),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "any_domain",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolProgress, any_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_progress__field_indices_by_name[] = {
-	6, /* field[6] = all_domains */
-	7, /* field[7] = any_domain */
-	5, /* field[5] = domains */
-	1, /* field[1] = done */
-	4, /* field[4] = losses */
-	3, /* field[3] = lost */
-	2, /* field[2] = mark */
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 8 }
-};
-const ProtobufCMessageDescriptor pool_progress__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolProgress",
-	"PoolProgress",
-	"PoolProgress",
-	"",
-	sizeof(PoolProgress),
-	8,
-	pool_progress__field_descriptors,
-	pool_progress__field_indices_by_name,
-	1,
-	pool_progress__number_ranges,
-	(ProtobufCMessageInit)pool_progress__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_heard__field_descriptors[1] = {
-	{
-		"mark", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolHeard, mark), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  6,   /* field[6] = all_domains */
+  7,   /* field[7] = any_domain */
+  5,   /* field[5] = domains */
+  1,   /* field[1] = done */
+  4,   /* field[4] = losses */
+  3,   /* field[3] = lost */
+  2,   /* field[2] = mark */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor pool_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolProgress",
+  "PoolProgress",
+  "PoolProgress",
+  "",
+  sizeof(PoolProgress),
+  8,
+  pool_progress__field_descriptors,
+  pool_progress__field_indices_by_name,
+  1,  pool_progress__number_ranges,
+  (ProtobufCMessageInit) pool_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_heard__field_descriptors[1] =
+{
+  {
+    "mark",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHeard, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_heard__field_indices_by_name[] = {
-	0, /* field[0] = mark */
-};
-static const ProtobufCIntRange pool_heard__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 1 } };
-const ProtobufCMessageDescriptor pool_heard__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolHeard",
-	"PoolHeard",
-	"PoolHeard",
-	"",
-	sizeof(PoolHeard),
-	1,
-	pool_heard__field_descriptors,
-	pool_heard__field_indices_by_name,
-	1,
-	pool_heard__number_ranges,
-	(ProtobufCMessageInit)pool_heard__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_cancel__field_descriptors[1] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolCancel, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = mark */
+};
+static const ProtobufCIntRange pool_heard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pool_heard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolHeard",
+  "PoolHeard",
+  "PoolHeard",
+  "",
+  sizeof(PoolHeard),
+  1,
+  pool_heard__field_descriptors,
+  pool_heard__field_indices_by_name,
+  1,  pool_heard__number_ranges,
+  (ProtobufCMessageInit) pool_heard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_cancel__field_descriptors[1] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolCancel, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_cancel__field_indices_by_name[] = {
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange pool_cancel__number_ranges[1 + 1] = { { 1, 0 },
-								     { 0, 1 } };
-const ProtobufCMessageDescriptor pool_cancel__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolCancel",
-	"PoolCancel",
-	"PoolCancel",
-	"",
-	sizeof(PoolCancel),
-	1,
-	pool_cancel__field_descriptors,
-	pool_cancel__field_indices_by_name,
-	1,
-	pool_cancel__number_ranges,
-	(ProtobufCMessageInit)pool_cancel__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue pool_answer__outcome__enum_values_by_number[5] = {
-	{ "COMPLETED", "POOL_ANSWER__OUTCOME__COMPLETED", 0 },
-	{ "FAILED", "POOL_ANSWER__OUTCOME__FAILED", 1 },
-	{ "REJECTED", "POOL_ANSWER__OUTCOME__REJECTED", 2 },
-	{ "INCOMPLETE", "POOL_ANSWER__OUTCOME__INCOMPLETE", 3 },
-	{ "CANCELLED", "POOL_ANSWER__OUTCOME__CANCELLED", 4 },
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pool_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolCancel",
+  "PoolCancel",
+  "PoolCancel",
+  "",
+  sizeof(PoolCancel),
+  1,
+  pool_cancel__field_descriptors,
+  pool_cancel__field_indices_by_name,
+  1,  pool_cancel__number_ranges,
+  (ProtobufCMessageInit) pool_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue pool_answer__outcome__enum_values_by_number[5] =
+{
+  { "COMPLETED", "POOL_ANSWER__OUTCOME__COMPLETED", 0 },
+  { "FAILED", "POOL_ANSWER__OUTCOME__FAILED", 1 },
+  { "REJECTED", "POOL_ANSWER__OUTCOME__REJECTED", 2 },
+  { "INCOMPLETE", "POOL_ANSWER__OUTCOME__INCOMPLETE", 3 },
+  { "CANCELLED", "POOL_ANSWER__OUTCOME__CANCELLED", 4 },
 };
 static const ProtobufCIntRange pool_answer__outcome__value_ranges[] = {
-	{ 0, 0 }, { 0, 5 }
-};
-static const ProtobufCEnumValueIndex
-	pool_answer__outcome__enum_values_by_name[5] = {
-		{ "CANCELLED", 4 },  { "COMPLETED", 0 }, { "FAILED", 1 },
-		{ "INCOMPLETE", 3 }, { "REJECTED", 2 },
-	};
-const ProtobufCEnumDescriptor pool_answer__outcome__descriptor = {
-	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-	"PoolAnswer.Outcome",
-	"Outcome",
-	"PoolAnswer__Outcome",
-	"",
-	5,
-	pool_answer__outcome__enum_values_by_number,
-	5,
-	pool_answer__outcome__enum_values_by_name,
-	1,
-	pool_answer__outcome__value_ranges,
-	NULL,
-	NULL,
-	NULL,
-	NULL /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor pool_answer__field_descriptors[5] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolAnswer, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"outcome", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
-		0, /* quantifier_offset */
-		offsetof(PoolAnswer, outcome),
-		&pool_answer__outcome__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"retry_after_ms", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(PoolAnswer, retry_after_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reason", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolAnswer, reason), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"mark", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolAnswer, mark), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex pool_answer__outcome__enum_values_by_name[5] =
+{
+  { "CANCELLED", 4 },
+  { "COMPLETED", 0 },
+  { "FAILED", 1 },
+  { "INCOMPLETE", 3 },
+  { "REJECTED", 2 },
+};
+const ProtobufCEnumDescriptor pool_answer__outcome__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "PoolAnswer.Outcome",
+  "Outcome",
+  "PoolAnswer__Outcome",
+  "",
+  5,
+  pool_answer__outcome__enum_values_by_number,
+  5,
+  pool_answer__outcome__enum_values_by_name,
+  1,
+  pool_answer__outcome__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor pool_answer__field_descriptors[5] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, outcome),
+    &pool_answer__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mark",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolAnswer, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_answer__field_indices_by_name[] = {
-	4, /* field[4] = mark */
-	1, /* field[1] = outcome */
-	3, /* field[3] = reason */
-	2, /* field[2] = retry_after_ms */
-	0, /* field[0] = seq */
-};
-static const ProtobufCIntRange pool_answer__number_ranges[1 + 1] = { { 1, 0 },
-								     { 0, 5 } };
-const ProtobufCMessageDescriptor pool_answer__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolAnswer",
-	"PoolAnswer",
-	"PoolAnswer",
-	"",
-	sizeof(PoolAnswer),
-	5,
-	pool_answer__field_descriptors,
-	pool_answer__field_indices_by_name,
-	1,
-	pool_answer__number_ranges,
-	(ProtobufCMessageInit)pool_answer__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_hello__field_descriptors[11] = {
-	{
-		"vm", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolHello, vm), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, address), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"probe", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, probe), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"processor", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, processor), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failure_domain", 6, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(PoolHello, failure_domain), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"starts", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, starts), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"listing_version", 9, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-		offsetof(PoolHello, listing_version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"echoes", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolHello, echoes), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"leader_incarnation", 11, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(PoolHello, leader_incarnation), NULL, NULL, 0, /* flags
-									 */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  4,   /* field[4] = mark */
+  1,   /* field[1] = outcome */
+  3,   /* field[3] = reason */
+  2,   /* field[2] = retry_after_ms */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pool_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolAnswer",
+  "PoolAnswer",
+  "PoolAnswer",
+  "",
+  sizeof(PoolAnswer),
+  5,
+  pool_answer__field_descriptors,
+  pool_answer__field_indices_by_name,
+  1,  pool_answer__number_ranges,
+  (ProtobufCMessageInit) pool_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_hello__field_descriptors[11] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "processor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, processor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listing_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, listing_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echoes",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, echoes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_incarnation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolHello, leader_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_hello__field_indices_by_name[] = {
-	1,  /* field[1] = address */
-	9,  /* field[9] = echoes */
-	5,  /* field[5] = failure_domain */
-	6,  /* field[6] = fence */
-	2,  /* field[2] = incarnation */
-	10, /* field[10] = leader_incarnation */
-	8,  /* field[8] = listing_version */
-	3,  /* field[3] = probe */
-	4,  /* field[4] = processor */
-	7,  /* field[7] = starts */
-	0,  /* field[0] = vm */
-};
-static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 11 } };
-const ProtobufCMessageDescriptor pool_hello__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolHello",
-	"PoolHello",
-	"PoolHello",
-	"",
-	sizeof(PoolHello),
-	11,
-	pool_hello__field_descriptors,
-	pool_hello__field_indices_by_name,
-	1,
-	pool_hello__number_ranges,
-	(ProtobufCMessageInit)pool_hello__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_waiting__field_descriptors[2] = {
-	{
-		"queue", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolWaiting, queue), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"jobs", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolWaiting, jobs), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = address */
+  9,   /* field[9] = echoes */
+  5,   /* field[5] = failure_domain */
+  6,   /* field[6] = fence */
+  2,   /* field[2] = incarnation */
+  10,   /* field[10] = leader_incarnation */
+  8,   /* field[8] = listing_version */
+  3,   /* field[3] = probe */
+  4,   /* field[4] = processor */
+  7,   /* field[7] = starts */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange pool_hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor pool_hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolHello",
+  "PoolHello",
+  "PoolHello",
+  "",
+  sizeof(PoolHello),
+  11,
+  pool_hello__field_descriptors,
+  pool_hello__field_indices_by_name,
+  1,  pool_hello__number_ranges,
+  (ProtobufCMessageInit) pool_hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_waiting__field_descriptors[2] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolWaiting, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolWaiting, jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_waiting__field_indices_by_name[] = {
-	1, /* field[1] = jobs */
-	0, /* field[0] = queue */
-};
-static const ProtobufCIntRange pool_waiting__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 2 }
-};
-const ProtobufCMessageDescriptor pool_waiting__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolWaiting",
-	"PoolWaiting",
-	"PoolWaiting",
-	"",
-	sizeof(PoolWaiting),
-	2,
-	pool_waiting__field_descriptors,
-	pool_waiting__field_indices_by_name,
-	1,
-	pool_waiting__number_ranges,
-	(ProtobufCMessageInit)pool_waiting__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_evacuation__field_descriptors[3] = {
-	{
-		"failure_domain", 1, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(PoolEvacuation, failure_domain), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"active", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolEvacuation, active), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolEvacuation, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = jobs */
+  0,   /* field[0] = queue */
+};
+static const ProtobufCIntRange pool_waiting__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pool_waiting__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolWaiting",
+  "PoolWaiting",
+  "PoolWaiting",
+  "",
+  sizeof(PoolWaiting),
+  2,
+  pool_waiting__field_descriptors,
+  pool_waiting__field_indices_by_name,
+  1,  pool_waiting__number_ranges,
+  (ProtobufCMessageInit) pool_waiting__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_count_query__field_descriptors[2] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolCountQuery, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queues",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolCountQuery, n_queues),
+    offsetof(PoolCountQuery, queues),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_count_query__field_indices_by_name[] = {
+  1,   /* field[1] = queues */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_count_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pool_count_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolCountQuery",
+  "PoolCountQuery",
+  "PoolCountQuery",
+  "",
+  sizeof(PoolCountQuery),
+  2,
+  pool_count_query__field_descriptors,
+  pool_count_query__field_indices_by_name,
+  1,  pool_count_query__number_ranges,
+  (ProtobufCMessageInit) pool_count_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_count_reply__field_descriptors[3] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolCountReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolCountReply, n_jobs),
+    offsetof(PoolCountReply, jobs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolCountReply, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool_count_reply__field_indices_by_name[] = {
+  1,   /* field[1] = jobs */
+  2,   /* field[2] = known */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange pool_count_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_count_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolCountReply",
+  "PoolCountReply",
+  "PoolCountReply",
+  "",
+  sizeof(PoolCountReply),
+  3,
+  pool_count_reply__field_descriptors,
+  pool_count_reply__field_indices_by_name,
+  1,  pool_count_reply__number_ranges,
+  (ProtobufCMessageInit) pool_count_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_evacuation__field_descriptors[3] =
+{
+  {
+    "failure_domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolEvacuation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_evacuation__field_indices_by_name[] = {
-	1, /* field[1] = active */
-	0, /* field[0] = failure_domain */
-	2, /* field[2] = version */
-};
-static const ProtobufCIntRange pool_evacuation__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
-};
-const ProtobufCMessageDescriptor pool_evacuation__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolEvacuation",
-	"PoolEvacuation",
-	"PoolEvacuation",
-	"",
-	sizeof(PoolEvacuation),
-	3,
-	pool_evacuation__field_descriptors,
-	pool_evacuation__field_indices_by_name,
-	1,
-	pool_evacuation__number_ranges,
-	(ProtobufCMessageInit)pool_evacuation__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_beat__field_descriptors[22] = {
-	{
-		"fence", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"leader", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, leader), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"leader_address", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(PoolBeat, leader_address), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"leading", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, leading), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"hears", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, hears), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"successors", 6, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_STRING, offsetof(PoolBeat, n_successors),
-		offsetof(PoolBeat, successors), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"waiting", 7, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolBeat, n_waiting),
-		offsetof(PoolBeat, waiting), &pool_waiting__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"resigns", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, resigns), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"vm", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolBeat, vm), NULL, &protobuf_c_empty_string,
-		0,	      /* flags
-			       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"store", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, store), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"waits", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, waits), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stored", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, stored), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agents", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, agents), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"brief", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, brief), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"evacuations", 15, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolBeat, n_evacuations),
-		offsetof(PoolBeat, evacuations), &pool_evacuation__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"clock", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, clock), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"echo", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					 /* quantifier_offset */
-		offsetof(PoolBeat, echo), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"stops", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, stops), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"linked", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, linked), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"list_confirmed", 20, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(PoolBeat, list_confirmed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"callers_wait_ms", 21, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-		offsetof(PoolBeat, callers_wait_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"no_memory", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolBeat, no_memory), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = active */
+  0,   /* field[0] = failure_domain */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange pool_evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolEvacuation",
+  "PoolEvacuation",
+  "PoolEvacuation",
+  "",
+  sizeof(PoolEvacuation),
+  3,
+  pool_evacuation__field_descriptors,
+  pool_evacuation__field_indices_by_name,
+  1,  pool_evacuation__number_ranges,
+  (ProtobufCMessageInit) pool_evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_beat__field_descriptors[23] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, leader_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leading",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, leading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hears",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, hears),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "successors",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolBeat, n_successors),
+    offsetof(PoolBeat, successors),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolBeat, n_waiting),
+    offsetof(PoolBeat, waiting),
+    &pool_waiting__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "resigns",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, resigns),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, waits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stored",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, stored),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agents",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, agents),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "brief",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, brief),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolBeat, n_evacuations),
+    offsetof(PoolBeat, evacuations),
+    &pool_evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, clock),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stops",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, stops),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "linked",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, linked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "list_confirmed",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, list_confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "callers_wait_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, callers_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_memory",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, no_memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_waiting",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolBeat, more_waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_beat__field_indices_by_name[] = {
-	12, /* field[12] = agents */
-	13, /* field[13] = brief */
-	20, /* field[20] = callers_wait_ms */
-	15, /* field[15] = clock */
-	16, /* field[16] = echo */
-	14, /* field[14] = evacuations */
-	0,  /* field[0] = fence */
-	4,  /* field[4] = hears */
-	1,  /* field[1] = leader */
-	2,  /* field[2] = leader_address */
-	3,  /* field[3] = leading */
-	18, /* field[18] = linked */
-	19, /* field[19] = list_confirmed */
-	21, /* field[21] = no_memory */
-	7,  /* field[7] = resigns */
-	17, /* field[17] = stops */
-	9,  /* field[9] = store */
-	11, /* field[11] = stored */
-	5,  /* field[5] = successors */
-	8,  /* field[8] = vm */
-	6,  /* field[6] = waiting */
-	10, /* field[10] = waits */
-};
-static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] = { { 1, 0 },
-								   { 0, 22 } };
-const ProtobufCMessageDescriptor pool_beat__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolBeat",
-	"PoolBeat",
-	"PoolBeat",
-	"",
-	sizeof(PoolBeat),
-	22,
-	pool_beat__field_descriptors,
-	pool_beat__field_indices_by_name,
-	1,
-	pool_beat__number_ranges,
-	(ProtobufCMessageInit)pool_beat__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_leader__field_descriptors[4] = {
-	{
-		"vm", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolLeader, vm), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolLeader, address), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolLeader, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolLeader, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  12,   /* field[12] = agents */
+  13,   /* field[13] = brief */
+  20,   /* field[20] = callers_wait_ms */
+  15,   /* field[15] = clock */
+  16,   /* field[16] = echo */
+  14,   /* field[14] = evacuations */
+  0,   /* field[0] = fence */
+  4,   /* field[4] = hears */
+  1,   /* field[1] = leader */
+  2,   /* field[2] = leader_address */
+  3,   /* field[3] = leading */
+  18,   /* field[18] = linked */
+  19,   /* field[19] = list_confirmed */
+  22,   /* field[22] = more_waiting */
+  21,   /* field[21] = no_memory */
+  7,   /* field[7] = resigns */
+  17,   /* field[17] = stops */
+  9,   /* field[9] = store */
+  11,   /* field[11] = stored */
+  5,   /* field[5] = successors */
+  8,   /* field[8] = vm */
+  6,   /* field[6] = waiting */
+  10,   /* field[10] = waits */
+};
+static const ProtobufCIntRange pool_beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 23 }
+};
+const ProtobufCMessageDescriptor pool_beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolBeat",
+  "PoolBeat",
+  "PoolBeat",
+  "",
+  sizeof(PoolBeat),
+  23,
+  pool_beat__field_descriptors,
+  pool_beat__field_indices_by_name,
+  1,  pool_beat__number_ranges,
+  (ProtobufCMessageInit) pool_beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_leader__field_descriptors[4] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolLeader, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolLeader, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolLeader, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolLeader, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_leader__field_indices_by_name[] = {
-	1, /* field[1] = address */
-	3, /* field[3] = fence */
-	2, /* field[2] = incarnation */
-	0, /* field[0] = vm */
-};
-static const ProtobufCIntRange pool_leader__number_ranges[1 + 1] = { { 1, 0 },
-								     { 0, 4 } };
-const ProtobufCMessageDescriptor pool_leader__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolLeader",
-	"PoolLeader",
-	"PoolLeader",
-	"",
-	sizeof(PoolLeader),
-	4,
-	pool_leader__field_descriptors,
-	pool_leader__field_indices_by_name,
-	1,
-	pool_leader__number_ranges,
-	(ProtobufCMessageInit)pool_leader__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue pool_job__state__enum_values_by_number[4] = {
-	{ "OPEN", "POOL_JOB__STATE__OPEN", 0 },
-	{ "COMPLETED", "POOL_JOB__STATE__COMPLETED", 1 },
-	{ "FAILED", "POOL_JOB__STATE__FAILED", 2 },
-	{ "CANCELLED", "POOL_JOB__STATE__CANCELLED", 3 },
-};
-static const ProtobufCIntRange pool_job__state__value_ranges[] = { { 0, 0 },
-								   { 0, 4 } };
-static const ProtobufCEnumValueIndex pool_job__state__enum_values_by_name[4] = {
-	{ "CANCELLED", 3 },
-	{ "COMPLETED", 1 },
-	{ "FAILED", 2 },
-	{ "OPEN", 0 },
-};
-const ProtobufCEnumDescriptor pool_job__state__descriptor = {
-	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-	"PoolJob.State",
-	"State",
-	"PoolJob__State",
-	"",
-	4,
-	pool_job__state__enum_values_by_number,
-	4,
-	pool_job__state__enum_values_by_name,
-	1,
-	pool_job__state__value_ranges,
-	NULL,
-	NULL,
-	NULL,
-	NULL /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor pool_job__field_descriptors[11] = {
-	{
-		"submit", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, submit), &pool_submit__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, state), &pool_job__state__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"accepted_ms", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, accepted_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"ended_ms", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, ended_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"done", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(PoolJob, n_done), offsetof(PoolJob, done), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"failed", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
-		offsetof(PoolJob, n_failed), offsetof(PoolJob, failed), NULL,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"writer", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, writer), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"losses", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolJob, n_losses), offsetof(PoolJob, losses),
-		&pool_loss__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"failed_runs", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_UINT32, offsetof(PoolJob, n_failed_runs),
-		offsetof(PoolJob, failed_runs), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"domains", 10, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_STRING, offsetof(PoolJob, n_domains),
-		offsetof(PoolJob, domains), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"unsubmitted", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolJob, unsubmitted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = address */
+  3,   /* field[3] = fence */
+  2,   /* field[2] = incarnation */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange pool_leader__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pool_leader__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolLeader",
+  "PoolLeader",
+  "PoolLeader",
+  "",
+  sizeof(PoolLeader),
+  4,
+  pool_leader__field_descriptors,
+  pool_leader__field_indices_by_name,
+  1,  pool_leader__number_ranges,
+  (ProtobufCMessageInit) pool_leader__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue pool_job__state__enum_values_by_number[4] =
+{
+  { "OPEN", "POOL_JOB__STATE__OPEN", 0 },
+  { "COMPLETED", "POOL_JOB__STATE__COMPLETED", 1 },
+  { "FAILED", "POOL_JOB__STATE__FAILED", 2 },
+  { "CANCELLED", "POOL_JOB__STATE__CANCELLED", 3 },
+};
+static const ProtobufCIntRange pool_job__state__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex pool_job__state__enum_values_by_name[4] =
+{
+  { "CANCELLED", 3 },
+  { "COMPLETED", 1 },
+  { "FAILED", 2 },
+  { "OPEN", 0 },
+};
+const ProtobufCEnumDescriptor pool_job__state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "PoolJob.State",
+  "State",
+  "PoolJob__State",
+  "",
+  4,
+  pool_job__state__enum_values_by_number,
+  4,
+  pool_job__state__enum_values_by_name,
+  1,
+  pool_job__state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor pool_job__field_descriptors[11] =
+{
+  {
+    "submit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, submit),
+    &pool_submit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, state),
+    &pool_job__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, accepted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_done),
+    offsetof(PoolJob, done),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_failed),
+    offsetof(PoolJob, failed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writer",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, writer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "losses",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolJob, n_losses),
+    offsetof(PoolJob, losses),
+    &pool_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_runs",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolJob, n_failed_runs),
+    offsetof(PoolJob, failed_runs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolJob, n_domains),
+    offsetof(PoolJob, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsubmitted",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolJob, unsubmitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_job__field_indices_by_name[] = {
-	2,  /* field[2] = accepted_ms */
-	9,  /* field[9] = domains */
-	4,  /* field[4] = done */
-	3,  /* field[3] = ended_ms */
-	5,  /* field[5] = failed */
-	8,  /* field[8] = failed_runs */
-	7,  /* field[7] = losses */
-	1,  /* field[1] = state */
-	0,  /* field[0] = submit */
-	10, /* field[10] = unsubmitted */
-	6,  /* field[6] = writer */
-};
-static const ProtobufCIntRange pool_job__number_ranges[1 + 1] = { { 1, 0 },
-								  { 0, 11 } };
-const ProtobufCMessageDescriptor pool_job__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolJob",
-	"PoolJob",
-	"PoolJob",
-	"",
-	sizeof(PoolJob),
-	11,
-	pool_job__field_descriptors,
-	pool_job__field_indices_by_name,
-	1,
-	pool_job__number_ranges,
-	(ProtobufCMessageInit)pool_job__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCEnumValue pool_order__kind__enum_values_by_number[3] = {
-	{ "HOLD", "POOL_ORDER__KIND__HOLD", 0 },
-	{ "STOP", "POOL_ORDER__KIND__STOP", 1 },
-	{ "START", "POOL_ORDER__KIND__START", 2 },
-};
-static const ProtobufCIntRange pool_order__kind__value_ranges[] = { { 0, 0 },
-								    { 0, 3 } };
-static const ProtobufCEnumValueIndex pool_order__kind__enum_values_by_name[3] = {
-	{ "HOLD", 0 },
-	{ "START", 2 },
-	{ "STOP", 1 },
-};
-const ProtobufCEnumDescriptor pool_order__kind__descriptor = {
-	PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-	"PoolOrder.Kind",
-	"Kind",
-	"PoolOrder__Kind",
-	"",
-	3,
-	pool_order__kind__enum_values_by_number,
-	3,
-	pool_order__kind__enum_values_by_name,
-	1,
-	pool_order__kind__value_ranges,
-	NULL,
-	NULL,
-	NULL,
-	NULL /* reserved[1234] */
-};
-static const ProtobufCFieldDescriptor pool_order__field_descriptors[12] = {
-	{
-		"kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolOrder, kind), &pool_order__kind__descriptor, NULL,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"seq", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(PoolOrder, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolOrder, id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, address), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lease_until", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, lease_until), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"acked_end", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, acked_end), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"wait_ms", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, wait_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"task", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolOrder, task), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(PoolOrder, run), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"specification", 12, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(PoolOrder, specification), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = accepted_ms */
+  9,   /* field[9] = domains */
+  4,   /* field[4] = done */
+  3,   /* field[3] = ended_ms */
+  5,   /* field[5] = failed */
+  8,   /* field[8] = failed_runs */
+  7,   /* field[7] = losses */
+  1,   /* field[1] = state */
+  0,   /* field[0] = submit */
+  10,   /* field[10] = unsubmitted */
+  6,   /* field[6] = writer */
+};
+static const ProtobufCIntRange pool_job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor pool_job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolJob",
+  "PoolJob",
+  "PoolJob",
+  "",
+  sizeof(PoolJob),
+  11,
+  pool_job__field_descriptors,
+  pool_job__field_indices_by_name,
+  1,  pool_job__number_ranges,
+  (ProtobufCMessageInit) pool_job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue pool_order__kind__enum_values_by_number[3] =
+{
+  { "HOLD", "POOL_ORDER__KIND__HOLD", 0 },
+  { "STOP", "POOL_ORDER__KIND__STOP", 1 },
+  { "START", "POOL_ORDER__KIND__START", 2 },
+};
+static const ProtobufCIntRange pool_order__kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex pool_order__kind__enum_values_by_name[3] =
+{
+  { "HOLD", 0 },
+  { "START", 2 },
+  { "STOP", 1 },
+};
+const ProtobufCEnumDescriptor pool_order__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "PoolOrder.Kind",
+  "Kind",
+  "PoolOrder__Kind",
+  "",
+  3,
+  pool_order__kind__enum_values_by_number,
+  3,
+  pool_order__kind__enum_values_by_name,
+  1,
+  pool_order__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor pool_order__field_descriptors[12] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, kind),
+    &pool_order__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, lease_until),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked_end",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, acked_end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specification",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolOrder, specification),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_order__field_indices_by_name[] = {
-	7,  /* field[7] = acked_end */
-	4,  /* field[4] = address */
-	5,  /* field[5] = fence */
-	3,  /* field[3] = id */
-	0,  /* field[0] = kind */
-	6,  /* field[6] = lease_until */
-	10, /* field[10] = run */
-	1,  /* field[1] = seq */
-	11, /* field[11] = specification */
-	2,  /* field[2] = target */
-	9,  /* field[9] = task */
-	8,  /* field[8] = wait_ms */
-};
-static const ProtobufCIntRange pool_order__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 12 } };
-const ProtobufCMessageDescriptor pool_order__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolOrder",
-	"PoolOrder",
-	"PoolOrder",
-	"",
-	sizeof(PoolOrder),
-	12,
-	pool_order__field_descriptors,
-	pool_order__field_indices_by_name,
-	1,
-	pool_order__number_ranges,
-	(ProtobufCMessageInit)pool_order__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_start_task__field_descriptors[7] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"task", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, task), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, run), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lease_until", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, lease_until), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, target), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target_address", 6, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(PoolStartTask, target_address), NULL, NULL, 0, /* flags
-									 */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"agent", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStartTask, agent), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  7,   /* field[7] = acked_end */
+  4,   /* field[4] = address */
+  5,   /* field[5] = fence */
+  3,   /* field[3] = id */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = lease_until */
+  10,   /* field[10] = run */
+  1,   /* field[1] = seq */
+  11,   /* field[11] = specification */
+  2,   /* field[2] = target */
+  9,   /* field[9] = task */
+  8,   /* field[8] = wait_ms */
+};
+static const ProtobufCIntRange pool_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor pool_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolOrder",
+  "PoolOrder",
+  "PoolOrder",
+  "",
+  sizeof(PoolOrder),
+  12,
+  pool_order__field_descriptors,
+  pool_order__field_indices_by_name,
+  1,  pool_order__number_ranges,
+  (ProtobufCMessageInit) pool_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_start_task__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, lease_until),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, target_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStartTask, agent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_start_task__field_indices_by_name[] = {
-	6, /* field[6] = agent */
-	3, /* field[3] = lease_until */
-	2, /* field[2] = run */
-	0, /* field[0] = seq */
-	4, /* field[4] = target */
-	5, /* field[5] = target_address */
-	1, /* field[1] = task */
-};
-static const ProtobufCIntRange pool_start_task__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 7 }
-};
-const ProtobufCMessageDescriptor pool_start_task__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolStartTask",
-	"PoolStartTask",
-	"PoolStartTask",
-	"",
-	sizeof(PoolStartTask),
-	7,
-	pool_start_task__field_descriptors,
-	pool_start_task__field_indices_by_name,
-	1,
-	pool_start_task__number_ranges,
-	(ProtobufCMessageInit)pool_start_task__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_start__field_descriptors[5] = {
-	{
-		"job", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					 /* quantifier_offset */
-		offsetof(PoolStart, job), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"fence", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStart, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"tasks", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolStart, n_tasks), offsetof(PoolStart, tasks),
-		&pool_start_task__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"domains", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-		offsetof(PoolStart, n_domains), offsetof(PoolStart, domains),
-		NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"asked_at", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStart, asked_at), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  6,   /* field[6] = agent */
+  3,   /* field[3] = lease_until */
+  2,   /* field[2] = run */
+  0,   /* field[0] = seq */
+  4,   /* field[4] = target */
+  5,   /* field[5] = target_address */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange pool_start_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_start_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStartTask",
+  "PoolStartTask",
+  "PoolStartTask",
+  "",
+  sizeof(PoolStartTask),
+  7,
+  pool_start_task__field_descriptors,
+  pool_start_task__field_indices_by_name,
+  1,  pool_start_task__number_ranges,
+  (ProtobufCMessageInit) pool_start_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_start__field_descriptors[5] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStart, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStart, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolStart, n_tasks),
+    offsetof(PoolStart, tasks),
+    &pool_start_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domains",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolStart, n_domains),
+    offsetof(PoolStart, domains),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_at",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStart, asked_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_start__field_indices_by_name[] = {
-	4, /* field[4] = asked_at */
-	3, /* field[3] = domains */
-	1, /* field[1] = fence */
-	0, /* field[0] = job */
-	2, /* field[2] = tasks */
-};
-static const ProtobufCIntRange pool_start__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 5 } };
-const ProtobufCMessageDescriptor pool_start__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolStart",
-	"PoolStart",
-	"PoolStart",
-	"",
-	sizeof(PoolStart),
-	5,
-	pool_start__field_descriptors,
-	pool_start__field_indices_by_name,
-	1,
-	pool_start__number_ranges,
-	(ProtobufCMessageInit)pool_start__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_run_task__field_descriptors[7] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, step), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"index", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, index), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, run), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lease_until", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, lease_until), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolRunTask, target), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target_address", 7, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(PoolRunTask, target_address), NULL, NULL, 0, /* flags
-								       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  4,   /* field[4] = asked_at */
+  3,   /* field[3] = domains */
+  1,   /* field[1] = fence */
+  0,   /* field[0] = job */
+  2,   /* field[2] = tasks */
+};
+static const ProtobufCIntRange pool_start__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pool_start__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStart",
+  "PoolStart",
+  "PoolStart",
+  "",
+  sizeof(PoolStart),
+  5,
+  pool_start__field_descriptors,
+  pool_start__field_indices_by_name,
+  1,  pool_start__number_ranges,
+  (ProtobufCMessageInit) pool_start__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_run_task__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, lease_until),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRunTask, target_address),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_run_task__field_indices_by_name[] = {
-	2, /* field[2] = index */
-	4, /* field[4] = lease_until */
-	3, /* field[3] = run */
-	0, /* field[0] = seq */
-	1, /* field[1] = step */
-	5, /* field[5] = target */
-	6, /* field[6] = target_address */
-};
-static const ProtobufCIntRange pool_run_task__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 7 }
-};
-const ProtobufCMessageDescriptor pool_run_task__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolRunTask",
-	"PoolRunTask",
-	"PoolRunTask",
-	"",
-	sizeof(PoolRunTask),
-	7,
-	pool_run_task__field_descriptors,
-	pool_run_task__field_indices_by_name,
-	1,
-	pool_run_task__number_ranges,
-	(ProtobufCMessageInit)pool_run_task__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_run__field_descriptors[5] = {
-	{
-		"fence", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0,					 /* quantifier_offset */
-		offsetof(PoolRun, fence), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolRun, id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags
-			       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"specification", 3, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-		offsetof(PoolRun, specification), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"tasks", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolRun, n_tasks), offsetof(PoolRun, tasks),
-		&pool_run_task__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"asked_at", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolRun, asked_at), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = index */
+  4,   /* field[4] = lease_until */
+  3,   /* field[3] = run */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = step */
+  5,   /* field[5] = target */
+  6,   /* field[6] = target_address */
+};
+static const ProtobufCIntRange pool_run_task__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pool_run_task__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolRunTask",
+  "PoolRunTask",
+  "PoolRunTask",
+  "",
+  sizeof(PoolRunTask),
+  7,
+  pool_run_task__field_descriptors,
+  pool_run_task__field_indices_by_name,
+  1,  pool_run_task__number_ranges,
+  (ProtobufCMessageInit) pool_run_task__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_run__field_descriptors[5] =
+{
+  {
+    "fence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
