+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specification",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, specification),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolRun, n_tasks),
+    offsetof(PoolRun, tasks),
+    &pool_run_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_at",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolRun, asked_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_run__field_indices_by_name[] = {
-	4, /* field[4] = asked_at */
-	0, /* field[0] = fence */
-	1, /* field[1] = id */
-	2, /* field[2] = specification */
-	3, /* field[3] = tasks */
-};
-static const ProtobufCIntRange pool_run__number_ranges[1 + 1] = { { 1, 0 },
-								  { 0, 5 } };
-const ProtobufCMessageDescriptor pool_run__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolRun",
-	"PoolRun",
-	"PoolRun",
-	"",
-	sizeof(PoolRun),
-	5,
-	pool_run__field_descriptors,
-	pool_run__field_indices_by_name,
-	1,
-	pool_run__number_ranges,
-	(ProtobufCMessageInit)pool_run__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_listed_run__field_descriptors[6] = {
-	{
-		"listed", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, listed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, id), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"step", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, step), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"index", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, index), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, run), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"task", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolListedRun, task), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  4,   /* field[4] = asked_at */
+  0,   /* field[0] = fence */
+  1,   /* field[1] = id */
+  2,   /* field[2] = specification */
+  3,   /* field[3] = tasks */
+};
+static const ProtobufCIntRange pool_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pool_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolRun",
+  "PoolRun",
+  "PoolRun",
+  "",
+  sizeof(PoolRun),
+  5,
+  pool_run__field_descriptors,
+  pool_run__field_indices_by_name,
+  1,  pool_run__number_ranges,
+  (ProtobufCMessageInit) pool_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listed_run__field_descriptors[6] =
+{
+  {
+    "listed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, listed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_listed_run__field_indices_by_name[] = {
-	1, /* field[1] = id */
-	3, /* field[3] = index */
-	0, /* field[0] = listed */
-	4, /* field[4] = run */
-	2, /* field[2] = step */
-	5, /* field[5] = task */
-};
-static const ProtobufCIntRange pool_listed_run__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 6 }
-};
-const ProtobufCMessageDescriptor pool_listed_run__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolListedRun",
-	"PoolListedRun",
-	"PoolListedRun",
-	"",
-	sizeof(PoolListedRun),
-	6,
-	pool_listed_run__field_descriptors,
-	pool_listed_run__field_indices_by_name,
-	1,
-	pool_listed_run__number_ranges,
-	(ProtobufCMessageInit)pool_listed_run__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_listed_end__field_descriptors[3] = {
-	{
-		"number", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListedEnd, number), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"how", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolListedEnd, how), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		0, /* quantifier_offset */
-		offsetof(PoolListedEnd, run), &pool_listed_run__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = id */
+  3,   /* field[3] = index */
+  0,   /* field[0] = listed */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+  5,   /* field[5] = task */
+};
+static const ProtobufCIntRange pool_listed_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pool_listed_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListedRun",
+  "PoolListedRun",
+  "PoolListedRun",
+  "",
+  sizeof(PoolListedRun),
+  6,
+  pool_listed_run__field_descriptors,
+  pool_listed_run__field_indices_by_name,
+  1,  pool_listed_run__number_ranges,
+  (ProtobufCMessageInit) pool_listed_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listed_end__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PoolListedEnd, run),
+    &pool_listed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_listed_end__field_indices_by_name[] = {
-	1, /* field[1] = how */
-	0, /* field[0] = number */
-	2, /* field[2] = run */
-};
-static const ProtobufCIntRange pool_listed_end__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 3 }
-};
-const ProtobufCMessageDescriptor pool_listed_end__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolListedEnd",
-	"PoolListedEnd",
-	"PoolListedEnd",
-	"",
-	sizeof(PoolListedEnd),
-	3,
-	pool_listed_end__field_descriptors,
-	pool_listed_end__field_indices_by_name,
-	1,
-	pool_listed_end__number_ranges,
-	(ProtobufCMessageInit)pool_listed_end__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_reply__field_descriptors[12] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0,					 /* quantifier_offset */
-		offsetof(PoolReply, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"status", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, status), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"reason", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, reason), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"clock", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, clock), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"target", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, target), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"same_runs", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, same_runs), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"runs", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolReply, n_runs), offsetof(PoolReply, runs),
-		&pool_listed_run__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"percents", 9, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_UINT32, offsetof(PoolReply, n_percents),
-		offsetof(PoolReply, percents), NULL, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-		0, NULL, NULL			  /* reserved1,reserved2, etc */
-	},
-	{
-		"ends", 10, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolReply, n_ends), offsetof(PoolReply, ends),
-		&pool_listed_end__descriptor, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"no_incarnation", 11, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-		offsetof(PoolReply, no_incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"lossy", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolReply, lossy), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = how */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+};
+static const ProtobufCIntRange pool_listed_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pool_listed_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListedEnd",
+  "PoolListedEnd",
+  "PoolListedEnd",
+  "",
+  sizeof(PoolListedEnd),
+  3,
+  pool_listed_end__field_descriptors,
+  pool_listed_end__field_indices_by_name,
+  1,  pool_listed_end__number_ranges,
+  (ProtobufCMessageInit) pool_listed_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_reply__field_descriptors[12] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, clock),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "same_runs",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, same_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolReply, n_runs),
+    offsetof(PoolReply, runs),
+    &pool_listed_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percents",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(PoolReply, n_percents),
+    offsetof(PoolReply, percents),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolReply, n_ends),
+    offsetof(PoolReply, ends),
+    &pool_listed_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "no_incarnation",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, no_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lossy",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolReply, lossy),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_reply__field_indices_by_name[] = {
-	3,  /* field[3] = clock */
-	9,  /* field[9] = ends */
-	4,  /* field[4] = incarnation */
-	11, /* field[11] = lossy */
-	10, /* field[10] = no_incarnation */
-	8,  /* field[8] = percents */
-	2,  /* field[2] = reason */
-	7,  /* field[7] = runs */
-	6,  /* field[6] = same_runs */
-	0,  /* field[0] = seq */
-	1,  /* field[1] = status */
-	5,  /* field[5] = target */
-};
-static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 12 } };
-const ProtobufCMessageDescriptor pool_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolReply",
-	"PoolReply",
-	"PoolReply",
-	"",
-	sizeof(PoolReply),
-	12,
-	pool_reply__field_descriptors,
-	pool_reply__field_indices_by_name,
-	1,
-	pool_reply__number_ranges,
-	(ProtobufCMessageInit)pool_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_listing__field_descriptors[13] = {
-	{
-		"id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolListing, id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"removed", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, removed), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, address), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, service), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"failure_domain", 5, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-		offsetof(PoolListing, failure_domain), NULL,
-		&protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL		     /* reserved1,reserved2, etc */
-	},
-	{
-		"labels", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-		offsetof(PoolListing, n_labels), offsetof(PoolListing, labels),
-		NULL, &protobuf_c_empty_string, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"incarnation", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, incarnation), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"ready", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, ready), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cpu", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, cpu), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"memory", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, memory), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"accelerators", 11, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-		offsetof(PoolListing, accelerators), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"leaves_ms", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListing, leaves_ms), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  3,   /* field[3] = clock */
+  9,   /* field[9] = ends */
+  4,   /* field[4] = incarnation */
+  11,   /* field[11] = lossy */
+  10,   /* field[10] = no_incarnation */
+  8,   /* field[8] = percents */
+  2,   /* field[2] = reason */
+  7,   /* field[7] = runs */
+  6,   /* field[6] = same_runs */
+  0,   /* field[0] = seq */
+  1,   /* field[1] = status */
+  5,   /* field[5] = target */
+};
+static const ProtobufCIntRange pool_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor pool_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolReply",
+  "PoolReply",
+  "PoolReply",
+  "",
+  sizeof(PoolReply),
+  12,
+  pool_reply__field_descriptors,
+  pool_reply__field_indices_by_name,
+  1,  pool_reply__number_ranges,
+  (ProtobufCMessageInit) pool_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listing__field_descriptors[13] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(PoolListing, n_labels),
+    offsetof(PoolListing, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaves_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListing, leaves_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_listing__field_indices_by_name[] = {
-	10, /* field[10] = accelerators */
-	2,  /* field[2] = address */
-	8,  /* field[8] = cpu */
-	4,  /* field[4] = failure_domain */
-	0,  /* field[0] = id */
-	6,  /* field[6] = incarnation */
-	5,  /* field[5] = labels */
-	12, /* field[12] = leaves_ms */
-	9,  /* field[9] = memory */
-	7,  /* field[7] = ready */
-	1,  /* field[1] = removed */
-	3,  /* field[3] = service */
-	11, /* field[11] = version */
-};
-static const ProtobufCIntRange pool_listing__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 13 }
-};
-const ProtobufCMessageDescriptor pool_listing__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolListing",
-	"PoolListing",
-	"PoolListing",
-	"",
-	sizeof(PoolListing),
-	13,
-	pool_listing__field_descriptors,
-	pool_listing__field_indices_by_name,
-	1,
-	pool_listing__number_ranges,
-	(ProtobufCMessageInit)pool_listing__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_listings__field_descriptors[2] = {
-	{
-		"listings", 1, PROTOBUF_C_LABEL_REPEATED,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolListings, n_listings),
-		offsetof(PoolListings, listings), &pool_listing__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64,
-		0, /* quantifier_offset */
-		offsetof(PoolListings, version), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  10,   /* field[10] = accelerators */
+  2,   /* field[2] = address */
+  8,   /* field[8] = cpu */
+  4,   /* field[4] = failure_domain */
+  0,   /* field[0] = id */
+  6,   /* field[6] = incarnation */
+  5,   /* field[5] = labels */
+  12,   /* field[12] = leaves_ms */
+  9,   /* field[9] = memory */
+  7,   /* field[7] = ready */
+  1,   /* field[1] = removed */
+  3,   /* field[3] = service */
+  11,   /* field[11] = version */
+};
+static const ProtobufCIntRange pool_listing__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor pool_listing__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListing",
+  "PoolListing",
+  "PoolListing",
+  "",
+  sizeof(PoolListing),
+  13,
+  pool_listing__field_descriptors,
+  pool_listing__field_indices_by_name,
+  1,  pool_listing__number_ranges,
+  (ProtobufCMessageInit) pool_listing__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_listings__field_descriptors[2] =
+{
+  {
+    "listings",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolListings, n_listings),
+    offsetof(PoolListings, listings),
+    &pool_listing__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolListings, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_listings__field_indices_by_name[] = {
-	0, /* field[0] = listings */
-	1, /* field[1] = version */
-};
-static const ProtobufCIntRange pool_listings__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 2 }
-};
-const ProtobufCMessageDescriptor pool_listings__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolListings",
-	"PoolListings",
-	"PoolListings",
-	"",
-	sizeof(PoolListings),
-	2,
-	pool_listings__field_descriptors,
-	pool_listings__field_indices_by_name,
-	1,
-	pool_listings__number_ranges,
-	(ProtobufCMessageInit)pool_listings__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_state_query__field_descriptors[4] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStateQuery, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
-		0, /* quantifier_offset
-		    */
-		offsetof(PoolStateQuery, id), NULL, &protobuf_c_empty_string,
-		0,	      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"cancel", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolStateQuery, cancel), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"submitted", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolStateQuery, submitted), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  0,   /* field[0] = listings */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pool_listings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pool_listings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolListings",
+  "PoolListings",
+  "PoolListings",
+  "",
+  sizeof(PoolListings),
+  2,
+  pool_listings__field_descriptors,
+  pool_listings__field_indices_by_name,
+  1,  pool_listings__number_ranges,
+  (ProtobufCMessageInit) pool_listings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_state_query__field_descriptors[4] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, cancel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submitted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateQuery, submitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_state_query__field_indices_by_name[] = {
-	2, /* field[2] = cancel */
-	1, /* field[1] = id */
-	0, /* field[0] = seq */
-	3, /* field[3] = submitted */
-};
-static const ProtobufCIntRange pool_state_query__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 4 }
-};
-const ProtobufCMessageDescriptor pool_state_query__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolStateQuery",
-	"PoolStateQuery",
-	"PoolStateQuery",
-	"",
-	sizeof(PoolStateQuery),
-	4,
-	pool_state_query__field_descriptors,
-	pool_state_query__field_indices_by_name,
-	1,
-	pool_state_query__number_ranges,
-	(ProtobufCMessageInit)pool_state_query__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_state_reply__field_descriptors[5] = {
-	{
-		"seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-		0, /* quantifier_offset */
-		offsetof(PoolStateReply, seq), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"final", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolStateReply, final), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_ENUM,
-		0, /* quantifier_offset */
-		offsetof(PoolStateReply, state), &pool_job__state__descriptor,
-		NULL, 0,      /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"unsubmitted", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolStateReply, unsubmitted), NULL, NULL, 0, /* flags
-								       */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"refused", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
-		0, /* quantifier_offset */
-		offsetof(PoolStateReply, refused), NULL, NULL, 0, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  2,   /* field[2] = cancel */
+  1,   /* field[1] = id */
+  0,   /* field[0] = seq */
+  3,   /* field[3] = submitted */
+};
+static const ProtobufCIntRange pool_state_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pool_state_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStateQuery",
+  "PoolStateQuery",
+  "PoolStateQuery",
+  "",
+  sizeof(PoolStateQuery),
+  4,
+  pool_state_query__field_descriptors,
+  pool_state_query__field_indices_by_name,
+  1,  pool_state_query__number_ranges,
+  (ProtobufCMessageInit) pool_state_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_state_reply__field_descriptors[5] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "final",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, final),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, state),
+    &pool_job__state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsubmitted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, unsubmitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PoolStateReply, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_state_reply__field_indices_by_name[] = {
-	1, /* field[1] = final */
-	4, /* field[4] = refused */
-	0, /* field[0] = seq */
-	2, /* field[2] = state */
-	3, /* field[3] = unsubmitted */
-};
-static const ProtobufCIntRange pool_state_reply__number_ranges[1 + 1] = {
-	{ 1, 0 }, { 0, 5 }
-};
-const ProtobufCMessageDescriptor pool_state_reply__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolStateReply",
-	"PoolStateReply",
-	"PoolStateReply",
-	"",
-	sizeof(PoolStateReply),
-	5,
-	pool_state_reply__field_descriptors,
-	pool_state_reply__field_indices_by_name,
-	1,
-	pool_state_reply__number_ranges,
-	(ProtobufCMessageInit)pool_state_reply__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pool_frame__field_descriptors[14] = {
-	{
-		"hello", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, hello),
-		&pool_hello__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"beat", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, beat),
-		&pool_beat__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"submit", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, submit),
-		&pool_submit__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"cancel", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, cancel),
-		&pool_cancel__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"answer", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, answer),
-		&pool_answer__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"progress", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, progress),
-		&pool_progress__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"order", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, order),
-		&pool_order__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"reply", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, reply),
-		&pool_reply__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"heard", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, heard),
-		&pool_heard__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"start", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, start),
-		&pool_start__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"run", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, run),
-		&pool_run__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"listings", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-		offsetof(PoolFrame, body_case), offsetof(PoolFrame, listings),
-		&pool_listings__descriptor, NULL,
-		0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL			 /* reserved1,reserved2, etc */
-	},
-	{
-		"state_query", 13, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolFrame, body_case),
-		offsetof(PoolFrame, state_query), &pool_state_query__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
-	{
-		"state_reply", 14, PROTOBUF_C_LABEL_NONE,
-		PROTOBUF_C_TYPE_MESSAGE, offsetof(PoolFrame, body_case),
-		offsetof(PoolFrame, state_reply), &pool_state_reply__descriptor,
-		NULL, 0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
-		0, NULL, NULL /* reserved1,reserved2, etc */
-	},
+  1,   /* field[1] = final */
+  4,   /* field[4] = refused */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = state */
+  3,   /* field[3] = unsubmitted */
+};
+static const ProtobufCIntRange pool_state_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pool_state_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolStateReply",
+  "PoolStateReply",
+  "PoolStateReply",
+  "",
+  sizeof(PoolStateReply),
+  5,
+  pool_state_reply__field_descriptors,
+  pool_state_reply__field_indices_by_name,
+  1,  pool_state_reply__number_ranges,
+  (ProtobufCMessageInit) pool_state_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pool_frame__field_descriptors[16] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, hello),
+    &pool_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beat",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, beat),
+    &pool_beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, submit),
+    &pool_submit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, cancel),
+    &pool_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, answer),
+    &pool_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "progress",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, progress),
+    &pool_progress__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, order),
+    &pool_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reply",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, reply),
+    &pool_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, heard),
+    &pool_heard__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, start),
+    &pool_start__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, run),
+    &pool_run__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listings",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, listings),
+    &pool_listings__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_query",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, state_query),
+    &pool_state_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_reply",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, state_reply),
+    &pool_state_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count_query",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, count_query),
+    &pool_count_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PoolFrame, body_case),
+    offsetof(PoolFrame, count_reply),
+    &pool_count_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool_frame__field_indices_by_name[] = {
-	4,  /* field[4] = answer */
-	1,  /* field[1] = beat */
-	3,  /* field[3] = cancel */
-	8,  /* field[8] = heard */
-	0,  /* field[0] = hello */
-	11, /* field[11] = listings */
-	6,  /* field[6] = order */
-	5,  /* field[5] = progress */
-	7,  /* field[7] = reply */
-	10, /* field[10] = run */
-	9,  /* field[9] = start */
-	12, /* field[12] = state_query */
-	13, /* field[13] = state_reply */
-	2,  /* field[2] = submit */
-};
-static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] = { { 1, 0 },
-								    { 0, 14 } };
-const ProtobufCMessageDescriptor pool_frame__descriptor = {
-	PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-	"PoolFrame",
-	"PoolFrame",
-	"PoolFrame",
-	"",
-	sizeof(PoolFrame),
-	14,
-	pool_frame__field_descriptors,
-	pool_frame__field_indices_by_name,
-	1,
-	pool_frame__number_ranges,
-	(ProtobufCMessageInit)pool_frame__init,
-	NULL,
-	NULL,
-	NULL /* reserved[123] */
+  4,   /* field[4] = answer */
+  1,   /* field[1] = beat */
+  3,   /* field[3] = cancel */
+  14,   /* field[14] = count_query */
+  15,   /* field[15] = count_reply */
+  8,   /* field[8] = heard */
+  0,   /* field[0] = hello */
+  11,   /* field[11] = listings */
+  6,   /* field[6] = order */
+  5,   /* field[5] = progress */
+  7,   /* field[7] = reply */
+  10,   /* field[10] = run */
+  9,   /* field[9] = start */
+  12,   /* field[12] = state_query */
+  13,   /* field[13] = state_reply */
+  2,   /* field[2] = submit */
+};
+static const ProtobufCIntRange pool_frame__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor pool_frame__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PoolFrame",
+  "PoolFrame",
+  "PoolFrame",
+  "",
+  sizeof(PoolFrame),
+  16,
+  pool_frame__field_descriptors,
+  pool_frame__field_indices_by_name,
+  1,  pool_frame__number_ranges,
+  (ProtobufCMessageInit) pool_frame__init,
+  NULL,NULL,NULL    /* reserved[123] */
 };
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct PoolAnswer PoolAnswer;
 typedef struct PoolHello PoolHello;
 typedef struct PoolWaiting PoolWaiting;
+typedef struct PoolCountQuery PoolCountQuery;
+typedef struct PoolCountReply PoolCountReply;
 typedef struct PoolEvacuation PoolEvacuation;
 typedef struct PoolBeat PoolBeat;
 typedef struct PoolLeader PoolLeader;
@@ -417,6 +419,43 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Asks the leader how many jobs wait in queues that its heartbeat leaves out.
+ */
+struct  PoolCountQuery
+{
+  ProtobufCMessage base;
+  /*
+   * unique within the sender's incarnation
+   */
+  uint64_t seq;
+  size_t n_queues;
+  char **queues;
+};
+#define POOL_COUNT_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_count_query__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  PoolCountReply
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * of the queues, in their order
+   */
+  size_t n_jobs;
+  uint32_t *jobs;
+  /*
+   * the leader has read the stored jobs
+   */
+  protobuf_c_boolean known;
+};
+#define POOL_COUNT_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool_count_reply__descriptor) \
+    , 0, 0,NULL, 0 }
+
+
 /*
  * Whether a failure domain is evacuated, as of a version of the store.
  */
@@ -521,10 +560,14 @@
    * From the leader: it has no memory for more stored jobs.
    */
   protobuf_c_boolean no_memory;
+  /*
+   * jobs wait in queues that waiting leaves out
+   */
+  protobuf_c_boolean more_waiting;
 };
 #define POOL_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool_beat__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -972,7 +1015,9 @@
   POOL_FRAME__BODY_RUN = 11,
   POOL_FRAME__BODY_LISTINGS = 12,
   POOL_FRAME__BODY_STATE_QUERY = 13,
-  POOL_FRAME__BODY_STATE_REPLY = 14
+  POOL_FRAME__BODY_STATE_REPLY = 14,
+  POOL_FRAME__BODY_COUNT_QUERY = 15,
+  POOL_FRAME__BODY_COUNT_REPLY = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(POOL_FRAME__BODY__CASE)
 } PoolFrame__BodyCase;
 
@@ -999,6 +1044,8 @@
     PoolListings *listings;
     PoolStateQuery *state_query;
     PoolStateReply *state_reply;
+    PoolCountQuery *count_query;
+    PoolCountReply *count_reply;
   };
 };
 #define POOL_FRAME__INIT \
@@ -1177,6 +1224,44 @@
 void   pool_waiting__free_unpacked
                      (PoolWaiting *message,
                       ProtobufCAllocator *allocator);
+/* PoolCountQuery methods */
+void   pool_count_query__init
+                     (PoolCountQuery         *message);
+size_t pool_count_query__get_packed_size
+                     (const PoolCountQuery   *message);
+size_t pool_count_query__pack
+                     (const PoolCountQuery   *message,
+                      uint8_t             *out);
+size_t pool_count_query__pack_to_buffer
+                     (const PoolCountQuery   *message,
+                      ProtobufCBuffer     *buffer);
+PoolCountQuery *
+       pool_count_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_count_query__free_unpacked
+                     (PoolCountQuery *message,
+                      ProtobufCAllocator *allocator);
+/* PoolCountReply methods */
+void   pool_count_reply__init
+                     (PoolCountReply         *message);
+size_t pool_count_reply__get_packed_size
+                     (const PoolCountReply   *message);
+size_t pool_count_reply__pack
+                     (const PoolCountReply   *message,
+                      uint8_t             *out);
+size_t pool_count_reply__pack_to_buffer
+                     (const PoolCountReply   *message,
+                      ProtobufCBuffer     *buffer);
+PoolCountReply *
+       pool_count_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool_count_reply__free_unpacked
+                     (PoolCountReply *message,
+                      ProtobufCAllocator *allocator);
 /* PoolEvacuation methods */
 void   pool_evacuation__init
                      (PoolEvacuation         *message);
@@ -1529,6 +1614,12 @@
 typedef void (*PoolWaiting_Closure)
                  (const PoolWaiting *message,
                   void *closure_data);
+typedef void (*PoolCountQuery_Closure)
+                 (const PoolCountQuery *message,
+                  void *closure_data);
+typedef void (*PoolCountReply_Closure)
+                 (const PoolCountReply *message,
+                  void *closure_data);
 typedef void (*PoolEvacuation_Closure)
                  (const PoolEvacuation *message,
                   void *closure_data);
@@ -1596,6 +1687,8 @@
 extern const ProtobufCEnumDescriptor    pool_answer__outcome__descriptor;
 extern const ProtobufCMessageDescriptor pool_hello__descriptor;
 extern const ProtobufCMessageDescriptor pool_waiting__descriptor;
+extern const ProtobufCMessageDescriptor pool_count_query__descriptor;
+extern const ProtobufCMessageDescriptor pool_count_reply__descriptor;
 extern const ProtobufCMessageDescriptor pool_evacuation__descriptor;
 extern const ProtobufCMessageDescriptor pool_beat__descriptor;
 extern const ProtobufCMessageDescriptor pool_leader__descriptor;
--- a/rosemary-poold.c
+++ b/rosemary-poold.c
@@ -119,6 +119,7 @@
 	log_flush();
 	pool_serve_finish(p);
 	pool_jobs_finish(p);
+	pool_counts_finish(p);
 	pool_agent_reset(p);
 	return 0;
 }
