pool: say how many metrics and queues are left out of a bounded text

An operator of a site with 421 queues got metrics that end in the middle of a line, without those of most queues, and logs of 20 queues as if there were no others.

--- a/pool-count.c
+++ b/pool-count.c
@@ -11,9 +11,12 @@
 #define FIRST_BOUND_MS 16	 /* upper bound of the first bucket */
 #define TRAFFIC_INTERVAL_MS 5000 /* between log lines about links */
 
+#define LEFT_OUT_MAX 64 /* of them, of the line that says so */
+
 struct text {
 	char *s;
 	size_t len;
+	size_t left_out; /* lines that did not fit */
 };
 
 /* Appends formatted text, or nothing when it does not fit. */
@@ -24,10 +27,14 @@
 	int n;
 
 	va_start(ap, fmt);
-	n = vsnprintf(t->s + t->len, TEXT_MAX - t->len, fmt, ap);
+	n = vsnprintf(t->s + t->len, TEXT_MAX - LEFT_OUT_MAX - t->len, fmt, ap);
 	va_end(ap);
-	if (n > 0 && (size_t)n < TEXT_MAX - t->len)
+	if (n > 0 && (size_t)n < TEXT_MAX - LEFT_OUT_MAX - t->len) {
 		t->len += (size_t)n;
+		return;
+	}
+	t->s[t->len] = '\0';
+	t->left_out++;
 }
 
 void pool_histogram_add(struct pool_histogram *h, rp_ms ms)
@@ -336,7 +343,7 @@
 
 char *pool_metrics(struct pool *p)
 {
-	struct text t = { malloc(TEXT_MAX), 0 };
+	struct text t = { .s = malloc(TEXT_MAX) };
 
 	t.s[0] = '\0';
 	put_daemon(&t, p);
@@ -355,5 +362,7 @@
 		put_sizes(&t, &p->sched);
 		put_delays(&t, &p->sched);
 	}
+	snprintf(t.s + t.len, LEFT_OUT_MAX,
+		 "rosemary_pool_metrics_left_out %zu\n", t.left_out);
 	return t.s;
 }
--- a/pool-log.c
+++ b/pool-log.c
@@ -153,20 +153,27 @@
 {
 	apr_hash_index_t *h;
 	void *value;
-	int n = 0;
+	int n = 0, left_out = 0;
 
 	if (!p->leading || p->now - p->delays_logged_at < DELAYS_INTERVAL_MS)
 		return;
 	p->delays_logged_at = p->now;
-	for (h = apr_hash_first(NULL, p->sched.queues);
-	     h && n < DELAYS_QUEUES_MAX; h = apr_hash_next(h)) {
+	for (h = apr_hash_first(NULL, p->sched.queues); h;
+	     h = apr_hash_next(h)) {
 		const struct sched_queue *q;
 
 		apr_hash_this(h, NULL, NULL, &value);
 		q = value;
 		if (!q->nended)
 			continue;
+		if (n == DELAYS_QUEUES_MAX) {
+			left_out++;
+			continue;
+		}
 		log_delays(q);
 		n++;
 	}
+	if (left_out)
+		LOG_EVENT(LOG_LEVEL_INFO, "start_delays_left_out",
+			  LOG_NUMBER("queues", left_out));
 }
