pool: send the losses first that tell of a task's fault

Of a job with more than 200 lost targets, a message or row names 200, and the next leader takes the other tasks for some that have lost none: a list that is cut and read as complete. After a failure domain is cut off while a wide job runs there, it could start a task that crashes targets beside others once more. Read in the code, not seen in a play. Losses of tasks that may be at fault come first now; pool-loss fails without the change.

--- a/pool-loss.c
+++ b/pool-loss.c
@@ -7,7 +7,8 @@
 
 /*
  * Losses that are sent of one job. With a limit, those of a wide job whose
- * targets were all lost do not exceed the size of a row.
+ * targets were all lost do not exceed the size of a row. To the receiver, tasks
+ * that are left out have lost no target.
  */
 #define LOSSES_SENT_MAX 200
 
@@ -28,20 +29,41 @@
 	return msg;
 }
 
-PoolLoss **pool_losses_encode(const struct sched_job *job, size_t *n)
+/* Whether a target was lost that was not one of many at the same moment. */
+static int may_be_at_fault(const struct sched_losses *losses)
+{
+	size_t i;
+
+	for (i = 0; i < losses->n; i++)
+		if (!losses->list[i].common)
+			return 1;
+	return 0;
+}
+
+/* Adds the losses of the tasks that may be at fault, or of the others. */
+static void add_losses(PoolLoss **list, size_t *n, const struct sched_job *job,
+		       int at_fault)
 {
-	PoolLoss **list = malloc(LOSSES_SENT_MAX * sizeof(*list));
 	size_t i, j;
 
-	*n = 0;
 	for (i = 0; i < job->ntasks; i++) {
 		const struct sched_losses *losses = job->tasks[i].losses;
 
-		for (j = 0; losses && j < losses->n; j++)
-			if (*n < LOSSES_SENT_MAX)
-				list[(*n)++] =
-					encode((uint32_t)i, &losses->list[j]);
+		if (!losses || may_be_at_fault(losses) != at_fault)
+			continue;
+		for (j = 0; j < losses->n && *n < LOSSES_SENT_MAX; j++)
+			list[(*n)++] = encode((uint32_t)i, &losses->list[j]);
 	}
+}
+
+PoolLoss **pool_losses_encode(const struct sched_job *job, size_t *n)
+{
+	PoolLoss **list = malloc(LOSSES_SENT_MAX * sizeof(*list));
+
+	*n = 0;
+	/* What the receiver cannot do without comes first. */
+	add_losses(list, n, job, 1);
+	add_losses(list, n, job, 0);
 	return list;
 }
 
