regress: have the stand-in's store reply in pages

The platform's store returns 500 rows at most and says that there are more. The stand-in returned all. t-pool-counts sets pages of three rows before a change of leader, and the new one has all jobs.

--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -128,6 +128,7 @@
 	s->up_at = up_after_ms ? fake_now_ms() + up_after_ms : 0;
 	set_int(o, "silent", &s->silent);
 	set_int(o, "lose_answers", &s->lose_answers);
+	set_int(o, "page", &s->page);
 	set_int(o, "late_writes", &s->late_writes);
 	set_int(o, "late_ms", &s->late_ms);
 	set_int(o, "compact", &compact);
@@ -378,6 +379,7 @@
 	st.starts_after = json_object();
 	st.done_tasks = json_object();
 	st.seed = 1;
+	st.store.page = 500;
 	st.drain_ms = f.drain_ms;
 	st.evacuated_ms = f.evacuated_ms;
 	st.first_port = atoi(strrchr(f.listen, ':') + 1);
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -36,6 +36,7 @@
 	int64_t up_at;	   /* ms, when it is up again by itself; 0: never */
 	int silent;	   /* fault: does not answer */
 	int lose_answers;  /* fault: percent of writes made but not answered */
+	int page;	   /* rows in a reply at most */
 	int late_writes;   /* fault: as many of new jobs get no answer, */
 	int late_ms;	   /* and are made after this time */
 	struct standin_late_write *late; /* that are to be made */
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -83,17 +83,24 @@
 	return o;
 }
 
-static enum fake_action reply_rows(struct standin_store *s,
+static enum fake_action reply_page(struct standin_store *s,
 				   struct fake_request *r, unsigned status,
-				   json_t *rows)
+				   json_t *rows, int has_more)
 {
 	return fake_reply_json(r, status,
 			       json_pack("{s:o,s:b,s:I,s:I}", "rows", rows,
-					 "hasMore", 0, "recordVersion",
+					 "hasMore", has_more, "recordVersion",
 					 (json_int_t)s->version, "nowMs",
 					 (json_int_t)fake_now_ms()));
 }
 
+static enum fake_action reply_rows(struct standin_store *s,
+				   struct fake_request *r, unsigned status,
+				   json_t *rows)
+{
+	return reply_page(s, r, status, rows, 0);
+}
+
 static int by_key(const void *a, const void *b)
 {
 	const struct standin_row *x = *(const struct standin_row *const *)a;
@@ -125,10 +132,12 @@
 		    strcmp(s->rows[i].key, query_arg(r, "from")) >= 0)
 			found[n++] = &s->rows[i];
 	qsort(found, n, sizeof(*found), by_key);
-	for (i = 0; i < n && (!limit || i < limit); i++)
+	if (!limit || limit > (size_t)s->page)
+		limit = (size_t)s->page;
+	for (i = 0; i < n && i < limit; i++)
 		json_array_append_new(rows, row_json(found[i]));
 	free(found);
-	return reply_rows(s, r, 200, rows);
+	return reply_page(s, r, 200, rows, n > limit);
 }
 
 static int by_version(const void *a, const void *b)
--- a/regress/t-pool-counts.sh
+++ b/regress/t-pool-counts.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Counts of waiting jobs of many queues, at each entry VM. Guards against 0 for a
-# queue that the leader's heartbeat leaves out, as it names 64 at most.
+# queue that the leader's heartbeat leaves out, as it names 64 at most, or whose
+# job is on a later page of the store.
 . ./regress/pool.sh
 
 queues=100
@@ -62,7 +63,8 @@
 	done
 	echo "no such queue: $(call --status GET "$(http_of 1)" /q999/)"
 
-	# Each queue has another job, and one queue has none.
+	# One queue has none any more. The next leader reads the jobs page by page.
+	control store '{"page":3}'
 	call --status DELETE "$(http_of 0)" /q100/0000000000000100 >"$dir"/none
 	l=$(leader 0 1 2)
 	kill -KILL "$(pid_of "$l")"
