--- a/regress/soak/run.sh
+++ b/regress/soak/run.sh
@@ -6,6 +6,7 @@
 #
 # Environment: BIN, directory of the programs; SECONDS_OF_FAULTS, duration of
 # the faults of one run; JOBS, runs at the same time; STORED=1, stored jobs;
+# CANCEL, percent of the jobs that callers cancel;
 # EVACUATE=1, half of the targets evacuated;
 # VMS and TARGETS, their numbers, which the seed chooses if they are not set.
 # Prints a line for each seed that failed, and the counts at the end. The logs
@@ -38,7 +39,7 @@
 		mkdir -p "$dir"
 		if "$bin"/regress/soak/soak --seed="$seed" --bin="$bin" \
 			--seconds="$seconds" --dir="$dir" --port=$port \
-			${STORED:+--stored} ${EVACUATE:+--evacuate} ${VMS:+--vms="$VMS"} \
+			${STORED:+--stored} ${CANCEL:+--cancel="$CANCEL"} ${EVACUATE:+--evacuate} ${VMS:+--vms="$VMS"} \
 			${TARGETS:+--targets="$TARGETS"} \
 			>"$dir"/out 2>&1
 		then
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -79,8 +79,8 @@
 static void start_callers(struct soak *s, const char *log, int seconds,
 			  int rate, unsigned seed, const char *deadlines)
 {
-	char program[512], flags[6][64], addresses[SOAK_VMS][64];
-	char *argv[10 + SOAK_VMS] = { program,	flags[0], flags[1],   flags[2],
+	char program[512], flags[7][64], addresses[SOAK_VMS][64];
+	char *argv[12 + SOAK_VMS] = { program,	flags[0], flags[1],   flags[2],
 				      flags[3], flags[4], "--tasks=3" };
 	int i, n = 7;
 
@@ -102,6 +102,10 @@
 		snprintf(flags[5], 64, "--deadline-ms=%s", deadlines);
 		argv[n++] = flags[5];
 	}
+	if (s->cancel) {
+		snprintf(flags[6], 64, "--cancel=%d", s->cancel);
+		argv[n++] = flags[6];
+	}
 	argv[n] = NULL;
 	s->callers = soak_spawn(s, log, argv);
 }
@@ -244,6 +248,11 @@
 	await_ready(s);
 	if (s->evacuate)
 		soak_evacuate(s);
+	/* Rows of jobs are written when their callers may have cancelled. */
+	if (s->cancel)
+		json_decref(soak_control(s, "/control/store",
+					 "{\"late_writes\":20,\"late_ms\":"
+					 "3000}"));
 	start_callers(s, "callers.log", seconds, RATE, seed,
 		      deadlines ? DEADLINES : NULL);
 	inject_faults(s, seconds);
@@ -257,6 +266,7 @@
 	report = callers_report(s, "callers.log");
 	check_callers(s, report);
 	json_decref(report);
+	s->cancel = 0;
 	start_callers(s, "calm.log", 2, RATE_AFTER_FAULTS, seed + 1000000,
 		      deadlines ? DEADLINES_AFTER_FAULTS : NULL);
 	report = callers_report(s, "calm.log");
@@ -295,6 +305,9 @@
 	case 'k':
 		f->s->stored = 1;
 		return 0;
+	case 'c':
+		f->s->cancel = atoi(arg);
+		return 0;
 	case 'e':
 		f->s->evacuate = 1;
 		return 0;
@@ -330,6 +343,7 @@
 		  .key = 'd',
 		  .arg = "DIR",
 		  .doc = "directory of the logs" },
+		{ .name = "cancel", .key = 'c', .arg = "PERCENT" },
 		{ .name = "stored", .key = 'k', .doc = "submit stored jobs" },
 		{ .name = "evacuate",
 		  .key = 'e',
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -64,6 +64,7 @@
 	int nactive;
 	int64_t routes_version; /* version of the operator's routes */
 	int stored;		/* callers submit stored jobs */
+	int cancel;		/* percent of the jobs that callers cancel */
 	int evacuate; /* half of the targets are evacuated meanwhile */
 	int violations;
 };
--- a/regress/standin/callers.c
+++ b/regress/standin/callers.c
@@ -25,6 +25,10 @@
 #define LATE_MS 500	      /* delay after a deadline that counts as late */
 #define ANSWER_MARGIN_MS 2000 /* wait for an answer beyond a deadline */
 #define TRIES_MAX 8	      /* that are logged */
+#define CANCEL_WITHIN_MS 2000 /* of the submission, at a random time */
+#define CANCEL_AGAIN_MS 300   /* delay after one that was not acknowledged */
+#define CANCEL_WAIT_MS 4000   /* that is stated */
+#define CANCEL_GIVE_UP_MS 15000
 
 /* Outcomes that the stand-in verifies. */
 enum outcome { OUTCOME_OTHER, OUTCOME_REJECTED, OUTCOME_COMPLETED };
@@ -42,7 +46,11 @@
 	size_t answer_len;
 	int retry_after; /* s, of the latest answer with one; 0: none */
 	enum outcome outcome;
-	int accepted; /* a stored job; its state is polled */
+	int accepted;	   /* a stored job; its state is polled */
+	int is_cancelled;  /* its caller cancels it, and ignores its answers */
+	int64_t cancel_at; /* next try; 0: none is scheduled */
+	CURL *cancel;	   /* in flight */
+	struct curl_slist *cancel_headers;
 	struct {
 		size_t address;
 		int64_t sent_at, ended_at;
@@ -57,18 +65,21 @@
 	int tasks, task_ms;
 	unsigned seed;
 	double deadline_min, deadline_max; /* ms; 0: none is stated */
-	unsigned deadline_seed;	    /* keeps the other draws as they are */
+	unsigned deadline_seed; /* keeps the other draws as they are */
+	int cancel;		/* percent of jobs that are cancelled */
+	unsigned cancel_seed;
 	int stored;		    /* submit stored jobs */
 	const char *verify_address; /* stand-in; NULL: do not verify */
 };
 
 static struct job jobs[JOBS_MAX];
-static size_t njobs, open_jobs;
+static size_t njobs, open_jobs, open_cancels;
 static struct {
 	int completed, failed, rejected, incomplete, unanswered, resent;
-	int unexpected;	    /* answers that no other count fits */
-	int no_retry_after; /* rejections without Retry-After */
-	int deadlines;	    /* jobs with a deadline */
+	int unexpected;		      /* answers that no other count fits */
+	int no_retry_after;	      /* rejections without Retry-After */
+	int deadlines;		      /* jobs with a deadline */
+	int cancelled, not_cancelled; /* the cancellation was acknowledged */
 	int late; /* answers over LATE_MS after the deadline, or missing then */
 } count;
 static struct flags f = {
@@ -98,6 +109,13 @@
 	return size * n;
 }
 
+static size_t ignore_body(char *data, size_t size, size_t n, void *arg)
+{
+	(void)data;
+	(void)arg;
+	return size * n;
+}
+
 static size_t on_header(char *data, size_t size, size_t n, void *arg)
 {
 	struct job *j = arg;
@@ -179,6 +197,89 @@
 	curl_multi_add_handle(multi, j->easy);
 }
 
+/* --- cancellations ------------------------------------------------------ */
+
+/* Cancels the job at a random VM, which need not have had it. */
+static void send_cancel(struct job *j)
+{
+	size_t address = (size_t)rand_r(&f.cancel_seed) % f.naddresses;
+	char url[256], header[64];
+
+	snprintf(url, sizeof(url), "http://%s/q/%016llx", f.addresses[address],
+		 j->id);
+	snprintf(header, sizeof(header), DEADLINE_HEADER ": %d",
+		 CANCEL_WAIT_MS);
+	j->cancel_at = 0;
+	j->cancel_headers = curl_slist_append(NULL, header);
+	j->cancel = curl_easy_init();
+	curl_easy_setopt(j->cancel, CURLOPT_URL, url);
+	curl_easy_setopt(j->cancel, CURLOPT_PRIVATE, j);
+	curl_easy_setopt(j->cancel, CURLOPT_CUSTOMREQUEST, "DELETE");
+	curl_easy_setopt(j->cancel, CURLOPT_HTTPHEADER, j->cancel_headers);
+	curl_easy_setopt(j->cancel, CURLOPT_WRITEFUNCTION, ignore_body);
+	curl_easy_setopt(j->cancel, CURLOPT_TIMEOUT_MS,
+			 (long)CANCEL_WAIT_MS + ANSWER_MARGIN_MS);
+	curl_easy_setopt(j->cancel, CURLOPT_NOSIGNAL, 1L);
+	curl_multi_add_handle(multi, j->cancel);
+}
+
+/* Has the stand-in look for starts of the job from now on. */
+static void report_cancelled(const struct job *j)
+{
+	char url[256], body[64];
+	CURL *e = curl_easy_init();
+
+	snprintf(url, sizeof(url), "http://%s/control/cancelled",
+		 f.verify_address);
+	snprintf(body, sizeof(body), "{\"id\":\"%016llx\"}", j->id);
+	curl_easy_setopt(e, CURLOPT_URL, url);
+	curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, ignore_body);
+	curl_easy_perform(e);
+	curl_easy_cleanup(e);
+}
+
+static void cancel_finished(struct job *j, long status)
+{
+	curl_multi_remove_handle(multi, j->cancel);
+	curl_easy_cleanup(j->cancel);
+	curl_slist_free_all(j->cancel_headers);
+	j->cancel = NULL;
+	if (status == 200 || status == 410) {
+		if (f.verify_address)
+			report_cancelled(j);
+		count.cancelled++;
+		open_cancels--;
+	} else if (now_ms() - j->submitted_at < CANCEL_GIVE_UP_MS) {
+		j->cancel_at = now_ms() + CANCEL_AGAIN_MS;
+	} else {
+		count.not_cancelled++;
+		open_cancels--;
+	}
+}
+
+/* Draws whether the job's caller cancels it, and when. */
+static void draw_cancel(struct job *j)
+{
+	if (!f.cancel || rand_r(&f.cancel_seed) % 100 >= f.cancel)
+		return;
+	j->is_cancelled = 1;
+	j->cancel_at =
+		j->submitted_at + rand_r(&f.cancel_seed) % CANCEL_WITHIN_MS;
+	open_cancels++;
+}
+
+static void cancel_due(void)
+{
+	size_t i;
+
+	for (i = 0; open_cancels && i < njobs; i++)
+		if (jobs[i].cancel_at && jobs[i].cancel_at <= now_ms())
+			send_cancel(&jobs[i]);
+}
+
+/* --- answers ------------------------------------------------------------ */
+
 /* Adds the submissions of an unanswered job to the report. */
 static void report_unanswered(const struct job *j)
 {
@@ -217,8 +318,10 @@
 static void resend_or_give_up(struct job *j)
 {
 	if (now_ms() - j->submitted_at > give_up_ms(j)) {
-		report_unanswered(j);
-		count.unanswered++;
+		if (!j->is_cancelled) {
+			report_unanswered(j);
+			count.unanswered++;
+		}
 		open_jobs--;
 		return;
 	}
@@ -253,6 +356,8 @@
 		return;
 	}
 	open_jobs--;
+	if (j->is_cancelled)
+		return;
 	if (status == 503 || status == 429) {
 		count.rejected++;
 		/* A job that was sent again may have run before. */
@@ -284,6 +389,10 @@
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &j);
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_RESPONSE_CODE,
 				  &status);
+		if (msg->easy_handle == j->cancel) {
+			cancel_finished(j, rc == CURLE_OK ? status : 0);
+			continue;
+		}
 		curl_multi_remove_handle(multi, j->easy);
 		curl_easy_cleanup(j->easy);
 		curl_slist_free_all(j->headers);
@@ -320,6 +429,7 @@
 			count.deadlines++;
 		}
 		open_jobs++;
+		draw_cancel(j);
 		send_job(j);
 	}
 }
@@ -384,6 +494,12 @@
 			      count.deadlines, "late", count.late);
 	json_t *verified = f.verify_address ? verify_outcomes() : NULL;
 
+	if (f.cancel) {
+		json_object_set_new(o, "cancelled",
+				    json_integer(count.cancelled));
+		json_object_set_new(o, "not_cancelled",
+				    json_integer(count.not_cancelled));
+	}
 	if (verified)
 		json_object_update(o, verified);
 	if (count.unanswered)
@@ -428,6 +544,9 @@
 		if (!parse_deadline(arg))
 			argp_error(state, "'%s' must be MS or MIN-MAX", arg);
 		return 0;
+	case 'c':
+		f.cancel = atoi(arg);
+		return 0;
 	case 'k':
 		f.stored = 1;
 		return 0;
@@ -457,6 +576,10 @@
 		  .arg = "MIN-MAX",
 		  .doc = "how long each caller states that it waits, "
 			 "log-uniform; none if not given" },
+		{ .name = "cancel",
+		  .key = 'c',
+		  .arg = "PERCENT",
+		  .doc = "of the jobs, at random times and entry VMs" },
 		{ .name = "stored", .key = 'k', .doc = "submit stored jobs" },
 		{ .name = "verify",
 		  .key = 'v',
@@ -470,7 +593,7 @@
 	int running;
 
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
-	f.deadline_seed = f.seed;
+	f.deadline_seed = f.cancel_seed = f.seed;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	multi = curl_multi_init();
 	unanswered = json_array();
@@ -478,10 +601,11 @@
 	do {
 		submit_new_jobs(started_at);
 		resend_due();
+		cancel_due();
 		curl_multi_perform(multi, &running);
 		handle_finished_requests();
 		curl_multi_poll(multi, NULL, 0, 10, NULL);
-	} while (open_jobs ||
+	} while (open_jobs || open_cancels ||
 		 (double)(now_ms() - started_at) < f.seconds * 1000);
 	report();
 	return 0;
--- a/regress/standin/platform.c
+++ b/regress/standin/platform.c
@@ -185,6 +185,16 @@
 	return fake_reply_text(r, 200, "");
 }
 
+/* {"id"}: a caller has cancelled the job, which was acknowledged. */
+static enum fake_action control_cancelled(struct standin *st,
+					  struct fake_request *r, json_t *o)
+{
+	json_object_set_new(st->cancelled,
+			    json_string_value(json_object_get(o, "id")),
+			    json_integer(fake_now_ms()));
+	return fake_reply_text(r, 200, "");
+}
+
 static enum fake_action control_counts(struct standin *st,
 				       struct fake_request *r)
 {
@@ -267,6 +277,8 @@
 		verdict = control_target(st, r, o);
 	else if (!strcmp(r->path, "/control/row"))
 		verdict = control_row(st, r, o);
+	else if (!strcmp(r->path, "/control/cancelled"))
+		verdict = control_cancelled(st, r, o);
 	else if (!strcmp(r->path, "/control/verify"))
 		verdict = control_verify(st, r, o);
 	else
@@ -375,6 +387,7 @@
 				st.srv.pool);
 	st.acked_specs = json_object();
 	st.started_jobs = json_object();
+	st.cancelled = json_object();
 	st.crash_counts = json_object();
 	st.starts_after = json_object();
 	st.done_tasks = json_object();
--- a/regress/standin/standin.h
+++ b/regress/standin/standin.h
@@ -136,10 +136,14 @@
 	json_t *crash_counts; /* task -> targets that it has crashed */
 	json_t *starts_after; /* task -> its starts after three crashes */
 	json_t *started_jobs; /* ids of jobs of which a task was started */
+	json_t *cancelled;    /* ids -> when a cancellation was acknowledged */
 	json_t *done_tasks;   /* tasks of which a run ended as done */
 	json_t *acked_specs; /* task -> specification of its acknowledged end */
 };
 
+/* Time after which no task of a cancelled job is started, with a fault over. */
+#define STANDIN_CANCEL_MS 6000
+
 /* Counts a violation of an invariant, and keeps the text of the first. */
 void standin_violation(struct standin *st, const char *what,
 		       const char *subject);
--- a/regress/standin/store.c
+++ b/regress/standin/store.c
@@ -245,7 +245,7 @@
 	struct standin_late_write *late;
 
 	if (r->data || !s->late_writes || !writes_new_job(root))
-		return standin_is_late(r);
+		return 0;
 	s->late_writes--;
 	standin_lose(r, -1);
 	late = calloc(1, sizeof(*late));
@@ -341,6 +341,9 @@
 	if (s->up_at && fake_now_ms() >= s->up_at)
 		s->down = 0;
 	make_late_writes(s);
+	/* A reply would say that it is not made. */
+	if (standin_is_late(r))
+		return standin_suspend(r);
 	if (s->down)
 		return fake_reply_error(r, 503, "down");
 	if (!strcmp(r->path, "/api/rows-get"))
--- a/regress/standin/targets.c
+++ b/regress/standin/targets.c
@@ -237,6 +237,17 @@
 	return store_row_age(&st->store, "op", key) > st->evacuated_ms;
 }
 
+/* Whether a cancellation of the task's job was acknowledged long ago. */
+static int was_cancelled(struct standin *st, const char *task)
+{
+	char id[STANDIN_NAME];
+	json_t *at;
+
+	snprintf(id, sizeof(id), "%.*s", (int)strcspn(task, "."), task);
+	at = json_object_get(st->cancelled, id);
+	return at && fake_now_ms() - json_integer_value(at) > STANDIN_CANCEL_MS;
+}
+
 /* Counts a violation for each rule that a start on the target breaks. */
 static void check_start(struct standin *st, struct standin_target *t,
 			const char *task, const char *spec)
@@ -254,6 +265,8 @@
 		standin_violation(st, "running twice", task);
 	if (is_acked(st, task, spec))
 		standin_violation(st, "started after it was done", task);
+	if (was_cancelled(st, task))
+		standin_violation(st, "started after its cancellation", task);
 	for (i = 0; i < t->nruns; i++)
 		cpu += t->runs[i].cpu;
 	room = t->cpu;
--- a/regress/t-pool-soak.sh
+++ b/regress/t-pool-soak.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # A short soak test with two seeds that have failed in the past, for the causes
-# given in regress/soak/seeds, and one with half of the targets evacuated.
+# given in regress/soak/seeds, one with half of the targets evacuated, and one
+# with stored jobs that are written late and cancelled.
 . ./regress/pool.sh
 
 run () {
@@ -18,6 +19,11 @@
 		--seconds=6 --dir="$dir"/5 --port=$port \
 		>"$dir"/soak-5.log || grep VIOLATION "$dir"/soak-5.log
 	tail -1 "$dir"/soak-5.log
+	mkdir "$dir"/2022
+	"$bin"/regress/soak/soak --seed=2022 --stored --cancel=30 --bin="$bin" \
+		--seconds=6 --dir="$dir"/2022 --port=$port \
+		>"$dir"/soak-2022.log || grep VIOLATION "$dir"/soak-2022.log
+	tail -1 "$dir"/soak-2022.log
 }
 
 check run
