--- a/regress/t-pool-soak.sh
+++ b/regress/t-pool-soak.sh
@@ -19,11 +19,11 @@
 		--seconds=6 --dir="$dir"/5 --port=$port \
 		>"$dir"/soak-5.log || grep VIOLATION "$dir"/soak-5.log
 	tail -1 "$dir"/soak-5.log
-	mkdir "$dir"/2022
-	"$bin"/regress/soak/soak --seed=2022 --stored --cancel=30 --bin="$bin" \
-		--seconds=6 --dir="$dir"/2022 --port=$port \
-		>"$dir"/soak-2022.log || grep VIOLATION "$dir"/soak-2022.log
-	tail -1 "$dir"/soak-2022.log
+	mkdir "$dir"/2023
+	"$bin"/regress/soak/soak --seed=2023 --stored --cancel=30 --bin="$bin" \
+		--seconds=8 --dir="$dir"/2023 --port=$port \
+		>"$dir"/soak-2023.log || grep VIOLATION "$dir"/soak-2023.log
+	tail -1 "$dir"/soak-2023.log
 }
 
 check run
