pool: take a cancellation's query off the list before its reply

A reply to this VM's own caller is handled at once, and could ask again while the list is walked. Found by reading; no such order is known. A state that this release does not know is no longer printed as null.

--- a/pool-job-cancel.c
+++ b/pool-job-cancel.c
@@ -86,6 +86,8 @@
 
 void pool_job_cancel_row(struct pool_job_call *j, PoolJob *job, int64_t version)
 {
+	const char *state = job ? pool_job_final_state(job->state) : NULL;
+
 	if (!job) {
 		j->has_no_row = 1;
 		pool_job_cancel_ask(j, RECORD_TIMEOUT_MS);
@@ -94,7 +96,10 @@
 	} else if (job->unsubmitted) {
 		respond_unsubmitted(j);
 	} else {
-		pool_job_respond_state(j, pool_job_final_state(job->state));
+		if (state)
+			pool_job_respond_state(j, state);
+		else
+			pool_job_respond_failed(j, 503);
 		pool_job_call_free(j);
 	}
 }
--- a/pool-job-query.c
+++ b/pool-job-query.c
@@ -57,13 +57,16 @@
 /* The query is over. msg: the leader's reply; NULL: none came in time. */
 static void end_query(struct pool_job_call *j, const PoolStateReply *msg)
 {
+	const char *state = msg && msg->final ? pool_job_final_state(msg->state)
+					      : NULL;
+
 	j->query_seq = 0;
 	j->query_until = 0;
 	j->p->job_calls->nqueries--;
 	if (!j->request) {
 		pool_job_call_free(j);
-	} else if (msg && msg->final) {
-		pool_job_respond_state(j, pool_job_final_state(msg->state));
+	} else if (state) {
+		pool_job_respond_state(j, state);
 		pool_job_call_free(j);
 	} else if (j->cancel) {
 		pool_job_cancel_replied(j, msg);
--- a/pool-keep-cancel.c
+++ b/pool-keep-cancel.c
@@ -100,7 +100,7 @@
 {
 	if (j->cancelling)
 		return STORED_CANCEL_PENDING;
-	if (j->job || j->deferred_bytes)
+	if (j->job || j->state == POOL_JOB__STATE__OPEN)
 		return STORED_CANCEL_IN_ROW;
 	return j->unsubmitted ? STORED_CANCEL_UNSUBMITTED : STORED_CANCEL_ENDED;
 }
--- a/pool-state-cancel.c
+++ b/pool-state-cancel.c
@@ -33,16 +33,6 @@
 	return NULL;
 }
 
-static void refuse(struct pool *p, const char *vm, uint64_t seq)
-{
-	PoolStateReply msg = POOL_STATE_REPLY__INIT;
-
-	p->count.cancels_refused++;
-	msg.seq = seq;
-	msg.refused = 1;
-	pool_state_reply(p, vm, &msg);
-}
-
 static struct pool_cancel_query *query_new(struct pool *p, const char *vm,
 					   const char *id)
 {
@@ -66,7 +56,12 @@
 	if (!q && p->ncancel_queries < QUERIES_MAX)
 		q = query_new(p, vm, msg->id);
 	if (!q) {
-		refuse(p, vm, msg->seq);
+		PoolStateReply refusal = POOL_STATE_REPLY__INIT;
+
+		p->count.cancels_refused++;
+		refusal.seq = msg->seq;
+		refusal.refused = 1;
+		pool_state_reply(p, vm, &refusal);
 		return;
 	}
 	/* A VM that asks again does not wait for the reply before. */
@@ -75,31 +70,30 @@
 	q->until = p->now + QUERY_WAIT_MS;
 }
 
-/* Sends the reply if the cancellation is not pending. Returns whether it is. */
-static int is_pending(struct pool *p, struct pool_cancel_query *q)
+/* Sets what the reply says. Returns 0 while the cancellation is pending. */
+static int is_ready(struct pool *p, struct pool_cancel_query *q,
+		    PoolStateReply *msg)
 {
-	PoolStateReply msg = POOL_STATE_REPLY__INIT;
 	PoolJob__State state = POOL_JOB__STATE__OPEN;
 
-	msg.seq = q->seq;
+	msg->seq = q->seq;
 	switch (stored_job_cancel(p, q->id, &q->submitted, &state)) {
-	case STORED_CANCEL_PENDING:
-		return 1;
 	case STORED_CANCEL_ENDED:
-		msg.final = 1;
-		msg.state = state;
-		break;
+		msg->final = 1;
+		msg->state = state;
+		return 1;
 	case STORED_CANCEL_UNSUBMITTED:
-		msg.unsubmitted = 1;
-		break;
+		msg->unsubmitted = 1;
+		return 1;
 	case STORED_CANCEL_REFUSED:
-		refuse(p, q->vm, q->seq);
-		return 0;
+		p->count.cancels_refused++;
+		msg->refused = 1;
+		return 1;
 	case STORED_CANCEL_IN_ROW:
-		break;
+		return 1;
+	default:
+		return 0;
 	}
-	pool_state_reply(p, q->vm, &msg);
-	return 0;
 }
 
 void pool_cancel_queries_end(struct pool *p)
@@ -118,12 +112,17 @@
 	struct pool_cancel_query **at = &p->cancel_queries, *q;
 
 	while ((q = *at)) {
-		if (p->now < q->until && is_pending(p, q)) {
+		PoolStateReply msg = POOL_STATE_REPLY__INIT;
+		int ready = is_ready(p, q, &msg);
+
+		if (!ready && p->now < q->until) {
 			at = &q->next;
 			continue;
 		}
 		*at = q->next;
 		p->ncancel_queries--;
+		if (ready)
+			pool_state_reply(p, q->vm, &msg);
 		free(q);
 	}
 }
