pool: refuse a cancellation whose caller has no time left

Since the leader is asked first, the next tick could answer before the leader's reply, as if something had been written.

--- a/pool-job-query.c
+++ b/pool-job-query.c
@@ -51,7 +51,13 @@
 
 	j->cancel = 1;
 	j->submitted = submitted;
-	pool_job_cancel_ask(j, QUERY_TIMEOUT_MS);
+	if (r->p->now < r->deadline) {
+		pool_job_cancel_ask(j, QUERY_TIMEOUT_MS);
+		return;
+	}
+	/* Nothing has been asked for. */
+	pool_job_respond_failed(j, 503);
+	pool_job_call_free(j);
 }
 
 /* The query is over. msg: the leader's reply; NULL: none came in time. */
--- a/regress/pool-stop.c
+++ b/regress/pool-stop.c
@@ -96,6 +96,25 @@
 	abort_request(r);
 }
 
+/*
+ * Its caller waits no longer. Guards against 504 by the next tick, which says
+ * that the job may have been cancelled.
+ */
+Test(pool_stop, a_cancellation_without_time_is_refused_at_once)
+{
+	struct pool_request *r = new_request("0000000000000004");
+	struct pool_link to_leader = { .p = &p };
+
+	p.leader_link = &to_leader;
+	r->deadline = p.now;
+	pool_job_cancel(r, r->submit->id, 0);
+	cr_assert_null(p.calls);
+	cr_assert_eq(to_leader.bulk.len, 0);
+	cr_assert_eq(r->response.status, 503);
+	cr_assert_eq(p.nopen, 0);
+	pool_request_free(r);
+}
+
 Test(pool_stop, a_cancellation_in_flight_is_not_leaked)
 {
 	struct pool_request *r = new_request("0000000000000003");
