pool: accept replies of the leader that come late over a slow link

Replies to counts were ignored after 300 ms, and those to cancellations after 160 or 500 ms, as the VM had asked again under another number. Over a link with a longer delay, which the platform's pages allow, a count got 503 and a cancellation 504 each time, though the leader had replied. Found by reading the change; no run of the processes had such a link.

A cancellation keeps its number for all its tries. A query for counts is in flight until its link is replaced, or for as long as requests wait. pool-waiting has a reply after 600 ms; the one that comes too late is 1 s late there now, as the time that requests wait is what decides.

--- a/pool-job-query.c
+++ b/pool-job-query.c
@@ -14,7 +14,11 @@
 
 	if (!p->leading && !p->leader_link)
 		return 0;
-	j->query_seq = query.seq = ++p->job_calls->last_query_seq;
+	/* On a slow link the reply to an earlier try may come after the next.
+	 */
+	if (!j->query_seq)
+		j->query_seq = ++p->job_calls->last_query_seq;
+	query.seq = j->query_seq;
 	pool_job_query_wait(j, timeout);
 	query.id = j->id;
 	query.cancel = j->cancel;
@@ -66,7 +70,6 @@
 	const char *state = msg && msg->final ? pool_job_final_state(msg->state)
 					      : NULL;
 
-	j->query_seq = 0;
 	j->query_until = 0;
 	j->p->job_calls->nqueries--;
 	if (!j->request) {
@@ -86,7 +89,7 @@
 	struct pool_job_call *j;
 
 	for (j = msg->seq ? p->job_calls->all : NULL; j; j = j->all_next)
-		if (j->query_seq == msg->seq)
+		if (j->query_seq == msg->seq && j->query_until)
 			break;
 	if (j)
 		end_query(j, msg);
--- a/pool-waiting.c
+++ b/pool-waiting.c
@@ -16,7 +16,6 @@
 #define ASKED_MAX 64 /* queues in a query */
 /* Queries of a VM in the interval of heartbeats, which grows with the VMs. */
 #define QUERIES_PER_INTERVAL 10
-#define QUERY_TIMEOUT_MS 300
 /* Age up to which a count is given to callers. */
 #define FRESH_MS 1000
 /* Time that a request waits at most. */
@@ -39,7 +38,8 @@
 	uint64_t seq; /* 0: there is none */
 	struct pool_queue_count *asked[ASKED_MAX];
 	size_t nasked;
-	rp_ms sent_at; /* the latest query */
+	uint64_t link_number; /* of the link that it was sent over */
+	rp_ms sent_at;	      /* the latest query */
 	uint64_t last_seq;
 };
 
@@ -244,6 +244,14 @@
 	c->seq = 0;
 }
 
+/* Replies of slow links are awaited for as long as requests wait. */
+static int is_query_lost(const struct pool *p,
+			 const struct pool_queue_counts *c)
+{
+	return !p->leader_link || p->leader_link->number != c->link_number ||
+	       p->now - c->sent_at >= REQUEST_WAIT_MS;
+}
+
 /* Asks for the counts that requests wait for. */
 static void send_query(struct pool *p, struct pool_queue_counts *c)
 {
@@ -263,6 +271,7 @@
 		return;
 	c->seq = query.seq = ++c->last_seq;
 	c->sent_at = p->now;
+	c->link_number = p->leader_link->number;
 	query.queues = names;
 	query.n_queues = c->nasked;
 	frame.body_case = POOL_FRAME__BODY_COUNT_QUERY;
@@ -316,7 +325,7 @@
 
 	if (!c || !c->all)
 		return;
-	if (c->seq && p->now - c->sent_at >= QUERY_TIMEOUT_MS)
+	if (c->seq && is_query_lost(p, c))
 		end_query(c);
 	if (!c->seq && pool_can_submit(p) && !p->leading &&
 	    p->now - c->sent_at >=
--- a/regress/pool-waiting.c
+++ b/regress/pool-waiting.c
@@ -14,7 +14,7 @@
 #include "pool-request.h"
 #include "sched-int.h"
 
-#define QUEUES 421 /* with those that are added at once, on a site */
+#define QUEUES 421 /* with those that a deployment adds at once */
 
 static struct pool leader, other;
 static struct pool_link to_other, to_leader;
@@ -317,7 +317,7 @@
 	frame = take_frame(&to_leader.bulk);
 	pool_count_query_received(&leader, &to_other, frame->count_query);
 	pool_frame__free_unpacked(frame, NULL);
-	other.now += 400;
+	other.now += 1000;
 	other.lead.heartbeat_at = other.now;
 	second = ask(QUEUES + 1);
 	pool_counts_flush(&other);
@@ -332,6 +332,27 @@
 	pool_request_free(second);
 }
 
+/* Guards against a count that is never known on a link with a long delay. */
+Test(pool_waiting, a_reply_over_a_slow_link_is_awaited)
+{
+	struct pool_request *r;
+	unsigned jobs;
+	size_t i;
+
+	fill_queues(QUEUES);
+	send_heartbeat();
+	i = first_left_out();
+	r = ask(i);
+	pool_counts_flush(&other);
+	other.now += 600;
+	other.lead.heartbeat_at = other.now;
+	pool_counts_flush(&other);
+	cr_assert_eq(exchange(), 1);
+	cr_assert_eq(count_of(i, &jobs), POOL_COUNT_KNOWN);
+	cr_assert_eq(resumed, 1);
+	pool_request_free(r);
+}
+
 /* 2,000 requests for all queues of a site within a second. */
 Test(pool_waiting, a_crowd_costs_a_bounded_number_of_messages)
 {
