pool: give up cancellations that cannot be recorded in time

Cause: the row of a cancellation was written whenever the store was back, also minutes after its caller had got 504. If the caller had submitted the job again by then, an accepted job was cancelled. And a VM whose machine is off for good, or a provisional leader, kept each cancellation of an unknown id for as long as its caller stated that it waits, which a client can choose, with a connection and a place among the 512 that the leader keeps. Both found by reading the change; not seen in a run of the processes.

Change: a row that could not be written for 10 s is given up, and a row that was to be renewed counts as old. While another VM may have the job the leader waits for 5 s, which covers a freeze, and then refuses. A VM that knows of no leader for 1.5 s refuses, as it does submissions.

The test that a provisional leader does not reply asks now that it acknowledges nothing and refuses after 5 s.

--- a/pool-job-cancel.c
+++ b/pool-job-cancel.c
@@ -68,10 +68,14 @@
 {
 	if (pool_job_query_leader(j, timeout))
 		return;
-	if (j->has_no_row)
-		pool_job_query_wait(j, NO_LEADER_RETRY_MS);
-	else
+	if (!j->has_no_row) {
 		pool_job_read_row(j);
+	} else if (pool_leader_expected(j->p)) {
+		pool_job_query_wait(j, NO_LEADER_RETRY_MS);
+	} else {
+		pool_job_respond_failed(j, 503);
+		pool_job_call_free(j);
+	}
 }
 
 /* The store has a row that keeps the job from running; none had it before. */
@@ -112,8 +116,7 @@
 		respond_unsubmitted(j);
 	} else if (msg && msg->refused) {
 		pool_job_respond(j, 503,
-				 "{\"error\":\"too many cancellations of "
-				 "unknown jobs\"}",
+				 "{\"error\":\"cannot be cancelled now\"}",
 				 DEFAULT_RETRY_AFTER_S, "job_refused");
 		pool_job_call_free(j);
 	} else if (msg && ++j->attempts >= POOL_JOB_ATTEMPTS) {
--- a/pool-keep-cancel.c
+++ b/pool-keep-cancel.c
@@ -23,6 +23,11 @@
 /* Part of the budget up to which stored jobs leave room for such rows. */
 #define ROOM_SHARE 8
 #define OWNERS_CHECK_INTERVAL_MS 20
+/*
+ * Age from which the row of a cancellation is not written any more: its caller
+ * was told that it failed, and may have submitted the job again.
+ */
+#define STALE_MS 10000
 
 void stored_job_set_unsubmitted(struct pool *p, struct stored_job *j,
 				int unsubmitted)
@@ -90,8 +95,8 @@
 	pool_job__init(j->job);
 	j->job->unsubmitted = j->unsubmitted;
 	j->job->state = j->state;
-	j->ended_at = pool_store_now(p);
-	j->job->accepted_ms = j->job->ended_ms = (uint64_t)j->ended_at;
+	j->job->ended_ms = (uint64_t)pool_store_now(p);
+	j->job->accepted_ms = j->job->ended_ms;
 	j->cancelling = 1;
 	stored_job_changed(p, j);
 }
@@ -138,19 +143,37 @@
 		*state = j->state;
 		return state_of(p, j);
 	}
-	if (!knows_all_rows(p) || (!*submitted && may_not_know_all_jobs(p)))
+	if (lead_is_provisional(&p->lead))
+		return STORED_CANCEL_UNSURE;
+	if (!knows_all_rows(p))
 		return STORED_CANCEL_PENDING;
+	if (!*submitted && may_not_know_all_jobs(p))
+		return STORED_CANCEL_UNSURE;
 	if (!has_room(p, *submitted))
 		return STORED_CANCEL_REFUSED;
 	record(p, id, *submitted);
 	return STORED_CANCEL_PENDING;
 }
 
+int stored_job_drop_stale_cancel(struct pool *p, struct stored_job *j)
+{
+	if (!j->cancelling ||
+	    pool_store_now(p) - (rp_ms)j->job->ended_ms <= STALE_MS)
+		return 0;
+	j->cancelling = 0;
+	if (j->version)
+		stored_job_close(p, j);
+	else
+		stored_job_remove(p, j);
+	return 1;
+}
+
 void stored_job_cancel_recorded(struct pool *p, struct stored_job *j)
 {
 	if (!j->cancelling)
 		return;
 	j->cancelling = 0;
+	j->ended_at = (rp_ms)j->job->ended_ms;
 	p->count.cancels_recorded++;
 	LOG_EVENT(LOG_LEVEL_INFO, "cancellation_recorded",
 		  LOG_TEXT("id", j->id), LOG_NUMBER("version", j->version),
--- a/pool-keep-write.c
+++ b/pool-keep-write.c
@@ -27,10 +27,11 @@
 	p->dispatch_due = 1;
 	if (j->mark > j->sent_mark) {
 		stored_job_queue(&p->stored_jobs->parts[j->part], j);
-	} else if (j->ended_at) {
-		stored_job_cancel_recorded(p, j);
-		stored_job_close(p, j);
+		return;
 	}
+	stored_job_cancel_recorded(p, j);
+	if (j->ended_at)
+		stored_job_close(p, j);
 }
 
 static struct platform_write marker_check(const struct stored_part *part)
@@ -184,7 +185,7 @@
 		}
 		*at = j->next;
 		j->queued = 0;
-		if (!j->job)
+		if (!j->job || stored_job_drop_stale_cancel(p, j))
 			continue;
 		j->writing = 1;
 		j->sent_mark = j->mark;
--- a/pool-keep.h
+++ b/pool-keep.h
@@ -104,7 +104,8 @@
 
 /* pool-keep-cancel.c */
 enum stored_cancel {
-	STORED_CANCEL_PENDING, /* neither is known yet */
+	STORED_CANCEL_PENDING, /* its row is being written, or others read */
+	STORED_CANCEL_UNSURE,  /* another VM may have the job */
 	STORED_CANCEL_IN_ROW,  /* it is open, and is to be cancelled there */
 	STORED_CANCEL_ENDED,   /* the store has a row of it that says so */
 	/* The same; to callers there is no such job. */
@@ -119,6 +120,11 @@
  */
 enum stored_cancel stored_job_cancel(struct pool *p, const char *id,
 				     int *submitted, PoolJob__State *state);
+/*
+ * Forgets the cancellation if its row was to be written long ago. Returns
+ * whether it does; the job may be freed then.
+ */
+int stored_job_drop_stale_cancel(struct pool *p, struct stored_job *j);
 /* The store has a row which says that the job has ended. */
 void stored_job_cancel_recorded(struct pool *p, struct stored_job *j);
 /* Applies a row of the store to a job that is cancelling. */
--- a/pool-state-cancel.c
+++ b/pool-state-cancel.c
@@ -10,6 +10,9 @@
 
 /* Time after which a VM has asked again, or does not wait any more. */
 #define QUERY_WAIT_MS 2000
+/* Time for VMs that may have the job to join, also after a freeze of seconds.
+ */
+#define OWNERS_WAIT_MS 5000
 /* Queries that wait; more are refused at once. */
 #define QUERIES_MAX 512
 
@@ -19,7 +22,7 @@
 	uint64_t seq;
 	char id[SCHED_ID_MAX];
 	int submitted; /* some VM has had a submission of the job */
-	rp_ms until;
+	rp_ms since, until;
 };
 
 static struct pool_cancel_query *find_query(struct pool *p, const char *vm,
@@ -42,6 +45,7 @@
 		return NULL;
 	str_copy(q->vm, sizeof(q->vm), str_of(vm));
 	str_copy(q->id, sizeof(q->id), str_of(id));
+	q->since = p->now;
 	q->next = p->cancel_queries;
 	p->cancel_queries = q;
 	p->ncancel_queries++;
@@ -85,6 +89,9 @@
 	case STORED_CANCEL_UNSUBMITTED:
 		msg->unsubmitted = 1;
 		return 1;
+	case STORED_CANCEL_UNSURE:
+		msg->refused = p->now - q->since >= OWNERS_WAIT_MS;
+		return msg->refused;
 	case STORED_CANCEL_REFUSED:
 		p->count.cancels_refused++;
 		msg->refused = 1;
--- a/pool.pb-c.h
+++ b/pool.pb-c.h
@@ -991,7 +991,7 @@
    */
   protobuf_c_boolean unsubmitted;
   /*
-   * the leader has no room for another such row
+   * The leader has no room for another such row, or may not know the job.
    */
   protobuf_c_boolean refused;
 };
--- a/regress/pool-cancelled.c
+++ b/regress/pool-cancelled.c
@@ -174,6 +174,25 @@
 	return msg;
 }
 
+/* Has the row of an unknown job written, which is acknowledged. */
+static void cancel_unknown_job(void)
+{
+	query_cancel(ID, 0);
+	expect_no_reply();
+	cr_assert(transact(1));
+	cr_assert(expect_reply().unsubmitted);
+}
+
+/* An entry VM asks again and again. */
+static void ask_for(rp_ms ms)
+{
+	for (; ms > 0 && !to_other.bulk.len; ms -= 100) {
+		query_cancel(ID, 0);
+		leader.now += 100;
+		pool_cancel_queries_flush(&leader);
+	}
+}
+
 /*
  * The job ends at once. The reply comes with the row: until then, its owner
  * could submit it to another leader.
@@ -253,13 +272,20 @@
 	cr_assert_not(expect_reply().final);
 }
 
-Test(pool_cancelled, a_provisional_leader_does_not_reply)
+Test(pool_cancelled, a_provisional_leader_acknowledges_none)
 {
+	PoolStateReply msg;
+
 	leader.lead.row.fence |= 7;
 	feed();
 	query_cancel(ID, 0);
 	cr_assert_not(transact(1));
+	ask_for(4400);
 	expect_no_reply();
+	ask_for(800);
+	msg = expect_reply();
+	cr_assert(msg.refused);
+	cr_assert_not(msg.final || msg.unsubmitted);
 }
 
 /*
@@ -307,6 +333,51 @@
 	leader.vms = NULL;
 }
 
+/* Its machine may be off for good, and the caller may wait for very long. */
+Test(pool_cancelled, a_vm_that_stays_missing_does_not_hold_up_callers)
+{
+	struct pool_vm vm = { .vm = "vm9", .address = "127.0.0.1:1" };
+
+	feed();
+	leader.vms = &vm;
+	ask_for(4900);
+	expect_no_reply();
+	ask_for(600);
+	cr_assert(expect_reply().refused);
+	leader.vms = NULL;
+}
+
+/*
+ * The store is away for a minute. The caller was told that the cancellation has
+ * failed, and has submitted the job again when the store is back.
+ */
+Test(pool_cancelled, one_that_has_failed_is_not_written_later)
+{
+	feed();
+	query_cancel(ID, 0);
+	leader.now += 60000;
+	pool_cancel_queries_flush(&leader);
+	expect_no_reply();
+	cr_assert(write_submission());
+	cr_assert_not(transact(1));
+	feed();
+	cr_assert_eq(leader.sched.njobs, 1);
+}
+
+/* The same for the row of the first one, which is then as old as before. */
+Test(pool_cancelled, a_renewal_that_has_failed_does_not_count)
+{
+	feed();
+	cancel_unknown_job();
+	leader.now += 30000;
+	query_cancel(ID, 0);
+	expect_no_reply();
+	leader.now += 15000;
+	pool_cancel_queries_flush(&leader);
+	cr_assert_not(transact(1));
+	cancel_unknown_job();
+}
+
 /* Cut short it would be the id of another job. */
 Test(pool_cancelled, an_id_that_is_too_long_cancels_nothing)
 {
@@ -408,15 +479,6 @@
 	cr_assert_eq(apr_hash_count(leader.stored_jobs->jobs), 0);
 }
 
-/* Has the row of an unknown job written, which is acknowledged. */
-static void cancel_unknown_job(void)
-{
-	query_cancel(ID, 0);
-	expect_no_reply();
-	cr_assert(transact(1));
-	cr_assert(expect_reply().unsubmitted);
-}
-
 /*
  * A submission that is received together with the second cancellation may be
  * written late, when the row of the first one has been removed.
